--- /dev/null
+++ b/internal/fleet/endpoint.go
@@ -0,0 +1,36 @@
+package fleet
+
+// EndpointKind tells a model engine from a plain service.
+type EndpointKind string
+
+// The kinds of endpoint.
+const (
+	EngineEndpoint  EndpointKind = "engine"
+	ServiceEndpoint EndpointKind = "service"
+)
+
+// State is an instance's state in the instance list.
+type State string
+
+// The states of an instance.
+const (
+	Live    State = "live"
+	Leaving State = "leaving"
+)
+
+// Endpoint describes one back end as the instance list gives it.
+type Endpoint struct {
+	ID         EndpointID   `json:"id"`
+	Instance   InstanceID   `json:"instance"`
+	Address    string       `json:"address"` // host:port
+	DataCentre DataCentre   `json:"dataCentre"`
+	Region     Region       `json:"region"`
+	Kind       EndpointKind `json:"kind"`
+	Service    string       `json:"service,omitempty"`   // of a ServiceEndpoint
+	Class      string       `json:"class,omitempty"`     // machine class
+	HourPrice  float64      `json:"hourPrice,omitempty"` // currency units an hour
+	Fences     bool         `json:"fences,omitempty"`    // refuses orders with an old fencing number
+	State      State        `json:"state"`
+	LeaveAt    int64        `json:"leaveAtMillis,omitempty"` // Unix ms at which a leaving instance vanishes; 0 is unknown
+	Models     []ModelRef   `json:"models,omitempty"`        // loaded when the list was made
+}
--- /dev/null
+++ b/internal/listapi/listapi.go
@@ -0,0 +1,34 @@
+// Package listapi holds the wire types and paths of the instance list, shared
+// by the client and the stand-in. The list lags behind the truth.
+package listapi
+
+import "github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+
+// Paths of the API.
+const (
+	ListPath = "/list"        // GET: List
+	LagPath  = "/list/faults" // POST Faults (stand-in only)
+)
+
+// Entry is an entry instance, where a daemon runs.
+type Entry struct {
+	Instance   fleet.InstanceID `json:"instance"`
+	Address    string           `json:"address"` // for callers, host:port
+	Peer       string           `json:"peer"`    // for other daemons, host:port
+	DataCentre fleet.DataCentre `json:"dataCentre"`
+	Region     fleet.Region     `json:"region"`
+	State      fleet.State      `json:"state"`
+}
+
+// List is the live and leaving instances at a moment in the past.
+type List struct {
+	TakenAtMillis int64            `json:"takenAtMillis"`
+	Entries       []Entry          `json:"entries"`
+	Endpoints     []fleet.Endpoint `json:"endpoints"`
+}
+
+// Faults switches the stand-in's faults.
+type Faults struct {
+	LagMillis   int  `json:"lagMillis"`
+	Unavailable bool `json:"unavailable,omitempty"`
+}
