--- /dev/null
+++ b/internal/admission/leases.go
@@ -0,0 +1,33 @@
+package admission
+
+import "time"
+
+// leases lists running requests by expiry. All leases last equally long, so
+// a new or extended one belongs at the end and no heap is needed.
+type leases struct {
+	root request // of a circular list; root.next expires first
+}
+
+func (l *leases) init() {
+	l.root.next, l.root.prev = &l.root, &l.root
+}
+
+func (l *leases) add(r *request, expires time.Duration) {
+	r.expires = expires
+	last := l.root.prev
+	r.prev, r.next = last, &l.root
+	last.next, l.root.prev = r, r
+}
+
+func (l *leases) remove(r *request) {
+	r.prev.next, r.next.prev = r.next, r.prev
+	r.prev, r.next = nil, nil
+}
+
+// first returns the lease that expires first, nil when there is none.
+func (l *leases) first() *request {
+	if l.root.next == &l.root {
+		return nil
+	}
+	return l.root.next
+}
--- /dev/null
+++ b/internal/admission/queue.go
@@ -0,0 +1,145 @@
+package admission
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// enqueue adds r to its flow's queue.
+func (a *Admission) enqueue(r *request) {
+	f := r.flow
+	p := f.pool
+	p.activate(f)
+	f.queue.push(r)
+	f.queuedWork += r.work
+	f.workspace.queuedCost += r.cost
+	p.queued++
+	p.queuedWork += r.work
+	if f.state == flowEmpty {
+		p.enter(f)
+	}
+}
+
+// dequeue takes r out of its flow's queue.
+func (a *Admission) dequeue(r *request) {
+	f := r.flow
+	p := f.pool
+	f.queue.remove(r.index)
+	f.queuedWork -= r.work
+	f.workspace.queuedCost -= r.cost
+	p.queued--
+	p.queuedWork -= r.work
+	if f.queue.len() > 0 {
+		return
+	}
+	a.unqueue(f)
+	p.deactivate(f)
+	if p.queued == 0 {
+		p.queuedWork = 0 // sheds the rounding of many sums
+	}
+	f.queuedWork = 0
+}
+
+// unqueue takes an empty flow out of whatever it waited in.
+func (a *Admission) unqueue(f *flow) {
+	switch f.state {
+	case flowReady:
+		f.pool.leave(f, flowEmpty)
+	case flowAsleep:
+		a.asleep.remove(f.index)
+	}
+	f.state = flowEmpty
+}
+
+// start gives r a lease and charges its estimate.
+func (a *Admission) start(now time.Duration, r *request) {
+	f := r.flow
+	w, p := f.workspace, f.pool
+	p.activate(f)
+	f.running++
+	p.running++
+	w.running++
+	w.tokens.take(now, r.cost)
+	p.charge(now, f, r.work)
+	r.running = true
+	r.started = now
+	a.leases.add(r, now+a.cfg.LeaseTime)
+}
+
+// stop takes r's lease and slot back and wakes flows that waited for the slot.
+func (a *Admission) stop(r *request) {
+	f := r.flow
+	a.leases.remove(r)
+	f.running--
+	f.pool.running--
+	f.pool.deactivate(f)
+	f.workspace.running--
+	for _, o := range f.workspace.flows {
+		if o.state == flowBlocked {
+			a.reconsider(o)
+		}
+	}
+	delete(a.requests, r.id)
+}
+
+// activate counts f's weight when its first request comes.
+func (p *pool) activate(f *flow) {
+	if !f.active() {
+		p.activeWeight += f.workspace.weight
+	}
+}
+
+// deactivate takes f's weight away after its last request.
+func (p *pool) deactivate(f *flow) {
+	if !f.active() {
+		p.activeWeight -= f.workspace.weight
+	}
+}
+
+// drop forgets a flow.
+func (p *pool) drop(f *flow) {
+	for i, o := range p.flows {
+		if o == f {
+			p.flows = append(p.flows[:i], p.flows[i+1:]...)
+			return
+		}
+	}
+}
+
+// Release ends a request. A running one is settled on its real usage; one that
+// waits is forgotten. It reports false, and changes nothing, for a request that
+// holds no lease: a second release, or one after expiry, must not free the slot
+// of another request or settle twice.
+func (a *Admission) Release(now time.Time, id fleet.RequestID, u Usage) bool {
+	r, ok := a.requests[id]
+	if !ok {
+		return false
+	}
+	t := a.clock(now)
+	if !r.running {
+		a.dequeue(r)
+		delete(a.requests, id)
+		a.recycle(r)
+		return true
+	}
+	a.settle(t, r, u)
+	a.stop(r)
+	a.recycle(r)
+	return true
+}
+
+// settle corrects the charge to the real usage and learns from it.
+func (a *Admission) settle(now time.Duration, r *request, u Usage) {
+	w := r.flow.workspace
+	w.tokens.take(now, float64(u.PromptTokens+u.CompletionTokens)-r.cost)
+	isService := r.model == (fleet.ModelRef{})
+	if u.NotRun || !isService && u.CompletionTokens == 0 {
+		return // its times say nothing about the pool
+	}
+	if !isService {
+		w.estimates.observe(r.model, u.CompletionTokens)
+	}
+	work := a.work(r.model, float64(u.PromptTokens), float64(u.CompletionTokens))
+	r.flow.pool.observe(work, now-r.started)
+}
--- /dev/null
+++ b/internal/admission/tick.go
@@ -0,0 +1,156 @@
+package admission
+
+import (
+	"slices"
+	"time"
+)
+
+// checkInterval is how often the predictions of what waits are made anew. A
+// quarter of a second keeps the scan of a full queue below 0.1% of a core and
+// tells a caller long before its deadline.
+const checkInterval = 250 * time.Millisecond
+
+// Tick expires leases, starts what may start and refuses what would now miss
+// its deadline. Call it after each batch of Release and at NextTick. The
+// result is valid until the next call.
+func (a *Admission) Tick(now time.Time) []Action {
+	t := a.clock(now)
+	a.actions = a.actions[:0]
+	a.expire(t)
+	a.wake(t)
+	if t >= a.nextCheck {
+		a.nextCheck = t + checkInterval
+		for _, p := range a.poolList {
+			a.check(t, p)
+		}
+	}
+	for _, p := range a.poolList {
+		a.dispatch(t, p)
+	}
+	return a.actions
+}
+
+// NextTick returns when Tick has something to do at the latest, without
+// further calls; the zero time when nothing is pending.
+func (a *Admission) NextTick() time.Time {
+	next := time.Duration(-1)
+	earlier := func(t time.Duration) {
+		if next < 0 || t < next {
+			next = t
+		}
+	}
+	if r := a.leases.first(); r != nil {
+		earlier(r.expires)
+	}
+	if a.asleep.len() > 0 {
+		earlier(a.asleep.top().wake)
+	}
+	for _, p := range a.poolList {
+		if p.queued > 0 {
+			earlier(a.nextCheck)
+		}
+		if p.ready.len() > 0 && p.running < p.slots {
+			earlier(a.latest)
+		}
+	}
+	if next < 0 {
+		return time.Time{}
+	}
+	return a.epoch.Add(next)
+}
+
+// expire frees the slots of requests whose holder went silent. The estimate
+// stays charged: the tokens were most likely spent.
+func (a *Admission) expire(now time.Duration) {
+	for r := a.leases.first(); r != nil && r.expires <= now; r = a.leases.first() {
+		a.stop(r)
+		a.recycle(r)
+	}
+}
+
+// wake makes flows ready whose workspace has paid its debt.
+func (a *Admission) wake(now time.Duration) {
+	for a.asleep.len() > 0 && a.asleep.top().wake <= now {
+		a.reconsider(a.asleep.top())
+	}
+}
+
+// dispatch starts requests while the pool has slots, in fair order.
+func (a *Admission) dispatch(now time.Duration, p *pool) {
+	for p.running < p.slots && p.ready.len() > 0 {
+		f := p.ready.top()
+		w := f.workspace
+		if w.running >= w.slots {
+			p.leave(f, flowBlocked)
+			continue
+		}
+		if until, debt := w.inDebt(now); debt {
+			p.leave(f, flowAsleep)
+			f.wake = until
+			a.asleep.push(f)
+			continue
+		}
+		a.startNext(now, f)
+	}
+}
+
+// startNext starts the first of f's queue, or refuses it if it is too late:
+// starting it would spend a slot on an answer that nobody waits for.
+func (a *Admission) startNext(now time.Duration, f *flow) {
+	r := f.queue.top()
+	if r.deadline < now {
+		a.shed(now, r, f.wait(now, f.queuedWork))
+		return
+	}
+	a.dequeue(r)
+	a.start(now, r)
+	if f.state == flowReady {
+		f.pool.ready.fix(f.index)
+	}
+	a.actions = append(a.actions, Action{Request: r.id, Start: true})
+}
+
+// check refuses what waits in p and would now miss its deadline, because
+// capacity went away or more urgent requests came.
+func (a *Admission) check(now time.Duration, p *pool) {
+	if p.queued == 0 {
+		return
+	}
+	for _, f := range p.flows {
+		if f.queue.len() > 0 {
+			a.checkFlow(now, f)
+		}
+	}
+}
+
+func (a *Admission) checkFlow(now time.Duration, f *flow) {
+	a.scratch = append(a.scratch[:0], f.queue.items...)
+	slices.SortFunc(a.scratch, compareRequests)
+	ahead := 0.0
+	for _, r := range a.scratch {
+		wait := f.wait(now, ahead)
+		if now+wait > r.deadline {
+			a.shed(now, r, wait)
+			continue
+		}
+		ahead += r.work
+	}
+}
+
+func compareRequests(a, b *request) int {
+	if a.before(b) {
+		return -1
+	}
+	return 1
+}
+
+// shed refuses a request that waits and returns what it took.
+func (a *Admission) shed(now time.Duration, r *request, wait time.Duration) {
+	a.dequeue(r)
+	f := r.flow
+	f.workspace.requests.take(now, -1)
+	d := a.refuse(Overload, wait+f.booked.add(now, f.rate(now), r.work))
+	a.actions = append(a.actions, Action{Request: r.id, Reason: d.Reason, RetryAfter: d.RetryAfter})
+	delete(a.requests, r.id)
+	a.recycle(r)
+}
--- /dev/null
+++ b/internal/audit/entry.go
@@ -0,0 +1,78 @@
+package audit
+
+import (
+	"crypto/sha256"
+	"encoding/base64"
+	"encoding/binary"
+	"time"
+	"unicode/utf8"
+)
+
+// Action says what a change did to the object.
+type Action string
+
+// The actions.
+const (
+	Created Action = "created" // also when it goes on from a tombstone
+	Amended Action = "amended"
+	Deleted Action = "deleted"
+)
+
+// Bounds of an entry's texts, in bytes. MaxKept entries of the greatest size
+// take about 150 KB, so that a trail never crowds the object's own state out
+// of the store's limit of 1 MB a value.
+const (
+	MaxWhoBytes       = 64
+	MaxWhyBytes       = 512
+	MaxOperationBytes = 64
+)
+
+// Entry records one change. A write can't hold the version that it will get;
+// it holds the one it replaced, and the next entry's From tells what it got.
+type Entry struct {
+	Who       string `json:"who"`  // the operator, from a verified credential
+	When      int64  `json:"when"` // Unix milliseconds, by the clock of the daemon that wrote it
+	Action    Action `json:"action,omitempty"`
+	From      uint64 `json:"from"` // version that the change replaced, 0 where there was none
+	Why       string `json:"why,omitempty"`
+	Digest    string `json:"digest"`    // of the new state, see Digest
+	Operation string `json:"operation"` // unique to one attempt to change
+}
+
+// Time returns When.
+func (e Entry) Time() time.Time { return time.UnixMilli(e.When) }
+
+// Check returns an error that names the first field out of its bounds.
+func (e Entry) Check() error {
+	switch {
+	case e.Who == "" || len(e.Who) > MaxWhoBytes:
+		return Error.New("who: 1 to %d bytes are needed", MaxWhoBytes)
+	case len(e.Why) > MaxWhyBytes:
+		return Error.New("why: more than %d bytes", MaxWhyBytes)
+	case e.Operation == "" || len(e.Operation) > MaxOperationBytes:
+		return Error.New("operation: 1 to %d bytes are needed", MaxOperationBytes)
+	case !utf8.ValidString(e.Who) || !utf8.ValidString(e.Why) || !utf8.ValidString(e.Operation):
+		return Error.New("texts must be UTF-8")
+	}
+	return nil
+}
+
+// Digest returns the SHA-256 of a state's encoding, in unpadded URL base64.
+func Digest(state []byte) string {
+	sum := sha256.Sum256(state)
+	return base64.RawURLEncoding.EncodeToString(sum[:])
+}
+
+// link returns the chained hash of the entries up to e: the hash before it and
+// e's fields, each with its length, so that no two entries encode the same.
+func (e Entry) link(before Hash) Hash {
+	buf := make([]byte, 0, 512)
+	buf = append(buf, before[:]...)
+	buf = binary.BigEndian.AppendUint64(buf, uint64(e.When))
+	buf = binary.BigEndian.AppendUint64(buf, e.From)
+	for _, text := range [...]string{e.Who, string(e.Action), e.Why, e.Digest, e.Operation} {
+		buf = binary.BigEndian.AppendUint32(buf, uint32(len(text)))
+		buf = append(buf, text...)
+	}
+	return sha256.Sum256(buf)
+}
--- /dev/null
+++ b/internal/cli/root.go
@@ -0,0 +1,96 @@
+// Package cli holds the commands of the binary, a file each.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/spf13/cobra"
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors of this package.
+var Error = errs.Class("cyclamenbeam")
+
+// The exit statuses.
+const (
+	exitDone    = 0
+	exitFailed  = 1 // refused, or failed
+	exitUsage   = 2
+	exitUnknown = 3 // the outcome is not known
+)
+
+// exitError is an error with the exit status that it asks for.
+type exitError struct {
+	status int
+	err    error
+}
+
+func (e *exitError) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *exitError) Unwrap() error { return e.err }
+
+// unknownOutcome marks an error after which a change may have taken effect.
+func unknownOutcome(err error) error { return &exitError{status: exitUnknown, err: err} }
+
+// app is what commands share.
+type app struct {
+	stdout io.Writer
+	stderr io.Writer
+}
+
+// Execute runs the command line and returns the process's exit status.
+func Execute(args []string, stdout, stderr io.Writer) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	root := newRoot(&app{stdout: stdout, stderr: stderr})
+	root.SetArgs(args)
+	root.SetOut(stdout)
+	root.SetErr(stderr)
+	err := root.ExecuteContext(ctx)
+	if err == nil {
+		return exitDone
+	}
+	fmt.Fprintln(stderr, "cyclamenbeam:", err)
+	var exit *exitError
+	if errors.As(err, &exit) {
+		return exit.status
+	}
+	return exitUsage
+}
+
+func newRoot(a *app) *cobra.Command {
+	root := &cobra.Command{
+		Use:           "cyclamenbeam",
+		Short:         "Serve models and plain services on reclaimable instances",
+		SilenceUsage:  true,
+		SilenceErrors: true,
+	}
+	root.AddCommand(
+		newDev(a),
+		newServe(a),
+		newStandin(a),
+		newCheck(a),
+		newVersion(a),
+	)
+	return root
+}
+
+// failing makes a command whose errors mean failure; cobra's own errors, of
+// arguments and flags, mean bad usage.
+func failing(f func(cmd *cobra.Command, args []string) error) func(*cobra.Command, []string) error {
+	return func(cmd *cobra.Command, args []string) error {
+		err := f(cmd, args)
+		var exit *exitError
+		if err == nil || errors.As(err, &exit) {
+			return err
+		}
+		return &exitError{status: exitFailed, err: err}
+	}
+}
--- /dev/null
+++ b/internal/cli/serve.go
@@ -0,0 +1,48 @@
+package cli
+
+import (
+	"context"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/daemon"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/deployment"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
+)
+
+func newServe(a *app) *cobra.Command {
+	var path string
+	cmd := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Run the daemon of an entry instance",
+		Example: `  cyclamenbeam serve --settings entry-1.yaml`,
+		Args:    cobra.NoArgs,
+		RunE:    failing(func(cmd *cobra.Command, _ []string) error { return a.serve(cmd.Context(), path) }),
+	}
+	cmd.Flags().StringVar(&path, "settings", "", "the daemon's settings, YAML")
+	_ = cmd.MarkFlagRequired("settings")
+	return cmd
+}
+
+func (a *app) serve(ctx context.Context, path string) error {
+	s, err := settings.Read(path)
+	if err != nil {
+		return err
+	}
+	d, err := daemon.New(s, logging.New(a.stderr, s.Log))
+	if err != nil {
+		return err
+	}
+	if err := d.Start(); err != nil {
+		return err
+	}
+	announcer := deployment.NewAnnouncer(a.stdout)
+	announcer.Ready(deployment.RoleEntry, s.Listen.Callers)
+	announcer.Ready(deployment.RoleOperator, s.Listen.Operators)
+	if d.Ready(ctx) == nil {
+		announcer.Done()
+	}
+	<-ctx.Done()
+	return a.leave(d.Leave, s.Limits.RequestTimeout)
+}
--- /dev/null
+++ b/internal/daemon/admission.go
@@ -0,0 +1,126 @@
+package daemon
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	admissionRing = 4096
+	// admissionTick bounds how late a queued request starts after its limit
+	// allows it; releases tick at once.
+	admissionTick = 10 * time.Millisecond
+)
+
+// admissionState is what the duty owns.
+type admissionState struct {
+	limits  *admission.Admission
+	waiting map[fleet.RequestID]chan admission.Action
+}
+
+// admissionDuty owns the limits.
+type admissionDuty struct {
+	*owner[*admissionState]
+}
+
+var _ dispatch.Admission = (*admissionDuty)(nil)
+
+func newAdmissionDuty() *admissionDuty {
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &admissionDuty{newOwner("admission", admissionRing, &admissionState{
+		limits:  admission.New(admission.DefaultConfig(), rng),
+		waiting: make(map[fleet.RequestID]chan admission.Action),
+	})}
+}
+
+func (d *admissionDuty) start(ctx context.Context) {
+	go d.run(ctx, admissionTick, func(now time.Time, s *admissionState) {
+		if next := s.limits.NextTick(); !next.IsZero() && !now.Before(next) {
+			s.tick(now)
+		}
+	})
+}
+
+func (s *admissionState) tick(now time.Time) {
+	for _, a := range s.limits.Tick(now) {
+		if c, ok := s.waiting[a.Request]; ok {
+			delete(s.waiting, a.Request)
+			c <- a
+		}
+	}
+}
+
+// Admit implements dispatch.Admission.
+func (d *admissionDuty) Admit(ctx context.Context, a admission.Ask) *problem.Problem {
+	var decision admission.Decision
+	decided := make(chan admission.Action, 1) // taken or not, the owner never waits
+	asked := d.ask(func(now time.Time, s *admissionState) {
+		decision = s.limits.Offer(now, a)
+		if decision.Outcome == admission.Queue {
+			s.waiting[a.Request] = decided
+		}
+	})
+	switch {
+	case !asked:
+		return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "this entry is overloaded").After(time.Second)
+	case decision.Outcome == admission.Admit:
+		return nil
+	case decision.Outcome == admission.Refuse:
+		return refusal(decision.Reason, decision.RetryAfter)
+	}
+	select {
+	case action := <-decided:
+		if action.Start {
+			return nil
+		}
+		return refusal(action.Reason, action.RetryAfter)
+	case <-ctx.Done():
+		d.abandon(a.Request)
+		return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "the caller left while the request was queued")
+	case <-d.done:
+		return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "this entry stops").After(time.Second)
+	}
+}
+
+// abandon takes a request out of the queue, or gives its place back when it
+// was started at the same moment.
+func (d *admissionDuty) abandon(id fleet.RequestID) {
+	d.tell(func(now time.Time, s *admissionState) {
+		delete(s.waiting, id)
+		s.limits.Release(now, id, admission.Usage{NotRun: true})
+		s.tick(now)
+	})
+}
+
+// Extend implements dispatch.Admission.
+func (d *admissionDuty) Extend(id fleet.RequestID) {
+	d.hint(func(now time.Time, s *admissionState) { s.limits.Extend(now, id) })
+}
+
+// Release implements dispatch.Admission.
+func (d *admissionDuty) Release(id fleet.RequestID, u admission.Usage) {
+	d.tell(func(now time.Time, s *admissionState) {
+		s.limits.Release(now, id, u)
+		s.tick(now)
+	})
+}
+
+// refusal is what a caller sees of a limit. Nothing was taken, nothing ran.
+func refusal(r admission.Reason, after time.Duration) *problem.Problem {
+	status := http.StatusTooManyRequests
+	switch r {
+	case admission.Overload, admission.QueueFull:
+		status = http.StatusServiceUnavailable
+	case admission.TooLarge:
+		status = http.StatusBadRequest
+	}
+	return problem.New(status, verdict.NotRun, "refused by the limit: %s", r).After(after)
+}
--- /dev/null
+++ b/internal/daemon/configuration.go
@@ -0,0 +1,239 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
+)
+
+const (
+	configurationRing = 256
+	// configurationTick is how often due fetches and lists are looked for; it
+	// adds to the time in which a change is in force.
+	configurationTick = 100 * time.Millisecond
+	// watchWait is how long the object API holds a watch without changes.
+	watchWait = 30 * time.Second
+	// watchPause follows a failed watch, so that a store that refuses at once
+	// is not asked in a tight loop.
+	watchPause = 500 * time.Millisecond
+	listLimit  = 10 * time.Second
+)
+
+// configurationState is what the duty owns.
+type configurationState struct {
+	store  *template.Store
+	spread *template.Spread
+}
+
+// configurationDuty keeps the closing templates in force.
+type configurationDuty struct {
+	*owner[*configurationState]
+	ctx       context.Context
+	objects   platform.Objects
+	snapshot  atomic.Pointer[template.Snapshot]
+	state     *lifecycle
+	fetch     func(ctx context.Context, from fleet.DaemonID, have map[string]uint64) ([]template.Revision, bool, error)
+	onChange  func(*template.Snapshot) // called on the owner's goroutine
+	setDigest func(template.Digest)    // told to the membership
+	log       *logrus.Entry
+}
+
+var _ gateway.Identities = (*configurationDuty)(nil)
+
+func newConfigurationDuty(objects platform.Objects, startSpread time.Duration, state *lifecycle, log *logrus.Entry) *configurationDuty {
+	store := template.NewStore()
+	config := template.DefaultSpread
+	config.StartSpread = startSpread
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	d := &configurationDuty{
+		owner: newOwner("configuration", configurationRing, &configurationState{
+			store:  store,
+			spread: template.NewSpread(config, store, rng, time.Now()),
+		}),
+		objects: objects.As(budget.Configuration),
+		state:   state,
+		log:     log,
+	}
+	d.snapshot.Store(store.Snapshot())
+	return d
+}
+
+func (d *configurationDuty) start(ctx context.Context) {
+	d.ctx = ctx
+	go d.run(ctx, configurationTick, func(now time.Time, s *configurationState) {
+		for _, a := range s.spread.Tick(now) {
+			switch a.Kind {
+			case template.ListStore:
+				go d.list()
+			case template.FetchFromPeer:
+				go d.fetchFrom(a.Peer, a.Have)
+			}
+		}
+	})
+	go d.watch()
+}
+
+// watch follows the store's changes. A template that changed before the watch
+// began is found by the list.
+func (d *configurationDuty) watch() {
+	since := uint64(0)
+	for d.ctx.Err() == nil {
+		answer, err := d.objects.Watch(d.ctx, []string{template.Kind}, since, watchWait)
+		var gone *platform.Gone
+		switch {
+		case err == nil:
+			since = max(since, answer.Version)
+			d.watched(template.RevisionsOf(answer.Changes))
+			continue
+		case errors.As(err, &gone):
+			d.tell(func(now time.Time, s *configurationState) {
+				s.spread.WatchReset(now)
+			})
+			since = d.newest()
+		default:
+			d.tell(func(_ time.Time, s *configurationState) { s.spread.WatchFailed() })
+		}
+		select {
+		case <-time.After(watchPause):
+		case <-d.ctx.Done():
+		}
+	}
+}
+
+func (d *configurationDuty) newest() uint64 {
+	var v uint64
+	d.ask(func(_ time.Time, s *configurationState) { v = s.spread.WatchFrom() })
+	return v
+}
+
+func (d *configurationDuty) watched(changes []template.Revision) {
+	d.tell(func(now time.Time, s *configurationState) {
+		d.applied(s, s.spread.Watched(now, changes...))
+	})
+}
+
+func (d *configurationDuty) list() {
+	ctx, cancel := context.WithTimeout(d.ctx, listLimit)
+	defer cancel()
+	list, err := d.objects.List(ctx, template.Kind, "")
+	d.tell(func(now time.Time, s *configurationState) {
+		if err != nil {
+			d.log.WithError(err).Warn("templates not listed")
+			s.spread.ListFailed(now)
+			return
+		}
+		d.applied(s, s.spread.Listed(now, template.RevisionsOf(list.Objects)...))
+	})
+}
+
+func (d *configurationDuty) fetchFrom(peer fleet.DaemonID, have map[string]uint64) {
+	ctx, cancel := context.WithTimeout(d.ctx, listLimit)
+	defer cancel()
+	newer, ok, err := d.fetch(ctx, peer, have)
+	d.tell(func(now time.Time, s *configurationState) {
+		if err != nil || !ok {
+			d.log.WithField("peer", peer).Debugf("templates not fetched: %v", err)
+			s.spread.FetchFailed(now, peer)
+			return
+		}
+		d.applied(s, s.spread.Fetched(now, peer, newer...))
+	})
+}
+
+// heard takes a daemon's digest from the membership.
+func (d *configurationDuty) heard(daemon fleet.DaemonID, digest template.Digest) {
+	d.hint(func(now time.Time, s *configurationState) {
+		s.spread.Heard(now, daemon, digest)
+		d.publish(s)
+	})
+}
+
+// gone forgets a daemon.
+func (d *configurationDuty) gone(daemon fleet.DaemonID) {
+	d.tell(func(_ time.Time, s *configurationState) { s.spread.Gone(daemon) })
+}
+
+func (d *configurationDuty) applied(s *configurationState, all []template.Applied) {
+	for _, a := range all {
+		entry := d.log.WithField("template", a.Name).WithField("version", a.Version)
+		switch a.Effect {
+		case template.InForce:
+			entry.Info("template in force")
+		case template.Unusable:
+			entry.Errorf("template unusable, the version before stays: %v", a.Faults)
+		}
+	}
+	d.publish(s)
+}
+
+// publish gives request handlers what is in force.
+func (d *configurationDuty) publish(s *configurationState) {
+	d.state.caughtUp.Store(s.store.Ready())
+	next := s.store.Snapshot()
+	if d.snapshot.Swap(next) != next && d.onChange != nil {
+		d.onChange(next)
+	}
+	if d.setDigest != nil {
+		d.setDigest(s.store.Digest())
+	}
+}
+
+// newer answers a peer that asks for templates.
+func (d *configurationDuty) newer(have map[string]uint64) ([]template.Revision, bool) {
+	var out []template.Revision
+	ok := false
+	d.ask(func(_ time.Time, s *configurationState) { out, ok = s.store.Newer(have) })
+	return out, ok
+}
+
+// status says which daemons have a version in force.
+func (d *configurationDuty) status(name string, version uint64, views []template.View) []template.DaemonStatus {
+	var out []template.DaemonStatus
+	d.ask(func(_ time.Time, s *configurationState) { out = s.store.Status(name, version, views) })
+	return out
+}
+
+// Identify implements gateway.Identities.
+func (d *configurationDuty) Identify(token string) (fleet.WorkspaceID, bool) {
+	if token == "" {
+		return "", false
+	}
+	w, ok := d.snapshot.Load().Authenticate(time.Now(), []byte(token))
+	if !ok {
+		return "", false
+	}
+	return w.ID, true
+}
+
+// NonIdempotent implements gateway.Identities.
+func (d *configurationDuty) NonIdempotent(service, method, path string) bool {
+	return d.snapshot.Load().NonIdempotent(method, service, path)
+}
+
+// model returns what a workspace's template says of a model.
+func (d *configurationDuty) model(id fleet.WorkspaceID, m fleet.ModelRef) (template.Model, bool) {
+	w, ok := d.snapshot.Load().Workspace(id)
+	if !ok {
+		return template.Model{}, false
+	}
+	return w.Model(m.Model, m.Adapter)
+}
+
+// priority returns a workspace's priority at the engines.
+func (d *configurationDuty) priority(id fleet.WorkspaceID) int {
+	w, ok := d.snapshot.Load().Workspace(id)
+	if !ok {
+		return 0
+	}
+	return w.Priority
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,264 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
+)
+
+// Daemon is one entry instance's process: all its duties and listeners.
+type Daemon struct {
+	settings settings.Settings
+	run      fleet.DaemonID
+	log      *logrus.Logger
+	state    *lifecycle
+	metrics  *metricSet
+	cancel   context.CancelFunc
+
+	platform      *platform.Clients
+	roster        *roster
+	peers         *peer.Client
+	routing       *routingDuty
+	admission     *admissionDuty
+	ledger        *ledgerDuty
+	configuration *configurationDuty
+	locator       *locator
+	dispatcher    *dispatch.Dispatcher
+	services      *services
+	observing     *observingDuty
+	servers       []*http.Server
+}
+
+// New makes a daemon from checked settings. Start lets it serve.
+func New(s settings.Settings, log *logrus.Logger) (*Daemon, error) {
+	d := &Daemon{
+		settings: s,
+		run:      fleet.DaemonID(uuid.Must(uuid.NewV7()).String()),
+		log:      log,
+		state:    &lifecycle{},
+		metrics:  newMetricSet(),
+	}
+	rates := budget.Rates{}
+	rates[budget.ObjectRead] = s.Control.FleetReads
+	rates[budget.ObjectWrite] = s.Control.FleetWrites
+	clients, err := platform.New(platform.Options{
+		Objects:   s.Platform.Objects,
+		Instances: s.Platform.Instances,
+		Cloud:     s.Platform.Cloud,
+		Weights:   s.Platform.Weights,
+		Budget:    budget.Config{Fleet: rates, FleetSize: len(s.Seeds) + 1},
+		Observer:  d.metrics,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d.platform = clients
+	d.roster = newRoster(d.self(), s.Entries.Subset, d.state)
+	d.peers = peer.NewClient(nil)
+	d.wire()
+	return d, nil
+}
+
+func (d *Daemon) self() peerInfo {
+	return peerInfo{
+		Instance:   d.settings.Instance,
+		Daemon:     d.run,
+		Callers:    d.settings.Advertise.Callers,
+		Peers:      d.settings.Advertise.Peers,
+		DataCentre: d.settings.DataCentre,
+		Serving:    true,
+	}
+}
+
+// wire makes the duties and joins them.
+func (d *Daemon) wire() {
+	s := &d.settings
+	engineClient := endpoint.NewEngines(endpoint.Options{})
+	d.routing = newRoutingDuty(s, probe, logging.For(d.log, logging.Routing))
+	d.admission = newAdmissionDuty()
+	d.configuration = newConfigurationDuty(d.platform.Objects, s.Control.StartSpread, d.state, logging.For(d.log, logging.Template))
+	d.configuration.fetch = d.fetchTemplates
+	d.configuration.onChange = d.setLimits
+	d.ledger = newLedgerDuty(d.platform.Objects, logging.For(d.log, logging.Ledger))
+	d.ledger.writer = d.ledgerWriter
+	d.ledger.forward = d.forwardIntent
+	d.locator = newLocator(s.Instance, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
+	d.observing = &observingDuty{client: engineClient, routing: d.routing, every: s.Routing.LoadInterval}
+	d.services = &services{
+		client:    endpoint.NewServices(endpoint.Options{}),
+		router:    d.routing,
+		admission: d.admission,
+		ledger:    d.ledger,
+		daemon:    d.run,
+		known:     func(name string) bool { return d.configuration.snapshot.Load().Service(name) },
+		log:       logging.For(d.log, logging.Dispatch),
+	}
+	d.dispatcher = dispatch.New(d.dispatchOptions(engineClient))
+	d.metrics.gauge("cyclamenbeam_requests_running", func() float64 { return float64(d.dispatcher.Live()) })
+	d.metrics.ringGauges("routing", d.routing.ring.Depth, d.routing.ring.Drops, d.routing.ring.Refused)
+	d.metrics.ringGauges("admission", d.admission.ring.Depth, d.admission.ring.Drops, d.admission.ring.Refused)
+	d.metrics.ringGauges("ledger", d.ledger.ring.Depth, d.ledger.ring.Drops, d.ledger.ring.Refused)
+	d.metrics.ringGauges("configuration", d.configuration.ring.Depth, d.configuration.ring.Drops, d.configuration.ring.Refused)
+	d.metrics.ringGauges("directory", d.locator.ring.Depth, d.locator.ring.Drops, d.locator.ring.Refused)
+}
+
+func (d *Daemon) dispatchOptions(client *endpoint.Engines) dispatch.Options {
+	s := &d.settings
+	policy := request.DefaultPolicy()
+	policy.FirstPiece = s.Routing.FirstToken
+	policy.Progress = s.Routing.BetweenTokens
+	return dispatch.Options{
+		Instance: s.Instance,
+		Daemon:   d.run,
+		// The life watches each stream's progress; the client's own deadlines
+		// are the second line, for what never reaches the life.
+		Engines:   &engines{client: client, first: 2 * policy.FirstPiece, between: 2 * policy.Progress},
+		Router:    d.routing,
+		Admission: d.admission,
+		Locator:   d.locator,
+		Intents:   d.ledger,
+		NonIdempotent: func(m fleet.ModelRef, w fleet.WorkspaceID) bool {
+			model, ok := d.configuration.model(w, m)
+			return ok && model.NonIdempotent
+		},
+		Model: func(w fleet.WorkspaceID, m fleet.ModelRef) (fleet.ModelRef, bool) {
+			model, ok := d.configuration.model(w, m)
+			return model.Ref, ok
+		},
+		Priority: d.configuration.priority,
+		Observer: d.metrics,
+		Policy:   policy,
+		Address:  d.roster.callersAddress,
+		Timeout:  s.Limits.RequestTimeout,
+		Limits:   request.TableLimits{Live: s.Limits.MaxRequests, Bytes: int(s.Limits.RetainBytes), Retention: s.Limits.Retain},
+		Log:      logging.For(d.log, logging.Dispatch),
+	}
+}
+
+// probe opens a new connection to an endpoint and closes it.
+func probe(ctx context.Context, address string) error {
+	dialer := net.Dialer{Timeout: endpoint.DefaultDialTimeout}
+	c, err := dialer.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return err
+	}
+	return c.Close()
+}
+
+// setLimits puts the templates' limits in force.
+func (d *Daemon) setLimits(s *template.Snapshot) {
+	type limits struct {
+		id fleet.WorkspaceID
+		l  admission.Limits
+	}
+	var all []limits
+	s.EachWorkspace(func(w *template.Workspace) { all = append(all, limits{w.ID, limitsOf(w)}) })
+	d.admission.tell(func(now time.Time, a *admissionState) {
+		for _, w := range all {
+			a.limits.SetLimits(now, w.id, w.l, 1)
+		}
+	})
+}
+
+func limitsOf(w *template.Workspace) admission.Limits {
+	return admission.Limits{
+		RequestsPerSecond: w.Limits.RequestsPerSecond,
+		RequestBurst:      w.Limits.Burst,
+		TokensPerSecond:   w.Limits.TokensPerSecond,
+		TokenBurst:        w.Limits.TokenBurst,
+		Concurrency:       w.Limits.Concurrency,
+		MaxTokens:         w.Limits.MaxTokens,
+		Weight:            w.Weight,
+	}
+}
+
+// onList takes a new answer of the instance list.
+func (d *Daemon) onList(list listapi.List) {
+	d.state.listed.Store(true)
+	d.routing.setEndpoints(list.Endpoints)
+	for _, e := range leavingEndpoints(list) {
+		at := time.Time{}
+		if e.LeaveAt > 0 {
+			at = time.UnixMilli(e.LeaveAt)
+		}
+		d.routing.notice(e.ID, at)
+		d.dispatcher.Notice(e.ID, at)
+	}
+	d.roster.setList(list.Entries)
+	d.platform.SetFleetSize(d.roster.size())
+	d.setCapacity(list.Endpoints)
+}
+
+// slotsPerEngine is assumed until an engine's own report is used.
+const slotsPerEngine = 8
+
+// setCapacity bounds the requests in flight of each model by this daemon's
+// share of the engines, with room for the others' idle share.
+func (d *Daemon) setCapacity(list []fleet.Endpoint) {
+	slots := make(map[admission.Pool]int)
+	for _, e := range list {
+		if e.State != fleet.Live {
+			continue
+		}
+		for _, m := range e.Models {
+			slots[admission.Pool(m.Model)] += slotsPerEngine
+		}
+		if e.Kind == fleet.ServiceEndpoint {
+			slots[admission.Pool("service "+e.Service)] += serviceSlots
+		}
+	}
+	d.admission.tell(func(_ time.Time, a *admissionState) {
+		for p, n := range slots {
+			a.limits.SetCapacity(p, n)
+		}
+	})
+}
+
+// serviceSlots is how many calls a replica of a plain service takes at once.
+const serviceSlots = 64
+
+// ledgerWriter returns the daemon that writes a ledger shard, if it is another.
+func (d *Daemon) ledgerWriter(shard int) (peerInfo, bool) {
+	v := d.roster.view.Load()
+	at := ledger.WriterOf(shard, v.serving)
+	if at < 0 {
+		return peerInfo{}, false
+	}
+	p := *v.byID[fleet.InstanceID(v.serving[at])]
+	return p, p.Instance != d.settings.Instance
+}
+
+// gatewayHandler returns the callers' API.
+func (d *Daemon) gatewayHandler() http.Handler {
+	return gateway.New(gateway.Options{
+		Requests:   d.dispatcher,
+		Services:   d.services,
+		Directory:  d.roster,
+		Identities: d.configuration,
+		Readiness:  d.state,
+		Observer:   d.metrics,
+		Metrics:    d.metrics.serve,
+		Limits:     d.settings.Limits,
+		EntriesAge: d.settings.Entries.MaxAge,
+		Log:        logging.For(d.log, logging.Gateway),
+	})
+}
--- /dev/null
+++ b/internal/daemon/ledger.go
@@ -0,0 +1,260 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// ledgerKind is the kind of the ledger's objects.
+	ledgerKind = "ledger"
+	// ledgerShards spreads the writes; each shard's batches follow each other.
+	ledgerShards = 8
+	ledgerRing   = 4096
+	// ledgerTick bounds how late a batch leaves after its linger.
+	ledgerTick = 2 * time.Millisecond
+	// intentTimeout bounds the wait for a grant; nothing has run before it.
+	intentTimeout = 3 * time.Second
+)
+
+// ledgerState is what the duty owns.
+type ledgerState struct {
+	shards  map[int]*ledger.GroupCommit
+	waiting map[ledger.Owner]chan ledger.Action
+}
+
+// ledgerDuty records non-idempotent requests before their one dispatch.
+type ledgerDuty struct {
+	*owner[*ledgerState]
+	ctx     context.Context
+	objects platform.Objects
+	writer  func(shard int) (peerInfo, bool) // another daemon that writes the shard
+	forward func(ctx context.Context, p peerInfo, shard int, in ledger.Intent) (ledger.Action, error)
+	log     *logrus.Entry
+}
+
+var _ dispatch.Intents = (*ledgerDuty)(nil)
+
+func newLedgerDuty(objects platform.Objects, log *logrus.Entry) *ledgerDuty {
+	return &ledgerDuty{
+		owner: newOwner("ledger", ledgerRing, &ledgerState{
+			shards:  make(map[int]*ledger.GroupCommit),
+			waiting: make(map[ledger.Owner]chan ledger.Action),
+		}),
+		objects: objects.As(budget.Intent),
+		log:     log,
+	}
+}
+
+func (d *ledgerDuty) start(ctx context.Context) {
+	d.ctx = ctx
+	go d.run(ctx, ledgerTick, func(now time.Time, s *ledgerState) {
+		for shard, g := range s.shards {
+			d.perform(s, shard, g.Tick(now))
+		}
+	})
+}
+
+func (s *ledgerState) shard(n int) *ledger.GroupCommit {
+	g, ok := s.shards[n]
+	if !ok {
+		g = ledger.NewGroupCommit(n, ledger.DefaultGroupPolicy())
+		s.shards[n] = g
+	}
+	return g
+}
+
+// perform carries out actions on the owner's goroutine; calls to the store get
+// goroutines of their own.
+func (d *ledgerDuty) perform(s *ledgerState, shard int, actions []ledger.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case ledger.Write:
+			go d.write(shard, a)
+		case ledger.Read:
+			go d.read(shard, a)
+		case ledger.Grant:
+			s.answer(a.Intent.Owner, a)
+		case ledger.Deny:
+			s.answer(a.Intent.Owner, a)
+		case ledger.Refuse:
+			s.answer(a.Intent.Owner, a)
+		}
+	}
+}
+
+func (s *ledgerState) answer(o ledger.Owner, a ledger.Action) {
+	if c, ok := s.waiting[o]; ok {
+		delete(s.waiting, o)
+		c <- a
+	}
+}
+
+func (d *ledgerDuty) write(shard int, w ledger.Write) {
+	var object objectapi.Object
+	var err error
+	if w.Version == 0 {
+		object, err = d.objects.Create(d.ctx, ledgerKind, w.Name, w.Value)
+	} else {
+		object, err = d.objects.Update(d.ctx, ledgerKind, w.Name, w.Value, w.Version)
+	}
+	result := ledger.WriteResult{Call: w.Call, Status: ledger.Written, Version: object.Version}
+	var conflict *platform.Conflict
+	switch {
+	case err == nil:
+	case errors.As(err, &conflict):
+		result.Status = ledger.Conflict
+		result.Current = &ledger.Object{Version: conflict.Current.Version, Value: conflict.Current.Value}
+	case platform.NoEffect(err):
+		result.Status = ledger.Unavailable
+	default:
+		result.Status = ledger.Ambiguous
+	}
+	d.tell(func(now time.Time, s *ledgerState) {
+		d.perform(s, shard, s.shard(shard).Written(now, result))
+	})
+}
+
+func (d *ledgerDuty) read(shard int, r ledger.Read) {
+	object, err := d.objects.Get(d.ctx, ledgerKind, r.Name)
+	var missing *platform.NotFound
+	result := ledger.ReadResult{Call: r.Call, OK: true}
+	switch {
+	case err == nil:
+		result.Object = ledger.Object{Version: object.Version, Value: object.Value}
+	case errors.As(err, &missing):
+	default:
+		result.OK = false
+	}
+	d.tell(func(now time.Time, s *ledgerState) {
+		d.perform(s, shard, s.shard(shard).ReadBack(now, result))
+	})
+}
+
+// Intend implements dispatch.Intents.
+func (d *ledgerDuty) Intend(ctx context.Context, ref request.Ref, owner string, digest request.Digest) dispatch.Intent {
+	now := time.Now()
+	key, err := ledger.ParseKey(now, string(ref.ID), ledger.DefaultWindow)
+	if err != nil {
+		return refusedIntent(problem.New(http.StatusBadRequest, verdict.NotRun, "Idempotency-Key: %s", err))
+	}
+	in := ledger.Intent{
+		Workspace: ref.Workspace,
+		Key:       key,
+		Owner:     ledger.Owner(owner),
+		Digest:    ledger.Digest(digest),
+		Deadline:  now.Add(intentTimeout),
+	}
+	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
+	a := d.decide(ctx, shard, in)
+	if refused, ok := a.(ledger.Refuse); ok && refused.Recorded {
+		d.forget(shard, in)
+	}
+	return intentOf(a)
+}
+
+// decide asks the shard's writer, or writes here when it is this daemon or the
+// writer can't be reached: two writers are safe, they only conflict.
+func (d *ledgerDuty) decide(ctx context.Context, shard int, in ledger.Intent) ledger.Action {
+	if p, ok := d.writer(shard); ok {
+		a, err := d.forward(ctx, p, shard, in)
+		if err == nil {
+			return a
+		}
+		d.log.Debugf("shard %d written here: %v", shard, err)
+	}
+	return d.record(ctx, shard, in)
+}
+
+// record asks this daemon's own writer of the shard.
+func (d *ledgerDuty) record(ctx context.Context, shard int, in ledger.Intent) ledger.Action {
+	answer := make(chan ledger.Action, 1)
+	asked := d.ask(func(now time.Time, s *ledgerState) {
+		s.waiting[in.Owner] = answer
+		d.perform(s, shard, s.shard(shard).Intend(now, in))
+	})
+	if !asked {
+		return ledger.Refuse{Intent: in, Reason: ledger.Overloaded}
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+	case <-d.done:
+	}
+	return ledger.Refuse{Intent: in, Reason: ledger.Late, Recorded: true}
+}
+
+// forget frees the key of an intent that was refused though it may be recorded.
+func (d *ledgerDuty) forget(shard int, in ledger.Intent) {
+	d.tell(func(now time.Time, s *ledgerState) {
+		delete(s.waiting, in.Owner)
+		d.perform(s, shard, s.shard(shard).Abandon(now, in))
+	})
+}
+
+// Settle implements dispatch.Intents.
+func (d *ledgerDuty) Settle(ref request.Ref, owner string, o ledger.Outcome) {
+	d.settle(ref, ledger.Owner(owner), o)
+}
+
+func (d *ledgerDuty) settle(ref request.Ref, owner ledger.Owner, o ledger.Outcome) {
+	d.after(ref, owner, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+		return g.Outcome(now, in, o)
+	})
+}
+
+// abandon frees a key whose one dispatch certainly did not run.
+func (d *ledgerDuty) abandon(ref request.Ref, owner ledger.Owner) {
+	d.after(ref, owner, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+		return g.Abandon(now, in)
+	})
+}
+
+func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, f func(*ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
+	key, err := ledger.ParseKey(time.Now(), string(ref.ID), 2*ledger.DefaultWindow)
+	if err != nil {
+		return
+	}
+	in := ledger.Intent{Workspace: ref.Workspace, Key: key, Owner: owner}
+	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
+	d.tell(func(now time.Time, s *ledgerState) {
+		d.perform(s, shard, f(s.shard(shard), now, in))
+	})
+}
+
+// intentOf turns the ledger's answer into what its users act on.
+func intentOf(a ledger.Action) dispatch.Intent {
+	switch a := a.(type) {
+	case ledger.Grant:
+		return dispatch.Intent{Granted: true}
+	case ledger.Deny:
+		return dispatch.Intent{Found: &dispatch.FoundIntent{Outcome: a.Existing.Outcome}}
+	case ledger.Refuse:
+		return refusedIntent(refusedByLedger(a.Reason))
+	default:
+		return refusedIntent(refusedByLedger(ledger.StoreDown))
+	}
+}
+
+func refusedByLedger(r ledger.RefuseReason) *problem.Problem {
+	if r == ledger.KeyReused {
+		return problem.New(http.StatusConflict, verdict.NotRun, "%s", r)
+	}
+	return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "not dispatched: %s", r).After(time.Second)
+}
+
+func refusedIntent(p *problem.Problem) dispatch.Intent { return dispatch.Intent{Refused: p} }
--- /dev/null
+++ b/internal/daemon/owner.go
@@ -0,0 +1,65 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
+)
+
+// call is a use of a duty's state.
+type call[T any] func(now time.Time, state T)
+
+// owner is a goroutine that alone uses a duty's state. Others send it calls
+// through a ring.
+type owner[T any] struct {
+	state T
+	ring  *ring.Ring[call[T]]
+	done  chan struct{} // closed when the owner has stopped
+}
+
+func newOwner[T any](name string, size int, state T) *owner[T] {
+	return &owner[T]{state: state, ring: ring.New[call[T]](name, size), done: make(chan struct{})}
+}
+
+// run carries out calls until ctx ends. tick runs at each interval.
+func (o *owner[T]) run(ctx context.Context, interval time.Duration, tick call[T]) {
+	defer close(o.done)
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case c := <-o.ring.C():
+			c(time.Now(), o.state)
+		case now := <-ticker.C:
+			tick(now, o.state)
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// tell sends a call that must not be lost; the sender waits for room.
+func (o *owner[T]) tell(c call[T]) { o.ring.Send(o.done, c) }
+
+// hint sends a call that may be dropped for a newer one.
+func (o *owner[T]) hint(c call[T]) { o.ring.Push(c) }
+
+// ask sends a call and waits for it. It reports false, and nothing was done,
+// when the ring is full or the owner has stopped.
+func (o *owner[T]) ask(c call[T]) bool {
+	answered := make(chan struct{})
+	sent := o.ring.Offer(func(now time.Time, state T) {
+		defer close(answered)
+		c(now, state)
+	})
+	if !sent {
+		return false
+	}
+	select {
+	case <-answered:
+		return true
+	case <-o.done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/daemon/roster.go
@@ -0,0 +1,138 @@
+package daemon
+
+import (
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+)
+
+// peerInfo is another daemon, or this one, as the roster knows it.
+type peerInfo struct {
+	Instance   fleet.InstanceID
+	Daemon     fleet.DaemonID // empty while known from the instance list alone
+	Callers    string
+	Peers      string
+	DataCentre fleet.DataCentre
+	Serving    bool // takes new requests
+}
+
+// rosterView is an immutable snapshot of the fleet's daemons.
+type rosterView struct {
+	all     []peerInfo // by instance
+	serving []string   // instances that take requests, this one included
+	byID    map[fleet.InstanceID]*peerInfo
+	byRun   map[fleet.DaemonID]*peerInfo
+}
+
+// roster says which daemons there are. Safe for concurrent use.
+type roster struct {
+	self   peerInfo
+	subset int
+	state  *lifecycle
+	view   atomic.Pointer[rosterView]
+}
+
+var _ gateway.Directory = (*roster)(nil)
+
+func newRoster(self peerInfo, subset int, state *lifecycle) *roster {
+	r := &roster{self: self, subset: subset, state: state}
+	r.set([]peerInfo{self})
+	return r
+}
+
+// set replaces what is known. This daemon is always part of it.
+func (r *roster) set(peers []peerInfo) {
+	v := &rosterView{byID: make(map[fleet.InstanceID]*peerInfo), byRun: make(map[fleet.DaemonID]*peerInfo)}
+	known := slices.ContainsFunc(peers, func(p peerInfo) bool { return p.Instance == r.self.Instance })
+	if !known {
+		peers = append(peers, r.self)
+	}
+	v.all = slices.Clone(peers)
+	slices.SortFunc(v.all, func(a, b peerInfo) int { return strings.Compare(string(a.Instance), string(b.Instance)) })
+	for i := range v.all {
+		p := &v.all[i]
+		v.byID[p.Instance] = p
+		if p.Daemon != "" {
+			v.byRun[p.Daemon] = p
+		}
+		if p.Serving {
+			v.serving = append(v.serving, string(p.Instance))
+		}
+	}
+	r.view.Store(v)
+}
+
+// setList takes the instance list's entries, for as long as membership has
+// not found more.
+func (r *roster) setList(entries []listapi.Entry) {
+	peers := make([]peerInfo, 0, len(entries))
+	for _, e := range entries {
+		if e.Instance == r.self.Instance {
+			continue
+		}
+		peers = append(peers, peerInfo{
+			Instance:   e.Instance,
+			Callers:    e.Address,
+			Peers:      e.Peer,
+			DataCentre: e.DataCentre,
+			Serving:    e.State == fleet.Live,
+		})
+	}
+	r.set(append(peers, r.self))
+}
+
+// instance returns a daemon by its instance.
+func (r *roster) instance(id fleet.InstanceID) (peerInfo, bool) {
+	p, ok := r.view.Load().byID[id]
+	if !ok {
+		return peerInfo{}, false
+	}
+	return *p, true
+}
+
+// callersAddress returns where callers reach a daemon, empty when unknown.
+func (r *roster) callersAddress(id fleet.DaemonID) string {
+	if p, ok := r.view.Load().byRun[id]; ok {
+		return p.Callers
+	}
+	return ""
+}
+
+// size returns how many daemons are known.
+func (r *roster) size() int { return len(r.view.Load().all) }
+
+// Entries implements gateway.Directory: the workspace's subset by rendezvous,
+// so that its limits and its prompts' prefixes live in few daemons. A second
+// data centre is always among them where two are alive: callers keep the
+// answer for a while, and the first may vanish as a whole meanwhile.
+func (r *roster) Entries(workspace fleet.WorkspaceID) []gateway.Entry {
+	v := r.view.Load()
+	serving := v.serving
+	if r.state.leaving() {
+		serving = slices.DeleteFunc(slices.Clone(serving), func(s string) bool { return s == string(r.self.Instance) })
+	}
+	ranked := rendezvous.Rank(rendezvous.Key("entries "+string(workspace)), serving, len(serving))
+	chosen := ranked[:min(r.subset, len(ranked))]
+	out := make([]gateway.Entry, 0, len(chosen)+1)
+	centres := make(map[fleet.DataCentre]bool)
+	for _, id := range chosen {
+		p := v.byID[fleet.InstanceID(id)]
+		centres[p.DataCentre] = true
+		out = append(out, gateway.Entry{Address: p.Callers, DataCentre: p.DataCentre})
+	}
+	if len(centres) > 1 {
+		return out
+	}
+	for _, id := range ranked[len(chosen):] {
+		p := v.byID[fleet.InstanceID(id)]
+		if !centres[p.DataCentre] {
+			return append(out, gateway.Entry{Address: p.Callers, DataCentre: p.DataCentre})
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/daemon/serve.go
@@ -0,0 +1,139 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"net"
+	"net/http"
+	"time"
+
+	"golang.org/x/net/netutil"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/certs"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
+)
+
+// headerTimeout bounds the time in which a caller sends a request's header,
+// so that idle connections of strangers don't hold memory for long.
+const headerTimeout = 10 * time.Second
+
+// idleTimeout ends callers' connections that nobody uses.
+const idleTimeout = 2 * time.Minute
+
+// Start opens the listeners and starts the duties. It returns once callers and
+// peers can connect; the daemon answers 503 until it is ready.
+func (d *Daemon) Start() error {
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	listeners, err := d.listen()
+	if err != nil {
+		cancel()
+		return err
+	}
+	d.routing.start(ctx)
+	d.admission.start(ctx)
+	d.ledger.start(ctx)
+	d.locator.start(ctx)
+	d.configuration.start(ctx)
+	listing := &listingDuty{
+		instances: d.platform.Instances,
+		interval:  d.settings.Control.ListInterval,
+		onList:    d.onList,
+		log:       logging.For(d.log, logging.Platform),
+	}
+	go listing.run(ctx)
+	go d.observing.run(ctx)
+	d.serveHTTP(listeners.callers, d.gatewayHandler(), logging.Gateway)
+	d.serveHTTP(listeners.operators, d.operatorHandler(), logging.Operator)
+	d.servePeers(ctx, listeners.peers)
+	logging.For(d.log, logging.Daemon).WithField("instance", d.settings.Instance).Info("started")
+	return nil
+}
+
+// listeners are the daemon's TCP listeners.
+type listeners struct {
+	callers   net.Listener
+	operators net.Listener
+	peers     net.Listener
+}
+
+func (d *Daemon) listen() (*listeners, error) {
+	s := &d.settings
+	l := &listeners{}
+	var err error
+	if l.callers, err = listen(s.Listen.Callers, files(s.TLS.Callers)); err != nil {
+		return nil, err
+	}
+	l.callers = netutil.LimitListener(l.callers, s.Limits.MaxConnections)
+	if l.operators, err = listen(s.Listen.Operators, files(s.TLS.Operators)); err != nil {
+		return nil, errors.Join(err, l.callers.Close())
+	}
+	mutual := certs.Files{Certificate: s.TLS.Peers.Certificate, Key: s.TLS.Peers.Key, Authority: s.TLS.Peers.Authority}
+	if l.peers, err = listen(s.Listen.Peers, mutual); err != nil {
+		return nil, errors.Join(err, l.callers.Close(), l.operators.Close())
+	}
+	return l, nil
+}
+
+func files(p settings.KeyPair) certs.Files {
+	return certs.Files{Certificate: p.Certificate, Key: p.Key}
+}
+
+// listen opens a listener, with TLS where certificate files are named.
+func listen(address string, f certs.Files) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	if f.Certificate == "" {
+		return l, nil
+	}
+	store, err := certs.Open(f)
+	if err != nil {
+		return nil, errors.Join(err, l.Close())
+	}
+	return tls.NewListener(l, store.Server()), nil
+}
+
+func (d *Daemon) serveHTTP(l net.Listener, h http.Handler, part logging.Part) {
+	server := &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: headerTimeout,
+		ReadTimeout:       d.settings.Limits.ReadTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
+	}
+	d.servers = append(d.servers, server)
+	go func() {
+		err := server.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) {
+			logging.For(d.log, part).WithError(err).Error("listener ended")
+		}
+	}()
+}
+
+func (d *Daemon) servePeers(ctx context.Context, l net.Listener) {
+	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger}
+	go func() {
+		if err := peer.Serve(ctx, l, handler); err != nil && ctx.Err() == nil {
+			logging.For(d.log, logging.Peer).WithError(err).Error("listener ended")
+		}
+	}()
+}
+
+// Ready waits until callers are served.
+func (d *Daemon) Ready(ctx context.Context) error {
+	ticker := time.NewTicker(20 * time.Millisecond)
+	defer ticker.Stop()
+	for d.state.NotReady() != "" {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return Error.New("not ready: %s", d.state.NotReady())
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/dispatch/attempt.go
@@ -0,0 +1,196 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// attempt is a dispatch to an engine.
+type attempt struct {
+	number   uint32
+	endpoint fleet.EndpointID // empty: routing chooses
+	avoid    []fleet.EndpointID
+	text     []string // generated so far
+	kv       string   // imported blob that covers prompt and text
+}
+
+// attempt starts a dispatch. Called with the lock held.
+func (r *run) attempt(a attempt) {
+	a.avoid = append([]fleet.EndpointID(nil), a.avoid...) // valid until the next event only
+	ctx := r.connection()
+	go r.dispatch(ctx, a)
+}
+
+// connection returns the context of a new attempt's connection, and ends the
+// one before. Called with the lock held.
+func (r *run) connection() context.Context {
+	if r.cancel != nil {
+		r.cancel()
+	}
+	ctx, cancel := context.WithCancel(r.d.ctx)
+	r.cancel = cancel
+	return ctx
+}
+
+func (r *run) dispatch(ctx context.Context, a attempt) {
+	q := r.route
+	q.Exclude = a.avoid
+	choice, err := r.choose(a, &q)
+	if err != nil {
+		r.failed(a.number, &AttemptError{Kind: request.NoEndpoint, Verdict: verdict.NotRun, Err: err})
+		return
+	}
+	router := r.d.o.Router
+	router.Dispatched(choice.Endpoint, &q, choice)
+	outcome := routing.Failed
+	defer func() { router.Finished(choice.Endpoint, r.ref.ID, outcome) }()
+	r.do(func(now time.Time) []request.Action {
+		r.life.Dispatched(now, a.number, choice.Endpoint)
+		return nil
+	})
+	c := r.completion
+	c.Continue, c.KV = a.text, a.kv
+	r.observe(a)
+	stream, err := r.d.o.Engines.Start(ctx, choice.Address, &c, r.ref.ID, StartOptions{
+		Priority: q.Priority,
+		Once:     r.life.Spec().NonIdempotent,
+	})
+	if err != nil {
+		r.attemptFailed(ctx, a.number, choice.Endpoint, err)
+		return
+	}
+	defer stream.Close()
+	router.Connected(choice.Endpoint)
+	outcome = r.read(ctx, a.number, choice.Endpoint, stream)
+}
+
+func (r *run) observe(a attempt) {
+	switch {
+	case a.kv != "":
+		r.d.o.Observer.Attempt("move")
+	case len(a.text) > 0:
+		r.d.o.Observer.Attempt("continue")
+		r.d.o.Observer.Recomputed(len(a.text))
+	default:
+		r.d.o.Observer.Attempt("dispatch")
+	}
+}
+
+// choose asks routing, unless the life named the endpoint.
+func (r *run) choose(a attempt, q *routing.Request) (routing.Choice, error) {
+	if a.endpoint == "" {
+		return r.d.o.Router.Pick(q)
+	}
+	address, ok := r.d.o.Router.Address(a.endpoint)
+	if !ok {
+		return routing.Choice{}, routing.NoEndpoint{Why: routing.NotServed}
+	}
+	return routing.Choice{Endpoint: a.endpoint, Address: address, PredictedCachedTokens: q.PromptTokens}, nil
+}
+
+// resume reads an engine's stream again. Called with the lock held.
+func (r *run) resume(a request.ResumeStream) {
+	ctx := r.connection()
+	go func() {
+		address, ok := r.d.o.Router.Address(a.Endpoint)
+		if !ok {
+			r.failed(a.Attempt, &AttemptError{Kind: request.NotFound, Err: errors.New("endpoint not listed")})
+			return
+		}
+		r.d.o.Observer.Attempt("resume")
+		if a.Replace {
+			r.d.o.Router.Silent(a.Endpoint)
+		}
+		stream, err := r.d.o.Engines.Resume(ctx, address, a.Stream, a.From, a.Replace)
+		if err != nil {
+			r.attemptFailed(ctx, a.Attempt, a.Endpoint, err)
+			return
+		}
+		defer stream.Close()
+		r.d.o.Router.Connected(a.Endpoint)
+		r.read(ctx, a.Attempt, a.Endpoint, stream)
+	}()
+}
+
+// read takes an open stream's pieces until it ends.
+func (r *run) read(ctx context.Context, number uint32, endpoint fleet.EndpointID, s Stream) routing.Outcome {
+	r.do(func(now time.Time) []request.Action {
+		r.accepted(now)
+		return r.life.Opened(now, number, endpoint, s.ID())
+	})
+	first := true
+	for {
+		p, err := s.Next()
+		if err != nil {
+			if ctx.Err() != nil {
+				return routing.Cancelled // another attempt took over
+			}
+			r.attemptFailed(ctx, number, endpoint, err)
+			return routing.Failed
+		}
+		if p.Done {
+			r.done(number, p)
+			return routing.Answered
+		}
+		if first {
+			first = false
+			r.d.o.Router.FirstToken(endpoint, r.ref.ID)
+		}
+		r.piece(number, p)
+	}
+}
+
+func (r *run) piece(number uint32, p engineapi.Piece) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := time.Now()
+	result, actions := r.life.Piece(now, number, p.Offset, p.Text)
+	if result == request.Appended {
+		r.wake()
+	}
+	if now.Sub(r.extended) > extendEvery {
+		r.extended = now
+		r.d.o.Admission.Extend(r.ref.ID)
+	}
+	if len(actions) > 0 {
+		r.perform(actions)
+	}
+}
+
+func (r *run) done(number uint32, p engineapi.Piece) {
+	r.do(func(now time.Time) []request.Action {
+		if p.Usage != nil {
+			r.usage = *p.Usage
+		}
+		return r.life.Done(now, number, p.Offset)
+	})
+}
+
+// attemptFailed tells routing and the life. An attempt that was cancelled
+// because another took over says nothing about the endpoint.
+func (r *run) attemptFailed(ctx context.Context, number uint32, endpoint fleet.EndpointID, err error) {
+	if ctx.Err() != nil {
+		return
+	}
+	f := failureOf(number, err)
+	r.d.o.Observer.AttemptFailed(f.Kind.String())
+	switch f.Kind {
+	case request.Dial:
+		r.d.o.Router.DialFailed(endpoint)
+	case request.Silent:
+		r.d.o.Router.Silent(endpoint)
+	}
+	r.d.o.Log.WithField("request", r.ref.ID).WithField("endpoint", endpoint).Infof("attempt %d failed: %v", number, err)
+	r.failed(number, err)
+}
+
+func (r *run) failed(number uint32, err error) {
+	r.do(func(now time.Time) []request.Action { return r.life.Failed(now, failureOf(number, err)) })
+}
--- /dev/null
+++ b/internal/dispatch/deps.go
@@ -0,0 +1,76 @@
+package dispatch
+
+import (
+	"context"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/directory"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
+)
+
+// Router is the routing duty. Its events may be dropped; its answers are not.
+type Router interface {
+	Pick(q *routing.Request) (routing.Choice, error)
+	Address(id fleet.EndpointID) (string, bool)
+	Dispatched(id fleet.EndpointID, q *routing.Request, c routing.Choice)
+	FirstToken(id fleet.EndpointID, request fleet.RequestID)
+	Finished(id fleet.EndpointID, request fleet.RequestID, o routing.Outcome)
+	Connected(id fleet.EndpointID)
+	Silent(id fleet.EndpointID)
+	DialFailed(id fleet.EndpointID)
+}
+
+// Admission is the limits duty.
+type Admission interface {
+	// Admit waits while a request is queued. It returns the refusal, or nil.
+	Admit(ctx context.Context, a admission.Ask) *problem.Problem
+	Extend(id fleet.RequestID)
+	Release(id fleet.RequestID, u admission.Usage)
+}
+
+// Locator finds requests that other daemons hold.
+type Locator interface {
+	// Claim registers a holding unless another is known, and returns the one
+	// that counts. When no directory daemon answers it returns h itself: the
+	// directory is a help, and not what keeps orders from running twice.
+	Claim(ctx context.Context, h directory.Holding) directory.Holding
+	// Announce registers a holding in the background.
+	Announce(h directory.Holding)
+	Lookup(ctx context.Context, id fleet.RequestID) (directory.Holding, bool)
+	// Follow reads the answer of a request that another daemon holds.
+	Follow(ctx context.Context, h directory.Holding) (gateway.Answer, error)
+}
+
+// Intents is the ledger of requests that run at most once.
+type Intents interface {
+	// Intend records that owner is about to dispatch. It returns a grant, the
+	// record of whoever came first, or a refusal after which nothing is recorded.
+	Intend(ctx context.Context, ref request.Ref, owner string, digest request.Digest) Intent
+	// Settle stores the outcome, at the best effort.
+	Settle(ref request.Ref, owner string, outcome ledger.Outcome)
+}
+
+// Intent is the answer to Intend. Exactly one field is set.
+type Intent struct {
+	Granted bool
+	Found   *FoundIntent
+	Refused *problem.Problem
+}
+
+// FoundIntent is what the ledger knows of a key that was used before.
+type FoundIntent struct {
+	Outcome *ledger.Outcome // as settled, nil while unknown
+}
+
+// Observer is told what the metrics need.
+type Observer interface {
+	Attempt(kind string)       // dispatch, resume, continue, move
+	AttemptFailed(kind string) // a failure's kind
+	Ended(verdict string)      // of a request
+	Recomputed(tokens int)     // generated tokens given to another engine to prefill
+}
--- /dev/null
+++ b/internal/dispatch/move.go
@@ -0,0 +1,81 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+)
+
+// cancelTimeout bounds a cancellation, which nobody waits for.
+const cancelTimeout = 2 * time.Second
+
+// move exports the stream's KV cache and imports it elsewhere. Called with the
+// lock held.
+func (r *run) move(a request.MoveKV) {
+	timeout := r.d.o.Policy.Move
+	go func() {
+		ctx, cancel := context.WithTimeout(r.d.ctx, timeout)
+		defer cancel()
+		blob, err := r.transferKV(ctx, a)
+		r.do(func(now time.Time) []request.Action {
+			if err != nil {
+				r.d.o.Log.WithField("request", r.ref.ID).Infof("KV cache not moved from %s to %s: %v", a.From, a.To, err)
+				return r.life.MoveFailed(now, a.Attempt)
+			}
+			return r.life.Exported(now, a.Attempt, blob.ID, blob.Generated)
+		})
+	}()
+}
+
+func (r *run) transferKV(ctx context.Context, a request.MoveKV) (engineapi.KVBlob, error) {
+	from, ok := r.d.o.Router.Address(a.From)
+	to, ok2 := r.d.o.Router.Address(a.To)
+	if !ok || !ok2 {
+		return engineapi.KVBlob{}, errors.New("endpoint not listed")
+	}
+	blob, err := r.d.o.Engines.Export(ctx, from, a.Stream)
+	if err != nil {
+		return blob, err
+	}
+	return blob, r.d.o.Engines.Import(ctx, to, blob)
+}
+
+// cancelStream stops a stream that nobody needs. Called with the lock held.
+func (r *run) cancelStream(a request.CancelStream) {
+	address, ok := r.d.o.Router.Address(a.Endpoint)
+	if !ok {
+		return
+	}
+	go func() {
+		ctx, cancel := context.WithTimeout(r.d.ctx, cancelTimeout)
+		defer cancel()
+		if err := r.d.o.Engines.Cancel(ctx, address, a.Stream); err != nil {
+			r.d.o.Log.WithField("request", r.ref.ID).Debugf("stream not cancelled: %v", err)
+		}
+	}()
+}
+
+// Notice tells every run on endpoint that it leaves at leaveAt.
+func (d *Dispatcher) Notice(endpoint fleet.EndpointID, leaveAt time.Time) {
+	for _, r := range d.running() {
+		r.do(func(now time.Time) []request.Action {
+			r.life.Notice(now, endpoint, leaveAt)
+			return nil
+		})
+	}
+}
+
+// running returns the runs that have not ended.
+func (d *Dispatcher) running() []*run {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	out := make([]*run, 0, d.table.Live())
+	for e := range d.table.Running() {
+		out = append(out, d.runs[e.Ref])
+	}
+	return out
+}
--- /dev/null
+++ b/internal/dispatch/run.go
@@ -0,0 +1,160 @@
+package dispatch
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/prefix"
+)
+
+// extendEvery is how often a run renews its lease on the workspace's
+// concurrency: well within the lease.
+const extendEvery = 5 * time.Second
+
+// run is one request with its attempts and readers.
+type run struct {
+	d          *Dispatcher
+	ref        request.Ref
+	digest     request.Digest
+	completion engineapi.CompletionRequest
+	body       []byte
+	route      routing.Request // its Exclude is set for each pick
+	owner      string          // in the ledger
+
+	mu       sync.Mutex
+	life     *request.Life
+	custody  *request.Custody
+	transfer uint64 // under which it is held here
+	opened   bool   // some attempt was answered, so the request is accepted
+	end      *gateway.Part
+	usage    engineapi.Usage
+	readers  map[*reader]struct{}
+	timer    *time.Timer
+	armed    time.Time // when timer fires
+	extended time.Time
+	cancel   context.CancelFunc // of the newest attempt's connection
+	released bool               // given back to admission
+}
+
+func (d *Dispatcher) newRun(now time.Time, s *gateway.Submission, ref request.Ref, digest request.Digest) *run {
+	r := d.bareRun(ref, digest, s.Completion, s.Body)
+	spec := request.Spec{
+		Ref:           ref,
+		NonIdempotent: d.o.NonIdempotent(r.route.Model, ref.Workspace),
+		Deadline:      now.Add(d.o.Timeout),
+		PromptTokens:  r.route.PromptTokens,
+	}
+	r.life = request.NewLife(spec, d.o.Policy, d.budget)
+	r.custody = request.Accept(d.o.Daemon)
+	return r
+}
+
+// bareRun returns a run without a life.
+func (d *Dispatcher) bareRun(ref request.Ref, digest request.Digest, c engineapi.CompletionRequest, body []byte) *run {
+	blocks, tokens := prefix.Blocks(c.Messages, nil)
+	return &run{
+		d:          d,
+		ref:        ref,
+		digest:     digest,
+		completion: c,
+		body:       body,
+		owner:      string(d.o.Daemon) + "/" + string(ref.ID),
+		readers:    make(map[*reader]struct{}),
+		route: routing.Request{
+			ID:           ref.ID,
+			Workspace:    ref.Workspace,
+			Model:        fleet.ModelRef{Model: c.Model, Adapter: c.Adapter, Version: c.Version},
+			Blocks:       blocks,
+			PromptTokens: tokens,
+			MaxTokens:    c.MaxTokens,
+			Priority:     d.o.Priority(ref.Workspace),
+		},
+	}
+}
+
+// do lets the life take an event and carries out its actions.
+func (r *run) do(event func(now time.Time) []request.Action) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(event(time.Now()))
+}
+
+// perform carries out actions. Called with the lock held.
+func (r *run) perform(actions []request.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case request.Dispatch:
+			r.attempt(attempt{number: a.Attempt, avoid: a.Avoid})
+		case request.Continue:
+			r.attempt(attempt{number: a.Attempt, avoid: a.Avoid, endpoint: a.Endpoint, kv: a.KV, text: r.life.Answer().Tokens(0)[:a.From]})
+		case request.ResumeStream:
+			r.resume(a)
+		case request.MoveKV:
+			r.move(a)
+		case request.CancelStream:
+			r.cancelStream(a)
+		case request.Finish:
+			r.finish(&gateway.Part{Done: true, Usage: r.wholeUsage()})
+		case request.Fail:
+			r.finish(&gateway.Part{Failure: problemOf(a)})
+		case request.Transfer:
+			r.moved(a.To)
+		}
+	}
+	r.arm()
+}
+
+// wholeUsage returns what the answer cost. The last attempt may have been
+// given text that others generated, so the count is the answer's own.
+func (r *run) wholeUsage() engineapi.Usage {
+	u := r.usage
+	u.PromptTokens = max(u.PromptTokens, r.route.PromptTokens)
+	u.CompletionTokens = r.life.Answer().Len()
+	return u
+}
+
+// arm sets the timer for the life's next deadline. The timer is left alone
+// while it fires early enough: a token moves the deadline on, and must not
+// cost a timer operation.
+func (r *run) arm() {
+	next := r.life.Next()
+	if next.IsZero() {
+		if r.timer != nil {
+			r.timer.Stop()
+		}
+		return
+	}
+	if r.timer != nil && !r.armed.IsZero() && !next.Before(r.armed) {
+		return
+	}
+	r.armed = next
+	wait := time.Until(next)
+	if r.timer == nil {
+		r.timer = time.AfterFunc(wait, r.tick)
+		return
+	}
+	r.timer.Reset(wait)
+}
+
+func (r *run) tick() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.armed = time.Time{}
+	r.perform(r.life.Tick(time.Now()))
+}
+
+// wake tells every reader that there is something to read.
+func (r *run) wake() {
+	for reader := range r.readers {
+		select {
+		case reader.wake <- struct{}{}:
+		default:
+		}
+	}
+}
--- /dev/null
+++ b/internal/endpoint/calls.go
@@ -0,0 +1,91 @@
+package endpoint
+
+import (
+	"context"
+	"net/url"
+	"strconv"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Cancel stops a stream. ErrStreamGone is as good as success.
+func (e *Engines) Cancel(ctx context.Context, address, streamID string) error {
+	c := e.small(address)
+	c.ask = c.ask.Delete(engineapi.StreamPath + url.PathEscape(streamID))
+	c.missing = ErrStreamGone
+	return c.do(ctx)
+}
+
+// Load returns the engine's report about itself.
+func (e *Engines) Load(ctx context.Context, address string) (engineapi.Load, error) {
+	var load engineapi.Load
+	c := e.small(address)
+	c.ask = c.ask.Get(engineapi.LoadPath)
+	c.out = &load
+	err := c.do(ctx)
+	return load, err
+}
+
+// CacheEvents returns a page of the events after since, which is 0 or the Next
+// of the page before.
+func (e *Engines) CacheEvents(ctx context.Context, address string, since uint64) (engineapi.CacheEvents, error) {
+	var page engineapi.CacheEvents
+	path := engineapi.EventsPath + "?since=" + strconv.FormatUint(since, 10)
+	c := e.small(address)
+	c.ask = c.ask.Get(path)
+	c.out = &page
+	err := c.do(ctx)
+	return page, err
+}
+
+// Export stops a stream and returns its KV cache. It takes as long as the
+// blob's bytes take on the engine's link; ctx bounds it.
+func (e *Engines) Export(ctx context.Context, address, streamID string) (engineapi.KVBlob, error) {
+	var blob engineapi.KVBlob
+	ask := engineapi.KVExport{StreamID: streamID}
+	c := e.small(address)
+	c.ask = c.ask.Post(engineapi.ExportPath).BodyJSON(ask)
+	c.missing = ErrStreamGone
+	c.out = &blob
+	c.timeout = 0
+	err := c.do(ctx)
+	return blob, err
+}
+
+// Import hands KV cache to an engine, for a completion that names its id. ctx
+// bounds it.
+func (e *Engines) Import(ctx context.Context, address string, blob *engineapi.KVBlob) error {
+	c := e.small(address)
+	c.ask = c.ask.Post(engineapi.ImportPath).BodyJSON(blob)
+	c.timeout = 0
+	return c.do(ctx)
+}
+
+// Order gives an order. ErrFenced says that the engine has seen a higher
+// fencing number, which the *StatusError holds.
+func (e *Engines) Order(ctx context.Context, address string, order engineapi.Order) error {
+	c := e.small(address)
+	c.ask = c.ask.Post(engineapi.OrdersPath).BodyJSON(order)
+	return c.do(ctx)
+}
+
+// Models returns what the engine has loaded.
+func (e *Engines) Models(ctx context.Context, address string) ([]fleet.ModelRef, error) {
+	var models []fleet.ModelRef
+	c := e.small(address)
+	c.ask = c.ask.Get(engineapi.ModelsPath)
+	c.out = &models
+	err := c.do(ctx)
+	return models, err
+}
+
+// Counters returns the engine's totals.
+func (e *Engines) Counters(ctx context.Context, address string) (engineapi.Counters, error) {
+	var counters engineapi.Counters
+	c := e.small(address)
+	c.ask = c.ask.Get(engineapi.CountersPath)
+	c.out = &counters
+	err := c.do(ctx)
+	return counters, err
+}
--- /dev/null
+++ b/internal/endpoint/engines.go
@@ -0,0 +1,109 @@
+package endpoint
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Engines is the client of all model engines. Safe for concurrent use. Make
+// one with NewEngines.
+type Engines struct {
+	*pools
+}
+
+// NewEngines returns a client.
+func NewEngines(o Options) *Engines { return &Engines{pools: newPools(o)} }
+
+// Call is how a stream is to be asked for. Deadlines of 0 are none.
+type Call struct {
+	RequestID    string
+	Priority     int           // greater runs first
+	FirstToken   time.Duration // from the start to the first piece
+	BetweenToken time.Duration // without a byte, after the first piece
+	// Once makes the request leave on a connection of its own that is never
+	// used again, for completions that a template calls non-idempotent.
+	Once bool
+}
+
+// Start asks the engine at address for a completion. An error carries a
+// verdict; errors.As finds *Silent and *StatusError in it.
+func (e *Engines) Start(ctx context.Context, address string, req *engineapi.CompletionRequest, call Call) (*Stream, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, Error.Wrap(err))
+	}
+	target := url.URL{Scheme: e.o.scheme(), Host: address, Path: engineapi.CompletionsPath}
+	httpReq := newRequest(http.MethodPost, &target, body)
+	httpReq.Header.Set("Content-Type", "application/json")
+	httpReq.Header.Set(engineapi.PriorityHeader, strconv.Itoa(call.Priority))
+	return e.open(ctx, httpReq, call, ErrModelNotLoaded)
+}
+
+// Resume reads on in a stream of the engine at address from token from. It
+// runs nothing, so its errors say nothing new about the request: their verdict
+// is always MayHaveRun. ErrStreamGone means that the engine has no such stream.
+func (e *Engines) Resume(ctx context.Context, address, streamID string, from int, call Call) (*Stream, error) {
+	target := e.streamURL(address, streamID)
+	target.RawQuery = "from=" + strconv.Itoa(from)
+	call.Once = false
+	s, err := e.open(ctx, newRequest(http.MethodGet, &target, nil), call, ErrStreamGone)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.MayHaveRun, err)
+	}
+	return s, nil
+}
+
+func (e *Engines) streamURL(address, streamID string) url.URL {
+	return url.URL{
+		Scheme:  e.o.scheme(),
+		Host:    address,
+		Path:    engineapi.StreamPath + streamID,
+		RawPath: engineapi.StreamPath + url.PathEscape(streamID),
+	}
+}
+
+// open sends the request and reads the head of the answer.
+func (e *Engines) open(ctx context.Context, req *http.Request, call Call, missing error) (*Stream, error) {
+	if call.RequestID != "" {
+		req.Header.Set(engineapi.RequestIDHeader, call.RequestID)
+	}
+	p := e.get(req.URL.Host)
+	began := time.Now()
+	dog := newWatchdog(ctx, call.FirstToken)
+	gen, transport := p.transport(dog.ctx, call.Once)
+	tried := new(attempt)
+	resp, err := transport.RoundTrip(req.WithContext(tried.watch(dog.ctx)))
+	if err != nil {
+		err = p.failure(dog, gen, err, &Silent{Address: p.address, After: call.FirstToken})
+		dog.stop()
+		return nil, verdict.Wrap(tried.verdict(), err)
+	}
+	if resp.StatusCode != http.StatusOK {
+		err = readRefusal(resp, missing)
+		_ = resp.Body.Close()
+		dog.stop()
+		return nil, err
+	}
+	return newStream(p, gen, dog, resp, call, began), nil
+}
+
+// newRequest makes a request without GetBody: whether a request with a body is
+// sent again is the caller's decision, whose retry budget has to see it.
+func newRequest(method string, target *url.URL, body []byte) *http.Request {
+	req := &http.Request{Method: method, URL: target, Host: target.Host, Header: make(http.Header)}
+	if len(body) == 0 {
+		return req
+	}
+	req.ContentLength = int64(len(body))
+	req.Body = io.NopCloser(bytes.NewReader(body))
+	return req
+}
--- /dev/null
+++ b/internal/endpoint/engines_test.go
@@ -0,0 +1,220 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/engine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/engine/enginefault"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const address = "engine:1"
+
+var question = []engineapi.Message{{Role: "user", Content: "what does code 17 mean"}}
+
+func ask(tokens int) *engineapi.CompletionRequest {
+	return &engineapi.CompletionRequest{Model: "m", Messages: question, MaxTokens: tokens}
+}
+
+var patient = Call{FirstToken: 5 * time.Second, BetweenToken: time.Second}
+
+// withEngine runs a test against a stand-in engine on a clock of its own.
+func withEngine(t *testing.T, o engine.Options, f func(t *testing.T, e *engine.Engine, c *Engines, network *pipeNet)) {
+	synctest.Test(t, func(t *testing.T) {
+		o.Models = []fleet.ModelRef{{Model: "m"}}
+		o.TokenInterval = 100 * time.Millisecond
+		e := engine.New(o)
+		network := servePipe(t, e.Handler())
+		c := NewEngines(Options{Dial: network.dial})
+		defer c.Close()
+		defer e.Close()
+		f(t, e, c, network)
+	})
+}
+
+// read returns the tokens up to the last piece or an error.
+func read(s *Stream, limit int) (text []string, err error) {
+	for len(text) < limit {
+		p, err := s.Next()
+		if err != nil {
+			return text, err
+		}
+		if p.Done {
+			return text, nil
+		}
+		text = append(text, p.Text)
+	}
+	return text, nil
+}
+
+func TestStreamIsTheWholeAnswer(t *testing.T) {
+	withEngine(t, engine.Options{}, func(t *testing.T, _ *engine.Engine, c *Engines, network *pipeNet) {
+		for range 3 {
+			s, err := c.Start(t.Context(), address, ask(20), patient)
+			assert.NilError(t, err)
+			text, err := read(s, 100)
+			assert.NilError(t, err)
+			assert.DeepEqual(t, text, engine.Text(question, 20))
+			_, err = s.Next()
+			assert.Equal(t, err, io.EOF)
+			s.Close()
+		}
+		assert.Equal(t, network.dials.Load(), int32(1), "a connection read to its end is used again")
+	})
+}
+
+// Something between daemon and engine loses track of two open connections: one
+// streams, the other waits in the pool. The stream's deadline passes and its
+// resume must not be given the waiting one, which would be silent as well, so
+// the caller would wait out a second deadline. It dials and gets the rest.
+func TestSilentConnectionIsReplacedWithItsWholeAge(t *testing.T) {
+	withEngine(t, engine.Options{}, func(t *testing.T, e *engine.Engine, c *Engines, network *pipeNet) {
+		s, err := c.Start(t.Context(), address, ask(20), patient)
+		assert.NilError(t, err)
+		defer s.Close()
+		_, err = c.Load(t.Context(), address)
+		assert.NilError(t, err)
+		text, err := read(s, 5)
+		assert.NilError(t, err)
+		assert.Equal(t, network.dials.Load(), int32(2))
+
+		e.SetFaults(enginefault.Faults{SilenceOpen: true})
+		began := time.Now()
+		_, err = s.Next()
+		var silent *Silent
+		assert.Assert(t, errors.As(err, &silent))
+		assert.DeepEqual(t, *silent, Silent{Address: address, StreamID: s.ID(), Stage: Between, After: time.Second})
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		assert.Equal(t, time.Since(began), time.Second)
+
+		r, err := c.Resume(t.Context(), address, s.ID(), 5, patient)
+		assert.NilError(t, err)
+		defer r.Close()
+		rest, err := read(r, 100)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, append(text, rest...), engine.Text(question, 20))
+		assert.Equal(t, network.dials.Load(), int32(3))
+	})
+}
+
+// The engine accepts requests and never answers: each kind of call ends with
+// its own deadline and says how far it was.
+func TestSilentEngine(t *testing.T) {
+	withEngine(t, engine.Options{Slots: 1}, func(t *testing.T, e *engine.Engine, c *Engines, _ *pipeNet) {
+		busy, err := c.Start(t.Context(), address, ask(1000), patient)
+		assert.NilError(t, err)
+		defer busy.Close()
+		queued, err := c.Start(t.Context(), address, ask(1), patient)
+		assert.NilError(t, err)
+		defer queued.Close()
+		var silent *Silent
+		_, err = queued.Next()
+		assert.Assert(t, errors.As(err, &silent))
+		assert.Equal(t, silent.Stage, BeforeFirst)
+		assert.Equal(t, silent.StreamID, queued.ID())
+
+		e.SetFaults(enginefault.Faults{Silent: true})
+		_, err = c.Start(t.Context(), address, ask(1), patient)
+		assert.Assert(t, errors.As(err, &silent))
+		assert.Equal(t, silent.Stage, BeforeAnswer)
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		_, err = c.Load(t.Context(), address)
+		assert.Assert(t, errors.As(err, &silent))
+	})
+}
+
+func TestRefusalsOfAnEngine(t *testing.T) {
+	withEngine(t, engine.Options{Slots: 1, MaxQueue: 1, Fences: true}, func(t *testing.T, e *engine.Engine, c *Engines, _ *pipeNet) {
+		start := func(req *engineapi.CompletionRequest) error {
+			s, err := c.Start(t.Context(), address, req, patient)
+			if err == nil {
+				t.Cleanup(s.Close)
+				synctest.Wait()
+			}
+			return err
+		}
+		other := ask(1)
+		other.Model = "other"
+		assertRefusal := func(err, want error) {
+			t.Helper()
+			assert.ErrorIs(t, err, want)
+			assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		}
+		assertRefusal(start(other), ErrModelNotLoaded)
+		assert.NilError(t, start(ask(1000)))
+		assert.NilError(t, start(ask(1000)))
+		assertRefusal(start(ask(1)), ErrBusy)
+		assert.NilError(t, c.Order(t.Context(), address, engineapi.Order{Fencing: 7, Kind: engineapi.SetRole}))
+		err := c.Order(t.Context(), address, engineapi.Order{Fencing: 6, Kind: engineapi.SetRole})
+		assertRefusal(err, ErrFenced)
+		var status *StatusError
+		assert.Assert(t, errors.As(err, &status))
+		assert.Equal(t, status.Fencing, uint64(7))
+		assert.ErrorIs(t, c.Cancel(t.Context(), address, "none"), ErrStreamGone)
+		_, err = c.Resume(t.Context(), address, "none", 0, patient)
+		assert.ErrorIs(t, err, ErrStreamGone)
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		e.SetFaults(enginefault.Faults{Unavailable: true})
+		assertRefusal(start(ask(1)), ErrUnavailable)
+	})
+}
+
+func TestMoveOfKVCache(t *testing.T) {
+	withEngine(t, engine.Options{}, func(t *testing.T, e *engine.Engine, c *Engines, _ *pipeNet) {
+		s, err := c.Start(t.Context(), address, ask(20), patient)
+		assert.NilError(t, err)
+		defer s.Close()
+		head, err := read(s, 5)
+		assert.NilError(t, err)
+		blob, err := c.Export(t.Context(), address, s.ID())
+		assert.NilError(t, err)
+		assert.DeepEqual(t, blob.Generated, head)
+		_, err = s.Next()
+		assert.ErrorIs(t, err, ErrCut)
+		assert.NilError(t, c.Import(t.Context(), address, &blob))
+		req := ask(20)
+		req.Continue = blob.Generated
+		req.KV = blob.ID
+		s, err = c.Start(t.Context(), address, req, patient)
+		assert.NilError(t, err)
+		defer s.Close()
+		rest, err := read(s, 100)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, append(head, rest...), engine.Text(question, 20))
+		counters, err := c.Counters(t.Context(), address)
+		assert.NilError(t, err)
+		assert.Equal(t, counters.RecomputedTokens, int64(0))
+		models, err := c.Models(t.Context(), address)
+		assert.NilError(t, err)
+		assert.DeepEqual(t, models, []fleet.ModelRef{{Model: "m"}})
+		_, err = c.CacheEvents(t.Context(), address, 0)
+		assert.NilError(t, err)
+		_ = e
+	})
+}
+
+func TestStreamThatIsNoAnswer(t *testing.T) {
+	for body, want := range map[string]error{
+		"data: {\"offset\":0,\"text\":\"a\"}\n\n": ErrCut,
+		"data: {\"offset\":":                      ErrCut,
+		"data: {]\n\n":                            ErrMalformed,
+	} {
+		resp := &http.Response{Header: make(http.Header), Body: io.NopCloser(strings.NewReader(body))}
+		s := newStream(newPool(address, &Options{}), nil, newWatchdog(context.Background(), 0), resp, Call{}, time.Now())
+		_, err := read(s, 10)
+		assert.ErrorIs(t, err, want)
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		s.Close()
+	}
+}
--- /dev/null
+++ b/internal/endpoint/once_test.go
@@ -0,0 +1,143 @@
+package endpoint
+
+import (
+	"bufio"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/serviceapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// closingService runs every request. It answers the first of a connection; the
+// next one it runs and then closes the connection without an answer. Orders of
+// the part "lost" never get an answer.
+type closingService struct {
+	net.Listener
+	mu   sync.Mutex
+	runs map[string]int // by idempotency key
+}
+
+func newClosingService(t *testing.T) *closingService {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	s := &closingService{Listener: l, runs: make(map[string]int)}
+	var conns sync.WaitGroup
+	conns.Go(func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			conns.Go(func() { s.serve(c) })
+		}
+	})
+	t.Cleanup(func() {
+		_ = l.Close()
+		conns.Wait()
+	})
+	return s
+}
+
+func (s *closingService) serve(c net.Conn) {
+	defer c.Close()
+	in := bufio.NewReader(c)
+	for reused := false; ; reused = true {
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(r.Body)
+		s.mu.Lock()
+		s.runs[r.Header.Get(serviceapi.KeyHeader)]++
+		s.mu.Unlock()
+		if reused || string(body) == "lost" {
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+	}
+}
+
+func (s *closingService) ran(key string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.runs[key]
+}
+
+func (s *closingService) address() string { return s.Addr().String() }
+
+func order(key, body string, once bool) ServiceRequest {
+	return ServiceRequest{
+		Method: http.MethodPost,
+		Target: serviceapi.OrdersPath,
+		Header: http.Header{serviceapi.KeyHeader: {key}},
+		Body:   []byte(body),
+		Once:   once,
+	}
+}
+
+func drain(t *testing.T, body io.ReadCloser) {
+	_, err := io.Copy(io.Discard, body)
+	assert.NilError(t, err)
+	assert.NilError(t, body.Close())
+}
+
+// A keep-alive connection dies after the service has read an order and before
+// it answers. net/http takes the Idempotency-Key header for leave to send the
+// order again on a new connection, so the caller sees one confirmed order and
+// the dealer gets two. This is the standard library's own behaviour, shown
+// here so that the next test means something.
+func TestPlainClientRunsAnOrderTwice(t *testing.T) {
+	s := newClosingService(t)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for _, key := range []string{"first", "twice"} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+s.address()+serviceapi.OrdersPath, strings.NewReader("x"))
+		assert.NilError(t, err)
+		req.Header.Set(serviceapi.KeyHeader, key)
+		resp, err := client.Do(req)
+		assert.NilError(t, err)
+		drain(t, resp.Body)
+	}
+	assert.Equal(t, s.ran("twice"), 2)
+}
+
+// The same service and the same order of things with our client: an order
+// that must run once leaves once, on a connection of its own, with its key. If
+// its answer is lost the caller is told that it may have run.
+func TestOrderLeavesOnce(t *testing.T) {
+	s := newClosingService(t)
+	c := NewServices(Options{})
+	defer c.Close()
+	for _, key := range []string{"first", "second"} {
+		answer, err := c.Do(t.Context(), s.address(), order(key, "x", true))
+		assert.NilError(t, err)
+		assert.Equal(t, answer.Verdict(), verdict.Ran)
+		drain(t, answer.Body)
+		assert.Equal(t, s.ran(key), 1)
+	}
+	_, err := c.Do(t.Context(), s.address(), order("lost", "lost", true))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, s.ran("lost"), 1)
+}
+
+// A call that may be repeated uses pooled connections. When one dies after the
+// service has read the call, the call is still not sent again behind the back
+// of the caller, whose retry budget decides that.
+func TestPooledCallIsNotReplayed(t *testing.T) {
+	s := newClosingService(t)
+	c := NewServices(Options{})
+	defer c.Close()
+	answer, err := c.Do(t.Context(), s.address(), order("first", "x", false))
+	assert.NilError(t, err)
+	drain(t, answer.Body)
+	_, err = c.Do(t.Context(), s.address(), order("second", "x", false))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, s.ran("second"), 1)
+}
--- /dev/null
+++ b/internal/endpoint/pools.go
@@ -0,0 +1,67 @@
+package endpoint
+
+import "sync"
+
+// pools holds a pool for each endpoint in use, a bounded number of them.
+type pools struct {
+	o Options
+
+	mu        sync.Mutex
+	clock     uint64
+	byAddress map[string]*pool
+}
+
+func newPools(o Options) *pools {
+	return &pools{o: o.withDefaults(), byAddress: make(map[string]*pool)}
+}
+
+func (p *pools) get(address string) *pool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.clock++
+	if got, ok := p.byAddress[address]; ok {
+		got.used = p.clock
+		return got
+	}
+	if len(p.byAddress) >= p.o.MaxEndpoints {
+		p.evict()
+	}
+	made := newPool(address, &p.o)
+	made.used = p.clock
+	p.byAddress[address] = made
+	return made
+}
+
+// evict forgets the pool that wasn't used for longest. Its requests go on. The
+// caller holds mu.
+func (p *pools) evict() {
+	var oldest *pool
+	for _, candidate := range p.byAddress {
+		if oldest == nil || candidate.used < oldest.used {
+			oldest = candidate
+		}
+	}
+	delete(p.byAddress, oldest.address)
+	oldest.close()
+}
+
+// Forget closes the idle connections to an endpoint that is gone.
+func (p *pools) Forget(address string) {
+	p.mu.Lock()
+	gone := p.byAddress[address]
+	delete(p.byAddress, address)
+	p.mu.Unlock()
+	if gone != nil {
+		gone.close()
+	}
+}
+
+// Close closes all idle connections. Requests under way go on.
+func (p *pools) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, gone := range p.byAddress {
+		delete(p.byAddress, address)
+		gone.close()
+	}
+}
--- /dev/null
+++ b/internal/endpoint/services.go
@@ -0,0 +1,74 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Services is the client of all plain services. Safe for concurrent use. Make
+// one with NewServices.
+type Services struct {
+	*pools
+}
+
+// NewServices returns a client.
+func NewServices(o Options) *Services { return &Services{pools: newPools(o)} }
+
+// ServiceRequest is a call to forward to a plain service.
+type ServiceRequest struct {
+	Method string
+	Target string      // escaped path, with its query: "/orders?x=y"
+	Header http.Header // the caller's; what concerns one connection, and credentials, are left out
+	Body   []byte      // whole and bounded
+	// Once is for a non-idempotent call: it leaves exactly once, on a
+	// connection that was never used before.
+	Once bool
+	// Answer bounds the time to the answer's head; Between that without a byte
+	// of its body. 0 is none.
+	Answer  time.Duration
+	Between time.Duration
+}
+
+var errBadTarget = errors.New("target isn't an absolute path")
+
+// Do forwards a call to the replica at address. It follows no redirect. An
+// error carries a verdict; with an answer in hand ask Answer.Verdict.
+func (s *Services) Do(ctx context.Context, address string, call ServiceRequest) (*Answer, error) {
+	req, err := s.request(address, &call)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, Error.Wrap(err))
+	}
+	p := s.get(address)
+	dog := newWatchdog(ctx, call.Answer)
+	gen, transport := p.transport(dog.ctx, call.Once)
+	tried := new(attempt)
+	resp, err := transport.RoundTrip(req.WithContext(tried.watch(dog.ctx)))
+	if err != nil {
+		err = p.failure(dog, gen, err, &Silent{Address: address, After: call.Answer})
+		dog.stop()
+		return nil, verdict.Wrap(tried.verdict(), err)
+	}
+	dog.rest()
+	return newAnswer(p, gen, dog, resp, call.Between), nil
+}
+
+func (s *Services) request(address string, call *ServiceRequest) (*http.Request, error) {
+	target, err := url.ParseRequestURI(call.Target)
+	if err != nil {
+		return nil, err
+	}
+	if target.Host != "" || target.Scheme != "" || !strings.HasPrefix(target.Path, "/") {
+		return nil, errBadTarget
+	}
+	target.Scheme = s.o.scheme()
+	target.Host = address
+	req := newRequest(call.Method, target, call.Body)
+	req.Header = forwarded(call.Header)
+	return req, nil
+}
--- /dev/null
+++ b/internal/endpoint/smallcall.go
@@ -0,0 +1,91 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/dghubble/sling"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// smallCall is one exchange of JSON with an engine.
+type smallCall struct {
+	pool    *pool
+	ask     *sling.Sling
+	out     any           // to decode the answer into; nil for none
+	missing error         // what 404 stands for; nil for nothing special
+	timeout time.Duration // 0 leaves it to the context
+}
+
+// small prepares a call to the engine at address.
+func (e *Engines) small(address string) *smallCall {
+	return &smallCall{
+		pool:    e.get(address),
+		ask:     sling.New().Base(e.o.scheme() + "://" + address),
+		timeout: e.o.CallTimeout,
+	}
+}
+
+// do sends the call and decodes the answer. Its errors carry a verdict.
+func (c *smallCall) do(ctx context.Context) error {
+	d := &callDoer{gen: c.pool.current(), dog: newWatchdog(ctx, c.timeout)}
+	defer d.dog.stop()
+	req, err := c.ask.Doer(d).Request()
+	if err != nil {
+		return verdict.Wrap(verdict.NotRun, Error.Wrap(err))
+	}
+	var refusal engineapi.Refusal
+	resp, err := c.ask.Do(req, c.out, &refusal)
+	if resp != nil && resp.StatusCode >= http.StatusMultipleChoices {
+		return refusalError(resp, refusal, c.missing)
+	}
+	if err != nil {
+		silent := &Silent{Address: c.pool.address, After: c.timeout}
+		err = c.pool.failure(d.dog, d.gen, err, silent)
+		return verdict.Wrap(d.tried.verdict(), err)
+	}
+	return nil
+}
+
+// maxCallBody bounds the answer to a small call, bytes: a page of cache events
+// or a KV blob's description with all its text.
+const maxCallBody = 16 << 20
+
+// callDoer sends the request of one small call.
+type callDoer struct {
+	gen   *generation
+	dog   *watchdog
+	tried attempt
+}
+
+// Do sends req and bounds the answer's body.
+func (d *callDoer) Do(req *http.Request) (*http.Response, error) {
+	resp, err := d.gen.transport.RoundTrip(req.WithContext(d.tried.watch(d.dog.ctx)))
+	if err != nil {
+		return nil, err
+	}
+	resp.Body = &boundedBody{ReadCloser: resp.Body, left: maxCallBody}
+	return resp, nil
+}
+
+var errBodyTooLong = errors.New("answer too long")
+
+// boundedBody fails, in place of ending, where a body is too long.
+type boundedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+func (b *boundedBody) Read(p []byte) (int, error) {
+	if b.left <= 0 {
+		return 0, errBodyTooLong
+	}
+	n, err := b.ReadCloser.Read(p)
+	b.left -= int64(n)
+	return n, err
+}
--- /dev/null
+++ b/internal/endpoint/status.go
@@ -0,0 +1,71 @@
+package endpoint
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// maxFailureBody bounds what is read of a refusal's body, bytes.
+const maxFailureBody = 4 << 10
+
+// readRefusal turns a refusal of a model engine into an error. missing is what
+// 404 stands for.
+func readRefusal(resp *http.Response, missing error) error {
+	var refusal engineapi.Refusal
+	// A body that isn't JSON leaves the message empty; the status says enough.
+	_ = json.NewDecoder(io.LimitReader(resp.Body, maxFailureBody)).Decode(&refusal)
+	return refusalError(resp, refusal, missing)
+}
+
+func refusalError(resp *http.Response, refusal engineapi.Refusal, missing error) error {
+	err := &StatusError{
+		Status:     resp.StatusCode,
+		Message:    refusal.Error,
+		RetryAfter: retryAfter(resp.Header),
+		Fencing:    refusal.Fencing,
+		cause:      causeOf(resp.StatusCode, missing),
+	}
+	return verdict.Wrap(refusalVerdict(resp.StatusCode), Error.Wrap(err))
+}
+
+func causeOf(status int, missing error) error {
+	switch status {
+	case http.StatusNotFound:
+		return missing
+	case http.StatusConflict:
+		return ErrFenced
+	case http.StatusTooManyRequests:
+		return ErrBusy
+	case http.StatusServiceUnavailable:
+		return ErrUnavailable
+	default:
+		return nil
+	}
+}
+
+// refusalVerdict holds the contract of model engines: they answer these before
+// they start anything. It doesn't hold for plain services.
+func refusalVerdict(status int) verdict.Verdict {
+	switch status {
+	case http.StatusBadRequest, http.StatusNotFound, http.StatusConflict,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return verdict.NotRun
+	default:
+		return verdict.MayHaveRun
+	}
+}
+
+// retryAfter reads the form in seconds; 0 if there is none.
+func retryAfter(h http.Header) time.Duration {
+	seconds, err := strconv.Atoi(h.Get("Retry-After"))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- /dev/null
+++ b/internal/endpoint/verdict_test.go
@@ -0,0 +1,181 @@
+package endpoint
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// brokenConn fails all writes before the kernel takes a byte.
+type brokenConn struct{ net.Conn }
+
+func (brokenConn) Write([]byte) (int, error) { return 0, io.ErrClosedPipe }
+
+// stuckConn takes a part of a write and then blocks until it is closed.
+type stuckConn struct {
+	net.Conn
+	closed chan struct{}
+}
+
+func (c *stuckConn) Write(p []byte) (int, error) {
+	<-c.closed
+	return 1, io.ErrClosedPipe
+}
+
+func (c *stuckConn) Close() error {
+	close(c.closed)
+	return c.Conn.Close()
+}
+
+func TestVerdictOfFailedDispatch(t *testing.T) {
+	end := func() net.Conn {
+		c, _ := net.Pipe()
+		return c
+	}
+	cases := []struct {
+		name string
+		dial DialFunc
+		want verdict.Verdict
+	}{
+		{"no connection", func(context.Context, string, string) (net.Conn, error) { return nil, io.ErrNoProgress }, verdict.NotRun},
+		{"dial hangs", func(ctx context.Context, _, _ string) (net.Conn, error) { <-ctx.Done(); return nil, ctx.Err() }, verdict.NotRun},
+		{"nothing written", func(context.Context, string, string) (net.Conn, error) { return brokenConn{end()}, nil }, verdict.NotRun},
+		{"write hangs", func(context.Context, string, string) (net.Conn, error) {
+			return &stuckConn{Conn: end(), closed: make(chan struct{})}, nil
+		}, verdict.MayHaveRun},
+	}
+	for _, c := range cases {
+		for _, once := range []bool{false, true} {
+			t.Run(c.name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					services := NewServices(Options{Dial: c.dial})
+					defer services.Close()
+					call := order("key", "x", once)
+					call.Answer = 2 * DefaultDialTimeout
+					_, err := services.Do(t.Context(), address, call)
+					assert.Equal(t, verdict.Of(err), c.want, "%v", err)
+				})
+			})
+		}
+	}
+}
+
+// A request is given up while another goroutine is about to write it. Once the
+// caller was told that it didn't run, not a byte of it may leave.
+func TestNothingLeavesAfterTheProof(t *testing.T) {
+	ours, theirs := net.Pipe()
+	c := newConn(ours, func() {})
+	assert.Assert(t, c.sealUnwritten(0))
+	_, err := c.Write([]byte("late"))
+	assert.ErrorIs(t, err, errSealed)
+	assert.NilError(t, c.Close())
+	got, err := io.ReadAll(theirs)
+	assert.NilError(t, err)
+	assert.Equal(t, len(got), 0)
+}
+
+// serveWith runs a test against a plain service on a clock of its own.
+func serveWith(t *testing.T, h http.HandlerFunc, f func(t *testing.T, c *Services)) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewServices(Options{Dial: servePipe(t, h).dial, MaxConns: 2})
+		defer c.Close()
+		f(t, c)
+	})
+}
+
+func TestServiceAnswers(t *testing.T) {
+	var seen *http.Request
+	h := func(w http.ResponseWriter, r *http.Request) {
+		seen = r
+		switch r.URL.Path {
+		case "/unavailable":
+			w.WriteHeader(http.StatusServiceUnavailable)
+		case "/moved":
+			http.Redirect(w, r, "/elsewhere", http.StatusTemporaryRedirect)
+		default:
+			w.Header().Set("X-Kept", "yes")
+			w.Header().Set("Keep-Alive", "timeout=5")
+		}
+	}
+	serveWith(t, h, func(t *testing.T, c *Services) {
+		get := func(target string) *Answer {
+			header := http.Header{
+				"Connection": {"X-Hop, close"}, "X-Hop": {"1"}, "Te": {"trailers"},
+				"Authorization": {"Bearer secret"}, "Idempotency-Key": {"k"},
+			}
+			answer, err := c.Do(t.Context(), address, ServiceRequest{Method: http.MethodGet, Target: target, Header: header})
+			assert.NilError(t, err)
+			drain(t, answer.Body)
+			return answer
+		}
+		answer := get("/a%2Fb?q=1")
+		assert.Equal(t, answer.Verdict(), verdict.Ran)
+		assert.Equal(t, answer.Header.Get("X-Kept"), "yes")
+		assert.Equal(t, answer.Header.Get("Keep-Alive"), "")
+		assert.Equal(t, seen.RequestURI, "/a%2Fb?q=1")
+		assert.DeepEqual(t, seen.Header, http.Header{"Idempotency-Key": {"k"}})
+		assert.Equal(t, get("/unavailable").Verdict(), verdict.MayHaveRun)
+		assert.Equal(t, get("/moved").Status, http.StatusTemporaryRedirect)
+		for _, target := range []string{"", "stock", "http://elsewhere/stock", "*"} {
+			_, err := c.Do(t.Context(), address, ServiceRequest{Method: http.MethodGet, Target: target})
+			assert.Equal(t, verdict.Of(err), verdict.NotRun, target)
+		}
+	})
+}
+
+// The service runs a call, sends half of its answer and falls silent. The
+// caller learns within the deadline that the call ran.
+func TestSilenceWithinAnAnswer(t *testing.T) {
+	h := func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body) // the server then notices a closed connection
+		_, _ = io.WriteString(w, strings.Repeat("x", 10))
+		_ = http.NewResponseController(w).Flush()
+		<-r.Context().Done()
+	}
+	serveWith(t, h, func(t *testing.T, c *Services) {
+		call := order("key", "x", true)
+		call.Between = time.Second
+		answer, err := c.Do(t.Context(), address, call)
+		assert.NilError(t, err)
+		defer answer.Body.Close()
+		got, err := io.ReadAll(answer.Body)
+		var silent *Silent
+		assert.Assert(t, errors.As(err, &silent))
+		assert.Equal(t, verdict.Of(err), verdict.Ran)
+		assert.Equal(t, len(got), 10)
+	})
+}
+
+// More calls come than an endpoint may have connections. The one too many is
+// refused as not run once the time for a connection is over, and a place that
+// comes free is used.
+func TestConnectionsAreBounded(t *testing.T) {
+	h := func(w http.ResponseWriter, _ *http.Request) { _ = http.NewResponseController(w).Flush() }
+	serveWith(t, h, func(t *testing.T, c *Services) {
+		var held []*Answer
+		for range 2 {
+			answer, err := c.Do(t.Context(), address, order("key", "x", true))
+			assert.NilError(t, err)
+			held = append(held, answer)
+		}
+		_, err := c.Do(t.Context(), address, order("key", "x", true))
+		assert.ErrorIs(t, err, ErrTooManyConns)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun)
+		for _, answer := range held {
+			assert.NilError(t, answer.Body.Close())
+		}
+		answer, err := c.Do(t.Context(), address, order("key", "x", true))
+		assert.NilError(t, err)
+		assert.NilError(t, answer.Body.Close())
+	})
+}
--- /dev/null
+++ b/internal/gateway/auth.go
@@ -0,0 +1,54 @@
+package gateway
+
+import (
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// retryWhileLeaving is how soon a caller refused by a leaving daemon may try
+// another entry: at once, rounded up to what Retry-After can say.
+const retryWhileLeaving = time.Second
+
+// authHandler serves a request of a verified workspace.
+type authHandler func(w http.ResponseWriter, r *http.Request, workspace fleet.WorkspaceID)
+
+// authenticated admits requests with a known bearer token. The workspace comes
+// from the credential alone; nothing in the request can name another.
+func (g *Gateway) authenticated(operation string, next authHandler) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if why := g.o.Readiness.NotReady(); why != "" {
+			g.fail(w, operation, problem.New(http.StatusServiceUnavailable, verdict.NotRun, "not ready: %s", why).After(retryWhileLeaving))
+			return
+		}
+		workspace, ok := g.o.Identities.Identify(bearer(r))
+		if !ok {
+			w.Header().Set("WWW-Authenticate", "Bearer")
+			g.fail(w, operation, problem.New(http.StatusUnauthorized, verdict.NotRun, "the bearer token is missing or not known"))
+			return
+		}
+		next(w, r, workspace)
+	}
+}
+
+// bearer returns the token of the Authorization header, empty where there is none.
+func bearer(r *http.Request) string {
+	scheme, token, _ := strings.Cut(r.Header.Get("Authorization"), " ")
+	if !strings.EqualFold(scheme, "Bearer") {
+		return ""
+	}
+	return strings.TrimSpace(token)
+}
+
+// refuseWhileLeaving refuses new work once callers have had time to forget
+// this entry. Nothing was started, so the verdict is NotRun.
+func (g *Gateway) refuseWhileLeaving() *problem.Problem {
+	if !g.o.Readiness.Refusing() {
+		return nil
+	}
+	return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "this entry is leaving; ask for the entries again").After(retryWhileLeaving)
+}
--- /dev/null
+++ b/internal/gateway/decode.go
@@ -0,0 +1,149 @@
+package gateway
+
+import (
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// defaultMaxTokens is used where a caller sets no max_tokens.
+const defaultMaxTokens = 256
+
+// maxKeySkew bounds how far in the future a key's time may lie.
+const maxKeySkew = 5 * time.Minute
+
+// completionBody is a completion request as callers of model APIs send it.
+// Fields that it does not name are sampling parameters that no endpoint here takes.
+type completionBody struct {
+	Model               string              `json:"model"`
+	Adapter             string              `json:"adapter"`
+	Version             string              `json:"version"`
+	Messages            []engineapi.Message `json:"messages"`
+	MaxTokens           *int                `json:"max_tokens"`
+	MaxCompletionTokens *int                `json:"max_completion_tokens"`
+	Stream              bool                `json:"stream"`
+}
+
+// readBody reads a bounded body. Too long, too slow or broken is the caller's
+// fault and nothing has run.
+func (g *Gateway) readBody(w http.ResponseWriter, r *http.Request) ([]byte, *problem.Problem) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, g.o.Limits.MaxBodyBytes))
+	var tooLong *http.MaxBytesError
+	switch {
+	case err == nil:
+		return body, nil
+	case errors.As(err, &tooLong):
+		return nil, problem.New(http.StatusRequestEntityTooLarge, verdict.NotRun, "the body is over %d bytes", tooLong.Limit)
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, problem.New(http.StatusRequestTimeout, verdict.NotRun, "the body took longer than %s", g.o.Limits.ReadTimeout)
+	default:
+		return nil, problem.New(http.StatusBadRequest, verdict.NotRun, "the body could not be read")
+	}
+}
+
+// decodeCompletion checks a completion request.
+func (g *Gateway) decodeCompletion(body []byte) (*completionBody, *problem.Problem) {
+	var b completionBody
+	if err := json.Unmarshal(body, &b); err != nil {
+		return nil, badRequest("the body is not a completion request: %s", jsonMistake(err))
+	}
+	if b.Model == "" {
+		return nil, badRequest("model is required")
+	}
+	if len(b.Messages) == 0 {
+		return nil, badRequest("messages must hold at least one message")
+	}
+	if len(b.Messages) > g.o.Limits.MaxMessages {
+		return nil, badRequest("messages holds %d; the most is %d", len(b.Messages), g.o.Limits.MaxMessages)
+	}
+	for i, m := range b.Messages {
+		if !knownRole(m.Role) {
+			return nil, badRequest("messages[%d].role %q is none of system, user, assistant, tool", i, m.Role)
+		}
+	}
+	return &b, g.checkMaxTokens(&b)
+}
+
+// checkMaxTokens settles the two names that callers use for the bound.
+func (g *Gateway) checkMaxTokens(b *completionBody) *problem.Problem {
+	if b.MaxTokens == nil {
+		b.MaxTokens = b.MaxCompletionTokens
+	}
+	if b.MaxTokens == nil {
+		n := min(defaultMaxTokens, g.o.Limits.MaxTokens)
+		b.MaxTokens = &n
+	}
+	if n := *b.MaxTokens; n < 1 || n > g.o.Limits.MaxTokens {
+		return badRequest("max_tokens is %d; it must be from 1 to %d", n, g.o.Limits.MaxTokens)
+	}
+	return nil
+}
+
+func (b *completionBody) request() engineapi.CompletionRequest {
+	return engineapi.CompletionRequest{
+		Model:     b.Model,
+		Adapter:   b.Adapter,
+		Version:   b.Version,
+		Messages:  b.Messages,
+		MaxTokens: *b.MaxTokens,
+	}
+}
+
+func knownRole(role string) bool {
+	switch role {
+	case "system", "user", "assistant", "tool", "developer":
+		return true
+	default:
+		return false
+	}
+}
+
+// jsonMistake says what is wrong without repeating the caller's text, which
+// may be private.
+func jsonMistake(err error) string {
+	var syntax *json.SyntaxError
+	var wrong *json.UnmarshalTypeError
+	switch {
+	case errors.As(err, &syntax):
+		return "it is not valid JSON"
+	case errors.As(err, &wrong):
+		return "field " + wrong.Field + " must be " + wrong.Type.String()
+	default:
+		return "it can't be decoded"
+	}
+}
+
+// idempotencyKey returns the caller's key, empty where none was sent. A key is
+// a UUIDv7, whose time lets old keys be refused and the ledger stay bounded.
+func idempotencyKey(r *http.Request, now time.Time) (fleet.RequestID, *problem.Problem) {
+	values := r.Header.Values("Idempotency-Key")
+	if len(values) == 0 {
+		return "", nil
+	}
+	if len(values) > 1 {
+		return "", badRequest("Idempotency-Key was sent more than once")
+	}
+	id, err := uuid.Parse(values[0])
+	if err != nil || id.Version() != 7 {
+		return "", badRequest("Idempotency-Key must be a UUIDv7")
+	}
+	sec, nsec := id.Time().UnixTime()
+	if time.Unix(sec, nsec).After(now.Add(maxKeySkew)) {
+		return "", badRequest("Idempotency-Key lies in the future")
+	}
+	return fleet.RequestID(id.String()), nil
+}
+
+func badRequest(format string, args ...any) *problem.Problem {
+	return problem.New(http.StatusBadRequest, verdict.NotRun, format, args...)
+}
--- /dev/null
+++ b/internal/gateway/entries.go
@@ -0,0 +1,27 @@
+package gateway
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+)
+
+// entriesAnswer is the body of GET /v1/entries.
+type entriesAnswer struct {
+	Entries       []Entry `json:"entries"`
+	MaxAgeSeconds int     `json:"maxAgeSeconds"`
+}
+
+// entries tells a caller which entry instances to use. A credential is not
+// needed to find the way in; with one, the answer is the workspace's own subset.
+func (g *Gateway) entries(w http.ResponseWriter, r *http.Request) {
+	workspace, _ := g.o.Identities.Identify(bearer(r))
+	age := int(g.o.EntriesAge.Seconds())
+	a := entriesAnswer{Entries: g.o.Directory.Entries(workspace), MaxAgeSeconds: age}
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	h.Set("Cache-Control", "max-age="+strconv.Itoa(age))
+	h.Set("Vary", "Authorization")
+	g.o.Observer.Answered("entries", http.StatusOK)
+	_ = json.NewEncoder(w).Encode(a)
+}
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,89 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Options are what a Gateway is made of. All are needed.
+type Options struct {
+	Requests   Requests
+	Services   Services
+	Directory  Directory
+	Identities Identities
+	Readiness  Readiness
+	Observer   Observer
+	Metrics    http.HandlerFunc
+	Limits     settings.Limits
+	EntriesAge time.Duration // how long callers keep the entries
+	Log        *logrus.Entry
+}
+
+// Gateway serves the callers' API.
+type Gateway struct {
+	o   Options
+	mux *http.ServeMux
+}
+
+// New returns the callers' API over the given parts.
+func New(o Options) *Gateway {
+	g := &Gateway{o: o, mux: http.NewServeMux()}
+	g.mux.HandleFunc("GET /healthz", g.health)
+	g.mux.HandleFunc("GET /readyz", g.ready)
+	g.mux.HandleFunc("GET /metrics", o.Metrics)
+	g.mux.HandleFunc("GET /v1/entries", g.entries)
+	g.mux.HandleFunc("POST /v1/chat/completions", g.authenticated("completion", g.completions))
+	g.mux.HandleFunc("GET /v1/requests/{id}", g.authenticated("request", g.wholeRequest))
+	g.mux.HandleFunc("GET /v1/requests/{id}/events", g.authenticated("events", g.requestEvents))
+	g.mux.HandleFunc("/v1/services/{service}/{path...}", g.authenticated("service", g.service))
+	g.mux.HandleFunc("/", g.unknown)
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	defer g.recover(w, r)
+	g.mux.ServeHTTP(w, r)
+}
+
+// recover keeps one request's panic from ending the connection without an
+// answer. The request may have been dispatched, so the verdict is the cautious one.
+func (g *Gateway) recover(w http.ResponseWriter, r *http.Request) {
+	v := recover()
+	if v == nil {
+		return
+	}
+	if v == http.ErrAbortHandler {
+		panic(v)
+	}
+	g.o.Log.WithField("path", r.URL.Path).Errorf("panic: %v", v)
+	problem.Write(w, problem.New(http.StatusInternalServerError, verdict.MayHaveRun, "internal error"))
+}
+
+func (g *Gateway) unknown(w http.ResponseWriter, r *http.Request) {
+	g.fail(w, "unknown", problem.New(http.StatusNotFound, verdict.NotRun, "nothing is served at %s", r.URL.Path))
+}
+
+func (g *Gateway) health(w http.ResponseWriter, _ *http.Request) {
+	_, _ = w.Write([]byte("ok\n"))
+}
+
+func (g *Gateway) ready(w http.ResponseWriter, _ *http.Request) {
+	if why := g.o.Readiness.NotReady(); why != "" {
+		http.Error(w, why, http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = w.Write([]byte("ready\n"))
+}
+
+// fail answers with a problem and counts it.
+func (g *Gateway) fail(w http.ResponseWriter, operation string, p *problem.Problem) {
+	g.o.Observer.Answered(operation, p.Status)
+	problem.Write(w, p)
+}
--- /dev/null
+++ b/internal/gateway/requests.go
@@ -0,0 +1,69 @@
+package gateway
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+)
+
+// wholeRequest serves GET /v1/requests/{id}: the whole answer, once it is whole.
+func (g *Gateway) wholeRequest(w http.ResponseWriter, r *http.Request, workspace fleet.WorkspaceID) {
+	m, a, p := g.find(r, workspace)
+	if p != nil {
+		g.fail(w, "request", p)
+		return
+	}
+	defer a.Close()
+	w.Header().Set(RequestIDHeader, string(m.id))
+	g.whole(w, r, "request", m, a)
+}
+
+// requestEvents serves GET /v1/requests/{id}/events: the answer's events after
+// the one that the caller saw last.
+func (g *Gateway) requestEvents(w http.ResponseWriter, r *http.Request, workspace fleet.WorkspaceID) {
+	from, p := lastEventID(r)
+	if p != nil {
+		g.fail(w, "events", p)
+		return
+	}
+	m, a, p := g.find(r, workspace)
+	if p != nil {
+		g.fail(w, "events", p)
+		return
+	}
+	defer a.Close()
+	w.Header().Set(RequestIDHeader, string(m.id))
+	g.stream(w, r, "events", m, a, from)
+}
+
+func (g *Gateway) find(r *http.Request, workspace fleet.WorkspaceID) (meta, Answer, *problem.Problem) {
+	id, err := uuid.Parse(r.PathValue("id"))
+	if err != nil {
+		return meta{}, nil, badRequest("the request id is not a UUID")
+	}
+	now := time.Now()
+	m := meta{id: fleet.RequestID(id.String()), created: now, start: now}
+	a, p := g.o.Requests.Find(r.Context(), workspace, m.id)
+	if p != nil {
+		return m, nil, p.For(string(m.id))
+	}
+	return m, a, nil
+}
+
+// lastEventID returns how many tokens the caller has, 0 where it says nothing.
+func lastEventID(r *http.Request) (int, *problem.Problem) {
+	v := r.Header.Get("Last-Event-ID")
+	if v == "" {
+		return 0, nil
+	}
+	n, err := strconv.Atoi(v)
+	if err != nil || n < 0 {
+		return 0, badRequest("Last-Event-ID must be the id of an event of this answer")
+	}
+	return n, nil
+}
--- /dev/null
+++ b/internal/gateway/stream.go
@@ -0,0 +1,122 @@
+package gateway
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+)
+
+// Names of the events beside the default one, which carries a chunk.
+const (
+	eventAccepted = "accepted" // the first: from here on the request is answered
+	eventMoved    = "moved"    // another entry goes on; resume there
+	eventError    = "error"    // a problem; nothing follows
+)
+
+// moved is the data of a moved event.
+type moved struct {
+	ID      string `json:"id"`
+	Address string `json:"address"`
+}
+
+// stream sends an answer as server-sent events, from the token at offset from
+// on. The id of an event is how many tokens the caller has after it; the two
+// events after the last token count on, so that no id comes twice.
+func (g *Gateway) stream(w http.ResponseWriter, r *http.Request, operation string, m meta, a Answer, from int) {
+	g.o.Observer.Answered(operation, http.StatusOK)
+	out := &tokenStream{sse: newSSEWriter(w, g.o.Limits.WriteTimeout), meta: m, observer: g.o.Observer, at: from, last: m.start}
+	if out.accepted() != nil {
+		return
+	}
+	for {
+		part, err := a.Next(r.Context(), out.at)
+		if err != nil || out.send(part) != nil {
+			return
+		}
+		if part.Done || part.MovedTo != "" || part.Failure != nil {
+			return
+		}
+	}
+}
+
+// tokenStream is the state of one streamed answer.
+type tokenStream struct {
+	sse      *sseWriter
+	meta     meta
+	observer Observer
+	prefix   []byte // of a token's chunk
+	at       int    // tokens that the caller has
+	sent     int    // tokens sent on this stream
+	last     time.Time
+}
+
+func (t *tokenStream) accepted() error {
+	first := t.meta.chunk(chunkChoice{Delta: delta{Role: "assistant"}}, nil)
+	if err := t.sse.event(t.at, eventAccepted, first); err != nil {
+		return err
+	}
+	return t.sse.flush()
+}
+
+func (t *tokenStream) send(p Part) error {
+	for _, token := range p.Tokens {
+		t.token(token)
+	}
+	if len(p.Tokens) > 0 {
+		t.observe(len(p.Tokens))
+	}
+	var err error
+	switch {
+	case p.Failure != nil:
+		err = t.failed(p.Failure)
+	case p.MovedTo != "":
+		err = t.sse.event(t.at, eventMoved, moved{ID: string(t.meta.id), Address: p.MovedTo})
+	case p.Done:
+		err = t.done(p)
+	}
+	if err != nil {
+		return err
+	}
+	return t.sse.flush()
+}
+
+func (t *tokenStream) token(text string) {
+	if t.prefix == nil {
+		t.prefix = t.meta.tokenPrefix()
+	}
+	t.at++
+	t.sse.begin(t.at, "")
+	t.sse.buf = append(t.sse.buf, t.prefix...)
+	t.sse.buf = appendJSONString(t.sse.buf, text)
+	t.sse.buf = append(t.sse.buf, tokenSuffix...)
+	t.sse.end()
+}
+
+// observe records the latency of n tokens that arrived together.
+func (t *tokenStream) observe(n int) {
+	now := time.Now()
+	gap := now.Sub(t.last)
+	t.last = now
+	if t.sent == 0 {
+		t.observer.FirstToken(gap)
+	} else {
+		t.observer.BetweenTokens(gap / time.Duration(n))
+	}
+	t.sent += n
+}
+
+func (t *tokenStream) done(p Part) error {
+	last := t.meta.chunk(chunkChoice{FinishReason: &finishLength}, newUsage(p.Usage))
+	if err := t.sse.event(t.at+1, "", last); err != nil {
+		return err
+	}
+	t.sse.begin(t.at+2, "")
+	t.sse.buf = append(t.sse.buf, "[DONE]"...)
+	t.sse.end()
+	return nil
+}
+
+func (t *tokenStream) failed(p *problem.Problem) error {
+	return t.sse.event(t.at, eventError, p.For(string(t.meta.id)))
+}
--- /dev/null
+++ b/internal/importguard/importguard_test.go
@@ -0,0 +1,77 @@
+package importguard
+
+import (
+	"go/parser"
+	"go/token"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// decisions are the packages whose types take now and events and return
+// actions. Sub-packages are checked as well.
+var decisions = []string{
+	"admission", "directory", "ledger", "lease", "membership",
+	"platform/budget", "reclaim", "rendezvous", "request",
+	"routing", "template",
+}
+
+// forbidden are imports that bring a clock, a goroutine's tools, a socket, a
+// log or a metric. A trailing slash forbids everything below.
+var forbidden = []string{
+	"context", "io/fs", "log", "log/", "math/rand", "net", "net/", "os", "os/",
+	"runtime", "sync", "sync/", "syscall", "testing",
+	"github.com/sirupsen/logrus", "github.com/VictoriaMetrics/metrics",
+	"github.com/dghubble/sling", "storj.io/drpc",
+}
+
+// clockCalls are calls of package time that read or wait for the clock.
+var clockCalls = []string{"time.Now(", "time.Since(", "time.Until(", "time.Sleep(", "time.After(", "time.AfterFunc(", "time.NewTimer(", "time.NewTicker(", "time.Tick("}
+
+func TestDecisionsDoNoIO(t *testing.T) {
+	files := 0
+	for _, name := range decisions {
+		root := filepath.Join("..", filepath.FromSlash(name))
+		err := filepath.WalkDir(root, func(path string, d os.DirEntry, err error) error {
+			if err != nil {
+				return err
+			}
+			if d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+				return nil
+			}
+			files++
+			checkFile(t, path)
+			return nil
+		})
+		assert.NilError(t, err)
+	}
+	assert.Assert(t, files > len(decisions), "read only %d files", files)
+}
+
+func checkFile(t *testing.T, path string) {
+	t.Helper()
+	source, err := os.ReadFile(path)
+	assert.NilError(t, err)
+	file, err := parser.ParseFile(token.NewFileSet(), path, source, parser.ImportsOnly)
+	assert.NilError(t, err)
+	for _, spec := range file.Imports {
+		imported := strings.Trim(spec.Path.Value, `"`)
+		for _, f := range forbidden {
+			below := strings.HasSuffix(f, "/") && strings.HasPrefix(imported, f)
+			if imported == f || below {
+				t.Errorf("%s imports %s", path, imported)
+			}
+		}
+	}
+	for _, call := range clockCalls {
+		if strings.Contains(string(source), call) {
+			t.Errorf("%s calls %s)", path, call)
+		}
+	}
+	if strings.Contains(string(source), "\tgo ") {
+		t.Errorf("%s starts a goroutine", path)
+	}
+}
--- /dev/null
+++ b/internal/lease/answer.go
@@ -0,0 +1,131 @@
+package lease
+
+import "time"
+
+// wrote takes the answer that a write took effect as a version.
+func (l *Lease) wrote(now time.Time, number, version uint64) {
+	w := l.pending
+	if w == nil || w.number != number {
+		return // given up before; the read-back finds it
+	}
+	l.pending = nil
+	l.took(now, w, version)
+}
+
+// lost takes the answer that a write lost its condition, with what stands.
+func (l *Lease) lost(now time.Time, number uint64, current Observation) {
+	if l.pending == nil || l.pending.number != number {
+		return
+	}
+	l.pending = nil
+	if current.Version == 0 {
+		l.vanished(now)
+		return
+	}
+	l.observe(now, current)
+}
+
+// vanished notes that the object was deleted, by hand or by a store that came
+// back empty. Whoever held the lease may go on until it runs out.
+func (l *Lease) vanished(now time.Time) {
+	l.seen.Version = 0
+	l.seenAt, l.readAt = now, now
+	l.drop()
+}
+
+// drop ends the lease on this side. A hand-over that was under way is over;
+// who leaves doesn't come back.
+func (l *Lease) drop() {
+	l.held = false
+	l.releasing = l.leaving
+}
+
+// unanswered takes it that a write had no answer that proves anything.
+func (l *Lease) unanswered(now time.Time, number uint64) {
+	if l.pending != nil && l.pending.number == number {
+		l.unsureAt(now)
+	}
+}
+
+// unsureAt notes that a write may or may not have taken effect.
+func (l *Lease) unsureAt(now time.Time) {
+	l.pending = nil
+	l.unsure = true
+	l.retryAt = now.Add(l.pause())
+}
+
+// readFailed notes that a read had no answer.
+func (l *Lease) readFailed(now time.Time) {
+	l.reading = false
+	l.retryAt = now.Add(l.pause())
+}
+
+// pause draws the time before a failed call is repeated.
+func (l *Lease) pause() time.Duration { return around(l.random, l.config.Retry, 0.5) }
+
+// observed takes the object as read at some moment before now.
+func (l *Lease) observed(now time.Time, o Observation) {
+	l.reading = false
+	if l.pending != nil {
+		return // its answer tells more
+	}
+	l.observe(now, o)
+}
+
+// observe takes what stands in the store. A version that is one of this
+// daemon's own writes is proof that this write took effect: so a lost answer
+// costs a read, and a write that arrives late is recognised.
+func (l *Lease) observe(now time.Time, o Observation) {
+	if o.Version < l.seen.Version {
+		return // an answer that was overtaken
+	}
+	first := l.readAt.IsZero()
+	l.unsure = false
+	l.readAt = now
+	if o.Version == l.seen.Version && !first {
+		return
+	}
+	if w := l.own(o); w != nil {
+		l.took(now, w, o.Version)
+		return
+	}
+	l.seen, l.seenAt = o, now
+	l.drop()
+}
+
+// own returns the write of this daemon that an observation shows, if any.
+func (l *Lease) own(o Observation) *sentWrite {
+	w := l.sent.find(o.State.Write)
+	if w == nil || w.state != o.State {
+		return nil
+	}
+	return w
+}
+
+// took notes that a write took effect as a version. The lease counts from
+// before the write left: the store may have taken it at once, and others count
+// from then.
+func (l *Lease) took(now time.Time, w *sentWrite, version uint64) {
+	l.unsure = false
+	l.seen, l.seenAt, l.readAt = Observation{Version: version, State: w.state}, now, now
+	switch w.kind {
+	case acquire:
+		l.fencing = version
+		l.waitTo = waitTo(now, w.prior)
+	case release:
+		l.drop()
+		return
+	}
+	l.held = true
+	l.since = w.at
+	l.renewAt = w.at.Add(around(l.random, l.config.Renew, 0.2))
+}
+
+// waitTo returns when orders of the holder before must have ended. Its lease
+// has run out by now; an order that left at its very end may not have.
+func waitTo(now time.Time, prior Observation) time.Time {
+	if prior.Version == 0 || prior.State.Released {
+		return now
+	}
+	return now.Add(prior.State.longestOrder())
+}
--- /dev/null
+++ b/internal/lease/config.go
@@ -0,0 +1,60 @@
+package lease
+
+import "time"
+
+// Config holds a lease's times. All daemons should have the same; a state
+// carries its holder's duration, so that a change of them stays safe.
+type Config struct {
+	// Duration is how long a lease lasts after the write that won it.
+	Duration time.Duration
+	// Margin is given up by the holder at the end of its lease and added by
+	// who waits for it. It covers the difference in rate between two clocks
+	// over Duration: 500 parts in a million are 10 ms in 20 s.
+	Margin time.Duration
+	// Renew is the mean time between renewals, drawn from 0.8 to 1.2 of it.
+	Renew time.Duration
+	// Retry is the mean time before a call is repeated that failed.
+	Retry time.Duration
+	// CallTimeout is how long a call is waited for before it counts as lost.
+	CallTimeout time.Duration
+	// LongestOrder is the longest that an order may be under way. Who gives
+	// orders must end each by Lease.Deadline.
+	LongestOrder time.Duration
+	// Candidates is how many daemons, best ranks first, observe a shard that
+	// another one holds.
+	Candidates int
+	// Observe is the mean time between a candidate's looks at its shards.
+	Observe time.Duration
+	// Sweep is the mean time between looks of all other daemons, for the case
+	// that no candidate reaches the store.
+	Sweep time.Duration
+	// RankDelay is how much longer each further rank waits before it takes a
+	// lease. It exceeds Observe, so that a better rank looks first.
+	RankDelay time.Duration
+	// Settle is how long a holder that isn't the preferred one keeps a lease
+	// before it hands it over: long enough for a restarted fleet to gather.
+	Settle time.Duration
+	// StartSpread is the time over which daemons that start together look for
+	// the first time.
+	StartSpread time.Duration
+	// ListOver is the number of shards above which one list of all shards
+	// takes the place of a read for each.
+	ListOver int
+}
+
+// DefaultConfig loses a crashed holder's shard for half a minute at the most.
+var DefaultConfig = Config{
+	Duration:     20 * time.Second,
+	Margin:       time.Second,
+	Renew:        6 * time.Second,
+	Retry:        500 * time.Millisecond,
+	CallTimeout:  3 * time.Second,
+	LongestOrder: 5 * time.Second,
+	Candidates:   3,
+	Observe:      6 * time.Second,
+	Sweep:        5 * time.Minute,
+	RankDelay:    8 * time.Second,
+	Settle:       time.Minute,
+	StartSpread:  5 * time.Second,
+	ListOver:     4,
+}
--- /dev/null
+++ b/internal/lease/fleet_test.go
@@ -0,0 +1,176 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"gotest.tools/v3/assert"
+)
+
+// crowd is a fleet that shares the shards of one duty.
+type crowd struct {
+	store   *memory
+	members []*member
+	random  *rand.Rand
+	now     time.Time
+	lose    float64
+	born    int
+}
+
+// tickEvery is the time between two ticks of a daemon.
+const tickEvery = 250 * time.Millisecond
+
+func newCrowd(daemons, shards int, seed uint64) *crowd {
+	c := &crowd{
+		store:  newMemory(shards),
+		random: rand.New(rand.NewPCG(seed, 2)),
+		now:    time.Date(2026, 1, 31, 0, 0, 0, 0, time.UTC),
+	}
+	c.restart(daemons, shards)
+	return c
+}
+
+// restart replaces all daemons by new ones, which know each other.
+func (c *crowd) restart(daemons, shards int) {
+	c.members = nil
+	for range daemons {
+		c.born++
+		id := fleet.DaemonID(fmt.Sprintf("daemon-%d", c.born))
+		random := rand.New(rand.NewPCG(uint64(c.born), 3))
+		c.members = append(c.members, &member{id: id, set: NewSet(DefaultConfig, id, Shards("duty", shards), random, c.now)})
+	}
+	c.tell()
+}
+
+// tell gives every daemon the alive ones.
+func (c *crowd) tell() {
+	ids := make([]fleet.DaemonID, len(c.members))
+	for i, m := range c.members {
+		ids[i] = m.id
+	}
+	for _, m := range c.members {
+		m.set.Alive(ids)
+	}
+}
+
+// run lets time pass and returns the most writes and reads of any second.
+func (c *crowd) run(d time.Duration) (writes, reads int) {
+	for end := c.now.Add(d); c.now.Before(end); {
+		w, r := c.store.writes, c.store.reads
+		for range time.Second / tickEvery {
+			c.now = c.now.Add(tickEvery)
+			for _, m := range c.members {
+				c.store.step(c.now, m, c.lose, c.random)
+			}
+		}
+		writes, reads = max(writes, c.store.writes-w), max(reads, c.store.reads-r)
+	}
+	return writes, reads
+}
+
+// holders returns how many shards each daemon holds, and how many are held.
+func (c *crowd) holders() (most, held int) {
+	for _, m := range c.members {
+		own := 0
+		for i := range m.set.shards {
+			if m.set.Lease(i).Held(c.now) {
+				own++
+			}
+		}
+		most, held = max(most, own), held+own
+	}
+	return most, held
+}
+
+// untilHeld runs until every shard is held and returns the time that took.
+func (c *crowd) untilHeld(t testing.TB, shards int) time.Duration {
+	start := c.now
+	for c.now.Sub(start) < 10*time.Minute {
+		if _, held := c.holders(); held == shards {
+			return c.now.Sub(start)
+		}
+		c.run(time.Second)
+	}
+	t.Fatal("shards without a holder after ten minutes")
+	return 0
+}
+
+// The first daemon up finds no other and takes every shard. When the rest are
+// up, shards must go over to the daemons that are preferred for them.
+func TestShardsSpreadAfterOneDaemonTookAll(t *testing.T) {
+	c := newCrowd(1, 64, 1)
+	c.untilHeld(t, 64)
+	first := c.members[0]
+	c.restart(8, 64)
+	c.members = append(c.members, first)
+	c.tell()
+	c.run(5 * time.Minute)
+	most, held := c.holders()
+	assert.Equal(t, held, 64)
+	assert.Assert(t, most < 20, "one daemon holds %d of 64 shards", most)
+}
+
+// A third of the fleet vanishes without a word; its shards must find new
+// holders, none before the old leases ran out.
+func TestShardsMoveOnWhenHoldersVanish(t *testing.T) {
+	c := newCrowd(9, 64, 1)
+	c.lose = 0.2
+	c.untilHeld(t, 64)
+	c.members = c.members[3:]
+	c.tell()
+	took := c.untilHeld(t, 64)
+	assert.Assert(t, took > DefaultConfig.Duration-DefaultConfig.Renew-DefaultConfig.Margin, "after %s", took)
+}
+
+// A daemon that leaves gives its shards up, and others have them before its
+// leases would have run out.
+func TestLeavingDaemonGivesShardsUp(t *testing.T) {
+	c := newCrowd(2, 8, 1)
+	c.untilHeld(t, 8)
+	leaver := c.members[0]
+	leaver.set.Leave()
+	c.run(2 * time.Second)
+	assert.Assert(t, leaver.set.Left(c.now))
+	c.members = c.members[1:]
+	c.tell()
+	assert.Assert(t, c.untilHeld(t, 8) < DefaultConfig.Duration)
+}
+
+// BenchmarkFleet prints what leases cost the store: calls a second in quiet,
+// the most in any second after a restart of all daemons, and the time until
+// all shards are held again.
+func BenchmarkFleet(b *testing.B) {
+	for _, daemons := range []int{9, 85, 340} {
+		for _, lose := range []float64{0, 0.2} {
+			b.Run(fmt.Sprintf("daemons=%d/lost=%.1f", daemons, lose), func(b *testing.B) {
+				for range b.N {
+					benchFleet(b, daemons, lose)
+				}
+			})
+		}
+	}
+}
+
+func benchFleet(b *testing.B, daemons int, lose float64) {
+	const shards, quiet = 64, 5 * time.Minute
+	c := newCrowd(daemons, shards, 1)
+	c.lose = lose
+	c.untilHeld(b, shards)
+	c.run(time.Minute)
+	w, r := c.store.writes, c.store.reads
+	c.run(quiet)
+	b.ReportMetric(float64(c.store.writes-w)/quiet.Seconds(), "quiet-writes/s")
+	b.ReportMetric(float64(c.store.reads-r)/quiet.Seconds(), "quiet-reads/s")
+	most, _ := c.holders()
+	b.ReportMetric(float64(most), "most-shards/daemon")
+	c.restart(daemons, shards)
+	writes, reads := c.run(40 * time.Second)
+	b.ReportMetric(float64(writes), "restart-peak-writes/s")
+	b.ReportMetric(float64(reads), "restart-peak-reads/s")
+	c.members = c.members[daemons/11+1:] // a data centre
+	c.tell()
+	b.ReportMetric(c.untilHeld(b, shards).Seconds(), "s-until-held")
+}
--- /dev/null
+++ b/internal/lease/memory_test.go
@@ -0,0 +1,65 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// memory is a store of leases with conditional writes, which counts calls.
+type memory struct {
+	version uint64
+	objects []Observation
+	reads   int
+	writes  int
+}
+
+func newMemory(shards int) *memory { return &memory{objects: make([]Observation, shards)} }
+
+// write returns the new version, or the current object and false.
+func (m *memory) write(a Action) (Observation, bool) {
+	m.writes++
+	current := m.objects[a.Shard]
+	if current.Version != a.IfVersion {
+		return current, false
+	}
+	m.version++
+	m.objects[a.Shard] = Observation{Version: m.version, State: a.State}
+	return m.objects[a.Shard], true
+}
+
+// member is a daemon of the tests.
+type member struct {
+	id  fleet.DaemonID
+	set *Set
+}
+
+// step ticks a daemon and answers its calls at once, losing a share of the
+// answers to writes.
+func (m *memory) step(now time.Time, d *member, lose float64, random *rand.Rand) {
+	for _, a := range d.set.Tick(now) {
+		switch a.Kind {
+		case List:
+			m.reads++
+			d.set.Listed(now, m.objects)
+		case Read:
+			m.reads++
+			d.set.Observed(now, a.Shard, m.objects[a.Shard])
+		case Write:
+			m.answer(now, d, a, random.Float64() < lose)
+		}
+	}
+}
+
+func (m *memory) answer(now time.Time, d *member, a Action, lost bool) {
+	result, took := m.write(a)
+	switch {
+	case lost:
+		d.set.Unsure(now, a)
+	case took:
+		d.set.Wrote(now, a, result.Version)
+	default:
+		d.set.Lost(now, a, result)
+	}
+}
--- /dev/null
+++ b/internal/lease/safety_test.go
@@ -0,0 +1,228 @@
+package lease
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"pgregory.net/rapid"
+)
+
+// call is a call of a daemon that is under way in the model.
+type call struct {
+	daemon int
+	action Action
+	done   bool // the store has taken it; its answer is under way
+	result Observation
+	took   bool
+}
+
+// model is three daemons that all believe to be preferred for one shard, and
+// a store whose calls may arrive at any later time, or whose answers get lost.
+type model struct {
+	store   *memory
+	daemons []*member
+	paused  []bool
+	drift   []float64 // of each clock's rate
+	time    time.Duration
+	calls   []call
+	orders  []order
+	highest uint64 // fencing number of the newest order
+}
+
+// order is an order that left, with its end in the model's time.
+type order struct {
+	daemon int
+	end    time.Duration
+}
+
+// maxDrift is the greatest difference of a clock's rate that Margin covers.
+const maxDrift = 500e-6
+
+func newModel(t *rapid.T) *model {
+	m := &model{store: newMemory(1), paused: make([]bool, 3)}
+	config := DefaultConfig
+	config.StartSpread = 0
+	for i := range 3 {
+		id := fleet.DaemonID(fmt.Sprintf("daemon-%d", i))
+		random := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		m.drift = append(m.drift, rapid.Float64Range(-maxDrift, maxDrift).Draw(t, "drift"))
+		set := NewSet(config, id, Shards("duty", 1), random, m.local(i))
+		m.daemons = append(m.daemons, &member{id: id, set: set})
+	}
+	return m
+}
+
+// local returns a daemon's clock: they differ by years, and in their rate.
+func (m *model) local(i int) time.Time {
+	epoch := time.Date(2000+i*7, 1, 1, 0, 0, 0, 0, time.UTC)
+	return epoch.Add(m.time + time.Duration(m.drift[i]*float64(m.time)))
+}
+
+// advance moves time on and ticks the daemons that aren't paused.
+func (m *model) advance(by time.Duration) {
+	m.time += by
+	for i, d := range m.daemons {
+		if m.paused[i] {
+			continue
+		}
+		for _, a := range d.set.Tick(m.local(i)) {
+			m.calls = append(m.calls, call{daemon: i, action: a})
+		}
+	}
+}
+
+// move takes a call one step further: into the store, then back or lost.
+func (m *model) move(i int, lose bool) {
+	c := m.calls[i]
+	if !c.done {
+		m.calls[i] = m.arrive(c)
+		return
+	}
+	if m.paused[c.daemon] {
+		return // its answer waits
+	}
+	m.calls = append(m.calls[:i:i], m.calls[i+1:]...)
+	m.answer(c, lose)
+}
+
+func (m *model) arrive(c call) call {
+	c.done = true
+	if c.action.Kind == Write {
+		c.result, c.took = m.store.write(c.action)
+	} else {
+		c.result = m.store.objects[0]
+	}
+	return c
+}
+
+func (m *model) answer(c call, lose bool) {
+	set, now := m.daemons[c.daemon].set, m.local(c.daemon)
+	switch {
+	case c.action.Kind == List && lose:
+		set.ListFailed()
+	case c.action.Kind == List:
+		set.Listed(now, []Observation{c.result})
+	case c.action.Kind == Read && lose:
+		set.ReadFailed(now, 0)
+	case c.action.Kind == Read:
+		set.Observed(now, 0, c.result)
+	case lose:
+		set.Unsure(now, c.action)
+	case c.took:
+		set.Wrote(now, c.action, c.result.Version)
+	default:
+		set.Lost(now, c.action, c.result)
+	}
+}
+
+// order lets a daemon order if it may, and checks what endpoints would see.
+func (m *model) order(t *rapid.T, i int) {
+	l, now := m.daemons[i].set.Lease(0), m.local(i)
+	if l.MayOrderUnfenced(now) {
+		m.checkUnfenced(t, i)
+	}
+	fencing, ok := l.MayOrder(now)
+	if !ok {
+		return
+	}
+	if fencing < m.highest {
+		t.Fatalf("order with fencing number %d after one with %d", fencing, m.highest)
+	}
+	m.highest = fencing
+	m.orders = append(m.orders, order{daemon: i, end: m.time + l.config.LongestOrder})
+}
+
+// checkUnfenced fails when another daemon's order is still under way.
+func (m *model) checkUnfenced(t *rapid.T, i int) {
+	for _, o := range m.orders {
+		if o.daemon != i && o.end > m.time {
+			t.Fatalf("daemon %d may order without fencing while an order of daemon %d is under way", i, o.daemon)
+		}
+	}
+}
+
+// checkHolders fails when two daemons would be allowed to order at once,
+// paused ones included.
+func (m *model) checkHolders(t *rapid.T) (holders int) {
+	for i, d := range m.daemons {
+		if d.set.Lease(0).Held(m.local(i)) {
+			holders++
+		}
+	}
+	if holders > 1 {
+		t.Fatalf("%d daemons hold the lease at %s", holders, m.time)
+	}
+	return holders
+}
+
+// Operators see two daemons give orders for one shard. Daemons pause for
+// longer than their lease, calls arrive late, answers get lost and clocks
+// differ. It must not happen at any moment, also to a daemon that is still
+// paused: it would send its order at its first step after the pause.
+func TestNeverTwoHolders(t *testing.T) {
+	held := 0
+	rapid.Check(t, func(t *rapid.T) {
+		m := newModel(t)
+		for range rapid.IntRange(1000, 2000).Draw(t, "steps") {
+			m.random(t)
+			held += m.checkHolders(t)
+		}
+	})
+	if held == 0 {
+		t.Fatal("no daemon ever held the lease, so nothing was checked")
+	}
+}
+
+// steps are the kinds of random step, the likely ones more often.
+var steps = []string{
+	"advance", "advance", "advance", "advance", "settle", "settle", "settle", "settle",
+	"move", "move", "pause", "hand over",
+}
+
+// pauses are lengths of time around the bounds of DefaultConfig, in ms.
+var pauses = []int{100, 250, 250, 250, 1000, 1000, 2500, 6000, 12000, 18500, 19500, 20500, 22000}
+
+// random does one random step.
+func (m *model) random(t *rapid.T) {
+	daemon := rapid.IntRange(0, 2)
+	switch rapid.SampledFrom(steps).Draw(t, "step") {
+	case "advance":
+		m.advance(time.Duration(rapid.SampledFrom(pauses).Draw(t, "ms")) * time.Millisecond)
+	case "pause":
+		i := daemon.Draw(t, "pause")
+		m.paused[i] = !m.paused[i]
+	case "hand over":
+		m.daemons[daemon.Draw(t, "hand over")].handover()
+	case "move":
+		if len(m.calls) > 0 {
+			i := rapid.IntRange(0, len(m.calls)-1).Draw(t, "call")
+			m.move(i, rapid.Bool().Draw(t, "lose"))
+		}
+	case "settle":
+		m.settle()
+	}
+	for i := range m.daemons {
+		if !m.paused[i] && rapid.Bool().Draw(t, "order") {
+			m.order(t, i)
+		}
+	}
+}
+
+// settle brings every call that is under way to its end.
+func (m *model) settle() {
+	for range 2 {
+		for i := len(m.calls) - 1; i >= 0; i-- {
+			m.move(i, false)
+		}
+	}
+}
+
+// handover makes a holder give its lease up as if it weren't preferred.
+func (d *member) handover() {
+	if l := d.set.Lease(0); l.held {
+		l.releasing = true
+	}
+}
--- /dev/null
+++ b/internal/lease/set.go
@@ -0,0 +1,175 @@
+package lease
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+)
+
+// Set is one daemon's side of all shards of a duty. Each shard is preferred by
+// one of the alive daemons, by rendezvous hashing, so that shards spread
+// evenly and daemons don't contend for them. It isn't safe for concurrent use.
+type Set struct {
+	config Config
+	self   fleet.DaemonID
+	random *rand.Rand
+	shards []Shard
+	leases []*Lease
+	ranks  []int
+
+	observeAt time.Time // next look at the shards that this daemon is a candidate for
+	sweepAt   time.Time // next look at all shards
+	listing   bool
+	listEnd   time.Time // when a list without an answer counts as lost
+}
+
+// NewSet returns the shards of a duty, at now, with self alone alive. Only a
+// daemon that knows its fleet should call Tick: alone, it prefers all shards.
+func NewSet(config Config, self fleet.DaemonID, shards []Shard, random *rand.Rand, now time.Time) *Set {
+	s := &Set{
+		config: config,
+		self:   self,
+		random: random,
+		shards: shards,
+		leases: make([]*Lease, len(shards)),
+		ranks:  make([]int, len(shards)),
+	}
+	for i := range s.leases {
+		s.leases[i] = newLease(&s.config, self, i, random)
+	}
+	s.observeAt = now.Add(time.Duration(random.Float64() * float64(config.StartSpread)))
+	s.sweepAt = now.Add(around(random, config.Sweep, 0.5))
+	return s
+}
+
+// Alive takes the daemons that membership holds for alive, self among them or
+// not, in any order.
+func (s *Set) Alive(daemons []fleet.DaemonID) {
+	for i, shard := range s.shards {
+		s.ranks[i] = rank(rendezvous.Key(shard.Object()), s.self, daemons)
+	}
+}
+
+// rank returns how many other daemons come before self for a key.
+func rank(key uint64, self fleet.DaemonID, daemons []fleet.DaemonID) int {
+	own := rendezvous.Score(key, string(self))
+	before := 0
+	for _, d := range daemons {
+		if d != self && rendezvous.Score(key, string(d)) > own {
+			before++
+		}
+	}
+	return before
+}
+
+// Lease returns a shard's lease, to ask before orders.
+func (s *Set) Lease(shard int) *Lease { return s.leases[shard] }
+
+// Shards returns the shards, in order of their indexes.
+func (s *Set) Shards() []Shard { return s.shards }
+
+// Leave stops taking leases and gives up those that are held, each once its
+// orders have ended.
+func (s *Set) Leave() {
+	for _, l := range s.leases {
+		l.leaving, l.releasing = true, true
+	}
+}
+
+// Left reports whether no lease is held any more, after Leave.
+func (s *Set) Left(now time.Time) bool {
+	for _, l := range s.leases {
+		if l.valid(now) || l.pending != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// Tick returns the calls that are due. A few times a second is often enough.
+func (s *Set) Tick(now time.Time) []Action {
+	var out []Action
+	if s.listing && !now.Before(s.listEnd) {
+		s.listing = false
+	}
+	for i, l := range s.leases {
+		if a, due := l.tick(now, s.ranks[i]); due {
+			out = append(out, a)
+		}
+	}
+	return s.look(now, out)
+}
+
+// look adds the reads by which a daemon follows leases that it doesn't hold.
+func (s *Set) look(now time.Time, out []Action) []Action {
+	if s.listing {
+		return out
+	}
+	if !now.Before(s.sweepAt) {
+		s.sweepAt = now.Add(around(s.random, s.config.Sweep, 0.5))
+		return s.list(now, out)
+	}
+	if now.Before(s.observeAt) {
+		return out
+	}
+	s.observeAt = now.Add(around(s.random, s.config.Observe, 0.1))
+	follow := s.followed()
+	if len(follow) > s.config.ListOver {
+		return s.list(now, out)
+	}
+	for _, i := range follow {
+		out = append(out, s.leases[i].readBack(now))
+	}
+	return out
+}
+
+func (s *Set) list(now time.Time, out []Action) []Action {
+	s.listing = true
+	s.listEnd = now.Add(s.config.CallTimeout)
+	return append(out, Action{Kind: List})
+}
+
+// followed returns the shards that this daemon is a candidate for and doesn't
+// hold, as far as no call for them is under way.
+func (s *Set) followed() []int {
+	var out []int
+	for i, l := range s.leases {
+		busy := l.held || l.leaving || l.pending != nil || l.reading
+		if !busy && s.ranks[i] < s.config.Candidates {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
+// Observed takes the answer to a Read.
+func (s *Set) Observed(now time.Time, shard int, o Observation) { s.leases[shard].observed(now, o) }
+
+// ReadFailed notes that a Read had no answer.
+func (s *Set) ReadFailed(now time.Time, shard int) { s.leases[shard].readFailed(now) }
+
+// Listed takes the answer to a List: the observation of each shard, by index.
+func (s *Set) Listed(now time.Time, all []Observation) {
+	s.listing = false
+	for i, o := range all {
+		s.leases[i].observed(now, o)
+	}
+}
+
+// ListFailed notes that a List had no answer.
+func (s *Set) ListFailed() { s.listing = false }
+
+// Wrote takes the answer that a Write took effect as a version.
+func (s *Set) Wrote(now time.Time, a Action, version uint64) {
+	s.leases[a.Shard].wrote(now, a.State.Write, version)
+}
+
+// Lost takes the answer that a Write lost its condition, with what stands.
+func (s *Set) Lost(now time.Time, a Action, current Observation) {
+	s.leases[a.Shard].lost(now, a.State.Write, current)
+}
+
+// Unsure notes that a Write had no answer, or one that proves nothing.
+func (s *Set) Unsure(now time.Time, a Action) { s.leases[a.Shard].unanswered(now, a.State.Write) }
--- /dev/null
+++ b/internal/lease/shard.go
@@ -0,0 +1,30 @@
+package lease
+
+import (
+	"fmt"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+)
+
+// Shard is a part of a control duty that one daemon at a time does.
+type Shard struct {
+	Duty  string
+	Index int // from 0
+	Of    int // shards of the duty
+}
+
+// Shards returns the n shards of a duty.
+func Shards(duty string, n int) []Shard {
+	out := make([]Shard, n)
+	for i := range out {
+		out[i] = Shard{Duty: duty, Index: i, Of: n}
+	}
+	return out
+}
+
+// ShardOf returns the index of the shard, of n, that a key belongs to.
+func ShardOf(key string, n int) int { return int(rendezvous.Key(key) % uint64(n)) }
+
+// Object returns the name of the shard's object. The count is in it: daemons
+// that were told another count must not share leases for other keys.
+func (s Shard) Object() string { return fmt.Sprintf("%s-%d-of-%d", s.Duty, s.Index, s.Of) }
--- /dev/null
+++ b/internal/lease/step.go
@@ -0,0 +1,121 @@
+package lease
+
+import "time"
+
+// tick returns the write or read-back that is due. Rank is this daemon's place
+// among the alive ones for the shard, 0 for the preferred.
+func (l *Lease) tick(now time.Time, rank int) (Action, bool) {
+	l.expire(now)
+	l.noteRank(now, rank)
+	switch {
+	case l.pending != nil || l.reading || now.Before(l.retryAt):
+		return Action{}, false
+	case l.unsure:
+		return l.readBack(now), true
+	case l.held && l.releasing:
+		return l.release(now)
+	case l.held:
+		return l.renew(now, rank)
+	case !l.leaving && l.takeable(now, rank):
+		return l.acquire(now), true
+	}
+	return Action{}, false
+}
+
+// expire ends a lapsed lease and calls whose answer never came.
+func (l *Lease) expire(now time.Time) {
+	if l.held && !l.valid(now) {
+		l.drop()
+	}
+	if l.pending != nil && !now.Before(l.callEnd) {
+		l.unsureAt(now)
+	}
+	if l.reading && !now.Before(l.callEnd) {
+		l.readFailed(now)
+	}
+}
+
+func (l *Lease) noteRank(now time.Time, rank int) {
+	switch {
+	case rank == 0:
+		l.rankSince, l.handovers = time.Time{}, 0
+	case l.rankSince.IsZero():
+		l.rankSince = now
+	}
+}
+
+// takeable reports whether the lease may be taken from what was seen. A look
+// must be recent, so that a daemon that seldom looks doesn't write on a
+// version that is long gone.
+func (l *Lease) takeable(now time.Time, rank int) bool {
+	if l.readAt.IsZero() || now.Sub(l.readAt) > l.config.Observe {
+		return false
+	}
+	wait := time.Duration(rank) * l.config.RankDelay
+	if !l.free() {
+		wait += max(l.config.Duration, l.seen.State.duration()) + l.config.Margin
+	}
+	return now.Sub(l.seenAt) >= wait
+}
+
+// free reports whether nobody else can hold the lease that was last seen. An
+// object that vanished keeps the state it had, because its holder may not know.
+func (l *Lease) free() bool {
+	state := l.seen.State
+	return l.seen == Observation{} || state.Released || state.Holder == l.self
+}
+
+func (l *Lease) acquire(now time.Time) Action { return l.write(now, acquire, l.stateHeld(0)) }
+
+func (l *Lease) renew(now time.Time, rank int) (Action, bool) {
+	if l.handoverDue(now, rank) {
+		l.releasing = true
+		l.handovers++
+		return l.release(now)
+	}
+	if now.Before(l.renewAt) {
+		return Action{}, false
+	}
+	return l.write(now, renew, l.stateHeld(l.fencing)), true
+}
+
+// handoverDue reports whether a holder that isn't preferred should give the
+// lease to who is. Each time that it comes back, because the preferred one
+// didn't take it, the wait doubles.
+func (l *Lease) handoverDue(now time.Time, rank int) bool {
+	settle := l.config.Settle << min(l.handovers, 6)
+	return rank > 0 && now.Sub(l.rankSince) >= settle && now.Sub(l.since) < l.config.Renew
+}
+
+// release gives the lease up once all orders have ended: after it another
+// daemon may order at once.
+func (l *Lease) release(now time.Time) (Action, bool) {
+	if now.Before(l.lastOrder.Add(l.config.LongestOrder)) {
+		if now.Before(l.renewAt) {
+			return Action{}, false
+		}
+		return l.write(now, renew, l.stateHeld(l.fencing)), true
+	}
+	return l.write(now, release, State{Holder: l.self, Released: true}), true
+}
+
+func (l *Lease) stateHeld(fencing uint64) State {
+	return State{
+		Holder:         l.self,
+		DurationMillis: l.config.Duration.Milliseconds(),
+		OrderMillis:    l.config.LongestOrder.Milliseconds(),
+		Fencing:        fencing,
+	}
+}
+
+func (l *Lease) write(now time.Time, kind writeKind, state State) Action {
+	l.pending = l.sent.add(sentWrite{kind: kind, at: now, state: state, prior: l.seen})
+	l.callEnd = now.Add(l.config.CallTimeout)
+	return Action{Kind: Write, Shard: l.shard, IfVersion: l.seen.Version, State: l.pending.state}
+}
+
+func (l *Lease) readBack(now time.Time) Action {
+	l.reading = true
+	l.callEnd = now.Add(l.config.CallTimeout)
+	return Action{Kind: Read, Shard: l.shard}
+}
--- /dev/null
+++ b/internal/ledger/chain.go
@@ -0,0 +1,131 @@
+package ledger
+
+import (
+	"encoding/json"
+	"slices"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+type chainState uint8
+
+const (
+	chainCold    chainState = iota // nothing read
+	chainReading                   // a read is out
+	chainIdle                      // as far as known, the view is current
+	chainWriting                   // a write is out
+)
+
+// recordKey identifies a key within its workspace: two workspaces may use the
+// same UUID.
+type recordKey struct {
+	id        uuid.UUID
+	workspace fleet.WorkspaceID
+}
+
+// chain is the segments of one shard and one bucket of key times. Only the
+// last, unsealed one is written, under the condition of its version: a write
+// that takes effect proves that the view of the whole chain was complete.
+type chain struct {
+	bucket  int64
+	state   chainState
+	seq     int    // of the last segment
+	version uint64 // of the last segment, 0 before it exists
+	text    []byte // its encoded records
+	known   map[recordKey]Record
+	waiting []*entry
+	batch   []*entry // in the write that is out
+	batched []byte   // their encoded records
+	sealing bool     // the write that is out seals
+	call    uint64   // the call that is out
+	used    time.Time
+	retryAt time.Time // not before, for entries that met the store down
+}
+
+func newChain(bucket int64) *chain {
+	return &chain{bucket: bucket, known: make(map[recordKey]Record)}
+}
+
+func keyOf(in Intent) recordKey { return recordKey{id: in.Key.ID, workspace: in.Workspace} }
+
+// find returns the committed record of an intent's key, nil where there is none.
+func (c *chain) find(in Intent) *Record {
+	r, ok := c.known[keyOf(in)]
+	if !ok {
+		return nil
+	}
+	return &r
+}
+
+// load takes the last segment as the store has it and reports whether it was
+// the last: a sealed one has a successor. Version 0 is a segment that does not
+// exist yet.
+func (c *chain) load(o Object) (last bool, err error) {
+	c.text, c.version = nil, o.Version
+	if o.Version == 0 {
+		return true, nil
+	}
+	var s segment
+	if err := json.Unmarshal(o.Value, &s); err != nil {
+		return false, Error.Wrap(err)
+	}
+	for _, r := range s.Records {
+		c.known[recordKey{id: r.Key, workspace: r.Workspace}] = r
+		if !s.Sealed {
+			c.text = appendRecord(c.text, r)
+		}
+	}
+	if s.Sealed {
+		c.next()
+	}
+	return !s.Sealed, nil
+}
+
+// next goes on to the segment after a sealed one.
+func (c *chain) next() {
+	c.seq++
+	c.version = 0
+	c.text = nil
+}
+
+// commit takes the batch as recorded at version.
+func (c *chain) commit(version uint64) []*entry {
+	batch := c.batch
+	for _, e := range batch {
+		c.known[keyOf(e.intent)] = e.record()
+	}
+	if c.sealing {
+		c.next()
+	} else {
+		c.version = version
+		if len(c.text) > 0 && len(c.batched) > 0 {
+			c.text = append(c.text, ',')
+		}
+		c.text = append(c.text, c.batched...)
+	}
+	c.batch, c.batched, c.sealing = nil, nil, false
+	c.state = chainIdle
+	return batch
+}
+
+// requeue puts the batch back before what came later.
+func (c *chain) requeue() {
+	c.waiting = append(c.batch, c.waiting...)
+	c.batch, c.batched, c.sealing = nil, nil, false
+}
+
+// ready reports whether the chain may be read now: at once for new entries,
+// after a pause for those that have met the store down.
+func (c *chain) ready(now time.Time) bool {
+	if !now.Before(c.retryAt) {
+		return true
+	}
+	return slices.ContainsFunc(c.waiting, func(e *entry) bool { return e.tries == 0 })
+}
+
+func (c *chain) quiet() bool {
+	return len(c.waiting) == 0 && c.state != chainReading && c.state != chainWriting
+}
--- /dev/null
+++ b/internal/ledger/entry.go
@@ -0,0 +1,29 @@
+package ledger
+
+import "time"
+
+// entry is something that waits to be recorded: an intent, an outcome or an
+// abandonment.
+type entry struct {
+	intent   Intent
+	state    State // Intended, Stored or Abandoned
+	outcome  *Outcome
+	since    time.Time
+	answered bool // an intent whose owner has been refused
+	recorded bool // an ambiguous write may have recorded it
+	tries    int
+}
+
+func (e *entry) record() Record {
+	r := e.intent.record(e.since.UnixMilli())
+	r.State, r.Outcome = e.state, e.outcome
+	return r
+}
+
+func (e *entry) refuse(why RefuseReason) []Action {
+	if e.answered || e.state != Intended {
+		return nil
+	}
+	e.answered = true
+	return []Action{Refuse{Intent: e.intent, Reason: why, Recorded: e.recorded}}
+}
--- /dev/null
+++ b/internal/ledger/group_commit.go
@@ -0,0 +1,184 @@
+package ledger
+
+import (
+	"slices"
+	"time"
+)
+
+// storePause is the wait before what must still be stored is tried again with
+// a store that was down.
+const storePause = time.Second
+
+// GroupCommit records the intents of one ledger shard in batches. Any daemon
+// may run one for any shard; that one daemon does (WriterOf) only keeps the
+// number of writes low.
+type GroupCommit struct {
+	shard   int
+	policy  GroupPolicy
+	calls   uint64
+	chains  map[int64]*chain
+	waiting int
+}
+
+// NewGroupCommit returns the shard's writer, which has read nothing yet.
+func NewGroupCommit(shard int, policy GroupPolicy) *GroupCommit {
+	return &GroupCommit{shard: shard, policy: policy, chains: make(map[int64]*chain)}
+}
+
+// Intend asks for the right to dispatch.
+func (g *GroupCommit) Intend(now time.Time, in Intent) []Action {
+	e := &entry{intent: in, state: Intended, since: now}
+	if g.waiting >= g.policy.Waiting {
+		return e.refuse(Overloaded)
+	}
+	return g.enter(now, e)
+}
+
+// Outcome stores what the granted request's endpoint answered, best effort.
+func (g *GroupCommit) Outcome(now time.Time, in Intent, o Outcome) []Action {
+	o = o.bounded()
+	return g.enter(now, &entry{intent: in, state: Stored, outcome: &o, since: now})
+}
+
+// Abandon frees the key of an intent whose owner has not dispatched and never
+// will: one that was granted or refused as perhaps recorded.
+func (g *GroupCommit) Abandon(now time.Time, in Intent) []Action {
+	return g.enter(now, &entry{intent: in, state: Abandoned, since: now})
+}
+
+func (g *GroupCommit) enter(now time.Time, e *entry) []Action {
+	if g.waiting >= g.policy.Waiting {
+		return nil
+	}
+	c := g.chain(now, bucketOf(e.intent.Key))
+	c.waiting = append(c.waiting, e)
+	g.waiting++
+	return g.advance(now, c)
+}
+
+func (g *GroupCommit) chain(now time.Time, bucket int64) *chain {
+	c := g.chains[bucket]
+	if c == nil {
+		g.evict()
+		c = newChain(bucket)
+		g.chains[bucket] = c
+	}
+	c.used = now
+	return c
+}
+
+// evict forgets the chain that was used longest ago. It is read again on need.
+func (g *GroupCommit) evict() {
+	if len(g.chains) < g.policy.Chains {
+		return
+	}
+	var oldest *chain
+	for _, c := range g.chains {
+		if c.quiet() && (oldest == nil || c.used.Before(oldest.used)) {
+			oldest = c
+		}
+	}
+	if oldest != nil {
+		delete(g.chains, oldest.bucket)
+	}
+}
+
+// Tick sends the batches that have lingered and refuses the intents that are
+// late. Call it at Next, and every tenth of a second while calls are out.
+func (g *GroupCommit) Tick(now time.Time) []Action {
+	var out []Action
+	for _, c := range g.chains {
+		out = append(out, c.refuseLate(now)...)
+		out = append(out, g.advance(now, c)...)
+	}
+	return out
+}
+
+// Next returns when the next batch has lingered, zero when none waits.
+func (g *GroupCommit) Next() time.Time {
+	var next time.Time
+	for _, c := range g.chains {
+		if c.state != chainIdle || len(c.waiting) == 0 {
+			continue
+		}
+		if at := g.due(c); next.IsZero() || at.Before(next) {
+			next = at
+		}
+	}
+	return next
+}
+
+// due returns when the chain's waiting entries are to be written.
+func (g *GroupCommit) due(c *chain) time.Time {
+	var due time.Time
+	for _, e := range c.waiting {
+		linger := g.policy.OutcomeLinger
+		if e.state == Intended {
+			linger = g.policy.Linger
+		}
+		if at := e.since.Add(linger); due.IsZero() || at.Before(due) {
+			due = at
+		}
+	}
+	return due
+}
+
+// advance starts the chain's next call where one is due.
+func (g *GroupCommit) advance(now time.Time, c *chain) []Action {
+	switch {
+	case len(c.waiting) == 0:
+		return nil
+	case c.state == chainCold && c.ready(now):
+		return g.read(c)
+	case c.state == chainIdle:
+		return g.flush(now, c)
+	}
+	return nil
+}
+
+func (g *GroupCommit) read(c *chain) []Action {
+	c.state = chainReading
+	g.calls++
+	c.call = g.calls
+	return []Action{Read{Call: c.call, Name: segmentName(g.shard, c.bucket, c.seq)}}
+}
+
+// flush answers what the chain's view settles and writes the rest.
+func (g *GroupCommit) flush(now time.Time, c *chain) []Action {
+	out := g.settle(c)
+	if len(c.waiting) == 0 || now.Before(g.due(c)) {
+		return out
+	}
+	c.fill()
+	c.sealing = len(c.text)+len(c.batched) >= g.policy.SealBytes
+	c.state = chainWriting
+	g.calls++
+	c.call = g.calls
+	return append(out, Write{
+		Call: c.call, Name: segmentName(g.shard, c.bucket, c.seq), Version: c.version,
+		Value: segmentText(c.text, c.batched, c.sealing),
+	})
+}
+
+// settle answers the waiting entries that need no write.
+func (g *GroupCommit) settle(c *chain) []Action {
+	var out []Action
+	before := len(c.waiting)
+	c.waiting = slices.DeleteFunc(c.waiting, func(e *entry) bool {
+		settled, actions := e.settle(c.find(e.intent), segmentName(g.shard, c.bucket, c.seq), c.version)
+		out = append(out, actions...)
+		return settled
+	})
+	g.waiting -= before - len(c.waiting)
+	return out
+}
+
+// find returns the chain whose call is out, nil for a late result.
+func (g *GroupCommit) find(call uint64) *chain {
+	for _, c := range g.chains {
+		if c.call == call && (c.state == chainReading || c.state == chainWriting) {
+			return c
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/ledger/group_policy.go
@@ -0,0 +1,23 @@
+package ledger
+
+import "time"
+
+// GroupPolicy bounds a GroupCommit.
+type GroupPolicy struct {
+	Linger        time.Duration // an intent waits so long for others
+	OutcomeLinger time.Duration // an outcome waits so long for intents to go with
+	SealBytes     int
+	Waiting       int // intents and outcomes that wait, beyond which new ones are refused
+	Chains        int // chains of segments kept in memory
+}
+
+// DefaultGroupPolicy is the one measured in docs/adr/0003-ledger.md.
+func DefaultGroupPolicy() GroupPolicy {
+	return GroupPolicy{
+		Linger:        5 * time.Millisecond,
+		OutcomeLinger: 500 * time.Millisecond,
+		SealBytes:     DefaultSealBytes,
+		Waiting:       4096, // eight seconds of the highest rate foreseen
+		Chains:        8,    // the last minutes and a few late keys, about 1 MB each at the highest rate
+	}
+}
--- /dev/null
+++ b/internal/ledger/per_key.go
@@ -0,0 +1,146 @@
+package ledger
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// maxTries bounds the calls that resolve one ambiguous write. The store loses
+// an answer now and then; three lost in a row mean that it is down.
+const maxTries = 5
+
+// PerKey records each key in an object of its own by a conditional create. It
+// is one store write an order before the dispatch and one after it.
+type PerKey struct {
+	calls uint64
+	open  map[uint64]*keyCall
+}
+
+type keyCall struct {
+	intent   Intent
+	name     string
+	value    []byte
+	version  uint64 // the condition of the write
+	tries    int
+	recorded bool // an ambiguous write may have recorded it
+}
+
+// NewPerKey returns a layout without open calls.
+func NewPerKey() *PerKey { return &PerKey{open: make(map[uint64]*keyCall)} }
+
+// Intend asks for the right to dispatch.
+func (p *PerKey) Intend(now time.Time, in Intent) []Action {
+	c := &keyCall{intent: in, name: keyName(in.Workspace, in.Key)}
+	c.value, _ = json.Marshal(in.record(now.UnixMilli())) // plain fields: can't fail
+	return p.write(c)
+}
+
+// Outcome stores what the granted request's endpoint answered, best effort:
+// its result is not awaited.
+func (p *PerKey) Outcome(now time.Time, g Grant, o Outcome) []Action {
+	r := g.Intent.record(now.UnixMilli())
+	o = o.bounded()
+	r.State, r.Outcome = Stored, &o
+	return p.update(g, r)
+}
+
+// Abandon frees the key of a granted request that was not dispatched and never
+// will be.
+func (p *PerKey) Abandon(now time.Time, g Grant) []Action {
+	r := g.Intent.record(now.UnixMilli())
+	r.State = Abandoned
+	return p.update(g, r)
+}
+
+func (p *PerKey) update(g Grant, r Record) []Action {
+	value, _ := json.Marshal(r)
+	p.calls++
+	return []Action{Write{Call: p.calls, Name: g.Object, Version: g.Version, Value: value}}
+}
+
+// Written takes the result of a write.
+func (p *PerKey) Written(_ time.Time, r WriteResult) []Action {
+	c := p.take(r.Call)
+	if c == nil {
+		return nil
+	}
+	switch r.Status {
+	case Written:
+		return []Action{Grant{Intent: c.intent, Object: c.name, Version: r.Version}}
+	case Unavailable:
+		return c.refuse(StoreDown)
+	case Ambiguous:
+		c.recorded = true
+		return p.read(c)
+	}
+	if r.Current == nil {
+		return p.read(c)
+	}
+	return p.found(c, *r.Current)
+}
+
+// ReadBack takes the result of a read.
+func (p *PerKey) ReadBack(_ time.Time, r ReadResult) []Action {
+	c := p.take(r.Call)
+	if c == nil {
+		return nil
+	}
+	if !r.OK {
+		return p.read(c)
+	}
+	return p.found(c, r.Object)
+}
+
+// found acts on the object as it is.
+func (p *PerKey) found(c *keyCall, o Object) []Action {
+	if o.Version == 0 {
+		c.version = 0
+		return p.write(c)
+	}
+	var existing Record
+	if json.Unmarshal(o.Value, &existing) != nil {
+		return c.refuse(StoreDown)
+	}
+	switch judge(c.intent, &existing) {
+	case judgeOwn:
+		return []Action{Grant{Intent: c.intent, Object: c.name, Version: o.Version}}
+	case judgeReused:
+		return []Action{Refuse{Intent: c.intent, Reason: KeyReused}}
+	case judgeGone:
+		return []Action{Refuse{Intent: c.intent, Reason: Late}}
+	case judgeOther:
+		return []Action{Deny{Intent: c.intent, Existing: existing}}
+	}
+	c.version = o.Version
+	return p.write(c)
+}
+
+func (p *PerKey) write(c *keyCall) []Action {
+	if c.tries++; c.tries > maxTries {
+		return c.refuse(StoreDown)
+	}
+	return []Action{Write{Call: p.call(c), Name: c.name, Version: c.version, Value: c.value}}
+}
+
+func (p *PerKey) read(c *keyCall) []Action {
+	if c.tries++; c.tries > maxTries {
+		return c.refuse(StoreDown)
+	}
+	return []Action{Read{Call: p.call(c), Name: c.name}}
+}
+
+func (p *PerKey) call(c *keyCall) uint64 {
+	p.calls++
+	p.open[p.calls] = c
+	return p.calls
+}
+
+func (p *PerKey) take(call uint64) *keyCall {
+	c := p.open[call]
+	delete(p.open, call)
+	return c
+}
+
+func (c *keyCall) refuse(why RefuseReason) []Action {
+	return []Action{Refuse{Intent: c.intent, Reason: why, Recorded: c.recorded}}
+}
--- /dev/null
+++ b/internal/ledger/record.go
@@ -0,0 +1,51 @@
+package ledger
+
+import (
+	"github.com/google/uuid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// State is how far a recorded request has come.
+type State string
+
+// The states.
+const (
+	// Intended: its owner may have dispatched it.
+	Intended State = "intended"
+	// Stored: its outcome is known.
+	Stored State = "stored"
+	// Abandoned: its owner never dispatched it and never will.
+	Abandoned State = "abandoned"
+)
+
+// MaxOutcomeBody bounds the body kept in the ledger. A longer one is left out:
+// the answer then says that the request ran, without its body.
+const MaxOutcomeBody = 1024
+
+// Outcome is what a request's endpoint answered.
+type Outcome struct {
+	Status      int    `json:"status"` // HTTP
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Cut         bool   `json:"cut,omitempty"` // the body was too long to keep
+}
+
+// bounded returns o within MaxOutcomeBody.
+func (o Outcome) bounded() Outcome {
+	if len(o.Body) > MaxOutcomeBody {
+		o.Body, o.Cut = nil, true
+	}
+	return o
+}
+
+// Record is what the ledger holds of a key.
+type Record struct {
+	Key           uuid.UUID         `json:"key"`
+	Workspace     fleet.WorkspaceID `json:"workspace"`
+	Owner         Owner             `json:"owner"`
+	Digest        Digest            `json:"digest"`
+	State         State             `json:"state"`
+	Outcome       *Outcome          `json:"outcome,omitempty"`
+	CreatedMillis int64             `json:"createdMillis"` // Unix
+}
--- /dev/null
+++ b/internal/load/caller/call.go
@@ -0,0 +1,115 @@
+package caller
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Call is a request to a plain service.
+type Call struct {
+	Workspace int
+	Seed      uint64
+	Service   string
+	Method    string
+	Path      string // below the service, with its leading slash
+	Body      []byte // JSON, nil for none
+	Key       string // idempotency key, empty for none
+}
+
+// Call sends a request to a plain service, and again where its verdict or key
+// allows.
+func (c *Client) Call(ctx context.Context, r *Call) *Outcome {
+	ctx, cancel := context.WithTimeout(ctx, c.o.RequestTimeout)
+	defer cancel()
+	k := &callState{c: c, r: r, cache: c.cache(r.Workspace, r.Seed), backoff: newBackoff(r.Seed)}
+	for {
+		s := k.attempt(ctx)
+		d, more := k.settle(ctx, s)
+		if !more {
+			return &k.out
+		}
+		if !wait(ctx, d) {
+			k.out.fail(Unfinished, verdict.MayHaveRun, ctx.Err())
+			return &k.out
+		}
+	}
+}
+
+// callState is one call's state over its attempts.
+type callState struct {
+	c       *Client
+	r       *Call
+	cache   *entryCache
+	backoff backoff
+	out     Outcome
+	address string
+}
+
+func (k *callState) attempt(ctx context.Context) step {
+	k.address = k.cache.pick(ctx, k.address)
+	if k.address == "" {
+		return breakOff(Error.New("no entry is known"))
+	}
+	ctx, silence := newWatch(ctx, k.c.o.ProgressTimeout)
+	defer silence.stop()
+	r, err := k.c.request(ctx, k.r.Method, k.address, ServicesPath+k.r.Service+k.r.Path, k.r.Workspace, k.r.Body)
+	if err != nil {
+		return breakOff(err)
+	}
+	if k.r.Key != "" {
+		r.Header.Set(keyHeader, k.r.Key)
+	}
+	k.out.Sent++
+	resp, err := k.c.http.Do(r)
+	if err != nil {
+		return breakSilent(ctx, Error.Wrap(err))
+	}
+	if resp.StatusCode/100 != 2 {
+		return step{kind: failed, failure: readFailure(resp)}
+	}
+	return k.readAnswer(resp)
+}
+
+// readAnswer takes a whole answer; one that is cut off is no answer.
+func (k *callState) readAnswer(resp *http.Response) step {
+	defer func() { _ = resp.Body.Close() }()
+	text, err := readAll(resp.Body)
+	if err != nil {
+		return breakOff(err)
+	}
+	k.out.Text = text
+	k.out.Done = time.Now()
+	k.out.First = k.out.Done
+	return step{kind: whole}
+}
+
+func (k *callState) settle(ctx context.Context, s step) (time.Duration, bool) {
+	switch {
+	case s.kind == whole:
+		k.out.End = Answered
+		return 0, false
+	case ctx.Err() != nil:
+		k.finish(Unfinished, s)
+		return 0, false
+	case !again(s) || k.out.Sent > k.c.o.MaxRetries:
+		k.finish(refusedOr(s), s)
+		return 0, false
+	}
+	k.out.Ambiguous = k.out.Ambiguous || s.verdictOf() == verdict.MayHaveRun
+	if s.kind == broken {
+		k.c.failed(k.cache, k.address, s.err)
+		return k.backoff.next(0), true
+	}
+	return k.backoff.next(s.failure.retryAfter), true
+}
+
+func (k *callState) finish(end End, s step) {
+	k.out.fail(end, s.verdictOf(), s.cause())
+	if s.kind == failed {
+		k.out.FromServer = s.failure.hasVerdict
+		k.out.NoVerdict = !s.failure.hasVerdict
+	}
+}
--- /dev/null
+++ b/internal/load/caller/client.go
@@ -0,0 +1,107 @@
+package caller
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+)
+
+// Client sends the requests of several workspaces' callers. Safe for
+// concurrent use.
+type Client struct {
+	o      Options
+	http   *http.Client
+	tokens []string        // credential by workspace
+	caches [][]*entryCache // by workspace and caller
+}
+
+// New returns a client for workspaces whose credentials are tokens, by index.
+func New(o Options, tokens []string) *Client {
+	o = o.withDefaults()
+	c := &Client{o: o, tokens: tokens, http: &http.Client{
+		Transport: o.Transport,
+		// The client would drop the credential on the way to another address,
+		// and a move must be counted.
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+	}}
+	for workspace := range tokens {
+		c.caches = append(c.caches, c.newCaches(workspace))
+	}
+	return c
+}
+
+func (c *Client) newCaches(workspace int) []*entryCache {
+	caches := make([]*entryCache, c.o.Callers)
+	for i := range caches {
+		caches[i] = &entryCache{
+			seeds: c.o.Seeds,
+			ask: func(ctx context.Context, address string) ([]string, time.Duration, error) {
+				return c.askEntries(ctx, address, workspace)
+			},
+		}
+		if c.o.Choice == Spread {
+			caches[i].offset = i
+		}
+	}
+	return caches
+}
+
+// Close closes connections that are not in use.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// cache returns the entry knowledge of one of a workspace's callers.
+func (c *Client) cache(workspace int, seed uint64) *entryCache {
+	caches := c.caches[workspace]
+	return caches[seed%uint64(len(caches))]
+}
+
+// failed notes that an entry could not be used. After silence the connections
+// that were opened along with the silent one are likely to be dead as well;
+// closing them spares each next request the same wait.
+func (c *Client) failed(cache *entryCache, address string, err error) {
+	cache.fail(address)
+	if errors.Is(err, errSilent) {
+		c.http.CloseIdleConnections()
+	}
+}
+
+// request returns a request with the workspace's credential.
+func (c *Client) request(ctx context.Context, method, address, path string, workspace int, body []byte) (*http.Request, error) {
+	var reader io.Reader
+	if body != nil {
+		reader = bytes.NewReader(body)
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.o.Scheme+"://"+address+path, reader)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	// Without GetBody the transport can't send a request again by itself, which
+	// it would for one with an idempotency key when a reused connection dies.
+	// Such a second sending would be missing from the count.
+	r.GetBody = nil
+	r.Header.Set("Authorization", "Bearer "+c.tokens[workspace])
+	if body != nil {
+		r.Header.Set("Content-Type", "application/json")
+	}
+	return r, nil
+}
+
+// maxDrain bounds what is read of an answer that is of no more use, in bytes.
+const maxDrain = 64 << 10
+
+// drain lets the connection be used again.
+func drain(resp *http.Response) {
+	_, _ = io.CopyN(io.Discard, resp.Body, maxDrain)
+	_ = resp.Body.Close()
+}
+
+// maxAnswer bounds a plain service's answer, in bytes.
+const maxAnswer = 1 << 20
+
+func readAll(r io.Reader) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(r, maxAnswer))
+	return body, Error.Wrap(err)
+}
--- /dev/null
+++ b/internal/load/caller/completion_test.go
@@ -0,0 +1,211 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+var cmpSeen = cmp.AllowUnexported(seen{})
+
+// script answers requests by a list, one entry a request, and keeps what it
+// was asked. Questions for entries are answered by the list of entries.
+type script struct {
+	entries []string
+	answers []func() (*http.Response, error)
+	asked   []string // "METHOD host path last-event-id"
+}
+
+func (s *script) RoundTrip(r *http.Request) (*http.Response, error) {
+	if r.URL.Path == EntriesPath {
+		list := `{"entries":[{"address":"` + strings.Join(s.entries, `"},{"address":"`) + `"}]}`
+		return response(200, list, "Cache-Control", "max-age=10"), nil
+	}
+	s.asked = append(s.asked, fmt.Sprintf("%s %s %s %s", r.Method, r.URL.Host, r.URL.Path, r.Header.Get(lastEventHeader)))
+	if len(s.answers) == 0 {
+		return nil, errors.New("the script has ended")
+	}
+	answer := s.answers[0]
+	s.answers = s.answers[1:]
+	return answer()
+}
+
+func response(status int, body string, header ...string) *http.Response {
+	h := http.Header{}
+	for i := 0; i < len(header); i += 2 {
+		h.Set(header[i], header[i+1])
+	}
+	return &http.Response{StatusCode: status, Header: h, Body: io.NopCloser(strings.NewReader(body))}
+}
+
+func answers(status int, body string, header ...string) func() (*http.Response, error) {
+	return func() (*http.Response, error) { return response(status, body, header...), nil }
+}
+
+// breaks answers with the body and then with an error in place of its end.
+func breaks(body string) func() (*http.Response, error) {
+	return func() (*http.Response, error) {
+		r := response(200, "")
+		r.Body = io.NopCloser(io.MultiReader(strings.NewReader(body), iotest.ErrReader(io.ErrUnexpectedEOF)))
+		return r, nil
+	}
+}
+
+// tokens is the events of the tokens from one count to another, as an entry writes them.
+func tokens(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: {\"choices\":[{\"delta\":{\"content\":\" w%d\"},\"finish_reason\":null}]}\n\n", n, n)
+	}
+	return b.String()
+}
+
+const (
+	acceptance = "id: 0\nevent: accepted\ndata: {\"id\":\"k\"}\n\n"
+	ending     = "id: 9\ndata: {\"choices\":[{\"delta\":{},\"finish_reason\":\"length\"}],\"usage\":{\"completion_tokens\":4}}\n\nid: 10\ndata: [DONE]\n\n"
+)
+
+// complete runs one completion against a script of two entries in virtual time.
+func complete(t *testing.T, s *script) *Outcome {
+	t.Helper()
+	s.entries = []string{"a", "b"}
+	c := New(Options{Transport: s, Seeds: []string{"seed"}, ProgressTimeout: time.Second}, []string{"token"})
+	return c.Complete(context.Background(), &Completion{Key: "k", Body: []byte("{}")})
+}
+
+func TestAnswerOverBreakAndMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []func() (*http.Response, error){
+			breaks(acceptance + tokens(1, 2)),
+			answers(404, `{"verdict":"not-run"}`),
+			answers(200, acceptance+tokens(3, 3)+"id: 3\nevent: moved\ndata: {\"address\":\"c\"}\n\n"),
+			answers(200, acceptance+tokens(4, 4)+ending),
+		}}
+		out := complete(t, s)
+		assert.Equal(t, out.End, Answered, "%v", out.Err)
+		assert.Equal(t, string(out.Text), " w1 w2 w3 w4")
+		assert.DeepEqual(t, []int{out.Tokens, out.Missing, out.Duplicated, out.Sent, out.Resumes, out.Moves}, []int{4, 0, 0, 1, 2, 1})
+		assert.Equal(t, out.Usage.CompletionTokens, 4)
+		assert.DeepEqual(t, s.asked, []string{
+			"POST a /v1/chat/completions ",
+			"GET b /v1/requests/k/events 2",
+			"GET b /v1/requests/k/events 2",
+			"GET c /v1/requests/k/events 3",
+		})
+	})
+}
+
+// After a resume the entry sends a token again that the caller has, and leaves
+// one out. The caller would read a whole answer with wrong text; the check by
+// offset must tell both.
+func TestTokensLostAndSentTwiceAreCounted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		out := complete(t, &script{answers: []func() (*http.Response, error){
+			breaks(acceptance + tokens(1, 2)),
+			answers(200, acceptance+tokens(2, 2)+tokens(4, 4)+ending),
+		}})
+		assert.Equal(t, out.End, Answered)
+		assert.DeepEqual(t, []int{out.Duplicated, out.Missing}, []int{1, 1})
+	})
+}
+
+func TestRefusalIsRetriedAfterItsHintAndKeepsItsVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := answers(429, `{"status":429}`, "Retry-After", "2", verdict.Header, "not-run")
+		start := time.Now()
+		out := complete(t, &script{answers: []func() (*http.Response, error){busy, busy, busy, busy}})
+		assert.Equal(t, out.End, Refused)
+		assert.Equal(t, out.Verdict, verdict.NotRun)
+		assert.Assert(t, out.FromServer && !out.NoVerdict && !out.Ambiguous)
+		assert.Equal(t, out.Sent, 4)
+		assert.Assert(t, time.Since(start) >= 6*time.Second)
+	})
+}
+
+func TestEndsOfRequests(t *testing.T) {
+	failure := "id: 2\nevent: error\ndata: {\"status\":502,\"verdict\":\"may-have-run\"}\n\n"
+	for name, c := range map[string]struct {
+		answers []func() (*http.Response, error)
+		end     End
+		verdict verdict.Verdict
+		silent  bool // without a verdict from the server
+	}{
+		"wrong request":            {[]func() (*http.Response, error){answers(400, `{"verdict":"not-run"}`)}, Refused, verdict.NotRun, false},
+		"refused without verdict":  {[]func() (*http.Response, error){answers(404, "gone")}, Refused, verdict.MayHaveRun, true},
+		"failed once accepted":     {[]func() (*http.Response, error){answers(200, acceptance+tokens(1, 2)+failure)}, Failed, verdict.MayHaveRun, false},
+		"accepted and never again": {[]func() (*http.Response, error){answers(200, acceptance)}, Lost, verdict.MayHaveRun, false},
+		"nobody there":             {nil, Unreached, verdict.MayHaveRun, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				out := complete(t, &script{answers: c.answers})
+				assert.Equal(t, out.End, c.end, "%v", out.Err)
+				assert.Equal(t, out.Verdict, c.verdict)
+				assert.Equal(t, out.NoVerdict, c.silent)
+			})
+		})
+	}
+}
+
+// Something between caller and entry loses track of the open connection: the
+// stream stops, no error comes, and a read would wait for ever. The caller must
+// give it up after the progress timeout and take the answer up elsewhere.
+func TestSilentStreamIsResumedElsewhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []func() (*http.Response, error){nil, answers(200, tokens(2, 4)+ending)}}
+		s.answers[0] = func() (*http.Response, error) {
+			r := response(200, "")
+			r.Body = &silent{Reader: strings.NewReader(acceptance + tokens(1, 1)), closed: make(chan struct{})}
+			return r, nil
+		}
+		// The real transport closes the body when the request's context ends.
+		c := New(Options{Transport: closing{s}, Seeds: []string{"a", "b"}, ProgressTimeout: time.Second}, []string{"token"})
+		s.entries = []string{"a", "b"}
+		out := c.Complete(context.Background(), &Completion{Key: "k"})
+		assert.Equal(t, out.End, Answered, "%v", out.Err)
+		assert.Equal(t, string(out.Text), " w1 w2 w3 w4")
+		assert.Equal(t, s.asked[1], "GET b /v1/requests/k/events 1")
+	})
+}
+
+// silent reads its text and then waits until it is closed.
+type silent struct {
+	io.Reader
+	closed chan struct{}
+}
+
+func (s *silent) Read(p []byte) (int, error) {
+	if n, err := s.Reader.Read(p); err == nil {
+		return n, nil
+	}
+	<-s.closed
+	return 0, io.ErrClosedPipe
+}
+
+func (s *silent) Close() error { return nil }
+
+// closing ends silent bodies when their request's context ends.
+type closing struct{ http.RoundTripper }
+
+func (c closing) RoundTrip(r *http.Request) (*http.Response, error) {
+	resp, err := c.RoundTripper.RoundTrip(r)
+	if err != nil {
+		return nil, err
+	}
+	if s, ok := resp.Body.(*silent); ok {
+		context.AfterFunc(r.Context(), func() { close(s.closed) })
+	}
+	return resp, nil
+}
--- /dev/null
+++ b/internal/load/caller/entrycache_test.go
@@ -0,0 +1,56 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAnswerIsKeptForItsAgeAndThenAskedForAgain(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asked := 0
+		c := &entryCache{seeds: []string{"s"}, ask: func(context.Context, string) ([]string, time.Duration, error) {
+			asked++
+			return []string{"a", "b"}, 10 * time.Second, nil
+		}}
+		for range 100 {
+			assert.Equal(t, c.pick(t.Context(), ""), "a")
+			time.Sleep(200 * time.Millisecond)
+		}
+		assert.Equal(t, asked, 2)
+	})
+}
+
+// The entry that a caller was told to use dies. Until the answer's age is over
+// the caller must use the others, and when it asks again the dead one may be
+// the only one that it knows besides.
+func TestDeadEntryIsPassedOver(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var askedAt []string
+		c := &entryCache{seeds: []string{"s"}, ask: func(_ context.Context, at string) ([]string, time.Duration, error) {
+			askedAt = append(askedAt, at)
+			if at == "s" {
+				return []string{"a", "b"}, time.Second, nil
+			}
+			return nil, 0, errors.New("refused")
+		}}
+		assert.Equal(t, c.pick(t.Context(), ""), "a")
+		c.fail("a")
+		assert.Equal(t, c.pick(t.Context(), ""), "b")
+		assert.Equal(t, c.pick(t.Context(), "b"), "b")
+		time.Sleep(time.Second)
+		assert.Equal(t, c.pick(t.Context(), ""), "a")
+		assert.DeepEqual(t, askedAt, []string{"s", "b", "a", "s"})
+	})
+}
+
+func TestSpreadCallersPreferDifferentEntries(t *testing.T) {
+	s := &script{entries: []string{"a", "b"}}
+	c := New(Options{Transport: s, Seeds: []string{"s"}, Callers: 2, Choice: Spread}, []string{"token"})
+	assert.Equal(t, c.cache(0, 0).pick(t.Context(), ""), "a")
+	assert.Equal(t, c.cache(0, 1).pick(t.Context(), ""), "b")
+}
--- /dev/null
+++ b/internal/load/caller/tokenreader.go
@@ -0,0 +1,109 @@
+package caller
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"strconv"
+	"time"
+)
+
+// tokenReader reads streams of one answer and checks that each token follows
+// the one before, over all the streams.
+type tokenReader struct {
+	dec   *decoder
+	chunk chunk
+	out   *Outcome
+	last  time.Time // arrival of the last token
+}
+
+// read reads one stream to its end. progress is called for each event.
+func (t *tokenReader) read(body io.Reader, progress func()) step {
+	if t.dec == nil {
+		t.dec = newDecoder(body)
+	} else {
+		t.dec.reset(body)
+	}
+	for {
+		ev, err := t.dec.next()
+		if err != nil {
+			return breakOff(Error.Wrap(err))
+		}
+		progress()
+		if s, end := t.event(ev); end {
+			return s
+		}
+	}
+}
+
+// event takes one event; true: the stream ends with it.
+func (t *tokenReader) event(ev *event) (step, bool) {
+	switch string(ev.name) {
+	case "", "message":
+		return t.piece(ev)
+	case movedEvent:
+		var m movedTo
+		// A move that can't be read still says: not here.
+		_ = json.Unmarshal(ev.data, &m)
+		return step{kind: moved, address: m.Address}, true
+	case errorEvent:
+		return step{kind: failed, failure: parseProblem(ev.data)}, true
+	default:
+		return step{}, false // accepted, and names of later versions
+	}
+}
+
+// piece takes a part of the answer.
+func (t *tokenReader) piece(ev *event) (step, bool) {
+	if bytes.Equal(ev.data, []byte(doneData)) {
+		t.finish()
+		return step{kind: whole}, true
+	}
+	if text, ok := plainToken(ev.data); ok {
+		t.token(ev, text)
+		return step{}, false
+	}
+	if err := t.chunk.parse(ev.data); err != nil {
+		return breakOff(err), true
+	}
+	if text := t.chunk.content(); text != "" {
+		t.token(ev, []byte(text))
+	}
+	if t.chunk.finished() {
+		t.out.Usage = t.chunk.Usage
+		t.finish()
+		return step{kind: whole}, true
+	}
+	return step{}, false
+}
+
+// finish notes the arrival of the answer's end.
+func (t *tokenReader) finish() {
+	t.out.Done = time.Now()
+}
+
+// token takes the text of one event. Its id is how many tokens the caller has
+// after it, so an id that does not follow tells of tokens lost or sent twice.
+func (t *tokenReader) token(ev *event, text []byte) {
+	n := 1
+	id, err := strconv.Atoi(string(ev.id))
+	if err != nil {
+		id = t.out.Tokens + n
+	}
+	if id != t.out.Tokens+n {
+		n = len(bytes.Fields(text)) // an event may hold several tokens
+	}
+	switch ahead := id - t.out.Tokens; {
+	case ahead <= 0:
+		t.out.Duplicated += n
+		return
+	case ahead < n:
+		t.out.Duplicated += n - ahead
+	case ahead > n:
+		t.out.Missing += ahead - n
+	}
+	now := time.Now()
+	t.out.token(now, t.last, text)
+	t.last = now
+	t.out.Tokens = id
+}
--- /dev/null
+++ b/internal/load/fault.go
@@ -0,0 +1,21 @@
+package load
+
+import (
+	"context"
+	"time"
+)
+
+// Fault is something done to the deployment in the middle of a run.
+type Fault struct {
+	Name string
+	// At is the time since the start of the run.
+	At time.Duration
+	// Do runs in a goroutine of its own. Its context ends with the run.
+	Do func(ctx context.Context)
+}
+
+// FaultRecord is a fault in a result.
+type FaultRecord struct {
+	Name     string `json:"name"`
+	AtMillis int64  `json:"atMillis"`
+}
--- /dev/null
+++ b/internal/load/findings.go
@@ -0,0 +1,32 @@
+package load
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
+)
+
+// findings is what is wrong with an answer.
+type findings struct {
+	offsets     bool // tokens missing or duplicated
+	wrongLength bool
+	wrongText   bool
+}
+
+func (f findings) intact() bool { return !f.offsets && !f.wrongLength && !f.wrongText }
+
+// examine checks an answer to the request with the given body, for tokens tokens.
+func examine(book *AnswerBook, body []byte, tokens int, o *caller.Outcome) findings {
+	if o.End != caller.Answered {
+		return findings{}
+	}
+	length := o.Tokens
+	if o.Usage != nil && o.Usage.CompletionTokens != length {
+		length = -1
+	}
+	return findings{
+		offsets:     o.Duplicated > 0 || o.Missing > 0,
+		wrongLength: length != tokens,
+		wrongText:   !book.Agrees(xxh3.Hash(body), xxh3.Hash(o.Text)),
+	}
+}
--- /dev/null
+++ b/internal/load/orders.go
@@ -0,0 +1,52 @@
+package load
+
+import (
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// orders keeps what callers were told of each non-idempotent request, by its key.
+type orders map[string]orderEnd
+
+// orderEnd is what a caller may rely on.
+type orderEnd uint8
+
+const (
+	orderOpen     orderEnd = iota // may have run: at most once
+	orderAnswered                 // ran exactly once
+	orderNotRun                   // did not run
+)
+
+func (o orders) add(key string, out *caller.Outcome) {
+	switch {
+	case out.End == caller.Answered:
+		o[key] = orderAnswered
+	case out.FromServer && out.Verdict == verdict.NotRun && !out.Ambiguous:
+		o[key] = orderNotRun
+	default:
+		o[key] = orderOpen
+	}
+}
+
+// check compares with the times that each key ran; nil: not known.
+func (o orders) check(ran map[string]int) OrderChecks {
+	c := OrderChecks{Checked: ran != nil, Sent: int64(len(o))}
+	for key, end := range o {
+		if end == orderAnswered {
+			c.Answered++
+		}
+		if ran == nil {
+			continue
+		}
+		n := ran[key]
+		switch {
+		case n > 1:
+			c.RanTwice++
+		case n == 1 && end == orderNotRun:
+			c.NotRunButRan++
+		case n == 0 && end == orderAnswered:
+			c.AnsweredButNotRun++
+		}
+	}
+	return c
+}
--- /dev/null
+++ b/internal/load/plot/line.go
@@ -0,0 +1,82 @@
+package plot
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// line is one series with its places.
+type line struct {
+	Name    string
+	Colour  string
+	Shape   string
+	Markers []marker
+	EndX    float64 // of the last point
+	EndY    float64
+	LabelY  float64
+	path    []byte
+	open    bool // the path goes on from its last point
+}
+
+// marker is one drawn point.
+type marker struct {
+	Shape  string
+	X, Y   float64
+	Colour string
+}
+
+// shapes of markers, in the order of the series.
+var shapes = []string{"circle", "square", "diamond", "triangle"}
+
+// shapeOf shifts the shapes each time that the colours begin again, so that no
+// two of the first 32 series look the same.
+func shapeOf(series int) string {
+	return shapes[(series+series/len(palette))%len(shapes)]
+}
+
+// add appends a point; one that can't be drawn leaves a gap.
+func (l *line) add(drawable bool, x float64, y axis, v float64) {
+	if !drawable {
+		l.open = false
+		return
+	}
+	command := 'M'
+	if l.open {
+		command = 'L'
+	}
+	py := y.pixel(v)
+	l.path = fmt.Appendf(l.path, "%c%.1f %.1f", command, x, py)
+	l.open = true
+	l.Markers = append(l.Markers, marker{Shape: l.Shape, X: x, Y: py, Colour: l.Colour})
+	l.EndX, l.EndY, l.LabelY = x, py, py
+}
+
+// Path returns the line as SVG path data.
+func (l *line) Path() string { return string(l.path) }
+
+// manyPoints is the number of points above which markers would hide the line.
+const manyPoints = 40
+
+// Marked reports whether the line's points are marked.
+func (l *line) Marked() bool { return len(l.Markers) <= manyPoints }
+
+// Path returns the marker's outline as SVG path data.
+func (m marker) Path() string {
+	const r = 4.0
+	switch m.Shape {
+	case "square":
+		return fmt.Sprintf("M%.1f %.1fh%.0fv%.0fh-%.0fz", m.X-r, m.Y-r, 2*r, 2*r, 2*r)
+	case "diamond":
+		return fmt.Sprintf("M%.1f %.1fl%.0f %.0fl-%.0f %.0fl-%.0f -%.0fz", m.X, m.Y-r-1, r+1, r+1, r+1, r+1, r+1, r+1)
+	case "triangle":
+		return fmt.Sprintf("M%.1f %.1fl%.0f %.0fh-%.0fz", m.X, m.Y-r-1, r+1, 2*r, 2*(r+1))
+	default:
+		return fmt.Sprintf("M%.1f %.1fa%.0f %.0f 0 1 0 %.0f 0a%.0f %.0f 0 1 0 -%.0f 0z", m.X-r, m.Y, r, r, 2*r, r, r, 2*r)
+	}
+}
+
+// trimZero writes a place with one decimal, which is as exact as is seen.
+func trimZero(v float64) string {
+	return strings.TrimSuffix(strconv.FormatFloat(v, 'f', 1, 64), ".0")
+}
--- /dev/null
+++ b/internal/load/recorder.go
@@ -0,0 +1,123 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/workload"
+)
+
+// recorder collects outcomes. It is locked once a request, not once a token.
+type recorder struct {
+	plan   *workload.Plan
+	target latencyTarget
+
+	mu         sync.Mutex
+	answers    *tally // requests to models
+	services   *tally // calls of plain services
+	kinds      []*tally
+	workspaces []*tally // requests to models
+	timeline   []Moment
+	checks     Checks
+	orders     orders
+	lag        *hdrhistogram.Histogram
+}
+
+func newRecorder(p *workload.Plan, target latencyTarget) *recorder {
+	r := &recorder{
+		plan: p, target: target, answers: newTally(), services: newTally(),
+		kinds: newTallies(len(p.Mix.Kinds)), workspaces: newTallies(len(p.Workspaces)),
+		timeline: make([]Moment, int((p.Duration+time.Second-1)/time.Second)),
+		orders:   orders{}, lag: newHistogram(),
+	}
+	for i := range r.timeline {
+		r.timeline[i].Second = i
+	}
+	return r
+}
+
+// sent notes how late a request left. What is late here is the tool's own
+// fault, or its bound of requests at once, and still counts in the latencies.
+func (r *recorder) sent(lag time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.lag, lag)
+}
+
+// tallies returns the tallies that a request counts in.
+func (r *recorder) tallies(a *workload.Arrival) []*tally {
+	if r.plan.Mix.Kinds[a.Kind].Call != nil {
+		return []*tally{r.services, r.kinds[a.Kind]}
+	}
+	return []*tally{r.answers, r.kinds[a.Kind], r.workspaces[a.Workspace]}
+}
+
+// completion takes the outcome of a request to a model.
+func (r *recorder) completion(a *workload.Arrival, intended time.Time, o *caller.Outcome, f findings) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.addFindings(o, f)
+	for _, t := range r.tallies(a) {
+		t.add(r.target, intended, o, f.intact())
+	}
+	r.addMoment(a, intended, o, f.intact())
+}
+
+// call takes the outcome of a call of a plain service.
+func (r *recorder) call(a *workload.Arrival, intended time.Time, key string, o *caller.Outcome) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.plan.Mix.Kinds[a.Kind].Call.NonIdempotent {
+		r.orders.add(key, o)
+	}
+	if o.NoVerdict {
+		r.checks.NoVerdict++
+	}
+	for _, t := range r.tallies(a) {
+		t.add(r.target, intended, o, true)
+	}
+}
+
+// unsent takes a request that was not sent before the run ended.
+func (r *recorder) unsent(a *workload.Arrival) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, t := range r.tallies(a) {
+		t.unsent()
+	}
+}
+
+func (r *recorder) addFindings(o *caller.Outcome, f findings) {
+	c := &r.checks
+	c.DuplicatedTokens += int64(o.Duplicated)
+	c.MissingTokens += int64(o.Missing)
+	c.Lost += count(o.End == caller.Lost)
+	c.FailedAccepted += count(o.End == caller.Failed)
+	c.WrongLength += count(f.wrongLength)
+	c.WrongText += count(f.wrongText)
+	c.NoVerdict += count(o.NoVerdict)
+}
+
+func (r *recorder) addMoment(a *workload.Arrival, intended time.Time, o *caller.Outcome, intact bool) {
+	m := &r.timeline[min(int(a.At/time.Second), len(r.timeline)-1)]
+	m.Offered++
+	m.Refused += count(o.End == caller.Refused)
+	if o.End != caller.Answered {
+		return
+	}
+	first := o.First.Sub(intended)
+	m.Answered++
+	m.firstSum += first.Seconds() * 1000
+	m.FirstTokenMs = m.firstSum / float64(m.Answered)
+	m.Within += count(intact && r.target.met(first, o))
+}
+
+func count(b bool) int64 {
+	if b {
+		return 1
+	}
+	return 0
+}
