--- /dev/null
+++ b/internal/load/run.go
@@ -0,0 +1,167 @@
+package load
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/workload"
+)
+
+// Run loads a deployment and returns what was measured. When ctx ends first
+// the result covers what was offered until then, and the error is ctx's.
+func Run(ctx context.Context, o Options) (*Result, error) {
+	r, err := newRun(o)
+	if err != nil {
+		return nil, err
+	}
+	defer r.client.Close()
+	r.meter.sample(ctx)
+	r.start = time.Now()
+	r.meter.startCost(r.start)
+	end := r.background(ctx)
+	r.dispatch(ctx)
+	r.lasted = min(time.Since(r.start), r.plan.Duration)
+	r.requests.Wait()
+	end()
+	last := context.WithoutCancel(ctx)
+	r.meter.sample(last)
+	return r.result(r.meter.executions(last)), Error.Wrap(ctx.Err())
+}
+
+// run is the state of one run.
+type run struct {
+	o        Options
+	plan     *workload.Plan
+	schedule *workload.Schedule
+	writer   *workload.Writer
+	talks    *conversations
+	client   *caller.Client
+	recorder *recorder
+	meter    *meter
+	start    time.Time
+	lasted   time.Duration // the part of the schedule that was offered
+
+	slots    chan struct{} // bounds requests at once
+	requests sync.WaitGroup
+	live     context.Context // of requests; outlasts the schedule
+	kill     context.CancelFunc
+}
+
+func newRun(o Options) (*run, error) {
+	o, err := o.withDefaults()
+	if err != nil {
+		return nil, err
+	}
+	p, err := o.plan()
+	if err != nil {
+		return nil, err
+	}
+	s, err := workload.Build(p)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	r := &run{
+		o: o, plan: p, schedule: s, writer: workload.NewWriter(p), talks: newConversations(),
+		recorder: newRecorder(p, newLatencyTarget(o.TargetScale)),
+		meter:    newMeter(o.Target, o.HourPrice, o.Caller.Transport),
+		slots:    make(chan struct{}, o.InFlight),
+	}
+	r.client = caller.New(o.Caller, credentials(o.Workspaces))
+	r.live, r.kill = context.WithCancel(context.Background())
+	return r, nil
+}
+
+func credentials(workspaces []workload.Workspace) []string {
+	tokens := make([]string, len(workspaces))
+	for i, w := range workspaces {
+		tokens[i] = w.Token
+	}
+	return tokens
+}
+
+// background starts the meter, the faults and the bound of the drain; the
+// returned function ends them.
+func (r *run) background(ctx context.Context) func() {
+	stopped := context.AfterFunc(ctx, r.kill)
+	ctx, cancel := context.WithCancel(ctx)
+	end := r.start.Add(r.plan.Duration)
+	var wg sync.WaitGroup
+	wg.Go(func() { r.meter.follow(ctx) })
+	wg.Go(func() {
+		sleepUntil(ctx, end)
+		r.meter.stopCost(time.Now())
+		if sleepUntil(ctx, end.Add(r.o.Drain)) {
+			r.kill()
+		}
+	})
+	for _, f := range r.o.Faults {
+		wg.Go(func() {
+			if sleepUntil(ctx, r.start.Add(f.At)) {
+				f.Do(ctx)
+			}
+		})
+	}
+	return func() {
+		cancel()
+		wg.Wait()
+		stopped()
+		r.kill()
+	}
+}
+
+// dispatch sends every request of the schedule at its time, and returns at the
+// schedule's end.
+func (r *run) dispatch(ctx context.Context) {
+	for i := range r.schedule.Arrivals {
+		a := &r.schedule.Arrivals[i]
+		if !sleepUntil(ctx, r.start.Add(a.At)) || !r.takeSlot(ctx) {
+			r.skip(r.schedule.Arrivals[i:])
+			return
+		}
+		r.requests.Go(func() {
+			defer func() { <-r.slots }()
+			r.send(a)
+		})
+	}
+	sleepUntil(ctx, r.start.Add(r.plan.Duration))
+}
+
+// takeSlot waits for a free place among the requests at once. The wait counts
+// in the request's latency.
+func (r *run) takeSlot(ctx context.Context) bool {
+	select {
+	case r.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-r.live.Done():
+		return false
+	}
+}
+
+// skip notes requests that the end of the run kept from being sent.
+func (r *run) skip(rest []workload.Arrival) {
+	for i := range rest {
+		if time.Since(r.start) >= rest[i].At {
+			r.recorder.unsent(&rest[i])
+		}
+	}
+}
+
+// sleepUntil waits for a time; false: ctx ended first.
+func sleepUntil(ctx context.Context, at time.Time) bool {
+	d := time.Until(at)
+	if d <= 0 {
+		return ctx.Err() == nil
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/load/send.go
@@ -0,0 +1,81 @@
+package load
+
+import (
+	"encoding/json"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/load/workload"
+)
+
+// completionBody is the body of a request to a model.
+type completionBody struct {
+	Model     string              `json:"model"`
+	Adapter   string              `json:"adapter,omitempty"`
+	Messages  []engineapi.Message `json:"messages"`
+	MaxTokens int                 `json:"max_tokens"`
+	Stream    bool                `json:"stream"`
+}
+
+// send sends one request and records how it ended.
+func (r *run) send(a *workload.Arrival) {
+	intended := r.start.Add(a.At)
+	r.recorder.sent(time.Since(intended))
+	if r.plan.Mix.Kinds[a.Kind].Call != nil {
+		r.sendCall(a, intended)
+		return
+	}
+	r.sendCompletion(a, intended)
+}
+
+func (r *run) sendCompletion(a *workload.Arrival, intended time.Time) {
+	earlier := r.talks.earlier(a)
+	question := r.writer.Question(a)
+	tokens := r.writer.AnswerTokens(a)
+	body := r.body(r.writer.Messages(a, earlier, question), tokens)
+	out := r.client.Complete(r.live, &caller.Completion{
+		Workspace: a.Workspace, Seed: a.Seed, Key: newKey(), Body: body,
+	})
+	if out.End == caller.Answered {
+		r.talks.answer(a, earlier, workload.Turn{Question: question, Answer: string(out.Text)})
+	}
+	r.recorder.completion(a, intended, out, examine(r.o.Answers, body, tokens, out))
+}
+
+func (r *run) body(messages []engineapi.Message, tokens int) []byte {
+	body, err := json.Marshal(completionBody{
+		Model: r.plan.Mix.Model, Adapter: r.plan.Mix.Adapter,
+		Messages: messages, MaxTokens: tokens, Stream: true,
+	})
+	if err != nil {
+		panic(err) // the type holds strings, numbers and booleans only
+	}
+	return body
+}
+
+func (r *run) sendCall(a *workload.Arrival, intended time.Time) {
+	spec := r.plan.Mix.Kinds[a.Kind].Call
+	part := r.writer.Part(a)
+	call := &caller.Call{
+		Workspace: a.Workspace, Seed: a.Seed, Service: spec.Service, Method: spec.Method,
+		Path: strings.ReplaceAll(spec.Path, partPlace, part),
+	}
+	if spec.Body != "" {
+		call.Body = []byte(strings.ReplaceAll(spec.Body, partPlace, part))
+	}
+	if spec.NonIdempotent {
+		call.Key = newKey()
+	}
+	r.recorder.call(a, intended, call.Key, r.client.Call(r.live, call))
+}
+
+// partPlace is replaced by a part number in calls of plain services.
+const partPlace = "{part}"
+
+// newKey returns an idempotency key. Keys hold the time and are therefore not
+// a function of the seed.
+func newKey() string { return uuid.Must(uuid.NewV7()).String() }
--- /dev/null
+++ b/internal/load/workload/dealer.go
@@ -0,0 +1,105 @@
+package workload
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Popularity of subjects follows a power law: a few machines bring most of the
+// questions. Exponent and offset of rand.Zipf.
+const (
+	subjectExponent = 1.2
+	subjectOffset   = 2
+)
+
+// openConversation may be continued from next on.
+type openConversation struct {
+	id      int
+	kind    int
+	subject int
+	turns   int
+	next    time.Duration
+}
+
+// dealer turns one workspace's arrival times into requests.
+type dealer struct {
+	plan  *Plan
+	src   *rand.Rand
+	total float64
+	zipf  []*rand.Zipf // by kind; nil without subjects
+	open  []openConversation
+}
+
+func newDealer(p *Plan, src *rand.Rand) *dealer {
+	d := &dealer{plan: p, src: src, zipf: make([]*rand.Zipf, len(p.Mix.Kinds))}
+	for i, k := range p.Mix.Kinds {
+		d.total += k.Share
+		if k.Subjects > 0 {
+			d.zipf[i] = rand.NewZipf(src, subjectExponent, subjectOffset, uint64(k.Subjects-1))
+		}
+	}
+	return d
+}
+
+// deal draws the request at one time. conversations counts those of the
+// schedule so far.
+func (d *dealer) deal(at time.Duration, conversations *int) Arrival {
+	kind := d.drawKind()
+	k := &d.plan.Mix.Kinds[kind]
+	a := Arrival{At: at, Kind: kind, Subject: -1, Conversation: -1, Seed: d.seed(k)}
+	if k.Turns > 1 && d.src.Float64() < k.Reuse && d.resume(&a) {
+		return a
+	}
+	if d.zipf[kind] != nil {
+		a.Subject = int(d.zipf[kind].Uint64())
+	}
+	if k.Turns > 1 {
+		a.Conversation = *conversations
+		*conversations++
+		d.keepOpen(k, openConversation{id: a.Conversation, kind: kind, subject: a.Subject, turns: 1}, at)
+	}
+	return a
+}
+
+func (d *dealer) drawKind() int {
+	x := d.src.Float64() * d.total
+	for i, k := range d.plan.Mix.Kinds {
+		if x -= k.Share; x < 0 {
+			return i
+		}
+	}
+	return len(d.plan.Mix.Kinds) - 1
+}
+
+// seed draws a question: from the kind's pool, or a new one.
+func (d *dealer) seed(k *Kind) uint64 {
+	if k.Questions > 0 {
+		return uint64(d.src.IntN(k.Questions))
+	}
+	return d.src.Uint64()
+}
+
+// resume continues the conversation that has waited longest, if one is due.
+func (d *dealer) resume(a *Arrival) bool {
+	for i, c := range d.open {
+		if c.kind != a.Kind || c.next > a.At {
+			continue
+		}
+		d.open = append(d.open[:i], d.open[i+1:]...)
+		a.Conversation, a.Subject, a.Turn = c.id, c.subject, c.turns
+		c.turns++
+		d.keepOpen(&d.plan.Mix.Kinds[a.Kind], c, a.At)
+		return true
+	}
+	return false
+}
+
+// keepOpen lets a conversation be continued unless it is full.
+func (d *dealer) keepOpen(k *Kind, c openConversation, at time.Duration) {
+	if c.turns >= k.Turns {
+		return
+	}
+	pause := float64(k.Think) * d.plan.LatencyScale * (1 + d.src.Float64())
+	c.next = at + time.Duration(pause)
+	d.open = append(d.open, c)
+}
--- /dev/null
+++ b/internal/load/workload/workspace.go
@@ -0,0 +1,20 @@
+package workload
+
+// Workspace is one customer that sends requests.
+type Workspace struct {
+	Name string `json:"name" yaml:"name"`
+	// Weight is the workspace's share of the rate relative to the others'.
+	Weight float64 `json:"weight" yaml:"weight"`
+	// Factor multiplies the workspace's own rate; the others' arrivals stay
+	// exactly as they were. 0 stands for 1.
+	Factor float64 `json:"factor,omitempty" yaml:"factor,omitempty"`
+	// Token is the credential that its callers send. It is never written out.
+	Token string `json:"-" yaml:"token"`
+}
+
+func (w Workspace) factor() float64 {
+	if w.Factor == 0 {
+		return 1
+	}
+	return w.Factor
+}
--- /dev/null
+++ b/internal/load/workload/writer.go
@@ -0,0 +1,123 @@
+package workload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"strings"
+	"sync"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+)
+
+// Roles of messages.
+const (
+	roleSystem    = "system"
+	roleUser      = "user"
+	roleAssistant = "assistant"
+)
+
+// Turn is one question of a conversation with its answer.
+type Turn struct {
+	Question string
+	Answer   string
+}
+
+// Writer writes the text of requests. It keeps the records of subjects, which
+// are as many as workspaces times subjects. Safe for concurrent use.
+type Writer struct {
+	mix        *Mix
+	workspaces []Workspace
+	seed       uint64
+	system     string
+
+	mu      sync.Mutex
+	records map[recordKey]string
+}
+
+type recordKey struct{ workspace, kind, subject int }
+
+// NewWriter returns the writer of a plan's texts.
+func NewWriter(p *Plan) *Writer {
+	w := &Writer{mix: p.Mix, workspaces: p.Workspaces, seed: p.Seed, records: make(map[recordKey]string)}
+	var b strings.Builder
+	appendWords(&b, w.source(p.Mix.Name), p.Mix.SystemTokens)
+	w.system = b.String()
+	return w
+}
+
+// Question returns the new question of an arrival.
+func (w *Writer) Question(a *Arrival) string {
+	k := &w.mix.Kinds[a.Kind]
+	src := w.questionSource(a)
+	n := k.QuestionTokens.draw(src)
+	var b strings.Builder
+	b.WriteString(k.Name + "-" + strconv.FormatUint(a.Seed, 36))
+	appendWords(&b, src, n-1)
+	return b.String()
+}
+
+// AnswerTokens returns the length of the answer to an arrival's question. It
+// depends on the question alone, so a repeated question repeats its answer.
+func (w *Writer) AnswerTokens(a *Arrival) int {
+	src := w.questionSource(a)
+	k := &w.mix.Kinds[a.Kind]
+	k.QuestionTokens.draw(src)
+	return k.AnswerTokens.draw(src)
+}
+
+// Messages returns an arrival's prompt: instructions, the subject's record,
+// the earlier turns and the question.
+func (w *Writer) Messages(a *Arrival, earlier []Turn, question string) []engineapi.Message {
+	m := make([]engineapi.Message, 0, 2+2*len(earlier))
+	m = append(m, engineapi.Message{Role: roleSystem, Content: w.head(a)})
+	for _, t := range earlier {
+		m = append(m,
+			engineapi.Message{Role: roleUser, Content: t.Question},
+			engineapi.Message{Role: roleAssistant, Content: t.Answer})
+	}
+	return append(m, engineapi.Message{Role: roleUser, Content: question})
+}
+
+// Part returns the part number of a call to a plain service.
+func (w *Writer) Part(a *Arrival) string {
+	parts := max(1, w.mix.Kinds[a.Kind].Call.Parts)
+	return fmt.Sprintf("P-%05d", a.Seed%uint64(parts))
+}
+
+// head is what all questions about one subject share.
+func (w *Writer) head(a *Arrival) string {
+	if a.Subject < 0 {
+		return w.system
+	}
+	key := recordKey{workspace: a.Workspace, kind: a.Kind, subject: a.Subject}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	head, ok := w.records[key]
+	if !ok {
+		head = w.record(key)
+		w.records[key] = head
+	}
+	return head
+}
+
+func (w *Writer) record(key recordKey) string {
+	k := &w.mix.Kinds[key.kind]
+	name := fmt.Sprintf("%s/%s/%d", w.workspaces[key.workspace].Name, k.Name, key.subject)
+	src := w.source(name)
+	var b strings.Builder
+	b.WriteString(w.system + " " + name)
+	appendWords(&b, src, k.SubjectTokens.draw(src)-1)
+	return b.String()
+}
+
+// questionSource draws the same numbers for the same question of a kind.
+func (w *Writer) questionSource(a *Arrival) *rand.Rand {
+	return w.source(w.mix.Kinds[a.Kind].Name + "?" + strconv.FormatUint(a.Seed, 10))
+}
+
+func (w *Writer) source(name string) *rand.Rand {
+	return rand.New(rand.NewPCG(w.seed, xxh3.HashString(name)))
+}
--- /dev/null
+++ b/internal/membership/buckets.go
@@ -0,0 +1,70 @@
+package membership
+
+import (
+	"slices"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// BucketCount is the number of parts in which two member tables are compared:
+// with 340 members a part has one or two, so little more is fetched than what
+// differs, and two bytes for each part's hash leave half of a packet free.
+const BucketCount = 256
+
+// buckets are hashes of the live part of the member table, kept up to date by
+// XOR. Gone members count nothing, so that forgetting one changes no hash, and
+// suspicion counts nothing, so that it causes no comparison of tables.
+type buckets struct {
+	parts [BucketCount]uint16
+	total uint64
+}
+
+func bucketOf(id fleet.InstanceID) int { return int(xxh3.HashString(string(id)) % BucketCount) }
+
+// toggle adds or takes away a member's contribution.
+func (b *buckets) toggle(id fleet.InstanceID, hash uint64) {
+	b.parts[bucketOf(id)] ^= uint16(hash)
+	b.total ^= hash
+}
+
+// hashes returns a copy of the parts' hashes.
+func (b *buckets) hashes() []uint16 { return slices.Clone(b.parts[:]) }
+
+// contribution hashes what daemons must agree on for a live member; 0 when it is gone.
+func (n *node) contribution() uint64 {
+	if n.state.Terminal() {
+		return 0
+	}
+	x := xxh3.HashString(string(n.instance))
+	x = mix(x ^ n.incarnation)
+	return mix(x ^ uint64(n.run)<<8 ^ uint64(n.state.cleared()))
+}
+
+// mix is the finaliser of splitmix64.
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// rehash brings the buckets up to date after a change of n.
+func (m *Membership) rehash(n *node) {
+	m.buckets.toggle(n.instance, n.hash)
+	n.hash = n.contribution()
+	m.buckets.toggle(n.instance, n.hash)
+}
+
+// tableHash covers members and data centres.
+func (m *Membership) tableHash() uint64 {
+	h := m.buckets.total
+	for _, d := range m.dataCentres {
+		if d.version > 0 {
+			h ^= mix(xxh3.HashString(string(d.name)) ^ d.version)
+		}
+	}
+	return h
+}
--- /dev/null
+++ b/internal/membership/clock.go
@@ -0,0 +1,26 @@
+package membership
+
+import "time"
+
+// clock is the protocol's time since the start. It advances by at most maxStep
+// for each event, so a paused process does not find all its deadlines passed
+// when it comes back: without this it would declare its peers dead for answers
+// that wait in its own socket.
+type clock struct {
+	now     time.Duration
+	last    time.Time
+	maxStep time.Duration
+}
+
+func (c *clock) advance(now time.Time) {
+	if c.last.IsZero() {
+		c.last = now
+		return
+	}
+	step := now.Sub(c.last)
+	if step <= 0 {
+		return
+	}
+	c.last = now
+	c.now += min(step, c.maxStep)
+}
--- /dev/null
+++ b/internal/membership/config.go
@@ -0,0 +1,111 @@
+package membership
+
+import "time"
+
+// Config holds the protocol's times and sizes. A zero field takes its default.
+type Config struct {
+	// ProbeInterval is the time between two probes; each daemon probes one
+	// other at a time.
+	ProbeInterval time.Duration
+	// ProbeTimeout is how long a direct answer may take before others are
+	// asked to probe as well.
+	ProbeTimeout time.Duration
+	// IndirectProbes is how many others are asked.
+	IndirectProbes int
+	// SuspicionMultiplier times log10 of the region's daemons times
+	// ProbeInterval is how long a suspect has to refute.
+	SuspicionMultiplier int
+	// RetransmitMultiplier times log2 of the region's daemons is how often a
+	// daemon repeats an update.
+	RetransmitMultiplier int
+	// MaxPacketBytes bounds a sealed packet, without IP and UDP headers.
+	MaxPacketBytes int
+	// GossipInterval is the time between two packets that carry updates alone;
+	// they are sent only while there are updates.
+	GossipInterval time.Duration
+	// SyncInterval is the time between two comparisons of member tables with a
+	// peer whose hash differs.
+	SyncInterval time.Duration
+	// RumourBytesPerSecond bounds what is sent to spread changes.
+	RumourBytesPerSecond int
+	// SyncBytesPerSecond bounds what is sent to compare tables.
+	SyncBytesPerSecond int
+	// ReconnectInterval is the time between two probes of a daemon that is
+	// believed dead or only hinted at.
+	ReconnectInterval time.Duration
+	// Retention is how long a Dead or Left daemon is remembered.
+	Retention time.Duration
+	// LossWindow is the time in which half of a data centre's daemons must
+	// fail for its loss to be looked into.
+	LossWindow time.Duration
+	// LossSettle is how long a data centre is lost before its daemons'
+	// own records become Dead.
+	LossSettle time.Duration
+	// Bridges is the number of daemons of a region that probe other regions.
+	Bridges int
+	// BridgeInterval is the time between two probes of one other region.
+	BridgeInterval time.Duration
+	// RegionSilence is how long nothing is heard from a region before it
+	// counts as unreachable.
+	RegionSilence time.Duration
+	// LocalHealthMax bounds the local health score; negative switches it off.
+	LocalHealthMax int
+}
+
+// The defaults. Daemons of a region are a few milliseconds apart, so most of
+// ProbeTimeout is allowance for a busy or collected process.
+const (
+	defaultProbeInterval        = time.Second
+	defaultProbeTimeout         = 300 * time.Millisecond
+	defaultIndirectProbes       = 3
+	defaultSuspicionMultiplier  = 4 // 4 s for 9 daemons, 8 s for 113
+	defaultRetransmitMultiplier = 2 // 14 times for 113 daemons
+	defaultMaxPacketBytes       = 1200
+	defaultGossipInterval       = 250 * time.Millisecond
+	defaultSyncInterval         = 5 * time.Second
+	defaultRumourBytesPerSecond = 1250
+	defaultSyncBytesPerSecond   = 1250
+	defaultReconnectInterval    = 5 * time.Second
+	defaultRetention            = 4 * time.Hour // four times the longest loss between regions
+	defaultLossWindow           = 10 * time.Second
+	defaultLossSettle           = 30 * time.Second
+	defaultBridges              = 3
+	defaultBridgeInterval       = time.Second
+	defaultRegionSilence        = 15 * time.Second
+	defaultLocalHealthMax       = 4
+)
+
+// What may be sent at once after a quiet time, in bytes.
+const (
+	rumourBurst = 16 << 10 // a change of every tenth of 340 daemons, told to all
+	syncBurst   = 64 << 10 // the table of 340 daemons and what is fetched twice
+)
+
+func (c Config) withDefaults() Config {
+	orDefault(&c.ProbeInterval, defaultProbeInterval)
+	orDefault(&c.ProbeTimeout, defaultProbeTimeout)
+	orDefault(&c.IndirectProbes, defaultIndirectProbes)
+	orDefault(&c.SuspicionMultiplier, defaultSuspicionMultiplier)
+	orDefault(&c.RetransmitMultiplier, defaultRetransmitMultiplier)
+	orDefault(&c.MaxPacketBytes, defaultMaxPacketBytes)
+	orDefault(&c.GossipInterval, defaultGossipInterval)
+	orDefault(&c.SyncInterval, defaultSyncInterval)
+	orDefault(&c.RumourBytesPerSecond, defaultRumourBytesPerSecond)
+	orDefault(&c.SyncBytesPerSecond, defaultSyncBytesPerSecond)
+	orDefault(&c.ReconnectInterval, defaultReconnectInterval)
+	orDefault(&c.Retention, defaultRetention)
+	orDefault(&c.LossWindow, defaultLossWindow)
+	orDefault(&c.LossSettle, defaultLossSettle)
+	orDefault(&c.Bridges, defaultBridges)
+	orDefault(&c.BridgeInterval, defaultBridgeInterval)
+	orDefault(&c.RegionSilence, defaultRegionSilence)
+	orDefault(&c.LocalHealthMax, defaultLocalHealthMax)
+	return c
+}
+
+func orDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/membership/group_test.go
@@ -0,0 +1,227 @@
+package membership
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// tick is the step of a group's time and the latency of its packets.
+const tick = 100 * time.Millisecond
+
+// group drives daemons by plain calls: what one sends in a tick, the others
+// receive in the next.
+type group struct {
+	now     time.Time
+	rng     *rand.Rand
+	daemons []*daemon
+	byAddr  map[string]*daemon
+	flying  []flight
+	drop    func(from, to *daemon) bool // nil loses nothing
+	packets int
+}
+
+type daemon struct {
+	*Membership
+	address  string
+	index    int
+	up       bool
+	paused   bool
+	waiting  []*Packet // of a paused daemon, in its socket
+	actions  []Action  // all but Send, since the last clear
+	sent     int       // packets
+	sentSize int       // bytes with IP and UDP headers, upper bound
+}
+
+type flight struct {
+	from *daemon
+	to   string
+	p    *Packet
+}
+
+// udpHeaders is the size of IPv4 and UDP headers in bytes.
+const udpHeaders = 28
+
+func newGroup(seed uint64) *group {
+	return &group{
+		now:    time.Unix(1_700_000_000, 0),
+		rng:    rand.New(rand.NewPCG(seed, 1)),
+		byAddr: map[string]*daemon{},
+	}
+}
+
+// place spreads daemons over data centres and regions: dc i of dcs, region i of regions.
+func place(i, dcs, regions int) (fleet.DataCentre, fleet.Region) {
+	dc := i % dcs
+	return fleet.DataCentre(fmt.Sprintf("dc-%02d", dc)), fleet.Region(fmt.Sprintf("region-%d", dc%regions))
+}
+
+func memberAt(i, run int, dc fleet.DataCentre, region fleet.Region) Member {
+	return Member{
+		Instance:    fleet.InstanceID(fmt.Sprintf("i-%017x", i)),
+		Daemon:      fleet.DaemonID(fmt.Sprintf("019a0000-0000-7000-8000-%06d%06d", i, run)),
+		Caller:      fmt.Sprintf("10.%d.%d.%d:8080", i/200, i%200, 7),
+		Peer:        fmt.Sprintf("10.%d.%d.%d:7946", i/200, i%200, 7),
+		DataCentre:  dc,
+		Region:      region,
+		Incarnation: 1_700_000_000_000 + uint64(run),
+	}
+}
+
+// start adds n daemons, each seeded with the first three.
+func (g *group) start(n, dcs, regions int) {
+	for i := range n {
+		dc, region := place(i, dcs, regions)
+		g.add(Config{}, memberAt(i, 0, dc, region))
+	}
+}
+
+func (g *group) add(cfg Config, self Member) *daemon {
+	m := New(cfg, self, rand.New(rand.NewPCG(g.rng.Uint64(), 2)))
+	d := &daemon{Membership: m, address: self.Peer, index: len(g.daemons), up: true}
+	var hints []Member
+	for _, other := range g.daemons[:min(3, len(g.daemons))] {
+		hints = append(hints, Member{Peer: other.address})
+	}
+	m.Seeds(g.now, hints)
+	g.daemons = append(g.daemons, d)
+	g.byAddr[d.address] = d
+	return d
+}
+
+// restart replaces daemon i by another run on the same instance.
+func (g *group) restart(i, run int) {
+	old := g.daemons[i]
+	self := memberAt(i, run, old.self.record.DataCentre, old.self.record.Region)
+	m := New(Config{}, self, rand.New(rand.NewPCG(g.rng.Uint64(), 2)))
+	m.Seeds(g.now, []Member{{Peer: g.daemons[(i+1)%len(g.daemons)].address}, {Peer: g.daemons[(i+2)%len(g.daemons)].address}})
+	g.daemons[i] = &daemon{Membership: m, address: old.address, index: i, up: true}
+	g.byAddr[old.address] = g.daemons[i]
+}
+
+// step advances by one tick.
+func (g *group) step() {
+	g.now = g.now.Add(tick)
+	flying := g.flying
+	g.flying = nil
+	for _, f := range flying {
+		g.deliver(f)
+	}
+	for _, d := range g.daemons {
+		if d.up && !d.paused {
+			g.carryOut(d, d.Tick(g.now))
+		}
+	}
+}
+
+func (g *group) deliver(f flight) {
+	d := g.byAddr[f.to]
+	if d == nil || !d.up || g.drop != nil && g.drop(f.from, d) {
+		return
+	}
+	p := *f.p
+	p.Source = f.from.address
+	if d.paused {
+		d.waiting = append(d.waiting, &p)
+		return
+	}
+	g.carryOut(d, d.Receive(g.now, &p))
+}
+
+// resume lets a paused daemon run again: it reads what waits in its socket.
+func (g *group) resume(d *daemon) {
+	d.paused = false
+	for _, p := range d.waiting {
+		g.carryOut(d, d.Receive(g.now, p))
+	}
+	d.waiting = nil
+}
+
+func (g *group) carryOut(d *daemon, actions []Action) {
+	for _, a := range actions {
+		s, ok := a.(Send)
+		if !ok {
+			d.actions = append(d.actions, a)
+			continue
+		}
+		size := s.Packet.Size()
+		if size > defaultMaxPacketBytes {
+			panic(fmt.Sprintf("packet of kind %d has %d bytes", s.Packet.Kind, size))
+		}
+		g.packets++
+		d.sent++
+		d.sentSize += size + udpHeaders
+		g.flying = append(g.flying, flight{from: d, to: s.To, p: s.Packet})
+	}
+}
+
+func (g *group) run(d time.Duration) {
+	for range d / tick {
+		g.step()
+	}
+}
+
+// until steps until ok holds and returns how long it took; false after limit.
+func (g *group) until(limit time.Duration, ok func() bool) (time.Duration, bool) {
+	for t := time.Duration(0); t < limit; t += tick {
+		if ok() {
+			return t, true
+		}
+		g.step()
+	}
+	return limit, ok()
+}
+
+// everyone reports whether ok holds for all running daemons.
+func (g *group) everyone(ok func(d *daemon) bool) bool {
+	for _, d := range g.daemons {
+		if d.up && !d.paused && !ok(d) {
+			return false
+		}
+	}
+	return true
+}
+
+// converged reports whether all running daemons see each other alive, and
+// nobody else.
+func (g *group) converged() bool {
+	up := 0
+	for _, d := range g.daemons {
+		if d.up {
+			up++
+		}
+	}
+	return g.everyone(func(d *daemon) bool {
+		if len(d.View().Alive()) != up {
+			return false
+		}
+		for _, other := range g.daemons {
+			if other.up && d.stateOf(other) != Alive {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+// stateOf returns how d sees other's instance; Left where it does not know it.
+func (d *daemon) stateOf(other *daemon) State {
+	m, found := d.View().ByInstance(other.self.instance)
+	if !found {
+		return Left
+	}
+	return m.State
+}
+
+// count returns how many actions of type A the daemon gave.
+func count[A Action](d *daemon) int {
+	n := 0
+	for _, a := range d.actions {
+		if _, ok := a.(A); ok {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/membership/join_test.go
@@ -0,0 +1,20 @@
+package membership
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+func TestAllDaemonsOfAllRegionsFindEachOther(t *testing.T) {
+	for _, n := range []int{2, 9, 34} {
+		g := newGroup(uint64(n))
+		g.start(n, 11, 3)
+		took, ok := g.until(2*time.Minute, g.converged)
+		assert.Assert(t, ok, "%d daemons do not see each other", n)
+		t.Logf("%d daemons: %v, %d packets", n, took, g.packets)
+		g.run(time.Minute)
+		assert.Assert(t, g.converged())
+	}
+}
--- /dev/null
+++ b/internal/membership/loss.go
@@ -0,0 +1,199 @@
+package membership
+
+import "time"
+
+// Bounds of the search for lost data centres.
+const (
+	// lossMinimum is the fewest failed daemons that speak for a loss: one
+	// failed daemon is one failed daemon.
+	lossMinimum = 2
+	// verifyPings is how many daemons are probed before a loss is believed.
+	verifyPings = 3
+	// verifyPause is the time between two verifications of one data centre.
+	verifyPause = 2 * time.Second
+)
+
+// checkLoss looks whether half of a data centre's daemons failed lately, and
+// begins to verify its loss if so.
+func (m *Membership) checkLoss(d *dataCentre) {
+	if d == m.self.dc || d.lost() || d.verifying() || m.clock.now < d.nextVerify {
+		return
+	}
+	failed, up := m.countFailed(d)
+	if failed < lossMinimum || failed < up {
+		return
+	}
+	m.verifyLoss(d, d.version+1)
+}
+
+// countFailed counts a data centre's daemons that failed within the window and
+// since it was last found again, and those that are up.
+func (m *Membership) countFailed(d *dataCentre) (failed, up int) {
+	since := max(m.clock.now-m.cfg.LossWindow, d.recoveredAt)
+	for _, n := range m.sorted {
+		if n.dc != d || n.state == Left {
+			continue
+		}
+		isUp := n.state == Alive || n.state == Leaving
+		if isUp {
+			up++
+		} else if n.failedAt > since {
+			failed++
+		}
+	}
+	return failed, up
+}
+
+// verifyLoss probes some of the data centre's daemons. A loss is believed only
+// where none of them answers here, whoever claims it: a daemon that was cut
+// off and comes back claims the loss of all data centres but its own.
+func (m *Membership) verifyLoss(d *dataCentre, version uint64) {
+	d.claim = version
+	d.verifyFrom = m.clock.now
+	d.verifyReceived = m.received
+	d.verifyUntil = m.clock.now + m.cfg.ProbeInterval
+	d.nextVerify = d.verifyUntil + verifyPause
+	for _, n := range m.verifyTargets(d) {
+		m.ping(n, m.nextSequence())
+	}
+	m.rumours.addDataCentre(d)
+}
+
+// verifyTargets chooses daemons at random, those that are not suspect first.
+func (m *Membership) verifyTargets(d *dataCentre) []*node {
+	var unsuspected, rest []*node
+	for _, n := range m.sorted {
+		switch {
+		case n.dc != d || n.state == Left:
+		case n.state == Alive || n.state == Leaving:
+			unsuspected = append(unsuspected, n)
+		default:
+			rest = append(rest, n)
+		}
+	}
+	m.shuffle(unsuspected)
+	m.shuffle(rest)
+	all := append(unsuspected, rest...)
+	return all[:min(len(all), verifyPings)]
+}
+
+func (m *Membership) shuffle(nodes []*node) {
+	m.rng.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
+}
+
+func (m *Membership) tickDataCentres() {
+	for _, d := range m.dataCentres {
+		if d.verifying() && m.clock.now >= d.verifyUntil {
+			m.endVerification(d)
+		}
+		if d.lost() && !d.settled && m.clock.now >= d.lostAt+m.cfg.LossSettle {
+			m.settleLoss(d)
+		}
+	}
+}
+
+func (m *Membership) endVerification(d *dataCentre) {
+	version := d.claim
+	d.claim = 0
+	if d.heardAt >= d.verifyFrom || version <= d.version {
+		return
+	}
+	if m.received == d.verifyReceived {
+		return // this daemon is cut off itself
+	}
+	m.loseDataCentre(d, version)
+}
+
+func (m *Membership) loseDataCentre(d *dataCentre, version uint64) {
+	d.version = version
+	d.claim = 0
+	d.lostAt = m.clock.now
+	d.settled = false
+	m.dirty = true
+	m.rumours.addDataCentre(d)
+	m.act(DataCentreLost{DataCentre: d.name})
+}
+
+func (m *Membership) recoverDataCentre(d *dataCentre, version uint64) {
+	wasLost := d.lost()
+	d.version = version
+	d.claim = 0
+	d.recoveredAt = m.clock.now
+	m.dirty = true
+	m.rumours.addDataCentre(d)
+	if !wasLost {
+		return
+	}
+	for _, n := range m.sorted {
+		if n.dc == d && !n.state.Terminal() {
+			m.resume(n)
+		}
+	}
+	m.act(DataCentreRecovered{DataCentre: d.name})
+}
+
+// resume takes up the probing of a member whose data centre was found again.
+func (m *Membership) resume(n *node) {
+	n.deadline = m.clock.now + m.suspicionTimeout()
+	m.enterRing(n)
+}
+
+// settleLoss writes a lasting loss into the members' own records, without
+// telling: all daemons do the same. Then an instance that later starts in the
+// data centre does not bring its dead back with it. A side that sees less than
+// half of its region does not: it may be the one that is cut off, and would
+// have to be refuted by each daemon of the others when it comes back.
+func (m *Membership) settleLoss(d *dataCentre) {
+	if d.region == m.regionName() && !m.seesMajority() {
+		return
+	}
+	d.settled = true
+	for _, n := range m.sorted {
+		if n.dc == d && !n.state.Terminal() {
+			m.set(n, Dead, n.incarnation, false)
+		}
+	}
+}
+
+// seesMajority reports whether at least half of the region's daemons are up,
+// those of lost data centres counted.
+func (m *Membership) seesMajority() bool {
+	up, all := 0, 0
+	for _, n := range m.sorted {
+		if n.record.Region != m.regionName() || n.state.Terminal() {
+			continue
+		}
+		all++
+		if !n.dc.lost() {
+			up++
+		}
+	}
+	return 2*up >= all
+}
+
+// mergeDataCentre takes in a statement about a data centre.
+func (m *Membership) mergeDataCentre(u DataCentreUpdate) {
+	d := m.dataCentre(u.DataCentre, u.Region)
+	if u.Version <= d.version {
+		return
+	}
+	switch {
+	case !u.Lost():
+		m.recoverDataCentre(d, u.Version)
+	case d == m.self.dc:
+		m.refuteLoss(d, u.Version)
+	case d.region != m.regionName():
+		m.loseDataCentre(d, u.Version)
+	case !d.verifying() && m.clock.now >= d.nextVerify:
+		m.verifyLoss(d, u.Version)
+	}
+}
+
+// refuteLoss takes back the loss of the own data centre on behalf of all its daemons.
+func (m *Membership) refuteLoss(d *dataCentre, version uint64) {
+	if m.self.state == Left {
+		return
+	}
+	m.recoverDataCentre(d, version+1)
+	m.act(DeclaredDead{Incarnation: m.self.incarnation})
+}
--- /dev/null
+++ b/internal/membership/membership.go
@@ -0,0 +1,146 @@
+package membership
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Membership is one daemon's part of the protocol. It is not safe for
+// concurrent use; Views are.
+type Membership struct {
+	cfg  Config
+	rng  *rand.Rand
+	self *node
+
+	clock   clock
+	actions []Action
+
+	nodes       map[fleet.InstanceID]*node
+	sorted      []*node // all nodes by instance
+	dataCentres []*dataCentre
+	buckets     buckets
+	rumours     rumours
+	regions     regions
+
+	prober       prober
+	relays       relays
+	health       health
+	syncer       syncer
+	rumourBudget budget
+	syncBudget   budget
+	seeds        seeds
+	suspect      []*node // own region's suspects with a running deadline
+
+	sequence   uint32
+	received   uint64 // packets from other daemons
+	regionSize int    // own region's daemons that are not gone
+	nextGossip time.Duration
+	nextForget time.Duration
+	newer      newerDigest
+
+	view     *View
+	dirty    bool // the view is out of date
+	digests  bool // only digests are out of date
+	viewAt   time.Duration
+	joined   bool
+	isolated bool // members are suspected quietly
+}
+
+// New returns the membership of a daemon that knows only itself. The state in
+// self is ignored; its incarnation should be the start time in Unix ms.
+func New(cfg Config, self Member, rng *rand.Rand) *Membership {
+	m := &Membership{
+		cfg:        cfg.withDefaults(),
+		rng:        rng,
+		nodes:      map[fleet.InstanceID]*node{},
+		regionSize: 1,
+	}
+	m.rumourBudget = newBudget(m.cfg.RumourBytesPerSecond, rumourBurst)
+	m.syncBudget = newBudget(m.cfg.SyncBytesPerSecond, syncBurst)
+	m.clock.maxStep = m.cfg.ProbeInterval / 2
+	m.self = m.add(self.Instance, recordOf(self), Alive, max(self.Incarnation, 1))
+	m.self.digest = self.Digest
+	m.regions.own = self.Region
+	m.regions.touch(self.Region, 0)
+	m.rumours.addNode(m.self)
+	m.rebuildView()
+	return m
+}
+
+// View returns the newest snapshot. It changes in Tick only.
+func (m *Membership) View() *View { return m.view }
+
+// SetDigest sets what other daemons are told about the configuration here.
+func (m *Membership) SetDigest(d Digest) {
+	d.Payload = d.Payload[:min(len(d.Payload), MaxDigestPayload)]
+	m.self.digest = d
+	m.digests = true
+}
+
+// add enters a member that is not yet known.
+func (m *Membership) add(id fleet.InstanceID, r *Record, s State, incarnation uint64) *node {
+	n := &node{
+		instance:    id,
+		record:      r,
+		run:         r.run(),
+		state:       s,
+		incarnation: incarnation,
+		dc:          m.dataCentre(r.DataCentre, r.Region),
+		fresh:       true,
+	}
+	m.nodes[id] = n
+	at, _ := slices.BinarySearchFunc(m.sorted, id, func(n *node, id fleet.InstanceID) int {
+		return cmp.Compare(n.instance, id)
+	})
+	m.sorted = slices.Insert(m.sorted, at, n)
+	m.rehash(n)
+	m.regions.touch(r.Region, m.clock.now)
+	m.dirty = true
+	return n
+}
+
+// dataCentre returns the entry of a data centre, made on first use.
+func (m *Membership) dataCentre(name fleet.DataCentre, region fleet.Region) *dataCentre {
+	for _, d := range m.dataCentres {
+		if d.name == name && d.region == region {
+			return d
+		}
+	}
+	d := &dataCentre{name: name, region: region, heardAt: m.clock.now, recoveredAt: -m.cfg.LossWindow}
+	m.dataCentres = append(m.dataCentres, d)
+	return d
+}
+
+// set changes a member's state and says it on where spread is true.
+func (m *Membership) set(n *node, s State, incarnation uint64, spread bool) {
+	wasFailed := n.state.IsSuspect() || n.state.Terminal()
+	isFailed := s.IsSuspect() || s.Terminal()
+	if isFailed && (!wasFailed || s.Terminal()) {
+		n.failedAt = m.clock.now
+	}
+	n.state = s
+	n.incarnation = incarnation
+	m.rehash(n)
+	m.dirty = true
+	if spread {
+		m.rumours.addNode(n)
+	}
+}
+
+func (m *Membership) act(a Action) { m.actions = append(m.actions, a) }
+
+// take returns the actions of one call. The slice is the caller's.
+func (m *Membership) take() []Action {
+	out := m.actions
+	m.actions = nil
+	return out
+}
+
+// local reports whether n is probed from here: another daemon of the region.
+func (m *Membership) local(n *node) bool {
+	return n != m.self && n.record.Region == m.self.record.Region
+}
--- /dev/null
+++ b/internal/membership/merge.go
@@ -0,0 +1,95 @@
+package membership
+
+// merge takes in a statement. It reports false where the member's Record is
+// needed first. spread is false for what was fetched by comparing tables:
+// others will find it in the same way.
+func (m *Membership) merge(u *Update, spread bool) bool {
+	if u.Instance == m.self.instance {
+		m.claimed(u)
+		return true
+	}
+	n := m.nodes[u.Instance]
+	if n == nil {
+		return m.mergeUnknown(u, spread)
+	}
+	if !overrides(u, n) {
+		return true
+	}
+	if u.Run != n.run && !u.State.Terminal() {
+		if u.Record == nil {
+			return false
+		}
+		m.replaceRun(n, u.Record)
+	}
+	m.mergeState(n, u, spread)
+	return true
+}
+
+// overrides reports whether u is newer than what is known of n. A run that
+// left never comes back; a run that was declared dead may refute it.
+func overrides(u *Update, n *node) bool {
+	if n.state == Left && u.Run == n.run {
+		return false
+	}
+	if u.Incarnation != n.incarnation {
+		return u.Incarnation > n.incarnation
+	}
+	return u.State > n.state
+}
+
+// hearAgain counts a rumour that is heard from others as if it had been told:
+// who hears it often needs not repeat it as often. At a start of all daemons
+// this spares most of the repetitions.
+func (m *Membership) hearAgain(u *Update) {
+	n := m.nodes[u.Instance]
+	if n != nil && n.telling.queued && u.Incarnation == n.incarnation && u.State == n.state {
+		n.telling.sends++
+	}
+}
+
+func (m *Membership) mergeUnknown(u *Update, spread bool) bool {
+	if u.State.Terminal() {
+		return true
+	}
+	if u.Record == nil {
+		return false
+	}
+	n := m.add(u.Instance, u.Record, Alive, u.Incarnation)
+	m.seeds.remove(n)
+	m.enterRing(n)
+	m.mergeState(n, u, spread)
+	return true
+}
+
+// replaceRun puts a new run of the daemon in the place of the older one.
+func (m *Membership) replaceRun(n *node, r *Record) {
+	n.record = r
+	n.run = r.run()
+	n.dc = m.dataCentre(r.DataCentre, r.Region)
+	n.digest = Digest{}
+	n.fresh = true
+	m.regions.touch(r.Region, m.clock.now)
+}
+
+// mergeState applies a statement that overrides what is known.
+func (m *Membership) mergeState(n *node, u *Update, spread bool) {
+	state := u.State
+	if !m.local(n) {
+		state = state.cleared()
+	}
+	wasGone := n.state.Terminal()
+	wasSuspect := n.state.IsSuspect() && u.Incarnation == n.incarnation
+	m.set(n, state, u.Incarnation, spread)
+	if !m.local(n) {
+		return
+	}
+	if wasGone && !state.Terminal() {
+		m.enterRing(n)
+	}
+	if state.IsSuspect() && !wasSuspect {
+		m.startSuspicion(n)
+	}
+	if state == Dead {
+		m.checkLoss(n.dc)
+	}
+}
--- /dev/null
+++ b/internal/membership/probe.go
@@ -0,0 +1,119 @@
+package membership
+
+// tickProbe ends the running probe when it is due and begins the next.
+func (m *Membership) tickProbe() {
+	p := &m.prober
+	if p.target != nil && !p.indirect && m.clock.now >= p.indirectAt {
+		m.probeIndirectly()
+	}
+	if p.target != nil && m.clock.now >= p.endAt {
+		m.probeFailed()
+	}
+	if p.target == nil && m.clock.now >= p.nextAt {
+		m.startProbe()
+	}
+}
+
+func (m *Membership) startProbe() {
+	p := &m.prober
+	interval := m.health.scale(m.cfg.ProbeInterval)
+	p.nextAt = m.clock.now + interval
+	n := m.nextTarget()
+	if n == nil {
+		return
+	}
+	p.target = n
+	p.sequence = m.nextSequence()
+	p.indirectAt = m.clock.now + m.health.scale(m.cfg.ProbeTimeout)
+	p.endAt = m.clock.now + interval
+	p.indirect = false
+	p.receivedAt = m.received
+	p.asked, p.nacks = 0, 0
+	m.ping(n, p.sequence)
+}
+
+func (m *Membership) ping(n *node, sequence uint32) {
+	packet := m.bare(Ping)
+	packet.Sequence = sequence
+	packet.Subject = n.instance
+	m.complete(packet, n)
+	m.send(n.record.Peer, packet)
+}
+
+// probeIndirectly asks others to probe: the path from here may be bad while
+// the target is well.
+func (m *Membership) probeIndirectly() {
+	p := &m.prober
+	p.indirect = true
+	for _, via := range m.proxies(p.target) {
+		packet := m.bare(PingRequest)
+		packet.Sequence = p.sequence
+		packet.Subject = p.target.instance
+		packet.Address = p.target.record.Peer
+		m.complete(packet, via)
+		m.send(via.record.Peer, packet)
+		p.asked++
+	}
+}
+
+// proxies chooses who is asked to probe: daemons of other data centres first,
+// so that what ails the own data centre's links does not ail all paths.
+func (m *Membership) proxies(target *node) []*node {
+	chosen := make([]*node, 0, m.cfg.IndirectProbes)
+	chosen = m.addProxies(chosen, target, true)
+	return m.addProxies(chosen, target, false)
+}
+
+func (m *Membership) addProxies(chosen []*node, target *node, elsewhere bool) []*node {
+	ring := m.prober.ring
+	if len(ring) == 0 {
+		return chosen
+	}
+	start := m.rng.IntN(len(ring))
+	for i := range ring {
+		if len(chosen) == m.cfg.IndirectProbes {
+			break
+		}
+		n := ring[(start+i)%len(ring)]
+		if n == target || n.state != Alive || n.dc.lost() || contains(chosen, n) {
+			continue
+		}
+		if elsewhere && n.dc == m.self.dc {
+			continue
+		}
+		chosen = append(chosen, n)
+	}
+	return chosen
+}
+
+func contains(nodes []*node, n *node) bool {
+	for _, other := range nodes {
+		if other == n {
+			return true
+		}
+	}
+	return false
+}
+
+// probeAnswered ends the running probe with success.
+func (m *Membership) probeAnswered() {
+	m.prober.target = nil
+	m.health.improve()
+}
+
+// probeFailed makes the target a suspect.
+func (m *Membership) probeFailed() {
+	p := &m.prober
+	n := p.target
+	p.target = nil
+	m.health.worsen(p.asked, p.nacks, m.cfg.LocalHealthMax)
+	if n.effective().Terminal() || n.state.IsSuspect() {
+		return
+	}
+	if m.received == p.receivedAt && m.regionSize > 2 {
+		m.suspectQuietly(n)
+		return
+	}
+	m.set(n, n.state.suspected(), n.incarnation, true)
+	m.startSuspicion(n)
+}
--- /dev/null
+++ b/internal/membership/relays.go
@@ -0,0 +1,83 @@
+package membership
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// maxRelays bounds the probes that run on behalf of others; more than a few at
+// once means that something is badly wrong, and a Nack too few is harmless.
+const maxRelays = 32
+
+// relay is a probe on behalf of another daemon.
+type relay struct {
+	sequence uint32 // of our Ping
+	asked    uint32 // of the PingRequest
+	to       string // who asked
+	subject  fleet.InstanceID
+	deadline time.Duration
+}
+
+type relays struct {
+	list []relay
+}
+
+func (r *relays) add(x relay) {
+	if len(r.list) == maxRelays {
+		r.list = r.list[1:]
+	}
+	r.list = append(r.list, x)
+}
+
+// remove takes out the relay with our sequence number.
+func (r *relays) remove(sequence uint32) (relay, bool) {
+	for i, x := range r.list {
+		if x.sequence == sequence {
+			r.list = append(r.list[:i], r.list[i+1:]...)
+			return x, true
+		}
+	}
+	return relay{}, false
+}
+
+// receivePingRequest probes the subject for the asker.
+func (m *Membership) receivePingRequest(p *Packet) {
+	x := relay{
+		sequence: m.nextSequence(),
+		asked:    p.Sequence,
+		to:       p.Source,
+		subject:  p.Subject,
+		// The asker waits for the rest of its interval; the Nack needs to be
+		// there before it ends.
+		deadline: m.clock.now + (m.cfg.ProbeInterval-m.cfg.ProbeTimeout)/2,
+	}
+	m.relays.add(x)
+	ping := m.bare(Ping)
+	ping.Sequence = x.sequence
+	ping.Subject = p.Subject
+	if n := m.nodes[p.Subject]; n != nil {
+		m.accuse(ping, n)
+	}
+	m.send(p.Address, ping)
+}
+
+// passOn sends the subject's answer to the daemon that asked.
+func (m *Membership) passOn(x relay, k Kind) {
+	p := m.bare(k)
+	p.Sequence = x.asked
+	p.Subject = x.subject
+	m.send(x.to, p)
+}
+
+func (m *Membership) tickRelays() {
+	kept := m.relays.list[:0]
+	for _, x := range m.relays.list {
+		if m.clock.now < x.deadline {
+			kept = append(kept, x)
+			continue
+		}
+		m.passOn(x, Nack)
+	}
+	m.relays.list = kept
+}
--- /dev/null
+++ b/internal/peer/client.go
@@ -0,0 +1,74 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"storj.io/drpc/drpcconn"
+	"storj.io/drpc/drpcpool"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/peer/peerpb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// dialTimeout bounds a connection's set-up between data centres.
+	dialTimeout = 2 * time.Second
+	// poolCapacity bounds the idle connections, whatever the fleet's size: a
+	// daemon talks often to few others.
+	poolCapacity = 32
+	// poolKeyCapacity bounds the idle connections to one daemon.
+	poolKeyCapacity = 4
+	// poolExpiration ends connections that nobody used, so that one which went
+	// silent unnoticed is not kept.
+	poolExpiration = 30 * time.Second
+)
+
+// Client calls other daemons. Connections are kept for a while and bounded.
+type Client struct {
+	tls  func() *tls.Config // nil is plain text
+	pool *drpcpool.Pool[string, drpcpool.Conn]
+}
+
+// NewClient returns a client. config gives the TLS configuration of a new
+// connection, so that new certificates are taken up; nil is plain text.
+func NewClient(config func() *tls.Config) *Client {
+	return &Client{
+		tls: config,
+		pool: drpcpool.New[string, drpcpool.Conn](drpcpool.Options{
+			Expiration:  poolExpiration,
+			Capacity:    poolCapacity,
+			KeyCapacity: poolKeyCapacity,
+		}),
+	}
+}
+
+// Peer returns the calls of the daemon at address, host:port. Dialling happens
+// at the first call; its failure is NotRun.
+func (c *Client) Peer(ctx context.Context, address string) peerpb.DRPCPeerClient {
+	return peerpb.NewDRPCPeerClient(c.pool.Get(ctx, address, c.dial))
+}
+
+// Close ends the idle connections.
+func (c *Client) Close() error { return c.pool.Close() }
+
+func (c *Client) dial(ctx context.Context, address string) (drpcpool.Conn, error) {
+	conn, err := c.connect(ctx, address)
+	if err != nil {
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
+	return drpcconn.New(conn), nil
+}
+
+func (c *Client) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	if c.tls == nil {
+		var d net.Dialer
+		return d.DialContext(ctx, "tcp", address)
+	}
+	d := tls.Dialer{Config: c.tls()}
+	return d.DialContext(ctx, "tcp", address)
+}
--- /dev/null
+++ b/internal/platform/budget/budget.go
@@ -0,0 +1,88 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// Budget is one daemon's share of the platform's rates. It is not safe for
+// concurrent use.
+type Budget struct {
+	config   Config
+	lanes    [Kinds]lane
+	breakers [apis]breaker
+	random   *rand.Rand
+}
+
+// New returns a budget that starts empty at a random phase: after a restart of
+// the whole fleet the first calls are spread as later ones are.
+func New(c Config, now time.Time, random *rand.Rand) *Budget {
+	b := &Budget{config: c.withDefaults(), random: random}
+	for i := range b.breakers {
+		b.breakers[i] = newBreaker()
+	}
+	for k := range b.lanes {
+		b.lanes[k].resize(now, b.config.share(Kind(k)))
+		b.lanes[k].restart(now, random)
+	}
+	return b
+}
+
+// SetFleetSize tells how many daemons share the platform. Take it from the
+// instance list rather than from who can be reached: a daemon that is cut off
+// from half of the fleet still shares the platform with it.
+func (b *Budget) SetFleetSize(now time.Time, daemons int) {
+	if daemons <= 0 || daemons == b.config.FleetSize {
+		return
+	}
+	b.config.FleetSize = daemons
+	for k := range b.lanes {
+		b.lanes[k].resize(now, b.config.share(Kind(k)))
+	}
+}
+
+// Admit decides whether a call may go now. The outcome of an allowed call must
+// be reported.
+func (b *Budget) Admit(now time.Time, c Class, k Kind) Decision {
+	c, k = min(c, Lease), min(k, WeightFetch)
+	br := &b.breakers[k.api()]
+	if at, ok := br.check(now); !ok {
+		return Decision{Action: Refused, Reason: BreakerOpen, At: at}
+	}
+	d := b.lanes[k].admit(now, c, b.random)
+	if d.Action == Allowed {
+		br.sent(now)
+	}
+	return d
+}
+
+// Report tells how an allowed call ended.
+func (b *Budget) Report(now time.Time, k Kind, o Outcome) {
+	k = min(k, WeightFetch)
+	br := &b.breakers[k.api()]
+	switch o.Result {
+	case Failed:
+		br.failed(now, b.random)
+	case Abandoned:
+		br.abandoned(now)
+	case Limited:
+		b.lanes[k].pause(now, o.After, b.random)
+		b.answered(now, k)
+	default:
+		b.answered(now, k)
+	}
+}
+
+// answered closes the breaker. The end of an outage is seen by all daemons
+// within seconds, with full buckets and everything to catch up on: each starts
+// again as after a restart.
+func (b *Budget) answered(now time.Time, k Kind) {
+	if !b.breakers[k.api()].answered() {
+		return
+	}
+	for other := range b.lanes {
+		if Kind(other).api() == k.api() {
+			b.lanes[other].restart(now, b.random)
+		}
+	}
+}
--- /dev/null
+++ b/internal/platform/budget/config.go
@@ -0,0 +1,54 @@
+package budget
+
+// Rates is a rate for each kind, in calls a second.
+type Rates [Kinds]float64
+
+// Config sizes a budget.
+type Config struct {
+	Fleet       Rates   // what the whole fleet may use; zero takes the default
+	FleetSize   int     // daemons that share it; zero takes DefaultFleetSize
+	Utilisation float64 // share of the rates that is planned for, in (0, 1]; zero takes the default
+}
+
+// Defaults of Config. The rates of the object API are the brief's; the others
+// are guesses on the low side, since the platform states none.
+const (
+	DefaultObjectReads  = 2000.0
+	DefaultObjectWrites = 300.0
+	DefaultListReads    = 200.0
+	DefaultCloudCalls   = 100.0
+	DefaultWeightFetch  = 5.0
+	// DefaultFleetSize is the largest fleet planned for: a daemon that doesn't
+	// know the fleet's size yet must not take more than its share of that one.
+	DefaultFleetSize = 340
+	// DefaultUtilisation leaves a fifth for phases that happen to coincide,
+	// for operators' commands, and for a fleet that is larger than was told.
+	DefaultUtilisation = 0.8
+)
+
+func (c Config) withDefaults() Config {
+	defaults := Rates{
+		ObjectRead:  DefaultObjectReads,
+		ObjectWrite: DefaultObjectWrites,
+		ListRead:    DefaultListReads,
+		CloudCall:   DefaultCloudCalls,
+		WeightFetch: DefaultWeightFetch,
+	}
+	for k := range c.Fleet {
+		if c.Fleet[k] <= 0 {
+			c.Fleet[k] = defaults[k]
+		}
+	}
+	if c.FleetSize <= 0 {
+		c.FleetSize = DefaultFleetSize
+	}
+	if c.Utilisation <= 0 || c.Utilisation > 1 {
+		c.Utilisation = DefaultUtilisation
+	}
+	return c
+}
+
+// share is the rate of one daemon, in calls a second.
+func (c Config) share(k Kind) float64 {
+	return c.Fleet[k] * c.Utilisation / float64(c.FleetSize)
+}
--- /dev/null
+++ b/internal/platform/budget/doc.go
@@ -0,0 +1,9 @@
+// Package budget decides when a daemon may call the platform. The platform's
+// rates are for the whole fleet, and daemons don't ask each other before a
+// call, so each keeps to its share of them: a token bucket for each kind of
+// call, with a reserve that only the more urgent classes may use, a circuit
+// breaker for each API, and jitter wherever many daemons would call at once
+// (start, the end of an outage, a change that all of them see).
+//
+// The package does no I/O: methods take now and return decisions.
+package budget
--- /dev/null
+++ b/internal/platform/budget/pacer.go
@@ -0,0 +1,44 @@
+package budget
+
+import (
+	"math/rand/v2"
+	"time"
+)
+
+// pacerForgets is how long after its moment a call that never came back is
+// forgotten; longer than any caller takes to ask again.
+const pacerForgets = 5 * time.Second
+
+// pacer makes a call wait for a random moment within one period of the rate.
+//
+// Failure: a change that all daemons see at once (a write that wakes every
+// watch, a lost data centre that changes every status) makes them call in the
+// same instant, however empty their buckets were meant to keep the store.
+// Uniform delays over one period spread N calls to the fleet's planned rate.
+type pacer struct {
+	waiting bool
+	since   time.Time // of the call that waits
+	at      time.Time // its moment, or when it was last told to ask again
+}
+
+// delay returns the moment to wait for, and whether the call must still wait.
+func (p *pacer) delay(now time.Time, rate float64, random *rand.Rand) (time.Time, bool) {
+	if p.waiting && now.Sub(p.at) > pacerForgets {
+		p.waiting = false
+	}
+	if !p.waiting {
+		p.waiting = true
+		p.since = now
+		p.at = now.Add(time.Duration(random.Float64() / rate * float64(time.Second)))
+	}
+	return p.at, now.Before(p.at)
+}
+
+// waited is how long the call that waits has done so.
+func (p *pacer) waited(now time.Time) time.Duration { return now.Sub(p.since) }
+
+// put off notes that the call was told to ask again at a later moment.
+func (p *pacer) putOff(at time.Time) { p.at = at }
+
+// done forgets the call that waits.
+func (p *pacer) done() { p.waiting = false }
--- /dev/null
+++ b/internal/platform/readback.go
@@ -0,0 +1,182 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// WriteState says what became of a write.
+type WriteState uint8
+
+// The states of a write.
+const (
+	// WriteUnknown: it may have taken effect, and reading back didn't tell.
+	WriteUnknown WriteState = iota
+	// WriteAccepted: it took effect.
+	WriteAccepted
+	// WriteRefused: the condition didn't hold, and it never took effect as far
+	// as mine can tell.
+	WriteRefused
+	// WriteNotSent: it certainly had no effect, for another reason than its
+	// condition.
+	WriteNotSent
+)
+
+// String returns the state's name in logs.
+func (s WriteState) String() string {
+	switch s {
+	case WriteAccepted:
+		return "accepted"
+	case WriteRefused:
+		return "refused"
+	case WriteNotSent:
+		return "not-sent"
+	default:
+		return "unknown"
+	}
+}
+
+// WriteResult is a write's state, and the object at that moment: the written
+// one when accepted, the current one when refused.
+type WriteResult struct {
+	State  WriteState
+	Object objectapi.Object
+	Err    error // of WriteUnknown and WriteNotSent
+}
+
+const (
+	// maxRounds bounds the attempts to learn what became of a write, to some
+	// eight seconds where the context sets no deadline.
+	maxRounds = 10
+	// firstRound and longestRound bound the waits between them.
+	firstRound   = 50 * time.Millisecond
+	longestRound = 2 * time.Second
+)
+
+// CreateOrReadBack creates an object and finds out what became of it when the
+// answer is lost. mine tells this very write from any other by something in
+// the value that no other write has.
+func (o Objects) CreateOrReadBack(ctx context.Context, kind, name string, value json.RawMessage, mine func(objectapi.Object) bool) WriteResult {
+	w := readBack{objects: o, kind: kind, name: name, mine: mine}
+	w.send = func(ctx context.Context) (objectapi.Object, error) {
+		return o.Create(ctx, kind, name, value)
+	}
+	return w.run(ctx)
+}
+
+// UpdateOrReadBack updates an object and finds out what became of it when the
+// answer is lost. mine must know the write in later versions of the object as
+// well, by a history in the value; otherwise a write that took effect and was
+// then overwritten is called refused.
+func (o Objects) UpdateOrReadBack(ctx context.Context, kind, name string, value json.RawMessage, ifVersion uint64, mine func(objectapi.Object) bool) WriteResult {
+	w := readBack{objects: o, kind: kind, name: name, ifVersion: ifVersion, mine: mine}
+	w.send = func(ctx context.Context) (objectapi.Object, error) {
+		return o.Update(ctx, kind, name, value, ifVersion)
+	}
+	return w.run(ctx)
+}
+
+// readBack resolves one conditional write.
+//
+// Failure: the answer of a write is lost although it took effect, or the write
+// is still on its way when the object is read back and takes effect later.
+// Symptom: an accepted change is reported as refused, or the reverse. Reading
+// back settles it once the version has moved on from the condition's, since
+// versions never come back. While the version hasn't moved, the same
+// conditional write is sent again: whichever copy comes first wins, and the
+// other one loses its condition.
+type readBack struct {
+	objects   Objects
+	kind      string
+	name      string
+	ifVersion uint64 // 0 for a create
+	mine      func(objectapi.Object) bool
+	send      func(context.Context) (objectapi.Object, error)
+}
+
+func (w readBack) run(ctx context.Context) WriteResult {
+	result, open := w.attempt(ctx, false)
+	backoff := budget.Backoff{First: firstRound, Longest: longestRound}
+	for round := 1; open && round < maxRounds; round++ {
+		if !pause(ctx, w.objects.caller.gate.nextWait(&backoff)) {
+			return result
+		}
+		current, state := w.look(ctx)
+		switch state {
+		case lookMoved:
+			return w.judge(current)
+		case lookUnmoved:
+			result, open = w.attempt(ctx, true)
+		}
+	}
+	return result
+}
+
+// attempt sends the write once, and reports whether its state is still open.
+// After an earlier ambiguous attempt no failure proves that nothing happened.
+func (w readBack) attempt(ctx context.Context, sentBefore bool) (WriteResult, bool) {
+	object, err := w.send(ctx)
+	var conflict *Conflict
+	switch {
+	case err == nil:
+		return WriteResult{State: WriteAccepted, Object: object}, false
+	case errors.As(err, &conflict):
+		return w.judge(conflict.Current), false
+	case NoEffect(err) && !sentBefore:
+		return WriteResult{State: WriteNotSent, Err: err}, false
+	case NoEffect(err):
+		err = ambiguous(err)
+	}
+	return WriteResult{State: WriteUnknown, Err: verdict.Wrap(verdict.MayHaveRun, err)}, true
+}
+
+// lookState says what reading back showed.
+type lookState uint8
+
+const (
+	lookFailed  lookState = iota
+	lookUnmoved           // the condition still holds
+	lookMoved             // the condition will never hold again
+)
+
+// look reads the object back.
+func (w readBack) look(ctx context.Context) (objectapi.Object, lookState) {
+	current, err := w.objects.Get(ctx, w.kind, w.name)
+	var notFound *NotFound
+	switch {
+	case errors.As(err, &notFound):
+		current = objectapi.Object{Kind: w.kind, Name: w.name}
+	case err != nil:
+		return current, lookFailed
+	}
+	if current.Version == w.ifVersion {
+		return current, lookUnmoved
+	}
+	return current, lookMoved
+}
+
+// judge compares the object that won with this write.
+func (w readBack) judge(current objectapi.Object) WriteResult {
+	if current.Version != 0 && w.mine(current) {
+		return WriteResult{State: WriteAccepted, Object: current}
+	}
+	return WriteResult{State: WriteRefused, Object: current}
+}
+
+// pause waits, and reports whether the context is still alive.
+func pause(ctx context.Context, d time.Duration) bool {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/reclaim/target.go
@@ -0,0 +1,20 @@
+package reclaim
+
+import (
+	"slices"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Target is an endpoint that streams may move to.
+type Target struct {
+	Endpoint   fleet.EndpointID
+	DataCentre fleet.DataCentre
+	Models     []fleet.ModelRef
+	FreeSlots  int // requests that it could start now
+	FreeTokens int // free room in its KV cache
+}
+
+func (t *Target) serves(want fleet.ModelRef) bool {
+	return slices.ContainsFunc(t.Models, func(m fleet.ModelRef) bool { return m.Satisfies(want) })
+}
--- /dev/null
+++ b/internal/report/panel.go
@@ -0,0 +1,55 @@
+package report
+
+import "github.com/cyclamenbeam/cyclamenbeam/internal/load/plot"
+
+// Reading is how a panel turns a metric's values into what it draws.
+type Reading string
+
+// The readings.
+const (
+	Plain  Reading = "plain"  // the value
+	Rate   Reading = "rate"   // its increase a second, for counters
+	Behind Reading = "behind" // the highest value seen by then on any daemon, less the own
+)
+
+// Panel is one chart over time, a line a daemon. The metric's values of one
+// daemon with different labels are added up.
+type Panel struct {
+	Title   string
+	Metric  string
+	Reading Reading
+	Unit    string
+	Scale   float64 // multiplies the values; 0 stands for 1
+	Limits  []plot.Mark
+}
+
+// Budgets for control that a daemon must keep, from the users' target.
+const (
+	budgetCorePercent = 3.3
+	budgetMegabytes   = 32
+	budgetKilobytes   = 7 // a second
+	budgetLagSeconds  = 15
+)
+
+// Names of the daemon's metrics that the default panels draw.
+const (
+	VersionMetric      = "cyclamenbeam_template_version"
+	LagMetric          = "cyclamenbeam_template_lag_seconds"
+	ControlCPUMetric   = "cyclamenbeam_control_cpu_seconds_total"
+	ControlBytesMetric = "cyclamenbeam_control_bytes_total"
+	MemoryMetric       = "process_resident_memory_bytes"
+	CallsMetric        = "cyclamenbeam_platform_calls_total"
+)
+
+// DefaultPanels are version lag and the cost of control, with the budgets.
+func DefaultPanels() []Panel {
+	limit := func(v float64) []plot.Mark { return []plot.Mark{{Y: v, Name: "budget"}} }
+	return []Panel{
+		{Title: "Configuration: versions behind the newest", Metric: VersionMetric, Reading: Behind, Unit: "versions, all templates"},
+		{Title: "Configuration: age of what is not yet in force", Metric: LagMetric, Reading: Plain, Unit: "s", Limits: limit(budgetLagSeconds)},
+		{Title: "Processor time for control", Metric: ControlCPUMetric, Reading: Rate, Unit: "% of a core", Scale: 100, Limits: limit(budgetCorePercent)},
+		{Title: "Bytes for control", Metric: ControlBytesMetric, Reading: Rate, Unit: "KB a second", Scale: 1e-3, Limits: limit(budgetKilobytes)},
+		{Title: "Resident memory", Metric: MemoryMetric, Reading: Plain, Unit: "MB", Scale: 1e-6, Limits: limit(budgetMegabytes)},
+		{Title: "Calls of the platform", Metric: CallsMetric, Reading: Rate, Unit: "calls a second"},
+	}
+}
--- /dev/null
+++ b/internal/report/sample.go
@@ -0,0 +1,17 @@
+package report
+
+import "time"
+
+// Sample is one reading of one daemon's metrics.
+type Sample struct {
+	Daemon string    `json:"daemon"` // address that was read
+	At     time.Time `json:"at"`
+	Values []Value   `json:"values"`
+}
+
+// Value is one metric's value.
+type Value struct {
+	Metric string  `json:"metric"`           // name without labels
+	Labels string  `json:"labels,omitempty"` // as written between the braces
+	Value  float64 `json:"value"`
+}
--- /dev/null
+++ b/internal/request/attach.go
@@ -0,0 +1,16 @@
+package request
+
+// Attach says how a request met the table.
+type Attach uint8
+
+// The ways to meet.
+const (
+	// Created: the request is new.
+	Created Attach = iota
+	// Attached: the same request is there, running or finished.
+	Attached
+	// Conflict: the key is in use for another body.
+	Conflict
+	// Full: the table holds as many live requests as it may.
+	Full
+)
--- /dev/null
+++ b/internal/request/failure.go
@@ -0,0 +1,50 @@
+package request
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// FailureKind says how an attempt failed.
+type FailureKind uint8
+
+// The kinds of failure.
+const (
+	// Reset: the connection broke, or the stream ended without its end mark.
+	Reset FailureKind = iota
+	// Dial: no connection could be made; nothing was written.
+	Dial
+	// Silent: nothing came for longer than the progress deadline.
+	Silent
+	// NotFound: the engine does not know the stream.
+	NotFound
+	// Unavailable: the endpoint answered that it can't serve now.
+	Unavailable
+	// EngineLeaving: the endpoint ended the attempt because it is leaving.
+	EngineLeaving
+	// NoEndpoint: routing found no endpoint; nothing was written.
+	NoEndpoint
+	// Contradiction: the attempt's pieces contradict the answer so far.
+	Contradiction
+)
+
+// String returns the kind's name for logs.
+func (k FailureKind) String() string {
+	names := [...]string{"reset", "dial", "silent", "not-found", "unavailable", "engine-leaving", "no-endpoint", "contradiction"}
+	if int(k) < len(names) {
+		return names[k]
+	}
+	return "unknown"
+}
+
+// unwritten reports whether the kind itself proves that nothing left.
+func (k FailureKind) unwritten() bool { return k == Dial || k == NoEndpoint }
+
+// Failure is the end of an attempt without its answer.
+type Failure struct {
+	Attempt    uint32
+	Kind       FailureKind
+	Verdict    verdict.Verdict // of this attempt alone
+	RetryAfter time.Duration   // from the endpoint's answer, 0 where it gave none
+}
--- /dev/null
+++ b/internal/request/handover_machine_test.go
@@ -0,0 +1,292 @@
+package request
+
+import (
+	"fmt"
+	"slices"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// part is what one daemon has of one request.
+type part struct{ alive, held, dispatched, finished, gaveUp bool }
+
+// node is one daemon.
+type node struct {
+	id       fleet.DaemonID
+	holdings *Holdings
+	handover *Handover
+	parts    map[Ref]*part
+}
+
+func (n *node) part(r Ref) *part {
+	if n.parts[r] == nil {
+		n.parts[r] = &part{}
+	}
+	return n.parts[r]
+}
+
+// message is on its way; exactly one of the pointers is set.
+type message struct {
+	to         fleet.DaemonID
+	offer      *Offer
+	dispatched bool // of the snapshot
+	reply      *Reply
+	withdraw   *Withdraw
+	by         fleet.DaemonID // who withdraws
+	withdrawn  *Withdraw
+	before     Rank
+}
+
+// network is daemons, requests and the messages between them.
+type network struct {
+	now        time.Time
+	nodes      []*node
+	idempotent map[Ref]bool
+	dispatches map[Ref]int
+	wire       []message
+	copies     map[Offer]int // that may arrive
+	lossy      bool
+}
+
+var netDeadline = t0.Add(time.Hour)
+
+func (w *network) node(id fleet.DaemonID) *node {
+	at := slices.IndexFunc(w.nodes, func(n *node) bool { return n.id == id })
+	return w.nodes[at]
+}
+
+func (w *network) members() []Member {
+	var out []Member
+	for i, n := range w.nodes {
+		dc := fleet.DataCentre(fmt.Sprint("dc", i%2))
+		out = append(out, Member{Daemon: n.id, DataCentre: dc, Serving: n.handover == nil})
+	}
+	return out
+}
+
+func (w *network) do(t *rapid.T, n *node, orders []Order) {
+	for _, o := range orders {
+		switch o := o.(type) {
+		case Prepare:
+			w.prepare(t, n, o)
+		case Send:
+			w.send(t, n, o.Offer)
+		case Withdraw:
+			w.wire = append(w.wire, message{to: o.To, withdraw: &o, by: n.id})
+		case Release:
+			n.part(o.Ref).alive = false
+		case Keep:
+			n.part(o.Ref).held = false
+		case GiveUp:
+			p := n.part(o.Ref)
+			p.alive, p.gaveUp = false, true
+		}
+	}
+}
+
+func (w *network) prepare(t *rapid.T, n *node, o Prepare) {
+	p := n.part(o.Ref)
+	if w.lossy && rapid.IntRange(0, 3).Draw(t, "not ready") == 0 {
+		n.handover.NotReady(w.now, o.Ref)
+		return
+	}
+	p.held = true
+	w.do(t, n, n.handover.Ready(w.now, o.Ref, w.idempotent[o.Ref] || p.dispatched))
+}
+
+func (w *network) send(t *rapid.T, n *node, o Offer) {
+	if w.lossy && w.copies[o] == 0 && rapid.IntRange(0, 4).Draw(t, "unsent") == 0 {
+		w.do(t, n, n.handover.Unsent(w.now, o))
+		return
+	}
+	w.copies[o]++
+	w.wire = append(w.wire, message{to: o.To, offer: &o, dispatched: n.part(o.Ref).dispatched})
+}
+
+func (w *network) deliver(t *rapid.T, m message) {
+	n := w.node(m.to)
+	switch {
+	case m.offer != nil:
+		can := n.handover == nil && (!w.lossy || rapid.IntRange(0, 3).Draw(t, "full") > 0)
+		r, fresh := n.holdings.Take(w.now, *m.offer, netDeadline, can)
+		if fresh {
+			p := n.part(m.offer.Ref)
+			p.alive, p.held = true, false
+			p.dispatched = p.dispatched || m.dispatched
+		}
+		w.wire = append(w.wire, message{to: m.offer.From, reply: &r})
+	case m.reply != nil && n.handover != nil:
+		w.do(t, n, n.handover.Replied(w.now, *m.reply))
+	case m.withdraw != nil:
+		before, lost := n.holdings.Withdraw(w.now, m.withdraw.Ref, m.withdraw.Rank, netDeadline)
+		if lost {
+			n.part(m.withdraw.Ref).alive = false
+		}
+		if n.handover != nil {
+			w.do(t, n, n.handover.Learned(w.now, m.withdraw.Ref, m.withdraw.Rank))
+		}
+		w.wire = append(w.wire, message{to: m.by, withdrawn: m.withdraw, before: before})
+	case m.withdrawn != nil && n.handover != nil:
+		w.do(t, n, n.handover.Withdrawn(w.now, *m.withdrawn, m.before))
+	}
+}
+
+func (w *network) leave(t *rapid.T, n *node) {
+	if n.handover == nil {
+		at := slices.Index(w.nodes, n)
+		n.handover = NewHandover(w.members()[at], DefaultHandoverPolicy())
+	}
+	for ref, p := range n.parts {
+		if p.alive && !p.finished {
+			n.handover.Add(Candidate{Ref: ref, Cost: len(ref.ID), Remaining: time.Minute}, n.holdings.Get(ref))
+		}
+	}
+	n.handover.Leave(w.now.Add(time.Minute))
+	w.tick(t, n)
+}
+
+func (w *network) tick(t *rapid.T, n *node) {
+	if n.handover != nil {
+		n.handover.SetMembers(w.members())
+		w.do(t, n, n.handover.Tick(w.now))
+	}
+}
+
+// dispatch makes a new attempt where the daemon believes that it may.
+func (w *network) dispatch(n *node, ref Ref) {
+	p := n.part(ref)
+	c := n.holdings.Get(ref)
+	if c == nil || !p.alive || p.finished || !c.MayDispatch() {
+		return
+	}
+	if p.dispatched && !w.idempotent[ref] {
+		return
+	}
+	p.dispatched = true
+	w.dispatches[ref]++
+}
+
+func (w *network) check(t *rapid.T) {
+	for ref, idempotent := range w.idempotent {
+		assert.Assert(t, idempotent || w.dispatches[ref] <= 1, "%v dispatched %d times", ref, w.dispatches[ref])
+		assert.Assert(t, idempotent || w.free(ref) <= 1, "%d daemons may dispatch %v", w.free(ref), ref)
+	}
+}
+
+// free counts the daemons that might dispatch the request for the first time.
+func (w *network) free(ref Ref) int {
+	count := 0
+	for _, n := range w.nodes {
+		c, p := n.holdings.Get(ref), n.part(ref)
+		if c != nil && c.MayDispatch() && p.alive && !p.dispatched && !p.finished {
+			count++
+		}
+	}
+	return count
+}
+
+// Daemons hand requests over while offers, answers and withdrawals get lost,
+// doubled and delayed at will, successors are full or leave as well, and
+// notices come twice. A non-idempotent request is never dispatched twice. Once
+// the network works again, each request has ended with a verdict or an answer,
+// or exactly one daemon holds it, which is not a leaving one.
+func TestHandoverUnderAnyNetwork(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &network{now: t0, idempotent: map[Ref]bool{}, dispatches: map[Ref]int{}, copies: map[Offer]int{}, lossy: true}
+		for i := range 4 {
+			id := fleet.DaemonID(fmt.Sprint("d", i))
+			w.nodes = append(w.nodes, &node{id: id, holdings: NewHoldings(id), parts: map[Ref]*part{}})
+		}
+		var refs []Ref
+		for i := range 2 {
+			r := ref(fmt.Sprint("r", i))
+			refs = append(refs, r)
+			w.idempotent[r] = rapid.Bool().Draw(t, "idempotent")
+			n := w.nodes[i]
+			n.holdings.Accept(r, netDeadline)
+			n.part(r).alive = true
+		}
+		node := rapid.SampledFrom(w.nodes)
+		t.Repeat(map[string]func(*rapid.T){
+			"deliver": func(t *rapid.T) { w.pick(t, true, true) },
+			"repeat":  func(t *rapid.T) { w.pick(t, true, false) },
+			"lose":    func(t *rapid.T) { w.pick(t, false, true) },
+			"leave": func(t *rapid.T) {
+				if n := node.Draw(t, "node"); n != w.nodes[3] {
+					w.leave(t, n)
+				}
+			},
+			"tick": func(t *rapid.T) {
+				w.now = w.now.Add(time.Duration(rapid.IntRange(0, 2500).Draw(t, "ms")) * time.Millisecond)
+				w.tick(t, node.Draw(t, "node"))
+			},
+			"dispatch": func(t *rapid.T) {
+				w.dispatch(node.Draw(t, "node"), rapid.SampledFrom(refs).Draw(t, "ref"))
+			},
+			"finish": func(t *rapid.T) {
+				n, r := node.Draw(t, "node"), rapid.SampledFrom(refs).Draw(t, "ref")
+				if p := n.part(r); p.alive && p.dispatched {
+					p.finished = true
+					if n.handover != nil {
+						n.handover.Finished(r)
+					}
+				}
+			},
+			"": w.check,
+		})
+		w.calm(t)
+		for _, r := range refs {
+			w.checkEnd(t, r)
+		}
+	})
+}
+
+func (w *network) pick(t *rapid.T, deliver, remove bool) {
+	if len(w.wire) == 0 {
+		return
+	}
+	at := rapid.IntRange(0, len(w.wire)-1).Draw(t, "message")
+	m := w.wire[at]
+	if remove {
+		w.wire = slices.Delete(w.wire, at, at+1)
+	}
+	if deliver {
+		w.deliver(t, m)
+	}
+}
+
+// calm lets the network work until everything is settled.
+func (w *network) calm(t *rapid.T) {
+	w.lossy = false
+	for range 300 {
+		w.now = w.now.Add(250 * time.Millisecond)
+		for _, n := range w.nodes {
+			w.tick(t, n)
+		}
+		for len(w.wire) > 0 {
+			m := w.wire[0]
+			w.wire = w.wire[1:]
+			w.deliver(t, m)
+		}
+		w.check(t)
+	}
+}
+
+func (w *network) checkEnd(t *rapid.T, r Ref) {
+	holders, over := 0, false
+	for _, n := range w.nodes {
+		p := n.part(r)
+		over = over || p.finished || p.gaveUp
+		if c := n.holdings.Get(r); c != nil && c.MayDispatch() && p.alive {
+			holders++
+			assert.Assert(t, over || n.handover == nil, "%v is still with leaving %v", r, n.id)
+		}
+	}
+	assert.Assert(t, holders <= 1 || over, "%d daemons hold %v", holders, r)
+	assert.Assert(t, holders == 1 || over, "%v is lost", r)
+}
--- /dev/null
+++ b/internal/request/life_failure.go
@@ -0,0 +1,137 @@
+package request
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Failed takes the end of an attempt without its answer. Failures of older
+// attempts are ignored: the life has moved on.
+func (l *Life) Failed(now time.Time, f Failure) []Action {
+	if l.phase == ended || l.phase == moving || f.Attempt != l.attempt {
+		return nil
+	}
+	if l.phase == dispatching && f.provesNotRun() {
+		l.unproven--
+	}
+	if l.held {
+		l.parked = &f
+		l.phase = waiting
+		return nil
+	}
+	return l.recover(now, f)
+}
+
+func (f Failure) provesNotRun() bool {
+	return f.Verdict == verdict.NotRun || f.Kind.unwritten()
+}
+
+func (l *Life) recover(now time.Time, f Failure) []Action {
+	if l.canResume(now, f.Kind) {
+		return l.resume(now, f.Kind == Silent)
+	}
+	return l.again(now, f)
+}
+
+// canResume reports whether the engine may still have the stream.
+func (l *Life) canResume(now time.Time, k FailureKind) bool {
+	if l.stream == "" || l.resumes >= l.policy.MaxResumes {
+		return false
+	}
+	if !l.leaveAt.IsZero() && !now.Before(l.leaveAt) {
+		return false
+	}
+	return k == Reset || k == Dial || k == Silent || k == Unavailable
+}
+
+// again starts over on another endpoint, waits, or gives up.
+func (l *Life) again(now time.Time, f Failure) []Action {
+	l.avoidEndpoint(l.endpoint)
+	if f.Kind == EngineLeaving {
+		l.announced = true
+	}
+	if why, stop := l.mustStop(now, f); stop {
+		return l.giveUp(why, f.Kind, f.RetryAfter)
+	}
+	out := l.cancelStream(nil)
+	l.stream = ""
+	if f.Kind == NoEndpoint || l.relocated {
+		l.wait(now)
+		return out
+	}
+	return append(out, l.dispatch(now, "", "")...)
+}
+
+// mustStop holds the reasons to give up. It charges the retry it allows.
+func (l *Life) mustStop(now time.Time, f Failure) (Reason, bool) {
+	switch {
+	case l.spec.NonIdempotent && (l.unproven > 0 || !f.Kind.unwritten()):
+		return NotRepeatable, true
+	case !now.Before(l.spec.Deadline.Add(-l.policy.Margin)):
+		return DeadlinePassed, true
+	case f.Kind == NoEndpoint:
+		return NothingToRunOn, !l.accepted
+	case l.announced:
+		return 0, false
+	case l.charged+1 >= l.policy.MaxAttempts:
+		return AttemptsSpent, true
+	case !l.budget.Take(now):
+		return BudgetSpent, true
+	}
+	l.charged++
+	return 0, false
+}
+
+// wait pauses before the next try, twice as long each time: what an announced
+// reclaim displaced is never given up before its deadline, and must not ask
+// for an endpoint in a tight loop while none has room.
+func (l *Life) wait(now time.Time) {
+	pause := min(l.policy.Pause<<min(l.pauses, 16), l.policy.MaxPause)
+	l.pauses++
+	l.phase = waiting
+	l.endpoint = ""
+	l.retryAt = now.Add(pause)
+}
+
+// Tick acts on what time alone brings: the deadline, a silent stream, the end
+// of a pause. Call it at Next.
+func (l *Life) Tick(now time.Time) []Action {
+	switch {
+	case l.phase == ended || l.phase == idle:
+		return nil
+	case !now.Before(l.spec.Deadline):
+		return l.giveUp(DeadlinePassed, Silent, 0)
+	case now.Before(l.Next()):
+		return nil
+	case l.phase == waiting:
+		return l.dispatch(now, "", "")
+	case l.phase == moving:
+		return l.MoveFailed(now, l.attempt)
+	}
+	return l.Failed(now, Failure{Attempt: l.attempt, Kind: Silent})
+}
+
+// Next returns when Tick has something to do, zero when never.
+func (l *Life) Next() time.Time {
+	var at time.Time
+	switch l.phase {
+	case idle, ended:
+		return time.Time{}
+	case dispatching:
+		at = l.progress.Add(l.policy.FirstPiece)
+	case moving:
+		at = l.progress.Add(l.policy.Move)
+	case waiting:
+		at = l.retryAt
+		if l.held {
+			at = l.spec.Deadline
+		}
+	default:
+		at = l.progress.Add(l.policy.Progress)
+	}
+	if l.spec.Deadline.Before(at) {
+		return l.spec.Deadline
+	}
+	return at
+}
--- /dev/null
+++ b/internal/request/policy.go
@@ -0,0 +1,37 @@
+package request
+
+import "time"
+
+// Policy bounds what a Life does.
+type Policy struct {
+	// MaxAttempts bounds dispatches that the request is charged for.
+	MaxAttempts int
+	// MaxResumes bounds resumes in a row without a new piece between them.
+	MaxResumes int
+	// FirstPiece is how long a dispatch may stay without its first piece.
+	FirstPiece time.Duration
+	// Progress is the longest silence between pieces.
+	Progress time.Duration
+	// Move is how long an export may take.
+	Move time.Duration
+	// Margin before the deadline within which no new attempt starts.
+	Margin time.Duration
+	// Pause and MaxPause bound the doubling wait between tries that wait for
+	// an endpoint.
+	Pause, MaxPause time.Duration
+}
+
+// DefaultPolicy suits engines that give the first token within 1.5 s and a
+// token every 34 ms.
+func DefaultPolicy() Policy {
+	return Policy{
+		MaxAttempts: 4, // a request that failed on four endpoints is more likely at fault than they
+		MaxResumes:  2, // one for the lost connection, one in case the new one met the same fault
+		FirstPiece:  20 * time.Second,
+		Progress:    2 * time.Second, // sixty missed tokens
+		Move:        5 * time.Second,
+		Margin:      50 * time.Millisecond, // less than any attempt needs
+		Pause:       50 * time.Millisecond,
+		MaxPause:    time.Second,
+	}
+}
--- /dev/null
+++ b/internal/request/reason.go
@@ -0,0 +1,37 @@
+package request
+
+// Reason says why a request was given up.
+type Reason uint8
+
+// The reasons.
+const (
+	// DeadlinePassed: the request's deadline came first.
+	DeadlinePassed Reason = iota
+	// AttemptsSpent: all attempts that a request may have failed.
+	AttemptsSpent
+	// BudgetSpent: the retry budget has no token.
+	BudgetSpent
+	// NotRepeatable: the one dispatch of a non-idempotent request failed.
+	NotRepeatable
+	// NothingToRunOn: routing found no endpoint.
+	NothingToRunOn
+	// Cancelled: the caller asked for it.
+	Cancelled
+	// TooLarge: the answer exceeds MaxAnswerBytes.
+	TooLarge
+	// HandoverUnknown: the successor's answer never came.
+	HandoverUnknown
+)
+
+// String returns the reason as callers see it.
+func (r Reason) String() string {
+	names := [...]string{
+		"deadline passed", "all attempts failed", "retry budget spent",
+		"not repeatable", "no endpoint", "cancelled", "answer too large",
+		"hand-over unanswered",
+	}
+	if int(r) < len(names) {
+		return names[r]
+	}
+	return "unknown"
+}
--- /dev/null
+++ b/internal/request/table.go
@@ -0,0 +1,137 @@
+package request
+
+import (
+	"iter"
+	"time"
+)
+
+// TableLimits bounds a Table.
+type TableLimits struct {
+	Live      int           // requests that run at once
+	Bytes     int           // memory of finished answers
+	Retention time.Duration // of finished answers
+}
+
+// DefaultTableLimits fits an entry instance: finished answers are kept for
+// callers that lost their connection and come back, in a third of its memory.
+func DefaultTableLimits() TableLimits {
+	return TableLimits{Live: 4096, Bytes: 64 << 20, Retention: 2 * time.Minute}
+}
+
+// entryBytes estimates what an entry costs beyond its answer.
+const entryBytes = 512
+
+// Table holds the live requests of a daemon and, for a bounded time and in
+// bounded memory, the finished ones.
+type Table struct {
+	limits  TableLimits
+	entries map[Ref]*Entry
+	live    int
+	bytes   int    // of finished entries
+	oldest  *Entry // finished entries, oldest first
+	newest  *Entry
+}
+
+// NewTable returns an empty table.
+func NewTable(limits TableLimits) *Table {
+	return &Table{limits: limits, entries: make(map[Ref]*Entry)}
+}
+
+// Begin attaches to the request ref, or enters life as a new one. The entry is
+// nil when the result is Full.
+func (t *Table) Begin(now time.Time, ref Ref, d Digest, life *Life) (*Entry, Attach) {
+	t.Expire(now)
+	if e := t.entries[ref]; e != nil {
+		if e.Digest != d {
+			return e, Conflict
+		}
+		return e, Attached
+	}
+	if t.live >= t.limits.Live {
+		return nil, Full
+	}
+	e := &Entry{Ref: ref, Digest: d, Life: life}
+	t.entries[ref] = e
+	t.live++
+	return e, Created
+}
+
+// Get returns the entry of ref, nil when it is unknown.
+func (t *Table) Get(ref Ref) *Entry { return t.entries[ref] }
+
+// Finish keeps ref as a finished request. The oldest finished ones are dropped
+// to keep within the limits.
+func (t *Table) Finish(now time.Time, ref Ref) {
+	e := t.entries[ref]
+	if e == nil || e.Finished() {
+		return
+	}
+	e.finishedAt = now
+	e.bytes = entryBytes
+	if e.Life != nil {
+		e.bytes += e.Life.Answer().Bytes()
+	}
+	t.live--
+	t.bytes += e.bytes
+	t.push(e)
+	t.Expire(now)
+}
+
+// Remove forgets a live request, one that was handed over or refused.
+func (t *Table) Remove(ref Ref) {
+	e := t.entries[ref]
+	if e == nil || e.Finished() {
+		return
+	}
+	delete(t.entries, ref)
+	t.live--
+}
+
+// Expire drops finished requests beyond the limits and returns how many.
+func (t *Table) Expire(now time.Time) int {
+	dropped := 0
+	for t.oldest != nil && t.excess(now) {
+		e := t.oldest
+		t.oldest = e.newer
+		if t.oldest == nil {
+			t.newest = nil
+		}
+		t.bytes -= e.bytes
+		delete(t.entries, e.Ref)
+		dropped++
+	}
+	return dropped
+}
+
+func (t *Table) excess(now time.Time) bool {
+	return t.bytes > t.limits.Bytes || now.Sub(t.oldest.finishedAt) >= t.limits.Retention
+}
+
+func (t *Table) push(e *Entry) {
+	if t.newest == nil {
+		t.oldest = e
+	} else {
+		t.newest.newer = e
+	}
+	t.newest = e
+}
+
+// Live returns how many requests run.
+func (t *Table) Live() int { return t.live }
+
+// Len returns how many requests are known.
+func (t *Table) Len() int { return len(t.entries) }
+
+// Bytes returns the memory of the finished requests.
+func (t *Table) Bytes() int { return t.bytes }
+
+// Running yields the live requests in no order.
+func (t *Table) Running() iter.Seq[*Entry] {
+	return func(yield func(*Entry) bool) {
+		for _, e := range t.entries {
+			if !e.Finished() && !yield(e) {
+				return
+			}
+		}
+	}
+}
--- a/internal/ring/ring.go
+++ b/internal/ring/ring.go
@@ -61,3 +61,14 @@
 
 // Refused returns how many values Offer has refused.
 func (r *Ring[T]) Refused() uint64 { return r.refused.Load() }
+
+// Send adds v, waiting for room until done is closed, and reports whether it
+// did. For bookkeeping that must not be lost: its sender slows down instead.
+func (r *Ring[T]) Send(done <-chan struct{}, v T) bool {
+	select {
+	case r.ch <- v:
+		return true
+	case <-done:
+		return false
+	}
+}
--- /dev/null
+++ b/internal/routing/baselines.go
@@ -0,0 +1,68 @@
+package routing
+
+import "math/rand/v2"
+
+// roundRobin takes the members in turn.
+func (s *set) roundRobin(f filter) *endpoint {
+	for range s.members {
+		s.turn++
+		if e := s.members[s.turn%len(s.members)]; f.ok(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+// leastOutstanding takes the member with the fewest unfinished requests of
+// this daemon, a random one of equals.
+func (s *set) leastOutstanding(f filter, rng *rand.Rand) *endpoint {
+	var best *endpoint
+	equal := 0
+	for _, e := range s.members {
+		if !f.ok(e) {
+			continue
+		}
+		if best == nil || e.outstanding() < best.outstanding() {
+			best, equal = e, 1
+			continue
+		}
+		if e.outstanding() > best.outstanding() {
+			continue
+		}
+		equal++
+		if rng.IntN(equal) == 0 {
+			best = e
+		}
+	}
+	return best
+}
+
+// randomOfTwo draws two members and takes the one with fewer unfinished
+// requests of this daemon.
+func (s *set) randomOfTwo(f filter, rng *rand.Rand) *endpoint {
+	first := s.random(f, rng)
+	second := s.random(f, rng)
+	if first == nil || first.outstanding() <= second.outstanding() {
+		return first
+	}
+	return second
+}
+
+// owner takes the first rendezvous choice, whatever its load.
+func (s *set) owner(key uint64, f filter) *endpoint {
+	r := s.rank(key, f.ok)
+	return r.at[0]
+}
+
+// random draws a member: from a random place the first that passes.
+func (s *set) random(f filter, rng *rand.Rand) *endpoint {
+	start := rng.IntN(len(s.members))
+	for i := range s.members {
+		if e := s.members[(start+i)%len(s.members)]; f.ok(e) {
+			return e
+		}
+	}
+	return nil
+}
+
+func (e *endpoint) outstanding() int { return e.load.Own().Requests }
--- /dev/null
+++ b/internal/routing/candidate.go
@@ -0,0 +1,99 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
+)
+
+// candidate is an endpoint with what is foretold for one request.
+type candidate struct {
+	endpoint *endpoint
+	reason   Reason
+	agreed   bool    // the rendezvous choice that other daemons make as well
+	cached   int     // prompt tokens
+	first    float64 // seconds to the first token
+	requests float64 // at the endpoint now
+	limit    float64 // requests at which tokens come too slowly
+}
+
+func (c candidate) choice() Choice {
+	return Choice{
+		Endpoint:              c.endpoint.info.ID,
+		Address:               c.endpoint.info.Address,
+		DataCentre:            c.endpoint.info.DataCentre,
+		PredictedFirstToken:   time.Duration(c.first * float64(time.Second)),
+		PredictedCachedTokens: c.cached,
+		Reason:                c.reason,
+	}
+}
+
+// load is the share of the endpoint's limit in use, for comparing equals.
+func (c candidate) load() float64 { return c.requests / c.limit }
+
+// overloaded reports whether one more request would break a target.
+func (c candidate) overloaded(t *scorer.Targets) bool {
+	return c.requests+1 > c.limit || c.first > t.FirstToken
+}
+
+// foretell fills in what the request would meet at the endpoint.
+func (r *Router) foretell(now int64, e *endpoint, q *Request, blocks int) candidate {
+	if q.Service != "" {
+		return r.foretellService(e)
+	}
+	v := e.load.View(now)
+	cached := min(blocks*engineapi.BlockTokens, q.PromptTokens)
+	load := estimate.Request{
+		Uncached: q.PromptTokens - cached,
+		Answer:   r.answer.value(defaultAnswer),
+	}
+	return candidate{
+		endpoint: e,
+		cached:   cached,
+		first:    v.FirstToken(load) + e.distance,
+		requests: v.Requests,
+		limit:    e.pace.Limit(r.targets.Token, v.Slots),
+	}
+}
+
+// serviceLimit is the number of requests that a replica of a plain service is
+// taken to serve at once; beyond it replicas are compared by load alone.
+const serviceLimit = 64
+
+// defaultServiceLatency, in seconds, is assumed before an answer was seen.
+const defaultServiceLatency = 0.01
+
+// foretellService has only this daemon's own requests to go by.
+func (r *Router) foretellService(e *endpoint) candidate {
+	requests := float64(e.outstanding())
+	return candidate{
+		endpoint: e,
+		first:    e.latency.value(defaultServiceLatency)*(1+requests) + e.distance,
+		requests: requests,
+		limit:    serviceLimit,
+	}
+}
+
+// plain wraps a baseline's choice.
+func (r *Router) plain(now int64, s *set, q *Request, e *endpoint) candidate {
+	if e == nil {
+		return candidate{}
+	}
+	c := r.foretell(now, e, q, r.heldBlocks(e, q))
+	c.reason = ByPolicy
+	return c
+}
+
+// heldBlocks returns the leading blocks that the endpoint is believed to hold.
+func (r *Router) heldBlocks(e *endpoint, q *Request) int {
+	matches, common := r.index.Lookup(q.Blocks, r.scratch.matches[:0])
+	r.scratch.matches = matches
+	for _, m := range matches {
+		if m.Slot == e.slot {
+			return m.Blocks
+		}
+	}
+	return common
+}
--- /dev/null
+++ b/internal/routing/config.go
@@ -0,0 +1,84 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
+)
+
+// PolicyName chooses how candidates are found and compared.
+type PolicyName string
+
+// The policies. All but the first are baselines to measure against.
+const (
+	Cyclamenbeam     PolicyName = "cyclamenbeam"
+	RoundRobin       PolicyName = "round-robin"
+	LeastOutstanding PolicyName = "least-outstanding"
+	RandomOfTwo      PolicyName = "random-of-two"
+	PureAffinity     PolicyName = "pure-affinity"
+)
+
+// Policies lists every policy, ours first.
+var Policies = []PolicyName{Cyclamenbeam, RoundRobin, LeastOutstanding, RandomOfTwo, PureAffinity}
+
+// Config is a router's settings. Zero fields take the defaults.
+type Config struct {
+	Policy        PolicyName
+	Region        fleet.Region // of this daemon
+	Weights       *scorer.Weights
+	FirstToken    time.Duration // target of the first token
+	TokenInterval time.Duration // target between tokens
+	// NearEqual is the cost, in tokens, within which candidates count as
+	// equal and are drawn from at random.
+	NearEqual float64
+	// IndexBlocks bounds the prefix index; an entry takes 48 bytes.
+	IndexBlocks int
+	// SameRegion and OtherRegion are the round trips assumed to a data centre
+	// of this region and of another one.
+	SameRegion, OtherRegion time.Duration
+}
+
+// Defaults: the targets are the users' (95 in 100 answers within them).
+const (
+	defaultFirstToken    = 1500 * time.Millisecond
+	defaultTokenInterval = 34 * time.Millisecond
+	defaultNearEqual     = 64.0    // tokens, four blocks
+	defaultIndexBlocks   = 1 << 16 // 3 MB
+	defaultSameRegion    = 2 * time.Millisecond
+	defaultOtherRegion   = 60 * time.Millisecond
+)
+
+// DefaultWeights are the weights found by the comparison in
+// docs/adr/0006-routing.md.
+var DefaultWeights = scorer.Weights{
+	Recompute: 1,
+	Owner:     0.5,
+	Wait:      1000,
+	Miss:      3000,
+	Pace:      3000,
+	Price:     0.1,
+	Doubt:     20000,
+}
+
+func (c Config) withDefaults() Config {
+	c.Policy = or(c.Policy, Cyclamenbeam)
+	if c.Weights == nil {
+		c.Weights = &DefaultWeights
+	}
+	c.FirstToken = or(c.FirstToken, defaultFirstToken)
+	c.TokenInterval = or(c.TokenInterval, defaultTokenInterval)
+	c.NearEqual = or(c.NearEqual, defaultNearEqual)
+	c.IndexBlocks = or(c.IndexBlocks, defaultIndexBlocks)
+	c.SameRegion = or(c.SameRegion, defaultSameRegion)
+	c.OtherRegion = or(c.OtherRegion, defaultOtherRegion)
+	return c
+}
+
+func or[T comparable](v, fallback T) T {
+	var zero T
+	if v == zero {
+		return fallback
+	}
+	return v
+}
--- /dev/null
+++ b/internal/routing/endpoint.go
@@ -0,0 +1,37 @@
+package routing
+
+import (
+	"github.com/zeebo/xxh3"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/health"
+)
+
+// endpoint is what the router knows of one endpoint.
+type endpoint struct {
+	info     fleet.Endpoint
+	slot     uint32 // in Router.slots and the prefix index
+	hash     uint64 // of the id, for rendezvous
+	distance float64
+	leaving  bool
+	sets     []*set // those it serves
+	load     estimate.Engine
+	pace     *estimate.Pace // shared by its machine class
+	health   health.Tracker
+	nextSeq  uint64 // cache event expected next; 0 before the first
+	latency  latency
+	round    uint64 // of the pick that last made it a candidate
+	listed   uint64 // generation of the list that last named it
+}
+
+func newEndpoint(info fleet.Endpoint, slot uint32) *endpoint {
+	return &endpoint{info: info, slot: slot, hash: xxh3.HashString(string(info.ID))}
+}
+
+// usable reports whether it may receive new requests.
+func (e *endpoint) usable() bool { return !e.leaving && e.health.Usable() }
+
+func (e *endpoint) action(kind ActionKind) Action {
+	return Action{Kind: kind, Endpoint: e.info.ID, Address: e.info.Address}
+}
--- /dev/null
+++ b/internal/routing/estimate/engine.go
@@ -0,0 +1,129 @@
+package estimate
+
+import "github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+
+// Defaults of an engine that has not reported yet.
+const (
+	defaultSlots            = 16
+	defaultPrefillPerSecond = 4000 // tokens
+	defaultTokenMillis      = 20.0
+)
+
+// reportFade is the age at which half of what other daemons had queued is
+// taken as done, in ns. Their running requests count on: others follow them.
+const reportFade = int64(5e9)
+
+// reportLife is the age past which a report says nothing about the present.
+const reportLife = int64(60e9)
+
+// Engine is the estimate of one engine's load. The zero value is an engine
+// that is idle as far as anyone knows.
+type Engine struct {
+	report   engineapi.Load
+	takenAt  int64 // 0 before the first report
+	others   Own   // requests of other daemons when the report was taken
+	own      Own
+	history  history
+	reserved Own // moves that were promised a place
+	surprise surprise
+}
+
+// View is the estimate at one moment.
+type View struct {
+	Requests      float64 // running and waiting, all daemons
+	WaitingTokens float64 // uncached prompt tokens that nobody has prefilled yet
+	Slots         float64 // requests that run at once
+	Prefill       float64 // tokens a second
+	TokenSeconds  float64 // between tokens, as reported
+	ExtraWait     float64 // seconds by which first tokens came later than foretold
+}
+
+// Report takes in a load report. One older than the last is ignored.
+func (e *Engine) Report(load engineapi.Load) {
+	at := load.TakenAtMillis * 1e6
+	if at <= e.takenAt {
+		return
+	}
+	e.report, e.takenAt = load, at
+	own := e.history.at(at)
+	e.others = Own{
+		Requests:      max(0, load.Running+load.Queued-own.Requests),
+		WaitingTokens: max(0, load.QueuedPromptTokens-own.WaitingTokens),
+	}
+}
+
+// Dispatched counts a request of this daemon.
+func (e *Engine) Dispatched(now int64, uncached int) {
+	e.own.Requests++
+	e.own.WaitingTokens += uncached
+	e.history.add(now, e.own)
+}
+
+// Prefilled notes that a request's prompt needs no more work.
+func (e *Engine) Prefilled(now int64, uncached int) {
+	e.own.WaitingTokens -= uncached
+	e.history.add(now, e.own)
+}
+
+// Finished ends a request; uncached is 0 after Prefilled.
+func (e *Engine) Finished(now int64, uncached int) {
+	e.own.Requests--
+	e.own.WaitingTokens -= uncached
+	e.history.add(now, e.own)
+}
+
+// Reserve promises a place to a request that is being moved here.
+func (e *Engine) Reserve(tokens int) {
+	e.reserved.Requests++
+	e.reserved.WaitingTokens += tokens
+}
+
+// Release takes a promise back.
+func (e *Engine) Release(tokens int) {
+	e.reserved.Requests--
+	e.reserved.WaitingTokens -= tokens
+}
+
+// Own returns this daemon's unfinished requests.
+func (e *Engine) Own() Own { return e.own }
+
+// Load returns the last report.
+func (e *Engine) Load() engineapi.Load { return e.report }
+
+// View returns the estimate at now.
+func (e *Engine) View(now int64) View {
+	v := View{
+		Requests:      float64(e.own.Requests + e.reserved.Requests),
+		WaitingTokens: float64(e.own.WaitingTokens + e.reserved.WaitingTokens),
+		Slots:         defaultSlots,
+		Prefill:       defaultPrefillPerSecond,
+		TokenSeconds:  defaultTokenMillis / 1000,
+		ExtraWait:     e.surprise.at(now),
+	}
+	if e.takenAt == 0 {
+		return v
+	}
+	v.Slots = positive(float64(e.report.Slots), v.Slots)
+	v.Prefill = positive(float64(e.report.PrefillPerSecond), v.Prefill)
+	v.TokenSeconds = positive(e.report.TokenMillis/1000, v.TokenSeconds)
+	age := max(0, now-e.takenAt)
+	if age > reportLife {
+		return v
+	}
+	v.Requests += float64(e.others.Requests)
+	v.WaitingTokens += float64(e.others.WaitingTokens) * fade(age)
+	return v
+}
+
+// fade is 1 for a fresh report and halves by reportFade: a hyperbola, which
+// needs no exponential in the hot path.
+func fade(age int64) float64 {
+	return float64(reportFade) / float64(reportFade+age)
+}
+
+func positive(reported, fallback float64) float64 {
+	if reported > 0 {
+		return reported
+	}
+	return fallback
+}
--- /dev/null
+++ b/internal/routing/health_events.go
@@ -0,0 +1,111 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/health"
+)
+
+// Notice says that an endpoint is leaving; from now on it receives nothing.
+// leaveAt may be zero when not known. It may be repeated, and may come before
+// the list names the endpoint.
+func (r *Router) Notice(now time.Time, id fleet.EndpointID, leaveAt time.Time) {
+	r.notices.add(now.UnixNano(), id)
+	e := r.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.leaving = true
+	if !leaveAt.IsZero() {
+		e.info.LeaveAt = leaveAt.UnixMilli()
+	}
+	r.stale = true
+}
+
+// Silent says that an open connection to the endpoint stopped making
+// progress. The answer may be a probe on a new connection.
+func (r *Router) Silent(now time.Time, id fleet.EndpointID) Action {
+	e := r.endpoints[id]
+	if e == nil || !e.health.Silent(now.UnixNano()) {
+		return Action{}
+	}
+	return e.action(Probe)
+}
+
+// DialFailed says that a new connection or a probe failed.
+func (r *Router) DialFailed(now time.Time, id fleet.EndpointID) Action {
+	e := r.endpoints[id]
+	if e == nil {
+		return Action{}
+	}
+	r.refresh()
+	if !e.health.DialFailed(now.UnixNano(), e.mayEject()) {
+		return Action{}
+	}
+	r.stale = true
+	return e.action(Eject)
+}
+
+// ProbeOK says that a new connection or a probe worked.
+func (r *Router) ProbeOK(now time.Time, id fleet.EndpointID) Action {
+	e := r.endpoints[id]
+	if e == nil || !e.health.Connected() {
+		return Action{}
+	}
+	r.stale = true
+	return e.action(Restore)
+}
+
+// Token says that a byte came from the endpoint, which proves it alive.
+func (r *Router) Token(now time.Time, id fleet.EndpointID) {
+	if e := r.endpoints[id]; e != nil {
+		e.health.Progress(now.UnixNano())
+	}
+}
+
+// Probes appends the probes that are due. Call it a few times a second.
+func (r *Router) Probes(now time.Time, dst []Action) []Action {
+	for _, e := range r.slots {
+		if e != nil && e.health.ProbeDue(now.UnixNano()) {
+			dst = append(dst, e.action(Probe))
+		}
+	}
+	return dst
+}
+
+// mayEject reports whether every set of the endpoint can spare it.
+func (e *endpoint) mayEject() bool {
+	for _, s := range e.sets {
+		if !health.MayEject(s.ejected, s.present) {
+			return false
+		}
+	}
+	return true
+}
+
+// reinstate puts ejected endpoints back while a set has more than half of
+// those present ejected. It reports whether any was.
+func (r *Router) reinstate() bool {
+	changed := false
+	for _, e := range r.slots {
+		if e == nil || e.leaving || e.health.State() != health.Ejected || !e.overEjected() {
+			continue
+		}
+		e.health.Reinstate()
+		for _, s := range e.sets {
+			s.ejected--
+		}
+		changed = true
+	}
+	return changed
+}
+
+func (e *endpoint) overEjected() bool {
+	for _, s := range e.sets {
+		if 2*s.ejected > s.present {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/routing/list.go
@@ -0,0 +1,151 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
+)
+
+// SetEndpoints replaces the list of endpoints. What is known of those that
+// stay is kept; a notice once given holds whatever the list says.
+func (r *Router) SetEndpoints(now time.Time, list []fleet.Endpoint) {
+	r.generation++
+	for i := range list {
+		r.put(now.UnixNano(), list[i])
+	}
+	for id, e := range r.endpoints {
+		if e.listed != r.generation {
+			r.remove(id, e)
+		}
+	}
+	r.notices.prune(now.UnixNano(), r.endpoints)
+	r.regroup()
+}
+
+func (r *Router) put(now int64, info fleet.Endpoint) {
+	e := r.endpoints[info.ID]
+	if e == nil {
+		e = newEndpoint(info, r.takeSlot())
+		r.slots[e.slot] = e
+		r.endpoints[info.ID] = e
+	}
+	e.info = info
+	e.listed = r.generation
+	e.distance = r.distance(info)
+	e.pace = r.class(info.Class)
+	if info.State == fleet.Leaving {
+		r.notices.add(now, info.ID)
+	}
+	e.leaving = r.notices.has(info.ID)
+}
+
+func (r *Router) remove(id fleet.EndpointID, e *endpoint) {
+	delete(r.endpoints, id)
+	for key := range r.attempts {
+		if key.endpoint == id {
+			delete(r.attempts, key)
+		}
+	}
+	r.index.Forget(e.slot)
+	r.slots[e.slot] = nil
+	r.free = append(r.free, e.slot)
+}
+
+func (r *Router) takeSlot() uint32 {
+	if n := len(r.free); n > 0 {
+		slot := r.free[n-1]
+		r.free = r.free[:n-1]
+		return slot
+	}
+	r.slots = append(r.slots, nil)
+	return uint32(len(r.slots) - 1)
+}
+
+// distance returns the round trip to the endpoint in seconds.
+func (r *Router) distance(info fleet.Endpoint) float64 {
+	switch {
+	case info.DataCentre == r.self:
+		return 0
+	case info.Region == r.config.Region:
+		return r.config.SameRegion.Seconds()
+	default:
+		return r.config.OtherRegion.Seconds()
+	}
+}
+
+func (r *Router) class(name string) *estimate.Pace {
+	p := r.classes[name]
+	if p == nil {
+		p = &estimate.Pace{}
+		r.classes[name] = p
+	}
+	return p
+}
+
+// regroup says anew which sets each endpoint belongs to.
+func (r *Router) regroup() {
+	old := r.sets
+	r.sets = make(map[setKey]*set, len(old))
+	for _, e := range r.slots {
+		if e == nil {
+			continue
+		}
+		e.sets = e.sets[:0]
+		if e.info.Kind == fleet.ServiceEndpoint {
+			r.join(e, setKey{service: e.info.Service}, old)
+			continue
+		}
+		for _, m := range e.info.Models {
+			r.join(e, setKey{model: m}, old)
+			m.Version = "" // a request may ask for any version
+			r.join(e, setKey{model: m}, old)
+		}
+	}
+	r.stale = true
+}
+
+// join adds the endpoint to a set, once.
+func (r *Router) join(e *endpoint, key setKey, old map[setKey]*set) {
+	s := r.sets[key]
+	if s == nil {
+		s = old[key]
+		if s == nil {
+			s = &set{}
+		}
+		r.sets[key] = s
+	}
+	for _, have := range e.sets {
+		if have == s {
+			return
+		}
+	}
+	e.sets = append(e.sets, s)
+}
+
+// refresh rebuilds the sets' members after a change. When a set shrank so
+// that too large a share of it is ejected, the excess is put back.
+func (r *Router) refresh() {
+	if !r.stale {
+		return
+	}
+	r.stale = false
+	r.fill()
+	if r.reinstate() {
+		r.fill()
+	}
+}
+
+func (r *Router) fill() {
+	for _, s := range r.sets {
+		s.reset()
+	}
+	for _, e := range r.slots {
+		if e == nil {
+			continue
+		}
+		for _, s := range e.sets {
+			s.add(e)
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/load_events.go
@@ -0,0 +1,118 @@
+package routing
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// ReportLoad takes in an engine's load report, however late.
+func (r *Router) ReportLoad(_ time.Time, id fleet.EndpointID, load engineapi.Load) {
+	e := r.endpoints[id]
+	if e == nil {
+		return
+	}
+	e.load.Report(load)
+	e.pace.Add(load.Running, load.TokenMillis/1000)
+	r.index.SetCapacity(e.slot, load.CacheBlocks)
+}
+
+// ReportCache takes in a page of an engine's cache events, late and with
+// gaps. Pages are given in order; a repeated one does no harm.
+func (r *Router) ReportCache(_ time.Time, id fleet.EndpointID, page engineapi.CacheEvents) {
+	e := r.endpoints[id]
+	if e == nil {
+		return
+	}
+	for _, event := range page.Events {
+		r.cacheEvent(e, event)
+	}
+}
+
+func (r *Router) cacheEvent(e *endpoint, event engineapi.CacheEvent) {
+	if event.Seq < e.nextSeq {
+		return
+	}
+	if e.nextSeq != 0 && event.Seq > e.nextSeq {
+		r.index.Lost(e.slot, event.Seq-e.nextSeq)
+	}
+	e.nextSeq = event.Seq + 1
+	if event.Stored {
+		r.index.Store(e.slot, event.Hash)
+	} else {
+		r.index.Evicted(e.slot, event.Hash)
+	}
+}
+
+// Dispatched says that an attempt left for the endpoint of the choice.
+func (r *Router) Dispatched(now time.Time, id fleet.EndpointID, q *Request, c Choice) {
+	e := r.endpoints[id]
+	if e == nil {
+		return
+	}
+	key := attemptKey{endpoint: id, request: q.ID}
+	r.end(now.UnixNano(), key) // a reservation, or the same attempt told twice
+	uncached := max(0, q.PromptTokens-c.PredictedCachedTokens)
+	r.attempts[key] = attempt{
+		at:       now.UnixNano(),
+		foretold: c.PredictedFirstToken.Seconds(),
+		uncached: uncached,
+	}
+	e.load.Dispatched(now.UnixNano(), uncached)
+	for _, hash := range q.Blocks {
+		r.index.Store(e.slot, hash)
+	}
+}
+
+// FirstToken says that the attempt's first token came.
+func (r *Router) FirstToken(now time.Time, id fleet.EndpointID, req fleet.RequestID) {
+	e := r.endpoints[id]
+	key := attemptKey{endpoint: id, request: req}
+	a, ok := r.attempts[key]
+	if e == nil || !ok || a.first != 0 || a.until != 0 {
+		return
+	}
+	at := now.UnixNano()
+	e.load.Prefilled(at, a.uncached)
+	e.load.Observed(at, seconds(at-a.at)-a.foretold)
+	e.health.Progress(at)
+	a.first, a.uncached = at, 0
+	r.attempts[key] = a
+}
+
+// Finished ends an attempt, whatever became of it. An unknown one is ignored.
+func (r *Router) Finished(now time.Time, id fleet.EndpointID, req fleet.RequestID, outcome Outcome) {
+	key := attemptKey{endpoint: id, request: req}
+	a, ok := r.end(now.UnixNano(), key)
+	if !ok || outcome != Answered {
+		return
+	}
+	e := r.endpoints[id]
+	if e != nil {
+		e.latency.add(seconds(now.UnixNano() - a.at))
+	}
+	if a.first != 0 {
+		r.answer.add(seconds(now.UnixNano() - a.first))
+	}
+}
+
+// end forgets an attempt or a reservation and takes it off the load.
+func (r *Router) end(now int64, key attemptKey) (attempt, bool) {
+	a, ok := r.attempts[key]
+	if !ok {
+		return attempt{}, false
+	}
+	delete(r.attempts, key)
+	e := r.endpoints[key.endpoint]
+	switch {
+	case e == nil:
+	case a.until != 0:
+		e.load.Release(a.uncached)
+	default:
+		e.load.Finished(now, a.uncached)
+	}
+	return a, true
+}
+
+func seconds(ns int64) float64 { return float64(ns) / 1e9 }
--- /dev/null
+++ b/internal/routing/router.go
@@ -0,0 +1,56 @@
+package routing
+
+import (
+	"math/rand/v2"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/prefix"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
+)
+
+// Router chooses endpoints for one daemon. It is not safe for concurrent use.
+type Router struct {
+	config  Config
+	self    fleet.DataCentre
+	rng     *rand.Rand
+	targets scorer.Targets
+
+	endpoints  map[fleet.EndpointID]*endpoint
+	slots      []*endpoint // by slot; nil is free
+	free       []uint32    // free slots
+	generation uint64      // of the endpoint list
+	notices    notices
+	classes    map[string]*estimate.Pace
+	sets       map[setKey]*set
+	stale      bool // the sets' members need rebuilding
+
+	index    *prefix.Index
+	attempts map[attemptKey]attempt
+	reserved []reservation
+	answer   latency // of all engines: first token to last
+
+	round   uint64 // counts picks
+	scratch scratch
+}
+
+// New returns a router for a daemon in data centre self. The random source
+// belongs to the router from now on.
+func New(config Config, self fleet.DataCentre, rng *rand.Rand) *Router {
+	config = config.withDefaults()
+	return &Router{
+		config: config,
+		self:   self,
+		rng:    rng,
+		targets: scorer.Targets{
+			FirstToken: config.FirstToken.Seconds(),
+			Token:      config.TokenInterval.Seconds(),
+		},
+		endpoints: map[fleet.EndpointID]*endpoint{},
+		notices:   notices{},
+		classes:   map[string]*estimate.Pace{},
+		sets:      map[setKey]*set{},
+		index:     prefix.NewIndex(config.IndexBlocks),
+		attempts:  map[attemptKey]attempt{},
+	}
+}
--- /dev/null
+++ b/internal/template/change.go
@@ -0,0 +1,198 @@
+package template
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/audit"
+)
+
+// Change is one operator's wish to create, amend or delete a template. Plan
+// says what to write. An answer that proves a version is an acceptance; after
+// any other answer the object is read and given to Resolve.
+type Change struct {
+	Name      string
+	Expected  uint64    // version that the operator saw; 0: there is none
+	Template  *Template // nil deletes
+	Who       string    // from a verified credential
+	Why       string
+	Operation string // unique to this change, a UUIDv7; the same over all its writes
+}
+
+// Outcome is what became of a change.
+type Outcome string
+
+// The outcomes.
+const (
+	// Proceed: send Result.Write.
+	Proceed Outcome = "proceed"
+	// Accepted: the change took effect and is Result.Version.
+	Accepted Outcome = "accepted"
+	// Unchanged: the template already stands as wished, nothing was written.
+	Unchanged Outcome = "unchanged"
+	// Refused: the change took no effect and none of its writes ever will.
+	Refused Outcome = "refused"
+	// Unknown: the change may have taken effect; the trail no longer tells.
+	Unknown Outcome = "unknown"
+)
+
+// Result is what to do with a change, or what became of it.
+type Result struct {
+	Outcome    Outcome
+	Write      Write     // where Proceed
+	Version    uint64    // where Accepted or Unchanged
+	Superseded bool      // where Accepted: a later change stands after it
+	Current    uint64    // version now in the store
+	Diff       []Line    // where Refused over a version: from the store's to the wished
+	Problems   []Problem // where Refused over the template itself
+	Reason     string    // where Refused or Unknown
+}
+
+// Write is a conditional write of a template's object.
+type Write struct {
+	Name      string
+	IfVersion uint64 // 0: only if the object doesn't exist
+	Value     json.RawMessage
+}
+
+// Plan decides on a change to the record as just read from the store.
+func (c Change) Plan(current Record, now time.Time) Result {
+	if i := current.Audit.Find(c.Operation); i >= 0 {
+		return c.accepted(current, i)
+	}
+	if problems := c.problems(); len(problems) > 0 {
+		return Result{Outcome: Refused, Current: current.Version, Problems: problems, Reason: "the change is faulty"}
+	}
+	if !c.expects(current) {
+		return c.conflict(current)
+	}
+	if c.matches(current) {
+		return Result{Outcome: Unchanged, Version: current.Version, Current: current.Version}
+	}
+	return c.write(current, now)
+}
+
+// Resolve decides on a change whose write had an ambiguous answer or lost its
+// condition, from the record read after that. Write is the one that was sent.
+// Proceed asks for the very same write again: the first may still be on its
+// way, and because both have one condition, at most one of them takes effect.
+func (c Change) Resolve(sent Write, readBack Record) Result {
+	if i := readBack.Audit.Find(c.Operation); i >= 0 {
+		return c.accepted(readBack, i)
+	}
+	switch {
+	case readBack.Version == sent.IfVersion:
+		return Result{Outcome: Proceed, Write: sent, Current: readBack.Version}
+	case readBack.Version < sent.IfVersion:
+		return c.unknown(readBack, "the store answered with an older version than before")
+	case !readBack.Audit.Reaches(sent.IfVersion):
+		return c.unknown(readBack, "the trail no longer reaches back to the version that was to be replaced")
+	default:
+		return c.conflict(readBack)
+	}
+}
+
+// Took returns the result of a write that the store answered with its version.
+func (c Change) Took(version uint64) Result {
+	return Result{Outcome: Accepted, Version: version, Current: version}
+}
+
+// accepted finds the version of the change, the i-th of the trail.
+func (c Change) accepted(r Record, i int) Result {
+	version := r.Audit.VersionAfter(i, r.Version)
+	return Result{Outcome: Accepted, Version: version, Superseded: version != r.Version, Current: r.Version}
+}
+
+func (c Change) unknown(r Record, reason string) Result {
+	return Result{Outcome: Unknown, Current: r.Version, Reason: reason}
+}
+
+func (c Change) conflict(r Record) Result {
+	reason := fmt.Sprintf("version %d is in the store, %d was expected", r.Version, c.Expected)
+	if r.Deleted && r.Version > 0 {
+		reason = fmt.Sprintf("the template was deleted by version %d, %d was expected", r.Version, c.Expected)
+	}
+	return Result{Outcome: Refused, Current: r.Version, Diff: Diff(r.Template, c.Template), Reason: reason}
+}
+
+// problems returns the faults of the change itself.
+func (c Change) problems() []Problem {
+	var out []Problem
+	if err := c.entry(Record{}, audit.Amended, nil, time.Time{}).Check(); err != nil {
+		out = append(out, Problem{Message: err.Error()})
+	}
+	if c.Template == nil {
+		return out
+	}
+	if c.Template.Name != c.Name {
+		out = append(out, Problem{Path: "name", Message: fmt.Sprintf("is %q, the change is for %q", c.Template.Name, c.Name)})
+	}
+	return append(out, c.Template.Check()...)
+}
+
+// expects reports whether the operator saw the record. Who expects no template
+// goes on from a tombstone: its version stays in the order.
+func (c Change) expects(r Record) bool {
+	return c.Expected == r.Version || (c.Expected == 0 && r.Deleted)
+}
+
+// matches reports whether the record already stands as wished.
+func (c Change) matches(r Record) bool {
+	if c.Template == nil {
+		return !r.Exists()
+	}
+	if !r.Exists() {
+		return false
+	}
+	stands, err := r.Template.JSON()
+	if err != nil {
+		return false
+	}
+	wished, err := c.Template.JSON()
+	return err == nil && bytes.Equal(stands, wished)
+}
+
+// write makes the record that the change wants. The entry of the trail is in
+// the same value as the change: a write of its own could be lost, or outlive
+// a change that was refused.
+func (c Change) write(current Record, now time.Time) Result {
+	next := Record{Name: c.Name, Template: c.Template, Deleted: c.Template == nil}
+	action, state, err := c.state(current)
+	if err == nil {
+		next.Audit = current.Audit.Append(c.entry(current, action, state, now))
+		var value json.RawMessage
+		value, err = next.Value()
+		if err == nil {
+			write := Write{Name: c.Name, IfVersion: current.Version, Value: value}
+			return Result{Outcome: Proceed, Write: write, Current: current.Version}
+		}
+	}
+	fault := Problem{Message: err.Error()}
+	return Result{Outcome: Refused, Current: current.Version, Problems: []Problem{fault}, Reason: "the change can't be stored"}
+}
+
+// state returns what the change does and the encoding of the new state.
+func (c Change) state(current Record) (audit.Action, []byte, error) {
+	if c.Template == nil {
+		return audit.Deleted, nil, nil
+	}
+	state, err := c.Template.JSON()
+	if current.Exists() {
+		return audit.Amended, state, err
+	}
+	return audit.Created, state, err
+}
+
+func (c Change) entry(current Record, action audit.Action, state []byte, now time.Time) audit.Entry {
+	return audit.Entry{
+		Who:       c.Who,
+		When:      now.UnixMilli(),
+		Action:    action,
+		From:      current.Version,
+		Why:       c.Why,
+		Digest:    audit.Digest(state),
+		Operation: c.Operation,
+	}
+}
--- /dev/null
+++ b/internal/template/check.go
@@ -0,0 +1,147 @@
+package template
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Check returns every fault of the template at once; none means that it can
+// be put in force.
+func (t *Template) Check() []Problem {
+	found := &problems{positions: t.positions}
+	t.check(found)
+	return found.sorted()
+}
+
+// check notes every fault and returns the template with parameters replaced,
+// which is only good when there are none.
+func (t *Template) check(found *problems) resolved {
+	checkName(t.Name, "name", found)
+	t.checkCounts(found)
+	t.checkServices(found)
+	t.checkWorkspaces(found)
+	t.checkModelsOnce(found)
+	return t.resolve(found)
+}
+
+// checkName notes a name that is no label of lower-case letters, digits, dots
+// and hyphens: names stand in paths of the object API and in metrics.
+func checkName(name, at string, found *problems) {
+	switch {
+	case name == "":
+		found.add(at, "is needed")
+	case len(name) > maxNameBytes:
+		found.add(at, fmt.Sprintf("has more than %d characters", maxNameBytes))
+	case strings.Trim(name, nameCharacters) != "" || !nameEnd(name[0]) || !nameEnd(name[len(name)-1]):
+		found.add(at, "must be lower-case letters, digits, '.' and '-', with a letter or digit at both ends")
+	}
+}
+
+const nameCharacters = "abcdefghijklmnopqrstuvwxyz0123456789.-"
+
+func nameEnd(c byte) bool { return c != '.' && c != '-' }
+
+func (t *Template) checkCounts(found *problems) {
+	count := func(at string, have, high int) {
+		if have > high {
+			found.add(at, fmt.Sprintf("%d entries, at most %d may stand here", have, high))
+		}
+	}
+	count("models", len(t.Models), MaxModels)
+	count("services", len(t.Services), MaxServices)
+	count("workspaces", len(t.Workspaces), MaxWorkspaces)
+	count("parameters", len(t.Parameters), MaxParameters)
+	for i, w := range t.Workspaces {
+		count(fmt.Sprintf("workspaces[%d].tokens", i), len(w.Tokens), MaxTokens)
+		count(fmt.Sprintf("workspaces[%d].parameters", i), len(w.Parameters), MaxParameters)
+	}
+	if len(t.Workspaces) == 0 {
+		found.add("workspaces", "at least one is needed")
+	}
+	if len(t.Models)+len(t.Services) == 0 {
+		found.add("models", "at least one model or service is needed")
+	}
+}
+
+func (t *Template) checkServices(found *problems) {
+	names := map[string]bool{}
+	for i, s := range t.Services {
+		at := fmt.Sprintf("services[%d]", i)
+		checkName(s.Name, at+".name", found)
+		if names[s.Name] {
+			found.add(at+".name", fmt.Sprintf("%q stands twice", s.Name))
+		}
+		names[s.Name] = true
+		for j, c := range s.NonIdempotent {
+			c.check(fmt.Sprintf("%s.nonIdempotent[%d]", at, j), found)
+		}
+	}
+}
+
+// methods are the methods that a call may name.
+var methods = []string{"*", "DELETE", "GET", "HEAD", "OPTIONS", "PATCH", "POST", "PUT"}
+
+func (c CallSpec) check(at string, found *problems) {
+	if !slices.Contains(methods, c.Method) {
+		found.add(at+".method", "must be one of "+list(methods))
+	}
+	if _, err := CompilePattern(c.Path); err != nil {
+		found.add(at+".path", err.Error())
+	}
+}
+
+func (t *Template) checkWorkspaces(found *problems) {
+	names := map[string]bool{}
+	tokens := map[string]bool{}
+	for i, w := range t.Workspaces {
+		at := fmt.Sprintf("workspaces[%d]", i)
+		name := string(w.Name)
+		checkName(name, at+".name", found)
+		if names[name] {
+			found.add(at+".name", fmt.Sprintf("%q stands twice", name))
+		}
+		names[name] = true
+		for j, token := range w.Tokens {
+			hash := strings.ToLower(token.SHA256)
+			if tokens[hash] {
+				found.add(fmt.Sprintf("%s.tokens[%d].sha256", at, j), "stands twice; a token belongs to one workspace")
+			}
+			tokens[hash] = true
+		}
+	}
+}
+
+// checkModelsOnce notes models that are the same as they stand in the text.
+func (t *Template) checkModelsOnce(found *problems) {
+	seen := map[[3]Scalar]bool{}
+	for i, m := range t.Models {
+		key := [3]Scalar{m.Model, m.Adapter, m.Version}
+		if seen[key] {
+			found.add(fmt.Sprintf("models[%d]", i), "stands twice")
+		}
+		seen[key] = true
+	}
+}
+
+// checkParameters notes parameters that nothing refers to: a slip in a name
+// would else leave a workspace on the default without a word.
+func (t *Template) checkParameters(used map[string]bool, found *problems) {
+	check := func(at string, parameters map[string]string) {
+		for name, value := range parameters {
+			place := at + "." + name
+			switch {
+			case !used[name]:
+				found.add(place, "no field refers to this parameter")
+			case len(value) > maxValueBytes:
+				found.add(place, fmt.Sprintf("has more than %d bytes", maxValueBytes))
+			case strings.Contains(value, "${"):
+				found.add(place, "a parameter's value can't refer to another")
+			}
+		}
+	}
+	check("parameters", t.Parameters)
+	for i := range t.Workspaces {
+		check(fmt.Sprintf("workspaces[%d].parameters", i), t.Workspaces[i].Parameters)
+	}
+}
--- /dev/null
+++ b/internal/template/parse.go
@@ -0,0 +1,102 @@
+package template
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+
+	"github.com/goccy/go-yaml"
+	"github.com/goccy/go-yaml/ast"
+	"github.com/goccy/go-yaml/parser"
+)
+
+// MaxTextBytes bounds a template's text. Its stored form must leave room for
+// the audit trail in the store's 1 MB a value.
+const MaxTextBytes = 512 << 10
+
+// maxNesting bounds how deep brackets and indents go. The form needs six
+// levels; the YAML parser recurses without a bound, and a text of nothing but
+// brackets would take all of the stack.
+const maxNesting = 32
+
+// Parse reads a template in YAML or JSON and checks it. It returns every
+// fault at once, in the order of the text. The template is nil when the text
+// has no readable form; with other faults it holds what could be read.
+func Parse(text []byte) (*Template, []Problem) {
+	found := &problems{positions: map[string]position{}}
+	if len(text) > MaxTextBytes {
+		found.add("", fmt.Sprintf("the text has more than %d bytes", MaxTextBytes))
+		return nil, found.found
+	}
+	root, fault := document(text)
+	if fault != nil {
+		return nil, []Problem{*fault}
+	}
+	t := new(Template)
+	b := binder{problems: found}
+	b.bind(root, reflect.ValueOf(t).Elem(), nil)
+	t.positions = found.positions
+	t.check(found)
+	return t, found.sorted()
+}
+
+// document returns the root of the only document in a text.
+func document(text []byte) (ast.Node, *Problem) {
+	if fault := tooDeep(text); fault != nil {
+		return nil, fault
+	}
+	file, err := parser.ParseBytes(text, 0)
+	if err != nil {
+		return nil, syntaxProblem(err)
+	}
+	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
+		return nil, &Problem{Message: fmt.Sprintf("one document is needed, the text has %d", len(file.Docs))}
+	}
+	return file.Docs[0].Body, nil
+}
+
+// syntaxProblem gives the parser's error its place.
+func syntaxProblem(err error) *Problem {
+	fault := &Problem{Message: err.Error()}
+	var syntax *yaml.SyntaxError
+	if !errors.As(err, &syntax) {
+		return fault
+	}
+	fault.Message = syntax.Message
+	if syntax.Token != nil && syntax.Token.Position != nil {
+		fault.Line = syntax.Token.Position.Line
+		fault.Column = syntax.Token.Position.Column
+	}
+	return fault
+}
+
+// tooDeep refuses a text that might nest deeper than maxNesting. It counts
+// every bracket, also in strings, and the dashes and question marks that open
+// a level each on one line.
+func tooDeep(text []byte) *Problem {
+	depth := 0
+	for number, line := range bytes.Split(text, []byte("\n")) {
+		indent := len(line) - len(bytes.TrimLeft(line, " "))
+		opened := bytes.Count(line, []byte("- ")) + bytes.Count(line, []byte("? "))
+		for _, c := range line {
+			switch c {
+			case '[', '{':
+				depth++
+			case ']', '}':
+				depth = max(depth-1, 0)
+			}
+			if depth > maxNesting {
+				break
+			}
+		}
+		if max(depth, opened, indent/2) > maxNesting {
+			return &Problem{Line: number + 1, Column: 1, Message: "nested too deep"}
+		}
+	}
+	return nil
+}
+
+// list joins words for a message.
+func list(words []string) string { return strings.Join(words, ", ") }
--- /dev/null
+++ b/internal/template/pattern.go
@@ -0,0 +1,73 @@
+package template
+
+import "strings"
+
+// Pattern matches paths of a plain service. A segment * stands for any one
+// segment, and ** at the end for any rest, also none. Letters match in either
+// case; empty and "." segments and what follows a semicolon don't count: a
+// service may take //Orders;a=b/ for /orders, and a call that is taken for a
+// repeatable one by mistake could run twice.
+type Pattern struct {
+	segments []string // lower case
+	rest     bool     // ends in **
+}
+
+// CompilePattern reads a pattern such as /orders, /orders/*/lines or /admin/**.
+func CompilePattern(text string) (Pattern, error) {
+	if !strings.HasPrefix(text, "/") || len(text) > maxPathBytes {
+		return Pattern{}, Error.New("must start with / and have at most %d bytes", maxPathBytes)
+	}
+	if strings.ContainsAny(text, "?#%") || strings.Contains(text, "${") {
+		return Pattern{}, Error.New("must be a plain path, without query, escapes and parameters")
+	}
+	var p Pattern
+	for segment := range strings.SplitSeq(strings.ToLower(text), "/") {
+		switch {
+		case p.rest:
+			return Pattern{}, Error.New("** may only stand at the end")
+		case segment == "" || segment == ".":
+		case segment == "**":
+			p.rest = true
+		case segment == "..":
+			return Pattern{}, Error.New(".. can't stand in a pattern")
+		case segment != "*" && strings.Contains(segment, "*"):
+			return Pattern{}, Error.New("* must be a whole segment")
+		default:
+			p.segments = append(p.segments, segment)
+		}
+	}
+	return p, nil
+}
+
+// Match reports whether a path, decoded and without its query, matches. A path
+// with a ".." segment matches every pattern, because which call it is depends
+// on the service.
+func (p *Pattern) Match(path string) bool {
+	at := 0
+	for rest := path; rest != ""; {
+		var segment string
+		segment, rest, _ = strings.Cut(rest, "/")
+		segment, _, _ = strings.Cut(segment, ";")
+		if segment == "" || segment == "." {
+			continue
+		}
+		if at == len(p.segments) {
+			return p.rest || hasParent(path)
+		}
+		if p.segments[at] != "*" && !strings.EqualFold(p.segments[at], segment) {
+			return hasParent(path)
+		}
+		at++
+	}
+	return at == len(p.segments) || hasParent(path)
+}
+
+// hasParent reports whether a ".." segment stands in a path.
+func hasParent(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == ".." {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/template/resolver.go
@@ -0,0 +1,121 @@
+package template
+
+import (
+	"fmt"
+	"math"
+	"strconv"
+	"time"
+)
+
+// resolver turns the scalars of a template into values for one workspace and
+// notes each that has none.
+type resolver struct {
+	template  *Template
+	workspace *WorkspaceSpec
+	used      map[string]bool // parameters that some scalar refers to
+	problems  *problems
+}
+
+// parameter returns a parameter's value: the workspace's, else the template's.
+func (r *resolver) parameter(name string) (string, bool) {
+	r.used[name] = true
+	if value, ok := r.workspace.Parameters[name]; ok {
+		return value, true
+	}
+	value, ok := r.template.Parameters[name]
+	return value, ok
+}
+
+// text returns a scalar with its parameters replaced.
+func (r *resolver) text(s Scalar, at *path) (string, bool) {
+	text, missing := s.expand(r.parameter)
+	if missing != "" {
+		r.fault(s, at, fmt.Sprintf("parameter %q has no value", missing))
+		return "", false
+	}
+	return text, true
+}
+
+// fault notes a fault of a scalar. Where a parameter is in it, the workspace
+// is named, because others may resolve it well.
+func (r *resolver) fault(s Scalar, at *path, message string) {
+	if s.parametrised() {
+		message += fmt.Sprintf(" (workspace %s)", r.workspace.Name)
+	}
+	r.problems.add(at.String(), message)
+}
+
+// word returns a scalar that is a name.
+func (r *resolver) word(s Scalar, at *path, required bool) string {
+	text, ok := r.text(s, at)
+	switch {
+	case !ok:
+		return ""
+	case required && text == "":
+		r.fault(s, at, "is needed")
+	case len(text) > maxWordBytes:
+		r.fault(s, at, fmt.Sprintf("has more than %d bytes", maxWordBytes))
+	}
+	return text
+}
+
+// number returns a scalar from 0 to high, 0 where it is empty.
+func (r *resolver) number(s Scalar, at *path, high float64) float64 {
+	text, ok := r.text(s, at)
+	if !ok || text == "" {
+		return 0
+	}
+	value, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(value) {
+		r.fault(s, at, fmt.Sprintf("%q is not a number", text))
+		return 0
+	}
+	if value < 0 || value > high {
+		r.fault(s, at, fmt.Sprintf("%s is not between 0 and %g", text, high))
+		return 0
+	}
+	return value
+}
+
+// whole is number for whole numbers.
+func (r *resolver) whole(s Scalar, at *path, high int) int {
+	value := r.number(s, at, float64(high))
+	if value != math.Trunc(value) {
+		r.fault(s, at, fmt.Sprintf("%g is not a whole number", value))
+		return 0
+	}
+	return int(value)
+}
+
+// duration returns a scalar such as 1500ms, above 0 and at most high; 0 where
+// it is empty and not required.
+func (r *resolver) duration(s Scalar, at *path, high time.Duration, required bool) time.Duration {
+	text, ok := r.text(s, at)
+	if !ok || (text == "" && !required) {
+		return 0
+	}
+	value, err := time.ParseDuration(text)
+	if err != nil {
+		r.fault(s, at, fmt.Sprintf("%q is not a duration such as 1500ms or 4h", text))
+		return 0
+	}
+	if value <= 0 || value > high {
+		r.fault(s, at, fmt.Sprintf("%s is not above 0 and at most %s", text, high))
+		return 0
+	}
+	return value
+}
+
+// moment returns a scalar in RFC 3339.
+func (r *resolver) moment(s Scalar, at *path) time.Time {
+	text, ok := r.text(s, at)
+	if !ok {
+		return time.Time{}
+	}
+	value, err := time.Parse(time.RFC3339, text)
+	if err != nil {
+		r.fault(s, at, fmt.Sprintf("%q is not a time such as 2026-01-31T18:00:00Z", text))
+		return time.Time{}
+	}
+	return value
+}
--- /dev/null
+++ b/internal/template/snapshot.go
@@ -0,0 +1,83 @@
+package template
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Snapshot is all templates in force as request handlers see them. It is
+// immutable; any number of goroutines may read it.
+type Snapshot struct {
+	Digest     Digest
+	Models     []Model         // that engines must hold, strictest of each Ref, in a fixed order
+	Closings   []Closing       // in a fixed order
+	Disputed   []TokenConflict // tokens that open no workspace
+	workspaces map[fleet.WorkspaceID]*Workspace
+	services   map[string][]call
+	tokens     credentials
+	versions   map[string]uint64
+}
+
+// TokenConflict is a token that templates give to two workspaces.
+type TokenConflict struct {
+	Hash   [32]byte
+	First  fleet.WorkspaceID
+	Second fleet.WorkspaceID
+}
+
+// call is a non-idempotent call of a service.
+type call struct {
+	method  string // * for any
+	pattern Pattern
+}
+
+// Authenticate returns the workspace of a bearer token that is valid at now.
+func (s *Snapshot) Authenticate(now time.Time, token []byte) (*Workspace, bool) {
+	return s.tokens.find(now, token)
+}
+
+// Workspace returns a workspace by its id.
+func (s *Snapshot) Workspace(id fleet.WorkspaceID) (*Workspace, bool) {
+	w, ok := s.workspaces[id]
+	return w, ok
+}
+
+// Workspaces returns how many workspaces are in force.
+func (s *Snapshot) Workspaces() int { return len(s.workspaces) }
+
+// EachWorkspace calls f for each workspace, in no fixed order.
+func (s *Snapshot) EachWorkspace(f func(*Workspace)) {
+	for _, w := range s.workspaces {
+		f(w)
+	}
+}
+
+// Version returns a template's version in force; 0 is none or deleted.
+func (s *Snapshot) Version(name string) uint64 { return s.versions[name] }
+
+// Service reports whether some template names a plain service.
+func (s *Snapshot) Service(name string) bool {
+	_, ok := s.services[name]
+	return ok
+}
+
+// NonIdempotent reports whether a call of a plain service must run at most
+// once. The path is the service's own, decoded, without its query. A call that
+// any template lists is non-idempotent for every workspace: the service is the
+// same. A service that no template names gets the cautious answer.
+func (s *Snapshot) NonIdempotent(method, service, path string) bool {
+	calls, known := s.services[service]
+	if !known {
+		return true
+	}
+	for i := range calls {
+		if calls[i].method != "*" && calls[i].method != method {
+			continue
+		}
+		if calls[i].pattern.Match(path) {
+			return true
+		}
+	}
+	return false
+}
