Operators' API and commands: templates, workspaces, endpoints, entries, audit

An operator applies a template on condition of the stored version, sees the difference when refused, follows it to every daemon and reads who changed what. Endpoints are drained by an object with its own trail, watched by every daemon in the same watch as the templates.

A repeated order no longer waits on a store call without a deadline; a failed watch asks again without waiting, since it may be the circuit breaker's only probe.

--- /dev/null
+++ b/internal/admission/admission_bench_test.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// BenchmarkOfferRelease admits and settles one request, and ticks.
+func BenchmarkOfferRelease(b *testing.B) {
+	for _, n := range []int{5, 100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			a, asks := benchAdmission(n, n)
+			now := time.Unix(0, 0)
+			b.ReportAllocs()
+			for i := range b.N {
+				now = now.Add(time.Millisecond)
+				ask := &asks[i%len(asks)]
+				a.Offer(now, *ask)
+				a.Release(now, ask.Request, Usage{PromptTokens: 100, CompletionTokens: 100})
+				a.Tick(now)
+			}
+		})
+	}
+}
+
+// BenchmarkOfferOverloaded refuses one request while all slots are taken and
+// every workspace has a queue.
+func BenchmarkOfferOverloaded(b *testing.B) {
+	for _, n := range []int{5, 100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			a, asks := benchAdmission(n, 40*n)
+			now := time.Unix(0, 0)
+			a.SetCapacity("engines", 4*n)
+			for _, ask := range asks {
+				a.Offer(now, ask)
+			}
+			ask := asks[0]
+			ask.Request = "new"
+			ask.Deadline = now.Add(time.Millisecond)
+			b.ReportAllocs()
+			for i := range b.N {
+				ask.Workspace = asks[i%n].Workspace
+				a.Offer(now, ask)
+			}
+		})
+	}
+}
+
+// BenchmarkTickOverloaded starts one queued request for one released.
+func BenchmarkTickOverloaded(b *testing.B) {
+	for _, n := range []int{5, 100, 1000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			a, asks := benchAdmission(n, 8*n)
+			now := time.Unix(0, 0)
+			a.SetCapacity("engines", 4*n)
+			running := make([]fleet.RequestID, 0, len(asks))
+			byID := make(map[fleet.RequestID]Ask, len(asks))
+			for _, ask := range asks {
+				ask.Deadline = now.Add(1000 * time.Hour)
+				byID[ask.Request] = ask
+				if a.Offer(now, ask).Outcome == Admit {
+					running = append(running, ask.Request)
+				}
+			}
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				now = now.Add(10 * time.Microsecond)
+				id := running[i%len(running)]
+				a.Release(now, id, Usage{PromptTokens: 100, CompletionTokens: 100})
+				a.Offer(now, byID[id])
+				for _, act := range a.Tick(now) {
+					running[i%len(running)] = act.Request
+				}
+			}
+		})
+	}
+}
+
+func benchAdmission(workspaces, requests int) (*Admission, []Ask) {
+	cfg := DefaultConfig()
+	cfg.LeaseTime = 1000 * time.Hour
+	cfg.MaxQueued = 1 << 20
+	a := New(cfg, rand.New(rand.NewPCG(1, 1)))
+	asks := make([]Ask, requests)
+	for i := range asks {
+		asks[i] = Ask{
+			Request:      fleet.RequestID(fmt.Sprintf("r%d", i)),
+			Workspace:    workspaceName(i % workspaces),
+			Pool:         "engines",
+			Model:        fleet.ModelRef{Model: "m"},
+			PromptTokens: 100,
+			MaxTokens:    200,
+		}
+	}
+	for i := range workspaces {
+		l := Limits{RequestsPerSecond: 1e9, RequestBurst: 1e9, TokensPerSecond: 1e12, TokenBurst: 1e12, Concurrency: 1000}
+		a.SetLimits(time.Unix(0, 0), workspaceName(i), l, 1)
+	}
+	return a, asks
+}
--- a/internal/admission/estimate.go
+++ b/internal/admission/estimate.go
@@ -25,7 +25,7 @@
 	if maxTokens > 0 {
 		mean = min(mean, float64(maxTokens))
 	}
-	return 0*mean
+	return mean
 }
 
 // observe takes a finished request's completion into the average.
--- /dev/null
+++ b/internal/admission/shares/group_test.go
@@ -0,0 +1,132 @@
+package shares
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+const (
+	step     = 100 * time.Millisecond
+	interval = time.Second
+	// detect is how long the others need to learn of a death or a join.
+	detect = 3 * time.Second
+)
+
+// daemon is one member of a group under test.
+type daemon struct {
+	id     fleet.DaemonID
+	shares *Shares
+	phase  time.Duration
+	demand Demand
+	told   Demand // demand at its latest round
+	alive  bool
+}
+
+// group runs daemons that exchange demands, in steps of passed-in time.
+type group struct {
+	rng     *rand.Rand
+	cfg     Config
+	now     time.Time
+	start   time.Time
+	daemons []*daemon
+	loss    float64             // of each message
+	cut     map[[2]*daemon]bool // calls from the first to the second fail
+	changes []change
+}
+
+// change is a member list that the daemons of its time learn later: what
+// detection costs. Those that join meanwhile know better.
+type change struct {
+	at      time.Time
+	ids     []fleet.DaemonID
+	daemons int
+}
+
+func newGroup(seed uint64, cfg Config, size int) *group {
+	g := &group{rng: rand.New(rand.NewPCG(seed, 1)), cfg: cfg, now: time.Unix(1_000, 0), cut: map[[2]*daemon]bool{}}
+	g.start = g.now
+	for range size {
+		g.join()
+	}
+	g.changes = nil
+	g.apply(change{ids: g.ids(), daemons: size})
+	return g
+}
+
+func (g *group) join() *daemon {
+	n := len(g.daemons)
+	d := &daemon{id: fleet.DaemonID(fmt.Sprintf("d%d", n)), alive: true}
+	d.phase = time.Duration(g.rng.Int64N(int64(interval/step))) * step
+	g.daemons = append(g.daemons, d)
+	d.shares = New(d.id, g.ids(), g.cfg)
+	g.announce()
+	return d
+}
+
+func (g *group) kill(d *daemon) {
+	d.alive = false
+	g.announce()
+}
+
+func (g *group) announce() {
+	g.changes = append(g.changes, change{g.now.Add(detect), g.ids(), len(g.daemons)})
+}
+
+func (g *group) ids() []fleet.DaemonID {
+	var ids []fleet.DaemonID
+	for _, d := range g.daemons {
+		if d.alive {
+			ids = append(ids, d.id)
+		}
+	}
+	return ids
+}
+
+func (g *group) apply(c change) {
+	for _, d := range g.daemons[:c.daemons] {
+		if d.alive {
+			d.shares.SetMembers(c.ids)
+		}
+	}
+}
+
+// advance runs one step: the daemons whose turn it is exchange.
+func (g *group) advance() {
+	g.now = g.now.Add(step)
+	for len(g.changes) > 0 && !g.now.Before(g.changes[0].at) {
+		g.apply(g.changes[0])
+		g.changes = g.changes[1:]
+	}
+	for _, d := range g.daemons {
+		if d.alive && (g.now.Sub(g.start)+d.phase)%interval == 0 {
+			g.exchange(d)
+		}
+	}
+}
+
+func (g *group) exchange(d *daemon) {
+	d.shares.Round(d.demand)
+	d.told = d.demand
+	for _, o := range g.daemons {
+		if o == d || !o.alive || g.cut[[2]*daemon{d, o}] || g.rng.Float64() < g.loss {
+			continue
+		}
+		heard := o.shares.Tell(d.id, d.told)
+		if heard && g.rng.Float64() >= g.loss {
+			d.shares.Reply(o.id, d.told, o.told)
+		}
+	}
+}
+
+func (g *group) sum() float64 {
+	sum := 0.0
+	for _, d := range g.daemons {
+		if d.alive {
+			sum += d.shares.Mine()
+		}
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/admission/shares/shares_test.go
@@ -0,0 +1,92 @@
+package shares
+
+import (
+	"testing"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// bound is the stated time after the last change within which the shares of
+// the living daemons sum to 0.8 or more: detection, and two exchanges that get
+// through.
+const bound = detect + 2*interval
+
+// Callers of one workspace move between its daemons, daemons join and die, and
+// messages are lost. If a daemon's share rose before all others knew of its
+// demand, two would grant the same part: the workspace gets its limit twice. If
+// shares never rose again, it would be refused below its limit.
+func TestSharesNeverSumAboveOneAndReturnAfterChange(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(rapid.Uint64().Draw(t, "seed"), DefaultConfig(), rapid.IntRange(2, 6).Draw(t, "size"))
+		g.loss = rapid.SampledFrom([]float64{0, 0.1}).Draw(t, "loss")
+		changed := g.now
+		for range rapid.IntRange(100, 400).Draw(t, "steps") {
+			if g.rng.IntN(50) == 0 {
+				disturb(g)
+				changed = g.now
+			}
+			g.advance()
+			sum := g.sum()
+			assert.Assert(t, sum <= 1.1, "sum %v", sum)
+			if g.loss == 0 && g.now.Sub(changed) > bound {
+				assert.Assert(t, sum >= 0.8, "sum %v, %v after the change", sum, g.now.Sub(changed))
+			}
+		}
+	})
+}
+
+// disturb moves demand, and at times adds or kills a daemon.
+func disturb(g *group) {
+	for _, d := range g.daemons {
+		d.demand.Tokens = float64(g.rng.IntN(10_000))
+	}
+	switch g.rng.IntN(4) {
+	case 0:
+		g.join()
+	case 1:
+		if d := g.daemons[g.rng.IntN(len(g.daemons))]; d.alive && len(g.ids()) > 2 {
+			g.kill(d)
+		}
+	}
+}
+
+// Calls between some daemons fail for good, in one direction or both, while
+// demand goes on moving. Nobody can tell a silent daemon from a dead one, and
+// it still serves its callers: what it may grant must not be granted by others.
+func TestSilenceRaisesNobodysShare(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		g := newGroup(rapid.Uint64().Draw(t, "seed"), DefaultConfig(), rapid.IntRange(2, 5).Draw(t, "size"))
+		for i := range 400 {
+			if i%40 == 0 {
+				g.daemons[g.rng.IntN(len(g.daemons))].demand.Tokens = float64(g.rng.IntN(10_000))
+				pair := [2]*daemon{g.daemons[g.rng.IntN(len(g.daemons))], g.daemons[g.rng.IntN(len(g.daemons))]}
+				g.cut[pair] = g.rng.IntN(2) == 0
+			}
+			g.advance()
+			assert.Assert(t, g.sum() <= 1.1, "sum %v", g.sum())
+		}
+	})
+}
+
+// A daemon restarts again and again. Each run knows nobody's demand, and the
+// others do not know it yet; a share by its own demand would grant the
+// workspace the whole limit once more with each restart.
+func TestNewcomerStaysAtTheFloorUntilAllAnswered(t *testing.T) {
+	s := New("new", []fleet.DaemonID{"new", "a", "b"}, DefaultConfig())
+	mine := Demand{Tokens: 1_000}
+	s.Round(mine)
+	s.Reply("a", mine, Demand{})
+	assert.Assert(t, s.Mine() <= DefaultConfig().Floor)
+	s.Reply("b", mine, Demand{})
+	assert.Assert(t, s.Mine() > 0.9)
+}
+
+// A telling from a daemon that is no member here is not heard: were it answered
+// as heard, the teller would take a share that nobody has made room for.
+func TestStrangerIsNotHeard(t *testing.T) {
+	s := New("a", nil, DefaultConfig())
+	assert.Assert(t, !s.Tell("stranger", Demand{Tokens: 1}))
+	assert.Equal(t, s.Mine(), 1.0)
+}
--- /dev/null
+++ b/internal/admission/shares/ways_bench_test.go
@@ -0,0 +1,171 @@
+package shares
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// The ways to share one workspace's token limit among four daemons, in one
+// seeded loop: arrivals of one Poisson stream, whose split over the daemons
+// changes every twenty seconds. Each way's grants are compared with those of
+// one central bucket that knows everything.
+//
+// Run: go test -run=- -bench=Ways -benchtime=1x ./internal/admission/shares
+const (
+	waysDaemons = 4
+	waysLimit   = 10_000 // tokens a second
+	waysRequest = 500    // tokens of one request
+	waysTime    = 10 * time.Minute
+	waysShift   = 20 * time.Second
+)
+
+type split func(g *group, i int) float64
+
+func BenchmarkWays(b *testing.B) {
+	ways := []struct {
+		name    string
+		floor   float64
+		average float64 // seconds over which a daemon measures its demand
+		split   split
+		writes  float64 // to the store for each request
+	}{
+		{"fixed", 0.1, 1, func(*group, int) float64 { return 1.0 / waysDaemons }, 0},
+		{"max-min", 0.1, 1, maxMin, 0},
+		{"demand", 0.1, 1, byDemand, 0},
+		{"demand/floor=0", 0.001, 1, byDemand, 0},
+		{"demand/floor=0.3", 0.3, 1, byDemand, 0},
+		{"demand/average=5s", 0.1, 5, byDemand, 0},
+		{"store", 0.1, 1, nil, 2}, // one to charge, one to settle
+	}
+	for _, load := range []float64{0.7, 0.9, 1.5} {
+		for _, w := range ways {
+			b.Run(loadName(load)+"/"+w.name, func(b *testing.B) {
+				for range b.N {
+					runWays(b, load, w.floor, w.average, w.split, w.writes)
+				}
+			})
+		}
+	}
+}
+
+func loadName(load float64) string { return fmt.Sprintf("load=%.0f", 100*load) }
+
+func byDemand(g *group, i int) float64 { return g.daemons[i].shares.Mine() }
+
+// maxMin raises all shares alike until each demand is met or the limit is
+// spent; what is over is split equally.
+func maxMin(g *group, i int) float64 {
+	left, open := 1.0, waysDaemons
+	done := make([]bool, waysDaemons)
+	for range waysDaemons {
+		level := left / float64(max(open, 1))
+		for j, d := range g.daemons {
+			if want := d.told.Tokens / waysLimit; !done[j] && want <= level {
+				done[j], left, open = true, left-want, open-1
+			}
+		}
+	}
+	level := left / waysDaemons
+	if open > 0 {
+		level = left / float64(open)
+	}
+	if !done[i] {
+		return level
+	}
+	own := g.daemons[i].told.Tokens / waysLimit
+	if open > 0 {
+		return own
+	}
+	return own + level
+}
+
+// balance is a bucket of one second's burst, in which a request may wait two
+// seconds for debt, as admission has it.
+type balance struct{ tokens, rate float64 }
+
+func (b *balance) refill(rate float64) {
+	b.rate = rate
+	b.tokens = min(rate, b.tokens+rate*step.Seconds())
+}
+
+func (b *balance) take() bool {
+	const wait = 2
+	if b.tokens < -wait*b.rate {
+		return false
+	}
+	b.tokens -= waysRequest
+	return true
+}
+
+func runWays(b *testing.B, load, floor, average float64, split split, writes float64) {
+	cfg := DefaultConfig()
+	cfg.Floor = floor
+	g := newGroup(1, cfg, waysDaemons)
+	rng := rand.New(rand.NewPCG(2, 2))
+	var own [waysDaemons]balance
+	var central balance
+	weights := [waysDaemons]float64{1, 1, 1, 1}
+	requests, granted, centrally := 0, 0, 0
+	for t := time.Duration(0); t < waysTime; t += step {
+		if t%waysShift == 0 {
+			for i := range weights {
+				weights[i] = math.Exp(rng.NormFloat64())
+			}
+		}
+		g.advance()
+		central.refill(waysLimit)
+		for i, d := range g.daemons {
+			if split != nil {
+				own[i].refill(split(g, i) * waysLimit)
+			}
+			rate := load * waysLimit / waysRequest * weights[i] / sumOf(weights)
+			n := poisson(rng, rate*step.Seconds())
+			measure(d, average, float64(n)*waysRequest/step.Seconds())
+			requests += n
+			for range n {
+				granted += count(split != nil && own[i].take())
+				centrally += count(central.take())
+			}
+		}
+	}
+	if split == nil {
+		granted = centrally
+	}
+	b.ReportMetric(100*float64(requests-granted)/float64(requests), "refused-%")
+	b.ReportMetric(100*float64(requests-centrally)/float64(requests), "central-refused-%")
+	b.ReportMetric(writes*float64(requests)/waysTime.Seconds(), "writes/s")
+	b.ReportMetric(0, "ns/op")
+}
+
+// measure keeps the moving average that a daemon tells.
+func measure(d *daemon, average, rate float64) {
+	gain := 1 - math.Exp(-step.Seconds()/average)
+	d.demand.Tokens += gain * (rate - d.demand.Tokens)
+}
+
+func sumOf(weights [waysDaemons]float64) float64 {
+	sum := 0.0
+	for _, w := range weights {
+		sum += w
+	}
+	return sum
+}
+
+func count(b bool) int {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+// poisson draws by counting exponential gaps (Knuth, 1969).
+func poisson(rng *rand.Rand, mean float64) int {
+	n := 0
+	for t := rng.ExpFloat64(); t < mean; t += rng.ExpFloat64() {
+		n++
+	}
+	return n
+}
--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -15,7 +15,6 @@
 type devFlags struct {
 	options deployment.Options
 	write   string
-	policy  string
 	log     settings.Log
 }
 
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -15,7 +15,7 @@
 )
 
 // Error is the class of errors of this package.
-var Error = errs.Class("cyclamenbeam")
+var Error = errs.Class("command")
 
 // The exit statuses.
 const (
@@ -57,7 +57,7 @@
 	if err == nil {
 		return exitDone
 	}
-	fmt.Fprintln(stderr, "cyclamenbeam:", err)
+	fmt.Fprintln(stderr, "error:", err)
 	var exit *exitError
 	if errors.As(err, &exit) {
 		return exit.status
@@ -77,6 +77,11 @@
 		newServe(a),
 		newStandin(a),
 		newCheck(a),
+		newTemplate(a),
+		newWorkspace(a),
+		newEndpoint(a),
+		newEntries(a),
+		newAudit(a),
 		newVersion(a),
 	)
 	return root
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -9,8 +9,10 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/drain"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
@@ -25,10 +27,16 @@
 	watchWait = 30 * time.Second
 	// watchPause follows a failed watch, so that a store that refuses at once
 	// is not asked in a tight loop.
-	watchPause = 500 * time.Millisecond
+	watchPause = 100 * time.Millisecond
 	listLimit  = 10 * time.Second
+	// listRetryMost bounds the back-off, since there is no watch without a list.
+	// All 340 daemons cost a store that is down 34 reads a second.
+	listRetryMost = 10 * time.Second
 )
 
+// watchedKinds are followed by one watch: each waiting watch counts as a call.
+var watchedKinds = []string{template.Kind, drain.Kind}
+
 // configurationState is what the duty owns.
 type configurationState struct {
 	store  *template.Store
@@ -41,9 +49,11 @@
 	ctx       context.Context
 	objects   platform.Objects
 	snapshot  atomic.Pointer[template.Snapshot]
+	since     atomic.Uint64 // version that the watch goes on from; 0 asks for a list
 	state     *lifecycle
 	fetch     func(ctx context.Context, from fleet.DaemonID, have map[string]uint64) ([]template.Revision, bool, error)
 	onChange  func(*template.Snapshot) // called on the owner's goroutine
+	onObjects func([]objectapi.Object) // of kinds that are not templates
 	setDigest func(template.Digest)    // told to the membership
 	log       *logrus.Entry
 }
@@ -54,6 +64,7 @@
 	store := template.NewStore()
 	config := template.DefaultSpread
 	config.StartSpread = startSpread
+	config.RetryMost = listRetryMost
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	d := &configurationDuty{
 		owner: newOwner("configuration", configurationRing, &configurationState{
@@ -83,37 +94,46 @@
 	go d.watch()
 }
 
-// watch follows the store's changes. A template that changed before the watch
-// began is found by the list.
+// watch follows the store's changes from the last list on.
+//
+// Failure: the store's log of changes no longer reaches back to where the watch
+// stands. Symptom: it answers 410 for ever, and templates go stale. A list
+// gives both what was missed and a version to go on from.
 func (d *configurationDuty) watch() {
-	since := uint64(0)
+	wait := time.Duration(0)
 	for d.ctx.Err() == nil {
-		answer, err := d.objects.Watch(d.ctx, []string{template.Kind}, since, watchWait)
+		since := d.since.Load()
+		if since == 0 {
+			d.pause()
+			continue
+		}
+		answer, err := d.objects.Watch(d.ctx, watchedKinds, since, wait)
+		wait = watchWait
 		var gone *platform.Gone
 		switch {
 		case err == nil:
-			since = max(since, answer.Version)
+			d.since.CompareAndSwap(since, max(since, answer.Version))
+			d.onObjects(answer.Changes)
 			d.watched(template.RevisionsOf(answer.Changes))
 			continue
 		case errors.As(err, &gone):
-			d.tell(func(now time.Time, s *configurationState) {
-				s.spread.WatchReset(now)
-			})
-			since = d.newest()
+			d.since.Store(0)
+			d.tell(func(now time.Time, s *configurationState) { s.spread.WatchReset(now) })
 		default:
 			d.tell(func(_ time.Time, s *configurationState) { s.spread.WatchFailed() })
 		}
-		select {
-		case <-time.After(watchPause):
-		case <-d.ctx.Done():
-		}
+		// The next watch may be the circuit breaker's one probe: it must not hold
+		// back all other calls while it waits for a change.
+		wait = 0
+		d.pause()
 	}
 }
 
-func (d *configurationDuty) newest() uint64 {
-	var v uint64
-	d.ask(func(_ time.Time, s *configurationState) { v = s.spread.WatchFrom() })
-	return v
+func (d *configurationDuty) pause() {
+	select {
+	case <-time.After(watchPause/2 + rand.N(watchPause)):
+	case <-d.ctx.Done():
+	}
 }
 
 func (d *configurationDuty) watched(changes []template.Revision) {
@@ -126,6 +146,14 @@
 	ctx, cancel := context.WithTimeout(d.ctx, listLimit)
 	defer cancel()
 	list, err := d.objects.List(ctx, template.Kind, "")
+	if err == nil {
+		var wishes objectapi.List
+		wishes, err = d.objects.List(ctx, drain.Kind, "")
+		d.onObjects(wishes.Objects)
+	}
+	if err == nil {
+		d.since.CompareAndSwap(0, max(list.Version, 1))
+	}
 	d.tell(func(now time.Time, s *configurationState) {
 		if err != nil {
 			d.log.WithError(err).Warn("templates not listed")
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/google/uuid"
@@ -17,6 +18,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
@@ -45,6 +47,8 @@
 	dispatcher    *dispatch.Dispatcher
 	services      *services
 	observing     *observingDuty
+	drains        *drains
+	listed        atomic.Pointer[listapi.List] // the newest answer
 	servers       []*http.Server
 }
 
@@ -56,6 +60,7 @@
 		log:      log,
 		state:    &lifecycle{},
 		metrics:  newMetricSet(),
+		drains:   newDrains(),
 	}
 	rates := budget.Rates{}
 	rates[budget.ObjectRead] = s.Control.FleetReads
@@ -86,6 +91,8 @@
 		Peers:      d.settings.Advertise.Peers,
 		DataCentre: d.settings.DataCentre,
 		Serving:    true,
+		Alive:      true,
+		State:      string(fleet.Live),
 	}
 }
 
@@ -98,6 +105,7 @@
 	d.configuration = newConfigurationDuty(d.platform.Objects, s.Control.StartSpread, d.state, logging.For(d.log, logging.Template))
 	d.configuration.fetch = d.fetchTemplates
 	d.configuration.onChange = d.setLimits
+	d.configuration.onObjects = d.onObjects
 	d.ledger = newLedgerDuty(d.platform.Objects, logging.For(d.log, logging.Ledger))
 	d.ledger.writer = d.ledgerWriter
 	d.ledger.forward = d.forwardIntent
@@ -191,10 +199,21 @@
 	}
 }
 
+// onObjects takes changes of the kinds that are not templates.
+func (d *Daemon) onObjects(objects []objectapi.Object) {
+	if !d.drains.apply(objects) {
+		return
+	}
+	if list := d.listed.Load(); list != nil {
+		d.routing.setEndpoints(d.drains.mark(list.Endpoints))
+	}
+}
+
 // onList takes a new answer of the instance list.
 func (d *Daemon) onList(list listapi.List) {
+	d.listed.Store(&list)
 	d.state.listed.Store(true)
-	d.routing.setEndpoints(list.Endpoints)
+	d.routing.setEndpoints(d.drains.mark(list.Endpoints))
 	for _, e := range leavingEndpoints(list) {
 		at := time.Time{}
 		if e.LeaveAt > 0 {
@@ -204,7 +223,9 @@
 		d.dispatcher.Notice(e.ID, at)
 	}
 	d.roster.setList(list.Entries)
-	d.platform.SetFleetSize(d.roster.size())
+	// The list's count, not the membership's: parts of a fleet that lost each
+	// other still share one platform.
+	d.platform.SetFleetSize(max(1, len(list.Entries)))
 	d.setCapacity(list.Endpoints)
 }
 
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -28,6 +28,9 @@
 	ledgerTick = 2 * time.Millisecond
 	// intentTimeout bounds the wait for a grant; nothing has run before it.
 	intentTimeout = 3 * time.Second
+	// storeTimeout bounds a call to the store, the wait for the budget included:
+	// a write that leaves later than its intents wait is of no use to them.
+	storeTimeout = 2 * time.Second
 )
 
 // ledgerState is what the duty owns.
@@ -104,12 +107,14 @@
 }
 
 func (d *ledgerDuty) write(shard int, w ledger.Write) {
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
 	var object objectapi.Object
 	var err error
 	if w.Version == 0 {
-		object, err = d.objects.Create(d.ctx, ledgerKind, w.Name, w.Value)
+		object, err = d.objects.Create(ctx, ledgerKind, w.Name, w.Value)
 	} else {
-		object, err = d.objects.Update(d.ctx, ledgerKind, w.Name, w.Value, w.Version)
+		object, err = d.objects.Update(ctx, ledgerKind, w.Name, w.Value, w.Version)
 	}
 	result := ledger.WriteResult{Call: w.Call, Status: ledger.Written, Version: object.Version}
 	var conflict *platform.Conflict
@@ -129,7 +134,9 @@
 }
 
 func (d *ledgerDuty) read(shard int, r ledger.Read) {
-	object, err := d.objects.Get(d.ctx, ledgerKind, r.Name)
+	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
+	defer cancel()
+	object, err := d.objects.Get(ctx, ledgerKind, r.Name)
 	var missing *platform.NotFound
 	result := ledger.ReadResult{Call: r.Call, OK: true}
 	switch {
--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
 // peerInfo is another daemon, or this one, as the roster knows it.
@@ -19,6 +20,9 @@
 	Peers      string
 	DataCentre fleet.DataCentre
 	Serving    bool // takes new requests
+	Alive      bool // can be reached as far as is known
+	State      string
+	Digest     template.Digest // of its templates, zero while unknown
 }
 
 // rosterView is an immutable snapshot of the fleet's daemons.
@@ -81,6 +85,8 @@
 			Peers:      e.Peer,
 			DataCentre: e.DataCentre,
 			Serving:    e.State == fleet.Live,
+			Alive:      true,
+			State:      string(e.State),
 		})
 	}
 	r.set(append(peers, r.self))
@@ -103,9 +109,6 @@
 	return ""
 }
 
-// size returns how many daemons are known.
-func (r *roster) size() int { return len(r.view.Load().all) }
-
 // Entries implements gateway.Directory: the workspace's subset by rendezvous,
 // so that its limits and its prompts' prefixes live in few daemons. A second
 // data centre is always among them where two are alive: callers keep the
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -29,12 +29,13 @@
 	if t, ok := c.(*tls.Conn); ok {
 		c = t.NetConn()
 	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
 	own, ok := c.(*conn)
 	if !ok {
+		a.left = true // nothing is known of this connection, so there is no proof
 		return
 	}
-	a.mu.Lock()
-	defer a.mu.Unlock()
 	// net/http may have sent the request on another connection before, for GET
 	// even after bytes of it had left. The proof must cover each.
 	a.left = a.left || !a.unwritten()
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -58,7 +58,7 @@
 	if c.writing > 0 || c.written > base {
 		return false
 	}
-	
+	c.sealed = true
 	return true
 }
 
--- a/internal/lease/fleet_test.go
+++ b/internal/lease/fleet_test.go
@@ -125,13 +125,19 @@
 	assert.Assert(t, took > DefaultConfig.Duration-DefaultConfig.Renew-DefaultConfig.Margin, "after %s", took)
 }
 
-// A daemon that leaves gives its shards up, and others have them before its
-// leases would have run out.
+// A daemon that leaves gives its shards up once its orders have ended, and
+// others have them before its leases would have run out. It isn't to give up
+// one with an order under way: the next holder orders at once.
 func TestLeavingDaemonGivesShardsUp(t *testing.T) {
 	c := newCrowd(2, 8, 1)
 	c.untilHeld(t, 8)
 	leaver := c.members[0]
+	for i := range leaver.set.shards {
+		leaver.set.Lease(i).MayOrder(c.now)
+	}
 	leaver.set.Leave()
+	c.run(DefaultConfig.LongestOrder - time.Second)
+	assert.Assert(t, !leaver.set.Left(c.now))
 	c.run(2 * time.Second)
 	assert.Assert(t, leaver.set.Left(c.now))
 	c.members = c.members[1:]
--- a/internal/membership/buckets.go
+++ b/internal/membership/buckets.go
@@ -1,23 +1,21 @@
 package membership
 
 import (
-	"slices"
-
 	"github.com/zeebo/xxh3"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
 // BucketCount is the number of parts in which two member tables are compared:
-// with 340 members a part has one or two, so little more is fetched than what
-// differs, and two bytes for each part's hash leave half of a packet free.
-const BucketCount = 256
+// with 340 members most parts have one or none, so little more is fetched than
+// what differs, and a byte for each part's hash leaves half of a packet free.
+const BucketCount = 512
 
 // buckets are hashes of the live part of the member table, kept up to date by
 // XOR. Gone members count nothing, so that forgetting one changes no hash, and
 // suspicion counts nothing, so that it causes no comparison of tables.
 type buckets struct {
-	parts [BucketCount]uint16
+	parts [BucketCount]uint64
 	total uint64
 }
 
@@ -25,12 +23,21 @@
 
 // toggle adds or takes away a member's contribution.
 func (b *buckets) toggle(id fleet.InstanceID, hash uint64) {
-	b.parts[bucketOf(id)] ^= uint16(hash)
+	b.parts[bucketOf(id)] ^= hash
 	b.total ^= hash
 }
 
-// hashes returns a copy of the parts' hashes.
-func (b *buckets) hashes() []uint16 { return slices.Clone(b.parts[:]) }
+// hashes returns a byte for each part. Of 256 parts that differ one seems equal;
+// with another salt for each comparison it will not be the same one again.
+func (b *buckets) hashes(salt uint32) []byte {
+	hashes := make([]byte, BucketCount)
+	for i, part := range b.parts {
+		if part != 0 {
+			hashes[i] = byte(mix(part ^ uint64(salt)))
+		}
+	}
+	return hashes
+}
 
 // contribution hashes what daemons must agree on for a live member; 0 when it is gone.
 func (n *node) contribution() uint64 {
--- a/internal/membership/packet.go
+++ b/internal/membership/packet.go
@@ -40,7 +40,7 @@
 	Beats       []Beat
 	Updates     []Update
 	DataCentres []DataCentreUpdate
-	Buckets     []uint16 // in a SyncRequest, BucketCount of them
+	Buckets     []byte // in a SyncRequest, BucketCount of them, salted with Sequence
 }
 
 // Sender is what every packet says about its sender.
--- a/internal/membership/size.go
+++ b/internal/membership/size.go
@@ -51,7 +51,7 @@
 		n += p.DataCentres[i].size()
 	}
 	if len(p.Buckets) > 0 {
-		n += messageOverhead + 2*len(p.Buckets)
+		n += messageOverhead + len(p.Buckets)
 	}
 	return n
 }
--- a/internal/membership/syncer.go
+++ b/internal/membership/syncer.go
@@ -54,7 +54,8 @@
 		n = m.bulkPeer(n)
 	}
 	p := m.bare(SyncRequest)
-	p.Buckets = m.buckets.hashes()
+	p.Sequence = m.nextSequence()
+	p.Buckets = m.buckets.hashes(p.Sequence)
 	m.accuse(p, n)
 	m.sendSync(n.record.Peer, p)
 }
@@ -93,7 +94,7 @@
 	if len(p.Buckets) != BucketCount {
 		return
 	}
-	differ := m.differing(p.Buckets)
+	differ := m.differing(p.Buckets, p.Sequence)
 	for range pagesPerRequest {
 		if !m.syncBudget.left() {
 			return
@@ -136,10 +137,10 @@
 
 // differing returns the members of the buckets that differ, from another
 // bucket on each time, so that all get their turn where not all fit.
-func (m *Membership) differing(theirs []uint16) []*node {
+func (m *Membership) differing(theirs []byte, salt uint32) []*node {
 	first := m.rng.IntN(BucketCount)
 	var before, after []*node
-	ours := m.buckets.hashes()
+	ours := m.buckets.hashes(salt)
 	for _, n := range m.sorted {
 		b := bucketOf(n.instance)
 		switch {
--- a/internal/platform/budget/budget.go
+++ b/internal/platform/budget/budget.go
@@ -22,6 +22,7 @@
 		b.breakers[i] = newBreaker()
 	}
 	for k := range b.lanes {
+		b.lanes[k].phase = capacityPhase * random.Float64()
 		b.lanes[k].resize(now, b.config.share(Kind(k)))
 		b.lanes[k].restart(now, random)
 	}
--- a/internal/platform/budget/fleet_test.go
+++ b/internal/platform/budget/fleet_test.go
@@ -161,3 +161,21 @@
 	t.Logf("at most %d writes in a second", writes)
 	assert.Assert(t, writes <= DefaultObjectWrites, "%d writes", writes)
 }
+
+// Callers' orders reach all 340 daemons in one instant after a quiet time. An
+// intent isn't made to wait at random, since a caller waits for it, so this is
+// the one wave above the rates; it is bounded to few calls for each daemon, and
+// afterwards the daemons must not go on in step.
+func TestIntentsOfOneInstantAreBounded(t *testing.T) {
+	wave := start.Add(time.Minute)
+	var a agenda
+	for _, b := range newFleet(340, start) {
+		a = append(a, &caller{budget: b, class: Intent, kind: ObjectWrite, at: wave})
+	}
+	s := &store{}
+	s.run(a, wave.Add(10*time.Second))
+	first, later := s.peak(ObjectWrite, wave), s.peak(ObjectWrite, wave.Add(time.Second))
+	t.Logf("%d writes in the first second, then at most %d", first, later)
+	assert.Assert(t, first <= 2*340, "%d at first", first)
+	assert.Assert(t, later <= DefaultObjectWrites, "%d later", later)
+}
--- a/internal/platform/budget/lane.go
+++ b/internal/platform/budget/lane.go
@@ -8,9 +8,12 @@
 const (
 	// minCapacity lets a call of each class but the lease's go at once after a
 	// quiet time, and a lease's two, in fleets so large that a share is below
-	// one call a second. In a perfectly synchronised wave it bounds what 340
-	// daemons can send at once to one call each.
-	minCapacity = 2.75
+	// one call a second. In a wave of one instant it bounds what a daemon sends.
+	minCapacity = 2.25
+	// capacityPhase is the greatest random addition to the least capacity.
+	// Without it daemons that emptied full buckets in the same instant would
+	// all gain their next token in the same instant, again and again.
+	capacityPhase = 1.0
 	// capacityTime is the share that may be saved up in small fleets.
 	capacityTime = 250 * time.Millisecond
 	// starvesAfter is how long a configuration call waits before it goes ahead
@@ -29,9 +32,9 @@
 // others put them in order when tokens are gained one by one.
 var reserves = [classes]reserve{
 	Lease:         {},
-	Intent:        {tokens: 1.25, share: 0.1},
-	Configuration: {tokens: 1.5, share: 0.25},
-	Status:        {tokens: 1.75, share: 0.5},
+	Intent:        {tokens: 1.1, share: 0.1},
+	Configuration: {tokens: 1.2, share: 0.25},
+	Status:        {tokens: 1.25, share: 0.5},
 }
 
 // starvedReserve is of a configuration call that has waited for starvesAfter.
@@ -42,6 +45,7 @@
 	bucket      bucket
 	pacers      [classes]pacer
 	pausedUntil time.Time // the API asked to wait
+	phase       float64   // of capacityPhase
 }
 
 // admit decides on a call and takes its token when it is allowed.
@@ -89,5 +93,5 @@
 }
 
 func (l *lane) resize(now time.Time, rate float64) {
-	l.bucket.resize(now, rate, max(minCapacity, rate*capacityTime.Seconds()))
+	l.bucket.resize(now, rate, max(minCapacity+l.phase, rate*capacityTime.Seconds()))
 }
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -19,13 +19,14 @@
 	limit    float64 // requests at which tokens come too slowly
 }
 
-func (c candidate) choice() Choice {
+func (c candidate) choice(t *scorer.Targets) Choice {
 	return Choice{
 		Endpoint:              c.endpoint.info.ID,
 		Address:               c.endpoint.info.Address,
 		DataCentre:            c.endpoint.info.DataCentre,
 		PredictedFirstToken:   time.Duration(c.first * float64(time.Second)),
 		PredictedCachedTokens: c.cached,
+		Overloaded:            c.overloaded(t),
 		Reason:                c.reason,
 	}
 }
--- a/internal/routing/choice.go
+++ b/internal/routing/choice.go
@@ -30,5 +30,8 @@
 	DataCentre            fleet.DataCentre
 	PredictedFirstToken   time.Duration
 	PredictedCachedTokens int // of the prompt
-	Reason                Reason
+	// Overloaded says that the answer would likely miss a latency target
+	// there, and nowhere was better: the time to refuse or to queue.
+	Overloaded bool
+	Reason     Reason
 }
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -52,12 +52,13 @@
 // DefaultWeights are the weights found by the comparison in
 // docs/adr/0006-routing.md.
 var DefaultWeights = scorer.Weights{
-	Recompute: 1,
+	Recompute: 4,
 	Owner:     0.5,
 	Wait:      1000,
 	Miss:      3000,
+	Load:      0,
 	Pace:      3000,
-	Price:     0.1,
+	Price:     0,
 	Doubt:     20000,
 }
 
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -14,6 +14,7 @@
 	slot     uint32 // in Router.slots and the prefix index
 	hash     uint64 // of the id, for rendezvous
 	distance float64
+	weight   float64
 	leaving  bool
 	sets     []*set // those it serves
 	load     estimate.Engine
@@ -26,7 +27,7 @@
 }
 
 func newEndpoint(info fleet.Endpoint, slot uint32) *endpoint {
-	return &endpoint{info: info, slot: slot, hash: xxh3.HashString(string(info.ID))}
+	return &endpoint{info: info, slot: slot, weight: 16, hash: xxh3.HashString(string(info.ID))}
 }
 
 // usable reports whether it may receive new requests.
--- a/internal/routing/load_events.go
+++ b/internal/routing/load_events.go
@@ -14,6 +14,9 @@
 		return
 	}
 	e.load.Report(load)
+	if load.Slots > 0 {
+		e.weight = float64(load.Slots)
+	}
 	e.pace.Add(load.Running, load.TokenMillis/1000)
 	r.index.SetCapacity(e.slot, load.CacheBlocks)
 }
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -1,5 +1,7 @@
 package routing
 
+import "math"
+
 // ranks is how many rendezvous choices of a prompt are candidates: with an
 // owner overloaded the second takes its spill, and so on.
 const ranks = 4
@@ -7,7 +9,7 @@
 // ranked is a set's best members for a key, best first.
 type ranked struct {
 	at    [ranks]*endpoint
-	score [ranks]uint64
+	score [ranks]float64
 	n     int
 }
 
@@ -16,7 +18,7 @@
 func (s *set) rank(key uint64, ok func(*endpoint) bool) ranked {
 	var r ranked
 	for i, h := range s.hashes {
-		score := mix(key ^ h)
+		score := weigh(mix(key^h), s.members[i].weight)
 		if r.n == ranks && score <= r.score[ranks-1] {
 			continue
 		}
@@ -27,7 +29,7 @@
 	return r
 }
 
-func (r *ranked) insert(e *endpoint, score uint64) {
+func (r *ranked) insert(e *endpoint, score float64) {
 	if r.n < ranks {
 		r.n++
 	}
@@ -46,3 +48,11 @@
 	x *= 0x94d049bb133111eb
 	return x ^ x>>31
 }
+
+var weighted = 1.0
+
+// weigh turns a hash into the member's score (weighted rendezvous: w / -ln u)
+func weigh(h uint64, weight float64) float64 {
+	u := (float64(h>>11) + 0.5) / (1 << 53)
+	return math.Pow(weight, weighted) / -math.Log(u)
+}
--- a/internal/routing/scorer/scorer.go
+++ b/internal/routing/scorer/scorer.go
@@ -10,6 +10,7 @@
 	Owner     float64 // share of the uncached tokens that the agreed engine is taken to hold
 	Wait      float64 // tokens for each second to the first token
 	Miss      float64 // tokens for a first token past the target
+	Load      float64
 	Pace      float64 // tokens for a batch past the size that keeps the time between tokens
 	Price     float64 // share of the request's tokens, for each doubling of the cheapest price
 	Doubt     float64 // tokens for an endpoint whose new connections failed lately
@@ -57,7 +58,8 @@
 
 // pace keeps the batch below the size at which all its answers slow down.
 func pace(w *Weights, in *Input) float64 {
-	return w.Pace * ramp((in.Requests+1)/in.Limit)
+	share := min(1.5, (in.Requests+1)/in.Limit)
+	return w.Load*share*share + w.Pace*ramp(share)
 }
 
 // Bounds of the ramp, shares of a limit: a prediction is seldom better than
--- a/internal/template/check.go
+++ b/internal/template/check.go
@@ -86,8 +86,8 @@
 	if !slices.Contains(methods, c.Method) {
 		found.add(at+".method", "must be one of "+list(methods))
 	}
-	if _, err := CompilePattern(c.Path); err != nil {
-		found.add(at+".path", err.Error())
+	if _, fault := compilePattern(c.Path); fault != "" {
+		found.add(at+".path", fault)
 	}
 }
 
--- a/internal/template/merge.go
+++ b/internal/template/merge.go
@@ -64,10 +64,7 @@
 	for _, s := range t.services {
 		calls := m.out.services[s.Name]
 		for _, c := range s.NonIdempotent {
-			pattern, err := CompilePattern(c.Path)
-			if err != nil {
-				continue // Apply lets no faulty template through
-			}
+			pattern, _ := compilePattern(c.Path) // checked by Apply
 			calls = append(calls, call{method: c.Method, pattern: pattern})
 		}
 		m.out.services[s.Name] = calls
--- a/internal/template/parse.go
+++ b/internal/template/parse.go
@@ -47,9 +47,9 @@
 	if fault := tooDeep(text); fault != nil {
 		return nil, fault
 	}
-	file, err := parser.ParseBytes(text, 0)
+	file, err := parser.ParseBytes(text, 0, parser.AllowDuplicateMapKey())
 	if err != nil {
-		return nil, syntaxProblem(err)
+		return nil, syntaxProblem(text, err)
 	}
 	if len(file.Docs) != 1 || file.Docs[0].Body == nil {
 		return nil, &Problem{Message: fmt.Sprintf("one document is needed, the text has %d", len(file.Docs))}
@@ -58,7 +58,7 @@
 }
 
 // syntaxProblem gives the parser's error its place.
-func syntaxProblem(err error) *Problem {
+func syntaxProblem(text []byte, err error) *Problem {
 	fault := &Problem{Message: err.Error()}
 	var syntax *yaml.SyntaxError
 	if !errors.As(err, &syntax) {
@@ -69,9 +69,22 @@
 		fault.Line = syntax.Token.Position.Line
 		fault.Column = syntax.Token.Position.Column
 	}
+	if line := lineOf(text, fault.Line); bytes.Contains(line, []byte("${")) {
+		fault.Message += "; within brackets a ${parameter} must stand in quotes"
+	}
 	return fault
 }
 
+// lineOf returns a line of a text, counted from 1.
+func lineOf(text []byte, number int) []byte {
+	for line := range bytes.Lines(text) {
+		if number--; number == 0 {
+			return line
+		}
+	}
+	return nil
+}
+
 // tooDeep refuses a text that might nest deeper than maxNesting. It counts
 // every bracket, also in strings, and the dashes and question marks that open
 // a level each on one line.
--- a/internal/template/pattern.go
+++ b/internal/template/pattern.go
@@ -1,48 +1,51 @@
 package template
 
-import "strings"
+import (
+	"fmt"
+	"strings"
+)
 
-// Pattern matches paths of a plain service. A segment * stands for any one
+// pattern matches paths of a plain service. A segment * stands for any one
 // segment, and ** at the end for any rest, also none. Letters match in either
 // case; empty and "." segments and what follows a semicolon don't count: a
 // service may take //Orders;a=b/ for /orders, and a call that is taken for a
 // repeatable one by mistake could run twice.
-type Pattern struct {
+type pattern struct {
 	segments []string // lower case
 	rest     bool     // ends in **
 }
 
-// CompilePattern reads a pattern such as /orders, /orders/*/lines or /admin/**.
-func CompilePattern(text string) (Pattern, error) {
+// compilePattern reads a pattern such as /orders, /orders/*/lines or /admin/**. A fault is
+// what is wrong with it, empty for nothing.
+func compilePattern(text string) (p pattern, fault string) {
 	if !strings.HasPrefix(text, "/") || len(text) > maxPathBytes {
-		return Pattern{}, Error.New("must start with / and have at most %d bytes", maxPathBytes)
+		return p, fmt.Sprintf("must start with / and have at most %d bytes", maxPathBytes)
 	}
 	if strings.ContainsAny(text, "?#%") || strings.Contains(text, "${") {
-		return Pattern{}, Error.New("must be a plain path, without query, escapes and parameters")
+		return p, "must be a plain path, without query, escapes and parameters"
 	}
-	var p Pattern
 	for segment := range strings.SplitSeq(strings.ToLower(text), "/") {
 		switch {
 		case p.rest:
-			return Pattern{}, Error.New("** may only stand at the end")
+			return p, "** may only stand at the end"
 		case segment == "" || segment == ".":
 		case segment == "**":
 			p.rest = true
 		case segment == "..":
-			return Pattern{}, Error.New(".. can't stand in a pattern")
+			return p, ".. can't stand in a pattern"
 		case segment != "*" && strings.Contains(segment, "*"):
-			return Pattern{}, Error.New("* must be a whole segment")
+			return p, "* must be a whole segment"
 		default:
 			p.segments = append(p.segments, segment)
 		}
 	}
-	return p, nil
+	return p, ""
 }
 
-// Match reports whether a path, decoded and without its query, matches. A path
+// match reports whether a path, decoded and without its query, matches. A path
 // with a ".." segment matches every pattern, because which call it is depends
 // on the service.
-func (p *Pattern) Match(path string) bool {
+func (p *pattern) match(path string) bool {
 	at := 0
 	for rest := path; rest != ""; {
 		var segment string
--- a/internal/template/snapshot.go
+++ b/internal/template/snapshot.go
@@ -29,7 +29,7 @@
 // call is a non-idempotent call of a service.
 type call struct {
 	method  string // * for any
-	pattern Pattern
+	pattern pattern
 }
 
 // Authenticate returns the workspace of a bearer token that is valid at now.
@@ -75,7 +75,7 @@
 		if calls[i].method != "*" && calls[i].method != method {
 			continue
 		}
-		if calls[i].pattern.Match(path) {
+		if calls[i].pattern.match(path) {
 			return true
 		}
 	}
--- a/internal/template/spec.go
+++ b/internal/template/spec.go
@@ -25,7 +25,8 @@
 	NonIdempotent []CallSpec `json:"nonIdempotent,omitempty"`
 }
 
-// CallSpec describes calls of a service. See Pattern for the form of Path.
+// CallSpec describes calls of a service. In Path a segment * stands for any one
+// segment, and ** at the end for any rest: /orders, /orders/*/lines, /admin/**.
 type CallSpec struct {
 	Method string `json:"method"` // in capitals, * for any
 	Path   string `json:"path"`
