--- a/internal/admission/admission_test.go
+++ b/internal/admission/admission_test.go
@@ -39,7 +39,7 @@
 	a := newAdmission(Limits{RequestsPerSecond: 1, RequestBurst: 2, TokensPerSecond: 100, TokenBurst: 100, MaxTokens: 100}, 8)
 	assert.Equal(t, a.Offer(epoch, ask("a", 300)).Outcome, Admit) // 300 tokens of debt
 	for range 100 {
-		d := a.Offer(epoch, ask("b", 100))
+		d := a.Offer(epoch, withDeadline(ask("b", 100), 60))
 		assert.Equal(t, d.Reason, TokenRate)
 		assert.Assert(t, d.RetryAfter > 0)
 	}
@@ -78,6 +78,7 @@
 	a.Offer(epoch, ask("a", 1))
 	a.Offer(epoch, ask("b", 1))
 	assert.Equal(t, a.Offer(epoch, withDeadline(ask("c", 1), 600)).Reason, Concurrency)
+	assert.Equal(t, len(a.Tick(epoch)), 0)
 	a.Release(epoch, "a", Usage{})
 	a.Release(epoch, "a", Usage{})
 	a.Offer(epoch, withDeadline(ask("d", 1), 600))
@@ -112,21 +113,51 @@
 	assert.Equal(t, a.workspaces["w"].tokens.balance, 800.0)
 }
 
-// Capacity vanishes while requests wait. Their callers learn at once that they
-// will not make it; told near the deadline, no other entry could help them.
+// Capacity vanishes while requests wait, and more run than slots are left.
+// Callers learn at once that they will not make it; told near the deadline, no
+// other entry could help them. What was refused gives its rate token back.
 func TestLostCapacityRefusesWhatWaits(t *testing.T) {
-	a := newAdmission(Limits{}, 40)
+	a := newAdmission(Limits{RequestsPerSecond: 1e-9, RequestBurst: 41}, 40)
 	for i := range 40 {
 		a.Offer(epoch, ask(fmt.Sprint(i), 1))
 	}
 	assert.Equal(t, a.Offer(epoch, withDeadline(ask("x", 1), 2)).Outcome, Queue)
 	assert.Equal(t, len(a.Tick(epoch)), 0)
-	a.SetCapacity("p", 1)
+	a.SetCapacity("p", 20)
 	acts := a.Tick(at(0.01))
 	assert.Equal(t, len(acts), 1)
 	assert.Equal(t, acts[0].Reason, Overload)
 	assert.Assert(t, !acts[0].Start && acts[0].RetryAfter > 0)
-	assert.Equal(t, a.Offer(at(0.01), ask("y", 1)).Reason, Overload)
+	d := a.Offer(at(0.01), ask("y", 1))
+	assert.Equal(t, d.Outcome, Refuse)
+	assert.Equal(t, d.Reason, Overload)
+}
+
+// A slot frees just after a request's deadline, before the next check. Its
+// caller has given up; starting it would spend the slot on nobody.
+func TestLateRequestIsNotStarted(t *testing.T) {
+	a := newAdmission(Limits{}, 400)
+	for i := range 400 {
+		a.Offer(epoch, ask(fmt.Sprint(i), 1))
+	}
+	a.Tick(epoch)
+	assert.Equal(t, a.Offer(at(0.1), withDeadline(ask("late", 1), 1)).Outcome, Queue)
+	assert.Equal(t, len(a.Tick(at(0.9))), 0)
+	a.Release(at(1.02), "0", Usage{PromptTokens: 1, CompletionTokens: 100})
+	acts := a.Tick(at(1.02))
+	assert.Equal(t, len(acts), 1)
+	assert.Assert(t, !acts[0].Start)
+}
+
+// A flood of requests with far deadlines must not fill the daemon's memory.
+func TestQueueIsBounded(t *testing.T) {
+	a := newAdmission(Limits{}, 1)
+	reasons := map[Reason]int{}
+	for i := range 2 * a.cfg.MaxQueuedEach {
+		reasons[a.Offer(epoch, withDeadline(ask(fmt.Sprint(i), 1), 1e6)).Reason]++
+	}
+	assert.Equal(t, a.PoolState("p").Queued, a.cfg.MaxQueuedEach)
+	assert.Equal(t, reasons[QueueFull], a.cfg.MaxQueuedEach-1)
 }
 
 // Demand moves between daemons and shares with it. If a share that grows
--- /dev/null
+++ b/internal/capacity/demand.go
@@ -0,0 +1,65 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Closing is work that must be done by a deadline.
+type Closing struct {
+	Workspace fleet.WorkspaceID
+	Start     time.Time
+	Deadline  time.Time
+	Work      float64 // generated tokens still to come
+}
+
+// Demand is what must be served.
+type Demand struct {
+	Base     float64 // generated tokens a second outside of closings
+	Measured float64 // generated tokens a second now, closings included
+	Closings []Closing
+}
+
+// leastWindow is the shortest time that a closing's rest of work is spread
+// over; near the deadline the rate would otherwise grow without bound.
+const leastWindow = 5 * time.Minute
+
+// At returns the rate to provide for at t, as seen from now.
+func (d Demand) At(now, t time.Time) float64 {
+	rate := d.Base
+	for _, c := range d.Closings {
+		rate += c.rate(now, t)
+	}
+	if !t.After(now) {
+		rate = max(rate, d.Measured)
+	}
+	return rate
+}
+
+// Peak returns the greatest rate in [now, until], and when it is first reached.
+// Rates change only where closings start.
+func (d Demand) Peak(now, until time.Time) (rate float64, when time.Time) {
+	rate, when = d.At(now, now), now
+	for _, c := range d.Closings {
+		if c.Start.Before(now) || c.Start.After(until) {
+			continue
+		}
+		if r := d.At(now, c.Start); r > rate {
+			rate, when = r, c.Start
+		}
+	}
+	return rate, when
+}
+
+// rate is what the closing needs at t when its work is spread evenly.
+func (c Closing) rate(now, t time.Time) float64 {
+	if t.Before(c.Start) || !t.Before(c.Deadline) {
+		return 0
+	}
+	from := c.Start
+	if now.After(from) {
+		from = now
+	}
+	return c.Work / max(leastWindow, c.Deadline.Sub(from)).Seconds()
+}
--- /dev/null
+++ b/internal/capacity/giveback.go
@@ -0,0 +1,47 @@
+package capacity
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// giveBack ends what is more than the demand and its reserve need, the dearest
+// first, once the surplus has lasted KeepFor. Only instances that serve count
+// as a surplus, so nothing goes before its replacement is ready.
+func (p *Planner) giveBack(now time.Time, in Input, s *survey, res *Result) {
+	rate, _ := in.Demand.Peak(now, now.Add(p.cfg.KeepFor+p.cfg.StartTime))
+	keep := goal{need: rate * (1 + p.cfg.Headroom) * (1 + p.cfg.KeepMargin), part: p.cfg.Reserve}
+	extra := p.extra(now, in, s, keep)
+	if len(extra) == 0 {
+		p.surplus = time.Time{}
+		return
+	}
+	if p.surplus.IsZero() {
+		p.surplus = now
+	}
+	if now.Sub(p.surplus) < p.cfg.KeepFor {
+		return
+	}
+	for _, h := range extra {
+		p.end(h.intent, Surplus, res)
+	}
+	p.surplus = time.Time{}
+}
+
+// extra lists the instances without which keep is still reached.
+func (p *Planner) extra(now time.Time, in Input, s *survey, keep goal) []held {
+	prices := p.market(now, in.Prices, true).prices
+	unit := func(h held) float64 { return prices[h.intent.choice()] / h.rate }
+	byPrice := slices.Clone(s.idle)
+	slices.SortStableFunc(byPrice, func(a, b held) int { return cmp.Compare(unit(b), unit(a)) })
+	left := s.ready
+	var extra []held
+	for _, h := range byPrice {
+		if less := left.without(h.intent.DataCentre, h.rate); keep.reached(less) {
+			left = less
+			extra = append(extra, h)
+		}
+	}
+	return extra
+}
--- /dev/null
+++ b/internal/capacity/market.go
@@ -0,0 +1,75 @@
+package capacity
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// choice is one kind of instance that can be bought.
+type choice struct {
+	dataCentre fleet.DataCentre
+	class      string
+	onDemand   bool
+}
+
+// offer is a choice with its price.
+type offer struct {
+	choice
+	price float64 // currency units an hour
+	rate  float64 // generated tokens a second
+}
+
+// unit is the price of one token a second.
+func (o offer) unit() float64 { return o.price / o.rate }
+
+// market is what can be bought now.
+type market struct {
+	offers []offer
+	prices map[choice]float64
+	next   time.Time // earliest end of a back-off; zero when there is none
+}
+
+// market lists the offers that are not backed off from. On-demand ones are
+// left out unless urgent, or cheaper than the reclaimable kind.
+func (p *Planner) market(now time.Time, prices []cloudapi.Price, urgent bool) market {
+	m := market{prices: make(map[choice]float64, 2*len(prices))}
+	for _, price := range prices {
+		c := choice{dataCentre: price.DataCentre, class: price.Class}
+		m.prices[c] = price.Reclaimable
+		p.offer(now, &m, offer{choice: c, price: price.Reclaimable})
+		c.onDemand = true
+		m.prices[c] = price.OnDemand
+		if urgent || price.OnDemand <= price.Reclaimable {
+			p.offer(now, &m, offer{choice: c, price: price.OnDemand})
+		}
+	}
+	return m
+}
+
+// offer adds o if its class is known, it has a price and no back-off holds.
+func (p *Planner) offer(now time.Time, m *market, o offer) {
+	o.rate = p.rate(o.class)
+	if o.rate <= 0 || o.price <= 0 {
+		return
+	}
+	b := p.backoffs[o.choice]
+	if b == nil || !now.Before(b.until) {
+		m.offers = append(m.offers, o)
+		return
+	}
+	if m.next.IsZero() || b.until.Before(m.next) {
+		m.next = b.until
+	}
+}
+
+// rate returns the work of a class, 0 when it is unknown.
+func (p *Planner) rate(class string) float64 {
+	for _, c := range p.cfg.Classes {
+		if c.Name == class {
+			return c.Rate
+		}
+	}
+	return 0
+}
--- /dev/null
+++ b/internal/capacity/trace_bench_test.go
@@ -0,0 +1,64 @@
+package capacity
+
+import (
+	"testing"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
+)
+
+// Run: go test -run=- -bench=Trace -benchtime=1x ./internal/capacity
+func BenchmarkTrace(b *testing.B) {
+	asIs := func(p []cloudapi.Price) []cloudapi.Price { return p }
+	ways := []struct {
+		name   string
+		set    func(*Config)
+		prices func([]cloudapi.Price) []cloudapi.Price
+	}{
+		{"on-demand", func(c *Config) { c.Reserve = 0 }, only(func(p *cloudapi.Price) { p.Reclaimable = 0 })},
+		{"cheapest-first", func(c *Config) { c.Reserve = 0 }, only(func(p *cloudapi.Price) { p.OnDemand = 0 })},
+		{"planned", func(*Config) {}, asIs},
+		{"planned/no-on-demand", func(*Config) {}, only(func(p *cloudapi.Price) { p.OnDemand = 0 })},
+		{"planned/no-reserve", func(c *Config) { c.Reserve = 0 }, asIs},
+		{"planned/no-exchange", func(c *Config) { c.SwitchGain = 1e9 }, asIs},
+		{"planned/no-keep", func(c *Config) { c.KeepFor, c.KeepMargin = 0, 0 }, asIs},
+	}
+	const seeds = 8
+	for _, w := range ways {
+		b.Run(w.name, func(b *testing.B) {
+			for range b.N {
+				cost, onTime, closings, served, launches := 0.0, 0, 0, 0.0, 0
+				for seed := range uint64(seeds) {
+					cfg := DefaultConfig(traceClasses)
+					w.set(&cfg)
+					t := newTrace(seed)
+					t.run(cfg, w.prices)
+					cost += t.cost
+					served += t.served / t.offered
+					launches += t.launches
+					for i, c := range t.closings {
+						closings++
+						if !t.doneAt[i].IsZero() && !t.doneAt[i].After(c.Deadline) {
+							onTime++
+						}
+					}
+				}
+				b.ReportMetric(cost/seeds, "cost")
+				b.ReportMetric(100*float64(onTime)/float64(closings), "closings-on-time-%")
+				b.ReportMetric(100*served/seeds, "base-served-%")
+				b.ReportMetric(float64(launches)/seeds, "launches")
+				b.ReportMetric(0, "ns/op")
+			}
+		})
+	}
+}
+
+func only(change func(*cloudapi.Price)) func([]cloudapi.Price) []cloudapi.Price {
+	return func(prices []cloudapi.Price) []cloudapi.Price {
+		changed := make([]cloudapi.Price, len(prices))
+		for i, p := range prices {
+			change(&p)
+			changed[i] = p
+		}
+		return changed
+	}
+}
--- /dev/null
+++ b/internal/capacity/trace_test.go
@@ -0,0 +1,227 @@
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// The trace: three days of a seeded market with four data centres and three
+// classes. Prices wander; a wave takes most of a data centre's reclaimable
+// instances about every eight hours, after which starts there are refused for
+// a while. Demand has a daily swing and four closings.
+const (
+	traceStep   = 30 * time.Second
+	traceTime   = 72 * time.Hour
+	traceBase   = 20_000.0 // tokens a second
+	traceNotice = time.Minute
+)
+
+var traceClasses = []Class{{"small", 600}, {"medium", 1_300}, {"large", 2_800}}
+
+var traceStart = time.Unix(1_700_000_000, 0)
+
+type machine struct {
+	cloudapi.Instance
+	readyAt time.Time
+	leaveAt time.Time
+}
+
+type trace struct {
+	rng      *rand.Rand
+	now      time.Time
+	prices   []cloudapi.Price
+	refusing map[fleet.DataCentre]time.Time // until
+	machines []*machine
+	tokens   map[string]*machine
+	closings []Closing
+	arrived  []float64 // of each closing's work
+	backlog  []float64
+	doneAt   []time.Time
+
+	cost, served, offered float64
+	launches, refused     int
+}
+
+func newTrace(seed uint64) *trace {
+	t := &trace{
+		rng:      rand.New(rand.NewPCG(seed, 1)),
+		now:      traceStart,
+		refusing: map[fleet.DataCentre]time.Time{},
+		tokens:   map[string]*machine{},
+	}
+	for i, dc := range []fleet.DataCentre{"a", "b", "c", "d"} {
+		for _, c := range traceClasses {
+			onDemand := c.Rate / 300 * (1 + 0.1*float64(i))
+			t.prices = append(t.prices, cloudapi.Price{Class: c.Name, DataCentre: dc, OnDemand: onDemand, Reclaimable: 0.35 * onDemand})
+		}
+	}
+	for _, hour := range []int{10, 30, 44, 60} {
+		start := traceStart.Add(time.Duration(hour) * time.Hour)
+		t.closings = append(t.closings, Closing{Start: start, Deadline: start.Add(2 * time.Hour), Work: traceBase * 2 * 7200})
+	}
+	t.arrived = make([]float64, len(t.closings))
+	t.backlog = make([]float64, len(t.closings))
+	t.doneAt = make([]time.Time, len(t.closings))
+	return t
+}
+
+// step moves the market and serves demand for one step.
+func (t *trace) step() {
+	t.now = t.now.Add(traceStep)
+	t.machines = slices.DeleteFunc(t.machines, func(m *machine) bool {
+		return !m.leaveAt.IsZero() && !t.now.Before(m.leaveAt)
+	})
+	for i := range t.prices {
+		p := &t.prices[i]
+		x := math.Log(p.Reclaimable/p.OnDemand) + 0.03*t.rng.NormFloat64()
+		x += 0.002 * (math.Log(0.35) - x)
+		p.Reclaimable = p.OnDemand * min(1, math.Exp(x))
+	}
+	if t.rng.Float64() < traceStep.Hours()/8 {
+		t.wave(fleet.DataCentre("abcd"[t.rng.IntN(4):][:1]))
+	}
+	capacity := 0.0
+	for _, m := range t.machines {
+		t.cost += t.price(m) * traceStep.Hours()
+		if !t.now.Before(m.readyAt) {
+			capacity += rateOf(m.Class)
+		}
+	}
+	t.serve(capacity)
+}
+
+func (t *trace) wave(dc fleet.DataCentre) {
+	t.refusing[dc] = t.now.Add(time.Duration(10+t.rng.IntN(40)) * time.Minute)
+	for _, m := range t.machines {
+		if m.DataCentre == dc && !m.OnDemand && m.leaveAt.IsZero() && t.rng.Float64() < 0.8 {
+			m.leaveAt = t.now.Add(traceNotice)
+		}
+	}
+}
+
+func (t *trace) price(m *machine) float64 {
+	for _, p := range t.prices {
+		if p.Class == m.Class && p.DataCentre == m.DataCentre && m.OnDemand {
+			return p.OnDemand
+		}
+		if p.Class == m.Class && p.DataCentre == m.DataCentre {
+			return p.Reclaimable
+		}
+	}
+	return 0
+}
+
+func rateOf(class string) float64 {
+	return traceClasses[slices.IndexFunc(traceClasses, func(c Class) bool { return c.Name == class })].Rate
+}
+
+func (t *trace) base() float64 {
+	return traceBase * (1 + 0.5*math.Sin(2*math.Pi*t.now.Sub(traceStart).Hours()/24))
+}
+
+// serve gives capacity to the base first and the rest to closings, whose work
+// arrives over the first three fifths of their window.
+func (t *trace) serve(capacity float64) {
+	s := traceStep.Seconds()
+	base := t.base()
+	t.offered += base * s
+	t.served += min(base, capacity) * s
+	left := max(0, capacity-base) * s
+	for i, c := range t.closings {
+		if t.now.Before(c.Start) {
+			continue
+		}
+		due := c.Work * min(1, t.now.Sub(c.Start).Seconds()/(0.6*c.Deadline.Sub(c.Start).Seconds()))
+		t.backlog[i] += due - t.arrived[i]
+		t.arrived[i] = due
+		done := min(left, t.backlog[i])
+		t.backlog[i] -= done
+		left -= done
+		if due >= c.Work && t.backlog[i] <= 1 && t.doneAt[i].IsZero() {
+			t.doneAt[i] = t.now
+		}
+	}
+}
+
+// demand is what a planner is told.
+func (t *trace) demand() Demand {
+	d := Demand{Base: t.base(), Measured: t.base()}
+	for i, c := range t.closings {
+		c.Work -= t.arrived[i] - t.backlog[i]
+		if t.doneAt[i].IsZero() {
+			d.Closings = append(d.Closings, c)
+		}
+	}
+	return d
+}
+
+// launch answers a launch; lost means that the answer does not arrive.
+func (t *trace) launch(l cloudapi.Launch) (m *machine, lost bool) {
+	t.launches++
+	if m := t.tokens[l.ClientToken]; m != nil {
+		return m, false
+	}
+	refuses := t.now.Before(t.refusing[l.DataCentre]) && t.rng.Float64() < 0.95 || t.rng.Float64() < 0.05
+	if refuses && !l.OnDemand {
+		t.refused++
+		return nil, false
+	}
+	m = &machine{Instance: cloudapi.Instance{
+		ID:          fleet.InstanceID(fmt.Sprint("i", len(t.tokens))),
+		ClientToken: l.ClientToken,
+		Class:       l.Class,
+		DataCentre:  l.DataCentre,
+		OnDemand:    l.OnDemand,
+	}}
+	m.readyAt = t.now.Add(time.Duration(180+t.rng.IntN(60)) * time.Second)
+	t.tokens[l.ClientToken] = m
+	t.machines = append(t.machines, m)
+	return m, t.rng.Float64() < 0.02
+}
+
+func (t *trace) giveBack(id fleet.InstanceID) {
+	t.machines = slices.DeleteFunc(t.machines, func(m *machine) bool { return m.ID == id })
+}
+
+func (t *trace) owned() []Owned {
+	var list []Owned
+	for _, m := range t.machines {
+		list = append(list, Owned{Instance: m.Instance, Ready: !t.now.Before(m.readyAt), LeaveAt: m.leaveAt})
+	}
+	return list
+}
+
+// run drives a planner that is replaced by a successor every six hours.
+func (t *trace) run(cfg Config, prices func([]cloudapi.Price) []cloudapi.Price) {
+	var record Record
+	p := New("s", cfg, t.rng)
+	for step := 0; t.now.Before(traceStart.Add(traceTime)); step++ {
+		t.step()
+		if step%720 == 719 {
+			p = New("s", cfg, t.rng)
+		}
+		in := Input{Demand: t.demand(), Prices: prices(t.prices), Owned: t.owned(), ListedAt: t.now.Add(-time.Second), Record: record, RecordReadAt: t.now}
+		res := p.Plan(t.now, in)
+		record = res.Record
+		for _, l := range res.Launches {
+			m, lost := t.launch(l)
+			switch {
+			case lost:
+				p.Lost(t.now, l)
+			case m == nil:
+				p.Refused(t.now, l)
+			default:
+				p.Launched(t.now, l, m.ID)
+			}
+		}
+		for _, g := range res.GiveBacks {
+			t.giveBack(g.Instance)
+		}
+	}
+}
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/spf13/cobra"
 
@@ -43,6 +44,11 @@
 	if d.Ready(ctx) == nil {
 		announcer.Done()
 	}
-	<-ctx.Done()
-	return a.leave(d.Leave, s.Limits.RequestTimeout)
+	timeout := s.Limits.RequestTimeout
+	select {
+	case <-ctx.Done():
+	case at := <-d.Noticed():
+		timeout = time.Until(at)
+	}
+	return a.leave(d.Leave, timeout)
 }
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -47,7 +47,11 @@
 	dispatcher    *dispatch.Dispatcher
 	services      *services
 	observing     *observingDuty
+	reclaim       *reclaimDuty
+	membership    *membershipDuty
 	drains        *drains
+	gateway       *gateway.Gateway
+	noticedAt     chan time.Time
 	listed        atomic.Pointer[listapi.List] // the newest answer
 	servers       []*http.Server
 }
@@ -55,12 +59,13 @@
 // New makes a daemon from checked settings. Start lets it serve.
 func New(s settings.Settings, log *logrus.Logger) (*Daemon, error) {
 	d := &Daemon{
-		settings: s,
-		run:      fleet.DaemonID(uuid.Must(uuid.NewV7()).String()),
-		log:      log,
-		state:    &lifecycle{},
-		metrics:  newMetricSet(),
-		drains:   newDrains(),
+		settings:  s,
+		run:       fleet.DaemonID(uuid.Must(uuid.NewV7()).String()),
+		log:       log,
+		state:     newLifecycle(),
+		metrics:   newMetricSet(),
+		drains:    newDrains(),
+		noticedAt: make(chan time.Time, 1),
 	}
 	rates := budget.Rates{}
 	rates[budget.ObjectRead] = s.Control.FleetReads
@@ -109,7 +114,7 @@
 	d.ledger = newLedgerDuty(d.platform.Objects, logging.For(d.log, logging.Ledger))
 	d.ledger.writer = d.ledgerWriter
 	d.ledger.forward = d.forwardIntent
-	d.locator = newLocator(s.Instance, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
+	d.locator = newLocator(d.state, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
 	d.observing = &observingDuty{client: engineClient, routing: d.routing, every: s.Routing.LoadInterval}
 	d.services = &services{
 		client:    endpoint.NewServices(endpoint.Options{}),
@@ -121,6 +126,9 @@
 		log:       logging.For(d.log, logging.Dispatch),
 	}
 	d.dispatcher = dispatch.New(d.dispatchOptions(engineClient))
+	daemons := func() int { return len(d.roster.view.Load().serving) }
+	d.reclaim = newReclaimDuty(d.dispatcher, d.routing, daemons, logging.For(d.log, logging.Routing))
+	d.gateway = d.newGateway()
 	d.metrics.gauge("cyclamenbeam_requests_running", func() float64 { return float64(d.dispatcher.Live()) })
 	d.metrics.ringGauges("routing", d.routing.ring.Depth, d.routing.ring.Drops, d.routing.ring.Refused)
 	d.metrics.ringGauges("admission", d.admission.ring.Depth, d.admission.ring.Drops, d.admission.ring.Refused)
@@ -144,6 +152,7 @@
 		Admission: d.admission,
 		Locator:   d.locator,
 		Intents:   d.ledger,
+		Peers:     &handoverPeers{roster: d.roster, client: d.peers},
 		NonIdempotent: func(m fleet.ModelRef, w fleet.WorkspaceID) bool {
 			model, ok := d.configuration.model(w, m)
 			return ok && model.NonIdempotent
@@ -215,20 +224,30 @@
 	d.state.listed.Store(true)
 	d.routing.setEndpoints(d.drains.mark(list.Endpoints))
 	for _, e := range leavingEndpoints(list) {
-		at := time.Time{}
-		if e.LeaveAt > 0 {
-			at = time.UnixMilli(e.LeaveAt)
-		}
-		d.routing.notice(e.ID, at)
-		d.dispatcher.Notice(e.ID, at)
+		d.noticed(e)
+	}
+	if !d.membership.node.View().Joined() {
+		d.roster.setList(list.Entries)
 	}
-	d.roster.setList(list.Entries)
+	d.membership.seeds(list.Entries)
 	// The list's count, not the membership's: parts of a fleet that lost each
 	// other still share one platform.
 	d.platform.SetFleetSize(max(1, len(list.Entries)))
 	d.setCapacity(list.Endpoints)
 }
 
+// noticed acts on an endpoint that leaves: routing sends it nothing more, and
+// this daemon's streams on it are moved in time.
+func (d *Daemon) noticed(e fleet.Endpoint) {
+	at := time.Time{}
+	if e.LeaveAt > 0 {
+		at = time.UnixMilli(e.LeaveAt)
+	}
+	d.routing.notice(e.ID, at)
+	d.dispatcher.Notice(e.ID, at)
+	d.reclaim.notice(e, at)
+}
+
 // slotsPerEngine is assumed until an engine's own report is used.
 const slotsPerEngine = 8
 
@@ -268,8 +287,8 @@
 	return p, p.Instance != d.settings.Instance
 }
 
-// gatewayHandler returns the callers' API.
-func (d *Daemon) gatewayHandler() http.Handler {
+// newGateway returns the callers' API.
+func (d *Daemon) newGateway() *gateway.Gateway {
 	return gateway.New(gateway.Options{
 		Requests:   d.dispatcher,
 		Services:   d.services,
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -55,7 +55,14 @@
 		cancel()
 		return err
 	}
-	f.stream, f.cancel, f.at = s, cancel, from
+	// A leaving daemon sends its readers on to the holder, or it would wait for
+	// answers that others generate.
+	stop := context.AfterFunc(f.locator.state.left, cancel)
+	f.stream, f.at = s, from
+	f.cancel = func() {
+		stop()
+		cancel()
+	}
 	return nil
 }
 
@@ -75,6 +82,9 @@
 		if ctx.Err() != nil {
 			return gateway.Part{}, ctx.Err()
 		}
+		if f.locator.state.leaving() {
+			return f.sentOn(), nil
+		}
 		f.broken++
 		if f.broken > followRetries || f.open(ctx, from) != nil {
 			return f.lost(ctx)
@@ -82,6 +92,15 @@
 	}
 }
 
+// sentOn sends the reader to the holder.
+func (f *follower) sentOn() gateway.Part {
+	p, _ := f.locator.roster.instance(f.holding.Holder)
+	if p.Callers == "" {
+		p.Callers = f.locator.roster.callersAddress("")
+	}
+	return gateway.Part{MovedTo: p.Callers}
+}
+
 // lost tells a caller that the holder is gone. The request may go on; asking
 // again finds its successor.
 func (f *follower) lost(ctx context.Context) (gateway.Part, error) {
--- a/internal/daemon/lifecycle.go
+++ b/internal/daemon/lifecycle.go
@@ -1,6 +1,7 @@
 package daemon
 
 import (
+	"context"
 	"sync/atomic"
 	"time"
 
@@ -9,10 +10,18 @@
 
 // lifecycle says how far the daemon is between its start and its end.
 type lifecycle struct {
-	caughtUp   atomic.Bool  // has the closing templates
-	listed     atomic.Bool  // has seen the instance list
-	leavingAt  atomic.Int64 // Unix ns of the start of leaving; 0 is not leaving
-	refuseFrom atomic.Int64 // Unix ns from which new requests are refused
+	caughtUp   atomic.Bool     // has the closing templates
+	listed     atomic.Bool     // has seen the instance list
+	leavingAt  atomic.Int64    // Unix ns of the start of leaving; 0 is not leaving
+	refuseFrom atomic.Int64    // Unix ns from which new requests are refused
+	left       context.Context // ends when the daemon starts to leave
+	endLeft    context.CancelFunc
+}
+
+func newLifecycle() *lifecycle {
+	l := &lifecycle{}
+	l.left, l.endLeft = context.WithCancel(context.Background())
+	return l
 }
 
 var _ gateway.Readiness = (*lifecycle)(nil)
@@ -35,6 +44,7 @@
 func (l *lifecycle) leave(now time.Time, maxAge time.Duration) {
 	if l.leavingAt.CompareAndSwap(0, now.UnixNano()) {
 		l.refuseFrom.Store(now.Add(maxAge).UnixNano())
+		l.endLeft()
 	}
 }
 
--- a/internal/daemon/locator.go
+++ b/internal/daemon/locator.go
@@ -35,6 +35,7 @@
 type locator struct {
 	*owner[*directory.Directory]
 	self      fleet.InstanceID
+	state     *lifecycle
 	roster    *roster
 	client    *peer.Client
 	announces *ring.Ring[directory.Holding]
@@ -43,7 +44,7 @@
 
 var _ dispatch.Locator = (*locator)(nil)
 
-func newLocator(self fleet.InstanceID, r *roster, client *peer.Client, limits settings.Limits, log *logrus.Entry) *locator {
+func newLocator(state *lifecycle, r *roster, client *peer.Client, limits settings.Limits, log *logrus.Entry) *locator {
 	d := directory.New(directory.Config{
 		MaxEntries: directoryEntries,
 		Running:    limits.RequestTimeout,
@@ -51,7 +52,8 @@
 	})
 	return &locator{
 		owner:     newOwner("directory", directoryRing, d),
-		self:      self,
+		self:      r.self.Instance,
+		state:     state,
 		roster:    r,
 		client:    client,
 		announces: ring.New[directory.Holding]("announcements", directoryRing),
@@ -220,6 +222,21 @@
 	return f, nil
 }
 
+// Cancel implements dispatch.Locator.
+func (l *locator) Cancel(ctx context.Context, h directory.Holding) bool {
+	p, ok := l.roster.instance(h.Holder)
+	if !ok {
+		return false
+	}
+	ctx, cancel := context.WithTimeout(ctx, directoryTimeout)
+	defer cancel()
+	reply, err := l.client.Peer(ctx, p.Peers).Cancel(ctx, &peerpb.CancelRequest{
+		Request:   string(h.Request),
+		Workspace: string(h.Workspace),
+	})
+	return err == nil && reply.GetKnown()
+}
+
 func holdingToWire(h directory.Holding) *peerpb.Holding {
 	return &peerpb.Holding{
 		Request:   string(h.Request),
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -17,6 +17,7 @@
 	locator       *locator
 	configuration *configurationDuty
 	ledger        *ledgerDuty
+	daemon        fleet.DaemonID
 }
 
 var _ peerpb.DRPCPeerServer = (*peerServer)(nil)
@@ -46,6 +47,12 @@
 	return &peerpb.LookupReply{Holding: holdingToWire(h)}, nil
 }
 
+// Cancel implements peerpb.DRPCPeerServer.
+func (s *peerServer) Cancel(_ context.Context, q *peerpb.CancelRequest) (*peerpb.CancelReply, error) {
+	known := s.dispatcher.CancelHeld(fleet.WorkspaceID(q.GetWorkspace()), fleet.RequestID(q.GetRequest()))
+	return &peerpb.CancelReply{Known: known}, nil
+}
+
 // Follow implements peerpb.DRPCPeerServer. An empty piece comes first and says
 // that the request is held here.
 func (s *peerServer) Follow(q *peerpb.FollowRequest, stream peerpb.DRPCPeer_FollowStream) error {
--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -101,12 +101,19 @@
 	return *p, true
 }
 
-// callersAddress returns where callers reach a daemon, empty when unknown.
+// callersAddress returns where callers reach a daemon. Where it is not known,
+// any other entry serves: it finds the request through the directory.
 func (r *roster) callersAddress(id fleet.DaemonID) string {
-	if p, ok := r.view.Load().byRun[id]; ok {
+	v := r.view.Load()
+	if p, ok := v.byRun[id]; ok {
 		return p.Callers
 	}
-	return ""
+	for _, p := range v.all {
+		if p.Serving && p.Instance != r.self.Instance {
+			return p.Callers
+		}
+	}
+	return r.self.Callers
 }
 
 // Entries implements gateway.Directory: the workspace's subset by rendezvous,
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/certs"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 )
@@ -33,7 +34,14 @@
 		cancel()
 		return err
 	}
+	if d.membership, err = startMembership(&d.settings, d.self(), d.roster, logging.For(d.log, logging.Membership)); err != nil {
+		cancel()
+		listeners.close()
+		return err
+	}
+	d.joinDuties()
 	d.routing.start(ctx)
+	d.reclaim.start(ctx)
 	d.admission.start(ctx)
 	d.ledger.start(ctx)
 	d.locator.start(ctx)
@@ -46,13 +54,25 @@
 	}
 	go listing.run(ctx)
 	go d.observing.run(ctx)
-	d.serveHTTP(listeners.callers, d.gatewayHandler(), logging.Gateway)
+	go d.watchNotices(ctx)
+	d.serveHTTP(listeners.callers, d.gateway, logging.Gateway)
 	d.serveHTTP(listeners.operators, d.operatorHandler(), logging.Operator)
 	d.servePeers(ctx, listeners.peers)
 	logging.For(d.log, logging.Daemon).WithField("instance", d.settings.Instance).Info("started")
 	return nil
 }
 
+// joinDuties connects the membership with those who need to know of it.
+func (d *Daemon) joinDuties() {
+	d.configuration.setDigest = d.membership.setDigest
+	d.membership.onHeard = d.configuration.heard
+	d.membership.onGone = func(m membership.Member) {
+		d.locator.gone(m.Instance)
+		d.configuration.gone(m.Daemon)
+	}
+	d.membership.follow()
+}
+
 // listeners are the daemon's TCP listeners.
 type listeners struct {
 	callers   net.Listener
@@ -60,6 +80,12 @@
 	peers     net.Listener
 }
 
+func (l *listeners) close() {
+	_ = l.callers.Close()
+	_ = l.operators.Close()
+	_ = l.peers.Close()
+}
+
 func (d *Daemon) listen() (*listeners, error) {
 	s := &d.settings
 	l := &listeners{}
@@ -116,7 +142,7 @@
 }
 
 func (d *Daemon) servePeers(ctx context.Context, l net.Listener) {
-	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger}
+	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger, daemon: d.run}
 	go func() {
 		if err := peer.Serve(ctx, l, handler); err != nil && ctx.Err() == nil {
 			logging.For(d.log, logging.Peer).WithError(err).Error("listener ended")
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -5,20 +5,26 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 )
 
-// drainTick is how often a leaving daemon looks whether its requests ended.
+// drainTick is how often a leaving daemon looks whether its time has come.
 const drainTick = 50 * time.Millisecond
 
 // Leave stops the daemon without cutting off a request: it leaves the entries'
 // answer at once, serves callers that still remember it for as long as they
-// were told to keep the answer, and ends when its requests have. It returns an
-// error when some had not by the time ctx ends.
+// were told to keep the answer, hands long requests over and lets short ones
+// finish. It returns an error when some had not ended by the time ctx did.
 func (d *Daemon) Leave(ctx context.Context) error {
+	by, ok := ctx.Deadline()
+	if !ok {
+		by = time.Now().Add(d.settings.Limits.RequestTimeout)
+	}
 	log := logging.For(d.log, logging.Daemon)
 	log.Info("leaving")
 	d.state.leave(time.Now(), d.settings.Entries.MaxAge)
-	err := d.drain(ctx)
+	d.membership.leave(ctx)
+	err := d.drain(ctx, by)
 	d.Close()
 	if err != nil {
 		log.WithError(err).Error("stopped with requests running")
@@ -28,18 +34,24 @@
 	return nil
 }
 
-// drain waits until new requests are refused and the running ones have ended.
-func (d *Daemon) drain(ctx context.Context) error {
+// drain waits until new requests are refused and none is left.
+func (d *Daemon) drain(ctx context.Context, by time.Time) error {
+	self := request.Member{Daemon: d.run, DataCentre: d.settings.DataCentre}
 	ticker := time.NewTicker(drainTick)
 	defer ticker.Stop()
-	for !d.state.Refusing() || d.dispatcher.Live() > 0 {
+	for {
+		if err := d.dispatcher.Leave(ctx, self, by); err != nil {
+			return Error.Wrap(err)
+		}
+		if d.state.Refusing() && d.gateway.Idle() {
+			return nil
+		}
 		select {
 		case <-ticker.C:
 		case <-ctx.Done():
-			return Error.New("%d requests were still running", d.dispatcher.Live())
+			return Error.New("callers were still connected")
 		}
 	}
-	return nil
 }
 
 // closeTimeout bounds the wait for answers that are being written.
@@ -55,6 +67,9 @@
 		}
 	}
 	d.dispatcher.Close()
+	if d.membership != nil {
+		_ = d.membership.node.Close()
+	}
 	if d.cancel != nil {
 		d.cancel()
 	}
--- a/internal/deployment/check.go
+++ b/internal/deployment/check.go
@@ -25,12 +25,19 @@
 			m = append(m, settings.Mistake{Path: path, Message: fmt.Sprintf("%q is not loopback; stand-ins have no authentication", v)})
 		}
 	}
+	advertised := func(path, v string) {
+		if v != "" {
+			address(path, v)
+		}
+	}
 	address("$.platform", s.Platform)
 	for i, e := range s.Engines {
 		address(fmt.Sprintf("$.engines[%d].address", i), e.Address)
+		advertised(fmt.Sprintf("$.engines[%d].advertise", i), e.Advertise)
 	}
 	for i, e := range s.Services {
 		address(fmt.Sprintf("$.services[%d].address", i), e.Address)
+		advertised(fmt.Sprintf("$.services[%d].advertise", i), e.Advertise)
 	}
 	if s.Speed.TokenInterval <= 0 {
 		m = append(m, settings.Mistake{Path: "$.speed.tokenInterval", Message: "must be a duration above zero, such as 10ms"})
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -22,7 +22,8 @@
 // Engine is one stand-in of a model engine.
 type Engine struct {
 	Instance   fleet.InstanceID `yaml:"instance"`
-	Address    string           `yaml:"address"`
+	Address    string           `yaml:"address"`   // to listen on
+	Advertise  string           `yaml:"advertise"` // in the instance list; empty is the address
 	DataCentre fleet.DataCentre `yaml:"dataCentre"`
 	Class      string           `yaml:"class"`
 	HourPrice  float64          `yaml:"hourPrice"` // currency units
@@ -34,10 +35,20 @@
 type Service struct {
 	Instance   fleet.InstanceID `yaml:"instance"`
 	Name       string           `yaml:"name"`
-	Address    string           `yaml:"address"`
+	Address    string           `yaml:"address"`   // to listen on
+	Advertise  string           `yaml:"advertise"` // in the instance list; empty is the address
 	DataCentre fleet.DataCentre `yaml:"dataCentre"`
 }
 
+// listed is the address in the instance list. One that is not the listener's
+// own lets tests put a proxy between daemons and endpoints.
+func listed(address, advertise string) string {
+	if advertise != "" {
+		return advertise
+	}
+	return address
+}
+
 // Entry is an entry instance as the instance list shows it.
 type Entry struct {
 	Instance   fleet.InstanceID `yaml:"instance"`
--- a/internal/deployment/standins.go
+++ b/internal/deployment/standins.go
@@ -179,14 +179,14 @@
 	}
 	for _, e := range d.settings.Engines {
 		l.Endpoints = append(l.Endpoints, fleet.Endpoint{
-			ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: e.Address,
+			ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: listed(e.Address, e.Advertise),
 			DataCentre: e.DataCentre, Region: Region, Kind: fleet.EngineEndpoint,
 			Class: e.Class, HourPrice: e.HourPrice, Fences: e.Fences, State: fleet.Live, Models: d.models,
 		})
 	}
 	for _, e := range d.settings.Services {
 		l.Endpoints = append(l.Endpoints, fleet.Endpoint{
-			ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: e.Address,
+			ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: listed(e.Address, e.Advertise),
 			DataCentre: e.DataCentre, Region: Region, Kind: fleet.ServiceEndpoint,
 			Service: e.Name, State: fleet.Live,
 		})
--- /dev/null
+++ b/internal/dispatch/adopt.go
@@ -0,0 +1,66 @@
+package dispatch
+
+import (
+	"encoding/json"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+)
+
+// encode returns the run's completion request for a successor.
+func (r *run) encode() ([]byte, error) { return json.Marshal(r.completion) }
+
+// Take decides an offer from a leaving daemon and carries its request on.
+func (d *Dispatcher) Take(t *Transfer) request.Reply {
+	now := time.Now()
+	can := !d.isLeaving() && d.hasRoom()
+	var completion engineapi.CompletionRequest
+	if json.Unmarshal(t.Completion, &completion) != nil {
+		can = false
+	}
+	ref := t.Offer.Ref
+	d.handing.mu.Lock()
+	d.adoptCustody(ref, t.Snapshot.Spec.Deadline)
+	d.handing.holdings.Expire(now)
+	reply, fresh := d.handing.holdings.Take(now, t.Offer, t.Snapshot.Spec.Deadline, can)
+	d.handing.mu.Unlock()
+	if fresh {
+		d.adopt(now, t, completion)
+	}
+	return reply
+}
+
+func (d *Dispatcher) hasRoom() bool { return d.Live() < d.o.Limits.Live }
+
+// adopt carries on a request that was taken over.
+func (d *Dispatcher) adopt(now time.Time, t *Transfer, c engineapi.CompletionRequest) {
+	ref := t.Offer.Ref
+	r := d.bareRun(ref, t.Digest, c, nil)
+	r.transfer = t.Offer.Number
+	r.owner = t.Owner
+	r.opened = true
+	r.released = true // its place was taken, and is given back, at the origin
+	life, actions := request.Adopt(now, t.Snapshot, d.o.Policy, d.budget)
+	r.life = life
+	if !d.replace(now, r) {
+		return
+	}
+	d.o.Locator.Announce(r.holding(false))
+	d.o.Log.WithField("request", ref.ID).Infof("taken over from %s with %d tokens", t.Offer.From, len(t.Snapshot.Generated))
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.perform(actions)
+}
+
+// replace enters a run that was taken over. It replaces one that was handed
+// over from here and comes back.
+func (d *Dispatcher) replace(now time.Time, r *run) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if _, attach := d.table.Begin(now, r.ref, r.digest, r.life); attach != request.Created {
+		return false
+	}
+	d.runs[r.ref] = r
+	return true
+}
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -153,6 +153,9 @@
 	now := time.Now()
 	result, actions := r.life.Piece(now, number, p.Offset, p.Text)
 	if result == request.Appended {
+		if r.firstAt.IsZero() {
+			r.firstAt = now
+		}
 		r.wake()
 	}
 	if now.Sub(r.extended) > extendEvery {
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -44,6 +44,9 @@
 	Lookup(ctx context.Context, id fleet.RequestID) (directory.Holding, bool)
 	// Follow reads the answer of a request that another daemon holds.
 	Follow(ctx context.Context, h directory.Holding) (gateway.Answer, error)
+	// Cancel cancels a request that another daemon holds, and reports whether
+	// the holder knew it.
+	Cancel(ctx context.Context, h directory.Holding) bool
 }
 
 // Intents is the ledger of requests that run at most once.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -26,6 +26,7 @@
 	Admission Admission
 	Locator   Locator
 	Intents   Intents
+	Peers     Peers
 	// NonIdempotent reports whether a completion must not run twice.
 	NonIdempotent func(m fleet.ModelRef, workspace fleet.WorkspaceID) bool
 	// Model returns the model that serves a workspace's request, with the
@@ -49,6 +50,8 @@
 	stop   context.CancelFunc
 	budget *lockedBudget
 
+	handing handover
+
 	mu    sync.Mutex
 	table *request.Table
 	runs  map[request.Ref]*run
@@ -64,8 +67,12 @@
 		ctx:    ctx,
 		stop:   stop,
 		budget: newLockedBudget(),
-		table:  request.NewTable(o.Limits),
-		runs:   make(map[request.Ref]*run),
+		handing: handover{
+			holdings: request.NewHoldings(o.Daemon),
+			held:     make(map[request.Ref]*Transfer),
+		},
+		table: request.NewTable(o.Limits),
+		runs:  make(map[request.Ref]*run),
 	}
 }
 
@@ -117,7 +124,10 @@
 
 // known attaches to a request that has the key already, here or elsewhere.
 func (d *Dispatcher) known(ctx context.Context, ref request.Ref, digest request.Digest) (gateway.Answer, *problem.Problem) {
-	if d.run(ref) != nil {
+	if r := d.run(ref); r != nil {
+		if r.moved.Load() {
+			return r.reader(), nil
+		}
 		return nil, nil // begin attaches, and compares the bodies
 	}
 	mine := directory.Holding{Request: ref.ID, Workspace: ref.Workspace, Holder: d.o.Instance}
@@ -170,15 +180,17 @@
 	}
 }
 
-// run returns the request held here, nil when it is unknown.
+// run returns the request held here, or the trace of one that was handed over,
+// which still says where it went; nil when it is unknown.
 func (d *Dispatcher) run(ref request.Ref) *run {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.table.Expire(time.Now())
-	if d.table.Get(ref) == nil {
+	r := d.runs[ref]
+	if r == nil || (d.table.Get(ref) == nil && !r.moved.Load()) {
 		return nil
 	}
-	return d.runs[ref]
+	return r
 }
 
 // Find implements gateway.Requests.
@@ -188,7 +200,7 @@
 	}
 	h, ok := d.o.Locator.Lookup(ctx, id)
 	if !ok || h.Workspace != workspace {
-		return nil, problem.New(http.StatusNotFound, verdict.MayHaveRun, "no such request is known, or its answer is no longer kept")
+		return nil, unknownRequest()
 	}
 	a, err := d.o.Locator.Follow(ctx, h)
 	if err != nil {
@@ -206,17 +218,33 @@
 	return r.reader()
 }
 
-// Cancel ends a request held here because its caller asks for it. It reports
-// whether the request is known.
-func (d *Dispatcher) Cancel(workspace fleet.WorkspaceID, id fleet.RequestID) bool {
+// Cancel implements gateway.Requests.
+func (d *Dispatcher) Cancel(ctx context.Context, workspace fleet.WorkspaceID, id fleet.RequestID) *problem.Problem {
+	if d.CancelHeld(workspace, id) {
+		return nil
+	}
+	h, ok := d.o.Locator.Lookup(ctx, id)
+	if ok && h.Workspace == workspace && d.o.Locator.Cancel(ctx, h) {
+		return nil
+	}
+	return unknownRequest()
+}
+
+// CancelHeld cancels a request that this daemon holds. It reports whether the
+// request is known.
+func (d *Dispatcher) CancelHeld(workspace fleet.WorkspaceID, id fleet.RequestID) bool {
 	r := d.run(request.Ref{Workspace: workspace, ID: id})
-	if r == nil {
+	if r == nil || r.moved.Load() {
 		return false
 	}
 	r.do(r.life.Cancel)
 	return true
 }
 
+func unknownRequest() *problem.Problem {
+	return problem.New(http.StatusNotFound, verdict.MayHaveRun, "no such request is known, or its answer is no longer kept")
+}
+
 func keyConflict() *problem.Problem {
 	return problem.New(http.StatusConflict, verdict.NotRun, "the Idempotency-Key is in use for another request")
 }
--- /dev/null
+++ b/internal/dispatch/handover.go
@@ -0,0 +1,299 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// handoverTick is how often a leaving daemon looks what is due.
+const handoverTick = 50 * time.Millisecond
+
+// Transfer is an offer with all that its addressee needs.
+type Transfer struct {
+	Offer      request.Offer
+	Snapshot   request.Snapshot
+	Completion []byte // engineapi.CompletionRequest, JSON
+	Digest     request.Digest
+	Owner      string // of the ledger's intent
+}
+
+// Peers carries hand-over messages to other daemons. An error of verdict
+// NotRun proves that nothing left.
+type Peers interface {
+	Offer(ctx context.Context, t *Transfer) (request.Reply, error)
+	Withdraw(ctx context.Context, w request.Withdraw, deadline time.Time) (request.Rank, error)
+	// Members returns the daemons that might take requests over.
+	Members() []request.Member
+}
+
+// handover is the daemon's custody of requests and, once it leaves, the
+// hand-over of them.
+type handover struct {
+	mu       sync.Mutex
+	holdings *request.Holdings
+	leaving  *request.Handover // nil until the daemon leaves
+	held     map[request.Ref]*Transfer
+}
+
+// messageTimeout bounds one hand-over message; offers are repeated.
+const messageTimeout = time.Second
+
+// Leave hands all requests over, or lets them finish, until none is left or
+// ctx ends. Requests that are accepted meanwhile are taken in as they come.
+func (d *Dispatcher) Leave(ctx context.Context, self request.Member, by time.Time) error {
+	d.beginLeaving(self, by)
+	ticker := time.NewTicker(handoverTick)
+	defer ticker.Stop()
+	for {
+		d.handOver(time.Now())
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return errors.New("requests were still running when the time ended")
+		}
+		if ctx.Err() == nil && d.settled() {
+			return nil
+		}
+	}
+}
+
+// LeaveBy brings the end of the hand-over forward: a second notice.
+func (d *Dispatcher) LeaveBy(by time.Time) {
+	d.handing.mu.Lock()
+	defer d.handing.mu.Unlock()
+	if d.handing.leaving != nil {
+		d.handing.leaving.Leave(by)
+	}
+}
+
+func (d *Dispatcher) beginLeaving(self request.Member, by time.Time) {
+	d.handing.mu.Lock()
+	defer d.handing.mu.Unlock()
+	if d.handing.leaving == nil {
+		d.handing.leaving = request.NewHandover(self, request.DefaultHandoverPolicy())
+	}
+	d.handing.leaving.Leave(by)
+}
+
+// isLeaving reports whether Leave was called: a leaving daemon takes nothing over.
+func (d *Dispatcher) isLeaving() bool {
+	d.handing.mu.Lock()
+	defer d.handing.mu.Unlock()
+	return d.handing.leaving != nil
+}
+
+func (d *Dispatcher) settled() bool {
+	d.handing.mu.Lock()
+	settled := d.handing.leaving.Settled()
+	d.handing.mu.Unlock()
+	return settled && d.Live() == 0
+}
+
+// handOver enters new requests, forgets ended ones and does what is due.
+func (d *Dispatcher) handOver(now time.Time) {
+	running := d.running()
+	candidates := make([]request.Candidate, 0, len(running))
+	for _, r := range running {
+		if c, ok := r.candidate(); ok {
+			candidates = append(candidates, c)
+		}
+	}
+	members := d.o.Peers.Members()
+	d.handing.mu.Lock()
+	h := d.handing.leaving
+	h.SetMembers(members)
+	for _, c := range candidates {
+		h.Add(c, d.handing.holdings.Accept(c.Ref, now.Add(d.o.Timeout)))
+	}
+	orders := h.Tick(now)
+	d.handing.mu.Unlock()
+	d.obey(orders)
+}
+
+// candidate describes the run for the hand-over, false before it is accepted.
+func (r *run) candidate() (request.Candidate, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if !r.opened || r.end != nil {
+		return request.Candidate{}, false
+	}
+	done := r.life.Answer().Len()
+	return request.Candidate{
+		Ref:       r.ref,
+		Cost:      r.route.PromptTokens + done,
+		Remaining: r.remaining(),
+	}, true
+}
+
+// assumedTokenInterval is used for a stream whose pace is not known yet.
+const assumedTokenInterval = 34 * time.Millisecond
+
+// remaining estimates the time until the answer is whole from its pace so far.
+// Called with the lock held.
+func (r *run) remaining() time.Duration {
+	done := r.life.Answer().Len()
+	left := r.route.MaxTokens - done
+	if done == 0 || r.firstAt.IsZero() {
+		return time.Duration(left) * assumedTokenInterval
+	}
+	return time.Duration(left) * time.Since(r.firstAt) / time.Duration(done)
+}
+
+// event lets the hand-over take an event and obeys what it orders then.
+func (d *Dispatcher) event(f func(h *request.Handover, now time.Time) []request.Order) {
+	d.handing.mu.Lock()
+	var orders []request.Order
+	if h := d.handing.leaving; h != nil {
+		orders = f(h, time.Now())
+	}
+	d.handing.mu.Unlock()
+	d.obey(orders)
+}
+
+func (d *Dispatcher) obey(orders []request.Order) {
+	for _, o := range orders {
+		switch o := o.(type) {
+		case request.Prepare:
+			d.prepare(o)
+		case request.Send:
+			go d.send(o.Offer)
+		case request.Withdraw:
+			go d.withdraw(o)
+		case request.Release:
+			d.endHeld(o.Ref, func(l *request.Life, now time.Time) []request.Action { return l.Released(now, o.To.Holder) })
+		case request.Keep:
+			d.endHeld(o.Ref, func(l *request.Life, now time.Time) []request.Action { return l.Unhold(now) })
+		case request.GiveUp:
+			d.endHeld(o.Ref, func(l *request.Life, now time.Time) []request.Action { return l.Lost(now) })
+		}
+	}
+}
+
+// prepare freezes a run and keeps what its successor needs.
+func (d *Dispatcher) prepare(o request.Prepare) {
+	t := d.freeze(o)
+	if t == nil {
+		d.event(func(h *request.Handover, now time.Time) []request.Order {
+			h.NotReady(now, o.Ref)
+			return nil
+		})
+		return
+	}
+	d.handing.mu.Lock()
+	d.handing.held[o.Ref] = t
+	d.handing.mu.Unlock()
+	d.event(func(h *request.Handover, now time.Time) []request.Order {
+		return h.Ready(now, o.Ref, t.Snapshot.Repeatable())
+	})
+}
+
+func (d *Dispatcher) freeze(o request.Prepare) *Transfer {
+	r := d.run(o.Ref)
+	if r == nil {
+		return nil
+	}
+	completion, err := r.encode()
+	if err != nil {
+		return nil
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s, ok := r.life.Hold(time.Now(), o.Urgent)
+	if !ok {
+		return nil
+	}
+	return &Transfer{Snapshot: s, Completion: completion, Digest: r.digest, Owner: r.owner}
+}
+
+// send makes an offer and takes its reply. Silence needs no event: the offer
+// is repeated.
+func (d *Dispatcher) send(o request.Offer) {
+	d.handing.mu.Lock()
+	held := d.handing.held[o.Ref]
+	d.handing.mu.Unlock()
+	if held == nil {
+		return
+	}
+	t := *held
+	t.Offer = o
+	ctx, cancel := context.WithTimeout(d.ctx, messageTimeout)
+	defer cancel()
+	reply, err := d.o.Peers.Offer(ctx, &t)
+	switch {
+	case err == nil:
+		d.event(func(h *request.Handover, now time.Time) []request.Order { return h.Replied(now, reply) })
+	case verdict.Of(err) == verdict.NotRun && d.onlyCopy(o):
+		d.event(func(h *request.Handover, now time.Time) []request.Order { return h.Unsent(now, o) })
+	default:
+		d.o.Log.WithField("request", o.Ref.ID).Infof("no answer to an offer to %s: %v", o.To, err)
+	}
+}
+
+// onlyCopy reports whether this was the first copy of an offer. That nothing
+// of a later one left proves nothing about those before it.
+func (d *Dispatcher) onlyCopy(o request.Offer) bool {
+	d.handing.mu.Lock()
+	defer d.handing.mu.Unlock()
+	t := d.handing.held[o.Ref]
+	if t == nil || t.Offer == o {
+		return false
+	}
+	t.Offer = o
+	return true
+}
+
+func (d *Dispatcher) withdraw(w request.Withdraw) {
+	ctx, cancel := context.WithTimeout(d.ctx, messageTimeout)
+	defer cancel()
+	before, err := d.o.Peers.Withdraw(ctx, w, time.Now().Add(d.o.Timeout))
+	if err != nil {
+		return
+	}
+	d.event(func(h *request.Handover, now time.Time) []request.Order { return h.Withdrawn(now, w, before) })
+}
+
+// endHeld lets the life of a held run take an event, and forgets the transfer.
+func (d *Dispatcher) endHeld(ref request.Ref, f func(*request.Life, time.Time) []request.Action) {
+	d.handing.mu.Lock()
+	delete(d.handing.held, ref)
+	d.handing.mu.Unlock()
+	if r := d.run(ref); r != nil {
+		r.do(func(now time.Time) []request.Action { return f(r.life, now) })
+	}
+}
+
+// finishedHere tells the hand-over that a request ended by itself.
+func (d *Dispatcher) finishedHere(ref request.Ref) {
+	d.event(func(h *request.Handover, _ time.Time) []request.Order {
+		h.Finished(ref)
+		return nil
+	})
+}
+
+// Withdrawn takes a withdrawal from another daemon and returns the holder that
+// was known before.
+func (d *Dispatcher) Withdrawn(ref request.Ref, rank request.Rank, deadline time.Time) request.Rank {
+	now := time.Now()
+	d.handing.mu.Lock()
+	d.adoptCustody(ref, deadline)
+	before, lost := d.handing.holdings.Withdraw(now, ref, rank, deadline)
+	d.handing.mu.Unlock()
+	d.event(func(h *request.Handover, now time.Time) []request.Order { return h.Learned(now, ref, rank) })
+	if lost {
+		d.endHeld(ref, func(l *request.Life, now time.Time) []request.Action { return l.Withdrawn(now, rank.Holder) })
+	}
+	return before
+}
+
+// adoptCustody enters custody of a request that was accepted here and is not
+// known to the hand-over yet. Called with the hand-over's lock held.
+func (d *Dispatcher) adoptCustody(ref request.Ref, deadline time.Time) {
+	if d.handing.holdings.Get(ref) == nil && d.run(ref) != nil {
+		d.handing.holdings.Accept(ref, deadline)
+	}
+}
--- a/internal/dispatch/move.go
+++ b/internal/dispatch/move.go
@@ -7,6 +7,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/reclaim"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 )
 
@@ -79,3 +80,55 @@
 	}
 	return out
 }
+
+// Streams describes the runs on endpoints for a plan of their moves. kvBytes
+// is the size of one token's KV cache.
+func (d *Dispatcher) Streams(kvBytes int64) []reclaim.Stream {
+	var out []reclaim.Stream
+	for _, r := range d.running() {
+		if s, ok := r.stream(kvBytes); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+func (r *run) stream(kvBytes int64) (reclaim.Stream, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.end != nil || r.life.Endpoint() == "" {
+		return reclaim.Stream{}, false
+	}
+	done := r.life.Answer().Len()
+	return reclaim.Stream{
+		Ref:       r.ref,
+		Endpoint:  r.life.Endpoint(),
+		Model:     r.route.Model,
+		Prompt:    r.route.PromptTokens,
+		Generated: done,
+		Remaining: r.remaining(),
+		KVBytes:   int64(r.route.PromptTokens+done) * kvBytes,
+		Fixed:     r.life.Spec().NonIdempotent,
+	}, true
+}
+
+// Move carries out a planned move of a run, if it is still where the plan saw it.
+func (d *Dispatcher) Move(m reclaim.Move) {
+	r := d.run(m.Ref)
+	if r == nil {
+		return
+	}
+	r.do(func(now time.Time) []request.Action {
+		if r.life.Endpoint() != m.From {
+			return nil
+		}
+		switch m.Method {
+		case reclaim.ExportKV:
+			return r.life.Move(now, m.To)
+		case reclaim.Recompute:
+			return r.life.Recompute(now, m.To)
+		default:
+			return nil
+		}
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
@@ -29,7 +30,6 @@
 
 	mu       sync.Mutex
 	life     *request.Life
-	custody  *request.Custody
 	transfer uint64 // under which it is held here
 	opened   bool   // some attempt was answered, so the request is accepted
 	end      *gateway.Part
@@ -40,6 +40,8 @@
 	extended time.Time
 	cancel   context.CancelFunc // of the newest attempt's connection
 	released bool               // given back to admission
+	firstAt  time.Time          // of the first piece here
+	moved    atomic.Bool        // handed over: only readers still ask for it
 }
 
 func (d *Dispatcher) newRun(now time.Time, s *gateway.Submission, ref request.Ref, digest request.Digest) *run {
@@ -51,7 +53,6 @@
 		PromptTokens:  r.route.PromptTokens,
 	}
 	r.life = request.NewLife(spec, d.o.Policy, d.budget)
-	r.custody = request.Accept(d.o.Daemon)
 	return r
 }
 
@@ -104,7 +105,7 @@
 		case request.Fail:
 			r.finish(&gateway.Part{Failure: problemOf(a)})
 		case request.Transfer:
-			r.moved(a.To)
+			r.movedTo(a.To)
 		}
 	}
 	r.arm()
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -75,10 +75,29 @@
 	r.end = &gateway.Part{Failure: p}
 	r.wake()
 	r.mu.Unlock()
+	r.mu.Lock()
+	r.release()
+	r.mu.Unlock()
 	r.d.mu.Lock()
 	defer r.d.mu.Unlock()
 	r.d.table.Remove(r.ref)
-	delete(r.d.runs, r.ref)
+	r.d.drop(r)
+}
+
+// drop forgets a run, unless another took its place. Called with the lock held.
+func (d *Dispatcher) drop(r *run) {
+	if d.runs[r.ref] == r {
+		delete(d.runs, r.ref)
+	}
+}
+
+// forget takes a run that was handed over out of the table.
+func (r *run) forget() {
+	r.d.mu.Lock()
+	defer r.d.mu.Unlock()
+	if r.d.runs[r.ref] == r {
+		r.d.table.Remove(r.ref)
+	}
 }
 
 // accepted notes that an engine answers, from where on the request is
@@ -156,11 +175,16 @@
 	if r.end.Failure != nil {
 		v = r.end.Failure.Verdict
 	}
+	if r.end.MovedTo != "" {
+		r.forget()
+		return
+	}
+	r.d.finishedHere(r.ref)
 	r.d.o.Observer.Ended(v.String())
 	r.d.mu.Lock()
 	if v == verdict.NotRun {
 		r.d.table.Remove(r.ref)
-		delete(r.d.runs, r.ref)
+		r.d.drop(r)
 	} else {
 		r.d.table.Finish(time.Now(), r.ref)
 	}
@@ -173,8 +197,9 @@
 	}
 }
 
-// moved ends the run here because daemon to holds it now. Called with the lock held.
-func (r *run) moved(to fleet.DaemonID) {
+// movedTo ends the run here because daemon to holds it now. Called with the lock held.
+func (r *run) movedTo(to fleet.DaemonID) {
+	r.moved.Store(true)
 	r.finish(&gateway.Part{MovedTo: r.d.o.Address(to)})
 }
 
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -62,8 +62,11 @@
 	return true
 }
 
-// Close closes the connection and gives its place back.
-func (c *conn) Close() error {
-	c.once.Do(c.release)
-	return c.Conn.Close()
+// Close closes the connection and gives its place back, once.
+func (c *conn) Close() (err error) {
+	c.once.Do(func() {
+		err = c.Conn.Close()
+		c.release()
+	})
+	return err
 }
--- a/internal/endpoint/engines_test.go
+++ b/internal/endpoint/engines_test.go
@@ -108,6 +108,35 @@
 	})
 }
 
+// Two streams lose their connections at the same moment and notice it one
+// after the other. The second silence is an old one: it must not close the
+// connections that were opened since the first.
+func TestLateSilenceLeavesNewConnectionsAlone(t *testing.T) {
+	withEngine(t, engine.Options{}, func(t *testing.T, e *engine.Engine, c *Engines, network *pipeNet) {
+		open := func(between time.Duration) *Stream {
+			s, err := c.Start(t.Context(), address, ask(100), Call{FirstToken: time.Second, BetweenToken: between})
+			assert.NilError(t, err)
+			_, err = read(s, 1)
+			assert.NilError(t, err)
+			return s
+		}
+		quick, slow := open(time.Second), open(3*time.Second)
+		defer quick.Close()
+		defer slow.Close()
+		e.SetFaults(enginefault.Faults{SilenceOpen: true})
+		var silent *Silent
+		_, err := read(quick, 100)
+		assert.Assert(t, errors.As(err, &silent))
+		_, err = c.Load(t.Context(), address)
+		assert.NilError(t, err)
+		_, err = read(slow, 100)
+		assert.Assert(t, errors.As(err, &silent))
+		_, err = c.Load(t.Context(), address)
+		assert.NilError(t, err)
+		assert.Equal(t, network.dials.Load(), int32(3))
+	})
+}
+
 // The engine accepts requests and never answers: each kind of call ends with
 // its own deadline and says how far it was.
 func TestSilentEngine(t *testing.T) {
@@ -171,7 +200,7 @@
 }
 
 func TestMoveOfKVCache(t *testing.T) {
-	withEngine(t, engine.Options{}, func(t *testing.T, e *engine.Engine, c *Engines, _ *pipeNet) {
+	withEngine(t, engine.Options{}, func(t *testing.T, _ *engine.Engine, c *Engines, _ *pipeNet) {
 		s, err := c.Start(t.Context(), address, ask(20), patient)
 		assert.NilError(t, err)
 		defer s.Close()
@@ -200,7 +229,6 @@
 		assert.DeepEqual(t, models, []fleet.ModelRef{{Model: "m"}})
 		_, err = c.CacheEvents(t.Context(), address, 0)
 		assert.NilError(t, err)
-		_ = e
 	})
 }
 
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -41,9 +41,16 @@
 		MaxIdleConnsPerHost:    p.o.MaxIdleConns,
 		IdleConnTimeout:        p.o.IdleTimeout,
 		MaxResponseHeaderBytes: maxResponseHeader,
+		ReadBufferSize:         connBuffer,
+		WriteBufferSize:        connBuffer,
 	}
 }
 
+// connBuffer is the size of each of a connection's two buffers, bytes. A token's
+// event is far smaller, and a daemon that observes 690 engines keeps a
+// connection to each: the default of 4 KiB would cost 4 MB more.
+const connBuffer = 1 << 10
+
 // maxResponseHeader bounds an answer's head, bytes.
 const maxResponseHeader = 64 << 10
 
--- a/internal/endpoint/verdict_test.go
+++ b/internal/endpoint/verdict_test.go
@@ -58,12 +58,15 @@
 		for _, once := range []bool{false, true} {
 			t.Run(c.name, func(t *testing.T) {
 				synctest.Test(t, func(t *testing.T) {
-					services := NewServices(Options{Dial: c.dial})
+					services := NewServices(Options{Dial: c.dial, MaxConns: 1})
 					defer services.Close()
 					call := order("key", "x", once)
 					call.Answer = 2 * DefaultDialTimeout
-					_, err := services.Do(t.Context(), address, call)
-					assert.Equal(t, verdict.Of(err), c.want, "%v", err)
+					for range 2 { // the first must give its connection's place back
+						_, err := services.Do(t.Context(), address, call)
+						assert.Equal(t, verdict.Of(err), c.want, "%v", err)
+						assert.Assert(t, !errors.Is(err, ErrTooManyConns))
+					}
 				})
 			})
 		}
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -45,6 +45,8 @@
 	Submit(ctx context.Context, s *Submission) (Answer, *problem.Problem)
 	// Find returns the answer of an accepted request, held here or elsewhere.
 	Find(ctx context.Context, workspace fleet.WorkspaceID, id fleet.RequestID) (Answer, *problem.Problem)
+	// Cancel ends an accepted request, held here or elsewhere.
+	Cancel(ctx context.Context, workspace fleet.WorkspaceID, id fleet.RequestID) *problem.Problem
 }
 
 // ServiceCall is a checked call of a plain service.
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -27,8 +28,9 @@
 
 // Gateway serves the callers' API.
 type Gateway struct {
-	o   Options
-	mux *http.ServeMux
+	o    Options
+	mux  *http.ServeMux
+	open atomic.Int64 // calls being answered
 }
 
 // New returns the callers' API over the given parts.
@@ -40,6 +42,7 @@
 	g.mux.HandleFunc("GET /v1/entries", g.entries)
 	g.mux.HandleFunc("POST /v1/chat/completions", g.authenticated("completion", g.completions))
 	g.mux.HandleFunc("GET /v1/requests/{id}", g.authenticated("request", g.wholeRequest))
+	g.mux.HandleFunc("DELETE /v1/requests/{id}", g.authenticated("cancel", g.cancelRequest))
 	g.mux.HandleFunc("GET /v1/requests/{id}/events", g.authenticated("events", g.requestEvents))
 	g.mux.HandleFunc("/v1/services/{service}/{path...}", g.authenticated("service", g.service))
 	g.mux.HandleFunc("/", g.unknown)
@@ -48,10 +51,15 @@
 
 // ServeHTTP implements http.Handler.
 func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.open.Add(1)
+	defer g.open.Add(-1)
 	defer g.recover(w, r)
 	g.mux.ServeHTTP(w, r)
 }
 
+// Idle reports whether no call is being answered.
+func (g *Gateway) Idle() bool { return g.open.Load() == 0 }
+
 // recover keeps one request's panic from ending the connection without an
 // answer. The request may have been dispatched, so the verdict is the cautious one.
 func (g *Gateway) recover(w http.ResponseWriter, r *http.Request) {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -41,6 +41,22 @@
 	g.stream(w, r, "events", m, a, from)
 }
 
+// cancelRequest serves DELETE /v1/requests/{id}. Whoever reads the answer gets
+// its end; cancelling a finished request does nothing.
+func (g *Gateway) cancelRequest(w http.ResponseWriter, r *http.Request, workspace fleet.WorkspaceID) {
+	id, err := uuid.Parse(r.PathValue("id"))
+	if err != nil {
+		g.fail(w, "cancel", badRequest("the request id is not a UUID"))
+		return
+	}
+	if p := g.o.Requests.Cancel(r.Context(), workspace, fleet.RequestID(id.String())); p != nil {
+		g.fail(w, "cancel", p.For(id.String()))
+		return
+	}
+	g.o.Observer.Answered("cancel", http.StatusNoContent)
+	w.WriteHeader(http.StatusNoContent)
+}
+
 func (g *Gateway) find(r *http.Request, workspace fleet.WorkspaceID) (meta, Answer, *problem.Problem) {
 	id, err := uuid.Parse(r.PathValue("id"))
 	if err != nil {
--- /dev/null
+++ b/internal/gossip/check.go
@@ -0,0 +1,89 @@
+package gossip
+
+import (
+	"net/netip"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+)
+
+// Bounds on what a datagram may say. A larger value can only come from a fault,
+// and would stay in all tables.
+const (
+	maxName        = 255     // bytes of an id or a name
+	maxIncarnation = 1 << 60 // a start time in Unix ms needs 41 bits
+)
+
+// check refuses packets that the state machine must not see.
+func check(p *membership.Packet) error {
+	if p.Kind < membership.Ping || p.Kind > membership.SyncPage {
+		return Error.New("kind %d is unknown", p.Kind)
+	}
+	if len(p.Digest.Payload) > membership.MaxDigestPayload {
+		return Error.New("digest payload has %d bytes", len(p.Digest.Payload))
+	}
+	if len(p.Subject) > maxName {
+		return Error.New("subject has %d bytes", len(p.Subject))
+	}
+	if p.Kind == membership.PingRequest && !isAddress(p.Address) {
+		return Error.New("address %q to probe is not host:port", p.Address)
+	}
+	from := membership.Update{
+		Instance:    p.From.Instance,
+		Run:         p.From.Run,
+		State:       p.From.State,
+		Incarnation: p.From.Incarnation,
+	}
+	if err := checkUpdate(&from); err != nil {
+		return err
+	}
+	for i := range p.Updates {
+		if err := checkUpdate(&p.Updates[i]); err != nil {
+			return err
+		}
+	}
+	return checkPlaces(p)
+}
+
+func checkUpdate(u *membership.Update) error {
+	if !isName(string(u.Instance)) {
+		return Error.New("instance id %q has a bad length", u.Instance)
+	}
+	if u.State > membership.Left {
+		return Error.New("state %d is unknown", u.State)
+	}
+	if u.Incarnation == 0 || u.Incarnation > maxIncarnation {
+		return Error.New("incarnation %d is out of range", u.Incarnation)
+	}
+	r := u.Record
+	if r == nil {
+		return nil
+	}
+	if !isName(string(r.Daemon)) || !isName(string(r.DataCentre)) || !isName(string(r.Region)) {
+		return Error.New("record of %q lacks a name", u.Instance)
+	}
+	if !isAddress(r.Peer) || len(r.Caller) > maxName {
+		return Error.New("record of %q has a bad address", u.Instance)
+	}
+	return nil
+}
+
+func checkPlaces(p *membership.Packet) error {
+	for _, d := range p.DataCentres {
+		if !isName(string(d.DataCentre)) || !isName(string(d.Region)) || d.Version > maxIncarnation {
+			return Error.New("data centre %q is malformed", d.DataCentre)
+		}
+	}
+	for _, b := range p.Beats {
+		if !isName(string(b.Region)) || b.Count > maxIncarnation {
+			return Error.New("beat of %q is malformed", b.Region)
+		}
+	}
+	return nil
+}
+
+func isName(s string) bool { return s != "" && len(s) <= maxName }
+
+func isAddress(s string) bool {
+	_, err := netip.ParseAddrPort(s)
+	return err == nil
+}
--- /dev/null
+++ b/internal/gossip/owner.go
@@ -0,0 +1,95 @@
+package gossip
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+)
+
+// own is the duty that owns the Membership.
+func (n *Node) own() {
+	defer n.done.Done()
+	ticker := time.NewTicker(tickInterval)
+	defer ticker.Stop()
+	keysAt := n.opts.Now()
+	for {
+		select {
+		case <-n.closing:
+			return
+		case <-ticker.C:
+			now := n.opts.Now()
+			if now.Sub(keysAt) >= keyInterval {
+				keysAt = now
+				n.reloadKeys()
+			}
+			n.step(n.members.Tick)
+		case p := <-n.inbound.C():
+			n.step(func(now time.Time) []membership.Action { return n.members.Receive(now, p) })
+		case c := <-n.commands:
+			n.step(c.run)
+			close(c.done)
+		}
+	}
+}
+
+// step runs one event and carries out its actions.
+func (n *Node) step(event func(time.Time) []membership.Action) {
+	start := n.opts.Now()
+	for _, a := range event(start) {
+		n.carryOut(a)
+	}
+	n.counters.busy.Add(int64(n.opts.Now().Sub(start)))
+}
+
+func (n *Node) carryOut(a membership.Action) {
+	if s, ok := a.(membership.Send); ok {
+		n.send(s)
+		return
+	}
+	if c, ok := a.(membership.Changed); ok {
+		n.view.Store(c.View)
+	}
+	n.mu.Lock()
+	subscribers := n.subscribers
+	n.mu.Unlock()
+	for _, f := range subscribers {
+		f(a)
+	}
+}
+
+func (n *Node) send(s membership.Send) {
+	to, err := netip.ParseAddrPort(s.To)
+	if err != nil {
+		n.counters.sendErrors.Add(1)
+		return
+	}
+	n.content, err = encode(n.content[:0], s.Packet)
+	if err != nil {
+		n.counters.sendErrors.Add(1)
+		return
+	}
+	n.datagram = n.sealer.Load().seal(n.datagram[:0], n.content)
+	if _, err := n.opts.Conn.WriteTo(n.datagram, net.UDPAddrFromAddrPort(to)); err != nil {
+		n.counters.sendErrors.Add(1)
+		return
+	}
+	n.counters.packetsOut.Add(1)
+	n.counters.bytesOut.Add(uint64(len(n.datagram)))
+}
+
+// reloadKeys takes over changed keys. Unusable ones are counted and the old
+// ones stay: a bad file must not cut the daemon off.
+func (n *Node) reloadKeys() {
+	keys := n.opts.Keys()
+	if keys.equal(n.sealer.Load().keys) {
+		return
+	}
+	seal, err := newSealer(keys)
+	if err != nil || len(seal.aeads) == 0 {
+		n.counters.keyErrors.Add(1)
+		return
+	}
+	n.sealer.Store(seal)
+}
--- /dev/null
+++ b/internal/gossip/reader.go
@@ -0,0 +1,59 @@
+package gossip
+
+import (
+	"errors"
+	"net"
+	"time"
+)
+
+// readPause keeps a reader whose socket keeps failing from spinning.
+const readPause = 100 * time.Millisecond
+
+// read is the duty that receives datagrams.
+func (n *Node) read() {
+	defer n.done.Done()
+	buffer := make([]byte, readBuffer)
+	for {
+		size, from, err := n.opts.Conn.ReadFrom(buffer)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			if n.pause() {
+				return
+			}
+			continue
+		}
+		start := n.opts.Now()
+		n.receive(buffer[:size], from)
+		n.counters.busy.Add(int64(n.opts.Now().Sub(start)))
+	}
+}
+
+// pause waits a little and reports whether the Node is closing.
+func (n *Node) pause() bool {
+	select {
+	case <-n.closing:
+		return true
+	case <-time.After(readPause):
+		return false
+	}
+}
+
+// receive decodes a datagram and passes it to the owner.
+func (n *Node) receive(datagram []byte, from net.Addr) {
+	n.counters.packetsIn.Add(1)
+	n.counters.bytesIn.Add(uint64(len(datagram)))
+	content, err := n.sealer.Load().open(datagram)
+	if err != nil {
+		n.counters.foreign.Add(1)
+		return
+	}
+	p, err := decode(content)
+	if err != nil {
+		n.counters.malformed.Add(1)
+		return
+	}
+	p.Source = from.String()
+	n.inbound.Push(p)
+}
--- a/internal/ledger/machine_test.go
+++ b/internal/ledger/machine_test.go
@@ -120,7 +120,10 @@
 
 // reply tells the writer the truth, or that nobody knows.
 func (w *world) reply(t *rapid.T, c *call) {
-	lost := rapid.IntRange(0, 3).Draw(t, "lost") == 0
+	w.tell(t, c, rapid.IntRange(0, 3).Draw(t, "lost") == 0)
+}
+
+func (w *world) tell(t *rapid.T, c *call, lost bool) {
 	if c.read != nil {
 		w.do(t, c.writer, w.writers[c.writer].ReadBack(w.now, ReadResult{Call: c.read.Call, OK: !lost, Object: c.object}))
 		return
@@ -174,6 +177,21 @@
 	return rapid.SampledFrom(fit).Draw(t, "call")
 }
 
+// serve lets several calls go through without a fault.
+func (w *world) serve(t *rapid.T) {
+	for range rapid.IntRange(1, 6).Draw(t, "calls") {
+		if len(w.calls) == 0 {
+			return
+		}
+		c := w.calls[0]
+		w.forget(c)
+		if !c.applied {
+			w.apply(c)
+		}
+		w.tell(t, c, false)
+	}
+}
+
 func (w *world) forget(c *call) {
 	w.calls = slices.DeleteFunc(w.calls, func(o *call) bool { return o == c })
 }
@@ -193,6 +211,8 @@
 				w.reply(t, c)
 			}
 		},
+		"serve":      w.serve,
+		"serve more": w.serve,
 		"delay": func(t *rapid.T) { // ambiguous, and the effect comes later or never
 			c := w.take(t, false)
 			if c == nil || c.write == nil {
@@ -254,7 +274,9 @@
 			w.drop(g.Intent)
 			w.do(t, 0, p.Abandon(w.now, *g))
 		}
-		t.Repeat(actions)
+		for range 4 {
+			t.Repeat(actions)
+		}
 		w.finish(t)
 	})
 }
@@ -287,7 +309,9 @@
 			w.drop(g.Intent)
 			w.do(t, at, c.Abandon(w.now, g.Intent))
 		}
-		t.Repeat(actions)
+		for range 4 {
+			t.Repeat(actions)
+		}
 		w.finish(t)
 	})
 }
--- a/internal/load/resultstable.go
+++ b/internal/load/resultstable.go
@@ -17,7 +17,7 @@
 	a := &r.Answers
 	return []string{
 		r.Policy,
-		percent(r.Settings.Load),
+		loadText(&r.Settings),
 		Cell{Known: ok, Value: cost}.text(),
 		percent(a.WithinShare),
 		percent(a.FirstWithinShare),
@@ -31,6 +31,14 @@
 	}
 }
 
+// loadText is the share of the stated capacity, or the rate where none was stated.
+func loadText(s *Settings) string {
+	if s.Load > 0 {
+		return percent(s.Load)
+	}
+	return formatValue(s.Rate) + " /s"
+}
+
 func percent(share float64) string { return strconv.FormatFloat(100*share, 'f', 1, 64) + "%" }
 
 // WorkspacesTable returns each workspace's p95 to the first token in
--- a/internal/membership/config.go
+++ b/internal/membership/config.go
@@ -72,13 +72,13 @@
 	defaultBridges              = 3
 	defaultBridgeInterval       = time.Second
 	defaultRegionSilence        = 15 * time.Second
-	defaultLocalHealthMax       = 4
+	defaultLocalHealthMax = -1
 )
 
 // What may be sent at once after a quiet time, in bytes.
 const (
 	rumourBurst = 16 << 10 // a change of every tenth of 340 daemons, told to all
-	syncBurst   = 96 << 10 // the table of 340 daemons and what is fetched twice
+	syncBurst   = 64 << 10 // the table of 340 daemons and what is fetched twice
 )
 
 func (c Config) withDefaults() Config {
--- a/internal/membership/loss.go
+++ b/internal/membership/loss.go
@@ -11,6 +11,9 @@
 	verifyPings = 3
 	// verifyPause is the time between two verifications of one data centre.
 	verifyPause = 2 * time.Second
+	// startTime is how long a new daemon takes statements about its data
+	// centre for old ones, which do not concern it.
+	startTime = 15 * time.Second
 )
 
 // checkLoss looks whether half of a data centre's daemons failed lately, and
@@ -178,10 +181,10 @@
 		return
 	}
 	switch {
+	case d == m.self.dc:
+		m.refuteLoss(d, u)
 	case !u.Lost():
 		m.recoverDataCentre(d, u.Version)
-	case d == m.self.dc:
-		m.refuteLoss(d, u.Version)
 	case d.region != m.regionName():
 		m.loseDataCentre(d, u.Version)
 	case !d.verifying() && m.clock.now >= d.nextVerify:
@@ -189,11 +192,15 @@
 	}
 }
 
-// refuteLoss takes back the loss of the own data centre on behalf of all its daemons.
-func (m *Membership) refuteLoss(d *dataCentre, version uint64) {
-	if m.self.state == Left {
-		return
+// refuteLoss takes back the loss of the own data centre on behalf of all its
+// daemons, or learns that another one has done so.
+func (m *Membership) refuteLoss(d *dataCentre, u DataCentreUpdate) {
+	version := u.Version
+	if u.Lost() {
+		version++
+	}
+	m.recoverDataCentre(d, version)
+	if u.Lost() || m.clock.now > startTime {
+		m.act(DeclaredDead{Incarnation: m.self.incarnation})
 	}
-	m.recoverDataCentre(d, version+1)
-	m.act(DeclaredDead{Incarnation: m.self.incarnation})
 }
--- a/internal/membership/membership.go
+++ b/internal/membership/membership.go
@@ -42,12 +42,13 @@
 	nextForget time.Duration
 	newer      newerDigest
 
-	view     *View
-	dirty    bool // the view is out of date
-	digests  bool // only digests are out of date
-	viewAt   time.Duration
-	joined   bool
-	isolated bool // members are suspected quietly
+	view          *View
+	dirty         bool // the view is out of date
+	digests       bool // only digests are out of date
+	viewAt        time.Duration
+	reportedDeath uint64 // incarnation of the last DeclaredDead
+	joined        bool
+	isolated      bool // members are suspected quietly
 }
 
 // New returns the membership of a daemon that knows only itself. The state in
--- a/internal/membership/receive.go
+++ b/internal/membership/receive.go
@@ -15,12 +15,18 @@
 	m.received++
 	m.endIsolation()
 	m.regions.merge(p.Beats, m.clock.now)
+	obituary := m.obituary(p)
 	m.mergeAll(p)
 	known := m.merge(p.From.update(), true)
 	n := m.nodes[p.From.Instance]
 	if n != nil {
 		m.heard(n, p)
 	}
+	if obituary != nil {
+		reply := m.bare(Gossip)
+		reply.Updates = obituary
+		m.send(p.Source, reply)
+	}
 	m.dispatch(p, n, n == nil || !known)
 	return m.take()
 }
--- a/internal/membership/refute.go
+++ b/internal/membership/refute.go
@@ -5,16 +5,40 @@
 // smaller, is refuted by a higher incarnation.
 func (m *Membership) claimed(u *Update) {
 	s := m.self
-	if s.state == Left || u.Incarnation < s.incarnation {
+	if s.state == Left {
 		return
 	}
 	sameRun := u.Run == s.run
+	if sameRun && u.State.Terminal() {
+		m.reportDeath(u.Incarnation)
+	}
+	if u.Incarnation < s.incarnation {
+		return
+	}
 	if sameRun && u.Incarnation == s.incarnation && u.State <= s.state {
 		return
 	}
 	s.fresh = s.fresh || !sameRun
 	m.set(s, s.state, u.Incarnation+1, true)
-	if sameRun && u.State.Terminal() {
-		m.act(DeclaredDead{Incarnation: u.Incarnation})
+}
+
+// reportDeath says once for each incarnation that it was held for dead, also
+// where it has been refuted already: a paused daemon that comes back may read
+// the suspicion first and refute it before it hears of its death.
+func (m *Membership) reportDeath(incarnation uint64) {
+	if incarnation <= m.reportedDeath {
+		return
+	}
+	m.reportedDeath = incarnation
+	m.act(DeclaredDead{Incarnation: incarnation})
+}
+
+// obituary returns what the sender of p must be told about itself: it was held
+// for dead here until this packet, whose incarnation refutes it.
+func (m *Membership) obituary(p *Packet) []Update {
+	n := m.nodes[p.From.Instance]
+	if n == nil || n.state != Dead || n.run != p.From.Run || p.From.Incarnation <= n.incarnation {
+		return nil
 	}
+	return []Update{n.update(false)}
 }
--- a/internal/routing/best.go
+++ b/internal/routing/best.go
@@ -89,16 +89,24 @@
 	reason := ByOwner
 	for _, e := range best.at[:best.n] {
 		c := r.addCandidate(now, e, q, common, reason)
-		if c == nil || !c.overloaded(&r.targets) {
-			if c != nil {
-				c.agreed = true
-			}
+		if c == nil {
+			return
+		}
+		if !c.overloaded(&r.targets) {
+			c.agreed = true
 			return
 		}
 		reason = BySpill
 	}
+	if OWN && best.n > 0 {
+		if c := r.scratch.find(best.at[0]); c != nil {
+			c.agreed = true
+		}
+	}
 }
 
+var OWN = false
+
 // addCandidate adds an endpoint once and returns it; nil when there is no room.
 func (r *Router) addCandidate(now int64, e *endpoint, q *Request, blocks int, reason Reason) *candidate {
 	w := &r.scratch
--- a/internal/routing/compare_test.go
+++ b/internal/routing/compare_test.go
@@ -17,11 +17,11 @@
 	simSeed     = 5
 	simDaemons  = 6
 	simEngines  = 18
-	simEnd      = 240 * time.Second
-	simWarm     = 60 * time.Second // answers to earlier arrivals aren't counted
-	simLag      = 5 * time.Second  // of load reports and cache events
-	simLost     = 0.3              // share of cache events
-	simPatience = 5 * time.Second  // a request that waited longer is given up
+	simEnd      = 300 * time.Second
+	simWarm     = 120 * time.Second // answers to earlier arrivals aren't counted
+	simLag      = 5 * time.Second   // of load reports and cache events
+	simLost     = 0.3               // share of cache events
+	simPatience = 5 * time.Second   // a request that waited longer is given up
 )
 
 type simEvent struct {
@@ -154,7 +154,9 @@
 		length, t := history+4+rng.IntN(12), at
 		for range 1 + rng.IntN(2*turnsMean-1) {
 			answer := 150 + rng.IntN(150)
-			add(t, entry(), chain[:length], answer)
+			if t < simEnd {
+				add(t, entry(), chain[:length], answer)
+			}
 			length += answer/engineapi.BlockTokens + 2 + rng.IntN(8)
 			t += time.Duration((8 + 12*rng.ExpFloat64()) * 1e9)
 		}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -55,9 +55,9 @@
 	Recompute: 4,
 	Owner:     0.5,
 	Wait:      1000,
-	Miss:      3000,
-	Load:      0,
-	Pace:      3000,
+	Miss:      1000,
+	Load:      2000,
+	Pace:      0,
 	Price:     0,
 	Doubt:     20000,
 }
--- a/internal/routing/estimate/engine.go
+++ b/internal/routing/estimate/engine.go
@@ -9,10 +9,6 @@
 	defaultTokenMillis      = 20.0
 )
 
-// reportFade is the age at which half of what other daemons had queued is
-// taken as done, in ns. Their running requests count on: others follow them.
-const reportFade = int64(5e9)
-
 // reportLife is the age past which a report says nothing about the present.
 const reportLife = int64(60e9)
 
@@ -22,6 +18,7 @@
 	report   engineapi.Load
 	takenAt  int64 // 0 before the first report
 	others   Own   // requests of other daemons when the report was taken
+	usual    usual // of others
 	own      Own
 	history  history
 	reserved Own // moves that were promised a place
@@ -50,6 +47,7 @@
 		Requests:      max(0, load.Running+load.Queued-own.Requests),
 		WaitingTokens: max(0, load.QueuedPromptTokens-own.WaitingTokens),
 	}
+	e.usual.add(at, e.others)
 }
 
 // Dispatched counts a request of this daemon.
@@ -110,17 +108,11 @@
 	if age > reportLife {
 		return v
 	}
-	v.Requests += float64(e.others.Requests)
-	v.WaitingTokens += float64(e.others.WaitingTokens) * fade(age)
+	v.Requests += e.usual.requests.expect(float64(e.others.Requests), age)
+	v.WaitingTokens += e.usual.waiting.expect(float64(e.others.WaitingTokens), age)
 	return v
 }
 
-// fade is 1 for a fresh report and halves by reportFade: a hyperbola, which
-// needs no exponential in the hot path.
-func fade(age int64) float64 {
-	return float64(reportFade) / float64(reportFade+age)
-}
-
 func positive(reported, fallback float64) float64 {
 	if reported > 0 {
 		return reported
--- a/internal/routing/scorer/scorer.go
+++ b/internal/routing/scorer/scorer.go
@@ -56,9 +56,11 @@
 	return w.Miss * ramp(in.FirstToken/t.FirstToken)
 }
 
+var CAP = 1.5
+
 // pace keeps the batch below the size at which all its answers slow down.
 func pace(w *Weights, in *Input) float64 {
-	share := min(1.5, (in.Requests+1)/in.Limit)
+	share := min(CAP, (in.Requests+1)/in.Limit)
 	return w.Load*share*share + w.Pace*ramp(share)
 }
 
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -85,15 +85,12 @@
 	}
 }
 
-// attach adds a reader, which stops the linger timer of a running stream.
+// attach adds a reader. A linger timer that fires meanwhile finds it.
 func (s *stream) attach() chan struct{} {
 	wake := make(chan struct{}, 1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.readers[wake] = struct{}{}
-	if s.linger != nil && !s.ended {
-		s.linger.Stop()
-	}
 	return wake
 }
 
--- /dev/null
+++ b/internal/template/operators_test.go
@@ -0,0 +1,207 @@
+package template
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/audit"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+)
+
+// objects is a store of one template, which keeps all versions it ever had.
+type objects struct {
+	past    []objectapi.Object
+	newest  Record // of past, decoded
+	version uint64
+	delayed []Write // on their way, may take effect at any later time
+}
+
+func (o *objects) current() objectapi.Object {
+	if len(o.past) == 0 {
+		return objectapi.Object{Kind: Kind, Name: "month-end"}
+	}
+	return o.past[len(o.past)-1]
+}
+
+func (o *objects) write(w Write) bool {
+	o.version += 3 // other objects are written in between
+	if o.current().Version != w.IfVersion {
+		return false
+	}
+	o.past = append(o.past, objectapi.Object{Kind: Kind, Name: w.Name, Version: o.version, Value: w.Value})
+	return true
+}
+
+func (o *objects) read(t assert.TestingT) Record {
+	if o.newest.Version != o.current().Version {
+		r, err := RecordOf(o.current())
+		assert.NilError(t, err)
+		o.newest = r
+	}
+	return o.newest
+}
+
+// operator amends the template again and again. One step is one call.
+type operator struct {
+	name     string
+	wanted   int // changes still to be accepted
+	change   Change
+	sent     Write
+	sending  bool
+	attempts int
+	accepted []string // operation ids
+	refused  []string
+	unknown  []string
+}
+
+// step does the operator's next call of the store. Fate says what becomes of a
+// write: 0 its answer is lost, 1 it arrives late, 2 it never arrives.
+func (o *operator) step(t assert.TestingT, store *objects, fate int) {
+	if o.sending {
+		o.send(t, store, fate)
+		return
+	}
+	current := store.read(t)
+	o.attempts++
+	operation := fmt.Sprintf("%s-%d", o.name, o.attempts)
+	wish := small("month-end")
+	wish.Workspaces[0].Priority = Scalar(fmt.Sprint(o.attempts % 100))
+	wish.Workspaces[0].Name = fleet.WorkspaceID(operation)
+	o.change = Change{Name: "month-end", Expected: current.Version, Template: wish, Who: o.name, Why: operation, Operation: operation}
+	if o.attempts%17 == 0 && current.Exists() {
+		o.change.Template = nil
+	}
+	o.take(o.change.Plan(current, time.UnixMilli(int64(o.attempts))))
+}
+
+func (o *operator) send(t assert.TestingT, store *objects, fate int) {
+	switch fate {
+	case 1:
+		store.delayed = append(store.delayed, o.sent)
+	case 2:
+	default:
+		took := store.write(o.sent)
+		if took && fate != 0 {
+			o.take(o.change.Took(store.version))
+			return
+		}
+	}
+	o.take(o.change.Resolve(o.sent, store.read(t)))
+}
+
+func (o *operator) take(r Result) {
+	o.sending = r.Outcome == Proceed
+	switch r.Outcome {
+	case Proceed:
+		o.sent = r.Write
+	case Accepted:
+		o.accepted = append(o.accepted, o.change.Operation)
+		o.wanted--
+	case Refused:
+		o.refused = append(o.refused, o.change.Operation)
+	case Unknown:
+		o.unknown = append(o.unknown, o.change.Operation)
+	}
+}
+
+// amend lets operators work until each has its changes accepted.
+func amend(t assert.TestingT, operators, changes int, pick func(n int) int) (*objects, []*operator) {
+	store := &objects{newest: Record{Name: "month-end"}}
+	var all, busy []*operator
+	for i := range operators {
+		all = append(all, &operator{name: fmt.Sprintf("operator-%d", i), wanted: changes})
+	}
+	busy = append(busy, all...)
+	for len(busy) > 0 {
+		i := pick(len(busy))
+		busy[i].step(t, store, fate(pick))
+		if busy[i].wanted == 0 {
+			busy = append(busy[:i:i], busy[i+1:]...)
+		}
+		if len(store.delayed) > 0 && pick(3) == 0 {
+			store.write(store.delayed[0])
+			store.delayed = store.delayed[1:]
+		}
+	}
+	return store, all
+}
+
+// fate loses one answer in five, in one of three ways.
+func fate(pick func(n int) int) int {
+	if pick(5) > 0 {
+		return -1
+	}
+	return pick(3)
+}
+
+// checkHistory fails unless the versions are one line, each accepted change is
+// in it once, and no refused one is.
+func checkHistory(t assert.TestingT, store *objects, operators []*operator) {
+	times := map[string]int{}
+	before := Record{Name: "month-end"}
+	for _, object := range store.past {
+		r, err := RecordOf(object)
+		assert.NilError(t, err)
+		assert.NilError(t, r.Audit.Continues(before.Audit))
+		assert.Equal(t, r.Audit.Len(), before.Audit.Len()+1)
+		entry := r.Audit.Entries[len(r.Audit.Entries)-1]
+		assert.Equal(t, entry.From, before.Version)
+		assert.Assert(t, r.Version > before.Version)
+		times[entry.Operation]++
+		before = r
+	}
+	assert.NilError(t, before.Audit.Verify())
+	accepted := 0
+	for _, o := range operators {
+		for _, operation := range o.accepted {
+			assert.Equal(t, times[operation], 1, operation)
+		}
+		for _, operation := range o.refused {
+			assert.Equal(t, times[operation], 0, operation)
+		}
+		assert.Equal(t, len(o.unknown), 0)
+		accepted += len(o.accepted)
+	}
+	assert.Equal(t, len(store.past), accepted)
+}
+
+// Ten operators amend one template at once, 50 times each, and one answer in
+// five is lost: after the effect, before it, or the write arrives late. Each is
+// told the truth about every change, and the trail has no gap and nothing twice.
+func TestTenOperatorsAmendAtOnce(t *testing.T) {
+	random := rand.New(rand.NewPCG(6, 6))
+	store, operators := amend(t, 10, 50, random.IntN)
+	attempts := 0
+	for _, o := range operators {
+		attempts += o.attempts
+	}
+	t.Logf("%d attempts for %d accepted changes", attempts, len(store.past))
+	checkHistory(t, store, operators)
+	assert.Equal(t, store.read(t).Audit.Len(), uint64(500))
+	assert.Equal(t, len(store.read(t).Audit.Entries), audit.MaxKept)
+}
+
+// As above with schedules that rapid chooses. Daemons get the versions by
+// watch, list and peers, in any order and more than once: what one of them
+// shows must never go back.
+func TestHistoryIsOneLineAndNeverGoesBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		pick := func(n int) int { return rapid.IntRange(0, n-1).Draw(t, "pick") }
+		store, operators := amend(t, rapid.IntRange(1, 4).Draw(t, "operators"), 6, pick)
+		checkHistory(t, store, operators)
+		daemon, shown := NewStore(), uint64(0)
+		for range 30 {
+			daemon.Apply(RevisionsOf(store.past[pick(len(store.past)):][:1])...)
+			version := daemon.version("month-end")
+			assert.Assert(t, version >= shown, "%d after %d", version, shown)
+			shown = version
+		}
+		daemon.Apply(RevisionsOf(store.past)...)
+		assert.Equal(t, daemon.version("month-end"), store.current().Version)
+	})
+}
