Limits shared by demand, requests in flight bounded by what endpoints report

Cause: each daemon applied a workspace's whole limits and let all slots of a pool fill by itself, so n daemons gave n times the limit and n times the load. Change: the entries of a workspace tell each other their demand once a second and split the limits by it; a daemon that is no entry of it has a small fixed part. What a daemon may have in flight follows the engines' reports: free slots are split equally, what is over is given back in proportion.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -48,7 +48,9 @@
 	dispatcher    *dispatch.Dispatcher
 	services      *services
 	observing     *observingDuty
+	pools         *poolDuty
 	reclaim       *reclaimDuty
+	sharing       *sharingDuty
 	membership    *membershipDuty
 	drains        *drains
 	gateway       *gateway.Gateway
@@ -125,13 +127,15 @@
 	d.admission = newAdmissionDuty()
 	d.configuration = newConfigurationDuty(d.platform.Objects, s.Control.StartSpread, d.state, logging.For(d.log, logging.Template))
 	d.configuration.fetch = d.fetchTemplates
-	d.configuration.onChange = d.setLimits
+	d.sharing = newSharingDuty(d.run, d.roster, d.admission, d.peers)
+	d.configuration.onChange = d.sharing.setLimits
 	d.configuration.onObjects = d.onObjects
 	d.ledger = newLedgerDuty(d.platform.Objects, logging.For(d.log, logging.Ledger))
 	d.ledger.writer = d.ledgerWriter
 	d.ledger.forward = d.forwardIntent
 	d.locator = newLocator(d.state, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
-	d.observing = &observingDuty{client: engineClient, routing: d.routing, every: s.Routing.LoadInterval}
+	d.observing = newObservingDuty(engineClient, d.routing, s.Routing.LoadInterval)
+	d.pools = &poolDuty{routing: d.routing, observing: d.observing, admission: d.admission, roster: d.roster}
 	d.services = &services{
 		client:    endpoint.NewServices(endpoint.Options{}),
 		router:    d.routing,
@@ -197,21 +201,6 @@
 	return c.Close()
 }
 
-// setLimits puts the templates' limits in force.
-func (d *Daemon) setLimits(s *template.Snapshot) {
-	type limits struct {
-		id fleet.WorkspaceID
-		l  admission.Limits
-	}
-	var all []limits
-	s.EachWorkspace(func(w *template.Workspace) { all = append(all, limits{w.ID, limitsOf(w)}) })
-	d.admission.tell(func(now time.Time, a *admissionState) {
-		for _, w := range all {
-			a.limits.SetLimits(now, w.id, w.l, 1)
-		}
-	})
-}
-
 func limitsOf(w *template.Workspace) admission.Limits {
 	return admission.Limits{
 		RequestsPerSecond: w.Limits.RequestsPerSecond,
@@ -249,7 +238,7 @@
 	// The list's count, not the membership's: parts of a fleet that lost each
 	// other still share one platform.
 	d.platform.SetFleetSize(max(1, len(list.Entries)))
-	d.setCapacity(list.Endpoints)
+	d.observing.forget(d.routing.current.Load().byID)
 }
 
 // noticed acts on an endpoint that leaves: routing sends it nothing more, and
@@ -264,34 +253,6 @@
 	d.reclaim.notice(e, at)
 }
 
-// slotsPerEngine is assumed until an engine's own report is used.
-const slotsPerEngine = 8
-
-// setCapacity bounds the requests in flight of each model by this daemon's
-// share of the engines, with room for the others' idle share.
-func (d *Daemon) setCapacity(list []fleet.Endpoint) {
-	slots := make(map[admission.Pool]int)
-	for _, e := range list {
-		if e.State != fleet.Live {
-			continue
-		}
-		for _, m := range e.Models {
-			slots[admission.Pool(m.Model)] += slotsPerEngine
-		}
-		if e.Kind == fleet.ServiceEndpoint {
-			slots[admission.Pool("service "+e.Service)] += serviceSlots
-		}
-	}
-	d.admission.tell(func(_ time.Time, a *admissionState) {
-		for p, n := range slots {
-			a.limits.SetCapacity(p, n)
-		}
-	})
-}
-
-// serviceSlots is how many calls a replica of a plain service takes at once.
-const serviceSlots = 64
-
 // ledgerWriter returns the daemon that writes a ledger shard, if it is another.
 func (d *Daemon) ledgerWriter(shard int) (peerInfo, bool) {
 	v := d.roster.view.Load()
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -214,29 +214,32 @@
 }
 
 // Settle implements dispatch.Intents.
-func (d *ledgerDuty) Settle(ref request.Ref, owner string, o ledger.Outcome) {
-	d.settle(ref, ledger.Owner(owner), o)
+func (d *ledgerDuty) Settle(ref request.Ref, owner string, digest request.Digest, o ledger.Outcome) {
+	d.settle(ref, ledger.Owner(owner), digest, o)
 }
 
-func (d *ledgerDuty) settle(ref request.Ref, owner ledger.Owner, o ledger.Outcome) {
-	d.after(ref, owner, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+func (d *ledgerDuty) settle(ref request.Ref, owner ledger.Owner, digest request.Digest, o ledger.Outcome) {
+	d.after(ref, owner, digest, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
 		return g.Outcome(now, in, o)
 	})
 }
 
 // abandon frees a key whose one dispatch certainly did not run.
-func (d *ledgerDuty) abandon(ref request.Ref, owner ledger.Owner) {
-	d.after(ref, owner, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+func (d *ledgerDuty) abandon(ref request.Ref, owner ledger.Owner, digest request.Digest) {
+	d.after(ref, owner, digest, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
 		return g.Abandon(now, in)
 	})
 }
 
-func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, f func(*ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
+// after changes the record of an intent that was granted. The change replaces
+// the whole record, so it carries the digest: without it, a repeat of the same
+// request would be taken for another one under the same key.
+func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, digest request.Digest, f func(*ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
 	key, err := ledger.ParseKey(time.Now(), string(ref.ID), 2*ledger.DefaultWindow)
 	if err != nil {
 		return
 	}
-	in := ledger.Intent{Workspace: ref.Workspace, Key: key, Owner: owner}
+	in := ledger.Intent{Workspace: ref.Workspace, Key: key, Owner: owner, Digest: ledger.Digest(digest)}
 	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
 	d.tell(func(now time.Time, s *ledgerState) {
 		d.perform(s, shard, f(s.shard(shard), now, in))
--- a/internal/daemon/observing.go
+++ b/internal/daemon/observing.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
@@ -20,13 +21,23 @@
 	routing *routingDuty
 	every   time.Duration // between two polls of one engine, at least
 	next    int           // in the list of engines
-	since   map[fleet.EndpointID]uint64
 	mu      sync.Mutex
+	since   map[fleet.EndpointID]uint64
+	loads   map[fleet.EndpointID]engineapi.Load // the newest report of each
+}
+
+func newObservingDuty(client *endpoint.Engines, r *routingDuty, every time.Duration) *observingDuty {
+	return &observingDuty{
+		client:  client,
+		routing: r,
+		every:   every,
+		since:   make(map[fleet.EndpointID]uint64),
+		loads:   make(map[fleet.EndpointID]engineapi.Load),
+	}
 }
 
 // run polls until ctx ends: few engines often, many of them each less often.
 func (d *observingDuty) run(ctx context.Context) {
-	d.since = make(map[fleet.EndpointID]uint64)
 	for ctx.Err() == nil {
 		list := engineEndpoints(d.routing.current.Load().list)
 		pause := d.every
@@ -51,6 +62,7 @@
 	}
 	d.routing.reportLoad(e.ID, load)
 	d.mu.Lock()
+	d.loads[e.ID] = load
 	since := d.since[e.ID]
 	d.mu.Unlock()
 	events, err := d.client.CacheEvents(ctx, e.Address, since)
@@ -63,6 +75,26 @@
 	d.routing.reportCache(e.ID, events)
 }
 
+// load returns an engine's newest report, if there is one.
+func (d *observingDuty) load(id fleet.EndpointID) (engineapi.Load, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.loads[id]
+	return l, ok
+}
+
+// forget drops what is known of engines that are no longer listed.
+func (d *observingDuty) forget(listed map[fleet.EndpointID]*fleet.Endpoint) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for id := range d.loads {
+		if listed[id] == nil {
+			delete(d.loads, id)
+			delete(d.since, id)
+		}
+	}
+}
+
 func engineEndpoints(list []fleet.Endpoint) []fleet.Endpoint {
 	out := make([]fleet.Endpoint, 0, len(list))
 	for _, e := range list {
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -17,6 +17,7 @@
 	locator       *locator
 	configuration *configurationDuty
 	ledger        *ledgerDuty
+	sharing       *sharingDuty
 	daemon        fleet.DaemonID
 }
 
--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -116,11 +116,21 @@
 	return r.self.Callers
 }
 
-// Entries implements gateway.Directory: the workspace's subset by rendezvous,
-// so that its limits and its prompts' prefixes live in few daemons. A second
-// data centre is always among them where two are alive: callers keep the
-// answer for a while, and the first may vanish as a whole meanwhile.
+// Entries implements gateway.Directory.
 func (r *roster) Entries(workspace fleet.WorkspaceID) []gateway.Entry {
+	chosen := r.entries(workspace)
+	out := make([]gateway.Entry, 0, len(chosen))
+	for _, p := range chosen {
+		out = append(out, gateway.Entry{Address: p.Callers, DataCentre: p.DataCentre})
+	}
+	return out
+}
+
+// entries returns a workspace's subset by rendezvous, best first, so that its
+// limits and its prompts' prefixes live in few daemons. A second data centre is
+// always among them where two are alive: callers keep the answer for a while,
+// and the first may vanish as a whole meanwhile.
+func (r *roster) entries(workspace fleet.WorkspaceID) []peerInfo {
 	v := r.view.Load()
 	serving := v.serving
 	if r.state.leaving() {
@@ -128,20 +138,17 @@
 	}
 	ranked := rendezvous.Rank(rendezvous.Key("entries "+string(workspace)), serving, len(serving))
 	chosen := ranked[:min(r.subset, len(ranked))]
-	out := make([]gateway.Entry, 0, len(chosen)+1)
-	centres := make(map[fleet.DataCentre]bool)
+	out := make([]peerInfo, 0, len(chosen)+1)
 	for _, id := range chosen {
-		p := v.byID[fleet.InstanceID(id)]
-		centres[p.DataCentre] = true
-		out = append(out, gateway.Entry{Address: p.Callers, DataCentre: p.DataCentre})
+		out = append(out, *v.byID[fleet.InstanceID(id)])
 	}
-	if len(centres) > 1 {
+	if len(out) == 0 || slices.ContainsFunc(out, func(p peerInfo) bool { return p.DataCentre != out[0].DataCentre }) {
 		return out
 	}
 	for _, id := range ranked[len(chosen):] {
 		p := v.byID[fleet.InstanceID(id)]
-		if !centres[p.DataCentre] {
-			return append(out, gateway.Entry{Address: p.Callers, DataCentre: p.DataCentre})
+		if p.DataCentre != out[0].DataCentre {
+			return append(out, *p)
 		}
 	}
 	return out
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -42,6 +42,7 @@
 	d.joinDuties()
 	d.routing.start(ctx)
 	d.reclaim.start(ctx)
+	d.sharing.start(ctx)
 	d.admission.start(ctx)
 	d.ledger.start(ctx)
 	d.locator.start(ctx)
@@ -54,6 +55,7 @@
 	}
 	go listing.run(ctx)
 	go d.observing.run(ctx)
+	go d.pools.run(ctx)
 	go d.watchNotices(ctx)
 	d.serveHTTP(listeners.callers, d.gateway, logging.Gateway)
 	d.serveHTTP(listeners.operators, d.operatorHandler(), logging.Operator)
@@ -142,7 +144,7 @@
 }
 
 func (d *Daemon) servePeers(ctx context.Context, l net.Listener) {
-	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger, daemon: d.run}
+	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger, sharing: d.sharing, daemon: d.run}
 	go func() {
 		if err := peer.Serve(ctx, l, handler); err != nil && ctx.Err() == nil {
 			logging.For(d.log, logging.Peer).WithError(err).Error("listener ended")
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -52,7 +52,7 @@
 		return nil, problem.New(http.StatusNotFound, verdict.NotRun, "no service is called %q", c.Service)
 	}
 	id := fleet.RequestID(uuid.Must(uuid.NewV7()).String()) // of this call; its key may be used by others at once
-	ask := admission.Ask{Request: id, Workspace: c.Workspace, Pool: admission.Pool("service " + c.Service)}
+	ask := admission.Ask{Request: id, Workspace: c.Workspace, Pool: servicePool(c.Service)}
 	if p := s.admission.Admit(ctx, ask); p != nil {
 		return nil, p
 	}
@@ -87,7 +87,8 @@
 func (s *services) once(ctx context.Context, id fleet.RequestID, c *gateway.ServiceCall) (*gateway.ServiceAnswer, *problem.Problem) {
 	ref := request.Ref{Workspace: c.Workspace, ID: c.Key}
 	owner := ledger.Owner(string(s.daemon) + "/" + string(id))
-	in := s.ledger.Intend(ctx, ref, string(owner), digestCall(c))
+	digest := digestCall(c)
+	in := s.ledger.Intend(ctx, ref, string(owner), digest)
 	switch {
 	case in.Refused != nil:
 		return nil, in.Refused
@@ -97,9 +98,9 @@
 	a, used, p := s.attempt(context.WithoutCancel(ctx), id, c, nil)
 	switch {
 	case p == nil:
-		s.ledger.settle(ref, owner, ledger.Outcome{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body})
+		s.ledger.settle(ref, owner, digest, ledger.Outcome{Status: a.Status, ContentType: a.Header.Get("Content-Type"), Body: a.Body})
 	case p.Verdict == verdict.NotRun:
-		s.ledger.abandon(ref, owner)
+		s.ledger.abandon(ref, owner, digest)
 	default:
 		s.log.WithField("request", c.Key).WithField("endpoint", used).Warnf("order may have run: %s", p.Detail)
 	}
--- a/internal/routing/best.go
+++ b/internal/routing/best.go
@@ -92,7 +92,7 @@
 		if c == nil {
 			return
 		}
-		if !c.overloaded(&r.targets) {
+		if !c.overloaded(&r.targets, 1-SHIFT+DITHER*(float64(mix(key)>>11)/(1<<53)-0.5)) {
 			c.agreed = true
 			return
 		}
@@ -105,7 +105,7 @@
 	}
 }
 
-var OWN = false
+var OWN = true
 
 // addCandidate adds an endpoint once and returns it; nil when there is no room.
 func (r *Router) addCandidate(now int64, e *endpoint, q *Request, blocks int, reason Reason) *candidate {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -19,14 +19,14 @@
 	limit    float64 // requests at which tokens come too slowly
 }
 
-func (c candidate) choice(t *scorer.Targets) Choice {
+func (c candidate) choice(t *scorer.Targets, slack float64) Choice {
 	return Choice{
 		Endpoint:              c.endpoint.info.ID,
 		Address:               c.endpoint.info.Address,
 		DataCentre:            c.endpoint.info.DataCentre,
 		PredictedFirstToken:   time.Duration(c.first * float64(time.Second)),
 		PredictedCachedTokens: c.cached,
-		Overloaded:            c.overloaded(t),
+		Overloaded:            c.overloaded(t, slack),
 		Reason:                c.reason,
 	}
 }
@@ -35,10 +35,12 @@
 func (c candidate) load() float64 { return c.requests / c.limit }
 
 // overloaded reports whether one more request would break a target.
-func (c candidate) overloaded(t *scorer.Targets) bool {
-	return c.requests+1 > c.limit || c.first > t.FirstToken
+func (c candidate) overloaded(t *scorer.Targets, slack float64) bool {
+	return c.requests+1 > c.limit*slack || c.first > t.FirstToken*slack
 }
 
+var DITHER, SHIFT, RDITHER = 1.0, 0.0, 0.5
+
 // foretell fills in what the request would meet at the endpoint.
 func (r *Router) foretell(now int64, e *endpoint, q *Request, blocks int) candidate {
 	if q.Service != "" {
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -55,7 +55,7 @@
 	Recompute: 4,
 	Owner:     0.5,
 	Wait:      1000,
-	Miss:      1000,
+	Miss:      0,
 	Load:      2000,
 	Pace:      0,
 	Price:     0,
--- a/internal/routing/estimate/surprise.go
+++ b/internal/routing/estimate/surprise.go
@@ -1,8 +1,8 @@
 package estimate
 
 // Constants of the surprise.
-const (
-	surpriseGain = 0.3        // weight of the newest observation
+var (
+	SurpriseGain = 0.0        // weight of the newest observation
 	surpriseFade = int64(5e9) // ns after which half of it is forgotten
 )
 
@@ -18,7 +18,7 @@
 // when negative.
 func (e *Engine) Observed(now int64, late float64) {
 	s := &e.surprise
-	s.seconds = max(0, s.at(now)+surpriseGain*late)
+	s.seconds = max(0, s.at(now)+SurpriseGain*late)
 	s.since = now
 }
 
--- a/internal/routing/estimate/usual.go
+++ b/internal/routing/estimate/usual.go
@@ -8,7 +8,7 @@
 	// ReportFade is the age, in ns, at which a report tells no more about the
 	// present than the average does, half and half: about one answer's time,
 	// after which the requests that it counted are gone.
-	ReportFade = int64(1e9)
+	ReportFade = int64(0.5e9)
 )
 
 // mean is a moving average of a reported quantity.
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -20,7 +20,7 @@
 	if c.endpoint == nil {
 		return Choice{}, NoEndpoint{Why: AllTried}
 	}
-	return c.choice(&r.targets), nil
+	return c.choice(&r.targets, 1+RDITHER*(r.rng.Float64()-0.5)), nil
 }
 
 // choose runs the policy; the data centre to avoid is used when there is no
--- a/internal/routing/scorer/scorer.go
+++ b/internal/routing/scorer/scorer.go
@@ -56,7 +56,7 @@
 	return w.Miss * ramp(in.FirstToken/t.FirstToken)
 }
 
-var CAP = 1.5
+var CAP = 1.0
 
 // pace keeps the batch below the size at which all its answers slow down.
 func pace(w *Weights, in *Input) float64 {
