--- a/integration/http_test.go
+++ b/integration/http_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -19,6 +20,9 @@
 // controlTimeout bounds a call to a stand-in's switch or counter.
 const controlTimeout = 10 * time.Second
 
+// background is for calls that outlive a test's own context.
+var background = context.Background()
+
 // control calls the stand-ins. Each call has its own connection: faults hit
 // connections, and the test's own must not be among them.
 var control = &http.Client{Timeout: controlTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
--- a/internal/audit/entry.go
+++ b/internal/audit/entry.go
@@ -18,9 +18,7 @@
 	Deleted Action = "deleted"
 )
 
-// Bounds of an entry's texts, in bytes. MaxKept entries of the greatest size
-// take about 150 KB, so that a trail never crowds the object's own state out
-// of the store's limit of 1 MB a value.
+// Bounds of an entry's texts, in bytes.
 const (
 	MaxWhoBytes       = 64
 	MaxWhyBytes       = 512
@@ -63,6 +61,30 @@
 	return base64.RawURLEncoding.EncodeToString(sum[:])
 }
 
+// fixedBytes is the most that an entry's keys, numbers and digest take in JSON.
+const fixedBytes = 220
+
+// encodedBytes returns no less than what the entry takes in JSON.
+func (e Entry) encodedBytes() int {
+	return fixedBytes + escapedBytes(e.Who) + escapedBytes(e.Why) + escapedBytes(e.Operation)
+}
+
+// escapedBytes returns no less than what a text takes in a JSON string.
+func escapedBytes(text string) int {
+	size := 0
+	for i := range len(text) {
+		switch c := text[i]; {
+		case c < ' ', c == '<', c == '>', c == '&', c == 0x7f:
+			size += len(`\u0000`)
+		case c == '"', c == '\\', c >= 0x80:
+			size += 2
+		default:
+			size++
+		}
+	}
+	return size
+}
+
 // link returns the chained hash of the entries up to e: the hash before it and
 // e's fields, each with its length, so that no two entries encode the same.
 func (e Entry) link(before Hash) Hash {
--- a/internal/capacity/buy.go
+++ b/internal/capacity/buy.go
@@ -34,18 +34,42 @@
 // buy records and launches what is missing.
 func (p *Planner) buy(now time.Time, in Input, s *survey, res *Result) {
 	rate, when := in.Demand.Peak(now, now.Add(p.cfg.StartTime+p.cfg.RetryTime))
+	if p.urgent(now, rate, when, s) {
+		p.order(plain(rate, s.all, p.onDemand(now, in.Prices)), s, res)
+	}
 	g := goal{need: rate * (1 + p.cfg.Headroom), part: p.cfg.Reserve}
-	buy, ok := cheapest(g, s.all, p.market(now, in.Prices, false).offers)
+	offers := p.market(now, in.Prices).offers
+	buy, ok := cheapest(g, s.all, offers)
 	if !ok {
-		urgent := when.Sub(now) <= p.cfg.StartTime+p.cfg.RetryTime/2
-		buy = plain(g.need, s.all, p.market(now, in.Prices, urgent).offers)
+		buy = plain(g.need, s.all, offers)
 		res.Short = max(0, g.need-s.all.surviving(g.part))
 	}
-	if len(buy) == 0 && ok && s.moves == 0 {
+	if ok && len(buy) == 0 && s.starting == 0 {
 		buy = p.exchange(now, in, s, g)
 	}
-	for _, o := range buy[:min(len(buy), p.cfg.MaxLaunches)] {
+	p.order(buy, s, res)
+}
+
+// urgent reports whether what is owned or starting has been too little for
+// Patience, with no time left for more refusals: only then is on-demand bought.
+func (p *Planner) urgent(now time.Time, rate float64, when time.Time, s *survey) bool {
+	near := when.Sub(now) <= p.cfg.StartTime+p.cfg.RetryTime/2
+	if !near || s.all.total() >= rate {
+		p.short = time.Time{}
+		return false
+	}
+	if p.short.IsZero() {
+		p.short = now
+	}
+	return now.Sub(p.short) >= p.cfg.Patience
+}
+
+// order records and launches purchases.
+func (p *Planner) order(buy []offer, s *survey, res *Result) {
+	for _, o := range buy[:min(len(buy), max(0, p.cfg.MaxLaunches-len(res.Launches)))] {
 		p.launch(res.Record.add(o.choice), res)
+		s.all[o.dataCentre] += o.rate
+		s.starting++
 		res.Changed = true
 	}
 }
@@ -53,7 +77,7 @@
 // exchange returns purchases towards the cheapest mix when what is owned costs
 // too much more. What they replace becomes a surplus once they are ready.
 func (p *Planner) exchange(now time.Time, in Input, s *survey, g goal) []offer {
-	m := p.market(now, in.Prices, false)
+	m := p.market(now, in.Prices)
 	ideal, ok := cheapest(g, holding{}, m.offers)
 	if !ok {
 		return nil
@@ -63,7 +87,7 @@
 	for _, o := range ideal {
 		best += o.price
 	}
-	for _, h := range s.idle {
+	for _, h := range s.serving {
 		paid += m.prices[h.intent.choice()]
 		have[h.intent.choice()]++
 	}
--- a/internal/capacity/config.go
+++ b/internal/capacity/config.go
@@ -14,6 +14,9 @@
 	StartTime time.Duration
 	// RetryTime is kept before a closing, beside StartTime, for refused starts.
 	RetryTime time.Duration
+	// Patience is how long the demand may be uncarried, starting instances
+	// counted, before on-demand ones are bought.
+	Patience time.Duration
 	// StuckTime is how long after its launch an instance may be unready.
 	StuckTime time.Duration
 	// ListLag is how long the cloud's list may lack a new instance.
@@ -40,6 +43,7 @@
 		Reserve:     1,                // a wave can take a whole data centre
 		StartTime:   4 * time.Minute,  // boot and a rate-limited load of weights
 		RetryTime:   10 * time.Minute, // several choices, each refused and backed off from
+		Patience:    time.Minute,      // one round of other choices
 		StuckTime:   20 * time.Minute, // five starts
 		ListLag:     time.Minute,
 		KeepFor:     15 * time.Minute, // three starts; demand that dips for less is not worth them
--- a/internal/capacity/demand.go
+++ b/internal/capacity/demand.go
@@ -25,6 +25,10 @@
 // over; near the deadline the rate would otherwise grow without bound.
 const leastWindow = 5 * time.Minute
 
+// closingPart is the part of the time to the deadline over which a closing's
+// work is spread, so that a wave in its last hour does not cost the deadline.
+const closingPart = 0.8
+
 // At returns the rate to provide for at t, as seen from now.
 func (d Demand) At(now, t time.Time) float64 {
 	rate := d.Base
@@ -61,5 +65,6 @@
 	if now.After(from) {
 		from = now
 	}
-	return c.Work / max(leastWindow, c.Deadline.Sub(from)).Seconds()
+	window := time.Duration(closingPart * float64(c.Deadline.Sub(from)))
+	return c.Work / max(leastWindow, window).Seconds()
 }
--- a/internal/capacity/giveback.go
+++ b/internal/capacity/giveback.go
@@ -31,9 +31,9 @@
 
 // extra lists the instances without which keep is still reached.
 func (p *Planner) extra(now time.Time, in Input, s *survey, keep goal) []held {
-	prices := p.market(now, in.Prices, true).prices
+	prices := p.market(now, in.Prices).prices
 	unit := func(h held) float64 { return prices[h.intent.choice()] / h.rate }
-	byPrice := slices.Clone(s.idle)
+	byPrice := slices.Clone(s.serving)
 	slices.SortStableFunc(byPrice, func(a, b held) int { return cmp.Compare(unit(b), unit(a)) })
 	left := s.ready
 	var extra []held
--- a/internal/capacity/market.go
+++ b/internal/capacity/market.go
@@ -32,8 +32,8 @@
 }
 
 // market lists the offers that are not backed off from. On-demand ones are
-// left out unless urgent, or cheaper than the reclaimable kind.
-func (p *Planner) market(now time.Time, prices []cloudapi.Price, urgent bool) market {
+// left out unless they are no dearer than the reclaimable kind.
+func (p *Planner) market(now time.Time, prices []cloudapi.Price) market {
 	m := market{prices: make(map[choice]float64, 2*len(prices))}
 	for _, price := range prices {
 		c := choice{dataCentre: price.DataCentre, class: price.Class}
@@ -41,13 +41,23 @@
 		p.offer(now, &m, offer{choice: c, price: price.Reclaimable})
 		c.onDemand = true
 		m.prices[c] = price.OnDemand
-		if urgent || price.OnDemand <= price.Reclaimable {
+		if price.OnDemand <= price.Reclaimable || price.Reclaimable <= 0 {
 			p.offer(now, &m, offer{choice: c, price: price.OnDemand})
 		}
 	}
 	return m
 }
 
+// onDemand lists the on-demand offers.
+func (p *Planner) onDemand(now time.Time, prices []cloudapi.Price) []offer {
+	var m market
+	for _, price := range prices {
+		c := choice{dataCentre: price.DataCentre, class: price.Class, onDemand: true}
+		p.offer(now, &m, offer{choice: c, price: price.OnDemand})
+	}
+	return m.offers
+}
+
 // offer adds o if its class is known, it has a price and no back-off holds.
 func (p *Planner) offer(now time.Time, m *market, o offer) {
 	o.rate = p.rate(o.class)
--- a/internal/capacity/planner.go
+++ b/internal/capacity/planner.go
@@ -17,6 +17,7 @@
 	backoffs map[choice]*backoff
 	calls    map[string]call // by client token
 	surplus  time.Time       // since when there is one; zero when there is none
+	short    time.Time       // since when even the demand is not carried; zero when it is
 }
 
 // call is what became of a launch that this planner gave out.
@@ -88,7 +89,7 @@
 func (p *Planner) again(now time.Time, in Input, res *Result) time.Time {
 	const regular = time.Minute // prices and demand drift
 	next := now.Add(regular)
-	m := p.market(now, in.Prices, true)
+	m := p.market(now, in.Prices)
 	if res.Short > 0 && !m.next.IsZero() && m.next.Before(next) {
 		next = m.next
 	}
--- a/internal/capacity/survey.go
+++ b/internal/capacity/survey.go
@@ -8,10 +8,10 @@
 
 // survey is what the shard holds.
 type survey struct {
-	all   holding // wanted and not leaving, starting ones included
-	ready holding // serving and not leaving
-	idle  []held  // serving and not leaving: what can be given back
-	moves int     // wanted, not yet serving
+	all      holding // wanted and not leaving, starting ones included
+	ready    holding // serving and not leaving
+	serving  []held  // what makes up ready
+	starting int     // wanted, not yet serving
 }
 
 // held is one instance that serves.
@@ -55,10 +55,10 @@
 	case o != nil && o.Ready:
 		s.all[i.DataCentre] += rate
 		s.ready[i.DataCentre] += rate
-		s.idle = append(s.idle, held{intent: i, rate: rate})
+		s.serving = append(s.serving, held{intent: i, rate: rate})
 	default:
 		s.all[i.DataCentre] += rate
-		s.moves++
+		s.starting++
 	}
 }
 
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -55,7 +55,7 @@
 	// record of whoever came first, or a refusal after which nothing is recorded.
 	Intend(ctx context.Context, ref request.Ref, owner string, digest request.Digest) Intent
 	// Settle stores the outcome, at the best effort.
-	Settle(ref request.Ref, owner string, outcome ledger.Outcome)
+	Settle(ref request.Ref, owner string, digest request.Digest, outcome ledger.Outcome)
 }
 
 // Intent is the answer to Intend. Exactly one field is set.
--- /dev/null
+++ b/internal/dispatch/fakes_test.go
@@ -0,0 +1,194 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/directory"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// fakeEngines is one engine whose stream breaks after cutAfter tokens, once.
+type fakeEngines struct {
+	mu       sync.Mutex
+	starts   int
+	resumes  int
+	cancels  int
+	cutAfter int
+	refuse   error
+	interval time.Duration
+	length   int
+}
+
+type fakeStream struct {
+	e      *fakeEngines
+	ctx    context.Context
+	at     int
+	cut    int
+	length int
+}
+
+func (e *fakeEngines) Start(ctx context.Context, _ string, q *engineapi.CompletionRequest, _ fleet.RequestID, _ StartOptions) (Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.refuse != nil {
+		return nil, e.refuse
+	}
+	e.starts++
+	cut := e.cutAfter
+	e.cutAfter = 0
+	e.length = q.MaxTokens
+	return &fakeStream{e: e, ctx: ctx, at: len(q.Continue), cut: cut, length: q.MaxTokens}, nil
+}
+
+func (e *fakeEngines) Resume(ctx context.Context, _, _ string, from int, _ bool) (Stream, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.resumes++
+	return &fakeStream{e: e, ctx: ctx, at: from, length: e.length}, nil
+}
+
+func (e *fakeEngines) Cancel(context.Context, string, string) error {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.cancels++
+	return nil
+}
+
+func (e *fakeEngines) Export(context.Context, string, string) (engineapi.KVBlob, error) {
+	return engineapi.KVBlob{}, errors.New("no export")
+}
+func (e *fakeEngines) Import(context.Context, string, engineapi.KVBlob) error { return nil }
+
+func (s *fakeStream) ID() string { return "stream" }
+func (s *fakeStream) Close()     {}
+
+func (s *fakeStream) Next() (engineapi.Piece, error) {
+	select {
+	case <-time.After(s.e.interval):
+	case <-s.ctx.Done():
+		return engineapi.Piece{}, &AttemptError{Kind: request.Reset, Err: s.ctx.Err()}
+	}
+	if s.cut > 0 && s.at == s.cut {
+		return engineapi.Piece{}, &AttemptError{Kind: request.Reset, Err: errors.New("cut")}
+	}
+	if s.at == s.length {
+		return engineapi.Piece{Offset: s.at, Done: true, Usage: &engineapi.Usage{PromptTokens: 2}}, nil
+	}
+	p := engineapi.Piece{Offset: s.at, Text: fmt.Sprintf(" t%d", s.at)}
+	s.at++
+	return p, nil
+}
+
+// fakeDeps is everything else, friendly unless a field says otherwise.
+type fakeDeps struct {
+	noEndpoint bool
+	intent     Intent
+	settled    []ledger.Outcome
+	refuse     *problem.Problem
+	released   int
+	peers      map[fleet.DaemonID]*Dispatcher
+	loseReply  int // replies to offers that get lost
+	offers     int
+	claimed    directory.Holding
+}
+
+func (f *fakeDeps) Pick(*routing.Request) (routing.Choice, error) {
+	if f.noEndpoint {
+		return routing.Choice{}, routing.NoEndpoint{Why: routing.NotServed}
+	}
+	return routing.Choice{Endpoint: "e", Address: "e:1"}, nil
+}
+func (f *fakeDeps) Address(fleet.EndpointID) (string, bool)                        { return "e:1", true }
+func (f *fakeDeps) Dispatched(fleet.EndpointID, *routing.Request, routing.Choice)  {}
+func (f *fakeDeps) FirstToken(fleet.EndpointID, fleet.RequestID)                   {}
+func (f *fakeDeps) Finished(fleet.EndpointID, fleet.RequestID, routing.Outcome)    {}
+func (f *fakeDeps) Connected(fleet.EndpointID)                                     {}
+func (f *fakeDeps) Silent(fleet.EndpointID)                                        {}
+func (f *fakeDeps) DialFailed(fleet.EndpointID)                                    {}
+func (f *fakeDeps) Admit(context.Context, admission.Ask) *problem.Problem          { return f.refuse }
+func (f *fakeDeps) Extend(fleet.RequestID)                                         {}
+func (f *fakeDeps) Release(fleet.RequestID, admission.Usage)                       { f.released++ }
+func (f *fakeDeps) Announce(directory.Holding)                                     {}
+func (f *fakeDeps) Cancel(context.Context, directory.Holding) bool                 { return false }
+func (f *fakeDeps) Claim(_ context.Context, h directory.Holding) directory.Holding { return h }
+func (f *fakeDeps) Intend(context.Context, request.Ref, string, request.Digest) Intent {
+	return f.intent
+}
+func (f *fakeDeps) Settle(_ request.Ref, _ string, _ request.Digest, o ledger.Outcome) {
+	f.settled = append(f.settled, o)
+}
+func (f *fakeDeps) Attempt(string)       {}
+func (f *fakeDeps) AttemptFailed(string) {}
+func (f *fakeDeps) Ended(string)         {}
+func (f *fakeDeps) Recomputed(int)       {}
+func (f *fakeDeps) Lookup(context.Context, fleet.RequestID) (directory.Holding, bool) {
+	return directory.Holding{}, false
+}
+
+func (f *fakeDeps) Follow(context.Context, directory.Holding) (gateway.Answer, error) {
+	return nil, errors.New("nobody holds it")
+}
+
+func (f *fakeDeps) Members() []request.Member {
+	var out []request.Member
+	for id := range f.peers {
+		out = append(out, request.Member{Daemon: id, DataCentre: "dc", Serving: true})
+	}
+	return out
+}
+
+func (f *fakeDeps) Offer(_ context.Context, t *Transfer) (request.Reply, error) {
+	f.offers++
+	reply := f.peers[t.Offer.To].Take(t)
+	if f.loseReply > 0 {
+		f.loseReply--
+		return request.Reply{}, verdict.Wrap(verdict.MayHaveRun, errors.New("reply lost"))
+	}
+	return reply, nil
+}
+
+func (f *fakeDeps) Withdraw(_ context.Context, w request.Withdraw, deadline time.Time) (request.Rank, error) {
+	return f.peers[w.To].Withdrawn(w.Ref, w.Rank, deadline), nil
+}
+
+// newFake returns a dispatcher on fakes.
+func newFake(id fleet.DaemonID, e *fakeEngines, f *fakeDeps, nonIdempotent bool) *Dispatcher {
+	if e.interval == 0 {
+		e.interval = 10 * time.Millisecond
+	}
+	return New(Options{
+		Instance: fleet.InstanceID(id), Daemon: id, Engines: e, Router: f, Admission: f, Locator: f, Intents: f, Peers: f,
+		NonIdempotent: func(fleet.ModelRef, fleet.WorkspaceID) bool { return nonIdempotent },
+		Model:         func(_ fleet.WorkspaceID, m fleet.ModelRef) (fleet.ModelRef, bool) { return m, m.Model == "m" },
+		Priority:      func(fleet.WorkspaceID) int { return 0 },
+		Observer:      f,
+		Policy:        request.DefaultPolicy(),
+		Address:       func(d fleet.DaemonID) string { return "at " + string(d) },
+		Timeout:       time.Minute,
+		Limits:        request.DefaultTableLimits(),
+		Log:           logrus.NewEntry(logrus.New()),
+	})
+}
+
+func submission(id fleet.RequestID, body string) *gateway.Submission {
+	return &gateway.Submission{
+		ID: id, Workspace: "w", KeySent: true, Body: []byte(body),
+		Completion: engineapi.CompletionRequest{
+			Model: "m", MaxTokens: 20, Messages: []engineapi.Message{{Role: "user", Content: "x"}},
+		},
+	}
+}
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -193,7 +193,7 @@
 		r.d.o.Locator.Announce(r.holding(true))
 	}
 	if r.life.Spec().NonIdempotent && v == verdict.Ran {
-		r.d.o.Intents.Settle(r.ref, r.owner, ledger.Outcome{Status: http.StatusOK, ContentType: "text/plain", Body: []byte(r.life.Answer().Text())})
+		r.d.o.Intents.Settle(r.ref, r.owner, r.digest, ledger.Outcome{Status: http.StatusOK, ContentType: "text/plain", Body: []byte(r.life.Answer().Text())})
 	}
 }
 
--- a/internal/gateway/sse.go
+++ b/internal/gateway/sse.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"errors"
 	"net/http"
 	"strconv"
 	"time"
@@ -53,7 +54,8 @@
 // would hold its buffers for ever; the deadline ends its connection, and it can
 // resume by the last id that it saw.
 func (s *sseWriter) flush() error {
-	if err := s.rc.SetWriteDeadline(time.Now().Add(s.timeout)); err != nil {
+	err := s.rc.SetWriteDeadline(time.Now().Add(s.timeout))
+	if err != nil && !errors.Is(err, http.ErrNotSupported) {
 		return err
 	}
 	if _, err := s.w.Write(s.buf); err != nil {
--- a/internal/lease/answer.go
+++ b/internal/lease/answer.go
@@ -60,8 +60,17 @@
 	l.retryAt = now.Add(l.pause())
 }
 
-// pause draws the time before a failed call is repeated.
-func (l *Lease) pause() time.Duration { return around(l.random, l.config.Retry, 0.5) }
+// pause draws the time before a failed call is repeated. It doubles with each
+// failure up to Renew: quick enough to save a lease after a lost answer, and
+// in an outage no more calls than in quiet.
+func (l *Lease) pause() time.Duration {
+	mean := min(l.config.Retry<<min(l.failures, maxDoublings), l.config.Renew)
+	l.failures++
+	return around(l.random, mean, 0.5)
+}
+
+// maxDoublings keeps the shift from running over.
+const maxDoublings = 20
 
 // observed takes the object as read at some moment before now.
 func (l *Lease) observed(now time.Time, o Observation) {
@@ -80,7 +89,10 @@
 		return // an answer that was overtaken
 	}
 	first := l.readAt.IsZero()
-	l.unsure = false
+	if now.Sub(l.readAt) > 2*l.config.Observe {
+		l.followed = now
+	}
+	l.unsure, l.failures = false, 0
 	l.readAt = now
 	if o.Version == l.seen.Version && !first {
 		return
@@ -106,7 +118,7 @@
 // before the write left: the store may have taken it at once, and others count
 // from then.
 func (l *Lease) took(now time.Time, w *sentWrite, version uint64) {
-	l.unsure = false
+	l.unsure, l.failures = false, 0
 	l.seen, l.seenAt, l.readAt = Observation{Version: version, State: w.state}, now, now
 	switch w.kind {
 	case acquire:
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,9 +14,10 @@
 	shard  int
 	random *rand.Rand
 
-	seen   Observation // newest version that was read or written
-	seenAt time.Time   // when an answer first showed that version
-	readAt time.Time   // when an answer last showed it; zero: nothing is known
+	seen     Observation // newest version that was read or written
+	seenAt   time.Time   // when an answer first showed that version
+	readAt   time.Time   // when an answer last showed it; zero: nothing is known
+	followed time.Time   // since when looks came without a gap
 
 	held    bool
 	fencing uint64
@@ -30,12 +31,13 @@
 	rankSince time.Time // since when this daemon isn't the preferred one; zero: it is
 	handovers int
 
-	sent    sentWrites
-	pending *sentWrite // write without an answer yet
-	reading bool       // a read-back has no answer yet
-	callEnd time.Time  // when the call without an answer counts as lost
-	unsure  bool       // a write's outcome must be read back
-	retryAt time.Time
+	sent     sentWrites
+	pending  *sentWrite // write without an answer yet
+	reading  bool       // a read-back has no answer yet
+	callEnd  time.Time  // when the call without an answer counts as lost
+	unsure   bool       // a write's outcome must be read back
+	retryAt  time.Time
+	failures int // calls without an answer in a row
 }
 
 func newLease(config *Config, self fleet.DaemonID, shard int, random *rand.Rand) *Lease {
--- a/internal/lease/memory_test.go
+++ b/internal/lease/memory_test.go
@@ -13,6 +13,7 @@
 	objects []Observation
 	reads   int
 	writes  int
+	down    bool // no call is answered or has an effect
 }
 
 func newMemory(shards int) *memory { return &memory{objects: make([]Observation, shards)} }
@@ -39,19 +40,36 @@
 // answers to writes.
 func (m *memory) step(now time.Time, d *member, lose float64, random *rand.Rand) {
 	for _, a := range d.set.Tick(now) {
-		switch a.Kind {
-		case List:
+		switch {
+		case m.down:
+			m.fail(now, d, a)
+		case a.Kind == List:
 			m.reads++
 			d.set.Listed(now, m.objects)
-		case Read:
+		case a.Kind == Read:
 			m.reads++
 			d.set.Observed(now, a.Shard, m.objects[a.Shard])
-		case Write:
+		case a.Kind == Write:
 			m.answer(now, d, a, random.Float64() < lose)
 		}
 	}
 }
 
+// fail counts a call that has no answer.
+func (m *memory) fail(now time.Time, d *member, a Action) {
+	switch a.Kind {
+	case List:
+		m.reads++
+		d.set.ListFailed()
+	case Read:
+		m.reads++
+		d.set.ReadFailed(now, a.Shard)
+	case Write:
+		m.writes++
+		d.set.Unsure(now, a)
+	}
+}
+
 func (m *memory) answer(now time.Time, d *member, a Action, lost bool) {
 	result, took := m.write(a)
 	switch {
--- a/internal/lease/step.go
+++ b/internal/lease/step.go
@@ -52,12 +52,22 @@
 		return false
 	}
 	wait := time.Duration(rank) * l.config.RankDelay
+	if l.afterGap(now, rank, wait) {
+		return false
+	}
 	if !l.free() {
 		wait += max(l.config.Duration, l.seen.State.duration()) + l.config.Margin
 	}
 	return now.Sub(l.seenAt) >= wait
 }
 
+// afterGap reports whether a candidate must let better ranks go first after
+// the store was out of reach: by then each has seen the old version unchanged
+// for long enough, and all would write at once.
+func (l *Lease) afterGap(now time.Time, rank int, wait time.Duration) bool {
+	return rank < l.config.Candidates && now.Sub(l.followed) < wait
+}
+
 // free reports whether nobody else can hold the lease that was last seen. An
 // object that vanished keeps the state it had, because its holder may not know.
 func (l *Lease) free() bool {
--- /dev/null
+++ b/internal/load/caller/call_test.go
@@ -0,0 +1,70 @@
+package caller
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// The entry reads an order on a reused connection and closes it without an
+// answer. net/http by itself sends a request with an idempotency key again
+// then, and the tool would report one sending less than the entry saw.
+func TestEverySendingIsCounted(t *testing.T) {
+	var seen, orders atomic.Int64
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == EntriesPath {
+			_, _ = io.WriteString(w, `{"entries":[{"address":"`+r.Host+`"}]}`)
+			return
+		}
+		_, _ = io.ReadAll(r.Body)
+		seen.Add(1)
+		if orders.Add(1) == 2 {
+			conn, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = conn.Close()
+			}
+		}
+	}))
+	defer s.Close()
+	c := New(Options{Seeds: []string{strings.TrimPrefix(s.URL, "http://")}}, []string{"token"})
+	defer c.Close()
+	sent, ambiguous := 0, false
+	for range 3 {
+		out := c.Call(t.Context(), &Call{Service: "parts", Method: http.MethodPost, Path: "/orders", Body: []byte("{}"), Key: "k"})
+		assert.Equal(t, out.End, Answered, "%v", out.Err)
+		sent += out.Sent
+		ambiguous = ambiguous || out.Ambiguous
+	}
+	assert.Equal(t, int(seen.Load()), sent)
+	assert.Equal(t, sent, 4)
+	assert.Assert(t, ambiguous, "an order that was cut off counts as not run")
+}
+
+func TestCallKeepsTheServersVerdict(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{entries: []string{"a", "b"}, answers: []func() (*http.Response, error){
+			answers(503, `{"verdict":"not-run"}`),
+			answers(502, `{"verdict":"ran"}`),
+			answers(200, `{}`),
+		}}
+		c := New(Options{Transport: s, Seeds: []string{"a"}}, []string{"token"})
+		call := &Call{Service: "parts", Method: http.MethodGet, Path: "/stock/1"}
+		out := c.Call(t.Context(), call)
+		assert.Equal(t, out.End, Refused)
+		assert.Equal(t, out.Verdict, verdict.Ran)
+		assert.Assert(t, out.FromServer && !out.Ambiguous)
+		assert.Equal(t, c.Call(t.Context(), call).End, Answered)
+		// The entry that takes nothing is passed over by later requests as well.
+		assert.DeepEqual(t, s.asked, []string{
+			"GET a /v1/services/parts/stock/1 ", "GET b /v1/services/parts/stock/1 ", "GET b /v1/services/parts/stock/1 ",
+		})
+	})
+}
--- a/internal/load/caller/client.go
+++ b/internal/load/caller/client.go
@@ -58,12 +58,16 @@
 	return caches[seed%uint64(len(caches))]
 }
 
-// failed notes that an entry could not be used. After silence the connections
-// that were opened along with the silent one are likely to be dead as well;
-// closing them spares each next request the same wait.
-func (c *Client) failed(cache *entryCache, address string, err error) {
-	cache.fail(address)
-	if errors.Is(err, errSilent) {
+// failed notes a failed attempt. An entry that broke off or takes nothing is
+// passed over until the next answer about entries. After silence the
+// connections that were opened along with the silent one are likely to be dead
+// as well; closing them spares each next request the same wait.
+func (c *Client) failed(cache *entryCache, address string, s step, o *Outcome) {
+	o.Reasons = append(o.Reasons, s.reason())
+	if s.kind == broken || s.failure.status == http.StatusServiceUnavailable {
+		cache.fail(address)
+	}
+	if errors.Is(s.err, errSilent) {
 		c.http.CloseIdleConnections()
 	}
 }
--- a/internal/load/caller/completion.go
+++ b/internal/load/caller/completion.go
@@ -34,15 +34,14 @@
 
 // follower is one completion's state over its attempts.
 type follower struct {
-	c        *Client
-	r        *Completion
-	cache    *entryCache
-	backoff  backoff
-	reader   tokenReader
-	out      Outcome
-	accepted bool
-	next     string // address to resume at after a move, empty for any
-	address  string // of the last attempt
+	c       *Client
+	r       *Completion
+	cache   *entryCache
+	backoff backoff
+	reader  tokenReader
+	out     Outcome
+	next    string // address to resume at after a move, empty for any
+	address string // of the last attempt
 }
 
 func newFollower(c *Client, r *Completion) *follower {
@@ -67,7 +66,7 @@
 		return step{kind: failed, failure: readFailure(resp)}
 	}
 	defer func() { _ = resp.Body.Close() }()
-	f.accepted = true
+	f.out.Accepted = true
 	s := f.reader.read(resp.Body, silence.extend)
 	if s.kind == broken {
 		return breakSilent(ctx, s.err)
@@ -95,7 +94,7 @@
 }
 
 func (f *follower) build(ctx context.Context) (*http.Request, error) {
-	if f.accepted {
+	if f.out.Accepted {
 		path := RequestsPath + f.r.Key + EventsSuffix
 		r, err := f.c.request(ctx, http.MethodGet, f.address, path, f.r.Workspace, nil)
 		if err != nil {
@@ -121,15 +120,16 @@
 		f.out.End = Answered
 		return 0, false
 	case ctx.Err() != nil:
-		f.finish(Unfinished, s)
+		f.finish(f.cutOff(ctx), s)
 		return 0, false
 	case s.kind == moved:
 		return f.settleMoved(s)
-	case f.accepted:
+	}
+	f.c.failed(f.cache, f.address, s, &f.out)
+	if f.out.Accepted {
 		return f.settleAccepted(s)
-	default:
-		return f.settleNew(s)
 	}
+	return f.settleNew(s)
 }
 
 func (f *follower) settleMoved(s step) (time.Duration, bool) {
@@ -167,10 +167,9 @@
 	return f.before(s), true
 }
 
-// before notes a failed entry and returns the wait before the next attempt.
+// before returns the wait before the next attempt.
 func (f *follower) before(s step) time.Duration {
 	if s.kind == broken {
-		f.c.failed(f.cache, f.address, s.err)
 		return f.backoff.next(0)
 	}
 	return f.backoff.next(s.failure.retryAfter)
@@ -184,12 +183,24 @@
 	}
 }
 
-// pause waits before the next attempt; a run that ends meanwhile leaves the
-// request unfinished.
+// cutOff is the end of a request whose context ended: by the request's own
+// timeout, or else with the run.
+func (f *follower) cutOff(ctx context.Context) End {
+	switch {
+	case ctx.Err() != context.DeadlineExceeded:
+		return Unfinished
+	case f.out.Accepted:
+		return Lost
+	default:
+		return Unreached
+	}
+}
+
+// pause waits before the next attempt.
 func (f *follower) pause(ctx context.Context, d time.Duration) bool {
 	if d == 0 || wait(ctx, d) {
 		return true
 	}
-	f.finish(Unfinished, breakOff(ctx.Err()))
+	f.finish(f.cutOff(ctx), breakOff(ctx.Err()))
 	return false
 }
--- a/internal/load/caller/completion_test.go
+++ b/internal/load/caller/completion_test.go
@@ -98,6 +98,7 @@
 		assert.Equal(t, string(out.Text), " w1 w2 w3 w4")
 		assert.DeepEqual(t, []int{out.Tokens, out.Missing, out.Duplicated, out.Sent, out.Resumes, out.Moves}, []int{4, 0, 0, 1, 2, 1})
 		assert.Equal(t, out.Usage.CompletionTokens, 4)
+		assert.DeepEqual(t, out.Reasons, []string{"connection broken", "404 not-run"})
 		assert.DeepEqual(t, s.asked, []string{
 			"POST a /v1/chat/completions ",
 			"GET b /v1/requests/k/events 2",
@@ -180,6 +181,29 @@
 	})
 }
 
+// An entry accepts a request, is never reached again, and each resume is
+// refused with a long hint. The caller's own timeout ends it. The promise of
+// acceptance was broken, so it must count as lost and not as cut off by the run.
+func TestAcceptedRequestThatTimesOutIsLost(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		busy := answers(503, `{"verdict":"not-run"}`, "Retry-After", "9")
+		s := &script{answers: []func() (*http.Response, error){answers(200, acceptance), busy, busy, busy}}
+		c := New(Options{Transport: s, Seeds: []string{"a"}, RequestTimeout: 15 * time.Second}, []string{"token"})
+		s.entries = []string{"a"}
+		assert.Equal(t, c.Complete(t.Context(), &Completion{Key: "k"}).End, Lost)
+
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		s.answers = []func() (*http.Response, error){busy, busy}
+		c = New(Options{Transport: s, Seeds: []string{"a"}}, []string{"token"})
+		assert.Equal(t, c.Complete(ctx, &Completion{Key: "k"}).End, Unreached)
+		cut, end := context.WithCancel(t.Context())
+		time.AfterFunc(time.Second, end)
+		s.answers = []func() (*http.Response, error){busy, busy}
+		assert.Equal(t, c.Complete(cut, &Completion{Key: "k"}).End, Unfinished)
+	})
+}
+
 // silent reads its text and then waits until it is closed.
 type silent struct {
 	io.Reader
--- a/internal/load/caller/outcome.go
+++ b/internal/load/caller/outcome.go
@@ -18,7 +18,9 @@
 	NoVerdict bool
 	// Ambiguous says that an attempt before the last may have run.
 	Ambiguous bool
-	Err       error // why it was not answered
+	// Accepted says that a stream was begun.
+	Accepted bool
+	Err      error // why it was not answered
 
 	First time.Time       // arrival of the first token
 	Done  time.Time       // arrival of the answer's end
@@ -30,6 +32,8 @@
 	Missing    int // tokens that were jumped over
 	Usage      *engineapi.Usage
 
+	Reasons []string // why each attempt failed that did
+
 	Sent    int // times the request was sent
 	Resumes int // times its stream was taken up again after a break
 	Moves   int // times it was taken up elsewhere because it had moved
--- a/internal/load/caller/step.go
+++ b/internal/load/caller/step.go
@@ -1,6 +1,12 @@
 package caller
 
-import "github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+import (
+	"errors"
+	"net"
+	"strconv"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
 
 // stepKind is how one attempt ended.
 type stepKind uint8
@@ -36,3 +42,19 @@
 	}
 	return s.err
 }
+
+// reason says in a few words why the step failed, alike for alike failures, so
+// that they can be counted.
+func (s step) reason() string {
+	var op *net.OpError
+	switch {
+	case s.kind == failed:
+		return strconv.Itoa(s.failure.status) + " " + s.failure.verdict.String()
+	case errors.Is(s.err, errSilent):
+		return "silence"
+	case errors.As(s.err, &op):
+		return op.Op + " failed"
+	default:
+		return "connection broken"
+	}
+}
--- a/internal/load/checks.go
+++ b/internal/load/checks.go
@@ -1,12 +1,15 @@
 package load
 
-// Checks counts broken promises. All are 0 in a sound run.
+// Checks counts broken promises. All but Open are 0 in a sound run.
 type Checks struct {
 	// Lost is accepted requests that ended with neither their whole answer nor
 	// a verdict.
 	Lost int64 `json:"lost"`
 	// FailedAccepted is accepted requests that ended with a verdict only.
 	FailedAccepted int64 `json:"failedAccepted"`
+	// Open is accepted requests that were cut off by the end of the run. They
+	// are no broken promise yet, but many of them are a reason to drain longer.
+	Open int64 `json:"open"`
 	// DuplicatedTokens and MissingTokens are found by the offsets of tokens.
 	DuplicatedTokens int64 `json:"duplicatedTokens"`
 	MissingTokens    int64 `json:"missingTokens"`
--- a/internal/load/recorder.go
+++ b/internal/load/recorder.go
@@ -23,6 +23,7 @@
 	timeline   []Moment
 	checks     Checks
 	orders     orders
+	reasons    map[string]int64
 	lag        *hdrhistogram.Histogram
 }
 
@@ -31,7 +32,7 @@
 		plan: p, target: target, answers: newTally(), services: newTally(),
 		kinds: newTallies(len(p.Mix.Kinds)), workspaces: newTallies(len(p.Workspaces)),
 		timeline: make([]Moment, int((p.Duration+time.Second-1)/time.Second)),
-		orders:   orders{}, lag: newHistogram(),
+		orders:   orders{}, reasons: map[string]int64{}, lag: newHistogram(),
 	}
 	for i := range r.timeline {
 		r.timeline[i].Second = i
@@ -60,6 +61,7 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.addFindings(o, f)
+	r.addReasons(o)
 	for _, t := range r.tallies(a) {
 		t.add(r.target, intended, o, f.intact())
 	}
@@ -73,9 +75,8 @@
 	if r.plan.Mix.Kinds[a.Kind].Call.NonIdempotent {
 		r.orders.add(key, o)
 	}
-	if o.NoVerdict {
-		r.checks.NoVerdict++
-	}
+	r.addReasons(o)
+	r.checks.NoVerdict += count(o.NoVerdict)
 	for _, t := range r.tallies(a) {
 		t.add(r.target, intended, o, true)
 	}
@@ -96,11 +97,18 @@
 	c.MissingTokens += int64(o.Missing)
 	c.Lost += count(o.End == caller.Lost)
 	c.FailedAccepted += count(o.End == caller.Failed)
+	c.Open += count(o.End == caller.Unfinished && o.Accepted)
 	c.WrongLength += count(f.wrongLength)
 	c.WrongText += count(f.wrongText)
 	c.NoVerdict += count(o.NoVerdict)
 }
 
+func (r *recorder) addReasons(o *caller.Outcome) {
+	for _, reason := range o.Reasons {
+		r.reasons[reason]++
+	}
+}
+
 func (r *recorder) addMoment(a *workload.Arrival, intended time.Time, o *caller.Outcome, intact bool) {
 	m := &r.timeline[min(int(a.At/time.Second), len(r.timeline)-1)]
 	m.Offered++
--- a/internal/load/result.go
+++ b/internal/load/result.go
@@ -34,8 +34,18 @@
 	Kinds      []NamedSection `json:"kinds"`
 	Workspaces []NamedSection `json:"workspaces"` // requests to models
 	Timeline   []Moment       `json:"timeline"`
-	Faults     []FaultRecord  `json:"faults,omitempty"`
-	Generator  Generator      `json:"generator"`
+	// Reasons counts why attempts failed, most frequent first; many a request
+	// was answered all the same on a later attempt.
+	Reasons   []ReasonCount `json:"reasons,omitempty"`
+	Faults    []FaultRecord `json:"faults,omitempty"`
+	Generator Generator     `json:"generator"`
+}
+
+// ReasonCount is how many attempts failed for a reason: the status and verdict
+// of a failure answer, or what became of the connection.
+type ReasonCount struct {
+	Reason string `json:"reason"`
+	Count  int64  `json:"count"`
 }
 
 // Settings is what a run depended on.
--- a/internal/load/summarise.go
+++ b/internal/load/summarise.go
@@ -1,7 +1,9 @@
 package load
 
 import (
+	"cmp"
 	"runtime"
+	"slices"
 	"time"
 )
 
@@ -17,7 +19,7 @@
 		GoVersion: runtime.Version(), StartedAt: r.start.UTC(),
 		Settings: r.settings(), Targets: r.targets(), Checks: c.checks,
 		Answers: c.answers.section(), Services: c.services.section(),
-		Timeline:  c.timeline,
+		Timeline: c.timeline, Reasons: c.reasonCounts(),
 		Generator: Generator{SendLag: newDistribution(c.lag), AskedAfresh: r.talks.askedAfresh()},
 	}
 	res.Engines.Counters, res.Engines.Count, res.Engines.FailedReadings = r.meter.totals()
@@ -35,6 +37,18 @@
 	return res
 }
 
+// reasonCounts returns the reasons, most frequent first.
+func (r *recorder) reasonCounts() []ReasonCount {
+	var all []ReasonCount
+	for reason, n := range r.reasons {
+		all = append(all, ReasonCount{Reason: reason, Count: n})
+	}
+	slices.SortFunc(all, func(a, b ReasonCount) int {
+		return cmp.Or(cmp.Compare(b.Count, a.Count), cmp.Compare(a.Reason, b.Reason))
+	})
+	return all
+}
+
 func (r *run) cost(spent float64, within int64) Cost {
 	c := Cost{Known: spent > 0, Total: spent}
 	if c.Known && within > 0 {
--- a/internal/routing/attempt.go
+++ b/internal/routing/attempt.go
@@ -14,7 +14,6 @@
 type attempt struct {
 	at       int64 // ns
 	first    int64 // ns of the first token; 0 is none yet
-	foretold float64
 	uncached int   // prompt tokens counted as waiting
 	until    int64 // of a reservation; 0 is a dispatched attempt
 }
--- a/internal/routing/best.go
+++ b/internal/routing/best.go
@@ -6,16 +6,15 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
 )
 
-// Bounds of the candidates of one pick.
-const (
-	draws         = 2 // random members, for load
-	maxCandidates = 16
-)
+// draws is the number of random members among the candidates, for load. With
+// the index's matches and the rendezvous choices they are all a pick looks at,
+// whatever the fleet's size.
+const draws = 2
 
-// keyBlocks is the depth, in blocks, up to which a prompt's beginning decides
-// where it belongs: past the instructions that all prompts of an application
-// share, and within the history that the turns of one conversation share.
-var keyBlocks = 64
+// keyBlocks is the least depth, in blocks, of the beginning that decides
+// where a prompt belongs, where the prompt is that long. Within 256 tokens
+// most prompts have come to what sets them apart.
+const keyBlocks = 16
 
 // scratch is reused by every pick, so that none allocates.
 type scratch struct {
@@ -25,10 +24,11 @@
 }
 
 // affinityKey names the group of prompts that belong together: the hash of
-// the leading blocks down to the largest power of two that the prompt fills.
-// A growing conversation thus changes its key only when it doubles, and not
-// at all past keyBlocks. 0 is a prompt without a full block.
-func affinityKey(q *Request) uint64 {
+// the leading blocks down to a power of two, so that a growing conversation
+// keeps its key. The depth doubles past blocks that are common: keyed by the
+// instructions that all prompts of an application share, all would have one
+// owner. 0 is a prompt without a full block.
+func (r *Router) affinityKey(q *Request) uint64 {
 	if len(q.Blocks) == 0 {
 		return 0
 	}
@@ -36,6 +36,9 @@
 	for 2*depth <= min(len(q.Blocks), keyBlocks) {
 		depth *= 2
 	}
+	for 2*depth <= len(q.Blocks) && r.index.Common(q.Blocks[depth-1]) {
+		depth *= 2
+	}
 	return q.Blocks[depth-1]
 }
 
@@ -47,7 +50,7 @@
 	w.scored = w.scored[:0]
 	for i := range w.candidates {
 		c := &w.candidates[i]
-		w.scored = append(w.scored, picker.Scored{Cost: r.cost(s, q, c), Load: c.load()})
+		w.scored = append(w.scored, picker.Scored{Cost: r.cost(s, q, c), Load: c.share()})
 	}
 	at := picker.Pick(w.scored, r.config.NearEqual, r.rng)
 	if at < 0 {
@@ -76,46 +79,39 @@
 	}
 }
 
-// gatherRanked adds the rendezvous choices. The first that is not overloaded
-// is the one that the other daemons choose as well (consistent hashing with
-// bounded loads; Mirrokni, Thorup and Zadimoghaddam, 2016, with the engine's
-// own limits as the bound).
+// gatherRanked adds the rendezvous choices and marks the one that other
+// daemons choose as well: the first that is not overloaded (consistent hashing
+// with bounded loads; Mirrokni, Thorup and Zadimoghaddam, 2016, with the
+// engine's own limits as the bound). When all are, spilling would only add
+// recomputed tokens to the overload, and it is the first again.
 func (r *Router) gatherRanked(now int64, s *set, q *Request, f filter, common int) {
-	key := affinityKey(q)
+	key := r.affinityKey(q)
 	if key == 0 {
 		return
 	}
+	slack := spillSlack(key)
 	best := s.rank(key, f.ok)
 	reason := ByOwner
 	for _, e := range best.at[:best.n] {
 		c := r.addCandidate(now, e, q, common, reason)
-		if c == nil {
-			return
-		}
-		if !c.overloaded(&r.targets, 1-SHIFT+DITHER*(float64(mix(key)>>11)/(1<<53)-0.5)) {
+		if !c.overloaded(r.target, slack) {
 			c.agreed = true
 			return
 		}
 		reason = BySpill
 	}
-	if OWN && best.n > 0 {
-		if c := r.scratch.find(best.at[0]); c != nil {
-			c.agreed = true
-		}
+	if best.n > 0 {
+		r.scratch.find(best.at[0]).agreed = true
 	}
 }
 
-var OWN = true
-
-// addCandidate adds an endpoint once and returns it; nil when there is no room.
+// addCandidate adds an endpoint once and returns it. Its place may move with
+// the next call.
 func (r *Router) addCandidate(now int64, e *endpoint, q *Request, blocks int, reason Reason) *candidate {
 	w := &r.scratch
 	if e.round == r.round {
 		return w.find(e)
 	}
-	if len(w.candidates) == maxCandidates {
-		return nil
-	}
 	e.round = r.round
 	c := r.foretell(now, e, q, blocks)
 	c.reason = reason
@@ -133,21 +129,17 @@
 }
 
 func (r *Router) cost(s *set, q *Request, c *candidate) float64 {
-	uncached := float64(q.PromptTokens - c.cached)
-	if c.agreed {
-		uncached *= 1 - r.config.Weights.Owner
-	}
 	in := scorer.Input{
 		FirstToken: c.first,
-		Uncached:   uncached,
-		Prompt:     q.PromptTokens,
+		Target:     r.target.first,
+		Uncached:   float64(q.PromptTokens - c.cached),
 		Answer:     q.MaxTokens,
-		Requests:   c.requests,
-		Limit:      c.limit,
+		Share:      c.share(),
 		Price:      s.price(c.endpoint),
+		Agreed:     c.agreed,
 		Doubtful:   c.endpoint.health.Doubtful(),
 	}
-	return scorer.Cost(r.config.Weights, &r.targets, &in)
+	return scorer.Cost(r.config.Weights, &in)
 }
 
 func (e *endpoint) in(s *set) bool {
--- a/internal/routing/candidate.go
+++ b/internal/routing/candidate.go
@@ -5,7 +5,6 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
 )
 
 // candidate is an endpoint with what is foretold for one request.
@@ -19,28 +18,27 @@
 	limit    float64 // requests at which tokens come too slowly
 }
 
-func (c candidate) choice(t *scorer.Targets, slack float64) Choice {
+func (c *candidate) choice(overloaded bool) Choice {
 	return Choice{
 		Endpoint:              c.endpoint.info.ID,
 		Address:               c.endpoint.info.Address,
 		DataCentre:            c.endpoint.info.DataCentre,
 		PredictedFirstToken:   time.Duration(c.first * float64(time.Second)),
 		PredictedCachedTokens: c.cached,
-		Overloaded:            c.overloaded(t, slack),
+		Overloaded:            overloaded,
 		Reason:                c.reason,
 	}
 }
 
-// load is the share of the endpoint's limit in use, for comparing equals.
-func (c candidate) load() float64 { return c.requests / c.limit }
+// share is how much of the endpoint's limit is in use with one more request.
+func (c *candidate) share() float64 { return (c.requests + 1) / c.limit }
 
-// overloaded reports whether one more request would break a target.
-func (c candidate) overloaded(t *scorer.Targets, slack float64) bool {
-	return c.requests+1 > c.limit*slack || c.first > t.FirstToken*slack
+// overloaded reports whether one more request would break a target, each
+// target multiplied by slack.
+func (c *candidate) overloaded(t targets, slack float64) bool {
+	return c.share() > slack || c.first > t.first*slack
 }
 
-var DITHER, SHIFT, RDITHER = 1.0, 0.0, 0.5
-
 // foretell fills in what the request would meet at the endpoint.
 func (r *Router) foretell(now int64, e *endpoint, q *Request, blocks int) candidate {
 	if q.Service != "" {
@@ -57,7 +55,7 @@
 		cached:   cached,
 		first:    v.FirstToken(load) + e.distance,
 		requests: v.Requests,
-		limit:    e.pace.Limit(r.targets.Token, v.Slots),
+		limit:    e.pace.Limit(r.target.token, v.Slots),
 	}
 }
 
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -49,16 +49,13 @@
 	defaultOtherRegion   = 60 * time.Millisecond
 )
 
-// DefaultWeights are the weights found by the comparison in
-// docs/adr/0006-routing.md.
+// DefaultWeights were found by the comparison in docs/adr/0006-routing.md.
 var DefaultWeights = scorer.Weights{
-	Recompute: 4,
+	Recompute: 2,
 	Owner:     0.5,
 	Wait:      1000,
-	Miss:      0,
 	Load:      2000,
-	Pace:      0,
-	Price:     0,
+	Price:     0.2,
 	Doubt:     20000,
 }
 
--- a/internal/routing/engine_test.go
+++ b/internal/routing/engine_test.go
@@ -70,6 +70,7 @@
 	}
 	seconds := e.class.step + e.class.each*float64(decoding) + float64(e.class.chunk-room)/e.class.prefill
 	e.pace += 0.05 * (seconds - e.pace)
+	e.fleet.work += (seconds - e.class.step) * e.class.price
 	e.fleet.busy += seconds * e.class.price
 	e.fleet.after(time.Duration(seconds*1e9), func() { e.advance(); e.step() })
 }
--- a/internal/routing/estimate/engine.go
+++ b/internal/routing/estimate/engine.go
@@ -22,7 +22,6 @@
 	own      Own
 	history  history
 	reserved Own // moves that were promised a place
-	surprise surprise
 }
 
 // View is the estimate at one moment.
@@ -32,7 +31,6 @@
 	Slots         float64 // requests that run at once
 	Prefill       float64 // tokens a second
 	TokenSeconds  float64 // between tokens, as reported
-	ExtraWait     float64 // seconds by which first tokens came later than foretold
 }
 
 // Report takes in a load report. One older than the last is ignored.
@@ -96,7 +94,6 @@
 		Slots:         defaultSlots,
 		Prefill:       defaultPrefillPerSecond,
 		TokenSeconds:  defaultTokenMillis / 1000,
-		ExtraWait:     e.surprise.at(now),
 	}
 	if e.takenAt == 0 {
 		return v
--- a/internal/routing/estimate/first.go
+++ b/internal/routing/estimate/first.go
@@ -14,7 +14,7 @@
 
 // Wait foretells the seconds before the engine starts on the prompt.
 func (v View) Wait(answer float64) float64 {
-	wait := v.WaitingTokens/v.Prefill + v.ExtraWait
+	wait := v.WaitingTokens / v.Prefill
 	if excess := v.Requests + 1 - v.Slots; excess > 0 {
 		// Places come free at slots per answer time.
 		wait += excess * answer / v.Slots
--- a/internal/routing/estimate/usual.go
+++ b/internal/routing/estimate/usual.go
@@ -1,14 +1,14 @@
 package estimate
 
 // Constants of what is usual at an engine.
-var (
-	// UsualSpan is the time over which reports are averaged, in ns: several
+const (
+	// usualSpan is the time over which reports are averaged, in ns: several
 	// answers long, so that it holds no single burst.
-	UsualSpan = int64(15e9)
-	// ReportFade is the age, in ns, at which a report tells no more about the
+	usualSpan = int64(15e9)
+	// reportFade is the age, in ns, at which a report tells no more about the
 	// present than the average does, half and half: about one answer's time,
 	// after which the requests that it counted are gone.
-	ReportFade = int64(0.5e9)
+	reportFade = int64(0.5e9)
 )
 
 // mean is a moving average of a reported quantity.
@@ -28,7 +28,7 @@
 }
 
 func (u *usual) add(at int64, own Own) {
-	gain := float64(at-u.at) / float64(UsualSpan)
+	gain := float64(at-u.at) / float64(usualSpan)
 	u.at = at
 	u.requests.add(float64(own.Requests), min(1, gain))
 	u.waiting.add(float64(own.WaitingTokens), min(1, gain))
@@ -44,6 +44,6 @@
 
 // expect returns the quantity now, given a report of an age in ns.
 func (m *mean) expect(reported float64, age int64) float64 {
-	fresh := float64(ReportFade) / float64(ReportFade+age)
+	fresh := float64(reportFade) / float64(reportFade+age)
 	return m.value + fresh*(reported-m.value)
 }
--- a/internal/routing/load_events.go
+++ b/internal/routing/load_events.go
@@ -59,7 +59,6 @@
 	uncached := max(0, q.PromptTokens-c.PredictedCachedTokens)
 	r.attempts[key] = attempt{
 		at:       now.UnixNano(),
-		foretold: c.PredictedFirstToken.Seconds(),
 		uncached: uncached,
 	}
 	e.load.Dispatched(now.UnixNano(), uncached)
@@ -78,7 +77,6 @@
 	}
 	at := now.UnixNano()
 	e.load.Prefilled(at, a.uncached)
-	e.load.Observed(at, seconds(at-a.at)-a.foretold)
 	e.health.Progress(at)
 	a.first, a.uncached = at, 0
 	r.attempts[key] = a
--- a/internal/routing/pick.go
+++ b/internal/routing/pick.go
@@ -20,7 +20,7 @@
 	if c.endpoint == nil {
 		return Choice{}, NoEndpoint{Why: AllTried}
 	}
-	return c.choice(&r.targets, 1+RDITHER*(r.rng.Float64()-0.5)), nil
+	return c.choice(c.overloaded(r.target, r.refusalSlack())), nil
 }
 
 // choose runs the policy; the data centre to avoid is used when there is no
@@ -44,7 +44,7 @@
 	case RandomOfTwo:
 		return r.plain(now, s, q, s.randomOfTwo(f, r.rng))
 	case PureAffinity:
-		return r.plain(now, s, q, s.owner(affinityKey(q), f))
+		return r.plain(now, s, q, s.owner(r.affinityKey(q), f))
 	default:
 		return r.best(now, s, q, f)
 	}
--- a/internal/routing/prefix/lookup.go
+++ b/internal/routing/prefix/lookup.go
@@ -71,3 +71,19 @@
 	}
 	return dst
 }
+
+// Common reports whether so many engines hold a block that the index can't
+// name them all: it belongs to the start of many different prompts, or to one
+// that is in use all over the fleet.
+func (x *Index) Common(hash uint64) bool {
+	e := x.find(hash)
+	if e == nil || e.count < holders {
+		return false
+	}
+	for _, h := range e.held {
+		if !x.live(h) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/routing/router.go
+++ b/internal/routing/router.go
@@ -6,15 +6,14 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/estimate"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/prefix"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/routing/scorer"
 )
 
 // Router chooses endpoints for one daemon. It is not safe for concurrent use.
 type Router struct {
-	config  Config
-	self    fleet.DataCentre
-	rng     *rand.Rand
-	targets scorer.Targets
+	config Config
+	self   fleet.DataCentre
+	rng    *rand.Rand
+	target targets
 
 	endpoints  map[fleet.EndpointID]*endpoint
 	slots      []*endpoint // by slot; nil is free
@@ -39,13 +38,10 @@
 func New(config Config, self fleet.DataCentre, rng *rand.Rand) *Router {
 	config = config.withDefaults()
 	return &Router{
-		config: config,
-		self:   self,
-		rng:    rng,
-		targets: scorer.Targets{
-			FirstToken: config.FirstToken.Seconds(),
-			Token:      config.TokenInterval.Seconds(),
-		},
+		config:    config,
+		self:      self,
+		rng:       rng,
+		target:    targets{first: config.FirstToken.Seconds(), token: config.TokenInterval.Seconds()},
 		endpoints: map[fleet.EndpointID]*endpoint{},
 		notices:   notices{},
 		classes:   map[string]*estimate.Pace{},
@@ -54,3 +50,9 @@
 		attempts:  map[attemptKey]attempt{},
 	}
 }
+
+// targets are the latencies to keep, in seconds.
+type targets struct {
+	first float64 // to the first token
+	token float64 // between tokens
+}
--- a/internal/routing/scorer/scorer.go
+++ b/internal/routing/scorer/scorer.go
@@ -9,76 +9,56 @@
 	Recompute float64 // tokens for each token to recompute
 	Owner     float64 // share of the uncached tokens that the agreed engine is taken to hold
 	Wait      float64 // tokens for each second to the first token
-	Miss      float64 // tokens for a first token past the target
-	Load      float64
-	Pace      float64 // tokens for a batch past the size that keeps the time between tokens
-	Price     float64 // share of the request's tokens, for each doubling of the cheapest price
+	Load      float64 // tokens for an engine at its limit
+	Price     float64 // tokens for each token computed at twice the cheapest price
 	Doubt     float64 // tokens for an endpoint whose new connections failed lately
 }
 
-// Targets are the latencies to keep.
-type Targets struct {
-	FirstToken float64 // seconds
-	Token      float64 // seconds between tokens
-}
-
 // Input is what the scorers look at: one candidate for one request.
 type Input struct {
 	FirstToken float64 // predicted seconds, with the distance
+	Target     float64 // of the first token, in seconds
 	Uncached   float64 // predicted prompt tokens to compute
-	Prompt     int     // prompt tokens
 	Answer     int     // bound of the answer in tokens
-	Requests   float64 // at the engine now, all daemons
-	Limit      float64 // requests at which the time between tokens reaches the target
-	Price      float64 // over the cheapest of the set, 1 or more
+	Share      float64 // of the engine's limit in use, this request included
+	Price      float64 // of computing a token, over the cheapest of the set; 1 or more
+	Agreed     bool    // the rendezvous choice that other daemons make as well
 	Doubtful   bool    // new connections failed lately
 }
 
 // Cost adds up all scorers.
-func Cost(w *Weights, t *Targets, in *Input) float64 {
-	return recompute(w, in) + wait(w, t, in) + miss(w, t, in) + pace(w, in) + price(w, in) + doubt(w, in)
+func Cost(w *Weights, in *Input) float64 {
+	return recompute(w, in) + wait(w, in) + load(w, in) + price(w, in) + doubt(w, in)
 }
 
 // recompute is the prefix affinity: what a cold engine has to do over again.
+// Other daemons' prompts went to the agreed engine before any cache event
+// says so, hence the share that is taken off there.
 func recompute(w *Weights, in *Input) float64 {
-	return w.Recompute * in.Uncached
-}
-
-// wait holds load and distance.
-func wait(w *Weights, t *Targets, in *Input) float64 {
-	return w.Wait * min(in.FirstToken, t.FirstToken)
-}
-
-// miss makes an engine that would be late cost more than a cold one in time.
-// It is bounded: among engines that are all late, recomputing elsewhere would
-// only add to the load.
-func miss(w *Weights, t *Targets, in *Input) float64 {
-	return w.Miss * ramp(in.FirstToken/t.FirstToken)
+	uncached := in.Uncached
+	if in.Agreed {
+		uncached *= 1 - w.Owner
+	}
+	return w.Recompute * uncached
 }
 
-var CAP = 1.0
-
-// pace keeps the batch below the size at which all its answers slow down.
-func pace(w *Weights, in *Input) float64 {
-	share := min(CAP, (in.Requests+1)/in.Limit)
-	return w.Load*share*share + w.Pace*ramp(share)
+// wait holds the queue and the distance. It is bounded by the target: among
+// engines that are all late, recomputing elsewhere would only add to the load.
+func wait(w *Weights, in *Input) float64 {
+	return w.Wait * min(in.FirstToken, in.Target)
 }
 
-// Bounds of the ramp, shares of a limit: a prediction is seldom better than
-// a fifth, so a drawback starts to count before the limit and is whole past it.
-const (
-	rampFrom = 0.7
-	rampTo   = 1.3
-)
-
-// ramp rises from 0 to 1 as a share of a limit goes from rampFrom to rampTo.
-func ramp(share float64) float64 {
-	return min(1, max(0, (share-rampFrom)/(rampTo-rampFrom)))
+// load keeps the batch below the size at which all its answers slow down. It
+// rises with the square, so that it hardly moves a conversation from an idle
+// engine, and stops at the limit for the reason given at wait.
+func load(w *Weights, in *Input) float64 {
+	share := min(in.Share, 1)
+	return w.Load * share * share
 }
 
-// price prefers the cheaper of two engines that both meet the targets.
+// price prefers the engine that computes the request's tokens more cheaply.
 func price(w *Weights, in *Input) float64 {
-	return w.Price * float64(in.Prompt+in.Answer) * (in.Price - 1)
+	return w.Price * (in.Uncached + float64(in.Answer)) * (in.Price - 1)
 }
 
 func doubt(w *Weights, in *Input) float64 {
--- a/internal/routing/targets.go
+++ b/internal/routing/targets.go
@@ -47,7 +47,7 @@
 			continue
 		}
 		c := r.foretell(now.UnixNano(), e, q, r.heldBlocks(e, q))
-		dst = append(dst, Place{Choice: c.choice(&r.targets, 1+RDITHER*(r.rng.Float64()-0.5)), Free: max(0, int(c.limit-c.requests))})
+		dst = append(dst, Place{Choice: c.choice(c.overloaded(r.target, r.refusalSlack())), Free: max(0, int(c.limit-c.requests))})
 	}
 	slices.SortStableFunc(dst[start:], func(a, b Place) int { return b.Free - a.Free })
 	return dst[:min(len(dst), start+n)]
--- a/internal/template/bench_test.go
+++ b/internal/template/bench_test.go
@@ -128,6 +128,22 @@
 	return stats.HeapAlloc
 }
 
+// BenchmarkParse is what a template's text costs the daemon that checks it.
+func BenchmarkParse(b *testing.B) {
+	for _, n := range []int{5, 100, 1000} {
+		b.Run(fmt.Sprintf("workspaces=%d", n), func(b *testing.B) {
+			text, err := large(b, n).YAML()
+			assert.NilError(b, err)
+			for b.Loop() {
+				if _, problems := Parse(text); len(problems) > 0 {
+					b.Fatal(problems)
+				}
+			}
+			b.ReportMetric(float64(len(text)), "text-bytes")
+		})
+	}
+}
+
 // BenchmarkPlan is what one change costs the daemon that an operator asks.
 func BenchmarkPlan(b *testing.B) {
 	record := full(b, large(b, 100))
