--- a/internal/cli/dev.go
+++ b/internal/cli/dev.go
@@ -22,6 +22,9 @@
 // entries' answer: short, so that it stops quickly.
 const devEntriesAge = time.Second
 
+// devStartSpread is short: a few daemons don't burden the object API.
+const devStartSpread = 100 * time.Millisecond
+
 func newDev(a *app) *cobra.Command {
 	f := devFlags{options: deployment.Options{Speed: deployment.DefaultSpeed()}}
 	cmd := &cobra.Command{
@@ -67,7 +70,7 @@
 		e := &layout.Entries[i]
 		e.Log = f.log
 		e.Entries.MaxAge = devEntriesAge
-		e.Control.StartSpread = 100 * time.Millisecond
+		e.Control.StartSpread = devStartSpread
 	}
 	if f.write != "" {
 		return layout.Write(f.write, text)
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -82,6 +82,8 @@
 		newEndpoint(a),
 		newEntries(a),
 		newAudit(a),
+		newLoad(a),
+		newReport(a),
 		newVersion(a),
 	)
 	return root
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -133,6 +133,8 @@
 	d.ledger = newLedgerDuty(d.platform.Objects, logging.For(d.log, logging.Ledger))
 	d.ledger.writer = d.ledgerWriter
 	d.ledger.forward = d.forwardIntent
+	d.ledger.self = d.run
+	d.ledger.daemon = d.roster.daemon
 	d.locator = newLocator(d.state, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
 	d.observing = newObservingDuty(engineClient, d.routing, s.Routing.LoadInterval)
 	d.pools = &poolDuty{routing: d.routing, observing: d.observing, admission: d.admission, roster: d.roster}
--- /dev/null
+++ b/internal/daemon/intending.go
@@ -0,0 +1,163 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// intentTimeout bounds the wait for a grant; nothing has run before it.
+	intentTimeout = 3 * time.Second
+	// forwardTimeout bounds the wait for a shard's writer. A stopped one neither
+	// answers nor refuses connections; as much time is left to write here.
+	forwardTimeout = intentTimeout / 2
+)
+
+// Intend implements dispatch.Intents.
+func (d *ledgerDuty) Intend(ctx context.Context, ref request.Ref, owner string, digest request.Digest) dispatch.Intent {
+	now := time.Now()
+	key, err := ledger.ParseKey(now, string(ref.ID), ledger.DefaultWindow)
+	if err != nil {
+		return refusedIntent(problem.New(http.StatusBadRequest, verdict.NotRun, "Idempotency-Key: %s", err))
+	}
+	in := ledger.Intent{
+		Workspace: ref.Workspace,
+		Key:       key,
+		Owner:     ledger.Owner(owner),
+		Digest:    ledger.Digest(digest),
+		Deadline:  now.Add(intentTimeout),
+	}
+	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
+	a := d.decide(ctx, shard, in)
+	if deny, ok := a.(ledger.Deny); ok && deny.Existing.Outcome == nil {
+		a = d.askHolder(ctx, shard, deny)
+	}
+	if refused, ok := a.(ledger.Refuse); ok && refused.Recorded {
+		d.forget(shard, refused.Intent)
+	}
+	return intentOf(a)
+}
+
+// decide asks the shard's writer, or writes here when it is this daemon or does
+// not answer: two writers are safe, they only conflict.
+func (d *ledgerDuty) decide(ctx context.Context, shard int, in ledger.Intent) ledger.Action {
+	p, ok := d.writer(shard)
+	if !ok {
+		return d.record(ctx, shard, in)
+	}
+	a, err := d.askPeer(ctx, p, shard, in)
+	if err == nil {
+		return a
+	}
+	d.log.Debugf("shard %d written here: %v", shard, err)
+	return d.fallBack(ctx, shard, in)
+}
+
+// askPeer forwards a wish to another daemon, for as long as there is time left
+// to do without it.
+func (d *ledgerDuty) askPeer(ctx context.Context, p peerInfo, shard int, in ledger.Intent) (ledger.Action, error) {
+	ctx, cancel := context.WithTimeout(ctx, forwardTimeout)
+	defer cancel()
+	return d.forward(ctx, p, shard, in)
+}
+
+// fallBack records the wish here, as a new owner.
+//
+// Failure: the writer took the first wish and was then paused or cut off. When
+// it goes on it refuses that wish as late and frees the key of its owner.
+// Symptom: were the owner granted the key here as well, its order would run,
+// and so would the next one under the freed key. As the first owner never
+// dispatches, freeing what it holds is right at any time.
+func (d *ledgerDuty) fallBack(ctx context.Context, shard int, first ledger.Intent) ledger.Action {
+	a := d.record(ctx, shard, again(first))
+	switch a := a.(type) {
+	case ledger.Refuse:
+		d.forget(shard, first)
+	case ledger.Deny:
+		if a.Existing.Owner == first.Owner {
+			return ledger.Refuse{Intent: first, Reason: ledger.Late, Recorded: true}
+		}
+	}
+	return a
+}
+
+// askHolder asks the daemon that dispatched for the outcome: it wrote it, and
+// the shard's writer may not have seen that yet.
+func (d *ledgerDuty) askHolder(ctx context.Context, shard int, found ledger.Deny) ledger.Action {
+	holder := holderOf(found.Existing.Owner)
+	writer, other := d.writer(shard)
+	if (other && writer.Daemon == holder) || (!other && holder == d.self) {
+		return found
+	}
+	second := again(found.Intent)
+	switch a := d.askAt(ctx, holder, shard, second).(type) {
+	case ledger.Deny:
+		return a
+	case ledger.Grant: // abandoned in between
+		return a
+	}
+	d.forget(shard, second)
+	return found
+}
+
+// askAt asks one daemon, this one included. It returns nil when that can't be
+// reached.
+func (d *ledgerDuty) askAt(ctx context.Context, daemon fleet.DaemonID, shard int, in ledger.Intent) ledger.Action {
+	if daemon == d.self {
+		return d.record(ctx, shard, in)
+	}
+	p, ok := d.daemon(daemon)
+	if !ok {
+		return nil
+	}
+	a, err := d.askPeer(ctx, p, shard, in)
+	if err != nil {
+		return nil
+	}
+	return a
+}
+
+// again returns the same wish of a new owner: a wish that is out at another
+// daemon may still be recorded or freed there.
+func again(in ledger.Intent) ledger.Intent {
+	in.Owner += "/again"
+	return in
+}
+
+// holderOf returns the daemon of an owner's name.
+func holderOf(o ledger.Owner) fleet.DaemonID {
+	daemon, _, _ := strings.Cut(string(o), "/")
+	return fleet.DaemonID(daemon)
+}
+
+// intentOf turns the ledger's answer into what its users act on.
+func intentOf(a ledger.Action) dispatch.Intent {
+	switch a := a.(type) {
+	case ledger.Grant:
+		return dispatch.Intent{Granted: true, Owner: string(a.Intent.Owner)}
+	case ledger.Deny:
+		return dispatch.Intent{Found: &dispatch.FoundIntent{Outcome: a.Existing.Outcome}}
+	case ledger.Refuse:
+		return refusedIntent(refusedByLedger(a.Reason))
+	default:
+		return refusedIntent(refusedByLedger(ledger.StoreDown))
+	}
+}
+
+func refusedByLedger(r ledger.RefuseReason) *problem.Problem {
+	if r == ledger.KeyReused {
+		return problem.New(http.StatusConflict, verdict.NotRun, "%s", r)
+	}
+	return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "not dispatched: %s", r).After(time.Second)
+}
+
+func refusedIntent(p *problem.Problem) dispatch.Intent { return dispatch.Intent{Refused: p} }
--- /dev/null
+++ b/internal/daemon/leasing.go
@@ -0,0 +1,207 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+)
+
+const (
+	leasingRing = 256
+	leasingTick = 250 * time.Millisecond
+)
+
+// leasingDuty holds leases on shards of the control duties.
+type leasingDuty struct {
+	*owner[*lease.Set]
+	ctx     context.Context
+	objects platform.Objects
+	self    fleet.DaemonID
+	ready   func() bool // the fleet is known: alone, a daemon prefers all shards
+	alive   func() []fleet.DaemonID
+	log     *logrus.Entry
+}
+
+func newLeasingDuty(self fleet.DaemonID, shards []lease.Shard, objects platform.Objects, startSpread time.Duration, log *logrus.Entry) *leasingDuty {
+	config := lease.DefaultConfig
+	config.StartSpread = startSpread
+	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	return &leasingDuty{
+		owner:   newOwner("leasing", leasingRing, lease.NewSet(config, self, shards, rng, time.Now())),
+		objects: objects.As(budget.Lease),
+		self:    self,
+		log:     log,
+	}
+}
+
+func (d *leasingDuty) start(ctx context.Context) {
+	d.ctx = ctx
+	go d.run(ctx, leasingTick, func(now time.Time, s *lease.Set) {
+		if !d.ready() {
+			return
+		}
+		s.Alive(d.alive())
+		for _, a := range s.Tick(now) {
+			go d.perform(s.Shards(), a)
+		}
+	})
+}
+
+// perform makes one call of the object API.
+func (d *leasingDuty) perform(shards []lease.Shard, a lease.Action) {
+	ctx, cancel := context.WithTimeout(d.ctx, lease.DefaultConfig.CallTimeout)
+	defer cancel()
+	switch a.Kind {
+	case lease.Read:
+		d.read(ctx, shards[a.Shard], a)
+	case lease.List:
+		d.list(ctx, shards)
+	case lease.Write:
+		d.write(ctx, shards[a.Shard], a)
+	}
+}
+
+func (d *leasingDuty) read(ctx context.Context, shard lease.Shard, a lease.Action) {
+	object, err := d.objects.Get(ctx, lease.Kind, shard.Object())
+	var missing *platform.NotFound
+	if errors.As(err, &missing) {
+		err = nil
+	}
+	d.tell(func(now time.Time, s *lease.Set) {
+		if err != nil {
+			s.ReadFailed(now, a.Shard)
+			return
+		}
+		s.Observed(now, a.Shard, lease.ObservationOf(object))
+	})
+}
+
+func (d *leasingDuty) list(ctx context.Context, shards []lease.Shard) {
+	list, err := d.objects.List(ctx, lease.Kind, "")
+	byName := make(map[string]objectapi.Object, len(list.Objects))
+	for _, o := range list.Objects {
+		byName[o.Name] = o
+	}
+	all := make([]lease.Observation, len(shards))
+	for i, shard := range shards {
+		if o, ok := byName[shard.Object()]; ok {
+			all[i] = lease.ObservationOf(o)
+		}
+	}
+	d.tell(func(now time.Time, s *lease.Set) {
+		if err != nil {
+			s.ListFailed()
+			return
+		}
+		s.Listed(now, all)
+	})
+}
+
+func (d *leasingDuty) write(ctx context.Context, shard lease.Shard, a lease.Action) {
+	value, err := a.State.Value()
+	if err != nil {
+		d.log.WithError(err).Error("lease not encoded")
+		return
+	}
+	var object objectapi.Object
+	if a.IfVersion == 0 {
+		object, err = d.objects.Create(ctx, lease.Kind, shard.Object(), value)
+	} else {
+		object, err = d.objects.Update(ctx, lease.Kind, shard.Object(), value, a.IfVersion)
+	}
+	var conflict *platform.Conflict
+	d.tell(func(now time.Time, s *lease.Set) {
+		switch {
+		case err == nil:
+			s.Wrote(now, a, object.Version)
+		case errors.As(err, &conflict):
+			s.Lost(now, a, lease.ObservationOf(conflict.Current))
+		default:
+			s.Unsure(now, a)
+		}
+	})
+}
+
+// permit is the right to give orders for one shard.
+type permit struct {
+	duty  *leasingDuty
+	shard int
+}
+
+// held returns the indexes, within the duty, of the shards held now.
+func (d *leasingDuty) held(duty string) []int {
+	var out []int
+	d.ask(func(now time.Time, s *lease.Set) {
+		for i, shard := range s.Shards() {
+			if shard.Duty == duty && s.Lease(i).Held(now) {
+				out = append(out, shard.Index)
+			}
+		}
+	})
+	return out
+}
+
+// permit returns the right to ask for orders of a duty's shard.
+func (d *leasingDuty) permit(duty string, index int) permit {
+	p := permit{duty: d, shard: -1}
+	d.ask(func(_ time.Time, s *lease.Set) {
+		for i, shard := range s.Shards() {
+			if shard.Duty == duty && shard.Index == index {
+				p.shard = i
+			}
+		}
+	})
+	return p
+}
+
+// order returns the fencing number for an order that leaves now, and when it
+// must have ended; false when the lease is not held.
+func (p permit) order() (fencing uint64, deadline time.Time, ok bool) {
+	if p.shard < 0 {
+		return 0, time.Time{}, false
+	}
+	p.duty.ask(func(now time.Time, s *lease.Set) {
+		fencing, ok = s.Lease(p.shard).MayOrder(now)
+		deadline = s.Lease(p.shard).Deadline(now)
+	})
+	return fencing, deadline, ok
+}
+
+// orderUnfenced is order for an endpoint that ignores fencing numbers.
+func (p permit) orderUnfenced() (fencing uint64, deadline time.Time, ok bool) {
+	if p.shard < 0 {
+		return 0, time.Time{}, false
+	}
+	p.duty.ask(func(now time.Time, s *lease.Set) {
+		l := s.Lease(p.shard)
+		ok = l.MayOrderUnfenced(now)
+		fencing, deadline = l.Fencing(), l.Deadline(now)
+	})
+	return fencing, deadline, ok
+}
+
+// leave gives up the leases. It returns once none is held, or ctx ends.
+func (d *leasingDuty) leave(ctx context.Context) {
+	d.tell(func(_ time.Time, s *lease.Set) { s.Leave() })
+	for {
+		left := false
+		d.ask(func(now time.Time, s *lease.Set) { left = s.Left(now) })
+		if left {
+			return
+		}
+		select {
+		case <-time.After(leasingTick):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -3,19 +3,17 @@
 import (
 	"context"
 	"errors"
-	"net/http"
 	"time"
 
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 const (
@@ -26,8 +24,6 @@
 	ledgerRing   = 4096
 	// ledgerTick bounds how late a batch leaves after its linger.
 	ledgerTick = 2 * time.Millisecond
-	// intentTimeout bounds the wait for a grant; nothing has run before it.
-	intentTimeout = 3 * time.Second
 	// storeTimeout bounds a call to the store, the wait for the budget included:
 	// a write that leaves later than its intents wait is of no use to them.
 	storeTimeout = 2 * time.Second
@@ -46,6 +42,8 @@
 	objects platform.Objects
 	writer  func(shard int) (peerInfo, bool) // another daemon that writes the shard
 	forward func(ctx context.Context, p peerInfo, shard int, in ledger.Intent) (ledger.Action, error)
+	self    fleet.DaemonID
+	daemon  func(fleet.DaemonID) (peerInfo, bool)
 	log     *logrus.Entry
 }
 
@@ -151,41 +149,6 @@
 	})
 }
 
-// Intend implements dispatch.Intents.
-func (d *ledgerDuty) Intend(ctx context.Context, ref request.Ref, owner string, digest request.Digest) dispatch.Intent {
-	now := time.Now()
-	key, err := ledger.ParseKey(now, string(ref.ID), ledger.DefaultWindow)
-	if err != nil {
-		return refusedIntent(problem.New(http.StatusBadRequest, verdict.NotRun, "Idempotency-Key: %s", err))
-	}
-	in := ledger.Intent{
-		Workspace: ref.Workspace,
-		Key:       key,
-		Owner:     ledger.Owner(owner),
-		Digest:    ledger.Digest(digest),
-		Deadline:  now.Add(intentTimeout),
-	}
-	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
-	a := d.decide(ctx, shard, in)
-	if refused, ok := a.(ledger.Refuse); ok && refused.Recorded {
-		d.forget(shard, in)
-	}
-	return intentOf(a)
-}
-
-// decide asks the shard's writer, or writes here when it is this daemon or the
-// writer can't be reached: two writers are safe, they only conflict.
-func (d *ledgerDuty) decide(ctx context.Context, shard int, in ledger.Intent) ledger.Action {
-	if p, ok := d.writer(shard); ok {
-		a, err := d.forward(ctx, p, shard, in)
-		if err == nil {
-			return a
-		}
-		d.log.Debugf("shard %d written here: %v", shard, err)
-	}
-	return d.record(ctx, shard, in)
-}
-
 // record asks this daemon's own writer of the shard.
 func (d *ledgerDuty) record(ctx context.Context, shard int, in ledger.Intent) ledger.Action {
 	answer := make(chan ledger.Action, 1)
@@ -245,26 +208,3 @@
 		d.perform(s, shard, f(s.shard(shard), now, in))
 	})
 }
-
-// intentOf turns the ledger's answer into what its users act on.
-func intentOf(a ledger.Action) dispatch.Intent {
-	switch a := a.(type) {
-	case ledger.Grant:
-		return dispatch.Intent{Granted: true}
-	case ledger.Deny:
-		return dispatch.Intent{Found: &dispatch.FoundIntent{Outcome: a.Existing.Outcome}}
-	case ledger.Refuse:
-		return refusedIntent(refusedByLedger(a.Reason))
-	default:
-		return refusedIntent(refusedByLedger(ledger.StoreDown))
-	}
-}
-
-func refusedByLedger(r ledger.RefuseReason) *problem.Problem {
-	if r == ledger.KeyReused {
-		return problem.New(http.StatusConflict, verdict.NotRun, "%s", r)
-	}
-	return problem.New(http.StatusServiceUnavailable, verdict.NotRun, "not dispatched: %s", r).After(time.Second)
-}
-
-func refusedIntent(p *problem.Problem) dispatch.Intent { return dispatch.Intent{Refused: p} }
--- /dev/null
+++ b/internal/daemon/ledger_test.go
@@ -0,0 +1,143 @@
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
+)
+
+// testLedger is a daemon's ledger duty with a store behind a handler. It writes
+// all shards itself.
+func testLedger(t *testing.T, self fleet.DaemonID, store http.Handler) *ledgerDuty {
+	t.Helper()
+	clients, err := platform.New(platform.Options{
+		Objects:   "http://objects.test",
+		Budget:    budget.Config{FleetSize: 1, Fleet: budget.Rates{1e6, 1e6, 1e6, 1e6, 1e6}},
+		Transport: platformtest.Serve(t, store).Transport(t),
+	})
+	assert.NilError(t, err)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	d := newLedgerDuty(clients.Objects, log.WithField("part", "ledger"))
+	d.self = self
+	d.writer = func(int) (peerInfo, bool) { return peerInfo{}, false }
+	d.daemon = func(fleet.DaemonID) (peerInfo, bool) { return peerInfo{}, false }
+	ctx, cancel := context.WithCancel(t.Context())
+	t.Cleanup(func() {
+		cancel()
+		<-d.done
+		clients.Close()
+	})
+	d.start(ctx)
+	return d
+}
+
+// answersLate holds each of the store's answers back, after its effect.
+func answersLate(store http.Handler, delay time.Duration) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		answer := httptest.NewRecorder()
+		store.ServeHTTP(answer, r)
+		time.Sleep(delay)
+		w.WriteHeader(answer.Code)
+		_, _ = w.Write(answer.Body.Bytes())
+	})
+}
+
+// testRef returns a request whose key was made now. The package that makes
+// UUIDs never goes back in time, as a test's own clock does.
+func testRef() request.Ref {
+	id := uuid.Must(uuid.NewV7())
+	millis := time.Now().UnixMilli()
+	for i := range 6 {
+		id[i] = byte(millis >> (8 * (5 - i)))
+	}
+	return request.Ref{Workspace: "w", ID: fleet.RequestID(id.String())}
+}
+
+var testDigest = request.Digest{1, 2, 3}
+
+// The daemon that writes a shard takes an order's wish to run, and then its
+// connection breaks. The daemon that asked records the order itself and runs
+// it. The writer, which was slow, finds the wish late, believes that nobody
+// waits for it and frees its key; the next order under the key would run too.
+func TestLateWriterDoesNotFreeWhatRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectstore.New(objectstore.Options{}).Handler()
+		writer := testLedger(t, "writer", answersLate(store, intentTimeout*6/10))
+		asker := testLedger(t, "asker", store)
+		asker.writer = func(int) (peerInfo, bool) { return peerInfo{Daemon: "writer"}, true }
+		asker.forward = func(_ context.Context, _ peerInfo, shard int, in ledger.Intent) (ledger.Action, error) {
+			go writer.record(writer.ctx, shard, in)
+			return nil, errors.New("connection cut")
+		}
+		ref := testRef()
+		first := asker.Intend(t.Context(), ref, "asker/1", testDigest)
+		assert.Assert(t, first.Granted, "%+v", first)
+		time.Sleep(10 * intentTimeout)
+		second := writer.Intend(t.Context(), ref, "writer/1", testDigest)
+		assert.Assert(t, second.Found != nil, "a second run was granted: %+v", second)
+	})
+}
+
+// A daemon writes an order's wish for another, which dispatches it and stores
+// the outcome. A repeat that asks the writer must get the outcome all the same,
+// and must not be taken for another order under the key.
+func TestRepeatGetsTheOutcomeFromWhoDispatched(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := objectstore.New(objectstore.Options{}).Handler()
+		writer := testLedger(t, "writer", store)
+		holder := testLedger(t, "holder", store)
+		holder.writer = func(int) (peerInfo, bool) { return peerInfo{Daemon: "writer"}, true }
+		holder.forward = func(ctx context.Context, _ peerInfo, shard int, in ledger.Intent) (ledger.Action, error) {
+			return writer.record(ctx, shard, in), nil
+		}
+		writer.daemon = func(id fleet.DaemonID) (peerInfo, bool) { return peerInfo{Daemon: id}, id == "holder" }
+		writer.forward = func(ctx context.Context, _ peerInfo, shard int, in ledger.Intent) (ledger.Action, error) {
+			return holder.record(ctx, shard, in), nil
+		}
+		ref := testRef()
+		first := holder.Intend(t.Context(), ref, "holder/1", testDigest)
+		assert.Assert(t, first.Granted, "%+v", first)
+		holder.Settle(ref, first.Owner, testDigest, ledger.Outcome{Status: http.StatusOK})
+		time.Sleep(time.Second)
+		for _, d := range []*ledgerDuty{writer, holder} {
+			repeat := d.Intend(t.Context(), ref, string(d.self)+"/2", testDigest)
+			assert.Assert(t, repeat.Found != nil, "%s: %+v", d.self, repeat)
+			assert.Assert(t, repeat.Found.Outcome != nil, "%s does not know the outcome", d.self)
+		}
+		other := writer.Intend(t.Context(), ref, "writer/3", request.Digest{9})
+		assert.Assert(t, other.Refused != nil, "%+v", other)
+	})
+}
+
+// A shard's writer is stopped: it neither answers nor refuses. An order must be
+// recorded without it while its caller still waits.
+func TestStoppedWriterIsNotWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		asker := testLedger(t, "asker", objectstore.New(objectstore.Options{}).Handler())
+		asker.writer = func(int) (peerInfo, bool) { return peerInfo{Daemon: "stopped"}, true }
+		asker.forward = func(ctx context.Context, _ peerInfo, _ int, _ ledger.Intent) (ledger.Action, error) {
+			<-ctx.Done()
+			return nil, ctx.Err()
+		}
+		in := asker.Intend(t.Context(), testRef(), "asker/1", testDigest)
+		assert.Assert(t, in.Granted, "%+v", in)
+	})
+}
--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -101,6 +101,15 @@
 	return *p, true
 }
 
+// daemon returns a daemon by its run.
+func (r *roster) daemon(id fleet.DaemonID) (peerInfo, bool) {
+	p, ok := r.view.Load().byRun[id]
+	if !ok {
+		return peerInfo{}, false
+	}
+	return *p, true
+}
+
 // callersAddress returns where callers reach a daemon. Where it is not known,
 // any other entry serves: it finds the request through the directory.
 func (r *roster) callersAddress(id fleet.DaemonID) string {
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -95,6 +95,7 @@
 	case in.Found != nil:
 		return storedAnswer(in.Found)
 	}
+	owner = ledger.Owner(in.Owner)
 	a, used, p := s.attempt(context.WithoutCancel(ctx), id, c, nil)
 	switch {
 	case p == nil:
--- a/internal/deployment/dev.go
+++ b/internal/deployment/dev.go
@@ -7,6 +7,7 @@
 	"github.com/sirupsen/logrus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/daemon"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
@@ -70,6 +71,9 @@
 	return err
 }
 
+// Reclaim gives notice to instances.
+func (d *Dev) Reclaim(r cloudapi.Reclaim) { d.standins.cloud.Reclaim(r) }
+
 // Close ends everything at once.
 func (d *Dev) Close() {
 	for _, e := range d.daemons {
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -61,6 +61,7 @@
 // Intent is the answer to Intend. Exactly one field is set.
 type Intent struct {
 	Granted bool
+	Owner   string // with Granted: whose grant it is, to settle; may differ from the one asked for
 	Found   *FoundIntent
 	Refused *problem.Problem
 }
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
@@ -66,7 +68,7 @@
 		digest:     digest,
 		completion: c,
 		body:       body,
-		owner:      string(d.o.Daemon) + "/" + string(ref.ID),
+		owner:      newOwner(d.o.Daemon),
 		readers:    make(map[*reader]struct{}),
 		route: routing.Request{
 			ID:           ref.ID,
@@ -80,6 +82,13 @@
 	}
 }
 
+// newOwner names one wish to dispatch in the ledger. Failure: the answer is no
+// longer kept and its key is sent again. Symptom: an owner named by the key
+// alone would find its own record and run the request a second time.
+func newOwner(daemon fleet.DaemonID) string {
+	return string(daemon) + "/" + uuid.Must(uuid.NewV7()).String()
+}
+
 // do lets the life take an event and carries out its actions.
 func (r *run) do(event func(now time.Time) []request.Action) {
 	r.mu.Lock()
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -50,6 +50,7 @@
 	in := r.d.o.Intents.Intend(ctx, r.ref, r.owner, r.digest)
 	switch {
 	case in.Granted:
+		r.owner = in.Owner
 		return nil
 	case in.Refused != nil:
 		return in.Refused
--- a/internal/lease/answer.go
+++ b/internal/lease/answer.go
@@ -57,6 +57,7 @@
 // readFailed notes that a read had no answer.
 func (l *Lease) readFailed(now time.Time) {
 	l.reading = false
+	l.followed = time.Time{}
 	l.retryAt = now.Add(l.pause())
 }
 
@@ -89,7 +90,7 @@
 		return // an answer that was overtaken
 	}
 	first := l.readAt.IsZero()
-	if now.Sub(l.readAt) > 2*l.config.Observe {
+	if l.followed.IsZero() || (l.candidate && now.Sub(l.readAt) > 2*l.config.Observe) {
 		l.followed = now
 	}
 	l.unsure, l.failures = false, 0
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -14,10 +14,11 @@
 	shard  int
 	random *rand.Rand
 
-	seen     Observation // newest version that was read or written
-	seenAt   time.Time   // when an answer first showed that version
-	readAt   time.Time   // when an answer last showed it; zero: nothing is known
-	followed time.Time   // since when looks came without a gap
+	seen      Observation // newest version that was read or written
+	seenAt    time.Time   // when an answer first showed that version
+	readAt    time.Time   // when an answer last showed it; zero: nothing is known
+	followed  time.Time   // since when looks came without a gap; zero: the last one failed
+	candidate bool        // by rank, at the last tick
 
 	held    bool
 	fencing uint64
--- a/internal/lease/set.go
+++ b/internal/lease/set.go
@@ -92,7 +92,7 @@
 func (s *Set) Tick(now time.Time) []Action {
 	var out []Action
 	if s.listing && !now.Before(s.listEnd) {
-		s.listing = false
+		s.ListFailed()
 	}
 	for i, l := range s.leases {
 		if a, due := l.tick(now, s.ranks[i]); due {
@@ -159,7 +159,12 @@
 }
 
 // ListFailed notes that a List had no answer.
-func (s *Set) ListFailed() { s.listing = false }
+func (s *Set) ListFailed() {
+	s.listing = false
+	for _, l := range s.leases {
+		l.followed = time.Time{}
+	}
+}
 
 // Wrote takes the answer that a Write took effect as a version.
 func (s *Set) Wrote(now time.Time, a Action, version uint64) {
--- a/internal/lease/step.go
+++ b/internal/lease/step.go
@@ -36,6 +36,7 @@
 }
 
 func (l *Lease) noteRank(now time.Time, rank int) {
+	l.candidate = rank < l.config.Candidates
 	switch {
 	case rank == 0:
 		l.rankSince, l.handovers = time.Time{}, 0
@@ -51,21 +52,26 @@
 	if l.readAt.IsZero() || now.Sub(l.readAt) > l.config.Observe {
 		return false
 	}
-	wait := time.Duration(rank) * l.config.RankDelay
-	if l.afterGap(now, rank, wait) {
+	if l.afterGap(now, rank) {
 		return false
 	}
+	wait := time.Duration(rank) * l.config.RankDelay
 	if !l.free() {
 		wait += max(l.config.Duration, l.seen.State.duration()) + l.config.Margin
 	}
 	return now.Sub(l.seenAt) >= wait
 }
 
-// afterGap reports whether a candidate must let better ranks go first after
-// the store was out of reach: by then each has seen the old version unchanged
-// for long enough, and all would write at once.
-func (l *Lease) afterGap(now time.Time, rank int, wait time.Duration) bool {
-	return rank < l.config.Candidates && now.Sub(l.followed) < wait
+// afterGap reports whether a daemon must let better ranks go first after the
+// store was out of reach: by then each has seen the old version unchanged for
+// long enough, and all would write at once. Who isn't a candidate waits until
+// a candidate would have taken the lease.
+func (l *Lease) afterGap(now time.Time, rank int) bool {
+	wait := time.Duration(min(rank, l.config.Candidates)) * l.config.RankDelay
+	if !l.candidate {
+		wait += l.config.Duration + l.config.Margin
+	}
+	return now.Sub(l.followed) < wait
 }
 
 // free reports whether nobody else can hold the lease that was last seen. An
--- a/internal/ledger/action.go
+++ b/internal/ledger/action.go
@@ -18,6 +18,14 @@
 	Name string
 }
 
+// List gets the objects of Kind whose names start with Prefix. Answer with
+// Listed. It only saves reads: a list that is old or cut short is safe, since
+// the write that follows then loses its condition.
+type List struct {
+	Call   uint64
+	Prefix string
+}
+
 // Grant allows the intent's owner its one dispatch. An owner that no longer
 // waits must not dispatch.
 type Grant struct {
@@ -44,6 +52,7 @@
 
 func (Write) action()  {}
 func (Read) action()   {}
+func (List) action()   {}
 func (Grant) action()  {}
 func (Deny) action()   {}
 func (Refuse) action() {}
--- a/internal/ledger/chain.go
+++ b/internal/ledger/chain.go
@@ -32,6 +32,7 @@
 type chain struct {
 	bucket  int64
 	state   chainState
+	listed  bool   // the chain has been listed once
 	seq     int    // of the last segment
 	version uint64 // of the last segment, 0 before it exists
 	text    []byte // its encoded records
--- a/internal/ledger/group_commit.go
+++ b/internal/ledger/group_commit.go
@@ -140,6 +140,9 @@
 	c.state = chainReading
 	g.calls++
 	c.call = g.calls
+	if !c.listed {
+		return []Action{List{Call: c.call, Prefix: chainPrefix(g.shard, c.bucket)}}
+	}
 	return []Action{Read{Call: c.call, Name: segmentName(g.shard, c.bucket, c.seq)}}
 }
 
--- a/internal/ledger/group_result.go
+++ b/internal/ledger/group_result.go
@@ -40,6 +40,29 @@
 	return g.loaded(now, c, r.Object)
 }
 
+// Listed takes the chain's segments, up to the first that is missing.
+func (g *GroupCommit) Listed(now time.Time, r ListResult) []Action {
+	c := g.find(r.Call)
+	if c == nil || c.state != chainReading || c.listed {
+		return nil
+	}
+	if !r.OK {
+		return g.failed(now, c)
+	}
+	c.listed = true
+	for {
+		o := r.Objects[segmentName(g.shard, c.bucket, c.seq)]
+		last, err := c.load(o)
+		if err != nil {
+			return g.failed(now, c)
+		}
+		if last {
+			c.state = chainIdle
+			return g.flush(now, c)
+		}
+	}
+}
+
 func (g *GroupCommit) loaded(now time.Time, c *chain, o Object) []Action {
 	last, err := c.load(o)
 	if err != nil {
--- a/internal/ledger/name.go
+++ b/internal/ledger/name.go
@@ -12,8 +12,13 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
+// Shards is the number of ledger shards. It must be the same everywhere and for
+// ever: a key that moved to another shard would not find its record. One shard
+// batches best; see docs/adr/0003-ledger.md.
+const Shards = 1
+
 // BucketSpan is the time of keys that share a chain of segments. At 500 orders
-// a second and eight shards a minute's chain is about 1 MB.
+// a second a minute's chain is about 16 MB, at 20 less than one.
 const BucketSpan = time.Minute
 
 // sweepSlack keeps objects longer than the window, against clocks that differ.
@@ -42,7 +47,12 @@
 }
 
 func segmentName(shard int, bucket int64, seq int) string {
-	return fmt.Sprintf("s.%010d.%03d.%05d", bucket, shard, seq)
+	return fmt.Sprintf("%s%05d", chainPrefix(shard, bucket), seq)
+}
+
+// chainPrefix is what the names of a chain's segments have in common.
+func chainPrefix(shard int, bucket int64) string {
+	return fmt.Sprintf("s.%010d.%03d.", bucket, shard)
 }
 
 // Expired reports whether the object called name holds only keys that are
--- a/internal/ledger/result.go
+++ b/internal/ledger/result.go
@@ -36,3 +36,10 @@
 	OK     bool // false: the store did not answer
 	Object Object
 }
+
+// ListResult answers a List. The objects are by name.
+type ListResult struct {
+	Call    uint64
+	OK      bool // false: the store did not answer
+	Objects map[string]Object
+}
--- a/internal/routing/best.go
+++ b/internal/routing/best.go
@@ -135,7 +135,7 @@
 		Uncached:   float64(q.PromptTokens - c.cached),
 		Answer:     q.MaxTokens,
 		Share:      c.share(),
-		Price:      s.price(c.endpoint),
+		Saving:     s.saving(c.endpoint),
 		Agreed:     c.agreed,
 		Doubtful:   c.endpoint.health.Doubtful(),
 	}
--- a/internal/routing/config.go
+++ b/internal/routing/config.go
@@ -52,7 +52,7 @@
 // DefaultWeights were found by the comparison in docs/adr/0006-routing.md.
 var DefaultWeights = scorer.Weights{
 	Recompute: 2,
-	Owner:     0.5,
+	Owner:     0.3,
 	Wait:      1000,
 	Load:      2000,
 	Price:     0.2,
--- a/internal/routing/endpoint.go
+++ b/internal/routing/endpoint.go
@@ -14,7 +14,6 @@
 	slot     uint32 // in Router.slots and the prefix index
 	hash     uint64 // of the id, for rendezvous
 	distance float64
-	weight   float64
 	leaving  bool
 	sets     []*set // those it serves
 	load     estimate.Engine
@@ -27,7 +26,7 @@
 }
 
 func newEndpoint(info fleet.Endpoint, slot uint32) *endpoint {
-	return &endpoint{info: info, slot: slot, weight: 16, hash: xxh3.HashString(string(info.ID))}
+	return &endpoint{info: info, slot: slot, hash: xxh3.HashString(string(info.ID))}
 }
 
 // usable reports whether it may receive new requests.
@@ -36,3 +35,7 @@
 func (e *endpoint) action(kind ActionKind) Action {
 	return Action{Kind: kind, Endpoint: e.info.ID, Address: e.info.Address}
 }
+
+// tokenPrice is the hour price over the prefill rate: a machine of twice the
+// price and twice the speed is no dearer.
+func (e *endpoint) tokenPrice() float64 { return e.info.HourPrice / e.load.Prefill() }
--- a/internal/routing/estimate/engine.go
+++ b/internal/routing/estimate/engine.go
@@ -83,26 +83,25 @@
 // Own returns this daemon's unfinished requests.
 func (e *Engine) Own() Own { return e.own }
 
-// Load returns the last report.
-func (e *Engine) Load() engineapi.Load { return e.report }
+// Slots returns the requests that run at once.
+func (e *Engine) Slots() float64 { return positive(float64(e.report.Slots), defaultSlots) }
+
+// Prefill returns the prompt tokens computed in a second.
+func (e *Engine) Prefill() float64 {
+	return positive(float64(e.report.PrefillPerSecond), defaultPrefillPerSecond)
+}
 
 // View returns the estimate at now.
 func (e *Engine) View(now int64) View {
 	v := View{
 		Requests:      float64(e.own.Requests + e.reserved.Requests),
 		WaitingTokens: float64(e.own.WaitingTokens + e.reserved.WaitingTokens),
-		Slots:         defaultSlots,
-		Prefill:       defaultPrefillPerSecond,
-		TokenSeconds:  defaultTokenMillis / 1000,
-	}
-	if e.takenAt == 0 {
-		return v
+		Slots:         e.Slots(),
+		Prefill:       e.Prefill(),
+		TokenSeconds:  positive(e.report.TokenMillis, defaultTokenMillis) / 1000,
 	}
-	v.Slots = positive(float64(e.report.Slots), v.Slots)
-	v.Prefill = positive(float64(e.report.PrefillPerSecond), v.Prefill)
-	v.TokenSeconds = positive(e.report.TokenMillis/1000, v.TokenSeconds)
 	age := max(0, now-e.takenAt)
-	if age > reportLife {
+	if e.takenAt == 0 || age > reportLife {
 		return v
 	}
 	v.Requests += e.usual.requests.expect(float64(e.others.Requests), age)
--- a/internal/routing/load_events.go
+++ b/internal/routing/load_events.go
@@ -13,9 +13,10 @@
 	if e == nil {
 		return
 	}
+	slots, prefill := e.load.Slots(), e.load.Prefill()
 	e.load.Report(load)
-	if load.Slots > 0 {
-		e.weight = float64(load.Slots)
+	if slots != e.load.Slots() || prefill != e.load.Prefill() {
+		r.stale = true // ranks and prices rest on them
 	}
 	e.pace.Add(load.Running, load.TokenMillis/1000)
 	r.index.SetCapacity(e.slot, load.CacheBlocks)
--- /dev/null
+++ b/internal/routing/pick_bench_test.go
@@ -0,0 +1,40 @@
+package routing
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+)
+
+// BenchmarkPick measures the decision alone, with prompts of 1,600 tokens of
+// which half are known to the index, at the sizes of today, of the target and
+// of one endpoint an accelerator.
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{18, 690, 5500} {
+		for _, policy := range Policies {
+			b.Run(fmt.Sprintf("endpoints=%d/%s", n, policy), func(b *testing.B) {
+				r := testRouter(1, Config{Policy: policy}, endpoints(n))
+				requests := make([]*Request, 256)
+				for i := range requests {
+					requests[i] = prompt(uint64(i), 100)
+				}
+				for i, e := range endpoints(n) {
+					r.ReportLoad(start, e.ID, engineapi.Load{TakenAtMillis: 1000_000, Running: i % 20, Slots: 64})
+				}
+				for _, q := range requests[:128] {
+					c, _ := r.Pick(start, q)
+					r.Dispatched(start, c.Endpoint, q, c)
+				}
+				b.ReportAllocs()
+				i := 0
+				for b.Loop() {
+					i++
+					if _, err := r.Pick(start, requests[i%len(requests)]); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- a/internal/routing/rendezvous.go
+++ b/internal/routing/rendezvous.go
@@ -14,11 +14,13 @@
 }
 
 // rank finds the best members that ok accepts. Any daemon with the same
-// members ranks them alike (Thaler and Ravishankar, 1998).
+// members ranks them alike (Thaler and Ravishankar, 1998); an engine with
+// twice the slots wins twice as many keys (weighted: Schindelhauer and
+// Schomaker, 2005).
 func (s *set) rank(key uint64, ok func(*endpoint) bool) ranked {
 	var r ranked
-	for i, h := range s.hashes {
-		score := weigh(mix(key^h), s.members[i].weight)
+	for i, node := range s.nodes {
+		score := weigh(mix(key^node.hash), node.weight)
 		if r.n == ranks && score <= r.score[ranks-1] {
 			continue
 		}
@@ -49,10 +51,9 @@
 	return x ^ x>>31
 }
 
-var weighted = 1.0
-
-// weigh turns a hash into the member's score (weighted rendezvous: w / -ln u)
-func weigh(h uint64, weight float64) float64 {
-	u := (float64(h>>11) + 0.5) / (1 << 53)
-	return math.Pow(weight, weighted) / -math.Log(u)
+// weigh returns weight / -ln(u) of the number u in (0,1) that the hash stands for.
+func weigh(hash uint64, weight float64) float64 {
+	const unit = 1.0 / (1 << 53)
+	u := (float64(hash>>11) + 0.5) * unit
+	return weight / -math.Log(u)
 }
--- a/internal/routing/scorer/scorer.go
+++ b/internal/routing/scorer/scorer.go
@@ -10,7 +10,7 @@
 	Owner     float64 // share of the uncached tokens that the agreed engine is taken to hold
 	Wait      float64 // tokens for each second to the first token
 	Load      float64 // tokens for an engine at its limit
-	Price     float64 // tokens for each token computed at twice the cheapest price
+	Price     float64 // tokens for each token that would be computed for nothing
 	Doubt     float64 // tokens for an endpoint whose new connections failed lately
 }
 
@@ -21,7 +21,7 @@
 	Uncached   float64 // predicted prompt tokens to compute
 	Answer     int     // bound of the answer in tokens
 	Share      float64 // of the engine's limit in use, this request included
-	Price      float64 // of computing a token, over the cheapest of the set; 1 or more
+	Saving     float64 // share by which a token is computed more cheaply than on the dearest of the set
 	Agreed     bool    // the rendezvous choice that other daemons make as well
 	Doubtful   bool    // new connections failed lately
 }
@@ -56,9 +56,12 @@
 	return w.Load * share * share
 }
 
-// price prefers the engine that computes the request's tokens more cheaply.
+// price prefers the engine that computes the request's tokens more cheaply,
+// while it has room: the preference is gone when the engine is half full.
+// Past that it would fill the cheap engines and break the targets there.
 func price(w *Weights, in *Input) float64 {
-	return w.Price * (in.Uncached + float64(in.Answer)) * (in.Price - 1)
+	room := max(0, 1-2*in.Share)
+	return -w.Price * in.Saving * room * (in.Uncached + float64(in.Answer))
 }
 
 func doubt(w *Weights, in *Input) float64 {
--- a/internal/routing/set.go
+++ b/internal/routing/set.go
@@ -9,21 +9,27 @@
 	service string
 }
 
+// node is what rendezvous needs of a member.
+type node struct {
+	hash   uint64
+	weight float64
+}
+
 // set holds the endpoints of one key. Only usable ones are members, so that a
 // pick filters nothing; the lists are rebuilt when an endpoint's state changes.
 type set struct {
-	members  []*endpoint
-	hashes   []uint64 // members' hashes side by side, for the rendezvous scan
-	present  int      // not leaving
-	ejected  int
-	cheapest float64 // hour price of the cheapest member with a price
-	turn     int     // round robin
+	members []*endpoint
+	nodes   []node // of the members, side by side for the rendezvous scan
+	present int    // not leaving
+	ejected int
+	dearest float64 // token price of the dearest member
+	turn    int     // round robin
 }
 
 func (s *set) reset() {
 	s.members = s.members[:0]
-	s.hashes = s.hashes[:0]
-	s.present, s.ejected, s.cheapest = 0, 0, 0
+	s.nodes = s.nodes[:0]
+	s.present, s.ejected, s.dearest = 0, 0, 0
 }
 
 // add counts the endpoint and makes it a member when it is usable.
@@ -37,16 +43,15 @@
 		return
 	}
 	s.members = append(s.members, e)
-	s.hashes = append(s.hashes, e.hash)
-	if p := e.info.HourPrice; p > 0 && (s.cheapest == 0 || p < s.cheapest) {
-		s.cheapest = p
-	}
+	s.nodes = append(s.nodes, node{hash: e.hash, weight: e.load.Slots()})
+	s.dearest = max(s.dearest, e.tokenPrice())
 }
 
-// price returns the endpoint's price over the cheapest, 1 when not known.
-func (s *set) price(e *endpoint) float64 {
-	if s.cheapest == 0 || e.info.HourPrice == 0 {
-		return 1
+// saving returns the share by which the endpoint computes a token more
+// cheaply than the dearest member; 0 when its price is not known.
+func (s *set) saving(e *endpoint) float64 {
+	if s.dearest == 0 || e.info.HourPrice == 0 {
+		return 0
 	}
-	return e.info.HourPrice / s.cheapest
+	return 1 - e.tokenPrice()/s.dearest
 }
