--- /dev/null
+++ b/internal/bench/processes_test.go
@@ -0,0 +1,234 @@
+package bench
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/deployment"
+)
+
+// The load of one daemon at the target's peak: 4,100 requests and 1.5 million
+// tokens a second over 340 daemons, 34 ms between tokens.
+const (
+	loadRate   = 4100.0 / 340
+	loadTokens = 1_500_000 / 4100
+	entries    = 9
+	settleTime = 15 * time.Second // to the steady state: an answer takes 12 s
+	windowTime = 20 * time.Second
+)
+
+// collectors are the settings of Go's garbage collector that are compared, by
+// their environment. Daemons take them in turn, so that all share one run.
+var collectors = []struct{ name, environment string }{
+	{"GOGC=100", "GOGC=100"},
+	{"GOGC=50", "GOGC=50"},
+	{"GOGC=25", "GOGC=25"},
+}
+
+// daemonProcess is a real daemon.
+type daemonProcess struct {
+	cmd       *exec.Cmd
+	entry     string
+	collector string
+}
+
+// BenchmarkDaemons starts nine real daemons and the stand-ins as processes,
+// leaves them idle or loads one of each setting as the target's peak loads
+// every daemon, and reads what the kernel and the daemons say of their cost. It
+// takes 40 s each.
+func BenchmarkDaemons(b *testing.B) {
+	binary := filepath.Join(b.TempDir(), "cyclamenbeam")
+	if out, err := exec.Command("go", "build", "-o", binary, "github.com/cyclamenbeam/cyclamenbeam/cmd/cyclamenbeam").CombinedOutput(); err != nil {
+		b.Fatalf("%v: %s", err, out)
+	}
+	for _, load := range []string{"idle", "peak"} {
+		b.Run(load, func(b *testing.B) {
+			for range b.N {
+				measureDaemons(b, startProcesses(b, binary), load == "peak")
+			}
+			b.ReportMetric(0, "ns/op")
+		})
+	}
+}
+
+func startProcesses(b *testing.B, binary string) []*daemonProcess {
+	speed := deployment.DefaultSpeed()
+	speed.TokenInterval = 25 * time.Millisecond // 34 ms in a batch of 18
+	layout, err := deployment.Make(deployment.Options{Entries: entries, Engines: 18, Services: 4, Speed: speed})
+	if err != nil {
+		b.Fatal(err)
+	}
+	for i := range layout.Standin.Engines {
+		layout.Standin.Engines[i].Slots = slots
+	}
+	dir := b.TempDir()
+	if err := layout.Write(dir, deployment.DevTemplate()); err != nil {
+		b.Fatal(err)
+	}
+	run(b, "", binary, "standin", "--settings", filepath.Join(dir, "standin.yaml"))
+	var out []*daemonProcess
+	for i, e := range layout.Entries {
+		c := collectors[i%len(collectors)]
+		cmd := run(b, c.environment, binary, "serve", "--settings", filepath.Join(dir, fmt.Sprintf("entry-%d.yaml", i+1)))
+		out = append(out, &daemonProcess{cmd: cmd, entry: e.Listen.Callers, collector: c.name})
+	}
+	return out
+}
+
+// run starts a process, waits until it is ready, and ends it with the benchmark.
+func run(b *testing.B, environment, binary string, args ...string) *exec.Cmd {
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), environment)
+	stdout, err := cmd.StdoutPipe()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		b.Fatal(err)
+	}
+	b.Cleanup(func() {
+		_ = cmd.Process.Signal(syscall.SIGKILL)
+		_ = cmd.Wait()
+	})
+	lines := bufio.NewScanner(stdout)
+	for lines.Scan() {
+		if strings.Contains(lines.Text(), `"ready"`) {
+			return cmd
+		}
+	}
+	b.Fatalf("%v ended before it was ready", args)
+	return nil
+}
+
+func measureDaemons(b *testing.B, all []*daemonProcess, loaded bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	var callers sync.WaitGroup
+	if loaded {
+		for i, d := range all[:len(collectors)] {
+			callers.Go(func() { offer(ctx, b, newTarget(d.entry, deployment.DevToken), uint64(i)) })
+		}
+	}
+	time.Sleep(settleTime)
+	before := make([]usage, len(all))
+	for i, d := range all {
+		before[i] = d.usage(b)
+	}
+	time.Sleep(windowTime)
+	for i, d := range all[:len(collectors)] {
+		d.report(b, before[i], d.usage(b))
+	}
+	cancel()
+	callers.Wait()
+}
+
+// offer sends a daemon the target's load until ctx ends, and returns when all
+// answers came.
+func offer(ctx context.Context, b *testing.B, t target, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 1))
+	var running sync.WaitGroup
+	defer running.Wait()
+	for n := 0; ; n++ {
+		select {
+		case <-time.After(time.Duration(random.ExpFloat64() / loadRate * float64(time.Second))):
+		case <-ctx.Done():
+			return
+		}
+		running.Go(func() {
+			if _, err := t.stream(n, loadTokens); err != nil {
+				b.Error(err)
+			}
+		})
+	}
+}
+
+// usage is what a process has used so far.
+type usage struct {
+	at      time.Time
+	cpu     float64 // seconds
+	tcp     float64 // bytes read and written, the membership's datagrams not included
+	rss     float64 // bytes
+	anon    float64 // of them, what is not the program's own text
+	metrics map[string]float64
+}
+
+func (d *daemonProcess) usage(b *testing.B) usage {
+	pid := strconv.Itoa(d.cmd.Process.Pid)
+	u := usage{at: time.Now(), metrics: scrape(b, d.entry)}
+	u.cpu = u.metrics["process_cpu_seconds_total"]
+	status, io := procFile(b, pid, "status"), procFile(b, pid, "io")
+	u.rss, u.anon = status["VmRSS"]*1024, status["RssAnon"]*1024
+	u.tcp = io["rchar"] + io["wchar"]
+	return u
+}
+
+// procFile reads the numbers of a file of lines "name: number".
+func procFile(b *testing.B, pid, name string) map[string]float64 {
+	text, err := os.ReadFile(filepath.Join("/proc", pid, name))
+	if err != nil {
+		b.Fatal(err)
+	}
+	out := make(map[string]float64)
+	for line := range strings.Lines(string(text)) {
+		key, rest, _ := strings.Cut(line, ":")
+		fields := strings.Fields(rest)
+		if len(fields) == 0 {
+			continue
+		}
+		if v, err := strconv.ParseFloat(fields[0], 64); err == nil {
+			out[key] = v
+		}
+	}
+	return out
+}
+
+func scrape(b *testing.B, entry string) map[string]float64 {
+	resp, err := http.Get("http://" + entry + "/metrics")
+	if err != nil {
+		b.Fatal(err)
+	}
+	defer func() { _ = resp.Body.Close() }()
+	out := make(map[string]float64)
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		name, value, _ := strings.Cut(lines.Text(), " ")
+		if v, err := strconv.ParseFloat(value, 64); err == nil {
+			out[name] = v
+		}
+	}
+	return out
+}
+
+// report prints what a daemon used between two moments, and logs what it says
+// that each duty did.
+func (d *daemonProcess) report(b *testing.B, from, to usage) {
+	seconds := to.at.Sub(from.at).Seconds()
+	b.ReportMetric(to.rss/1e6, "rss-MB/"+d.collector)
+	b.ReportMetric(to.anon/1e6, "anon-MB/"+d.collector)
+	b.ReportMetric(100*(to.cpu-from.cpu)/seconds, "core-%/"+d.collector)
+	b.ReportMetric((to.tcp-from.tcp)/seconds, "tcp-B/s/"+d.collector)
+	for name, value := range to.metrics {
+		switch {
+		case strings.HasPrefix(name, "cyclamenbeam_control_cpu_seconds_total"):
+			b.Logf("%s %s: %.4f%% of a core", d.collector, name, 100*(value-from.metrics[name])/seconds)
+		case strings.HasPrefix(name, "cyclamenbeam_control_bytes_total"):
+			b.Logf("%s %s: %.0f B/s", d.collector, name, (value-from.metrics[name])/seconds)
+		case strings.HasPrefix(name, "cyclamenbeam_platform_calls_total"):
+			b.Logf("%s %s: %.2f/s", d.collector, name, (value-from.metrics[name])/seconds)
+		case strings.HasPrefix(name, "go_memstats_heap_inuse_bytes"), strings.HasPrefix(name, "go_memstats_stack_inuse_bytes"), strings.HasPrefix(name, "go_goroutines"):
+			b.Logf("%s %s: %.0f", d.collector, name, value)
+		}
+	}
+}
--- a/internal/daemon/capacity.go
+++ b/internal/daemon/capacity.go
@@ -58,21 +58,12 @@
 }
 
 func (b *buyer) run(ctx context.Context) {
-	ticker := time.NewTicker(capacityInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		if len(b.leases.held(capacityDuty)) == 0 {
-			b.planner = nil
-			continue
-		}
-		if err := b.plan(ctx); err != nil && ctx.Err() == nil {
-			b.log.WithError(err).Warn("no plan made")
-		}
+	b.leases.whileHeld(ctx, capacityDuty, capacityInterval, b.try, func() { b.planner = nil })
+}
+
+func (b *buyer) try(ctx context.Context) {
+	if err := b.plan(ctx); err != nil && ctx.Err() == nil {
+		b.log.WithError(err).Warn("no plan made")
 	}
 }
 
--- a/internal/daemon/leasing.go
+++ b/internal/daemon/leasing.go
@@ -194,3 +194,22 @@
 func (d *leasingDuty) giveUp() {
 	d.hint(func(_ time.Time, s *lease.Set) { s.Leave() })
 }
+
+// whileHeld calls work at each interval at which this daemon holds the duty's
+// lease, and forget at the others: what a holder remembers is of no use later.
+func (d *leasingDuty) whileHeld(ctx context.Context, duty string, interval time.Duration, work func(context.Context), forget func()) {
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		if len(d.held(duty)) == 0 {
+			forget()
+			continue
+		}
+		work(ctx)
+	}
+}
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -45,22 +45,10 @@
 	log           *logrus.Entry
 }
 
-// run plans while the lease is held.
+// run plans while the lease is held. A later holder starts from what engines
+// report.
 func (p *placer) run(ctx context.Context) {
-	ticker := time.NewTicker(placementInterval)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ticker.C:
-		case <-ctx.Done():
-			return
-		}
-		if len(p.leases.held(placementDuty)) == 0 {
-			p.planner = nil // a later holder starts from what engines report
-			continue
-		}
-		p.plan(ctx)
-	}
+	p.leases.whileHeld(ctx, placementDuty, placementInterval, p.plan, func() { p.planner = nil })
 }
 
 func (p *placer) plan(ctx context.Context) {
