--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/deployment"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/engine/enginefault"
 )
 
 const (
@@ -53,6 +54,63 @@
 		deployment.DefaultSpeed().ListLag, shown.Sub(given).Round(time.Millisecond), atGrace-atNotice, w.answered.Load()-answered)
 }
 
+// mediumTokens take an engine some five seconds, longer than a notice.
+const mediumTokens = 400
+
+// noticeTime is the time from notice to end of an engine.
+const noticeTime = 1500 * time.Millisecond
+
+// Half of the engines get notice and vanish while they generate. Their streams
+// must go on elsewhere without a caller seeing it. The same without a notice
+// shows what the notice is used for: tokens that need not be recomputed.
+func TestStreamsSurviveHalfOfTheEngines(t *testing.T) {
+	t.Parallel()
+	noticed := throughLoss(t, (*cluster).reclaimHalf)
+	unnoticed := throughLoss(t, (*cluster).killHalf)
+	t.Logf("tokens recomputed after the loss of half of the engines: %d with %s of notice, %d without", noticed, noticeTime, unnoticed)
+}
+
+// throughLoss runs streams through a loss of engines and returns how many
+// tokens the others recomputed.
+func throughLoss(t *testing.T, lose func(*cluster, *testing.T)) int64 {
+	t.Helper()
+	c := deploy(t, roomy())
+	s := stream(t, callersOf(c.callers()...), streamCount(), mediumTokens)
+	c.underWay(t, streamCount(), startTokens)
+	lose(c, t)
+	s.whole(t)
+	c.report(t, s)
+	return c.totals(t).RecomputedTokens
+}
+
+// half returns the indexes of every second engine.
+func (c *cluster) half() []int {
+	var out []int
+	for i := 0; i < len(c.layout.Standin.Engines); i += 2 {
+		out = append(out, i)
+	}
+	return out
+}
+
+// reclaimHalf gives notice to half of the engines.
+func (c *cluster) reclaimHalf(t *testing.T) {
+	t.Helper()
+	order := cloudapi.Reclaim{Millis: noticeTime.Milliseconds()}
+	for _, i := range c.half() {
+		order.Instances = append(order.Instances, c.layout.Standin.Engines[i].Instance)
+	}
+	post(t, c.platform()+cloudapi.ReclaimPath, order)
+}
+
+// killHalf makes half of the engines vanish without notice. Whether a dying
+// engine still answers is not told.
+func (c *cluster) killHalf(t *testing.T) {
+	t.Helper()
+	for _, i := range c.half() {
+		_ = tryPost(c.engine(i)+enginefault.Path, enginefault.Faults{Kill: true})
+	}
+}
+
 // listedAs returns the state of an endpoint in the instance list, empty where
 // it is not there.
 func (c *cluster) listedAs(t *testing.T, id fleet.InstanceID) fleet.State {
--- a/internal/bench/deployment_test.go
+++ b/internal/bench/deployment_test.go
@@ -15,6 +15,16 @@
 // slots is how many requests an engine runs at once: none ever waits here.
 const slots = 256
 
+// unlimited is the development deployment's template without limits.
+func unlimited(b *testing.B) *template.Template {
+	t, _, err := deployment.ReadTemplate("")
+	if err != nil {
+		b.Fatal(err)
+	}
+	t.Defaults.Limits = template.LimitsSpec{}
+	return t
+}
+
 // start starts a deployment of one entry and one engine, and returns the way
 // to the engine and the way through the entry.
 func start(b *testing.B, interval time.Duration) (direct, entry target) {
@@ -28,11 +38,7 @@
 	}
 	layout.Standin.Engines[0].Slots = slots
 	layout.Entries[0].Control.StartSpread = time.Millisecond
-	t, _, err := deployment.ReadTemplate("")
-	if err != nil {
-		b.Fatal(err)
-	}
-	t.Defaults.Limits = template.LimitsSpec{} // none
+	t := unlimited(b)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	d, err := deployment.StartDev(context.Background(), layout, t, log, deployment.NewAnnouncer(io.Discard))
--- a/internal/bench/processes_test.go
+++ b/internal/bench/processes_test.go
@@ -74,7 +74,11 @@
 		layout.Standin.Engines[i].Slots = slots
 	}
 	dir := b.TempDir()
-	if err := layout.Write(dir, deployment.DevTemplate()); err != nil {
+	text, err := unlimited(b).YAML()
+	if err != nil {
+		b.Fatal(err)
+	}
+	if err := layout.Write(dir, text); err != nil {
 		b.Fatal(err)
 	}
 	run(b, "", binary, "standin", "--settings", filepath.Join(dir, "standin.yaml"))
--- a/internal/bench/target_test.go
+++ b/internal/bench/target_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -71,7 +72,8 @@
 	}
 	defer func() { _ = resp.Body.Close() }()
 	if resp.StatusCode != http.StatusOK {
-		return answer{}, fmt.Errorf("status %d", resp.StatusCode)
+		text, _ := io.ReadAll(resp.Body)
+		return answer{}, fmt.Errorf("status %d: %s", resp.StatusCode, text)
 	}
 	return read(bufio.NewReader(resp.Body), sent, tokens)
 }
--- a/internal/cli/help_test.go
+++ b/internal/cli/help_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"os"
+	"regexp"
 	"strings"
 	"testing"
 
@@ -34,6 +36,23 @@
 	return words
 }
 
+// assertParses fails unless a line is a command with flags and arguments that
+// it takes, and returns the command.
+func assertParses(t *testing.T, root *cobra.Command, line string) *cobra.Command {
+	t.Helper()
+	words := wordsOf(line)
+	assert.Equal(t, words[0], "cyclamenbeam", line)
+	root.InitDefaultCompletionCmd()
+	target, rest, err := root.Find(words[1:])
+	assert.NilError(t, err, line)
+	assert.Assert(t, target.Runnable(), line)
+	assert.NilError(t, target.ParseFlags(rest), line)
+	assert.NilError(t, target.ValidateRequiredFlags(), line)
+	assert.NilError(t, target.ValidateFlagGroups(), line)
+	assert.NilError(t, target.ValidateArgs(target.Flags().Args()), line)
+	return target
+}
+
 // A flag is renamed and an example keeps the old name. Whoever copies it is
 // told that the flag is unknown, by the page that named it.
 func TestEveryCommandHasExamplesThatParse(t *testing.T) {
@@ -42,20 +61,32 @@
 		t.Run(c.CommandPath(), func(t *testing.T) {
 			assert.Assert(t, c.Example != "", "no example")
 			for line := range strings.Lines(c.Example) {
-				words := wordsOf(line)
-				assert.Equal(t, words[0], "cyclamenbeam", line)
-				target, rest, err := newRoot(a).Find(words[1:])
-				assert.NilError(t, err, line)
-				assert.Assert(t, target.Runnable() && strings.HasPrefix(target.CommandPath(), c.CommandPath()), line)
-				assert.NilError(t, target.ParseFlags(rest), line)
-				assert.NilError(t, target.ValidateRequiredFlags(), line)
-				assert.NilError(t, target.ValidateFlagGroups(), line)
-				assert.NilError(t, target.ValidateArgs(target.Flags().Args()), line)
+				target := assertParses(t, newRoot(a), line)
+				assert.Assert(t, strings.HasPrefix(target.CommandPath(), c.CommandPath()), line)
 			}
 		})
 	}
 }
 
+// pages are those that show commands, relative to this package.
+var pages = []string{"../../README.md", "../../docs/OPERATIONS.md"}
+
+// A page shows a command with a flag that is gone. Whoever goes through it is
+// stopped half-way through a closing.
+func TestCommandsInPagesParse(t *testing.T) {
+	commands := regexp.MustCompile(`(?m)^[ \t]*(?:[A-Z_]+=\S+ |timeout \d+ )?(cyclamenbeam [^|;&>\n]*)`)
+	variable := regexp.MustCompile(`\$\w+`)
+	for _, page := range pages {
+		text, err := os.ReadFile(page)
+		assert.NilError(t, err)
+		found := commands.FindAllStringSubmatch(strings.ReplaceAll(string(text), "\\\n", " "), -1)
+		for _, f := range found {
+			assertParses(t, newRoot(&app{}), variable.ReplaceAllString(f[1], "1"))
+		}
+		t.Logf("%s: %d commands", page, len(found))
+	}
+}
+
 func TestCompletionNamesCommandsAndFlags(t *testing.T) {
 	for _, c := range []struct{ line, want string }{
 		{"temp", "template"},
--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -18,6 +18,8 @@
 	// admissionTick bounds how late a queued request starts after its limit
 	// allows it; releases tick at once.
 	admissionTick = 10 * time.Millisecond
+	// admissionIdleTick is the longest sleep; each call asks anew.
+	admissionIdleTick = time.Second
 )
 
 // admissionState is what the duty owns.
@@ -44,13 +46,22 @@
 }
 
 func (d *admissionDuty) start(ctx context.Context) {
-	go d.run(ctx, admissionTick, func(now time.Time, s *admissionState) {
+	go d.runDue(ctx, nextAdmissionTick, func(now time.Time, s *admissionState) {
 		if next := s.limits.NextTick(); !next.IsZero() && !now.Before(next) {
 			s.tick(now)
 		}
 	})
 }
 
+// nextAdmissionTick returns when the limits next need a tick.
+func nextAdmissionTick(now time.Time, s *admissionState) time.Time {
+	due := s.limits.NextTick()
+	if due.IsZero() {
+		return now.Add(admissionIdleTick)
+	}
+	return later(due, now.Add(admissionTick))
+}
+
 func (s *admissionState) tick(now time.Time) {
 	for _, a := range s.limits.Tick(now) {
 		if !a.Start {
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -145,6 +145,22 @@
 	})
 }
 
+// accepted puts a change in force that an operator made through this daemon.
+//
+// Failure: the store goes away in the moment in which it takes a change, before
+// any watch brings it. Symptom: the operator is told accepted, and no daemon
+// has it until the store is back. Here it is in force at once, and others
+// fetch it by this daemon's digest.
+func (d *configurationDuty) accepted(c template.Change, version uint64) {
+	made := template.Record{Name: c.Name, Version: version, Template: c.Template, Deleted: c.Template == nil}
+	revision, err := made.Revision()
+	if err != nil {
+		d.log.WithError(err).Error("accepted template not encoded; the watch brings it")
+		return
+	}
+	d.tell(func(_ time.Time, s *configurationState) { d.applied(s, s.store.Apply(revision)) })
+}
+
 func (d *configurationDuty) list() {
 	ctx, cancel := context.WithTimeout(d.ctx, listLimit)
 	defer cancel()
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -24,6 +24,9 @@
 	ledgerRing   = 4096
 	// ledgerTick bounds how late a batch leaves after its linger.
 	ledgerTick = 2 * time.Millisecond
+	// ledgerIdleTick is how often late intents and reads to be tried again are
+	// looked for.
+	ledgerIdleTick = 100 * time.Millisecond
 	// storeTimeout bounds a call to the store, the wait for the budget included:
 	// a write that leaves later than its intents wait is of no use to them.
 	storeTimeout = 2 * time.Second
@@ -77,7 +80,7 @@
 
 func (d *ledgerDuty) start(ctx context.Context) {
 	d.ctx = ctx
-	go d.run(ctx, ledgerTick, func(now time.Time, s *ledgerState) {
+	go d.runDue(ctx, nextLedgerTick, func(now time.Time, s *ledgerState) {
 		for _, w := range s.shards {
 			d.perform(s, w, w.Tick(now))
 		}
@@ -87,6 +90,31 @@
 	})
 }
 
+// nextLedgerTick returns when the next batch has lingered, and at the latest
+// when calls and late intents are to be looked at.
+func nextLedgerTick(now time.Time, s *ledgerState) time.Time {
+	due := now.Add(ledgerIdleTick)
+	earlier := func(w *shardWriter) {
+		if at := w.Next(); !at.IsZero() && at.Before(due) {
+			due = at
+		}
+	}
+	for _, w := range s.shards {
+		earlier(w)
+	}
+	for w := range s.fresh {
+		earlier(w)
+	}
+	return later(due, now.Add(ledgerTick))
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 func (s *ledgerState) shard(n int) *shardWriter {
 	w, ok := s.shards[n]
 	if !ok {
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -98,12 +98,15 @@
 func (o *operators) Change(ctx context.Context, c template.Change) operator.ChangeResult {
 	current, err := o.record(ctx, c.Name)
 	if err != nil {
-		return refusedChange(err)
+		return unreadChange(err)
 	}
 	r := c.Plan(current, time.Now())
 	if r.Outcome == template.Proceed {
 		r = o.write(ctx, c, r.Write)
 	}
+	if r.Outcome == template.Accepted {
+		o.daemon.configuration.accepted(c, r.Version)
+	}
 	o.log(c, r)
 	return changeResult(r)
 }
@@ -174,6 +177,16 @@
 	return operator.ChangeResult{Outcome: template.Refused, Reason: err.Error()}
 }
 
+// unreadChange is for a change whose object could not be read. Nothing was
+// written now.
+//
+// Failure: an operator asks again about a change whose outcome was unknown,
+// while the store is still away. Symptom: "refused", though the change had
+// taken effect the first time. Only the store can tell the two asks apart.
+func unreadChange(err error) operator.ChangeResult {
+	return operator.ChangeResult{Outcome: template.Unknown, Reason: "nothing was written now, and the object API does not say what stands: " + err.Error()}
+}
+
 // History implements operator.Backend.
 func (o *operators) History(ctx context.Context, name string) ([]operator.AuditEntry, error) {
 	r, err := o.existing(ctx, name)
@@ -280,7 +293,7 @@
 	object, err := o.objects.Get(ctx, drain.Kind, id)
 	var missing *platform.NotFound
 	if err != nil && !errors.As(err, &missing) {
-		return refusedChange(err)
+		return unreadChange(err)
 	}
 	object.Name = id
 	current, err := drain.RecordOf(object)
--- a/internal/daemon/owner.go
+++ b/internal/daemon/owner.go
@@ -40,6 +40,34 @@
 	}
 }
 
+// runDue is run for a duty whose next tick is due at a time of its own, which
+// is asked for after each call and tick. A daemon without work then sleeps:
+// with a tick each 2 ms its wake-ups alone took 3% of a core.
+func (o *owner[T]) runDue(ctx context.Context, next func(now time.Time, state T) time.Time, tick call[T]) {
+	defer close(o.done)
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	due := time.Now()
+	for {
+		select {
+		case c := <-o.ring.C():
+			now := time.Now()
+			o.timed(now, c)
+			if earlier := next(now, o.state); earlier.Before(due) {
+				due = earlier
+				timer.Reset(due.Sub(now))
+			}
+		case <-timer.C:
+			now := time.Now()
+			o.timed(now, tick)
+			due = next(now, o.state)
+			timer.Reset(due.Sub(now))
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
 func (o *owner[T]) timed(now time.Time, c call[T]) {
 	defer o.busy.since(time.Now())
 	c(now, o.state)
--- a/internal/deployment/launch.go
+++ b/internal/deployment/launch.go
@@ -63,7 +63,7 @@
 // endpointOf is an engine's entry in the instance list.
 func endpointOf(e Engine, models []fleet.ModelRef) fleet.Endpoint {
 	return fleet.Endpoint{
-		ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: e.Address,
+		ID: fleet.EndpointID(e.Instance), Instance: e.Instance, Address: listed(e.Address, e.Advertise),
 		DataCentre: e.DataCentre, Region: Region, Kind: fleet.EngineEndpoint,
 		Class: e.Class, HourPrice: e.HourPrice, Fences: e.Fences, State: fleet.Live, Models: models,
 	}
--- a/internal/platform/budget/sim_test.go
+++ b/internal/platform/budget/sim_test.go
@@ -16,10 +16,10 @@
 
 // What the simulated fleet assumes; the ledger's duty has the same bounds.
 const (
-	simStore   = 3 * time.Millisecond  // a store call
+	simStore   = 2 * time.Millisecond  // a store call, and as much again at random
 	simHop     = time.Millisecond      // between two daemons, one way
 	simRun     = 20 * time.Millisecond // an order on its endpoint
-	simForward = time.Second // after which the next is asked
+	simForward = time.Second           // after which the next is asked
 	simIntent  = 3 * time.Second
 	simCall    = 2 * time.Second
 	simLeases  = 64
@@ -151,7 +151,7 @@
 		if k == ObjectWrite {
 			s.writes = append(s.writes, s.now)
 		}
-		s.after(simStore, func() {
+		s.after(simStore+time.Duration(s.random.Float64()*float64(simStore)), func() {
 			b.Report(s.now, k, Outcome{Result: Answered})
 			done(true)
 		})
--- a/internal/platform/budget/ways_test.go
+++ b/internal/platform/budget/ways_test.go
@@ -125,7 +125,7 @@
 	}
 }
 
-var ways = []way{equal(), larger(60), lent(), reserved(0.3), reserved(0.45), reserved(0.6), standby(0.45), standby(0.6)}
+var ways = []way{equal(), larger(60), lent(), reserved(0.6), standby(0.3), standby(0.45), standby(0.6)}
 
 // BenchmarkSteady compares the ways under a steady stream of orders. Run with
 // -benchtime 1x: the metrics are of virtual time.
--- a/internal/platform/clients.go
+++ b/internal/platform/clients.go
@@ -81,6 +81,20 @@
 // SetFleetSize tells how many daemons share the platform; see budget.Budget.
 func (c *Clients) SetFleetSize(daemons int) { c.gate.setFleetSize(daemons) }
 
+// SetLedgerRole tells how many ledger shards this daemon writes, of how many it
+// is the standby, and from how many daemons, itself included, the writers were
+// chosen; see budget.Roles.
+func (c *Clients) SetLedgerRole(shards, standby, daemons int) {
+	c.gate.setRoles(func(r *budget.Roles) {
+		r.LedgerShards, r.LedgerStandby, r.Daemons = shards, standby, daemons
+	})
+}
+
+// SetLeaseRole tells how many control shards' leases this daemon holds.
+func (c *Clients) SetLeaseRole(shards int) {
+	c.gate.setRoles(func(r *budget.Roles) { r.LeaseShards = shards })
+}
+
 // Close closes idle connections. Calls that are on their way end by themselves.
 func (c *Clients) Close() {
 	for _, caller := range c.callers {
--- a/internal/platform/gate.go
+++ b/internal/platform/gate.go
@@ -18,6 +18,7 @@
 	mu      sync.Mutex
 	budget  *budget.Budget
 	random  *rand.Rand
+	roles   budget.Roles
 	waiters int
 }
 
@@ -84,6 +85,17 @@
 	g.budget.SetFleetSize(time.Now(), daemons)
 }
 
+// setRoles changes what the budget knows of this daemon's roles.
+func (g *gate) setRoles(change func(*budget.Roles)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	before := g.roles
+	change(&g.roles)
+	if g.roles != before {
+		g.budget.SetRoles(time.Now(), g.roles)
+	}
+}
+
 // nextWait draws the next wait of a backoff.
 func (g *gate) nextWait(b *budget.Backoff) time.Duration {
 	g.mu.Lock()
