--- a/internal/cli/experiment.go
+++ b/internal/cli/experiment.go
@@ -28,6 +28,7 @@
 	loads      []float64
 	workspaces int
 	greedy     float64
+	rateLimit  float64
 	reclaimAt  time.Duration
 	reclaimIn  time.Duration
 	logLevel   string
@@ -51,6 +52,7 @@
 	flags.Float64SliceVar(&f.loads, "loads", []float64{0.3, 0.6, 0.9, 1, 1.3}, "shares of the capacity")
 	flags.IntVar(&f.workspaces, "workspaces", 5, "workspaces that send requests")
 	flags.Float64Var(&f.greedy, "greedy", 1, "factor on the first workspace's share")
+	flags.Float64Var(&f.rateLimit, "workspace-rate", 0, "requests a second that each workspace may send; 0 is no limit")
 	flags.IntVar(&f.deployment.Entries, "daemons", 3, "daemons")
 	flags.IntVar(&f.deployment.Engines, "engines", 6, "model engines")
 	flags.IntVar(&f.deployment.Services, "services", 2, "replicas of the plain service")
@@ -67,7 +69,7 @@
 }
 
 func (a *app) experiment(ctx context.Context, f *experimentFlags) error {
-	t, err := deployment.WithWorkspaces(f.workspaces)
+	t, err := deployment.WithWorkspaces(f.workspaces, f.rateLimit)
 	if err != nil {
 		return err
 	}
--- a/internal/cli/listings.go
+++ b/internal/cli/listings.go
@@ -100,7 +100,7 @@
 			}
 			t := &table{header: []string{"ID", "KIND", "STATE", "DRAINING", "DATA CENTRE", "ADDRESS", "PRICE"}}
 			for _, e := range list {
-				t.add(e.ID, e.Kind, e.State, e.Draining, e.DataCentre, e.Address, e.HourPrice)
+				t.add(e.ID, e.Kind, e.State, e.Draining, e.DataCentre, e.Address, fmt.Sprintf("%.4g", e.HourPrice))
 			}
 			return print(a.stdout, f.output, list, t)
 		}),
--- a/internal/deployment/workspaces.go
+++ b/internal/deployment/workspaces.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
@@ -15,12 +16,18 @@
 func WorkspaceName(n int) string { return fmt.Sprintf("workspace-%d", n) }
 
 // WithWorkspaces returns the built-in template with n equal workspaces in
-// place of its own, for experiments.
-func WithWorkspaces(n int) (*template.Template, error) {
+// place of its own, for experiments. A rate above 0 limits each, in requests a
+// second.
+func WithWorkspaces(n int, rate float64) (*template.Template, error) {
 	t, _, err := ReadTemplate("")
 	if err != nil {
 		return nil, err
 	}
+	if rate > 0 {
+		limit := strconv.FormatFloat(rate, 'f', -1, 64)
+		t.Defaults.Limits.RequestsPerSecond = template.Scalar(limit)
+		t.Defaults.Limits.Burst = template.Scalar(limit)
+	}
 	t.Workspaces = nil
 	for i := range n {
 		t.Workspaces = append(t.Workspaces, template.WorkspaceSpec{
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -206,7 +206,7 @@
 	result, actions := r.life.Piece(now, number, p.Offset, p.Text)
 	if result == request.Appended {
 		if r.firstAt.IsZero() {
-			r.firstAt = now
+			r.firstAt, r.firstLen = now, r.life.Answer().Len()
 		}
 		r.wake()
 	}
--- a/internal/dispatch/handover.go
+++ b/internal/dispatch/handover.go
@@ -136,15 +136,22 @@
 // assumedTokenInterval is used for a stream whose pace is not known yet.
 const assumedTokenInterval = 34 * time.Millisecond
 
-// remaining estimates the time until the answer is whole from its pace so far.
-// Called with the lock held.
+// paceAfter is how long a stream is read before its pace is believed. One that
+// is resumed begins with all that was generated meanwhile, at once.
+const paceAfter = 250 * time.Millisecond
+
+// remaining estimates the time until the answer is whole from its pace here.
+// Tokens that another daemon read don't count: a request that was just taken
+// over would seem to be over in a moment, and would be left on an endpoint that
+// leaves. Called with the lock held.
 func (r *run) remaining() time.Duration {
 	done := r.life.Answer().Len()
-	left := r.route.MaxTokens - done
-	if done == 0 || r.firstAt.IsZero() {
-		return time.Duration(left) * assumedTokenInterval
+	left := time.Duration(r.route.MaxTokens - done)
+	read := time.Duration(done - r.firstLen)
+	if r.firstAt.IsZero() || read == 0 || time.Since(r.firstAt) < paceAfter {
+		return left * assumedTokenInterval
 	}
-	return time.Duration(left) * time.Since(r.firstAt) / time.Duration(done)
+	return left * time.Since(r.firstAt) / read
 }
 
 // event lets the hand-over take an event and obeys what it orders then.
--- a/internal/dispatch/recovery_test.go
+++ b/internal/dispatch/recovery_test.go
@@ -8,6 +8,7 @@
 	"slices"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -110,3 +111,30 @@
 		}
 	})
 }
+
+// A daemon takes a half-finished answer over and reads its first token. Were
+// the tokens that the origin read counted as its own, it would think the answer
+// over in a moment, and leave it on an engine that is about to vanish.
+func TestAnswerTakenOverIsNotThoughtNearlyDone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{interval: time.Second} // 20 tokens
+		f := &fakeDeps{peers: map[fleet.DaemonID]*Dispatcher{}}
+		origin, successor := newFake("a", e, f, false), newFake("b", e, f, false)
+		f.peers["b"] = successor
+		_, p := origin.Submit(t.Context(), submission("r", "body"))
+		assert.Assert(t, p == nil, "%v", p)
+		time.Sleep(9500 * time.Millisecond)
+		err := origin.Leave(t.Context(), request.Member{Daemon: "a", DataCentre: "dc"}, time.Now().Add(time.Minute))
+		assert.NilError(t, err)
+		for range 3 {
+			time.Sleep(time.Second)
+			streams := successor.Streams(1)
+			assert.Equal(t, len(streams), 1)
+			left := 20 - streams[0].Generated
+			assert.Assert(t, streams[0].Remaining >= time.Duration(left)*assumedTokenInterval,
+				"%s for %d tokens", streams[0].Remaining, left)
+		}
+		successor.Cancel(t.Context(), "w", "r")
+		synctest.Wait()
+	})
+}
--- a/internal/dispatch/run.go
+++ b/internal/dispatch/run.go
@@ -43,6 +43,7 @@
 	cancel    context.CancelFunc // of the newest attempt's connection
 	released  bool               // given back to admission
 	firstAt   time.Time          // of the first piece here
+	firstLen  int                // of the answer with that piece
 	delivered bool               // some reader came to the end of the whole answer
 	moved     atomic.Bool        // handed over: only readers still ask for it
 }
