A repeat right after its answer gets the answer, from any entry

Cause: an outcome waits up to half a second for a batch of the ledger, and until then a repeat of the order was told that its outcome is not known. Also: callers' connections are limited below TLS, so that redirects keep https; answers found by id name their model; an empty instance list is no readiness; a workspace whose model is served by another version is at risk, not late; the stand-ins' settings are checked whole; strangers' TLS errors go to the log.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -293,7 +293,9 @@
 func (d *Daemon) onList(list listapi.List) {
 	defer d.listBusy.since(time.Now())
 	d.listed.Store(&list)
-	d.state.listed.Store(true)
+	if len(list.Entries) > 0 {
+		d.state.listed.Store(true) // an empty list is of a platform that has just started
+	}
 	d.routing.setEndpoints(d.drains.mark(list.Endpoints))
 	for _, e := range leavingEndpoints(list) {
 		d.noticed(e)
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -29,6 +29,7 @@
 	cancel  context.CancelFunc
 	at      int // offset that the stream delivers next
 	broken  int // in a row
+	model   string
 }
 
 var _ gateway.Answer = (*follower)(nil)
@@ -48,7 +49,9 @@
 		// caller hangs. Known requests are answered at once, so a short wait is
 		// enough to tell.
 		timer := time.AfterFunc(directoryTimeout, cancel)
-		_, err = s.Recv()
+		var first *peerpb.Piece
+		first, err = s.Recv()
+		f.model = first.GetModel()
 		if err == nil && !timer.Stop() {
 			err = context.DeadlineExceeded
 		}
@@ -132,6 +135,9 @@
 	return out
 }
 
+// Model implements gateway.Answer.
+func (f *follower) Model() string { return f.model }
+
 // Close implements gateway.Answer.
 func (f *follower) Close() {
 	if f.cancel != nil {
--- a/internal/daemon/keep.go
+++ b/internal/daemon/keep.go
@@ -22,6 +22,7 @@
 		Workspace:      string(f.Ref.Workspace),
 		Number:         f.Number,
 		BodyDigest:     f.Digest[:],
+		Model:          f.Model,
 		Tokens:         f.Tokens,
 		PromptTokens:   int64(f.Usage.PromptTokens),
 		CachedTokens:   int64(f.Usage.CachedTokens),
@@ -42,6 +43,7 @@
 	f := &dispatch.Finished{
 		Ref:    ref,
 		Number: q.GetNumber(),
+		Model:  q.GetModel(),
 		Tokens: q.GetTokens(),
 		Usage: engineapi.Usage{
 			PromptTokens:     int(q.GetPromptTokens()),
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -39,6 +39,7 @@
 	shards  map[int]*shardWriter
 	fresh   map[*shardWriter]struct{} // each made for one question
 	waiting map[ledger.Owner]chan ledger.Action
+	own     *outcomes // of this daemon's orders, until they are stored
 }
 
 // shardWriter is a writer of one shard with its calls to the store.
@@ -75,6 +76,7 @@
 			shards:  make(map[int]*shardWriter),
 			fresh:   make(map[*shardWriter]struct{}),
 			waiting: make(map[ledger.Owner]chan ledger.Action),
+			own:     newOutcomes(),
 		}),
 		objects: objects.As(budget.Intent),
 		standby: func(int) (peerInfo, bool) { return peerInfo{}, false },
@@ -238,6 +240,10 @@
 func (d *ledgerDuty) recordBy(ctx context.Context, in ledger.Intent, writer func(*ledgerState) *shardWriter) ledger.Action {
 	answer := make(chan ledger.Action, 1)
 	asked := d.ask(func(now time.Time, s *ledgerState) {
+		if known := s.own.answer(now, in); known != nil {
+			answer <- known
+			return
+		}
 		s.waiting[in.Owner] = answer
 		w := writer(s)
 		d.perform(s, w, w.Intend(now, in))
@@ -269,14 +275,15 @@
 }
 
 func (d *ledgerDuty) settle(ref request.Ref, owner ledger.Owner, digest request.Digest, o ledger.Outcome) {
-	d.after(ref, owner, digest, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+	d.after(ref, owner, digest, func(s *ledgerState, g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+		s.own.add(now, in, o)
 		return g.Outcome(now, in, o)
 	})
 }
 
 // abandon frees a key whose one dispatch certainly did not run.
 func (d *ledgerDuty) abandon(ref request.Ref, owner ledger.Owner, digest request.Digest) {
-	d.after(ref, owner, digest, func(g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
+	d.after(ref, owner, digest, func(_ *ledgerState, g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
 		return g.Abandon(now, in)
 	})
 }
@@ -284,7 +291,7 @@
 // after changes the record of an intent that was granted. The change replaces
 // the whole record, so it carries the digest: without it, a repeat of the same
 // request would be taken for another one under the same key.
-func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, digest request.Digest, f func(*ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
+func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, digest request.Digest, f func(*ledgerState, *ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
 	key, err := ledger.ParseKey(time.Now(), string(ref.ID), 2*ledger.DefaultWindow)
 	if err != nil {
 		return
@@ -293,6 +300,6 @@
 	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
 	d.tell(func(now time.Time, s *ledgerState) {
 		w := s.shard(shard)
-		d.perform(s, w, f(w.GroupCommit, now, in))
+		d.perform(s, w, f(s, w.GroupCommit, now, in))
 	})
 }
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -67,7 +67,7 @@
 		return errUnknownRequest
 	}
 	defer a.Close()
-	if err := stream.Send(&peerpb.Piece{Offset: q.GetFrom()}); err != nil {
+	if err := stream.Send(&peerpb.Piece{Offset: q.GetFrom(), Model: a.Model()}); err != nil {
 		return err
 	}
 	at := int(q.GetFrom())
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -4,10 +4,12 @@
 	"context"
 	"crypto/tls"
 	"errors"
+	stdlog "log"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"golang.org/x/net/netutil"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/certs"
@@ -131,15 +133,16 @@
 	s := &d.settings
 	l := &listeners{}
 	var err error
-	if l.callers, err = listen(s.Listen.Callers, files(s.TLS.Callers)); err != nil {
+	// The limit is below TLS: net/http tells a request's scheme by its connection.
+	limit := func(l net.Listener) net.Listener { return netutil.LimitListener(l, s.Limits.MaxConnections) }
+	if l.callers, err = listen(s.Listen.Callers, files(s.TLS.Callers), limit); err != nil {
 		return nil, err
 	}
-	l.callers = netutil.LimitListener(l.callers, s.Limits.MaxConnections)
-	if l.operators, err = listen(s.Listen.Operators, files(s.TLS.Operators)); err != nil {
+	if l.operators, err = listen(s.Listen.Operators, files(s.TLS.Operators), nil); err != nil {
 		return nil, errors.Join(err, l.callers.Close())
 	}
 	mutual := certs.Files{Certificate: s.TLS.Peers.Certificate, Key: s.TLS.Peers.Key, Authority: s.TLS.Peers.Authority}
-	if l.peers, err = listenCounted(s.Listen.Peers, mutual, &d.peerBytes); err != nil {
+	if l.peers, err = listen(s.Listen.Peers, mutual, d.peerBytes.listen); err != nil {
 		return nil, errors.Join(err, l.callers.Close(), l.operators.Close())
 	}
 	return l, nil
@@ -149,22 +152,17 @@
 	return certs.Files{Certificate: p.Certificate, Key: p.Key}
 }
 
-// listen opens a listener, with TLS where certificate files are named.
-func listen(address string, f certs.Files) (net.Listener, error) {
+// listen opens a listener, with TLS where certificate files are named. wrap,
+// where it is not nil, sees the connections below TLS.
+func listen(address string, f certs.Files, wrap func(net.Listener) net.Listener) (net.Listener, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	return secured(l, f)
-}
-
-// listenCounted is listen with the connections' bytes counted.
-func listenCounted(address string, f certs.Files, count *byteCount) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, Error.Wrap(err)
+	if wrap != nil {
+		l = wrap(l)
 	}
-	return secured(count.listen(l), f)
+	return secured(l, f)
 }
 
 func secured(l net.Listener, f certs.Files) (net.Listener, error) {
@@ -180,6 +178,7 @@
 
 func (d *Daemon) serveHTTP(l net.Listener, h http.Handler, part logging.Part) {
 	server := &http.Server{
+		ErrorLog:          stdlog.New(logging.For(d.log, part).WriterLevel(logrus.DebugLevel), "", 0),
 		Handler:           h,
 		ReadHeaderTimeout: headerTimeout,
 		ReadTimeout:       d.settings.Limits.ReadTimeout,
--- a/internal/daemon/workspaces.go
+++ b/internal/daemon/workspaces.go
@@ -22,7 +22,11 @@
 	list := d.routing.current.Load().list
 	for _, m := range w.Models {
 		have := replicas(list, m.Ref)
+		other := replicas(list, fleet.ModelRef{Model: m.Ref.Model, Adapter: m.Ref.Adapter}) - have
 		switch {
+		case have == 0 && other > 0:
+			out.State = operator.StateAtRisk
+			out.Reason = fmt.Sprintf("%d engines hold another version of %s", other, m.Ref.Model)
 		case have == 0:
 			out.State = operator.StateLate
 			out.Reason = fmt.Sprintf("no engine holds %s", m.Ref.Model)
--- a/internal/deployment/layout.go
+++ b/internal/deployment/layout.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/cloud"
 )
 
 // Credentials of the development deployment. They are published and open
@@ -30,10 +31,10 @@
 	name  string
 	price float64
 }{
-	{"standard", 1.0},
-	{"standard", 1.1},
-	{"large", 1.4},
-	{"standard", 0.9},
+	{cloud.MediumClass, 1.0},
+	{cloud.MediumClass, 1.1},
+	{cloud.LargeClass, 1.4},
+	{cloud.SmallClass, 0.9},
 }
 
 // Options choose the size of the deployment.
--- a/internal/deployment/settings.go
+++ b/internal/deployment/settings.go
@@ -92,8 +92,5 @@
 	if err != nil {
 		return s, err
 	}
-	if err := settings.Decode(data, &s); err != nil {
-		return s, err
-	}
-	return s, settings.Locate(data, s.check())
+	return s, settings.DecodeChecked(data, &s, s.check)
 }
--- a/internal/dispatch/finished.go
+++ b/internal/dispatch/finished.go
@@ -14,6 +14,7 @@
 	Ref    request.Ref
 	Digest request.Digest
 	Number uint64 // of its transfer
+	Model  string
 	Tokens []string
 	Usage  engineapi.Usage
 	Spec   request.Spec
@@ -78,6 +79,7 @@
 		Ref:    r.ref,
 		Digest: r.digest,
 		Number: r.transfer + 1,
+		Model:  r.completion.Model,
 		Tokens: r.life.Answer().Tokens(0),
 		Usage:  r.end.Usage,
 		Spec:   r.life.Spec(),
@@ -91,7 +93,7 @@
 		return false
 	}
 	now := time.Now()
-	r := d.bareRun(f.Ref, f.Digest, engineapi.CompletionRequest{}, nil)
+	r := d.bareRun(f.Ref, f.Digest, engineapi.CompletionRequest{Model: f.Model}, nil)
 	r.transfer = f.Number
 	r.opened, r.released = true, true
 	r.end = &gateway.Part{Done: true, Usage: f.Usage}
--- a/internal/dispatch/reader.go
+++ b/internal/dispatch/reader.go
@@ -55,6 +55,9 @@
 	return p, true
 }
 
+// Model implements gateway.Answer.
+func (rd *reader) Model() string { return rd.run.completion.Model }
+
 // Close implements gateway.Answer.
 func (rd *reader) Close() {
 	rd.run.mu.Lock()
--- a/internal/gateway/backend.go
+++ b/internal/gateway/backend.go
@@ -34,6 +34,8 @@
 	// Next waits until the answer is longer than from tokens, or has ended.
 	// It returns ctx's error when ctx ends first.
 	Next(ctx context.Context, from int) (Part, error)
+	// Model returns the model that was asked for.
+	Model() string
 	// Close says that the caller no longer reads.
 	Close()
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -29,7 +29,8 @@
 	return p, nil
 }
 
-func (a *fakeAnswer) Close() {}
+func (a *fakeAnswer) Close()        {}
+func (a *fakeAnswer) Model() string { return "m" }
 
 // fakeBackend stands for everything behind the gateway.
 type fakeBackend struct {
--- a/internal/gateway/requests.go
+++ b/internal/gateway/requests.go
@@ -68,6 +68,7 @@
 	if p != nil {
 		return m, nil, p.For(string(m.id))
 	}
+	m.model = a.Model()
 	return m, a, nil
 }
 
--- a/internal/gateway/services.go
+++ b/internal/gateway/services.go
@@ -18,6 +18,9 @@
 		g.fail(w, "service", p)
 		return
 	}
+	if c.Key != "" {
+		w.Header().Set(RequestIDHeader, string(c.Key))
+	}
 	a, p := g.o.Services.Call(r.Context(), c)
 	if p != nil {
 		g.fail(w, "service", p.For(string(c.Key)))
