The first read of the instance list is spread over its own interval

Cause: it was spread over control.startSpread, so a daemon with a minute there had its templates from a peer after a second and was not ready for up to a minute.

--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -54,11 +54,12 @@
 	listing := &listingDuty{
 		instances: d.platform.Instances,
 		interval:  d.settings.Control.ListInterval,
-		spread:    d.settings.Control.StartSpread,
-		mustKnow:  d.mustKnowList,
-		bytes:     &d.listBytes,
-		onList:    d.onList,
-		log:       logging.For(d.log, logging.Platform),
+		// No longer than the reads are apart later: callers wait for the first.
+		spread:   min(d.settings.Control.StartSpread, d.settings.Control.ListInterval),
+		mustKnow: d.mustKnowList,
+		bytes:    &d.listBytes,
+		onList:   d.onList,
+		log:      logging.For(d.log, logging.Platform),
 	}
 	d.startControl(ctx)
 	go listing.run(ctx)
