--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -6,13 +6,8 @@
 	"errors"
 	"net/http"
 	"slices"
-	"strconv"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/audit"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/drain"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/operator"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
@@ -178,50 +173,6 @@
 	return operator.ChangeResult{Outcome: template.Refused, Reason: err.Error()}
 }
 
-// History implements operator.Backend.
-func (o *operators) History(ctx context.Context, name string) ([]operator.AuditEntry, error) {
-	r, err := o.existing(ctx, name)
-	if err != nil {
-		return nil, err
-	}
-	return trail(template.Kind+"/"+name, r.Audit, r.Version), nil
-}
-
-func trail(object string, t audit.Trail, current uint64) []operator.AuditEntry {
-	out := make([]operator.AuditEntry, 0, len(t.Entries))
-	for i, e := range t.Entries {
-		out = append(out, operator.AuditEntry{Object: object, Version: t.VersionAfter(i, current), Entry: e})
-	}
-	return out
-}
-
-// Audit implements operator.Backend.
-func (o *operators) Audit(ctx context.Context) ([]operator.AuditEntry, error) {
-	records, err := o.records(ctx)
-	if err != nil {
-		return nil, err
-	}
-	var out []operator.AuditEntry
-	for _, r := range records {
-		out = append(out, trail(template.Kind+"/"+r.Name, r.Audit, r.Version)...)
-	}
-	drains, err := o.objects.List(ctx, drain.Kind, "")
-	if err != nil {
-		return nil, err
-	}
-	for _, object := range drains.Objects {
-		r, err := drain.RecordOf(object)
-		if err != nil {
-			return nil, err
-		}
-		out = append(out, trail(drain.Kind+"/"+object.Name, r.Audit, r.Version)...)
-	}
-	slices.SortStableFunc(out, func(a, b operator.AuditEntry) int {
-		return cmp.Or(cmp.Compare(a.Entry.When, b.Entry.When), cmp.Compare(a.Version, b.Version))
-	})
-	return out, nil
-}
-
 // Spread implements operator.Backend.
 func (o *operators) Spread(ctx context.Context, name string) (operator.Spread, error) {
 	r, err := o.existing(ctx, name)
@@ -271,58 +222,6 @@
 	return out
 }
 
-// Drain implements operator.Backend.
-func (o *operators) Drain(ctx context.Context, id, who string, q operator.Drain) operator.ChangeResult {
-	// A wish for a mistyped id would be accepted and drain nothing.
-	if _, listed := o.daemon.routing.Address(fleet.EndpointID(id)); q.Drain && !listed {
-		return operator.ChangeResult{Outcome: template.Refused, Reason: "the instance list has no endpoint " + strconv.Quote(id)}
-	}
-	if _, ok := o.daemon.routing.current.Load().byID[fleet.EndpointID(id)]; !ok {
-		reason := "no endpoint is called " + strconv.Quote(id)
-		return operator.ChangeResult{Outcome: template.Refused, Reason: reason, Problems: []template.Problem{{Message: reason}}}
-	}
-	object, err := o.objects.Get(ctx, drain.Kind, id)
-	var missing *platform.NotFound
-	if err != nil && !errors.As(err, &missing) {
-		return o.past.unread(q.Operation, err)
-	}
-	object.Name = id
-	current, err := drain.RecordOf(object)
-	if err != nil {
-		return refusedChange(err)
-	}
-	value, err := current.Next(time.Now(), q.Drain, who, q.Why, q.Operation)
-	if err != nil {
-		return operator.ChangeResult{Outcome: template.Refused, Reason: err.Error(), Problems: []template.Problem{{Message: err.Error()}}}
-	}
-	mine := func(found objectapi.Object) bool {
-		r, err := drain.RecordOf(found)
-		return err == nil && r.Audit.Find(q.Operation) >= 0
-	}
-	var w platform.WriteResult
-	if current.Version == 0 {
-		w = o.objects.CreateOrReadBack(ctx, drain.Kind, id, value, mine)
-	} else {
-		w = o.objects.UpdateOrReadBack(ctx, drain.Kind, id, value, current.Version, mine)
-	}
-	return o.past.keep(q.Operation, writeResult(w))
-}
-
-func writeResult(w platform.WriteResult) operator.ChangeResult {
-	out := operator.ChangeResult{Version: w.Object.Version, Current: w.Object.Version}
-	switch w.State {
-	case platform.WriteAccepted:
-		out.Outcome = template.Accepted
-	case platform.WriteUnknown:
-		out.Outcome, out.Reason = template.Unknown, w.Err.Error()
-	case platform.WriteNotSent:
-		out = refusedChange(w.Err)
-	default:
-		out.Outcome, out.Reason = template.Refused, "another change came first"
-	}
-	return out
-}
-
 // Entries implements operator.Backend.
 func (o *operators) Entries() []operator.EntryStatus {
 	peers := o.daemon.roster.view.Load().all
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -21,6 +21,8 @@
 	placementShard = 0
 	// placementInterval is the longest time between two plans.
 	placementInterval = 2 * time.Second
+	// placementLeast is the shortest.
+	placementLeast = 50 * time.Millisecond
 	// weightRate is assumed of the weight store, bytes a second.
 	weightRate = 2 << 30
 	// defaultWeightBytes is assumed of a model that the weight store could not
@@ -48,10 +50,26 @@
 // run plans while the lease is held. A later holder starts from what engines
 // report.
 func (p *placer) run(ctx context.Context) {
-	p.leases.whileHeld(ctx, placementDuty, placementInterval, p.plan, func() { p.planner = nil })
+	p.leases.whileHeld(ctx, placementDuty, placementInterval, p.work, func() { p.planner = nil })
 }
 
-func (p *placer) plan(ctx context.Context) {
+// work plans as often as the plans ask for, until the next regular one. The
+// weight store gives out small adapters many times a second: one load for each
+// interval would take half an hour to bring a version to all of 690 engines.
+func (p *placer) work(ctx context.Context) {
+	end := time.Now().Add(placementInterval)
+	for again := p.plan(ctx); !again.IsZero() && again.Before(end); again = p.plan(ctx) {
+		select {
+		case <-time.After(max(time.Until(again), placementLeast)):
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+// plan carries a plan out and returns when it wants the next one, zero when
+// only news matter.
+func (p *placer) plan(ctx context.Context) time.Time {
 	list := p.routing.current.Load().list
 	if p.planner == nil {
 		p.planner = placement.New(placement.DefaultConfig(p.engineRate(list), weightRate))
@@ -65,6 +83,7 @@
 	for _, m := range result.Waiting {
 		p.log.WithField("model", m.Model).Warn("no engine has room")
 	}
+	return result.Again
 }
 
 // order gives one order, if the lease still allows it at this moment.
--- a/internal/daemon/reclaim.go
+++ b/internal/daemon/reclaim.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"math"
-	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -35,6 +35,7 @@
 	planner *reclaim.Planner
 	notices map[fleet.EndpointID]reclaim.Notice
 	due     []reclaim.Move
+	recent  []time.Time // of planned moves whose room is still reserved, oldest first
 }
 
 // reclaimDuty moves this daemon's streams off endpoints under notice. It needs
@@ -118,8 +119,14 @@
 	for _, n := range s.notices {
 		notices = append(notices, n)
 	}
-	for _, m := range s.planner.Plan(now, notices, streams, d.targets(streams)) {
+	s.recent = slices.DeleteFunc(s.recent, func(at time.Time) bool { return now.Sub(at) > reclaim.DefaultPolicy().Keep })
+	targets := d.targets(streams)
+	spread(targets, len(streams)+len(s.recent))
+	for _, m := range s.planner.Plan(now, notices, streams, targets) {
 		d.log.WithField("request", m.Ref.ID).WithField("endpoint", m.From).Infof("reclaim: %s to %s", m.Method, m.To)
+		if m.To != "" {
+			s.recent = append(s.recent, now)
+		}
 		if m.Method != reclaim.Finish {
 			s.due = append(s.due, m)
 		}
@@ -157,7 +164,7 @@
 				Endpoint:   p.Endpoint,
 				DataCentre: p.DataCentre,
 				Models:     d.modelsOf(p.Endpoint),
-				FreeSlots:  shareOf(p.Free, d.daemons()),
+				FreeSlots:  p.Free,
 				FreeTokens: math.MaxInt32,
 			})
 		}
@@ -165,19 +172,25 @@
 	return out
 }
 
-// shareOf returns this daemon's part of a target's free slots; a fraction of a
-// slot is drawn.
+// spread lets each target take its part of so many streams and no more.
 //
 // Failure: all daemons that hold streams of the same endpoints plan at once,
-// from the same reports. Symptom: each takes all the room there is, and streams
-// wait for seconds in one target's queue while others have slots free.
-func shareOf(free, daemons int) int {
-	daemons = max(1, daemons)
-	share := free / daemons
-	if rand.IntN(daemons) < free%daemons {
-		share++
+// from the same reports. Symptom: by chance some targets are drawn more often,
+// by all of them together, and streams wait for seconds in one target's queue
+// while others have slots free. When each daemon's streams are spread in
+// proportion to the room, all of them together are.
+func spread(targets []reclaim.Target, streams int) {
+	total := 0
+	for _, t := range targets {
+		total += t.FreeSlots
+	}
+	for i := range targets {
+		t := &targets[i]
+		if t.FreeSlots > 0 {
+			part := (streams*t.FreeSlots + total - 1) / total
+			t.FreeSlots = min(t.FreeSlots, part)
+		}
 	}
-	return share
 }
 
 func (d *reclaimDuty) places(m fleet.ModelRef) []routing.Place {
--- a/internal/daemon/roles_test.go
+++ b/internal/daemon/roles_test.go
@@ -39,3 +39,11 @@
 		}
 	}
 }
+
+// BenchmarkLedgerRoles is what a new view costs.
+func BenchmarkLedgerRoles(b *testing.B) {
+	v := testView(340)
+	for b.Loop() {
+		v.ledgerRoles("daemon-7")
+	}
+}
