--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -16,15 +16,12 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -182,81 +179,6 @@
 	d.metrics.ringGauges("directory", d.locator.ring.Depth, d.locator.ring.Drops, d.locator.ring.Refused)
 }
 
-// controlShards returns the shards of the duties that need a lease.
-func controlShards() []lease.Shard {
-	return append(lease.Shards(placementDuty, 1), lease.Shards(capacityDuty, 1)...)
-}
-
-// wireControl makes the duties that need a lease.
-func (d *Daemon) wireControl(client *endpoint.Engines) {
-	s := &d.settings
-	d.leasing = newLeasingDuty(d.run, controlShards(), d.platform.Objects, s.Control.StartSpread, logging.For(d.log, logging.Capacity))
-	d.leasing.onHeld = d.platform.SetLeaseRole
-	d.leasing.ready = func() bool { return d.state.NotReady() == "" }
-	d.leasing.alive = d.roster.candidates
-	d.placer = &placer{
-		leases:        d.leasing,
-		routing:       d.routing,
-		observing:     d.observing,
-		engines:       client,
-		weights:       d.platform.Weights,
-		configuration: d.configuration,
-		room:          s.Placement.ModelsPerEngine,
-		bytes:         make(map[fleet.ModelRef]int64),
-		log:           logging.For(d.log, logging.Capacity),
-	}
-}
-
-func (d *Daemon) dispatchOptions(client *endpoint.Engines) dispatch.Options {
-	s := &d.settings
-	policy := request.DefaultPolicy()
-	policy.FirstPiece = s.Routing.FirstToken
-	policy.Progress = s.Routing.BetweenTokens
-	return dispatch.Options{
-		Instance: s.Instance,
-		Daemon:   d.run,
-		// The life watches each stream's progress; the client's own deadlines
-		// are the second line, for what never reaches the life.
-		Engines:   &engines{client: client, first: 2 * policy.FirstPiece, between: 2 * policy.Progress},
-		Router:    d.routing,
-		Admission: d.admission,
-		Locator:   d.locator,
-		Intents:   d.ledger,
-		Peers:     &handoverPeers{roster: d.roster, client: d.peers},
-		NonIdempotent: func(m fleet.ModelRef, w fleet.WorkspaceID) bool {
-			model, ok := d.configuration.model(w, m)
-			return ok && model.NonIdempotent
-		},
-		Model: func(w fleet.WorkspaceID, m fleet.ModelRef) (fleet.ModelRef, bool) {
-			model, ok := d.configuration.model(w, m)
-			return d.served(model, m.Version), ok
-		},
-		Priority: d.configuration.priority,
-		Observer: d.metrics,
-		Policy:   policy,
-		Address:  d.roster.callersAddress,
-		Timeout:  s.Limits.RequestTimeout,
-		Limits:   request.TableLimits{Live: s.Limits.MaxRequests, Bytes: int(s.Limits.RetainBytes), Retention: s.Limits.Retain},
-		Log:      logging.For(d.log, logging.Dispatch),
-	}
-}
-
-// served returns the model that a request goes to: the template's version once
-// as many engines hold it as the template wants, any version before. Without
-// that, an amended template would send every request to the first engine that
-// has loaded the new version, or to none.
-func (d *Daemon) served(m template.Model, asked string) fleet.ModelRef {
-	if asked != "" || m.Ref.Version == "" {
-		return m.Ref
-	}
-	list := d.routing.current.Load().list
-	any := fleet.ModelRef{Model: m.Ref.Model, Adapter: m.Ref.Adapter}
-	if have := replicas(list, m.Ref); have >= m.MinReplicas || have == replicas(list, any) {
-		return m.Ref
-	}
-	return any
-}
-
 // probe opens a new connection to an endpoint and closes it.
 func probe(ctx context.Context, address string) error {
 	dialer := net.Dialer{Timeout: endpoint.DefaultDialTimeout}
@@ -279,49 +201,6 @@
 	}
 }
 
-// onObjects takes changes of the kinds that are not templates.
-func (d *Daemon) onObjects(objects []objectapi.Object) {
-	if !d.drains.apply(objects) {
-		return
-	}
-	if list := d.listed.Load(); list != nil {
-		d.routing.setEndpoints(d.drains.mark(list.Endpoints))
-	}
-}
-
-// onList takes a new answer of the instance list.
-func (d *Daemon) onList(list listapi.List) {
-	defer d.listBusy.since(time.Now())
-	d.listed.Store(&list)
-	if len(list.Entries) > 0 {
-		d.state.listed.Store(true) // an empty list is of a platform that has just started
-	}
-	d.routing.setEndpoints(d.drains.mark(list.Endpoints))
-	for _, e := range leavingEndpoints(list) {
-		d.noticed(e)
-	}
-	if !d.membership.node.View().Joined() {
-		d.roster.setList(list.Entries)
-	}
-	d.membership.seeds(list.Entries)
-	// The list's count, not the membership's: parts of a fleet that lost each
-	// other still share one platform.
-	d.platform.SetFleetSize(max(1, len(list.Entries)))
-	d.observing.forget(d.routing.current.Load().byID)
-}
-
-// noticed acts on an endpoint that leaves: routing sends it nothing more, and
-// this daemon's streams on it are moved in time.
-func (d *Daemon) noticed(e fleet.Endpoint) {
-	at := time.Time{}
-	if e.LeaveAt > 0 {
-		at = time.UnixMilli(e.LeaveAt)
-	}
-	d.routing.notice(e.ID, at)
-	d.dispatcher.Notice(e.ID, at)
-	d.reclaim.notice(e, at)
-}
-
 // ledgerWriter returns the daemon that writes a ledger shard, if it is another.
 func (d *Daemon) ledgerWriter(shard int) (peerInfo, bool) {
 	v := d.roster.view.Load()
