--- a/internal/platform/budget/doc.go
+++ b/internal/platform/budget/doc.go
@@ -5,5 +5,9 @@
 // breaker for each API, and jitter wherever many daemons would call at once
 // (start, the end of an outage, a change that all of them see).
 //
+// Some duties are few daemons' alone: each shard of the ledger has one writer,
+// each control shard one holder of its lease. For them parts of the rates are
+// set apart, which follow the role. See docs/adr/0012-platform-budget.md.
+//
 // The package does no I/O: methods take now and return decisions.
 package budget
