Outcomes of orders are stored by the shard's writer

Change: an outcome whose record is not known here is written, its condition finds the record; outcomes and freed keys go to the shard's writer, which remembers them until they are stored.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -149,6 +149,7 @@
 	d.ledger.writer = d.ledgerWriter
 	d.ledger.standby = d.ledgerStandby
 	d.ledger.forward = d.forwardIntent
+	d.ledger.settleAt = d.settleAt
 	d.ledger.self = d.run
 	d.ledger.daemon = d.roster.daemon
 	d.locator = newLocator(d.state, d.roster, d.peers, s.Limits, logging.For(d.log, logging.Peer))
--- a/internal/daemon/idleengines.go
+++ b/internal/daemon/idleengines.go
@@ -5,8 +5,9 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/placement"
 )
 
-// useIdle raises the wants so that engines that hold nothing get a model, in
-// proportion to the replicas that the templates ask for.
+// useIdle raises the wants, while there are engines that hold nothing, so that
+// these get a model, in proportion to the replicas that the templates ask for.
+// Engines with another version of a model count as held: all get the new one.
 //
 // Failure: capacity buys more engines than the templates name replicas, to
 // stand the loss of a data centre, and nobody loads a model there. Symptom: the
@@ -20,7 +21,8 @@
 	}
 	asked, held := make([]int, len(wants)), make([]int, len(wants))
 	for i, w := range wants {
-		asked[i], held[i] = max(1, w.Min), replicas(list, w.Model)
+		anyVersion := fleet.ModelRef{Model: w.Model.Model, Adapter: w.Model.Adapter}
+		asked[i], held[i] = max(1, w.Min), replicas(list, anyVersion)
 	}
 	for range idleEngines(list) {
 		i := scarcest(asked, held)
--- a/internal/daemon/leasing.go
+++ b/internal/daemon/leasing.go
@@ -203,6 +203,16 @@
 	return fencing, deadline, ok
 }
 
+// waitOut returns how long orders to endpoints that ignore fencing numbers must
+// still wait.
+func (p permit) waitOut() (wait time.Duration) {
+	if p.shard < 0 {
+		return 0
+	}
+	p.duty.ask(func(now time.Time, s *lease.Set) { wait = s.Lease(p.shard).WaitOut(now) })
+	return wait
+}
+
 // giveUp gives the leases up, each once its orders have ended, so that others
 // need not wait for them to run out.
 func (d *leasingDuty) giveUp() {
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -13,7 +14,6 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 )
 
 const (
@@ -63,9 +63,12 @@
 	writer  func(shard int) (peerInfo, bool) // another daemon that writes the shard
 	standby func(shard int) (peerInfo, bool) // another daemon that writes it when that one doesn't answer
 	forward func(ctx context.Context, p peerInfo, shard int, in ledger.Intent) (ledger.Action, error)
-	self    fleet.DaemonID
-	daemon  func(fleet.DaemonID) (peerInfo, bool)
-	log     *logrus.Entry
+	// settleAt asks another daemon, the shard's writer, to change a record.
+	settleAt func(ctx context.Context, p peerInfo, shard int, in ledger.Intent, o *ledger.Outcome) error
+	changing atomic.Int64 // changes that other daemons are asked for
+	self     fleet.DaemonID
+	daemon   func(fleet.DaemonID) (peerInfo, bool)
+	log      *logrus.Entry
 }
 
 var _ dispatch.Intents = (*ledgerDuty)(nil)
@@ -268,38 +271,3 @@
 		d.perform(s, w, w.Abandon(now, in))
 	})
 }
-
-// Settle implements dispatch.Intents.
-func (d *ledgerDuty) Settle(ref request.Ref, owner string, digest request.Digest, o ledger.Outcome) {
-	d.settle(ref, ledger.Owner(owner), digest, o)
-}
-
-func (d *ledgerDuty) settle(ref request.Ref, owner ledger.Owner, digest request.Digest, o ledger.Outcome) {
-	d.after(ref, owner, digest, func(s *ledgerState, g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
-		s.own.add(now, in, o)
-		return g.Outcome(now, in, o)
-	})
-}
-
-// abandon frees a key whose one dispatch certainly did not run.
-func (d *ledgerDuty) abandon(ref request.Ref, owner ledger.Owner, digest request.Digest) {
-	d.after(ref, owner, digest, func(_ *ledgerState, g *ledger.GroupCommit, now time.Time, in ledger.Intent) []ledger.Action {
-		return g.Abandon(now, in)
-	})
-}
-
-// after changes the record of an intent that was granted. The change replaces
-// the whole record, so it carries the digest: without it, a repeat of the same
-// request would be taken for another one under the same key.
-func (d *ledgerDuty) after(ref request.Ref, owner ledger.Owner, digest request.Digest, f func(*ledgerState, *ledger.GroupCommit, time.Time, ledger.Intent) []ledger.Action) {
-	key, err := ledger.ParseKey(time.Now(), string(ref.ID), 2*ledger.DefaultWindow)
-	if err != nil {
-		return
-	}
-	in := ledger.Intent{Workspace: ref.Workspace, Key: key, Owner: owner, Digest: ledger.Digest(digest)}
-	shard := ledger.ShardOf(in.Workspace, in.Key, ledgerShards)
-	d.tell(func(now time.Time, s *ledgerState) {
-		w := s.shard(shard)
-		d.perform(s, w, f(s, w.GroupCommit, now, in))
-	})
-}
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -39,6 +39,9 @@
 	d.self = self
 	d.writer = func(int) (peerInfo, bool) { return peerInfo{}, false }
 	d.daemon = func(fleet.DaemonID) (peerInfo, bool) { return peerInfo{}, false }
+	d.settleAt = func(context.Context, peerInfo, int, ledger.Intent, *ledger.Outcome) error {
+		return errors.New("not reached")
+	}
 	ctx, cancel := context.WithCancel(t.Context())
 	t.Cleanup(func() {
 		cancel()
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -71,12 +72,16 @@
 // only news matter.
 func (p *placer) plan(ctx context.Context) time.Time {
 	list := p.routing.current.Load().list
+	permit := p.leases.permit(placementDuty, placementShard)
+	if wait := permit.waitOut(); wait > 0 && slices.ContainsFunc(list, unfenced) {
+		// Orders that can't leave yet would count as given for ten seconds.
+		return time.Now().Add(wait)
+	}
 	if p.planner == nil {
 		p.planner = placement.New(placement.DefaultConfig(p.engineRate(list), weightRate))
 	}
 	now := time.Now()
 	result := p.planner.Plan(now, p.wants(ctx, list), p.reports(list))
-	permit := p.leases.permit(placementDuty, placementShard)
 	for _, o := range result.Orders {
 		p.order(ctx, permit, o)
 	}
@@ -86,6 +91,8 @@
 	return result.Again
 }
 
+func unfenced(e fleet.Endpoint) bool { return e.Kind == fleet.EngineEndpoint && !e.Fences }
+
 // order gives one order, if the lease still allows it at this moment.
 func (p *placer) order(ctx context.Context, permit permit, o placement.Order) {
 	e, ok := p.routing.current.Load().byID[o.Engine]
--- a/internal/daemon/settling.go
+++ b/internal/daemon/settling.go
@@ -31,7 +31,7 @@
 }
 
 func (d *ledgerDuty) quiet() bool {
-	quiet := true
+	quiet := d.changing.Load() == 0
 	d.ask(func(_ time.Time, s *ledgerState) {
 		for _, w := range s.shards {
 			quiet = quiet && w.quiet()
--- a/internal/ledger/entry_settle.go
+++ b/internal/ledger/entry_settle.go
@@ -4,7 +4,10 @@
 // false when the entry has still to be written.
 func (e *entry) settle(existing *Record, object string, version uint64) (bool, []Action) {
 	if e.state != Intended {
-		return existing == nil || existing.Owner != e.intent.Owner || existing.State != Intended, nil
+		// A record that is not known here is written: another daemon may have
+		// recorded the intent, and this writer's view is older. The write's
+		// condition fails then, and the record is found.
+		return existing != nil && (existing.Owner != e.intent.Owner || existing.State != Intended), nil
 	}
 	found := judge(e.intent, existing)
 	if found == judgeOwn {
