--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -105,7 +105,6 @@
 	peers      map[fleet.DaemonID]*Dispatcher
 	loseReply  int // replies to offers that get lost
 	offers     int
-	claimed    directory.Holding
 }
 
 func (f *fakeDeps) Pick(*routing.Request) (routing.Choice, error) {
