A request's directory daemons are its workspace's entries

Change: owners are drawn among the workspace's few entries, who exchange demand over kept connections anyway; a lookup still asks three daemons at the most.

--- a/internal/daemon/locator.go
+++ b/internal/daemon/locator.go
@@ -70,12 +70,21 @@
 	go l.announce(ctx)
 }
 
-// owners returns the directory daemons of a request, best first.
-func (l *locator) owners(id fleet.RequestID, n int) []peerInfo {
-	v := l.roster.view.Load()
+// owners returns the directory daemons of a request, best first: some of its
+// workspace's entries. Among all daemons, each announcement would go to another
+// one, over a connection of its own: 3.9 KB and 2 ms each with TLS, 48 times a
+// second at 340 daemons. A workspace's entries are few and talk all the time.
+func (l *locator) owners(workspace fleet.WorkspaceID, id fleet.RequestID, n int) []peerInfo {
+	entries := l.roster.entries(workspace)
+	byName := make(map[string]peerInfo, len(entries))
+	names := make([]string, 0, len(entries))
+	for _, p := range entries {
+		byName[string(p.Instance)] = p
+		names = append(names, string(p.Instance))
+	}
 	out := make([]peerInfo, 0, n)
-	for _, instance := range directory.Owners(id, v.serving, n) {
-		out = append(out, *v.byID[fleet.InstanceID(instance)])
+	for _, name := range directory.Owners(id, names, n) {
+		out = append(out, byName[name])
 	}
 	return out
 }
@@ -83,7 +92,7 @@
 // Claim implements dispatch.Locator. The first owner decides, so that two
 // daemons with one key agree; the second one gets a copy.
 func (l *locator) Claim(ctx context.Context, h directory.Holding) directory.Holding {
-	for _, p := range l.owners(h.Request, directory.Copies) {
+	for _, p := range l.owners(h.Workspace, h.Request, directory.Copies) {
 		won, err := l.claimAt(ctx, p, h)
 		if err == nil {
 			return won
@@ -133,8 +142,8 @@
 }
 
 // Lookup implements dispatch.Locator.
-func (l *locator) Lookup(ctx context.Context, id fleet.RequestID) (directory.Holding, bool) {
-	for _, p := range l.owners(id, directory.Reach) {
+func (l *locator) Lookup(ctx context.Context, workspace fleet.WorkspaceID, id fleet.RequestID) (directory.Holding, bool) {
+	for _, p := range l.owners(workspace, id, directory.Reach) {
 		h, ok := l.lookupAt(ctx, p, id)
 		if ok && h.Holder != l.self {
 			return h, true
@@ -187,7 +196,7 @@
 	byPeer := make(map[fleet.InstanceID][]directory.Holding)
 	peers := make(map[fleet.InstanceID]peerInfo)
 	for _, h := range batch {
-		for _, p := range l.owners(h.Request, directory.Copies) {
+		for _, p := range l.owners(h.Workspace, h.Request, directory.Copies) {
 			byPeer[p.Instance] = append(byPeer[p.Instance], h)
 			peers[p.Instance] = p
 		}
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -175,7 +175,7 @@
 
 // Spread implements operator.Backend.
 func (o *operators) Spread(ctx context.Context, name string) (operator.Spread, error) {
-	r, err := o.existing(ctx, name)
+	version, err := o.newest(ctx, name)
 	if err != nil {
 		return operator.Spread{}, err
 	}
@@ -184,8 +184,8 @@
 	for _, p := range peers {
 		views = append(views, template.View{Daemon: p.Daemon, Digest: o.digest(p), Reachable: p.Alive})
 	}
-	out := operator.Spread{Name: name, Version: r.Version, InForce: true}
-	for i, s := range o.daemon.configuration.status(name, r.Version, views) {
+	out := operator.Spread{Name: name, Version: version, InForce: true}
+	for i, s := range o.daemon.configuration.status(name, version, views) {
 		out.Daemons = append(out.Daemons, operator.DaemonSpread{Instance: peers[i].Instance, State: s.State, Newest: s.Newest})
 		if s.State == template.SpreadBehind || s.State == template.SpreadUnproven {
 			out.InForce = false
@@ -194,6 +194,21 @@
 	return out, nil
 }
 
+// newest returns a template's stored version. While the store is away it is the
+// version in force here: a daemon with a newer one, which spreads without the
+// store, is then shown as unproven.
+func (o *operators) newest(ctx context.Context, name string) (uint64, error) {
+	r, err := o.existing(ctx, name)
+	var p *problem.Problem
+	if err == nil || errors.As(err, &p) {
+		return r.Version, err
+	}
+	if version := o.daemon.configuration.snapshot.Load().Version(name); version > 0 {
+		return version, nil
+	}
+	return 0, err
+}
+
 // digest returns a daemon's digest; this one's own is known at first hand.
 func (o *operators) digest(p peerInfo) template.Digest {
 	if p.Instance == o.daemon.settings.Instance {
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -41,7 +41,7 @@
 	Claim(ctx context.Context, h directory.Holding) directory.Holding
 	// Announce registers a holding in the background.
 	Announce(h directory.Holding)
-	Lookup(ctx context.Context, id fleet.RequestID) (directory.Holding, bool)
+	Lookup(ctx context.Context, workspace fleet.WorkspaceID, id fleet.RequestID) (directory.Holding, bool)
 	// Follow reads the answer of a request that another daemon holds. With the
 	// digest of a caller's body it returns ErrOtherBody where the holder's
 	// request has another one; a zero digest matches any.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -205,7 +205,7 @@
 	if a := d.Held(workspace, id); a != nil {
 		return a, nil
 	}
-	h, ok := d.o.Locator.Lookup(ctx, id)
+	h, ok := d.o.Locator.Lookup(ctx, workspace, id)
 	if !ok || h.Workspace != workspace {
 		return nil, unknownRequest()
 	}
@@ -230,7 +230,7 @@
 	if d.CancelHeld(workspace, id) {
 		return nil
 	}
-	h, ok := d.o.Locator.Lookup(ctx, id)
+	h, ok := d.o.Locator.Lookup(ctx, workspace, id)
 	if ok && h.Workspace == workspace && d.o.Locator.Cancel(ctx, h) {
 		return nil
 	}
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -140,7 +140,7 @@
 func (f *fakeDeps) AttemptFailed(string) {}
 func (f *fakeDeps) Ended(string)         {}
 func (f *fakeDeps) Recomputed(int)       {}
-func (f *fakeDeps) Lookup(context.Context, fleet.RequestID) (directory.Holding, bool) {
+func (f *fakeDeps) Lookup(context.Context, fleet.WorkspaceID, fleet.RequestID) (directory.Holding, bool) {
 	return directory.Holding{}, false
 }
 
