--- a/integration/control_capacity_test.go
+++ b/integration/control_capacity_test.go
@@ -51,10 +51,9 @@
 }
 
 // Every reclaimable start is refused. The missing engines must be bought on
-// demand, once the patience of the settings is over and not before all other
-// choices were asked for. Later the template asks for fewer: the surplus must
-// be drained and given back while requests keep all engines busy, without
-// cutting one off.
+// demand once the patience of the settings is over. Later the template asks for
+// fewer: the surplus must be drained and given back while requests keep all
+// engines busy, without cutting one off.
 func TestCapacityOnDemandAndGivingBack(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withCapacity)
--- a/integration/control_exitstatus_test.go
+++ b/integration/control_exitstatus_test.go
@@ -19,12 +19,11 @@
 	statusUnknown  = 3
 )
 
-// An operator's commands meet each end that a change can have: it is accepted;
-// it is refused, because another one came first; its answer is lost and the
-// store goes away before it can be read back, so that nobody knows. The exit
-// statuses must tell these apart. Asking again about the same operation must
-// not be answered with "refused" while the store is away, and must tell what
-// became of it afterwards, without a second version.
+// An operator's changes are accepted, refused because another one came first,
+// and unknown: the answer is lost and the store goes away before it can be read
+// back. The exit statuses must tell these apart. Asking again must never be
+// answered with "refused" for what may stand, must tell what became of the
+// change once the store is back, and must not make a second version.
 func TestExitStatusesOfChanges(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
--- a/integration/control_operators_test.go
+++ b/integration/control_operators_test.go
@@ -23,11 +23,10 @@
 func changesEach() int { return scaled(10, 50) }
 
 // Ten operators amend one template at once through different daemons, while
-// the store loses the answer of one write in five. Each repeats what was
-// refused from a fresh read until all its changes are accepted. What they are
-// told must be the story of one line of versions, each accepted change must be
-// in history and audit once and no refused one, and no daemon may ever show a
-// lower version after a higher one.
+// the store loses one answer in five; each repeats what was refused. What they
+// are told must be the story of one line of versions, with each accepted change
+// once in history and audit and no refused one. No daemon may ever show a lower
+// version after a higher one.
 func TestOperatorsAmendOneTemplateAtOnce(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withOperators)
--- a/integration/control_spread_test.go
+++ b/integration/control_spread_test.go
@@ -24,12 +24,11 @@
 	return o
 }
 
-// An operator's change is accepted in the very moment in which the store goes
-// away: one of nine daemons knows of it. It must be in force everywhere while
-// the store is still away. A daemon that is killed and starts again meanwhile
-// must refuse callers while it reaches neither the store nor a peer, and must
-// have the newest version once it serves them: no caller may be told that its
-// token is unknown.
+// A change is accepted in the very moment in which the store goes away: one of
+// nine daemons knows of it. It must be in force everywhere all the same. One that
+// starts anew meanwhile must refuse callers while it reaches neither store nor
+// peer, and have the newest version once it serves them: no caller may be told
+// that its token is unknown.
 func TestChangeSpreadsWithoutTheStore(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
@@ -41,6 +40,12 @@
 	second := c.amend(t, 3, "the store's last answer", withFirstToken(1002))
 	waitForDuty(t, "the change to be everywhere without the store", func() bool { return inForceAt(c.entries, second) })
 
+	waitForDuty(t, "the status to say so", func() bool {
+		s, err := c.developer(0).Spread(t.Context(), closing)
+		assert.NilError(t, err)
+		return s.InForce && s.Version == second
+	})
+
 	const restarted = 8
 	c.entries[restarted].send(t, syscall.SIGKILL)
 	c.entries[restarted].wait()
