--- a/integration/control_outage_test.go
+++ b/integration/control_outage_test.go
@@ -34,6 +34,7 @@
 func TestWaveInAnOutageOfTheStore(t *testing.T) {
 	t.Parallel()
 	o := roomy()
+	o.Engines += 4 // half of them hold the workers' requests as well
 	o.Entries = 4
 	c := deploy(t, o, func(l *deployment.Layout) {
 		for i := range l.Entries {
