--- /dev/null
+++ b/internal/balance/ask.go
@@ -0,0 +1,57 @@
+package balance
+
+import (
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+// Part is a piece of a prompt that other requests may share.
+type Part struct {
+	ID     uint64
+	Tokens int
+}
+
+// Ask is what a choice depends on.
+type Ask struct {
+	Service string
+	// Parts of the prompt in order; the last belongs to this request or its
+	// session. Empty for requests without a prompt.
+	Parts []Part
+	// Prompt and Output are tokens; Output may be an estimate.
+	Prompt, Output int
+	// Tried endpoints are not chosen again.
+	Tried []fleet.EndpointID
+}
+
+// subject returns the id of the deepest part that is shared, 0 without one.
+func (a *Ask) subject() uint64 {
+	if len(a.Parts) < 2 {
+		return 0
+	}
+	return a.Parts[len(a.Parts)-2].ID
+}
+
+// Choice is an endpoint with what was predicted for it.
+type Choice struct {
+	Endpoint roster.Endpoint
+	// Cached is the prompt's tokens that the endpoint is believed to hold.
+	Cached int
+	// Wait is the predicted time to the first token, in seconds.
+	Wait float64
+	// Home says that it is the subject's home.
+	Home bool
+	// Full says that all slots are believed taken.
+	Full bool
+}
+
+// Outcome says how an attempt ended.
+type Outcome uint8
+
+// The outcomes.
+const (
+	Answered  Outcome = iota // whole, by the endpoint
+	Refused                  // not run, by the endpoint's word
+	Failed                   // an error of the endpoint's, or a broken answer
+	Unreached                // no connection could be had
+	Left                     // the caller went, or its time was over
+)
--- /dev/null
+++ b/internal/balance/balancer.go
@@ -0,0 +1,173 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// Balancer chooses endpoints for one daemon. It is not safe for concurrent use.
+type Balancer struct {
+	self    fleet.DataCentre
+	rng     *rand.Rand
+	members map[fleet.EndpointID]*member
+	sets    map[string][]*member // by service, without those that leave
+	table   *route.Table
+	scratch []*member
+}
+
+// New returns a balancer for a daemon in a data centre. The random source
+// belongs to it from now on.
+func New(self fleet.DataCentre, rng *rand.Rand) *Balancer {
+	return &Balancer{
+		self:    self,
+		rng:     rng,
+		members: map[fleet.EndpointID]*member{},
+		sets:    map[string][]*member{},
+		table:   route.New(route.Table{}),
+	}
+}
+
+// Configure takes a newer configuration.
+func (b *Balancer) Configure(t *route.Table) {
+	b.table = t
+	for _, m := range b.members {
+		b.describe(m)
+	}
+}
+
+// SetEndpoints takes the newest list. What is known of those that stay is kept.
+func (b *Balancer) SetEndpoints(all []roster.Endpoint) {
+	listed := make(map[fleet.EndpointID]bool, len(all))
+	for _, e := range all {
+		listed[e.ID] = true
+		m := b.members[e.ID]
+		if m == nil {
+			m = &member{hash: rendezvous.Key(string(e.ID))}
+			b.members[e.ID] = m
+		}
+		m.Endpoint = e
+		b.describe(m)
+	}
+	for id := range b.members {
+		if !listed[id] {
+			delete(b.members, id)
+		}
+	}
+	b.sets = map[string][]*member{}
+	for _, e := range all {
+		if !e.Draining {
+			b.sets[e.Service] = append(b.sets[e.Service], b.members[e.ID])
+		}
+	}
+}
+
+// describe takes the service's description of its engines into a member.
+func (b *Balancer) describe(m *member) {
+	s := b.table.Service(m.Service)
+	m.engine = s != nil && s.Engine != nil
+	if m.engine {
+		m.parts.room = s.Engine.CacheTokens
+		if m.Slots == 0 {
+			m.Slots = s.Engine.Slots
+		}
+	}
+}
+
+// Others takes the load of all other daemons, by endpoint; endpoints that are
+// missing have none.
+func (b *Balancer) Others(load map[fleet.EndpointID]Load) {
+	for id, m := range b.members {
+		m.others = load[id]
+	}
+}
+
+// Own returns this daemon's load, by endpoint, where there is any.
+func (b *Balancer) Own() map[fleet.EndpointID]Load {
+	out := map[fleet.EndpointID]Load{}
+	for id, m := range b.members {
+		if m.own.Requests > 0 {
+			out[id] = m.own
+		}
+	}
+	return out
+}
+
+// Usable reports whether an endpoint is listed and not leaving.
+func (b *Balancer) Usable(id fleet.EndpointID) bool {
+	m := b.members[id]
+	return m != nil && !m.Draining
+}
+
+// Pick chooses an endpoint; ok is false where the service has none left.
+func (b *Balancer) Pick(now time.Time, a *Ask) (c Choice, ok bool) {
+	set := b.candidates(a)
+	home := b.home(a.subject(), set)
+	for _, avoided := range [...]bool{false, true} {
+		best := b.cheapest(now, a, set, home, avoided)
+		if best != nil {
+			return b.choice(a, best, home), true
+		}
+	}
+	return Choice{}, false
+}
+
+// cheapest returns a member of the least cost, drawn from those that are about
+// equal; nil where none may be chosen.
+func (b *Balancer) cheapest(now time.Time, a *Ask, set []*member, home *member, avoided bool) *member {
+	var best *member
+	least, equal := 0.0, 0
+	for _, m := range set {
+		if m.avoided(now) != avoided || slices.Contains(a.Tried, m.ID) {
+			continue
+		}
+		cost := b.cost(now, a, m, m == home)
+		switch {
+		case best == nil || cost < least-equalSeconds:
+			best, least, equal = m, cost, 1
+		case cost < least+equalSeconds:
+			equal++
+			if b.rng.IntN(equal) == 0 {
+				best = m
+			}
+			least = min(least, cost)
+		}
+	}
+	return best
+}
+
+// Sent notes an attempt at an endpoint.
+func (b *Balancer) Sent(a *Ask, c Choice) {
+	m := b.members[c.Endpoint.ID]
+	if m == nil {
+		return
+	}
+	m.own.Requests++
+	m.own.Unread += a.Prompt - c.Cached
+	m.parts.add(a.Parts)
+}
+
+// First notes an attempt's first token.
+func (b *Balancer) First(a *Ask, c Choice) {
+	if m := b.members[c.Endpoint.ID]; m != nil {
+		m.own.Unread = max(m.own.Unread-(a.Prompt-c.Cached), 0)
+	}
+}
+
+// Done notes an attempt's end. first says whether First was called.
+func (b *Balancer) Done(now time.Time, a *Ask, c Choice, first bool, o Outcome) {
+	m := b.members[c.Endpoint.ID]
+	if m == nil {
+		return
+	}
+	if !first {
+		b.First(a, c)
+	}
+	m.own.Requests = max(m.own.Requests-1, 0)
+	m.observe(now, o)
+}
--- /dev/null
+++ b/internal/balance/config.go
@@ -0,0 +1,63 @@
+package balance
+
+import "time"
+
+// The model of an endpoint's time. Figures are starting values for engines
+// that were not measured yet; observed first tokens correct readRate.
+const (
+	// readRate is the prompt tokens an engine reads a second: the slower of
+	// the platform's two published engine classes is 55 a millisecond.
+	readRate = 55_000.0
+	// slotSeconds is the added time to the first token of an engine whose
+	// slots are all taken, against an empty one: a step with a full batch
+	// takes some 8 to 9 ms, and a prompt waits for about two of them.
+	slotSeconds = 0.02
+	// turnSeconds is how long a request occupies a slot, about a stream of
+	// 300 tokens at 6 ms; a request behind full slots waits for a share of it.
+	turnSeconds = 2.0
+	// plainSeconds is the same for a plain service's call.
+	plainSeconds = 0.03
+	// distance is the price of another data centre: the way there and back,
+	// and the bytes between data centres, which are billed.
+	distance = 0.004
+	// rereadWeight is the price of reading a shared part again, as a multiple
+	// of its time: it also delays the other requests of the engine.
+	rereadWeight = 2.0
+	// homeBelief is the part of a subject's shared tokens that its home is
+	// believed to hold where this daemon has not sent it there itself.
+	homeBelief = 0.7
+	// slowSeconds is the price of an endpoint that has just started and is
+	// not at its full speed.
+	slowSeconds = 0.1
+	// equalSeconds: costs that differ by less are equal, and drawn from, so
+	// that daemons with the same old view don't all choose the same endpoint.
+	equalSeconds = 0.003
+)
+
+// The treatment of endpoints that fail.
+const (
+	// failureDecay is the weight of the newest outcome in an endpoint's share
+	// of failures: about the last ten outcomes count.
+	failureDecay = 0.1
+	// failureSeconds is the price of certain failure: a repeat at another
+	// endpoint costs the target time of most routes, about half a second.
+	failureSeconds = 0.5
+	// avoidAfter failures in a row an endpoint is avoided: one can be a lost
+	// packet.
+	avoidAfter = 2
+	// firstAvoid and lastAvoid bound the time for which it is avoided; it
+	// doubles with each failed trial.
+	firstAvoid = 500 * time.Millisecond
+	lastAvoid  = 4 * time.Second
+)
+
+// scanLimit is the number of endpoints of a service up to which all are
+// weighed; above it, the homes of the subject and a few drawn ones.
+const (
+	scanLimit = 64
+	drawn     = 6
+	homes     = 3
+)
+
+// rememberedParts bounds the parts that are remembered for one endpoint.
+const rememberedParts = 2048
--- /dev/null
+++ b/internal/exchange/codec.go
@@ -0,0 +1,119 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+func encodePart(p *Part) *exchangepb.Report {
+	out := &exchangepb.Report{
+		Daemon:        string(p.Daemon),
+		ConfigVersion: p.Config.Version,
+		Config:        p.Config.Text,
+		Spent:         encodeSpent(p.Soft.Spent),
+		Loads:         encodeLoads(p.Soft.Load),
+		WallMs:        p.Wall.UnixMilli(),
+	}
+	for service, w := range p.Soft.Work {
+		out.Works = append(out.Works, &exchangepb.Work{
+			Service: service, Requests: uint64(w.Requests), Refused: uint64(w.Refused), Busy: w.Busy,
+		})
+	}
+	for id, begun := range p.Windows {
+		w := &exchangepb.Window{Id: id}
+		for name, n := range begun {
+			w.Begun = append(w.Begun, &exchangepb.Amount{Name: string(name), Amount: float64(n)})
+		}
+		out.Windows = append(out.Windows, w)
+	}
+	return out
+}
+
+func decodePart(r *exchangepb.Report) Part {
+	p := Part{
+		Daemon: fleet.DaemonID(r.Daemon),
+		Config: Config{Version: r.ConfigVersion, Text: r.Config},
+		Soft: relay.Soft{
+			Spent: decodeSpent(r.Spent),
+			Load:  decodeLoads(r.Loads),
+			Work:  make(map[string]relay.Work, len(r.Works)),
+		},
+		Windows: make(map[uint64]Begun, len(r.Windows)),
+		Wall:    time.UnixMilli(r.WallMs),
+	}
+	for _, w := range r.Works {
+		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Busy: w.Busy}
+	}
+	for _, w := range r.Windows {
+		begun := make(Begun, len(w.Begun))
+		for _, a := range w.Begun {
+			begun[fleet.WorkspaceID(a.Name)] = uint64(a.Amount)
+		}
+		p.Windows[w.Id] = begun
+	}
+	return p
+}
+
+func encodeSum(s *Sum) *exchangepb.Totals {
+	out := &exchangepb.Totals{
+		Spent:         encodeSpent(s.Soft.Spent),
+		Loads:         encodeLoads(s.Soft.Load),
+		ConfigVersion: s.Config.Version,
+		Config:        s.Config.Text,
+		Holder:        string(s.Holder),
+	}
+	if !s.True.IsZero() {
+		out.TrueMs = s.True.UnixMilli()
+	}
+	return out
+}
+
+func decodeSum(t *exchangepb.Totals) Sum {
+	s := Sum{
+		Config: Config{Version: t.ConfigVersion, Text: t.Config},
+		Soft:   relay.Soft{Spent: decodeSpent(t.Spent), Load: decodeLoads(t.Loads)},
+		Holder: fleet.DaemonID(t.Holder),
+	}
+	if t.TrueMs != 0 {
+		s.True = time.UnixMilli(t.TrueMs)
+	}
+	return s
+}
+
+func encodeSpent(m map[fleet.WorkspaceID]float64) []*exchangepb.Amount {
+	out := make([]*exchangepb.Amount, 0, len(m))
+	for name, v := range m {
+		out = append(out, &exchangepb.Amount{Name: string(name), Amount: v})
+	}
+	return out
+}
+
+func decodeSpent(all []*exchangepb.Amount) map[fleet.WorkspaceID]float64 {
+	out := make(map[fleet.WorkspaceID]float64, len(all))
+	for _, a := range all {
+		out[fleet.WorkspaceID(a.Name)] = a.Amount
+	}
+	return out
+}
+
+func encodeLoads(m map[fleet.EndpointID]balance.Load) []*exchangepb.Load {
+	out := make([]*exchangepb.Load, 0, len(m))
+	for id, l := range m {
+		out = append(out, &exchangepb.Load{
+			Endpoint: string(id), Requests: uint32(l.Requests), Unread: uint64(max(l.Unread, 0)),
+		})
+	}
+	return out
+}
+
+func decodeLoads(all []*exchangepb.Load) map[fleet.EndpointID]balance.Load {
+	out := make(map[fleet.EndpointID]balance.Load, len(all))
+	for _, l := range all {
+		out[fleet.EndpointID(l.Endpoint)] = balance.Load{Requests: int(l.Requests), Unread: int(l.Unread)}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/exchange/hub.go
@@ -0,0 +1,139 @@
+package exchange
+
+import (
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+// silence is how long a daemon's loads count after its last report: four
+// reports are missing then.
+const silence = time.Second
+
+// keptWindows is the number of usage windows that are kept.
+const keptWindows = 8
+
+// Hub sums the parts of all daemons. It is a plain decision and not safe for
+// concurrent use. Parts of daemons that are gone stay in the totals.
+type Hub struct {
+	parts map[fleet.DaemonID]*heard
+	gone  map[fleet.WorkspaceID]float64 // spent by daemons that were forgotten
+}
+
+// heard is a daemon's last part.
+type heard struct {
+	part Part
+	at   time.Time     // by the hub's clock
+	skew time.Duration // its time of day less the hub's steady count
+}
+
+// forgetAfter is how long the part of a silent daemon is kept: its windows of
+// usage are due for a while after its death.
+const forgetAfter = 40 * time.Second
+
+// NewHub returns an empty hub.
+func NewHub() *Hub {
+	return &Hub{parts: map[fleet.DaemonID]*heard{}, gone: map[fleet.WorkspaceID]float64{}}
+}
+
+// Take takes a part that came when the hub's steady count was steady.
+func (h *Hub) Take(now time.Time, steady time.Duration, p Part) {
+	skew := time.Duration(p.Wall.UnixNano()) - steady
+	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew}
+	for id, old := range h.parts {
+		if now.Sub(old.at) > forgetAfter {
+			for w, v := range old.part.Soft.Spent {
+				h.gone[w] += v
+			}
+			delete(h.parts, id)
+		}
+	}
+}
+
+// Others returns the sum of all parts but one daemon's.
+func (h *Hub) Others(now time.Time, but fleet.DaemonID) relay.Soft {
+	out := relay.Soft{
+		Spent: make(map[fleet.WorkspaceID]float64, len(h.gone)),
+		Load:  map[fleet.EndpointID]balance.Load{},
+	}
+	for w, v := range h.gone {
+		out.Spent[w] = v
+	}
+	for id, p := range h.parts {
+		if id == but {
+			continue
+		}
+		for w, v := range p.part.Soft.Spent {
+			out.Spent[w] += v
+		}
+		if now.Sub(p.at) > silence {
+			continue
+		}
+		for e, l := range p.part.Soft.Load {
+			sum := out.Load[e]
+			out.Load[e] = balance.Load{Requests: sum.Requests + l.Requests, Unread: sum.Unread + l.Unread}
+		}
+	}
+	return out
+}
+
+// Work returns the fleet's totals by service. They shrink when a daemon is
+// forgotten.
+func (h *Hub) Work() map[string]relay.Work {
+	out := map[string]relay.Work{}
+	for _, p := range h.parts {
+		for s, w := range p.part.Soft.Work {
+			sum := out[s]
+			sum.Requests += w.Requests
+			sum.Refused += w.Refused
+			sum.Busy += w.Busy
+			out[s] = sum
+		}
+	}
+	return out
+}
+
+// Load returns the requests under way at all daemons heard of lately, by endpoint.
+func (h *Hub) Load(now time.Time) map[fleet.EndpointID]balance.Load { return h.Others(now, "").Load }
+
+// Begun returns the requests that began in a window, at all daemons.
+func (h *Hub) Begun(window uint64) Begun {
+	out := Begun{}
+	for _, p := range h.parts {
+		for w, n := range p.part.Windows[window] {
+			out[w] += n
+		}
+	}
+	return out
+}
+
+// Heard returns how many daemons reported since a time.
+func (h *Hub) Heard(since time.Time) int {
+	n := 0
+	for _, p := range h.parts {
+		if p.at.After(since) {
+			n++
+		}
+	}
+	return n
+}
+
+// Skew returns what to add to the hub's steady count for the fleet's time: the
+// median of the daemons heard of lately, so that steps of fewer than half of
+// the clocks don't move it.
+func (h *Hub) Skew(now time.Time) (time.Duration, bool) {
+	var all []time.Duration
+	for _, p := range h.parts {
+		if now.Sub(p.at) <= silence {
+			all = append(all, p.skew)
+		}
+	}
+	if len(all) == 0 {
+		return 0, false
+	}
+	slices.Sort(all)
+	return all[len(all)/2], true
+}
--- /dev/null
+++ b/internal/exchange/hub_test.go
@@ -0,0 +1,65 @@
+package exchange
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+var start = time.Unix(1000, 0)
+
+func part(id fleet.DaemonID, spent float64, requests int, begun uint64) Part {
+	return Part{
+		Daemon: id,
+		Soft: relay.Soft{
+			Spent: map[fleet.WorkspaceID]float64{"w": spent},
+			Load:  map[fleet.EndpointID]balance.Load{"e": {Requests: requests}},
+		},
+		Windows: map[uint64]Begun{7: {"w": begun}},
+		Wall:    start,
+	}
+}
+
+// A daemon dies with requests under way. Its load must go, but what it had let
+// in still counts against the limit and what began there is still reported.
+func TestDeadDaemonsLoadGoesItsTotalsStay(t *testing.T) {
+	h := NewHub()
+	h.Take(start, 0, part("a", 10, 1, 3))
+	h.Take(start, 0, part("b", 20, 2, 4))
+	later := start.Add(silence + time.Millisecond)
+	h.Take(later, 0, part("a", 11, 1, 3))
+	others := h.Others(later, "a")
+	assert.Equal(t, others.Spent["w"], 20.0)
+	assert.Equal(t, others.Load["e"].Requests, 0)
+	assert.Equal(t, h.Begun(7)["w"], uint64(7))
+	h.Take(start.Add(time.Minute), 0, part("a", 12, 1, 3))
+	assert.Equal(t, h.Others(start.Add(time.Minute), "a").Spent["w"], 20.0)
+}
+
+// A third of the machines' clocks jump. Were the fleet's time their mean, the
+// windows of usage would be cut at the wrong moment.
+func TestStepsOfAFewClocksDoNotMoveTheTime(t *testing.T) {
+	h := NewHub()
+	for i, step := range []time.Duration{0, 0, 0, 0, 2400 * time.Millisecond, -2400 * time.Millisecond} {
+		p := part(fleet.DaemonID(rune('a'+i)), 0, 0, 0)
+		p.Wall = start.Add(step)
+		h.Take(start, 100, p)
+	}
+	skew, ok := h.Skew(start)
+	assert.Assert(t, ok)
+	assert.Equal(t, skew, time.Duration(start.UnixNano())-100)
+}
+
+func TestPartsAndSumsSurviveTheWay(t *testing.T) {
+	p := part("a", 1.5, 2, 3)
+	p.Config = Config{Version: 4, Text: []byte("text")}
+	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Busy: 2.5}}
+	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
+	s := Sum{Config: p.Config, Soft: relay.Soft{Spent: p.Soft.Spent, Load: p.Soft.Load}, True: start, Holder: "a"}
+	assert.DeepEqual(t, decodeSum(encodeSum(&s)), s)
+}
--- /dev/null
+++ b/internal/exchange/part.go
@@ -0,0 +1,34 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+// Config is a configuration's text with its version.
+type Config struct {
+	Version uint64
+	Text    []byte // may be empty where only the version is told
+}
+
+// Begun is the requests that began in a window of usage, by workspace.
+type Begun map[fleet.WorkspaceID]uint64
+
+// Part is one daemon's part.
+type Part struct {
+	Daemon  fleet.DaemonID
+	Config  Config
+	Soft    relay.Soft
+	Windows map[uint64]Begun
+	Wall    time.Time // the daemon's time of day
+}
+
+// Sum is what a hub answers: the sum of all others' parts.
+type Sum struct {
+	Config Config
+	Soft   relay.Soft // without Work
+	True   time.Time  // the fleet's time; zero where not known
+	Holder fleet.DaemonID
+}
--- /dev/null
+++ b/internal/quota/quota_test.go
@@ -0,0 +1,101 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestRefusedWithTheTimeUntilItFits(t *testing.T) {
+	b := NewBucket(start, 100, 200, 200)
+	_, ok := b.Take(start, 150)
+	assert.Assert(t, ok)
+	wait, ok := b.Take(start, 100)
+	assert.Assert(t, !ok)
+	assert.Equal(t, wait, 500*time.Millisecond)
+	_, ok = b.Take(start.Add(wait), 100)
+	assert.Assert(t, ok)
+}
+
+func TestLargerThanTheBurstNeedsAFullBucket(t *testing.T) {
+	b := NewBucket(start, 100, 200, 100)
+	_, ok := b.Take(start, 500)
+	assert.Assert(t, !ok)
+	_, ok = b.Take(start.Add(time.Second), 500)
+	assert.Assert(t, ok)
+	assert.Equal(t, b.Level(start.Add(time.Second)), -300.0)
+}
+
+// Six daemons take one workspace's requests. Each hears of the others'
+// spending 300 ms late. Together they must stay within the limit and a tenth,
+// and must not refuse what is below it.
+func TestSixDaemonsKeepOneLimit(t *testing.T) {
+	const daemons, rate, burst, cost, late = 6, 1000.0, 1000.0, 10.0, 3
+	for _, asked := range []float64{0.9, 3} {
+		qs := make([]*Quota, daemons)
+		w := route.Workspace{Name: "w", Rate: rate, Burst: burst}
+		for i := range qs {
+			qs[i] = New(true)
+			qs[i].Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+		}
+		var history [][]float64
+		let, want := 0.0, 0.0
+		for step := range 200 { // of 100 ms
+			now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+			for n := 0.0; n < asked*rate/10; n += cost {
+				want += cost
+				if _, ok := qs[(step+int(n/cost))%daemons].Take(now, &w, cost); ok {
+					let += cost
+				}
+			}
+			sums := make([]float64, daemons)
+			for i, q := range qs {
+				sums[i] = q.Spent()["w"]
+			}
+			history = append(history, sums)
+			if step < late {
+				continue
+			}
+			for i, q := range qs {
+				others := 0.0
+				for j, v := range history[step-late] {
+					if j != i {
+						others += v
+					}
+				}
+				q.Others(now, map[fleet.WorkspaceID]float64{"w": others})
+			}
+		}
+		allowed := rate*20 + burst
+		assert.Assert(t, let <= allowed*1.1, "let in %v of %v allowed", let, allowed)
+		assert.Assert(t, let >= min(want, allowed*0.95), "let in %v of %v asked for", let, want)
+	}
+}
+
+// A daemon is killed and starts again. Were its bucket full, every restart
+// would be worth a burst.
+func TestRestartDoesNotRefill(t *testing.T) {
+	q := New(false)
+	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
+	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+	_, ok := q.Take(start, &w, 10)
+	assert.Assert(t, !ok)
+}
+
+func TestLoweredLimitBindsAtOnce(t *testing.T) {
+	q := New(true)
+	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
+	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+	w.Rate, w.Burst = 10, 20
+	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+	_, ok := q.Take(start, &w, 20)
+	assert.Assert(t, ok)
+	_, ok = q.Take(start, &w, 20)
+	assert.Assert(t, !ok)
+}
--- /dev/null
+++ b/internal/relay/admit.go
@@ -0,0 +1,82 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// admitted is a request that was let in.
+type admitted struct {
+	table     *route.Table
+	route     *route.Route
+	workspace *route.Workspace // nil without a credential
+	service   string
+	cost      float64 // taken from the workspace's limit
+	until     time.Time
+	priority  int
+}
+
+// admit matches a request with its route and workspace and takes it from the
+// workspace's limit.
+func (s *State) admit(now time.Time, r *Request) (*admitted, *Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil, notRun(NoConfiguration, retryNoConfiguration)
+	}
+	a := &admitted{table: s.table, route: s.table.Match(r.Host, r.Path)}
+	if a.route == nil {
+		return nil, notRun(NoRoute, 0)
+	}
+	a.priority = a.route.Priority
+	if s.table.Closed() && !a.route.Public {
+		a.workspace = s.table.Workspace(r.Key)
+		if a.workspace == nil {
+			return nil, notRun(UnknownKey, 0)
+		}
+		if a.workspace.Priority != nil {
+			a.priority = *a.workspace.Priority
+		}
+	}
+	a.until = r.Received.Add(a.route.Timeout)
+	if r.Deadline.Before(a.until) {
+		a.until = r.Deadline
+	}
+	a.service = a.route.Backend(s.rng.Float64())
+	if a.workspace != nil {
+		a.cost = a.workspace.Cost(r.tokens())
+		wait, ok := s.quota.Take(now, a.workspace, a.cost)
+		if !ok {
+			return nil, notRun(OverLimit, spread(wait, s.rng.Float64()))
+		}
+	}
+	s.budget(a.service).Request(now)
+	s.loads.asked(a.service)
+	return a, nil
+}
+
+// giveBack returns what an admitted request took, after it was not run.
+func (s *State) giveBack(a *admitted) {
+	if a.workspace == nil {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.GiveBack(a.workspace, a.cost)
+}
+
+// retryNoConfiguration is when a daemon without a configuration should have
+// one: the first list takes some round trips.
+const retryNoConfiguration = 200 * time.Millisecond
+
+// spread draws from one to one and a half times a wait, so that callers who
+// were refused together don't come back together.
+func spread(wait time.Duration, draw float64) time.Duration {
+	return wait + time.Duration(draw*float64(wait)/2)
+}
+
+func notRun(reason Reason, after time.Duration) *Refusal {
+	return &Refusal{Reason: reason, Verdict: verdict.NotRun, RetryAfter: after}
+}
--- /dev/null
+++ b/internal/relay/flight.go
@@ -0,0 +1,320 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// wholeBytes bounds an answer that is held until it is whole; a longer
+	// one is passed on as it comes. Plain answers are some kilobytes.
+	wholeBytes = 1 << 20
+	// pieceBytes is the most that is read of a stream at once.
+	pieceBytes = 8 << 10
+	// enough is the time without which no further attempt is made.
+	enough = 30 * time.Millisecond
+)
+
+// flight is one admitted request under way. It belongs to one goroutine.
+type flight struct {
+	relay   *Relay
+	request *Request
+	admitted
+	sink  Sink
+	ask   *balance.Ask
+	tally tally
+	// begun says that the caller has the head of an answer.
+	begun bool
+	// counted says that the observer was told that it began to run.
+	counted bool
+	events  events
+	outcome Outcome
+}
+
+func newFlight(r *Relay, q *Request, a *admitted, sink Sink) *flight {
+	f := &flight{relay: r, request: q, admitted: *a, sink: sink, ask: q.ask(a.service)}
+	f.events.lastID = q.LastEvent
+	f.outcome = Outcome{ID: q.ID, Route: a.route.Name, Config: a.table.Version, Verdict: verdict.NotRun}
+	if a.workspace != nil {
+		f.outcome.Workspace = a.workspace.Name
+	}
+	return f
+}
+
+// run makes attempts until the caller has its final answer.
+func (f *flight) run(ctx context.Context) {
+	for {
+		choice, refusal := f.relay.state.pick(time.Now(), f)
+		if refusal != nil {
+			f.conclude(ctx, giveUp(f.tally), refusal, nil)
+			return
+		}
+		e, kept := f.attempt(ctx, choice)
+		e.timeLeft = ctx.Err() == nil && time.Until(f.until) > enough
+		s := next(f.route, f.tally, e, f.budget)
+		if s == again {
+			f.ask.Tried = append(f.ask.Tried, choice.Endpoint.ID)
+			continue
+		}
+		f.conclude(ctx, s, nil, kept)
+		return
+	}
+}
+
+func (f *flight) budget() bool { return f.relay.state.takeRetry(time.Now(), f.service) }
+
+// keptAnswer is an endpoint's whole answer that was not passed on yet.
+type keptAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// attempt sends the request to an endpoint once and takes its answer in.
+func (f *flight) attempt(ctx context.Context, c balance.Choice) (end, *keptAnswer) {
+	f.outcome.Endpoint = c.Endpoint.ID
+	f.outcome.Predicted = time.Duration(c.Wait * float64(time.Second))
+	sent := time.Now()
+	t := &track{flight: f, choice: c, sent: sent}
+	e, kept, err := f.exchange(ctx, t)
+	f.outcome.Cause = err
+	switch {
+	case !e.reached:
+		f.tally.unreached++
+	case e.verdict == verdict.NotRun:
+		f.tally.reached++
+	default:
+		f.tally.reached++
+		f.tally.ran++
+		f.outcome.Verdict = e.verdict
+		if f.route.Kind != route.Streaming {
+			f.began(sent)
+		}
+	}
+	f.relay.state.done(time.Now(), t, outcomeOf(ctx, e))
+	return e, kept
+}
+
+// outcomeOf says what an attempt's end tells about its endpoint.
+func outcomeOf(ctx context.Context, e end) balance.Outcome {
+	switch {
+	case e.class == Success && e.whole, e.class == Rejected:
+		return balance.Answered
+	case !e.reached && ctx.Err() == nil, e.class == Stranger:
+		return balance.Unreached
+	case ctx.Err() == context.Canceled:
+		return balance.Left
+	case e.verdict == verdict.NotRun:
+		return balance.Refused
+	default:
+		return balance.Failed
+	}
+}
+
+// exchange is one request and its answer on one connection.
+func (f *flight) exchange(ctx context.Context, t *track) (end, *keptAnswer, error) {
+	call := f.call(t)
+	f.relay.state.sent(t)
+	a, err := f.relay.pool.Send(ctx, call)
+	if err != nil {
+		v := verdict.Of(err)
+		return end{verdict: v, reached: v != verdict.NotRun}, nil, err
+	}
+	defer a.Close()
+	class := f.relay.protocol.Classify(a.Status, a.Header)
+	e := end{class: class, reached: true, verdict: verdict.Ran}
+	if class == Refusing || class == Stranger {
+		e.verdict = verdict.NotRun
+	}
+	f.outcome.Status = a.Status
+	if class == Success && f.route.Kind == route.Streaming {
+		err := f.stream(t, a)
+		e.whole = err == nil
+		return e, nil, err
+	}
+	body, err := io.ReadAll(io.LimitReader(a.Body, wholeBytes+1))
+	if err != nil {
+		return e, nil, err
+	}
+	f.first(t)
+	if len(body) > wholeBytes {
+		err := f.long(a, body)
+		e.whole = err == nil
+		return e, nil, err
+	}
+	e.whole = true
+	return e, &keptAnswer{status: a.Status, header: f.relay.protocol.Answer(a.Header), body: body}, nil
+}
+
+// call builds the send of an attempt.
+func (f *flight) call(t *track) *upstream.Call {
+	attempt := &Attempt{
+		Endpoint:  t.choice.Endpoint,
+		Workspace: f.outcome.Workspace,
+		Left:      time.Until(f.until),
+		Priority:  f.priority,
+		LastEvent: f.events.lastID,
+	}
+	c := &upstream.Call{
+		Address: t.choice.Endpoint.Address,
+		Method:  f.request.Method,
+		Target:  f.request.Target,
+		Host:    f.request.Host,
+		Header:  f.relay.protocol.Header(f.request, attempt),
+		Body:    f.request.Body,
+		Owns:    f.relay.protocol.Owns(f.request),
+	}
+	if f.route.Kind == route.Idempotent && f.tally.ran+1 < f.route.MaxAttempts {
+		c.HeadTimeout = f.patience()
+	}
+	return c
+}
+
+// patience is how long an idempotent request waits at one endpoint while it
+// could still be answered by another.
+func (f *flight) patience() time.Duration {
+	return max(time.Until(f.until)/2, f.route.Target)
+}
+
+// stream passes events on as they come. A nil error is the stream's whole end.
+func (f *flight) stream(t *track, a *upstream.Answer) error {
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			if err := f.pass(t, a, buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF && !f.events.partial() {
+			f.begin(a)
+			return nil
+		}
+		if err == io.EOF {
+			err = io.ErrUnexpectedEOF
+		}
+		if err != nil {
+			f.events.drop()
+			return err
+		}
+	}
+}
+
+// pass passes the whole events among new bytes on.
+func (f *flight) pass(t *track, a *upstream.Answer, p []byte) error {
+	whole := f.events.add(p)
+	if len(whole) == 0 {
+		return nil
+	}
+	f.first(t)
+	f.began(time.Now())
+	f.begin(a)
+	err := f.sink.Events(whole)
+	f.events.consume(len(whole))
+	return err
+}
+
+// begin sends the head of the first endpoint's answer, once.
+func (f *flight) begin(a *upstream.Answer) {
+	if !f.begun {
+		f.begun = true
+		f.sink.Begin(a.Status, f.relay.protocol.Answer(a.Header))
+	}
+}
+
+// long passes an answer on that is too long to be held.
+func (f *flight) long(a *upstream.Answer, held []byte) error {
+	f.begin(a)
+	if err := f.sink.Events(held); err != nil {
+		return err
+	}
+	buf := make([]byte, pieceBytes)
+	for {
+		n, err := a.Body.Read(buf)
+		if n > 0 {
+			if err := f.sink.Events(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// first notes an attempt's first token.
+func (f *flight) first(t *track) {
+	if !t.first {
+		t.first = true
+		f.relay.state.first(t)
+		if f.outcome.First == 0 {
+			f.outcome.First = time.Since(f.request.Received)
+		}
+	}
+}
+
+// began tells the observer, once, that an endpoint began to run the request.
+func (f *flight) began(at time.Time) {
+	if !f.counted && f.workspace != nil {
+		f.counted = true
+		f.relay.observer.Began(f.workspace.Name, at)
+	}
+}
+
+// conclude gives the caller its final answer.
+func (f *flight) conclude(ctx context.Context, s step, refusal *Refusal, kept *keptAnswer) {
+	f.outcome.Events = f.events.count
+	switch {
+	case errors.Is(ctx.Err(), context.Canceled):
+		f.outcome.Reason = CallerLeft
+		if f.begun {
+			f.sink.Break()
+		}
+	case s == answer && kept != nil && !f.begun:
+		f.sink.Whole(kept.status, kept.header, kept.body)
+	case s == answer && kept == nil && f.begun:
+		f.sink.End()
+	case f.begun:
+		f.outcome.Reason = f.failure(ctx)
+		f.sink.Break()
+	default:
+		f.refuse(ctx, s, refusal)
+	}
+	if f.tally.ran == 0 {
+		f.relay.state.giveBack(&f.admitted)
+	}
+}
+
+// refuse sends this daemon's own answer.
+func (f *flight) refuse(ctx context.Context, s step, refusal *Refusal) {
+	switch {
+	case s == fail || f.tally.ran > 0:
+		refusal = &Refusal{Reason: f.failure(ctx), Verdict: verdict.MayHaveRun}
+	case refusal == nil && f.tally.reached > 0:
+		refusal = f.relay.state.busy(f, Shed)
+	case refusal == nil:
+		refusal = f.relay.state.busy(f, NoEndpoint)
+	}
+	f.outcome.Reason = refusal.Reason
+	f.outcome.Verdict = refusal.Verdict
+	f.sink.Refuse(*refusal)
+}
+
+// failure names the reason of a request that may have run.
+func (f *flight) failure(ctx context.Context) Reason {
+	if ctx.Err() != nil || time.Until(f.until) < enough {
+		return TimedOut
+	}
+	return Broken
+}
--- /dev/null
+++ b/internal/relay/next.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// maxUnreached bounds the endpoints that are tried without reaching any: with
+// half of a set gone, six tries in a row fail one time in 64.
+const maxUnreached = 6
+
+// step is what to do after an attempt.
+type step uint8
+
+const (
+	answer step = iota // pass the endpoint's answer on
+	again              // send to another endpoint
+	refuse             // tell the caller that it was not run
+	fail               // tell the caller that it may have run
+)
+
+// tally counts a request's attempts.
+type tally struct {
+	reached   int // endpoints that the request was sent to
+	ran       int // of them, those that may have run it
+	unreached int // endpoints to which there was no connection
+}
+
+// end is how an attempt ended.
+type end struct {
+	class Class
+	// verdict says whether the endpoint may have run it.
+	verdict verdict.Verdict
+	// reached says that the request was sent.
+	reached bool
+	// whole says that the endpoint's answer was read to its end, so that it
+	// can be passed on.
+	whole bool
+	// timeLeft says that another attempt can still be in time.
+	timeLeft bool
+}
+
+// next decides what follows an attempt. budget asks for a send beyond the
+// first; it is asked only where everything else allows one.
+func next(r *route.Route, t tally, e end, budget func() bool) step {
+	switch {
+	case e.whole && (e.class == Success || e.class == Rejected):
+		return answer
+	case !e.reached:
+		if e.timeLeft && t.unreached < maxUnreached {
+			return again
+		}
+		return giveUp(t)
+	case e.verdict == verdict.NotRun:
+		// A refusal is free of risk but is an arrival, which the budget and
+		// the route's bound count.
+		if e.timeLeft && t.reached <= r.MaxAttempts && budget() {
+			return again
+		}
+		return giveUp(t)
+	case r.Repeatable() && e.timeLeft && t.ran < r.MaxAttempts && budget():
+		return again
+	case e.whole:
+		return answer
+	default:
+		return fail
+	}
+}
+
+// giveUp ends a request whose last attempt did not run it.
+func giveUp(t tally) step {
+	if t.ran > 0 {
+		return fail
+	}
+	return refuse
+}
--- /dev/null
+++ b/internal/relay/next_test.go
@@ -0,0 +1,50 @@
+package relay
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+func TestNext(t *testing.T) {
+	order := &route.Route{Kind: route.NonIdempotent, MaxAttempts: 3}
+	lookup := &route.Route{Kind: route.Idempotent, MaxAttempts: 2}
+	stream := &route.Route{Kind: route.Streaming, MaxAttempts: 2}
+	resumable := &route.Route{Kind: route.Streaming, Resumable: true, MaxAttempts: 2}
+	broken := end{reached: true, timeLeft: true}
+	failed := end{class: Failure, reached: true, whole: true, timeLeft: true, verdict: verdict.Ran}
+	shed := end{class: Refusing, reached: true, whole: true, timeLeft: true, verdict: verdict.NotRun}
+	unreached := end{timeLeft: true, verdict: verdict.NotRun}
+	late := func(e end) end { e.timeLeft = false; return e }
+	for _, c := range []struct {
+		name   string
+		route  *route.Route
+		tally  tally
+		end    end
+		budget bool
+		want   step
+	}{
+		{"success", order, tally{reached: 1, ran: 1}, end{class: Success, reached: true, whole: true, verdict: verdict.Ran}, true, answer},
+		{"an order may have run", order, tally{reached: 1, ran: 1}, broken, true, fail},
+		{"an order failed there", order, tally{reached: 1, ran: 1}, failed, true, answer},
+		{"an order was not run", order, tally{reached: 1}, shed, true, again},
+		{"an order reached nobody", order, tally{unreached: 1}, unreached, false, again},
+		{"nobody can be reached", order, tally{unreached: maxUnreached}, unreached, true, refuse},
+		{"refused without budget", order, tally{reached: 1}, shed, false, refuse},
+		{"refused late", order, tally{reached: 1}, late(shed), true, refuse},
+		{"a lookup may run again", lookup, tally{reached: 1, ran: 1}, broken, true, again},
+		{"a lookup without budget", lookup, tally{reached: 1, ran: 1}, broken, false, fail},
+		{"a lookup's failure without budget", lookup, tally{reached: 1, ran: 1}, failed, false, answer},
+		{"a lookup ran as often as it may", lookup, tally{reached: 2, ran: 2}, failed, true, answer},
+		{"a lookup ran, then reached nobody", lookup, tally{reached: 1, ran: 1, unreached: maxUnreached}, unreached, true, fail},
+		{"a lookup ran, then was shed", lookup, tally{reached: 2, ran: 1}, late(shed), true, fail},
+		{"a stream may have run", stream, tally{reached: 1, ran: 1}, broken, true, fail},
+		{"a stream that resumes", resumable, tally{reached: 1, ran: 1}, broken, true, again},
+	} {
+		got := next(c.route, c.tally, c.end, func() bool { return c.budget })
+		assert.Equal(t, got, c.want, c.name)
+	}
+}
--- /dev/null
+++ b/internal/relay/outcome.go
@@ -0,0 +1,36 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Outcome is how a request ended, for logs and metrics.
+type Outcome struct {
+	ID        string
+	Route     string
+	Workspace fleet.WorkspaceID
+	Endpoint  fleet.EndpointID // of the last attempt
+	Config    uint64           // version that decided
+	Reached   int              // endpoints it was sent to
+	Unreached int              // endpoints to which there was no connection
+	Status    int              // of the endpoint's answer, 0 without one
+	Reason    Reason           // where it has no whole answer of an endpoint's
+	Verdict   verdict.Verdict
+	Cause     error // the last attempt's error
+	Predicted time.Duration
+	First     time.Duration // to the first event or the answer
+	Total     time.Duration
+	Events    int
+	Left      time.Duration // until its deadline
+}
+
+// Observer is told of what endpoints began and of how requests ended. Its
+// methods must return at once.
+type Observer interface {
+	// Began says that an endpoint began to run a workspace's request.
+	Began(w fleet.WorkspaceID, at time.Time)
+	Ended(o *Outcome)
+}
--- /dev/null
+++ b/internal/relay/state.go
@@ -0,0 +1,136 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// State holds the decisions that requests share: the configuration in force,
+// the choice of endpoints, the limits and the retry budgets. It is safe for
+// concurrent use; each method holds the lock for some microseconds.
+type State struct {
+	mu       sync.Mutex
+	table    *route.Table // nil until one is known
+	balancer *balance.Balancer
+	quota    *quota.Quota
+	retry    retry.Config
+	budgets  map[string]*retry.Budget // by service
+	daemons  int
+	rng      *rand.Rand
+	loads    *loads
+}
+
+// NewState returns the state of a daemon in a data centre. full says that the
+// whole system starts for the first time.
+func NewState(self fleet.DataCentre, full bool, budget retry.Config, rng *rand.Rand) *State {
+	return &State{
+		balancer: balance.New(self, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))),
+		quota:    quota.New(full),
+		retry:    budget,
+		budgets:  map[string]*retry.Budget{},
+		daemons:  1,
+		rng:      rng,
+		loads:    newLoads(),
+	}
+}
+
+// Configure puts a table in force. A version that isn't newer is not taken:
+// answers that are late or stale must never bring an older one back.
+func (s *State) Configure(now time.Time, t *route.Table) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table != nil && t.Version <= s.table.Version {
+		return false
+	}
+	s.table = t
+	s.balancer.Configure(t)
+	s.quota.Configure(now, t)
+	return true
+}
+
+// Table returns the configuration in force, nil where none is known.
+func (s *State) Table() *route.Table {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.table
+}
+
+// SetEndpoints takes the newest list of endpoints.
+func (s *State) SetEndpoints(all []roster.Endpoint) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.SetEndpoints(all)
+}
+
+// SetDaemons takes the number of daemons that share the bounds.
+func (s *State) SetDaemons(n int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.daemons = max(n, 1)
+	for _, b := range s.budgets {
+		b.Daemons(s.daemons)
+	}
+}
+
+// Soft is what daemons tell each other about the requests they carry.
+type Soft struct {
+	// Spent is what was let in since a daemon's start, by workspace.
+	Spent map[fleet.WorkspaceID]float64
+	// Load is the unfinished requests, by endpoint.
+	Load map[fleet.EndpointID]balance.Load
+	// Work is what engines were given since a daemon's start, by service.
+	Work map[string]Work
+}
+
+// Own returns this daemon's part.
+func (s *State) Own() Soft {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Soft{
+		Spent: make(map[fleet.WorkspaceID]float64, len(s.quota.Spent())),
+		Load:  s.balancer.Own(),
+		Work:  s.loads.snapshot(),
+	}
+	for name, v := range s.quota.Spent() {
+		out.Spent[name] = v
+	}
+	return out
+}
+
+// Others takes the sum of all other daemons' parts.
+func (s *State) Others(now time.Time, others Soft) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Others(now, others.Spent)
+	s.balancer.Others(others.Load)
+}
+
+// RetriesLeft returns what is left of the retry budgets, by service.
+func (s *State) RetriesLeft(now time.Time) map[string]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make(map[string]float64, len(s.budgets))
+	for name, b := range s.budgets {
+		out[name] = b.Left(now)
+	}
+	return out
+}
+
+// budget returns a service's retry budget. The lock is held.
+func (s *State) budget(service string) *retry.Budget {
+	b := s.budgets[service]
+	if b == nil {
+		b = retry.New(s.retry)
+		b.Daemons(s.daemons)
+		s.budgets[service] = b
+	}
+	return b
+}
--- /dev/null
+++ b/internal/relay/track.go
@@ -0,0 +1,86 @@
+package relay
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+)
+
+// track is one attempt's place in the shared state.
+type track struct {
+	flight *flight
+	choice balance.Choice
+	sent   time.Time
+	first  bool
+}
+
+// pick chooses an endpoint for a flight, or says why there is none.
+func (s *State) pick(now time.Time, f *flight) (balance.Choice, *Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c, ok := s.balancer.Pick(now, f.ask)
+	if !ok {
+		return c, notRun(NoEndpoint, spread(retryNoEndpoint, s.rng.Float64()))
+	}
+	if wait := hopeless(f, c, now); wait > 0 {
+		s.loads.refused(f.service)
+		return c, notRun(Overloaded, spread(wait, s.rng.Float64()))
+	}
+	return c, nil
+}
+
+// hopeless returns after how long a request could be served that would miss
+// its target by far at the best endpoint; 0 where it is worth an attempt. A
+// late answer is worth a tenth and takes the place of one in time. The less
+// urgent give way first.
+func hopeless(f *flight, c balance.Choice, now time.Time) time.Duration {
+	if f.tally.reached > 0 || f.begun {
+		return 0
+	}
+	patience := f.route.Target
+	if f.priority == 0 {
+		patience += patience / 2
+	}
+	wait := time.Duration(c.Wait * float64(time.Second))
+	if now.Add(wait).Sub(f.request.Received) <= patience {
+		return 0
+	}
+	return max(wait-patience/2, retryNoEndpoint)
+}
+
+// retryNoEndpoint is when a repeat may find what was missing: a list of
+// endpoints is at most some hundred milliseconds old.
+const retryNoEndpoint = 250 * time.Millisecond
+
+// busy refuses a request that endpoints did not take.
+func (s *State) busy(f *flight, reason Reason) *Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.loads.refused(f.service)
+	return notRun(reason, spread(retryNoEndpoint, s.rng.Float64()))
+}
+
+func (s *State) takeRetry(now time.Time, service string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget(service).Take(now)
+}
+
+func (s *State) sent(t *track) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.Sent(t.flight.ask, t.choice)
+}
+
+func (s *State) first(t *track) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.First(t.flight.ask, t.choice)
+}
+
+func (s *State) done(now time.Time, t *track, o balance.Outcome) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.Done(now, t.flight.ask, t.choice, t.first, o)
+	s.loads.busy(t.flight.service, now.Sub(t.sent).Seconds())
+}
--- a/internal/rendezvous/rendezvous.go
+++ b/internal/rendezvous/rendezvous.go
@@ -11,9 +11,12 @@
 
 // Score returns the weight of node for key; the greatest wins.
 func Score(key uint64, node string) uint64 {
-	return mix(key ^ xxh3.HashString(node))
+	return Mix(key, xxh3.HashString(node))
 }
 
+// Mix is Score for a node whose name was hashed with Key before.
+func Mix(key, node uint64) uint64 { return mix(key ^ node) }
+
 // Key hashes a string key.
 func Key(key string) uint64 { return xxh3.HashString(key) }
 
--- /dev/null
+++ b/internal/roster/roster.go
@@ -0,0 +1,96 @@
+package roster
+
+import (
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// ReturnGrace is how long after an outage of the registry an endpoint whose
+// entry has lapsed still counts: an endpoint that lives is listed again within
+// two seconds of the registry's return (the platform's statement); the rest is
+// for the answer's way.
+const ReturnGrace = 2200 * time.Millisecond
+
+// Roster holds the endpoints of all services. It is not safe for concurrent
+// use; Snapshots are.
+type Roster struct {
+	endpoints map[fleet.EndpointID]Endpoint
+	lapsed    map[fleet.EndpointID]time.Time // removed, but kept until then
+	graceEnd  time.Time                      // of the last outage
+	changed   bool
+}
+
+// New returns an empty roster.
+func New() *Roster {
+	return &Roster{endpoints: map[fleet.EndpointID]Endpoint{}, lapsed: map[fleet.EndpointID]time.Time{}}
+}
+
+// Returned notes that the registry answers again after an outage, in which
+// entries may have lapsed for want of a registry to renew them at.
+func (r *Roster) Returned(now time.Time) { r.graceEnd = now.Add(ReturnGrace) }
+
+// Upsert takes an entry that is new or changed.
+func (r *Roster) Upsert(e Endpoint) {
+	delete(r.lapsed, e.ID)
+	r.endpoints[e.ID] = e
+	r.changed = true
+}
+
+// Remove takes an entry's end. An endpoint that did not say that it leaves may
+// have lapsed with the registry, and counts until the grace is over.
+func (r *Roster) Remove(now time.Time, id fleet.EndpointID) {
+	e, known := r.endpoints[id]
+	if !known {
+		return
+	}
+	if now.Before(r.graceEnd) && !e.Draining {
+		r.lapsed[id] = r.graceEnd
+		return
+	}
+	r.drop(id)
+}
+
+// Replace takes the whole list: what is not in it is removed.
+func (r *Roster) Replace(now time.Time, all []Endpoint) {
+	listed := make(map[fleet.EndpointID]bool, len(all))
+	for _, e := range all {
+		listed[e.ID] = true
+		r.Upsert(e)
+	}
+	for id := range maps.Clone(r.endpoints) {
+		if !listed[id] {
+			r.Remove(now, id)
+		}
+	}
+}
+
+// Tick ends the endpoints whose grace is over. It should be called a few times
+// a second.
+func (r *Roster) Tick(now time.Time) {
+	for id, until := range r.lapsed {
+		if !now.Before(until) {
+			r.drop(id)
+		}
+	}
+}
+
+// Snapshot returns the endpoints by id, and whether they changed since the
+// last call.
+func (r *Roster) Snapshot() ([]Endpoint, bool) {
+	changed := r.changed
+	r.changed = false
+	all := slices.SortedFunc(maps.Values(r.endpoints), func(a, b Endpoint) int {
+		return strings.Compare(string(a.ID), string(b.ID))
+	})
+	return all, changed
+}
+
+func (r *Roster) drop(id fleet.EndpointID) {
+	delete(r.endpoints, id)
+	delete(r.lapsed, id)
+	r.changed = true
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,49 @@
+package roster
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1000, 0)
+
+func count(r *Roster) int {
+	all, _ := r.Snapshot()
+	return len(all)
+}
+
+func TestRemovedAtOnceInQuietTimes(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a"})
+	r.Remove(start, "a")
+	assert.Equal(t, count(r), 0)
+}
+
+// The registry was down for longer than entries last. When it answers again
+// its list is empty though every endpoint lives. Dropped at once, all requests
+// would be refused until the endpoints have registered again.
+func TestLapsedWithTheRegistryCountsUntilGraceIsOver(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "lives"})
+	r.Upsert(Endpoint{ID: "died"})
+	r.Upsert(Endpoint{ID: "leaving", Draining: true})
+	r.Returned(start)
+	r.Replace(start, nil)
+	assert.Equal(t, count(r), 2)
+	r.Upsert(Endpoint{ID: "lives"})
+	r.Tick(start.Add(ReturnGrace))
+	all, _ := r.Snapshot()
+	assert.Equal(t, len(all), 1)
+	assert.Equal(t, string(all[0].ID), "lives")
+}
+
+func TestSnapshotTellsOfChanges(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a"})
+	_, changed := r.Snapshot()
+	assert.Assert(t, changed)
+	_, changed = r.Snapshot()
+	assert.Assert(t, !changed)
+}
--- /dev/null
+++ b/internal/route/route.go
@@ -0,0 +1,61 @@
+package route
+
+import "time"
+
+// Route says where requests of a host and path prefix go and what may be done
+// with them.
+type Route struct {
+	Name   string
+	Host   string // without a port, in lower case
+	Prefix string // begins and ends with a slash
+	Kind   Kind
+	// Timeout is the longest that a caller may be kept without the final answer.
+	Timeout time.Duration
+	// Target is the time to the whole answer, or to a stream's first event,
+	// within which it is worth most.
+	Target time.Duration
+	// GapTarget is the longest pause between events of a stream that is on time.
+	GapTarget time.Duration
+	// Priority is 0 for the most important.
+	Priority int
+	Backends []Backend
+	// MaxAttempts is how many endpoints one request may be sent to.
+	MaxAttempts int
+	// Public routes need no credential.
+	Public bool
+	// Affinity says that requests share beginnings of prompts, so that it
+	// matters which endpoint has read them.
+	Affinity bool
+	// Resumable streams may be continued after an event at another endpoint.
+	Resumable bool
+}
+
+// Backend is a service that takes a share of a route's requests.
+type Backend struct {
+	Service string
+	Weight  float64
+}
+
+// Repeatable reports whether a request that may have run may be sent again.
+func (r *Route) Repeatable() bool {
+	return r.Kind == Idempotent || r.Kind == Streaming && r.Resumable
+}
+
+// Backend returns the service for a draw from [0, 1).
+func (r *Route) Backend(draw float64) string {
+	total := 0.0
+	for _, b := range r.Backends {
+		total += b.Weight
+	}
+	left := draw * total
+	for _, b := range r.Backends {
+		if left < b.Weight {
+			return b.Service
+		}
+		left -= b.Weight
+	}
+	if len(r.Backends) == 0 {
+		return ""
+	}
+	return r.Backends[len(r.Backends)-1].Service
+}
--- /dev/null
+++ b/internal/route/service.go
@@ -0,0 +1,34 @@
+package route
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Service is a set of endpoints of one kind.
+type Service struct {
+	Name string
+	// HealthPath answers a GET where an endpoint is healthy.
+	HealthPath string
+	// MaxConnections bounds an endpoint's connections from all daemons.
+	MaxConnections int
+	// Engine describes the service's model engines; nil for a plain service.
+	Engine *Engine
+	// Scaling bounds the orders for endpoints; nil where none may be given.
+	Scaling *Scaling
+}
+
+// Engine describes a model engine.
+type Engine struct {
+	Slots       int // requests in a batch
+	CacheTokens int // tokens of running requests and cached prompts
+}
+
+// Scaling says how many endpoints a service may have and what they cost.
+type Scaling struct {
+	Min, Max   int // in each data centre, of both classes together
+	BootTime   time.Duration
+	SpotPrice  float64 // of the reclaimable class, as a share of the on-demand price
+	DataCentre map[fleet.DataCentre]float64
+}
--- /dev/null
+++ b/internal/route/table.go
@@ -0,0 +1,69 @@
+package route
+
+import (
+	"cmp"
+	"net"
+	"slices"
+	"strings"
+)
+
+// Table is one version of the configuration. Its fields are not changed after
+// New.
+type Table struct {
+	// Version is the operator's number: higher is newer.
+	Version    uint64
+	Routes     []Route
+	Services   []Service
+	Workspaces []Workspace
+	Limits     Limits
+
+	byHost    map[string][]*Route // longest prefix first
+	byService map[string]*Service
+	byKey     map[string]*Workspace
+}
+
+// New returns the table with its indexes built.
+func New(t Table) *Table {
+	t.byHost = make(map[string][]*Route)
+	t.byService = make(map[string]*Service, len(t.Services))
+	t.byKey = make(map[string]*Workspace)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		t.byHost[r.Host] = append(t.byHost[r.Host], r)
+	}
+	for _, routes := range t.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
+	}
+	for i := range t.Services {
+		t.byService[t.Services[i].Name] = &t.Services[i]
+	}
+	for i := range t.Workspaces {
+		for _, key := range t.Workspaces[i].Keys {
+			t.byKey[key] = &t.Workspaces[i]
+		}
+	}
+	return &t
+}
+
+// Match returns the route of the longest prefix for a request's host, with or
+// without a port, and path; nil where there is none.
+func (t *Table) Match(host, path string) *Route {
+	if name, _, err := net.SplitHostPort(host); err == nil {
+		host = name
+	}
+	for _, r := range t.byHost[strings.ToLower(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r
+		}
+	}
+	return nil
+}
+
+// Service returns a service by name, nil where there is none.
+func (t *Table) Service(name string) *Service { return t.byService[name] }
+
+// Workspace returns the workspace that holds a key, nil where none does.
+func (t *Table) Workspace(key string) *Workspace { return t.byKey[key] }
+
+// Closed reports whether requests need a credential.
+func (t *Table) Closed() bool { return len(t.Workspaces) > 0 }
--- /dev/null
+++ b/internal/upstream/call.go
@@ -0,0 +1,35 @@
+package upstream
+
+import (
+	"net/http"
+	"time"
+)
+
+// Call is one request to one endpoint.
+type Call struct {
+	Address string // host:port of the endpoint
+	Method  string
+	Target  string // path and query as the caller sent them
+	Host    string
+	Header  http.Header
+	Body    []byte
+	// Owns reports whether an answer's header names this request; a kept
+	// connection may first bring a late answer to an earlier one.
+	Owns func(http.Header) Ownership
+	// Once says that the request must not run twice, so that it is sent on a
+	// connection only where that was seen open just before.
+	Once bool
+	// HeadTimeout bounds the wait for the answer's head; 0 leaves it to the
+	// context.
+	HeadTimeout time.Duration
+}
+
+// Ownership says whose answer a head is.
+type Ownership uint8
+
+// The kinds of ownership.
+const (
+	Ours    Ownership = iota // names this request
+	Foreign                  // names another request
+	Unnamed                  // names none
+)
--- /dev/null
+++ b/internal/upstream/pool.go
@@ -0,0 +1,204 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Error is the class of errors made by this package.
+var Error = errs.Class("upstream")
+
+// ErrNoRoom says that this daemon's share of an endpoint's connections is in use.
+var ErrNoRoom = Error.New("no connection to the endpoint is free")
+
+const (
+	// dialTimeout bounds a new connection's set-up: data centres are a few
+	// milliseconds apart and a lost packet is repeated within a second.
+	dialTimeout = 600 * time.Millisecond
+	// idleDefault is how long a connection is kept where the endpoint does
+	// not say; it is below the shortest idle time-out that is usual.
+	idleDefault = 4 * time.Second
+	// idleMargin is taken off the endpoint's stated idle time-out, so that a
+	// request doesn't cross the endpoint's close.
+	idleMargin = 700 * time.Millisecond
+	// userTimeout is how long sent bytes may go unacknowledged before the
+	// kernel gives a connection up. Failure: a path that swallows packets.
+	// Symptom: a connection that hangs for minutes. Two seconds are many
+	// round trips and repeats of a lost packet.
+	userTimeout = 2 * time.Second
+)
+
+// Pool keeps connections to endpoints. It is safe for concurrent use.
+type Pool struct {
+	mu    sync.Mutex
+	hosts map[string]*host
+	share int // connections to one endpoint
+	stats Stats
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+}
+
+// host is the connections to one address.
+type host struct {
+	open int
+	idle []*conn // the newest last
+}
+
+// Stats are totals since the start.
+type Stats struct {
+	Dialled, DialFailed uint64
+	Reused              uint64
+	Stale               uint64 // kept connections found closed or with bytes of nobody
+	Skipped             uint64 // late answers to earlier requests that were passed over
+}
+
+// NewPool returns an empty pool with a share of connections for each endpoint.
+func NewPool(share int) *Pool {
+	return &Pool{hosts: map[string]*host{}, share: max(share, 1), dial: dialTCP}
+}
+
+// SetShare bounds the connections to one endpoint from now on.
+func (p *Pool) SetShare(n int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.share = max(n, 1)
+}
+
+// Stats returns the totals.
+func (p *Pool) Stats() Stats {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.stats
+}
+
+// Forget closes the idle connections to an address whose endpoint is gone.
+func (p *Pool) Forget(address string) {
+	p.mu.Lock()
+	h := p.hosts[address]
+	var idle []*conn
+	if h != nil {
+		idle, h.idle = h.idle, nil
+		h.open -= len(idle)
+	}
+	p.mu.Unlock()
+	for _, c := range idle {
+		c.close()
+	}
+}
+
+// get returns a kept connection that is still open, or a new one. Its errors
+// are NotRun.
+func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+	for {
+		c, err := p.take(address)
+		if err != nil {
+			return nil, err
+		}
+		if c == nil {
+			break
+		}
+		if c.quiet() {
+			return c, nil
+		}
+		p.count(func(s *Stats) { s.Stale++ })
+		p.drop(c)
+	}
+	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	defer cancel()
+	nc, err := p.dial(ctx, address)
+	if err != nil {
+		p.count(func(s *Stats) { s.DialFailed++ })
+		p.release(address)
+		return nil, verdict.Wrap(verdict.NotRun, Error.Wrap(err))
+	}
+	p.count(func(s *Stats) { s.Dialled++ })
+	return newConn(address, nc), nil
+}
+
+// take returns an idle connection, or nil after it has reserved room for a new one.
+func (p *Pool) take(address string) (*conn, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{}
+		p.hosts[address] = h
+	}
+	now := time.Now()
+	for n := len(h.idle); n > 0; n = len(h.idle) {
+		c := h.idle[n-1]
+		h.idle = h.idle[:n-1]
+		if now.Before(c.until) {
+			p.stats.Reused++
+			return c, nil
+		}
+		h.open--
+		c.close()
+	}
+	if h.open >= p.share {
+		return nil, verdict.Wrap(verdict.NotRun, ErrNoRoom)
+	}
+	h.open++
+	return nil, nil
+}
+
+// put keeps a connection for the next request.
+func (p *Pool) put(c *conn) {
+	p.mu.Lock()
+	h := p.hosts[c.address]
+	h.idle = append(h.idle, c)
+	p.mu.Unlock()
+}
+
+// drop closes a connection and gives its room back.
+func (p *Pool) drop(c *conn) {
+	c.close()
+	p.release(c.address)
+}
+
+func (p *Pool) release(address string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[address]
+	h.open--
+	if h.open == 0 && len(h.idle) == 0 {
+		delete(p.hosts, address)
+	}
+}
+
+// Sweep closes idle connections whose time is over. It should be called about
+// once a second: endpoints bound their connections.
+func (p *Pool) Sweep(now time.Time) {
+	p.mu.Lock()
+	var old []*conn
+	for address, h := range p.hosts {
+		kept := h.idle[:0]
+		for _, c := range h.idle {
+			if now.Before(c.until) {
+				kept = append(kept, c)
+				continue
+			}
+			old = append(old, c)
+			h.open--
+		}
+		h.idle = kept
+		if h.open == 0 {
+			delete(p.hosts, address)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		c.close()
+	}
+}
+
+func (p *Pool) count(f func(*Stats)) {
+	p.mu.Lock()
+	f(&p.stats)
+	p.mu.Unlock()
+}
--- /dev/null
+++ b/internal/upstream/send.go
@@ -0,0 +1,185 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// inlineBody is the largest body written before the answer is read: it
+	// fits a connection's smallest send window.
+	inlineBody = 4 << 10
+	// maxSkipped bounds the late answers of others that are passed over on
+	// one connection: an endpoint sends one extra answer to a request.
+	maxSkipped = 2
+	// skipBytes bounds such an answer's body.
+	skipBytes = 1 << 20
+	// writeRest is how long the rest of a body may take after the endpoint
+	// has answered; the connection can't be kept before.
+	writeRest = time.Second
+)
+
+// Answer is an endpoint's answer. The body is read from Body, to io.EOF where
+// it is whole; Close ends it at any time.
+type Answer struct {
+	Status int
+	Header http.Header
+	// Length is the body's, -1 where the endpoint does not say.
+	Length int64
+	Body   io.Reader
+
+	pool    *Pool
+	conn    *conn
+	resp    *http.Response
+	written chan error // the body's writer, nil where it is done
+	stop    func() bool
+	whole   bool
+}
+
+// Send sends a call and returns the head of its answer. Its errors carry a
+// verdict. The context ends the wait and, until Close, the reading.
+func (p *Pool) Send(ctx context.Context, call *Call) (*Answer, error) {
+	c, err := p.get(ctx, call.Address)
+	if err != nil {
+		return nil, err
+	}
+	a := &Answer{pool: p, conn: c}
+	a.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
+	if err := a.write(call); err != nil {
+		a.abandon()
+		return nil, verdict.Wrap(verdict.MayHaveRun, Error.Wrap(err))
+	}
+	if err := a.readHead(call); err != nil {
+		a.abandon()
+		return nil, verdict.Wrap(verdict.MayHaveRun, Error.Wrap(err))
+	}
+	return a, nil
+}
+
+// write sends the head and the body; a large body by a goroutine of its own,
+// since the endpoint may answer before it reads it.
+func (a *Answer) write(call *Call) error {
+	var head bytes.Buffer
+	head.Grow(512 + min(len(call.Body), inlineBody))
+	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
+	if err := call.Header.Write(&head); err != nil {
+		return err
+	}
+	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
+		head.WriteString("Content-Length: " + strconv.Itoa(len(call.Body)) + "\r\n")
+	}
+	head.WriteString("\r\n")
+	if len(call.Body) <= inlineBody {
+		head.Write(call.Body)
+		_, err := a.conn.nc.Write(head.Bytes())
+		return err
+	}
+	if _, err := a.conn.nc.Write(head.Bytes()); err != nil {
+		return err
+	}
+	a.written = make(chan error, 1)
+	go func() {
+		_, err := a.conn.nc.Write(call.Body)
+		a.written <- err
+	}()
+	return nil
+}
+
+// readHead reads heads until one belongs to the call.
+func (a *Answer) readHead(call *Call) error {
+	req := &http.Request{Method: call.Method}
+	if call.HeadTimeout > 0 {
+		_ = a.conn.nc.SetReadDeadline(time.Now().Add(call.HeadTimeout))
+		defer func() { _ = a.conn.nc.SetReadDeadline(time.Time{}) }()
+	}
+	for skipped := 0; ; skipped++ {
+		resp, err := http.ReadResponse(a.conn.r, req)
+		if err != nil {
+			return err
+		}
+		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+			continue
+		}
+		switch owner := call.Owns(resp.Header); {
+		case owner == Ours, owner == Unnamed && !a.conn.used:
+			a.take(resp)
+			return nil
+		case owner == Unnamed:
+			return Error.New("an answer without a name on a kept connection")
+		case skipped == maxSkipped:
+			return Error.New("%d answers to other requests", skipped+1)
+		}
+		if err := skip(resp); err != nil {
+			return err
+		}
+		a.pool.count(func(s *Stats) { s.Skipped++ })
+	}
+}
+
+// skip reads an answer that belongs to another request.
+func skip(resp *http.Response) error {
+	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, skipBytes))
+	if err != nil {
+		return err
+	}
+	if n == skipBytes || resp.Close {
+		return Error.New("the answer to another request doesn't end")
+	}
+	return nil
+}
+
+func (a *Answer) take(resp *http.Response) {
+	a.resp = resp
+	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
+	a.Body = (*body)(a)
+}
+
+// body reads an answer's body and notes its whole end.
+type body Answer
+
+func (b *body) Read(p []byte) (int, error) {
+	n, err := b.resp.Body.Read(p)
+	if err == io.EOF {
+		b.whole = true
+	}
+	return n, err
+}
+
+// Close ends the answer: a connection whose answer was read to its end is kept
+// for the next request, any other is closed, which tells the endpoint to stop.
+func (a *Answer) Close() {
+	if !a.stop() { // the context has ended the connection
+		a.pool.drop(a.conn)
+		return
+	}
+	until := keepUntil(time.Now(), a.resp)
+	if !a.whole || until.IsZero() || a.conn.r.Buffered() > 0 || !a.bodyOut() {
+		a.pool.drop(a.conn)
+		return
+	}
+	a.conn.until, a.conn.used = until, true
+	a.pool.put(a.conn)
+}
+
+// bodyOut reports whether the request's body was written to its end.
+func (a *Answer) bodyOut() bool {
+	if a.written == nil {
+		return true
+	}
+	_ = a.conn.nc.SetWriteDeadline(time.Now().Add(writeRest))
+	err := <-a.written
+	_ = a.conn.nc.SetWriteDeadline(time.Time{})
+	return err == nil
+}
+
+// abandon closes the connection of an answer that has no head.
+func (a *Answer) abandon() {
+	a.stop()
+	a.pool.drop(a.conn)
+}
--- /dev/null
+++ b/internal/upstream/send_test.go
@@ -0,0 +1,236 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// script answers each request on each connection with what f returns for its
+// number on the connection; an empty answer closes the connection.
+func script(t *testing.T, f func(n int, r *http.Request) string) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				r := bufio.NewReader(c)
+				for n := 0; ; n++ {
+					req, err := http.ReadRequest(r)
+					if err != nil {
+						return
+					}
+					_, _ = io.Copy(io.Discard, req.Body)
+					answer := f(n, req)
+					if answer == "" {
+						return
+					}
+					_, _ = io.WriteString(c, answer)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+func call(address, id string) *Call {
+	return &Call{
+		Address: address, Method: "POST", Target: "/a%2Fb?q=1", Host: "h.example",
+		Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Owns: func(h http.Header) Ownership {
+			switch h.Get("Id") {
+			case id:
+				return Ours
+			case "":
+				return Unnamed
+			}
+			return Foreign
+		},
+	}
+}
+
+func answer(id, text string) string {
+	return "HTTP/1.1 200 OK\r\nId: " + id + "\r\nContent-Length: " + string(rune('0'+len(text))) + "\r\n\r\n" + text
+}
+
+func read(t *testing.T, p *Pool, c *Call) (string, error) {
+	t.Helper()
+	a, err := p.Send(t.Context(), c)
+	if err != nil {
+		return "", err
+	}
+	defer a.Close()
+	b, err := io.ReadAll(a.Body)
+	return string(b), err
+}
+
+func TestRequestLeavesAsItCame(t *testing.T) {
+	var got string
+	address := script(t, func(_ int, r *http.Request) string {
+		got = r.Method + " " + r.RequestURI + " " + r.Host + " " + r.Header.Get("User-Agent")
+		return answer("1", "one")
+	})
+	body, err := read(t, NewPool(1), call(address, "1"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+	assert.Equal(t, got, "POST /a%2Fb?q=1 h.example ")
+}
+
+// An endpoint answers a request twice. The second answer arrives when the next
+// request is already on its way on the same connection. Taken for that one's,
+// a caller would read another caller's answer.
+func TestLateExtraAnswerIsPassedOver(t *testing.T) {
+	address := script(t, func(n int, r *http.Request) string {
+		if n == 0 {
+			return answer("1", "one")
+		}
+		return answer("1", "one") + answer("2", "two")
+	})
+	p := NewPool(1)
+	_, err := read(t, p, call(address, "1"))
+	assert.NilError(t, err)
+	body, err := read(t, p, call(address, "2"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "two")
+	assert.Equal(t, p.Stats().Skipped, uint64(1))
+	assert.Equal(t, p.Stats().Dialled, uint64(1))
+}
+
+// The extra answer is already there when the connection is wanted again.
+func TestConnectionWithBytesOfNobodyIsNotReused(t *testing.T) {
+	address := script(t, func(n int, r *http.Request) string {
+		id := r.Header.Get("Id")
+		return answer(id, "one") + answer(id, "one")
+	})
+	p := NewPool(1)
+	for _, id := range []string{"1", "2"} {
+		body, err := read(t, p, call(address, id))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "one")
+	}
+	assert.Equal(t, p.Stats().Dialled, uint64(2))
+}
+
+// The endpoint closes the connection instead of answering. Sent again, the
+// request could run twice; the caller is told that it may have run.
+func TestNeverSentTwice(t *testing.T) {
+	seen := make(chan string, 4)
+	address := script(t, func(n int, r *http.Request) string {
+		seen <- r.Header.Get("Id")
+		if n == 0 {
+			return answer("1", "one")
+		}
+		return ""
+	})
+	p := NewPool(1)
+	_, err := read(t, p, call(address, "1"))
+	assert.NilError(t, err)
+	_, err = read(t, p, call(address, "2"))
+	assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	assert.Equal(t, len(seen), 2)
+}
+
+func TestCutBodyIsAnError(t *testing.T) {
+	address := script(t, func(int, *http.Request) string {
+		return "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\nConnection: close\r\n\r\nhalf"
+	})
+	a, err := NewPool(1).Send(t.Context(), call(address, "1"))
+	assert.NilError(t, err)
+	defer a.Close()
+	a.conn.nc.(*net.TCPConn).CloseWrite()
+	_, err = io.ReadAll(a.Body)
+	assert.ErrorContains(t, err, "unexpected EOF")
+}
+
+func TestNobodyListensIsNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	address := l.Addr().String()
+	assert.NilError(t, l.Close())
+	p := NewPool(1)
+	_, err = read(t, p, call(address, "1"))
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	_, err = read(t, p, call(address, "1")) // its room was given back
+	assert.Assert(t, !strings.Contains(err.Error(), ErrNoRoom.Error()))
+}
+
+func TestShareOfConnections(t *testing.T) {
+	address := script(t, func(int, *http.Request) string { return answer("1", "one") })
+	p := NewPool(1)
+	a, err := p.Send(t.Context(), call(address, "1"))
+	assert.NilError(t, err)
+	_, err = p.Send(t.Context(), call(address, "1"))
+	assert.Equal(t, verdict.Of(err), verdict.NotRun)
+	_, err = io.ReadAll(a.Body)
+	assert.NilError(t, err)
+	a.Close()
+	_, err = read(t, p, call(address, "1"))
+	assert.NilError(t, err)
+}
+
+// A caller leaves while its endpoint works. The endpoint sees the connection
+// end, and the room is free again.
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	hold := make(chan struct{})
+	address := script(t, func(int, *http.Request) string { <-hold; return "" })
+	defer close(hold)
+	p := NewPool(1)
+	ctx, cancel := context.WithCancel(t.Context())
+	time.AfterFunc(0, cancel)
+	_, err := p.Send(ctx, call(address, "1"))
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(p.hosts), 0)
+}
+
+// A large body is answered before it was read, and the rest is read later. The
+// connection carries exactly that rest.
+func TestEarlyAnswerToALargeBody(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	rest := make(chan int64, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		r := bufio.NewReader(c)
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, answer("1", "one"))
+		n, _ := io.Copy(io.Discard, req.Body)
+		rest <- n
+		if _, err := http.ReadRequest(r); err == nil {
+			_, _ = io.WriteString(c, answer("2", "two"))
+		}
+	}()
+	p := NewPool(1)
+	first := call(l.Addr().String(), "1")
+	first.Body = make([]byte, 8<<20)
+	body, err := read(t, p, first)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "one")
+	assert.Equal(t, <-rest, int64(8<<20))
+	body, err = read(t, p, call(l.Addr().String(), "2"))
+	assert.NilError(t, err)
+	assert.Equal(t, body, "two")
+}
