--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"os"
 	"time"
 
 	"github.com/spf13/cobra"
@@ -9,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/daemon"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/deployment"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/node"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 )
 
@@ -26,7 +28,16 @@
 	return cmd
 }
 
+// serve runs the daemon that the settings are for: those of an entry on the
+// users' platform name the platform's store.
 func (a *app) serve(ctx context.Context, path string) error {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	if node.Recognise(text) {
+		return a.serveNode(ctx, path)
+	}
 	s, err := settings.Read(path)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/node/begun.go
@@ -0,0 +1,50 @@
+package node
+
+import (
+	"maps"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// toldWindows is the number of usage windows that are told: reports are late
+// by two windows at most.
+const toldWindows = 4
+
+// begunCounts counts the requests that began to run, by window of the fleet's time.
+type begunCounts struct {
+	window time.Duration
+	mu     sync.Mutex
+	counts map[uint64]exchange.Begun
+}
+
+func newBegunCounts(window time.Duration) *begunCounts {
+	return &begunCounts{window: window, counts: map[uint64]exchange.Begun{}}
+}
+
+// number returns the window that a time lies in.
+func (b *begunCounts) number(at time.Time) uint64 { return uint64(at.UnixNano() / int64(b.window)) }
+
+func (b *begunCounts) add(w fleet.WorkspaceID, at time.Time) {
+	id := b.number(at)
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.counts[id] == nil {
+		b.counts[id] = exchange.Begun{}
+		maps.DeleteFunc(b.counts, func(old uint64, _ exchange.Begun) bool { return old+toldWindows <= id })
+	}
+	b.counts[id][w]++
+}
+
+// windows returns a copy of the counts.
+func (b *begunCounts) windows() map[uint64]exchange.Begun {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	out := make(map[uint64]exchange.Begun, len(b.counts))
+	for id, c := range b.counts {
+		out[id] = maps.Clone(c)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/endpoints.go
@@ -0,0 +1,117 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+// endpointDuty keeps the list of endpoints.
+type endpointDuty struct {
+	node   *Node
+	mu     sync.Mutex
+	roster *roster.Roster
+	all    []roster.Endpoint
+	listed bool
+}
+
+func newEndpointDuty(n *Node) *endpointDuty { return &endpointDuty{node: n, roster: roster.New()} }
+
+func (d *endpointDuty) run(ctx context.Context) {
+	follow.New(d.node.platform.Store, d.node.platform.EndpointKind, d).Run(ctx)
+}
+
+// tickInterval is how often endpoints whose grace is over are looked for.
+const tickInterval = 200 * time.Millisecond
+
+func (d *endpointDuty) tick(ctx context.Context) {
+	every(ctx, tickInterval, func() {
+		d.update(func(now time.Time) { d.roster.Tick(now) })
+	})
+}
+
+// Listed implements follow.Handler.
+func (d *endpointDuty) Listed(all []objects.Object) {
+	d.update(func(now time.Time) {
+		list := make([]roster.Endpoint, 0, len(all))
+		for _, o := range all {
+			if e, ok := d.decode(now, o); ok {
+				list = append(list, e)
+			}
+		}
+		d.roster.Replace(now, list)
+		d.listed = true
+	})
+}
+
+// Changed implements follow.Handler.
+func (d *endpointDuty) Changed(changes []objects.Change) {
+	d.update(func(now time.Time) {
+		for _, c := range changes {
+			if c.Deleted {
+				d.roster.Remove(now, fleet.EndpointID(c.Object.Name))
+				continue
+			}
+			if e, ok := d.decode(now, c.Object); ok {
+				d.roster.Upsert(e)
+			}
+		}
+	})
+}
+
+// Lost implements follow.Handler.
+func (d *endpointDuty) Lost(err error) { d.node.say("endpoints").WithError(err).Warn("store lost") }
+
+// Returned implements follow.Handler.
+func (d *endpointDuty) Returned() {
+	d.node.say("endpoints").Info("store is back")
+	d.update(func(now time.Time) { d.roster.Returned(now) })
+}
+
+func (d *endpointDuty) decode(now time.Time, o objects.Object) (roster.Endpoint, bool) {
+	e, err := d.node.platform.DecodeEndpoint(now, o)
+	if err != nil {
+		d.node.say("endpoints").WithError(err).Error("entry not understood")
+	}
+	return e, err == nil
+}
+
+// update changes the roster and passes the new list on.
+func (d *endpointDuty) update(change func(now time.Time)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	change(time.Now())
+	all, changed := d.roster.Snapshot()
+	if !changed {
+		return
+	}
+	d.forgetGone(all)
+	d.all = all
+	d.node.state.SetEndpoints(all)
+	d.node.say("endpoints").WithField("listed", len(all)).Debug("list changed")
+}
+
+// forgetGone closes kept connections to addresses that nobody has any more.
+func (d *endpointDuty) forgetGone(now []roster.Endpoint) {
+	kept := make(map[string]bool, len(now))
+	for _, e := range now {
+		kept[e.Address] = true
+	}
+	for _, e := range d.all {
+		if !kept[e.Address] {
+			d.node.pool.Forget(e.Address)
+		}
+	}
+}
+
+// list returns the endpoints, and whether the store has told them.
+func (d *endpointDuty) list() ([]roster.Endpoint, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.all, d.listed
+}
--- /dev/null
+++ b/internal/node/members.go
@@ -0,0 +1,132 @@
+package node
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/gossip"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+)
+
+// probeInterval is the time between two probes of the membership protocol. A
+// dead daemon is known everywhere within about a second, in which callers
+// would waste a connection attempt on it.
+const probeInterval = 300 * time.Millisecond
+
+// members is which daemons there are.
+type members struct {
+	node   *Node
+	gossip *gossip.Node
+	seeds  []membership.Member
+}
+
+// joinFleet starts the membership protocol at the peers' address.
+func joinFleet(n *Node) (*members, error) {
+	s := n.settings
+	conn, err := net.ListenPacket("udp", s.Listen.Peers)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	self := membership.Member{
+		Instance:    s.Daemon.Instance,
+		Daemon:      n.id,
+		Caller:      s.Listen.Callers,
+		Peer:        s.Listen.Peers,
+		DataCentre:  s.Daemon.DataCentre,
+		Region:      s.Daemon.Region,
+		Incarnation: uint64(time.Now().UnixMilli()),
+	}
+	g, err := gossip.Start(gossip.Options{
+		Conn:       conn,
+		Membership: membership.New(membership.Config{ProbeInterval: probeInterval}, self, random()),
+	})
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	m := &members{node: n, gossip: g, seeds: seedMembers(s)}
+	g.Seeds(m.seeds)
+	return m, nil
+}
+
+// seedMembers turns the seeds' machines into peers: all daemons have the same
+// port for each other.
+func seedMembers(s *Settings) []membership.Member {
+	_, port, err := net.SplitHostPort(s.Listen.Peers)
+	if err != nil {
+		return nil
+	}
+	var out []membership.Member
+	for _, seed := range s.Seeds {
+		host, _, err := net.SplitHostPort(seed)
+		if err != nil {
+			continue
+		}
+		address := net.JoinHostPort(host, port)
+		if address != s.Listen.Peers {
+			out = append(out, membership.Member{Peer: address})
+		}
+	}
+	return out
+}
+
+// run keeps what depends on the number of daemons up to date.
+func (m *members) run(ctx context.Context) {
+	seen := 0
+	every(ctx, time.Second, func() {
+		if n := len(m.serving()); n != seen {
+			seen = n
+			m.node.state.SetDaemons(n)
+			m.node.shareConnections()
+			m.node.say("membership").WithField("daemons", n).Info("fleet changed")
+		}
+	})
+}
+
+// serving returns the daemons that take requests, this one among them unless
+// it leaves.
+func (m *members) serving() []membership.Member {
+	all := m.gossip.View().Alive()
+	out := make([]membership.Member, 0, len(all))
+	for _, member := range all {
+		if member.State == membership.Alive {
+			out = append(out, member)
+		}
+	}
+	return out
+}
+
+// hubCount is the number of hubs: one more than can die at once without a loss
+// of what was told.
+const hubCount = 2
+
+// hubKey ranks daemons as hubs and as holders of the duties.
+var hubKey = rendezvous.Key("duties")
+
+// hubs returns the hubs among the serving daemons.
+func (m *members) hubs() []membership.Member {
+	serving := m.serving()
+	names := make([]string, len(serving))
+	byName := make(map[string]membership.Member, len(serving))
+	for i, member := range serving {
+		names[i] = string(member.Daemon)
+		byName[names[i]] = member
+	}
+	var out []membership.Member
+	for _, name := range rendezvous.Rank(hubKey, names, hubCount) {
+		out = append(out, byName[name])
+	}
+	return out
+}
+
+// ids returns the daemons that may hold duties.
+func (m *members) ids() []fleet.DaemonID {
+	serving := m.serving()
+	out := make([]fleet.DaemonID, len(serving))
+	for i, member := range serving {
+		out[i] = member.Daemon
+	}
+	return out
+}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,58 @@
+package node
+
+import (
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+// metricSet is what the daemon counts. Names and meanings stand in
+// docs/OPERATIONS.md.
+type metricSet struct {
+	set          *metrics.Set
+	node         *Node
+	linesLeftOut *metrics.Counter
+}
+
+func newMetricSet(n *Node) *metricSet {
+	m := &metricSet{set: metrics.NewSet(), node: n}
+	m.linesLeftOut = m.set.NewCounter("cyclamenbeam_log_lines_left_out_total")
+	m.set.NewGauge("cyclamenbeam_config_version", func() float64 { return float64(n.config.current().Version) })
+	m.set.NewGauge("cyclamenbeam_requests_active", func() float64 { return float64(n.relay.Active()) })
+	m.set.NewGauge("cyclamenbeam_endpoints_listed", func() float64 {
+		all, _ := n.endpoints.list()
+		return float64(len(all))
+	})
+	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
+	m.set.NewGauge("cyclamenbeam_connections_reused_total", func() float64 { return float64(n.pool.Stats().Reused) })
+	m.set.NewGauge("cyclamenbeam_answers_skipped_total", func() float64 { return float64(n.pool.Stats().Skipped) })
+	return m
+}
+
+// ended counts a request.
+func (m *metricSet) ended(o *relay.Outcome) {
+	outcome := "answered"
+	if o.Reason != "" {
+		outcome = string(o.Reason)
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
+	if o.First > 0 {
+		m.set.GetOrCreateHistogram(fmt.Sprintf(`cyclamenbeam_first_seconds{route=%q}`, o.Route)).Update(o.First.Seconds())
+	}
+	if again := o.Reached - 1; again > 0 {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_sends_again_total{route=%q}`, o.Route)).Add(again)
+	}
+}
+
+// Metrics writes the daemon's metrics in the Prometheus text format.
+func (n *Node) Metrics(w io.Writer) {
+	n.metrics.set.WritePrometheus(w)
+	for service, left := range n.state.RetriesLeft(time.Now()) {
+		fmt.Fprintf(w, "cyclamenbeam_retries_left{service=%q} %g\n", service, left)
+	}
+	metrics.WriteProcessMetrics(w)
+}
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+)
+
+// Node is one daemon.
+type Node struct {
+	settings *Settings
+	platform Platform
+	id       fleet.DaemonID
+	log      *logrus.Logger
+
+	state     *relay.State
+	relay     *relay.Relay
+	pool      *upstream.Pool
+	clock     *clock.Clock
+	config    *configuration
+	endpoints *endpointDuty
+	members   *members
+	telling   *telling
+	begun     *begunCounts
+	requests  *requestLog
+	metrics   *metricSet
+
+	stopping atomic.Bool
+	wg       sync.WaitGroup
+}
+
+// New returns a daemon that isn't started.
+func New(s *Settings, p Platform, log *logrus.Logger) *Node {
+	n := &Node{
+		settings: s,
+		platform: p,
+		id:       fleet.DaemonID(uuid.NewString()),
+		log:      log,
+		clock:    clock.New(),
+		pool:     upstream.NewPool(startShare),
+	}
+	budget := retry.Config{
+		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
+	}
+	n.state = relay.NewState(s.Daemon.DataCentre, s.Daemon.FirstStart, budget, random())
+	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
+	n.metrics = newMetricSet(n)
+	n.requests = newRequestLog(log, n.metrics)
+	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n})
+	n.config = newConfiguration(n)
+	n.endpoints = newEndpointDuty(n)
+	n.telling = newTelling(n)
+	return n
+}
+
+// startShare is the connections to an endpoint until its service's bound and
+// the number of daemons are known.
+const startShare = 16
+
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// Run serves until the context ends, then leaves in order.
+func (n *Node) Run(ctx context.Context) error {
+	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	members, err := joinFleet(n)
+	if err != nil {
+		return err
+	}
+	n.members = members
+	if err := n.telling.listen(work); err != nil {
+		return err
+	}
+	stop, err := n.platform.Open(work, n)
+	if err != nil {
+		return err
+	}
+	n.say("daemon").WithField("instance", n.settings.Daemon.Instance).Info("started")
+	n.start(work)
+	<-ctx.Done()
+	n.leave()
+	stop()
+	cancel()
+	n.wg.Wait()
+	n.say("daemon").Info("stopped")
+	return nil
+}
+
+// start starts the duties.
+func (n *Node) start(ctx context.Context) {
+	duties := []func(context.Context){
+		n.config.run, n.endpoints.run, n.endpoints.tick, n.telling.run, n.members.run, n.sweep, n.requests.run,
+	}
+	if n.platform.Cloud != nil {
+		duties = append(duties, newDuties(n).run)
+	}
+	for _, duty := range duties {
+		n.wg.Add(1)
+		go func() {
+			defer n.wg.Done()
+			duty(ctx)
+		}()
+	}
+}
+
+// sweep closes connections to endpoints that were idle for too long.
+func (n *Node) sweep(ctx context.Context) {
+	every(ctx, time.Second, func() { n.pool.Sweep(time.Now()) })
+}
+
+// say returns the log of a part.
+func (n *Node) say(part string) *logrus.Entry { return n.log.WithField("part", part) }
+
+// every calls f at an interval until the context ends.
+func every(ctx context.Context, interval time.Duration, f func()) {
+	t := time.NewTicker(interval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			f()
+		}
+	}
+}
--- /dev/null
+++ b/internal/node/observer.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+// observer implements relay.Observer.
+type observer struct{ node *Node }
+
+// Began implements relay.Observer. The time is moved to the fleet's clock.
+func (o *observer) Began(w fleet.WorkspaceID, at time.Time) {
+	o.node.begun.add(w, o.node.clock.Now().Add(-time.Since(at)))
+}
+
+// Ended implements relay.Observer.
+func (o *observer) Ended(out *relay.Outcome) {
+	o.node.metrics.ended(out)
+	o.node.requests.add(out)
+}
--- /dev/null
+++ b/internal/node/platform.go
@@ -0,0 +1,28 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// Platform is what a platform's adapter gives the daemon.
+type Platform struct {
+	Store objects.Store
+	// Protocol is how endpoints are spoken to.
+	Protocol relay.Protocol
+	// Cloud takes usage reports and orders; nil where there are no duties.
+	Cloud duty.Cloud
+	// ConfigKind and ConfigName are where the configuration is in the store,
+	// EndpointKind the kind of the endpoints' entries.
+	ConfigKind, ConfigName, EndpointKind string
+	DecodeTable                          func(spec []byte) (*route.Table, error)
+	DecodeEndpoint                       func(now time.Time, o objects.Object) (roster.Endpoint, error)
+	// Open opens the listeners for callers; the function it returns ends them.
+	Open func(ctx context.Context, n *Node) (stop func(), err error)
+}
--- /dev/null
+++ b/internal/node/requestlog.go
@@ -0,0 +1,88 @@
+package node
+
+import (
+	"context"
+	"sync/atomic"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
+)
+
+const (
+	// requestRing bounds the outcomes that wait to be logged.
+	requestRing = 512
+	// failureLines and successLines bound the lines a second: a line costs
+	// some 10 microseconds, so that both together stay below a thousandth of
+	// a core.
+	failureLines = 60
+	successLines = 4
+)
+
+// requestLog writes a line for each request that failed and for some of the
+// others, on a goroutine of its own, within a bound.
+type requestLog struct {
+	log     *logrus.Logger
+	metrics *metricSet
+	ring    *ring.Ring[*relay.Outcome]
+	good    atomic.Uint64 // successes that were offered to the ring this second
+}
+
+func newRequestLog(l *logrus.Logger, m *metricSet) *requestLog {
+	return &requestLog{log: l, metrics: m, ring: ring.New[*relay.Outcome]("requests", requestRing)}
+}
+
+// add takes an outcome; it never waits.
+func (r *requestLog) add(o *relay.Outcome) {
+	if o.Reason == "" && r.good.Add(1) > successLines {
+		return
+	}
+	r.ring.Push(o)
+}
+
+func (r *requestLog) run(ctx context.Context) {
+	second := time.NewTicker(time.Second)
+	defer second.Stop()
+	written, left := 0, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-second.C:
+			if left > 0 {
+				r.log.WithFields(logrus.Fields{"part": "requests", "left_out": left}).Warn("lines left out")
+				r.metrics.linesLeftOut.Add(left)
+			}
+			written, left = 0, 0
+			r.good.Store(0)
+		case o := <-r.ring.C():
+			if written >= failureLines {
+				left++
+				continue
+			}
+			written++
+			r.write(o)
+		}
+	}
+}
+
+func (r *requestLog) write(o *relay.Outcome) {
+	f := logrus.Fields{
+		"part": "requests", "id": o.ID, "route": o.Route, "workspace": o.Workspace, "endpoint": o.Endpoint,
+		"config": o.Config, "reached": o.Reached, "unreached": o.Unreached, "status": o.Status,
+		"verdict": o.Verdict.String(), "predicted_ms": o.Predicted.Milliseconds(),
+		"first_ms": o.First.Milliseconds(), "total_ms": o.Total.Milliseconds(), "events": o.Events,
+		"left_ms": o.Left.Milliseconds(),
+	}
+	if o.Cause != nil {
+		f["cause"] = o.Cause.Error()
+	}
+	if o.Reason == "" {
+		r.log.WithFields(f).Info("answered")
+		return
+	}
+	f["reason"] = o.Reason
+	r.log.WithFields(f).Warn("not answered")
+}
--- /dev/null
+++ b/internal/node/serving.go
@@ -0,0 +1,70 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// answerAge is how long callers may keep the addresses they were told. Some
+// keep them three times as long, which must fit in the time a leaving daemon
+// goes on serving.
+const answerAge = 1500 * time.Millisecond
+
+// Serve carries a caller's request.
+func (n *Node) Serve(ctx context.Context, q *relay.Request, sink relay.Sink) {
+	n.relay.Serve(ctx, q, sink)
+}
+
+// Table returns the configuration in force, nil where none is known.
+func (n *Node) Table() *route.Table { return n.state.Table() }
+
+// Stopping reports whether this daemon leaves.
+func (n *Node) Stopping() bool { return n.stopping.Load() }
+
+// Ready reports whether this daemon should be sent requests: it has a
+// configuration, knows endpoints and doesn't leave.
+func (n *Node) Ready() bool {
+	_, listed := n.endpoints.list()
+	return !n.Stopping() && n.Table() != nil && listed
+}
+
+// Entries returns the addresses that callers should use, and for how long.
+func (n *Node) Entries(_ fleet.Region, _ fleet.DataCentre) ([]string, time.Duration) {
+	var out []string
+	for _, m := range n.members.serving() {
+		if m.Daemon == n.id && !n.Ready() {
+			continue
+		}
+		out = append(out, m.Caller)
+	}
+	return out, min(answerAge, seconds(n.settings.Bounds.AnswerMaxAgeSeconds))
+}
+
+// shareConnections gives this daemon its share of the endpoints' connections.
+func (n *Node) shareConnections() {
+	t := n.state.Table()
+	if t == nil || n.members == nil {
+		return
+	}
+	least := 0
+	for i := range t.Services {
+		if m := t.Services[i].MaxConnections; m > 0 && (least == 0 || m < least) {
+			least = m
+		}
+	}
+	if least > 0 {
+		n.pool.SetShare(max(int(connectionShare*float64(least))/max(len(n.members.serving()), 1), minShare))
+	}
+}
+
+const (
+	// connectionShare is the part of an endpoint's bound that is used: an
+	// endpoint with a long queue takes fewer.
+	connectionShare = 0.9
+	// minShare lets every daemon reach every endpoint.
+	minShare = 2
+)
--- /dev/null
+++ b/internal/node/settings.go
@@ -0,0 +1,138 @@
+package node
+
+import (
+	"bytes"
+	"os"
+	"time"
+
+	"github.com/goccy/go-yaml"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Settings are a daemon's, as its file gives them. Times are in the unit that
+// the key names.
+type Settings struct {
+	Daemon DaemonSettings `yaml:"daemon"`
+	Listen ListenSettings `yaml:"listen"`
+	// Seeds are addresses of other daemons' machines, host:port; the port is
+	// not used. They may be stale.
+	Seeds  []string       `yaml:"seeds"`
+	Store  StoreSettings  `yaml:"store"`
+	Cloud  CloudSettings  `yaml:"cloud"`
+	Limits LimitSettings  `yaml:"limits"`
+	Bounds BoundsSettings `yaml:"bounds"`
+	Log    LogSettings    `yaml:"log"`
+}
+
+// DaemonSettings say who the daemon is.
+type DaemonSettings struct {
+	Instance   fleet.InstanceID `yaml:"instance"`
+	DataCentre fleet.DataCentre `yaml:"dataCentre"`
+	Region     fleet.Region     `yaml:"region"`
+	// FirstStart is true where the whole system starts for the first time.
+	FirstStart bool `yaml:"firstStart"`
+}
+
+// ListenSettings are the listeners' addresses, host:port; an empty one is not
+// opened.
+type ListenSettings struct {
+	Callers   string `yaml:"callers"`
+	Ready     string `yaml:"ready"`
+	Directory string `yaml:"directory"`
+	Peers     string `yaml:"peers"` // other daemons, TCP and UDP
+	Metrics   string `yaml:"metrics"`
+}
+
+// StoreSettings say where the platform's object store is.
+type StoreSettings struct {
+	Address string `yaml:"address"`
+}
+
+// CloudSettings say where control duties are reported; empty where there are none.
+type CloudSettings struct {
+	Address string   `yaml:"address"`
+	Duties  []string `yaml:"duties"`
+}
+
+// LimitSettings are the process's.
+type LimitSettings struct {
+	MemoryMB    int `yaml:"memoryMB"`
+	Descriptors int `yaml:"descriptors"`
+}
+
+// BoundsSettings are what the platform's operators hold the system to.
+type BoundsSettings struct {
+	GraceSeconds        float64 `yaml:"graceSeconds"`
+	RetryRatio          float64 `yaml:"retryRatio"`
+	RetryWindowSeconds  float64 `yaml:"retryWindowSeconds"`
+	RetrySlack          float64 `yaml:"retrySlack"`
+	UsageWindowSeconds  float64 `yaml:"usageWindowSeconds"`
+	UsageLateSeconds    float64 `yaml:"usageLateSeconds"`
+	LeaseMillis         float64 `yaml:"leaseMillis"`
+	AnswerMaxAgeSeconds float64 `yaml:"answerMaxAgeSeconds"`
+}
+
+// LogSettings choose what is logged.
+type LogSettings struct {
+	Level string `yaml:"level"`
+}
+
+// ReadSettings reads and checks a file. A mistake names its line and column.
+func ReadSettings(path string) (*Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return ParseSettings(text)
+}
+
+// ParseSettings reads and checks settings.
+func ParseSettings(text []byte) (*Settings, error) {
+	s := &Settings{
+		Bounds: BoundsSettings{
+			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
+			UsageWindowSeconds: 5, UsageLateSeconds: 10, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5,
+		},
+		Log: LogSettings{Level: "info"},
+	}
+	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(s); err != nil {
+		return nil, Error.New("%s", yaml.FormatError(err, false, true))
+	}
+	return s, s.check()
+}
+
+// check names the first key that is missing or can't be.
+func (s *Settings) check() error {
+	for _, c := range []struct {
+		bad  bool
+		text string
+	}{
+		{s.Daemon.Instance == "", "daemon.instance: is missing"},
+		{s.Daemon.DataCentre == "", "daemon.dataCentre: is missing"},
+		{s.Listen.Callers == "", "listen.callers: is missing"},
+		{s.Listen.Peers == "", "listen.peers: is missing"},
+		{s.Store.Address == "", "store.address: is missing"},
+		{s.Limits.MemoryMB < 0, "limits.memoryMB: is negative"},
+		{s.Bounds.GraceSeconds <= 0, "bounds.graceSeconds: must be above 0"},
+		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
+		{s.Bounds.UsageWindowSeconds <= 0, "bounds.usageWindowSeconds: must be above 0"},
+		{s.Bounds.LeaseMillis <= 0, "bounds.leaseMillis: must be above 0"},
+	} {
+		if c.bad {
+			return Error.New("%s", c.text)
+		}
+	}
+	return nil
+}
+
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
+// Recognise reports whether a file holds settings of this kind: they name the
+// platform's object store.
+func Recognise(text []byte) bool {
+	var s struct {
+		Store *StoreSettings `yaml:"store"`
+	}
+	return yaml.Unmarshal(text, &s) == nil && s.Store != nil
+}
--- /dev/null
+++ b/internal/node/telling.go
@@ -0,0 +1,187 @@
+package node
+
+import (
+	"context"
+	"net"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+)
+
+// tellInterval is how often a daemon tells the hubs its part. Limits overshoot
+// by what is let in meanwhile: at this interval a few percent of a window.
+const tellInterval = 250 * time.Millisecond
+
+// telling is this daemon's side of the exchange, as teller and as hub.
+type telling struct {
+	node   *Node
+	client *exchange.Client
+
+	mu     sync.Mutex
+	hub    *exchange.Hub
+	behind map[string]bool // hubs whose configuration is older, by address
+	holder fleet.DaemonID  // of the duties, as last heard
+	source string          // the hub whose sums are used
+}
+
+func newTelling(n *Node) *telling {
+	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}}
+}
+
+// listen answers other daemons.
+func (t *telling) listen(ctx context.Context) error {
+	lc := net.ListenConfig{Control: upstream.UserTimeout}
+	l, err := lc.Listen(ctx, "tcp", t.node.settings.Listen.Peers)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	t.node.wg.Add(1)
+	go func() {
+		defer t.node.wg.Done()
+		if err := exchange.Serve(ctx, l, t.tell); err != nil && ctx.Err() == nil {
+			t.node.say("peers").WithError(err).Error("listener ended")
+		}
+	}()
+	return nil
+}
+
+// tell answers another daemon's report.
+func (t *telling) tell(p exchange.Part) exchange.Sum {
+	t.node.config.heard(p.Config)
+	now := time.Now()
+	steady := t.node.clock.Steady()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.hub.Take(now, steady, p)
+	sum := exchange.Sum{Soft: t.hub.Others(now, p.Daemon), Holder: t.holder}
+	if skew, ok := t.hub.Skew(now); ok {
+		sum.True = time.Unix(0, int64(steady+skew))
+	}
+	sum.Config = t.node.config.current()
+	if sum.Config.Version <= p.Config.Version {
+		sum.Config.Text = nil
+	}
+	return sum
+}
+
+// run tells the hubs until the context ends.
+func (t *telling) run(ctx context.Context) {
+	every(ctx, tellInterval, func() { t.round(ctx) })
+}
+
+// round tells all hubs at once and uses the first one's sum that answers.
+func (t *telling) round(ctx context.Context) {
+	targets := t.targets()
+	sums := make([]*exchange.Sum, len(targets))
+	var wg sync.WaitGroup
+	for i, address := range targets {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			sums[i] = t.one(ctx, address)
+		}()
+	}
+	wg.Wait()
+	t.client.Keep(targets)
+	for i, sum := range sums {
+		if sum != nil {
+			t.use(targets[i], sum)
+			return
+		}
+	}
+}
+
+// targets returns the addresses to tell: the hubs, the holder of the duties,
+// and before anyone is known the seeds.
+func (t *telling) targets() []string {
+	var out []string
+	for _, h := range t.node.members.hubs() {
+		out = append(out, h.Peer)
+	}
+	t.mu.Lock()
+	holder := t.holder
+	t.mu.Unlock()
+	for _, m := range t.node.members.serving() {
+		if m.Daemon == holder && !slices.Contains(out, m.Peer) {
+			out = append(out, m.Peer)
+		}
+	}
+	if t.node.config.current().Version == 0 {
+		for _, s := range t.node.members.seeds {
+			if !slices.Contains(out, s.Peer) {
+				out = append(out, s.Peer)
+			}
+		}
+	}
+	return out
+}
+
+// one tells one hub, itself without a call.
+func (t *telling) one(ctx context.Context, address string) *exchange.Sum {
+	p := t.part(address)
+	if address == t.node.settings.Listen.Peers {
+		sum := t.tell(p)
+		return &sum
+	}
+	sum, err := t.client.Tell(ctx, address, &p)
+	if err != nil {
+		t.node.say("peers").WithError(err).WithField("address", address).Debug("not told")
+		return nil
+	}
+	t.node.config.heard(sum.Config)
+	t.mu.Lock()
+	t.behind[address] = sum.Config.Version < p.Config.Version
+	t.mu.Unlock()
+	return &sum
+}
+
+// part returns this daemon's part for a hub.
+func (t *telling) part(address string) exchange.Part {
+	p := exchange.Part{
+		Daemon:  t.node.id,
+		Config:  t.node.config.current(),
+		Soft:    t.node.state.Own(),
+		Windows: t.node.begun.windows(),
+		Wall:    time.Now(),
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.behind[address] {
+		p.Config.Text = nil
+	}
+	return p
+}
+
+// use takes a hub's sum. Another hub's totals have another base, so that the
+// first sum of one is only that.
+func (t *telling) use(address string, sum *exchange.Sum) {
+	if !sum.True.IsZero() {
+		t.node.clock.Correct(sum.True, t.node.clock.Steady())
+	}
+	t.mu.Lock()
+	same := t.source == address
+	t.source = address
+	if sum.Holder != "" {
+		t.holder = sum.Holder
+	}
+	t.mu.Unlock()
+	t.node.state.Others(time.Now(), sum.Soft, same)
+}
+
+// setHolder notes who holds the duties.
+func (t *telling) setHolder(id fleet.DaemonID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holder = id
+}
+
+// ask calls f with the hub's state.
+func (t *telling) ask(f func(h *exchange.Hub)) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	f(t.hub)
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -29,11 +29,11 @@
 }
 
 // Others takes the sum of what all other daemons have spent since they
-// started. The first sum is only the base for the next ones. A sum that
-// shrank is a new base: whoever kept it has restarted.
-func (b *Bucket) Others(now time.Time, total float64) {
+// started. The first sum, and one whose base isn't the same as before, is only
+// the base for the next ones; so is a sum that shrank.
+func (b *Bucket) Others(now time.Time, total float64, same bool) {
 	b.fill(now)
-	if b.known && total > b.others {
+	if b.known && same && total > b.others {
 		b.level -= total - b.others
 	}
 	b.others, b.known = total, true
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -66,11 +66,12 @@
 // Spent returns what this daemon has let in since its start, by workspace.
 func (q *Quota) Spent() map[fleet.WorkspaceID]float64 { return q.spent }
 
-// Others takes the spending of all other daemons by workspace.
-func (q *Quota) Others(now time.Time, totals map[fleet.WorkspaceID]float64) {
+// Others takes the spending of all other daemons by workspace. same says that
+// the totals before had the same base.
+func (q *Quota) Others(now time.Time, totals map[fleet.WorkspaceID]float64, same bool) {
 	for name, total := range totals {
 		if b := q.buckets[name]; b != nil {
-			b.Others(now, total)
+			b.Others(now, total, same)
 		}
 	}
 }
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -69,7 +69,7 @@
 						others += v
 					}
 				}
-				q.Others(now, map[fleet.WorkspaceID]float64{"w": others})
+				q.Others(now, map[fleet.WorkspaceID]float64{"w": others}, true)
 			}
 		}
 		allowed := rate*20 + burst
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -105,11 +105,13 @@
 	return out
 }
 
-// Others takes the sum of all other daemons' parts.
-func (s *State) Others(now time.Time, others Soft) {
+// Others takes the sum of all other daemons' parts. same says that the sum
+// before was made by the same daemon, so that the difference is what was spent
+// meanwhile.
+func (s *State) Others(now time.Time, others Soft, same bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.quota.Others(now, others.Spent)
+	s.quota.Others(now, others.Spent, same)
 	s.balancer.Others(others.Load)
 }
 
