Duties under one lease: usage reported, endpoints ordered by load

Change: the lease's holder freezes each window's counts in the store and sends exactly those; it orders reclaimable endpoints so that two data centres' loss leaves what the load needs, on-demand ones for what is missing.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -13,10 +13,10 @@
 )
 
 const (
-	// Wait is how long a watch waits for a change. A connection that went
-	// silent is found out when the answer to this wait is missing, so it is
-	// well below the two seconds in which a change must be in force.
-	Wait = 700 * time.Millisecond
+	// Wait is how long a watch waits for a change. Each wait is a call that
+	// is billed; a connection that goes silent meanwhile is found out by the
+	// store client's keep-alive.
+	Wait = 3 * time.Second
 	// firstPause and lastPause bound the pause after a failed call.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -2,12 +2,188 @@
 
 import (
 	"context"
+	"encoding/json"
+	"errors"
 	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/usage"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const (
+	// dutyTick is how often the duties look for what is due.
+	dutyTick = 100 * time.Millisecond
+	// resultRing bounds the answers that wait for the duties' goroutine: a
+	// lease, a report and an order for each place are under way at most.
+	resultRing = 64
 )
 
-// duties is what the holder of the lease does for all.
-type duties struct{ node *Node }
+// duties does the control duties while this daemon holds their lease. One
+// goroutine owns it; calls run on goroutines of their own and come back
+// through results.
+type duties struct {
+	node    *Node
+	lease   *lease.Set
+	usage   *usage.Reporter
+	scaling *scalingDuty
+	results chan func(now time.Time)
+	token   uint64 // of the acquisition that usage and scaling belong to
+	log     *logrus.Entry
+}
+
+// leaseConfig is a lease as long as the platform's bound for a change of
+// holders, so that two of them can't act in turns within it.
+func leaseConfig(length time.Duration) lease.Config {
+	return lease.Config{
+		Duration:     length,
+		Margin:       length / 10,
+		Renew:        length / 3,
+		Retry:        150 * time.Millisecond,
+		CallTimeout:  length / 3,
+		LongestOrder: time.Second,
+		Candidates:   3,
+		Observe:      length / 3,
+		Sweep:        3 * length,
+		RankDelay:    length / 2,
+		Settle:       20 * time.Second,
+		StartSpread:  100 * time.Millisecond,
+		ListOver:     4,
+	}
+}
+
+func newDuties(n *Node) *duties {
+	length := time.Duration(n.settings.Bounds.LeaseMillis * float64(time.Millisecond))
+	return &duties{
+		node:    n,
+		lease:   lease.NewSet(leaseConfig(length), n.id, lease.Shards("duties", 1), random(), time.Now()),
+		results: make(chan func(time.Time), resultRing),
+		log:     n.say("duties"),
+	}
+}
+
+func (d *duties) run(ctx context.Context) {
+	tick := time.NewTicker(dutyTick)
+	defer tick.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case f := <-d.results:
+			f(time.Now())
+		case <-tick.C:
+			d.tick(ctx, time.Now())
+		}
+	}
+}
+
+func (d *duties) tick(ctx context.Context, now time.Time) {
+	if !d.node.Ready() && !d.node.Stopping() {
+		return
+	}
+	if d.node.Stopping() {
+		d.lease.Leave()
+	}
+	d.lease.Alive(d.node.members.ids())
+	for _, a := range d.lease.Tick(now) {
+		d.callLease(ctx, a)
+	}
+	l := d.lease.Lease(0)
+	if holder := l.Holder(); holder != "" {
+		d.node.telling.setHolder(holder)
+	}
+	if !l.MayOrderUnfenced(now) {
+		return
+	}
+	d.hold(l.Fencing())
+	d.stepUsage(ctx, now)
+	d.scaling.step(ctx, now)
+}
+
+// hold starts the duties afresh with each acquisition: what was known before
+// may have been changed by another holder.
+func (d *duties) hold(token uint64) {
+	if token == d.token && d.usage != nil {
+		return
+	}
+	d.token = token
+	d.usage = usage.NewReporter(seconds(d.node.settings.Bounds.UsageWindowSeconds))
+	d.scaling = newScalingDuty(d)
+	d.log.WithField("token", token).Info("holds the duties")
+}
+
+// fence returns the right to a call that leaves now.
+func (d *duties) fence() (duty.Fence, bool) {
+	l := d.lease.Lease(0)
+	return duty.Fence{Holder: d.node.settings.Daemon.Instance, Token: l.Fencing()}, l.MayOrderUnfenced(time.Now())
+}
+
+// call runs f on a goroutine of its own and what it returns on the owner's.
+func (d *duties) call(ctx context.Context, f func() func(now time.Time)) {
+	d.node.wg.Add(1)
+	go func() {
+		defer d.node.wg.Done()
+		result := f()
+		select {
+		case d.results <- result:
+		case <-ctx.Done():
+		}
+	}()
+}
+
+// callLease makes a call that the lease asks for.
+func (d *duties) callLease(ctx context.Context, a lease.Action) {
+	name := d.lease.Shards()[0].Object()
+	d.call(ctx, func() func(time.Time) {
+		if a.Kind != lease.Write {
+			o, err := d.node.platform.Store.Get(ctx, lease.Kind, name)
+			return func(now time.Time) { d.leaseRead(now, o, err) }
+		}
+		o, err := d.writeLease(ctx, name, a)
+		return func(now time.Time) { d.leaseWritten(now, a, o, err) }
+	})
+}
+
+func (d *duties) writeLease(ctx context.Context, name string, a lease.Action) (objects.Object, error) {
+	value, err := a.State.Value()
+	if err != nil {
+		return objects.Object{}, verdict.Wrap(verdict.NotRun, err)
+	}
+	if a.IfVersion == 0 {
+		return d.node.platform.Store.Create(ctx, lease.Kind, name, value)
+	}
+	return d.node.platform.Store.Replace(ctx, lease.Kind, name, a.IfVersion, value)
+}
+
+func (d *duties) leaseRead(now time.Time, o objects.Object, err error) {
+	switch {
+	case errors.Is(err, objects.ErrNotFound):
+		d.lease.Observed(now, 0, lease.Observation{})
+	case err != nil:
+		d.lease.ReadFailed(now, 0)
+	default:
+		d.lease.Observed(now, 0, observation(o))
+	}
+}
 
-func newDuties(n *Node) *duties { return &duties{node: n} }
+func (d *duties) leaseWritten(now time.Time, a lease.Action, o objects.Object, err error) {
+	switch {
+	case err == nil:
+		d.lease.Wrote(now, a, o.Revision)
+	case errors.Is(err, objects.ErrConflict) && o.Revision != 0:
+		d.lease.Lost(now, a, observation(o))
+	case errors.Is(err, objects.ErrNotFound):
+		d.lease.Lost(now, a, lease.Observation{})
+	default:
+		d.lease.Unsure(now, a)
+	}
+}
 
-func (d *duties) run(ctx context.Context) { every(ctx, time.Second, func() {}) }
+func observation(o objects.Object) lease.Observation {
+	return lease.ObservationOf(objectapi.Object{Version: o.Revision, Value: json.RawMessage(o.Spec)})
+}
--- /dev/null
+++ b/internal/scaling/config.go
@@ -0,0 +1,31 @@
+package scaling
+
+import "time"
+
+const (
+	// fill is the share of an engine's slots that the load should take. With
+	// more, a burst finds no free slot in the seconds until new engines serve;
+	// with less, batches are small and each token costs more of the engine.
+	fill = 0.45
+	// losses is the number of data centres whose reclaimable endpoints may
+	// vanish while what is left still carries the load: reclaims come in waves
+	// a few seconds apart, and what vanished can't be had again for a while.
+	losses = 2
+	// startShare is the part of the endpoints found at the first look that
+	// the load is taken to need until it was measured.
+	startShare = 0.5
+	// measured is how long requests must have come before the load counts as
+	// known; until then the start's estimate is a lower bound.
+	measured = 12 * time.Second
+	// riseSeconds and fallSeconds are the time constants of the smoothed load:
+	// new endpoints take seconds to start, and giving back breaks streams.
+	riseSeconds = 1.0
+	fallSeconds = 20.0
+	// holdFall is how long fewer endpoints must be enough before any is given back.
+	holdFall = 8 * time.Second
+	// refusedWait is between an order that was refused and its repeat.
+	refusedWait = 2 * time.Second
+	// bootSlack is added to the stated start time before an endpoint that was
+	// ordered counts as missing.
+	bootSlack = 1500 * time.Millisecond
+)
--- /dev/null
+++ b/internal/scaling/planner.go
@@ -0,0 +1,193 @@
+package scaling
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Planner decides for one service. A new holder of the duty starts with a new
+// one. It is not safe for concurrent use.
+type Planner struct {
+	load      float64   // smoothed requests under way
+	loaded    time.Time // when requests were first seen
+	floor     float64   // endpoints that the start needs
+	started   bool
+	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
+	perCentre int       // reclaimable endpoints wanted in each data centre
+	placed    map[Place]placed
+}
+
+// placed is the last order for a place.
+type placed struct {
+	count   int
+	at      time.Time
+	refused time.Time // zero where it was taken
+}
+
+// New returns a planner.
+func New() *Planner { return &Planner{placed: map[Place]placed{}} }
+
+// Plan returns the orders that are due.
+func (p *Planner) Plan(now time.Time, s *Sample) []Order {
+	if s.Service.Scaling == nil || len(s.Service.Scaling.DataCentre) == 0 {
+		return nil
+	}
+	p.start(s)
+	p.measure(now, s)
+	need := p.need(now, s)
+	p.setReclaimable(now, s, need)
+	wanted := map[Place]int{}
+	for dc := range s.Service.Scaling.DataCentre {
+		wanted[Place{dc, true}] = p.perCentre
+	}
+	p.addOnDemand(now, s, need, wanted)
+	return p.due(now, s, wanted)
+}
+
+// Refused notes that an order was refused.
+func (p *Planner) Refused(now time.Time, o Order) {
+	last := p.placed[o.Place]
+	last.refused = now
+	p.placed[o.Place] = last
+}
+
+// Failed notes that an order has no answer: it is repeated.
+func (p *Planner) Failed(o Order) { delete(p.placed, o.Place) }
+
+func (p *Planner) start(s *Sample) {
+	if p.started || total(s.Here) == 0 {
+		return
+	}
+	p.started = true
+	p.floor = startShare * float64(total(s.Here))
+}
+
+// measure smooths the load. Refused requests would have been under way for
+// about as long as the others.
+func (p *Planner) measure(now time.Time, s *Sample) {
+	seen := float64(s.Requests + s.Refused)
+	if seen > 0 && p.loaded.IsZero() {
+		p.loaded = now
+	}
+	constant := fallSeconds
+	if seen > p.load {
+		constant = riseSeconds
+	}
+	p.load += (seen - p.load) * (1 - math.Exp(-s.Seconds/constant))
+}
+
+// need returns the endpoints that the load takes.
+func (p *Planner) need(now time.Time, s *Sample) float64 {
+	slots := 1
+	if s.Service.Engine != nil {
+		slots = max(s.Service.Engine.Slots, 1)
+	}
+	need := max(p.load/(fill*float64(slots)), 1)
+	if p.loaded.IsZero() || now.Sub(p.loaded) < measured {
+		need = max(need, p.floor)
+	}
+	return need
+}
+
+// setReclaimable chooses the reclaimable endpoints of each data centre. More
+// is ordered at once, less only after a while.
+func (p *Planner) setReclaimable(now time.Time, s *Sample, need float64) {
+	centres := len(s.Service.Scaling.DataCentre)
+	left := max(centres-losses, 1)
+	want := int(math.Ceil(need / float64(left)))
+	want = min(max(want, s.Service.Scaling.Min), s.Service.Scaling.Max)
+	switch {
+	case want >= p.perCentre:
+		p.perCentre, p.fewer = want, time.Time{}
+	case p.fewer.IsZero():
+		p.fewer = now
+	case now.Sub(p.fewer) > holdFall:
+		p.perCentre--
+		p.fewer = now
+	}
+}
+
+// addOnDemand orders on-demand endpoints for what the reclaimable ones that
+// serve or will soon don't carry, in the cheapest data centres.
+func (p *Planner) addOnDemand(now time.Time, s *Sample, need float64, wanted map[Place]int) {
+	reclaimable := 0
+	for dc := range s.Service.Scaling.DataCentre {
+		place := Place{dc, true}
+		reclaimable += s.Here[place]
+		if last := p.placed[place]; last.count > s.Here[place] && p.booting(now, s, last) {
+			reclaimable += last.count - s.Here[place]
+		}
+	}
+	missing := int(math.Ceil(need)) - reclaimable
+	for missing > 0 {
+		before := missing
+		for _, dc := range cheapest(s) {
+			place := Place{dc, false}
+			if missing > 0 && wanted[place]+s.Here[Place{dc, true}] < s.Service.Scaling.Max {
+				wanted[place]++
+				missing--
+			}
+		}
+		if before == missing {
+			return // every data centre is full
+		}
+	}
+}
+
+// booting reports whether an order may still bring endpoints.
+func (p *Planner) booting(now time.Time, s *Sample, last placed) bool {
+	return last.refused.IsZero() && now.Sub(last.at) < s.Service.Scaling.BootTime+bootSlack
+}
+
+// due returns the wanted counts that weren't ordered yet, or whose endpoints
+// are missing though their start time is over. On-demand endpoints are given
+// back only while enough others serve.
+func (p *Planner) due(now time.Time, s *Sample, wanted map[Place]int) []Order {
+	var out []Order
+	for _, dc := range slices.Sorted(maps.Keys(s.Service.Scaling.DataCentre)) {
+		for _, spot := range [...]bool{true, false} {
+			place := Place{dc, spot}
+			o := Order{place, wanted[place]}
+			if p.isDue(now, s, o) {
+				p.placed[place] = placed{count: o.Count, at: now}
+				out = append(out, o)
+			}
+		}
+	}
+	return out
+}
+
+func (p *Planner) isDue(now time.Time, s *Sample, o Order) bool {
+	last, ordered := p.placed[o.Place]
+	switch {
+	case !last.refused.IsZero():
+		return now.Sub(last.refused) >= refusedWait && s.Here[o.Place] != o.Count
+	case !ordered:
+		return s.Here[o.Place] != o.Count
+	case last.count != o.Count:
+		return true
+	default:
+		return s.Here[o.Place] < o.Count && !p.booting(now, s, last)
+	}
+}
+
+// cheapest returns the data centres by price.
+func cheapest(s *Sample) []fleet.DataCentre {
+	prices := s.Service.Scaling.DataCentre
+	return slices.SortedFunc(maps.Keys(prices), func(a, b fleet.DataCentre) int {
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
+	})
+}
+
+func total(here map[Place]int) int {
+	n := 0
+	for _, c := range here {
+		n += c
+	}
+	return n
+}
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -9,12 +9,13 @@
 	"golang.org/x/sys/unix"
 )
 
-// keepAlive finds a peer out that vanished without a reset: three probes a
-// second apart after a second of silence.
-var keepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
+// KeepAlive finds out a connection that went silent without a reset: a probe
+// each second after a second of silence; with UserTimeout the connection ends
+// two seconds after the last byte that was acknowledged.
+var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
 func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{KeepAliveConfig: keepAlive, Control: UserTimeout}
+	d := net.Dialer{KeepAliveConfig: KeepAlive, Control: UserTimeout}
 	return d.DialContext(ctx, "tcp", address)
 }
 
