--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -65,6 +65,7 @@
 		ConfigVersion: s.Config.Version,
 		Config:        s.Config.Text,
 		Holder:        string(s.Holder),
+		Levels:        encodeSpent(s.Soft.Levels),
 	}
 	if !s.True.IsZero() {
 		out.TrueMs = s.True.UnixMilli()
@@ -75,7 +76,9 @@
 func decodeSum(t *exchangepb.Totals) Sum {
 	s := Sum{
 		Config: Config{Version: t.ConfigVersion, Text: t.Config},
-		Soft:   relay.Soft{Spent: decodeSpent(t.Spent), Load: decodeLoads(t.Loads)},
+		Soft: relay.Soft{
+			Spent: decodeSpent(t.Spent), Load: decodeLoads(t.Loads), Levels: decodeSpent(t.Levels),
+		},
 		Holder: fleet.DaemonID(t.Holder),
 	}
 	if t.TrueMs != 0 {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -36,6 +37,7 @@
 	requests  *requestLog
 	metrics   *metricSet
 
+	started  time.Time
 	stopping atomic.Bool
 	wg       sync.WaitGroup
 }
@@ -47,13 +49,15 @@
 		platform: p,
 		id:       fleet.DaemonID(uuid.NewString()),
 		log:      log,
+		started:  time.Now(),
 		clock:    clock.New(),
 		pool:     upstream.NewPool(startShare),
 	}
 	budget := retry.Config{
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 	}
-	n.state = relay.NewState(s.Daemon.DataCentre, s.Daemon.FirstStart, budget, random())
+	limits := quota.New(s.Daemon.FirstStart, s.Bounds.LimitExcess)
+	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
 	n.metrics = newMetricSet(n)
 	n.requests = newRequestLog(log, n.metrics)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -63,10 +63,13 @@
 
 // BoundsSettings are what the platform's operators hold the system to.
 type BoundsSettings struct {
-	GraceSeconds        float64 `yaml:"graceSeconds"`
-	RetryRatio          float64 `yaml:"retryRatio"`
-	RetryWindowSeconds  float64 `yaml:"retryWindowSeconds"`
-	RetrySlack          float64 `yaml:"retrySlack"`
+	GraceSeconds       float64 `yaml:"graceSeconds"`
+	RetryRatio         float64 `yaml:"retryRatio"`
+	RetryWindowSeconds float64 `yaml:"retryWindowSeconds"`
+	RetrySlack         float64 `yaml:"retrySlack"`
+	// LimitExcess is what is tolerated beyond a workspace's limit in a window,
+	// in the limit's unit.
+	LimitExcess         float64 `yaml:"limitExcess"`
 	UsageWindowSeconds  float64 `yaml:"usageWindowSeconds"`
 	UsageLateSeconds    float64 `yaml:"usageLateSeconds"`
 	LeaseMillis         float64 `yaml:"leaseMillis"`
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -16,6 +16,10 @@
 // by what is let in meanwhile: at this interval a few percent of a window.
 const tellInterval = 250 * time.Millisecond
 
+// knownLevels is how long a daemon has run when its view of what is left of the
+// limits is taken by one that has just started.
+const knownLevels = 4 * time.Second
+
 // telling is this daemon's side of the exchange, as teller and as hub.
 type telling struct {
 	node   *Node
@@ -58,6 +62,9 @@
 	defer t.mu.Unlock()
 	t.hub.Take(now, steady, p)
 	sum := exchange.Sum{Soft: t.hub.Others(now, p.Daemon), Holder: t.holder}
+	if now.Sub(t.node.started) > knownLevels {
+		sum.Soft.Levels = t.node.state.Levels(now)
+	}
 	if skew, ok := t.hub.Skew(now); ok {
 		sum.True = time.Unix(0, int64(steady+skew))
 	}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -9,6 +9,7 @@
 // are in the workspace's unit, tokens or requests.
 type Bucket struct {
 	rate, burst float64
+	grace       float64 // how far below zero a request may start
 	level       float64
 	at          time.Time // of level
 	others      float64   // spending of all others that is taken into account
@@ -16,9 +17,9 @@
 }
 
 // NewBucket returns a bucket at now with a level: burst where the whole system
-// starts for the first time, 0 where a restart must not refill it.
-func NewBucket(now time.Time, rate, burst, level float64) *Bucket {
-	return &Bucket{rate: rate, burst: burst, level: min(level, burst), at: now}
+// starts for the first time. grace is what may be let in beyond it.
+func NewBucket(now time.Time, rate, burst, level, grace float64) *Bucket {
+	return &Bucket{rate: rate, burst: burst, level: min(level, burst), grace: grace, at: now}
 }
 
 // SetLimit takes a changed limit. A smaller burst binds at once.
@@ -44,17 +45,23 @@
 func (b *Bucket) Take(now time.Time, cost float64) (wait time.Duration, ok bool) {
 	b.fill(now)
 	need := min(cost, b.burst)
-	if b.rate <= 0 || b.level >= need {
+	if b.rate <= 0 || b.level+b.grace >= need {
 		b.level -= cost
 		return 0, true
 	}
-	seconds := (need - b.level) / b.rate
+	seconds := (need - b.level - b.grace) / b.rate
 	return time.Duration(math.Min(seconds, maxWaitSeconds) * float64(time.Second)), false
 }
 
 // GiveBack returns the cost of a request that was not run.
 func (b *Bucket) GiveBack(cost float64) { b.level = min(b.level+cost, b.burst) }
 
+// Adopt takes the level of a daemon that has kept it for longer.
+func (b *Bucket) Adopt(now time.Time, level float64) {
+	b.fill(now)
+	b.level = min(level, b.burst)
+}
+
 // Level returns what could be spent now.
 func (b *Bucket) Level(now time.Time) float64 {
 	b.fill(now)
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -12,16 +12,26 @@
 	buckets map[fleet.WorkspaceID]*Bucket
 	spent   map[fleet.WorkspaceID]float64 // by this daemon since its start
 	full    bool                          // new buckets start full
+	grace   float64
+	adopted bool // levels were told
 }
 
+// graceShare is the part of the tolerated excess that is let in on purpose:
+// who judges cuts time otherwise and would find a refusal below the limit. The
+// rest is for what daemons let in before they hear of each other.
+const graceShare = 0.5
+
 // New returns a Quota. full says that the whole system starts for the first
 // time; otherwise what was spent before this process started is not known, and
-// buckets start empty.
-func New(full bool) *Quota {
+// buckets start so far below zero that nothing is let in beyond the limit
+// until a level is told or has grown. excess is what is tolerated in a window
+// beyond a workspace's limit, in its unit.
+func New(full bool, excess float64) *Quota {
 	return &Quota{
 		buckets: map[fleet.WorkspaceID]*Bucket{},
 		spent:   map[fleet.WorkspaceID]float64{},
 		full:    full,
+		grace:   graceShare * excess,
 	}
 }
 
@@ -33,11 +43,11 @@
 			b.SetLimit(now, w.Rate, w.Burst)
 			continue
 		}
-		level := 0.0
+		level := -q.grace
 		if q.full {
 			level = w.Burst
 		}
-		q.buckets[w.Name] = NewBucket(now, w.Rate, w.Burst, level)
+		q.buckets[w.Name] = NewBucket(now, w.Rate, w.Burst, level, q.grace)
 	}
 }
 
@@ -66,6 +76,29 @@
 // Spent returns what this daemon has let in since its start, by workspace.
 func (q *Quota) Spent() map[fleet.WorkspaceID]float64 { return q.spent }
 
+// Levels returns the buckets' levels, by workspace.
+func (q *Quota) Levels(now time.Time) map[fleet.WorkspaceID]float64 {
+	out := make(map[fleet.WorkspaceID]float64, len(q.buckets))
+	for name, b := range q.buckets {
+		out[name] = b.Level(now)
+	}
+	return out
+}
+
+// Adopt takes the levels of a daemon that has run for longer, once, where this
+// one doesn't know them from its own start.
+func (q *Quota) Adopt(now time.Time, levels map[fleet.WorkspaceID]float64) {
+	if q.full || q.adopted || len(levels) == 0 {
+		return
+	}
+	q.adopted = true
+	for name, level := range levels {
+		if b := q.buckets[name]; b != nil {
+			b.Adopt(now, level)
+		}
+	}
+}
+
 // Others takes the spending of all other daemons by workspace. same says that
 // the totals before had the same base.
 func (q *Quota) Others(now time.Time, totals map[fleet.WorkspaceID]float64, same bool) {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -28,12 +28,12 @@
 	loads    *loads
 }
 
-// NewState returns the state of a daemon in a data centre. full says that the
-// whole system starts for the first time.
-func NewState(self fleet.DataCentre, full bool, budget retry.Config, rng *rand.Rand) *State {
+// NewState returns the state of a daemon in a data centre with its limits and
+// the retry budget of a service.
+func NewState(self fleet.DataCentre, limits *quota.Quota, budget retry.Config, rng *rand.Rand) *State {
 	return &State{
 		balancer: balance.New(self, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))),
-		quota:    quota.New(full),
+		quota:    limits,
 		retry:    budget,
 		budgets:  map[string]*retry.Budget{},
 		daemons:  1,
@@ -84,6 +84,8 @@
 type Soft struct {
 	// Spent is what was let in since a daemon's start, by workspace.
 	Spent map[fleet.WorkspaceID]float64
+	// Levels is what the workspaces' limits have left, where they are known.
+	Levels map[fleet.WorkspaceID]float64
 	// Load is the unfinished requests, by endpoint.
 	Load map[fleet.EndpointID]balance.Load
 	// Work is what engines were given since a daemon's start, by service.
@@ -111,10 +113,18 @@
 func (s *State) Others(now time.Time, others Soft, same bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.quota.Adopt(now, others.Levels)
 	s.quota.Others(now, others.Spent, same)
 	s.balancer.Others(others.Load)
 }
 
+// Levels returns what the workspaces' limits have left.
+func (s *State) Levels(now time.Time) map[fleet.WorkspaceID]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.Levels(now)
+}
+
 // RetriesLeft returns what is left of the retry budgets, by service.
 func (s *State) RetriesLeft(now time.Time) map[string]float64 {
 	s.mu.Lock()
--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -13,7 +13,10 @@
 	losses = 2
 	// startShare is the part of the endpoints found at the first look that
 	// the load is taken to need until it was measured.
-	startShare = 0.5
+	startShare = 0.35
+	// registerTime is how long the number of endpoints must stay the same at
+	// the start: they register within about a heartbeat of 1.2 s.
+	registerTime = 1500 * time.Millisecond
 	// measured is how long requests must have come before the load counts as
 	// known; until then the start's estimate is a lower bound.
 	measured = 12 * time.Second
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -17,6 +17,8 @@
 	loaded    time.Time // when requests were first seen
 	floor     float64   // endpoints that the start needs
 	started   bool
+	seen      int       // endpoints at the last look, before the start
+	seenAt    time.Time // since when
 	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
 	perCentre int       // reclaimable endpoints wanted in each data centre
 	placed    map[Place]placed
@@ -37,7 +39,9 @@
 	if s.Service.Scaling == nil || len(s.Service.Scaling.DataCentre) == 0 {
 		return nil
 	}
-	p.start(s)
+	if !p.start(now, s) {
+		return nil
+	}
 	p.measure(now, s)
 	need := p.need(now, s)
 	p.setReclaimable(now, s, need)
@@ -59,12 +63,19 @@
 // Failed notes that an order has no answer: it is repeated.
 func (p *Planner) Failed(o Order) { delete(p.placed, o.Place) }
 
-func (p *Planner) start(s *Sample) {
-	if p.started || total(s.Here) == 0 {
-		return
+// start reports whether the endpoints that are there are known. Right after
+// the platform's own start they register one after the other; planned from the
+// first few, most would be given back and be missing when requests come.
+func (p *Planner) start(now time.Time, s *Sample) bool {
+	if n := total(s.Here); !p.started && n != p.seen {
+		p.seen, p.seenAt = n, now
+	}
+	if p.started || p.seen == 0 || now.Sub(p.seenAt) < registerTime {
+		return p.started
 	}
 	p.started = true
-	p.floor = startShare * float64(total(s.Here))
+	p.floor = startShare * float64(p.seen)
+	return true
 }
 
 // measure smooths the load. Refused requests would have been under way for
