--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -74,7 +74,7 @@
 		"config": o.Config, "reached": o.Reached, "unreached": o.Unreached, "status": o.Status,
 		"verdict": o.Verdict.String(), "predicted_ms": o.Predicted.Milliseconds(),
 		"first_ms": o.First.Milliseconds(), "total_ms": o.Total.Milliseconds(), "events": o.Events,
-		"left_ms": o.Left.Milliseconds(),
+		"left_ms": o.Left.Milliseconds(), "tokens": o.Tokens, "retry_after_ms": o.RetryAfter.Milliseconds(),
 	}
 	if o.Cause != nil {
 		f["cause"] = o.Cause.Error()
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -20,21 +20,23 @@
 
 // admit matches a request with its route and workspace and takes it from the
 // workspace's limit.
+// What was found before a refusal is returned with it.
 func (s *State) admit(now time.Time, r *Request) (*admitted, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a := &admitted{table: s.table}
 	if s.table == nil {
-		return nil, notRun(NoConfiguration, retryNoConfiguration)
+		return a, notRun(NoConfiguration, retryNoConfiguration)
 	}
-	a := &admitted{table: s.table, route: s.table.Match(r.Host, r.Path)}
+	a.route = s.table.Match(r.Host, r.Path)
 	if a.route == nil {
-		return nil, notRun(NoRoute, 0)
+		return a, notRun(NoRoute, 0)
 	}
 	a.priority = a.route.Priority
 	if s.table.Closed() && !a.route.Public {
 		a.workspace = s.table.Workspace(r.Key)
 		if a.workspace == nil {
-			return nil, notRun(UnknownKey, 0)
+			return a, notRun(UnknownKey, 0)
 		}
 		if a.workspace.Priority != nil {
 			a.priority = *a.workspace.Priority
@@ -49,7 +51,7 @@
 		a.cost = a.workspace.Cost(r.tokens())
 		wait, ok := s.quota.Take(now, a.workspace, a.cost)
 		if !ok {
-			return nil, notRun(OverLimit, spread(wait, s.rng.Float64()))
+			return a, notRun(OverLimit, spread(wait, s.rng.Float64()))
 		}
 	}
 	s.budget(a.service).Request(now)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -42,11 +42,23 @@
 func newFlight(r *Relay, q *Request, a *admitted, sink Sink) *flight {
 	f := &flight{relay: r, request: q, admitted: *a, sink: sink, ask: q.ask(a.service)}
 	f.events.lastID = q.LastEvent
-	f.outcome = Outcome{ID: q.ID, Route: a.route.Name, Config: a.table.Version, Verdict: verdict.NotRun}
+	f.outcome = outcomeFor(q, a)
+	return f
+}
+
+// outcomeFor returns what is known of a request's outcome before any attempt.
+func outcomeFor(q *Request, a *admitted) Outcome {
+	o := Outcome{ID: q.ID, Verdict: verdict.NotRun, Tokens: q.tokens()}
+	if a.table != nil {
+		o.Config = a.table.Version
+	}
+	if a.route != nil {
+		o.Route = a.route.Name
+	}
 	if a.workspace != nil {
-		f.outcome.Workspace = a.workspace.Name
+		o.Workspace = a.workspace.Name
 	}
-	return f
+	return o
 }
 
 // run makes attempts until the caller has its final answer.
@@ -274,7 +286,7 @@
 
 // conclude gives the caller its final answer.
 func (f *flight) conclude(ctx context.Context, s step, refusal *Refusal, kept *keptAnswer) {
-	f.outcome.Events = f.events.count
+	f.outcome.Events, f.outcome.Reached, f.outcome.Unreached = f.events.count, f.tally.reached, f.tally.unreached
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.outcome.Reason = CallerLeft
@@ -308,6 +320,7 @@
 	}
 	f.outcome.Reason = refusal.Reason
 	f.outcome.Verdict = refusal.Verdict
+	f.outcome.RetryAfter = refusal.RetryAfter
 	f.sink.Refuse(*refusal)
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -14,17 +14,20 @@
 	Workspace fleet.WorkspaceID
 	Endpoint  fleet.EndpointID // of the last attempt
 	Config    uint64           // version that decided
-	Reached   int              // endpoints it was sent to
-	Unreached int              // endpoints to which there was no connection
-	Status    int              // of the endpoint's answer, 0 without one
-	Reason    Reason           // where it has no whole answer of an endpoint's
+	Tokens    int
+	Reached   int    // endpoints it was sent to
+	Unreached int    // endpoints to which there was no connection
+	Status    int    // of the endpoint's answer, 0 without one
+	Reason    Reason // where it has no whole answer of an endpoint's
 	Verdict   verdict.Verdict
 	Cause     error // the last attempt's error
 	Predicted time.Duration
 	First     time.Duration // to the first event or the answer
 	Total     time.Duration
 	Events    int
-	Left      time.Duration // until its deadline
+	// RetryAfter is what a refused caller was told.
+	RetryAfter time.Duration
+	Left       time.Duration // until its deadline
 }
 
 // Observer is told of what endpoints began and of how requests ended. Its
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // Relay serves requests. It is safe for concurrent use.
@@ -50,7 +49,9 @@
 	}
 	if refusal != nil {
 		sink.Refuse(*refusal)
-		r.observer.Ended(&Outcome{ID: q.ID, Reason: refusal.Reason, Verdict: verdict.NotRun, Total: time.Since(q.Received)})
+		o := outcomeFor(q, a)
+		o.Reason, o.Total, o.RetryAfter = refusal.Reason, time.Since(q.Received), refusal.RetryAfter
+		r.observer.Ended(&o)
 		return
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.until)
