--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -40,11 +40,13 @@
 	b.others, b.known = total, true
 }
 
-// Take lets a request of a cost in, or says after how long it could be.
-// A cost above the burst is let in by a full bucket.
+// Take lets a request of a cost in, or says after how long it could be. Half
+// of the cost must be there, the rest is left as a debt: were its whole cost
+// asked for, the largest requests would hardly ever be let in; were none, the
+// small ones would be refused for the large ones' debts.
 func (b *Bucket) Take(now time.Time, cost float64) (wait time.Duration, ok bool) {
 	b.fill(now)
-	need := min(cost, b.burst)
+	need := min(debtShare*cost, b.burst)
 	if b.rate <= 0 || b.level+b.grace >= need {
 		b.level -= cost
 		return 0, true
@@ -68,6 +70,9 @@
 	return b.level
 }
 
+// debtShare is the part of a request's cost that must be there.
+const debtShare = 0.5
+
 // maxWaitSeconds bounds the wait that a refused caller is told: a limit may
 // be raised any time, and no deadline of a request is longer.
 const maxWaitSeconds = 15
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -19,7 +19,7 @@
 // graceShare is the part of the tolerated excess that is let in on purpose:
 // who judges cuts time otherwise and would find a refusal below the limit. The
 // rest is for what daemons let in before they hear of each other.
-const graceShare = 0.5
+const graceShare = 0.4
 
 // New returns a Quota. full says that the whole system starts for the first
 // time; otherwise what was spent before this process started is not known, and
