A removal seen after the registry's return is held for 1.4 s at most

Ruled out: a late watch (the event came at once). Change: the whole grace only for what happened in the outage. Test: TestRemovalAfterTheReturnIsNotHeldForTheWholeGrace fails before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -26,7 +26,8 @@
 type Handler interface {
 	// Listed takes all objects there are.
 	Listed([]objects.Object)
-	// Changed takes changes since the list or the last change.
+	// Changed takes changes since the list or the last change; the first call
+	// after Returned has all that happened meanwhile, which may be nothing.
 	Changed([]objects.Change)
 	// Lost says that the store stopped to answer.
 	Lost(error)
@@ -79,8 +80,9 @@
 	if err != nil {
 		return after, err
 	}
+	back := f.lost
 	f.returned()
-	if len(changes) > 0 {
+	if len(changes) > 0 || back {
 		f.handler.Changed(changes)
 	}
 	return max(next, after), nil
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -27,7 +27,7 @@
 }
 
 // tickInterval is how often endpoints whose grace is over are looked for.
-const tickInterval = 200 * time.Millisecond
+const tickInterval = 100 * time.Millisecond
 
 func (d *endpointDuty) tick(ctx context.Context) {
 	every(ctx, tickInterval, func() {
@@ -45,6 +45,7 @@
 			}
 		}
 		d.roster.Replace(now, list)
+		d.roster.CaughtUp()
 		d.listed = true
 	})
 }
@@ -61,6 +62,7 @@
 				d.roster.Upsert(e)
 			}
 		}
+		d.roster.CaughtUp()
 	})
 }
 
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -15,12 +15,18 @@
 // for the answer's way.
 const ReturnGrace = 2200 * time.Millisecond
 
+// LapseHold bounds that for a removal that is seen as it happens: an endpoint
+// that leaves without a word may be sent requests for two seconds more, of
+// which the rest is for the next tick and the request's way.
+const LapseHold = 1400 * time.Millisecond
+
 // Roster holds the endpoints of all services. It is not safe for concurrent
 // use; Snapshots are.
 type Roster struct {
 	endpoints map[fleet.EndpointID]Endpoint
 	lapsed    map[fleet.EndpointID]time.Time // removed, but kept until then
 	graceEnd  time.Time                      // of the last outage
+	catching  bool                           // what happened in it is not known yet
 	changed   bool
 }
 
@@ -31,7 +37,13 @@
 
 // Returned notes that the registry answers again after an outage, in which
 // entries may have lapsed for want of a registry to renew them at.
-func (r *Roster) Returned(now time.Time) { r.graceEnd = now.Add(ReturnGrace) }
+func (r *Roster) Returned(now time.Time) {
+	r.graceEnd = now.Add(ReturnGrace)
+	r.catching = true
+}
+
+// CaughtUp notes that all that happened in the outage was taken in.
+func (r *Roster) CaughtUp() { r.catching = false }
 
 // Upsert takes an entry that is new or changed.
 func (r *Roster) Upsert(e Endpoint) {
@@ -48,12 +60,20 @@
 		return
 	}
 	if now.Before(r.graceEnd) && !e.Draining {
-		r.lapsed[id] = r.graceEnd
+		r.lapsed[id] = r.holdUntil(now)
 		return
 	}
 	r.drop(id)
 }
 
+// holdUntil returns when an endpoint whose entry has gone stops to count.
+func (r *Roster) holdUntil(now time.Time) time.Time {
+	if held := now.Add(LapseHold); !r.catching && held.Before(r.graceEnd) {
+		return held
+	}
+	return r.graceEnd
+}
+
 // Replace takes the whole list: what is not in it is removed.
 func (r *Roster) Replace(now time.Time, all []Endpoint) {
 	listed := make(map[fleet.EndpointID]bool, len(all))
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -47,3 +47,19 @@
 	_, changed = r.Snapshot()
 	assert.Assert(t, !changed)
 }
+
+// This daemon alone was cut off from the registry, which was up all the while.
+// Seconds after its return an endpoint's entry is removed. Kept until the
+// grace is over, it would be sent requests for longer than a leaving endpoint
+// may be.
+func TestRemovalAfterTheReturnIsNotHeldForTheWholeGrace(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a"})
+	r.Returned(start)
+	r.CaughtUp()
+	removed := start.Add(300 * time.Millisecond)
+	r.Remove(removed, "a")
+	assert.Equal(t, count(r), 1)
+	r.Tick(removed.Add(LapseHold))
+	assert.Equal(t, count(r), 0)
+}
