A new holder of the duties waits for all parts, and all learn of it through the hubs

Ruled out: wrong windows, lost reports. Change: reports and sums carry the holder with the token of its acquisition, the newest wins; a new holder freezes nothing before all have told their part (1.5 s at most).

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -17,6 +17,7 @@
 		Spent:         encodeSpent(p.Soft.Spent),
 		Loads:         encodeLoads(p.Soft.Load),
 		WallMs:        p.Wall.UnixMilli(),
+		Holder:        encodeHolder(p.Holder),
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -44,6 +45,7 @@
 		},
 		Windows: make(map[uint64]Begun, len(r.Windows)),
 		Wall:    time.UnixMilli(r.WallMs),
+		Holder:  decodeHolder(r.Holder),
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Busy: w.Busy}
@@ -64,7 +66,7 @@
 		Loads:         encodeLoads(s.Soft.Load),
 		ConfigVersion: s.Config.Version,
 		Config:        s.Config.Text,
-		Holder:        string(s.Holder),
+		Holder:        encodeHolder(s.Holder),
 		Levels:        encodeSpent(s.Soft.Levels),
 	}
 	if !s.True.IsZero() {
@@ -79,7 +81,7 @@
 		Soft: relay.Soft{
 			Spent: decodeSpent(t.Spent), Load: decodeLoads(t.Loads), Levels: decodeSpent(t.Levels),
 		},
-		Holder: fleet.DaemonID(t.Holder),
+		Holder: decodeHolder(t.Holder),
 	}
 	if t.TrueMs != 0 {
 		s.True = time.UnixMilli(t.TrueMs)
@@ -87,6 +89,14 @@
 	return s
 }
 
+func encodeHolder(h Holder) *exchangepb.Holder {
+	return &exchangepb.Holder{Daemon: string(h.Daemon), Token: h.Token}
+}
+
+func decodeHolder(h *exchangepb.Holder) Holder {
+	return Holder{Daemon: fleet.DaemonID(h.GetDaemon()), Token: h.GetToken()}
+}
+
 func encodeSpent(m map[fleet.WorkspaceID]float64) []*exchangepb.Amount {
 	out := make([]*exchangepb.Amount, 0, len(m))
 	for name, v := range m {
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -110,15 +110,14 @@
 	return out
 }
 
-// Heard returns how many daemons reported since a time.
-func (h *Hub) Heard(since time.Time) int {
-	n := 0
-	for _, p := range h.parts {
-		if p.at.After(since) {
-			n++
+// HeardAll reports whether all of some daemons have reported since a time.
+func (h *Hub) HeardAll(since time.Time, daemons []fleet.DaemonID) bool {
+	for _, id := range daemons {
+		if p := h.parts[id]; p == nil || !p.at.After(since) {
+			return false
 		}
 	}
-	return n
+	return true
 }
 
 // Skew returns what to add to the hub's steady count for the fleet's time: the
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -23,6 +23,7 @@
 	Soft    relay.Soft
 	Windows map[uint64]Begun
 	Wall    time.Time // the daemon's time of day
+	Holder  Holder
 }
 
 // Sum is what a hub answers: the sum of all others' parts.
@@ -30,5 +31,20 @@
 	Config Config
 	Soft   relay.Soft // without Work
 	True   time.Time  // the fleet's time; zero where not known
-	Holder fleet.DaemonID
+	Holder Holder
+}
+
+// Holder is the daemon that does the duties under a lease; Token rises with
+// each acquisition. The zero value is none known.
+type Holder struct {
+	Daemon fleet.DaemonID
+	Token  uint64
+}
+
+// Newer returns the holder of the later acquisition.
+func (h Holder) Newer(o Holder) Holder {
+	if o.Token > h.Token {
+		return o
+	}
+	return h
 }
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -9,6 +9,7 @@
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
@@ -19,6 +20,9 @@
 const (
 	// dutyTick is how often the duties look for what is due.
 	dutyTick = 100 * time.Millisecond
+	// gatherTime is how long a new holder waits for the others' parts: they
+	// learn of it from the hubs within two rounds and tell it in the next.
+	gatherTime = 1500 * time.Millisecond
 	// resultRing bounds the answers that wait for the duties' goroutine: a
 	// lease, a report and an order for each place are under way at most.
 	resultRing = 64
@@ -34,7 +38,10 @@
 	scaling *scalingDuty
 	results chan func(now time.Time)
 	token   uint64 // of the acquisition that usage and scaling belong to
-	log     *logrus.Entry
+	since   time.Time
+	// complete says that all daemons have told their part since then.
+	complete bool
+	log      *logrus.Entry
 }
 
 // leaseConfig is a lease as long as the platform's bound for a change of
@@ -48,9 +55,9 @@
 		CallTimeout:  length / 3,
 		LongestOrder: time.Second,
 		Candidates:   3,
-		Observe:      length / 3,
+		Observe:      length / 4,
 		Sweep:        3 * length,
-		RankDelay:    length / 2,
+		RankDelay:    length * 3 / 10,
 		Settle:       20 * time.Second,
 		StartSpread:  100 * time.Millisecond,
 		ListOver:     4,
@@ -94,24 +101,36 @@
 		d.callLease(ctx, a)
 	}
 	l := d.lease.Lease(0)
-	if holder := l.Holder(); holder != "" {
-		d.node.telling.setHolder(holder)
-	}
 	if !l.MayOrderUnfenced(now) {
 		return
 	}
-	d.hold(l.Fencing())
+	d.hold(now, l.Fencing())
+	if !d.gathered(now) {
+		return
+	}
 	d.stepUsage(ctx, now)
 	d.scaling.step(ctx, now)
 }
 
+// gathered reports whether the others' parts are here. Failure: the daemons
+// told other hubs until now. Symptom: the first windows are frozen with a part
+// of their counts, for good. A daemon that can't tell is not waited for longer
+// than gatherTime.
+func (d *duties) gathered(now time.Time) bool {
+	if !d.complete {
+		d.node.telling.ask(func(h *exchange.Hub) { d.complete = h.HeardAll(d.since, d.node.members.ids()) })
+	}
+	return d.complete || now.Sub(d.since) >= gatherTime
+}
+
 // hold starts the duties afresh with each acquisition: what was known before
 // may have been changed by another holder.
-func (d *duties) hold(token uint64) {
+func (d *duties) hold(now time.Time, token uint64) {
 	if token == d.token && d.usage != nil {
 		return
 	}
-	d.token = token
+	d.token, d.since, d.complete = token, now, false
+	d.node.telling.setHolder(token)
 	d.usage = usage.NewReporter(seconds(d.node.settings.Bounds.UsageWindowSeconds))
 	d.scaling = newScalingDuty(d)
 	d.log.WithField("token", token).Info("holds the duties")
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -15,18 +15,13 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
-const (
-	// scalingTick is how often the number of endpoints is decided.
-	scalingTick = 500 * time.Millisecond
-	// gatherTime is how long a new holder waits for the other daemons' parts.
-	gatherTime = 700 * time.Millisecond
-)
+// scalingTick is how often the number of endpoints is decided.
+const scalingTick = 500 * time.Millisecond
 
 // scalingDuty orders endpoints. It belongs to the duties' goroutine.
 type scalingDuty struct {
 	duties   *duties
 	planners map[string]*scaling.Planner // by service
-	since    time.Time
 	last     time.Time
 	refused  map[string]int // totals at the last sample, by service
 	enabled  bool
@@ -36,7 +31,6 @@
 	return &scalingDuty{
 		duties:   d,
 		planners: map[string]*scaling.Planner{},
-		since:    time.Now(),
 		refused:  map[string]int{},
 		enabled:  slices.Contains(d.node.settings.Cloud.Duties, "scale"),
 	}
@@ -45,7 +39,7 @@
 // step decides and orders where that is due.
 func (s *scalingDuty) step(ctx context.Context, now time.Time) {
 	t := s.duties.node.Table()
-	if !s.enabled || t == nil || now.Sub(s.since) < gatherTime || now.Sub(s.last) < scalingTick {
+	if !s.enabled || t == nil || now.Sub(s.last) < scalingTick {
 		return
 	}
 	elapsed := scalingTick
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -28,7 +27,7 @@
 	mu     sync.Mutex
 	hub    *exchange.Hub
 	behind map[string]bool // hubs whose configuration is older, by address
-	holder fleet.DaemonID  // of the duties, as last heard
+	holder exchange.Holder // of the duties, the newest that is known
 	source string          // the hub whose sums are used
 }
 
@@ -61,6 +60,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hub.Take(now, steady, p)
+	t.holder = t.holder.Newer(p.Holder)
 	sum := exchange.Sum{Soft: t.hub.Others(now, p.Daemon), Holder: t.holder}
 	if now.Sub(t.node.started) > knownLevels {
 		sum.Soft.Levels = t.node.state.Levels(now)
@@ -113,7 +113,7 @@
 	holder := t.holder
 	t.mu.Unlock()
 	for _, m := range t.node.members.serving() {
-		if m.Daemon == holder && !slices.Contains(out, m.Peer) {
+		if m.Daemon == holder.Daemon && !slices.Contains(out, m.Peer) {
 			out = append(out, m.Peer)
 		}
 	}
@@ -157,6 +157,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p.Holder = t.holder
 	if !t.behind[address] {
 		p.Config.Text = nil
 	}
@@ -172,18 +173,17 @@
 	t.mu.Lock()
 	same := t.source == address
 	t.source = address
-	if sum.Holder != "" {
-		t.holder = sum.Holder
-	}
+	t.holder = t.holder.Newer(sum.Holder)
 	t.mu.Unlock()
 	t.node.state.Others(time.Now(), sum.Soft, same)
 }
 
-// setHolder notes who holds the duties.
-func (t *telling) setHolder(id fleet.DaemonID) {
+// setHolder notes that this daemon holds the duties since an acquisition. The
+// others learn it from the hubs, also where these can't reach the store.
+func (t *telling) setHolder(token uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.holder = id
+	t.holder = t.holder.Newer(exchange.Holder{Daemon: t.node.id, Token: token})
 }
 
 // ask calls f with the hub's state.
