--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -107,7 +107,7 @@
 		f.tally.reached++
 		f.tally.ran++
 		f.outcome.Verdict = e.verdict
-		if f.route.Kind != route.Streaming {
+		if f.route.Kind != route.Streaming || e.whole && e.class != Success {
 			f.began(sent)
 		}
 	}
