A hub's sums count from when it first hears of a daemon; failures fade with time

A hub that had just started heard one daemon after the other, each with all it had let in since its start; the sums jumped by that, and it was taken from the limits at once. Ruled out: lowered limits, empty buckets of restarted daemons (others refused as well). Change: a base for each daemon. Test: TestNewHubCountsWhatIsSpentSinceItHears fails before (2,000,010, want 10). Beside it: an endpoint's share of failures halves in 3 s, else one without requests never came back.

--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -39,6 +39,10 @@
 	// failureDecay is the weight of the newest outcome in an endpoint's share
 	// of failures: about the last ten outcomes count.
 	failureDecay = 0.1
+	// failureHalf is the time in which an endpoint's share of failures halves
+	// by itself: one that gets no requests for its failures must be tried
+	// again, and faults that come and go last some seconds.
+	failureHalf = 3 * time.Second
 	// failureSeconds is the price of certain failure: a repeat at another
 	// endpoint costs the target time of most routes, about half a second.
 	failureSeconds = 0.5
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -41,7 +41,7 @@
 	held := cached(a, m, home)
 	sum := wait(a, m, held)
 	sum += (rereadWeight - 1) * float64(max(a.Prompt-held, 0)) / readRate
-	sum += failureSeconds * m.failures
+	sum += failureSeconds * m.failing(now)
 	if m.DataCentre != b.self {
 		sum += distance
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"math"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -24,7 +25,8 @@
 	parts  partSet
 	// failures is the share of failures among recent outcomes.
 	failures float64
-	inRow    int // failures without a success between
+	failedAt time.Time // of failures
+	inRow    int       // failures without a success between
 	avoid    time.Duration
 	until    time.Time // avoided until then
 }
@@ -35,8 +37,17 @@
 // avoided reports whether requests should go elsewhere.
 func (m *member) avoided(now time.Time) bool { return now.Before(m.until) }
 
+// failing returns the share of failures among recent outcomes.
+func (m *member) failing(now time.Time) float64 {
+	if m.failures == 0 {
+		return 0
+	}
+	return m.failures * math.Exp2(-now.Sub(m.failedAt).Seconds()/failureHalf.Seconds())
+}
+
 // observe takes an attempt's outcome into the endpoint's record.
 func (m *member) observe(now time.Time, o Outcome) {
+	m.failures, m.failedAt = m.failing(now), now
 	switch o {
 	case Answered:
 		m.failures *= 1 - failureDecay
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -28,8 +28,15 @@
 	part Part
 	at   time.Time     // by the hub's clock
 	skew time.Duration // its time of day less the hub's steady count
+	// base is what it had spent when it was first heard of: a hub's sum counts
+	// from there, so that it doesn't jump when a hub that has just started
+	// hears of one daemon after the other.
+	base map[fleet.WorkspaceID]float64
 }
 
+// spent returns what was spent since the daemon was first heard of.
+func (h *heard) spent(w fleet.WorkspaceID) float64 { return h.part.Soft.Spent[w] - h.base[w] }
+
 // forgetAfter is how long the part of a silent daemon is kept: its windows of
 // usage are due for a while after its death.
 const forgetAfter = 40 * time.Second
@@ -42,11 +49,15 @@
 // Take takes a part that came when the hub's steady count was steady.
 func (h *Hub) Take(now time.Time, steady time.Duration, p Part) {
 	skew := time.Duration(p.Wall.UnixNano()) - steady
-	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew}
+	base := p.Soft.Spent
+	if old := h.parts[p.Daemon]; old != nil {
+		base = old.base
+	}
+	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew, base: base}
 	for id, old := range h.parts {
 		if now.Sub(old.at) > forgetAfter {
-			for w, v := range old.part.Soft.Spent {
-				h.gone[w] += v
+			for w := range old.part.Soft.Spent {
+				h.gone[w] += old.spent(w)
 			}
 			delete(h.parts, id)
 		}
@@ -66,8 +77,8 @@
 		if id == but {
 			continue
 		}
-		for w, v := range p.part.Soft.Spent {
-			out.Spent[w] += v
+		for w := range p.part.Soft.Spent {
+			out.Spent[w] += p.spent(w)
 		}
 		if now.Sub(p.at) > silence {
 			continue
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -33,12 +33,14 @@
 	h.Take(start, 0, part("b", 20, 2, 4))
 	later := start.Add(silence + time.Millisecond)
 	h.Take(later, 0, part("a", 11, 1, 3))
+	b := part("b", 50, 2, 4)
+	h.Take(start, 0, b)
 	others := h.Others(later, "a")
-	assert.Equal(t, others.Spent["w"], 20.0)
+	assert.Equal(t, others.Spent["w"], 30.0)
 	assert.Equal(t, others.Load["e"].Requests, 0)
 	assert.Equal(t, h.Begun(7)["w"], uint64(7))
 	h.Take(start.Add(time.Minute), 0, part("a", 12, 1, 3))
-	assert.Equal(t, h.Others(start.Add(time.Minute), "a").Spent["w"], 20.0)
+	assert.Equal(t, h.Others(start.Add(time.Minute), "a").Spent["w"], 30.0)
 }
 
 // A third of the machines' clocks jump. Were the fleet's time their mean, the
@@ -64,3 +66,17 @@
 	s := Sum{Config: p.Config, Soft: relay.Soft{Spent: p.Soft.Spent, Load: p.Soft.Load, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
 	assert.DeepEqual(t, decodeSum(encodeSum(&s)), s)
 }
+
+// A hub starts anew and hears one daemon after the other, each with all that
+// it has let in since its own start. Counted as spent just now, a whole day's
+// spending would be taken from the workspaces' limits at once, and everything
+// would be refused for as long as the limit takes to fill up again.
+func TestNewHubCountsWhatIsSpentSinceItHears(t *testing.T) {
+	h := NewHub()
+	h.Take(start, 0, part("a", 0, 0, 0))
+	h.Take(start, 0, part("b", 1_000_000, 0, 0))
+	before := h.Others(start, "a").Spent["w"]
+	h.Take(start, 0, part("c", 2_000_000, 0, 0))
+	h.Take(start, 0, part("b", 1_000_010, 0, 0))
+	assert.Equal(t, h.Others(start, "a").Spent["w"]-before, 10.0)
+}
--- a/internal/ledger/entry.go
+++ b/internal/ledger/entry.go
@@ -10,8 +10,8 @@
 	outcome  *Outcome
 	since    time.Time
 	after    uint64 // number of the newest call when it came
-	answered bool // an intent whose owner has been refused
-	recorded bool // an ambiguous write may have recorded it
+	answered bool   // an intent whose owner has been refused
+	recorded bool   // an ambiguous write may have recorded it
 	tries    int
 }
 
