Endpoints are ordered by the work asked for, not by requests under way

Change: the slots that requests hold at an engine that isn't overloaded plus the tokens to be read, by a learned rate; on-demand engines stay until others serve in their place.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -18,6 +18,7 @@
 	members map[fleet.EndpointID]*member
 	sets    map[string][]*member // by service, without those that leave
 	table   *route.Table
+	rate    rate
 	scratch []*member
 }
 
@@ -30,6 +31,7 @@
 		members: map[fleet.EndpointID]*member{},
 		sets:    map[string][]*member{},
 		table:   route.New(route.Table{}),
+		rate:    newRate(),
 	}
 }
 
@@ -152,8 +154,19 @@
 	m.parts.add(a.Parts)
 }
 
-// First notes an attempt's first token.
-func (b *Balancer) First(a *Ask, c Choice) {
+// ReadRate returns the prompt tokens that an engine reads a second.
+func (b *Balancer) ReadRate() float64 { return b.rate.perSecond }
+
+// First notes an attempt's first token, some seconds after it was sent.
+func (b *Balancer) First(a *Ask, c Choice, seconds float64) {
+	if c.Cached == 0 {
+		b.rate.observe(a.Prompt, seconds)
+	}
+	b.read(a, c)
+}
+
+// read takes an attempt's prompt off what its endpoint has to read.
+func (b *Balancer) read(a *Ask, c Choice) {
 	if m := b.members[c.Endpoint.ID]; m != nil {
 		m.own.Unread = max(m.own.Unread-(a.Prompt-c.Cached), 0)
 	}
@@ -166,7 +179,7 @@
 		return
 	}
 	if !first {
-		b.First(a, c)
+		b.read(a, c)
 	}
 	m.own.Requests = max(m.own.Requests-1, 0)
 	m.observe(now, o)
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -8,6 +8,18 @@
 	// readRate is the prompt tokens an engine reads a second: the slower of
 	// the platform's two published engine classes is 55 a millisecond.
 	readRate = 55_000.0
+	// leastRate and mostRate bound what is learned.
+	leastRate = 20_000.0
+	mostRate  = 200_000.0
+	// learnTokens is the least part of a prompt to be read from which the rate
+	// is learned: below it the time is mostly steps and the way.
+	learnTokens = 4000
+	// learnQuantile: of the observed rates the one that a quarter exceeds is
+	// taken. Lower ones have waited for others; the highest found tokens in
+	// the endpoint's memory that this daemon didn't know of.
+	learnQuantile = 0.75
+	// learnStep is the part by which an observation moves the rate.
+	learnStep = 0.03
 	// slotSeconds is the added time to the first token of an engine whose
 	// slots are all taken, against an empty one: a step with a full batch
 	// takes some 8 to 9 ms, and a prompt waits for about two of them.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -18,7 +18,7 @@
 }
 
 // wait predicts the seconds to the first token, or of queueing at a plain service.
-func wait(a *Ask, m *member, held int) float64 {
+func (b *Balancer) wait(a *Ask, m *member, held int) float64 {
 	slots := max(m.Slots, 1)
 	running := m.running()
 	turn := plainSeconds
@@ -26,7 +26,7 @@
 	if m.engine {
 		turn = turnSeconds
 		unread := m.own.Unread + m.others.Unread + max(a.Prompt-held, 0)
-		sum = float64(unread)/readRate + slotSeconds*float64(running)/float64(slots)
+		sum = float64(unread)/b.rate.perSecond + slotSeconds*float64(running)/float64(slots)
 	} else {
 		sum = plainSeconds * float64(running) / float64(slots)
 	}
@@ -39,8 +39,8 @@
 // cost prices a member for a request, in seconds.
 func (b *Balancer) cost(now time.Time, a *Ask, m *member, home bool) float64 {
 	held := cached(a, m, home)
-	sum := wait(a, m, held)
-	sum += (rereadWeight - 1) * float64(max(a.Prompt-held, 0)) / readRate
+	sum := b.wait(a, m, held)
+	sum += (rereadWeight - 1) * float64(max(a.Prompt-held, 0)) / b.rate.perSecond
 	sum += failureSeconds * m.failing(now)
 	if m.DataCentre != b.self {
 		sum += distance
@@ -57,7 +57,7 @@
 	return Choice{
 		Endpoint: m.Endpoint,
 		Cached:   held,
-		Wait:     wait(a, m, held),
+		Wait:     b.wait(a, m, held),
 		Home:     m == home,
 		Full:     m.running() >= max(m.Slots, 1),
 	}
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -21,7 +21,7 @@
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
-			Service: service, Requests: uint64(w.Requests), Refused: uint64(w.Refused), Busy: w.Busy,
+			Service: service, Requests: uint64(w.Requests), Refused: uint64(w.Refused), Hold: w.Hold, Read: w.Read,
 		})
 	}
 	for id, begun := range p.Windows {
@@ -48,7 +48,7 @@
 		Holder:  decodeHolder(r.Holder),
 	}
 	for _, w := range r.Works {
-		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Busy: w.Busy}
+		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Hold: w.Hold, Read: w.Read}
 	}
 	for _, w := range r.Windows {
 		begun := make(Begun, len(w.Begun))
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -100,16 +100,14 @@
 			sum := out[s]
 			sum.Requests += w.Requests
 			sum.Refused += w.Refused
-			sum.Busy += w.Busy
+			sum.Hold += w.Hold
+			sum.Read += w.Read
 			out[s] = sum
 		}
 	}
 	return out
 }
 
-// Load returns the requests under way at all daemons heard of lately, by endpoint.
-func (h *Hub) Load(now time.Time) map[fleet.EndpointID]balance.Load { return h.Others(now, "").Load }
-
 // Begun returns the requests that began in a window, at all daemons.
 func (h *Hub) Begun(window uint64) Begun {
 	out := Begun{}
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -5,10 +5,8 @@
 	"slices"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/scaling"
@@ -23,7 +21,7 @@
 	duties   *duties
 	planners map[string]*scaling.Planner // by service
 	last     time.Time
-	refused  map[string]int // totals at the last sample, by service
+	work     map[string]relay.Work // totals at the last sample, by service
 	enabled  bool
 }
 
@@ -31,7 +29,7 @@
 	return &scalingDuty{
 		duties:   d,
 		planners: map[string]*scaling.Planner{},
-		refused:  map[string]int{},
+		work:     map[string]relay.Work{},
 		enabled:  slices.Contains(d.node.settings.Cloud.Duties, "scale"),
 	}
 }
@@ -47,31 +45,35 @@
 		elapsed = now.Sub(s.last)
 	}
 	s.last = now
-	var load map[fleet.EndpointID]balance.Load
 	var work map[string]relay.Work
-	s.duties.node.telling.ask(func(h *exchange.Hub) { load, work = h.Load(now), h.Work() })
+	s.duties.node.telling.ask(func(h *exchange.Hub) { work = h.Work() })
 	for i := range t.Services {
 		if service := &t.Services[i]; service.Scaling != nil {
-			s.plan(ctx, now, s.sample(service, load, work[service.Name], elapsed))
+			s.plan(ctx, now, s.sample(service, work[service.Name], elapsed))
 		}
 	}
 }
 
 // sample describes a service as the fleet sees it.
-func (s *scalingDuty) sample(service *route.Service, load map[fleet.EndpointID]balance.Load, work relay.Work, elapsed time.Duration) *scaling.Sample {
+func (s *scalingDuty) sample(service *route.Service, work relay.Work, elapsed time.Duration) *scaling.Sample {
 	out := &scaling.Sample{
-		Service: service,
-		Here:    map[scaling.Place]int{},
-		Refused: max(work.Refused-s.refused[service.Name], 0),
-		Seconds: elapsed.Seconds(),
+		Service:  service,
+		Here:     map[scaling.Place]int{},
+		ReadRate: s.duties.node.state.ReadRate(),
+		Seconds:  elapsed.Seconds(),
 	}
-	s.refused[service.Name] = work.Refused
+	// A total is smaller than before where a daemon that is gone was forgotten,
+	// and a holder's first totals are no difference.
+	if last, ok := s.work[service.Name]; ok {
+		out.Slots = max(work.Hold-last.Hold, 0) / out.Seconds
+		out.Read = max(work.Read-last.Read, 0) / out.Seconds
+	}
+	s.work[service.Name] = work
 	all, _ := s.duties.node.endpoints.list()
 	for _, e := range all {
 		if e.Service != service.Name {
 			continue
 		}
-		out.Requests += load[e.ID].Requests
 		if !e.Draining {
 			out.Here[scaling.Place{DataCentre: e.DataCentre, Spot: e.Spot}]++
 		}
@@ -98,7 +100,7 @@
 	}
 	log := s.duties.log.WithFields(map[string]any{
 		"service": sample.Service.Name, "data_centre": o.DataCentre, "spot": o.Spot, "count": o.Count,
-		"here": sample.Here[o.Place], "requests": sample.Requests, "refused": sample.Refused,
+		"here": sample.Here[o.Place], "slots": sample.Slots, "read": sample.Read, "read_rate": sample.ReadRate,
 	})
 	s.duties.call(ctx, func() func(time.Time) {
 		err := s.duties.node.platform.Cloud.Order(ctx, f, duty.Order{
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -55,7 +55,6 @@
 		}
 	}
 	s.budget(a.service).Request(now)
-	s.loads.asked(a.service)
 	return a, nil
 }
 
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -33,6 +33,8 @@
 	tally tally
 	// begun says that the caller has the head of an answer.
 	begun bool
+	// asked says that it was counted as work for the service.
+	asked bool
 	// counted says that the observer was told that it began to run.
 	counted bool
 	events  events
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -125,6 +125,13 @@
 	return s.quota.Levels(now)
 }
 
+// ReadRate returns the prompt tokens that an engine reads a second, as learned.
+func (s *State) ReadRate() float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.ReadRate()
+}
+
 // RetriesLeft returns what is left of the retry budgets, by service.
 func (s *State) RetriesLeft(now time.Time) map[string]float64 {
 	s.mu.Lock()
--- a/internal/relay/track.go
+++ b/internal/relay/track.go
@@ -22,6 +22,10 @@
 	if !ok {
 		return c, notRun(NoEndpoint, spread(retryNoEndpoint, s.rng.Float64()))
 	}
+	if !f.asked {
+		f.asked = true
+		s.loads.asked(f.service, f.ask.Output, max(f.ask.Prompt-c.Cached, 0))
+	}
 	if wait := hopeless(f, c, now); wait > 0 {
 		s.loads.refused(f.service)
 		return c, notRun(Overloaded, spread(wait, s.rng.Float64()))
@@ -75,12 +79,11 @@
 func (s *State) first(t *track) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.First(t.flight.ask, t.choice)
+	s.balancer.First(t.flight.ask, t.choice, time.Since(t.sent).Seconds())
 }
 
 func (s *State) done(now time.Time, t *track, o balance.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, t.flight.ask, t.choice, t.first, o)
-	s.loads.busy(t.flight.service, now.Sub(t.sent).Seconds())
 }
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -4,19 +4,36 @@
 
 // Work is what the endpoints of a service were asked for, as running totals.
 type Work struct {
-	Requests int     // asked for by callers, let in or not
-	Refused  int     // of them, for want of room
-	Busy     float64 // endpoint-seconds: the requests' time at endpoints
+	Requests int // that callers sent, let in or not
+	Refused  int // of them, for want of room
+	// Hold is the time for which the requests hold a slot of an endpoint that
+	// isn't overloaded, in seconds. Its rate is the number of slots in use
+	// there, and doesn't grow when endpoints slow down.
+	Hold float64
+	// Read is the prompt tokens that endpoints have to read, without those
+	// that they are believed to hold.
+	Read float64
 }
 
+const (
+	// startHold is a request's time at an engine before its first token.
+	startHold = 0.1
+	// tokenHold is the time of an output token, in seconds, at an engine of
+	// the platform's published classes with half of its slots in use.
+	tokenHold = 0.0065
+)
+
 // loads counts the work of each service.
 type loads struct{ work map[string]Work }
 
 func newLoads() *loads { return &loads{work: map[string]Work{}} }
 
-func (l *loads) asked(service string) {
+// asked counts a request with its expected output and the tokens to be read.
+func (l *loads) asked(service string, output, read int) {
 	w := l.work[service]
 	w.Requests++
+	w.Hold += startHold + tokenHold*float64(output)
+	w.Read += float64(read)
 	l.work[service] = w
 }
 
@@ -26,10 +43,4 @@
 	l.work[service] = w
 }
 
-func (l *loads) busy(service string, seconds float64) {
-	w := l.work[service]
-	w.Busy += seconds
-	l.work[service] = w
-}
-
 func (l *loads) snapshot() map[string]Work { return maps.Clone(l.work) }
--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -3,17 +3,18 @@
 import "time"
 
 const (
-	// fill is the share of an engine's slots that the load should take. With
-	// more, a burst finds no free slot in the seconds until new engines serve;
-	// with less, batches are small and each token costs more of the engine.
-	fill = 0.45
+	// fill is the share of an engine's time that the load should take. With
+	// more, prompts queue behind each other for longer than their target, and
+	// a burst finds no room in the seconds until new engines serve; with less,
+	// batches are small and each token costs more of the engine.
+	fill = 0.6
 	// losses is the number of data centres whose reclaimable endpoints may
 	// vanish while what is left still carries the load: reclaims come in waves
 	// a few seconds apart, and what vanished can't be had again for a while.
 	losses = 2
 	// startShare is the part of the endpoints found at the first look that
 	// the load is taken to need until it was measured.
-	startShare = 0.35
+	startShare = 0.5
 	// registerTime is how long the number of endpoints must stay the same at
 	// the start: they register within about a heartbeat of 1.2 s.
 	registerTime = 1500 * time.Millisecond
@@ -22,8 +23,8 @@
 	measured = 12 * time.Second
 	// riseSeconds and fallSeconds are the time constants of the smoothed load:
 	// new endpoints take seconds to start, and giving back breaks streams.
-	riseSeconds = 1.0
-	fallSeconds = 20.0
+	riseSeconds = 2.5
+	fallSeconds = 15.0
 	// holdFall is how long fewer endpoints must be enough before any is given back.
 	holdFall = 8 * time.Second
 	// refusedWait is between an order that was refused and its repeat.
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -13,7 +13,7 @@
 // Planner decides for one service. A new holder of the duty starts with a new
 // one. It is not safe for concurrent use.
 type Planner struct {
-	load      float64   // smoothed requests under way
+	load      float64   // endpoints that are busy with the load, smoothed
 	loaded    time.Time // when requests were first seen
 	floor     float64   // endpoints that the start needs
 	started   bool
@@ -78,10 +78,17 @@
 	return true
 }
 
-// measure smooths the load. Refused requests would have been under way for
-// about as long as the others.
+// measure smooths the load: a batch's slots and the reading of prompts take an
+// engine's time in turns, so that their parts add up.
 func (p *Planner) measure(now time.Time, s *Sample) {
-	seen := float64(s.Requests + s.Refused)
+	slots := 1
+	if s.Service.Engine != nil {
+		slots = max(s.Service.Engine.Slots, 1)
+	}
+	seen := s.Slots / float64(slots)
+	if s.ReadRate > 0 {
+		seen += s.Read / s.ReadRate
+	}
 	if seen > 0 && p.loaded.IsZero() {
 		p.loaded = now
 	}
@@ -94,11 +101,7 @@
 
 // need returns the endpoints that the load takes.
 func (p *Planner) need(now time.Time, s *Sample) float64 {
-	slots := 1
-	if s.Service.Engine != nil {
-		slots = max(s.Service.Engine.Slots, 1)
-	}
-	need := max(p.load/(fill*float64(slots)), 1)
+	need := max(p.load/fill, 1)
 	if p.loaded.IsZero() || now.Sub(p.loaded) < measured {
 		need = max(need, p.floor)
 	}
@@ -124,17 +127,23 @@
 }
 
 // addOnDemand orders on-demand endpoints for what the reclaimable ones that
-// serve or will soon don't carry, in the cheapest data centres.
+// serve or will soon don't carry, in the cheapest data centres. Those that are
+// there stay until reclaimable ones serve in their place.
 func (p *Planner) addOnDemand(now time.Time, s *Sample, need float64, wanted map[Place]int) {
-	reclaimable := 0
+	reclaimable, serving := 0, 0
 	for dc := range s.Service.Scaling.DataCentre {
 		place := Place{dc, true}
 		reclaimable += s.Here[place]
+		serving += s.Here[place]
 		if last := p.placed[place]; last.count > s.Here[place] && p.booting(now, s, last) {
 			reclaimable += last.count - s.Here[place]
 		}
 	}
 	missing := int(math.Ceil(need)) - reclaimable
+	if !p.loaded.IsZero() {
+		keep := int(math.Ceil(need)) - serving
+		missing = max(missing, min(keep, p.onDemand(s)))
+	}
 	for missing > 0 {
 		before := missing
 		for _, dc := range cheapest(s) {
@@ -150,6 +159,17 @@
 	}
 }
 
+// onDemand returns the on-demand endpoints that are there.
+func (p *Planner) onDemand(s *Sample) int {
+	n := 0
+	for place, count := range s.Here {
+		if !place.Spot {
+			n += count
+		}
+	}
+	return n
+}
+
 // booting reports whether an order may still bring endpoints.
 func (p *Planner) booting(now time.Time, s *Sample, last placed) bool {
 	return last.refused.IsZero() && now.Sub(last.at) < s.Service.Scaling.BootTime+bootSlack
--- a/internal/scaling/sample.go
+++ b/internal/scaling/sample.go
@@ -10,11 +10,13 @@
 	Service *route.Service
 	// Here is the endpoints that serve and don't leave, by place.
 	Here map[Place]int
-	// Requests is the requests under way at all endpoints, waiting ones included.
-	Requests int
-	// Refused is the requests that were refused for want of room since the
-	// last sample.
-	Refused int
+	// Slots is the slots that the requests since the last sample hold of
+	// endpoints that aren't overloaded.
+	Slots float64
+	// Read is the prompt tokens a second that endpoints had to read.
+	Read float64
+	// ReadRate is the prompt tokens that one endpoint reads in a second.
+	ReadRate float64
 	// Seconds since the last sample.
 	Seconds float64
 }
