--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -26,7 +26,7 @@
 	riseSeconds = 2.5
 	fallSeconds = 15.0
 	// holdFall is how long fewer endpoints must be enough before any is given back.
-	holdFall = 8 * time.Second
+	holdFall = 5 * time.Second
 	// refusedWait is between an order that was refused and its repeat.
 	refusedWait = 2 * time.Second
 	// bootSlack is added to the stated start time before an endpoint that was
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -109,7 +109,7 @@
 }
 
 // setReclaimable chooses the reclaimable endpoints of each data centre. More
-// is ordered at once, less only after a while.
+// is ordered at once, less only after a while, and by half of the difference.
 func (p *Planner) setReclaimable(now time.Time, s *Sample, need float64) {
 	centres := len(s.Service.Scaling.DataCentre)
 	left := max(centres-losses, 1)
@@ -121,7 +121,7 @@
 	case p.fewer.IsZero():
 		p.fewer = now
 	case now.Sub(p.fewer) > holdFall:
-		p.perCentre--
+		p.perCentre = (p.perCentre + want) / 2
 		p.fewer = now
 	}
 }
