--- /dev/null
+++ b/internal/balance/balancer_test.go
@@ -0,0 +1,208 @@
+package balance
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+var start = time.Unix(1000, 0)
+
+func balancer(seed uint64, endpoints int) *Balancer {
+	b := New("a", rand.New(rand.NewPCG(seed, 1)))
+	b.Configure(route.New(route.Table{Services: []route.Service{
+		{Name: "llm", Engine: &route.Engine{Slots: 48, CacheTokens: 700_000}}, {Name: "app"},
+	}}))
+	b.SetEndpoints(fleetOf(endpoints))
+	return b
+}
+
+func fleetOf(n int) []roster.Endpoint {
+	all := make([]roster.Endpoint, n)
+	for i := range all {
+		all[i] = roster.Endpoint{
+			ID: fleet.EndpointID(fmt.Sprint("e", i)), Service: "llm", Slots: 48,
+			DataCentre: fleet.DataCentre("abcd"[i%4 : i%4+1]),
+		}
+	}
+	return all
+}
+
+func diagnosis(subject uint64) *Ask {
+	return &Ask{Service: "llm", Prompt: 12000, Output: 380, Parts: []Part{{1, 500}, {subject, 4900}, {subject << 32, 6600}}}
+}
+
+// Two daemons that share nothing but the list get requests on one subject. Did
+// they disagree, each engine would read the subject's history anew.
+func TestDaemonsAgreeOnASubjectsHome(t *testing.T) {
+	for subject := uint64(2); subject < 50; subject++ {
+		a, _ := balancer(subject, 18).Pick(start, diagnosis(subject))
+		b, _ := balancer(subject+1000, 18).Pick(start, diagnosis(subject))
+		assert.Equal(t, a.Endpoint.ID, b.Endpoint.ID)
+		assert.Assert(t, a.Home)
+	}
+}
+
+// A burst on one subject: its home has prompts of many seconds to read. Sent
+// there all the same, all would be late while other engines idle.
+func TestBusyHomeSpills(t *testing.T) {
+	b := balancer(1, 18)
+	seen := map[fleet.EndpointID]bool{}
+	for i := range uint64(200) {
+		q := diagnosis(7)
+		q.Parts[2].ID += i
+		c, ok := b.Pick(start, q)
+		assert.Assert(t, ok)
+		b.Sent(q, c)
+		seen[c.Endpoint.ID] = true
+	}
+	assert.Assert(t, len(seen) > 10, "%d engines", len(seen))
+}
+
+// All daemons hear at once that one engine is empty. Each counts what it sends
+// there itself, so that they don't all send everything to it.
+func TestOldLoadCausesNoHerd(t *testing.T) {
+	const daemons = 8
+	sent := map[fleet.EndpointID]int{}
+	for d := range uint64(daemons) {
+		b := balancer(d, 18)
+		load := map[fleet.EndpointID]Load{}
+		for _, e := range fleetOf(18)[1:] {
+			load[e.ID] = Load{Requests: 12}
+		}
+		b.Others(load)
+		for i := range uint64(40) {
+			q := &Ask{Service: "llm", Prompt: 600, Output: 290, Parts: []Part{{d<<32 + i, 600}}}
+			c, _ := b.Pick(start, q)
+			b.Sent(q, c)
+			sent[c.Endpoint.ID]++
+		}
+	}
+	assert.Assert(t, sent["e0"] < daemons*40/3, "%d of %d", sent["e0"], daemons*40)
+}
+
+func TestTriedEndpointsAreNotChosenAgain(t *testing.T) {
+	b := balancer(1, 3)
+	q := diagnosis(7)
+	for range 3 {
+		c, ok := b.Pick(start, q)
+		assert.Assert(t, ok)
+		q.Tried = append(q.Tried, c.Endpoint.ID)
+	}
+	_, ok := b.Pick(start, q)
+	assert.Assert(t, !ok)
+}
+
+func TestLeavingEndpointsGetNothing(t *testing.T) {
+	b := balancer(1, 2)
+	all := fleetOf(2)
+	all[0].Draining = true
+	b.SetEndpoints(all)
+	for subject := range uint64(20) {
+		c, ok := b.Pick(start, diagnosis(subject+2))
+		assert.Assert(t, ok)
+		assert.Equal(t, c.Endpoint.ID, all[1].ID)
+	}
+	all[1].Draining = true
+	b.SetEndpoints(all)
+	_, ok := b.Pick(start, diagnosis(2))
+	assert.Assert(t, !ok)
+}
+
+// An engine fails half of what it gets while its health checks pass. It must
+// get little after the first failures, and get requests again after a while.
+func TestFailingEndpointIsAvoidedAndTriedAgain(t *testing.T) {
+	b := balancer(1, 6)
+	q := func(i int) *Ask { return &Ask{Service: "llm", Prompt: 600, Parts: []Part{{uint64(i), 600}}} }
+	failed := 0
+	now := start
+	for i := range 200 {
+		now = now.Add(10 * time.Millisecond)
+		a := q(i)
+		c, _ := b.Pick(now, a)
+		b.Sent(a, c)
+		if c.Endpoint.ID == "e0" {
+			failed++
+			b.Done(now, a, c, false, Failed)
+			continue
+		}
+		b.Done(now, a, c, true, Answered)
+	}
+	assert.Assert(t, failed <= 4, "%d sent to the failing one", failed)
+	again := 0
+	now = now.Add(30 * time.Second)
+	for i := range 200 {
+		a := q(i)
+		c, _ := b.Pick(now, a)
+		b.Sent(a, c)
+		if c.Endpoint.ID == "e0" {
+			again++
+		}
+	}
+	assert.Assert(t, again > 10, "%d", again)
+}
+
+// All endpoints of a service fail. Refusing everything would be worse than
+// trying them.
+func TestAvoidedEndpointsAreUsedWhenThereIsNoOther(t *testing.T) {
+	b := balancer(1, 2)
+	for range 6 {
+		q := diagnosis(3)
+		c, ok := b.Pick(start, q)
+		assert.Assert(t, ok)
+		b.Sent(q, c)
+		b.Done(start, q, c, false, Unreached)
+	}
+	_, ok := b.Pick(start, diagnosis(3))
+	assert.Assert(t, ok)
+}
+
+func TestLoadGoesWithItsRequests(t *testing.T) {
+	b := balancer(1, 1)
+	q := diagnosis(3)
+	c, _ := b.Pick(start, q)
+	b.Sent(q, c)
+	assert.Equal(t, b.Own()["e0"].Requests, 1)
+	assert.Assert(t, b.Own()["e0"].Unread > 0)
+	b.First(q, c, 0.2)
+	assert.Equal(t, b.Own()["e0"].Unread, 0)
+	b.Done(start, q, c, true, Answered)
+	assert.Equal(t, len(b.Own()), 0)
+}
+
+func TestRateIsLearnedFromLongPrompts(t *testing.T) {
+	r := newRate()
+	rng := rand.New(rand.NewPCG(1, 2))
+	for range 2000 {
+		queued := max(rng.NormFloat64(), 0) * 0.05
+		r.observe(8000, 8000.0/112_000+queued)
+	}
+	assert.Assert(t, r.perSecond > 85_000 && r.perSecond < 130_000, "%v", r.perSecond)
+}
+
+func BenchmarkPick(b *testing.B) {
+	for _, n := range []int{18, 140, 690} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			l := balancer(1, n)
+			asks := make([]*Ask, 320)
+			for i := range asks {
+				asks[i] = diagnosis(uint64(i + 2))
+			}
+			b.ReportAllocs()
+			i := 0
+			for b.Loop() {
+				i++
+				if _, ok := l.Pick(start, asks[i%len(asks)]); !ok {
+					b.Fatal("none")
+				}
+			}
+		})
+	}
+}
