--- a/internal/cli/check.go
+++ b/internal/cli/check.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/certs"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/deployment"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/node"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -66,6 +67,10 @@
 }
 
 func checkSettings(path string) []string {
+	if text, err := os.ReadFile(path); err == nil && node.Recognise(text) {
+		_, err := node.ParseSettings(text)
+		return mistakeLines(path, err)
+	}
 	s, err := settings.Read(path)
 	if err != nil {
 		return mistakeLines(path, err)
--- a/internal/cli/servenode.go
+++ b/internal/cli/servenode.go
@@ -37,5 +37,5 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	defer signal.Stop(hup)
 	log := logging.NewJSON(a.stdout, s.Log.Level)
-	return platform.New(s, log).Run(ctx)
+	return platform.New(s, log).Run(ctx, path, hup)
 }
--- a/internal/importguard/importguard_test.go
+++ b/internal/importguard/importguard_test.go
@@ -14,9 +14,9 @@
 // decisions are the packages whose types take now and events and return
 // actions. Sub-packages are checked as well.
 var decisions = []string{
-	"admission", "directory", "ledger", "lease", "membership",
-	"platform/budget", "reclaim", "rendezvous", "request",
-	"routing", "template",
+	"admission", "balance", "directory", "ledger", "lease", "membership",
+	"platform/budget", "quota", "reclaim", "rendezvous", "request", "retry",
+	"roster", "route", "routing", "scaling", "template", "usage",
 }
 
 // forbidden are imports that bring a clock, a goroutine's tools, a socket, a
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -29,7 +29,7 @@
 	if err := n.members.gossip.Leave(ctx); err != nil {
 		n.say("membership").WithError(err).Warn("leaving not told")
 	}
-	end := started.Add(seconds(n.settings.Bounds.GraceSeconds) - leaveMargin)
+	end := started.Add(time.Duration(n.grace.Load()) - leaveMargin)
 	for time.Now().Before(end) {
 		if time.Since(started) > leastStay && n.relay.Active() == 0 {
 			break
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
@@ -20,7 +21,7 @@
 type members struct {
 	node   *Node
 	gossip *gossip.Node
-	seeds  []membership.Member
+	seeds  atomic.Pointer[[]membership.Member]
 }
 
 // joinFleet starts the membership protocol at the peers' address.
@@ -46,11 +47,18 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	m := &members{node: n, gossip: g, seeds: seedMembers(s)}
-	g.Seeds(m.seeds)
+	m := &members{node: n, gossip: g}
+	m.addSeeds(s)
 	return m, nil
 }
 
+// addSeeds takes the seeds of settings that are new or have changed.
+func (m *members) addSeeds(s *Settings) {
+	seeds := seedMembers(s)
+	m.seeds.Store(&seeds)
+	m.gossip.Seeds(seeds)
+}
+
 // seedMembers turns the seeds' machines into peers: all daemons have the same
 // port for each other.
 func seedMembers(s *Settings) []membership.Member {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -38,6 +39,7 @@
 	metrics   *metricSet
 
 	started  time.Time
+	grace    atomic.Int64 // of a stop, ns
 	stopping atomic.Bool
 	wg       sync.WaitGroup
 }
@@ -65,6 +67,7 @@
 	n.config = newConfiguration(n)
 	n.endpoints = newEndpointDuty(n)
 	n.telling = newTelling(n)
+	n.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	return n
 }
 
@@ -74,8 +77,9 @@
 
 func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
-// Run serves until the context ends, then leaves in order.
-func (n *Node) Run(ctx context.Context) error {
+// Run serves until the context ends, then leaves in order. The settings' file
+// is followed while it runs; signals ask for a look at once.
+func (n *Node) Run(ctx context.Context, path string, signals <-chan os.Signal) error {
 	work, cancel := context.WithCancel(context.WithoutCancel(ctx))
 	defer cancel()
 	members, err := joinFleet(n)
@@ -92,6 +96,7 @@
 	}
 	n.say("daemon").WithField("instance", n.settings.Daemon.Instance).Info("started")
 	n.start(work)
+	n.wg.Go(func() { n.watchSettings(work, path, signals) })
 	<-ctx.Done()
 	n.leave()
 	stop()
@@ -110,11 +115,7 @@
 		duties = append(duties, newDuties(n).run)
 	}
 	for _, duty := range duties {
-		n.wg.Add(1)
-		go func() {
-			defer n.wg.Done()
-			duty(ctx)
-		}()
+		n.wg.Go(func() { duty(ctx) })
 	}
 }
 
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if t.node.config.current().Version == 0 {
-		for _, s := range t.node.members.seeds {
+		for _, s := range *t.node.members.seeds.Load() {
 			if !slices.Contains(out, s.Peer) {
 				out = append(out, s.Peer)
 			}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"net"
 	"slices"
 	"strings"
 )
@@ -48,10 +47,7 @@
 // Match returns the route of the longest prefix for a request's host, with or
 // without a port, and path; nil where there is none.
 func (t *Table) Match(host, path string) *Route {
-	if name, _, err := net.SplitHostPort(host); err == nil {
-		host = name
-	}
-	for _, r := range t.byHost[strings.ToLower(host)] {
+	for _, r := range t.byHost[strings.ToLower(withoutPort(host))] {
 		if strings.HasPrefix(path, r.Prefix) {
 			return r
 		}
@@ -59,6 +55,14 @@
 	return nil
 }
 
+// withoutPort returns a Host header's name. An IPv6 address is in brackets.
+func withoutPort(host string) string {
+	if at := strings.LastIndexByte(host, ':'); at > strings.LastIndexByte(host, ']') {
+		return host[:at]
+	}
+	return host
+}
+
 // Service returns a service by name, nil where there is none.
 func (t *Table) Service(name string) *Service { return t.byService[name] }
 
