In a large fleet the hubs watch the store and tell the others; hubs are on strong machines

Ruled out: real bursts (levels fell by what others were said to have spent). Change: above 12 daemons only hubs watch, with the list of endpoints as a feed of changes, and any daemon watches by itself where no hub has heard from the store for 1.4 s; a daemon's run is named with its machine's strength, and hubs and candidates for the duties are the strongest; a part after a gap of ten seconds counts from there; what was spent never falls.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -5,6 +5,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
@@ -18,6 +19,7 @@
 		Loads:         encodeLoads(p.Soft.Load),
 		WallMs:        p.Wall.UnixMilli(),
 		Holder:        encodeHolder(p.Holder),
+		Endpoints:     encodePosition(p.Endpoints),
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -46,6 +48,8 @@
 		Windows: make(map[uint64]Begun, len(r.Windows)),
 		Wall:    time.UnixMilli(r.WallMs),
 		Holder:  decodeHolder(r.Holder),
+
+		Endpoints: decodePosition(r.Endpoints),
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Hold: w.Hold, Read: w.Read}
@@ -67,6 +71,8 @@
 		ConfigVersion: s.Config.Version,
 		Config:        s.Config.Text,
 		Holder:        encodeHolder(s.Holder),
+		Endpoints:     encodeUpdate(&s.Endpoints),
+		FreshMs:       s.Fresh.Milliseconds(),
 		Levels:        encodeSpent(s.Soft.Levels),
 	}
 	if !s.True.IsZero() {
@@ -81,7 +87,9 @@
 		Soft: relay.Soft{
 			Spent: decodeSpent(t.Spent), Load: decodeLoads(t.Loads), Levels: decodeSpent(t.Levels),
 		},
-		Holder: decodeHolder(t.Holder),
+		Holder:    decodeHolder(t.Holder),
+		Endpoints: decodeUpdate(t.Endpoints),
+		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
 	}
 	if t.TrueMs != 0 {
 		s.True = time.UnixMilli(t.TrueMs)
@@ -89,6 +97,30 @@
 	return s
 }
 
+func encodePosition(p feed.Position) *exchangepb.Position {
+	return &exchangepb.Position{Epoch: p.Epoch, Seq: p.Seq}
+}
+
+func decodePosition(p *exchangepb.Position) feed.Position {
+	return feed.Position{Epoch: p.GetEpoch(), Seq: p.GetSeq()}
+}
+
+func encodeUpdate(u *feed.Update) *exchangepb.Feed {
+	out := &exchangepb.Feed{To: encodePosition(u.To), Full: u.Full, Removed: u.Removed}
+	for _, it := range u.Items {
+		out.Items = append(out.Items, &exchangepb.Item{Name: it.Name, Spec: it.Spec})
+	}
+	return out
+}
+
+func decodeUpdate(f *exchangepb.Feed) feed.Update {
+	out := feed.Update{To: decodePosition(f.GetTo()), Full: f.GetFull(), Removed: f.GetRemoved()}
+	for _, it := range f.GetItems() {
+		out.Items = append(out.Items, feed.Item{Name: it.Name, Spec: it.Spec})
+	}
+	return out
+}
+
 func encodeHolder(h Holder) *exchangepb.Holder {
 	return &exchangepb.Holder{Daemon: string(h.Daemon), Token: h.Token}
 }
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -13,8 +13,9 @@
 // reports are missing then.
 const silence = time.Second
 
-// keptWindows is the number of usage windows that are kept.
-const keptWindows = 8
+// gap is the silence after which what a daemon spent meanwhile isn't counted:
+// limits are judged over about eight seconds, so that it is over by then.
+const gap = 10 * time.Second
 
 // Hub sums the parts of all daemons. It is a plain decision and not safe for
 // concurrent use. Parts of daemons that are gone stay in the totals.
@@ -50,8 +51,10 @@
 func (h *Hub) Take(now time.Time, steady time.Duration, p Part) {
 	skew := time.Duration(p.Wall.UnixNano()) - steady
 	base := p.Soft.Spent
-	if old := h.parts[p.Daemon]; old != nil {
+	if old := h.parts[p.Daemon]; old != nil && now.Sub(old.at) < gap {
 		base = old.base
+	} else if old != nil {
+		base = moved(old, p.Soft.Spent)
 	}
 	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew, base: base}
 	for id, old := range h.parts {
@@ -64,6 +67,16 @@
 	}
 }
 
+// moved returns the base after a gap, so that what was spent in it is left out:
+// a daemon that was no hub for a while knows nothing of the time between.
+func moved(old *heard, spent map[fleet.WorkspaceID]float64) map[fleet.WorkspaceID]float64 {
+	base := make(map[fleet.WorkspaceID]float64, len(spent))
+	for w, v := range spent {
+		base[w] = v - old.spent(w)
+	}
+	return base
+}
+
 // Others returns the sum of all parts but one daemon's.
 func (h *Hub) Others(now time.Time, but fleet.DaemonID) relay.Soft {
 	out := relay.Soft{
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -7,6 +7,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
@@ -62,8 +63,14 @@
 	p.Holder = Holder{Daemon: "b", Token: 6}
 	p.Config = Config{Version: 4, Text: []byte("text")}
 	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Hold: 2.5, Read: 7}}
+	p.Endpoints = feed.Position{Epoch: 8, Seq: 9}
 	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
 	s := Sum{Config: p.Config, Soft: relay.Soft{Spent: p.Soft.Spent, Load: p.Soft.Load, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
+	s.Fresh = 300 * time.Millisecond
+	s.Endpoints = feed.Update{
+		To: feed.Position{Epoch: 1, Seq: 2}, Full: true,
+		Items: []feed.Item{{Name: "e", Spec: []byte("{}")}}, Removed: []string{"f"},
+	}
 	assert.DeepEqual(t, decodeSum(encodeSum(&s)), s)
 }
 
@@ -80,3 +87,17 @@
 	h.Take(start, 0, part("b", 1_000_010, 0, 0))
 	assert.Equal(t, h.Others(start, "a").Spent["w"]-before, 10.0)
 }
+
+// A daemon was told everything in the fleet's first second, before all knew
+// who the hubs are, and becomes a hub half a minute later. What was spent in
+// between would come as one jump.
+func TestHubThatHeardNothingForAWhile(t *testing.T) {
+	h := NewHub()
+	h.Take(start, 0, part("a", 0, 0, 0))
+	h.Take(start, 0, part("b", 10, 0, 0))
+	before := h.Others(start, "a").Spent["w"]
+	later := start.Add(30 * time.Second)
+	h.Take(later, 0, part("b", 1_000_000, 0, 0))
+	h.Take(later, 0, part("b", 1_000_010, 0, 0))
+	assert.Equal(t, h.Others(later, "a").Spent["w"]-before, 10.0)
+}
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
@@ -24,6 +25,8 @@
 	Windows map[uint64]Begun
 	Wall    time.Time // the daemon's time of day
 	Holder  Holder
+	// Endpoints is the hub's state of the list that the daemon has.
+	Endpoints feed.Position
 }
 
 // Sum is what a hub answers: the sum of all others' parts.
@@ -32,6 +35,10 @@
 	Soft   relay.Soft // without Work
 	True   time.Time  // the fleet's time; zero where not known
 	Holder Holder
+	// Endpoints leads to the hub's list.
+	Endpoints feed.Update
+	// Fresh is the time since the hub last heard from the store.
+	Fresh time.Duration
 }
 
 // Holder is the daemon that does the duties under a lease; Token rises with
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -7,19 +7,19 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 )
 
 const (
-	// Wait is how long a watch waits for a change. Each wait is a call that
-	// is billed; a connection that goes silent meanwhile is found out by the
-	// store client's keep-alive.
-	Wait = 3 * time.Second
 	// firstPause and lastPause bound the pause after a failed call.
 	firstPause = 50 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// together is the time after a change in which further ones are left to
+	// come, so that many at once are one answer, which is billed once.
+	together = 100 * time.Millisecond
 )
 
 // Handler takes what is learned, in order, from one goroutine.
@@ -40,15 +40,22 @@
 	store   objects.Store
 	kind    string
 	handler Handler
+	wait    func() time.Duration
 	lost    bool
 	pause   time.Duration
+	contact atomic.Int64 // Unix ns of the last answer
 }
 
-// New returns a follower of a kind.
-func New(store objects.Store, kind string, h Handler) *Follower {
-	return &Follower{store: store, kind: kind, handler: h}
+// New returns a follower of a kind. wait is asked how long a watch waits for a
+// change: each wait is a call that is billed, and a connection that goes silent
+// meanwhile is found out by the store client's keep-alive.
+func New(store objects.Store, kind string, h Handler, wait func() time.Duration) *Follower {
+	return &Follower{store: store, kind: kind, handler: h, wait: wait}
 }
 
+// Age returns how long ago the store last answered.
+func (f *Follower) Age() time.Duration { return time.Since(time.Unix(0, f.contact.Load())) }
+
 // Run follows until the context ends.
 func (f *Follower) Run(ctx context.Context) {
 	after, listed := uint64(0), false
@@ -76,7 +83,7 @@
 }
 
 func (f *Follower) watch(ctx context.Context, after uint64) (uint64, error) {
-	changes, next, err := f.store.Watch(ctx, f.kind, after, Wait)
+	changes, next, err := f.store.Watch(ctx, f.kind, after, f.wait())
 	if err != nil {
 		return after, err
 	}
@@ -84,6 +91,7 @@
 	f.returned()
 	if len(changes) > 0 || back {
 		f.handler.Changed(changes)
+		pause(ctx, together)
 	}
 	return max(next, after), nil
 }
@@ -102,13 +110,19 @@
 		f.handler.Lost(err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), lastPause)
+	pause(ctx, f.pause/2+rand.N(f.pause))
+}
+
+// pause waits for a while or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
-	case <-time.After(f.pause/2 + rand.N(f.pause)):
+	case <-time.After(d):
 	}
 }
 
 func (f *Follower) returned() {
+	f.contact.Store(time.Now().UnixNano())
 	if f.lost {
 		f.lost = false
 		f.handler.Returned()
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -14,16 +14,19 @@
 // from other daemons, whichever has it first. Versions only ever rise.
 type configuration struct {
 	node   *Node
+	store  *follow.Follower
 	mu     sync.Mutex
 	newest exchange.Config
 }
 
-func newConfiguration(n *Node) *configuration { return &configuration{node: n} }
-
-func (c *configuration) run(ctx context.Context) {
-	follow.New(c.node.platform.Store, c.node.platform.ConfigKind, c).Run(ctx)
+func newConfiguration(n *Node) *configuration {
+	c := &configuration{node: n}
+	c.store = follow.New(n.platform.Store, n.platform.ConfigKind, c, n.watching.wait)
+	return c
 }
 
+func (c *configuration) run(ctx context.Context) { c.node.watching.run(ctx, c.store) }
+
 // Listed implements follow.Handler.
 func (c *configuration) Listed(all []objects.Object) {
 	for _, o := range all {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"slices"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -96,7 +97,11 @@
 	if d.node.Stopping() {
 		d.lease.Leave()
 	}
-	d.lease.Alive(d.node.members.ids())
+	candidates := d.node.members.candidates()
+	if !slices.Contains(candidates, d.node.id) && !d.node.Stopping() {
+		return
+	}
+	d.lease.Alive(candidates)
 	for _, a := range d.lease.Tick(now) {
 		d.callLease(ctx, a)
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"sync"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
@@ -18,14 +20,22 @@
 	roster *roster.Roster
 	all    []roster.Endpoint
 	listed bool
-}
 
-func newEndpointDuty(n *Node) *endpointDuty { return &endpointDuty{node: n, roster: roster.New()} }
+	store *follow.Follower
+	specs map[fleet.EndpointID][]byte // as the store or a hub told them
+	log   *feed.Log                   // for daemons that don't watch the store
+}
 
-func (d *endpointDuty) run(ctx context.Context) {
-	follow.New(d.node.platform.Store, d.node.platform.EndpointKind, d).Run(ctx)
+func newEndpointDuty(n *Node) *endpointDuty {
+	d := &endpointDuty{
+		node: n, roster: roster.New(), specs: map[fleet.EndpointID][]byte{}, log: feed.NewLog(rand.Uint64() | 1),
+	}
+	d.store = follow.New(n.platform.Store, n.platform.EndpointKind, d, n.watching.wait)
+	return d
 }
 
+func (d *endpointDuty) run(ctx context.Context) { d.node.watching.run(ctx, d.store) }
+
 // tickInterval is how often endpoints whose grace is over are looked for.
 const tickInterval = 100 * time.Millisecond
 
@@ -79,8 +89,43 @@
 	e, err := d.node.platform.DecodeEndpoint(now, o)
 	if err != nil {
 		d.node.say("endpoints").WithError(err).Error("entry not understood")
+		return e, false
+	}
+	d.specs[e.ID] = o.Spec
+	return e, true
+}
+
+// heard takes the list of a hub, where this daemon doesn't watch the store. A
+// hub has held back what may have lapsed with the store.
+func (d *endpointDuty) heard(u *feed.Update) {
+	if u.Empty() {
+		return
 	}
-	return e, err == nil
+	d.update(func(now time.Time) {
+		var list []roster.Endpoint
+		for _, it := range u.Items {
+			if e, ok := d.decode(now, objects.Object{Name: it.Name, Spec: it.Spec}); ok {
+				list = append(list, e)
+			}
+		}
+		if u.Full {
+			d.roster.Replace(now, list)
+		}
+		for _, e := range list {
+			d.roster.Upsert(e)
+		}
+		for _, name := range u.Removed {
+			d.roster.Remove(now, fleet.EndpointID(name))
+		}
+		d.listed = true
+	})
+}
+
+// since returns what leads another daemon to this one's list.
+func (d *endpointDuty) since(p feed.Position) feed.Update {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.log.Since(p)
 }
 
 // update changes the roster and passes the new list on.
@@ -94,10 +139,23 @@
 	}
 	d.forgetGone(all)
 	d.all = all
+	d.publish()
 	d.node.state.SetEndpoints(all)
 	d.node.say("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
 
+// publish puts the new list into the log. The lock is held.
+func (d *endpointDuty) publish() {
+	items := make([]feed.Item, len(d.all))
+	specs := make(map[fleet.EndpointID][]byte, len(d.all))
+	for i, e := range d.all {
+		specs[e.ID] = d.specs[e.ID]
+		items[i] = feed.Item{Name: string(e.ID), Spec: d.specs[e.ID]}
+	}
+	d.specs = specs
+	d.log.Set(items)
+}
+
 // forgetGone closes kept connections to addresses that nobody has any more.
 func (d *endpointDuty) forgetGone(now []roster.Endpoint) {
 	kept := make(map[string]bool, len(now))
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -115,25 +115,23 @@
 
 // hubs returns the hubs among the serving daemons.
 func (m *members) hubs() []membership.Member {
-	serving := m.serving()
-	names := make([]string, len(serving))
-	byName := make(map[string]membership.Member, len(serving))
-	for i, member := range serving {
-		names[i] = string(member.Daemon)
-		byName[names[i]] = member
-	}
-	var out []membership.Member
-	for _, name := range rendezvous.Rank(hubKey, names, hubCount) {
-		out = append(out, byName[name])
-	}
-	return out
+	return strongest(m.serving(), hubCount)
 }
 
-// ids returns the daemons that may hold duties.
-func (m *members) ids() []fleet.DaemonID {
-	serving := m.serving()
-	out := make([]fleet.DaemonID, len(serving))
-	for i, member := range serving {
+// dutyCandidates is the number of daemons that may hold the duties.
+const dutyCandidates = 6
+
+// candidates returns the daemons that may hold the duties.
+func (m *members) candidates() []fleet.DaemonID {
+	return idsOf(strongest(m.serving(), dutyCandidates))
+}
+
+// ids returns the serving daemons.
+func (m *members) ids() []fleet.DaemonID { return idsOf(m.serving()) }
+
+func idsOf(all []membership.Member) []fleet.DaemonID {
+	out := make([]fleet.DaemonID, len(all))
+	for i, member := range all {
 		out[i] = member.Daemon
 	}
 	return out
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,7 +8,6 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/google/uuid"
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
@@ -34,6 +33,7 @@
 	endpoints *endpointDuty
 	members   *members
 	telling   *telling
+	watching  *watching
 	begun     *begunCounts
 	requests  *requestLog
 	metrics   *metricSet
@@ -49,7 +49,7 @@
 	n := &Node{
 		settings: s,
 		platform: p,
-		id:       fleet.DaemonID(uuid.NewString()),
+		id:       newID(s.Limits),
 		log:      log,
 		started:  time.Now(),
 		clock:    clock.New(),
@@ -64,6 +64,7 @@
 	n.metrics = newMetricSet(n)
 	n.requests = newRequestLog(log, n.metrics)
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n})
+	n.watching = newWatching(n)
 	n.config = newConfiguration(n)
 	n.endpoints = newEndpointDuty(n)
 	n.telling = newTelling(n)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -59,6 +59,10 @@
 type LimitSettings struct {
 	MemoryMB    int `yaml:"memoryMB"`
 	Descriptors int `yaml:"descriptors"`
+	// Cores is the machine's share of a core or the number of its cores.
+	Cores float64 `yaml:"cores"`
+	// LinkMbps is the machine's link, in megabits a second.
+	LinkMbps float64 `yaml:"linkMbps"`
 }
 
 // BoundsSettings are what the platform's operators hold the system to.
--- /dev/null
+++ b/internal/node/strength_test.go
@@ -0,0 +1,29 @@
+package node
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+)
+
+// A fleet has weak and strong machines. Were a weak one the hub of all others,
+// its link would be full of their reports, and they would hold it for dead.
+func TestHubsAreOnStrongMachines(t *testing.T) {
+	weak := LimitSettings{Cores: 0.192, LinkMbps: 10}
+	strong := LimitSettings{Cores: 0.8, LinkMbps: 200}
+	var all []membership.Member
+	for range 20 {
+		all = append(all, membership.Member{Daemon: newID(weak)})
+	}
+	a, b := newID(strong), newID(strong)
+	all = append(all, membership.Member{Daemon: a}, membership.Member{Daemon: b})
+	hubs := strongest(all, 2)
+	assert.Assert(t, hubs[0].Daemon != hubs[1].Daemon)
+	for _, h := range hubs {
+		assert.Assert(t, h.Daemon == a || h.Daemon == b)
+	}
+	assert.Equal(t, strengthOf(newID(LimitSettings{Cores: 0.4, LinkMbps: 1000})), 4)
+	assert.Equal(t, strengthOf("no-grade"), 0)
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -15,6 +16,10 @@
 // by what is let in meanwhile: at this interval a few percent of a window.
 const tellInterval = 250 * time.Millisecond
 
+// largeInterval is that of a fleet above smallFleet, where each daemon lets in
+// less meanwhile and a hub answers more of them.
+const largeInterval = 400 * time.Millisecond
+
 // knownLevels is how long a daemon has run when its view of what is left of the
 // limits is taken by one that has just started.
 const knownLevels = 4 * time.Second
@@ -28,6 +33,8 @@
 	hub    *exchange.Hub
 	behind map[string]bool // hubs whose configuration is older, by address
 	holder exchange.Holder // of the duties, the newest that is known
+	listed feed.Position   // of the hub's list that this daemon has
+	lister string          // that hub's address
 }
 
 func newTelling(n *Node) *telling {
@@ -67,6 +74,8 @@
 	if skew, ok := t.hub.Skew(now); ok {
 		sum.True = time.Unix(0, int64(steady+skew))
 	}
+	sum.Endpoints = t.node.endpoints.since(p.Endpoints)
+	sum.Fresh = max(t.node.config.store.Age(), t.node.endpoints.store.Age())
 	sum.Config = t.node.config.current()
 	if sum.Config.Version <= p.Config.Version {
 		sum.Config.Text = nil
@@ -76,7 +85,14 @@
 
 // run tells the hubs until the context ends.
 func (t *telling) run(ctx context.Context) {
-	every(ctx, tellInterval, func() { t.round(ctx) })
+	for ctx.Err() == nil {
+		interval := tellInterval
+		if !t.node.watching.small() {
+			interval = largeInterval
+		}
+		pause(ctx, interval)
+		t.round(ctx)
+	}
 }
 
 // round tells all hubs at once and uses the sums of those that answer, the
@@ -95,6 +111,7 @@
 	wg.Wait()
 	t.client.Keep(targets)
 	t.node.state.KeepHubs(targets)
+	t.checkLister(targets, sums)
 	for i, sum := range slices.Backward(sums) {
 		if sum != nil {
 			t.use(targets[i], sum)
@@ -158,6 +175,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p.Holder = t.holder
+	p.Endpoints = t.position(address)
 	if !t.behind[address] {
 		p.Config.Text = nil
 	}
@@ -166,6 +184,8 @@
 
 // use takes a hub's sum.
 func (t *telling) use(address string, sum *exchange.Sum) {
+	t.node.watching.told(sum.Fresh)
+	t.list(address, sum)
 	if !sum.True.IsZero() {
 		t.node.clock.Correct(sum.True, t.node.clock.Steady())
 	}
@@ -175,6 +195,54 @@
 	t.node.state.Others(time.Now(), address, sum.Soft)
 }
 
+// position returns what this daemon has of a hub's list of endpoints. One hub's
+// list is followed at a time, and none while this daemon watches the store
+// itself. The lock is held.
+func (t *telling) position(address string) feed.Position {
+	switch {
+	case t.node.watching.due():
+		return feed.Unwanted
+	case t.lister == "":
+		return feed.Position{}
+	case t.lister == address:
+		return t.listed
+	default:
+		return feed.Unwanted
+	}
+}
+
+// list takes a hub's list of endpoints where this daemon follows it, or none.
+func (t *telling) list(address string, sum *exchange.Sum) {
+	t.mu.Lock()
+	lister := t.lister
+	t.mu.Unlock()
+	wanted := lister == "" || lister == address
+	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > stale {
+		return
+	}
+	t.node.endpoints.heard(&sum.Endpoints)
+	t.setLister(address, sum.Endpoints.To)
+}
+
+// checkLister lets the followed hub go where it didn't answer, or has itself
+// not heard from the store lately.
+func (t *telling) checkLister(targets []string, sums []*exchange.Sum) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for i, sum := range sums {
+		if targets[i] == t.lister && sum != nil && sum.Fresh <= stale && !t.node.watching.due() {
+			return
+		}
+	}
+	t.lister, t.listed = "", feed.Position{}
+}
+
+func (t *telling) setLister(address string, at feed.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lister, t.listed = address, at
+}
+
 // setHolder notes that this daemon holds the duties since an acquisition. The
 // others learn it from the hubs, also where these can't reach the store.
 func (t *telling) setHolder(token uint64) {
--- /dev/null
+++ b/internal/node/watching.go
@@ -0,0 +1,108 @@
+package node
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
+)
+
+const (
+	// smallFleet is the number of daemons up to which each watches the store
+	// itself. Above it, every change would be answered to every daemon by the
+	// store, whose rates grow more slowly than the fleet; there the hubs watch
+	// and tell the others.
+	smallFleet = 12
+	// longWait and hubWait are how long a watch waits for a change. A hub's
+	// wait bounds how old the word of its last contact may be.
+	longWait = 3 * time.Second
+	hubWait  = time.Second
+	// stale is the age of the freshest hub's last contact with the store from
+	// which a daemon watches by itself: a hub's wait and a slow answer. With
+	// the time to list, a change is known within two seconds also where the
+	// hubs are cut off.
+	stale = 1400 * time.Millisecond
+	// roleInterval is how often a daemon looks whether it should watch.
+	roleInterval = 100 * time.Millisecond
+)
+
+// watching decides whether this daemon watches the store itself.
+type watching struct {
+	node  *Node
+	mu    sync.Mutex
+	fresh time.Time // the latest time at which a hub is known to have heard from the store
+}
+
+func newWatching(n *Node) *watching { return &watching{node: n, fresh: time.Now()} }
+
+// told notes that a hub heard from the store age ago.
+func (w *watching) told(age time.Duration) {
+	at := time.Now().Add(-age)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if at.After(w.fresh) {
+		w.fresh = at
+	}
+}
+
+// age returns how old the hubs' word is.
+func (w *watching) age() time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return time.Since(w.fresh)
+}
+
+// small reports whether all daemons watch.
+func (w *watching) small() bool { return len(w.node.members.serving()) <= smallFleet }
+
+// hub reports whether this daemon is one of the hubs.
+func (w *watching) hub() bool {
+	for _, h := range w.node.members.hubs() {
+		if h.Daemon == w.node.id {
+			return true
+		}
+	}
+	return false
+}
+
+// due reports whether this daemon should watch the store now.
+func (w *watching) due() bool { return w.small() || w.hub() || w.age() > stale }
+
+// wait is how long a watch waits.
+func (w *watching) wait() time.Duration {
+	if w.small() {
+		return longWait
+	}
+	return hubWait
+}
+
+// run follows a kind for as long as that is due, again and again.
+func (w *watching) run(ctx context.Context, f *follow.Follower) {
+	for ctx.Err() == nil {
+		if w.due() {
+			w.follow(ctx, f)
+		}
+		pause(ctx, roleInterval)
+	}
+}
+
+// follow follows a kind until it isn't due any more.
+func (w *watching) follow(ctx context.Context, f *follow.Follower) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go every(ctx, roleInterval, func() {
+		if !w.due() {
+			cancel()
+		}
+	})
+	f.Run(ctx)
+}
+
+// pause waits for a while or until the context ends.
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -11,6 +11,7 @@
 type Quota struct {
 	buckets map[fleet.WorkspaceID]*Bucket
 	spent   map[fleet.WorkspaceID]float64 // by this daemon since its start
+	refund  map[fleet.WorkspaceID]float64 // given back and not yet taken off spent
 	full    bool                          // new buckets start full
 	grace   float64
 	adopted bool // levels were told
@@ -31,6 +32,7 @@
 	return &Quota{
 		buckets: map[fleet.WorkspaceID]*Bucket{},
 		spent:   map[fleet.WorkspaceID]float64{},
+		refund:  map[fleet.WorkspaceID]float64{},
 		full:    full,
 		grace:   graceShare * excess,
 		sums:    NewSums(),
@@ -62,7 +64,7 @@
 	}
 	wait, ok = b.Take(now, cost)
 	if ok {
-		q.spent[w.Name] += cost
+		q.count(w.Name, cost)
 	}
 	return wait, ok
 }
@@ -71,10 +73,18 @@
 func (q *Quota) GiveBack(w *route.Workspace, cost float64) {
 	if b := q.buckets[w.Name]; b != nil && w.Rate > 0 {
 		b.GiveBack(cost)
-		q.spent[w.Name] -= cost
+		q.refund[w.Name] += cost
 	}
 }
 
+// count adds to what was spent, less what was given back before. The total
+// never falls: others take a total that fell for a new beginning.
+func (q *Quota) count(w fleet.WorkspaceID, cost float64) {
+	back := min(q.refund[w], cost)
+	q.refund[w] -= back
+	q.spent[w] += cost - back
+}
+
 // Spent returns what this daemon has let in since its start, by workspace.
 func (q *Quota) Spent() map[fleet.WorkspaceID]float64 { return q.spent }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -185,3 +185,16 @@
 	assert.Equal(t, s.Add("a", of(3))["w"], 0.0)  // started again
 	assert.Equal(t, s.Add("a", of(7))["w"], 4.0)
 }
+
+func TestSpentNeverFalls(t *testing.T) {
+	q := New(true, 0)
+	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
+	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+	q.Take(start, &w, 100)
+	q.GiveBack(&w, 100)
+	assert.Equal(t, q.Spent()["w"], 100.0)
+	q.Take(start, &w, 30)
+	assert.Equal(t, q.Spent()["w"], 100.0)
+	q.Take(start, &w, 90)
+	assert.Equal(t, q.Spent()["w"], 120.0)
+}
