The grace for lapsed endpoints counts from the beginning of the last failed call

Ruled out: a late watch. Change: 2.8 s from the beginning of the last call that failed; the cut lasted until after that. Test: TestGraceCountsFromTheLastFailedCall fails before (held until 16.3 s).

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -32,7 +32,8 @@
 	// Lost says that the store stopped to answer.
 	Lost(error)
 	// Returned says that it answers again; it comes before what it answered.
-	Returned()
+	// failed is when the last call began that was not answered.
+	Returned(failed time.Time)
 }
 
 // Follower follows one kind.
@@ -42,6 +43,7 @@
 	handler Handler
 	wait    func() time.Duration
 	lost    bool
+	failed  time.Time // when the last failed call began
 	pause   time.Duration
 	contact atomic.Int64 // Unix ns of the last answer
 }
@@ -61,6 +63,7 @@
 	after, listed := uint64(0), false
 	for ctx.Err() == nil {
 		var err error
+		began := time.Now()
 		if !listed {
 			after, err = f.list(ctx)
 			listed = err == nil
@@ -68,7 +71,7 @@
 			after, err = f.watch(ctx, after)
 			listed = !errors.Is(err, objects.ErrGone)
 		}
-		f.after(ctx, err)
+		f.after(ctx, began, err)
 	}
 }
 
@@ -97,7 +100,7 @@
 }
 
 // after notes an error and waits before the next call.
-func (f *Follower) after(ctx context.Context, err error) {
+func (f *Follower) after(ctx context.Context, began time.Time, err error) {
 	if err == nil || ctx.Err() != nil {
 		f.pause = 0
 		return
@@ -105,6 +108,7 @@
 	if errors.Is(err, objects.ErrGone) {
 		return
 	}
+	f.failed = began
 	if !f.lost {
 		f.lost = true
 		f.handler.Lost(err)
@@ -125,6 +129,6 @@
 	f.contact.Store(time.Now().UnixNano())
 	if f.lost {
 		f.lost = false
-		f.handler.Returned()
+		f.handler.Returned(f.failed)
 	}
 }
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -49,7 +49,7 @@
 }
 
 // Returned implements follow.Handler.
-func (c *configuration) Returned() { c.node.say("configuration").Info("store is back") }
+func (c *configuration) Returned(time.Time) { c.node.say("configuration").Info("store is back") }
 
 func (c *configuration) take(o objects.Object) {
 	if o.Name == c.node.platform.ConfigName {
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -80,9 +80,9 @@
 func (d *endpointDuty) Lost(err error) { d.node.say("endpoints").WithError(err).Warn("store lost") }
 
 // Returned implements follow.Handler.
-func (d *endpointDuty) Returned() {
+func (d *endpointDuty) Returned(failed time.Time) {
 	d.node.say("endpoints").Info("store is back")
-	d.update(func(now time.Time) { d.roster.Returned(now) })
+	d.update(func(time.Time) { d.roster.Returned(failed) })
 }
 
 func (d *endpointDuty) decode(now time.Time, o objects.Object) (roster.Endpoint, bool) {
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -9,11 +9,14 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
-// ReturnGrace is how long after an outage of the registry an endpoint whose
-// entry has lapsed still counts: an endpoint that lives is listed again within
-// two seconds of the registry's return (the platform's statement); the rest is
-// for the answer's way.
-const ReturnGrace = 2200 * time.Millisecond
+// ReturnGrace is how long an endpoint whose entry has lapsed in an outage of
+// the registry still counts, from the beginning of the last call that failed:
+// an endpoint that lives is listed again within two seconds of the registry's
+// return (the platform's statement), which came after that. Where it was this
+// daemon that was cut off, an endpoint may have left in truth; three seconds
+// after the cut it must not get requests, and the cut lasted until after that
+// beginning as well.
+const ReturnGrace = 2800 * time.Millisecond
 
 // LapseHold bounds that for a removal that is seen as it happens: an endpoint
 // that leaves without a word may be sent requests for two seconds more, of
@@ -36,9 +39,10 @@
 }
 
 // Returned notes that the registry answers again after an outage, in which
-// entries may have lapsed for want of a registry to renew them at.
-func (r *Roster) Returned(now time.Time) {
-	r.graceEnd = now.Add(ReturnGrace)
+// entries may have lapsed for want of a registry to renew them at. failed is
+// when the last call began that was not answered.
+func (r *Roster) Returned(failed time.Time) {
+	r.graceEnd = failed.Add(ReturnGrace)
 	r.catching = true
 }
 
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -63,3 +63,17 @@
 	r.Tick(removed.Add(LapseHold))
 	assert.Equal(t, count(r), 0)
 }
+
+// This daemon was cut off from 1 s to 13 s. Its last failed call began at
+// 12.9 s, the first that worked ended at 14.1 s and showed that an endpoint had
+// left at 14.0 s. Counted from the return, the grace would end after 16 s, when
+// the daemon is bound again.
+func TestGraceCountsFromTheLastFailedCall(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a"})
+	r.Returned(start.Add(12900 * time.Millisecond))
+	r.Replace(start.Add(14100*time.Millisecond), nil)
+	assert.Equal(t, count(r), 1)
+	r.Tick(start.Add(15800 * time.Millisecond))
+	assert.Equal(t, count(r), 0)
+}
