--- /dev/null
+++ b/internal/relay/flight_test.go
@@ -0,0 +1,372 @@
+package relay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// plainProtocol names requests and endpoints in headers of its own.
+type plainProtocol struct{}
+
+func (plainProtocol) Header(r *Request, a *Attempt) http.Header {
+	return http.Header{"Id": {r.ID}, "For": {string(a.Endpoint.ID)}, "After": {a.LastEvent}}
+}
+
+func (plainProtocol) Owns(r *Request) func(http.Header) upstream.Ownership {
+	return func(h http.Header) upstream.Ownership {
+		switch h.Get("Id") {
+		case r.ID:
+			return upstream.Ours
+		case "":
+			return upstream.Unnamed
+		}
+		return upstream.Foreign
+	}
+}
+
+func (plainProtocol) Classify(status int, _ http.Header) Class {
+	switch {
+	case status == http.StatusServiceUnavailable:
+		return Refusing
+	case status == http.StatusMisdirectedRequest:
+		return Stranger
+	case status < 300:
+		return Success
+	case status < 500:
+		return Rejected
+	}
+	return Failure
+}
+
+func (plainProtocol) Answer(h http.Header) http.Header { return h.Clone() }
+
+// seen is what a caller gets.
+type seen struct {
+	status  int
+	body    strings.Builder
+	refusal *Refusal
+	ended   bool
+	broken  bool
+}
+
+func (s *seen) Whole(status int, _ http.Header, body []byte) {
+	s.status, s.ended = status, true
+	s.body.Write(body)
+}
+func (s *seen) Refuse(r Refusal)                { s.refusal = &r }
+func (s *seen) Begin(status int, _ http.Header) { s.status = status }
+func (s *seen) Events(p []byte) error           { s.body.Write(p); return nil }
+func (s *seen) End()                            { s.ended = true }
+func (s *seen) Break()                          { s.broken = true }
+
+// watcher keeps what the relay reports.
+type watcher struct {
+	mu    sync.Mutex
+	begun int
+	last  Outcome
+}
+
+func (w *watcher) Began(fleet.WorkspaceID, time.Time) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.begun++
+}
+
+func (w *watcher) Ended(o *Outcome) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.last = *o
+}
+
+// engine answers each request with what its script returns for the number of
+// requests so far; it counts those that it runs.
+type engine struct {
+	script func(n int, r *http.Request) string
+	mu     sync.Mutex
+	got    []*http.Request
+}
+
+func (e *engine) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		e.mu.Lock()
+		n := len(e.got)
+		e.got = append(e.got, req)
+		e.mu.Unlock()
+		answer := e.script(n, req)
+		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", req.Header.Get("Id")))
+		if !strings.HasPrefix(answer, "HTTP/1.1 2") || strings.Contains(answer, "cut") {
+			return
+		}
+	}
+}
+
+func (e *engine) runs() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.got)
+}
+
+// stage is a relay before some engines.
+type stage struct {
+	relay   *Relay
+	state   *State
+	watcher *watcher
+	engines []*engine
+}
+
+func newStage(t *testing.T, routes []route.Route, engines ...*engine) *stage {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(1, 2))
+	s := &stage{watcher: &watcher{}, engines: engines}
+	s.state = NewState("a", quota.New(true, 0), retry.Config{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}, rng)
+	var all []roster.Endpoint
+	for i, e := range engines {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go e.serve(c)
+			}
+		}()
+		all = append(all, roster.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Service: "s", Address: l.Addr().String(), Slots: 8, DataCentre: "a"})
+	}
+	for i := range routes {
+		routes[i].Host, routes[i].Backends = "h", []route.Backend{{Service: "s", Weight: 1}}
+		routes[i].Timeout, routes[i].Target = time.Minute, time.Minute
+	}
+	s.state.Configure(time.Now(), route.New(route.Table{
+		Version: 1, Routes: routes, Services: []route.Service{{Name: "s"}},
+		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}, Rate: 1000, Burst: 1000}},
+	}))
+	s.state.SetEndpoints(all)
+	s.relay = New(s.state, upstream.NewPool(4), plainProtocol{}, s.watcher)
+	return s
+}
+
+func (s *stage) ask(ctx context.Context, path string) *seen {
+	out := &seen{}
+	now := time.Now()
+	s.relay.Serve(ctx, &Request{
+		ID: "r1", Method: "POST", Target: path, Path: path, Host: "h", Key: "key",
+		Received: now, Deadline: now.Add(time.Minute),
+	}, out)
+	return out
+}
+
+func (s *stage) runs() int {
+	n := 0
+	for _, e := range s.engines {
+		n += e.runs()
+	}
+	return n
+}
+
+var (
+	order  = route.Route{Name: "order", Prefix: "/order/", Kind: route.NonIdempotent, MaxAttempts: 3}
+	lookup = route.Route{Name: "lookup", Prefix: "/lookup/", Kind: route.Idempotent, MaxAttempts: 2}
+	stream = route.Route{Name: "stream", Prefix: "/stream/", Kind: route.Streaming, MaxAttempts: 2, Resumable: true}
+	once   = route.Route{Name: "once", Prefix: "/once/", Kind: route.Streaming, MaxAttempts: 2}
+)
+
+func all() []route.Route { return []route.Route{order, lookup, stream, once} }
+
+func whole(status int, text string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nId: ID\r\nContent-Length: %d\r\n\r\n%s", status, len(text), text)
+}
+
+func always(answer string) *engine {
+	return &engine{script: func(int, *http.Request) string { return answer }}
+}
+
+func TestAnswerIsPassedOnWhole(t *testing.T) {
+	s := newStage(t, all(), always(whole(200, "done")))
+	got := s.ask(t.Context(), "/order/1")
+	assert.Equal(t, got.body.String(), "done")
+	assert.Equal(t, s.watcher.begun, 1)
+	assert.Equal(t, s.watcher.last.Verdict, verdict.Ran)
+}
+
+// An order reaches an engine, which closes the connection without an answer.
+// Sent to the other engine, it could be run twice; said to be not run, the
+// caller would send it again. It must leave once and be told as may have run.
+func TestOrderWithoutAnAnswerIsNotRepeated(t *testing.T) {
+	s := newStage(t, all(), always(""), always(""))
+	got := s.ask(t.Context(), "/order/1")
+	assert.Equal(t, s.runs(), 1)
+	assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, got.refusal.Reason, Broken)
+}
+
+// The first engine says that it did not run the order: proof, so that the
+// second may.
+func TestRefusedOrderGoesElsewhere(t *testing.T) {
+	refusing := whole(503, "full")
+	s := newStage(t, all(), always(refusing), always(refusing), always(refusing), always(refusing))
+	got := s.ask(t.Context(), "/order/1")
+	assert.Equal(t, s.runs(), 4) // three attempts that may run it, and one more for a refusal
+	assert.Equal(t, got.refusal.Verdict, verdict.NotRun)
+	assert.Equal(t, got.refusal.Reason, Shed)
+	assert.Assert(t, got.refusal.RetryAfter > 0)
+	assert.Equal(t, s.state.Levels(time.Now())["w"], 1000.0) // given back
+}
+
+// A lookup may run twice: a failure of one engine is not the caller's.
+func TestFailedLookupIsRepeated(t *testing.T) {
+	first := true
+	var mu sync.Mutex
+	script := func(int, *http.Request) string {
+		mu.Lock()
+		defer mu.Unlock()
+		if first {
+			first = false
+			return whole(500, "broken")
+		}
+		return whole(200, "done")
+	}
+	s := newStage(t, all(), &engine{script: script}, &engine{script: script})
+	got := s.ask(t.Context(), "/lookup/1")
+	assert.Equal(t, got.body.String(), "done")
+	assert.Equal(t, s.runs(), 2)
+}
+
+func head() string {
+	return "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n"
+}
+
+func chunk(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+
+// An engine dies in the middle of an event. The other engine goes on after the
+// last whole one; the caller sees each event once and no half of one.
+func TestStreamGoesOnAtAnotherEngine(t *testing.T) {
+	script := func(_ int, r *http.Request) string {
+		if r.Header.Get("After") == "" {
+			return head() + chunk("id: 1\ndata: a\n\nid: 2\ndata: cut")
+		}
+		return head() + chunk("id: 2\ndata: b\n\n") + chunk("id: 3\ndata: c\n\n") + "0\r\n\r\n"
+	}
+	a, b := &engine{script: script}, &engine{script: script}
+	s := newStage(t, all(), a, b)
+	got := s.ask(t.Context(), "/stream/1")
+	assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n")
+	assert.Assert(t, got.ended && !got.broken)
+	assert.Equal(t, s.watcher.begun, 1)
+	for _, e := range []*engine{a, b} {
+		for _, r := range e.got {
+			assert.Assert(t, r.Header.Get("After") == "" || r.Header.Get("After") == "1")
+		}
+	}
+}
+
+// The same on a route whose streams can't go on. The caller must see that the
+// answer is cut short, never a clean end.
+func TestBrokenStreamNeverLooksComplete(t *testing.T) {
+	s := newStage(t, all(), always(head()+chunk("id: 1\ndata: a\n\nid: 2\ndata: cut")), always(""))
+	got := s.ask(t.Context(), "/once/1")
+	if got.refusal != nil { // the other engine was chosen
+		assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+		return
+	}
+	assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\n")
+	assert.Assert(t, got.broken && !got.ended)
+}
+
+// The second engine fails a stream that is under way with an answer of its own.
+// Ended as if complete, the caller would take a part for the whole.
+func TestFailureMidwayNeverLooksComplete(t *testing.T) {
+	script := func(_ int, r *http.Request) string {
+		if r.Header.Get("After") == "" {
+			return head() + chunk("id: 1\ndata: a\n\nid: 2\ncut")
+		}
+		return whole(500, "broken")
+	}
+	s := newStage(t, all(), &engine{script: script}, &engine{script: script})
+	got := s.ask(t.Context(), "/stream/1")
+	assert.Assert(t, got.broken && !got.ended)
+	assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\n")
+}
+
+// Another endpoint has got the address meanwhile. It must not run the request,
+// and says so; the next endpoint gets it.
+func TestStrangerAtTheAddress(t *testing.T) {
+	s := newStage(t, all(), always(whole(421, "")), always(whole(421, "")), always(whole(200, "done")))
+	got := s.ask(t.Context(), "/order/1")
+	assert.Equal(t, got.body.String(), "done")
+}
+
+func TestUnknownKeyRouteAndLimit(t *testing.T) {
+	s := newStage(t, all(), always(whole(200, "done")))
+	assert.Equal(t, s.ask(t.Context(), "/nowhere/").refusal.Reason, NoRoute)
+	out := &seen{}
+	now := time.Now()
+	s.relay.Serve(t.Context(), &Request{Path: "/order/1", Host: "h", Key: "other", Received: now, Deadline: now.Add(time.Second)}, out)
+	assert.Equal(t, out.refusal.Reason, UnknownKey)
+	out = &seen{}
+	big := &Request{ID: "r", Method: "POST", Target: "/order/1", Path: "/order/1", Host: "h", Key: "key", Received: now, Deadline: now.Add(time.Second)}
+	for range 2000 {
+		s.relay.Serve(t.Context(), big, out)
+		if out.refusal != nil {
+			break
+		}
+	}
+	assert.Equal(t, out.refusal.Reason, OverLimit)
+	assert.Assert(t, out.refusal.RetryAfter > 0)
+}
+
+// A daemon that has no configuration yet can't know that a route isn't there.
+func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
+	state := NewState("a", quota.New(true, 0), retry.Config{Window: time.Second}, rand.New(rand.NewPCG(1, 2)))
+	r := New(state, upstream.NewPool(1), plainProtocol{}, &watcher{})
+	out := &seen{}
+	r.Serve(t.Context(), &Request{Path: "/x/", Host: "h"}, out)
+	assert.Equal(t, out.refusal.Reason, NoConfiguration)
+	assert.Equal(t, out.refusal.Verdict, verdict.NotRun)
+}
+
+// The caller leaves while an engine works. Nothing more is sent, and the
+// engine's connection ends.
+func TestCallerLeaves(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := newStage(t, all(), &engine{script: func(int, *http.Request) string { cancel(); return head() + "cut" }}, always(""))
+	got := s.ask(ctx, "/lookup/1")
+	assert.Equal(t, s.watcher.last.Reason, CallerLeft)
+	assert.Assert(t, got.refusal == nil && !got.ended)
+}
+
+func TestOlderConfigurationIsNeverTaken(t *testing.T) {
+	s := newStage(t, all(), always(""))
+	assert.Assert(t, !s.state.Configure(time.Now(), route.New(route.Table{Version: 1})))
+	assert.Assert(t, s.state.Configure(time.Now(), route.New(route.Table{Version: 5})))
+	assert.Assert(t, !s.state.Configure(time.Now(), route.New(route.Table{Version: 4})))
+	assert.Equal(t, s.state.Table().Version, uint64(5))
+}
