--- /dev/null
+++ b/internal/cli/explain.go
@@ -0,0 +1,71 @@
+package cli
+
+import (
+	"io"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/explain"
+)
+
+func newExplain(a *app) *cobra.Command {
+	var q explain.Query
+	cmd := &cobra.Command{
+		Use:   "explain [ID] [FILE...]",
+		Short: "Show from daemons' logs what became of a request, and why",
+		Long: `Read the JSON logs of one or several daemons, from files or from standard
+input, and show in order of time what they say about a request, an endpoint or a
+version of the configuration. For a request, what its daemon believed in the
+seconds before each line stands indented above it. Exit status 1: nothing found.`,
+		Example: `  cyclamenbeam explain 9c41d07be2a35f68 entry-1.log entry-2.log
+  cyclamenbeam explain --endpoint i-7f3a91c2 entry-*.log
+  cyclamenbeam explain --config 12 < all.log`,
+		RunE: failing(func(cmd *cobra.Command, args []string) error {
+			if q.Endpoint == "" && q.Config == 0 {
+				if len(args) == 0 {
+					return Error.New("name a request, or use --endpoint or --config")
+				}
+				q.ID, args = args[0], args[1:]
+			}
+			return a.explain(cmd.InOrStdin(), q, args)
+		}),
+	}
+	cmd.Flags().StringVar(&q.Endpoint, "endpoint", "", "show what is said of an endpoint")
+	cmd.Flags().Uint64Var(&q.Config, "config", 0, "show what is said of a version of the configuration")
+	cmd.MarkFlagsMutuallyExclusive("endpoint", "config")
+	return cmd
+}
+
+func (a *app) explain(stdin io.Reader, q explain.Query, files []string) error {
+	lines, err := readLogs(stdin, files)
+	if err != nil {
+		return err
+	}
+	n, err := explain.Write(a.stdout, lines, q)
+	if err == nil && n == 0 {
+		return Error.New("none of %d log lines is about that", len(lines))
+	}
+	return err
+}
+
+// readLogs reads the files, or standard input where there are none.
+func readLogs(stdin io.Reader, files []string) ([]explain.Line, error) {
+	if len(files) == 0 {
+		return explain.Read("stdin", stdin)
+	}
+	var all []explain.Line
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return nil, err
+		}
+		lines, err := explain.Read(name, f)
+		_ = f.Close() // read only
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, lines...)
+	}
+	return all, nil
+}
--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -87,6 +87,7 @@
 		newAudit(a),
 		newLoad(a),
 		newReport(a),
+		newExplain(a),
 		newVersion(a),
 	)
 	return root
--- /dev/null
+++ b/internal/explain/explain.go
@@ -0,0 +1,100 @@
+package explain
+
+import (
+	"cmp"
+	"fmt"
+	"io"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Query says what to look for; one field is set.
+type Query struct {
+	ID       string // of a request
+	Endpoint string
+	Config   uint64 // a version
+}
+
+// before is how far back the state that a decision saw is shown: longer than
+// a watch waits and an outage is noticed.
+const before = 6 * time.Second
+
+// stateParts are the parts whose lines say what a daemon believes.
+var stateParts = []string{"daemon", "configuration", "endpoints", "membership", "settings", "duties"}
+
+// Write shows what the lines say, and returns how many matched.
+func Write(w io.Writer, lines []Line, q Query) (int, error) {
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	found := slices.DeleteFunc(slices.Clone(lines), func(l Line) bool { return !q.matches(&l) })
+	for i := range found {
+		l := &found[i]
+		if q.ID != "" {
+			if err := writeState(w, lines, l); err != nil {
+				return i, err
+			}
+		}
+		if _, err := fmt.Fprintln(w, l.show("")); err != nil {
+			return i, Error.Wrap(err)
+		}
+	}
+	if len(sources(found)) > 1 {
+		_, err := fmt.Fprintln(w, "\nTimes are each machine's own: lines of different machines may be out of order by what their clocks differ.")
+		return len(found), Error.Wrap(err)
+	}
+	return len(found), nil
+}
+
+func (q Query) matches(l *Line) bool {
+	switch {
+	case q.ID != "":
+		return l.Fields.ID == q.ID
+	case q.Endpoint != "":
+		return l.Fields.Endpoint == q.Endpoint
+	default:
+		return l.Fields.Version == q.Config
+	}
+}
+
+// writeState shows what a request's daemon said of its state just before, and
+// what any daemon said of the request's endpoint.
+func writeState(w io.Writer, lines []Line, of *Line) error {
+	for i := range lines {
+		l := &lines[i]
+		if l.Time.After(of.Time) || of.Time.Sub(l.Time) > before {
+			continue
+		}
+		own := l.Source == of.Source && slices.Contains(stateParts, l.Part)
+		endpoint := of.Fields.Endpoint != "" && l.Part == "endpoints" && l.Fields.Endpoint == of.Fields.Endpoint
+		if !own && !endpoint {
+			continue
+		}
+		if _, err := fmt.Fprintln(w, l.show("    ")); err != nil {
+			return Error.Wrap(err)
+		}
+	}
+	return nil
+}
+
+func sources(lines []Line) map[string]bool {
+	out := map[string]bool{}
+	for i := range lines {
+		out[lines[i].Source] = true
+	}
+	return out
+}
+
+// show returns a line for people: its own words, then its fields by name.
+func (l *Line) show(indent string) string {
+	var b strings.Builder
+	fmt.Fprintf(&b, "%s%s %s %s: %s", indent, l.Time.Format("15:04:05.000"), l.Source, l.Part, l.Message)
+	for _, key := range slices.SortedFunc(maps.Keys(l.raw), cmp.Compare[string]) {
+		switch key {
+		case "time", "part", "msg", "level":
+			continue
+		}
+		fmt.Fprintf(&b, " %s=%v", key, l.raw[key])
+	}
+	return b.String()
+}
--- /dev/null
+++ b/internal/explain/explain_test.go
@@ -0,0 +1,67 @@
+package explain
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+const logs = `
+  1.0 front-a {"level":"info","msg":"in force","part":"configuration","version":7,"time":"2026-12-02T10:00:01.000Z"}
+  2.0 front-b {"level":"warning","msg":"store lost","part":"endpoints","time":"2026-12-02T10:00:02.000Z"}
+not a log line
+  3.0 front-b {"level":"info","msg":"endpoint leaves","part":"endpoints","endpoint":"e1","time":"2026-12-02T10:00:03.000Z"}
+  4.0 front-a {"level":"warning","msg":"not answered","part":"requests","id":"r1","endpoint":"e1","reason":"broken","time":"2026-12-02T10:00:04.000Z"}
+  9.0 front-b {"level":"info","msg":"answered","part":"requests","id":"r1","endpoint":"e2","time":"2026-12-02T10:00:09.000Z"}
+  9.5 front-b {"level":"info","msg":"answered","part":"requests","id":"r2","endpoint":"e2","time":"2026-12-02T10:00:09.500Z"}
+`
+
+func explained(t *testing.T, q Query) (int, string) {
+	t.Helper()
+	lines, err := Read("file", strings.NewReader(logs))
+	assert.NilError(t, err)
+	var b strings.Builder
+	n, err := Write(&b, lines, q)
+	assert.NilError(t, err)
+	return n, b.String()
+}
+
+// A request was tried at two daemons. Its way is shown in order, with what each
+// daemon knew, and what another one said of its endpoint.
+func TestARequestsWay(t *testing.T) {
+	n, text := explained(t, Query{ID: "r1"})
+	assert.Equal(t, n, 2)
+	want := []string{"front-a configuration: in force", "front-b endpoints: endpoint leaves", "front-a requests: not answered", "reason=broken", "front-b requests: answered", "clocks differ"}
+	at := 0
+	for _, w := range want {
+		i := strings.Index(text[at:], w)
+		assert.Assert(t, i >= 0, "%q is missing or out of order in:\n%s", w, text)
+		at += i
+	}
+	assert.Assert(t, !strings.Contains(text, "r2"))
+}
+
+func TestAnEndpointAndAVersion(t *testing.T) {
+	n, _ := explained(t, Query{Endpoint: "e2"})
+	assert.Equal(t, n, 2)
+	n, text := explained(t, Query{Config: 7})
+	assert.Equal(t, n, 1)
+	assert.Assert(t, strings.Contains(text, "front-a"))
+	n, _ = explained(t, Query{ID: "nobody"})
+	assert.Equal(t, n, 0)
+}
+
+func FuzzRead(f *testing.F) {
+	f.Add([]byte(logs))
+	f.Add([]byte("{}\n{\"time\":1}\nx{"))
+	f.Fuzz(func(t *testing.T, text []byte) {
+		lines, err := Read("f", strings.NewReader(string(text)))
+		if err != nil {
+			return
+		}
+		var b strings.Builder
+		_, err = Write(&b, lines, Query{ID: "r1"})
+		assert.NilError(t, err)
+	})
+}
--- /dev/null
+++ b/internal/explain/line.go
@@ -0,0 +1,80 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/zeebo/errs"
+)
+
+// Error is the class of errors made by this package.
+var Error = errs.Class("explain")
+
+// Line is one line of a daemon's log.
+type Line struct {
+	Time    time.Time
+	Source  string // the daemon: what stands before the JSON, or the file's name
+	Part    string
+	Message string
+	Fields  Fields
+	raw     map[string]any
+}
+
+// Fields are those by which lines are looked for.
+type Fields struct {
+	ID       string
+	Endpoint string
+	Version  uint64
+}
+
+// lineBytes bounds a line; longer ones are passed over.
+const lineBytes = 1 << 20
+
+// Read returns the log lines of a reader. What isn't one is passed over: logs
+// may be mixed with other output. Text before a line's JSON, such as a machine's
+// name, names its source.
+func Read(name string, r io.Reader) ([]Line, error) {
+	var out []Line
+	s := bufio.NewScanner(r)
+	s.Buffer(make([]byte, 64<<10), lineBytes)
+	for s.Scan() {
+		if l, ok := parse(name, s.Bytes()); ok {
+			out = append(out, l)
+		}
+	}
+	return out, Error.Wrap(s.Err())
+}
+
+func parse(name string, text []byte) (Line, bool) {
+	at := bytes.IndexByte(text, '{')
+	if at < 0 {
+		return Line{}, false
+	}
+	l := Line{Source: name}
+	if err := json.Unmarshal(text[at:], &l.raw); err != nil {
+		return Line{}, false
+	}
+	if before := strings.Fields(string(text[:at])); len(before) > 0 {
+		l.Source = before[len(before)-1]
+	}
+	l.Part, l.Message = l.text("part"), l.text("msg")
+	when, err := time.Parse(time.RFC3339, l.text("time"))
+	if err != nil || l.Message == "" {
+		return Line{}, false
+	}
+	l.Time = when
+	l.Fields = Fields{ID: l.text("id"), Endpoint: l.text("endpoint")}
+	if v, ok := l.raw["version"].(float64); ok {
+		l.Fields.Version = uint64(v)
+	}
+	return l, true
+}
+
+func (l *Line) text(key string) string {
+	s, _ := l.raw[key].(string)
+	return s
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -137,6 +137,7 @@
 	if !changed {
 		return
 	}
+	d.logChanges(all)
 	d.forgetGone(all)
 	d.all = all
 	d.publish()
@@ -144,6 +145,24 @@
 	d.node.say("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
 
+// logChanges says which endpoints leave and which are gone. The lock is held.
+func (d *endpointDuty) logChanges(now []roster.Endpoint) {
+	log := d.node.say("endpoints")
+	current := make(map[fleet.EndpointID]roster.Endpoint, len(now))
+	for _, e := range now {
+		current[e.ID] = e
+	}
+	for _, old := range d.all {
+		e, listed := current[old.ID]
+		switch {
+		case !listed:
+			log.WithField("endpoint", old.ID).Info("endpoint gone")
+		case e.Draining && !old.Draining:
+			log.WithFields(map[string]any{"endpoint": e.ID, "spot": e.Spot}).Info("endpoint leaves")
+		}
+	}
+}
+
 // publish puts the new list into the log. The lock is held.
 func (d *endpointDuty) publish() {
 	items := make([]feed.Item, len(d.all))
