--- a/internal/ledger/stale_test.go
+++ b/internal/ledger/stale_test.go
@@ -31,10 +31,9 @@
 
 // oneSegment is a store without faults that holds one segment.
 type oneSegment struct {
-	t       *testing.T
-	name    string
-	object  Object
-	answers []Action
+	t      *testing.T
+	name   string
+	object Object
 }
 
 // serve does what a writer asks for until it asks for nothing more, and
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -35,10 +35,13 @@
 	holder exchange.Holder // of the duties, the newest that is known
 	listed feed.Position   // of the hub's list that this daemon has
 	lister string          // that hub's address
+	// listedAt is when it told its list last.
+	listedAt time.Time
+	telling  map[string]bool // hubs that have not answered yet, by address
 }
 
 func newTelling(n *Node) *telling {
-	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}}
+	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}, telling: map[string]bool{}}
 }
 
 // listen answers other daemons.
@@ -95,30 +98,36 @@
 	}
 }
 
-// round tells all hubs at once and uses the sums of those that answer, the
-// first one's last: of loads the newest sum counts.
+// round tells all hubs and uses each one's sum as it comes. It doesn't wait for
+// a hub that is silent: what the other one tells would be late as well.
 func (t *telling) round(ctx context.Context) {
 	targets := t.targets()
-	sums := make([]*exchange.Sum, len(targets))
-	var wg sync.WaitGroup
-	for i, address := range targets {
-		wg.Add(1)
+	t.client.Keep(targets)
+	t.node.state.KeepHubs(targets)
+	t.checkLister()
+	answered := make(chan struct{}, len(targets))
+	for _, address := range targets {
 		go func() {
-			defer wg.Done()
-			sums[i] = t.one(ctx, address)
+			defer func() { answered <- struct{}{} }()
+			t.one(ctx, address)
 		}()
 	}
-	wg.Wait()
-	t.client.Keep(targets)
-	t.node.state.KeepHubs(targets)
-	t.checkLister(targets, sums)
-	for i, sum := range slices.Backward(sums) {
-		if sum != nil {
-			t.use(targets[i], sum)
+	late := time.After(roundWait)
+	for range targets {
+		select {
+		case <-answered:
+		case <-late:
+			return
+		case <-ctx.Done():
+			return
 		}
 	}
 }
 
+// roundWait is how long a round waits for answers: many times the way there
+// and back, so that rounds of a sound fleet don't overlap.
+const roundWait = 150 * time.Millisecond
+
 // targets returns the addresses to tell: the hubs, the holder of the duties,
 // and before anyone is known the seeds.
 func (t *telling) targets() []string {
@@ -144,23 +153,46 @@
 	return out
 }
 
-// one tells one hub, itself without a call.
-func (t *telling) one(ctx context.Context, address string) *exchange.Sum {
+// one tells one hub, itself without a call, and uses its sum. A hub that has not
+// answered yet isn't told again meanwhile.
+func (t *telling) one(ctx context.Context, address string) {
+	if !t.enter(address) {
+		return
+	}
+	defer t.exit(address)
 	p := t.part(address)
 	if address == t.node.settings.Listen.Peers {
 		sum := t.tell(p)
-		return &sum
+		t.use(address, &sum)
+		return
 	}
 	sum, err := t.client.Tell(ctx, address, &p)
 	if err != nil {
 		t.node.say("peers").WithError(err).WithField("address", address).Debug("not told")
-		return nil
+		return
 	}
 	t.node.config.heard(sum.Config)
 	t.mu.Lock()
 	t.behind[address] = sum.Config.Version < p.Config.Version
 	t.mu.Unlock()
-	return &sum
+	t.use(address, &sum)
+}
+
+// enter reports whether no call to a hub is under way, and begins one.
+func (t *telling) enter(address string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.telling[address] {
+		return false
+	}
+	t.telling[address] = true
+	return true
+}
+
+func (t *telling) exit(address string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.telling, address)
 }
 
 // part returns this daemon's part for a hub.
@@ -224,23 +256,24 @@
 	t.setLister(address, sum.Endpoints.To)
 }
 
-// checkLister lets the followed hub go where it didn't answer, or has itself
-// not heard from the store lately.
-func (t *telling) checkLister(targets []string, sums []*exchange.Sum) {
+// checkLister lets the followed hub go where it has told nothing for a while,
+// or this daemon watches the store itself.
+func (t *telling) checkLister() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for i, sum := range sums {
-		if targets[i] == t.lister && sum != nil && sum.Fresh <= stale && !t.node.watching.due() {
-			return
-		}
+	if time.Since(t.listedAt) > listerSilence || t.node.watching.due() {
+		t.lister, t.listed = "", feed.Position{}
 	}
-	t.lister, t.listed = "", feed.Position{}
 }
 
+// listerSilence is the silence after which another hub's list is followed: two
+// reports have gone unanswered by then.
+const listerSilence = time.Second
+
 func (t *telling) setLister(address string, at feed.Position) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lister, t.listed = address, at
+	t.lister, t.listed, t.listedAt = address, at, time.Now()
 }
 
 // setHolder notes that this daemon holds the duties since an acquisition. The
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -100,7 +100,8 @@
 const (
 	// rateSeconds is the time constant of the others' smoothed spending.
 	rateSeconds = 1.0
-	// predictFor bounds the prediction: with nothing told for so long the
-	// others may be gone.
-	predictFor = 2 * time.Second
+	// predictFor bounds the prediction: with nothing told for so long this
+	// daemon is cut off from the others or they are gone. It is the length of
+	// the window over which limits are judged.
+	predictFor = 8 * time.Second
 )
