--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -83,9 +83,12 @@
 // gatherFleet is how long a daemon that starts may take to find all others.
 const gatherFleet = 2500 * time.Millisecond
 
+// gathering reports whether this daemon may not have found all others yet.
+func (n *Node) gathering() bool { return time.Since(n.started) < gatherFleet }
+
 // run keeps what depends on the number of daemons up to date.
 func (m *members) run(ctx context.Context) {
-	seen, told, started := 0, 0, time.Now()
+	seen, told := 0, 0
 	every(ctx, time.Second, func() {
 		n := len(m.serving())
 		if n != seen {
@@ -94,7 +97,7 @@
 			m.node.say("membership").WithField("daemons", n).Info("fleet changed")
 		}
 		// A daemon that has just started finds the others one by one.
-		if n != told && time.Since(started) > gatherFleet {
+		if n != told && !m.node.gathering() {
 			told = n
 			m.node.state.SetDaemons(time.Now(), n)
 		}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -16,6 +16,10 @@
 // by what is let in meanwhile: at this interval a few percent of a window.
 const tellInterval = 250 * time.Millisecond
 
+// startInterval is that of a daemon that has just started: until it is told
+// something it lets in little.
+const startInterval = 80 * time.Millisecond
+
 // largeInterval is that of a fleet above smallFleet, where each daemon lets in
 // less meanwhile and a hub answers more of them.
 const largeInterval = 400 * time.Millisecond
@@ -90,7 +94,10 @@
 func (t *telling) run(ctx context.Context) {
 	for ctx.Err() == nil {
 		interval := tellInterval
-		if !t.node.watching.small() {
+		switch {
+		case t.node.gathering():
+			interval = startInterval
+		case !t.node.watching.small():
 			interval = largeInterval
 		}
 		pause(ctx, interval)
@@ -163,6 +170,9 @@
 	p := t.part(address)
 	if address == t.node.settings.Listen.Peers {
 		sum := t.tell(p)
+		if t.node.gathering() && len(t.node.members.serving()) == 1 {
+			return // it has not found the others yet, and knows nothing of them
+		}
 		t.use(address, &sum)
 		return
 	}
