Node tests with several daemons on a store in memory; metrics have a listener

Tests: a configuration reaches all also with the store down and never goes back; a start with the store down refuses as not run; usage of all daemons is reported, each window once; a leaving daemon isn't named and still serves.

--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -55,6 +55,9 @@
 // addSeeds takes the seeds of settings that are new or have changed.
 func (m *members) addSeeds(s *Settings) {
 	seeds := seedMembers(s)
+	for _, address := range m.node.extraSeeds {
+		seeds = append(seeds, membership.Member{Peer: address})
+	}
 	m.seeds.Store(&seeds)
 	m.gossip.Seeds(seeds)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,9 @@
 	requests  *requestLog
 	metrics   *metricSet
 
+	// extraSeeds are peers' addresses with ports of their own.
+	extraSeeds []string
+
 	started  time.Time
 	grace    atomic.Int64 // of a stop, ns
 	stopping atomic.Bool
@@ -91,6 +94,9 @@
 	if err := n.telling.listen(work); err != nil {
 		return err
 	}
+	if err := n.serveMetrics(work); err != nil {
+		return err
+	}
 	stop, err := n.platform.Open(work, n)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/node/node_test.go
@@ -0,0 +1,426 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// memoryStore is an object store in memory that can be down.
+type memoryStore struct {
+	mu       sync.Mutex
+	down     bool
+	revision uint64
+	objects  map[string]map[string]objects.Object // by kind and name
+	log      []logged
+	changed  chan struct{}
+}
+
+type logged struct {
+	kind   string
+	change objects.Change
+}
+
+func newMemoryStore() *memoryStore {
+	return &memoryStore{objects: map[string]map[string]objects.Object{}, changed: make(chan struct{})}
+}
+
+func (s *memoryStore) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.down = down
+	s.wake()
+}
+
+func (s *memoryStore) wake() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+var errDown = objects.Error.New("down")
+
+func (s *memoryStore) List(_ context.Context, kind string) ([]objects.Object, uint64, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	var all []objects.Object
+	for _, o := range s.objects[kind] {
+		all = append(all, o)
+	}
+	return all, s.revision, nil
+}
+
+func (s *memoryStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
+	late := time.After(wait)
+	for {
+		s.mu.Lock()
+		var out []objects.Change
+		for _, l := range s.log {
+			if l.kind == kind && l.change.Object.Revision > after {
+				out = append(out, l.change)
+			}
+		}
+		down, revision, changed := s.down, s.revision, s.changed
+		s.mu.Unlock()
+		if down {
+			return nil, 0, errDown
+		}
+		if len(out) > 0 {
+			return out, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-late:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *memoryStore) Get(_ context.Context, kind, name string) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	switch {
+	case s.down:
+		return o, errDown
+	case !ok:
+		return o, objects.ErrNotFound
+	}
+	return o, nil
+}
+
+func (s *memoryStore) Create(_ context.Context, kind, name string, spec json.RawMessage) (objects.Object, error) {
+	return s.put(kind, name, spec, func(_ objects.Object, there bool) bool { return !there })
+}
+
+func (s *memoryStore) Replace(_ context.Context, kind, name string, revision uint64, spec json.RawMessage) (objects.Object, error) {
+	return s.put(kind, name, spec, func(o objects.Object, there bool) bool {
+		return there && (revision == 0 || revision == o.Revision)
+	})
+}
+
+func (s *memoryStore) put(kind, name string, spec json.RawMessage, may func(objects.Object, bool) bool) (objects.Object, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return objects.Object{}, verdict.Wrap(verdict.NotRun, errDown)
+	}
+	old, there := s.objects[kind][name]
+	if !may(old, there) {
+		return old, objects.ErrConflict
+	}
+	s.revision++
+	o := objects.Object{Name: name, Revision: s.revision, Spec: spec}
+	if s.objects[kind] == nil {
+		s.objects[kind] = map[string]objects.Object{}
+	}
+	s.objects[kind][name] = o
+	s.log = append(s.log, logged{kind, objects.Change{Object: o}})
+	s.wake()
+	return o, nil
+}
+
+func (s *memoryStore) Delete(context.Context, string, string) error { return errDown }
+
+// cloudLog keeps what the duties' holder sends.
+type cloudLog struct {
+	mu      sync.Mutex
+	reports []duty.Usage
+	tokens  []uint64
+}
+
+func (c *cloudLog) Report(_ context.Context, f duty.Fence, u duty.Usage) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, u)
+	c.tokens = append(c.tokens, f.Token)
+	return nil
+}
+
+func (c *cloudLog) Order(context.Context, duty.Fence, duty.Order) error { return nil }
+
+func (c *cloudLog) begun(w fleet.WorkspaceID) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := uint64(0)
+	for _, r := range c.reports {
+		n += r.Begun[w]
+	}
+	return n
+}
+
+// echo is a protocol without names of its own.
+type echo struct{}
+
+func (echo) Header(r *relay.Request, _ *relay.Attempt) http.Header { return http.Header{"Id": {r.ID}} }
+func (echo) Owns(*relay.Request) func(http.Header) upstream.Ownership {
+	return func(http.Header) upstream.Ownership { return upstream.Ours }
+}
+func (echo) Classify(status int, _ http.Header) relay.Class {
+	if status == http.StatusOK {
+		return relay.Success
+	}
+	return relay.Failure
+}
+func (echo) Answer(h http.Header) http.Header { return h }
+
+// sinkLog keeps a caller's answer.
+type sinkLog struct {
+	status  int
+	body    string
+	refusal *relay.Refusal
+}
+
+func (s *sinkLog) Whole(status int, _ http.Header, body []byte) {
+	s.status, s.body = status, string(body)
+}
+func (s *sinkLog) Refuse(r relay.Refusal) { s.refusal = &r }
+func (s *sinkLog) Begin(int, http.Header) {}
+func (s *sinkLog) Events([]byte) error    { return nil }
+func (s *sinkLog) End()                   {}
+func (s *sinkLog) Break()                 {}
+
+// fleetOf is daemons on one store.
+type fleetOf struct {
+	t      *testing.T
+	store  *memoryStore
+	cloud  *cloudLog
+	nodes  []*Node
+	cancel []context.CancelFunc
+	done   []chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// decodeTable reads a version; the table lets one workspace order from one service.
+func decodeTable(spec []byte) (*route.Table, error) {
+	version, err := strconv.ParseUint(string(spec), 10, 64)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return route.New(route.Table{
+		Version: version,
+		Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: route.NonIdempotent, Timeout: time.Minute, Target: time.Minute,
+			MaxAttempts: 1, Backends: []route.Backend{{Service: "s", Weight: 1}},
+		}},
+		Services:   []route.Service{{Name: "s"}},
+		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}}},
+	}), nil
+}
+
+func decodeEndpoint(_ time.Time, o objects.Object) (roster.Endpoint, error) {
+	var address string
+	err := json.Unmarshal(o.Spec, &address)
+	return roster.Endpoint{ID: fleet.EndpointID(o.Name), Service: "s", Address: address, Slots: 8}, err
+}
+
+func newFleet(t *testing.T, n int) *fleetOf {
+	t.Helper()
+	f := &fleetOf{t: t, store: newMemoryStore(), cloud: &cloudLog{}}
+	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = engine.Serve(l) }()
+	t.Cleanup(func() { _ = engine.Close() })
+	spec, err := json.Marshal(l.Addr().String())
+	assert.NilError(t, err)
+	_, err = f.store.Create(t.Context(), "endpoints", "e1", spec)
+	assert.NilError(t, err)
+	_, err = f.store.Create(t.Context(), "config", "main", json.RawMessage("1"))
+	assert.NilError(t, err)
+	for range n {
+		f.add()
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+// add starts one more daemon.
+func (f *fleetOf) add() *Node {
+	i := len(f.nodes)
+	s := &Settings{
+		Daemon: DaemonSettings{
+			Instance: fleet.InstanceID("i" + strconv.Itoa(i)), DataCentre: "a", Region: "r", FirstStart: true,
+		},
+		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t)},
+		Bounds: BoundsSettings{
+			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
+			UsageWindowSeconds: 0.5, UsageLateSeconds: 10, LeaseMillis: 900, AnswerMaxAgeSeconds: 1,
+		},
+		Store: StoreSettings{Address: "memory"},
+		Cloud: CloudSettings{Duties: []string{"usage_report"}},
+	}
+	// All daemons of a platform have the same port for each other; here, on one
+	// address, they are found by the first one's.
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n := New(s, Platform{
+		Store: f.store, Protocol: echo{}, Cloud: f.cloud, ConfigKind: "config", ConfigName: "main",
+		EndpointKind: "endpoints", DecodeTable: decodeTable, DecodeEndpoint: decodeEndpoint,
+		Open: func(context.Context, *Node) (func(), error) { return func() {}, nil },
+	}, quiet)
+	if i > 0 {
+		n.extraSeeds = []string{f.nodes[0].settings.Listen.Peers}
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	path := filepath.Join(f.t.TempDir(), "settings.yaml")
+	assert.NilError(f.t, os.WriteFile(path, nil, 0o600))
+	go func() { done <- n.Run(ctx, path, nil) }()
+	f.nodes = append(f.nodes, n)
+	f.cancel = append(f.cancel, cancel)
+	f.done = append(f.done, done)
+	return n
+}
+
+func (f *fleetOf) stop() {
+	for _, cancel := range f.cancel {
+		cancel()
+	}
+	for _, done := range f.done {
+		if err := <-done; err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
+// until waits for a condition on all daemons.
+func (f *fleetOf) until(what string, ok func(n *Node) bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		for _, n := range f.nodes {
+			if !ok(n) {
+				return poll.Continue("%s: not at %s", what, n.settings.Daemon.Instance)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+}
+
+func (f *fleetOf) ready() {
+	f.t.Helper()
+	f.until("ready", func(n *Node) bool { return n.Ready() && len(n.members.serving()) == len(f.nodes) })
+}
+
+func order(n *Node) *sinkLog {
+	out := &sinkLog{}
+	now := time.Now()
+	n.Serve(context.Background(), &relay.Request{
+		ID: "1", Method: "POST", Target: "/x", Path: "/x", Host: "h", Key: "key", Received: now, Deadline: now.Add(time.Minute),
+	}, out)
+	return out
+}
+
+// The operator's change reaches the store, which goes down at that moment for
+// all but one daemon's last watch. Every daemon must have it all the same.
+func TestConfigurationReachesAllAlsoWithTheStoreDown(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	_, err := f.store.Replace(t.Context(), "config", "main", 0, json.RawMessage("2"))
+	assert.NilError(t, err)
+	f.until("version 2", func(n *Node) bool { return n.Table().Version == 2 })
+	f.store.setDown(true)
+	f.nodes[0].config.apply([]byte("3"), "store")
+	f.until("version 3 from peers", func(n *Node) bool { return n.Table().Version == 3 })
+	f.store.setDown(false)
+	f.until("no way back", func(n *Node) bool { return n.Table().Version == 3 })
+}
+
+// A daemon starts while the store is down. It knows no configuration until a
+// peer tells it one; before, it refuses as not run and isn't ready.
+func TestStartWithTheStoreDown(t *testing.T) {
+	f := newFleet(t, 2)
+	f.ready()
+	f.store.setDown(true)
+	late := f.add()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if late.Table() != nil {
+			return poll.Success()
+		}
+		return poll.Continue("no configuration yet")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(5*time.Millisecond))
+	assert.Assert(t, !late.Ready()) // it has no endpoints
+	assert.Equal(t, order(late).refusal.Verdict, verdict.NotRun)
+	f.store.setDown(false)
+	f.until("ready", func(n *Node) bool { return n.Ready() })
+	assert.Equal(t, order(late).body, "done")
+}
+
+// Orders are served at two daemons; a third one may hold the duties. Each
+// window is reported once, and together they have every order.
+func TestUsageOfAllDaemonsIsReported(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	f.until("the duties have a holder", func(n *Node) bool {
+		n.telling.mu.Lock()
+		defer n.telling.mu.Unlock()
+		return n.telling.holder.Token > 0
+	})
+	const orders = 40
+	for i := range orders {
+		assert.Equal(t, order(f.nodes[i%2]).body, "done")
+	}
+	f.until("all reported", func(*Node) bool { return f.cloud.begun("w") == orders })
+	seen := map[uint64]bool{}
+	for _, r := range f.cloud.reports {
+		assert.Assert(t, !seen[r.Window], "window %d twice", r.Window)
+		seen[r.Window] = true
+	}
+}
+
+// A daemon is told to stop. The others don't name it any more, and it still
+// serves whoever comes with an older answer.
+func TestLeavingDaemonIsNotNamedAndStillServes(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	f.nodes[2].grace.Store(int64(20 * time.Second))
+	f.cancel[2]()
+	gone := f.nodes[2].settings.Listen.Callers
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range f.nodes[:2] {
+			addresses, _ := n.Entries("r", "a")
+			for _, a := range addresses {
+				if a == gone {
+					return poll.Continue("still named")
+				}
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	assert.Assert(t, !f.nodes[2].Ready())
+	assert.Equal(t, order(f.nodes[2]).body, "done")
+}
