A hub adds up the parts 20 times a second, not for each report

Cause: a report at a hub took time that grows with the fleet: 63, 371 and 1,356 microseconds at 9, 63 and 340 daemons with 24 busy endpoints each. Change: the sum is kept for 50 ms, and a daemon's own part taken off it.

--- /dev/null
+++ b/internal/exchange/exchange_test.go
@@ -0,0 +1,103 @@
+package exchange
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+)
+
+func TestTellOverTheWire(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	served := make(chan error, 1)
+	go func() {
+		served <- Serve(ctx, l, func(p Part) Sum {
+			return Sum{Config: Config{Version: p.Config.Version + 1}, Holder: Holder{Daemon: p.Daemon, Token: 3}}
+		})
+	}()
+	c := NewClient()
+	for range 3 {
+		sum, err := c.Tell(t.Context(), l.Addr().String(), &Part{Daemon: "a", Config: Config{Version: 4}})
+		assert.NilError(t, err)
+		assert.Equal(t, sum.Config.Version, uint64(5))
+		assert.Equal(t, sum.Holder.Daemon, fleet.DaemonID("a"))
+	}
+	assert.Equal(t, len(c.conns), 1)
+	c.Keep(nil)
+	assert.Equal(t, len(c.conns), 0)
+	cancel()
+	<-served
+}
+
+// A hub takes calls and never answers. A report must end in time, and its
+// connection must not be used again.
+func TestSilentHubIsGivenUp(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	c := NewClient()
+	_, err = c.Tell(t.Context(), l.Addr().String(), &Part{Daemon: "a"})
+	assert.Assert(t, err != nil)
+	assert.Equal(t, len(c.conns), 0)
+}
+
+// fleetPart is a daemon's part in a fleet of the size that the users plan for.
+func fleetPart(i int) Part {
+	p := Part{
+		Daemon: fleet.DaemonID(fmt.Sprintf("5-%036d", i)), Wall: start,
+		Soft: relay.Soft{
+			Spent: map[fleet.WorkspaceID]float64{}, Load: map[fleet.EndpointID]balance.Load{},
+			Work: map[string]relay.Work{"engines": {Requests: 1}, "services": {Requests: 1}},
+		},
+		Windows: map[uint64]Begun{},
+	}
+	for w := range 16 {
+		p.Soft.Spent[fleet.WorkspaceID(fmt.Sprint("workspace", w))] = 1e6
+	}
+	for e := range 24 {
+		p.Soft.Load[fleet.EndpointID(fmt.Sprintf("i-%010d", (i*7+e)%690))] = balance.Load{Requests: 1, Unread: 800}
+	}
+	for w := range uint64(toldInBench) {
+		p.Windows[w] = Begun{"workspace1": 3, "workspace2": 5}
+	}
+	return p
+}
+
+// toldInBench is the usage windows in a part.
+const toldInBench = 4
+
+// BenchmarkHub is one report at a hub of a fleet, with its encoding.
+func BenchmarkHub(b *testing.B) {
+	for _, n := range []int{9, 63, 340} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			h := NewHub()
+			for i := range n {
+				h.Take(start, 0, fleetPart(i))
+			}
+			p := fleetPart(0)
+			report := encodePart(&p)
+			b.ReportAllocs()
+			bytes := 0
+			for b.Loop() {
+				part := decodePart(report)
+				h.Take(start, time.Second, part)
+				sum := Sum{Soft: h.Others(start, part.Daemon)}
+				bytes = sizeOf(encodeSum(&sum))
+			}
+			b.ReportMetric(float64(sizeOf(report)), "B/report")
+			b.ReportMetric(float64(bytes), "B/sum")
+		})
+	}
+}
+
+func sizeOf(m proto.Message) int { return proto.Size(m) }
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -1,6 +1,7 @@
 package exchange
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 // reports are missing then.
 const silence = time.Second
 
+// sumAge is how long a sum is used again: reports come some hundred times a
+// second in a large fleet, and what they tell is a quarter of a second old.
+const sumAge = 50 * time.Millisecond
+
 // gap is the silence after which what a daemon spent meanwhile isn't counted:
 // limits are judged over about eight seconds, so that it is over by then.
 const gap = 10 * time.Second
@@ -22,6 +27,7 @@
 type Hub struct {
 	parts map[fleet.DaemonID]*heard
 	gone  map[fleet.WorkspaceID]float64 // spent by daemons that were forgotten
+	sum   *total                        // the last one, nil before
 }
 
 // heard is a daemon's last part.
@@ -77,31 +83,36 @@
 	return base
 }
 
-// Others returns the sum of all parts but one daemon's.
+// Others returns the sum of all parts but one daemon's, as of sumAge ago at the
+// most.
 func (h *Hub) Others(now time.Time, but fleet.DaemonID) relay.Soft {
-	out := relay.Soft{
-		Spent: make(map[fleet.WorkspaceID]float64, len(h.gone)),
-		Load:  map[fleet.EndpointID]balance.Load{},
+	if h.sum == nil || now.Sub(h.sum.at) > sumAge || now.Before(h.sum.at) {
+		h.sum = h.sumUp(now)
 	}
-	for w, v := range h.gone {
-		out.Spent[w] = v
+	return h.sum.without(but)
+}
+
+// sumUp adds up all parts.
+func (h *Hub) sumUp(now time.Time) *total {
+	t := &total{
+		at: now, spent: maps.Clone(h.gone), load: map[fleet.EndpointID]balance.Load{},
+		parts: make(map[fleet.DaemonID]counted, len(h.parts)),
 	}
 	for id, p := range h.parts {
-		if id == but {
-			continue
-		}
+		c := counted{heard: p, loads: now.Sub(p.at) <= silence}
+		t.parts[id] = c
 		for w := range p.part.Soft.Spent {
-			out.Spent[w] += p.spent(w)
+			t.spent[w] += p.spent(w)
 		}
-		if now.Sub(p.at) > silence {
+		if !c.loads {
 			continue
 		}
 		for e, l := range p.part.Soft.Load {
-			sum := out.Load[e]
-			out.Load[e] = balance.Load{Requests: sum.Requests + l.Requests, Unread: sum.Unread + l.Unread}
+			sum := t.load[e]
+			t.load[e] = balance.Load{Requests: sum.Requests + l.Requests, Unread: sum.Unread + l.Unread}
 		}
 	}
-	return out
+	return t
 }
 
 // Work returns the fleet's totals by service. They shrink when a daemon is
