--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -20,6 +20,7 @@
 		WallMs:        p.Wall.UnixMilli(),
 		Holder:        encodeHolder(p.Holder),
 		Endpoints:     encodePosition(p.Endpoints),
+		Brief:         p.Brief,
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -50,6 +51,7 @@
 		Holder:  decodeHolder(r.Holder),
 
 		Endpoints: decodePosition(r.Endpoints),
+		Brief:     r.Brief,
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Hold: w.Hold, Read: w.Read}
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -63,7 +63,7 @@
 	p.Holder = Holder{Daemon: "b", Token: 6}
 	p.Config = Config{Version: 4, Text: []byte("text")}
 	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Hold: 2.5, Read: 7}}
-	p.Endpoints = feed.Position{Epoch: 8, Seq: 9}
+	p.Endpoints, p.Brief = feed.Position{Epoch: 8, Seq: 9}, true
 	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
 	s := Sum{Config: p.Config, Soft: relay.Soft{Spent: p.Soft.Spent, Load: p.Soft.Load, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
 	s.Fresh = 300 * time.Millisecond
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -27,12 +27,15 @@
 	Holder  Holder
 	// Endpoints is the hub's state of the list that the daemon has.
 	Endpoints feed.Position
+	// Brief says that the sum may come without the endpoints' loads, which
+	// are most of its bytes: another hub tells them.
+	Brief bool
 }
 
 // Sum is what a hub answers: the sum of all others' parts.
 type Sum struct {
 	Config Config
-	Soft   relay.Soft // without Work
+	Soft   relay.Soft // without Work, and without Load where the report was brief
 	True   time.Time  // the fleet's time; zero where not known
 	Holder Holder
 	// Endpoints leads to the hub's list.
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -41,11 +41,13 @@
 	lister string          // that hub's address
 	// listedAt is when it told its list last.
 	listedAt time.Time
-	telling  map[string]bool // hubs that have not answered yet, by address
+	telling  map[string]bool      // hubs that have not answered yet, by address
+	answered map[string]time.Time // when a hub answered last, by address
+	loader   string               // the hub that tells the endpoints' loads, empty: all
 }
 
 func newTelling(n *Node) *telling {
-	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}, telling: map[string]bool{}}
+	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}, telling: map[string]bool{}, answered: map[string]time.Time{}}
 }
 
 // listen answers other daemons.
@@ -75,6 +77,9 @@
 	t.hub.Take(now, steady, p)
 	t.holder = t.holder.Newer(p.Holder)
 	sum := exchange.Sum{Soft: t.hub.Others(now, p.Daemon), Holder: t.holder}
+	if p.Brief {
+		sum.Soft.Load = nil
+	}
 	if now.Sub(t.node.started) > knownLevels {
 		sum.Soft.Levels = t.node.state.Levels(now)
 	}
@@ -109,6 +114,7 @@
 // a hub that is silent: what the other one tells would be late as well.
 func (t *telling) round(ctx context.Context) {
 	targets := t.targets()
+	t.chooseLoader(targets)
 	t.client.Keep(targets)
 	t.node.state.KeepHubs(targets)
 	t.checkLister()
@@ -131,6 +137,20 @@
 	}
 }
 
+// chooseLoader chooses the hub that tells the endpoints' loads: the first that
+// has answered lately, or all where none has.
+func (t *telling) chooseLoader(targets []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loader = ""
+	for _, address := range targets {
+		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < listerSilence {
+			t.loader = address
+			return
+		}
+	}
+}
+
 // roundWait is how long a round waits for answers: many times the way there
 // and back, so that rounds of a sound fleet don't overlap.
 const roundWait = 150 * time.Millisecond
@@ -173,7 +193,7 @@
 		if t.node.gathering() && len(t.node.members.serving()) == 1 {
 			return // it has not found the others yet, and knows nothing of them
 		}
-		t.use(address, &sum)
+		t.use(address, &p, &sum)
 		return
 	}
 	sum, err := t.client.Tell(ctx, address, &p)
@@ -184,8 +204,9 @@
 	t.node.config.heard(sum.Config)
 	t.mu.Lock()
 	t.behind[address] = sum.Config.Version < p.Config.Version
+	t.answered[address] = time.Now()
 	t.mu.Unlock()
-	t.use(address, &sum)
+	t.use(address, &p, &sum)
 }
 
 // enter reports whether no call to a hub is under way, and begins one.
@@ -218,14 +239,15 @@
 	defer t.mu.Unlock()
 	p.Holder = t.holder
 	p.Endpoints = t.position(address)
+	p.Brief = t.loader != "" && t.loader != address
 	if !t.behind[address] {
 		p.Config.Text = nil
 	}
 	return p
 }
 
-// use takes a hub's sum.
-func (t *telling) use(address string, sum *exchange.Sum) {
+// use takes a hub's sum for a part.
+func (t *telling) use(address string, p *exchange.Part, sum *exchange.Sum) {
 	t.node.watching.told(sum.Fresh)
 	t.list(address, sum)
 	if !sum.True.IsZero() {
@@ -234,6 +256,9 @@
 	t.mu.Lock()
 	t.holder = t.holder.Newer(sum.Holder)
 	t.mu.Unlock()
+	if p.Brief {
+		sum.Soft.Load = nil // decoded as empty
+	}
 	t.node.state.Others(time.Now(), address, sum.Soft)
 }
 
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -108,13 +108,16 @@
 	return out
 }
 
-// Others takes the sum of all other daemons' parts that a hub tells.
+// Others takes the sum of all other daemons' parts that a hub tells. A sum
+// without loads leaves those as they are.
 func (s *State) Others(now time.Time, hub string, others Soft) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quota.Adopt(now, others.Levels)
 	s.quota.Others(now, hub, others.Spent)
-	s.balancer.Others(others.Load)
+	if others.Load != nil {
+		s.balancer.Others(others.Load)
+	}
 }
 
 // KeepHubs forgets what all hubs but some have told.
