--- /dev/null
+++ b/internal/node/lister.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
+)
+
+// chooseLoader chooses the hub that tells the endpoints' loads: the first that
+// has answered lately, or all where none has.
+func (t *telling) chooseLoader(targets []string) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.loader = ""
+	for _, address := range targets {
+		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < listerSilence {
+			t.loader = address
+			return
+		}
+	}
+}
+
+// position returns what this daemon has of a hub's list of endpoints. One hub's
+// list is followed at a time, and none while this daemon watches the store
+// itself. The lock is held.
+func (t *telling) position(address string) feed.Position {
+	switch {
+	case t.node.watching.due():
+		return feed.Unwanted
+	case t.lister == "":
+		return feed.Position{}
+	case t.lister == address:
+		return t.listed
+	default:
+		return feed.Unwanted
+	}
+}
+
+// list takes a hub's list of endpoints where this daemon follows it, or none.
+func (t *telling) list(address string, sum *exchange.Sum) {
+	t.mu.Lock()
+	lister := t.lister
+	t.mu.Unlock()
+	wanted := lister == "" || lister == address
+	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > stale {
+		return
+	}
+	t.node.endpoints.heard(&sum.Endpoints)
+	t.setLister(address, sum.Endpoints.To)
+}
+
+// checkLister lets the followed hub go where it has told nothing for a while,
+// or this daemon watches the store itself.
+func (t *telling) checkLister() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if time.Since(t.listedAt) > listerSilence || t.node.watching.due() {
+		t.lister, t.listed = "", feed.Position{}
+	}
+}
+
+// listerSilence is the silence after which another hub's list is followed: two
+// reports have gone unanswered by then.
+const listerSilence = time.Second
+
+func (t *telling) setLister(address string, at feed.Position) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lister, t.listed, t.listedAt = address, at, time.Now()
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -137,20 +137,6 @@
 	}
 }
 
-// chooseLoader chooses the hub that tells the endpoints' loads: the first that
-// has answered lately, or all where none has.
-func (t *telling) chooseLoader(targets []string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.loader = ""
-	for _, address := range targets {
-		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < listerSilence {
-			t.loader = address
-			return
-		}
-	}
-}
-
 // roundWait is how long a round waits for answers: many times the way there
 // and back, so that rounds of a sound fleet don't overlap.
 const roundWait = 150 * time.Millisecond
@@ -262,55 +248,6 @@
 	t.node.state.Others(time.Now(), address, sum.Soft)
 }
 
-// position returns what this daemon has of a hub's list of endpoints. One hub's
-// list is followed at a time, and none while this daemon watches the store
-// itself. The lock is held.
-func (t *telling) position(address string) feed.Position {
-	switch {
-	case t.node.watching.due():
-		return feed.Unwanted
-	case t.lister == "":
-		return feed.Position{}
-	case t.lister == address:
-		return t.listed
-	default:
-		return feed.Unwanted
-	}
-}
-
-// list takes a hub's list of endpoints where this daemon follows it, or none.
-func (t *telling) list(address string, sum *exchange.Sum) {
-	t.mu.Lock()
-	lister := t.lister
-	t.mu.Unlock()
-	wanted := lister == "" || lister == address
-	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > stale {
-		return
-	}
-	t.node.endpoints.heard(&sum.Endpoints)
-	t.setLister(address, sum.Endpoints.To)
-}
-
-// checkLister lets the followed hub go where it has told nothing for a while,
-// or this daemon watches the store itself.
-func (t *telling) checkLister() {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if time.Since(t.listedAt) > listerSilence || t.node.watching.due() {
-		t.lister, t.listed = "", feed.Position{}
-	}
-}
-
-// listerSilence is the silence after which another hub's list is followed: two
-// reports have gone unanswered by then.
-const listerSilence = time.Second
-
-func (t *telling) setLister(address string, at feed.Position) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.lister, t.listed, t.listedAt = address, at, time.Now()
-}
-
 // setHolder notes that this daemon holds the duties since an acquisition. The
 // others learn it from the hubs, also where these can't reach the store.
 func (t *telling) setHolder(token uint64) {
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -17,8 +16,6 @@
 	// wholeBytes bounds an answer that is held until it is whole; a longer
 	// one is passed on as it comes. Plain answers are some kilobytes.
 	wholeBytes = 1 << 20
-	// pieceBytes is the most that is read of a stream at once.
-	pieceBytes = 8 << 10
 	// enough is the time without which no further attempt is made.
 	enough = 30 * time.Millisecond
 )
@@ -198,75 +195,6 @@
 	return max(time.Until(f.until)/2, f.route.Target)
 }
 
-// stream passes events on as they come. A nil error is the stream's whole end.
-func (f *flight) stream(t *track, a *upstream.Answer) error {
-	buf := make([]byte, pieceBytes)
-	for {
-		n, err := a.Body.Read(buf)
-		if n > 0 {
-			if err := f.pass(t, a, buf[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF && !f.events.partial() {
-			f.begin(a)
-			return nil
-		}
-		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
-		}
-		if err != nil {
-			f.events.drop()
-			return err
-		}
-	}
-}
-
-// pass passes the whole events among new bytes on.
-func (f *flight) pass(t *track, a *upstream.Answer, p []byte) error {
-	whole := f.events.add(p)
-	if len(whole) == 0 {
-		return nil
-	}
-	f.first(t)
-	f.began(time.Now())
-	f.begin(a)
-	err := f.sink.Events(whole)
-	f.events.consume(len(whole))
-	return err
-}
-
-// begin sends the head of the first endpoint's answer, once.
-func (f *flight) begin(a *upstream.Answer) {
-	if !f.begun {
-		f.begun = true
-		f.sink.Begin(a.Status, f.relay.protocol.Answer(a.Header))
-	}
-}
-
-// long passes an answer on that is too long to be held.
-func (f *flight) long(a *upstream.Answer, held []byte) error {
-	f.begin(a)
-	if err := f.sink.Events(held); err != nil {
-		return err
-	}
-	buf := make([]byte, pieceBytes)
-	for {
-		n, err := a.Body.Read(buf)
-		if n > 0 {
-			if err := f.sink.Events(buf[:n]); err != nil {
-				return err
-			}
-		}
-		if err == io.EOF {
-			return nil
-		}
-		if err != nil {
-			return err
-		}
-	}
-}
-
 // first notes an attempt's first token.
 func (f *flight) first(t *track) {
 	if !t.first {
@@ -285,51 +213,3 @@
 		f.relay.observer.Began(f.workspace.Name, at)
 	}
 }
-
-// conclude gives the caller its final answer.
-func (f *flight) conclude(ctx context.Context, s step, refusal *Refusal, kept *keptAnswer) {
-	f.outcome.Events, f.outcome.Reached, f.outcome.Unreached = f.events.count, f.tally.reached, f.tally.unreached
-	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
-		f.outcome.Reason = CallerLeft
-		if f.begun {
-			f.sink.Break()
-		}
-	case s == answer && kept != nil && !f.begun:
-		f.sink.Whole(kept.status, kept.header, kept.body)
-	case s == answer && kept == nil && f.begun:
-		f.sink.End()
-	case f.begun:
-		f.outcome.Reason = f.failure(ctx)
-		f.sink.Break()
-	default:
-		f.refuse(ctx, s, refusal)
-	}
-	if f.tally.ran == 0 {
-		f.relay.state.giveBack(&f.admitted)
-	}
-}
-
-// refuse sends this daemon's own answer.
-func (f *flight) refuse(ctx context.Context, s step, refusal *Refusal) {
-	switch {
-	case s == fail || f.tally.ran > 0:
-		refusal = &Refusal{Reason: f.failure(ctx), Verdict: verdict.MayHaveRun}
-	case refusal == nil && f.tally.reached > 0:
-		refusal = f.relay.state.busy(f, Shed)
-	case refusal == nil:
-		refusal = f.relay.state.busy(f, NoEndpoint)
-	}
-	f.outcome.Reason = refusal.Reason
-	f.outcome.Verdict = refusal.Verdict
-	f.outcome.RetryAfter = refusal.RetryAfter
-	f.sink.Refuse(*refusal)
-}
-
-// failure names the reason of a request that may have run.
-func (f *flight) failure(ctx context.Context) Reason {
-	if ctx.Err() != nil || time.Until(f.until) < enough {
-		return TimedOut
-	}
-	return Broken
-}
