--- /dev/null
+++ b/internal/exchange/checkpoint.go
@@ -0,0 +1,37 @@
+package exchange
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Checkpoint is what began at each daemon in the newest windows, as it is kept
+// in the store: a whole fleet can be killed at once, and what its daemons told
+// each other is gone with them.
+type Checkpoint map[fleet.DaemonID]map[uint64]Begun
+
+// Checkpoint returns what began from a window on.
+func (h *Hub) Checkpoint(from uint64) Checkpoint {
+	out := Checkpoint{}
+	for id, p := range h.parts {
+		windows := maps.Clone(p.part.Windows)
+		maps.DeleteFunc(windows, func(w uint64, _ Begun) bool { return w < from })
+		if len(windows) > 0 {
+			out[id] = windows
+		}
+	}
+	return out
+}
+
+// Restore adds the windows of daemons that this hub hasn't heard of. One that
+// lives tells its own part, which then counts alone.
+func (h *Hub) Restore(now time.Time, c Checkpoint) {
+	for id, windows := range c {
+		if h.parts[id] == nil {
+			h.parts[id] = &heard{part: Part{Daemon: id, Windows: windows}, at: now.Add(-gap)}
+		}
+	}
+	h.sum = nil
+}
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -101,3 +101,24 @@
 	h.Take(later, 0, part("b", 1_000_010, 0, 0))
 	assert.Equal(t, h.Others(later.Add(2*sumAge), "a").Spent["w"]-before, 10.0)
 }
+
+// All daemons are killed at once. The next holder reads what the last one wrote
+// down a second before, and adds what began since. A daemon that did live counts
+// once, and what it had let in before isn't taken for spent just now.
+func TestCountsOutliveTheWholeFleet(t *testing.T) {
+	old := NewHub()
+	old.Take(start, 0, part("a", 10, 1, 3))
+	old.Take(start, 0, part("lives", 500, 1, 4))
+	c := old.Checkpoint(7)
+	assert.Equal(t, len(old.Checkpoint(8)), 0)
+	h := NewHub()
+	h.Take(start, 0, part("new", 0, 1, 2))
+	h.Restore(start, c)
+	assert.Equal(t, h.Begun(7)["w"], uint64(2+3+4))
+	before := h.Others(start, "new").Spent["w"]
+	h.Take(start, 0, part("lives", 500, 1, 5))
+	later := start.Add(2 * sumAge)
+	assert.Equal(t, h.Begun(7)["w"], uint64(2+3+5))
+	assert.Equal(t, h.Others(later, "new").Spent["w"], before)
+	assert.Equal(t, h.Others(later, "new").Load["e"].Requests, 1)
+}
--- /dev/null
+++ b/internal/node/checkpoint.go
@@ -0,0 +1,94 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+)
+
+const (
+	// runningName is where the windows that aren't frozen yet are kept.
+	runningName = "running"
+	// checkpointInterval is how often they are written: what a fleet that is
+	// killed at once loses is a fifth of a window.
+	checkpointInterval = time.Second
+)
+
+// checkpoints writes and restores what began in the windows that aren't frozen
+// yet. It belongs to the duties' goroutine.
+type checkpoints struct {
+	duties   *duties
+	restored bool
+	busy     bool
+	last     time.Time
+}
+
+// step reports whether the counts from before were restored, and makes the
+// call that is due.
+func (c *checkpoints) step(ctx context.Context, now time.Time) bool {
+	switch {
+	case c.busy:
+	case !c.restored:
+		c.read(ctx)
+	case now.Sub(c.last) >= checkpointInterval:
+		c.last = now
+		c.write(ctx)
+	}
+	return c.restored
+}
+
+func (c *checkpoints) read(ctx context.Context) {
+	c.busy = true
+	c.duties.call(ctx, func() func(time.Time) {
+		o, err := c.duties.node.platform.Store.Get(ctx, usageKind, runningName)
+		return func(now time.Time) { c.found(now, o, err) }
+	})
+}
+
+func (c *checkpoints) found(now time.Time, o objects.Object, err error) {
+	c.busy = false
+	if errors.Is(err, objects.ErrNotFound) {
+		c.restored = true
+		return
+	}
+	var saved exchange.Checkpoint
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &saved)
+	}
+	if err != nil {
+		c.duties.log.WithError(err).Warn("running windows not read")
+		return
+	}
+	c.restored = true
+	c.duties.node.telling.ask(func(h *exchange.Hub) { h.Restore(now, saved) })
+}
+
+// write saves the windows from the one before the current on.
+func (c *checkpoints) write(ctx context.Context) {
+	n := c.duties.node
+	from := n.begun.number(n.clock.Now()) - 1
+	var saved exchange.Checkpoint
+	n.telling.ask(func(h *exchange.Hub) { saved = h.Checkpoint(from) })
+	text, err := json.Marshal(saved)
+	if err != nil {
+		c.duties.log.WithError(err).Error("running windows not encoded")
+		return
+	}
+	c.busy = true
+	c.duties.call(ctx, func() func(time.Time) {
+		_, err := n.platform.Store.Replace(ctx, usageKind, runningName, 0, text)
+		if errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrConflict) {
+			_, err = n.platform.Store.Create(ctx, usageKind, runningName, text)
+		}
+		return func(time.Time) {
+			c.busy = false
+			if err != nil {
+				c.duties.log.WithError(err).Info("running windows not saved")
+			}
+		}
+	})
+}
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -37,6 +37,7 @@
 	lease   *lease.Set
 	usage   *usage.Reporter
 	scaling *scalingDuty
+	saved   *checkpoints
 	results chan func(now time.Time)
 	token   uint64 // of the acquisition that usage and scaling belong to
 	since   time.Time
@@ -113,7 +114,9 @@
 	if !d.gathered(now) {
 		return
 	}
-	d.stepUsage(ctx, now)
+	if d.saved.step(ctx, now) {
+		d.stepUsage(ctx, now)
+	}
 	d.scaling.step(ctx, now)
 }
 
@@ -138,6 +141,7 @@
 	d.node.telling.setHolder(token)
 	d.usage = usage.NewReporter(seconds(d.node.settings.Bounds.UsageWindowSeconds))
 	d.scaling = newScalingDuty(d)
+	d.saved = &checkpoints{duties: d}
 	d.log.WithField("token", token).Info("holds the duties")
 }
 
