The standby's test waits for calls that are still under way

Since a denial reads the shard first, the writer has one more call under way when the order is answered. Ruled out: the assertion, which holds (run with a wait after it).

--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -96,6 +96,7 @@
 		time.Sleep(10 * intentTimeout)
 		second := writer.Intend(t.Context(), ref, "writer/1", testDigest)
 		assert.Assert(t, second.Found != nil, "a second run was granted: %+v", second)
+		time.Sleep(10 * intentTimeout) // calls that are still under way end
 	})
 }
 
@@ -171,6 +172,7 @@
 		time.Sleep(10 * intentTimeout)
 		second := writer.Intend(t.Context(), ref, "writer/1", testDigest)
 		assert.Assert(t, second.Found != nil, "a second run was granted: %+v", second)
+		time.Sleep(10 * intentTimeout) // calls that are still under way end
 	})
 }
 
