--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -170,7 +170,6 @@
 	attempt := &Attempt{
 		Endpoint:  t.choice.Endpoint,
 		Workspace: f.outcome.Workspace,
-		Left:      time.Until(f.until),
 		Priority:  f.priority,
 		LastEvent: f.events.lastID,
 	}
@@ -179,9 +178,12 @@
 		Method:  f.request.Method,
 		Target:  f.request.Target,
 		Host:    f.request.Host,
-		Header:  f.relay.protocol.Header(f.request, attempt),
-		Body:    f.request.Body,
-		Owns:    f.relay.protocol.Owns(f.request),
+		Header: func() http.Header {
+			attempt.Left = time.Until(f.until)
+			return f.relay.protocol.Header(f.request, attempt)
+		},
+		Body: f.request.Body,
+		Owns: f.relay.protocol.Owns(f.request),
 	}
 	if f.route.Kind == route.Idempotent && f.tally.ran+1 < f.route.MaxAttempts {
 		c.HeadTimeout = f.patience()
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,8 +11,10 @@
 	Method  string
 	Target  string // path and query as the caller sent them
 	Host    string
-	Header  http.Header
-	Body    []byte
+	// Header is asked for when there is a connection: it may say how much
+	// time is left, of which setting one up takes a part.
+	Header func() http.Header
+	Body   []byte
 	// Owns reports whether an answer's header names this request; a kept
 	// connection may first bring a late answer to an earlier one.
 	Owns func(http.Header) Ownership
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -68,7 +68,7 @@
 	var head bytes.Buffer
 	head.Grow(512 + min(len(call.Body), inlineBody))
 	head.WriteString(call.Method + " " + call.Target + " HTTP/1.1\r\nHost: " + call.Host + "\r\n")
-	if err := call.Header.Write(&head); err != nil {
+	if err := call.Header().Write(&head); err != nil {
 		return err
 	}
 	if len(call.Body) > 0 || call.Method != http.MethodGet && call.Method != http.MethodHead {
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -52,7 +52,7 @@
 func call(address, id string) *Call {
 	return &Call{
 		Address: address, Method: "POST", Target: "/a%2Fb?q=1", Host: "h.example",
-		Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Header: func() http.Header { return http.Header{"Id": {id}} }, Body: []byte("body"),
 		Owns: func(h http.Header) Ownership {
 			switch h.Get("Id") {
 			case id:
@@ -234,3 +234,22 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "two")
 }
+
+// Setting up a connection takes half of a request's time. The time left that
+// the endpoint is told must be without it, or it works on for a caller that is
+// gone.
+func TestHeaderIsMadeWhenThereIsAConnection(t *testing.T) {
+	address := script(t, func(_ int, r *http.Request) string { return answer("1", r.Header.Get("Left")) })
+	p := NewPool(1)
+	left := "9"
+	dial := p.dial
+	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
+		left = "4"
+		return dial(ctx, address)
+	}
+	c := call(address, "1")
+	c.Header = func() http.Header { return http.Header{"Id": {"1"}, "Left": {left}} }
+	body, err := read(t, p, c)
+	assert.NilError(t, err)
+	assert.Equal(t, body, "4")
+}
