A new holder under load begins from the endpoints that are there

Change: under load it begins at once, from what is there, and gives nothing back for 12 s; on-demand endpoints that stay, stay where they are. Test: TestNewHolderUnderLoad fails before (22 endpoints, more than 36 wanted).

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -17,6 +17,7 @@
 	loaded    time.Time // when requests were first seen
 	floor     float64   // endpoints that the start needs
 	started   bool
+	takenOver time.Time // when this planner began under load; zero: it didn't
 	seen      int       // endpoints at the last look, before the start
 	seenAt    time.Time // since when
 	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
@@ -65,8 +66,16 @@
 
 // start reports whether the endpoints that are there are known. Right after
 // the platform's own start they register one after the other; planned from the
-// first few, most would be given back and be missing when requests come.
+// first few, most would be given back and be missing when requests come. Where
+// requests come already, a holder before this one has planned: what it ordered
+// is where this one begins.
 func (p *Planner) start(now time.Time, s *Sample) bool {
+	if !p.started && s.Slots > 0 {
+		p.started, p.takenOver = true, now
+		p.floor = startShare * float64(total(s.Here))
+		p.perCentre = reclaimable(s)
+		return true
+	}
 	if n := total(s.Here); !p.started && n != p.seen {
 		p.seen, p.seenAt = n, now
 	}
@@ -91,6 +100,7 @@
 	}
 	if seen > 0 && p.loaded.IsZero() {
 		p.loaded = now
+		p.load = seen
 	}
 	constant := fallSeconds
 	if seen > p.load {
@@ -120,7 +130,7 @@
 		p.perCentre, p.fewer = want, time.Time{}
 	case p.fewer.IsZero():
 		p.fewer = now
-	case now.Sub(p.fewer) > holdFall:
+	case now.Sub(p.fewer) > holdFall && !p.settling(now):
 		p.perCentre = (p.perCentre + want) / 2
 		p.fewer = now
 	}
@@ -142,8 +152,17 @@
 	missing := int(math.Ceil(need)) - reclaimable
 	if !p.loaded.IsZero() {
 		keep := int(math.Ceil(need)) - serving
+		if p.settling(now) {
+			keep = p.onDemand(s)
+		}
 		missing = max(missing, min(keep, p.onDemand(s)))
 	}
+	for _, dc := range cheapest(s) { // those that are there, where they are
+		place := Place{dc, false}
+		stay := min(s.Here[place], max(missing, 0))
+		wanted[place] = stay
+		missing -= stay
+	}
 	for missing > 0 {
 		before := missing
 		for _, dc := range cheapest(s) {
@@ -159,6 +178,23 @@
 	}
 }
 
+// settling reports whether a planner that began under load doesn't know the
+// load well enough to give anything back.
+func (p *Planner) settling(now time.Time) bool {
+	return !p.takenOver.IsZero() && now.Sub(p.takenOver) < measured
+}
+
+// reclaimable returns the most reclaimable endpoints in a data centre.
+func reclaimable(s *Sample) int {
+	n := 0
+	for place, count := range s.Here {
+		if place.Spot {
+			n = max(n, count)
+		}
+	}
+	return n
+}
+
 // onDemand returns the on-demand endpoints that are there.
 func (p *Planner) onDemand(s *Sample) int {
 	n := 0
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -129,3 +129,25 @@
 	}
 	assert.Assert(t, least >= 9, "%d", least)
 }
+
+// The duty's holder dies in the middle of a heavy day, while endpoints come and
+// go. Its successor knows nothing of the load yet. It must neither give back
+// what carries the load nor wait for the endpoints to stay the same.
+func TestNewHolderUnderLoad(t *testing.T) {
+	w := newWorld()
+	w.here = map[Place]int{{"b", false}: 3}
+	for _, dc := range []fleet.DataCentre{"a", "b", "c", "d"} {
+		w.here[Place{dc, true}] = 8
+	}
+	for i := range 24 {
+		w.here[Place{"a", true}] = 8 - i%2 // one fails and comes back
+		w.step(700)
+		n := w.class(true) + w.class(false)
+		assert.Assert(t, n >= 33, "%d endpoints after %d steps", n, i+1)
+	}
+	for i := range 24 {
+		w.here[Place{"a", true}] -= i % 2
+		w.step(1500)
+	}
+	assert.Assert(t, w.class(true)+w.class(false) > 36, "%d and %d", w.class(true), w.class(false))
+}
