Test: a leaving holder gives the duties up; the duties ask whether the lease is held

Supposed while reading: asking each tick whether an order may leave puts off the release. The tick asks only whether the lease is held, which has no effect of its own; fence() asks before calls.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -107,7 +107,7 @@
 		d.callLease(ctx, a)
 	}
 	l := d.lease.Lease(0)
-	if !l.MayOrderUnfenced(now) {
+	if !l.Held(now) { // asking whether an order may leave would put off the lease's release
 		return
 	}
 	d.hold(now, l.Fencing())
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -9,6 +9,7 @@
 	"os"
 	"path/filepath"
 	"strconv"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -424,3 +425,41 @@
 	assert.Assert(t, !f.nodes[2].Ready())
 	assert.Equal(t, order(f.nodes[2]).body, "done")
 }
+
+// The holder of the duties is told to stop. It must give the lease up, so that
+// the next one needn't wait until it has run out.
+func TestLeavingHolderGivesTheDutiesUp(t *testing.T) {
+	f := newFleet(t, 3)
+	f.ready()
+	holder := -1
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for i, n := range f.nodes {
+			n.telling.mu.Lock()
+			holds := n.telling.holder.Daemon == n.id
+			n.telling.mu.Unlock()
+			if holds {
+				holder = i
+				return poll.Success()
+			}
+		}
+		return poll.Continue("nobody holds the duties")
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	f.nodes[holder].grace.Store(int64(20 * time.Second))
+	f.cancel[holder]()
+	released := func() bool {
+		f.store.mu.Lock()
+		defer f.store.mu.Unlock()
+		for _, l := range f.store.log {
+			if l.kind == "lease" && strings.Contains(string(l.change.Object.Spec), `"released":true`) {
+				return true
+			}
+		}
+		return false
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if released() {
+			return poll.Success()
+		}
+		return poll.Continue("not given up")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
