--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -133,6 +133,42 @@
 	assert.Assert(t, let >= 0.9*allowed, "let in %v of %v allowed", let, allowed)
 }
 
+// A workspace asks for several times its limit, and both hubs fall silent for
+// three seconds. Did each daemon take the others' spending to have ended with
+// what it heard last, all six would let in the whole limit.
+func TestSilentHubs(t *testing.T) {
+	const daemons, rate = 6, 1000.0
+	w := route.Workspace{Name: "w", Rate: rate, Burst: rate}
+	qs := make([]*Quota, daemons)
+	for i := range qs {
+		qs[i] = New(true, 0)
+		qs[i].Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
+	}
+	let := 0.0
+	for step := range 100 { // of 100 ms
+		now := start.Add(time.Duration(step) * 100 * time.Millisecond)
+		for n := range 60 {
+			if _, ok := qs[n%daemons].Take(now, &w, 10); ok && step >= 20 {
+				let += 10
+			}
+		}
+		if step >= 50 && step < 80 {
+			continue
+		}
+		for i, q := range qs {
+			others := 0.0
+			for j, o := range qs {
+				if j != i {
+					others += o.Spent()["w"]
+				}
+			}
+			q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others})
+		}
+	}
+	assert.Assert(t, let <= 1.25*(8*rate+rate), "let in %v of %v allowed", let, 8*rate+rate)
+	assert.Assert(t, let >= 0.7*8*rate, "let in %v of %v allowed", let, 8*rate)
+}
+
 // A daemon is killed and starts again. Were its bucket full, every restart
 // would be worth a burst.
 func TestRestartDoesNotRefill(t *testing.T) {
