--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -41,13 +41,20 @@
 	lister string          // that hub's address
 	// listedAt is when it told its list last.
 	listedAt time.Time
-	telling  map[string]bool      // hubs that have not answered yet, by address
+	pending  map[string]bool      // hubs that have not answered yet, by address
 	answered map[string]time.Time // when a hub answered last, by address
 	loader   string               // the hub that tells the endpoints' loads, empty: all
 }
 
 func newTelling(n *Node) *telling {
-	return &telling{node: n, client: exchange.NewClient(), hub: exchange.NewHub(), behind: map[string]bool{}, telling: map[string]bool{}, answered: map[string]time.Time{}}
+	return &telling{
+		node:     n,
+		client:   exchange.NewClient(),
+		hub:      exchange.NewHub(),
+		behind:   map[string]bool{},
+		pending:  map[string]bool{},
+		answered: map[string]time.Time{},
+	}
 }
 
 // listen answers other daemons.
@@ -199,17 +206,17 @@
 func (t *telling) enter(address string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.telling[address] {
+	if t.pending[address] {
 		return false
 	}
-	t.telling[address] = true
+	t.pending[address] = true
 	return true
 }
 
 func (t *telling) exit(address string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	delete(t.telling, address)
+	delete(t.pending, address)
 }
 
 // part returns this daemon's part for a hub.
