A large fleet's reports are bounded at a hub; the place in a hub's list is kept

Daemons whose hub was late for a moment watched the store and then had the whole list of a thousand endpoints told again. Change: the place in the list is kept; a hub gets at most 250 reports a second, and how old its word may be follows from that.

--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -14,7 +14,7 @@
 	defer t.mu.Unlock()
 	t.loader = ""
 	for _, address := range targets {
-		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < listerSilence {
+		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < t.silence() {
 			t.loader = address
 			return
 		}
@@ -43,26 +43,31 @@
 	lister := t.lister
 	t.mu.Unlock()
 	wanted := lister == "" || lister == address
-	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > stale {
+	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > t.node.watching.stale() {
 		return
 	}
 	t.node.endpoints.heard(&sum.Endpoints)
 	t.setLister(address, sum.Endpoints.To)
 }
 
-// checkLister lets the followed hub go where it has told nothing for a while,
-// or this daemon watches the store itself.
+// checkLister lets the followed hub go where it has told nothing for a while.
+// While this daemon watches the store itself the place in the hub's list is
+// kept: the whole list, of hundreds of kilobytes in a large fleet, would
+// otherwise be told each time that a hub is late.
 func (t *telling) checkLister() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Since(t.listedAt) > listerSilence || t.node.watching.due() {
+	switch {
+	case t.node.watching.due():
+		t.listedAt = time.Now() // the hub's changes since then are asked for later
+	case time.Since(t.listedAt) > t.silence():
 		t.lister, t.listed = "", feed.Position{}
 	}
 }
 
-// listerSilence is the silence after which another hub's list is followed: two
+// silence is the time after which a hub that tells nothing is let go: two
 // reports have gone unanswered by then.
-const listerSilence = time.Second
+func (t *telling) silence() time.Duration { return 5 * t.node.interval() / 2 }
 
 func (t *telling) setLister(address string, at feed.Position) {
 	t.mu.Lock()
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -21,8 +21,21 @@
 const startInterval = 80 * time.Millisecond
 
 // largeInterval is that of a fleet above smallFleet, where each daemon lets in
-// less meanwhile and a hub answers more of them.
-const largeInterval = 400 * time.Millisecond
+// less meanwhile and a hub answers more of them. perDaemon bounds the reports
+// that come to a hub at 250 a second.
+const (
+	largeInterval = 400 * time.Millisecond
+	perDaemon     = 4 * time.Millisecond
+)
+
+// interval is how often a daemon that has found the others tells its part.
+func (n *Node) interval() time.Duration {
+	daemons := len(n.members.serving())
+	if daemons <= smallFleet {
+		return tellInterval
+	}
+	return max(largeInterval, time.Duration(daemons)*perDaemon)
+}
 
 // knownLevels is how long a daemon has run when its view of what is left of the
 // limits is taken by one that has just started.
@@ -105,12 +118,9 @@
 // run tells the hubs until the context ends.
 func (t *telling) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		interval := tellInterval
-		switch {
-		case t.node.gathering():
+		interval := t.node.interval()
+		if t.node.gathering() {
 			interval = startInterval
-		case !t.node.watching.small():
-			interval = largeInterval
 		}
 		pause(ctx, interval)
 		t.round(ctx)
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -18,11 +18,12 @@
 	// wait bounds how old the word of its last contact may be.
 	longWait = 3 * time.Second
 	hubWait  = 700 * time.Millisecond
-	// stale is the age of the freshest hub's last contact with the store from
-	// which a daemon watches by itself: a hub's wait, the time between two
-	// reports and a slow answer. With the time to list, a change is known
-	// within two seconds also where the hubs are cut off.
-	stale = 1500 * time.Millisecond
+	// staleSlack, with a hub's wait and the time between two reports, is the age
+	// of the freshest hub's last contact with the store from which a daemon
+	// watches by itself. It is for slow answers. With the time to list, a
+	// change is known within two seconds in a fleet of a hundred also where
+	// the hubs are cut off.
+	staleSlack = 400 * time.Millisecond
 	// roleInterval is how often a daemon looks whether it should watch.
 	roleInterval = 100 * time.Millisecond
 )
@@ -66,8 +67,11 @@
 	return false
 }
 
+// stale is the age from which the hubs' word isn't relied on.
+func (w *watching) stale() time.Duration { return hubWait + w.node.interval() + staleSlack }
+
 // due reports whether this daemon should watch the store now.
-func (w *watching) due() bool { return w.small() || w.hub() || w.age() > stale }
+func (w *watching) due() bool { return w.small() || w.hub() || w.age() > w.stale() }
 
 // wait is how long a watch waits.
 func (w *watching) wait() time.Duration {
