An endpoint's failure is passed on where there is no other endpoint

Cause: a lookup that its only reachable endpoint failed was picked anew, and the answer that was there replaced by a 502 of ours. Found by reading. Test: TestFailureIsPassedOnWhereThereIsNoOtherEngine fails before (status 0, want 500).

--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -62,13 +62,21 @@
 
 // run makes attempts until the caller has its final answer.
 func (f *flight) run(ctx context.Context) {
+	var failed *keptAnswer // of the last attempt that an endpoint failed
 	for {
 		choice, refusal := f.relay.state.pick(time.Now(), f)
+		if refusal != nil && failed != nil {
+			f.conclude(ctx, answer, nil, failed)
+			return
+		}
 		if refusal != nil {
 			f.conclude(ctx, giveUp(f.tally), refusal, nil)
 			return
 		}
 		e, kept := f.attempt(ctx, choice)
+		if e.class == Failure && e.whole {
+			failed = kept
+		}
 		e.timeLeft = ctx.Err() == nil && time.Until(f.until) > enough
 		s := next(f.route, f.tally, e, f.budget)
 		if s == again {
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -260,6 +260,17 @@
 	assert.Equal(t, s.runs(), 2)
 }
 
+// The only engine fails a lookup with an answer of its own, and there is no
+// other to repeat it at. The caller must get that answer, not one of ours in its
+// place.
+func TestFailureIsPassedOnWhereThereIsNoOtherEngine(t *testing.T) {
+	s := newStage(t, all(), always(whole(500, "broken")))
+	got := s.ask(t.Context(), "/lookup/1")
+	assert.Equal(t, got.status, 500)
+	assert.Equal(t, got.body.String(), "broken")
+	assert.Equal(t, s.watcher.last.Verdict, verdict.Ran)
+}
+
 func head() string {
 	return "HTTP/1.1 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\n"
 }
