A route without a target or a timeout is served

Cause: a configuration may leave both out; read as zero every request was refused as overloaded or timed out before it was sent. Found by reading. Test: TestRouteWithoutTimes fails before.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -42,9 +42,9 @@
 			a.priority = *a.workspace.Priority
 		}
 	}
-	a.until = r.Received.Add(a.route.Timeout)
-	if r.Deadline.Before(a.until) {
-		a.until = r.Deadline
+	a.until = r.Deadline
+	if end := r.Received.Add(a.route.Timeout); a.route.Timeout > 0 && end.Before(a.until) {
+		a.until = end
 	}
 	a.service = a.route.Backend(s.rng.Float64())
 	if a.workspace != nil {
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -163,7 +163,9 @@
 	}
 	for i := range routes {
 		routes[i].Host, routes[i].Backends = "h", []route.Backend{{Service: "s", Weight: 1}}
-		routes[i].Timeout, routes[i].Target = time.Minute, time.Minute
+		if routes[i].Name != "bare" {
+			routes[i].Timeout, routes[i].Target = time.Minute, time.Minute
+		}
 	}
 	s.state.Configure(time.Now(), route.New(route.Table{
 		Version: 1, Routes: routes, Services: []route.Service{{Name: "s"}},
@@ -381,3 +383,13 @@
 	assert.Assert(t, !s.state.Configure(time.Now(), route.New(route.Table{Version: 4})))
 	assert.Equal(t, s.state.Table().Version, uint64(5))
 }
+
+// An operator gives a route neither a target nor a timeout. Read as zero, every
+// request would be late before it is sent.
+func TestRouteWithoutTimes(t *testing.T) {
+	bare := route.Route{Name: "bare", Prefix: "/bare/", Kind: route.Idempotent, MaxAttempts: 1}
+	s := newStage(t, []route.Route{bare}, always(whole(200, "done")))
+	for range 3 {
+		assert.Equal(t, s.ask(t.Context(), "/bare/1").body.String(), "done")
+	}
+}
--- a/internal/relay/track.go
+++ b/internal/relay/track.go
@@ -36,9 +36,9 @@
 // hopeless returns after how long a request could be served that would miss
 // its target by far at the best endpoint; 0 where it is worth an attempt. A
 // late answer is worth a tenth and takes the place of one in time. The less
-// urgent give way first.
+// urgent give way first. A route without a target is always worth one.
 func hopeless(f *flight, c balance.Choice, now time.Time) time.Duration {
-	if f.tally.reached > 0 || f.begun {
+	if f.tally.reached > 0 || f.begun || f.route.Target <= 0 {
 		return 0
 	}
 	patience := f.route.Target
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -9,10 +9,11 @@
 	Host   string // without a port, in lower case
 	Prefix string // begins and ends with a slash
 	Kind   Kind
-	// Timeout is the longest that a caller may be kept without the final answer.
+	// Timeout is the longest that a caller may be kept without the final
+	// answer; 0 leaves it to the caller's deadline.
 	Timeout time.Duration
 	// Target is the time to the whole answer, or to a stream's first event,
-	// within which it is worth most.
+	// within which it is worth most; 0 is none.
 	Target time.Duration
 	// GapTarget is the longest pause between events of a stream that is on time.
 	GapTarget time.Duration
