--- /dev/null
+++ b/internal/node/settings_test.go
@@ -0,0 +1,51 @@
+package node
+
+import (
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// settingsPage is the page that must name every key.
+const settingsPage = "../../docs/PLATFORM-SETTINGS.md"
+
+func TestPageNamesEveryKey(t *testing.T) {
+	text, err := os.ReadFile(settingsPage)
+	assert.NilError(t, err)
+	keys := 0
+	var walk func(typ reflect.Type, path string)
+	walk = func(typ reflect.Type, path string) {
+		for i := range typ.NumField() {
+			f := typ.Field(i)
+			key := strings.TrimPrefix(path+"."+f.Tag.Get("yaml"), ".")
+			switch f.Type.Kind() {
+			case reflect.Struct:
+				walk(f.Type, key)
+				continue
+			case reflect.Slice:
+				key += "[]"
+			}
+			keys++
+			assert.Check(t, strings.Contains(string(text), "`"+key+"`"), "%s is missing", key)
+		}
+	}
+	walk(reflect.TypeFor[Settings](), "")
+	assert.Assert(t, keys > 20, "only %d keys", keys)
+}
+
+func TestSettingsAreChecked(t *testing.T) {
+	for text, want := range map[string]string{
+		"store: {address: a:1}": "daemon.instance: is missing",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {graceSeconds: 0}": "bounds.graceSeconds",
+		"store: {adress: a:1}": `unknown field "adress"`,
+		"store: [":             "",
+	} {
+		_, err := ParseSettings([]byte(text))
+		assert.ErrorContains(t, err, want)
+	}
+	assert.Assert(t, !Recognise([]byte("instance: i")))
+	assert.Assert(t, !Recognise([]byte("store: [")))
+}
