--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -292,7 +292,7 @@
 	n := New(s, Platform{
 		Store: f.store, Protocol: echo{}, Cloud: f.cloud, ConfigKind: "config", ConfigName: "main",
 		EndpointKind: "endpoints", DecodeTable: decodeTable, DecodeEndpoint: decodeEndpoint,
-		Open: func(context.Context, *Node) (func(), error) { return func() {}, nil },
+		Open: func(context.Context, *Node) (func(context.Context), error) { return func(context.Context) {}, nil },
 	}, quiet)
 	if i > 0 {
 		n.extraSeeds = []string{f.nodes[0].settings.Listen.Peers}
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -23,6 +23,7 @@
 	ConfigKind, ConfigName, EndpointKind string
 	DecodeTable                          func(spec []byte) (*route.Table, error)
 	DecodeEndpoint                       func(now time.Time, o objects.Object) (roster.Endpoint, error)
-	// Open opens the listeners for callers; the function it returns ends them.
-	Open func(ctx context.Context, n *Node) (stop func(), err error)
+	// Open opens the listeners for callers; the function it returns ends them
+	// when the requests under way have ended, or its context.
+	Open func(ctx context.Context, n *Node) (stop func(context.Context), err error)
 }
