--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -100,12 +100,6 @@
 	return out
 }
 
-// Usable reports whether an endpoint is listed and not leaving.
-func (b *Balancer) Usable(id fleet.EndpointID) bool {
-	m := b.members[id]
-	return m != nil && !m.Draining
-}
-
 // Pick chooses an endpoint; ok is false where the service has none left.
 func (b *Balancer) Pick(now time.Time, a *Ask) (c Choice, ok bool) {
 	set := b.candidates(a)
--- a/internal/daemon/capacity.go
+++ b/internal/daemon/capacity.go
@@ -13,8 +13,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 )
 
@@ -37,8 +37,8 @@
 	planner   *capacity.Planner
 	config    capacity.Config
 	leases    *leasingDuty
-	objects   platform.Objects
-	cloud     platform.Cloud
+	objects   outside.Objects
+	cloud     outside.Cloud
 	operators *operators
 	draining  map[fleet.InstanceID]time.Time // engines that drain to be given back, since when
 	log       *logrus.Entry
@@ -110,7 +110,7 @@
 
 func (b *buyer) read(ctx context.Context) (objectapi.Object, error) {
 	object, err := b.objects.Get(ctx, capacityKind, capacityName)
-	var missing *platform.NotFound
+	var missing *outside.NotFound
 	if errors.As(err, &missing) {
 		return objectapi.Object{}, nil
 	}
@@ -144,13 +144,13 @@
 		return false
 	}
 	mine := func(o objectapi.Object) bool { return string(o.Value) == string(value) }
-	var w platform.WriteResult
+	var w outside.WriteResult
 	if version == 0 {
 		w = b.objects.CreateOrReadBack(ctx, capacityKind, capacityName, value, mine)
 	} else {
 		w = b.objects.UpdateOrReadBack(ctx, capacityKind, capacityName, value, version, mine)
 	}
-	return w.State == platform.WriteAccepted
+	return w.State == outside.WriteAccepted
 }
 
 func (b *buyer) launch(ctx context.Context, permit permit, l cloudapi.Launch) {
@@ -162,7 +162,7 @@
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
 	i, err := b.cloud.Launch(ctx, l)
-	var refused *platform.MarketRefusal
+	var refused *outside.MarketRefusal
 	entry := b.log.WithField("class", l.Class).WithField("dataCentre", l.DataCentre)
 	switch {
 	case err == nil:
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -14,8 +14,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
@@ -48,7 +48,7 @@
 type configurationDuty struct {
 	*owner[*configurationState]
 	ctx       context.Context
-	objects   platform.Objects
+	objects   outside.Objects
 	snapshot  atomic.Pointer[template.Snapshot]
 	since     atomic.Uint64   // version that the watch goes on from; 0 asks for a list
 	listed    atomic.Bool     // a list of the store gave the first such version
@@ -67,7 +67,7 @@
 
 var _ gateway.Identities = (*configurationDuty)(nil)
 
-func newConfigurationDuty(objects platform.Objects, startSpread time.Duration, state *lifecycle, log *logrus.Entry) *configurationDuty {
+func newConfigurationDuty(objects outside.Objects, startSpread time.Duration, state *lifecycle, log *logrus.Entry) *configurationDuty {
 	store := template.NewStore()
 	config := template.DefaultSpread
 	config.StartSpread = startSpread
@@ -120,7 +120,7 @@
 		kinds := d.kinds()
 		answer, err := d.objects.Watch(d.ctx, kinds, since, wait)
 		wait = watchWait - rand.N(watchJitter)
-		var gone *platform.Gone
+		var gone *outside.Gone
 		switch {
 		case err == nil:
 			d.since.CompareAndSwap(since, max(since, answer.Version))
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -19,9 +19,9 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -35,7 +35,7 @@
 	metrics  *metricSet
 	cancel   context.CancelFunc
 
-	platform      *platform.Clients
+	platform      *outside.Clients
 	roster        *roster
 	peers         *peer.Client
 	routing       *routingDuty
@@ -80,7 +80,7 @@
 	rates := budget.Rates{}
 	rates[budget.ObjectRead] = s.Control.FleetReads
 	rates[budget.ObjectWrite] = s.Control.FleetWrites
-	clients, err := platform.New(platform.Options{
+	clients, err := outside.New(outside.Options{
 		Objects:   s.Platform.Objects,
 		Instances: s.Platform.Instances,
 		Cloud:     s.Platform.Cloud,
--- a/internal/daemon/drainorder.go
+++ b/internal/daemon/drainorder.go
@@ -10,7 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/operator"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
@@ -21,7 +21,7 @@
 		return operator.ChangeResult{Outcome: template.Refused, Reason: "the instance list has no endpoint " + strconv.Quote(id)}
 	}
 	object, err := o.objects.Get(ctx, drain.Kind, id)
-	var missing *platform.NotFound
+	var missing *outside.NotFound
 	if err != nil && !errors.As(err, &missing) {
 		return o.past.unread(q.Operation, err)
 	}
@@ -38,7 +38,7 @@
 		r, err := drain.RecordOf(found)
 		return err == nil && r.Audit.Find(q.Operation) >= 0
 	}
-	var w platform.WriteResult
+	var w outside.WriteResult
 	if current.Version == 0 {
 		w = o.objects.CreateOrReadBack(ctx, drain.Kind, id, value, mine)
 	} else {
@@ -47,14 +47,14 @@
 	return o.past.keep(q.Operation, writeResult(w))
 }
 
-func writeResult(w platform.WriteResult) operator.ChangeResult {
+func writeResult(w outside.WriteResult) operator.ChangeResult {
 	out := operator.ChangeResult{Version: w.Object.Version, Current: w.Object.Version}
 	switch w.State {
-	case platform.WriteAccepted:
+	case outside.WriteAccepted:
 		out.Outcome = template.Accepted
-	case platform.WriteUnknown:
+	case outside.WriteUnknown:
 		out.Outcome, out.Reason = template.Unknown, w.Err.Error()
-	case platform.WriteNotSent:
+	case outside.WriteNotSent:
 		out = refusedChange(w.Err)
 	default:
 		out.Outcome, out.Reason = template.Refused, "another change came first"
--- a/internal/daemon/leasing.go
+++ b/internal/daemon/leasing.go
@@ -11,8 +11,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 const (
@@ -24,7 +24,7 @@
 type leasingDuty struct {
 	*owner[*lease.Set]
 	ctx     context.Context
-	objects platform.Objects
+	objects outside.Objects
 	self    fleet.DaemonID
 	ready   func() bool // the fleet is known: alone, a daemon prefers all shards
 	alive   func() []fleet.DaemonID
@@ -32,7 +32,7 @@
 	log     *logrus.Entry
 }
 
-func newLeasingDuty(self fleet.DaemonID, shards []lease.Shard, objects platform.Objects, startSpread time.Duration, log *logrus.Entry) *leasingDuty {
+func newLeasingDuty(self fleet.DaemonID, shards []lease.Shard, objects outside.Objects, startSpread time.Duration, log *logrus.Entry) *leasingDuty {
 	config := lease.DefaultConfig
 	config.StartSpread = startSpread
 	rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -86,7 +86,7 @@
 
 func (d *leasingDuty) read(ctx context.Context, shard lease.Shard, a lease.Action) {
 	object, err := d.objects.Get(ctx, lease.Kind, shard.Object())
-	var missing *platform.NotFound
+	var missing *outside.NotFound
 	if errors.As(err, &missing) {
 		err = nil
 	}
@@ -132,7 +132,7 @@
 	} else {
 		object, err = d.objects.Update(ctx, lease.Kind, shard.Object(), value, a.IfVersion)
 	}
-	var conflict *platform.Conflict
+	var conflict *outside.Conflict
 	d.tell(func(now time.Time, s *lease.Set) {
 		switch {
 		case err == nil:
--- a/internal/daemon/ledger.go
+++ b/internal/daemon/ledger.go
@@ -12,8 +12,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 const (
@@ -59,7 +59,7 @@
 type ledgerDuty struct {
 	*owner[*ledgerState]
 	ctx     context.Context
-	objects platform.Objects
+	objects outside.Objects
 	writer  func(shard int) (peerInfo, bool) // another daemon that writes the shard
 	standby func(shard int) (peerInfo, bool) // another daemon that writes it when that one doesn't answer
 	forward func(ctx context.Context, p peerInfo, shard int, in ledger.Intent) (ledger.Action, error)
@@ -73,7 +73,7 @@
 
 var _ dispatch.Intents = (*ledgerDuty)(nil)
 
-func newLedgerDuty(objects platform.Objects, log *logrus.Entry) *ledgerDuty {
+func newLedgerDuty(objects outside.Objects, log *logrus.Entry) *ledgerDuty {
 	return &ledgerDuty{
 		owner: newOwner("ledger", ledgerRing, &ledgerState{
 			shards:  make(map[int]*shardWriter),
@@ -175,13 +175,13 @@
 		object, err = d.objects.Update(ctx, ledgerKind, w.Name, w.Value, w.Version)
 	}
 	result := ledger.WriteResult{Call: w.Call, Status: ledger.Written, Version: object.Version}
-	var conflict *platform.Conflict
+	var conflict *outside.Conflict
 	switch {
 	case err == nil:
 	case errors.As(err, &conflict):
 		result.Status = ledger.Conflict
 		result.Current = &ledger.Object{Version: conflict.Current.Version, Value: conflict.Current.Value}
-	case platform.NoEffect(err):
+	case outside.NoEffect(err):
 		result.Status = ledger.Unavailable
 	default:
 		result.Status = ledger.Ambiguous
@@ -196,7 +196,7 @@
 	ctx, cancel := context.WithTimeout(d.ctx, storeTimeout)
 	defer cancel()
 	object, err := d.objects.Get(ctx, ledgerKind, r.Name)
-	var missing *platform.NotFound
+	var missing *outside.NotFound
 	result := ledger.ReadResult{Call: r.Call, OK: true}
 	switch {
 	case err == nil:
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -16,9 +16,9 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/outsidetest"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 )
@@ -27,10 +27,10 @@
 // all shards itself.
 func testLedger(t *testing.T, self fleet.DaemonID, store http.Handler) *ledgerDuty {
 	t.Helper()
-	clients, err := platform.New(platform.Options{
+	clients, err := outside.New(outside.Options{
 		Objects:   "http://objects.test",
 		Budget:    budget.Config{FleetSize: 1, Fleet: budget.Rates{1e6, 1e6, 1e6, 1e6, 1e6}},
-		Transport: platformtest.Serve(t, store).Transport(t),
+		Transport: outsidetest.Serve(t, store).Transport(t),
 	})
 	assert.NilError(t, err)
 	log := logrus.New()
--- a/internal/daemon/listing.go
+++ b/internal/daemon/listing.go
@@ -9,12 +9,12 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
 )
 
 // listingDuty reads the instance list.
 type listingDuty struct {
-	instances platform.Instances
+	instances outside.Instances
 	interval  time.Duration
 	spread    time.Duration // over which daemons that start together read it first
 	mustKnow  func() bool   // the list is to be read often, whatever its size
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -9,7 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
 )
 
 // metricSet is the daemon's metrics. Several daemons may run in one process,
@@ -24,7 +24,7 @@
 var (
 	_ gateway.Observer  = (*metricSet)(nil)
 	_ dispatch.Observer = (*metricSet)(nil)
-	_ platform.Observer = (*metricSet)(nil)
+	_ outside.Observer  = (*metricSet)(nil)
 )
 
 func newMetricSet() *metricSet {
@@ -76,8 +76,8 @@
 // Recomputed implements dispatch.Observer.
 func (m *metricSet) Recomputed(tokens int) { m.recomputed.Add(tokens) }
 
-// Called implements platform.Observer.
-func (m *metricSet) Called(c platform.Call) {
+// Called implements outside.Observer.
+func (m *metricSet) Called(c outside.Call) {
 	name := fmt.Sprintf("cyclamenbeam_platform_calls_total{kind=%q,class=%q,op=%q,result=%q}", c.Kind, c.Class, c.Op, c.Result)
 	m.set.GetOrCreateCounter(name).Inc()
 }
--- a/internal/daemon/operators.go
+++ b/internal/daemon/operators.go
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/operator"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -18,7 +18,7 @@
 // operators carries out the operators' calls.
 type operators struct {
 	daemon  *Daemon
-	objects platform.Objects
+	objects outside.Objects
 	past    *pastChanges
 }
 
@@ -66,7 +66,7 @@
 // record reads a template as it is stored; the zero record where there is none.
 func (o *operators) record(ctx context.Context, name string) (template.Record, error) {
 	object, err := o.objects.Get(ctx, template.Kind, name)
-	var missing *platform.NotFound
+	var missing *outside.NotFound
 	if errors.As(err, &missing) {
 		return template.Record{Name: name}, nil
 	}
@@ -118,14 +118,14 @@
 	sent := false // some try may have taken effect
 	for range resolveRounds {
 		version, err := o.put(ctx, w)
-		var conflict *platform.Conflict
+		var conflict *outside.Conflict
 		switch {
 		case err == nil:
 			return c.Took(version)
 		case errors.As(err, &conflict):
-		case platform.NoEffect(err) && !sent:
+		case outside.NoEffect(err) && !sent:
 			return template.Result{Outcome: template.Refused, Reason: err.Error()}
-		case !platform.NoEffect(err):
+		case !outside.NoEffect(err):
 			sent = true
 		}
 		current, err := o.record(ctx, c.Name)
--- a/internal/daemon/placement.go
+++ b/internal/daemon/placement.go
@@ -10,8 +10,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/placement"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
@@ -41,7 +41,7 @@
 	routing       *routingDuty
 	observing     *observingDuty
 	engines       *endpoint.Engines
-	weights       platform.Weights
+	weights       outside.Weights
 	configuration *configurationDuty
 	room          int // models that an engine holds at once
 	bytes         map[fleet.ModelRef]int64
--- a/internal/daemon/watching_test.go
+++ b/internal/daemon/watching_test.go
@@ -18,9 +18,9 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/drain"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/outsidetest"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -104,13 +104,13 @@
 // the others within two seconds.
 type watchers struct {
 	counter *readCounter
-	network *platformtest.Network
+	network *outsidetest.Network
 	ids     []fleet.DaemonID
 	duties  []*configurationDuty
 }
 
-func (w *watchers) objects(t *testing.T, daemons int) platform.Objects {
-	clients, err := platform.New(platform.Options{
+func (w *watchers) objects(t *testing.T, daemons int) outside.Objects {
+	clients, err := outside.New(outside.Options{
 		Objects:   "http://objects.test",
 		Budget:    budget.Config{FleetSize: daemons},
 		Transport: w.network.Transport(t),
@@ -122,7 +122,7 @@
 
 func startWatchers(t *testing.T, n int, kinds func(self fleet.DaemonID, alive []fleet.DaemonID) []string) *watchers {
 	w := &watchers{counter: &readCounter{next: objectstore.New(objectstore.Options{}).Handler()}, ids: daemonIDs(n)}
-	w.network = platformtest.Serve(t, w.counter)
+	w.network = outsidetest.Serve(t, w.counter)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	for i, id := range w.ids {
@@ -171,7 +171,7 @@
 
 // change writes a template with a trail of some changes and returns how long
 // it took until it was in force everywhere.
-func (w *watchers) change(t *testing.T, objects platform.Objects, current *template.Record) time.Duration {
+func (w *watchers) change(t *testing.T, objects outside.Objects, current *template.Record) time.Duration {
 	text := fmt.Sprintf("name: month-end\nclosing: {at: 2026-01-31T18:00:00Z, window: 4h}\nmodels: [{model: m, latency: {firstToken: %dms}}]\nworkspaces: [{name: w, models: [{model: m}], tokens: [{sha256: \"%064d\"}]}]\n", 1000+current.Version, 7)
 	parsed, problems := template.Parse([]byte(text))
 	assert.Equal(t, len(problems), 0, "%v", problems)
--- a/internal/deployment/template.go
+++ b/internal/deployment/template.go
@@ -9,8 +9,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/settings"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -46,7 +46,7 @@
 
 // seed stores a template unless the store has one of its name.
 func seed(ctx context.Context, platformURL string, t *template.Template) error {
-	clients, err := platform.New(platform.Options{Objects: platformURL, Budget: budget.Config{FleetSize: 1}})
+	clients, err := outside.New(outside.Options{Objects: platformURL, Budget: budget.Config{FleetSize: 1}})
 	if err != nil {
 		return err
 	}
--- a/internal/duty/doc.go
+++ b/internal/duty/doc.go
@@ -30,7 +30,7 @@
 }
 
 // Cloud is the platform's side of the duties. An error leaves open whether the
-// call took effect, unless it is ErrUnavailable or its verdict is not-run.
+// call took effect, unless its verdict is not-run.
 type Cloud interface {
 	Report(ctx context.Context, f Fence, u Usage) error
 	Order(ctx context.Context, f Fence, o Order) error
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 const (
@@ -94,7 +95,7 @@
 	f.returned()
 	if len(changes) > 0 || back {
 		f.handler.Changed(changes)
-		pause(ctx, together)
+		pause.For(ctx, together)
 	}
 	return max(next, after), nil
 }
@@ -114,15 +115,7 @@
 		f.handler.Lost(err)
 	}
 	f.pause = min(max(2*f.pause, firstPause), lastPause)
-	pause(ctx, f.pause/2+rand.N(f.pause))
-}
-
-// pause waits for a while or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
+	pause.For(ctx, f.pause/2+rand.N(f.pause))
 }
 
 func (f *Follower) returned() {
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,169 @@
+package follow
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+)
+
+// answer is what the store says to one call; it comes after a while.
+type answer struct {
+	after    time.Duration
+	changes  []string
+	revision uint64
+	err      error
+}
+
+// script is a store that answers lists and watches as written, and then keeps
+// silent until the context ends.
+type script struct {
+	objects.Store
+	answers []answer
+	calls   []string
+}
+
+func (s *script) next(ctx context.Context, call string) answer {
+	s.calls = append(s.calls, call)
+	if len(s.answers) == 0 {
+		<-ctx.Done()
+		return answer{err: ctx.Err()}
+	}
+	a := s.answers[0]
+	s.answers = s.answers[1:]
+	time.Sleep(a.after)
+	return a
+}
+
+func (s *script) List(ctx context.Context, _ string) ([]objects.Object, uint64, error) {
+	a := s.next(ctx, "list")
+	all := make([]objects.Object, len(a.changes))
+	for i, name := range a.changes {
+		all[i].Name = name
+	}
+	return all, a.revision, a.err
+}
+
+func (s *script) Watch(ctx context.Context, _ string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
+	a := s.next(ctx, fmt.Sprintf("watch %d for %v", after, wait))
+	all := make([]objects.Change, len(a.changes))
+	for i, name := range a.changes {
+		all[i].Object.Name = name
+	}
+	return all, a.revision, a.err
+}
+
+// heard notes what a follower says.
+type heard struct{ lines []string }
+
+func (h *heard) Listed(all []objects.Object) {
+	names := make([]string, len(all))
+	for i := range all {
+		names[i] = all[i].Name
+	}
+	h.lines = append(h.lines, "listed "+strings.Join(names, " "))
+}
+
+func (h *heard) Changed(all []objects.Change) {
+	names := make([]string, len(all))
+	for i := range all {
+		names[i] = all[i].Object.Name
+	}
+	h.lines = append(h.lines, "changed "+strings.Join(names, " "))
+}
+
+func (h *heard) Lost(err error) { h.lines = append(h.lines, "lost: "+err.Error()) }
+
+func (h *heard) Returned(time.Time) { h.lines = append(h.lines, "returned") }
+
+// play follows the script for a minute.
+func play(t *testing.T, s *script, h *heard) *Follower {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+	defer cancel()
+	f := New(s, "things", h, func() time.Duration { return 3 * time.Second })
+	f.Run(ctx)
+	return f
+}
+
+func TestWatchGoesOnFromTheList(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{
+			{changes: []string{"a", "b"}, revision: 7},
+			{changes: []string{"c"}, revision: 9},
+			{revision: 9},
+		}}
+		h := &heard{}
+		play(t, s, h)
+		assert.DeepEqual(t, h.lines, []string{"listed a b", "changed c"})
+		assert.DeepEqual(t, s.calls, []string{"list", "watch 7 for 3s", "watch 9 for 3s", "watch 9 for 3s"})
+	})
+}
+
+// The store drops its history while a watch waits: what happened since isn't to
+// be had as changes. The follower must list anew, or it would keep endpoints
+// that are gone.
+func TestLostHistoryIsListedAnew(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{
+			{changes: []string{"a"}, revision: 7},
+			{err: objects.ErrGone},
+			{changes: []string{"b"}, revision: 20},
+		}}
+		h := &heard{}
+		play(t, s, h)
+		assert.DeepEqual(t, h.lines, []string{"listed a", "listed b"})
+		assert.DeepEqual(t, s.calls, []string{"list", "watch 7 for 3s", "list", "watch 20 for 3s"})
+	})
+}
+
+// The store falls silent for some calls and comes back without a change. The
+// handler must hear of both, once each: until it hears of the return it treats
+// what it knows as old.
+func TestOutageIsToldOnceAndItsEndToo(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := errors.New("no answer")
+		s := &script{answers: []answer{
+			{changes: []string{"a"}, revision: 7},
+			{after: time.Second, err: silent},
+			{after: time.Second, err: silent},
+			{after: time.Second, revision: 7},
+			{after: time.Second, revision: 7},
+		}}
+		h := &heard{}
+		play(t, s, h)
+		assert.DeepEqual(t, h.lines, []string{"listed a", "lost: no answer", "returned", "changed "})
+	})
+}
+
+// A revision that an answer repeats or lowers must not lead a watch back: it
+// would be told old changes as new ones.
+func TestRevisionNeverFalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{
+			{revision: 7}, {changes: []string{"a"}, revision: 9}, {changes: []string{"b"}, revision: 3},
+		}}
+		play(t, s, &heard{})
+		assert.DeepEqual(t, s.calls, []string{"list", "watch 7 for 3s", "watch 9 for 3s", "watch 9 for 3s"})
+	})
+}
+
+// A store that fails at once must not be called in a busy loop: its rate is
+// shared by all daemons, and each call is billed.
+func TestFailedCallsAreSpaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{}
+		for range 1000 {
+			s.answers = append(s.answers, answer{err: errors.New("status 503")})
+		}
+		play(t, s, &heard{})
+		assert.Assert(t, len(s.calls) > 60 && len(s.calls) < 400, "%d calls in a minute", len(s.calls))
+	})
+}
--- a/internal/importguard/importguard_test.go
+++ b/internal/importguard/importguard_test.go
@@ -15,8 +15,8 @@
 // actions. Sub-packages are checked as well.
 var decisions = []string{
 	"admission", "balance", "directory", "ledger", "lease", "membership",
-	"platform/budget", "quota", "reclaim", "rendezvous", "request", "retry",
-	"roster", "route", "routing", "scaling", "template", "usage",
+	"outside/budget", "quota", "reclaim", "rendezvous", "request", "retry",
+	"roster", "route", "routing", "scaling", "feed", "template", "usage",
 }
 
 // forbidden are imports that bring a clock, a goroutine's tools, a socket, a
--- a/internal/load/caller/backoff.go
+++ b/internal/load/caller/backoff.go
@@ -1,7 +1,6 @@
 package caller
 
 import (
-	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -33,15 +32,3 @@
 	jitter := time.Duration(b.src.Float64() * float64(ceiling))
 	return min(hint, maxRetryAfter) + ceiling/2 + jitter/2
 }
-
-// wait sleeps, or reports false when ctx ends first.
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/load/caller/call.go
+++ b/internal/load/caller/call.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -31,7 +32,7 @@
 		if !more {
 			return &k.out
 		}
-		if !wait(ctx, d) {
+		if !pause.For(ctx, d) {
 			k.finish(k.cutOff(ctx), breakOff(ctx.Err()))
 			return &k.out
 		}
--- a/internal/load/caller/completion.go
+++ b/internal/load/caller/completion.go
@@ -6,6 +6,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -198,7 +199,7 @@
 
 // pause waits before the next attempt.
 func (f *follower) pause(ctx context.Context, d time.Duration) bool {
-	if d == 0 || wait(ctx, d) {
+	if d == 0 || pause.For(ctx, d) {
 		return true
 	}
 	f.finish(f.cutOff(ctx), breakOff(ctx.Err()))
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/usage"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -38,7 +39,7 @@
 	usage   *usage.Reporter
 	scaling *scalingDuty
 	saved   *checkpoints
-	results chan func(now time.Time)
+	results *ring.Ring[func(now time.Time)]
 	token   uint64 // of the acquisition that usage and scaling belong to
 	since   time.Time
 	// complete says that all daemons have told their part since then.
@@ -71,7 +72,7 @@
 	return &duties{
 		node:    n,
 		lease:   lease.NewSet(leaseConfig(length), n.id, lease.Shards("duties", 1), random(), time.Now()),
-		results: make(chan func(time.Time), resultRing),
+		results: ring.New[func(time.Time)]("duties", resultRing),
 		log:     n.say("duties"),
 	}
 }
@@ -83,7 +84,7 @@
 		select {
 		case <-ctx.Done():
 			return
-		case f := <-d.results:
+		case f := <-d.results.C():
 			f(time.Now())
 		case <-tick.C:
 			d.tick(ctx, time.Now())
@@ -157,10 +158,7 @@
 	go func() {
 		defer d.node.wg.Done()
 		result := f()
-		select {
-		case d.results <- result:
-		case <-ctx.Done():
-		}
+		d.results.Send(ctx.Done(), result)
 	}()
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
@@ -40,7 +41,7 @@
 const tickInterval = 100 * time.Millisecond
 
 func (d *endpointDuty) tick(ctx context.Context) {
-	every(ctx, tickInterval, func() {
+	pause.Every(ctx, tickInterval, func() {
 		d.update(func(now time.Time) { d.roster.Tick(now) })
 	})
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gossip"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
@@ -96,7 +97,7 @@
 // run keeps what depends on the number of daemons up to date.
 func (m *members) run(ctx context.Context) {
 	seen := 0
-	every(ctx, countInterval, func() {
+	pause.Every(ctx, countInterval, func() {
 		n := len(m.serving())
 		if n != seen {
 			seen = n
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
@@ -65,6 +66,7 @@
 	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
 	n.metrics = newMetricSet(n)
+	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
 	n.requests = newRequestLog(log, n.metrics)
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n})
 	n.watching = newWatching(n)
@@ -128,22 +130,8 @@
 
 // sweep closes connections to endpoints that were idle for too long.
 func (n *Node) sweep(ctx context.Context) {
-	every(ctx, time.Second, func() { n.pool.Sweep(time.Now()) })
+	pause.Every(ctx, time.Second, func() { n.pool.Sweep(time.Now()) })
 }
 
 // say returns the log of a part.
 func (n *Node) say(part string) *logrus.Entry { return n.log.WithField("part", part) }
-
-// every calls f at an interval until the context ends.
-func every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
-	}
-}
--- a/internal/node/node_test.go
+++ b/internal/node/node_test.go
@@ -280,7 +280,7 @@
 		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t)},
 		Bounds: BoundsSettings{
 			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
-			UsageWindowSeconds: 0.5, UsageLateSeconds: 10, LeaseMillis: 900, AnswerMaxAgeSeconds: 1,
+			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1,
 		},
 		Store: StoreSettings{Address: "memory"},
 		Cloud: CloudSettings{Duties: []string{"usage_report"}},
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -57,8 +57,7 @@
 
 // LimitSettings are the process's.
 type LimitSettings struct {
-	MemoryMB    int `yaml:"memoryMB"`
-	Descriptors int `yaml:"descriptors"`
+	MemoryMB int `yaml:"memoryMB"`
 	// Cores is the machine's share of a core or the number of its cores.
 	Cores float64 `yaml:"cores"`
 	// LinkMbps is the machine's link, in megabits a second.
@@ -75,7 +74,6 @@
 	// in the limit's unit.
 	LimitExcess         float64 `yaml:"limitExcess"`
 	UsageWindowSeconds  float64 `yaml:"usageWindowSeconds"`
-	UsageLateSeconds    float64 `yaml:"usageLateSeconds"`
 	LeaseMillis         float64 `yaml:"leaseMillis"`
 	AnswerMaxAgeSeconds float64 `yaml:"answerMaxAgeSeconds"`
 }
@@ -99,7 +97,7 @@
 	s := &Settings{
 		Bounds: BoundsSettings{
 			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
-			UsageWindowSeconds: 5, UsageLateSeconds: 10, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5,
+			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5,
 		},
 		Log: LogSettings{Level: "info"},
 	}
--- /dev/null
+++ b/internal/node/storecalls_test.go
@@ -0,0 +1,47 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// failing is a store whose reads all fail in one way.
+type failing struct {
+	objects.Store
+	err error
+}
+
+func (f failing) Get(context.Context, string, string) (objects.Object, error) {
+	return objects.Object{}, f.err
+}
+
+// On call, one looks at the results of store calls first: an outage, a store
+// that turns this machine away and a lost condition must not look alike.
+func TestStoreCallsAreCountedByResult(t *testing.T) {
+	n := newFleet(t, 1).nodes[0]
+	for result, err := range map[string]error{
+		"ok":         nil,
+		"conflict":   objects.ErrConflict,
+		"not-found":  fmt.Errorf("read: %w", objects.ErrNotFound),
+		"gone":       objects.ErrGone,
+		"cancelled":  context.Canceled,
+		"refused":    verdict.Wrap(verdict.NotRun, errors.New("status 503")),
+		"unanswered": context.DeadlineExceeded,
+	} {
+		c := &countedStore{store: failing{err: err}, metrics: n.metrics}
+		_, got := c.Get(t.Context(), "things", "one")
+		assert.Assert(t, errors.Is(got, err))
+		var text strings.Builder
+		n.Metrics(&text)
+		want := fmt.Sprintf(`cyclamenbeam_store_calls_total{call="get",kind="things",result=%q} 1`, result)
+		assert.Assert(t, strings.Contains(text.String(), want), "no %s", want)
+	}
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -122,7 +123,7 @@
 		if t.node.gathering() {
 			interval = startInterval
 		}
-		pause(ctx, interval)
+		pause.For(ctx, interval)
 		t.round(ctx)
 	}
 }
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 const (
@@ -87,7 +88,7 @@
 		if w.due() {
 			w.follow(ctx, f)
 		}
-		pause(ctx, roleInterval)
+		pause.For(ctx, roleInterval)
 	}
 }
 
@@ -95,18 +96,10 @@
 func (w *watching) follow(ctx context.Context, f *follow.Follower) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	go every(ctx, roleInterval, func() {
+	go pause.Every(ctx, roleInterval, func() {
 		if !w.due() {
 			cancel()
 		}
 	})
 	f.Run(ctx)
 }
-
-// pause waits for a while or until the context ends.
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
--- a/internal/platform/caller_test.go
+++ b/internal/outside/caller_test.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"encoding/json"
@@ -8,8 +8,8 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/outsidetest"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"gotest.tools/v3/assert"
 )
@@ -34,7 +34,7 @@
 			_, err := objects.Get(t.Context(), "lease", "a") // leaves an idle connection
 			assert.NilError(t, err)
 			before := network.Dialled()
-			network.Each((*platformtest.Conn).Break)
+			network.Each((*outsidetest.Conn).Break)
 			err = write()
 			var lost *Ambiguous
 			assert.Assert(t, errors.As(err, &lost), "%v", err)
@@ -74,7 +74,7 @@
 		store.SetFaults(objectapi.Faults{})
 		time.Sleep(suspectAge)
 		assert.Assert(t, network.Dialled() > 2)
-		network.Each((*platformtest.Conn).Silence)
+		network.Each((*outsidetest.Conn).Silence)
 
 		start := time.Now()
 		_, err := objects.Get(ctx, "lease", "a")
--- a/internal/platform/classify.go
+++ b/internal/outside/classify.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -8,8 +8,8 @@
 	"strconv"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 const (
--- a/internal/platform/clients.go
+++ b/internal/outside/clients.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"crypto/tls"
@@ -6,7 +6,7 @@
 	"net/http"
 	"net/url"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // Options says where the platform is. The addresses are URLs without a path.
--- a/internal/platform/cloud.go
+++ b/internal/outside/cloud.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -9,7 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/dghubble/sling"
 )
 
--- a/internal/platform/errors.go
+++ b/internal/outside/errors.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"errors"
@@ -6,12 +6,12 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/zeebo/errs"
 )
 
 // Error is the class of errors made by this package.
-var Error = errs.Class("platform")
+var Error = errs.Class("outside")
 
 // Conflict is a write whose condition didn't hold. It had no effect.
 type Conflict struct {
--- a/internal/platform/gate.go
+++ b/internal/outside/gate.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -6,7 +6,7 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // maxWaiters bounds the calls that wait for the budget at once. Further ones
--- a/internal/platform/instances.go
+++ b/internal/outside/instances.go
@@ -1,10 +1,10 @@
-package platform
+package outside
 
 import (
 	"context"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // Instances is the client of the instance list.
--- a/internal/platform/mirror/mirror.go
+++ b/internal/outside/mirror/mirror.go
@@ -10,8 +10,9 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 // Mirror tells of every object's newest version, and never of a lower version
@@ -62,7 +63,7 @@
 		return m.list(ctx)
 	}
 	err := m.watch(ctx)
-	var gone *platform.Gone
+	var gone *outside.Gone
 	if errors.As(err, &gone) {
 		m.listed = false
 	}
@@ -77,7 +78,7 @@
 			return err
 		}
 		if m.view.stale(list) {
-			return platform.Error.New("the list of %s is at version %d, older than what was seen", kind, list.Version)
+			return outside.Error.New("the list of %s is at version %d, older than what was seen", kind, list.Version)
 		}
 		full[kind] = list
 	}
@@ -115,10 +116,5 @@
 // pause waits before the next try. While the breaker is open the tries cost the
 // store nothing.
 func (m *Mirror) pause(ctx context.Context) {
-	timer := time.NewTimer(m.retry.Next(m.options.Random))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
+	pause.For(ctx, m.retry.Next(m.options.Random))
 }
--- a/internal/platform/mirror/mirror_test.go
+++ b/internal/outside/mirror/mirror_test.go
@@ -13,19 +13,19 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/outsidetest"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"gotest.tools/v3/assert"
 )
 
-func connect(t *testing.T, store *objectstore.Store) platform.Objects {
-	return connectBy(t, platformtest.Serve(t, store.Handler()))
+func connect(t *testing.T, store *objectstore.Store) outside.Objects {
+	return connectBy(t, outsidetest.Serve(t, store.Handler()))
 }
 
-func connectBy(t *testing.T, network *platformtest.Network) platform.Objects {
-	clients, err := platform.New(platform.Options{
+func connectBy(t *testing.T, network *outsidetest.Network) outside.Objects {
+	clients, err := outside.New(outside.Options{
 		Objects:   "http://objects.test",
 		Budget:    budget.Config{FleetSize: 9},
 		Seed:      1,
@@ -53,7 +53,7 @@
 func (a *audience) onError(err error) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var gone *platform.Gone
+	var gone *outside.Gone
 	if errors.As(err, &gone) {
 		a.gone++
 	}
@@ -99,13 +99,13 @@
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{LogChanges: 8})
 		way := &barrier{next: store.Handler()}
-		network := platformtest.Serve(t, way)
+		network := outsidetest.Serve(t, way)
 		a := mirrored(t, connectBy(t, network))
 		other := connect(t, store)
 		written := make(map[string]uint64)
 		for round := range 10 {
 			way.down.Store(true)
-			network.Each(func(c *platformtest.Conn) { _ = c.Close() })
+			network.Each(func(c *outsidetest.Conn) { _ = c.Close() })
 			for i := range 20 {
 				name := fmt.Sprint("t", i)
 				value := json.RawMessage(fmt.Sprint(round))
@@ -124,7 +124,7 @@
 	})
 }
 
-func write(t *testing.T, objects platform.Objects, name string, value json.RawMessage, version uint64) (objectapi.Object, error) {
+func write(t *testing.T, objects outside.Objects, name string, value json.RawMessage, version uint64) (objectapi.Object, error) {
 	if version == 0 {
 		return objects.Create(t.Context(), "template", name, value)
 	}
--- a/internal/platform/objects.go
+++ b/internal/outside/objects.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 const (
--- a/internal/platform/objects_test.go
+++ b/internal/outside/objects_test.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"encoding/json"
@@ -9,7 +9,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 	"gotest.tools/v3/assert"
--- a/internal/platform/objectwrites.go
+++ b/internal/outside/objectwrites.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -7,7 +7,7 @@
 	"strconv"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/dghubble/sling"
 )
 
--- a/internal/platform/observer.go
+++ b/internal/outside/observer.go
@@ -1,9 +1,9 @@
-package platform
+package outside
 
 import (
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // Result is how a call ended, for metrics.
--- a/internal/platform/platformtest/network.go
+++ b/internal/outside/outsidetest/network.go
@@ -1,6 +1,6 @@
-// Package platformtest is test scaffolding: it serves a handler on connections
+// Package outsidetest is test scaffolding: it serves a handler on connections
 // in memory, which work under testing/synctest and can be made to fail.
-package platformtest
+package outsidetest
 
 import (
 	"context"
--- a/internal/platform/platform_test.go
+++ b/internal/outside/platform_test.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -7,8 +7,8 @@
 	"testing"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/platformtest"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/outsidetest"
 	"gotest.tools/v3/assert"
 )
 
@@ -41,9 +41,9 @@
 }
 
 // connect returns clients of one handler that serves as every API.
-func connect(t *testing.T, h http.Handler, config budget.Config) (*Clients, *platformtest.Network, *recorder) {
+func connect(t *testing.T, h http.Handler, config budget.Config) (*Clients, *outsidetest.Network, *recorder) {
 	t.Helper()
-	network := platformtest.Serve(t, h)
+	network := outsidetest.Serve(t, h)
 	seen := &recorder{}
 	clients, err := New(Options{
 		Objects:   "http://objects.test",
--- a/internal/platform/readback.go
+++ b/internal/outside/readback.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"context"
@@ -7,7 +7,8 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -104,7 +105,7 @@
 	result, open := w.attempt(ctx, false)
 	backoff := budget.Backoff{First: firstRound, Longest: longestRound}
 	for round := 1; open && round < maxRounds; round++ {
-		if !pause(ctx, w.objects.caller.gate.nextWait(&backoff)) {
+		if !pause.For(ctx, w.objects.caller.gate.nextWait(&backoff)) {
 			return result
 		}
 		current, state := w.look(ctx)
@@ -168,15 +169,3 @@
 	}
 	return WriteResult{State: WriteRefused, Object: current}
 }
-
-// pause waits, and reports whether the context is still alive.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/internal/platform/readback_test.go
+++ b/internal/outside/readback_test.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"bytes"
@@ -14,7 +14,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"gotest.tools/v3/assert"
 )
--- a/internal/platform/singleuse.go
+++ b/internal/outside/singleuse.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"bytes"
--- a/internal/platform/transport_test.go
+++ b/internal/outside/transport_test.go
@@ -1,4 +1,4 @@
-package platform
+package outside
 
 import (
 	"crypto/tls"
@@ -8,7 +8,7 @@
 	"net/http/httptest"
 	"testing"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/standin/objectstore"
 	"gotest.tools/v3/assert"
 )
--- a/internal/platform/weights.go
+++ b/internal/outside/weights.go
@@ -1,10 +1,10 @@
-package platform
+package outside
 
 import (
 	"context"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/weightapi"
 )
 
--- a/internal/roster/endpoint.go
+++ b/internal/roster/endpoint.go
@@ -15,8 +15,6 @@
 	Slots      int // requests at once
 	Draining   bool
 	Spot       bool // of the reclaimable class
-	// LeavesAt is when a draining endpoint vanishes; zero where not known.
-	LeavesAt time.Time
 	// SlowUntil is when a started endpoint has its full speed.
 	SlowUntil time.Time
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,8 +15,6 @@
 	// Target is the time to the whole answer, or to a stream's first event,
 	// within which it is worth most; 0 is none.
 	Target time.Duration
-	// GapTarget is the longest pause between events of a stream that is on time.
-	GapTarget time.Duration
 	// Priority is 0 for the most important.
 	Priority int
 	Backends []Backend
@@ -24,9 +22,6 @@
 	MaxAttempts int
 	// Public routes need no credential.
 	Public bool
-	// Affinity says that requests share beginnings of prompts, so that it
-	// matters which endpoint has read them.
-	Affinity bool
 	// Resumable streams may be continued after an event at another endpoint.
 	Resumable bool
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -9,8 +9,6 @@
 // Service is a set of endpoints of one kind.
 type Service struct {
 	Name string
-	// HealthPath answers a GET where an endpoint is healthy.
-	HealthPath string
 	// MaxConnections bounds an endpoint's connections from all daemons.
 	MaxConnections int
 	// Engine describes the service's model engines; nil for a plain service.
--- a/internal/scale/ledger_bench_test.go
+++ b/internal/scale/ledger_bench_test.go
@@ -10,7 +10,7 @@
 	"github.com/google/uuid"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // What the daemon's ledger does, and what the simulation assumes.
--- a/internal/scale/platform_bench_test.go
+++ b/internal/scale/platform_bench_test.go
@@ -12,8 +12,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/budget"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
 // unbounded leaves the platform's rates out of a measurement.
@@ -34,10 +34,10 @@
 	calls := []struct {
 		name   string
 		answer any
-		do     func(*platform.Clients) error
+		do     func(*outside.Clients) error
 	}{
-		{"get", object, func(c *platform.Clients) error { _, err := c.Objects.Get(ctx, lease.Kind, "placement-0"); return err }},
-		{"update", object, func(c *platform.Clients) error {
+		{"get", object, func(c *outside.Clients) error { _, err := c.Objects.Get(ctx, lease.Kind, "placement-0"); return err }},
+		{"update", object, func(c *outside.Clients) error {
 			_, err := c.Objects.Update(ctx, lease.Kind, "placement-0", value, 123455)
 			return err
 		}},
@@ -51,7 +51,7 @@
 	}
 }
 
-func watch(c *platform.Clients) error {
+func watch(c *outside.Clients) error {
 	_, err := c.Objects.Watch(context.Background(), []string{"template", "drain"}, 123456, 30*time.Second)
 	return err
 }
@@ -66,7 +66,7 @@
 func BenchmarkInstanceList(b *testing.B) {
 	for _, size := range [][2]int{{9, 22}, {85, 172}, {340, 690}} {
 		b.Run(fmt.Sprintf("daemons=%d/endpoints=%d", size[0], size[1]), func(b *testing.B) {
-			platformCall(b, jsonAnswer(list(size[0], size[1])), func(c *platform.Clients) error {
+			platformCall(b, jsonAnswer(list(size[0], size[1])), func(c *outside.Clients) error {
 				_, err := c.Instances.List(context.Background())
 				return err
 			})
@@ -100,10 +100,10 @@
 }
 func region(i int) fleet.Region { return fleet.Region(fmt.Sprintf("cane-%d", i%11%3)) }
 
-func platformCall(b *testing.B, answer []byte, one func(*platform.Clients) error) {
+func platformCall(b *testing.B, answer []byte, one func(*outside.Clients) error) {
 	var w wire
 	address := "http://" + canned(b, answer)
-	c, err := platform.New(platform.Options{
+	c, err := outside.New(outside.Options{
 		Objects: address, Instances: address, Cloud: address, Weights: address,
 		Budget: unbounded, Transport: &http.Transport{DialContext: w.dial, DisableCompression: true},
 	})
--- a/internal/standin/cloud/handler.go
+++ b/internal/standin/cloud/handler.go
@@ -7,7 +7,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/cloudapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 const (
--- a/internal/standin/instancelist/handler.go
+++ b/internal/standin/instancelist/handler.go
@@ -5,7 +5,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 // faultsBytes bounds the body that switches the faults.
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 // faultsBytes bounds the body that switches the faults.
--- a/internal/standin/objectstore/reads.go
+++ b/internal/standin/objectstore/reads.go
@@ -6,7 +6,7 @@
 	"strings"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 // maxKinds bounds the kinds of one watch.
--- a/internal/standin/objectstore/writes.go
+++ b/internal/standin/objectstore/writes.go
@@ -7,7 +7,7 @@
 	"strconv"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 )
 
 // maxNameBytes bounds a kind and a name.
--- a/internal/standin/weightstore/weightstore.go
+++ b/internal/standin/weightstore/weightstore.go
@@ -10,7 +10,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/platform/jsonio"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/jsonio"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/weightapi"
 )
 
