--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -29,6 +29,7 @@
 	})
 	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
 	m.set.NewGauge("cyclamenbeam_connections_reused_total", func() float64 { return float64(n.pool.Stats().Reused) })
+	m.set.NewGauge("cyclamenbeam_endpoints_silent_total", func() float64 { return float64(n.pool.Stats().Silent) })
 	m.set.NewGauge("cyclamenbeam_answers_skipped_total", func() float64 { return float64(n.pool.Stats().Skipped) })
 	return m
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -57,7 +57,7 @@
 		log:      log,
 		started:  time.Now(),
 		clock:    clock.New(),
-		pool:     upstream.NewPool(startShare),
+		pool:     upstream.NewPool(startShare, upstream.DialTCP),
 	}
 	budget := retry.Config{
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -79,6 +79,9 @@
 	if o.Cause != nil {
 		f["cause"] = o.Cause.Error()
 	}
+	if o.FirstCause != nil {
+		f["first_cause"] = o.FirstCause.Error()
+	}
 	if o.Reason == "" {
 		r.log.WithFields(f).Info("answered")
 		return
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -80,6 +80,7 @@
 		e.timeLeft = ctx.Err() == nil && time.Until(f.until) > enough
 		s := next(f.route, f.tally, e, f.budget)
 		if s == again {
+			f.outcome.again()
 			f.ask.Tried = append(f.ask.Tried, choice.Endpoint.ID)
 			continue
 		}
@@ -193,18 +194,14 @@
 		Body: f.request.Body,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
-	if f.route.Kind == route.Idempotent && f.tally.ran+1 < f.route.MaxAttempts {
-		c.HeadTimeout = f.patience()
+	another := f.route.Repeatable() && f.tally.ran+1 < f.route.MaxAttempts
+	c.Patience = patience(another, f.outcome.Predicted)
+	if another && f.route.Kind == route.Idempotent {
+		c.HeadTimeout = max(time.Until(f.until)/2, f.route.Target)
 	}
 	return c
 }
 
-// patience is how long an idempotent request waits at one endpoint while it
-// could still be answered by another.
-func (f *flight) patience() time.Duration {
-	return max(time.Until(f.until)/2, f.route.Target)
-}
-
 // first notes an attempt's first token.
 func (f *flight) first(t *track) {
 	if !t.first {
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -146,20 +147,9 @@
 	s := &stage{watcher: &watcher{}, engines: engines}
 	s.state = NewState("a", quota.New(true, 0), retry.Config{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}, rng)
 	var all []roster.Endpoint
-	for i, e := range engines {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		t.Cleanup(func() { _ = l.Close() })
-		go func() {
-			for {
-				c, err := l.Accept()
-				if err != nil {
-					return
-				}
-				go e.serve(c)
-			}
-		}()
-		all = append(all, roster.Endpoint{ID: fleet.EndpointID(fmt.Sprint("e", i)), Service: "s", Address: l.Addr().String(), Slots: 8, DataCentre: "a"})
+	for i := range engines {
+		id := fmt.Sprint("e", i)
+		all = append(all, roster.Endpoint{ID: fleet.EndpointID(id), Service: "s", Address: id, Slots: 8, DataCentre: "a"})
 	}
 	for i := range routes {
 		routes[i].Host, routes[i].Backends = "h", []route.Backend{{Service: "s", Weight: 1}}
@@ -175,10 +165,24 @@
 		},
 	}))
 	s.state.SetEndpoints(all)
-	s.relay = New(s.state, upstream.NewPool(4), plainProtocol{}, s.watcher)
+	s.relay = New(s.state, upstream.NewPool(4, s.dial(t)), plainProtocol{}, s.watcher)
 	return s
 }
 
+// dial connects to an engine by a pipe that ends with the test.
+func (s *stage) dial(t *testing.T) upstream.Dialer {
+	return func(_ context.Context, address string) (net.Conn, error) {
+		i, err := strconv.Atoi(strings.TrimPrefix(address, "e"))
+		if err != nil {
+			return nil, err
+		}
+		here, there := net.Pipe()
+		context.AfterFunc(t.Context(), func() { _ = there.Close() })
+		go s.engines[i].serve(there)
+		return here, nil
+	}
+}
+
 func (s *stage) ask(ctx context.Context, path string) *seen {
 	out := &seen{}
 	now := time.Now()
@@ -361,7 +365,7 @@
 // A daemon that has no configuration yet can't know that a route isn't there.
 func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
 	state := NewState("a", quota.New(true, 0), retry.Config{Window: time.Second}, rand.New(rand.NewPCG(1, 2)))
-	r := New(state, upstream.NewPool(1), plainProtocol{}, &watcher{})
+	r := New(state, upstream.NewPool(1, upstream.DialTCP), plainProtocol{}, &watcher{})
 	out := &seen{}
 	r.Serve(t.Context(), &Request{Path: "/x/", Host: "h"}, out)
 	assert.Equal(t, out.refusal.Reason, NoConfiguration)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -21,15 +21,24 @@
 	Reason    Reason // where it has no whole answer of an endpoint's
 	Verdict   verdict.Verdict
 	Cause     error // the last attempt's error
-	Predicted time.Duration
-	First     time.Duration // to the first event or the answer
-	Total     time.Duration
-	Events    int
+	// FirstCause is the first attempt's error, where another one followed.
+	FirstCause error
+	Predicted  time.Duration
+	First      time.Duration // to the first event or the answer
+	Total      time.Duration
+	Events     int
 	// RetryAfter is what a refused caller was told.
 	RetryAfter time.Duration
 	Left       time.Duration // until its deadline
 }
 
+// again notes that another attempt follows the last one.
+func (o *Outcome) again() {
+	if o.FirstCause == nil {
+		o.FirstCause = o.Cause
+	}
+}
+
 // Observer is told of what endpoints began and of how requests ended. Its
 // methods must return at once.
 type Observer interface {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -24,6 +24,9 @@
 	// HeadTimeout bounds the wait for the answer's head; 0 leaves it to the
 	// context.
 	HeadTimeout time.Duration
+	// Patience bounds how long the endpoint may be silent on all connections of
+	// this pool while the call waits; 0 leaves it to the context.
+	Patience time.Duration
 }
 
 // Ownership says whose answer a head is.
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -18,14 +19,21 @@
 // conn is a connection to an endpoint, used by one request at a time.
 type conn struct {
 	address string
+	pool    *Pool
+	host    *host
+	dialled time.Time
+	heard   atomic.Int64 // when bytes came last, Unix ns
 	nc      net.Conn
-	r       *bufio.Reader
-	until   time.Time // kept until then
+	r       *bufio.Reader // of conn itself
+	wait    wait
+	kept    time.Time // kept until then
 	used    bool      // served a request before
 }
 
-func newConn(address string, nc net.Conn) *conn {
-	return &conn{address: address, nc: nc, r: bufio.NewReaderSize(nc, readBuffer)}
+func newConn(p *Pool, h *host, address string, nc net.Conn) *conn {
+	c := &conn{address: address, pool: p, host: h, dialled: time.Now(), nc: nc}
+	c.r = bufio.NewReaderSize(c, readBuffer)
+	return c
 }
 
 func (c *conn) close() { _ = c.nc.Close() }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -14,7 +14,8 @@
 // two seconds after the last byte that was acknowledged.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 2}
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// DialTCP is the Dialer over TCP.
+func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: KeepAlive, Control: UserTimeout}
 	return d.DialContext(ctx, "tcp", address)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -40,13 +40,21 @@
 	hosts map[string]*host
 	share int // connections to one endpoint
 	stats Stats
-	dial  func(ctx context.Context, address string) (net.Conn, error)
+	dial  Dialer
 }
 
 // host is the connections to one address.
 type host struct {
 	open int
 	idle []*conn // the newest last
+	// conns are all that are set up.
+	conns map[*conn]struct{}
+}
+
+// lose forgets a connection.
+func (h *host) lose(c *conn) {
+	delete(h.conns, c)
+	h.open--
 }
 
 // Stats are totals since the start.
@@ -54,12 +62,16 @@
 	Dialled, DialFailed uint64
 	Reused              uint64
 	Stale               uint64 // kept connections found closed or with bytes of nobody
+	Silent              uint64 // calls given up since the endpoint said nothing
 	Skipped             uint64 // late answers to earlier requests that were passed over
 }
 
+// Dialer sets a connection to an endpoint up.
+type Dialer func(ctx context.Context, address string) (net.Conn, error)
+
 // NewPool returns an empty pool with a share of connections for each endpoint.
-func NewPool(share int) *Pool {
-	return &Pool{hosts: map[string]*host{}, share: max(share, 1), dial: dialTCP}
+func NewPool(share int, dial Dialer) *Pool {
+	return &Pool{hosts: map[string]*host{}, share: max(share, 1), dial: dial}
 }
 
 // SetShare bounds the connections to one endpoint from now on.
@@ -83,7 +95,9 @@
 	var idle []*conn
 	if h != nil {
 		idle, h.idle = h.idle, nil
-		h.open -= len(idle)
+	}
+	for _, c := range idle {
+		h.lose(c)
 	}
 	p.mu.Unlock()
 	for _, c := range idle {
@@ -95,12 +109,12 @@
 // are NotRun.
 func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
 	for {
-		c, err := p.take(address)
+		c, h, err := p.take(address)
 		if err != nil {
 			return nil, err
 		}
 		if c == nil {
-			break
+			return p.open(ctx, address, h)
 		}
 		if c.quiet() {
 			return c, nil
@@ -108,6 +122,10 @@
 		p.count(func(s *Stats) { s.Stale++ })
 		p.drop(c)
 	}
+}
+
+// open sets a connection up for which there is room.
+func (p *Pool) open(ctx context.Context, address string, h *host) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
 	nc, err := p.dial(ctx, address)
@@ -117,34 +135,38 @@
 		return nil, verdict.Wrap(verdict.NotRun, Error.Wrap(err))
 	}
 	p.count(func(s *Stats) { s.Dialled++ })
-	return newConn(address, nc), nil
+	c := newConn(p, h, address, nc)
+	p.mu.Lock()
+	h.conns[c] = struct{}{}
+	p.mu.Unlock()
+	return c, nil
 }
 
 // take returns an idle connection, or nil after it has reserved room for a new one.
-func (p *Pool) take(address string) (*conn, error) {
+func (p *Pool) take(address string) (*conn, *host, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
 	if h == nil {
-		h = &host{}
+		h = &host{conns: map[*conn]struct{}{}}
 		p.hosts[address] = h
 	}
 	now := time.Now()
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		c := h.idle[n-1]
 		h.idle = h.idle[:n-1]
-		if now.Before(c.until) {
+		if now.Before(c.kept) {
 			p.stats.Reused++
-			return c, nil
+			return c, h, nil
 		}
-		h.open--
+		h.lose(c)
 		c.close()
 	}
 	if h.open >= p.share {
-		return nil, verdict.Wrap(verdict.NotRun, ErrNoRoom)
+		return nil, nil, verdict.Wrap(verdict.NotRun, ErrNoRoom)
 	}
 	h.open++
-	return nil, nil
+	return nil, h, nil
 }
 
 // put keeps a connection for the next request.
@@ -155,9 +177,26 @@
 	p.mu.Unlock()
 }
 
+// lastHeard returns when bytes came last on any connection that was set up
+// by a time.
+func (p *Pool) lastHeard(h *host, by time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var last time.Time
+	for c := range h.conns {
+		if at := c.lastHeard(); !c.dialled.After(by) && at.After(last) {
+			last = at
+		}
+	}
+	return last
+}
+
 // drop closes a connection and gives its room back.
 func (p *Pool) drop(c *conn) {
 	c.close()
+	p.mu.Lock()
+	delete(c.host.conns, c)
+	p.mu.Unlock()
 	p.release(c.address)
 }
 
@@ -179,12 +218,12 @@
 	for address, h := range p.hosts {
 		kept := h.idle[:0]
 		for _, c := range h.idle {
-			if now.Before(c.until) {
+			if now.Before(c.kept) {
 				kept = append(kept, c)
 				continue
 			}
 			old = append(old, c)
-			h.open--
+			h.lose(c)
 		}
 		h.idle = kept
 		if h.open == 0 {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -50,7 +50,8 @@
 		return nil, err
 	}
 	a := &Answer{pool: p, conn: c}
-	a.stop = context.AfterFunc(ctx, func() { _ = c.nc.SetDeadline(time.Unix(1, 0)) })
+	c.start(time.Now(), call)
+	a.stop = context.AfterFunc(ctx, c.end)
 	if err := a.write(call); err != nil {
 		a.abandon()
 		return nil, verdict.Wrap(verdict.MayHaveRun, Error.Wrap(err))
@@ -94,10 +95,6 @@
 // readHead reads heads until one belongs to the call.
 func (a *Answer) readHead(call *Call) error {
 	req := &http.Request{Method: call.Method}
-	if call.HeadTimeout > 0 {
-		_ = a.conn.nc.SetReadDeadline(time.Now().Add(call.HeadTimeout))
-		defer func() { _ = a.conn.nc.SetReadDeadline(time.Time{}) }()
-	}
 	for skipped := 0; ; skipped++ {
 		resp, err := http.ReadResponse(a.conn.r, req)
 		if err != nil {
@@ -135,6 +132,7 @@
 }
 
 func (a *Answer) take(resp *http.Response) {
+	a.conn.headCame()
 	a.resp = resp
 	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
 	a.Body = (*body)(a)
@@ -158,12 +156,13 @@
 		a.pool.drop(a.conn)
 		return
 	}
+	a.conn.finish()
 	until := keepUntil(time.Now(), a.resp)
 	if !a.whole || until.IsZero() || a.conn.r.Buffered() > 0 || !a.bodyOut() {
 		a.pool.drop(a.conn)
 		return
 	}
-	a.conn.until, a.conn.used = until, true
+	a.conn.kept, a.conn.used = until, true
 	a.pool.put(a.conn)
 }
 
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -86,7 +86,7 @@
 		got = r.Method + " " + r.RequestURI + " " + r.Host + " " + r.Header.Get("User-Agent")
 		return answer("1", "one")
 	})
-	body, err := read(t, NewPool(1), call(address, "1"))
+	body, err := read(t, NewPool(1, DialTCP), call(address, "1"))
 	assert.NilError(t, err)
 	assert.Equal(t, body, "one")
 	assert.Equal(t, got, "POST /a%2Fb?q=1 h.example ")
@@ -102,7 +102,7 @@
 		}
 		return answer("1", "one") + answer("2", "two")
 	})
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	_, err := read(t, p, call(address, "1"))
 	assert.NilError(t, err)
 	body, err := read(t, p, call(address, "2"))
@@ -118,7 +118,7 @@
 		id := r.Header.Get("Id")
 		return answer(id, "one") + answer(id, "one")
 	})
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	for _, id := range []string{"1", "2"} {
 		body, err := read(t, p, call(address, id))
 		assert.NilError(t, err)
@@ -138,7 +138,7 @@
 		}
 		return ""
 	})
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	_, err := read(t, p, call(address, "1"))
 	assert.NilError(t, err)
 	_, err = read(t, p, call(address, "2"))
@@ -150,7 +150,7 @@
 	address := script(t, func(int, *http.Request) string {
 		return "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 10\r\nConnection: close\r\n\r\nhalf"
 	})
-	a, err := NewPool(1).Send(t.Context(), call(address, "1"))
+	a, err := NewPool(1, DialTCP).Send(t.Context(), call(address, "1"))
 	assert.NilError(t, err)
 	defer a.Close()
 	a.conn.nc.(*net.TCPConn).CloseWrite()
@@ -163,7 +163,7 @@
 	assert.NilError(t, err)
 	address := l.Addr().String()
 	assert.NilError(t, l.Close())
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	_, err = read(t, p, call(address, "1"))
 	assert.Equal(t, verdict.Of(err), verdict.NotRun)
 	_, err = read(t, p, call(address, "1")) // its room was given back
@@ -172,7 +172,7 @@
 
 func TestShareOfConnections(t *testing.T) {
 	address := script(t, func(int, *http.Request) string { return answer("1", "one") })
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	a, err := p.Send(t.Context(), call(address, "1"))
 	assert.NilError(t, err)
 	_, err = p.Send(t.Context(), call(address, "1"))
@@ -190,7 +190,7 @@
 	hold := make(chan struct{})
 	address := script(t, func(int, *http.Request) string { <-hold; return "" })
 	defer close(hold)
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	ctx, cancel := context.WithCancel(t.Context())
 	time.AfterFunc(0, cancel)
 	_, err := p.Send(ctx, call(address, "1"))
@@ -223,7 +223,7 @@
 			_, _ = io.WriteString(c, answer("2", "two"))
 		}
 	}()
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	first := call(l.Addr().String(), "1")
 	first.Body = make([]byte, 8<<20)
 	body, err := read(t, p, first)
@@ -240,7 +240,7 @@
 // gone.
 func TestHeaderIsMadeWhenThereIsAConnection(t *testing.T) {
 	address := script(t, func(_ int, r *http.Request) string { return answer("1", r.Header.Get("Left")) })
-	p := NewPool(1)
+	p := NewPool(1, DialTCP)
 	left := "9"
 	dial := p.dial
 	p.dial = func(ctx context.Context, address string) (net.Conn, error) {
--- /dev/null
+++ b/internal/upstream/wait.go
@@ -0,0 +1,108 @@
+package upstream
+
+import (
+	"errors"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// ErrSilent says that nothing came from the endpoint for as long as the call
+// allows, on its own connection or on an older one.
+var ErrSilent = Error.New("the endpoint fell silent")
+
+// wait bounds the reading of one call's answer. Failure: an endpoint hangs with
+// its connections open, and its machine goes on acknowledging what is sent.
+// Symptom: callers wait until their deadline for an answer that another
+// endpoint could give. One connection's silence isn't enough to tell: prompts
+// queue, and long ones stop a batch; an endpoint that says something to another
+// caller is alive. What it says on connections that are younger than the call
+// proves nothing: it may have started again and know nothing of the call.
+type wait struct {
+	patience time.Duration // 0: not bounded
+	limit    time.Time     // zero: none
+	began    time.Time
+	armed    bool        // a deadline is set on the connection
+	ended    atomic.Bool // the call's context ended
+}
+
+// start begins a call's wait.
+func (c *conn) start(now time.Time, call *Call) {
+	c.wait.patience, c.wait.began, c.wait.limit = call.Patience, now, time.Time{}
+	if call.HeadTimeout > 0 {
+		c.wait.limit = now.Add(call.HeadTimeout)
+	}
+	c.wait.ended.Store(false)
+}
+
+// headCame ends the bound on the answer's head.
+func (c *conn) headCame() { c.wait.limit = time.Time{} }
+
+// end stops all reading: the call's context is over.
+func (c *conn) end() {
+	c.wait.ended.Store(true)
+	_ = c.nc.SetDeadline(time.Unix(1, 0))
+}
+
+// finish ends a call's wait, so that the connection can be kept.
+func (c *conn) finish() {
+	c.wait.patience, c.wait.limit = 0, time.Time{}
+	c.arm(c.lastHeard())
+}
+
+// until returns when the wait is over if the endpoint was heard last at a time;
+// zero where it isn't bounded.
+func (c *conn) until(heard time.Time) time.Time {
+	out := c.wait.limit
+	if c.wait.patience <= 0 {
+		return out
+	}
+	if heard.Before(c.wait.began) {
+		heard = c.wait.began
+	}
+	if silent := heard.Add(c.wait.patience); out.IsZero() || silent.Before(out) {
+		out = silent
+	}
+	return out
+}
+
+// lastHeard returns when bytes came last on this connection.
+func (c *conn) lastHeard() time.Time { return time.Unix(0, c.heard.Load()) }
+
+// arm sets the connection's deadline, for an endpoint that was heard last at a
+// time.
+func (c *conn) arm(heard time.Time) {
+	until := c.until(heard)
+	if until.IsZero() && !c.wait.armed {
+		return
+	}
+	c.wait.armed = !until.IsZero()
+	_ = c.nc.SetReadDeadline(until)
+}
+
+// Read reads from the connection within the call's bounds.
+func (c *conn) Read(p []byte) (int, error) {
+	heard := c.lastHeard()
+	for {
+		c.arm(heard)
+		if c.wait.ended.Load() {
+			return 0, os.ErrDeadlineExceeded
+		}
+		n, err := c.nc.Read(p)
+		now := time.Now()
+		if n > 0 {
+			c.heard.Store(now.UnixNano())
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.wait.ended.Load() {
+			return n, err
+		}
+		if limit := c.wait.limit; !limit.IsZero() && !now.Before(limit) {
+			return n, err
+		}
+		heard = c.pool.lastHeard(c.host, c.wait.began)
+		if !now.Before(c.until(heard)) {
+			c.pool.count(func(s *Stats) { s.Silent++ })
+			return n, ErrSilent
+		}
+	}
+}
--- /dev/null
+++ b/internal/upstream/wait_test.go
@@ -0,0 +1,182 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// line is what an endpoint writes, some time after the request or the line before.
+type line struct {
+	after time.Duration
+	text  string
+}
+
+// talker dials endpoints that write the lines kept under the request's Id and
+// then stay silent with the connection open.
+func talker(ctx context.Context, lines map[string][]line) Dialer {
+	return func(context.Context, string) (net.Conn, error) {
+		here, there := net.Pipe()
+		context.AfterFunc(ctx, func() { _ = there.Close() })
+		go func() {
+			defer there.Close()
+			r := bufio.NewReader(there)
+			for {
+				req, err := http.ReadRequest(r)
+				if err != nil {
+					return
+				}
+				_, _ = io.Copy(io.Discard, req.Body)
+				for _, l := range lines[req.Header.Get("Id")] {
+					if !pause.For(ctx, l.after) {
+						return
+					}
+					if _, err := io.WriteString(there, l.text); err != nil {
+						return
+					}
+				}
+				if len(lines[req.Header.Get("Id")]) == 0 {
+					<-ctx.Done()
+					return
+				}
+			}
+		}()
+		return here, nil
+	}
+}
+
+const streamHead = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+
+func piece(text string) string { return string("0123456789abcdef"[len(text)]) + "\r\n" + text + "\r\n" }
+
+func patient(id string, patience time.Duration) *Call {
+	c := call("endpoint", id)
+	c.Patience = patience
+	return c
+}
+
+// An engine hangs before it answers: its connection stays open and nothing
+// comes. The call must end after its patience, as one that may have run, long
+// before its deadline.
+func TestSilentEndpointIsGivenUpBeforeItsHead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(4, talker(t.Context(), nil))
+		began := time.Now()
+		_, err := p.Send(t.Context(), patient("1", time.Second))
+		assert.Assert(t, errors.Is(err, ErrSilent))
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+		assert.Equal(t, time.Since(began), time.Second)
+	})
+}
+
+// The same in the middle of a stream: what came stands, and the rest is given up
+// a patience after it.
+func TestSilentEndpointIsGivenUpInItsBody(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(4, talker(t.Context(), map[string][]line{
+			"1": {{0, streamHead}, {800 * time.Millisecond, piece("a")}, {800 * time.Millisecond, piece("b")}, {time.Hour, ""}},
+		}))
+		began := time.Now()
+		a, err := p.Send(t.Context(), patient("1", time.Second))
+		assert.NilError(t, err)
+		defer a.Close()
+		got, err := io.ReadAll(a.Body)
+		assert.Assert(t, errors.Is(err, ErrSilent))
+		assert.Equal(t, string(got), "ab")
+		assert.Equal(t, time.Since(began), 2600*time.Millisecond)
+	})
+}
+
+// One request waits behind a long queue, while the engine streams to others. It
+// is alive; were the request sent elsewhere, it would wait there anew.
+func TestEndpointThatTalksToOthersIsWaitedFor(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var talk []line
+		talk = append(talk, line{0, streamHead})
+		for range 50 {
+			talk = append(talk, line{100 * time.Millisecond, piece("x")})
+		}
+		p := NewPool(4, talker(t.Context(), map[string][]line{
+			"talks": append(talk, line{0, "0\r\n\r\n"}),
+			"waits": {{4 * time.Second, answer("waits", "late")}},
+		}))
+		other, err := p.Send(t.Context(), patient("talks", time.Second))
+		assert.NilError(t, err)
+		go func() {
+			defer other.Close()
+			_, _ = io.Copy(io.Discard, other.Body)
+		}()
+		got, err := read(t, p, patient("waits", time.Second))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "late")
+		synctest.Wait()
+	})
+}
+
+// An engine crashes with a call's connection open, starts again at its address a
+// second later and streams to others on new connections. What they hear must not
+// keep the call waiting for an answer that will never come.
+func TestEndpointThatStartedAgainIsSilentForOldCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		talk := []line{{0, streamHead}}
+		for range 50 {
+			talk = append(talk, line{100 * time.Millisecond, piece("x")})
+		}
+		p := NewPool(4, talker(t.Context(), map[string][]line{
+			"talks": append(talk, line{0, "0\r\n\r\n"}),
+		}))
+		began := time.Now()
+		time.AfterFunc(500*time.Millisecond, func() {
+			other, err := p.Send(t.Context(), patient("talks", time.Second))
+			assert.Check(t, err == nil)
+			defer other.Close()
+			_, _ = io.Copy(io.Discard, other.Body)
+		})
+		_, err := p.Send(t.Context(), patient("hangs", time.Second))
+		assert.Assert(t, errors.Is(err, ErrSilent))
+		assert.Equal(t, time.Since(began), time.Second)
+		time.Sleep(time.Minute)
+	})
+}
+
+// A kept connection serves a second call without a bound. The first call's must
+// not end it.
+func TestPatienceEndsWithItsCall(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(4, talker(t.Context(), map[string][]line{
+			"1": {{0, answer("1", "a")}},
+			"2": {{3 * time.Second, answer("2", "b")}},
+		}))
+		_, err := read(t, p, patient("1", time.Second))
+		assert.NilError(t, err)
+		got, err := read(t, p, patient("2", 0))
+		assert.NilError(t, err)
+		assert.Equal(t, got, "b")
+		assert.Equal(t, p.Stats().Dialled, uint64(1))
+	})
+}
+
+// A caller leaves while its call waits within its patience.
+func TestContextEndsThePatientWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := NewPool(4, talker(t.Context(), nil))
+		ctx, cancel := context.WithTimeout(t.Context(), 300*time.Millisecond)
+		defer cancel()
+		began := time.Now()
+		_, err := p.Send(ctx, patient("1", time.Second))
+		assert.Assert(t, err != nil && !strings.Contains(err.Error(), "silent"))
+		assert.Equal(t, time.Since(began), 300*time.Millisecond)
+	})
+}
