Answers that are an endpoint's failure are logged like failures

Change: such an outcome is marked failed, logged before successes as 'failed by its endpoint' and counted as outcome failed.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -37,8 +37,11 @@
 // ended counts a request.
 func (m *metricSet) ended(o *relay.Outcome) {
 	outcome := "answered"
-	if o.Reason != "" {
+	switch {
+	case o.Reason != "":
 		outcome = string(o.Reason)
+	case o.Failed:
+		outcome = "failed"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
 	if o.First > 0 {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -36,7 +36,7 @@
 
 // add takes an outcome; it never waits.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && r.good.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && r.good.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -82,10 +82,13 @@
 	if o.FirstCause != nil {
 		f["first_cause"] = o.FirstCause.Error()
 	}
-	if o.Reason == "" {
+	switch {
+	case o.Reason != "":
+		f["reason"] = o.Reason
+		r.log.WithFields(f).Warn("not answered")
+	case o.Failed:
+		r.log.WithFields(f).Warn("failed by its endpoint")
+	default:
 		r.log.WithFields(f).Info("answered")
-		return
 	}
-	f["reason"] = o.Reason
-	r.log.WithFields(f).Warn("not answered")
 }
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -66,6 +66,7 @@
 	for {
 		choice, refusal := f.relay.state.pick(time.Now(), f)
 		if refusal != nil && failed != nil {
+			f.outcome.Failed = true
 			f.conclude(ctx, answer, nil, failed)
 			return
 		}
@@ -106,6 +107,7 @@
 	t := &track{flight: f, choice: c, sent: sent}
 	e, kept, err := f.exchange(ctx, t)
 	f.outcome.Cause = err
+	f.outcome.Failed = e.class == Failure && e.whole
 	switch {
 	case !e.reached:
 		f.tally.unreached++
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -278,6 +278,7 @@
 	assert.Equal(t, got.status, 500)
 	assert.Equal(t, got.body.String(), "broken")
 	assert.Equal(t, s.watcher.last.Verdict, verdict.Ran)
+	assert.Assert(t, s.watcher.last.Failed)
 }
 
 func head() string {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -19,8 +19,10 @@
 	Unreached int    // endpoints to which there was no connection
 	Status    int    // of the endpoint's answer, 0 without one
 	Reason    Reason // where it has no whole answer of an endpoint's
-	Verdict   verdict.Verdict
-	Cause     error // the last attempt's error
+	// Failed says that the answer passed on is the endpoint's own failure.
+	Failed  bool
+	Verdict verdict.Verdict
+	Cause   error // the last attempt's error
 	// FirstCause is the first attempt's error, where another one followed.
 	FirstCause error
 	Predicted  time.Duration
