A daemon's place in the list is the store's revision

A daemon that follows another hub, or has just started, was told the whole list (300 kB); a hundred at once fill the hub's link, the answers come after their timeout and are asked for again.

Change: positions carry the store's revision up to which a list is complete; a hub answers with what is newer and 4 bytes for each name there is; a daemon that has just started lists the store first and asks a hub for all only after 1.5 s without. Lines say who watches the store and who took a whole list.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -104,17 +104,20 @@
 }
 
 func encodePosition(p feed.Position) *exchangepb.Position {
-	return &exchangepb.Position{Epoch: p.Epoch, Seq: p.Seq}
+	return &exchangepb.Position{Epoch: p.Epoch, Seq: p.Seq, Revision: p.Revision}
 }
 
 func decodePosition(p *exchangepb.Position) feed.Position {
-	return feed.Position{Epoch: p.GetEpoch(), Seq: p.GetSeq()}
+	return feed.Position{Epoch: p.GetEpoch(), Seq: p.GetSeq(), Revision: p.GetRevision()}
 }
 
 func encodeUpdate(u *feed.Update) *exchangepb.Feed {
 	out := &exchangepb.Feed{To: encodePosition(u.To), Full: u.Full, Removed: u.Removed}
 	for _, it := range u.Items {
-		out.Items = append(out.Items, &exchangepb.Item{Name: it.Name, Spec: it.Spec})
+		out.Items = append(out.Items, &exchangepb.Item{Name: it.Name, Spec: it.Spec, Revision: it.Revision})
+	}
+	for _, k := range u.Keys {
+		out.Keys = append(out.Keys, uint32(k))
 	}
 	return out
 }
@@ -122,7 +125,10 @@
 func decodeUpdate(f *exchangepb.Feed) feed.Update {
 	out := feed.Update{To: decodePosition(f.GetTo()), Full: f.GetFull(), Removed: f.GetRemoved()}
 	for _, it := range f.GetItems() {
-		out.Items = append(out.Items, feed.Item{Name: it.Name, Spec: it.Spec})
+		out.Items = append(out.Items, feed.Item{Name: it.Name, Spec: it.Spec, Revision: it.Revision})
+	}
+	for _, k := range f.GetKeys() {
+		out.Keys = append(out.Keys, feed.Key(k))
 	}
 	return out
 }
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -65,13 +65,13 @@
 	p.Holder = Holder{Daemon: "b", Token: 6}
 	p.Config = Config{Version: 4, Text: []byte("text")}
 	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Hold: 2.5, Read: 7}}
-	p.Endpoints, p.Brief, p.WantLevels = feed.Position{Epoch: 8, Seq: 9}, true, true
+	p.Endpoints, p.Brief, p.WantLevels = feed.Position{Epoch: 8, Seq: 9, Revision: 4}, true, true
 	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
 	s := Sum{Config: p.Config, Soft: relay.Soft{Spent: p.Soft.Spent, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
 	s.Fresh = 300 * time.Millisecond
 	s.Endpoints = feed.Update{
-		To: feed.Position{Epoch: 1, Seq: 2}, Full: true,
-		Items: []feed.Item{{Name: "e", Spec: []byte("{}")}}, Removed: []string{"f"},
+		To: feed.Position{Epoch: 1, Seq: 2, Revision: 6}, Full: true, Keys: []feed.Key{7, 8},
+		Items: []feed.Item{{Name: "e", Spec: []byte("{}"), Revision: 5}}, Removed: []string{"f"},
 	}
 	assert.DeepEqual(t, decodeSum(encodeSum(&s)), s)
 }
--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -8,6 +8,8 @@
 	"maps"
 	"math"
 	"slices"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
 // kept is the number of removals that are remembered. Whoever asks four times
@@ -19,8 +21,17 @@
 type Position struct {
 	Epoch uint64 // of the log
 	Seq   uint64 // of its last change
+	// Revision is the source's up to which the state is complete. It says
+	// something to every log of the same source, Epoch and Seq to one alone.
+	Revision uint64
 }
 
+// Key is 32 bits of a name's hash.
+type Key uint32
+
+// KeyOf returns a name's key.
+func KeyOf(name string) Key { return Key(rendezvous.Key(name)) }
+
 // Unwanted is the position of who wants no update.
 var Unwanted = Position{Epoch: math.MaxUint64}
 
@@ -28,6 +39,8 @@
 type Item struct {
 	Name string
 	Spec []byte
+	// Revision is the source's at which the value came.
+	Revision uint64
 }
 
 // Update leads from a position to a newer one.
@@ -37,10 +50,15 @@
 	Full    bool
 	Items   []Item
 	Removed []string
+	// Keys, where there are any, are those of all names: whatever has another
+	// one is gone.
+	Keys []Key
 }
 
 // Empty reports whether an update changes nothing.
-func (u *Update) Empty() bool { return !u.Full && len(u.Items) == 0 && len(u.Removed) == 0 }
+func (u *Update) Empty() bool {
+	return !u.Full && len(u.Items) == 0 && len(u.Removed) == 0 && len(u.Keys) == 0
+}
 
 // Log is the set with its recent changes.
 type Log struct {
@@ -51,8 +69,9 @@
 }
 
 type entry struct {
-	seq  uint64
-	spec []byte
+	seq      uint64
+	revision uint64
+	spec     []byte
 }
 
 type removal struct {
@@ -65,14 +84,16 @@
 	return &Log{at: Position{Epoch: epoch}, items: map[string]entry{}}
 }
 
-// Set makes the set equal to items; what doesn't differ is no change.
-func (l *Log) Set(items []Item) {
+// Set makes the set equal to items, which are complete up to a revision of the
+// source; what doesn't differ is no change.
+func (l *Log) Set(revision uint64, items []Item) {
+	l.at.Revision = max(l.at.Revision, revision)
 	there := make(map[string]bool, len(items))
 	for _, it := range items {
 		there[it.Name] = true
 		if old, ok := l.items[it.Name]; !ok || !bytes.Equal(old.spec, it.Spec) {
 			l.at.Seq++
-			l.items[it.Name] = entry{seq: l.at.Seq, spec: it.Spec}
+			l.items[it.Name] = entry{seq: l.at.Seq, revision: it.Revision, spec: it.Spec}
 		}
 	}
 	for _, name := range slices.Sorted(maps.Keys(l.items)) {
@@ -88,22 +109,53 @@
 	}
 }
 
-// Since returns what leads from a position to the newest.
+// Since returns what leads from a position to the newest. Failure: a daemon
+// follows another log, since the one it followed is gone or late, and is told
+// all there is. Symptom: where hundreds of daemons do so at once, the logs'
+// links are full for seconds, answers come too late and are asked for again.
+// Where the position says up to which of the source's revisions the daemon is
+// complete, what came since and the names' keys are enough: 4 bytes for what it
+// has, in place of some 250.
 func (l *Log) Since(p Position) Update {
-	if p == Unwanted {
+	switch {
+	case p == Unwanted:
 		return Update{}
+	case p.Epoch == l.at.Epoch && p.Seq >= l.oldest && p.Seq <= l.at.Seq:
+		return l.changes(p.Seq)
+	case p.Revision > 0 && len(l.items) > 0:
+		return l.newer(p.Revision)
+	default:
+		u := l.newer(0)
+		u.Full, u.Keys = true, nil
+		return u
 	}
+}
+
+// changes returns what changed in this log after one of its changes.
+func (l *Log) changes(seq uint64) Update {
 	u := Update{To: l.at}
-	u.Full = p.Epoch != l.at.Epoch || p.Seq < l.oldest || p.Seq > l.at.Seq
 	for _, name := range slices.Sorted(maps.Keys(l.items)) {
-		if e := l.items[name]; u.Full || e.seq > p.Seq {
-			u.Items = append(u.Items, Item{Name: name, Spec: e.spec})
+		if e := l.items[name]; e.seq > seq {
+			u.Items = append(u.Items, Item{Name: name, Spec: e.spec, Revision: e.revision})
 		}
 	}
 	for _, r := range l.removed {
-		if _, back := l.items[r.name]; !u.Full && r.seq > p.Seq && !back {
+		if _, back := l.items[r.name]; r.seq > seq && !back {
 			u.Removed = append(u.Removed, r.name)
 		}
 	}
 	return u
 }
+
+// newer returns what came after a revision, and all keys.
+func (l *Log) newer(revision uint64) Update {
+	u := Update{To: l.at, Keys: make([]Key, 0, len(l.items))}
+	for _, name := range slices.Sorted(maps.Keys(l.items)) {
+		e := l.items[name]
+		u.Keys = append(u.Keys, KeyOf(name))
+		if e.revision > revision || e.revision == 0 {
+			u.Items = append(u.Items, Item{Name: name, Spec: e.spec, Revision: e.revision})
+		}
+	}
+	return u
+}
--- a/internal/feed/feed_test.go
+++ b/internal/feed/feed_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"maps"
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -12,7 +13,8 @@
 )
 
 // Several readers ask now and then, some after thousands of changes, some of a
-// log that was begun anew. After each answer a reader has what the log has.
+// log that was begun anew, as when they follow another daemon. After each answer
+// a reader has what the log has.
 func TestReadersEndWithTheLogsState(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		type reader struct {
@@ -21,34 +23,43 @@
 		}
 		readers := [3]reader{}
 		log := NewLog(1)
-		state := map[string]string{}
+		state := map[string]Item{}
+		revision := uint64(0)
 		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
 			switch rapid.IntRange(0, 9).Draw(t, "what") {
 			case 0:
 				log = NewLog(uint64(step + 2))
 			case 1:
 				for i := range kept + 10 {
-					log.Set([]Item{{Name: fmt.Sprint("x", i)}})
+					revision++
+					log.Set(revision, []Item{{Name: fmt.Sprint("x", i), Revision: revision}})
 				}
 			}
 			for range rapid.IntRange(0, 4).Draw(t, "changes") {
 				name := fmt.Sprint(rapid.IntRange(0, 5).Draw(t, "name"))
+				revision++
 				if rapid.Bool().Draw(t, "remove") {
 					delete(state, name)
 				} else {
-					state[name] = fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "value"))
+					value := fmt.Sprint(rapid.IntRange(0, 2).Draw(t, "value"))
+					state[name] = Item{Name: name, Spec: []byte(value), Revision: revision}
 				}
 			}
 			var items []Item
-			for n, v := range state {
-				items = append(items, Item{n, []byte(v)})
+			for _, it := range state {
+				items = append(items, it)
 			}
-			log.Set(items)
+			log.Set(revision, items)
 			r := &readers[rapid.IntRange(0, 2).Draw(t, "reader")]
 			u := log.Since(r.at)
 			if u.Full || r.have == nil {
 				r.have = map[string]string{}
 			}
+			for name := range r.have {
+				if len(u.Keys) > 0 && !slices.Contains(u.Keys, KeyOf(name)) {
+					delete(r.have, name)
+				}
+			}
 			for _, name := range u.Removed {
 				delete(r.have, name)
 			}
@@ -56,7 +67,27 @@
 				r.have[it.Name] = string(it.Spec)
 			}
 			r.at = u.To
-			assert.Assert(t, maps.Equal(r.have, state), "%v, want %v", r.have, state)
+			want := map[string]string{}
+			for name, it := range state {
+				want[name] = string(it.Spec)
+			}
+			assert.Assert(t, maps.Equal(r.have, want), "%v, want %v", r.have, want)
 		}
 	})
 }
+
+// A daemon that has listed the source itself follows a log: it must not be told
+// again what it has.
+func TestKnownRevisionIsNotToldAgain(t *testing.T) {
+	log := NewLog(1)
+	var items []Item
+	for i := range 1000 {
+		items = append(items, Item{Name: fmt.Sprint("i-", i), Spec: make([]byte, 250), Revision: uint64(i + 1)})
+	}
+	log.Set(1000, items)
+	u := log.Since(Position{Revision: 990})
+	assert.Equal(t, len(u.Items), 10)
+	assert.Equal(t, len(u.Keys), 1000)
+	assert.Assert(t, !u.Full)
+	assert.Assert(t, log.Since(Position{}).Full)
+}
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -25,11 +25,12 @@
 
 // Handler takes what is learned, in order, from one goroutine.
 type Handler interface {
-	// Listed takes all objects there are.
-	Listed([]objects.Object)
-	// Changed takes changes since the list or the last change; the first call
-	// after Returned has all that happened meanwhile, which may be nothing.
-	Changed([]objects.Change)
+	// Listed takes all objects there are at a revision.
+	Listed(all []objects.Object, revision uint64)
+	// Changed takes changes since the list or the last change, up to a
+	// revision; the first call after Returned has all that happened meanwhile,
+	// which may be nothing.
+	Changed(changes []objects.Change, revision uint64)
 	// Lost says that the store stopped to answer.
 	Lost(error)
 	// Returned says that it answers again; it comes before what it answered.
@@ -56,6 +57,9 @@
 	return &Follower{store: store, kind: kind, handler: h, wait: wait}
 }
 
+// Kind returns the kind that is followed.
+func (f *Follower) Kind() string { return f.kind }
+
 // Age returns how long ago the store last answered.
 func (f *Follower) Age() time.Duration { return time.Since(time.Unix(0, f.contact.Load())) }
 
@@ -82,7 +86,7 @@
 		return 0, err
 	}
 	f.returned()
-	f.handler.Listed(all)
+	f.handler.Listed(all, revision)
 	return revision, nil
 }
 
@@ -94,7 +98,7 @@
 	back := f.lost
 	f.returned()
 	if len(changes) > 0 || back {
-		f.handler.Changed(changes)
+		f.handler.Changed(changes, max(next, after))
 		pause.For(ctx, together)
 	}
 	return max(next, after), nil
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -63,7 +63,7 @@
 // heard notes what a follower says.
 type heard struct{ lines []string }
 
-func (h *heard) Listed(all []objects.Object) {
+func (h *heard) Listed(all []objects.Object, _ uint64) {
 	names := make([]string, len(all))
 	for i := range all {
 		names[i] = all[i].Name
@@ -71,7 +71,7 @@
 	h.lines = append(h.lines, "listed "+strings.Join(names, " "))
 }
 
-func (h *heard) Changed(all []objects.Change) {
+func (h *heard) Changed(all []objects.Change, _ uint64) {
 	names := make([]string, len(all))
 	for i := range all {
 		names[i] = all[i].Object.Name
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -28,14 +28,14 @@
 func (c *configuration) run(ctx context.Context) { c.node.watching.run(ctx, c.store) }
 
 // Listed implements follow.Handler.
-func (c *configuration) Listed(all []objects.Object) {
+func (c *configuration) Listed(all []objects.Object, _ uint64) {
 	for _, o := range all {
 		c.take(o)
 	}
 }
 
 // Changed implements follow.Handler.
-func (c *configuration) Changed(changes []objects.Change) {
+func (c *configuration) Changed(changes []objects.Change, _ uint64) {
 	for _, ch := range changes {
 		if !ch.Deleted {
 			c.take(ch.Object)
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -23,13 +23,21 @@
 	listed bool
 
 	store *follow.Follower
-	specs map[fleet.EndpointID][]byte // as the store or a hub told them
-	log   *feed.Log                   // for daemons that don't watch the store
+	specs map[fleet.EndpointID]spec // as the store or a hub told them
+	// revision is the store's up to which the list is complete.
+	revision uint64
+	log      *feed.Log // for daemons that don't watch the store
+}
+
+// spec is an endpoint's entry as it was told, with the store's revision.
+type spec struct {
+	text     []byte
+	revision uint64
 }
 
 func newEndpointDuty(n *Node) *endpointDuty {
 	d := &endpointDuty{
-		node: n, roster: roster.New(), specs: map[fleet.EndpointID][]byte{}, log: feed.NewLog(rand.Uint64() | 1),
+		node: n, roster: roster.New(), specs: map[fleet.EndpointID]spec{}, log: feed.NewLog(rand.Uint64() | 1),
 	}
 	d.store = follow.New(n.platform.Store, n.platform.EndpointKind, d, n.watching.wait)
 	return d
@@ -47,8 +55,9 @@
 }
 
 // Listed implements follow.Handler.
-func (d *endpointDuty) Listed(all []objects.Object) {
+func (d *endpointDuty) Listed(all []objects.Object, revision uint64) {
 	d.update(func(now time.Time) {
+		d.revision = revision
 		list := make([]roster.Endpoint, 0, len(all))
 		for _, o := range all {
 			if e, ok := d.decode(now, o); ok {
@@ -62,8 +71,9 @@
 }
 
 // Changed implements follow.Handler.
-func (d *endpointDuty) Changed(changes []objects.Change) {
+func (d *endpointDuty) Changed(changes []objects.Change, revision uint64) {
 	d.update(func(now time.Time) {
+		d.revision = revision
 		for _, c := range changes {
 			if c.Deleted {
 				d.roster.Remove(now, fleet.EndpointID(c.Object.Name))
@@ -92,7 +102,7 @@
 		d.node.say("endpoints").WithError(err).Error("entry not understood")
 		return e, false
 	}
-	d.specs[e.ID] = o.Spec
+	d.specs[e.ID] = spec{text: o.Spec, revision: o.Revision}
 	return e, true
 }
 
@@ -105,11 +115,12 @@
 	d.update(func(now time.Time) {
 		var list []roster.Endpoint
 		for _, it := range u.Items {
-			if e, ok := d.decode(now, objects.Object{Name: it.Name, Spec: it.Spec}); ok {
+			if e, ok := d.decode(now, objects.Object{Name: it.Name, Spec: it.Spec, Revision: it.Revision}); ok {
 				list = append(list, e)
 			}
 		}
 		if u.Full {
+			d.node.say("endpoints").WithField("listed", len(list)).Info("whole list taken from a hub")
 			d.roster.Replace(now, list)
 		}
 		for _, e := range list {
@@ -118,10 +129,52 @@
 		for _, name := range u.Removed {
 			d.roster.Remove(now, fleet.EndpointID(name))
 		}
+		if len(u.Keys) > 0 {
+			d.removeOthers(now, u.Keys)
+		}
+		d.revision = u.To.Revision
 		d.listed = true
 	})
 }
 
+// removeOthers removes the endpoints that have none of some keys. The lock is
+// held.
+func (d *endpointDuty) removeOthers(now time.Time, keys []feed.Key) {
+	there := make(map[feed.Key]bool, len(keys))
+	for _, k := range keys {
+		there[k] = true
+	}
+	for _, e := range d.all {
+		if !there[feed.KeyOf(string(e.ID))] {
+			d.roster.Remove(now, e.ID)
+		}
+	}
+}
+
+// known reports whether this daemon has a list of endpoints.
+func (d *endpointDuty) known() bool {
+	_, listed := d.list()
+	return listed
+}
+
+// late reports whether this daemon could not list the store though it has run
+// for a while: then a hub is asked for all.
+func (d *endpointDuty) late() bool {
+	return !d.known() && time.Since(d.node.started) > firstList
+}
+
+// firstList is how long the first list of the store may take: a list of a
+// thousand endpoints goes over a weak machine's link in a quarter of a second.
+const firstList = 1500 * time.Millisecond
+
+// upTo returns the store's revision up to which this daemon's list is complete,
+// 0 where it has none.
+func (d *endpointDuty) upTo() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.revision
+}
+
 // since returns what leads another daemon to this one's list.
 func (d *endpointDuty) since(p feed.Position) feed.Update {
 	d.mu.Lock()
@@ -167,13 +220,14 @@
 // publish puts the new list into the log. The lock is held.
 func (d *endpointDuty) publish() {
 	items := make([]feed.Item, len(d.all))
-	specs := make(map[fleet.EndpointID][]byte, len(d.all))
+	specs := make(map[fleet.EndpointID]spec, len(d.all))
 	for i, e := range d.all {
-		specs[e.ID] = d.specs[e.ID]
-		items[i] = feed.Item{Name: string(e.ID), Spec: d.specs[e.ID]}
+		s := d.specs[e.ID]
+		specs[e.ID] = s
+		items[i] = feed.Item{Name: string(e.ID), Spec: s.text, Revision: s.revision}
 	}
 	d.specs = specs
-	d.log.Set(items)
+	d.log.Set(d.revision, items)
 }
 
 // forgetGone closes kept connections to addresses that nobody has any more.
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -39,10 +39,10 @@
 // itself. The lock is held.
 func (t *telling) position(address string) feed.Position {
 	switch {
-	case t.node.watching.due():
+	case t.node.watching.due() && !t.node.endpoints.late():
 		return feed.Unwanted
 	case t.lister == "":
-		return feed.Position{}
+		return feed.Position{Revision: t.node.endpoints.upTo()}
 	case t.lister == address:
 		return t.listed
 	default:
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -71,8 +71,12 @@
 // stale is the age from which the hubs' word isn't relied on.
 func (w *watching) stale() time.Duration { return hubWait + w.node.interval() + staleSlack }
 
-// due reports whether this daemon should watch the store now.
-func (w *watching) due() bool { return w.small() || w.hub() || w.age() > w.stale() }
+// due reports whether this daemon should watch the store now. One that has just
+// started lists it first: the store's link is the widest, and a hub that had to
+// tell all endpoints to a whole fleet would be late for seconds.
+func (w *watching) due() bool {
+	return w.small() || w.hub() || w.age() > w.stale() || !w.node.endpoints.known()
+}
 
 // wait is how long a watch waits.
 func (w *watching) wait() time.Duration {
@@ -96,6 +100,9 @@
 func (w *watching) follow(ctx context.Context, f *follow.Follower) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	w.node.say("watching").WithFields(map[string]any{
+		"kind": f.Kind(), "daemons": len(w.node.members.serving()), "hub": w.hub(), "word_age_ms": w.age().Milliseconds(),
+	}).Info("watches the store")
 	go pause.Every(ctx, roleInterval, func() {
 		if !w.due() {
 			cancel()
