A model of the configuration's order

Four daemons hear versions from the store, late and stale, and from each other, and are killed; requests must be decided by the newest version that a life was told.

--- /dev/null
+++ b/internal/relay/order_test.go
@@ -0,0 +1,84 @@
+package relay
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	_ "github.com/cyclamenbeam/cyclamenbeam/internal/fixedseed"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// life is one run of a daemon's process.
+type life struct {
+	state  *State
+	newest uint64 // the newest version that this life was told
+	served uint64 // the version that its last request was decided by
+}
+
+func newLife() *life {
+	rng := rand.New(rand.NewPCG(1, 2))
+	return &life{state: NewState("a", quota.New(false, 0), retry.Config{Window: time.Second}, rng)}
+}
+
+// tell hands a version to a daemon, as the store's answer or another daemon's.
+func (l *life) tell(version uint64) {
+	l.state.Configure(time.Unix(1000, 0), route.New(route.Table{Version: version}))
+	l.newest = max(l.newest, version)
+}
+
+// ask returns the version that decides a request, 0 where none does.
+func (l *life) ask(t *rapid.T) uint64 {
+	a, refusal := l.state.admit(time.Unix(1000, 0), &Request{Host: "h", Path: "/"})
+	if a.table == nil {
+		assert.Equal(t, refusal.Reason, NoConfiguration)
+		return 0
+	}
+	return a.table.Version
+}
+
+// An operator publishes versions in uneven steps. Daemons hear of them from the
+// store, late and stale answers among them, and from each other; some are killed
+// and start with nothing. In one life of a daemon requests must be decided by
+// the newest version that it was told, so that none is taken back; a daemon that
+// was told none must refuse as not run.
+func TestConfigurationsAreInForceInTheirOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		daemons := [4]*life{}
+		for i := range daemons {
+			daemons[i] = newLife()
+		}
+		versions := []uint64{}
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			l := daemons[rapid.IntRange(0, len(daemons)-1).Draw(t, "daemon")]
+			switch rapid.IntRange(0, 5).Draw(t, "what") {
+			case 0: // a new version is acknowledged
+				last := uint64(0)
+				if n := len(versions); n > 0 {
+					last = versions[n-1]
+				}
+				versions = append(versions, last+rapid.Uint64Range(1, 5).Draw(t, "step"))
+			case 1, 2: // the store answers, perhaps late
+				if len(versions) > 0 {
+					l.tell(rapid.SampledFrom(versions).Draw(t, "version"))
+				}
+			case 3: // another daemon tells what it has
+				if v := rapid.SampledFrom(daemons[:]).Draw(t, "teller").newest; v > 0 {
+					l.tell(v)
+				}
+			case 4:
+				*l = *newLife()
+			case 5:
+				got := l.ask(t)
+				assert.Equal(t, got, l.newest)
+				assert.Assert(t, got >= l.served)
+				l.served = got
+			}
+		}
+	})
+}
