A daemon that turns to the store goes on from the revision it has

Change: the follower goes on with a watch from the revision up to which the roster is complete; a roster that holds ends back is complete only up to before them, so that nobody who goes on from it misses an end; changes older than what is known are not taken. Also: alone() as a switch, meter uses pause.Every.

Tests: TestCompleteWaitsForWhatIsHeldBack, TestKnownRevisionIsGoneOnFrom, TestHubsNamesReplaceTheList (new functions); TestChangesOlderThanTheListAreNotTaken fails without the check (run).

--- a/internal/feed/feed.go
+++ b/internal/feed/feed.go
@@ -87,7 +87,7 @@
 // Set makes the set equal to items, which are complete up to a revision of the
 // source; what doesn't differ is no change.
 func (l *Log) Set(revision uint64, items []Item) {
-	l.at.Revision = max(l.at.Revision, revision)
+	l.at.Revision = revision
 	there := make(map[string]bool, len(items))
 	for _, it := range items {
 		there[it.Name] = true
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -63,9 +63,10 @@
 // Age returns how long ago the store last answered.
 func (f *Follower) Age() time.Duration { return time.Since(time.Unix(0, f.contact.Load())) }
 
-// Run follows until the context ends.
-func (f *Follower) Run(ctx context.Context) {
-	after, listed := uint64(0), false
+// Run follows until the context ends. Where the handler is complete up to a
+// revision, it goes on from there without a list; 0 is from nothing.
+func (f *Follower) Run(ctx context.Context, from uint64) {
+	after, listed := from, from > 0
 	for ctx.Err() == nil {
 		var err error
 		began := time.Now()
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -27,6 +27,7 @@
 type script struct {
 	objects.Store
 	answers []answer
+	from    uint64
 	calls   []string
 }
 
@@ -89,7 +90,7 @@
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f := New(s, "things", h, func() time.Duration { return 3 * time.Second })
-	f.Run(ctx)
+	f.Run(ctx, s.from)
 	return f
 }
 
@@ -124,6 +125,19 @@
 	})
 }
 
+// A hundred daemons turn to the store at the same moment, each with a list that
+// another daemon told it. Listed anew by all, the store and their links would be
+// busy for seconds.
+func TestKnownRevisionIsGoneOnFrom(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{from: 7, answers: []answer{{changes: []string{"c"}, revision: 9}}}
+		h := &heard{}
+		play(t, s, h)
+		assert.DeepEqual(t, h.lines, []string{"changed c"})
+		assert.DeepEqual(t, s.calls, []string{"watch 7 for 3s", "watch 9 for 3s"})
+	})
+}
+
 // The store falls silent for some calls and comes back without a change. The
 // handler must hear of both, once each: until it hears of the return it treats
 // what it knows as old.
--- a/internal/load/meter.go
+++ b/internal/load/meter.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 // Bounds of readings.
@@ -49,16 +50,7 @@
 
 // follow samples until ctx ends.
 func (m *meter) follow(ctx context.Context) {
-	t := time.NewTicker(samplePeriod)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			m.sample(ctx)
-		}
-	}
+	pause.Every(ctx, samplePeriod, func() { m.sample(ctx) })
 }
 
 // sample reads the list, then every engine's counters.
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -25,7 +25,9 @@
 	return c
 }
 
-func (c *configuration) run(ctx context.Context) { c.node.watching.run(ctx, c.store) }
+func (c *configuration) run(ctx context.Context) {
+	c.node.watching.run(ctx, c.store, func() uint64 { return 0 })
+}
 
 // Listed implements follow.Handler.
 func (c *configuration) Listed(all []objects.Object, _ uint64) {
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -24,9 +24,7 @@
 
 	store *follow.Follower
 	specs map[fleet.EndpointID]spec // as the store or a hub told them
-	// revision is the store's up to which the list is complete.
-	revision uint64
-	log      *feed.Log // for daemons that don't watch the store
+	log   *feed.Log                 // for daemons that don't watch the store
 }
 
 // spec is an endpoint's entry as it was told, with the store's revision.
@@ -43,7 +41,7 @@
 	return d
 }
 
-func (d *endpointDuty) run(ctx context.Context) { d.node.watching.run(ctx, d.store) }
+func (d *endpointDuty) run(ctx context.Context) { d.node.watching.run(ctx, d.store, d.upTo) }
 
 // tickInterval is how often endpoints whose grace is over are looked for.
 const tickInterval = 100 * time.Millisecond
@@ -57,7 +55,6 @@
 // Listed implements follow.Handler.
 func (d *endpointDuty) Listed(all []objects.Object, revision uint64) {
 	d.update(func(now time.Time) {
-		d.revision = revision
 		list := make([]roster.Endpoint, 0, len(all))
 		for _, o := range all {
 			if e, ok := d.decode(now, o); ok {
@@ -65,6 +62,7 @@
 			}
 		}
 		d.roster.Replace(now, list)
+		d.roster.Reached(revision)
 		d.roster.CaughtUp()
 		d.listed = true
 	})
@@ -73,8 +71,10 @@
 // Changed implements follow.Handler.
 func (d *endpointDuty) Changed(changes []objects.Change, revision uint64) {
 	d.update(func(now time.Time) {
-		d.revision = revision
 		for _, c := range changes {
+			if d.outdated(c.Object) {
+				continue
+			}
 			if c.Deleted {
 				d.roster.Remove(now, fleet.EndpointID(c.Object.Name))
 				continue
@@ -83,10 +83,18 @@
 				d.roster.Upsert(e)
 			}
 		}
+		d.roster.Reached(revision)
 		d.roster.CaughtUp()
 	})
 }
 
+// outdated reports whether a change is older than what is known: a watch that
+// goes on from a hub's revision tells again what the hub has told since. The
+// lock is held.
+func (d *endpointDuty) outdated(o objects.Object) bool {
+	return o.Revision != 0 && o.Revision < d.specs[fleet.EndpointID(o.Name)].revision
+}
+
 // Lost implements follow.Handler.
 func (d *endpointDuty) Lost(err error) { d.node.say("endpoints").WithError(err).Warn("store lost") }
 
@@ -132,7 +140,7 @@
 		if len(u.Keys) > 0 {
 			d.removeOthers(now, u.Keys)
 		}
-		d.revision = u.To.Revision
+		d.roster.Reached(u.To.Revision)
 		d.listed = true
 	})
 }
@@ -172,7 +180,7 @@
 func (d *endpointDuty) upTo() uint64 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.revision
+	return d.roster.Complete()
 }
 
 // since returns what leads another daemon to this one's list.
@@ -227,7 +235,7 @@
 		items[i] = feed.Item{Name: string(e.ID), Spec: s.text, Revision: s.revision}
 	}
 	d.specs = specs
-	d.log.Set(d.revision, items)
+	d.log.Set(d.roster.Complete(), items)
 }
 
 // forgetGone closes kept connections to addresses that nobody has any more.
--- /dev/null
+++ b/internal/node/endpoints_test.go
@@ -0,0 +1,78 @@
+package node
+
+import (
+	"encoding/json"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+// addresses returns the listed endpoints' addresses by name.
+func addresses(d *endpointDuty) map[fleet.EndpointID]string {
+	out := map[fleet.EndpointID]string{}
+	all, _ := d.list()
+	for _, e := range all {
+		out[e.ID] = e.Address
+	}
+	return out
+}
+
+// newDuty returns the duty of a daemon that isn't started.
+func newDuty() *endpointDuty {
+	n := New(&Settings{}, Platform{
+		DecodeEndpoint: func(_ time.Time, o objects.Object) (roster.Endpoint, error) {
+			var address string
+			err := json.Unmarshal(o.Spec, &address)
+			return roster.Endpoint{ID: fleet.EndpointID(o.Name), Address: address}, err
+		},
+	}, discard())
+	return n.endpoints
+}
+
+func entry(name, address string, revision uint64) objects.Object {
+	return objects.Object{Name: name, Spec: json.RawMessage(`"` + address + `"`), Revision: revision}
+}
+
+// A hub tells a daemon that an endpoint has a new address. Then the daemon turns
+// to the store and goes on from the revision that the hub vouched for, which is
+// older: the store tells the endpoint's old address first. It must not come back.
+func TestChangesOlderThanTheListAreNotTaken(t *testing.T) {
+	d := newDuty()
+	d.heard(&feed.Update{
+		To: feed.Position{Epoch: 1, Seq: 4, Revision: 5}, Full: true,
+		Items: []feed.Item{{Name: "a", Spec: []byte(`"new"`), Revision: 9}, {Name: "b", Spec: []byte(`"b"`), Revision: 4}},
+	})
+	assert.Equal(t, d.upTo(), uint64(5))
+	d.Changed([]objects.Change{{Object: entry("a", "old", 7)}}, 7)
+	assert.Equal(t, addresses(d)["a"], "new")
+	d.Changed([]objects.Change{{Object: entry("a", "newest", 10)}, {Object: entry("b", "b", 11), Deleted: true}}, 11)
+	assert.DeepEqual(t, addresses(d), map[fleet.EndpointID]string{"a": "newest"})
+}
+
+// A daemon that has listed the store follows a hub whose list is older and has
+// fewer endpoints. It takes the hub's names and what is newer than its own list.
+func TestHubsNamesReplaceTheList(t *testing.T) {
+	d := newDuty()
+	d.Listed([]objects.Object{entry("a", "a", 3), entry("b", "b", 4)}, 6)
+	d.heard(&feed.Update{
+		To:    feed.Position{Epoch: 1, Seq: 4, Revision: 8},
+		Items: []feed.Item{{Name: "c", Spec: []byte(`"c"`), Revision: 7}},
+		Keys:  []feed.Key{feed.KeyOf("a"), feed.KeyOf("c")},
+	})
+	assert.DeepEqual(t, addresses(d), map[fleet.EndpointID]string{"a": "a", "c": "c"})
+	assert.Equal(t, d.upTo(), uint64(8))
+}
+
+func discard() *logrus.Logger {
+	l := logrus.New()
+	l.SetOutput(io.Discard)
+	return l
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -198,10 +198,14 @@
 
 // alone reports whether this daemon isn't told what the others spend.
 func (b *Bucket) alone() bool {
-	if b.fleet.Daemons == 1 {
+	switch {
+	case b.fleet.Daemons == 1:
 		return false
+	case b.untold: // the level is the start's until it is used up
+		return b.level <= 0
+	default:
+		return b.at.Sub(b.told) > silentAfter
 	}
-	return b.untold && b.level <= 0 || !b.untold && b.at.Sub(b.told) > silentAfter
 }
 
 // share returns this daemon's part of what its side may let in: by what it let
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -31,6 +31,8 @@
 	graceEnd  time.Time                      // of the last outage
 	catching  bool                           // what happened in it is not known yet
 	changed   bool
+	reached   uint64 // the registry's revision that was taken in
+	complete  uint64 // the same, up to which nothing is held back
 }
 
 // New returns an empty roster.
@@ -49,6 +51,24 @@
 // CaughtUp notes that all that happened in the outage was taken in.
 func (r *Roster) CaughtUp() { r.catching = false }
 
+// Reached notes that all changes up to a revision of the registry were taken in.
+func (r *Roster) Reached(revision uint64) {
+	r.reached = revision
+	r.settle()
+}
+
+// Complete returns the revision up to which everything took effect. Failure:
+// somebody goes on from this roster with the registry's changes after the
+// revision that it has reached, while an end is held back here. Symptom: they
+// never hear of that end, and send requests to an endpoint that is gone.
+func (r *Roster) Complete() uint64 { return r.complete }
+
+func (r *Roster) settle() {
+	if len(r.lapsed) == 0 {
+		r.complete = r.reached
+	}
+}
+
 // Upsert takes an entry that is new or changed.
 func (r *Roster) Upsert(e Endpoint) {
 	delete(r.lapsed, e.ID)
@@ -100,6 +120,7 @@
 			r.drop(id)
 		}
 	}
+	r.settle()
 }
 
 // Snapshot returns the endpoints by id, and whether they changed since the
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -77,3 +77,23 @@
 	r.Tick(start.Add(15800 * time.Millisecond))
 	assert.Equal(t, count(r), 0)
 }
+
+// The registry returns from an outage, and an entry's end is held back since the
+// endpoint may have lapsed with the registry. Who goes on from this roster must
+// start before that end, or would never hear of it.
+func TestCompleteWaitsForWhatIsHeldBack(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a"})
+	r.Reached(7)
+	assert.Equal(t, r.Complete(), uint64(7))
+	r.Returned(start)
+	r.CaughtUp()
+	r.Remove(start, "a")
+	r.Reached(9)
+	assert.Equal(t, r.Complete(), uint64(7))
+	r.Tick(start.Add(LapseHold - time.Millisecond))
+	assert.Equal(t, r.Complete(), uint64(7))
+	r.Tick(start.Add(LapseHold))
+	assert.Equal(t, r.Complete(), uint64(9))
+	assert.Equal(t, count(r), 0)
+}
