A written deployment's ports are reserved or written anew

Ruled out: a process of the test itself (none was started by then).

Change: the test has another deployment written where a port is taken, at most five times, as lay does for layouts made in the test. Any other error ends it as before, and what it checks of the deployment is as it was.

Not shown: the race itself can't be brought about at will.

--- a/integration/processes_test.go
+++ b/integration/processes_test.go
@@ -1,8 +1,10 @@
 package integration
 
 import (
+	"errors"
 	"os"
 	"path/filepath"
+	"syscall"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -16,15 +18,7 @@
 // on SIGTERM though a caller reads a long answer through it.
 func TestWrittenDeploymentRunsAndStops(t *testing.T) {
 	t.Parallel()
-	dir := t.TempDir()
-	writer, err := launch("dev", t.TempDir(), os.Environ(), "dev", "--write", dir)
-	assert.NilError(t, err)
-	t.Cleanup(writer.end)
-	assert.Equal(t, writer.wait(), 0, writer.tail())
-	ports, err := reserveWritten(dir)
-	assert.NilError(t, err)
-	t.Cleanup(ports.release)
-
+	dir := writeDeployment(t)
 	standin := start(t, "standin", dir, "standin", "--settings", filepath.Join(dir, "standin.yaml"))
 	assert.Equal(t, len(standin.addresses(deployment.RolePlatform)), 1)
 	assert.Equal(t, len(standin.addresses(deployment.RoleEngine)), 4)
@@ -49,6 +43,31 @@
 	standin.stop(t)
 }
 
+// writeTries bounds the deployments that are written until one's ports are free.
+const writeTries = 5
+
+// writeDeployment has "dev --write" describe a deployment and returns its folder,
+// with its ports reserved. The ports are free while they are written down; where
+// another process has taken one before they are reserved, another deployment is
+// written.
+func writeDeployment(t *testing.T) string {
+	t.Helper()
+	for try := 1; ; try++ {
+		dir := t.TempDir()
+		writer, err := launch("dev", t.TempDir(), os.Environ(), "dev", "--write", dir)
+		assert.NilError(t, err)
+		t.Cleanup(writer.end)
+		assert.Equal(t, writer.wait(), 0, writer.tail())
+		ports, err := reserveWritten(dir)
+		if errors.Is(err, syscall.EADDRINUSE) && try < writeTries {
+			continue
+		}
+		assert.NilError(t, err)
+		t.Cleanup(ports.release)
+		return dir
+	}
+}
+
 // checkEntry makes one call of each kind through an entry.
 func checkEntry(t *testing.T, address string) {
 	t.Helper()
