Dead code and work done twice, found on re-reading

Once instead of twice: serve reads the settings' file once; a connection is dropped under one lock; a hub looks for parts to forget when it adds up, 20 times a second, and no longer with each report; use notes a sum under one lock.

One copy: stored decodes what the store holds, for three callers; parseLevel serves both logs; two tests of a restarting fleet share their loop, their bounds as they were; Bucket.Others and Hear share what they end with.

No behaviour changed.

--- a/internal/balance/ask.go
+++ b/internal/balance/ask.go
@@ -40,8 +40,6 @@
 	Wait float64
 	// Home says that it is the subject's home.
 	Home bool
-	// Full says that all slots are believed taken.
-	Full bool
 }
 
 // Outcome says how an attempt ended.
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -59,6 +59,5 @@
 		Cached:   held,
 		Wait:     b.wait(a, m, held),
 		Home:     m == home,
-		Full:     m.running() >= max(m.Slots, 1),
 	}
 }
--- a/internal/cli/serve.go
+++ b/internal/cli/serve.go
@@ -36,7 +36,7 @@
 		return err
 	}
 	if node.Recognise(text) {
-		return a.serveNode(ctx, path)
+		return a.serveNode(ctx, path, text)
 	}
 	s, err := settings.Read(path)
 	if err != nil {
--- a/internal/cli/servenode.go
+++ b/internal/cli/servenode.go
@@ -21,9 +21,10 @@
 // some ten megabytes, and collecting less often costs less processor time.
 const gcPercent = 200
 
-// serveNode runs the daemon of an entry on the users' platform.
-func (a *app) serveNode(ctx context.Context, path string) error {
-	s, err := node.ReadSettings(path)
+// serveNode runs the daemon of an entry on the users' platform, whose settings'
+// file at a path holds text.
+func (a *app) serveNode(ctx context.Context, path string, text []byte) error {
+	s, err := node.ParseSettings(text)
 	if err != nil {
 		return err
 	}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -65,6 +65,11 @@
 		base = old.moved(now.Sub(old.at), p.Soft.Spent)
 	}
 	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew, base: base}
+}
+
+// forget lets the parts of daemons go that have been silent for long. What they
+// spent stays in the total.
+func (h *Hub) forget(now time.Time) {
 	for id, old := range h.parts {
 		if now.Sub(old.at) > forgetAfter {
 			for w := range old.part.Soft.Spent {
@@ -112,6 +117,7 @@
 
 // sumUp adds up all parts.
 func (h *Hub) sumUp(now time.Time) *total {
+	h.forget(now)
 	t := &total{
 		at: now, spent: maps.Clone(h.gone), load: balance.Loads{},
 		parts: make(map[fleet.DaemonID]counted, len(h.parts)),
--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -17,11 +17,7 @@
 	l := logrus.New()
 	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
 	l.SetOutput(newAsync(w))
-	parsed, err := logrus.ParseLevel(level)
-	if err != nil {
-		parsed = logrus.InfoLevel
-	}
-	l.SetLevel(parsed)
+	l.SetLevel(parseLevel(level))
 	return l
 }
 
@@ -32,9 +28,7 @@
 	a := &async{lines: ring.New[[]byte]("log", asyncLines)}
 	go func() {
 		for line := range a.lines.C() {
-			if _, err := w.Write(line); err != nil {
-				continue // nobody reads the log; there is nobody to tell
-			}
+			_, _ = w.Write(line) // where nobody reads the log there is nobody to tell
 		}
 	}()
 	return a
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -38,12 +38,17 @@
 	} else {
 		l.SetFormatter(&logrus.TextFormatter{DisableColors: true, FullTimestamp: true})
 	}
-	level, err := logrus.ParseLevel(s.Level)
+	l.SetLevel(parseLevel(s.Level))
+	return l
+}
+
+// parseLevel reads a level; what can't be read is info.
+func parseLevel(text string) logrus.Level {
+	level, err := logrus.ParseLevel(text)
 	if err != nil {
-		level = logrus.InfoLevel
+		return logrus.InfoLevel
 	}
-	l.SetLevel(level)
-	return l
+	return level
 }
 
 // For returns the log of a part.
--- a/internal/node/checkpoint.go
+++ b/internal/node/checkpoint.go
@@ -55,10 +55,7 @@
 		c.restored = true
 		return
 	}
-	var saved exchange.Checkpoint
-	if err == nil {
-		err = json.Unmarshal(o.Spec, &saved)
-	}
+	saved, err := stored[exchange.Checkpoint](o, err)
 	if err != nil {
 		c.duties.log.WithError(err).Warn("running windows not read")
 		return
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,7 +2,6 @@
 
 import (
 	"bytes"
-	"os"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -83,16 +82,7 @@
 	Level string `yaml:"level"`
 }
 
-// ReadSettings reads and checks a file. A mistake names its line and column.
-func ReadSettings(path string) (*Settings, error) {
-	text, err := os.ReadFile(path)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	return ParseSettings(text)
-}
-
-// ParseSettings reads and checks settings.
+// ParseSettings reads and checks settings. A mistake names its line and column.
 func ParseSettings(text []byte) (*Settings, error) {
 	s := &Settings{
 		Bounds: BoundsSettings{
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -199,7 +199,7 @@
 		if t.node.gathering() && len(t.node.members.serving()) == 1 {
 			return // it has not found the others yet, and knows nothing of them
 		}
-		t.use(address, &p, &sum)
+		t.use(address, &sum)
 		return
 	}
 	sum, err := t.client.Tell(ctx, address, &p)
@@ -212,7 +212,7 @@
 	t.behind[address] = sum.Config.Version < p.Config.Version
 	t.answered[address] = time.Now()
 	t.mu.Unlock()
-	t.use(address, &p, &sum)
+	t.use(address, &sum)
 }
 
 // enter reports whether no call to a hub is under way, and begins one.
@@ -253,23 +253,24 @@
 	return p
 }
 
-// use takes a hub's sum for a part.
-func (t *telling) use(address string, p *exchange.Part, sum *exchange.Sum) {
+// use takes a hub's sum.
+func (t *telling) use(address string, sum *exchange.Sum) {
 	t.node.watching.told(sum.Fresh)
 	t.list(address, sum)
 	if !sum.True.IsZero() {
 		t.node.clock.Correct(sum.True, t.node.clock.Steady())
 	}
+	now := time.Now()
 	t.mu.Lock()
 	t.holder = t.holder.Newer(sum.Holder)
+	if sum.Loads != nil {
+		t.loadedAt = now
+	}
 	t.mu.Unlock()
 	if sum.Loads != nil {
 		sum.Soft.Load = sum.Loads.Others()
-		t.mu.Lock()
-		t.loadedAt = time.Now()
-		t.mu.Unlock()
 	}
-	t.node.state.Others(time.Now(), address, sum.Soft)
+	t.node.state.Others(now, address, sum.Soft)
 }
 
 // setHolder notes that this daemon holds the duties since an acquisition. The
--- a/internal/node/usageduty.go
+++ b/internal/node/usageduty.go
@@ -48,11 +48,19 @@
 
 // begun returns a window's counts from all daemons.
 func (d *duties) begun(window uint64) map[fleet.WorkspaceID]uint64 {
-	out := map[fleet.WorkspaceID]uint64{}
+	var out exchange.Begun
 	d.node.telling.ask(func(h *exchange.Hub) { out = h.Begun(window) })
 	return out
 }
 
+// stored decodes the value of an object that was read, or returns the read's error.
+func stored[T any](o objects.Object, err error) (value T, _ error) {
+	if err == nil {
+		err = json.Unmarshal(o.Spec, &value)
+	}
+	return value, err
+}
+
 func (d *duties) freeze(ctx context.Context, a usage.Action) (objects.Object, error) {
 	a.Record.Daemons = len(d.node.members.serving())
 	text, err := json.Marshal(a.Record)
@@ -70,11 +78,7 @@
 	if n.settings.Daemon.FirstStart {
 		return
 	}
-	o, err := n.platform.Store.Get(ctx, usageKind, usageName)
-	var record usage.Record
-	if err == nil {
-		err = json.Unmarshal(o.Spec, &record)
-	}
+	record, err := stored[usage.Record](n.platform.Store.Get(ctx, usageKind, usageName))
 	if err != nil {
 		n.say("daemon").WithError(err).Info("number of daemons not known from before")
 		return
@@ -87,10 +91,7 @@
 		r.Found(0, usage.Record{})
 		return
 	}
-	var record usage.Record
-	if err == nil {
-		err = json.Unmarshal(o.Spec, &record)
-	}
+	record, err := stored[usage.Record](o, err)
 	if err != nil {
 		d.log.WithError(err).Warn("frozen usage not read")
 		r.Unsure(now)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -95,8 +95,7 @@
 		b.othersRate += (spent/d.Seconds() - b.othersRate) * weight
 		b.ownRate += (b.spent/d.Seconds() - b.ownRate) * weight
 	}
-	b.predicted = 0
-	b.Hear(now)
+	b.heard(now)
 }
 
 // Hear notes that the others are heard, though not what they have spent: a hub
@@ -104,6 +103,10 @@
 func (b *Bucket) Hear(now time.Time) {
 	b.fill(now)
 	b.level -= b.predicted
+	b.heard(now)
+}
+
+func (b *Bucket) heard(now time.Time) {
 	b.predicted, b.spent = 0, 0
 	b.told, b.untold = now, false
 }
@@ -255,7 +258,7 @@
 func (b *Bucket) advance(now time.Time) {
 	d := now.Sub(b.at).Seconds()
 	b.own = min(b.own+b.ownFill()*d, max(b.depth(), b.own))
-	if alone := b.alone(); !alone {
+	if !b.alone() {
 		b.level = min(b.level+b.rate*b.fleet.Part*d, b.burst)
 		b.predicted += b.othersRate * d
 	}
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -235,9 +235,10 @@
 	assert.Equal(t, q.Spent()["w"], 120.0)
 }
 
-// All daemons of a fleet lose power at once and start again. For a second none
-// hears of the others. Together they must not let in more than the limit.
-func TestFleetThatStartsAgainKeepsTheLimit(t *testing.T) {
+// letInAtRestart returns what a fleet lets in of one workspace, whose limit is a
+// thousand a second, in the second after all of its daemons have started again;
+// none hears of the others.
+func letInAtRestart(cost float64) float64 {
 	const daemons = 60
 	w := route.Workspace{Name: "w", Rate: 1000, Burst: 1000}
 	let := 0.0
@@ -246,11 +247,18 @@
 		q.SetDaemons(start, daemons)
 		q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 		for step := range 100 { // of 10 ms
-			if _, ok := q.Take(start.Add(time.Duration(step)*10*time.Millisecond), &w, 1); ok {
-				let++
+			if _, ok := q.Take(start.Add(time.Duration(step)*10*time.Millisecond), &w, cost); ok {
+				let += cost
 			}
 		}
 	}
+	return let
+}
+
+// All daemons of a fleet lose power at once and start again. Together they must
+// not let in more than the limit.
+func TestFleetThatStartsAgainKeepsTheLimit(t *testing.T) {
+	let := letInAtRestart(1)
 	assert.Assert(t, let <= 1000*1.1, "let in %v", let)
 	assert.Assert(t, let >= 500, "let in %v", let)
 }
@@ -259,18 +267,6 @@
 // Were half of the cost left as a debt, as it may be where the level is common,
 // the debts of all daemons would add up.
 func TestFleetThatStartsAgainLeavesNoDebts(t *testing.T) {
-	const daemons = 60
-	w := route.Workspace{Name: "w", Rate: 1000, Burst: 1000}
-	let := 0.0
-	for range daemons {
-		q := New(false, 0)
-		q.SetDaemons(start, daemons)
-		q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
-		for step := range 100 { // of 10 ms
-			if _, ok := q.Take(start.Add(time.Duration(step)*10*time.Millisecond), &w, 30); ok {
-				let += 30
-			}
-		}
-	}
+	let := letInAtRestart(30)
 	assert.Assert(t, let <= 1000*1.1, "let in %v", let)
 }
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -30,9 +30,6 @@
 // since they could outlast it.
 func (r *Relay) Stop(now time.Time) { r.stopping.CompareAndSwap(nil, &now) }
 
-// Stopping reports whether Stop was called.
-func (r *Relay) Stopping() bool { return r.stopping.Load() != nil }
-
 // lateAfterStop is how long after the beginning of a stop streams are still
 // taken: the platform kills a process 8 s after its notice, and a stream takes
 // some 2 to 3 s.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"maps"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -97,15 +98,7 @@
 func (s *State) Own() Soft {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := Soft{
-		Spent: make(map[fleet.WorkspaceID]float64, len(s.quota.Spent())),
-		Load:  s.balancer.Own(),
-		Work:  s.loads.snapshot(),
-	}
-	for name, v := range s.quota.Spent() {
-		out.Spent[name] = v
-	}
-	return out
+	return Soft{Spent: maps.Clone(s.quota.Spent()), Load: s.balancer.Own(), Work: s.loads.snapshot()}
 }
 
 // Others takes the sum of all other daemons' parts that a hub tells. A sum
--- a/internal/route/limits.go
+++ b/internal/route/limits.go
@@ -1,11 +1,6 @@
 package route
 
-import "time"
-
-// Limits bound what a caller may send and how long it may take.
+// Limits bound what a caller may send.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int
 }
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -27,6 +27,5 @@
 type Scaling struct {
 	Min, Max   int // in each data centre, of both classes together
 	BootTime   time.Duration
-	SpotPrice  float64 // of the reclaimable class, as a share of the on-demand price
 	DataCentre map[fleet.DataCentre]float64
 }
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -16,7 +16,7 @@
 	return &route.Service{
 		Engine: &route.Engine{Slots: 48},
 		Scaling: &route.Scaling{
-			Min: 1, Max: 10, BootTime: 4 * time.Second, SpotPrice: 0.18,
+			Min: 1, Max: 10, BootTime: 4 * time.Second,
 			DataCentre: map[fleet.DataCentre]float64{"a": 1, "b": 0.8, "c": 1.25, "d": 0.9},
 		},
 	}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -18,9 +18,6 @@
 	// Owns reports whether an answer's header names this request; a kept
 	// connection may first bring a late answer to an earlier one.
 	Owns func(http.Header) Ownership
-	// Once says that the request must not run twice, so that it is sent on a
-	// connection only where that was seen open just before.
-	Once bool
 	// HeadTimeout bounds the wait for the answer's head; 0 leaves it to the
 	// context.
 	HeadTimeout time.Duration
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -51,7 +51,7 @@
 	conns map[*conn]struct{}
 }
 
-// lose forgets a connection.
+// lose forgets a connection, nil for the room of one that wasn't set up.
 func (h *host) lose(c *conn) {
 	delete(h.conns, c)
 	h.open--
@@ -59,11 +59,10 @@
 
 // Stats are totals since the start.
 type Stats struct {
-	Dialled, DialFailed uint64
-	Reused              uint64
-	Stale               uint64 // kept connections found closed or with bytes of nobody
-	Silent              uint64 // calls given up since the endpoint said nothing
-	Skipped             uint64 // late answers to earlier requests that were passed over
+	Dialled uint64
+	Reused  uint64
+	Silent  uint64 // calls given up since the endpoint said nothing
+	Skipped uint64 // late answers to earlier requests that were passed over
 }
 
 // Dialer sets a connection to an endpoint up.
@@ -119,7 +118,6 @@
 		if c.quiet() {
 			return c, nil
 		}
-		p.count(func(s *Stats) { s.Stale++ })
 		p.drop(c)
 	}
 }
@@ -130,8 +128,7 @@
 	defer cancel()
 	nc, err := p.dial(ctx, address)
 	if err != nil {
-		p.count(func(s *Stats) { s.DialFailed++ })
-		p.release(address)
+		p.release(address, nil)
 		return nil, verdict.Wrap(verdict.NotRun, Error.Wrap(err))
 	}
 	p.count(func(s *Stats) { s.Dialled++ })
@@ -194,17 +191,15 @@
 // drop closes a connection and gives its room back.
 func (p *Pool) drop(c *conn) {
 	c.close()
-	p.mu.Lock()
-	delete(c.host.conns, c)
-	p.mu.Unlock()
-	p.release(c.address)
+	p.release(c.address, c)
 }
 
-func (p *Pool) release(address string) {
+// release gives the room of a connection back, nil for one that wasn't set up.
+func (p *Pool) release(address string, c *conn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.hosts[address]
-	h.open--
+	h.lose(c)
 	if h.open == 0 && len(h.idle) == 0 {
 		delete(p.hosts, address)
 	}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -30,8 +30,6 @@
 type Answer struct {
 	Status int
 	Header http.Header
-	// Length is the body's, -1 where the endpoint does not say.
-	Length int64
 	Body   io.Reader
 
 	pool    *Pool
@@ -134,7 +132,7 @@
 func (a *Answer) take(resp *http.Response) {
 	a.conn.headCame()
 	a.resp = resp
-	a.Status, a.Header, a.Length = resp.StatusCode, resp.Header, resp.ContentLength
+	a.Status, a.Header = resp.StatusCode, resp.Header
 	a.Body = (*body)(a)
 }
 
