The common level stands still in a silence, as it was meant to

Cause: fill cuts a time span where a silence begins to count, and advance asks alone() at the span's start, which at that very moment said no. The rest of the span was filled as if the others were heard, and the cut had no effect. Spans are 250 ms at most in a daemon, since its fleet is counted so often: that bounds what was let in beyond.

Change: alone() holds from silentAfter on, not after it.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -207,7 +207,7 @@
 	case b.untold: // the level is the start's until it is used up
 		return b.level <= 0
 	default:
-		return b.at.Sub(b.told) > silentAfter
+		return b.at.Sub(b.told) >= silentAfter
 	}
 }
 
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -270,3 +270,13 @@
 	let := letInAtRestart(30)
 	assert.Assert(t, let <= 1000*1.1, "let in %v", let)
 }
+
+// The hubs fall silent for three seconds in which nobody asks. The common level
+// may fill for as long as the others' spending would be counted afterwards, not
+// for the whole silence: what they spent in the rest is never taken off.
+func TestLevelStandsStillInASilence(t *testing.T) {
+	b := NewBucket(start, 100, 1000, 0, 0)
+	b.SetFleet(start, Fleet{Daemons: 10, Part: 1})
+	b.Hear(start)
+	assert.Equal(t, b.Level(start.Add(3*time.Second)), 100*silentAfter.Seconds())
+}
