On-demand endpoints are ordered in one step by the hazard of further reclaims

Cause: while reclaimable endpoints were taken away in several data centres, the planner gave endpoints back in the others, ordered replacements one by one and counted places that had just refused as capacity. Change: losses are observed in each place and raise a decaying hazard; as many further losses are provided for as the chance of each, times what a missing endpoint costs callers, is worth. Nothing is given back in a wave, a place that refuses is left out, endpoints that start count where they are.

--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -59,6 +59,7 @@
 	out := &scaling.Sample{
 		Service:  service,
 		Here:     map[scaling.Place]int{},
+		Leaving:  map[scaling.Place]int{},
 		ReadRate: s.duties.node.state.ReadRate(),
 		Seconds:  elapsed.Seconds(),
 	}
@@ -74,8 +75,11 @@
 		if e.Service != service.Name {
 			continue
 		}
-		if !e.Draining {
-			out.Here[scaling.Place{DataCentre: e.DataCentre, Spot: e.Spot}]++
+		place := scaling.Place{DataCentre: e.DataCentre, Spot: e.Spot}
+		if e.Draining {
+			out.Leaving[place]++
+		} else {
+			out.Here[place]++
 		}
 	}
 	return out
--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -29,6 +29,18 @@
 	holdFall = 5 * time.Second
 	// refusedWait is between an order that was refused and its repeat.
 	refusedWait = 2 * time.Second
+	// refusedHold is how long a place that refused is left out of the choice.
+	refusedHold = 6 * time.Second
+	// waveHold is how long after the last loss or refusal nothing is given
+	// back: reclaims of a wave are up to six seconds apart.
+	waveHold = 7 * time.Second
+	// hazardHalf is the time in which the weight of a loss halves, as a sign of
+	// further ones: waves last some ten to twenty seconds.
+	hazardHalf = 7 * time.Second
+	// missingCost is what an endpoint that is missing costs callers, as a
+	// multiple of its on-demand price: late and refused answers are worth a
+	// tenth and nothing, and an endpoint's answers are worth many times its price.
+	missingCost = 8.0
 	// bootSlack is added to the stated start time before an endpoint that was
 	// ordered counts as missing.
 	bootSlack = 1500 * time.Millisecond
--- /dev/null
+++ b/internal/scaling/ondemand.go
@@ -0,0 +1,100 @@
+package scaling
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// addOnDemand wants on-demand endpoints for what the reclaimable ones will not
+// carry, after as many further losses as the hazard makes worth providing for.
+func (p *Planner) addOnDemand(now time.Time, s *Sample, need float64, wanted map[Place]int) {
+	p.onDemand = p.onDemandCount(now, s, int(math.Ceil(need)))
+	p.placeOnDemand(now, s, p.onDemand, wanted)
+}
+
+// onDemandCount returns how many on-demand endpoints there should be. More are
+// wanted at once, all that are missing in one step; those that are there stay
+// until reclaimable ones serve in their place, and through a wave.
+func (p *Planner) onDemandCount(now time.Time, s *Sample, need int) int {
+	within := s.Service.Scaling.BootTime + bootSlack
+	losses := p.market.hazard.provideFor(now, within, len(s.Service.Scaling.DataCentre))
+	missing := max(need-p.reclaimableAfter(now, s, losses, true), 0)
+	if p.loaded.IsZero() {
+		return missing
+	}
+	there := p.onDemandThere(now, s)
+	if p.market.wave(now) || p.settling(now) {
+		return max(missing, there)
+	}
+	keep := max(need-p.reclaimableAfter(now, s, losses, false), 0)
+	return max(missing, min(keep, there))
+}
+
+// reclaimableAfter returns the reclaimable endpoints that are left when the
+// data centres with the most have lost theirs, with those that start or without.
+func (p *Planner) reclaimableAfter(now time.Time, s *Sample, losses int, starting bool) int {
+	var counts []int
+	for dc := range s.Service.Scaling.DataCentre {
+		place := Place{dc, true}
+		n := s.Here[place]
+		if starting {
+			n += p.market.starting(now, s, place)
+		}
+		counts = append(counts, n)
+	}
+	slices.Sort(counts)
+	sum := 0
+	for _, n := range counts[:max(len(counts)-losses, 0)] {
+		sum += n
+	}
+	return sum
+}
+
+// onDemandThere returns the on-demand endpoints that serve or start.
+func (p *Planner) onDemandThere(now time.Time, s *Sample) int {
+	n := 0
+	for dc := range s.Service.Scaling.DataCentre {
+		place := Place{dc, false}
+		n += s.Here[place] + p.market.starting(now, s, place)
+	}
+	return n
+}
+
+// placeOnDemand spreads a number of on-demand endpoints: where they are or
+// start already, then over the cheapest data centres that have room and don't
+// refuse.
+func (p *Planner) placeOnDemand(now time.Time, s *Sample, missing int, wanted map[Place]int) {
+	for _, dc := range cheapest(s) {
+		place := Place{dc, false}
+		stay := min(s.Here[place]+p.market.starting(now, s, place), missing)
+		wanted[place] = stay
+		missing -= stay
+	}
+	for missing > 0 {
+		before := missing
+		for _, dc := range cheapest(s) {
+			place := Place{dc, false}
+			full := wanted[place]+s.Here[Place{dc, true}] >= s.Service.Scaling.Max
+			if missing > 0 && !full && !p.market.refusing(now, place) {
+				wanted[place]++
+				missing--
+			}
+		}
+		if before == missing {
+			return // every data centre is full or refuses
+		}
+	}
+}
+
+// cheapest returns the data centres by price.
+func cheapest(s *Sample) []fleet.DataCentre {
+	prices := s.Service.Scaling.DataCentre
+	return slices.SortedFunc(maps.Keys(prices), func(a, b fleet.DataCentre) int {
+		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
+	})
+}
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -1,13 +1,10 @@
 package scaling
 
 import (
-	"cmp"
 	"maps"
 	"math"
 	"slices"
 	"time"
-
-	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
 // Planner decides for one service. A new holder of the duty starts with a new
@@ -22,24 +19,19 @@
 	seenAt    time.Time // since when
 	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
 	perCentre int       // reclaimable endpoints wanted in each data centre
-	placed    map[Place]placed
-}
-
-// placed is the last order for a place.
-type placed struct {
-	count   int
-	at      time.Time
-	refused time.Time // zero where it was taken
+	onDemand  int       // on-demand endpoints wanted in all
+	market    *market
 }
 
 // New returns a planner.
-func New() *Planner { return &Planner{placed: map[Place]placed{}} }
+func New() *Planner { return &Planner{market: newMarket()} }
 
 // Plan returns the orders that are due.
 func (p *Planner) Plan(now time.Time, s *Sample) []Order {
 	if s.Service.Scaling == nil || len(s.Service.Scaling.DataCentre) == 0 {
 		return nil
 	}
+	p.market.observe(now, s)
 	if !p.start(now, s) {
 		return nil
 	}
@@ -56,13 +48,11 @@
 
 // Refused notes that an order was refused.
 func (p *Planner) Refused(now time.Time, o Order) {
-	last := p.placed[o.Place]
-	last.refused = now
-	p.placed[o.Place] = last
+	p.market.refusedOrder(now, o)
 }
 
 // Failed notes that an order has no answer: it is repeated.
-func (p *Planner) Failed(o Order) { delete(p.placed, o.Place) }
+func (p *Planner) Failed(o Order) { p.market.forget(o.Place) }
 
 // start reports whether the endpoints that are there are known. Right after
 // the platform's own start they register one after the other; planned from the
@@ -130,54 +120,14 @@
 		p.perCentre, p.fewer = want, time.Time{}
 	case p.fewer.IsZero():
 		p.fewer = now
+	case p.market.wave(now):
+		p.fewer = now // what is there may be needed next, and can't be had again
 	case now.Sub(p.fewer) > holdFall && !p.settling(now):
 		p.perCentre = (p.perCentre + want) / 2
 		p.fewer = now
 	}
 }
 
-// addOnDemand orders on-demand endpoints for what the reclaimable ones that
-// serve or will soon don't carry, in the cheapest data centres. Those that are
-// there stay until reclaimable ones serve in their place.
-func (p *Planner) addOnDemand(now time.Time, s *Sample, need float64, wanted map[Place]int) {
-	reclaimable, serving := 0, 0
-	for dc := range s.Service.Scaling.DataCentre {
-		place := Place{dc, true}
-		reclaimable += s.Here[place]
-		serving += s.Here[place]
-		if last := p.placed[place]; last.count > s.Here[place] && p.booting(now, s, last) {
-			reclaimable += last.count - s.Here[place]
-		}
-	}
-	missing := int(math.Ceil(need)) - reclaimable
-	if !p.loaded.IsZero() {
-		keep := int(math.Ceil(need)) - serving
-		if p.settling(now) {
-			keep = p.onDemand(s)
-		}
-		missing = max(missing, min(keep, p.onDemand(s)))
-	}
-	for _, dc := range cheapest(s) { // those that are there, where they are
-		place := Place{dc, false}
-		stay := min(s.Here[place], max(missing, 0))
-		wanted[place] = stay
-		missing -= stay
-	}
-	for missing > 0 {
-		before := missing
-		for _, dc := range cheapest(s) {
-			place := Place{dc, false}
-			if missing > 0 && wanted[place]+s.Here[Place{dc, true}] < s.Service.Scaling.Max {
-				wanted[place]++
-				missing--
-			}
-		}
-		if before == missing {
-			return // every data centre is full
-		}
-	}
-}
-
 // settling reports whether a planner that began under load doesn't know the
 // load well enough to give anything back.
 func (p *Planner) settling(now time.Time) bool {
@@ -195,22 +145,6 @@
 	return n
 }
 
-// onDemand returns the on-demand endpoints that are there.
-func (p *Planner) onDemand(s *Sample) int {
-	n := 0
-	for place, count := range s.Here {
-		if !place.Spot {
-			n += count
-		}
-	}
-	return n
-}
-
-// booting reports whether an order may still bring endpoints.
-func (p *Planner) booting(now time.Time, s *Sample, last placed) bool {
-	return last.refused.IsZero() && now.Sub(last.at) < s.Service.Scaling.BootTime+bootSlack
-}
-
 // due returns the wanted counts that weren't ordered yet, or whose endpoints
 // are missing though their start time is over. On-demand endpoints are given
 // back only while enough others serve.
@@ -221,7 +155,7 @@
 			place := Place{dc, spot}
 			o := Order{place, wanted[place]}
 			if p.isDue(now, s, o) {
-				p.placed[place] = placed{count: o.Count, at: now}
+				p.market.ordered(now, o)
 				out = append(out, o)
 			}
 		}
@@ -230,27 +164,19 @@
 }
 
 func (p *Planner) isDue(now time.Time, s *Sample, o Order) bool {
-	last, ordered := p.placed[o.Place]
+	last := p.market.at(o.Place)
 	switch {
 	case !last.refused.IsZero():
 		return now.Sub(last.refused) >= refusedWait && s.Here[o.Place] != o.Count
-	case !ordered:
+	case !last.isOrdered:
 		return s.Here[o.Place] != o.Count
-	case last.count != o.Count:
+	case last.ordered != o.Count:
 		return true
 	default:
-		return s.Here[o.Place] < o.Count && !p.booting(now, s, last)
+		return s.Here[o.Place]+p.market.starting(now, s, o.Place) < o.Count
 	}
 }
 
-// cheapest returns the data centres by price.
-func cheapest(s *Sample) []fleet.DataCentre {
-	prices := s.Service.Scaling.DataCentre
-	return slices.SortedFunc(maps.Keys(prices), func(a, b fleet.DataCentre) int {
-		return cmp.Or(cmp.Compare(prices[a], prices[b]), cmp.Compare(a, b))
-	})
-}
-
 func total(here map[Place]int) int {
 	n := 0
 	for _, c := range here {
--- a/internal/scaling/sample.go
+++ b/internal/scaling/sample.go
@@ -10,6 +10,8 @@
 	Service *route.Service
 	// Here is the endpoints that serve and don't leave, by place.
 	Here map[Place]int
+	// Leaving is the endpoints that are announced to leave, by place.
+	Leaving map[Place]int
 	// Slots is the slots that the requests since the last sample hold of
 	// endpoints that aren't overloaded.
 	Slots float64
