--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -25,7 +25,7 @@
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
-			Service: service, Requests: uint64(w.Requests), Refused: uint64(w.Refused), Hold: w.Hold, Read: w.Read,
+			Service: service, Requests: uint64(w.Requests), Refused: uint64(w.Refused), Hold: w.Hold, Read: w.Read, Prompt: w.Prompt,
 		})
 	}
 	for id, begun := range p.Windows {
@@ -56,7 +56,9 @@
 		WantLevels: r.WantLevels,
 	}
 	for _, w := range r.Works {
-		p.Soft.Work[w.Service] = relay.Work{Requests: int(w.Requests), Refused: int(w.Refused), Hold: w.Hold, Read: w.Read}
+		p.Soft.Work[w.Service] = relay.Work{
+			Requests: int(w.Requests), Refused: int(w.Refused), Hold: w.Hold, Read: w.Read, Prompt: w.Prompt,
+		}
 	}
 	for _, w := range r.Windows {
 		begun := make(Begun, len(w.Begun))
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -150,6 +150,7 @@
 			sum.Refused += w.Refused
 			sum.Hold += w.Hold
 			sum.Read += w.Read
+			sum.Prompt += w.Prompt
 			out[s] = sum
 		}
 	}
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -68,6 +68,7 @@
 	if last, ok := s.work[service.Name]; ok {
 		out.Slots = max(work.Hold-last.Hold, 0) / out.Seconds
 		out.Read = max(work.Read-last.Read, 0) / out.Seconds
+		out.Prompt = max(work.Prompt-last.Prompt, 0) / out.Seconds
 	}
 	s.work[service.Name] = work
 	all, _ := s.duties.node.endpoints.list()
@@ -104,7 +105,7 @@
 	}
 	log := s.duties.log.WithFields(map[string]any{
 		"service": sample.Service.Name, "data_centre": o.DataCentre, "spot": o.Spot, "count": o.Count,
-		"here": sample.Here[o.Place], "slots": sample.Slots, "read": sample.Read, "read_rate": sample.ReadRate,
+		"here": sample.Here[o.Place], "slots": sample.Slots, "read": sample.Read, "prompt": sample.Prompt, "read_rate": sample.ReadRate,
 	})
 	s.duties.call(ctx, func() func(time.Time) {
 		err := s.duties.node.platform.Cloud.Order(ctx, f, duty.Order{
--- a/internal/relay/track.go
+++ b/internal/relay/track.go
@@ -24,7 +24,7 @@
 	}
 	if !f.asked {
 		f.asked = true
-		s.loads.asked(f.service, f.ask.Output, max(f.ask.Prompt-c.Cached, 0))
+		s.loads.asked(f.service, f.ask.Output, f.ask.Prompt, max(f.ask.Prompt-c.Cached, 0))
 	}
 	if wait := hopeless(f, c, now); wait > 0 {
 		s.loads.refused(f.service)
--- a/internal/relay/work.go
+++ b/internal/relay/work.go
@@ -13,6 +13,8 @@
 	// Read is the prompt tokens that endpoints have to read, without those
 	// that they are believed to hold.
 	Read float64
+	// Prompt is the prompt tokens in all.
+	Prompt float64
 }
 
 const (
@@ -28,12 +30,14 @@
 
 func newLoads() *loads { return &loads{work: map[string]Work{}} }
 
-// asked counts a request with its expected output and the tokens to be read.
-func (l *loads) asked(service string, output, read int) {
+// asked counts a request with its expected output, its prompt and the tokens of
+// it to be read.
+func (l *loads) asked(service string, output, prompt, read int) {
 	w := l.work[service]
 	w.Requests++
 	w.Hold += startHold + tokenHold*float64(output)
 	w.Read += float64(read)
+	w.Prompt += float64(prompt)
 	l.work[service] = w
 }
 
--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -12,6 +12,7 @@
 	// vanish while what is left still carries the load: reclaims come in waves
 	// a few seconds apart, and what vanished can't be had again for a while.
 	losses = 2
+	coldSpare = 0.0
 	// startShare is the part of the endpoints found at the first look that
 	// the load is taken to need until it was measured.
 	startShare = 0.5
@@ -40,7 +41,7 @@
 	// missingCost is what an endpoint that is missing costs callers, as a
 	// multiple of its on-demand price: late and refused answers are worth a
 	// tenth and nothing, and an endpoint's answers are worth many times its price.
-	missingCost = 8.0
+	missingCost = 20.0
 	// bootSlack is added to the stated start time before an endpoint that was
 	// ordered counts as missing.
 	bootSlack = 1500 * time.Millisecond
--- a/internal/scaling/ondemand.go
+++ b/internal/scaling/ondemand.go
@@ -12,29 +12,36 @@
 
 // addOnDemand wants on-demand endpoints for what the reclaimable ones will not
 // carry, after as many further losses as the hazard makes worth providing for.
-func (p *Planner) addOnDemand(now time.Time, s *Sample, need float64, wanted map[Place]int) {
-	p.onDemand = p.onDemandCount(now, s, int(math.Ceil(need)))
-	p.placeOnDemand(now, s, p.onDemand, wanted)
+func (p *Planner) addOnDemand(now time.Time, s *Sample, wanted map[Place]int) {
+	p.placeOnDemand(now, s, p.onDemandCount(now, s), wanted)
 }
 
 // onDemandCount returns how many on-demand endpoints there should be. More are
 // wanted at once, all that are missing in one step; those that are there stay
 // until reclaimable ones serve in their place, and through a wave.
-func (p *Planner) onDemandCount(now time.Time, s *Sample, need int) int {
+func (p *Planner) onDemandCount(now time.Time, s *Sample) int {
 	within := s.Service.Scaling.BootTime + bootSlack
 	losses := p.market.hazard.provideFor(now, within, len(s.Service.Scaling.DataCentre))
-	missing := max(need-p.reclaimableAfter(now, s, losses, true), 0)
+	there := p.onDemandThere(now, s)
+	all := p.reclaimableAfter(now, s, 0, true)
+	left := p.reclaimableAfter(now, s, losses, true)
+	missing := p.missing(now, left, float64(all-left)/float64(max(all+there, 1)))
 	if p.loaded.IsZero() {
 		return missing
 	}
-	there := p.onDemandThere(now, s)
 	if p.market.wave(now) || p.settling(now) {
 		return max(missing, there)
 	}
-	keep := max(need-p.reclaimableAfter(now, s, losses, false), 0)
+	keep := p.missing(now, p.reclaimableAfter(now, s, losses, false), 0)
 	return max(missing, min(keep, there))
 }
 
+// missing returns the endpoints that some don't make up for, once a share of
+// all is lost.
+func (p *Planner) missing(now time.Time, left int, lost float64) int {
+	return max(int(math.Ceil(p.need(now, lost)))-left, 0)
+}
+
 // reclaimableAfter returns the reclaimable endpoints that are left when the
 // data centres with the most have lost theirs, with those that start or without.
 func (p *Planner) reclaimableAfter(now time.Time, s *Sample, losses int, starting bool) int {
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -11,6 +11,7 @@
 // one. It is not safe for concurrent use.
 type Planner struct {
 	load      float64   // endpoints that are busy with the load, smoothed
+	cached    float64   // endpoints that would be busy with reading what is cached, smoothed
 	loaded    time.Time // when requests were first seen
 	floor     float64   // endpoints that the start needs
 	started   bool
@@ -19,7 +20,6 @@
 	seenAt    time.Time // since when
 	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
 	perCentre int       // reclaimable endpoints wanted in each data centre
-	onDemand  int       // on-demand endpoints wanted in all
 	market    *market
 }
 
@@ -36,13 +36,12 @@
 		return nil
 	}
 	p.measure(now, s)
-	need := p.need(now, s)
-	p.setReclaimable(now, s, need)
+	p.setReclaimable(now, s)
 	wanted := map[Place]int{}
 	for dc := range s.Service.Scaling.DataCentre {
 		wanted[Place{dc, true}] = p.perCentre
 	}
-	p.addOnDemand(now, s, need, wanted)
+	p.addOnDemand(now, s, wanted)
 	return p.due(now, s, wanted)
 }
 
@@ -85,23 +84,32 @@
 		slots = max(s.Service.Engine.Slots, 1)
 	}
 	seen := s.Slots / float64(slots)
+	cached := 0.0
 	if s.ReadRate > 0 {
 		seen += s.Read / s.ReadRate
+		cached = max(s.Prompt-s.Read, 0) / s.ReadRate
 	}
 	if seen > 0 && p.loaded.IsZero() {
 		p.loaded = now
-		p.load = seen
+		p.load, p.cached = seen, cached
 	}
+	p.load = smooth(p.load, seen, s.Seconds)
+	p.cached = smooth(p.cached, cached, s.Seconds)
+}
+
+// smooth follows a rise fast and a fall slowly.
+func smooth(old, seen, seconds float64) float64 {
 	constant := fallSeconds
-	if seen > p.load {
+	if seen > old {
 		constant = riseSeconds
 	}
-	p.load += (seen - p.load) * (1 - math.Exp(-s.Seconds/constant))
+	return old + (seen-old)*(1-math.Exp(-seconds/constant))
 }
 
-// need returns the endpoints that the load takes.
-func (p *Planner) need(now time.Time, s *Sample) float64 {
-	need := max(p.load/fill, 1)
+// need returns the endpoints that the load takes once a share of the endpoints
+// is lost: what those had cached has to be read again elsewhere.
+func (p *Planner) need(now time.Time, lost float64) float64 {
+	need := max((p.load+lost*p.cached)/fill, 1)
 	if p.loaded.IsZero() || now.Sub(p.loaded) < measured {
 		need = max(need, p.floor)
 	}
@@ -110,9 +118,10 @@
 
 // setReclaimable chooses the reclaimable endpoints of each data centre. More
 // is ordered at once, less only after a while, and by half of the difference.
-func (p *Planner) setReclaimable(now time.Time, s *Sample, need float64) {
+func (p *Planner) setReclaimable(now time.Time, s *Sample) {
 	centres := len(s.Service.Scaling.DataCentre)
 	left := max(centres-losses, 1)
+	need := p.need(now, coldSpare*float64(centres-left)/float64(centres))
 	want := int(math.Ceil(need / float64(left)))
 	want = min(max(want, s.Service.Scaling.Min), s.Service.Scaling.Max)
 	switch {
--- a/internal/scaling/sample.go
+++ b/internal/scaling/sample.go
@@ -17,6 +17,9 @@
 	Slots float64
 	// Read is the prompt tokens a second that endpoints had to read.
 	Read float64
+	// Prompt is the prompt tokens a second in all, with those that endpoints
+	// hold already.
+	Prompt float64
 	// ReadRate is the prompt tokens that one endpoint reads in a second.
 	ReadRate float64
 	// Seconds since the last sample.
