--- a/internal/scaling/config.go
+++ b/internal/scaling/config.go
@@ -12,16 +12,15 @@
 	// vanish while what is left still carries the load: reclaims come in waves
 	// a few seconds apart, and what vanished can't be had again for a while.
 	losses = 2
-	coldSpare = 0.0
 	// startShare is the part of the endpoints found at the first look that
 	// the load is taken to need until it was measured.
 	startShare = 0.5
 	// registerTime is how long the number of endpoints must stay the same at
 	// the start: they register within about a heartbeat of 1.2 s.
 	registerTime = 1500 * time.Millisecond
-	// measured is how long requests must have come before the load counts as
+	// measureTime is how long requests must have come before the load counts as
 	// known; until then the start's estimate is a lower bound.
-	measured = 12 * time.Second
+	measureTime = 12 * time.Second
 	// riseSeconds and fallSeconds are the time constants of the smoothed load:
 	// new endpoints take seconds to start, and giving back breaks streams.
 	riseSeconds = 2.5
--- a/internal/scaling/ondemand.go
+++ b/internal/scaling/ondemand.go
@@ -17,29 +17,41 @@
 }
 
 // onDemandCount returns how many on-demand endpoints there should be. More are
-// wanted at once, all that are missing in one step; those that are there stay
-// until reclaimable ones serve in their place, and through a wave.
+// wanted at once, all that are missing in one step. Fewer are wanted once
+// reclaimable ones serve in their place, and in a wave, where those may go
+// next, only after a while and by half of the difference.
 func (p *Planner) onDemandCount(now time.Time, s *Sample) int {
+	missing := p.missingAfter(now, s)
+	switch {
+	case p.loaded.IsZero() || missing >= p.onDemand:
+		p.onDemand, p.fewerOnDemand = missing, time.Time{}
+	case p.settling(now):
+	case !p.market.wave(now):
+		keep := p.missing(p.reclaimableAfter(now, s, 0, false), 0)
+		p.onDemand, p.fewerOnDemand = max(missing, min(keep, p.onDemand)), time.Time{}
+	case p.fewerOnDemand.IsZero():
+		p.fewerOnDemand = now
+	case now.Sub(p.fewerOnDemand) > holdFall:
+		p.onDemand, p.fewerOnDemand = (p.onDemand+missing)/2, now
+	}
+	return p.onDemand
+}
+
+// missingAfter returns the on-demand endpoints that are needed after the losses
+// that are provided for.
+func (p *Planner) missingAfter(now time.Time, s *Sample) int {
 	within := s.Service.Scaling.BootTime + bootSlack
 	losses := p.market.hazard.provideFor(now, within, len(s.Service.Scaling.DataCentre))
-	there := p.onDemandThere(now, s)
 	all := p.reclaimableAfter(now, s, 0, true)
 	left := p.reclaimableAfter(now, s, losses, true)
-	missing := p.missing(now, left, float64(all-left)/float64(max(all+there, 1)))
-	if p.loaded.IsZero() {
-		return missing
-	}
-	if p.market.wave(now) || p.settling(now) {
-		return max(missing, there)
-	}
-	keep := p.missing(now, p.reclaimableAfter(now, s, losses, false), 0)
-	return max(missing, min(keep, there))
+	lost := float64(all-left) / float64(max(all+p.onDemandThere(now, s), 1))
+	return p.missing(left, lost)
 }
 
 // missing returns the endpoints that some don't make up for, once a share of
 // all is lost.
-func (p *Planner) missing(now time.Time, left int, lost float64) int {
-	return max(int(math.Ceil(p.need(now, lost)))-left, 0)
+func (p *Planner) missing(left int, lost float64) int {
+	return max(int(math.Ceil(p.need(lost)))-left, 0)
 }
 
 // reclaimableAfter returns the reclaimable endpoints that are left when the
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -10,17 +10,20 @@
 // Planner decides for one service. A new holder of the duty starts with a new
 // one. It is not safe for concurrent use.
 type Planner struct {
-	load      float64   // endpoints that are busy with the load, smoothed
-	cached    float64   // endpoints that would be busy with reading what is cached, smoothed
-	loaded    time.Time // when requests were first seen
-	floor     float64   // endpoints that the start needs
-	started   bool
-	takenOver time.Time // when this planner began under load; zero: it didn't
-	seen      int       // endpoints at the last look, before the start
-	seenAt    time.Time // since when
-	fewer     time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
-	perCentre int       // reclaimable endpoints wanted in each data centre
-	market    *market
+	load          float64   // endpoints that are busy with the load, smoothed
+	cached        float64   // endpoints that would be busy with reading what is cached, smoothed
+	loaded        time.Time // when requests were first seen
+	measured      bool      // whether requests have come for long enough to know the load
+	floor         float64   // endpoints that the start needs
+	started       bool
+	takenOver     time.Time // when this planner began under load; zero: it didn't
+	seen          int       // endpoints at the last look, before the start
+	seenAt        time.Time // since when
+	fewer         time.Time // since when fewer reclaimable ones would do; zero: they wouldn't
+	onDemand      int       // on-demand endpoints wanted in all
+	fewerOnDemand time.Time // since when fewer would do in a wave; zero: they wouldn't
+	market        *market
+	perCentre     int // reclaimable endpoints wanted in each data centre
 }
 
 // New returns a planner.
@@ -63,6 +66,7 @@
 		p.started, p.takenOver = true, now
 		p.floor = startShare * float64(total(s.Here))
 		p.perCentre = reclaimable(s)
+		p.onDemand = p.onDemandThere(now, s)
 		return true
 	}
 	if n := total(s.Here); !p.started && n != p.seen {
@@ -93,6 +97,7 @@
 		p.loaded = now
 		p.load, p.cached = seen, cached
 	}
+	p.measured = !p.loaded.IsZero() && now.Sub(p.loaded) >= measureTime
 	p.load = smooth(p.load, seen, s.Seconds)
 	p.cached = smooth(p.cached, cached, s.Seconds)
 }
@@ -108,12 +113,12 @@
 
 // need returns the endpoints that the load takes once a share of the endpoints
 // is lost: what those had cached has to be read again elsewhere.
-func (p *Planner) need(now time.Time, lost float64) float64 {
+func (p *Planner) need(lost float64) float64 {
 	need := max((p.load+lost*p.cached)/fill, 1)
-	if p.loaded.IsZero() || now.Sub(p.loaded) < measured {
-		need = max(need, p.floor)
+	if p.measured {
+		return need
 	}
-	return need
+	return max(need, p.floor)
 }
 
 // setReclaimable chooses the reclaimable endpoints of each data centre. More
@@ -121,7 +126,7 @@
 func (p *Planner) setReclaimable(now time.Time, s *Sample) {
 	centres := len(s.Service.Scaling.DataCentre)
 	left := max(centres-losses, 1)
-	need := p.need(now, coldSpare*float64(centres-left)/float64(centres))
+	need := p.need(0)
 	want := int(math.Ceil(need / float64(left)))
 	want = min(max(want, s.Service.Scaling.Min), s.Service.Scaling.Max)
 	switch {
@@ -140,7 +145,7 @@
 // settling reports whether a planner that began under load doesn't know the
 // load well enough to give anything back.
 func (p *Planner) settling(now time.Time) bool {
-	return !p.takenOver.IsZero() && now.Sub(p.takenOver) < measured
+	return !p.takenOver.IsZero() && now.Sub(p.takenOver) < measureTime
 }
 
 // reclaimable returns the most reclaimable endpoints in a data centre.
