An engine that starts again is a new one; entries of another writer name none

Cause: what was believed of an engine was kept by its ID alone, and an engine may start again under the ID that it had; an entry that turned unreadable left the endpoint that it named before in use, and one object in another form made the whole list unreadable. Tests failed first: routing by memory that is gone, a count that goes back, an order waiting at a dead engine, an entry that turns bad, a page with one bad object.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -43,13 +43,15 @@
 	}
 }
 
-// SetEndpoints takes the newest list. What is known of those that stay is kept.
+// SetEndpoints takes the newest list. What is known of those that stay is kept,
+// but for those that have started again: they hold none of what was sent there
+// before and run none of it.
 func (b *Balancer) SetEndpoints(all []roster.Endpoint) {
 	listed := make(map[fleet.EndpointID]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
 		m := b.members[e.ID]
-		if m == nil {
+		if m == nil || m.RestartedAs(&e) {
 			m = &member{hash: rendezvous.Key(string(e.ID))}
 			b.members[e.ID] = m
 		}
@@ -137,9 +139,18 @@
 	return best
 }
 
+// member returns a choice's member, nil where it is gone or has started again.
+func (b *Balancer) member(c Choice) *member {
+	m := b.members[c.Endpoint.ID]
+	if m == nil || c.Endpoint.RestartedAs(&m.Endpoint) {
+		return nil
+	}
+	return m
+}
+
 // Sent notes an attempt at an endpoint.
 func (b *Balancer) Sent(a *Ask, c Choice) {
-	m := b.members[c.Endpoint.ID]
+	m := b.member(c)
 	if m == nil {
 		return
 	}
@@ -159,14 +170,14 @@
 
 // read takes an attempt's prompt off what its endpoint has to read.
 func (b *Balancer) read(a *Ask, c Choice) {
-	if m := b.members[c.Endpoint.ID]; m != nil {
+	if m := b.member(c); m != nil {
 		m.own.Unread = max(m.own.Unread-(a.Prompt-c.Cached), 0)
 	}
 }
 
 // Done notes an attempt's end. first says whether First was called.
 func (b *Balancer) Done(now time.Time, a *Ask, c Choice, first bool, o Outcome) {
-	m := b.members[c.Endpoint.ID]
+	m := b.member(c)
 	if m == nil {
 		return
 	}
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -207,3 +207,34 @@
 		})
 	}
 }
+
+// An engine starts again under its ID while requests are under way there. What
+// it held is gone, and so are those requests: counted on, the daemon would send
+// prompts there for memory that isn't there, and believe in a load of the past.
+// The ends of its earlier requests come later and must not be taken off the new
+// one's.
+func TestEngineThatStartsAgainIsANewOne(t *testing.T) {
+	b := balancer(1, 1)
+	before := fleetOf(1)
+	before[0].Born = start
+	b.SetEndpoints(before)
+	q := diagnosis(7)
+	old, ok := b.Pick(start, q)
+	assert.Assert(t, ok)
+	b.Sent(q, old)
+	b.Sent(q, old)
+	held, _ := b.Pick(start, q)
+	assert.Equal(t, held.Cached, q.Prompt)
+
+	after := fleetOf(1)
+	after[0].Born = start.Add(time.Second)
+	b.SetEndpoints(after)
+	assert.Equal(t, len(b.Own()), 0)
+	fresh, _ := b.Pick(start, q)
+	assert.Assert(t, fresh.Cached < q.Prompt, "%d", fresh.Cached)
+	b.Sent(q, fresh)
+	b.Done(start, q, old, false, Failed)
+	b.Done(start, q, old, false, Failed)
+	assert.Equal(t, b.Own()[rendezvous.ShortOf("e0")].Requests, 1)
+	assert.Assert(t, !b.members["e0"].avoided(start))
+}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -26,6 +26,13 @@
 	store *follow.Follower
 	specs map[fleet.EndpointID]spec // as the store or a hub told them
 	log   *feed.Log                 // for daemons that don't watch the store
+	bad   map[fleet.EndpointID]unread
+}
+
+// unread is an entry that names no endpoint, and why.
+type unread struct {
+	reason   string
+	revision uint64
 }
 
 // spec is an endpoint's entry as it was told, with the store's revision.
@@ -37,6 +44,7 @@
 func newEndpointDuty(n *Node) *endpointDuty {
 	d := &endpointDuty{
 		node: n, roster: roster.New(), specs: map[fleet.EndpointID]spec{}, log: feed.NewLog(rand.Uint64() | 1),
+		bad: map[fleet.EndpointID]unread{},
 	}
 	d.store = follow.New(n.platform.Store, n.platform.EndpointKind, d, n.watching.wait)
 	return d
@@ -77,6 +85,7 @@
 				continue
 			}
 			if c.Deleted {
+				delete(d.bad, fleet.EndpointID(c.Object.Name))
 				d.roster.Remove(now, fleet.EndpointID(c.Object.Name))
 				continue
 			}
@@ -93,7 +102,8 @@
 // goes on from a hub's revision tells again what the hub has told since. The
 // lock is held.
 func (d *endpointDuty) outdated(o objects.Object) bool {
-	return o.Revision != 0 && o.Revision < d.specs[fleet.EndpointID(o.Name)].revision
+	id := fleet.EndpointID(o.Name)
+	return o.Revision != 0 && o.Revision < max(d.specs[id].revision, d.bad[id].revision)
 }
 
 // Lost implements follow.Handler.
@@ -105,16 +115,34 @@
 	d.update(func(time.Time) { d.roster.Returned(failed) })
 }
 
+// decode reads an entry. One that names no endpoint is said once, and ends the
+// endpoint that it named before.
 func (d *endpointDuty) decode(now time.Time, o objects.Object) (roster.Endpoint, bool) {
 	e, err := d.node.platform.DecodeEndpoint(now, o)
 	if err != nil {
-		d.node.say("endpoints").WithError(err).Error("entry not understood")
+		d.withdraw(fleet.EndpointID(o.Name), unread{err.Error(), o.Revision})
 		return e, false
 	}
+	delete(d.bad, e.ID)
 	d.specs[e.ID] = spec{text: o.Spec, revision: o.Revision}
 	return e, true
 }
 
+func (d *endpointDuty) withdraw(id fleet.EndpointID, u unread) {
+	if d.bad[id].reason != u.reason {
+		d.node.say("endpoints").WithFields(map[string]any{"entry": id, "reason": u.reason}).Error("entry names no endpoint")
+	}
+	if len(d.bad) >= maxUnread {
+		clear(d.bad)
+	}
+	d.bad[id] = u
+	d.roster.Withdraw(id)
+}
+
+// maxUnread bounds the entries that are remembered as unreadable; beyond it they
+// are said again.
+const maxUnread = 1024
+
 // heard takes the list of a hub, where this daemon doesn't watch the store. A
 // hub has held back what may have lapsed with the store.
 func (d *endpointDuty) heard(u *feed.Update) {
@@ -239,14 +267,18 @@
 	d.log.Set(d.roster.Complete(), items)
 }
 
-// forgetGone closes kept connections to addresses that nobody has any more.
+// forgetGone closes kept connections to addresses that nobody has any more, and
+// to endpoints that have started again.
 func (d *endpointDuty) forgetGone(now []roster.Endpoint) {
 	kept := make(map[string]bool, len(now))
-	for _, e := range now {
-		kept[e.Address] = true
+	current := make(map[fleet.EndpointID]*roster.Endpoint, len(now))
+	for i := range now {
+		kept[now[i].Address] = true
+		current[now[i].ID] = &now[i]
 	}
 	for _, e := range d.all {
-		if !kept[e.Address] {
+		again := current[e.ID] != nil && e.RestartedAs(current[e.ID])
+		if again || !kept[e.Address] {
 			d.node.pool.Forget(e.Address)
 		}
 	}
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
+	"github.com/sirupsen/logrus/hooks/test"
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
@@ -72,6 +73,41 @@
 	assert.Equal(t, d.upTo(), uint64(8))
 }
 
+// An endpoint's entry is overwritten by somebody else with something that can't
+// be read, in a change, in a list and in a hub's word. Kept as it was, requests
+// would go to an endpoint that nobody vouches for; the others must stay. It is
+// said once for each reason.
+func TestEntryThatTurnsBadNamesNoEndpoint(t *testing.T) {
+	bad := objects.Object{Name: "a", Spec: json.RawMessage(`7`), Revision: 6}
+	for name, tell := range map[string]func(d *endpointDuty){
+		"change": func(d *endpointDuty) { d.Changed([]objects.Change{{Object: bad}}, 6) },
+		"list":   func(d *endpointDuty) { d.Listed([]objects.Object{bad, entry("b", "b", 4)}, 6) },
+		"hub": func(d *endpointDuty) {
+			d.heard(&feed.Update{To: feed.Position{Epoch: 1, Seq: 4, Revision: 6}, Items: []feed.Item{{Name: "a", Spec: bad.Spec, Revision: 6}}})
+		},
+	} {
+		log, said := test.NewNullLogger()
+		d := newDuty()
+		d.node.log = log
+		d.Listed([]objects.Object{entry("a", "a", 3), entry("b", "b", 4)}, 5)
+		tell(d)
+		tell(d)
+		assert.DeepEqual(t, addresses(d), map[fleet.EndpointID]string{"b": "b"})
+		errors := 0
+		for _, e := range said.AllEntries() {
+			if e.Level == logrus.ErrorLevel {
+				errors++
+				assert.Equal(t, e.Data["entry"], fleet.EndpointID("a"), name)
+			}
+		}
+		assert.Equal(t, errors, 1, name)
+		d.Changed([]objects.Change{{Object: entry("a", "old", 5)}}, 6)
+		assert.Equal(t, len(addresses(d)), 1, "an entry older than the bad one")
+		d.Changed([]objects.Change{{Object: entry("a", "again", 8)}}, 8)
+		assert.Equal(t, addresses(d)["a"], "again")
+	}
+}
+
 func discard() *logrus.Logger {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -104,8 +104,13 @@
 	f.outcome.Endpoint = c.Endpoint.ID
 	f.outcome.Predicted = time.Duration(c.Wait * float64(time.Second))
 	sent := time.Now()
-	t := &track{flight: f, choice: c, sent: sent}
-	e, kept, err := f.exchange(ctx, t)
+	attempt, lose := context.WithCancelCause(ctx)
+	defer lose(nil)
+	t := &track{flight: f, choice: c, sent: sent, lose: lose}
+	e, kept, err := f.exchange(attempt, t)
+	if cause := context.Cause(attempt); ctx.Err() == nil && cause != nil {
+		err = cause
+	}
 	f.outcome.Cause = err
 	f.outcome.Failed = e.class == Failure && e.whole
 	switch {
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -400,3 +401,33 @@
 		assert.Equal(t, s.ask(t.Context(), "/bare/1").body.String(), "done")
 	}
 }
+
+// An engine dies without a word and starts again under its ID, which the list
+// tells at once; the connection to the dead one just says nothing. Waited for,
+// the caller would learn nothing for seconds. The order may have run and must
+// not leave again; the stream goes on elsewhere.
+func TestAttemptAtAnEngineThatStartedAgainIsLostAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := make(chan struct{})
+		defer close(silent)
+		script := func(n int, r *http.Request) string {
+			if r.Header.Get("After") == "" {
+				<-silent
+			}
+			return whole(200, "done")
+		}
+		s := newStage(t, all(), &engine{script: script})
+		restart := func(born time.Time) {
+			s.state.SetEndpoints([]roster.Endpoint{{ID: "e0", Service: "s", Address: "e0", Slots: 8, DataCentre: "a", Born: born}})
+		}
+		restart(time.Unix(1000, 0))
+		began := time.Now()
+		time.AfterFunc(100*time.Millisecond, func() { restart(time.Unix(1001, 0)) })
+		got := s.ask(t.Context(), "/order/1")
+		assert.Equal(t, time.Since(began), 100*time.Millisecond)
+		assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+		assert.Equal(t, s.runs(), 1)
+		assert.ErrorContains(t, s.watcher.last.Cause, "started again")
+		assert.Equal(t, len(s.state.underway), 0)
+	})
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -27,6 +27,7 @@
 	daemons  int
 	rng      *rand.Rand
 	loads    *loads
+	underway map[fleet.EndpointID]map[*track]struct{} // attempts
 }
 
 // NewState returns the state of a daemon in a data centre with its limits and
@@ -40,6 +41,7 @@
 		daemons:  quota.StartDaemons,
 		rng:      rng,
 		loads:    newLoads(),
+		underway: map[fleet.EndpointID]map[*track]struct{}{},
 	}
 }
 
@@ -64,11 +66,19 @@
 	return s.table
 }
 
-// SetEndpoints takes the newest list of endpoints.
+// SetEndpoints takes the newest list of endpoints. Attempts at an endpoint that
+// has started again are given up: it runs none of them any more.
 func (s *State) SetEndpoints(all []roster.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.SetEndpoints(all)
+	for i := range all {
+		for t := range s.underway[all[i].ID] {
+			if t.choice.Endpoint.RestartedAs(&all[i]) {
+				t.lose(errRestarted)
+			}
+		}
+	}
 }
 
 // SetDaemons takes the number of daemons that share the bounds.
--- a/internal/relay/track.go
+++ b/internal/relay/track.go
@@ -1,8 +1,11 @@
 package relay
 
 import (
+	"context"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 )
 
@@ -12,8 +15,12 @@
 	choice balance.Choice
 	sent   time.Time
 	first  bool
+	lose   context.CancelCauseFunc // ends the attempt
 }
 
+// errRestarted ends attempts at an endpoint that has started again.
+var errRestarted = errs.New("the endpoint has started again")
+
 // pick chooses an endpoint for a flight, or says why there is none.
 func (s *State) pick(now time.Time, f *flight) (balance.Choice, *Refusal) {
 	s.mu.Lock()
@@ -74,6 +81,11 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Sent(t.flight.ask, t.choice)
+	id := t.choice.Endpoint.ID
+	if s.underway[id] == nil {
+		s.underway[id] = map[*track]struct{}{}
+	}
+	s.underway[id][t] = struct{}{}
 }
 
 func (s *State) first(t *track) {
@@ -86,4 +98,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, t.flight.ask, t.choice, t.first, o)
+	id := t.choice.Endpoint.ID
+	delete(s.underway[id], t)
+	if len(s.underway[id]) == 0 {
+		delete(s.underway, id)
+	}
 }
--- a/internal/roster/endpoint.go
+++ b/internal/roster/endpoint.go
@@ -6,7 +6,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
-// Endpoint is one lifetime of an engine or of a replica of a plain service.
+// Endpoint is one engine or one replica of a plain service.
 type Endpoint struct {
 	ID         fleet.EndpointID
 	Service    string
@@ -17,4 +17,12 @@
 	Spot       bool // of the reclaimable class
 	// SlowUntil is when a started endpoint has its full speed.
 	SlowUntil time.Time
+	// Born is when it started, zero where it isn't told: a later one under the
+	// same ID has started again and holds and knows nothing of before.
+	Born time.Time
+}
+
+// RestartedAs reports whether another entry under the same ID is of a later start.
+func (e *Endpoint) RestartedAs(other *Endpoint) bool {
+	return !e.Born.IsZero() && other.Born.After(e.Born)
 }
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -69,8 +69,12 @@
 	}
 }
 
-// Upsert takes an entry that is new or changed.
+// Upsert takes an entry that is new or changed, but not one of an earlier start
+// than is known: that is a stale list's.
 func (r *Roster) Upsert(e Endpoint) {
+	if known, ok := r.endpoints[e.ID]; ok && e.RestartedAs(&known) {
+		return
+	}
 	delete(r.lapsed, e.ID)
 	r.endpoints[e.ID] = e
 	r.changed = true
@@ -90,6 +94,13 @@
 	r.drop(id)
 }
 
+// Withdraw ends an endpoint whose entry no longer names one.
+func (r *Roster) Withdraw(id fleet.EndpointID) {
+	if _, known := r.endpoints[id]; known {
+		r.drop(id)
+	}
+}
+
 // holdUntil returns when an endpoint whose entry has gone stops to count.
 func (r *Roster) holdUntil(now time.Time) time.Time {
 	if held := now.Add(LapseHold); !r.catching && held.Before(r.graceEnd) {
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -97,3 +97,17 @@
 	assert.Equal(t, r.Complete(), uint64(9))
 	assert.Equal(t, count(r), 0)
 }
+
+// An endpoint starts again under its ID. A list that is older than that comes
+// late: with its earlier start, what is known of the new one would be thrown
+// away for what is gone.
+func TestEarlierStartNeverReplacesALaterOne(t *testing.T) {
+	r := New()
+	r.Upsert(Endpoint{ID: "a", Address: "old", Born: start})
+	r.Upsert(Endpoint{ID: "a", Address: "new", Born: start.Add(time.Minute)})
+	r.Upsert(Endpoint{ID: "a", Address: "old", Born: start})
+	r.Replace(start, []Endpoint{{ID: "a", Address: "old", Born: start, Draining: true}})
+	all, _ := r.Snapshot()
+	assert.Equal(t, all[0].Address, "new")
+	assert.Assert(t, !all[0].Draining)
+}
