Prompts' memory is fetched from where this daemon has sent them

Hypothesis: a prompt that goes to another engine than the one that holds its shared part can have that part fetched in a sixth of the time of reading it.

--- a/internal/balance/ask.go
+++ b/internal/balance/ask.go
@@ -40,6 +40,9 @@
 	Wait float64
 	// Home says that it is the subject's home.
 	Home bool
+	// FetchFrom is the address of an endpoint from which it should fetch what
+	// that one has cached of the prompt beyond its own; empty: from none.
+	FetchFrom string
 }
 
 // Outcome says how an attempt ended.
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -17,9 +17,11 @@
 	rng     *rand.Rand
 	members map[fleet.EndpointID]*member
 	sets    map[string][]*member // by service, without those that leave
+	listed  map[string][]*member // by service, with those that leave
 	table   *route.Table
 	rate    rate
 	scratch []*member
+	homes   []*member
 }
 
 // New returns a balancer for a daemon in a data centre. The random source
@@ -63,8 +65,9 @@
 			delete(b.members, id)
 		}
 	}
-	b.sets = map[string][]*member{}
+	b.sets, b.listed = map[string][]*member{}, map[string][]*member{}
 	for _, e := range all {
+		b.listed[e.Service] = append(b.listed[e.Service], b.members[e.ID])
 		if !e.Draining {
 			b.sets[e.Service] = append(b.sets[e.Service], b.members[e.ID])
 		}
@@ -77,6 +80,7 @@
 	m.engine = s != nil && s.Engine != nil
 	if m.engine {
 		m.parts.room = s.Engine.CacheTokens
+		m.fetchSeconds = s.Engine.FetchSeconds
 		if m.Slots == 0 {
 			m.Slots = s.Engine.Slots
 		}
@@ -106,10 +110,11 @@
 func (b *Balancer) Pick(now time.Time, a *Ask) (c Choice, ok bool) {
 	set := b.candidates(a)
 	home := b.home(a.subject(), set)
+	held := b.findSources(a, set)
 	for _, avoided := range [...]bool{false, true} {
-		best := b.cheapest(now, a, set, home, avoided)
+		best := b.cheapest(now, a, set, home, &held, avoided)
 		if best != nil {
-			return b.choice(a, best, home), true
+			return b.choice(a, best, home, &held), true
 		}
 	}
 	return Choice{}, false
@@ -117,14 +122,14 @@
 
 // cheapest returns a member of the least cost, drawn from those that are about
 // equal; nil where none may be chosen.
-func (b *Balancer) cheapest(now time.Time, a *Ask, set []*member, home *member, avoided bool) *member {
+func (b *Balancer) cheapest(now time.Time, a *Ask, set []*member, home *member, held *sources, avoided bool) *member {
 	var best *member
 	least, equal := 0.0, 0
 	for _, m := range set {
 		if m.avoided(now) != avoided || slices.Contains(a.Tried, m.ID) {
 			continue
 		}
-		cost := b.cost(now, a, m, m == home)
+		cost := b.cost(now, a, m, m == home, held)
 		switch {
 		case best == nil || cost < least-equalSeconds:
 			best, least, equal = m, cost, 1
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -40,6 +40,14 @@
 	// homeBelief is the part of a subject's shared tokens that its home is
 	// believed to hold where this daemon has not sent it there itself.
 	homeBelief = 0.7
+	// fetchTokens is the least that is fetched from another endpoint in place of
+	// being read: below it the transfer's set-up takes longer.
+	fetchTokens = 1500
+	// fetchSetup is the time to set a transfer up, in seconds.
+	fetchSetup = 0.005
+	// fetchWeight is the price of a transfer as a multiple of its time:
+	// transfers of one link wait for each other, and are billed.
+	fetchWeight = 3.0
 	// slowSeconds is the price of an endpoint that has just started and is
 	// not at its full speed.
 	slowSeconds = 0.1
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -7,14 +7,10 @@
 // will have sent.
 func cached(a *Ask, m *member, home bool) int {
 	known := m.parts.holds(a.Parts)
-	if !home || len(a.Parts) < 2 {
+	if !home {
 		return known
 	}
-	shared := 0
-	for _, p := range a.Parts[:len(a.Parts)-1] {
-		shared += p.Tokens
-	}
-	return max(known, int(homeBelief*float64(shared)))
+	return max(known, int(homeBelief*float64(a.shared())))
 }
 
 // wait predicts the seconds to the first token, or of queueing at a plain service.
@@ -37,10 +33,10 @@
 }
 
 // cost prices a member for a request, in seconds.
-func (b *Balancer) cost(now time.Time, a *Ask, m *member, home bool) float64 {
-	held := cached(a, m, home)
-	sum := b.wait(a, m, held)
-	sum += (rereadWeight - 1) * float64(max(a.Prompt-held, 0)) / b.rate.perSecond
+func (b *Balancer) cost(now time.Time, a *Ask, m *member, home bool, s *sources) float64 {
+	f := b.fetchable(m, cached(a, m, home), s)
+	sum := b.wait(a, m, f.held) + f.weight
+	sum += (rereadWeight - 1) * float64(max(a.Prompt-f.held, 0)) / b.rate.perSecond
 	sum += failureSeconds * m.failing(now)
 	if m.DataCentre != b.self {
 		sum += distance
@@ -52,12 +48,16 @@
 }
 
 // choice describes the chosen member.
-func (b *Balancer) choice(a *Ask, m, home *member) Choice {
-	held := cached(a, m, m == home)
-	return Choice{
+func (b *Balancer) choice(a *Ask, m, home *member, s *sources) Choice {
+	f := b.fetchable(m, cached(a, m, m == home), s)
+	out := Choice{
 		Endpoint: m.Endpoint,
-		Cached:   held,
-		Wait:     b.wait(a, m, held),
+		Cached:   f.held,
+		Wait:     b.wait(a, m, f.held),
 		Home:     m == home,
 	}
+	if f.from != nil {
+		out.FetchFrom = f.from.Address
+	}
+	return out
 }
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -24,9 +24,11 @@
 	roster.Endpoint
 	hash   uint64 // of the endpoint's ID
 	engine bool
-	own    Load
-	others Load
-	parts  partSet
+	// fetchSeconds is the time to fetch a cached token; 0 where it can't.
+	fetchSeconds float64
+	own          Load
+	others       Load
+	parts        partSet
 	// failures is the share of failures among recent outcomes.
 	failures float64
 	failedAt time.Time // of failures
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -188,6 +188,7 @@
 		Workspace: f.outcome.Workspace,
 		Priority:  f.priority,
 		LastEvent: f.events.lastID,
+		FetchFrom: t.choice.FetchFrom,
 	}
 	c := &upstream.Call{
 		Address: t.choice.Endpoint.Address,
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -31,6 +31,9 @@
 	Priority int
 	// LastEvent is the id after which the stream goes on, empty from its start.
 	LastEvent string
+	// FetchFrom is the address of another endpoint that has more of the prompt
+	// cached, empty for none.
+	FetchFrom string
 }
 
 // Class is what an endpoint's answer means.
--- a/internal/route/service.go
+++ b/internal/route/service.go
@@ -21,6 +21,9 @@
 type Engine struct {
 	Slots       int // requests in a batch
 	CacheTokens int // tokens of running requests and cached prompts
+	// FetchSeconds is the time in which an engine fetches the memory of one
+	// cached token from another; 0 where it can't.
+	FetchSeconds float64
 }
 
 // Scaling says how many endpoints a service may have and what they cost.
