An endpoint's end is not forgotten when a daemon turns from hubs to the store

Cause: a daemon that was turned away by the store took an endpoint's end, then an older list of a hub's, and went on from that older revision when the store answered again: it heard the entry and its end once more, and as the store had just come back it held the end for the grace. Ruled out: the watch itself (gone 0.6 s after the acknowledgement). Change: ends are remembered with their revision, a hub's older list doesn't replace a newer one, and the revision that is reached doesn't fall. Test: failed before (the endpoint was back after the hub's older list).

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -27,6 +27,7 @@
 	specs map[fleet.EndpointID]spec // as the store or a hub told them
 	log   *feed.Log                 // for daemons that don't watch the store
 	bad   map[fleet.EndpointID]unread
+	ended map[fleet.EndpointID]uint64 // the last revision of entries that the store has ended
 }
 
 // unread is an entry that names no endpoint, and why.
@@ -44,7 +45,7 @@
 func newEndpointDuty(n *Node) *endpointDuty {
 	d := &endpointDuty{
 		node: n, roster: roster.New(), specs: map[fleet.EndpointID]spec{}, log: feed.NewLog(rand.Uint64() | 1),
-		bad: map[fleet.EndpointID]unread{},
+		bad: map[fleet.EndpointID]unread{}, ended: map[fleet.EndpointID]uint64{},
 	}
 	d.store = follow.New(n.platform.Store, n.platform.EndpointKind, d, n.watching.wait)
 	return d
@@ -85,8 +86,7 @@
 				continue
 			}
 			if c.Deleted {
-				delete(d.bad, fleet.EndpointID(c.Object.Name))
-				d.roster.Remove(now, fleet.EndpointID(c.Object.Name))
+				d.end(now, c.Object)
 				continue
 			}
 			if e, ok := d.decode(now, c.Object); ok {
@@ -98,14 +98,30 @@
 	})
 }
 
-// outdated reports whether a change is older than what is known: a watch that
-// goes on from a hub's revision tells again what the hub has told since. The
-// lock is held.
+// outdated reports whether a change is older than what is known, or of an entry
+// that has ended: a watch that goes on from a hub's revision tells again what the
+// hub has told since. The lock is held.
 func (d *endpointDuty) outdated(o objects.Object) bool {
 	id := fleet.EndpointID(o.Name)
-	return o.Revision != 0 && o.Revision < max(d.specs[id].revision, d.bad[id].revision)
+	return o.Revision != 0 && (o.Revision < max(d.specs[id].revision, d.bad[id].revision) || o.Revision <= d.ended[id])
 }
 
+// end takes an entry's end from the store. It is remembered: an entry that comes
+// back has a later revision. The lock is held.
+func (d *endpointDuty) end(now time.Time, o objects.Object) {
+	id := fleet.EndpointID(o.Name)
+	if len(d.ended) >= maxEnded {
+		clear(d.ended)
+	}
+	d.ended[id] = max(d.ended[id], o.Revision, d.specs[id].revision)
+	delete(d.bad, id)
+	d.roster.Remove(now, id)
+}
+
+// maxEnded bounds the ends that are remembered: those of some hours of an
+// ordinary day. They are forgotten all at once; what is told again is seconds old.
+const maxEnded = 4096
+
 // Lost implements follow.Handler.
 func (d *endpointDuty) Lost(err error) { d.node.say("endpoints").WithError(err).Warn("store lost") }
 
@@ -144,7 +160,8 @@
 const maxUnread = 1024
 
 // heard takes the list of a hub, where this daemon doesn't watch the store. A
-// hub has held back what may have lapsed with the store.
+// hub has held back what may have lapsed with the store. Where the hub is behind
+// this daemon, only what it has that is newer counts.
 func (d *endpointDuty) heard(u *feed.Update) {
 	if u.Empty() {
 		return
@@ -152,11 +169,16 @@
 	d.update(func(now time.Time) {
 		var list []roster.Endpoint
 		for _, it := range u.Items {
-			if e, ok := d.decode(now, objects.Object{Name: it.Name, Spec: it.Spec, Revision: it.Revision}); ok {
+			o := objects.Object{Name: it.Name, Spec: it.Spec, Revision: it.Revision}
+			if d.outdated(o) {
+				continue
+			}
+			if e, ok := d.decode(now, o); ok {
 				list = append(list, e)
 			}
 		}
-		if u.Full {
+		older := u.To.Revision < d.roster.Revision()
+		if u.Full && !older {
 			d.node.say("endpoints").WithField("listed", len(list)).Info("whole list taken from a hub")
 			d.roster.Replace(now, list)
 		}
@@ -166,10 +188,12 @@
 		for _, name := range u.Removed {
 			d.roster.Remove(now, fleet.EndpointID(name))
 		}
-		if len(u.Keys) > 0 {
+		if len(u.Keys) > 0 && !older {
 			d.removeOthers(now, u.Keys)
 		}
-		d.roster.Reached(u.To.Revision)
+		if !older {
+			d.roster.Reached(u.To.Revision)
+		}
 		d.listed = true
 	})
 }
--- a/internal/node/endpoints_test.go
+++ b/internal/node/endpoints_test.go
@@ -108,6 +108,31 @@
 	}
 }
 
+// An endpoint's end is told by the store. Then this daemon follows a hub whose
+// list is older, is turned away by the store, and goes on from the older
+// revision: it hears the endpoint's entry and its end once more, and as the
+// store has just come back it would hold the end back for seconds, in which
+// requests go to an endpoint that has left.
+func TestAnEndIsNotForgotten(t *testing.T) {
+	d := newDuty()
+	d.Listed([]objects.Object{entry("a", "a", 3), entry("b", "b", 4)}, 5)
+	d.Changed([]objects.Change{{Object: entry("a", "a", 3), Deleted: true}}, 9)
+	assert.Equal(t, len(addresses(d)), 1)
+
+	d.heard(&feed.Update{
+		To: feed.Position{Epoch: 1, Seq: 4, Revision: 6}, Full: true,
+		Items: []feed.Item{{Name: "a", Spec: []byte(`"a"`), Revision: 3}, {Name: "b", Spec: []byte(`"b"`), Revision: 4}},
+	})
+	assert.Equal(t, len(addresses(d)), 1, "a hub's older list")
+	assert.Equal(t, d.upTo(), uint64(9))
+
+	d.Returned(time.Now())
+	d.Changed([]objects.Change{{Object: entry("a", "a", 3)}, {Object: entry("a", "a", 3), Deleted: true}}, 9)
+	assert.Equal(t, len(addresses(d)), 1, "the same told again")
+	d.Changed([]objects.Change{{Object: entry("a", "a", 12)}}, 12)
+	assert.Equal(t, len(addresses(d)), 2, "a new entry")
+}
+
 func discard() *logrus.Logger {
 	l := logrus.New()
 	l.SetOutput(io.Discard)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -57,6 +57,9 @@
 	r.settle()
 }
 
+// Revision returns the registry's revision up to which all was taken in.
+func (r *Roster) Revision() uint64 { return r.reached }
+
 // Complete returns the revision up to which everything took effect. Failure:
 // somebody goes on from this roster with the registry's changes after the
 // revision that it has reached, while an end is held back here. Symptom: they
