Lost requests are counted by reason, route and second

The log of a request says which of its route's targets a whole answer missed (first piece or a pause) and its longest pause; late answers are logged like failures, within the same bound.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -11,20 +11,27 @@
 
 func newExplain(a *app) *cobra.Command {
 	var q explain.Query
+	var table bool
 	cmd := &cobra.Command{
 		Use:   "explain [ID] [FILE...]",
 		Short: "Show from daemons' logs what became of a request, and why",
 		Long: `Read the JSON logs of one or several daemons, from files or from standard
 input, and show in order of time what they say about a request, an endpoint or a
 version of the configuration. For a request, what its daemon believed in the
-seconds before each line stands indented above it. Exit status 1: nothing found.`,
+seconds before each line stands indented above it. With --lost, count the
+requests that failed, were refused or were late, by reason and route and by
+reason and second. Exit status 1: nothing found.`,
 		Example: `  cyclamenbeam explain 9c41d07be2a35f68 entry-1.log entry-2.log
   cyclamenbeam explain --endpoint i-7f3a91c2 entry-*.log
-  cyclamenbeam explain --config 12 < all.log`,
+  cyclamenbeam explain --config 12 < all.log
+  cyclamenbeam explain --lost entry-*.log`,
 		RunE: failing(func(cmd *cobra.Command, args []string) error {
+			if table {
+				return a.explainLost(cmd.InOrStdin(), args)
+			}
 			if q.Endpoint == "" && q.Config == 0 {
 				if len(args) == 0 {
-					return Error.New("name a request, or use --endpoint or --config")
+					return Error.New("name a request, or use --endpoint, --config or --lost")
 				}
 				q.ID, args = args[0], args[1:]
 			}
@@ -33,10 +40,23 @@
 	}
 	cmd.Flags().StringVar(&q.Endpoint, "endpoint", "", "show what is said of an endpoint")
 	cmd.Flags().Uint64Var(&q.Config, "config", 0, "show what is said of a version of the configuration")
-	cmd.MarkFlagsMutuallyExclusive("endpoint", "config")
+	cmd.Flags().BoolVar(&table, "lost", false, "count what was lost by reason, route and second")
+	cmd.MarkFlagsMutuallyExclusive("endpoint", "config", "lost")
 	return cmd
 }
 
+func (a *app) explainLost(stdin io.Reader, files []string) error {
+	lines, err := readLogs(stdin, files)
+	if err != nil {
+		return err
+	}
+	n, err := explain.WriteTable(a.stdout, lines)
+	if err == nil && n == 0 {
+		return Error.New("none of %d log lines is of a request that lost anything", len(lines))
+	}
+	return err
+}
+
 func (a *app) explain(stdin io.Reader, q explain.Query, files []string) error {
 	lines, err := readLogs(stdin, files)
 	if err != nil {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -21,8 +21,8 @@
 	successLines = 4
 )
 
-// requestLog writes a line for each request that failed and for some of the
-// others, on a goroutine of its own, within a bound.
+// requestLog writes a line for each request that failed or was late and for some
+// of the others, on a goroutine of its own, within a bound.
 type requestLog struct {
 	log     *logrus.Logger
 	metrics *metricSet
@@ -36,7 +36,7 @@
 
 // add takes an outcome; it never waits.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && !o.Failed && r.good.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && o.Late == relay.InTime && r.good.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -76,6 +76,12 @@
 		"first_ms": o.First.Milliseconds(), "total_ms": o.Total.Milliseconds(), "events": o.Events,
 		"left_ms": o.Left.Milliseconds(), "tokens": o.Tokens, "retry_after_ms": o.RetryAfter.Milliseconds(),
 	}
+	if o.Pause > 0 {
+		f["pause_ms"] = o.Pause.Milliseconds()
+	}
+	if o.Late != relay.InTime {
+		f["late"] = o.Late
+	}
 	if o.Cause != nil {
 		f["cause"] = o.Cause.Error()
 	}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -34,6 +34,8 @@
 	asked bool
 	// counted says that the observer was told that it began to run.
 	counted bool
+	// passed is when the caller was last sent a piece of a stream.
+	passed  time.Time
 	events  events
 	outcome Outcome
 }
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -29,11 +30,36 @@
 	First      time.Duration // to the first event or the answer
 	Total      time.Duration
 	Events     int
+	// Pause is the longest time between two pieces of a stream.
+	Pause time.Duration
+	// Late says which target a whole answer missed.
+	Late Late
 	// RetryAfter is what a refused caller was told.
 	RetryAfter time.Duration
 	Left       time.Duration // until its deadline
 }
 
+// Late is what of an answer came later than its route's targets.
+type Late string
+
+// The targets that can be missed.
+const (
+	InTime    Late = ""
+	LateFirst Late = "first" // the first piece, or the whole of a plain answer
+	LatePause Late = "pause" // a pause between pieces
+)
+
+// judge notes which of a route's targets a whole answer missed.
+func (o *Outcome) judge(r *route.Route) {
+	switch {
+	case o.Reason != "" || o.Failed:
+	case r.Target > 0 && o.First > r.Target:
+		o.Late = LateFirst
+	case r.PauseTarget > 0 && o.Pause > r.PauseTarget:
+		o.Late = LatePause
+	}
+}
+
 // again notes that another attempt follows the last one.
 func (o *Outcome) again() {
 	if o.FirstCause == nil {
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -57,6 +57,7 @@
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
 	f.outcome.Left = time.Until(a.until)
+	f.outcome.judge(f.route)
 	r.observer.Ended(&f.outcome)
 }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -40,9 +40,14 @@
 	if len(whole) == 0 {
 		return nil
 	}
+	now := time.Now()
 	f.first(t)
-	f.began(time.Now())
+	f.began(now)
 	f.begin(a)
+	if !f.passed.IsZero() {
+		f.outcome.Pause = max(f.outcome.Pause, now.Sub(f.passed))
+	}
+	f.passed = now
 	err := f.sink.Events(whole)
 	f.events.consume(len(whole))
 	return err
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -15,6 +15,9 @@
 	// Target is the time to the whole answer, or to a stream's first event,
 	// within which it is worth most; 0 is none.
 	Target time.Duration
+	// PauseTarget is the longest pause between a stream's events with which it
+	// is still in time; 0: none is stated.
+	PauseTarget time.Duration
 	// Priority is 0 for the most important.
 	Priority int
 	Backends []Backend
