Reclaimable endpoints are not given back to make room for on-demand ones

Found on reading: the bound of a data centre, less its on-demand endpoints, was what its reclaimable ones were ordered to, also below what was there, in the middle of a wave. Test failed before (6 instead of 8).

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -52,8 +52,9 @@
 
 // room returns how many reclaimable endpoints a data centre can have beside the
 // on-demand ones there: an order above the bound brings fewer than it asks for.
+// Those that are there have room.
 func (p *Planner) room(s *Sample, dc fleet.DataCentre) int {
-	return max(s.Service.Scaling.Max-s.Here[Place{dc, false}], 0)
+	return max(s.Service.Scaling.Max-s.Here[Place{dc, false}], s.Here[Place{dc, true}])
 }
 
 // Refused notes that an order was refused.
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -151,3 +151,13 @@
 	}
 	assert.Assert(t, w.class(true)+w.class(false) > 36, "%d and %d", w.class(true), w.class(false))
 }
+
+// A data centre is full when on-demand endpoints start there for what was lost
+// elsewhere. Its reclaimable ones must not be given back to make room.
+func TestNothingIsGivenBackForRoom(t *testing.T) {
+	p := New()
+	s := &Sample{Service: service(), Here: map[Place]int{{"b", true}: 8, {"b", false}: 4}, Seconds: 0.5}
+	assert.Equal(t, p.room(s, "b"), 8)
+	s.Here[Place{"b", false}] = 1
+	assert.Equal(t, p.room(s, "b"), 9)
+}
