--- /dev/null
+++ b/internal/balance/source_test.go
@@ -0,0 +1,97 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// fetching is a balancer before engines that fetch a token in some seconds.
+func fetching(perToken float64, endpoints int) *Balancer {
+	b := New("a", rand.New(rand.NewPCG(1, 1)))
+	b.Configure(route.New(route.Table{Services: []route.Service{
+		{Name: "llm", Engine: &route.Engine{Slots: 48, CacheTokens: 700_000, FetchSeconds: perToken}},
+	}}))
+	b.SetEndpoints(addressed(endpoints))
+	return b
+}
+
+// addressed returns endpoints whose address is their name.
+func addressed(n int) []roster.Endpoint {
+	all := fleetOf(n)
+	for i := range all {
+		all[i].Address = string(all[i].ID)
+	}
+	return all
+}
+
+// fill sends prompts to an engine until it has a second of reading before it.
+func fill(b *Balancer, c Choice) {
+	for i := range uint64(12) {
+		q := diagnosis(1000 + i)
+		b.Sent(q, Choice{Endpoint: c.Endpoint})
+	}
+}
+
+// The engine that holds a subject's history is busy. The request goes to another
+// one, which would read the whole history again: it fetches it instead.
+func TestSpilledPromptIsFetched(t *testing.T) {
+	b := fetching(2e-6, 18)
+	q := diagnosis(7)
+	home, _ := b.Pick(start, q)
+	assert.Equal(t, home.FetchFrom, "")
+	b.Sent(q, home)
+	b.First(q, home, 0.2)
+	fill(b, home)
+
+	other := diagnosis(7)
+	other.Parts[2].ID++ // another request on the subject
+	got, _ := b.Pick(start, other)
+	assert.Assert(t, got.Endpoint.ID != home.Endpoint.ID)
+	assert.Equal(t, got.FetchFrom, home.Endpoint.Address)
+	assert.Equal(t, got.Cached, 5400) // the shared parts
+}
+
+// Nothing is fetched where engines can't, where the part is small, and from an
+// engine that started again.
+func TestNothingIsFetchedInVain(t *testing.T) {
+	b := fetching(0, 2)
+	q := diagnosis(7)
+	first, _ := b.Pick(start, q)
+	b.Sent(q, first)
+	fill(b, first)
+	got, _ := b.Pick(start, q)
+	assert.Equal(t, got.FetchFrom, "")
+
+	b = fetching(2e-6, 2)
+	small := &Ask{Service: "llm", Prompt: 1600, Parts: []Part{{1, 1000}, {2, 600}}}
+	b.Sent(small, first)
+	fill(b, first)
+	got, _ = b.Pick(start, &Ask{Service: "llm", Prompt: 1600, Parts: []Part{{1, 1000}, {3, 600}}})
+	assert.Equal(t, got.FetchFrom, "")
+}
+
+// An engine that leaves is sent nothing any more, and has the most to give away.
+func TestLeavingEngineIsASource(t *testing.T) {
+	b := fetching(2e-6, 2)
+	q := diagnosis(7)
+	first, _ := b.Pick(start, q)
+	b.Sent(q, first)
+	all := addressed(2)
+	leave(all, first.Endpoint.ID)
+	b.SetEndpoints(all)
+	got, _ := b.Pick(start, q)
+	assert.Assert(t, got.Endpoint.ID != first.Endpoint.ID)
+	assert.Equal(t, got.FetchFrom, string(first.Endpoint.ID))
+}
+
+func leave(all []roster.Endpoint, id fleet.EndpointID) {
+	for i := range all {
+		all[i].Draining = all[i].Draining || all[i].ID == id
+	}
+}
