--- a/integration/chat_test.go
+++ b/integration/chat_test.go
@@ -102,7 +102,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return nil
+			return ctx.Err()
 		case <-time.After(max(r.after, leastWait)):
 		}
 	}
--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -145,7 +146,11 @@
 		w.running.Go(func() {
 			entry := c.callers()[i%len(c.callers())]
 			for n := i; ctx.Err() == nil; n += workers {
-				if err := completeAsCallers(ctx, entry, question(n), shortTokens); err != nil {
+				err := completeAsCallers(ctx, entry, question(n), shortTokens)
+				if errors.Is(err, context.Canceled) {
+					return
+				}
+				if err != nil {
 					t.Logf("worker %d: %v", i, err)
 					w.failed.Add(1)
 					return
