--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -10,6 +10,7 @@
 	"storj.io/drpc/drpcconn"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/progress"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -23,12 +24,26 @@
 // Client tells hubs this daemon's part, over one kept connection to each. It
 // is safe for concurrent use.
 type Client struct {
+	// Dial opens connections; it may be replaced before the first call.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
+
 	mu    sync.Mutex
-	conns map[string]*drpcconn.Conn
+	conns map[string]*kept
+}
+
+// kept is a connection that is used again.
+type kept struct {
+	*drpcconn.Conn
+	received *progress.Meter
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*drpcconn.Conn{}} }
+func NewClient() *Client { return &Client{Dial: dialPeer, conns: map[string]*kept{}} }
+
+func dialPeer(ctx context.Context, address string) (net.Conn, error) {
+	d := net.Dialer{Control: upstream.UserTimeout}
+	return d.DialContext(ctx, "tcp", address)
+}
 
 // Tell gives a hub a part and returns its sum. A connection on which a call
 // failed is closed, so that one that went silent is not kept.
@@ -39,10 +54,11 @@
 	if err != nil {
 		return Sum{}, Error.Wrap(err)
 	}
+	before := conn.received.Bytes()
 	totals, err := exchangepb.NewDRPCExchangeClient(conn).Tell(ctx, encodePart(p))
 	if err != nil {
 		c.drop(address, conn)
-		return Sum{}, Error.Wrap(err)
+		return Sum{}, Error.New("after %d bytes of the answer: %w", conn.received.Bytes()-before, err)
 	}
 	return decodeSum(totals), nil
 }
@@ -63,26 +79,26 @@
 	}
 }
 
-func (c *Client) conn(ctx context.Context, address string) (*drpcconn.Conn, error) {
+func (c *Client) conn(ctx context.Context, address string) (*kept, error) {
 	c.mu.Lock()
 	conn := c.conns[address]
 	c.mu.Unlock()
 	if conn != nil {
 		return conn, nil
 	}
-	d := net.Dialer{Control: upstream.UserTimeout}
-	raw, err := d.DialContext(ctx, "tcp", address)
+	raw, err := c.Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	conn = drpcconn.New(raw)
+	counted := &progress.Conn{Conn: raw}
+	conn = &kept{drpcconn.New(counted), &counted.Meter}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.conns[address] = conn
 	return conn, nil
 }
 
-func (c *Client) drop(address string, conn *drpcconn.Conn) {
+func (c *Client) drop(address string, conn *kept) {
 	c.mu.Lock()
 	if c.conns[address] == conn {
 		delete(c.conns, address)
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -74,7 +74,7 @@
 	}
 	c.newest = exchange.Config{Version: t.Version, Text: text}
 	c.node.shareConnections()
-	log.WithFields(map[string]any{"version": t.Version, "routes": len(t.Routes)}).Info("in force")
+	log.WithFields(map[string]any{"version": t.Version, "routes": len(t.Routes), "bytes": len(text)}).Info("in force")
 }
 
 // current returns the newest configuration; Version 0 is none.
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -52,6 +52,15 @@
 	}
 }
 
+// reported counts a report to a hub by its result.
+func (m *metricSet) reported(err error) {
+	result := "ok"
+	if err != nil {
+		result = "unanswered"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_peer_reports_total{result=%q}`, result)).Inc()
+}
+
 // Metrics writes the daemon's metrics in the Prometheus text format.
 func (n *Node) Metrics(w io.Writer) {
 	n.metrics.set.WritePrometheus(w)
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -58,8 +58,10 @@
 	listedAt time.Time
 	pending  map[string]bool      // hubs that have not answered yet, by address
 	answered map[string]time.Time // when a hub answered last, by address
-	loader   string               // the hub that tells the endpoints' loads, empty: all
-	loadedAt time.Time            // when loads were told last
+	// unanswered are the hubs whose last report got no answer, by address.
+	unanswered map[string]bool
+	loader     string    // the hub that tells the endpoints' loads, empty: all
+	loadedAt   time.Time // when loads were told last
 }
 
 func newTelling(n *Node) *telling {
@@ -70,6 +72,8 @@
 		behind:   map[string]bool{},
 		pending:  map[string]bool{},
 		answered: map[string]time.Time{},
+
+		unanswered: map[string]bool{},
 	}
 }
 
@@ -203,18 +207,32 @@
 		return
 	}
 	sum, err := t.client.Tell(ctx, address, &p)
+	t.node.metrics.reported(err)
 	if err != nil {
-		t.node.say("peers").WithError(err).WithField("address", address).Debug("not told")
+		t.failed(address, err)
 		return
 	}
 	t.node.config.heard(sum.Config)
 	t.mu.Lock()
 	t.behind[address] = sum.Config.Version < p.Config.Version
 	t.answered[address] = time.Now()
+	delete(t.unanswered, address)
 	t.mu.Unlock()
 	t.use(address, &sum)
 }
 
+// failed notes that a hub didn't answer. The first failure after an answer is
+// logged, further ones are only counted: in an outage there are several a second.
+func (t *telling) failed(address string, err error) {
+	t.mu.Lock()
+	again := t.unanswered[address]
+	t.unanswered[address] = true
+	t.mu.Unlock()
+	if !again {
+		t.node.say("peers").WithError(err).WithField("address", address).Warn("report not answered")
+	}
+}
+
 // enter reports whether no call to a hub is under way, and begins one.
 func (t *telling) enter(address string) bool {
 	t.mu.Lock()
--- /dev/null
+++ b/internal/progress/doc.go
@@ -0,0 +1,2 @@
+// Package progress watches transfers while they run.
+package progress
