--- /dev/null
+++ b/internal/progress/within.go
@@ -0,0 +1,63 @@
+package progress
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Bounds bound a transfer.
+type Bounds struct {
+	First   time.Duration // until its first byte
+	Silence time.Duration // between two looks at it, in which at least a byte must come
+	Total   time.Duration // for all of it
+}
+
+// Within returns a context for a transfer that a meter counts. It ends with
+// context.DeadlineExceeded as its cause where a bound is passed.
+func Within(ctx context.Context, m *Meter, b Bounds) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(ctx, b.Total)
+	ctx, end := context.WithCancelCause(ctx)
+	w := &watchdog{meter: m, silence: b.Silence, end: end}
+	w.mu.Lock()
+	w.timer = time.AfterFunc(b.First, w.look)
+	w.mu.Unlock()
+	return ctx, func() {
+		w.stop()
+		end(nil)
+		cancel()
+	}
+}
+
+// watchdog ends a transfer that has come no further between two looks.
+type watchdog struct {
+	meter   *Meter
+	silence time.Duration
+	end     context.CancelCauseFunc
+
+	mu      sync.Mutex
+	timer   *time.Timer
+	bytes   int64 // at the last look
+	stopped bool
+}
+
+func (w *watchdog) look() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	bytes := w.meter.Bytes()
+	switch {
+	case w.stopped:
+	case bytes > w.bytes:
+		w.bytes = bytes
+		w.timer.Reset(w.silence)
+	default:
+		w.end(context.DeadlineExceeded)
+	}
+}
+
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.stopped = true
+	w.timer.Stop()
+}
