--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -19,10 +19,19 @@
 // Error is the class of errors made by this package.
 var Error = errs.Class("exchange")
 
-// callTimeout bounds one call: data centres are a few milliseconds apart, and
-// the next report is due by then. A piece takes a link of 10 Mbit/s 50 ms.
+// callTimeout bounds the time until an answer begins, and the time for which one
+// that has begun may stand still: data centres are a few milliseconds apart.
 const callTimeout = 400 * time.Millisecond
 
+var (
+	// reportBounds bound a report: what it brings is small, and the next report is
+	// due by then.
+	reportBounds = progress.Bounds{First: callTimeout, Silence: callTimeout, Total: callTimeout}
+	// fetchBounds bound a fetch: a piece takes a link of 10 Mbit/s 50 ms, and one
+	// that is full of other traffic many times as long.
+	fetchBounds = progress.Bounds{First: callTimeout, Silence: callTimeout, Total: 10 * callTimeout}
+)
+
 // Client tells hubs this daemon's part and fetches configurations, over one kept
 // connection for each of the two: a connection carries one call at a time, and a
 // report doesn't wait for a piece. It is safe for concurrent use.
@@ -83,19 +92,22 @@
 	return piece, err
 }
 
-// call makes a call on the connection of a route. What it brings is small, so
-// that a bound on its length is one on silence as well.
+// call makes a call on the connection of a route.
 func (c *Client) call(ctx context.Context, r route, f func(context.Context, exchangepb.DRPCExchangeClient) error) error {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
-	defer cancel()
 	conn, err := c.conn(ctx, r)
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	bounds := reportBounds
+	if r.fetch {
+		bounds = fetchBounds
+	}
+	ctx, cancel := progress.Within(ctx, conn.received, bounds)
+	defer cancel()
 	before := conn.received.Bytes()
 	if err := f(ctx, exchangepb.NewDRPCExchangeClient(conn)); err != nil {
 		c.drop(r, conn)
-		return Error.New("after %d bytes of the answer: %w", conn.received.Bytes()-before, err)
+		return Error.New("after %d bytes of the answer: %w", conn.received.Bytes()-before, progress.Ended(ctx, err))
 	}
 	return nil
 }
@@ -126,6 +138,8 @@
 	if conn != nil {
 		return conn, nil
 	}
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
 	raw, err := c.Dial(ctx, r.address)
 	if err != nil {
 		return nil, err
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -5,18 +5,46 @@
 	"fmt"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
+	"storj.io/drpc/drpcmux"
+	"storj.io/drpc/drpcserver"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/spread"
 )
 
+// pieceInTest is the length of a piece that begins a patch.
+const pieceInTest = 64 << 10
+
+// large answers with as much as there may be.
+type large struct{}
+
+func (large) Tell(Part) Sum {
+	return Sum{Endpoints: feed.Update{Items: []feed.Item{{Spec: make([]byte, pieceInTest)}}}}
+}
+
+func (large) Fetch(w spread.Want) (spread.Piece, error) {
+	return spread.Piece{Version: w.Version, Size: pieceInTest, Data: make([]byte, pieceInTest)}, nil
+}
+
+// serveOne serves calls of a large answerer on one connection.
+func serveOne(ctx context.Context, conn net.Conn) error {
+	mux := drpcmux.New()
+	if err := exchangepb.DRPCRegisterExchange(mux, &server{answerer: large{}}); err != nil {
+		return err
+	}
+	return drpcserver.New(mux).ServeOne(ctx, conn)
+}
+
 // answerer answers with what it was asked.
 type answerer struct{}
 
@@ -68,6 +96,55 @@
 	assert.Equal(t, len(c.conns), 0)
 }
 
+// behindPipe returns a client of a server whose bytes come slowly, in packets.
+func behindPipe(t *testing.T, packet int, pause time.Duration) *Client {
+	client, server := net.Pipe()
+	served := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { served <- serveOne(ctx, server) }()
+	c := NewClient()
+	c.Dial = func(context.Context, string) (net.Conn, error) { return &slow{client, packet, pause}, nil }
+	t.Cleanup(func() {
+		c.EndFetches()
+		c.Keep(nil)
+		cancel()
+		<-served
+	})
+	return c
+}
+
+// slow is a connection on which a packet comes at each pause.
+type slow struct {
+	net.Conn
+	packet int
+	pause  time.Duration
+}
+
+func (s *slow) Read(p []byte) (int, error) {
+	n, err := s.Conn.Read(p[:min(len(p), s.packet)])
+	time.Sleep(s.pause)
+	return n, err
+}
+
+// A piece comes over a link that is full of other traffic, and takes 1.3 s. Cut
+// by its length it would be asked for again for ever, and the daemon's routes
+// would stay old ones. A report, whose sum is worth nothing by then, is cut.
+func TestPieceThatComesSlowlyIsNotCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := behindPipe(t, 4<<10, 80*time.Millisecond)
+		piece, err := c.Fetch(t.Context(), "a", spread.Want{Version: 4})
+		assert.NilError(t, err)
+		assert.Equal(t, len(piece.Data), pieceInTest)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		c := behindPipe(t, 4<<10, 80*time.Millisecond)
+		began := time.Now()
+		_, err := c.Tell(t.Context(), "a", &Part{Daemon: "a"})
+		assert.ErrorIs(t, err, context.DeadlineExceeded)
+		assert.Assert(t, time.Since(began) < 2*callTimeout, time.Since(began)) // its last packets are waited for
+	})
+}
+
 // fleetPart is a daemon's part in a fleet of the size that the users plan for.
 func fleetPart(i int) Part {
 	p := Part{
--- a/internal/progress/progress_test.go
+++ b/internal/progress/progress_test.go
@@ -16,6 +16,7 @@
 func endsAfter(t *testing.T, come func(m *Meter)) (after time.Duration, cause error) {
 	synctest.Test(t, func(t *testing.T) {
 		var m Meter
+		m.Add(7) // by another transfer, before
 		began := time.Now()
 		ctx, cancel := Within(t.Context(), &m, bounds)
 		defer cancel()
--- a/internal/progress/within.go
+++ b/internal/progress/within.go
@@ -18,7 +18,7 @@
 func Within(ctx context.Context, m *Meter, b Bounds) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithTimeout(ctx, b.Total)
 	ctx, end := context.WithCancelCause(ctx)
-	w := &watchdog{meter: m, silence: b.Silence, end: end}
+	w := &watchdog{meter: m, silence: b.Silence, end: end, bytes: m.Bytes()}
 	w.mu.Lock()
 	w.timer = time.AfterFunc(b.First, w.look)
 	w.mu.Unlock()
@@ -29,6 +29,15 @@
 	}
 }
 
+// Ended returns why a call under a context ended: the cause of the context's end,
+// where there is one, and otherwise the call's own error.
+func Ended(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
 // watchdog ends a transfer that has come no further between two looks.
 type watchdog struct {
 	meter   *Meter
--- a/internal/spread/source.go
+++ b/internal/spread/source.go
@@ -12,8 +12,8 @@
 	// keptPatches bounds the patches: to the newest text from each other and
 	// from none.
 	keptPatches = keptTexts
-	// pieceBytes bounds a piece: it takes a link of 10 Mbit/s 50 ms, a sixth of
-	// what a call may take, so that two others may come beside it.
+	// pieceBytes bounds a piece, and so what is lost with a call: it takes a link
+	// of 10 Mbit/s 50 ms.
 	pieceBytes = 64 << 10
 )
 
