A version that can't be fetched is read from the store; earlier releases are still told the texts

In a replacement of daemons one after the other, a daemon of this release and a hub of the release before could not tell each other configurations: the hub's word is fresh, so that the store isn't watched either, and the old version would stay in force. A daemon that has known of a newer version for a second watches the store; a hub tells the text to whoever doesn't say that it fetches.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -18,6 +18,7 @@
 		Spent:         encodeSpent(p.Soft.Spent),
 		Loads:         packLoads(p.Soft.Load),
 		WantLevels:    p.WantLevels,
+		Fetches:       p.Fetches,
 		WallMs:        p.Wall.UnixMilli(),
 		Holder:        encodeHolder(p.Holder),
 		Endpoints:     encodePosition(p.Endpoints),
@@ -54,6 +55,7 @@
 		Endpoints:  decodePosition(r.Endpoints),
 		Brief:      r.Brief,
 		WantLevels: r.WantLevels,
+		Fetches:    r.Fetches,
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{
@@ -74,6 +76,7 @@
 	out := &exchangepb.Totals{
 		Spent:         encodeSpent(s.Soft.Spent),
 		ConfigVersion: s.Version,
+		Config:        s.Text,
 		Holder:        encodeHolder(s.Holder),
 		Endpoints:     encodeUpdate(&s.Endpoints),
 		FreshMs:       s.Fresh.Milliseconds(),
@@ -93,6 +96,7 @@
 func decodeSum(t *exchangepb.Totals) Sum {
 	s := Sum{
 		Version:   t.ConfigVersion,
+		Text:      t.Config,
 		VersionAt: t.ConfigRevision,
 		Soft:      relay.Soft{Spent: decodeSpent(t.Spent), Levels: decodeSpent(t.Levels)},
 		Holder:    decodeHolder(t.Holder),
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -66,9 +66,9 @@
 	p.Holder = Holder{Daemon: "b", Token: 6}
 	p.Version = 4
 	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Hold: 2.5, Read: 7}}
-	p.Endpoints, p.Brief, p.WantLevels = feed.Position{Epoch: 8, Seq: 9, Revision: 4}, true, true
+	p.Endpoints, p.Brief, p.WantLevels, p.Fetches = feed.Position{Epoch: 8, Seq: 9, Revision: 4}, true, true, true
 	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
-	s := Sum{Version: 4, VersionAt: 77, Soft: relay.Soft{Spent: p.Soft.Spent, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
+	s := Sum{Version: 4, Text: []byte("text"), VersionAt: 77, Soft: relay.Soft{Spent: p.Soft.Spent, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
 	s.Fresh = 300 * time.Millisecond
 	s.Endpoints = feed.Update{
 		To: feed.Position{Epoch: 1, Seq: 2, Revision: 6}, Full: true, Keys: []rendezvous.Short{7, 8},
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -24,6 +24,9 @@
 	// Brief says that the sum may come without the endpoints' loads, which
 	// are most of its bytes: another hub tells them.
 	Brief bool
+	// Fetches says that the daemon fetches configurations; one of an earlier
+	// release takes their texts with its sums.
+	Fetches bool
 	// WantLevels asks for what the limits have left.
 	WantLevels bool
 }
@@ -31,6 +34,7 @@
 // Sum is what a hub answers: the sum of all others' parts.
 type Sum struct {
 	Version uint64 // of the hub's configuration
+	Text    []byte // of it, for a daemon that doesn't fetch
 	// VersionAt is the store's revision up to which the hub knows all versions,
 	// 0 where it has not listed them.
 	VersionAt uint64
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -17,7 +17,9 @@
 	store  *follow.Follower
 	mu     sync.Mutex
 	newest spread.Text
-	told   uint64 // the store's revision up to which hubs know no newer version
+	told   uint64    // the store's revision up to which hubs know no newer version
+	known  uint64    // the newest version that any daemon has told of
+	since  time.Time // when it was told of first
 
 	sourceMu sync.Mutex
 	source   spread.Source // for other daemons
@@ -30,7 +32,7 @@
 }
 
 func (c *configuration) run(ctx context.Context) {
-	c.node.watching.run(ctx, c.store, c.upTo)
+	c.node.watching.run(ctx, c.store, c.upTo, func() bool { return c.node.watching.due() || c.lags(time.Now()) })
 }
 
 // Listed implements follow.Handler.
@@ -104,6 +106,33 @@
 	return c.source.Answer(w)
 }
 
+// maxLag is how long a version may be known of and not be in force before this
+// daemon looks into the store itself. Two sources that don't answer have been
+// given up by then.
+const maxLag = time.Second
+
+// knows notes that another daemon has a version.
+func (c *configuration) knows(now time.Time, version uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if version > c.known {
+		if c.known <= c.newest.Version {
+			c.since = now
+		}
+		c.known = version
+	}
+}
+
+// lags reports whether a newer version has been known of for long. Failure: the
+// daemons that have it can't be fetched from, as they run an earlier release or
+// cut each call. Symptom: the hubs' word is fresh, so the store isn't watched,
+// and an old version stays in force.
+func (c *configuration) lags(now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.known > c.newest.Version && now.Sub(c.since) > maxLag
+}
+
 // heard takes a hub's word that there is nothing newer than a version up to a
 // revision of the store.
 func (c *configuration) heard(version, revision uint64) {
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -51,7 +51,9 @@
 	return d
 }
 
-func (d *endpointDuty) run(ctx context.Context) { d.node.watching.run(ctx, d.store, d.upTo) }
+func (d *endpointDuty) run(ctx context.Context) {
+	d.node.watching.run(ctx, d.store, d.upTo, d.node.watching.due)
+}
 
 // tickInterval is how often endpoints whose grace is over are looked for.
 const tickInterval = 100 * time.Millisecond
--- a/internal/node/fetching.go
+++ b/internal/node/fetching.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
@@ -33,6 +34,7 @@
 // heard notes which version another daemon has.
 func (f *fetching) heard(address string, version uint64) {
 	if version > f.node.config.current().Version {
+		f.node.config.knows(time.Now(), version)
 		f.offers.Push(offer{address, version})
 	}
 }
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -118,7 +118,11 @@
 	sum.Endpoints = t.node.endpoints.since(p.Endpoints)
 	sum.Fresh = max(t.node.config.store.Age(), t.node.endpoints.store.Age())
 	sum.VersionAt = t.node.config.upTo() // before the version, which may only be newer
-	sum.Version = t.node.config.current().Version
+	newest := t.node.config.current()
+	sum.Version = newest.Version
+	if !p.Fetches && p.Version < newest.Version {
+		sum.Text = newest.Bytes
+	}
 	return sum
 }
 
@@ -255,6 +259,7 @@
 	p := exchange.Part{
 		Daemon:  t.node.id,
 		Version: t.node.config.current().Version,
+		Fetches: true,
 		Soft:    t.node.state.Own(),
 		Windows: t.node.begun.windows(),
 		Wall:    time.Now(),
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -88,24 +88,24 @@
 
 // run follows a kind for as long as that is due, again and again. from is asked
 // for the revision to go on from, 0 for none.
-func (w *watching) run(ctx context.Context, f *follow.Follower, from func() uint64) {
+func (w *watching) run(ctx context.Context, f *follow.Follower, from func() uint64, due func() bool) {
 	for ctx.Err() == nil {
-		if w.due() {
-			w.follow(ctx, f, from())
+		if due() {
+			w.follow(ctx, f, from(), due)
 		}
 		pause.For(ctx, roleInterval)
 	}
 }
 
 // follow follows a kind until it isn't due any more.
-func (w *watching) follow(ctx context.Context, f *follow.Follower, from uint64) {
+func (w *watching) follow(ctx context.Context, f *follow.Follower, from uint64, due func() bool) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.node.say("watching").WithFields(map[string]any{
 		"kind": f.Kind(), "from": from, "daemons": len(w.node.members.serving()), "hub": w.hub(), "word_age_ms": w.age().Milliseconds(),
 	}).Info("watches the store")
 	go pause.Every(ctx, roleInterval, func() {
-		if !w.due() {
+		if !due() {
 			cancel()
 		}
 	})
