--- a/internal/node/slowlink_test.go
+++ b/internal/node/slowlink_test.go
@@ -4,8 +4,10 @@
 	"context"
 	"encoding/hex"
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"net"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -52,6 +54,21 @@
 	return n, err
 }
 
+// behind puts a daemon behind a link, on the weakest of machines.
+func behind(link *slowLink) func(n *Node) {
+	return func(n *Node) {
+		n.id = newID(LimitSettings{})
+		dial := n.telling.client.Dial
+		n.telling.client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
+			conn, err := dial(ctx, address)
+			if err != nil {
+				return nil, err
+			}
+			return &slowConn{conn, link}, nil
+		}
+	}
+}
+
 // cutStore is a store that turns one daemon away for as long as it is cut.
 type cutStore struct {
 	objects.Store
@@ -101,17 +118,7 @@
 	f.held() // so that the others work for the weak one, and not the other way round
 	store := &cutStore{Store: f.store}
 	link := &slowLink{bytes: 10e6 / 8}
-	weak := f.addWith(store, func(n *Node) {
-		n.id = newID(LimitSettings{})
-		dial := n.telling.client.Dial
-		n.telling.client.Dial = func(ctx context.Context, address string) (net.Conn, error) {
-			conn, err := dial(ctx, address)
-			if err != nil {
-				return nil, err
-			}
-			return &slowConn{conn, link}, nil
-		}
-	})
+	weak := f.addWith(store, behind(link))
 	f.ready()
 	store.cut.Store(true)
 	_, err := f.store.Replace(t.Context(), "config", "main", 0, largeText("2"))
@@ -123,3 +130,34 @@
 		return poll.Continue("not in force")
 	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
 }
+
+// A daemon refuses all callers for as long as the store turns it away, though its
+// peers have the list of endpoints. It has just started, behind a link of 10
+// Mbit/s, and a hub tells it 3,000 endpoints, some 0.9 MB. Each answer was cut
+// after 0.4 s and the next report asked for all of it again. Evidence: with the
+// bound on the answer's length the daemon has no endpoint after 20 s.
+func TestLongListReachesADaemonBehindASlowLink(t *testing.T) {
+	f := newFleet(t, 2)
+	const many = 3000
+	note := strings.Repeat("x", 280) // as long as an entry of the platform's
+	for i := range many {
+		spec, err := json.Marshal(fmt.Sprintf("127.0.0.1:%d %s", 1+i, note))
+		assert.NilError(t, err)
+		_, err = f.store.Create(t.Context(), "endpoints", fmt.Sprintf("many-%d", i), spec)
+		assert.NilError(t, err)
+	}
+	f.until("all endpoints", func(n *Node) bool {
+		all, _ := n.endpoints.list()
+		return len(all) > many
+	})
+	f.held()
+	store := &cutStore{Store: f.store}
+	store.cut.Store(true)
+	weak := f.addWith(store, behind(&slowLink{bytes: 10e6 / 8}))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if all, _ := weak.endpoints.list(); len(all) > many {
+			return poll.Success()
+		}
+		return poll.Continue("no list")
+	}, poll.WithTimeout(20*time.Second), poll.WithDelay(10*time.Millisecond))
+}
