The answer to a report is bounded by its silence; one hub tells a daemon that has none the whole list

Now it must begin within 400 ms, may stand still as long, and take 4 s; of an answer that took longer than 400 ms the time, the loads and what was spent are not taken, and its age counts from the question. A daemon without a list asks one hub for it and takes it also where the hub's word is old: it goes on from there, as the hub does. TestAnswerThatComesSlowlyIsNotCut asked that a report be cut at 400 ms; it is to arrive now, and one that drips is still given up.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -19,18 +19,15 @@
 // Error is the class of errors made by this package.
 var Error = errs.Class("exchange")
 
-// callTimeout bounds the time until an answer begins, and the time for which one
-// that has begun may stand still: data centres are a few milliseconds apart.
-const callTimeout = 400 * time.Millisecond
-
-var (
-	// reportBounds bound a report: what it brings is small, and the next report is
-	// due by then.
-	reportBounds = progress.Bounds{First: callTimeout, Silence: callTimeout, Total: callTimeout}
-	// fetchBounds bound a fetch: a piece takes a link of 10 Mbit/s 50 ms, and one
-	// that is full of other traffic many times as long.
-	fetchBounds = progress.Bounds{First: callTimeout, Silence: callTimeout, Total: 10 * callTimeout}
-)
+// Prompt is the time within which a call is answered in a sound fleet: data
+// centres are a few milliseconds apart, and the next report is due by then.
+const Prompt = 400 * time.Millisecond
+
+// bounds bound a call by its silence. Failure: an answer that takes longer, as a
+// list of thousands of endpoints or a link that is full of other traffic makes
+// it, is cut, and all of it is asked for again. Symptom: it never arrives. What
+// a late answer brings is 4 s old at the most.
+var bounds = progress.Bounds{First: Prompt, Silence: Prompt, Total: 10 * Prompt}
 
 // Client tells hubs this daemon's part and fetches configurations, over one kept
 // connection for each of the two: a connection carries one call at a time, and a
@@ -98,10 +95,6 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	bounds := reportBounds
-	if r.fetch {
-		bounds = fetchBounds
-	}
 	ctx, cancel := progress.Within(ctx, conn.received, bounds)
 	defer cancel()
 	before := conn.received.Bytes()
@@ -138,7 +131,7 @@
 	if conn != nil {
 		return conn, nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	ctx, cancel := context.WithTimeout(ctx, Prompt)
 	defer cancel()
 	raw, err := c.Dial(ctx, r.address)
 	if err != nil {
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -41,6 +41,8 @@
 	switch {
 	case t.node.watching.due() && !t.node.endpoints.late():
 		return feed.Unwanted
+	case t.lister == "" && t.loader != "" && t.loader != address && !t.node.endpoints.known():
+		return feed.Unwanted // all there is comes from one hub
 	case t.lister == "":
 		return feed.Position{Revision: t.node.endpoints.upTo()}
 	case t.lister == address:
@@ -50,13 +52,15 @@
 	}
 }
 
-// list takes a hub's list of endpoints where this daemon follows it, or none.
+// list takes a hub's list of endpoints where this daemon follows it, or none. A
+// daemon that has no list takes an old one as well: it goes on from there.
 func (t *telling) list(address string, sum *exchange.Sum) {
 	t.mu.Lock()
 	lister := t.lister
 	t.mu.Unlock()
 	wanted := lister == "" || lister == address
-	if !wanted || sum.Endpoints.To.Seq == 0 || sum.Fresh > t.node.watching.stale() {
+	old := sum.Fresh > t.node.watching.stale() && t.node.endpoints.known()
+	if !wanted || old || sum.Endpoints.To.Seq == 0 {
 		return
 	}
 	t.node.endpoints.heard(&sum.Endpoints)
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -207,10 +207,12 @@
 		if t.node.gathering() && len(t.node.members.serving()) == 1 {
 			return // it has not found the others yet, and knows nothing of them
 		}
-		t.use(address, &sum)
+		t.use(address, &sum, 0)
 		return
 	}
+	asked := time.Now()
 	sum, err := t.client.Tell(ctx, address, &p)
+	took := time.Since(asked)
 	t.node.metrics.reported(err)
 	if err != nil {
 		t.failed(address, err)
@@ -222,7 +224,7 @@
 	t.answered[address] = time.Now()
 	delete(t.unanswered, address)
 	t.mu.Unlock()
-	t.use(address, &sum)
+	t.use(address, &sum, took)
 }
 
 // failed notes that a hub didn't answer. The first failure after an answer is
@@ -273,10 +275,16 @@
 	return p
 }
 
-// use takes a hub's sum.
-func (t *telling) use(address string, sum *exchange.Sum) {
+// use takes a hub's sum, whose answer took a while. Of one that took long, time
+// and loads are past, and only what stays true is taken.
+func (t *telling) use(address string, sum *exchange.Sum, took time.Duration) {
+	sum.Fresh += took
 	t.node.watching.told(sum.Fresh)
 	t.list(address, sum)
+	if took > exchange.Prompt {
+		t.late(sum)
+		return
+	}
 	if !sum.True.IsZero() {
 		t.node.clock.Correct(sum.True, t.node.clock.Steady())
 	}
@@ -293,6 +301,13 @@
 	t.node.state.Others(now, address, sum.Soft)
 }
 
+// late takes what stays true of a sum that came late.
+func (t *telling) late(sum *exchange.Sum) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.holder = t.holder.Newer(sum.Holder)
+}
+
 // setHolder notes that this daemon holds the duties since an acquisition. The
 // others learn it from the hubs, also where these can't reach the store.
 func (t *telling) setHolder(token uint64) {
