--- /dev/null
+++ b/internal/node/fleet_test.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+)
+
+// cloudLog keeps what the duties' holder sends.
+type cloudLog struct {
+	mu      sync.Mutex
+	reports []duty.Usage
+	tokens  []uint64
+}
+
+func (c *cloudLog) Report(_ context.Context, f duty.Fence, u duty.Usage) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.reports = append(c.reports, u)
+	c.tokens = append(c.tokens, f.Token)
+	return nil
+}
+
+func (c *cloudLog) Order(context.Context, duty.Fence, duty.Order) error { return nil }
+
+func (c *cloudLog) begun(w fleet.WorkspaceID) uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := uint64(0)
+	for _, r := range c.reports {
+		n += r.Begun[w]
+	}
+	return n
+}
+
+// echo is a protocol without names of its own.
+type echo struct{}
+
+func (echo) Header(r *relay.Request, _ *relay.Attempt) http.Header { return http.Header{"Id": {r.ID}} }
+func (echo) Owns(*relay.Request) func(http.Header) upstream.Ownership {
+	return func(http.Header) upstream.Ownership { return upstream.Ours }
+}
+func (echo) Classify(status int, _ http.Header) relay.Class {
+	if status == http.StatusOK {
+		return relay.Success
+	}
+	return relay.Failure
+}
+func (echo) Answer(h http.Header) http.Header { return h }
+
+// sinkLog keeps a caller's answer.
+type sinkLog struct {
+	status  int
+	body    string
+	refusal *relay.Refusal
+}
+
+func (s *sinkLog) Whole(status int, _ http.Header, body []byte) {
+	s.status, s.body = status, string(body)
+}
+func (s *sinkLog) Refuse(r relay.Refusal) { s.refusal = &r }
+func (s *sinkLog) Begin(int, http.Header) {}
+func (s *sinkLog) Events([]byte) error    { return nil }
+func (s *sinkLog) End()                   {}
+func (s *sinkLog) Break()                 {}
+
+// fleetOf is daemons on one store.
+type fleetOf struct {
+	t      *testing.T
+	store  *memoryStore
+	cloud  *cloudLog
+	nodes  []*Node
+	cancel []context.CancelFunc
+	done   []chan error
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	return l.Addr().String()
+}
+
+// decodeTable reads a version, the text's first word; the table lets one
+// workspace order from one service.
+func decodeTable(spec []byte) (*route.Table, error) {
+	word, _, _ := strings.Cut(string(spec), " ")
+	version, err := strconv.ParseUint(word, 10, 64)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return route.New(route.Table{
+		Version: version,
+		Routes: []route.Route{{
+			Name: "r", Host: "h", Prefix: "/", Kind: route.NonIdempotent, Timeout: time.Minute, Target: time.Minute,
+			MaxAttempts: 1, Backends: []route.Backend{{Service: "s", Weight: 1}},
+		}},
+		Services:   []route.Service{{Name: "s"}},
+		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}}},
+	}), nil
+}
+
+func decodeEndpoint(_ time.Time, o objects.Object) (roster.Endpoint, error) {
+	var address string
+	err := json.Unmarshal(o.Spec, &address)
+	return roster.Endpoint{ID: fleet.EndpointID(o.Name), Service: "s", Address: address, Slots: 8}, err
+}
+
+func newFleet(t *testing.T, n int) *fleetOf {
+	t.Helper()
+	f := &fleetOf{t: t, store: newMemoryStore(), cloud: &cloudLog{}}
+	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "done")
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	go func() { _ = engine.Serve(l) }()
+	t.Cleanup(func() { _ = engine.Close() })
+	spec, err := json.Marshal(l.Addr().String())
+	assert.NilError(t, err)
+	_, err = f.store.Create(t.Context(), "endpoints", "e1", spec)
+	assert.NilError(t, err)
+	_, err = f.store.Create(t.Context(), "config", "main", json.RawMessage("1"))
+	assert.NilError(t, err)
+	for range n {
+		f.add()
+	}
+	t.Cleanup(f.stop)
+	return f
+}
+
+// add starts one more daemon.
+func (f *fleetOf) add() *Node { return f.addWith(f.store, func(*Node) {}) }
+
+// addWith starts one more daemon with a view of the store of its own. change is
+// called before it runs.
+func (f *fleetOf) addWith(store objects.Store, change func(*Node)) *Node {
+	i := len(f.nodes)
+	s := &Settings{
+		Daemon: DaemonSettings{
+			Instance: fleet.InstanceID("i" + strconv.Itoa(i)), DataCentre: "a", Region: "r", FirstStart: true,
+		},
+		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t)},
+		Bounds: BoundsSettings{
+			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
+			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1,
+		},
+		Store:  StoreSettings{Address: "memory"},
+		Cloud:  CloudSettings{Duties: []string{"usage_report"}},
+		Limits: LimitSettings{Cores: 1, LinkMbps: 1000},
+	}
+	// All daemons of a platform have the same port for each other; here, on one
+	// address, they are found by the first one's.
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	n := New(s, Platform{
+		Store: store, Protocol: echo{}, Cloud: f.cloud, ConfigKind: "config", ConfigName: "main",
+		EndpointKind: "endpoints", DecodeTable: decodeTable, DecodeEndpoint: decodeEndpoint,
+		Open: func(context.Context, *Node) (func(context.Context), error) { return func(context.Context) {}, nil },
+	}, quiet)
+	if i > 0 {
+		n.extraSeeds = []string{f.nodes[0].settings.Listen.Peers}
+	}
+	change(n)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	path := filepath.Join(f.t.TempDir(), "settings.yaml")
+	assert.NilError(f.t, os.WriteFile(path, nil, 0o600))
+	go func() { done <- n.Run(ctx, path, nil) }()
+	f.nodes = append(f.nodes, n)
+	f.cancel = append(f.cancel, cancel)
+	f.done = append(f.done, done)
+	return n
+}
+
+func (f *fleetOf) stop() {
+	for _, cancel := range f.cancel {
+		cancel()
+	}
+	for _, done := range f.done {
+		if err := <-done; err != nil {
+			f.t.Error(err)
+		}
+	}
+}
+
+// until waits for a condition on all daemons.
+func (f *fleetOf) until(what string, ok func(n *Node) bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		for _, n := range f.nodes {
+			if !ok(n) {
+				return poll.Continue("%s: not at %s", what, n.settings.Daemon.Instance)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+}
+
+func (f *fleetOf) ready() {
+	f.t.Helper()
+	f.until("ready", func(n *Node) bool { return n.Ready() && len(n.members.serving()) == len(f.nodes) })
+}
+
+// held waits until all daemons know who holds the duties.
+func (f *fleetOf) held() {
+	f.t.Helper()
+	f.until("the duties have a holder", func(n *Node) bool {
+		n.telling.mu.Lock()
+		defer n.telling.mu.Unlock()
+		return n.telling.holder.Token > 0
+	})
+}
+
+func order(n *Node) *sinkLog {
+	out := &sinkLog{}
+	now := time.Now()
+	n.Serve(context.Background(), &relay.Request{
+		ID: "1", Method: "POST", Target: "/x", Path: "/x", Host: "h", Key: "key", Received: now, Deadline: now.Add(time.Minute),
+	}, out)
+	return out
+}
