--- a/internal/spread/spread_test.go
+++ b/internal/spread/spread_test.go
@@ -33,6 +33,16 @@
 	return text
 }
 
+// put applies a whole patch to what there is.
+func put(have Text, done Piece) (Text, error) {
+	base := have.Bytes
+	if done.Base == 0 {
+		base = nil
+	}
+	text, err := Apply(base, done.Data)
+	return Text{done.Version, text}, err
+}
+
 // transfer fetches from a source until nothing newer is known of. It returns the
 // text and the bytes that were sent.
 func transfer(t *testing.T, f *Fetch, from map[string]*Source, have Text) (Text, int) {
@@ -51,16 +61,12 @@
 		if !complete {
 			continue
 		}
-		base := have.Bytes
-		if done.Base == 0 {
-			base = nil
-		}
-		text, err := Apply(base, done.Data)
+		got, err := put(have, done)
 		if err != nil {
 			f.Unusable(done.Version)
 			continue
 		}
-		have = Text{done.Version, text}
+		have = got
 	}
 	t.Fatal("it never ends")
 	return have, sent
@@ -125,13 +131,8 @@
 			p, err := s.Answer(want)
 			assert.NilError(t, err)
 			if done, complete := f.Took(address, p); complete {
-				base := have.Bytes
-				if done.Base == 0 {
-					base = nil
-				}
-				got, err := Apply(base, done.Data)
+				have, err = put(have, done)
 				assert.NilError(t, err)
-				have = Text{done.Version, got}
 			}
 			f.Has(have.Version)
 			if address, want, ok = f.Next(); !ok {
@@ -196,18 +197,14 @@
 			if !complete {
 				return
 			}
-			base := have.Bytes
-			if done.Base == 0 {
-				base = nil
-			}
-			text, err := Apply(base, done.Data)
+			got, err := put(have, done)
 			if err != nil {
 				t.Fatal(err)
 			}
-			if done.Version <= have.Version || !bytes.Equal(text, texts[done.Version]) {
-				t.Fatalf("version %d after %d, %d bytes", done.Version, have.Version, len(text))
+			if got.Version <= have.Version || !bytes.Equal(got.Bytes, texts[got.Version]) {
+				t.Fatalf("version %d after %d, %d bytes", got.Version, have.Version, len(got.Bytes))
 			}
-			have = Text{done.Version, text}
+			have = got
 		}
 		t.Repeat(map[string]func(*rapid.T){
 			"publish": func(t *rapid.T) {
