--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -25,6 +25,11 @@
 	// gatherTime is how long a new holder waits for the others' parts: they
 	// learn of it from the hubs within two rounds and tell it in the next.
 	gatherTime = 1500 * time.Millisecond
+	// firstDuty is how long after its start a daemon leaves the duties to others.
+	// Failure: a fleet starts, and as its daemons know few others yet, each takes
+	// itself for a candidate. Symptom: some 400 calls for one lease. A longer wait
+	// would leave a fleet that was killed at once without orders for endpoints.
+	firstDuty = 700 * time.Millisecond
 	// resultRing bounds the answers that wait for the duties' goroutine: a
 	// lease, a report and an order for each place are under way at most.
 	resultRing = 64
@@ -96,10 +101,7 @@
 	if !d.node.Ready() && !d.node.Stopping() {
 		return
 	}
-	// A daemon that knows few others takes itself for a candidate. Failure: a
-	// fleet starts, and each of its daemons does. Symptom: some 400 calls for one
-	// lease.
-	if d.node.gathering() {
+	if time.Since(d.node.started) < firstDuty {
 		return
 	}
 	if d.node.Stopping() {
