No watch is begun that isn't due; a fleet's first seconds bring fewer answers

Cause: calls logged at 195 daemons: 390 watches are begun after the first lists and cancelled a tenth of a second later; those that take themselves for hubs are answered twice a second. Change: whether a watch is due is asked before each call; changes are left to come together for a second in a daemon's first five.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -74,11 +74,13 @@
 // there is, 0 before the first list.
 func (f *Follower) Revision() uint64 { return f.revision.Load() }
 
-// Run follows until the context ends. Where the handler is complete up to a
-// revision, it goes on from there without a list; 0 is from nothing.
-func (f *Follower) Run(ctx context.Context, from uint64) {
+// Run follows for as long as that is due, until the context ends. Where the
+// handler is complete up to a revision, it goes on from there without a list; 0 is
+// from nothing. due is asked before each call: a watch that is begun and cancelled
+// is billed.
+func (f *Follower) Run(ctx context.Context, from uint64, due func() bool) {
 	after, listed := from, from > 0
-	for ctx.Err() == nil {
+	for ctx.Err() == nil && due() {
 		var err error
 		began := time.Now()
 		if !listed {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -94,13 +94,15 @@
 
 func (p pace) Pauses() Pauses { return p.pauses }
 
+func always() bool { return true }
+
 // play follows the script for a minute.
 func play(t *testing.T, s *script, h *heard) *Follower {
 	t.Helper()
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	f := New(s, "things", h, pace{Often()})
-	f.Run(ctx, s.from)
+	f.Run(ctx, s.from, always)
 	return f
 }
 
@@ -229,7 +231,7 @@
 			for range daemons {
 				f := New(refusing{back: time.Now().Add(outage), calls: calls}, "things", &heard{}, pace{Seldom(daemons)})
 				followers = append(followers, f)
-				go f.Run(ctx, 0)
+				go f.Run(ctx, 0, always)
 			}
 			time.Sleep(outage)
 			// Two quick ones each to begin with, then some seventy a second.
@@ -244,3 +246,14 @@
 		})
 	}
 }
+
+// A daemon lists and relies on another one's word from then on. A watch that it
+// began in between would be billed for nothing.
+func TestNoWatchIsBegunThatIsNotDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &script{answers: []answer{{changes: []string{"a"}, revision: 7}, {revision: 7}}}
+		f := New(s, "things", &heard{}, pace{Often()})
+		f.Run(t.Context(), 0, func() bool { return f.Revision() == 0 })
+		assert.DeepEqual(t, s.calls, []string{"list"})
+	})
+}
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -43,7 +43,8 @@
 	if w.follows() && c.node.endpoints.store.Lost() {
 		return c.lags(time.Now())
 	}
-	return w.due() || c.lags(time.Now())
+	listed := c.store.Revision() > 0 || c.current().Version > 0 // there may be none yet
+	return w.due(listed) || c.lags(time.Now())
 }
 
 // Listed implements follow.Handler.
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -52,9 +52,12 @@
 }
 
 func (d *endpointDuty) run(ctx context.Context) {
-	d.node.watching.run(ctx, d.store, d.upTo, d.node.watching.due)
+	d.node.watching.run(ctx, d.store, d.upTo, d.due)
 }
 
+// due reports whether this daemon should watch the endpoints now.
+func (d *endpointDuty) due() bool { return d.node.watching.due(d.known()) }
+
 // tickInterval is how often endpoints whose grace is over are looked for.
 const tickInterval = 100 * time.Millisecond
 
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -39,7 +39,7 @@
 // itself. The lock is held.
 func (t *telling) position(address string) feed.Position {
 	switch {
-	case t.node.watching.due() && !t.node.endpoints.late():
+	case t.node.endpoints.due() && !t.node.endpoints.late():
 		return feed.Unwanted
 	case t.lister == "" && t.loader != "" && t.loader != address && !t.node.endpoints.known():
 		return feed.Unwanted // all there is comes from one hub
@@ -75,7 +75,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	switch {
-	case t.node.watching.due():
+	case t.node.endpoints.due():
 		t.listedAt = time.Now() // the hub's changes since then are asked for later
 	case time.Since(t.listedAt) > t.silence():
 		t.lister, t.listed = "", feed.Position{}
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -28,7 +28,7 @@
 	// Symptom: each daemon is told of each endpoint by a call of its own, 2,000 in
 	// the first four seconds of 195 daemons, of 5,000 in a calm day of a minute.
 	together        = 100 * time.Millisecond
-	togetherAtStart = 500 * time.Millisecond
+	togetherAtStart = time.Second
 	// firstWatch is how long after its start a daemon relies on the list that it
 	// began with: until it knows some others, it takes itself for a hub.
 	firstWatch = time.Second
@@ -85,11 +85,12 @@
 // stale is the age from which the hubs' word isn't relied on.
 func (w *watching) stale() time.Duration { return hubWait + w.node.interval() + staleSlack }
 
-// due reports whether this daemon should watch the store now. One that has just
-// started lists it first: the store's link is the widest, and a hub that had to
-// tell all endpoints to a whole fleet would be late for seconds.
-func (w *watching) due() bool {
-	if !w.node.endpoints.known() || w.age() > w.stale() {
+// due reports whether this daemon should watch a kind now, of which it knows all
+// there is or nothing yet. One that has just started lists it first: the store's
+// link is the widest, and a hub that had to tell all endpoints to a whole fleet
+// would be late for seconds.
+func (w *watching) due(known bool) bool {
+	if !known || w.age() > w.stale() {
 		return true
 	}
 	return !w.follows() && time.Since(w.node.started) > firstWatch
@@ -143,5 +144,5 @@
 			cancel()
 		}
 	})
-	f.Run(ctx, from)
+	f.Run(ctx, from, due)
 }
