What limits have left is kept for a fleet that is killed at once

Change: the holder of the duties keeps each second what is left and how fast it is spent; daemons that start take it, with what came and less what may have been spent since, where it is at most 3 s old and nobody has told them anything. It takes the place of the number of daemons in the frozen usage, so that a daemon's start makes no call more.

--- a/internal/node/checkpoint.go
+++ b/internal/node/checkpoint.go
@@ -77,10 +77,7 @@
 	}
 	c.busy = true
 	c.duties.call(ctx, func() func(time.Time) {
-		_, err := n.platform.Store.Replace(ctx, usageKind, runningName, 0, text)
-		if errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrConflict) {
-			_, err = n.platform.Store.Create(ctx, usageKind, runningName, text)
-		}
+		err := n.put(ctx, usageKind, runningName, text)
 		return func(time.Time) {
 			c.busy = false
 			if err != nil {
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -44,6 +44,7 @@
 	usage   *usage.Reporter
 	scaling *scalingDuty
 	saved   *checkpoints
+	limits  *limitsKeeper
 	results *ring.Ring[func(now time.Time)]
 	token   uint64 // of the acquisition that usage and scaling belong to
 	since   time.Time
@@ -126,6 +127,7 @@
 	if d.saved.step(ctx, now) {
 		d.stepUsage(ctx, now)
 	}
+	d.limits.step(ctx, now)
 	d.scaling.step(ctx, now)
 }
 
@@ -151,6 +153,7 @@
 	d.usage = usage.NewReporter(seconds(d.node.settings.Bounds.UsageWindowSeconds))
 	d.scaling = newScalingDuty(d)
 	d.saved = &checkpoints{duties: d}
+	d.limits = &limitsKeeper{duties: d}
 	d.log.WithField("token", token).Info("holds the duties")
 }
 
--- /dev/null
+++ b/internal/node/keptlimits.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+)
+
+// The place in the store of what is kept of the limits.
+const (
+	limitsKind = "limits"
+	limitsName = "kept"
+)
+
+// keptLimits is what daemons that are all killed at once know of before.
+type keptLimits struct {
+	At time.Time `json:"at"` // the fleet's
+	// Daemons is how many there were; daemons that start again divide limits by it
+	// until they hear of each other.
+	Daemons int                              `json:"daemons"`
+	Limits  map[fleet.WorkspaceID]quota.Kept `json:"limits"`
+}
+
+// limitsKeeper writes it. It belongs to the duties' goroutine.
+type limitsKeeper struct {
+	duties *duties
+	busy   bool
+	last   time.Time
+}
+
+// step writes when that is due.
+func (k *limitsKeeper) step(ctx context.Context, now time.Time) {
+	if k.busy || now.Sub(k.last) < checkpointInterval {
+		return
+	}
+	k.last = now
+	n := k.duties.node
+	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now)})
+	if err != nil {
+		k.duties.log.WithError(err).Error("limits not encoded")
+		return
+	}
+	k.busy = true
+	k.duties.call(ctx, func() func(time.Time) {
+		err := n.put(ctx, limitsKind, limitsName, text)
+		return func(time.Time) {
+			k.busy = false
+			if err != nil {
+				k.duties.log.WithError(err).Info("limits not kept")
+			}
+		}
+	})
+}
+
+// put writes an object, whatever it is now.
+func (n *Node) put(ctx context.Context, kind, name string, text []byte) error {
+	_, err := n.platform.Store.Replace(ctx, kind, name, 0, text)
+	if errors.Is(err, objects.ErrNotFound) || errors.Is(err, objects.ErrConflict) {
+		_, err = n.platform.Store.Create(ctx, kind, name, text)
+	}
+	return err
+}
+
+// learnFleet reads how many daemons there were before this one started, and what
+// the limits had left.
+func (n *Node) learnFleet(ctx context.Context) {
+	if n.settings.Daemon.FirstStart {
+		return
+	}
+	kept, err := stored[keptLimits](n.platform.Store.Get(ctx, limitsKind, limitsName))
+	if err != nil {
+		n.say("daemon").WithError(err).Info("fleet not known from before")
+		return
+	}
+	now := time.Now()
+	n.state.SetDaemons(now, max(kept.Daemons, len(n.members.serving())))
+	n.state.RestoreLimits(now, n.clock.Now().Sub(kept.At), kept.Limits)
+}
--- a/internal/node/usageduty.go
+++ b/internal/node/usageduty.go
@@ -73,19 +73,6 @@
 	return d.node.platform.Store.Replace(ctx, usageKind, usageName, a.Revision, text)
 }
 
-// learnFleet reads how many daemons there were before this one started.
-func (n *Node) learnFleet(ctx context.Context) {
-	if n.settings.Daemon.FirstStart {
-		return
-	}
-	record, err := stored[usage.Record](n.platform.Store.Get(ctx, usageKind, usageName))
-	if err != nil {
-		n.say("daemon").WithError(err).Info("number of daemons not known from before")
-		return
-	}
-	n.state.SetDaemons(time.Now(), max(record.Daemons, len(n.members.serving())))
-}
-
 func (d *duties) usageFound(now time.Time, r *usage.Reporter, o objects.Object, err error) {
 	if errors.Is(err, objects.ErrNotFound) {
 		r.Found(0, usage.Record{})
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -20,6 +20,8 @@
 	lately  largest // number of daemons
 	// interval is how long it is until this daemon is told again.
 	interval time.Duration
+	kept     map[fleet.WorkspaceID]Kept // from before this daemon's start
+	keptAt   time.Time
 }
 
 // StartDaemons is the number of daemons that are taken to start together where
@@ -65,6 +67,7 @@
 		b := NewBucket(now, w.Rate, w.Burst, level, q.grace)
 		b.fleet = q.fleet(now)
 		b.interval = q.interval
+		q.restore(now, w.Name, b)
 		q.buckets[w.Name] = b
 	}
 }
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -42,12 +42,14 @@
 	alone    bool          // and each of them from each other
 	from, to time.Duration // of the cut
 	hot      time.Duration // when demand jumps from half to several times the limit
+	killed   time.Duration // when all daemons are, zero: never
 
 	rng    *rand.Rand
 	limits []*quota.Quota
 	next   []time.Duration // report, by daemon
 	hubs   map[string]*exchange.Hub
 	let    []float64 // by step, in seconds of the limit
+	asked  []float64 // likewise
 }
 
 var largeWorkspace = route.Workspace{Name: workshop, Rate: largeRate, Burst: largeRate}
@@ -68,6 +70,25 @@
 	}
 }
 
+// downTime is how long daemons that were killed take to start again.
+const downTime = 500 * time.Millisecond
+
+// again starts all daemons again, which know what was kept some time ago.
+func (f *sizedFleet) again(t, ago time.Duration, kept map[fleet.WorkspaceID]quota.Kept) {
+	now := began.Add(t)
+	for name := range f.hubs {
+		f.hubs[name] = exchange.NewHub(exchange.CalmInterval(f.daemons))
+	}
+	for i := range f.limits {
+		q := quota.New(false, excess)
+		q.Restore(now, ago, kept)
+		q.Configure(now, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
+		q.SetDaemons(now, f.daemons)
+		f.limits[i] = q
+		f.next[i] = t + time.Duration(f.rng.Int64N(int64(200*time.Millisecond)))
+	}
+}
+
 func (f *sizedFleet) isAway(i int) bool            { return i >= f.daemons-f.away }
 func (f *sizedFleet) cut(t time.Duration) bool     { return t >= f.from && t < f.to }
 func (f *sizedFleet) noticed(t time.Duration) bool { return f.cut(t - noticeTime) }
@@ -106,30 +127,46 @@
 
 func (f *sizedFleet) play(seed uint64, length time.Duration) {
 	f.start(seed)
+	var kept map[fleet.WorkspaceID]quota.Kept
+	var keptAt time.Duration
 	for t := time.Duration(0); t < length; t += playStep {
-		sum := 0.0
+		sum, asked := 0.0, 0.0
+		if f.killed > 0 {
+			// Kept by the first daemon, for the last time 0.9 s before the kill.
+			if t == f.killed-900*time.Millisecond {
+				kept, keptAt = f.limits[0].Keep(began.Add(t)), t
+			}
+			if t >= f.killed && t < f.killed+downTime {
+				f.let, f.asked = append(f.let, 0), append(f.asked, 0)
+				continue
+			}
+			if t == f.killed+downTime {
+				f.again(t, t-keptAt, kept)
+			}
+		}
 		for i, q := range f.limits {
 			if t%(250*time.Millisecond) == 0 {
 				q.SetDaemons(began.Add(t), f.seen(i, t))
 			}
-			sum += f.take(q, t)
+			let, all := f.take(q, t)
+			sum, asked = sum+let, asked+all
 			f.report(i, q, t)
 		}
-		f.let = append(f.let, sum/largeRate)
+		f.let, f.asked = append(f.let, sum/largeRate), append(f.asked, asked/largeRate)
 	}
 }
 
-// take returns what a daemon lets in of a step's requests.
-func (f *sizedFleet) take(q *quota.Quota, t time.Duration) float64 {
-	sum := 0.0
+// take returns what a daemon lets in of a step's requests, and what they ask for.
+func (f *sizedFleet) take(q *quota.Quota, t time.Duration) (let, asked float64) {
 	requests := f.demand(t) * largeRate * playStep.Seconds() / float64(f.daemons) / meanCost
 	for ; f.rng.Float64() < requests; requests-- {
 		cost := min(meanCost*math.Exp(f.rng.NormFloat64()-0.5), mostCost)
+		asked += cost
 		if _, ok := q.Take(began.Add(t), &largeWorkspace, cost); ok {
-			sum += cost
+			let += cost
 		}
 	}
-	return sum
+	return let, asked
 }
 
 // report makes a daemon's report if it is due.
@@ -173,11 +210,20 @@
 
 // between returns what was let in between two times, as a part of the limit.
 func (f *sizedFleet) between(from, to time.Duration) float64 {
+	return sumOf(f.let, from, to) / (to - from).Seconds()
+}
+
+// served returns what was let in between two times, as a part of what was asked.
+func (f *sizedFleet) served(from, to time.Duration) float64 {
+	return sumOf(f.let, from, to) / sumOf(f.asked, from, to)
+}
+
+func sumOf(steps []float64, from, to time.Duration) float64 {
 	sum := 0.0
-	for _, v := range f.let[from/playStep : to/playStep] {
+	for _, v := range steps[from/playStep : to/playStep] {
 		sum += v
 	}
-	return sum / (to - from).Seconds()
+	return sum
 }
 
 var sizes = []int{6, 80, 195, 340}
@@ -238,3 +284,37 @@
 		}
 	}
 }
+
+// All daemons are killed and start again. Callers of a workspace that is at half of
+// its limit must be served from the first moment; what was known to be left was
+// kept a second before. Of one that asks for three times its limit no more may be
+// let in than is tolerated.
+func TestFleetThatStartsAgainKnowsWhatIsLeft(t *testing.T) {
+	const killed = 10 * time.Second
+	for _, daemons := range sizes {
+		for seed := range uint64(3) {
+			calm := &sizedFleet{daemons: daemons, hot: time.Hour, killed: killed}
+			calm.play(seed, 14*time.Second)
+			up := killed + downTime
+			got := calm.served(up, up+time.Second)
+			assert.Assert(t, got >= 0.95, "%d daemons, seed %d: %.2f of what was asked", daemons, seed, got)
+
+			hot := &sizedFleet{daemons: daemons, hot: 2 * time.Second, killed: killed}
+			hot.play(seed, 24*time.Second)
+			assert.Assert(t, hot.most() <= 1, "%d daemons, seed %d: %.3f of what is tolerated", daemons, seed, hot.most())
+		}
+	}
+}
+
+// What was kept is too old to say what was spent since, or in the future of a clock
+// that is off: nothing is let in for it.
+func TestOldKeptLimitsAreNotTaken(t *testing.T) {
+	kept := map[fleet.WorkspaceID]quota.Kept{workshop: {Left: largeRate}}
+	for _, ago := range []time.Duration{-time.Millisecond, 4 * time.Second} {
+		q := quota.New(false, 0)
+		q.Configure(began, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
+		q.Restore(began, ago, kept)
+		_, ok := q.Take(began, &largeWorkspace, meanCost)
+		assert.Assert(t, !ok, "%v ago", ago)
+	}
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -145,6 +145,20 @@
 	s.quota.KeepHubs(hubs)
 }
 
+// KeepLimits returns what is to be kept of the workspaces' limits.
+func (s *State) KeepLimits(now time.Time) map[fleet.WorkspaceID]quota.Kept {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.Keep(now)
+}
+
+// RestoreLimits takes what was kept of the limits some time ago.
+func (s *State) RestoreLimits(now time.Time, ago time.Duration, kept map[fleet.WorkspaceID]quota.Kept) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Restore(now, ago, kept)
+}
+
 // LevelsKnown reports whether a daemon that has run for longer need not tell
 // what the limits have left.
 func (s *State) LevelsKnown() bool {
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -6,7 +6,8 @@
 type Record struct {
 	Window uint64                       `json:"window"`
 	Begun  map[fleet.WorkspaceID]uint64 `json:"begun"`
-	// Daemons is how many there were; daemons that start again divide limits
+	// Daemons is how many there were, for daemons of an earlier release that start
+	// again: they divide limits
 	// by it until they hear of each other.
 	Daemons int `json:"daemons,omitempty"`
 }
