telling keeps its reports to a hub in one record, in a file of its own

Cause: four maps by a hub's address side by side, in a file of 330 lines; the label of a call's result chosen twice. Change: one record by hub (reports.go), one function for the label. No behaviour changes; node's tests pass.

--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -14,7 +14,7 @@
 	defer t.mu.Unlock()
 	t.loader = ""
 	for _, address := range targets {
-		if address == t.node.settings.Listen.Peers || time.Since(t.answered[address]) < t.silence() {
+		if address == t.node.settings.Listen.Peers || time.Since(t.to(address).answered) < t.silence() {
 			t.loader = address
 			return
 		}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -54,20 +54,20 @@
 
 // reported counts a report to a hub by its result.
 func (m *metricSet) reported(err error) {
-	result := "ok"
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_peer_reports_total{result=%q}`, peerResult(err))).Inc()
+}
+
+// peerResult returns the result of a call to another daemon as the metric's label.
+func peerResult(err error) string {
 	if err != nil {
-		result = "unanswered"
+		return "unanswered"
 	}
-	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_peer_reports_total{result=%q}`, result)).Inc()
+	return "ok"
 }
 
 // fetched counts a piece of a configuration by its result.
 func (m *metricSet) fetched(bytes int, err error) {
-	result := "ok"
-	if err != nil {
-		result = "unanswered"
-	}
-	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_config_pieces_total{result=%q}`, result)).Inc()
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_config_pieces_total{result=%q}`, peerResult(err))).Inc()
 	m.set.GetOrCreateCounter("cyclamenbeam_config_piece_bytes_total").Add(bytes)
 }
 
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -38,25 +38,17 @@
 	lister string          // that hub's address
 	// listedAt is when it told its list last.
 	listedAt time.Time
-	pending  map[string]bool      // hubs that have not answered yet, by address
-	answered map[string]time.Time // when a hub answered last, by address
-	// unanswered are the hubs whose last report got no answer, by address.
-	unanswered map[string]bool
-	counted    map[string]time.Time // when a hub was last told the windows and answered, by address
-	loader     string               // the hub that tells the endpoints' loads, empty: all
-	loadedAt   time.Time            // when loads were told last
+	hubs     map[string]*reports // by address
+	loader   string              // the hub that tells the endpoints' loads, empty: all
+	loadedAt time.Time           // when loads were told last
 }
 
 func newTelling(n *Node) *telling {
 	return &telling{
-		node:     n,
-		client:   exchange.NewClient(),
-		hub:      exchange.NewHub(exchange.CalmInterval(1)),
-		pending:  map[string]bool{},
-		answered: map[string]time.Time{},
-
-		unanswered: map[string]bool{},
-		counted:    map[string]time.Time{},
+		node:   n,
+		client: exchange.NewClient(),
+		hub:    exchange.NewHub(exchange.CalmInterval(1)),
+		hubs:   map[string]*reports{},
 	}
 }
 
@@ -213,63 +205,15 @@
 	asked := time.Now()
 	sum, err := t.client.Tell(ctx, address, &p)
 	took := time.Since(asked)
-	t.node.metrics.reported(err)
+	t.ended(address, &p, err)
 	if err != nil {
-		t.failed(address, err)
 		return
 	}
-	t.told(address, &p)
 	t.node.fetching.heard(address, sum.Version)
 	t.node.config.heard(sum.Version, sum.VersionAt)
 	t.use(address, &sum, took)
 }
 
-// windowsInterval is how often a hub is told the windows of usage, which are the
-// most of a report and are due seconds after their end.
-const windowsInterval = 800 * time.Millisecond
-
-// told notes that a hub has answered a part.
-func (t *telling) told(address string, p *exchange.Part) {
-	now := time.Now()
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	t.answered[address] = now
-	delete(t.unanswered, address)
-	if p.Windows != nil {
-		t.counted[address] = now
-	}
-}
-
-// failed notes that a hub didn't answer. The first failure after an answer is
-// logged, further ones are only counted: in an outage there are several a second.
-func (t *telling) failed(address string, err error) {
-	t.mu.Lock()
-	again := t.unanswered[address]
-	t.unanswered[address] = true
-	delete(t.counted, address) // who answers there next may be another process
-	t.mu.Unlock()
-	if !again {
-		t.node.say("peers").WithError(err).WithField("address", address).Warn("report not answered")
-	}
-}
-
-// enter reports whether no call to a hub is under way, and begins one.
-func (t *telling) enter(address string) bool {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.pending[address] {
-		return false
-	}
-	t.pending[address] = true
-	return true
-}
-
-func (t *telling) exit(address string) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	delete(t.pending, address)
-}
-
 // part returns this daemon's part for a hub.
 func (t *telling) part(address string) exchange.Part {
 	p := exchange.Part{
@@ -281,7 +225,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if time.Since(t.counted[address]) >= windowsInterval {
+	if time.Since(t.to(address).counted) >= windowsInterval {
 		p.Windows = t.node.begun.windows()
 	}
 	p.Holder = t.holder
