Sight: a request that comes again has one name in the logs, and an endpoint's end a line

Cause: a log line named a caller's try, which is new each time; no line told that an endpoint ended, nor under which request. Change: an attempt that is cut off tells the request's name (workspace, target and body, hashed), and the endpoint is asked for once: where nobody listens any more, a line says so. explain finds both by that name. No decision changes.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,7 +12,7 @@
 
 // Query says what to look for; one field is set.
 type Query struct {
-	ID       string // of a request
+	ID       string // of a request, or what stays the same when it comes again
 	Endpoint string
 	Config   uint64 // a version
 }
@@ -49,7 +49,7 @@
 func (q Query) matches(l *Line) bool {
 	switch {
 	case q.ID != "":
-		return l.Fields.ID == q.ID
+		return l.Fields.ID == q.ID || l.Fields.Request == q.ID
 	case q.Endpoint != "":
 		return l.Fields.Endpoint == q.Endpoint
 	default:
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -27,6 +27,7 @@
 // Fields are those by which lines are looked for.
 type Fields struct {
 	ID       string
+	Request  string // what stays the same when a request comes again
 	Endpoint string
 	Version  uint64
 }
@@ -67,7 +68,7 @@
 		return Line{}, false
 	}
 	l.Time = when
-	l.Fields = Fields{ID: l.text("id"), Endpoint: l.text("endpoint")}
+	l.Fields = Fields{ID: l.text("id"), Request: l.text("request"), Endpoint: l.text("endpoint")}
 	if v, ok := l.raw["version"].(float64); ok {
 		l.Fields.Version = uint64(v)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,6 +38,7 @@
 	watching  *watching
 	starting  *starting
 	begun     *begunCounts
+	ends      *ends
 	requests  *requestLog
 	metrics   *metricSet
 
@@ -66,6 +67,7 @@
 	}
 	limits := quota.New(s.Daemon.FirstStart, s.Bounds.LimitExcess)
 	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
+	n.ends = newEnds(n)
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
 	n.metrics = newMetricSet(n)
 	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
@@ -122,7 +124,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetching.run, n.endpoints.run, n.endpoints.tick, n.telling.run, n.members.run, n.sweep, n.requests.run,
-		n.learnFleet,
+		n.learnFleet, n.ends.run,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -15,6 +15,9 @@
 	o.node.begun.add(w, o.node.clock.Now().Add(-time.Since(at)))
 }
 
+// Cut implements relay.Observer.
+func (o *observer) Cut(c relay.Cut) { o.node.ends.cuts.Push(c) }
+
 // Ended implements relay.Observer.
 func (o *observer) Ended(out *relay.Outcome) {
 	o.node.metrics.ended(out)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
 )
@@ -85,6 +86,9 @@
 	if o.Cause != nil {
 		f["cause"] = o.Cause.Error()
 	}
+	if o.Request != (quarantine.Key{}) {
+		f["request"] = o.Request.String()
+	}
 	if o.FirstCause != nil {
 		f["first_cause"] = o.FirstCause.Error()
 	}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -34,6 +35,8 @@
 	asked bool
 	// counted says that the observer was told that it began to run.
 	counted bool
+	// known is the request's key, zero until it is asked for.
+	known quarantine.Key
 	// passed is when the caller was last sent a piece of a stream.
 	passed  time.Time
 	events  events
@@ -114,6 +117,9 @@
 		err = cause
 	}
 	f.outcome.Cause = err
+	if cutOff(ctx, attempt, e, err) {
+		f.cut(t)
+	}
 	f.outcome.Failed = e.class == Failure && e.whole
 	switch {
 	case !e.reached:
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -84,6 +84,7 @@
 type watcher struct {
 	mu    sync.Mutex
 	begun int
+	cuts  []Cut
 	last  Outcome
 }
 
@@ -93,6 +94,12 @@
 	w.begun++
 }
 
+func (w *watcher) Cut(c Cut) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.cuts = append(w.cuts, c)
+}
+
 func (w *watcher) Ended(o *Outcome) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -24,6 +25,9 @@
 	Failed  bool
 	Verdict verdict.Verdict
 	Cause   error // the last attempt's error
+	// Request tells a request that comes again under another ID; it is zero
+	// where nothing asked for it.
+	Request quarantine.Key
 	// FirstCause is the first attempt's error, where another one followed.
 	FirstCause error
 	Predicted  time.Duration
@@ -72,5 +76,7 @@
 type Observer interface {
 	// Began says that an endpoint began to run a workspace's request.
 	Began(w fleet.WorkspaceID, at time.Time)
+	// Cut says that an endpoint's connection ended under a request.
+	Cut(c Cut)
 	Ended(o *Outcome)
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -122,6 +124,24 @@
 	}
 }
 
+// Listens reports whether an endpoint's process is there: a kept connection to
+// it is still open, or a new one can be had, which is kept. Its error says why
+// that isn't known.
+func (p *Pool) Listens(ctx context.Context, address string) (bool, error) {
+	c, err := p.get(ctx, address)
+	if errors.Is(err, syscall.ECONNREFUSED) {
+		return false, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	if c.kept.IsZero() {
+		c.kept = time.Now().Add(idleDefault)
+	}
+	p.put(c)
+	return true, nil
+}
+
 // open sets a connection up for which there is room.
 func (p *Pool) open(ctx context.Context, address string, h *host) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
