A request that crashes the endpoints that run it is held by the whole fleet

Cause: what bounds attempts counts those of one try of a caller's. Nothing was known of a request beyond its end, so that the same one, come again under another id at any daemon, started from nothing. Change: an attempt whose connection is ended by the endpoint leads to one question, whether somebody still listens there. An end that was found so is told to all daemons through the hubs with the requests that had no piece of an answer, and is kept in the store with the limits (no further call). internal/quarantine decides from these alone: three ends that a request is the likeliest cause of, two of which came alone, hold it for 30 minutes. Ends of endpoints that leave, that still answer or that are killed together, and ends that a held request explains, count against nobody; the first piece of an answer clears a request. Why it holds: the evidence is the fleet's, not a try's; it is bounded (1,024 crashes, 64 suspects each, told 64 at once), and survives the end of all daemons in the store. Before: 12 of 12 endpoints of the test end. After: at most six, three with one daemon after the other.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -23,6 +23,8 @@
 		Holder:        encodeHolder(p.Holder),
 		Endpoints:     encodePosition(p.Endpoints),
 		Brief:         p.Brief,
+		Crashes:       encodeCrashes(p.Crashes),
+		CrashesHave:   encodeSeq(p.CrashesHave),
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -56,6 +58,9 @@
 		Brief:      r.Brief,
 		WantLevels: r.WantLevels,
 		Fetches:    r.Fetches,
+
+		Crashes:     decodeCrashes(r.Crashes),
+		CrashesHave: decodeSeq(r.CrashesHave),
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{
@@ -83,6 +88,9 @@
 		Levels:        encodeSpent(s.Soft.Levels),
 
 		ConfigRevision: s.VersionAt,
+
+		Crashes:   encodeCrashes(s.Crashes),
+		CrashesTo: encodeSeq(s.CrashesTo),
 	}
 	if s.Loads != nil {
 		out.Loads, out.OwnLoads = s.Loads.packed, packLoads(s.Loads.Own)
@@ -102,6 +110,8 @@
 		Holder:    decodeHolder(t.Holder),
 		Endpoints: decodeUpdate(t.Endpoints),
 		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
+		Crashes:   decodeCrashes(t.Crashes),
+		CrashesTo: decodeSeq(t.CrashesTo),
 	}
 	if t.Loads != nil {
 		s.Loads = &Loads{All: unpackLoads(t.Loads), Own: unpackLoads(t.OwnLoads)}
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -5,6 +5,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
 
@@ -27,6 +28,10 @@
 	// Fetches says that the daemon fetches configurations; one of an earlier
 	// release takes their texts with its sums.
 	Fetches bool
+	// Crashes is what has changed of the endpoints' crashes since the hub was
+	// told last, and CrashesHave what the daemon has of the hub's.
+	Crashes     []quarantine.Crash
+	CrashesHave quarantine.Position
 	// WantLevels asks for what the limits have left.
 	WantLevels bool
 }
@@ -44,6 +49,9 @@
 	Holder    Holder
 	// Endpoints leads to the hub's list.
 	Endpoints feed.Update
+	// Crashes leads to the hub's crashes of endpoints, at CrashesTo.
+	Crashes   []quarantine.Crash
+	CrashesTo quarantine.Position
 	// Fresh is the time since the hub last heard from the store.
 	Fresh time.Duration
 }
--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -20,24 +20,30 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // crashingBody ends an endpoint of these tests that begins to run it.
 const crashingBody = "crash"
 
+// closingBody makes one close the connection.
+const closingBody = "close"
+
 // frail are endpoints that end when they begin to run crashingBody and don't come
 // back. They answer anything else.
 type frail struct {
 	mu    sync.Mutex
 	conns map[net.Listener][]net.Conn
-	ended atomic.Int64
+	// closed is how many connections a listener's endpoint has closed by itself.
+	closed map[net.Listener]int
+	ended  atomic.Int64
 }
 
 // addFrail puts n of them into a fleet's store, the first in place of the endpoint
 // that is there.
 func (f *fleetOf) addFrail(n int) *frail {
 	f.t.Helper()
-	out := &frail{conns: map[net.Listener][]net.Conn{}}
+	out := &frail{conns: map[net.Listener][]net.Conn{}, closed: map[net.Listener]int{}}
 	for i := range n {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		assert.NilError(f.t, err)
@@ -85,6 +91,13 @@
 			e.end(l)
 			return
 		}
+		if string(body) == closingBody {
+			e.mu.Lock()
+			e.closed[l]++
+			e.mu.Unlock()
+			_ = c.Close()
+			return
+		}
 		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone")
 	}
 }
@@ -100,6 +113,19 @@
 	}
 }
 
+// askedAgain reports whether each endpoint that has closed a connection got
+// another one after it.
+func (e *frail) askedAgain() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for l, n := range e.closed {
+		if len(e.conns[l]) <= n {
+			return false
+		}
+	}
+	return true
+}
+
 func sendBody(n *Node, id, body string) *sinkLog {
 	out := &sinkLog{}
 	now := time.Now()
@@ -112,8 +138,11 @@
 
 // Callers' streams break off by dozens, again and again. A request ends the
 // endpoint that begins to run it; its caller is told that it may have run and
-// sends it again, as another request. Each time it goes to one more endpoint,
-// which ends, with all that runs there.
+// sends it again, as another request, to any daemon. Each time it goes to one more
+// endpoint, which ends, with all that runs there. The cause: what bounds attempts
+// counts those of one try of a caller's, and nothing was known of the request
+// beyond its end. Evidence: on one day 39 endpoints ended under two requests, of
+// the same tokens each time, at nine daemons, none of which saw more than five.
 func TestRequestThatEndsItsEndpointsIsHeld(t *testing.T) {
 	const endpoints, allowed = 12, 6 // three, and three retries
 	f := newFleet(t, 0)
@@ -126,9 +155,61 @@
 		waitForEnds(t, log, int(e.ended.Load()))
 	}
 	assert.Assert(t, e.ended.Load() <= allowed, "%d endpoints ended under one request", e.ended.Load())
+	out := sendBody(n, "once more", crashingBody)
+	assert.Equal(t, out.refusal.Reason, relay.Quarantined)
+	assert.Equal(t, out.refusal.Verdict, verdict.NotRun)
+	assert.Assert(t, out.refusal.RetryAfter > 0)
 	assert.Equal(t, sendBody(n, "other", "innocent").body, "done")
 }
 
+// The same request comes to another daemon each time, and again after all daemons
+// were killed at once. What one has seen the others must know, and who starts
+// again.
+func TestRequestIsHeldByAllDaemonsAndAfterTheirEnd(t *testing.T) {
+	const endpoints = 6
+	f := newFleet(t, 0)
+	e := f.addFrail(endpoints)
+	for range 3 {
+		f.add()
+	}
+	f.ready()
+	for i := range 3 {
+		sendBody(f.nodes[i], "try"+strconv.Itoa(i), crashingBody)
+		f.until("all daemons know of the end", func(n *Node) bool { return n.ends.table.Size() == i+1 })
+	}
+	for _, n := range f.nodes {
+		assert.Equal(t, sendBody(n, "again", crashingBody).refusal.Reason, relay.Quarantined)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		kept, err := stored[keptLimits](f.store.Get(t.Context(), limitsKind, limitsName))
+		if err != nil || len(kept.Crashes) < 3 {
+			return poll.Continue("not kept yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	f.stop()
+	f.nodes, f.cancel, f.done = nil, nil, nil
+	n := f.addWith(f.store, func(n *Node) { n.settings.Daemon.FirstStart = false })
+	f.until("it knows what was held", func(n *Node) bool { return n.ends.table.Holding() == 1 })
+	assert.Equal(t, sendBody(n, "after all", crashingBody).refusal.Reason, relay.Quarantined)
+	assert.Equal(t, e.ended.Load(), int64(3))
+}
+
+// Endpoints close connections under requests that are run elsewhere: they go on
+// listening, and have not ended.
+func TestClosedConnectionIsNoEnd(t *testing.T) {
+	f := newFleet(t, 0)
+	e := f.addFrail(3)
+	n := f.add()
+	f.until("ready", func(n *Node) bool { all, _ := n.endpoints.list(); return n.Ready() && len(all) == 3 })
+	for range 3 {
+		assert.Equal(t, sendBody(n, "closed", closingBody).refusal.Reason, relay.Broken)
+	}
+	f.until("all were asked for", func(*Node) bool { return e.askedAgain() })
+	assert.Equal(t, n.ends.table.Size(), 0)
+	assert.Equal(t, e.ended.Load(), int64(0))
+}
+
 // waitForEnds waits until the log tells of the ends of n endpoints.
 func waitForEnds(t *testing.T, log *logtest.Hook, n int) {
 	t.Helper()
--- a/internal/node/keptlimits.go
+++ b/internal/node/keptlimits.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 )
 
@@ -24,6 +25,8 @@
 	// until they hear of each other.
 	Daemons int                              `json:"daemons"`
 	Limits  map[fleet.WorkspaceID]quota.Kept `json:"limits"`
+	// Crashes is what requests are held for.
+	Crashes []quarantine.Crash `json:"crashes,omitempty"`
 }
 
 // limitsKeeper writes it. It belongs to the duties' goroutine.
@@ -40,7 +43,7 @@
 	}
 	k.last = now
 	n := k.duties.node
-	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now)})
+	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now), n.ends.table.Keep()})
 	if err != nil {
 		k.duties.log.WithError(err).Error("limits not encoded")
 		return
@@ -77,6 +80,7 @@
 		n.say("daemon").WithError(err).Info("fleet not known from before")
 		return
 	}
+	n.told(n.ends.table.Add(n.clock.Now(), kept.Crashes...))
 	now := time.Now()
 	n.state.SetDaemons(now, max(kept.Daemons, len(n.members.serving())))
 	n.state.RestoreLimits(now, n.clock.Now().Sub(kept.At), kept.Limits)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,8 @@
 		all, _ := n.endpoints.list()
 		return float64(len(all))
 	})
+	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.ends.table.Holding()) })
+	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.ends.table.Size()) })
 	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
 	m.set.NewGauge("cyclamenbeam_connections_reused_total", func() float64 { return float64(n.pool.Stats().Reused) })
 	m.set.NewGauge("cyclamenbeam_endpoints_silent_total", func() float64 { return float64(n.pool.Stats().Silent) })
@@ -52,6 +54,11 @@
 	}
 }
 
+// crashed counts an endpoint's end.
+func (m *metricSet) crashed(leaving bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_endpoint_ends_total{leaving="%t"}`, leaving)).Inc()
+}
+
 // reported counts a report to a hub by its result.
 func (m *metricSet) reported(err error) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_peer_reports_total{result=%q}`, peerResult(err))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -72,7 +72,7 @@
 	n.metrics = newMetricSet(n)
 	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
 	n.requests = newRequestLog(log, n.metrics)
-	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n})
+	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, &guard{n})
 	n.watching = newWatching(n)
 	n.starting = newStarting(n.started)
 	n.config = newConfiguration(n)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 )
 
 // windowsInterval is how often a hub is told the windows of usage, a quarter of a
@@ -16,6 +17,22 @@
 	unanswered bool      // the last one ended without
 	answered   time.Time // the last answer
 	counted    time.Time // the last answer to one with the windows of usage
+	// told is what the hub has of this daemon's crashes of endpoints, heard what
+	// this daemon has of the hub's.
+	told, heard quarantine.Position
+}
+
+// crashes takes what a hub told of crashes after it was told up to a position. A
+// hub that has started again has nothing of what it was told before.
+func (t *telling) crashes(address string, upTo quarantine.Position, sum *exchange.Sum) {
+	t.mu.Lock()
+	r := t.to(address)
+	if r.heard.Epoch != sum.CrashesTo.Epoch && r.heard.Epoch != 0 {
+		upTo = quarantine.Position{}
+	}
+	r.told, r.heard = upTo, sum.CrashesTo
+	t.mu.Unlock()
+	t.node.told(t.node.ends.table.Add(t.node.clock.Now(), sum.Crashes...))
 }
 
 // to returns the reports to a hub. The lock is held.
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/spread"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -75,6 +76,7 @@
 // Tell implements exchange.Answerer.
 func (t *telling) Tell(p exchange.Part) exchange.Sum {
 	t.node.fetching.heardFrom(p.Daemon, p.Version)
+	t.node.told(t.node.ends.table.Add(t.node.clock.Now(), p.Crashes...))
 	now := time.Now()
 	steady := t.node.clock.Steady()
 	t.mu.Lock()
@@ -85,6 +87,7 @@
 	if !p.Brief {
 		sum.Loads = t.hub.Loads(now, p.Daemon)
 	}
+	sum.Crashes, sum.CrashesTo = t.node.ends.table.Since(p.CrashesHave)
 	if p.WantLevels && now.Sub(t.node.started) > knownLevels {
 		sum.Soft.Levels = t.node.state.Levels(now)
 	}
@@ -193,7 +196,7 @@
 		return
 	}
 	defer t.exit(address)
-	p := t.part(address)
+	p, upTo := t.part(address)
 	if address == t.node.settings.Listen.Peers {
 		sum := t.Tell(p)
 		if t.node.gathering() && len(t.node.members.serving()) == 1 {
@@ -211,11 +214,12 @@
 	}
 	t.node.fetching.heard(address, sum.Version)
 	t.node.config.heard(sum.Version, sum.VersionAt)
+	t.crashes(address, upTo, &sum)
 	t.use(address, &sum, took)
 }
 
-// part returns this daemon's part for a hub.
-func (t *telling) part(address string) exchange.Part {
+// part returns this daemon's part for a hub, and up to where it tells crashes.
+func (t *telling) part(address string) (exchange.Part, quarantine.Position) {
 	p := exchange.Part{
 		Daemon:  t.node.id,
 		Version: t.node.config.current().Version,
@@ -232,7 +236,13 @@
 	p.Endpoints = t.position(address)
 	p.Brief = t.brief(address)
 	p.WantLevels = !t.node.state.LevelsKnown()
-	return p
+	if address == t.node.settings.Listen.Peers {
+		return p, quarantine.Position{}
+	}
+	var upTo quarantine.Position
+	p.Crashes, upTo = t.node.ends.table.Since(t.to(address).told)
+	p.CrashesHave = t.to(address).heard
+	return p, upTo
 }
 
 // use takes a hub's sum, whose answer took a while. Of one that took long, time
--- /dev/null
+++ b/internal/quarantine/crash.go
@@ -0,0 +1,122 @@
+package quarantine
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"github.com/zeebo/xxh3"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+// Life names one life of an endpoint: one that starts again under its ID is
+// another one.
+type Life uint64
+
+// LifeOf returns the name of the life that began at born, zero where that isn't
+// told.
+func LifeOf(id fleet.EndpointID, born time.Time) Life {
+	return Life(xxh3.HashString(string(id) + " " + strconv.FormatInt(born.UnixMilli(), 10)))
+}
+
+// MarshalText returns the life in hexadecimal.
+func (l Life) MarshalText() ([]byte, error) { return fmt.Appendf(nil, "%016x", uint64(l)), nil }
+
+// UnmarshalText accepts the form of MarshalText.
+func (l *Life) UnmarshalText(text []byte) error {
+	n, err := strconv.ParseUint(string(text), 16, 64)
+	*l = Life(n)
+	return Error.Wrap(err)
+}
+
+// Crash is the end of an endpoint's process that nothing announced.
+type Crash struct {
+	Endpoint Life
+	At       time.Time // by the fleet's clock
+	// Void says that it was none: the endpoint was leaving, or still answers.
+	Void bool `json:",omitempty"`
+	// Suspects are the requests that were there and had no piece of an answer:
+	// one of them may be the cause. Others had run for a while, and aren't.
+	Suspects []Suspect `json:",omitempty"`
+	// Cleared are suspects that an endpoint has run since.
+	Cleared []Key `json:",omitempty"`
+}
+
+// Suspect is a request that may be a crash's cause.
+type Suspect struct {
+	Request Key
+	Sent    time.Time // the first to the endpoint, by the fleet's clock
+}
+
+// mostSuspects bounds the suspects of a crash: an endpoint runs some dozens of
+// requests at once, of which few have no piece of an answer yet.
+const mostSuspects = 64
+
+// merge adds what another daemon knows of the same crash, and reports whether
+// that was new.
+func (c *Crash) merge(o *Crash) bool {
+	changed := false
+	if o.Void && !c.Void {
+		c.Void, changed = true, true
+	}
+	if o.At.Before(c.At) {
+		c.At, changed = o.At, true
+	}
+	for _, s := range o.Suspects {
+		if c.Suspect(s) {
+			changed = true
+		}
+	}
+	for _, k := range o.Cleared {
+		if c.clear(k) {
+			changed = true
+		}
+	}
+	return changed
+}
+
+// Suspect adds a request that may be its cause, and reports whether that was new.
+func (c *Crash) Suspect(s Suspect) bool {
+	at := c.index(s.Request)
+	switch {
+	case at < 0 && len(c.Suspects) < mostSuspects:
+		c.Suspects = append(c.Suspects, s)
+		return true
+	case at >= 0 && s.Sent.Before(c.Suspects[at].Sent):
+		c.Suspects[at].Sent = s.Sent
+		return true
+	}
+	return false
+}
+
+// clear notes that a request isn't its cause, and reports whether that was new.
+func (c *Crash) clear(k Key) bool {
+	if len(c.Cleared) >= mostSuspects || slices.Contains(c.Cleared, k) {
+		return false
+	}
+	c.Cleared = append(c.Cleared, k)
+	return true
+}
+
+func (c *Crash) index(k Key) int {
+	return slices.IndexFunc(c.Suspects, func(s Suspect) bool { return s.Request == k })
+}
+
+// suspects reports whether a request may be its cause.
+func (c *Crash) suspects(k Key) bool {
+	return !c.Void && c.index(k) >= 0 && !slices.Contains(c.Cleared, k)
+}
+
+// any reports whether something holds for a request that may be its cause.
+func (c *Crash) any(f func(k Key) bool) bool {
+	return slices.ContainsFunc(c.Suspects, func(s Suspect) bool { return c.suspects(s.Request) && f(s.Request) })
+}
+
+// clone returns a copy that shares nothing.
+func (c *Crash) clone() Crash {
+	out := *c
+	out.Suspects, out.Cleared = slices.Clone(c.Suspects), slices.Clone(c.Cleared)
+	return out
+}
--- /dev/null
+++ b/internal/quarantine/table_test.go
@@ -0,0 +1,285 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+var start = time.Unix(1_000_000, 0)
+
+func at(seconds float64) time.Time {
+	return start.Add(time.Duration(seconds * float64(time.Second)).Round(time.Millisecond))
+}
+
+func key(n int) Key { return KeyOf("w", "POST", "/x", fmt.Append(nil, n)) }
+
+func life(n int) Life { return LifeOf("e", time.UnixMilli(int64(n))) }
+
+// crash is the end of endpoint n at a time under requests sent 50 ms before.
+func crash(n int, seconds float64, requests ...int) Crash {
+	c := Crash{Endpoint: life(n), At: at(seconds)}
+	for _, r := range requests {
+		c.Suspect(Suspect{Request: key(r), Sent: at(seconds - 0.05)})
+	}
+	return c
+}
+
+func held(t *Table, now float64, request int) bool {
+	return t.Held(at(now), func() Key { return key(request) }) > 0
+}
+
+// A request ends one endpoint after the other, at times while others run there.
+// It is held after the third; the others, of which each was there once or twice,
+// aren't.
+func TestRequestUnderThreeCrashesIsHeld(t *testing.T) {
+	table := NewTable(1)
+	table.Add(at(1), crash(1, 1, 0, 7, 8))
+	table.Add(at(2), crash(2, 2, 0, 7))
+	assert.Assert(t, !held(table, 2, 0))
+	change := table.Add(at(3), crash(3, 3, 9, 0))
+	assert.DeepEqual(t, change.Held, []Key{key(0)})
+	assert.Assert(t, held(table, 3, 0))
+	for _, r := range []int{7, 8, 9} {
+		assert.Assert(t, !held(table, 3, r), "%d", r)
+	}
+}
+
+// Its caller sends it again at once, so that the ends are some ten milliseconds
+// apart.
+func TestRequestThatComesAgainAtOnceIsHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		end := 1 + 0.03*float64(i)
+		c := Crash{Endpoint: life(i), At: at(end)}
+		c.Suspect(Suspect{Request: key(0), Sent: at(end - 0.02)})
+		table.Add(at(end), c)
+	}
+	assert.Assert(t, held(table, 1.1, 0))
+}
+
+// An innocent request is repeated each time beside the one that ends the
+// endpoints. They can't be told apart and neither is held, until one of them
+// comes alone.
+func TestTwoThatAlwaysRanBesideEachOther(t *testing.T) {
+	table := NewTable(1)
+	for i := range 4 {
+		table.Add(at(float64(i)), crash(i, float64(i), 0, 7))
+	}
+	assert.Assert(t, !held(table, 4, 0) && !held(table, 4, 7))
+	table.Add(at(5), crash(5, 5, 0))
+	assert.Assert(t, held(table, 5, 0))
+	assert.Assert(t, !held(table, 5, 7))
+}
+
+// Endpoints are killed together, three times in a row, and a request was repeated
+// each time onto one of them.
+func TestRequestOnEndpointsThatAreKilledTogetherIsNotHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 5 {
+		now := float64(i)
+		table.Add(at(now), crash(10*i, now, 7), crash(10*i+1, now+0.01), crash(10*i+2, now+0.1, 8+i))
+	}
+	assert.Equal(t, table.Holding(), 0)
+}
+
+// Many callers send the same request, so that each endpoint that is killed has
+// it.
+func TestCommonRequestIsNotHeldForOneWave(t *testing.T) {
+	table := NewTable(1)
+	for i := range 6 {
+		table.Add(at(1), crash(i, 1+0.02*float64(i), 7))
+	}
+	assert.Equal(t, table.Holding(), 0)
+}
+
+// The endpoints had said that they leave; the word comes after their end.
+func TestEndsOfLeavingEndpointsDontCount(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := float64(i)
+		table.Add(at(now), crash(i, now, 7))
+	}
+	assert.Assert(t, held(table, 3, 7))
+	change := table.Void(at(3), life(1))
+	assert.DeepEqual(t, change.Released, []Key{key(7)})
+	table.Add(at(3), crash(1, 1, 7)) // told again by who hasn't heard the word
+	assert.Assert(t, !held(table, 3, 7))
+}
+
+// Connections to an endpoint are refused to some daemons that are cut off from
+// it; another one gets answers.
+func TestEndpointThatAnswersHasNotCrashed(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := float64(i)
+		table.Add(at(now), crash(i, now, 7))
+		table.Ran(at(now+0.3), at(now+0.1), life(i), func() Key { return key(99) })
+	}
+	assert.Equal(t, table.Holding(), 0)
+}
+
+// An answer that was on its way when the endpoint ended proves nothing, nor does
+// one of an endpoint that has started again since.
+func TestOldAnswerIsNoProof(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := float64(i)
+		table.Add(at(now), crash(i, now, 0))
+		table.Ran(at(now+0.01), at(now-0.1), life(i), func() Key { return key(99) })
+		table.Ran(at(now+4), at(now+3.9), life(i), func() Key { return key(99) })
+	}
+	assert.Assert(t, held(table, 3, 0))
+}
+
+// A request ran beside the cause twice, was run to its first piece, and is under a
+// third crash later.
+func TestRequestThatWasRunIsCleared(t *testing.T) {
+	table := NewTable(1)
+	table.Add(at(1), crash(1, 1, 7))
+	table.Add(at(2), crash(2, 2, 7))
+	table.Ran(at(2.5), at(2.4), life(9), func() Key { return key(7) })
+	table.Add(at(3), crash(3, 3, 7))
+	assert.Assert(t, !held(table, 3, 7))
+}
+
+// A request is held and goes on coming. It is let through again when the first of
+// its crashes is forgotten, and held again after one more.
+func TestHeldRequestIsTriedAgainInTime(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), crash(i, float64(i), 0))
+	}
+	left := table.Held(at(3), func() Key { return key(0) })
+	assert.Equal(t, left, remembered-3*time.Second)
+	later := remembered.Seconds()
+	table.Tick(at(later))
+	assert.Assert(t, !held(table, later, 0))
+	table.Add(at(later), crash(4, later, 0))
+	assert.Assert(t, held(table, later, 0))
+}
+
+// A flood of requests that each crash endpoints. What is remembered is bounded,
+// and the newest are held.
+func TestFloodIsBounded(t *testing.T) {
+	table := NewTable(1)
+	now := 0.0
+	for r := range 600 {
+		for i := range 3 {
+			now += 0.2
+			table.Add(at(now), crash(3*r+i, now, r))
+		}
+	}
+	assert.Assert(t, table.Size() <= mostCrashes)
+	assert.Assert(t, table.Holding() > mostCrashes/enough-3, "%d", table.Holding())
+	assert.Assert(t, held(table, now, 599) && !held(table, now, 0))
+	told, to := table.Since(Position{})
+	assert.Equal(t, len(told), tellAtOnce)
+	assert.Assert(t, to.Seq < table.Position().Seq)
+	kept, err := json.Marshal(table.Keep())
+	assert.NilError(t, err)
+	assert.Assert(t, len(kept) < 100_000, "%d", len(kept))
+}
+
+// What two daemons tell each other ends in the same state, whatever is told twice
+// or late, and nothing is told for ever.
+func TestTablesAgree(t *testing.T) {
+	a, b := NewTable(1), NewTable(2)
+	a.Add(at(1), crash(1, 1, 0, 7), crash(2, 2, 0))
+	b.Add(at(1), crash(1, 1, 0, 8), crash(3, 3, 0))
+	b.Ran(at(3), at(2.9), life(9), func() Key { return key(8) })
+	var fromA, fromB Position
+	for range 3 {
+		var told []Crash
+		told, fromA = a.Since(fromA)
+		b.Add(at(4), told...)
+		told, fromB = b.Since(fromB)
+		a.Add(at(4), told...)
+	}
+	left, _ := a.Since(fromA)
+	assert.Equal(t, len(left), 0)
+	for _, table := range []*Table{a, b} {
+		assert.Assert(t, held(table, 4, 0) && !held(table, 4, 7) && !held(table, 4, 8))
+	}
+}
+
+// The whole fleet is killed. Who starts again holds what is kept in the store.
+func TestKeptCrashesHoldAgain(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), crash(i, float64(i), 0, 7+i))
+	}
+	text, err := json.Marshal(table.Keep())
+	assert.NilError(t, err)
+	var kept []Crash
+	assert.NilError(t, json.Unmarshal(text, &kept))
+	fresh := NewTable(2)
+	fresh.Add(at(9), kept...)
+	assert.Assert(t, held(fresh, 9, 0))
+	assert.Equal(t, fresh.Holding(), 1)
+}
+
+// A daemon whose clock is off tells of a crash in an hour.
+func TestCrashesOfAnotherTimeAreRefused(t *testing.T) {
+	table := NewTable(1)
+	table.Add(at(0), crash(1, 3600, 0), crash(2, -3600, 0))
+	assert.Equal(t, table.Size(), 0)
+}
+
+// The same body of another workspace, to another target or by another method is
+// another request.
+func TestKeys(t *testing.T) {
+	one := KeyOf("w", "POST", "/x", []byte("b"))
+	for _, other := range []Key{
+		KeyOf("v", "POST", "/x", []byte("b")), KeyOf("w", "PUT", "/x", []byte("b")),
+		KeyOf("w", "POST", "/y", []byte("b")), KeyOf("w", "POST", "/x", []byte("c")),
+	} {
+		assert.Assert(t, one != other)
+	}
+	var read Key
+	text, err := one.MarshalText()
+	assert.NilError(t, err)
+	assert.NilError(t, read.UnmarshalText(text))
+	assert.Equal(t, read, one)
+	assert.Assert(t, read.UnmarshalText([]byte("x")) != nil)
+}
+
+// What a request costs while nothing is held, and while requests are.
+func BenchmarkHeld(b *testing.B) {
+	for _, n := range []int{0, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			table := full(n)
+			body := make([]byte, 2000)
+			now := at(1)
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Held(now, func() Key { return KeyOf("w", "POST", "/x", body) })
+			}
+		})
+	}
+}
+
+// What one more crash costs where all that is remembered says something.
+func BenchmarkAdd(b *testing.B) {
+	table := full(300)
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		table.Add(at(200), crash(10_000+i, 200, i))
+	}
+}
+
+func full(requests int) *Table {
+	table := NewTable(1)
+	for r := range requests {
+		for i := range 3 {
+			now := 0.2 * float64(3*r+i)
+			table.Add(at(now), crash(3*r+i, now, r))
+		}
+	}
+	return table
+}
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -35,6 +35,8 @@
 // refuse sends this daemon's own answer.
 func (f *flight) refuse(ctx context.Context, s step, refusal *Refusal) {
 	switch {
+	case refusal != nil && refusal.Reason == Quarantined:
+		refusal.Verdict = f.verdict()
 	case s == fail || f.tally.ran > 0:
 		refusal = &Refusal{Reason: f.failure(ctx), Verdict: verdict.MayHaveRun}
 	case refusal == nil && f.tally.reached > 0:
@@ -48,6 +50,14 @@
 	f.sink.Refuse(*refusal)
 }
 
+// verdict says whether some endpoint may have run the request.
+func (f *flight) verdict() verdict.Verdict {
+	if f.tally.ran > 0 {
+		return verdict.MayHaveRun
+	}
+	return verdict.NotRun
+}
+
 // failure names the reason of a request that may have run.
 func (f *flight) failure(ctx context.Context) Reason {
 	if ctx.Err() != nil || time.Until(f.until) < enough {
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -15,6 +16,7 @@
 type Cut struct {
 	Endpoint roster.Endpoint
 	Request  quarantine.Key
+	Sent     time.Time
 	// Begun says that a piece of the answer had come: the endpoint had run it
 	// for a while.
 	Begun bool
@@ -33,7 +35,7 @@
 // cut tells the observer of an attempt that was cut off.
 func (f *flight) cut(t *track) {
 	f.outcome.Request = f.key()
-	f.relay.observer.Cut(Cut{Endpoint: t.choice.Endpoint, Request: f.outcome.Request, Begun: t.first})
+	f.relay.observer.Cut(Cut{Endpoint: t.choice.Endpoint, Request: f.outcome.Request, Sent: t.sent, Begun: t.first})
 }
 
 // key returns the request's key, which costs the reading of its body.
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -69,7 +69,7 @@
 func (f *flight) run(ctx context.Context) {
 	var failed *keptAnswer // of the last attempt that an endpoint failed
 	for {
-		choice, refusal := f.relay.state.pick(time.Now(), f)
+		choice, refusal := f.choose()
 		if refusal != nil && failed != nil {
 			f.outcome.Failed = true
 			f.conclude(ctx, answer, nil, failed)
@@ -95,6 +95,14 @@
 	}
 }
 
+// choose returns where the next attempt goes, or why there is none.
+func (f *flight) choose() (balance.Choice, *Refusal) {
+	if refusal := f.held(); refusal != nil {
+		return balance.Choice{}, refusal
+	}
+	return f.relay.state.pick(time.Now(), f)
+}
+
 func (f *flight) budget() bool { return f.relay.state.takeRetry(time.Now(), f.service) }
 
 // keptAnswer is an endpoint's whole answer that was not passed on yet.
@@ -223,6 +231,7 @@
 	if !t.first {
 		t.first = true
 		f.relay.state.first(t)
+		f.relay.guard.Ran(&t.choice.Endpoint, t.sent, f.key)
 		if f.outcome.First == 0 {
 			f.outcome.First = time.Since(f.request.Received)
 		}
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -86,6 +87,20 @@
 	begun int
 	cuts  []Cut
 	last  Outcome
+	hold  map[quarantine.Key]time.Duration
+	ran   []quarantine.Key
+}
+
+func (w *watcher) Held(key func() quarantine.Key) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.hold[key()]
+}
+
+func (w *watcher) Ran(_ *roster.Endpoint, _ time.Time, key func() quarantine.Key) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.ran = append(w.ran, key())
 }
 
 func (w *watcher) Began(fleet.WorkspaceID, time.Time) {
@@ -173,7 +188,7 @@
 		},
 	}))
 	s.state.SetEndpoints(all)
-	s.relay = New(s.state, upstream.NewPool(4, s.dial(t)), plainProtocol{}, s.watcher)
+	s.relay = New(s.state, upstream.NewPool(4, s.dial(t)), plainProtocol{}, s.watcher, s.watcher)
 	return s
 }
 
@@ -374,7 +389,7 @@
 // A daemon that has no configuration yet can't know that a route isn't there.
 func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
 	state := NewState("a", quota.New(true, 0), retry.Config{Window: time.Second}, rand.New(rand.NewPCG(1, 2)))
-	r := New(state, upstream.NewPool(1, upstream.DialTCP), plainProtocol{}, &watcher{})
+	r := New(state, upstream.NewPool(1, upstream.DialTCP), plainProtocol{}, &watcher{}, &watcher{})
 	out := &seen{}
 	r.Serve(t.Context(), &Request{Path: "/x/", Host: "h"}, out)
 	assert.Equal(t, out.refusal.Reason, NoConfiguration)
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -20,7 +20,8 @@
 	Stopping        Reason = "stopping"    // this daemon leaves
 	Shed            Reason = "shed"        // by the endpoints
 	TimedOut        Reason = "timed-out"
-	Broken          Reason = "broken" // an endpoint's answer broke off
+	Broken          Reason = "broken"      // an endpoint's answer broke off
+	Quarantined     Reason = "quarantined" // it crashes the endpoints that run it
 	CallerLeft      Reason = "caller-left"
 )
 
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -14,13 +14,14 @@
 	pool     *upstream.Pool
 	protocol Protocol
 	observer Observer
+	guard    Guard
 	stopping atomic.Pointer[time.Time] // since when this daemon leaves
 	active   atomic.Int64
 }
 
 // New returns a relay.
-func New(state *State, pool *upstream.Pool, protocol Protocol, observer Observer) *Relay {
-	return &Relay{state: state, pool: pool, protocol: protocol, observer: observer}
+func New(state *State, pool *upstream.Pool, protocol Protocol, observer Observer, guard Guard) *Relay {
+	return &Relay{state: state, pool: pool, protocol: protocol, observer: observer, guard: guard}
 }
 
 // Active returns the number of requests under way.
