--- a/internal/node/crashing_test.go
+++ b/internal/node/crashing_test.go
@@ -180,13 +180,7 @@
 	for _, n := range f.nodes {
 		assert.Equal(t, sendBody(n, "again", crashingBody).refusal.Reason, relay.Quarantined)
 	}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		kept, err := stored[keptLimits](f.store.Get(t.Context(), limitsKind, limitsName))
-		if err != nil || len(kept.Crashes) < 3 {
-			return poll.Continue("not kept yet")
-		}
-		return poll.Success()
-	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+	f.kept(3)
 	f.stop()
 	f.nodes, f.cancel, f.done = nil, nil, nil
 	n := f.addWith(f.store, func(n *Node) { n.settings.Daemon.FirstStart = false })
@@ -195,6 +189,40 @@
 	assert.Equal(t, e.ended.Load(), int64(3))
 }
 
+// A daemon is cut off from the others, but not from the store. The same request
+// comes there: after one more end it knows what the others have kept.
+func TestDaemonThatIsCutOffLearnsFromTheStore(t *testing.T) {
+	const endpoints = 8
+	f := newFleet(t, 0)
+	e := f.addFrail(endpoints)
+	f.add()
+	f.held()
+	for i := range 3 {
+		sendBody(f.nodes[0], "try"+strconv.Itoa(i), crashingBody)
+		f.until("the end is known", func(n *Node) bool { return n.ends.table.Size() == i+1 })
+	}
+	f.kept(3)
+	alone := f.addWith(f.store, func(n *Node) { n.extraSeeds = nil })
+	f.until("ready", func(n *Node) bool { all, _ := n.endpoints.list(); return n.Ready() && len(all) == endpoints })
+	sendBody(alone, "there", crashingBody)
+	f.until("it is held", func(n *Node) bool { return n.ends.table.Holding() == 1 })
+	assert.Equal(t, sendBody(alone, "again", crashingBody).refusal.Reason, relay.Quarantined)
+	assert.Equal(t, e.ended.Load(), int64(4))
+	assert.Equal(t, len(alone.members.serving()), 1)
+}
+
+// kept waits until crashes are kept in the store.
+func (f *fleetOf) kept(crashes int) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		kept, err := stored[keptLimits](f.store.Get(f.t.Context(), limitsKind, limitsName))
+		if err != nil || len(kept.Crashes) < crashes {
+			return poll.Continue("not kept yet")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(time.Minute), poll.WithDelay(10*time.Millisecond))
+}
+
 // Endpoints close connections under requests that are run elsewhere: they go on
 // listening, and have not ended.
 func TestClosedConnectionIsNoEnd(t *testing.T) {
