Who asks whether an endpoint has ended stands in a package of its own

Both outsides need it. Crashes of one endpoint are told apart by their time as well: where it isn't told when an endpoint started, it ends more than once in what looks like one life. The messages stand in a package of their own.

--- /dev/null
+++ b/internal/ends/doc.go
@@ -0,0 +1,3 @@
+// Package ends finds out which endpoints crashed, of those whose connections
+// ended, and under which requests.
+package ends
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -6,6 +6,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine/quarantinepb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/spread"
@@ -23,8 +24,8 @@
 		Holder:        encodeHolder(p.Holder),
 		Endpoints:     encodePosition(p.Endpoints),
 		Brief:         p.Brief,
-		Crashes:       encodeCrashes(p.Crashes),
-		CrashesHave:   encodeSeq(p.CrashesHave),
+		Crashes:       quarantinepb.Encode(p.Crashes),
+		CrashesHave:   quarantinepb.EncodePosition(p.CrashesHave),
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -59,8 +60,8 @@
 		WantLevels: r.WantLevels,
 		Fetches:    r.Fetches,
 
-		Crashes:     decodeCrashes(r.Crashes),
-		CrashesHave: decodeSeq(r.CrashesHave),
+		Crashes:     quarantinepb.Decode(r.Crashes),
+		CrashesHave: quarantinepb.DecodePosition(r.CrashesHave),
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{
@@ -89,8 +90,8 @@
 
 		ConfigRevision: s.VersionAt,
 
-		Crashes:   encodeCrashes(s.Crashes),
-		CrashesTo: encodeSeq(s.CrashesTo),
+		Crashes:   quarantinepb.Encode(s.Crashes),
+		CrashesTo: quarantinepb.EncodePosition(s.CrashesTo),
 	}
 	if s.Loads != nil {
 		out.Loads, out.OwnLoads = s.Loads.packed, packLoads(s.Loads.Own)
@@ -110,8 +111,8 @@
 		Holder:    decodeHolder(t.Holder),
 		Endpoints: decodeUpdate(t.Endpoints),
 		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
-		Crashes:   decodeCrashes(t.Crashes),
-		CrashesTo: decodeSeq(t.CrashesTo),
+		Crashes:   quarantinepb.Decode(t.Crashes),
+		CrashesTo: quarantinepb.DecodePosition(t.CrashesTo),
 	}
 	if t.Loads != nil {
 		s.Loads = &Loads{All: unpackLoads(t.Loads), Own: unpackLoads(t.OwnLoads)}
--- /dev/null
+++ b/internal/node/crashes.go
@@ -0,0 +1,102 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+// crashes is what this daemon knows of endpoints' crashes, and which requests are
+// held for them. It implements relay.Guard.
+type crashes struct {
+	node  *Node
+	table *quarantine.Table
+	watch *ends.Watch
+}
+
+func newCrashes(n *Node) *crashes {
+	c := &crashes{node: n, table: quarantine.NewTable(random().Uint64() | 1)}
+	c.watch = ends.New(ends.Options{
+		Table:   c.table,
+		Now:     n.clock.Now,
+		Listens: n.pool.Listens,
+		State:   func(id fleet.EndpointID) (bool, bool) { return n.endpoints.state(id) },
+		Ended:   c.ended,
+		Changed: c.changed,
+	})
+	return c
+}
+
+// storeReads is the time between two looks whether what is kept should be read.
+const storeReads = time.Second
+
+// learn reads what another part of the fleet has kept, when a hub has learned of
+// crashes: daemons that are cut off from the others but not from the store would
+// send on what the others hold.
+func (c *crashes) learn(ctx context.Context) {
+	var read quarantine.Position
+	pause.Every(ctx, storeReads, func() {
+		at := c.table.Position()
+		if at.Seq == read.Seq || c.node.gathering() || !c.node.watching.hub() {
+			return
+		}
+		read = at
+		kept, err := stored[keptLimits](c.node.platform.Store.Get(ctx, limitsKind, limitsName))
+		if err == nil {
+			c.add(kept.Crashes)
+		}
+	})
+}
+
+// add takes crashes that were told or kept.
+func (c *crashes) add(all []quarantine.Crash) {
+	if len(all) > 0 {
+		c.changed(c.table.Add(c.node.clock.Now(), all...))
+	}
+}
+
+func (c *crashes) ended(id fleet.EndpointID, crash *quarantine.Crash) {
+	c.node.metrics.crashed(crash.Void)
+	c.node.say("quarantine").WithFields(map[string]any{
+		"endpoint": id, "requests": ends.Names(crash), "leaving": crash.Void,
+	}).Warn("endpoint ended under requests")
+}
+
+func (c *crashes) changed(what quarantine.Change) {
+	for _, k := range what.Held {
+		c.node.say("quarantine").WithFields(map[string]any{
+			"request": k.String(), "crashes": c.table.Under(k),
+		}).Error("request held: it crashes the endpoints that run it")
+	}
+	for _, k := range what.Released {
+		c.node.say("quarantine").WithField("request", k.String()).Info("request released")
+	}
+}
+
+// Held implements relay.Guard.
+func (c *crashes) Held(key func() quarantine.Key) time.Duration {
+	return c.table.Held(c.node.clock.Now(), key)
+}
+
+// Ran implements relay.Guard.
+func (c *crashes) Ran(e *roster.Endpoint, sent time.Time, key func() quarantine.Key) {
+	now := c.node.clock.Now()
+	c.changed(c.table.Ran(now, now.Add(-time.Since(sent)), quarantine.LifeOf(e.ID, e.Born), key))
+}
+
+// state reports whether an endpoint is listed, and whether it has said that it
+// leaves.
+func (d *endpointDuty) state(id fleet.EndpointID) (listed, leaving bool) {
+	all, _ := d.list()
+	for i := range all {
+		if all[i].ID == id {
+			return true, all[i].Draining
+		}
+	}
+	return false, false
+}
--- a/internal/node/keptlimits.go
+++ b/internal/node/keptlimits.go
@@ -43,7 +43,7 @@
 	}
 	k.last = now
 	n := k.duties.node
-	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now), n.ends.table.Keep()})
+	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now), n.crashes.table.Keep()})
 	if err != nil {
 		k.duties.log.WithError(err).Error("limits not encoded")
 		return
@@ -80,7 +80,7 @@
 		n.say("daemon").WithError(err).Info("fleet not known from before")
 		return
 	}
-	n.told(n.ends.table.Add(n.clock.Now(), kept.Crashes...))
+	n.crashes.add(kept.Crashes)
 	now := time.Now()
 	n.state.SetDaemons(now, max(kept.Daemons, len(n.members.serving())))
 	n.state.RestoreLimits(now, n.clock.Now().Sub(kept.At), kept.Limits)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -38,7 +38,7 @@
 	watching  *watching
 	starting  *starting
 	begun     *begunCounts
-	ends      *ends
+	crashes   *crashes
 	requests  *requestLog
 	metrics   *metricSet
 
@@ -67,12 +67,12 @@
 	}
 	limits := quota.New(s.Daemon.FirstStart, s.Bounds.LimitExcess)
 	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
-	n.ends = newEnds(n)
+	n.crashes = newCrashes(n)
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
 	n.metrics = newMetricSet(n)
 	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
 	n.requests = newRequestLog(log, n.metrics)
-	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, &guard{n})
+	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
 	n.watching = newWatching(n)
 	n.starting = newStarting(n.started)
 	n.config = newConfiguration(n)
@@ -124,7 +124,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetching.run, n.endpoints.run, n.endpoints.tick, n.telling.run, n.members.run, n.sweep, n.requests.run,
-		n.learnFleet, n.ends.run,
+		n.learnFleet, n.crashes.watch.Run, n.crashes.learn,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
@@ -16,7 +17,7 @@
 }
 
 // Cut implements relay.Observer.
-func (o *observer) Cut(c relay.Cut) { o.node.ends.cuts.Push(c) }
+func (o *observer) Cut(c ends.Cut) { o.node.crashes.watch.Cut(c) }
 
 // Ended implements relay.Observer.
 func (o *observer) Ended(out *relay.Outcome) {
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -32,7 +32,7 @@
 	}
 	r.told, r.heard = upTo, sum.CrashesTo
 	t.mu.Unlock()
-	t.node.told(t.node.ends.table.Add(t.node.clock.Now(), sum.Crashes...))
+	t.node.crashes.add(sum.Crashes)
 }
 
 // to returns the reports to a hub. The lock is held.
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -76,7 +76,7 @@
 // Tell implements exchange.Answerer.
 func (t *telling) Tell(p exchange.Part) exchange.Sum {
 	t.node.fetching.heardFrom(p.Daemon, p.Version)
-	t.node.told(t.node.ends.table.Add(t.node.clock.Now(), p.Crashes...))
+	t.node.crashes.add(p.Crashes)
 	now := time.Now()
 	steady := t.node.clock.Steady()
 	t.mu.Lock()
@@ -87,7 +87,7 @@
 	if !p.Brief {
 		sum.Loads = t.hub.Loads(now, p.Daemon)
 	}
-	sum.Crashes, sum.CrashesTo = t.node.ends.table.Since(p.CrashesHave)
+	sum.Crashes, sum.CrashesTo = t.node.crashes.table.Since(p.CrashesHave)
 	if p.WantLevels && now.Sub(t.node.started) > knownLevels {
 		sum.Soft.Levels = t.node.state.Levels(now)
 	}
@@ -240,7 +240,7 @@
 		return p, quarantine.Position{}
 	}
 	var upTo quarantine.Position
-	p.Crashes, upTo = t.node.ends.table.Since(t.to(address).told)
+	p.Crashes, upTo = t.node.crashes.table.Since(t.to(address).told)
 	p.CrashesHave = t.to(address).heard
 	return p, upTo
 }
--- a/internal/exchange/crashes.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -1,17 +1,18 @@
-package exchange
+// Package quarantinepb is how daemons tell each other of endpoints' crashes.
+package quarantinepb
 
 import (
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 )
 
-func encodeCrashes(all []quarantine.Crash) []*exchangepb.Crash {
-	out := make([]*exchangepb.Crash, len(all))
+// Encode returns crashes as they are told.
+func Encode(all []quarantine.Crash) []*Crash {
+	out := make([]*Crash, len(all))
 	for i := range all {
 		c := &all[i]
-		out[i] = &exchangepb.Crash{
+		out[i] = &Crash{
 			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), Void: c.Void,
 			Suspects: encodeSuspects(c), Cleared: encodeKeys(c.Cleared),
 		}
@@ -19,7 +20,8 @@
 	return out
 }
 
-func decodeCrashes(all []*exchangepb.Crash) []quarantine.Crash {
+// Decode returns crashes that were told.
+func Decode(all []*Crash) []quarantine.Crash {
 	var out []quarantine.Crash
 	for _, c := range all {
 		crash := quarantine.Crash{
@@ -32,11 +34,11 @@
 	return out
 }
 
-func encodeSuspects(c *quarantine.Crash) *exchangepb.Requests {
+func encodeSuspects(c *quarantine.Crash) *Requests {
 	if len(c.Suspects) == 0 {
 		return nil
 	}
-	out := &exchangepb.Requests{}
+	out := &Requests{}
 	for _, s := range c.Suspects {
 		out.Workspaces = append(out.Workspaces, s.Request.Workspace)
 		out.Requests = append(out.Requests, s.Request.Request)
@@ -45,7 +47,7 @@
 	return out
 }
 
-func decodeSuspects(at time.Time, r *exchangepb.Requests) []quarantine.Suspect {
+func decodeSuspects(at time.Time, r *Requests) []quarantine.Suspect {
 	var out []quarantine.Suspect
 	for i, k := range decodeKeys(r) {
 		if i < len(r.SentMs) {
@@ -56,11 +58,11 @@
 	return out
 }
 
-func encodeKeys(keys []quarantine.Key) *exchangepb.Requests {
+func encodeKeys(keys []quarantine.Key) *Requests {
 	if len(keys) == 0 {
 		return nil
 	}
-	out := &exchangepb.Requests{}
+	out := &Requests{}
 	for _, k := range keys {
 		out.Workspaces = append(out.Workspaces, k.Workspace)
 		out.Requests = append(out.Requests, k.Request)
@@ -69,7 +71,7 @@
 }
 
 // decodeKeys ignores what has no counterpart in both lists.
-func decodeKeys(r *exchangepb.Requests) []quarantine.Key {
+func decodeKeys(r *Requests) []quarantine.Key {
 	n := min(len(r.GetWorkspaces()), len(r.GetRequests()))
 	var out []quarantine.Key
 	for i := range n {
@@ -78,10 +80,12 @@
 	return out
 }
 
-func encodeSeq(p quarantine.Position) *exchangepb.Position {
-	return &exchangepb.Position{Epoch: p.Epoch, Seq: p.Seq}
+// EncodePosition returns a position as it is told.
+func EncodePosition(p quarantine.Position) *Position {
+	return &Position{Epoch: p.Epoch, Seq: p.Seq}
 }
 
-func decodeSeq(p *exchangepb.Position) quarantine.Position {
+// DecodePosition returns a position that was told, the zero one for none.
+func DecodePosition(p *Position) quarantine.Position {
 	return quarantine.Position{Epoch: p.GetEpoch(), Seq: p.GetSeq()}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -93,7 +93,7 @@
 
 // take adds one crash. The lock is held.
 func (t *Table) take(c *Crash) bool {
-	e := t.find(c.Endpoint)
+	e := t.find(c.Endpoint, c.At)
 	if e == nil {
 		e = &entry{Crash: Crash{Endpoint: c.Endpoint, At: c.At, Void: c.Void}}
 		e.merge(c)
@@ -108,9 +108,12 @@
 	return true
 }
 
-func (t *Table) find(l Life) *entry {
-	for _, e := range t.crashes {
-		if e.Endpoint == l {
+// find returns an endpoint's crash at about a time: where it isn't told when an
+// endpoint started, it can end more than once in what looks like one life. The
+// lock is held.
+func (t *Table) find(l Life, at time.Time) *entry {
+	for _, e := range slices.Backward(t.crashes) {
+		if e.Endpoint == l && e.At.Sub(at).Abs() < answersWithin {
 			return e
 		}
 	}
@@ -136,11 +139,12 @@
 	e.changed = t.seq
 }
 
-// Void says that an endpoint did not crash: it was leaving.
-func (t *Table) Void(now time.Time, l Life) Change {
+// Void says that an endpoint that ended at about a time did not crash: it was
+// leaving.
+func (t *Table) Void(now time.Time, l Life, at time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	e := t.find(l)
+	e := t.find(l, at)
 	if e == nil || e.Crash.Void {
 		return Change{}
 	}
@@ -249,33 +253,17 @@
 	return out
 }
 
-// Evidence returns the endpoints under whose ends a request is held.
-func (t *Table) Evidence(k Key) []Life {
+// Under returns how many crashes a request is suspected of.
+func (t *Table) Under(k Key) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	var out []Life
+	n := 0
 	for _, e := range t.crashes {
 		if e.suspects(k) {
-			out = append(out, e.Endpoint)
+			n++
 		}
 	}
-	return out
-}
-
-// Lately returns the endpoints that crashed after a time.
-func (t *Table) Lately(after time.Time) map[Life]bool {
-	if t.size.Load() == 0 {
-		return nil
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	out := map[Life]bool{}
-	for _, e := range t.crashes {
-		if !e.Crash.Void && e.At.After(after) {
-			out[e.Endpoint] = true
-		}
-	}
-	return out
+	return n
 }
 
 // settle brings all that follows from the crashes up to date. The lock is held.
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -104,7 +104,7 @@
 		table.Add(at(now), crash(i, now, 7))
 	}
 	assert.Assert(t, held(table, 3, 7))
-	change := table.Void(at(3), life(1))
+	change := table.Void(at(3), life(1), at(1))
 	assert.DeepEqual(t, change.Released, []Key{key(7)})
 	table.Add(at(3), crash(1, 1, 7)) // told again by who hasn't heard the word
 	assert.Assert(t, !held(table, 3, 7))
@@ -229,6 +229,19 @@
 	assert.Equal(t, table.Size(), 0)
 }
 
+// An endpoint ends three times under a request, and when it started is not told:
+// its ends are apart in time alone.
+func TestEndsOfOneNameAreApartInTime(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := 5 * float64(i)
+		table.Add(at(now), crash(1, now, 0))
+		table.Add(at(now), crash(1, now+0.2, 0)) // as another daemon saw it
+	}
+	assert.Equal(t, table.Size(), 3)
+	assert.Assert(t, held(table, 11, 0))
+}
+
 // The same body of another workspace, to another target or by another method is
 // another request.
 func TestKeys(t *testing.T) {
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
@@ -85,7 +86,7 @@
 type watcher struct {
 	mu    sync.Mutex
 	begun int
-	cuts  []Cut
+	cuts  []ends.Cut
 	last  Outcome
 	hold  map[quarantine.Key]time.Duration
 	ran   []quarantine.Key
@@ -109,7 +110,7 @@
 	w.begun++
 }
 
-func (w *watcher) Cut(c Cut) {
+func (w *watcher) Cut(c ends.Cut) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.cuts = append(w.cuts, c)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
@@ -77,6 +78,6 @@
 	// Began says that an endpoint began to run a workspace's request.
 	Began(w fleet.WorkspaceID, at time.Time)
 	// Cut says that an endpoint's connection ended under a request.
-	Cut(c Cut)
+	Cut(c ends.Cut)
 	Ended(o *Outcome)
 }
