--- a/internal/standin/engine/enginefault/faults.go
+++ b/internal/standin/engine/enginefault/faults.go
@@ -21,6 +21,9 @@
 	RefuseNew bool `json:"refuseNew,omitempty"`
 	// DropEvents loses the cache events made while it is set.
 	DropEvents bool `json:"dropEvents,omitempty"`
+	// CrashOn ends the engine, as Kill, when it begins to run a completion
+	// whose prompt has this text; empty never.
+	CrashOn string `json:"crashOn,omitempty"`
 	// Kill ends the engine at once, as Engine.Kill.
 	Kill bool `json:"kill,omitempty"`
 }
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 )
 
@@ -15,10 +16,18 @@
 	}
 	defer e.release()
 	if e.prefill(ctx, s) {
+		e.crash(s)
 		e.decode(ctx, s)
 	}
 }
 
+// crash ends the engine where the prompt does.
+func (e *Engine) crash(s *stream) {
+	if text := e.currentFaults().CrashOn; text != "" && strings.Contains(s.rendered, text) {
+		e.Kill()
+	}
+}
+
 // decode produces a token each interval. The schedule is absolute, so that
 // late wake-ups don't add up; a long pause of the process is not caught up.
 func (e *Engine) decode(ctx context.Context, s *stream) {
