The chat path holds completions and calls that end their endpoints

Callers' answers broke off and whole deployments stood still: a completion that ends the engine that begins to run it went to four a try, and came again under another key. Change: dispatch and the plain services ask the same table before each send and tell it what was cut; daemons tell three others, drawn at random, for eight rounds after a change, with times moved to the hearer's clock. A held request is refused as not run with a Retry-After. Left: chat daemons that are all killed at once forget; nothing is kept in their store.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -49,6 +49,7 @@
 	pools         *poolDuty
 	reclaim       *reclaimDuty
 	sharing       *sharingDuty
+	crashes       *crashDuty
 	leasing       *leasingDuty
 	operators     *operators
 	placer        *placer
@@ -156,7 +157,10 @@
 	d.observing = newObservingDuty(engineClient, d.routing, s.Routing.LoadInterval)
 	d.routing.used = d.observing.dispatched
 	d.pools = &poolDuty{routing: d.routing, observing: d.observing, admission: d.admission, roster: d.roster}
+	d.crashes = newCrashDuty(d.run, d.roster, d.peers, d.routing, logging.For(d.log, logging.Quarantine))
+	d.crashes.ended = d.metrics.endpointEnded
 	d.services = &services{
+		crashes:   d.crashes,
 		client:    endpoint.NewServices(endpoint.Options{}),
 		router:    d.routing,
 		admission: d.admission,
@@ -172,6 +176,8 @@
 	d.wireControl(engineClient)
 	d.gateway = d.newGateway()
 	d.measureControl()
+	d.metrics.gauge("cyclamenbeam_requests_held", func() float64 { return float64(d.crashes.table.Holding()) })
+	d.metrics.gauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(d.crashes.table.Size()) })
 	d.metrics.gauge("cyclamenbeam_requests_running", func() float64 { return float64(d.dispatcher.Live()) })
 	d.metrics.ringGauges("routing", d.routing.ring.Depth, d.routing.ring.Drops, d.routing.ring.Refused)
 	d.metrics.ringGauges("admission", d.admission.ring.Depth, d.admission.ring.Drops, d.admission.ring.Refused)
--- a/internal/daemon/metrics.go
+++ b/internal/daemon/metrics.go
@@ -68,6 +68,11 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf("cyclamenbeam_attempt_failures_total{kind=%q}", kind)).Inc()
 }
 
+// endpointEnded counts an endpoint's end.
+func (m *metricSet) endpointEnded(leaving bool) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_endpoint_ends_total{leaving="%t"}`, leaving)).Inc()
+}
+
 // Ended implements dispatch.Observer.
 func (m *metricSet) Ended(v string) {
 	m.set.GetOrCreateCounter(fmt.Sprintf("cyclamenbeam_requests_ended_total{verdict=%q}", v)).Inc()
--- a/internal/daemon/peerserver.go
+++ b/internal/daemon/peerserver.go
@@ -20,6 +20,7 @@
 	configuration *configurationDuty
 	ledger        *ledgerDuty
 	sharing       *sharingDuty
+	crashes       *crashDuty
 	daemon        fleet.DaemonID
 }
 
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -47,6 +47,7 @@
 	d.routing.start(ctx)
 	d.reclaim.start(ctx)
 	d.sharing.start(ctx)
+	d.crashes.start(ctx)
 	d.admission.start(ctx)
 	d.ledger.start(ctx)
 	d.locator.start(ctx)
@@ -196,7 +197,7 @@
 }
 
 func (d *Daemon) servePeers(ctx context.Context, l net.Listener) {
-	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger, sharing: d.sharing, daemon: d.run}
+	handler := &peerServer{dispatcher: d.dispatcher, locator: d.locator, configuration: d.configuration, ledger: d.ledger, sharing: d.sharing, crashes: d.crashes, daemon: d.run}
 	go func() {
 		if err := peer.Serve(ctx, l, handler); err != nil && ctx.Err() == nil {
 			logging.For(d.log, logging.Peer).WithError(err).Error("listener ended")
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -15,10 +15,12 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/dispatch"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -39,6 +41,7 @@
 	router    *routingDuty
 	admission *admissionDuty
 	ledger    *ledgerDuty
+	crashes   *crashDuty
 	daemon    fleet.DaemonID
 	known     func(service string) bool
 	log       *logrus.Entry
@@ -146,21 +149,28 @@
 
 // attempt dispatches a call once and returns the endpoint that it chose.
 func (s *services) attempt(ctx context.Context, id fleet.RequestID, c *gateway.ServiceCall, tried []fleet.EndpointID) (*gateway.ServiceAnswer, fleet.EndpointID, *problem.Problem) {
+	key := keyOfCall(c)
+	if left := s.crashes.Held(key); left > 0 {
+		return nil, "", problem.New(http.StatusServiceUnavailable, verdict.NotRun, "the call crashes the endpoints that run it").After(left)
+	}
 	q := routing.Request{ID: id, Workspace: c.Workspace, Service: c.Service, Exclude: tried}
 	choice, err := s.router.Pick(&q)
 	if err != nil {
 		return nil, "", problem.New(http.StatusServiceUnavailable, verdict.NotRun, "%s", err).After(time.Second)
 	}
 	s.router.Dispatched(choice.Endpoint, &q, choice)
+	sent := time.Now()
 	a, err := s.do(ctx, choice.Address, c)
 	if err != nil {
 		s.router.Finished(choice.Endpoint, id, routing.Failed)
 		s.blame(choice.Endpoint, err)
+		s.cut(ctx, ends.Cut{Endpoint: choice.Endpoint, Address: choice.Address, Request: key, Sent: sent}, err)
 		s.log.WithField("request", c.Key).WithField("endpoint", choice.Endpoint).Infof("call failed: %v", err)
 		return nil, choice.Endpoint, problem.New(http.StatusBadGateway, verdict.Of(err), "the service did not answer")
 	}
 	s.router.Finished(choice.Endpoint, id, routing.Answered)
 	s.router.Connected(choice.Endpoint)
+	s.crashes.Ran(choice.Endpoint, sent, key)
 	return a, choice.Endpoint, nil
 }
 
@@ -174,6 +184,19 @@
 	}
 }
 
+// cut tells of a call that ended with its connection.
+func (s *services) cut(ctx context.Context, c ends.Cut, err error) {
+	var silent *endpoint.Silent
+	if ctx.Err() == nil && !errors.As(err, &silent) && verdict.Of(err) == verdict.MayHaveRun {
+		s.crashes.Cut(c)
+	}
+}
+
+// keyOfCall names a call when it comes again.
+func keyOfCall(c *gateway.ServiceCall) quarantine.Key {
+	return quarantine.KeyOf(c.Workspace, c.Method, c.Service+target(c), c.Body)
+}
+
 // do forwards the call and reads the whole answer. A 5xx to an idempotent call
 // is an answer like any other: the caller decides whether it wants another try.
 func (s *services) do(ctx context.Context, address string, c *gateway.ServiceCall) (*gateway.ServiceAnswer, error) {
--- a/internal/daemon/wiring.go
+++ b/internal/daemon/wiring.go
@@ -47,6 +47,7 @@
 		// are the second line, for what never reaches the life.
 		Engines:   &engines{client: client, first: 2 * policy.FirstPiece, between: 2 * policy.Progress},
 		Router:    d.routing,
+		Guard:     d.crashes,
 		Admission: d.admission,
 		Locator:   d.locator,
 		Intents:   d.ledger,
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -53,6 +53,10 @@
 	q := r.route
 	q.Exclude = a.avoid
 	for dials := 1; ; dials++ {
+		if err := r.held(); err != nil {
+			r.failed(a.number, err)
+			return
+		}
 		choice, err := r.choose(a, &q)
 		if err != nil {
 			r.failed(a.number, &AttemptError{Kind: request.NoEndpoint, Verdict: verdict.NotRun, Err: err})
@@ -92,6 +96,7 @@
 		r.life.Dispatched(now, a.number, choice.Endpoint)
 		return nil
 	})
+	s := &sent{number: a.number, endpoint: choice.Endpoint, address: choice.Address, at: time.Now()}
 	c := r.completion
 	c.Continue, c.KV = a.text, a.kv
 	stream, err := r.d.o.Engines.Start(ctx, choice.Address, &c, r.ref.ID, StartOptions{
@@ -99,11 +104,12 @@
 		Once:     r.life.Spec().NonIdempotent,
 	})
 	if err != nil {
+		r.cut(ctx, s, err)
 		return err
 	}
 	defer stream.Close()
 	router.Connected(choice.Endpoint)
-	outcome = r.read(ctx, a.number, choice.Endpoint, stream)
+	outcome = r.read(ctx, s, stream)
 	return nil
 }
 
@@ -165,6 +171,7 @@
 		if a.Replace {
 			r.d.o.Router.Silent(a.Endpoint)
 		}
+		s := &sent{number: a.Attempt, endpoint: a.Endpoint, address: address, at: time.Now(), begun: a.From > 0}
 		stream, err := r.d.o.Engines.Resume(ctx, address, a.Stream, a.From, a.Replace)
 		if err != nil {
 			r.attemptFailed(ctx, a.Attempt, a.Endpoint, err)
@@ -172,35 +179,37 @@
 		}
 		defer stream.Close()
 		r.d.o.Router.Connected(a.Endpoint)
-		r.read(ctx, a.Attempt, a.Endpoint, stream)
+		r.read(ctx, s, stream)
 	}()
 }
 
 // read takes an open stream's pieces until it ends.
-func (r *run) read(ctx context.Context, number uint32, endpoint fleet.EndpointID, s Stream) routing.Outcome {
+func (r *run) read(ctx context.Context, s *sent, stream Stream) routing.Outcome {
 	r.do(func(now time.Time) []request.Action {
 		r.accepted(now)
-		return r.life.Opened(now, number, endpoint, s.ID())
+		return r.life.Opened(now, s.number, s.endpoint, stream.ID())
 	})
 	first := true
 	for {
-		p, err := s.Next()
+		p, err := stream.Next()
 		if err != nil {
 			if ctx.Err() != nil {
 				return routing.Cancelled // another attempt took over
 			}
-			r.attemptFailed(ctx, number, endpoint, err)
+			r.cut(ctx, s, err)
+			r.attemptFailed(ctx, s.number, s.endpoint, err)
 			return routing.Failed
 		}
 		if p.Done {
-			r.done(number, p)
+			r.done(s.number, p)
 			return routing.Answered
 		}
 		if first {
-			first = false
-			r.d.o.Router.FirstToken(endpoint, r.ref.ID)
+			first, s.begun = false, true
+			r.d.o.Router.FirstToken(s.endpoint, r.ref.ID)
+			r.d.o.Guard.Ran(s.endpoint, s.at, r.key())
 		}
-		r.piece(number, p)
+		r.piece(s.number, p)
 	}
 }
 
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -2,13 +2,16 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/directory"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
 )
@@ -25,6 +28,19 @@
 	DialFailed(id fleet.EndpointID)
 }
 
+// Guard knows the requests that crash the engines that run them. Its methods
+// return at once.
+type Guard interface {
+	// Held returns for how long a request isn't to be sent to any engine, 0
+	// where it may be.
+	Held(k quarantine.Key) time.Duration
+	// Cut says that an attempt ended with its connection.
+	Cut(c ends.Cut)
+	// Ran says that an engine gave the first piece of an answer to a request
+	// that was sent at a time.
+	Ran(engine fleet.EndpointID, sent time.Time, k quarantine.Key)
+}
+
 // Admission is the limits duty.
 type Admission interface {
 	// Admit waits while a request is queued. It returns the refusal, or nil.
--- a/internal/dispatch/dispatcher.go
+++ b/internal/dispatch/dispatcher.go
@@ -24,6 +24,7 @@
 	Daemon    fleet.DaemonID
 	Engines   Engines
 	Router    Router
+	Guard     Guard
 	Admission Admission
 	Locator   Locator
 	Intents   Intents
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -12,11 +12,13 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/admission"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/directory"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/routing"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -105,6 +107,10 @@
 	peers      map[fleet.DaemonID]*Dispatcher
 	loseReply  int // replies to offers that get lost
 	offers     int
+	held       map[quarantine.Key]time.Duration
+	told       sync.Mutex // of cuts and ran
+	cuts       []ends.Cut
+	ran        []quarantine.Key
 }
 
 func (f *fakeDeps) Pick(*routing.Request) (routing.Choice, error) {
@@ -138,8 +144,22 @@
 }
 func (f *fakeDeps) Attempt(string)       {}
 func (f *fakeDeps) AttemptFailed(string) {}
-func (f *fakeDeps) Ended(string)         {}
-func (f *fakeDeps) Recomputed(int)       {}
+
+func (f *fakeDeps) Held(k quarantine.Key) time.Duration { return f.held[k] }
+
+func (f *fakeDeps) Cut(c ends.Cut) {
+	f.told.Lock()
+	defer f.told.Unlock()
+	f.cuts = append(f.cuts, c)
+}
+
+func (f *fakeDeps) Ran(_ fleet.EndpointID, _ time.Time, k quarantine.Key) {
+	f.told.Lock()
+	defer f.told.Unlock()
+	f.ran = append(f.ran, k)
+}
+func (f *fakeDeps) Ended(string)   {}
+func (f *fakeDeps) Recomputed(int) {}
 func (f *fakeDeps) Lookup(context.Context, fleet.WorkspaceID, fleet.RequestID) (directory.Holding, bool) {
 	return directory.Holding{}, false
 }
@@ -183,7 +203,7 @@
 		e.interval = 10 * time.Millisecond
 	}
 	return New(Options{
-		Instance: fleet.InstanceID(id), Daemon: id, Engines: e, Router: f, Admission: f, Locator: f, Intents: f, Peers: f,
+		Instance: fleet.InstanceID(id), Daemon: id, Engines: e, Router: f, Guard: f, Admission: f, Locator: f, Intents: f, Peers: f,
 		NonIdempotent: func(fleet.ModelRef, fleet.WorkspaceID) bool { return nonIdempotent },
 		Model:         func(_ fleet.WorkspaceID, m fleet.ModelRef) (fleet.ModelRef, bool) { return m, m.Model == "m" },
 		Priority:      func(fleet.WorkspaceID) int { return 0 },
--- /dev/null
+++ b/internal/dispatch/guard.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/request"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// sent is an attempt at an engine.
+type sent struct {
+	number   uint32
+	endpoint fleet.EndpointID
+	address  string
+	at       time.Time
+	begun    bool // a piece of the answer has come
+}
+
+// key names the request when it comes again: with another id, at another daemon.
+func (r *run) key() quarantine.Key {
+	return quarantine.KeyOf(r.ref.Workspace, "", "", r.digest[:])
+}
+
+// held returns why the request isn't to be sent to any engine, nil where it may
+// be. Failure: the same request comes again and again under another key. Symptom:
+// four tries at a time, it ends one engine after the other.
+func (r *run) held() error {
+	left := r.d.o.Guard.Held(r.key())
+	if left <= 0 {
+		return nil
+	}
+	return &AttemptError{Kind: request.Held, Verdict: verdict.NotRun, RetryAfter: left, Err: errCrashes}
+}
+
+var errCrashes = errors.New("the request crashes the engines that run it")
+
+// cut tells the guard of an attempt that ended with its connection.
+func (r *run) cut(ctx context.Context, s *sent, err error) {
+	if ctx.Err() != nil || failureOf(s.number, err).Kind != request.Reset {
+		return
+	}
+	r.d.o.Guard.Cut(ends.Cut{Endpoint: s.endpoint, Address: s.address, Request: r.key(), Sent: s.at, Begun: s.begun})
+}
--- /dev/null
+++ b/internal/dispatch/guard_test.go
@@ -0,0 +1,52 @@
+package dispatch
+
+import (
+	"crypto/sha256"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// A completion that crashes engines comes again under another key. It is refused
+// at once, as not run, with a time.
+func TestHeldCompletionReachesNoEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{}
+		f := &fakeDeps{}
+		d := newFake("a", e, f, false)
+		defer d.Close()
+		digest := sha256.Sum256([]byte("body"))
+		key := quarantine.KeyOf("w", "", "", digest[:])
+		f.held = map[quarantine.Key]time.Duration{key: time.Minute}
+		_, p := d.Submit(t.Context(), submission("r2", "body"))
+		assert.Equal(t, p.Status, 503)
+		assert.Equal(t, p.Verdict, verdict.NotRun)
+		assert.Equal(t, p.RetryAfter, time.Minute)
+		assert.Equal(t, e.starts, 0)
+		a, p := d.Submit(t.Context(), submission("r3", "other body"))
+		assert.Assert(t, p == nil)
+		assert.Assert(t, readAll(t, a).Done)
+	})
+}
+
+// A stream breaks after its first tokens. The guard hears of the request under
+// the name that it has when it comes again, and that it had begun.
+func TestGuardHearsOfCutStreams(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &fakeEngines{cutAfter: 3}
+		f := &fakeDeps{}
+		d := newFake("a", e, f, false)
+		defer d.Close()
+		a, p := d.Submit(t.Context(), submission("r1", "body"))
+		assert.Assert(t, p == nil)
+		readAll(t, a)
+		assert.Equal(t, len(f.cuts), 1)
+		assert.Assert(t, f.cuts[0].Begun)
+		assert.Equal(t, f.cuts[0].Request, f.ran[0])
+	})
+}
--- a/internal/dispatch/start.go
+++ b/internal/dispatch/start.go
@@ -212,6 +212,10 @@
 		status = http.StatusGatewayTimeout
 	case request.NothingToRunOn, request.BudgetSpent:
 		status = http.StatusServiceUnavailable
+	case request.CrashesEngines:
+		if f.Verdict == verdict.NotRun {
+			status = http.StatusServiceUnavailable
+		}
 	case request.Cancelled:
 		status = http.StatusConflict
 	}
--- /dev/null
+++ b/internal/ends/watch_test.go
@@ -0,0 +1,150 @@
+package ends
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+)
+
+// stage is a watch over endpoints that a test moves.
+type stage struct {
+	*Watch
+	mu      sync.Mutex
+	asked   int
+	there   bool
+	unknown error
+	listed  bool
+	leaving bool
+}
+
+func play(t *testing.T, f func(t *testing.T, s *stage)) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &stage{listed: true}
+		s.Watch = New(Options{
+			Table: quarantine.NewTable(1),
+			Now:   time.Now,
+			Listens: func(context.Context, string) (bool, error) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.asked++
+				return s.there, s.unknown
+			},
+			State: func(fleet.EndpointID) (bool, bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.listed, s.leaving
+			},
+			Ended:   func(fleet.EndpointID, *quarantine.Crash) {},
+			Changed: func(quarantine.Change) {},
+		})
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan struct{})
+		go func() { defer close(done); s.Run(ctx) }()
+		f(t, s)
+		cancel()
+		<-done
+	})
+}
+
+func (s *stage) cut(e fleet.EndpointID, request string, begun bool) {
+	s.Cut(Cut{
+		Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", request, nil),
+		Sent: time.Now().Add(-50 * time.Millisecond), Begun: begun,
+	})
+}
+
+// told returns how many crashes are told, and of how many requests the first.
+func (s *stage) told() (crashes, suspects int, void bool) {
+	all, _ := s.o.Table.Since(quarantine.Position{})
+	if len(all) == 0 {
+		return 0, 0, false
+	}
+	return len(all), len(all[0].Suspects), all[0].Void
+}
+
+// An endpoint's end cuts many attempts, some before and some after it was found
+// out. It is asked for once, and those that had not begun are its suspects.
+func TestOneEndIsAskedForOnce(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.cut("e", "a", false)
+		s.cut("e", "b", true)
+		time.Sleep(2 * askAfter)
+		s.cut("e", "c", false)
+		synctest.Wait()
+		crashes, suspects, void := s.told()
+		assert.Equal(t, crashes, 1)
+		assert.Equal(t, suspects, 2)
+		assert.Assert(t, !void)
+		assert.Equal(t, s.asked, 1)
+	})
+}
+
+// It starts again and ends again. When it started isn't told.
+func TestLaterEndIsAnother(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		for range 2 {
+			s.cut("e", "a", false)
+			time.Sleep(5 * time.Second)
+		}
+		crashes, _, _ := s.told()
+		assert.Equal(t, crashes, 2)
+	})
+}
+
+// The connection was reset, or the endpoint is cut off: it hasn't ended.
+func TestNoEndWithoutARefusal(t *testing.T) {
+	for _, unknown := range []error{nil, errors.New("no answer")} {
+		play(t, func(t *testing.T, s *stage) {
+			s.there, s.unknown = unknown == nil, unknown
+			s.cut("e", "a", false)
+			time.Sleep(time.Second)
+			crashes, _, _ := s.told()
+			assert.Equal(t, crashes, 0)
+		})
+	}
+}
+
+// The endpoint had said that it leaves, or was gone from the list, or says so
+// within the time in which the word may still come.
+func TestEndOfLeavingEndpointIsVoid(t *testing.T) {
+	for _, before := range []func(s *stage){
+		func(s *stage) { s.leaving = true },
+		func(s *stage) { s.listed = false },
+		func(s *stage) {},
+	} {
+		play(t, func(t *testing.T, s *stage) {
+			before(s)
+			s.cut("e", "a", false)
+			time.Sleep(time.Second)
+			s.mu.Lock()
+			s.leaving = true
+			s.mu.Unlock()
+			time.Sleep(time.Second)
+			crashes, _, void := s.told()
+			assert.Equal(t, crashes, 1)
+			assert.Assert(t, void)
+		})
+	}
+}
+
+// It is gone from the list because it ended: that takes nothing back.
+func TestEndThatTheListShowsCounts(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.cut("e", "a", false)
+		time.Sleep(time.Second)
+		s.mu.Lock()
+		s.listed = false
+		s.mu.Unlock()
+		time.Sleep(time.Second)
+		_, _, void := s.told()
+		assert.Assert(t, !void)
+	})
+}
--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -25,6 +25,7 @@
 	Peer       Part = "peer"
 	Operator   Part = "operator"
 	Capacity   Part = "capacity"
+	Quarantine Part = "quarantine"
 	Daemon     Part = "daemon"
 	Standin    Part = "standin"
 )
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -77,6 +77,14 @@
 	return changed
 }
 
+// Shift moves the crash to another clock's time.
+func (c *Crash) Shift(d time.Duration) {
+	c.At = c.At.Add(d)
+	for i := range c.Suspects {
+		c.Suspects[i].Sent = c.Suspects[i].Sent.Add(d)
+	}
+}
+
 // Suspect adds a request that may be its cause, and reports whether that was new.
 func (c *Crash) Suspect(s Suspect) bool {
 	at := c.index(s.Request)
--- /dev/null
+++ b/internal/quarantine/quarantinepb/codec_test.go
@@ -0,0 +1,37 @@
+package quarantinepb
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+)
+
+func TestCrashesSurviveTheWay(t *testing.T) {
+	at := time.UnixMilli(1_000_000_123)
+	k := quarantine.KeyOf("w", "POST", "/x", []byte("b"))
+	sent := []quarantine.Crash{
+		{Endpoint: 7, At: at, Void: true},
+		{
+			Endpoint: 8, At: at, Cleared: []quarantine.Key{k},
+			Suspects: []quarantine.Suspect{{Request: k, Sent: at.Add(-50 * time.Millisecond)}},
+		},
+	}
+	assert.DeepEqual(t, Decode(Encode(sent)), sent)
+	p := quarantine.Position{Epoch: 3, Seq: 4}
+	assert.Equal(t, DecodePosition(EncodePosition(p)), p)
+}
+
+// Lists of another length, or none, are read as far as they belong together.
+func TestUnevenListsAreRead(t *testing.T) {
+	got := Decode([]*Crash{
+		{Endpoint: 1, Suspects: &Requests{Workspaces: []uint32{1, 2}, Requests: []uint64{1}, SentMs: []int64{5, 6, 7}}},
+		{Endpoint: 2, Suspects: &Requests{Workspaces: []uint32{1}, Requests: []uint64{1}}},
+		{Endpoint: 3},
+	})
+	assert.Equal(t, len(got), 3)
+	assert.Equal(t, len(got[0].Suspects), 1)
+	assert.Equal(t, len(got[1].Suspects)+len(got[2].Suspects), 0)
+}
--- a/internal/request/failure.go
+++ b/internal/request/failure.go
@@ -25,13 +25,15 @@
 	EngineLeaving
 	// NoEndpoint: routing found no endpoint; nothing was written.
 	NoEndpoint
+	// Held: the request crashes the engines that run it; nothing was written.
+	Held
 	// Contradiction: the attempt's pieces contradict the answer so far.
 	Contradiction
 )
 
 // String returns the kind's name for logs.
 func (k FailureKind) String() string {
-	names := [...]string{"reset", "dial", "silent", "not-found", "unavailable", "engine-leaving", "no-endpoint", "contradiction"}
+	names := [...]string{"reset", "dial", "silent", "not-found", "unavailable", "engine-leaving", "no-endpoint", "held", "contradiction"}
 	if int(k) < len(names) {
 		return names[k]
 	}
@@ -39,7 +41,7 @@
 }
 
 // unwritten reports whether the kind itself proves that nothing left.
-func (k FailureKind) unwritten() bool { return k == Dial || k == NoEndpoint }
+func (k FailureKind) unwritten() bool { return k == Dial || k == NoEndpoint || k == Held }
 
 // Failure is the end of an attempt without its answer.
 type Failure struct {
--- a/internal/request/life_failure.go
+++ b/internal/request/life_failure.go
@@ -68,6 +68,8 @@
 	switch {
 	case l.spec.NonIdempotent && (l.unproven > 0 || !f.Kind.unwritten()):
 		return NotRepeatable, true
+	case f.Kind == Held:
+		return CrashesEngines, true
 	case !now.Before(l.spec.Deadline.Add(-l.policy.Margin)):
 		return DeadlinePassed, true
 	case f.Kind == NoEndpoint:
--- a/internal/request/reason.go
+++ b/internal/request/reason.go
@@ -15,6 +15,8 @@
 	NotRepeatable
 	// NothingToRunOn: routing found no endpoint.
 	NothingToRunOn
+	// CrashesEngines: the request crashes the engines that run it.
+	CrashesEngines
 	// Cancelled: the caller asked for it.
 	Cancelled
 	// TooLarge: the answer exceeds MaxAnswerBytes.
@@ -27,7 +29,7 @@
 func (r Reason) String() string {
 	names := [...]string{
 		"deadline passed", "all attempts failed", "retry budget spent",
-		"not repeatable", "no endpoint", "cancelled", "answer too large",
+		"not repeatable", "no endpoint", "crashes the engines that run it", "cancelled", "answer too large",
 		"hand-over unanswered",
 	}
 	if int(r) < len(names) {
