Tests that fail: a store that comes back from a copy some seconds old

Two daemons hold the duties at once, a window of usage is reported with two counts, an endpoint that has left gets requests, revisions fall, a watch goes on from a number that was given out again, and a write's condition fits one.

--- a/internal/lease/safety_test.go
+++ b/internal/lease/safety_test.go
@@ -30,6 +30,7 @@
 	calls   []call
 	orders  []order
 	highest uint64 // fencing number of the newest order
+	copies  copies
 }
 
 // order is an order that left, with its end in the model's time.
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -25,7 +25,8 @@
 	ErrNotFound = Error.New("no such object")
 )
 
-// Object is a stored value. Revision is the store's counter at its last change.
+// Object is a stored value. Revision is the store's at its last change; RevisionIn
+// says what it is made of.
 type Object struct {
 	Name     string
 	Revision uint64
@@ -45,7 +46,8 @@
 	// List returns the objects of a kind and the revision of the list.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Watch returns the changes of a kind after a revision, and the revision
-	// to go on from, as soon as there is one or wait is over.
+	// to go on from, as soon as there is one or wait is over. ErrGone as well
+	// where the store has come back from an older copy since that revision.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Get returns an object, or ErrNotFound.
 	Get(ctx context.Context, kind, name string) (Object, error)
@@ -53,7 +55,8 @@
 	// where the store told it.
 	Create(ctx context.Context, kind, name string, spec json.RawMessage) (Object, error)
 	// Replace writes an object's spec if it is at a revision; 0 is any.
-	// ErrConflict as in Create.
+	// ErrConflict as in Create, and always where the store has come back from
+	// an older copy since that revision: the write may stand then.
 	Replace(ctx context.Context, kind, name string, revision uint64, spec json.RawMessage) (Object, error)
 	// Delete ends an object.
 	Delete(ctx context.Context, kind, name string) error
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -111,3 +111,24 @@
 	assert.Equal(t, all[0].Address, "new")
 	assert.Assert(t, !all[0].Draining)
 }
+
+// An endpoint says that it leaves, and later it is gone. The registry comes back
+// from a copy some seconds old, in which it is there and doesn't leave. It must
+// get no requests; one that has started again under its name must.
+func TestEndpointThatHasLeftStaysSo(t *testing.T) {
+	r := New()
+	born := start
+	for _, gone := range []bool{false, true} {
+		r.Upsert(Endpoint{ID: "a", Born: born, Draining: true})
+		if gone {
+			r.Remove(start, "a")
+		}
+		r.Upsert(Endpoint{ID: "a", Born: born})
+		all, _ := r.Snapshot()
+		assert.Assert(t, len(all) == 0 || all[0].Draining, "gone %v: %+v", gone, all)
+	}
+	r.Upsert(Endpoint{ID: "a", Born: born.Add(time.Second)})
+	all, _ := r.Snapshot()
+	assert.Equal(t, len(all), 1)
+	assert.Assert(t, !all[0].Draining)
+}
--- /dev/null
+++ b/internal/usage/return_test.go
@@ -0,0 +1,88 @@
+package usage
+
+import (
+	"maps"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+)
+
+// kept is the record as a store holds it.
+type kept struct {
+	counter uint64
+	record  Record
+}
+
+// The store comes back from a copy some seconds old: a record that was frozen and
+// sent is gone. Whoever holds the duty then, the same one or another, must not
+// report that window with other counts.
+func TestNoWindowIsReportedWithTwoCountsThoughTheStoreForgets(t *testing.T) {
+	returns, reports := 0, 0
+	rapid.Check(t, func(t *rapid.T) {
+		era := uint64(1)
+		var now kept
+		copied := now
+		reported := map[uint64]map[fleet.WorkspaceID]uint64{}
+		clock := time.Unix(5000, 0)
+		r := NewReporter(window)
+		seen := uint64(0)
+		for range rapid.IntRange(1, 150).Draw(t, "steps") {
+			clock = clock.Add(time.Duration(rapid.IntRange(0, 2000).Draw(t, "ms")) * time.Millisecond)
+			switch rapid.IntRange(0, 19).Draw(t, "event") {
+			case 0:
+				r = NewReporter(window) // another holder, or the same after it lost the lease
+			case 1, 2:
+				copied = now
+			case 3:
+				if copied.counter > 0 {
+					era, now = era+1, copied
+					returns++
+				}
+			}
+			seen++
+			revision := objects.RevisionIn(era, now.counter)
+			a := r.Next(clock, clock, func(uint64) map[fleet.WorkspaceID]uint64 {
+				return map[fleet.WorkspaceID]uint64{"w": seen}
+			})
+			switch a.Kind {
+			case Read:
+				r.Found(revision, Record{Window: now.record.Window, Begun: maps.Clone(now.record.Begun)})
+			case Freeze:
+				if a.Revision != revision {
+					r.Unsure(clock)
+					continue
+				}
+
+				now = kept{now.counter + 1, a.Record}
+				r.Frozen(objects.RevisionIn(era, now.counter), a.Record)
+			case Send:
+				if old, ok := reported[a.Record.Window]; ok {
+					assert.DeepEqual(t, old, a.Record.Begun)
+				}
+				reported[a.Record.Window] = a.Record.Begun
+				reports++
+				r.Sent()
+			}
+		}
+	})
+	if returns == 0 || reports == 0 {
+		t.Fatal("nothing was checked")
+	}
+}
+
+// Nothing is left out where the store has not come back from a copy.
+func TestNewHolderGoesOnInTheSameEra(t *testing.T) {
+	r := NewReporter(window)
+	now := time.Unix(5000, 0).Add(settle)
+	r.Next(now, now, nil)
+	r.Found(objects.RevisionIn(3, 7), Record{Window: 998})
+	r.Next(now, now, nil)
+	r.Sent()
+	a := r.Next(now, now, func(uint64) map[fleet.WorkspaceID]uint64 { return nil })
+	assert.Equal(t, a.Record.Window, uint64(999))
+}
