--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -22,7 +22,7 @@
 const before = 6 * time.Second
 
 // stateParts are the parts whose lines say what a daemon believes.
-var stateParts = []string{"daemon", "configuration", "endpoints", "membership", "settings", "duties"}
+var stateParts = []string{"daemon", "configuration", "endpoints", "membership", "settings", "duties", "store"}
 
 // Write shows what the lines say, and returns how many matched.
 func Write(w io.Writer, lines []Line, q Query) (int, error) {
--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -98,10 +98,14 @@
 }
 
 func (f *Follower) list(ctx context.Context) (uint64, error) {
+	began := time.Now()
 	all, revision, err := f.store.List(ctx, f.kind)
 	if err != nil {
 		return 0, err
 	}
+	if last := f.Revision(); last != 0 && objects.EraOf(revision) > objects.EraOf(last) && !f.lost.Swap(true) {
+		f.failed = began // it was away, if only for a moment: entries may have lapsed
+	}
 	f.returned()
 	f.handler.Listed(all, revision)
 	return revision, nil
--- a/internal/lease/answer.go
+++ b/internal/lease/answer.go
@@ -1,6 +1,10 @@
 package lease
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+)
 
 // wrote takes the answer that a write took effect as a version.
 func (l *Lease) wrote(now time.Time, number, version uint64) {
@@ -98,7 +102,8 @@
 	if o.Version == l.seen.Version && !first {
 		return
 	}
-	if w := l.own(o); w != nil {
+	l.doubt(now, o)
+	if w := l.own(o); w != nil && (l.held || !now.Before(l.doubtTo)) {
 		l.took(now, w, o.Version)
 		return
 	}
@@ -106,6 +111,16 @@
 	l.drop()
 }
 
+// doubt notes that the store has come back from an older copy. Failure: who took
+// the lease in the seconds that are lost still believes that it holds it, and the
+// copy shows nobody, or who held it before. Symptom: two daemons act in turns. Who
+// isn't a holder by its own clock waits for as long as one may go on.
+func (l *Lease) doubt(now time.Time, o Observation) {
+	if l.seen.Version != 0 && objects.EraOf(o.Version) > objects.EraOf(l.seen.Version) {
+		l.doubtTo = now.Add(l.config.Duration + l.config.Margin)
+	}
+}
+
 // own returns the write of this daemon that an observation shows, if any.
 func (l *Lease) own(o Observation) *sentWrite {
 	w := l.sent.find(o.State.Write)
--- a/internal/lease/lease.go
+++ b/internal/lease/lease.go
@@ -16,6 +16,7 @@
 
 	seen      Observation // newest version that was read or written
 	seenAt    time.Time   // when an answer first showed that version
+	doubtTo   time.Time   // until then a holder that isn't seen may be there
 	readAt    time.Time   // when an answer last showed it; zero: nothing is known
 	followed  time.Time   // since when looks came without a gap; zero: the last one failed
 	candidate bool        // by rank, at the last tick
@@ -97,6 +98,14 @@
 	return l.seen.State.Holder
 }
 
+// Superseded takes it that another daemon is known to hold the lease with a higher
+// fencing number: this one's has lapsed, whatever it last saw.
+func (l *Lease) Superseded(fencing uint64) {
+	if l.held && fencing > l.fencing {
+		l.drop()
+	}
+}
+
 func (l *Lease) valid(now time.Time) bool {
 	return l.held && elapsed(l.since, now) < l.config.Duration-l.config.Margin
 }
--- a/internal/lease/step.go
+++ b/internal/lease/step.go
@@ -59,7 +59,7 @@
 	if l.readAt.IsZero() || now.Sub(l.readAt) > l.config.Observe {
 		return false
 	}
-	if l.afterGap(now, rank) {
+	if l.afterGap(now, rank) || now.Before(l.doubtTo) {
 		return false
 	}
 	wait := l.rankWait(rank)
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -117,6 +117,7 @@
 		d.callLease(ctx, a)
 	}
 	l := d.lease.Lease(0)
+	l.Superseded(d.node.telling.heldBy(d.node.id))
 	if !l.Held(now) { // asking whether an order may leave would put off the lease's release
 		return
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -22,6 +22,7 @@
 	roster *roster.Roster
 	all    []roster.Endpoint
 	listed bool
+	era    uint64 // the store's
 
 	store *follow.Follower
 	specs map[fleet.EndpointID]spec // as the store or a hub told them
@@ -76,6 +77,7 @@
 				list = append(list, e)
 			}
 		}
+		d.inEra(objects.EraOf(revision), len(list))
 		d.roster.Replace(now, list)
 		d.roster.Reached(revision)
 		d.roster.CaughtUp()
@@ -83,6 +85,24 @@
 	})
 }
 
+// inEra notes the store's era. The lock is held.
+func (d *endpointDuty) inEra(era uint64, listed int) {
+	if d.listed && era > d.era {
+		d.node.say("store").WithFields(map[string]any{
+			"era": era, "before": d.era, "endpoints_known": len(d.all), "endpoints_listed": listed,
+			"reached": d.roster.Revision(), "config": d.node.config.current().Version,
+		}).Warn("store came back from an older copy")
+	}
+	d.era = max(d.era, era)
+}
+
+// Era returns the store's era, 0 where it tells none.
+func (d *endpointDuty) Era() uint64 {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.era
+}
+
 // Changed implements follow.Handler.
 func (d *endpointDuty) Changed(changes []objects.Change, revision uint64) {
 	d.update(func(now time.Time) {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,7 @@
 		all, _ := n.endpoints.list()
 		return float64(len(all))
 	})
+	m.set.NewGauge("cyclamenbeam_store_era", func() float64 { return float64(n.endpoints.Era()) })
 	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.crashes.table.Holding()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.Size()) })
 	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -9,6 +9,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -286,6 +287,17 @@
 	t.holder = t.holder.Newer(exchange.Holder{Daemon: t.node.id, Token: token})
 }
 
+// heldBy returns the fencing token under which another daemon than one is known to
+// hold the duties, 0 where none is.
+func (t *telling) heldBy(but fleet.DaemonID) uint64 {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.holder.Daemon == but {
+		return 0
+	}
+	return t.holder.Token
+}
+
 // ask calls f with the hub's state.
 func (t *telling) ask(f func(h *exchange.Hub)) {
 	t.mu.Lock()
--- a/internal/node/usageduty.go
+++ b/internal/node/usageduty.go
@@ -63,6 +63,7 @@
 
 func (d *duties) freeze(ctx context.Context, a usage.Action) (objects.Object, error) {
 	a.Record.Daemons = len(d.node.members.serving())
+	a.Record.Era = d.node.endpoints.Era()
 	text, err := json.Marshal(a.Record)
 	if err != nil {
 		return objects.Object{}, Error.Wrap(err)
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -28,6 +28,7 @@
 type Roster struct {
 	endpoints map[fleet.EndpointID]Endpoint
 	lapsed    map[fleet.EndpointID]time.Time // removed, but kept until then
+	left      map[fleet.EndpointID]time.Time // when those were born that had said that they leave
 	graceEnd  time.Time                      // of the last outage
 	catching  bool                           // what happened in it is not known yet
 	changed   bool
@@ -37,7 +38,7 @@
 
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{endpoints: map[fleet.EndpointID]Endpoint{}, lapsed: map[fleet.EndpointID]time.Time{}}
+	return &Roster{endpoints: map[fleet.EndpointID]Endpoint{}, lapsed: map[fleet.EndpointID]time.Time{}, left: map[fleet.EndpointID]time.Time{}}
 }
 
 // Returned notes that the registry answers again after an outage, in which
@@ -75,14 +76,44 @@
 // Upsert takes an entry that is new or changed, but not one of an earlier start
 // than is known: that is a stale list's.
 func (r *Roster) Upsert(e Endpoint) {
-	if known, ok := r.endpoints[e.ID]; ok && e.RestartedAs(&known) {
+	known, ok := r.endpoints[e.ID]
+	if ok && e.RestartedAs(&known) {
 		return
 	}
+	if r.hasLeft(&e) {
+		if !ok {
+			return
+		}
+		e.Draining = true
+	}
+	if e.Draining {
+		r.leaves(&e)
+	}
 	delete(r.lapsed, e.ID)
 	r.endpoints[e.ID] = e
 	r.changed = true
 }
 
+// hasLeft reports whether an endpoint of that life had said that it leaves, which
+// it doesn't take back. Failure: the registry comes back from a copy some seconds
+// old. Symptom: an endpoint that leaves, or has left, is listed as one that
+// doesn't, and gets requests.
+func (r *Roster) hasLeft(e *Endpoint) bool {
+	born, ok := r.left[e.ID]
+	return ok && !e.Born.IsZero() && e.Born.Equal(born)
+}
+
+func (r *Roster) leaves(e *Endpoint) {
+	if len(r.left) >= maxLeft {
+		clear(r.left)
+	}
+	r.left[e.ID] = e.Born
+}
+
+// maxLeft bounds the endpoints that are known to have left: those of some hours
+// of an ordinary day. They are forgotten all at once; copies are seconds old.
+const maxLeft = 4096
+
 // Remove takes an entry's end. An endpoint that did not say that it leaves may
 // have lapsed with the registry, and counts until the grace is over.
 func (r *Roster) Remove(now time.Time, id fleet.EndpointID) {
--- a/internal/usage/record.go
+++ b/internal/usage/record.go
@@ -6,6 +6,8 @@
 type Record struct {
 	Window uint64                       `json:"window"`
 	Begun  map[fleet.WorkspaceID]uint64 `json:"begun"`
+	// Era is the store's when the record was frozen, or an earlier one.
+	Era uint64 `json:"era,omitempty"`
 	// Daemons is how many there were, for daemons of an earlier release that start
 	// again: they divide limits
 	// by it until they hear of each other.
--- a/internal/usage/reporter.go
+++ b/internal/usage/reporter.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 )
 
 const (
@@ -24,6 +25,12 @@
 	revision uint64 // of the stored record, 0 where there is none
 	record   Record // the stored one
 	sent     bool   // it was reported
+	// last is the newest record that this reporter has frozen: the store may come
+	// back from a copy without it.
+	last Record
+	// floor is the newest window that another holder may have reported, of which
+	// the store's copy knows nothing.
+	floor    uint64
 	notUntil time.Time
 	busy     bool // a call is under way
 }
@@ -46,8 +53,15 @@
 		return Action{Kind: Send, Record: r.record}
 	}
 	last := uint64(truth.Add(-settle).UnixNano()/int64(r.window)) - 1 // newest window that is complete
-	next := r.record.Window + 1
-	if r.revision == 0 || next+oldest < last {
+	if r.last.Window > r.record.Window {
+		r.busy = true
+		return Action{Kind: Freeze, Revision: r.revision, Record: r.last}
+	}
+	if r.lost() && r.floor == 0 {
+		r.floor = last
+	}
+	next := max(r.record.Window, r.floor) + 1
+	if r.revision == 0 && r.floor == 0 || next+oldest < last {
 		next = last
 	}
 	if next > last {
@@ -57,6 +71,14 @@
 	return Action{Kind: Freeze, Revision: r.revision, Record: Record{Window: next, Begun: begun(next)}}
 }
 
+// lost reports whether later records than the stored one may be lost. Failure: the
+// store comes back from a copy some seconds old, and the duty has a new holder.
+// Symptom: a window that was reported is reported again, with other counts. What
+// is complete by now may have been; it is left out.
+func (r *Reporter) lost() bool {
+	return r.revision != 0 && r.last.Window == 0 && objects.EraOf(r.revision) > r.record.Era
+}
+
 // Found takes the stored record; revision 0 is none.
 func (r *Reporter) Found(revision uint64, record Record) {
 	r.busy, r.known = false, true
@@ -64,7 +86,10 @@
 }
 
 // Frozen takes the answer that a record was written.
-func (r *Reporter) Frozen(revision uint64, record Record) { r.Found(revision, record) }
+func (r *Reporter) Frozen(revision uint64, record Record) {
+	r.last = record
+	r.Found(revision, record)
+}
 
 // Unsure notes that a call of the store failed or lost its condition: what is
 // stored must be read before anything is sent.
--- a/internal/usage/return_test.go
+++ b/internal/usage/return_test.go
@@ -51,13 +51,13 @@
 			})
 			switch a.Kind {
 			case Read:
-				r.Found(revision, Record{Window: now.record.Window, Begun: maps.Clone(now.record.Begun)})
+				r.Found(revision, Record{Window: now.record.Window, Begun: maps.Clone(now.record.Begun), Era: now.record.Era})
 			case Freeze:
 				if a.Revision != revision {
 					r.Unsure(clock)
 					continue
 				}
-
+				a.Record.Era = era
 				now = kept{now.counter + 1, a.Record}
 				r.Frozen(objects.RevisionIn(era, now.counter), a.Record)
 			case Send:
@@ -80,7 +80,7 @@
 	r := NewReporter(window)
 	now := time.Unix(5000, 0).Add(settle)
 	r.Next(now, now, nil)
-	r.Found(objects.RevisionIn(3, 7), Record{Window: 998})
+	r.Found(objects.RevisionIn(3, 7), Record{Window: 998, Era: 3})
 	r.Next(now, now, nil)
 	r.Sent()
 	a := r.Next(now, now, func(uint64) map[fleet.WorkspaceID]uint64 { return nil })
