--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -18,7 +18,9 @@
 		Long: `Read the JSON logs of one or several daemons, from files or from standard
 input, and show in order of time what they say about a request, an endpoint or a
 version of the configuration. For a request, what its daemon believed in the
-seconds before each line stands indented above it. With --lost, count the
+seconds before each line stands indented above it. What log lines name as request
+stands for a request that comes again under other ids: all its tries are shown.
+With --lost, count the
 requests that failed, were refused or were late, by reason and route and by
 reason and second. Exit status 1: nothing found.`,
 		Example: `  cyclamenbeam explain 9c41d07be2a35f68 entry-1.log entry-2.log
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -49,7 +49,7 @@
 func (q Query) matches(l *Line) bool {
 	switch {
 	case q.ID != "":
-		return l.Fields.ID == q.ID || l.Fields.Request == q.ID
+		return l.Fields.ID == q.ID || slices.Contains(l.Fields.Requests, q.ID)
 	case q.Endpoint != "":
 		return l.Fields.Endpoint == q.Endpoint
 	default:
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -65,3 +65,22 @@
 		assert.NilError(t, err)
 	})
 }
+
+// A request ends endpoints and comes again under other ids. By the name that stays
+// the same its tries, the ends and the verdict are shown, at all daemons.
+func TestARequestThatComesAgain(t *testing.T) {
+	const text = `
+1.0 front-a {"msg":"not answered","part":"requests","id":"r1","request":"k1","time":"2026-12-02T10:00:01.000Z"}
+1.1 front-a {"msg":"endpoint ended under requests","part":"quarantine","endpoint":"e1","requests":["k2","k1"],"time":"2026-12-02T10:00:01.100Z"}
+2.0 front-b {"msg":"not answered","part":"requests","id":"r2","request":"k1","time":"2026-12-02T10:00:02.000Z"}
+2.1 front-b {"msg":"request held: it crashes the endpoints that run it","part":"quarantine","request":"k1","crashes":3,"time":"2026-12-02T10:00:02.100Z"}
+2.2 front-b {"msg":"request held: it crashes the endpoints that run it","part":"quarantine","request":"k3","crashes":3,"time":"2026-12-02T10:00:02.200Z"}
+`
+	lines, err := Read("file", strings.NewReader(text))
+	assert.NilError(t, err)
+	var b strings.Builder
+	n, err := Write(&b, lines, Query{ID: "k1"})
+	assert.NilError(t, err)
+	assert.Equal(t, n, 4)
+	assert.Assert(t, !strings.Contains(b.String(), "k3"))
+}
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -27,7 +27,7 @@
 // Fields are those by which lines are looked for.
 type Fields struct {
 	ID       string
-	Request  string // what stays the same when a request comes again
+	Requests []string // what stays the same when a request comes again
 	Endpoint string
 	Version  uint64
 }
@@ -68,13 +68,28 @@
 		return Line{}, false
 	}
 	l.Time = when
-	l.Fields = Fields{ID: l.text("id"), Request: l.text("request"), Endpoint: l.text("endpoint")}
+	l.Fields = Fields{ID: l.text("id"), Requests: l.texts("request", "requests"), Endpoint: l.text("endpoint")}
 	if v, ok := l.raw["version"].(float64); ok {
 		l.Fields.Version = uint64(v)
 	}
 	return l, true
 }
 
+// texts returns a text and a list of texts as one list.
+func (l *Line) texts(one, list string) []string {
+	var out []string
+	if s := l.text(one); s != "" {
+		out = append(out, s)
+	}
+	all, _ := l.raw[list].([]any)
+	for _, v := range all {
+		if s, ok := v.(string); ok {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
 func (l *Line) text(key string) string {
 	s, _ := l.raw[key].(string)
 	return s
