--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -18,8 +18,8 @@
 	// askAfter is how long after a cut the endpoint is asked for: the ends of
 	// its other connections are a few milliseconds apart.
 	askAfter = 20 * time.Millisecond
-	// inquiryAge is how long an endpoint that was asked for isn't asked for
-	// again, and further cuts belong to the same end.
+	// inquiryAge is how long an endpoint that has ended isn't asked for again, and
+	// further cuts belong to the same end.
 	inquiryAge = time.Second
 	// lateWord is how long after an endpoint's end the word that it leaves may
 	// come: two reports of a large fleet.
@@ -63,7 +63,8 @@
 	cut     Cut
 	asked   time.Time
 	crash   quarantine.Crash
-	crashed bool
+	ended   bool // the answer, written before it is sent
+	crashed bool // the answer was taken, and the table was told
 }
 
 // New returns a watch that isn't running.
@@ -129,13 +130,17 @@
 		return
 	}
 	there, err := w.o.Listens(ctx, q.cut.Address)
-	if !there && err == nil {
-		w.answers.Send(ctx.Done(), q)
-	}
+	q.ended = !there && err == nil
+	w.answers.Send(ctx.Done(), q)
 }
 
-// answered takes an endpoint's end.
+// answered takes the answer. An endpoint that has not ended is asked for again at
+// the next cut, which may be its end.
 func (w *Watch) answered(q *inquiry) {
+	if !q.ended {
+		delete(w.inquiries, q.cut.Endpoint)
+		return
+	}
 	listed, leaving := w.o.State(q.cut.Endpoint)
 	q.crashed, q.crash.Void = true, !listed || leaving
 	w.o.Ended(q.cut.Endpoint, &q.crash)
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -87,6 +87,23 @@
 	})
 }
 
+// A connection is reset, and a moment later the endpoint ends.
+func TestEndAfterAResetIsAskedFor(t *testing.T) {
+	play(t, func(t *testing.T, s *stage) {
+		s.there = true
+		s.cut("e", "a", false)
+		time.Sleep(2 * askAfter)
+		s.mu.Lock()
+		s.there = false
+		s.mu.Unlock()
+		s.cut("e", "b", false)
+		time.Sleep(2 * askAfter)
+		crashes, suspects, _ := s.told()
+		assert.Equal(t, crashes, 1)
+		assert.Equal(t, suspects, 1)
+	})
+}
+
 // It starts again and ends again. When it started isn't told.
 func TestLaterEndIsAnother(t *testing.T) {
 	play(t, func(t *testing.T, s *stage) {
--- a/internal/node/memorystore_test.go
+++ b/internal/node/memorystore_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"maps"
 	"sync"
 	"time"
 
@@ -14,10 +15,12 @@
 type memoryStore struct {
 	mu       sync.Mutex
 	down     bool
-	revision uint64
+	era      uint64
+	revision uint64                               // the counter; what is told has the era above it
 	objects  map[string]map[string]objects.Object // by kind and name
 	log      []logged
 	changed  chan struct{}
+	listed   int
 }
 
 type logged struct {
@@ -49,11 +52,58 @@
 	if s.down {
 		return nil, 0, errDown
 	}
+	s.listed++
 	var all []objects.Object
 	for _, o := range s.objects[kind] {
 		all = append(all, o)
 	}
-	return all, s.revision, nil
+	return all, s.told(), nil
+}
+
+// told returns the revision as it is told. The lock is held.
+func (s *memoryStore) told() uint64 { return objects.RevisionIn(s.era, s.revision) }
+
+// copied is the store at a moment.
+type copied struct {
+	revision uint64
+	objects  map[string]map[string]objects.Object
+}
+
+func (s *memoryStore) copy() copied {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := copied{revision: s.revision, objects: map[string]map[string]objects.Object{}}
+	for kind, all := range s.objects {
+		out.objects[kind] = maps.Clone(all)
+	}
+	return out
+}
+
+// comeBack brings a copy back: the counter goes back, its numbers are given out
+// again, and the era rises.
+func (s *memoryStore) comeBack(c copied) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.revision, s.log = c.revision, nil
+	s.objects = map[string]map[string]objects.Object{}
+	for kind, all := range c.objects {
+		s.objects[kind] = map[string]objects.Object{}
+		for name, o := range all {
+			o.Revision = objects.RevisionIn(s.era, objects.CounterOf(o.Revision))
+			s.objects[kind][name] = o
+		}
+	}
+	s.wake()
+}
+
+// lists returns how often kinds were listed, and forgets it.
+func (s *memoryStore) lists() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.listed
+	s.listed = 0
+	return n
 }
 
 func (s *memoryStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
@@ -66,8 +116,12 @@
 				out = append(out, l.change)
 			}
 		}
-		down, revision, changed := s.down, s.revision, s.changed
+		down, revision, changed := s.down, s.told(), s.changed
+		past := objects.EraOf(after) != s.era
 		s.mu.Unlock()
+		if past {
+			return nil, 0, objects.ErrGone
+		}
 		if down {
 			return nil, 0, errDown
 		}
@@ -118,7 +172,7 @@
 		return old, objects.ErrConflict
 	}
 	s.revision++
-	o := objects.Object{Name: name, Revision: s.revision, Spec: spec}
+	o := objects.Object{Name: name, Revision: s.told(), Spec: spec}
 	if s.objects[kind] == nil {
 		s.objects[kind] = map[string]objects.Object{}
 	}
