Crashes that differ by rounding alone aren't told again

Cause, by reading: on the chat path a crash's times are moved to the hearer's clock on each way, and the earlier of two tellings counts. Rounding to milliseconds can make it earlier each time, so that it would count as changed and be told on for as long as it is remembered. Change: up to 5 ms are the same moment. The test failed before. On the relayed path, whose times are whole milliseconds of one clock, daemons that see an end within 5 ms keep their own time for it.

--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -54,6 +54,10 @@
 // requests at once, of which few have no piece of an answer yet.
 const mostSuspects = 64
 
+// sameTime is how far apart two tellings of one moment may be: what clocks lose
+// to rounding on each way, many times over, and far below what is weighed.
+const sameTime = 5 * time.Millisecond
+
 // merge adds what another daemon knows of the same crash, and reports whether
 // that was new.
 func (c *Crash) merge(o *Crash) bool {
@@ -61,7 +65,7 @@
 	if o.Void && !c.Void {
 		c.Void, changed = true, true
 	}
-	if o.At.Before(c.At) {
+	if c.At.Sub(o.At) > sameTime {
 		c.At, changed = o.At, true
 	}
 	for _, s := range o.Suspects {
@@ -92,7 +96,7 @@
 	case at < 0 && len(c.Suspects) < mostSuspects:
 		c.Suspects = append(c.Suspects, s)
 		return true
-	case at >= 0 && s.Sent.Before(c.Suspects[at].Sent):
+	case at >= 0 && c.Suspects[at].Sent.Sub(s.Sent) > sameTime:
 		c.Suspects[at].Sent = s.Sent
 		return true
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -296,3 +296,19 @@
 	}
 	return table
 }
+
+// The same crash is told back and forth between daemons whose clocks are compared
+// anew each time. What it differs by then must not count as news, or it is told
+// for as long as it is remembered.
+func TestSmallDifferencesOfTimeAreNoNews(t *testing.T) {
+	table := NewTable(1)
+	table.Add(at(1), crash(1, 1, 0))
+	before := table.Position()
+	again := crash(1, 1, 0)
+	again.Shift(-900 * time.Microsecond)
+	table.Add(at(1), again)
+	assert.Equal(t, table.Position(), before)
+	again.Shift(-20 * time.Millisecond) // another daemon saw it earlier
+	table.Add(at(1), again)
+	assert.Assert(t, table.Position() != before)
+}
