Both outsides log endpoints' ends and held requests by one piece of code

internal/node and internal/daemon had written the same two lines each. No behaviour changes; nothing is made for a change that is none, which is asked with each answer.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -99,17 +99,10 @@
 
 func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash) {
 	d.ended(c.Void)
-	d.log.WithFields(logrus.Fields{"endpoint": id, "requests": ends.Names(c), "leaving": c.Void}).Warn("endpoint ended under requests")
+	ends.LogEnd(d.log, id, c)
 }
 
-func (d *crashDuty) changed(c quarantine.Change) {
-	for _, k := range c.Held {
-		d.log.WithFields(logrus.Fields{"request": k.String(), "crashes": d.table.Under(k)}).Error("request held: it crashes the endpoints that run it")
-	}
-	for _, k := range c.Released {
-		d.log.WithField("request", k.String()).Info("request released")
-	}
-}
+func (d *crashDuty) changed(c quarantine.Change) { ends.LogChange(d.log, d.table, c) }
 
 // round tells some other daemons of what has changed lately.
 func (d *crashDuty) round(ctx context.Context) {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -62,19 +62,12 @@
 
 func (c *crashes) ended(id fleet.EndpointID, crash *quarantine.Crash) {
 	c.node.metrics.crashed(crash.Void)
-	c.node.say("quarantine").WithFields(map[string]any{
-		"endpoint": id, "requests": ends.Names(crash), "leaving": crash.Void,
-	}).Warn("endpoint ended under requests")
+	ends.LogEnd(c.node.say("quarantine"), id, crash)
 }
 
 func (c *crashes) changed(what quarantine.Change) {
-	for _, k := range what.Held {
-		c.node.say("quarantine").WithFields(map[string]any{
-			"request": k.String(), "crashes": c.table.Under(k),
-		}).Error("request held: it crashes the endpoints that run it")
-	}
-	for _, k := range what.Released {
-		c.node.say("quarantine").WithField("request", k.String()).Info("request released")
+	if len(what.Held)+len(what.Released) > 0 { // seldom, and it is asked with each answer
+		ends.LogChange(c.node.say("quarantine"), c.table, what)
 	}
 }
 
