Logs tell by which configuration a request was handled and what keeps a daemon from a newer one

A request's line has config_since. A daemon tells when it first knows of a newer version and from whom (newer version known), what keeps it after a second (newer version not in force, with the state of its store), and at last for how long it had known (in force, known_ms).

--- a/internal/logging/async.go
+++ b/internal/logging/async.go
@@ -11,11 +11,14 @@
 // asyncLines bounds the lines that wait for a reader of the log.
 const asyncLines = 1024
 
+// TimeFormat is that of times in lines.
+const TimeFormat = "2006-01-02T15:04:05.000Z07:00"
+
 // NewJSON returns a log of JSON lines that never waits for its reader: lines
 // wait in a bounded ring, and the oldest are dropped while it is full.
 func NewJSON(w io.Writer, level string) *logrus.Logger {
 	l := logrus.New()
-	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: "2006-01-02T15:04:05.000Z07:00"})
+	l.SetFormatter(&logrus.JSONFormatter{TimestampFormat: TimeFormat})
 	l.SetOutput(newAsync(w))
 	l.SetLevel(parseLevel(level))
 	return l
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -19,7 +19,8 @@
 	newest spread.Text
 	told   uint64    // the store's revision up to which hubs know no newer version
 	known  uint64    // the newest version that any daemon has told of
-	since  time.Time // when it was told of first
+	since  time.Time // when one that isn't in force was told of first
+	behind bool      // said in the log for since
 
 	sourceMu sync.Mutex
 	source   spread.Source // for other daemons
@@ -87,13 +88,18 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.node.state.Configure(time.Now(), t) {
+	now := time.Now()
+	if !c.node.state.Configure(now, t) {
 		return nil
 	}
+	if c.known > c.newest.Version {
+		log = log.WithField("known_ms", now.Sub(c.since).Milliseconds())
+	}
 	c.newest = spread.Text{Version: t.Version, Bytes: text}
 	c.offer(c.newest)
 	c.node.starting.hasConfiguration()
 	c.node.shareConnections()
+	c.behind = false
 	log.WithFields(map[string]any{"version": t.Version, "routes": len(t.Routes), "bytes": len(text)}).Info("in force")
 	return nil
 }
@@ -124,16 +130,20 @@
 // given up by then.
 const maxLag = time.Second
 
-// knows notes that another daemon has a version.
-func (c *configuration) knows(now time.Time, version uint64) {
+// knows notes that the daemon at an address has a version.
+func (c *configuration) knows(now time.Time, version uint64, address string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if version > c.known {
-		if c.known <= c.newest.Version {
-			c.since = now
-		}
-		c.known = version
+	if version <= c.known {
+		return
 	}
+	if c.known <= c.newest.Version {
+		c.since = now
+	}
+	c.known = version
+	c.node.say("configuration").WithFields(map[string]any{
+		"version": version, "from": address, "in_force": c.newest.Version,
+	}).Info("newer version known")
 }
 
 // lags reports whether a newer version has been known of for long. Failure: the
@@ -143,7 +153,40 @@
 func (c *configuration) lags(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.known > c.newest.Version && now.Sub(c.since) > maxLag
+	if c.lag(now) <= maxLag {
+		return false
+	}
+	c.sayBehind(now)
+	return true
+}
+
+// lag returns how long a version has been known of that is newer than what is in
+// force. The lock is held.
+func (c *configuration) lag(now time.Time) time.Duration {
+	if c.known <= c.newest.Version {
+		return 0
+	}
+	return now.Sub(c.since)
+}
+
+// sayBehind tells, once for each time it falls behind, what keeps this daemon from
+// the newest version. The lock is held.
+func (c *configuration) sayBehind(now time.Time) {
+	if c.behind {
+		return
+	}
+	c.behind = true
+	c.node.say("configuration").WithFields(map[string]any{
+		"version": c.known, "in_force": c.newest.Version, "known_ms": c.lag(now).Milliseconds(),
+		"store_lost": c.store.Lost(), "store_age_ms": c.store.Age().Milliseconds(),
+	}).Warn("newer version not in force")
+}
+
+// Lag returns for how long a newer version has been known of and isn't in force.
+func (c *configuration) Lag() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.lag(time.Now())
 }
 
 // heard takes a hub's word that there is nothing newer than a version up to a
--- a/internal/node/configuration_test.go
+++ b/internal/node/configuration_test.go
@@ -40,14 +40,14 @@
 	c := newIdleConfiguration()
 	start := time.Now()
 	assert.NilError(t, c.apply([]byte("2"), "store"))
-	c.knows(start, 2)
+	c.knows(start, 2, "a")
 	assert.Assert(t, !c.lags(start.Add(time.Hour))) // it has it
-	c.knows(start, 3)
-	c.knows(start.Add(maxLag), 4) // newer ones don't put it off
+	c.knows(start, 3, "a")
+	c.knows(start.Add(maxLag), 4, "b") // newer ones don't put it off
 	assert.Assert(t, !c.lags(start.Add(maxLag)))
 	assert.Assert(t, c.lags(start.Add(maxLag+1)))
 	assert.NilError(t, c.apply([]byte("4"), "store"))
 	assert.Assert(t, !c.lags(start.Add(time.Hour)))
-	c.knows(start.Add(time.Hour), 5) // a new one has its own time
+	c.knows(start.Add(time.Hour), 5, "a") // a new one has its own time
 	assert.Assert(t, !c.lags(start.Add(time.Hour+maxLag)))
 }
--- a/internal/node/fetching.go
+++ b/internal/node/fetching.go
@@ -34,7 +34,7 @@
 // heard notes which version another daemon has.
 func (f *fetching) heard(address string, version uint64) {
 	if version > f.node.config.current().Version {
-		f.node.config.knows(time.Now(), version)
+		f.node.config.knows(time.Now(), version, address)
 		f.offers.Push(offer{address, version})
 	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -22,6 +22,7 @@
 	m := &metricSet{set: metrics.NewSet(), node: n}
 	m.linesLeftOut = m.set.NewCounter("cyclamenbeam_log_lines_left_out_total")
 	m.set.NewGauge("cyclamenbeam_config_version", func() float64 { return float64(n.config.current().Version) })
+	m.set.NewGauge("cyclamenbeam_config_lag_seconds", func() float64 { return n.config.Lag().Seconds() })
 	m.set.NewGauge("cyclamenbeam_requests_active", func() float64 { return float64(n.relay.Active()) })
 	m.set.NewGauge("cyclamenbeam_endpoints_listed", func() float64 {
 		all, _ := n.endpoints.list()
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
@@ -77,6 +78,9 @@
 		"first_ms": o.First.Milliseconds(), "total_ms": o.Total.Milliseconds(), "events": o.Events,
 		"left_ms": o.Left.Milliseconds(), "tokens": o.Tokens, "retry_after_ms": o.RetryAfter.Milliseconds(),
 	}
+	if !o.Since.IsZero() {
+		f["config_since"] = o.Since.UTC().Format(logging.TimeFormat)
+	}
 	if o.Pause > 0 {
 		f["pause_ms"] = o.Pause.Milliseconds()
 	}
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -10,6 +10,7 @@
 // admitted is a request that was let in.
 type admitted struct {
 	table     *route.Table
+	since     time.Time // when the table was put in force
 	route     *route.Route
 	workspace *route.Workspace // nil without a credential
 	service   string
@@ -24,7 +25,7 @@
 func (s *State) admit(now time.Time, r *Request) (*admitted, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	a := &admitted{table: s.table}
+	a := &admitted{table: s.table, since: s.since}
 	if s.table == nil {
 		return a, notRun(NoConfiguration, retryNoConfiguration)
 	}
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -55,6 +55,7 @@
 	o := Outcome{ID: q.ID, Verdict: verdict.NotRun, Tokens: q.tokens()}
 	if a.table != nil {
 		o.Config = a.table.Version
+		o.Since = a.since
 	}
 	if a.route != nil {
 		o.Route = a.route.Name
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -17,6 +17,7 @@
 	Workspace fleet.WorkspaceID
 	Endpoint  fleet.EndpointID // of the last attempt
 	Config    uint64           // version that decided
+	Since     time.Time        // when that version was put in force
 	Tokens    int
 	Reached   int    // endpoints it was sent to
 	Unreached int    // endpoints to which there was no connection
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -20,6 +20,7 @@
 type State struct {
 	mu       sync.Mutex
 	table    *route.Table // nil until one is known
+	since    time.Time    // when it was put in force
 	balancer *balance.Balancer
 	quota    *quota.Quota
 	retry    retry.Config
@@ -53,7 +54,7 @@
 	if s.table != nil && t.Version <= s.table.Version {
 		return false
 	}
-	s.table = t
+	s.table, s.since = t, now
 	s.balancer.Configure(t)
 	s.quota.Configure(now, t)
 	return true
