--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -14,14 +14,15 @@
 type link struct {
 	proxy     *Proxy
 	near, far net.Conn // towards the caller and the target
-	silent    atomic.Bool
+	silent    atomic.Bool // both ways
+	mute      atomic.Bool // towards the caller
 }
 
 // run passes bytes on until both directions have ended.
 func (l *link) run(limit int64) {
 	var both sync.WaitGroup
-	both.Go(func() { l.pass(l.near, l.far, 0) })
-	both.Go(func() { l.pass(l.far, l.near, limit) })
+	both.Go(func() { l.pass(l.near, l.far, 0, &l.silent) })
+	both.Go(func() { l.pass(l.far, l.near, limit, &l.mute) })
 	both.Wait()
 	_ = l.near.Close()
 	_ = l.far.Close()
@@ -29,7 +30,7 @@
 
 // pass copies from one end to the other, and resets both once limit bytes were
 // passed on, if it is above 0.
-func (l *link) pass(from, to net.Conn, limit int64) {
+func (l *link) pass(from, to net.Conn, limit int64, lost *atomic.Bool) {
 	buf := make([]byte, chunkBytes)
 	for passed := int64(0); ; {
 		n, err := from.Read(buf)
@@ -39,7 +40,7 @@
 			n -= int(passed - limit)
 		}
 		time.Sleep(time.Duration(l.proxy.delay.Load()))
-		if !l.silent.Load() {
+		if !l.silent.Load() && !lost.Load() {
 			_, _ = to.Write(buf[:n])
 		}
 		switch {
@@ -47,7 +48,7 @@
 			l.reset()
 			return
 		case err != nil:
-			l.ended(to)
+			l.ended(to, lost)
 			return
 		}
 	}
@@ -55,8 +56,8 @@
 
 // ended tells one end that the other has closed. A silent link tells nothing:
 // whoever waits on it waits until it gives up itself.
-func (l *link) ended(to net.Conn) {
-	if !l.silent.Load() {
+func (l *link) ended(to net.Conn, lost *atomic.Bool) {
+	if !l.silent.Load() && !lost.Load() {
 		_ = to.(*net.TCPConn).CloseWrite()
 	}
 }
--- a/internal/faultproxy/proxy.go
+++ b/internal/faultproxy/proxy.go
@@ -57,6 +57,11 @@
 	return p.each(func(l *link) { l.silent.Store(true) })
 }
 
+// Mute lets what callers send on open connections through and loses the answers.
+func (p *Proxy) Mute() int {
+	return p.each(func(l *link) { l.mute.Store(true) })
+}
+
 func (p *Proxy) each(f func(*link)) int {
 	p.mu.Lock()
 	defer p.mu.Unlock()
