--- a/internal/faultproxy/link.go
+++ b/internal/faultproxy/link.go
@@ -13,7 +13,7 @@
 // link is one connection through the proxy.
 type link struct {
 	proxy     *Proxy
-	near, far net.Conn // towards the caller and the target
+	near, far net.Conn    // towards the caller and the target
 	silent    atomic.Bool // both ways
 	mute      atomic.Bool // towards the caller
 }
