A watch of the store waits no longer than a silent connection may go unnoticed

Cause: a watch was given up 3.6 s after it began, whatever the deployment's bounds. They are suspended for contact_ms, 3 s there, after connections went silent. All daemons begin to watch at the same moment, after each change, so that none could tell the others. The class: a time that was fixed without the bound that it serves.

Now the wait follows from the bound (bounds.contactMillis, of the platform's contact_ms): what a silent connection takes to be found out, the pause before the watch included, is three quarters of it. At 3 s a small fleet's watch waits 1.55 s in place of 3 s. It holds for endpoints that leave as well, which are followed alike.

--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -74,7 +74,7 @@
 }
 
 func newDuties(n *Node) *duties {
-	length := time.Duration(n.settings.Bounds.LeaseMillis * float64(time.Millisecond))
+	length := millis(n.settings.Bounds.LeaseMillis)
 	return &duties{
 		node:    n,
 		lease:   lease.NewSet(leaseConfig(length), n.id, lease.Shards("duties", 1), random(), time.Now()),
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -83,6 +83,9 @@
 	return n
 }
 
+// contact is how long after a disturbance the platform's bounds hold again.
+func (n *Node) contact() time.Duration { return millis(n.settings.Bounds.ContactMillis) }
+
 // startShare is the connections to an endpoint until its service's bound and
 // the number of daemons are known.
 const startShare = 16
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -75,6 +75,9 @@
 	UsageWindowSeconds  float64 `yaml:"usageWindowSeconds"`
 	LeaseMillis         float64 `yaml:"leaseMillis"`
 	AnswerMaxAgeSeconds float64 `yaml:"answerMaxAgeSeconds"`
+	// ContactMillis is how long after a disturbance changes must be in force in
+	// time again.
+	ContactMillis float64 `yaml:"contactMillis"`
 }
 
 // LogSettings choose what is logged.
@@ -87,7 +90,7 @@
 	s := &Settings{
 		Bounds: BoundsSettings{
 			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
-			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5,
+			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5, ContactMillis: 3000,
 		},
 		Log: LogSettings{Level: "info"},
 	}
@@ -113,6 +116,7 @@
 		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
 		{s.Bounds.UsageWindowSeconds <= 0, "bounds.usageWindowSeconds: must be above 0"},
 		{s.Bounds.LeaseMillis <= 0, "bounds.leaseMillis: must be above 0"},
+		{s.Bounds.ContactMillis <= 0, "bounds.contactMillis: must be above 0"},
 	} {
 		if c.bad {
 			return Error.New("%s", c.text)
@@ -121,6 +125,8 @@
 	return nil
 }
 
+func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
 // Recognise reports whether a file holds settings of this kind: they name the
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -39,7 +39,8 @@
 func TestSettingsAreChecked(t *testing.T) {
 	for text, want := range map[string]string{
 		"store: {address: a:1}": "daemon.instance: is missing",
-		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {graceSeconds: 0}": "bounds.graceSeconds",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {graceSeconds: 0}":  "bounds.graceSeconds",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {contactMillis: 0}": "bounds.contactMillis",
 		"store: {adress: a:1}": `unknown field "adress"`,
 		"store: [":             "",
 	} {
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -7,14 +7,17 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 const (
-	// longWait and hubWait are how long a watch waits for a change. A hub's
-	// wait bounds how old the word of its last contact may be.
-	longWait = 3 * time.Second
-	hubWait  = 700 * time.Millisecond
+	// longWait, hubWait and leastWait bound how long a watch waits for a change:
+	// each wait is a call that is billed. A hub's wait bounds how old the word of
+	// its last contact may be.
+	longWait  = 3 * time.Second
+	hubWait   = 700 * time.Millisecond
+	leastWait = 200 * time.Millisecond
 	// staleSlack, with a hub's wait and the time between two reports, is the age
 	// of the freshest hub's last contact with the store from which a daemon
 	// watches by itself. It is for slow answers, and for a watch that hears nothing
@@ -98,10 +101,21 @@
 
 // Wait implements follow.Pace.
 func (w *watching) Wait() time.Duration {
+	most := hubWait
 	if w.small() {
-		return longWait
+		most = longWait
 	}
-	return hubWait
+	return watchWait(most, w.Together(), w.node.contact())
+}
+
+// watchWait returns how long a watch waits that may begin a pause after its
+// connection went silent. The silence is found out, and the store asked again on
+// another connection, within the time after which the platform holds a daemon to
+// its bounds again. All daemons begin to wait at the same moment, after each
+// change, so that none is told by another in the meantime.
+func watchWait(most, pause, contact time.Duration) time.Duration {
+	found := contact * 3 / 4 // the rest is for the call after
+	return max(leastWait, min(most, found-pause-objects.WatchSlack))
 }
 
 // Together implements follow.Pace.
--- /dev/null
+++ b/internal/node/watching_test.go
@@ -0,0 +1,25 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+)
+
+// A watch on a connection that has gone silent is relied on for longer than the platform's bounds are suspended.
+func TestSilentWatchIsFoundOutBeforeTheBoundsHoldAgain(t *testing.T) {
+	for _, contact := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 10 * time.Second} {
+		for _, most := range []time.Duration{hubWait, longWait} {
+			for _, pause := range []time.Duration{together, togetherAtStart} {
+				wait := watchWait(most, pause, contact)
+				assert.Check(t, wait <= most && wait >= leastWait, "%v", wait)
+				again := pause + wait + objects.WatchSlack + 3*follow.Often().First/2
+				assert.Check(t, again < contact, "the store is asked again after %v of %v", again, contact)
+			}
+		}
+	}
+}
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -40,13 +40,18 @@
 	Deleted bool
 }
 
+// WatchSlack is how much longer than its wait a watch may take until its answer
+// begins. One that takes longer isn't answered: its connection counts as silent.
+const WatchSlack = 600 * time.Millisecond
+
 // Store is the platform's object store. All methods are safe for concurrent
 // use and end by their context.
 type Store interface {
 	// List returns the objects of a kind and the revision of the list.
 	List(ctx context.Context, kind string) ([]Object, uint64, error)
 	// Watch returns the changes of a kind after a revision, and the revision
-	// to go on from, as soon as there is one or wait is over. ErrGone as well
+	// to go on from, as soon as there is one or wait is over. An answer that
+	// hasn't begun WatchSlack later is an error. ErrGone as well
 	// where the store has come back from an older copy since that revision.
 	Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]Change, uint64, error)
 	// Get returns an object, or ErrNotFound.
