How long ago a store or an endpoint was heard doesn't follow the time of day

A hub's word of its last contact with the store, and the silence of an endpoint's connection, were kept as Unix time: after a step back they seemed younger than they were, by the step, so that a hub that had lost the store was relied on for longer and a silent endpoint was waited for; after a step ahead a stream looked silent between two events. TestWhenAnEndpointWasHeardDoesNotDependOnTheTimeOfDay failed before.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
@@ -51,21 +52,24 @@
 	lost    atomic.Bool
 	failed  time.Time // when the last failed call began
 	pause   time.Duration
-	contact atomic.Int64 // Unix ns of the last answer
+	contact *clock.Moment // of the last answer
 	// revision is the store's up to which the handler has taken all there is.
 	revision atomic.Uint64
 }
 
 // New returns a follower of a kind.
 func New(store objects.Store, kind string, h Handler, pace Pace) *Follower {
-	return &Follower{store: store, kind: kind, handler: h, pace: pace}
+	return &Follower{store: store, kind: kind, handler: h, pace: pace, contact: clock.NewMoment()}
 }
 
 // Kind returns the kind that is followed.
 func (f *Follower) Kind() string { return f.kind }
 
+// never is the age of an answer that has not come yet.
+const never = 24 * time.Hour
+
 // Age returns how long ago the store last answered.
-func (f *Follower) Age() time.Duration { return time.Since(time.Unix(0, f.contact.Load())) }
+func (f *Follower) Age() time.Duration { return min(time.Since(f.contact.Time()), never) }
 
 // Lost reports whether the last call was not answered.
 func (f *Follower) Lost() bool { return f.lost.Load() }
@@ -144,7 +148,7 @@
 }
 
 func (f *Follower) returned() {
-	f.contact.Store(time.Now().UnixNano())
+	f.contact.Set(time.Now())
 	if f.lost.Swap(false) {
 		f.handler.Returned(f.failed)
 	}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -6,11 +6,12 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 )
 
 // readBuffer holds an answer's head and most of a plain service's body.
@@ -22,7 +23,7 @@
 	pool    *Pool
 	host    *host
 	dialled time.Time
-	heard   atomic.Int64 // when bytes came last, Unix ns
+	heard   *clock.Moment // when bytes came last
 	nc      net.Conn
 	r       *bufio.Reader // of conn itself
 	wait    wait
@@ -31,7 +32,7 @@
 }
 
 func newConn(p *Pool, h *host, address string, nc net.Conn) *conn {
-	c := &conn{address: address, pool: p, host: h, dialled: time.Now(), nc: nc}
+	c := &conn{address: address, pool: p, host: h, dialled: time.Now(), heard: clock.NewMoment(), nc: nc}
 	c.r = bufio.NewReaderSize(c, readBuffer)
 	return c
 }
--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -67,7 +67,7 @@
 }
 
 // lastHeard returns when bytes came last on this connection.
-func (c *conn) lastHeard() time.Time { return time.Unix(0, c.heard.Load()) }
+func (c *conn) lastHeard() time.Time { return c.heard.Time() }
 
 // arm sets the connection's deadline, for an endpoint that was heard last at a
 // time.
@@ -91,7 +91,7 @@
 		n, err := c.nc.Read(p)
 		now := time.Now()
 		if n > 0 {
-			c.heard.Store(now.UnixNano())
+			c.heard.Set(now)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.wait.ended.Load() {
 			return n, err
