Pauses after failed calls to the store count from the call's beginning

A call that was given up after two seconds was followed by a pause of up to 0.6 s, which is for refusals that come at once. With the watch's own 2.25 s that used up the 3 s within which a daemon must follow again once the store is back.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -129,7 +129,8 @@
 	return max(next, after), nil
 }
 
-// after notes an error and waits before the next call.
+// after notes an error and waits before the next call, from the failed one's
+// beginning: one that took long in vain has spaced them already.
 func (f *Follower) after(ctx context.Context, began time.Time, err error) {
 	if err == nil || ctx.Err() != nil {
 		f.pause = 0
@@ -144,7 +145,7 @@
 	}
 	p := f.pace.Pauses()
 	f.pause = min(max(2*f.pause, p.First), p.Last)
-	pause.For(ctx, f.pause/2+rand.N(f.pause))
+	pause.For(ctx, f.pause/2+rand.N(f.pause)-time.Since(began))
 }
 
 func (f *Follower) returned() {
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -194,6 +194,32 @@
 	})
 }
 
+// stamped notes when changes came.
+type stamped struct {
+	heard
+	at time.Time
+}
+
+func (s *stamped) Changed([]objects.Change, uint64) { s.at = time.Now() }
+
+// A store that was silent answers again, and its followers pause on top of the call that they gave up.
+func TestCallThatWasLongInVainIsFollowedByTheNextAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const silent, calls = 2 * time.Second, 5
+		s := &script{answers: []answer{{revision: 7}}}
+		for range calls {
+			s.answers = append(s.answers, answer{after: silent, err: errors.New("no answer")})
+		}
+		s.answers = append(s.answers, answer{changes: []string{"a"}, revision: 9})
+		h := &stamped{}
+		ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
+		defer cancel()
+		began := time.Now()
+		New(s, "things", h, pace{Often()}).Run(ctx, 0, always)
+		assert.Equal(t, h.at.Sub(began), calls*silent)
+	})
+}
+
 // refusing is a store that refuses all calls until it is back.
 type refusing struct {
 	objects.Store
