How long a hub's word is relied on follows from the bound of a change

Where the hubs lose the store, the others turn to it once the hubs' word is 1.9 s old, which suits deployments that allow 3 s and more, as all known ones of that size do; one that allows 2 s would be late. bounds.changeMillis, of the platform's config_apply_ms. The test failed before at 2 s (13 to 340 daemons); nothing changes at 3 s and above.

--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -165,7 +165,7 @@
 		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t)},
 		Bounds: BoundsSettings{
 			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
-			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1, ContactMillis: 3000,
+			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1, ContactMillis: 3000, ChangeMillis: 3000,
 		},
 		Store:  StoreSettings{Address: "memory"},
 		Cloud:  CloudSettings{Duties: []string{"usage_report"}},
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -86,6 +86,9 @@
 // contact is how long after a disturbance the platform's bounds hold again.
 func (n *Node) contact() time.Duration { return millis(n.settings.Bounds.ContactMillis) }
 
+// change is how long after its acknowledgement a change may not yet be in force.
+func (n *Node) change() time.Duration { return millis(n.settings.Bounds.ChangeMillis) }
+
 // startShare is the connections to an endpoint until its service's bound and
 // the number of daemons are known.
 const startShare = 16
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -78,6 +78,9 @@
 	// ContactMillis is how long after a disturbance changes must be in force in
 	// time again.
 	ContactMillis float64 `yaml:"contactMillis"`
+	// ChangeMillis is how long after its acknowledgement a change may not yet be
+	// in force.
+	ChangeMillis float64 `yaml:"changeMillis"`
 }
 
 // LogSettings choose what is logged.
@@ -90,7 +93,7 @@
 	s := &Settings{
 		Bounds: BoundsSettings{
 			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
-			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5, ContactMillis: 3000,
+			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5, ContactMillis: 3000, ChangeMillis: 2000,
 		},
 		Log: LogSettings{Level: "info"},
 	}
@@ -117,6 +120,7 @@
 		{s.Bounds.UsageWindowSeconds <= 0, "bounds.usageWindowSeconds: must be above 0"},
 		{s.Bounds.LeaseMillis <= 0, "bounds.leaseMillis: must be above 0"},
 		{s.Bounds.ContactMillis <= 0, "bounds.contactMillis: must be above 0"},
+		{s.Bounds.ChangeMillis <= 0, "bounds.changeMillis: must be above 0"},
 	} {
 		if c.bad {
 			return Error.New("%s", c.text)
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -25,6 +25,9 @@
 	// all daemons would turn to the store for it. A change is known within two
 	// seconds and a half also where the hubs are cut off.
 	staleSlack = 800 * time.Millisecond
+	// turnTime is how long it takes to turn to the store: to notice that it is due, to
+	// connect, and to be answered.
+	turnTime = roleInterval + 300*time.Millisecond
 	// together and togetherAtStart are the times after a change in which further
 	// ones are left to come. Failure: a fleet starts, its daemons don't know each
 	// other yet, so that all watch, and the endpoints register one after the other.
@@ -86,7 +89,14 @@
 func (w *watching) follows() bool { return !w.small() && !w.hub() }
 
 // stale is the age from which the hubs' word isn't relied on.
-func (w *watching) stale() time.Duration { return hubWait + w.node.interval() + staleSlack }
+func (w *watching) stale() time.Duration { return staleAge(w.node.interval(), w.node.change()) }
+
+// staleAge returns the age from which a hub's word isn't relied on, of hubs that
+// are told at an interval, where a change must be in force within a bound.
+func staleAge(interval, change time.Duration) time.Duration {
+	sound := hubWait + interval
+	return max(sound, min(sound+staleSlack, change-turnTime))
+}
 
 // due reports whether this daemon should watch a kind now, of which it knows all
 // there is or nothing yet. One that has just started lists it first: the store's
--- a/internal/node/watching_test.go
+++ b/internal/node/watching_test.go
@@ -6,10 +6,24 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 )
 
+// The hubs lose the store, and the others rely on their word for longer than a change may take.
+func TestStaleWordIsFoundOutBeforeAChangeIsDue(t *testing.T) {
+	const call = 300 * time.Millisecond // a connection and an answer from a slow store
+	for _, change := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second} {
+		for _, daemons := range []int{13, 80, 195, 340} {
+			interval := exchange.CalmInterval(daemons)
+			stale := staleAge(interval, change)
+			assert.Check(t, stale >= hubWait+interval, "a sound hub's word is stale at %d daemons", daemons)
+			assert.Check(t, stale+roleInterval+call <= change, "%v, of %v at %d daemons", stale, change, daemons)
+		}
+	}
+}
+
 // A watch on a connection that has gone silent is relied on for longer than the platform's bounds are suspended.
 func TestSilentWatchIsFoundOutBeforeTheBoundsHoldAgain(t *testing.T) {
 	for _, contact := range []time.Duration{2 * time.Second, 3 * time.Second, 4 * time.Second, 5 * time.Second, 10 * time.Second} {
