--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -151,6 +151,18 @@
 	return out
 }
 
+// others returns the instances of the other daemons that serve, as this one knows
+// them.
+func (r *roster) others() []fleet.InstanceID {
+	var out []fleet.InstanceID
+	for _, p := range r.view.Load().all {
+		if p.Serving && p.Instance != r.self.Instance {
+			out = append(out, p.Instance)
+		}
+	}
+	return out
+}
+
 // entries returns a workspace's subset by rendezvous, best first, so that its
 // limits and its prompts' prefixes live in few daemons. A second data centre is
 // always among them where two are alive: callers keep the answer for a while,
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -21,7 +21,7 @@
 		by = time.Now().Add(d.settings.Limits.RequestTimeout)
 	}
 	log := logging.For(d.log, logging.Daemon)
-	log.Info("leaving")
+	log.WithField("successors", d.roster.others()).Info("leaving")
 	d.state.leave(time.Now(), d.settings.Entries.MaxAge)
 	d.membership.leave(ctx)
 	d.leasing.giveUp()
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -87,7 +87,7 @@
 
 // fleetOf is daemons on one store.
 type fleetOf struct {
-	t      *testing.T
+	t      testing.TB
 	store  *memoryStore
 	cloud  *cloudLog
 	nodes  []*Node
@@ -95,7 +95,7 @@
 	done   []chan error
 }
 
-func freeAddress(t *testing.T) string {
+func freeAddress(t testing.TB) string {
 	t.Helper()
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
@@ -128,7 +128,7 @@
 	return roster.Endpoint{ID: fleet.EndpointID(o.Name), Service: "s", Address: address, Slots: 8}, err
 }
 
-func newFleet(t *testing.T, n int) *fleetOf {
+func newFleet(t testing.TB, n int) *fleetOf {
 	t.Helper()
 	f := &fleetOf{t: t, store: newMemoryStore(), cloud: &cloudLog{}}
 	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
--- a/internal/node/memorystore_test.go
+++ b/internal/node/memorystore_test.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"maps"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
@@ -21,6 +22,7 @@
 	log      []logged
 	changed  chan struct{}
 	listed   int
+	called   atomic.Int64 // calls of all kinds
 }
 
 type logged struct {
@@ -47,6 +49,7 @@
 var errDown = objects.Error.New("down")
 
 func (s *memoryStore) List(_ context.Context, kind string) ([]objects.Object, uint64, error) {
+	s.called.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
@@ -107,6 +110,7 @@
 }
 
 func (s *memoryStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
+	s.called.Add(1)
 	late := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -139,6 +143,7 @@
 }
 
 func (s *memoryStore) Get(_ context.Context, kind, name string) (objects.Object, error) {
+	s.called.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	o, ok := s.objects[kind][name]
@@ -162,6 +167,7 @@
 }
 
 func (s *memoryStore) put(kind, name string, spec json.RawMessage, may func(objects.Object, bool) bool) (objects.Object, error) {
+	s.called.Add(1)
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
--- a/internal/node/return_test.go
+++ b/internal/node/return_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -52,3 +54,33 @@
 	_, err := f.store.Replace(f.t.Context(), "config", "main", 0, json.RawMessage(text))
 	assert.NilError(f.t, err)
 }
+
+// Calls to the store in the five seconds after it came back from an older copy, and
+// in as long before. On the machine that the capacity page names: see there.
+func BenchmarkStoreCallsAfterItsReturn(b *testing.B) {
+	const span = 5 * time.Second
+	for _, daemons := range []int{6, 80, 195} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			for range b.N {
+				f := newFleet(b, daemons)
+				f.ready()
+				f.held()
+				f.write("2")
+				f.until("version 2 in force", func(n *Node) bool { return n.config.current().Version == 2 })
+				time.Sleep(startTime)
+				old := f.store.copy()
+				began := f.store.called.Load()
+				time.Sleep(span)
+				before := f.store.called.Load()
+				f.store.comeBack(old)
+				f.store.lists()
+				time.Sleep(span)
+				b.ReportMetric(float64(before-began), "calls-before")
+				b.ReportMetric(float64(f.store.called.Load()-before), "calls-after")
+				b.ReportMetric(float64(f.store.lists()), "lists")
+				f.stop()
+				f.nodes, f.cancel, f.done = nil, nil, nil
+			}
+		})
+	}
+}
