--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -36,6 +36,14 @@
 	assert.Assert(t, keys > 20, "only %d keys", keys)
 }
 
+// A platform that states no bound renders its key without a value: the default holds.
+func TestBoundWithoutAValueHasItsDefault(t *testing.T) {
+	s, err := ParseSettings([]byte("daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds:\n  contactMillis: \n  changeMillis: \n"))
+	assert.NilError(t, err)
+	assert.Equal(t, s.Bounds.ContactMillis, 3000.0)
+	assert.Equal(t, s.Bounds.ChangeMillis, 2000.0)
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	for text, want := range map[string]string{
 		"store: {address: a:1}": "daemon.instance: is missing",
