--- a/internal/clock/moment.go
+++ b/internal/clock/moment.go
@@ -13,7 +13,7 @@
 	after atomic.Int64 // ns after base; 0 is none
 }
 
-// NewMoment returns a moment that nothing was set in, at the earliest now.
+// NewMoment returns a moment for times from now on, with none set.
 func NewMoment() *Moment { return &Moment{base: time.Now()} }
 
 // Set takes a time of this process's own clock.
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -22,8 +22,8 @@
 	// of the freshest hub's last contact with the store from which a daemon
 	// watches by itself. It is for slow answers, and for a watch that hears nothing
 	// for a second and has to be given up: the hubs' watches do so together, and
-	// all daemons would turn to the store for it. A change is known within two
-	// seconds and a half also where the hubs are cut off.
+	// all daemons would turn to the store for it. Where a change must be in
+	// force sooner, the slack is less.
 	staleSlack = 800 * time.Millisecond
 	// turnTime is how long it takes to turn to the store: to notice that it is due, to
 	// connect, and to be answered.
