Limits through a kill of all daemons: debts are kept, a kept level is bounded by what is tolerated, what a fleet lets in before it hears of itself is counted

Now a kept debt is taken, the level that is relied on is bounded by a part of what is tolerated beyond a limit (new settings limitExcessShare and limitWindowSeconds, filled in from the platform's bounds), limits are written again within 0.1 s where much was spent since, and totals of hubs and daemons that have just started count whole.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -20,6 +20,7 @@
 		Loads:         packLoads(p.Soft.Load),
 		WantLevels:    p.WantLevels,
 		Fetches:       p.Fetches,
+		Recent:        p.Soft.Recent,
 		WallMs:        p.Wall.UnixMilli(),
 		Holder:        encodeHolder(p.Holder),
 		Endpoints:     encodePosition(p.Endpoints),
@@ -47,9 +48,10 @@
 		Daemon:  fleet.DaemonID(r.Daemon),
 		Version: r.ConfigVersion,
 		Soft: relay.Soft{
-			Spent: decodeSpent(r.Spent),
-			Load:  unpackLoads(r.Loads),
-			Work:  make(map[string]relay.Work, len(r.Works)),
+			Spent:  decodeSpent(r.Spent),
+			Recent: r.Recent,
+			Load:   unpackLoads(r.Loads),
+			Work:   make(map[string]relay.Work, len(r.Works)),
 		},
 		Windows: make(map[uint64]Begun, len(r.Windows)),
 		Wall:    time.UnixMilli(r.WallMs),
@@ -81,6 +83,7 @@
 func encodeSum(s *Sum) *exchangepb.Totals {
 	out := &exchangepb.Totals{
 		Spent:         encodeSpent(s.Soft.Spent),
+		Recent:        s.Soft.Recent,
 		ConfigVersion: s.Version,
 		Config:        s.Text,
 		Holder:        encodeHolder(s.Holder),
@@ -107,7 +110,7 @@
 		Version:   t.ConfigVersion,
 		Text:      t.Config,
 		VersionAt: t.ConfigRevision,
-		Soft:      relay.Soft{Spent: decodeSpent(t.Spent), Levels: decodeSpent(t.Levels)},
+		Soft:      relay.Soft{Spent: decodeSpent(t.Spent), Recent: t.Recent, Levels: decodeSpent(t.Levels)},
 		Holder:    decodeHolder(t.Holder),
 		Endpoints: decodeUpdate(t.Endpoints),
 		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -73,6 +73,9 @@
 func (h *Hub) Take(now time.Time, steady time.Duration, p Part) {
 	skew := time.Duration(p.Wall.UnixNano()) - steady
 	base := p.Soft.Spent
+	if p.Soft.Recent {
+		base = nil
+	}
 	if old := h.parts[p.Daemon]; old != nil {
 		if len(p.Windows) == 0 {
 			p.Windows = old.part.Windows
--- a/internal/node/keptlimits.go
+++ b/internal/node/keptlimits.go
@@ -34,16 +34,24 @@
 	duties *duties
 	busy   bool
 	last   time.Time
+	limits map[fleet.WorkspaceID]quota.Kept // as written last
+}
+
+// due reports whether limits are to be written: each second, and at once where much
+// was spent since that no reader could know of.
+func (k *limitsKeeper) due(now time.Time) bool {
+	ago := now.Sub(k.last)
+	return !k.busy && (ago >= checkpointInterval || k.duties.node.state.LimitsFallen(now, ago, k.limits))
 }
 
 // step writes when that is due.
 func (k *limitsKeeper) step(ctx context.Context, now time.Time) {
-	if k.busy || now.Sub(k.last) < checkpointInterval {
+	if !k.due(now) {
 		return
 	}
-	k.last = now
 	n := k.duties.node
-	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), n.state.KeepLimits(now), n.crashes.table.Keep()})
+	k.last, k.limits = now, n.state.KeepLimits(now)
+	text, err := json.Marshal(keptLimits{n.clock.Now(), n.members.number(), k.limits, n.crashes.table.Keep()})
 	if err != nil {
 		k.duties.log.WithError(err).Error("limits not encoded")
 		return
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,7 +65,7 @@
 	budget := retry.Config{
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 	}
-	limits := quota.New(s.Daemon.FirstStart, s.Bounds.LimitExcess)
+	limits := quota.New(s.Daemon.FirstStart, s.Bounds.tolerance())
 	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
 	n.crashes = newCrashes(n)
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -7,6 +7,7 @@
 	"github.com/goccy/go-yaml"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 )
 
 // Settings are a daemon's, as its file gives them. Times are in the unit that
@@ -71,7 +72,11 @@
 	RetrySlack         float64 `yaml:"retrySlack"`
 	// LimitExcess is what is tolerated beyond a workspace's limit in a window,
 	// in the limit's unit.
-	LimitExcess         float64 `yaml:"limitExcess"`
+	LimitExcess float64 `yaml:"limitExcess"`
+	// LimitExcessShare is what is tolerated besides, as a part of what a limit
+	// allows in LimitWindowSeconds.
+	LimitExcessShare    float64 `yaml:"limitExcessShare"`
+	LimitWindowSeconds  float64 `yaml:"limitWindowSeconds"`
 	UsageWindowSeconds  float64 `yaml:"usageWindowSeconds"`
 	LeaseMillis         float64 `yaml:"leaseMillis"`
 	AnswerMaxAgeSeconds float64 `yaml:"answerMaxAgeSeconds"`
@@ -83,6 +88,11 @@
 	ChangeMillis float64 `yaml:"changeMillis"`
 }
 
+// tolerance returns what may be let in beyond a workspace's limit.
+func (b *BoundsSettings) tolerance() quota.Tolerance {
+	return quota.Tolerance{Amount: b.LimitExcess, Share: b.LimitExcessShare, Window: seconds(b.LimitWindowSeconds)}
+}
+
 // LogSettings choose what is logged.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -117,6 +127,8 @@
 		{s.Limits.MemoryMB < 0, "limits.memoryMB: is negative"},
 		{s.Bounds.GraceSeconds <= 0, "bounds.graceSeconds: must be above 0"},
 		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
+		{s.Bounds.LimitExcessShare < 0, "bounds.limitExcessShare: is negative"},
+		{s.Bounds.LimitWindowSeconds < 0, "bounds.limitWindowSeconds: is negative"},
 		{s.Bounds.UsageWindowSeconds <= 0, "bounds.usageWindowSeconds: must be above 0"},
 		{s.Bounds.LeaseMillis <= 0, "bounds.leaseMillis: must be above 0"},
 		{s.Bounds.ContactMillis <= 0, "bounds.contactMillis: must be above 0"},
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -84,7 +84,7 @@
 	defer t.mu.Unlock()
 	t.hub.Take(now, steady, p)
 	t.holder = t.holder.Newer(p.Holder)
-	sum := exchange.Sum{Soft: relay.Soft{Spent: t.hub.Spent(now, p.Daemon)}, Holder: t.holder}
+	sum := exchange.Sum{Soft: relay.Soft{Spent: t.hub.Spent(now, p.Daemon), Recent: t.node.gathering()}, Holder: t.holder}
 	if !p.Brief {
 		sum.Loads = t.hub.Loads(now, p.Daemon)
 	}
@@ -228,6 +228,7 @@
 		Soft:    t.node.state.Own(),
 		Wall:    time.Now(),
 	}
+	p.Soft.Recent = t.node.gathering()
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if time.Since(t.to(address).counted) >= windowsInterval {
--- a/internal/quota/cut_test.go
+++ b/internal/quota/cut_test.go
@@ -43,7 +43,7 @@
 	f.hubs = map[string]*exchange.Hub{"main": exchange.NewHub(f.interval), "away": exchange.NewHub(f.interval)}
 	f.owed = make([]float64, f.daemons)
 	for range f.daemons {
-		q := quota.New(true, 0)
+		q := quota.New(true, quota.Tolerance{})
 		q.Configure(began, &route.Table{Workspaces: []route.Workspace{{Name: workshop, Rate: rate, Burst: rate}}})
 		q.SetDaemons(began, f.daemons)
 		f.limits = append(f.limits, q)
@@ -128,7 +128,7 @@
 	id := fleet.DaemonID(fmt.Sprint(i))
 	f.hubs[name].Take(now, t, exchange.Part{Daemon: id, Soft: relay.Soft{Spent: spent}, Wall: now})
 	q.KeepHubs([]string{name})
-	q.Others(now, name, f.hubs[name].Spent(now, id))
+	q.Others(now, name, f.hubs[name].Spent(now, id), false)
 }
 
 // most returns the largest sum over a window, as a part of what a limit allows
--- a/internal/quota/kept.go
+++ b/internal/quota/kept.go
@@ -20,6 +20,15 @@
 	// keptFor is how old what was kept may be: a kill, a restart and the time
 	// since it was written. Older, it says nothing of what was spent since.
 	keptFor = 3 * time.Second
+	// restoredShare is the part of the tolerated excess up to which what was kept is
+	// relied on. Failure: a workspace's demand jumps after the last write, uses its
+	// limit up, and all daemons are killed. Symptom: the kept level is let in a second
+	// time. The rest of the excess is for what daemons let in before they hear of
+	// each other.
+	restoredShare = 0.25
+	// fallenShare is the part of the burst and the tolerated excess that may be spent
+	// without being kept.
+	fallenShare = 0.05
 )
 
 // Keep returns what is to be kept, by workspace.
@@ -31,6 +40,28 @@
 	return out
 }
 
+// Fallen reports whether some limit has much less left than follows from what was
+// kept some time ago, so that it must be kept anew. Failure: a workspace's demand
+// jumps and uses several times its limit up before all daemons know, and all are
+// killed before the next write is due. Symptom: the limit is let in once more.
+func (q *Quota) Fallen(now time.Time, ago time.Duration, kept map[fleet.WorkspaceID]Kept) bool {
+	for name, b := range q.buckets {
+		if b.rate <= 0 {
+			continue
+		}
+		off := kept[name].left(b.rate, b.burst, ago) - b.keep(now).Left
+		if off > fallenShare*(b.burst+q.excess.of(b.rate, b.burst)) {
+			return true
+		}
+	}
+	return false
+}
+
+// left returns what a limit has left some time later.
+func (k Kept) left(rate, burst float64, later time.Duration) float64 {
+	return min(k.Left+rate*later.Seconds()-k.Spending*min(later, unkept).Seconds(), burst)
+}
+
 // Restore takes what was kept some time ago, where nobody has told this daemon
 // anything yet. Failure: all daemons are killed and start again, and nobody knows
 // what is left, so that each takes it for nothing. Symptom: callers far below their
@@ -48,7 +79,7 @@
 // restore gives a bucket what was kept of it. Limits are known later at times.
 func (q *Quota) restore(now time.Time, name fleet.WorkspaceID, b *Bucket) {
 	if k, ok := q.kept[name]; ok {
-		b.restore(now, now.Sub(q.keptAt), k)
+		b.restore(now, now.Sub(q.keptAt), k, restoredShare*q.excess.of(b.rate, b.burst))
 	}
 }
 
@@ -57,13 +88,13 @@
 	return Kept{Left: b.level - b.predicted, Spending: b.ownRate + b.othersRate}
 }
 
-// restore takes the kept level with what came since, less what was spent since. The
-// next limit may be lower. What was told meanwhile is newer.
-func (b *Bucket) restore(now time.Time, ago time.Duration, k Kept) {
+// restore takes the kept level with what came since, less what was spent since, and
+// at most what may have been spent without being kept. The next limit may be lower.
+// What was told meanwhile is newer.
+func (b *Bucket) restore(now time.Time, ago time.Duration, k Kept, most float64) {
 	b.fill(now)
 	if !b.untold {
 		return
 	}
-	level := k.Left + b.rate*ago.Seconds() - k.Spending*min(ago, unkept).Seconds()
-	b.level = max(b.level, min(level, b.burst))
+	b.level = min(k.left(b.rate, b.burst, ago), most-b.grace)
 }
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -13,6 +13,7 @@
 	spent   map[fleet.WorkspaceID]float64 // by this daemon since its start
 	refund  map[fleet.WorkspaceID]float64 // given back and not yet taken off spent
 	full    bool                          // new buckets start full
+	excess  Tolerance
 	grace   float64
 	adopted bool // levels were told
 	sums    *Sums
@@ -36,15 +37,15 @@
 // New returns a Quota. full says that the whole system starts for the first
 // time; otherwise what was spent before this process started is not known, and
 // buckets start so far below zero that nothing is let in beyond the limit
-// until a level is told or has grown. excess is what is tolerated in a window
-// beyond a workspace's limit, in its unit.
-func New(full bool, excess float64) *Quota {
+// until a level is told or has grown.
+func New(full bool, excess Tolerance) *Quota {
 	return &Quota{
 		buckets: map[fleet.WorkspaceID]*Bucket{},
 		spent:   map[fleet.WorkspaceID]float64{},
 		refund:  map[fleet.WorkspaceID]float64{},
 		full:    full,
-		grace:   graceShare * excess,
+		excess:  excess,
+		grace:   graceShare * excess.Amount,
 		sums:    NewSums(),
 		daemons: StartDaemons,
 
@@ -181,14 +182,21 @@
 
 // Others takes the totals that a hub tells of all other daemons' spending, by
 // workspace.
-func (q *Quota) Others(now time.Time, hub string, totals map[fleet.WorkspaceID]float64) {
+//
+// recent says that the totals hold nothing but what was let in after a start of the
+// hub and of those it heard of. Failure: all daemons are killed under the demand of
+// several limits, and each counts the others from when it first hears of them.
+// Symptom: what a fleet lets in until its daemons have found each other is counted
+// by nobody.
+func (q *Quota) Others(now time.Time, hub string, totals map[fleet.WorkspaceID]float64, recent bool) {
+	whole := recent && !q.LevelsKnown()
 	first := q.sums.Empty()
-	added := q.sums.Add(hub, totals)
+	added := q.sums.Add(hub, totals, whole)
 	for name := range totals {
 		b := q.buckets[name]
 		switch {
 		case b == nil:
-		case first:
+		case first && !whole:
 			b.Hear(now)
 		default:
 			b.Others(now, added[name])
--- a/internal/quota/quota_test.go
+++ b/internal/quota/quota_test.go
@@ -52,7 +52,7 @@
 		qs := make([]*Quota, daemons)
 		w := route.Workspace{Name: "w", Rate: rate, Burst: burst}
 		for i := range qs {
-			qs[i] = New(true, 0)
+			qs[i] = New(true, Tolerance{})
 			qs[i].Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 		}
 		var history [][]float64
@@ -80,7 +80,7 @@
 						others += v
 					}
 				}
-				q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others})
+				q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others}, false)
 			}
 		}
 		allowed := rate*20 + burst
@@ -97,7 +97,7 @@
 	w := route.Workspace{Name: "w", Rate: rate, Burst: rate}
 	qs := make([]*Quota, daemons)
 	for i := range qs {
-		qs[i] = New(true, 0)
+		qs[i] = New(true, Tolerance{})
 		qs[i].Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 	}
 	var history [][]float64
@@ -125,7 +125,7 @@
 					others += v
 				}
 			}
-			q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others})
+			q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others}, false)
 		}
 	}
 	allowed := rate*8 + rate
@@ -141,7 +141,7 @@
 	w := route.Workspace{Name: "w", Rate: rate, Burst: rate}
 	qs := make([]*Quota, daemons)
 	for i := range qs {
-		qs[i] = New(true, 0)
+		qs[i] = New(true, Tolerance{})
 		qs[i].Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 	}
 	let := 0.0
@@ -162,7 +162,7 @@
 					others += o.Spent()["w"]
 				}
 			}
-			q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others})
+			q.Others(now, "hub", map[fleet.WorkspaceID]float64{"w": others}, false)
 		}
 	}
 	assert.Assert(t, let <= 1.25*(8*rate+rate), "let in %v of %v allowed", let, 8*rate+rate)
@@ -172,7 +172,7 @@
 // A daemon is killed and starts again. Were its bucket full, every restart
 // would be worth a burst.
 func TestRestartDoesNotRefill(t *testing.T) {
-	q := New(false, 100)
+	q := New(false, Tolerance{Amount: 100})
 	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
 	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 	_, ok := q.Take(start, &w, 10)
@@ -194,7 +194,7 @@
 }
 
 func TestLoweredLimitBindsAtOnce(t *testing.T) {
-	q := New(true, 0)
+	q := New(true, Tolerance{})
 	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
 	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 	w.Rate, w.Burst = 10, 20
@@ -210,20 +210,20 @@
 func TestSumsOfSeveralHubsCountOnce(t *testing.T) {
 	s := NewSums()
 	of := func(v float64) map[fleet.WorkspaceID]float64 { return map[fleet.WorkspaceID]float64{"w": v} }
-	assert.Equal(t, s.Add("a", of(100))["w"], 0.0)
-	assert.Equal(t, s.Add("b", of(5000))["w"], 0.0)
-	assert.Equal(t, s.Add("a", of(110))["w"], 10.0)
-	assert.Equal(t, s.Add("b", of(5010))["w"], 0.0)
-	assert.Equal(t, s.Add("b", of(5030))["w"], 20.0) // a is dead
-	assert.Equal(t, s.Add("c", of(7))["w"], 0.0)
-	assert.Equal(t, s.Add("b", of(5035))["w"], 5.0)
-	assert.Equal(t, s.Add("c", of(13))["w"], 1.0) // of which b has told 5
-	assert.Equal(t, s.Add("a", of(3))["w"], 0.0)  // started again
-	assert.Equal(t, s.Add("a", of(7))["w"], 4.0)
+	assert.Equal(t, s.Add("a", of(100), false)["w"], 0.0)
+	assert.Equal(t, s.Add("b", of(5000), false)["w"], 0.0)
+	assert.Equal(t, s.Add("a", of(110), false)["w"], 10.0)
+	assert.Equal(t, s.Add("b", of(5010), false)["w"], 0.0)
+	assert.Equal(t, s.Add("b", of(5030), false)["w"], 20.0) // a is dead
+	assert.Equal(t, s.Add("c", of(7), false)["w"], 0.0)
+	assert.Equal(t, s.Add("b", of(5035), false)["w"], 5.0)
+	assert.Equal(t, s.Add("c", of(13), false)["w"], 1.0) // of which b has told 5
+	assert.Equal(t, s.Add("a", of(3), false)["w"], 0.0)  // started again
+	assert.Equal(t, s.Add("a", of(7), false)["w"], 4.0)
 }
 
 func TestSpentNeverFalls(t *testing.T) {
-	q := New(true, 0)
+	q := New(true, Tolerance{})
 	w := route.Workspace{Name: "w", Rate: 100, Burst: 1000}
 	q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 	q.Take(start, &w, 100)
@@ -243,7 +243,7 @@
 	w := route.Workspace{Name: "w", Rate: 1000, Burst: 1000}
 	let := 0.0
 	for range daemons {
-		q := New(false, 0)
+		q := New(false, Tolerance{})
 		q.SetDaemons(start, daemons)
 		q.Configure(start, &route.Table{Workspaces: []route.Workspace{w}})
 		for step := range 100 { // of 10 ms
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -34,6 +34,8 @@
 	excess = 140000.0
 )
 
+var tolerated = quota.Tolerance{Amount: excess, Share: 0.1, Window: judged}
+
 // sizedFleet plays a workspace's demand at daemons that report to two hubs as
 // often as they do in a fleet of their number.
 type sizedFleet struct {
@@ -43,10 +45,18 @@
 	from, to time.Duration // of the cut
 	hot      time.Duration // when demand jumps from half to several times the limit
 	killed   time.Duration // when all daemons are, zero: never
+	// phase is when the limits are kept first; they are each second from then on.
+	phase time.Duration
+	// found is how long after the start daemons find each other.
+	found time.Duration
+	// peak is demand after the jump, in limits; zero: 3.33.
+	peak float64
 
 	rng    *rand.Rand
 	limits []*quota.Quota
 	next   []time.Duration // report, by daemon
+	kept   map[fleet.WorkspaceID]quota.Kept
+	keptAt time.Duration
 	hubs   map[string]*exchange.Hub
 	let    []float64 // by step, in seconds of the limit
 	asked  []float64 // likewise
@@ -62,7 +72,7 @@
 		f.hubs[name] = exchange.NewHub(interval)
 	}
 	for range f.daemons {
-		q := quota.New(true, excess)
+		q := quota.New(true, tolerated)
 		q.Configure(began, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
 		q.SetDaemons(began, f.daemons)
 		f.limits = append(f.limits, q)
@@ -70,6 +80,9 @@
 	}
 }
 
+// youngTime is for how long daemons say that they have just started.
+const youngTime = 2500 * time.Millisecond
+
 // downTime is how long daemons that were killed take to start again.
 const downTime = 500 * time.Millisecond
 
@@ -80,12 +93,12 @@
 		f.hubs[name] = exchange.NewHub(exchange.CalmInterval(f.daemons))
 	}
 	for i := range f.limits {
-		q := quota.New(false, excess)
+		q := quota.New(false, tolerated)
 		q.Restore(now, ago, kept)
 		q.Configure(now, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
 		q.SetDaemons(now, f.daemons)
 		f.limits[i] = q
-		f.next[i] = t + time.Duration(f.rng.Int64N(int64(200*time.Millisecond)))
+		f.next[i] = t + f.found + time.Duration(f.rng.Int64N(int64(200*time.Millisecond)))
 	}
 }
 
@@ -122,26 +135,23 @@
 	if t < f.hot {
 		return 0.55
 	}
+	if f.peak > 0 {
+		return f.peak
+	}
 	return 3.33
 }
 
 func (f *sizedFleet) play(seed uint64, length time.Duration) {
 	f.start(seed)
-	var kept map[fleet.WorkspaceID]quota.Kept
-	var keptAt time.Duration
 	for t := time.Duration(0); t < length; t += playStep {
 		sum, asked := 0.0, 0.0
 		if f.killed > 0 {
-			// Kept by the first daemon, for the last time 0.9 s before the kill.
-			if t == f.killed-900*time.Millisecond {
-				kept, keptAt = f.limits[0].Keep(began.Add(t)), t
-			}
 			if t >= f.killed && t < f.killed+downTime {
 				f.let, f.asked = append(f.let, 0), append(f.asked, 0)
 				continue
 			}
 			if t == f.killed+downTime {
-				f.again(t, t-keptAt, kept)
+				f.again(t, t-f.keptAt, f.kept)
 			}
 		}
 		for i, q := range f.limits {
@@ -152,10 +162,21 @@
 			sum, asked = sum+let, asked+all
 			f.report(i, q, t)
 		}
+		f.keep(t)
 		f.let, f.asked = append(f.let, sum/largeRate), append(f.asked, asked/largeRate)
 	}
 }
 
+// keep lets the first daemon write what the limits have left.
+func (f *sizedFleet) keep(t time.Duration) {
+	now, ago := began.Add(t), t-f.keptAt
+	due := (t-f.phase)%time.Second == 0
+	urgent := ago >= 100*time.Millisecond && f.limits[0].Fallen(now, ago, f.kept)
+	if due || urgent {
+		f.kept, f.keptAt = f.limits[0].Keep(now), t
+	}
+}
+
 // take returns what a daemon lets in of a step's requests, and what they ask for.
 func (f *sizedFleet) take(q *quota.Quota, t time.Duration) (let, asked float64) {
 	requests := f.demand(t) * largeRate * playStep.Seconds() / float64(f.daemons) / meanCost
@@ -185,12 +206,13 @@
 		return
 	}
 	hubs := f.told(i, t)
+	young := f.killed > 0 && t >= f.killed && t < f.killed+downTime+youngTime
 	q.KeepHubs(hubs)
 	id := fleet.DaemonID(fmt.Sprint(i))
 	for _, name := range hubs {
 		spent := map[fleet.WorkspaceID]float64{workshop: q.Spent()[workshop]}
-		f.hubs[name].Take(now, t, exchange.Part{Daemon: id, Soft: relay.Soft{Spent: spent}, Wall: now})
-		q.Others(now, name, f.hubs[name].Spent(now, id))
+		f.hubs[name].Take(now, t, exchange.Part{Daemon: id, Soft: relay.Soft{Spent: spent, Recent: young}, Wall: now})
+		q.Others(now, name, f.hubs[name].Spent(now, id), young)
 	}
 }
 
@@ -311,7 +333,7 @@
 func TestOldKeptLimitsAreNotTaken(t *testing.T) {
 	kept := map[fleet.WorkspaceID]quota.Kept{workshop: {Left: largeRate}}
 	for _, ago := range []time.Duration{-time.Millisecond, 4 * time.Second} {
-		q := quota.New(false, 0)
+		q := quota.New(false, quota.Tolerance{})
 		q.Configure(began, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
 		q.Restore(began, ago, kept)
 		_, ok := q.Take(began, &largeWorkspace, meanCost)
--- a/internal/quota/sums.go
+++ b/internal/quota/sums.go
@@ -19,8 +19,9 @@
 }
 
 // Add takes a hub's totals and returns what they add to those known before. A
-// total that shrank is a hub's new base.
-func (s *Sums) Add(hub string, totals map[fleet.WorkspaceID]float64) map[fleet.WorkspaceID]float64 {
+// total that shrank is a hub's new base. Where whole is true, a hub's first totals
+// count whole.
+func (s *Sums) Add(hub string, totals map[fleet.WorkspaceID]float64, whole bool) map[fleet.WorkspaceID]float64 {
 	known := s.hubs[hub]
 	if known == nil {
 		known = map[fleet.WorkspaceID]hubTotal{}
@@ -29,7 +30,7 @@
 	added := map[fleet.WorkspaceID]float64{}
 	for w, total := range totals {
 		t, ok := known[w]
-		if !ok || total < t.last {
+		if total < t.last || !ok && !whole {
 			t.base = total - s.applied[w]
 		}
 		t.last = total
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -169,7 +169,7 @@
 	t.Helper()
 	rng := rand.New(rand.NewPCG(1, 2))
 	s := &stage{watcher: &watcher{}, engines: engines}
-	s.state = NewState("a", quota.New(true, 0), retry.Config{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}, rng)
+	s.state = NewState("a", quota.New(true, quota.Tolerance{}), retry.Config{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}, rng)
 	var all []roster.Endpoint
 	for i := range engines {
 		id := fmt.Sprint("e", i)
@@ -389,7 +389,7 @@
 
 // A daemon that has no configuration yet can't know that a route isn't there.
 func TestWithoutAConfigurationNothingIsDenied(t *testing.T) {
-	state := NewState("a", quota.New(true, 0), retry.Config{Window: time.Second}, rand.New(rand.NewPCG(1, 2)))
+	state := NewState("a", quota.New(true, quota.Tolerance{}), retry.Config{Window: time.Second}, rand.New(rand.NewPCG(1, 2)))
 	r := New(state, upstream.NewPool(1, upstream.DialTCP), plainProtocol{}, &watcher{}, &watcher{})
 	out := &seen{}
 	r.Serve(t.Context(), &Request{Path: "/x/", Host: "h"}, out)
--- a/internal/relay/order_test.go
+++ b/internal/relay/order_test.go
@@ -23,7 +23,7 @@
 
 func newLife() *life {
 	rng := rand.New(rand.NewPCG(1, 2))
-	return &life{state: NewState("a", quota.New(false, 0), retry.Config{Window: time.Second}, rng)}
+	return &life{state: NewState("a", quota.New(false, quota.Tolerance{}), retry.Config{Window: time.Second}, rng)}
 }
 
 // tell hands a version to a daemon, as the store's answer or another daemon's.
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -112,6 +112,8 @@
 type Soft struct {
 	// Spent is what was let in since a daemon's start, by workspace.
 	Spent map[fleet.WorkspaceID]float64
+	// Recent says that it started a moment ago.
+	Recent bool
 	// Levels is what the workspaces' limits have left, where they are known.
 	Levels map[fleet.WorkspaceID]float64
 	// Load is the unfinished requests at endpoints.
@@ -133,7 +135,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.quota.Adopt(now, others.Levels)
-	s.quota.Others(now, hub, others.Spent)
+	s.quota.Others(now, hub, others.Spent, others.Recent)
 	if others.Load != nil {
 		s.balancer.Others(others.Load)
 	}
@@ -153,6 +155,14 @@
 	return s.quota.Keep(now)
 }
 
+// LimitsFallen reports whether some limit has much less left than follows from what
+// was kept some time ago.
+func (s *State) LimitsFallen(now time.Time, ago time.Duration, kept map[fleet.WorkspaceID]quota.Kept) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.Fallen(now, ago, kept)
+}
+
 // RestoreLimits takes what was kept of the limits some time ago.
 func (s *State) RestoreLimits(now time.Time, ago time.Duration, kept map[fleet.WorkspaceID]quota.Kept) {
 	s.mu.Lock()
