--- /dev/null
+++ b/internal/rollout/phase.go
@@ -0,0 +1,36 @@
+package rollout
+
+// Phase is where a roll-out stands.
+type Phase uint8
+
+// The phases. Completed and RolledBack are final.
+const (
+	// Trial gives the new version a small share.
+	Trial Phase = iota
+	// Moving gives the new version all requests, while those that run at the old
+	// one end.
+	Moving
+	Completed
+	RolledBack
+)
+
+var phaseNames = [...]string{"trial", "moving", "completed", "rolled-back"}
+
+func (p Phase) String() string { return phaseNames[p] }
+
+// Final reports whether a phase is never left.
+func (p Phase) Final() bool { return p >= Completed }
+
+// MarshalText implements encoding.TextMarshaler.
+func (p Phase) MarshalText() ([]byte, error) { return []byte(p.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (p *Phase) UnmarshalText(text []byte) error {
+	for i, name := range phaseNames {
+		if name == string(text) {
+			*p = Phase(i)
+			return nil
+		}
+	}
+	return Error.New("phase %q is unknown", text)
+}
