Roll-outs wired: orders from the store, one decider under the lease, words in the answers to reports

An operator's order moves a service to another version of its endpoints (platform/wire decodes it; the status is written under the order's revision). The holder of the duties decides, keeps what a successor must know in the store, and tells its word in the answers to the daemons' reports; hubs pass it on with its age. A daemon whose word is older than two fifths of the roll-back's bound sends nothing to the new version. A version that nobody has ordered waits 1.5 s, and for a daemon without a fresh word the version that has served longest counts.

Endpoints of the new version are used few at a time, the same ones by all daemons, so that they have the load of the old one's. Memory of prompts isn't fetched across versions. No endpoints are ordered for a service that moves.

Tests, real daemons on a store in memory: a good version takes over and nothing is lost; a bad one is left; a version that nobody ordered waits; a decider that is stopped has a successor that ends the roll-out; orders that can't be carried out don't stop the others.

--- a/internal/balance/ask.go
+++ b/internal/balance/ask.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
@@ -19,6 +20,8 @@
 	Parts []Part
 	// Prompt and Output are tokens; Output may be an estimate.
 	Prompt, Output int
+	// Side is the part of a service's endpoints that may be chosen, by version.
+	Side rollout.Side
 	// Tried endpoints are not chosen again.
 	Tried []fleet.EndpointID
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -18,6 +18,8 @@
 	members map[fleet.EndpointID]*member
 	sets    map[string][]*member // by service, without those that leave
 	listed  map[string][]*member // by service, with those that leave
+	splits  map[string]*split    // by service, while it moves to another version
+	settled map[string][]*member // by service of several versions, those of the one that has served longest
 	table   *route.Table
 	rate    rate
 	scratch []*member
@@ -32,6 +34,7 @@
 		rng:     rng,
 		members: map[fleet.EndpointID]*member{},
 		sets:    map[string][]*member{},
+		splits:  map[string]*split{},
 		table:   route.New(route.Table{}),
 		rate:    newRate(),
 	}
@@ -72,6 +75,8 @@
 			b.sets[e.Service] = append(b.sets[e.Service], b.members[e.ID])
 		}
 	}
+	b.divideAll()
+	b.settle()
 }
 
 // describe takes the service's description of its engines into a member.
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -9,7 +9,7 @@
 // candidates returns the members to weigh: all of a small set, the subject's
 // first homes and a few drawn ones of a large set. The slice is reused.
 func (b *Balancer) candidates(a *Ask) []*member {
-	set := b.sets[a.Service]
+	set := b.set(a)
 	if len(set) <= scanLimit {
 		return set
 	}
--- a/internal/balance/source.go
+++ b/internal/balance/source.go
@@ -44,7 +44,9 @@
 		out.add(m, m.parts.holds(a.Parts))
 	}
 	for _, m := range b.firstHomes(key, b.listed[a.Service]) {
-		out.add(m, m.parts.holds(a.Parts))
+		if b.onSide(a, m) { // versions don't share their memory
+			out.add(m, m.parts.holds(a.Parts))
+		}
 	}
 	return out
 }
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -27,6 +27,8 @@
 		Brief:         p.Brief,
 		Crashes:       quarantinepb.Encode(p.Crashes),
 		CrashesHave:   quarantinepb.EncodePosition(p.CrashesHave),
+		Rollouts:      encodeReports(p.Rollouts),
+		RolloutNews:   encodeNews(&p.RolloutNews),
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -64,6 +66,9 @@
 
 		Crashes:     quarantinepb.Decode(r.Crashes),
 		CrashesHave: quarantinepb.DecodePosition(r.CrashesHave),
+
+		Rollouts:    decodeReports(r.Rollouts),
+		RolloutNews: decodeNews(r.RolloutNews),
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{
@@ -95,6 +100,7 @@
 
 		Crashes:   quarantinepb.Encode(s.Crashes),
 		CrashesTo: quarantinepb.EncodePosition(s.CrashesTo),
+		Rollouts:  encodeNews(&s.Rollouts),
 	}
 	if s.Loads != nil {
 		out.Loads, out.OwnLoads = s.Loads.packed, packLoads(s.Loads.Own)
@@ -116,6 +122,7 @@
 		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
 		Crashes:   quarantinepb.Decode(t.Crashes),
 		CrashesTo: quarantinepb.DecodePosition(t.CrashesTo),
+		Rollouts:  decodeNews(t.Rollouts),
 	}
 	if t.Loads != nil {
 		s.Loads = &Loads{All: unpackLoads(t.Loads), Own: unpackLoads(t.OwnLoads)}
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -12,6 +12,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 )
 
 var start = time.Unix(1000, 0)
@@ -71,9 +72,20 @@
 	p.Version = 4
 	p.Soft.Work = map[string]relay.Work{"s": {Requests: 1, Refused: 2, Hold: 2.5, Read: 7}}
 	p.Endpoints, p.Brief, p.WantLevels, p.Fetches = feed.Position{Epoch: 8, Seq: 9, Revision: 4}, true, true, true
+	p.Rollouts = []rollout.Report{{
+		Service: "s", Key: rollout.Key{Target: "v2", Started: 5}, Asked: 3, Exposed: 1, Running: 2, Moved: true,
+		Rows: []rollout.Row{{Route: "r", Endpoint: "e", Counts: rollout.Counts{Failed: 1}}},
+	}}
+	p.RolloutNews = rollout.News{
+		Rank: rollout.Rank{Token: 4, Seq: 2}, Age: 30 * time.Millisecond,
+		Words: []rollout.Word{{
+			Service: "s", Key: rollout.Key{Target: "v2", Started: 5}, Phase: rollout.Moving, Share: 0.25,
+			Routes: map[string]float64{"r": 1}, Spread: 4, Turn: 9,
+		}},
+	}
 	assert.DeepEqual(t, decodePart(encodePart(&p)), p)
 	s := Sum{Version: 4, Text: []byte("text"), VersionAt: 77, Soft: relay.Soft{Spent: p.Soft.Spent, Levels: p.Soft.Spent}, True: start, Holder: Holder{Daemon: "a", Token: 7}}
-	s.Fresh = 300 * time.Millisecond
+	s.Fresh, s.Rollouts = 300*time.Millisecond, p.RolloutNews
 	s.Endpoints = feed.Update{
 		To: feed.Position{Epoch: 1, Seq: 2, Revision: 6}, Full: true, Keys: []rendezvous.Short{7, 8},
 		Items: []feed.Item{{Name: "e", Spec: []byte("{}"), Revision: 5}}, Removed: []string{"f"},
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -7,6 +7,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 )
 
 // Begun is the requests that began in a window of usage, by workspace.
@@ -32,6 +33,10 @@
 	// told last, and CrashesHave what the daemon has of the hub's.
 	Crashes     []quarantine.Crash
 	CrashesHave quarantine.Position
+	// Rollouts is what the daemon has counted of those under way, RolloutNews what it
+	// was told of them.
+	Rollouts    []rollout.Report
+	RolloutNews rollout.News
 	// WantLevels asks for what the limits have left.
 	WantLevels bool
 }
@@ -52,6 +57,8 @@
 	// Crashes leads to the hub's crashes of endpoints, at CrashesTo.
 	Crashes   []quarantine.Crash
 	CrashesTo quarantine.Position
+	// Rollouts is what the hub was told of the roll-outs.
+	Rollouts rollout.News
 	// Fresh is the time since the hub last heard from the store.
 	Fresh time.Duration
 }
--- /dev/null
+++ b/internal/exchange/rollouts.go
@@ -0,0 +1,87 @@
+package exchange
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+)
+
+func encodeReports(all []rollout.Report) []*exchangepb.RolloutReport {
+	out := make([]*exchangepb.RolloutReport, len(all))
+	for i := range all {
+		r := &all[i]
+		out[i] = &exchangepb.RolloutReport{
+			Service: r.Service, Target: r.Key.Target, StartedMs: r.Key.Started,
+			Asked: uint64(r.Asked), Exposed: uint64(r.Exposed), Running: int64(r.Running), Moved: r.Moved,
+		}
+		for j := range r.Rows {
+			row := &r.Rows[j]
+			out[i].Rows = append(out[i].Rows, &exchangepb.RolloutRow{
+				Route: row.Route, Endpoint: row.Endpoint, Failed: row.Counts.Failed, Times: row.Counts.Trimmed(),
+			})
+		}
+	}
+	return out
+}
+
+func decodeReports(all []*exchangepb.RolloutReport) []rollout.Report {
+	if len(all) == 0 {
+		return nil
+	}
+	out := make([]rollout.Report, len(all))
+	for i, r := range all {
+		out[i] = rollout.Report{
+			Service: r.Service, Key: rollout.Key{Target: r.Target, Started: r.StartedMs},
+			Asked: int(r.Asked), Exposed: int(r.Exposed), Running: int(r.Running), Moved: r.Moved,
+		}
+		for _, row := range r.Rows {
+			counts := rollout.Counts{Failed: row.Failed}
+			copy(counts.Times[:], row.Times)
+			out[i].Rows = append(out[i].Rows, rollout.Row{Route: row.Route, Endpoint: row.Endpoint, Counts: counts})
+		}
+	}
+	return out
+}
+
+func encodeNews(n *rollout.News) *exchangepb.RolloutNews {
+	if n.Rank.Token == 0 {
+		return nil
+	}
+	out := &exchangepb.RolloutNews{Token: n.Rank.Token, Seq: n.Rank.Seq, AgeMs: n.Age.Milliseconds()}
+	for i := range n.Words {
+		w := &n.Words[i]
+		word := &exchangepb.RolloutWord{
+			Service: w.Service, Target: w.Key.Target, StartedMs: w.Key.Started, Phase: uint32(w.Phase),
+			Share: w.Share, Spread: uint32(w.Spread), Turn: w.Turn,
+		}
+		for route, share := range w.Routes {
+			word.Routes = append(word.Routes, &exchangepb.Amount{Name: route, Amount: share})
+		}
+		out.Words = append(out.Words, word)
+	}
+	return out
+}
+
+func decodeNews(n *exchangepb.RolloutNews) rollout.News {
+	if n == nil {
+		return rollout.News{}
+	}
+	out := rollout.News{
+		Rank: rollout.Rank{Token: n.Token, Seq: n.Seq}, Age: time.Duration(n.AgeMs) * time.Millisecond,
+	}
+	for _, w := range n.Words {
+		word := rollout.Word{
+			Service: w.Service, Key: rollout.Key{Target: w.Target, Started: w.StartedMs}, Phase: rollout.PhaseOf(w.Phase),
+			Share: w.Share, Spread: int(w.Spread), Turn: w.Turn,
+		}
+		for _, a := range w.Routes {
+			if word.Routes == nil {
+				word.Routes = map[string]float64{}
+			}
+			word.Routes[a.Name] = a.Amount
+		}
+		out.Words = append(out.Words, word)
+	}
+	return out
+}
--- a/internal/importguard/importguard_test.go
+++ b/internal/importguard/importguard_test.go
@@ -15,7 +15,7 @@
 // actions. Sub-packages are checked as well.
 var decisions = []string{
 	"admission", "balance", "directory", "ledger", "lease", "membership",
-	"outside/budget", "quota", "reclaim", "rendezvous", "request", "retry",
+	"outside/budget", "quota", "reclaim", "rendezvous", "request", "retry", "rollout",
 	"roster", "route", "routing", "scaling", "feed", "spread", "template", "usage",
 }
 
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -118,6 +118,9 @@
 	}
 	l := d.lease.Lease(0)
 	l.Superseded(d.node.telling.heldBy(d.node.id))
+	if !l.Held(now) {
+		d.node.rollouts.end()
+	}
 	if !l.Held(now) { // asking whether an order may leave would put off the lease's release
 		return
 	}
@@ -129,6 +132,7 @@
 		d.stepUsage(ctx, now)
 	}
 	d.limits.step(ctx, now)
+	d.node.rollouts.step(ctx, d, now)
 	d.scaling.step(ctx, now)
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -281,7 +281,7 @@
 	d.forgetGone(all)
 	d.all = all
 	d.publish()
-	d.node.state.SetEndpoints(all)
+	d.node.state.SetEndpoints(time.Now(), all)
 	d.node.starting.hasEndpoints()
 	d.node.say("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
--- a/internal/node/memorystore_test.go
+++ b/internal/node/memorystore_test.go
@@ -109,6 +109,28 @@
 	return n
 }
 
+func (s *memoryStore) SetStatus(_ context.Context, kind, name string, revision uint64, status json.RawMessage) (objects.Object, error) {
+	s.called.Add(1)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return objects.Object{}, verdict.Wrap(verdict.NotRun, errDown)
+	}
+	o, ok := s.objects[kind][name]
+	switch {
+	case !ok:
+		return objects.Object{}, objects.ErrNotFound
+	case revision != 0 && o.Revision != revision:
+		return o, objects.ErrConflict
+	}
+	s.revision++
+	o.Revision, o.Status = s.told(), status
+	s.objects[kind][name] = o
+	s.log = append(s.log, logged{kind, objects.Change{Object: o}})
+	s.wake()
+	return o, nil
+}
+
 func (s *memoryStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
 	s.called.Add(1)
 	late := time.After(wait)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	endpoints *endpointDuty
 	members   *members
 	telling   *telling
+	rollouts  *rolloutDuty
 	watching  *watching
 	starting  *starting
 	begun     *begunCounts
@@ -79,6 +80,8 @@
 	n.fetching = newFetching(n)
 	n.endpoints = newEndpointDuty(n)
 	n.telling = newTelling(n)
+	n.state.SetRollouts(s.Bounds.rollouts())
+	n.rollouts = newRolloutDuty(n)
 	n.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	return n
 }
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -81,6 +81,9 @@
 	if !o.Since.IsZero() {
 		f["config_since"] = o.Since.UTC().Format(logging.TimeFormat)
 	}
+	if o.Rollout != "" {
+		f["version"], f["rollout"], f["rollout_share"] = o.Version, o.Rollout, o.Share
+	}
 	if o.Pause > 0 {
 		f["pause_ms"] = o.Pause.Milliseconds()
 	}
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -34,7 +34,8 @@
 	}
 }
 
-// step decides and orders where that is due.
+// step decides and orders where that is due. A service that moves to another version
+// has two sets of endpoints, and an order for fewer could take either away.
 func (s *scalingDuty) step(ctx context.Context, now time.Time) {
 	t := s.duties.node.Table()
 	if !s.enabled || t == nil || now.Sub(s.last) < scalingTick {
@@ -48,7 +49,7 @@
 	var work map[string]relay.Work
 	s.duties.node.telling.ask(func(h *exchange.Hub) { work = h.Work() })
 	for i := range t.Services {
-		if service := &t.Services[i]; service.Scaling != nil {
+		if service := &t.Services[i]; service.Scaling != nil && !s.duties.node.rollouts.runs(service.Name) {
 			s.plan(ctx, now, s.sample(service, work[service.Name], elapsed))
 		}
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 )
 
 // Settings are a daemon's, as its file gives them. Times are in the unit that
@@ -86,6 +87,14 @@
 	// ChangeMillis is how long after its acknowledgement a change may not yet be
 	// in force.
 	ChangeMillis float64 `yaml:"changeMillis"`
+	// RolloutShare and RolloutSlack bound the requests that a bad version may get: a
+	// part of its service's until the deadline, and some more. No roll-outs where
+	// the share is 0.
+	RolloutShare float64 `yaml:"rolloutShare"`
+	RolloutSlack float64 `yaml:"rolloutSlack"`
+	// RollbackMillis is how long after its fiftieth bad answer a bad version may
+	// still get requests.
+	RollbackMillis float64 `yaml:"rollbackMillis"`
 }
 
 // tolerance returns what may be let in beyond a workspace's limit.
@@ -93,6 +102,11 @@
 	return quota.Tolerance{Amount: b.LimitExcess, Share: b.LimitExcessShare, Window: seconds(b.LimitWindowSeconds)}
 }
 
+// rollouts returns what roll-outs are held to.
+func (b *BoundsSettings) rollouts() rollout.Bounds {
+	return rollout.Bounds{Share: b.RolloutShare, Slack: b.RolloutSlack, Stop: millis(b.RollbackMillis)}
+}
+
 // LogSettings choose what is logged.
 type LogSettings struct {
 	Level string `yaml:"level"`
@@ -129,6 +143,9 @@
 		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
 		{s.Bounds.LimitExcessShare < 0, "bounds.limitExcessShare: is negative"},
 		{s.Bounds.LimitWindowSeconds < 0, "bounds.limitWindowSeconds: is negative"},
+		{s.Bounds.RolloutShare < 0 || s.Bounds.RolloutShare > 1, "bounds.rolloutShare: must be from 0 to 1"},
+		{s.Bounds.RolloutSlack < 0, "bounds.rolloutSlack: is negative"},
+		{s.Bounds.RolloutShare > 0 && s.Bounds.RollbackMillis <= 0, "bounds.rollbackMillis: must be above 0"},
 		{s.Bounds.UsageWindowSeconds <= 0, "bounds.usageWindowSeconds: must be above 0"},
 		{s.Bounds.LeaseMillis <= 0, "bounds.leaseMillis: must be above 0"},
 		{s.Bounds.ContactMillis <= 0, "bounds.contactMillis: must be above 0"},
--- a/internal/node/storecalls.go
+++ b/internal/node/storecalls.go
@@ -27,6 +27,7 @@
 	callGet     = "get"
 	callCreate  = "create"
 	callReplace = "replace"
+	callStatus  = "status"
 	callDelete  = "delete"
 )
 
@@ -92,6 +93,13 @@
 	return o, err
 }
 
+// SetStatus implements objects.Store.
+func (c *countedStore) SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) (objects.Object, error) {
+	o, err := c.store.SetStatus(ctx, kind, name, revision, status)
+	c.count(callStatus, kind, err)
+	return o, err
+}
+
 // Delete implements objects.Store.
 func (c *countedStore) Delete(ctx context.Context, kind, name string) error {
 	err := c.store.Delete(ctx, kind, name)
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -78,7 +78,9 @@
 func (t *telling) Tell(p exchange.Part) exchange.Sum {
 	t.node.fetching.heardFrom(p.Daemon, p.Version)
 	t.node.crashes.add(p.Crashes)
+	t.node.rollouts.hear(p.Daemon, p.Rollouts)
 	now := time.Now()
+	t.node.state.HearRollouts(now, p.RolloutNews)
 	steady := t.node.clock.Steady()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -88,6 +90,7 @@
 	if !p.Brief {
 		sum.Loads = t.hub.Loads(now, p.Daemon)
 	}
+	sum.Rollouts = t.node.state.Rollouts(now)
 	sum.Crashes, sum.CrashesTo = t.node.crashes.table.Since(p.CrashesHave)
 	if p.WantLevels && now.Sub(t.node.started) > knownLevels {
 		sum.Soft.Levels = t.node.state.Levels(now)
@@ -120,6 +123,8 @@
 	switch {
 	case t.node.gathering():
 		interval = startInterval
+	case t.node.state.Moving(time.Now()):
+		interval = t.node.movingInterval()
 	case t.node.state.LimitsShort(time.Now()):
 		interval = exchange.UrgentInterval(t.node.members.number())
 	}
@@ -229,6 +234,7 @@
 		Wall:    time.Now(),
 	}
 	p.Soft.Recent = t.node.gathering()
+	p.Rollouts, p.RolloutNews = t.node.state.RolloutReports(p.Wall), t.node.state.Rollouts(p.Wall)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if time.Since(t.to(address).counted) >= windowsInterval {
@@ -251,6 +257,8 @@
 // and loads are past, and only what stays true is taken.
 func (t *telling) use(address string, sum *exchange.Sum, took time.Duration) {
 	sum.Fresh += took
+	sum.Rollouts.Age += took
+	t.node.state.HearRollouts(time.Now(), sum.Rollouts)
 	t.node.watching.told(sum.Fresh)
 	t.list(address, sum)
 	if took > exchange.Prompt {
--- a/internal/objects/objects.go
+++ b/internal/objects/objects.go
@@ -63,6 +63,9 @@
 	// ErrConflict as in Create, and always where the store has come back from
 	// an older copy since that revision: the write may stand then.
 	Replace(ctx context.Context, kind, name string, revision uint64, spec json.RawMessage) (Object, error)
+	// SetStatus writes an object's status if the object is at a revision. Errors as
+	// of Replace.
+	SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) (Object, error)
 	// Delete ends an object.
 	Delete(ctx context.Context, kind, name string) error
 }
--- a/internal/relay/flight.go
+++ b/internal/relay/flight.go
@@ -47,6 +47,7 @@
 	f := &flight{relay: r, request: q, admitted: *a, sink: sink, ask: q.ask(a.service)}
 	f.events.lastID = q.LastEvent
 	f.outcome = outcomeFor(q, a)
+	f.outcome.Service = a.service
 	return f
 }
 
@@ -115,7 +116,7 @@
 
 // attempt sends the request to an endpoint once and takes its answer in.
 func (f *flight) attempt(ctx context.Context, c balance.Choice) (end, *keptAnswer) {
-	f.outcome.Endpoint = c.Endpoint.ID
+	f.outcome.Endpoint, f.outcome.Version = c.Endpoint.ID, c.Endpoint.Version
 	f.outcome.Predicted = time.Duration(c.Wait * float64(time.Second))
 	sent := time.Now()
 	attempt, lose := context.WithCancelCause(ctx)
--- a/internal/relay/flight_test.go
+++ b/internal/relay/flight_test.go
@@ -188,7 +188,7 @@
 			{Name: "small", Keys: []string{"small"}, Rate: 1e-6, Burst: 3},
 		},
 	}))
-	s.state.SetEndpoints(all)
+	s.state.SetEndpoints(time.Now(), all)
 	s.relay = New(s.state, upstream.NewPool(4, s.dial(t)), plainProtocol{}, s.watcher, s.watcher)
 	return s
 }
@@ -441,7 +441,7 @@
 		}
 		s := newStage(t, all(), &engine{script: script})
 		restart := func(born time.Time) {
-			s.state.SetEndpoints([]roster.Endpoint{{ID: "e0", Service: "s", Address: "e0", Slots: 8, DataCentre: "a", Born: born}})
+			s.state.SetEndpoints(time.Now(), []roster.Endpoint{{ID: "e0", Service: "s", Address: "e0", Slots: 8, DataCentre: "a", Born: born}})
 		}
 		restart(time.Unix(1000, 0))
 		began := time.Now()
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -15,9 +15,15 @@
 	ID        string
 	Route     string
 	Workspace fleet.WorkspaceID
+	Service   string
 	Endpoint  fleet.EndpointID // of the last attempt
-	Config    uint64           // version that decided
-	Since     time.Time        // when that version was put in force
+	Version   string           // that endpoint's
+	// Share is the part of the route's requests that went to the new version when the
+	// request was placed, Rollout the target; empty where there is no roll-out.
+	Share     float64
+	Rollout   string
+	Config    uint64    // version that decided
+	Since     time.Time // when that version was put in force
 	Tokens    int
 	Reached   int    // endpoints it was sent to
 	Unreached int    // endpoints to which there was no connection
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 )
@@ -29,6 +30,7 @@
 	rng      *rand.Rand
 	loads    *loads
 	underway map[fleet.EndpointID]map[*track]struct{} // attempts
+	versions versions
 }
 
 // NewState returns the state of a daemon in a data centre with its limits and
@@ -43,6 +45,7 @@
 		rng:      rng,
 		loads:    newLoads(),
 		underway: map[fleet.EndpointID]map[*track]struct{}{},
+		versions: newVersions(rollout.Bounds{}),
 	}
 }
 
@@ -69,17 +72,20 @@
 
 // SetEndpoints takes the newest list of endpoints. Attempts at an endpoint that
 // has started again are given up: it runs none of them any more.
-func (s *State) SetEndpoints(all []roster.Endpoint) {
+func (s *State) SetEndpoints(now time.Time, all []roster.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.SetEndpoints(all)
+	services := map[string]bool{}
 	for i := range all {
+		services[all[i].Service] = true
 		for t := range s.underway[all[i].ID] {
 			if t.choice.Endpoint.RestartedAs(&all[i]) {
 				t.lose(errRestarted)
 			}
 		}
 	}
+	s.noteMixed(now, services)
 }
 
 // SetDaemons takes the number of daemons that share the bounds.
--- a/internal/relay/track.go
+++ b/internal/relay/track.go
@@ -7,6 +7,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 )
 
 // track is one attempt's place in the shared state.
@@ -16,6 +17,9 @@
 	sent   time.Time
 	first  bool
 	lose   context.CancelCauseFunc // ends the attempt
+	// counter counts it for a roll-out, nil for none.
+	counter *rollout.Counter
+	toNew   bool
 }
 
 // errRestarted ends attempts at an endpoint that has started again.
@@ -25,12 +29,15 @@
 func (s *State) pick(now time.Time, f *flight) (balance.Choice, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	c, ok := s.balancer.Pick(now, f.ask)
+	c, ok := s.pickSide(now, f)
 	if !ok {
 		return c, notRun(NoEndpoint, spread(retryNoEndpoint, s.rng.Float64()))
 	}
 	if !f.asked {
 		f.asked = true
+		if counter := s.versions.counters[f.service]; counter != nil {
+			counter.Asked()
+		}
 		s.loads.asked(f.service, f.ask.Output, f.ask.Prompt, max(f.ask.Prompt-c.Cached, 0))
 	}
 	if wait := hopeless(f, c, now); wait > 0 {
@@ -81,6 +88,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Sent(t.flight.ask, t.choice)
+	s.countSent(t)
 	id := t.choice.Endpoint.ID
 	if s.underway[id] == nil {
 		s.underway[id] = map[*track]struct{}{}
@@ -98,6 +106,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.balancer.Done(now, t.flight.ask, t.choice, t.first, o)
+	s.countDone(now, t, o)
 	id := t.choice.Endpoint.ID
 	delete(s.underway[id], t)
 	if len(s.underway[id]) == 0 {
--- /dev/null
+++ b/internal/relay/versions.go
@@ -0,0 +1,185 @@
+package relay
+
+import (
+	"math"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+)
+
+// versions is this daemon's part in the roll-outs of services to other versions.
+type versions struct {
+	on       bool
+	gate     *rollout.Gate
+	counters map[string]*rollout.Counter // by service
+	keys     map[string]rollout.Key
+	mixed    map[string]time.Time // since when a service has endpoints of several versions
+}
+
+func newVersions(b rollout.Bounds) versions {
+	return versions{
+		on: b.On(), gate: rollout.NewGate(b), counters: map[string]*rollout.Counter{}, keys: map[string]rollout.Key{},
+		mixed: map[string]time.Time{},
+	}
+}
+
+// newVersion is how long a version that nobody has ordered waits for its first
+// request. Failure: its endpoints are listed before the order is known. Symptom:
+// they get requests that no order allows.
+const newVersion = 1500 * time.Millisecond
+
+// SetRollouts says what roll-outs are held to.
+func (s *State) SetRollouts(b rollout.Bounds) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.versions = newVersions(b)
+}
+
+// HearRollouts takes what another daemon tells of the roll-outs.
+func (s *State) HearRollouts(now time.Time, n rollout.News) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	v := &s.versions
+	v.gate.Hear(now, n)
+	told := map[string]bool{}
+	for _, w := range v.gate.News(now).Words {
+		told[w.Service] = true
+		s.balancer.SetSplit(&w)
+		if v.keys[w.Service] != w.Key {
+			v.keys[w.Service], v.counters[w.Service] = w.Key, rollout.NewCounter(w.Service, w.Key)
+		}
+	}
+	for service := range v.keys {
+		if !told[service] {
+			delete(v.keys, service)
+			delete(v.counters, service)
+			s.balancer.DropSplit(service)
+		}
+	}
+}
+
+// Rollouts returns what this daemon tells others of the roll-outs.
+func (s *State) Rollouts(now time.Time) rollout.News {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.versions.gate.News(now)
+}
+
+// RolloutReports returns what this daemon has counted of the roll-outs under way.
+func (s *State) RolloutReports(now time.Time) []rollout.Report {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []rollout.Report
+	for service, c := range s.versions.counters {
+		w, _ := s.versions.gate.Word(now, service)
+		if !w.Phase.Final() {
+			c.SetMoved(w.All())
+			out = append(out, c.Report())
+		}
+	}
+	return out
+}
+
+// Moving reports whether a service moves all its requests to another version, so
+// that the daemons must hear of each other soon.
+func (s *State) Moving(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for service := range s.versions.counters {
+		if w, _ := s.versions.gate.Word(now, service); w.Phase == rollout.Moving {
+			return true
+		}
+	}
+	return false
+}
+
+// Versions returns how many endpoints of a service take requests, of its old versions
+// and of the one that it moves to.
+func (s *State) Versions(service string) (old, target int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Versions(service)
+}
+
+// noteMixed keeps since when services have endpoints of several versions. The lock is
+// held.
+func (s *State) noteMixed(now time.Time, services map[string]bool) {
+	v := &s.versions
+	for service := range services {
+		_, known := v.mixed[service]
+		switch mixed := s.balancer.Mixed(service); {
+		case mixed && !known:
+			v.mixed[service] = now
+		case !mixed:
+			delete(v.mixed, service)
+		}
+	}
+}
+
+// side returns which versions a request may be sent to. The lock is held.
+func (s *State) side(now time.Time, f *flight) rollout.Side {
+	v := &s.versions
+	if !v.on {
+		return rollout.Any
+	}
+	if w, known := v.gate.Word(now, f.service); known {
+		draw := s.rng.Float64()
+		if f.tally != (tally{}) { // a trial is not worth a second chance to fail
+			draw = math.Nextafter(1, 0)
+		}
+		f.outcome.Rollout, f.outcome.Share = w.Target(), w.ShareOf(f.route.Name)
+		return w.Side(f.route.Name, draw)
+	}
+	if since, mixed := v.mixed[f.service]; mixed && (!v.gate.Fresh(now) || now.Sub(since) < newVersion) {
+		return rollout.Old
+	}
+	return rollout.Any
+}
+
+// pickSide chooses an endpoint of the versions that a request may be sent to. One
+// that the new version can't take goes to the old one.
+func (s *State) pickSide(now time.Time, f *flight) (balance.Choice, bool) {
+	f.ask.Side = s.side(now, f)
+	c, ok := s.balancer.Pick(now, f.ask)
+	if !ok && f.ask.Side == rollout.New {
+		f.ask.Side = rollout.Old
+		c, ok = s.balancer.Pick(now, f.ask)
+	}
+	return c, ok
+}
+
+// countSent counts an attempt for the roll-out of its service. The lock is held.
+func (s *State) countSent(t *track) {
+	c := s.versions.counters[t.flight.service]
+	if c == nil {
+		return
+	}
+	t.counter = c
+	t.toNew = t.choice.Endpoint.Version == s.versions.keys[t.flight.service].Target
+	switch {
+	case t.toNew:
+		c.SentToNew()
+	case !t.flight.route.Repeatable():
+		c.Runs(1)
+	}
+}
+
+// countDone counts an attempt's end. The lock is held.
+func (s *State) countDone(now time.Time, t *track, o balance.Outcome) {
+	if t.counter == nil {
+		return
+	}
+	if !t.toNew && !t.flight.route.Repeatable() {
+		t.counter.Runs(-1)
+	}
+	failed := t.flight.outcome.Failed
+	if !failed && o != balance.Answered || now.Before(t.choice.Endpoint.SlowUntil) {
+		return // what is cut off says nothing of a version, nor does a cold endpoint
+	}
+	name := ""
+	if t.toNew {
+		name = string(t.choice.Endpoint.ID)
+	}
+	t.counter.Answered(t.flight.route.Name, name, failed, now.Sub(t.sent))
+}
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"slices"
 	"time"
 )
 
@@ -134,8 +136,23 @@
 	d.evidence.addNew(now, row.Route, row.Endpoint, *gained)
 }
 
-// Forget drops a daemon that has gone.
-func (d *Decider) Forget(daemon string) { delete(d.reports, daemon) }
+// Settle takes a final phase that the store has.
+func (d *Decider) Settle(p Phase) {
+	d.record.Phase = p
+	d.record.Share, d.routes = d.share(d.record.Ended)
+}
+
+// forgetGone drops what is held of daemons that have gone; what they counted stays.
+func (d *Decider) forgetGone() {
+	if len(d.reports) <= 2*len(d.view.Daemons)+16 {
+		return
+	}
+	for name := range d.reports {
+		if !slices.Contains(d.view.Daemons, name) {
+			delete(d.reports, name)
+		}
+	}
+}
 
 // Step decides at now, and returns whether the phase changed. The time is the
 // fleet's.
@@ -144,13 +161,14 @@
 	if d.record.Phase.Final() {
 		return false
 	}
+	d.forgetGone()
 	d.count(now)
 	before := d.record.Phase
 	switch {
 	case d.bad():
 		d.end(now, RolledBack, d.why())
-	case before == Trial && v.New == 0 && !now.Before(d.record.Deadline()):
-		d.end(now, RolledBack, "no endpoint of the new version until the deadline")
+	case before == Trial && !now.Before(d.record.Deadline()):
+		d.end(now, RolledBack, "the deadline passed before the new version was tried")
 	case before == Trial && !now.Before(d.moveAt()) && v.New > 0:
 		d.record.Phase = Moving
 	case before == Moving && (d.moved() || !now.Before(d.record.Deadline().Add(-leastMargin/3)) && len(d.leftBehind()) == 0):
@@ -329,7 +347,7 @@
 	}
 	w.Spread = max(int(w.Share*float64(max(d.view.Old, d.view.New))+0.999), leastSpread)
 	if w.Phase >= Moving {
-		w.Spread = d.view.New
+		w.Spread = math.MaxInt32 // all
 	}
 	return w
 }
--- a/internal/rollout/phase.go
+++ b/internal/rollout/phase.go
@@ -18,6 +18,14 @@
 
 func (p Phase) String() string { return phaseNames[p] }
 
+// PhaseOf returns the phase of a number; one that is not known counts as the first.
+func PhaseOf(n uint32) Phase {
+	if n >= uint32(len(phaseNames)) {
+		return Trial
+	}
+	return Phase(n)
+}
+
 // Final reports whether a phase is never left.
 func (p Phase) Final() bool { return p >= Completed }
 
--- a/internal/rollout/times.go
+++ b/internal/rollout/times.go
@@ -28,6 +28,15 @@
 	Times  [timeBuckets]uint32 // by answer time, without the failed ones
 }
 
+// Trimmed returns the counts by answer time up to the last that isn't 0.
+func (c *Counts) Trimmed() []uint32 {
+	n := timeBuckets
+	for n > 0 && c.Times[n-1] == 0 {
+		n--
+	}
+	return c.Times[:n]
+}
+
 // add counts an answer.
 func (c *Counts) add(failed bool, took time.Duration) {
 	if failed {
--- a/internal/roster/endpoint.go
+++ b/internal/roster/endpoint.go
@@ -12,7 +12,8 @@
 	Service    string
 	Address    string // host:port; may belong to another endpoint later
 	DataCentre fleet.DataCentre
-	Slots      int // requests at once
+	Version    string // of its software
+	Slots      int    // requests at once
 	Draining   bool
 	Spot       bool // of the reclaimable class
 	// SlowUntil is when a started endpoint has its full speed.
