--- a/internal/cli/root.go
+++ b/internal/cli/root.go
@@ -88,6 +88,7 @@
 		newLoad(a),
 		newReport(a),
 		newExplain(a),
+		newRollouts(a),
 		newVersion(a),
 	)
 	return root
