--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -10,7 +10,7 @@
 const (
 	// wrongly is about the probability that a good version is found to be bad. Each of
 	// its answers is one more occasion for chance.
-	wrongly = 0.0025
+	wrongly = 0.001
 	// leastBad is how many bad answers that takes at least.
 	leastBad = 3
 	// capPart is the part of the bound on requests to a bad version that a trial may
@@ -193,7 +193,7 @@
 			r.Bad++
 		}
 	}
-	r.Chance, r.Route = d.evidence.worst()
+	r.Chance, r.Route = d.evidence.worst(d.view.New == 1)
 	if since := now.Sub(d.rateAt); since >= rateTime/4 {
 		weight := min(since.Seconds()/rateTime.Seconds(), 1)
 		if d.rateOf == 0 {
--- a/internal/rollout/evidence.go
+++ b/internal/rollout/evidence.go
@@ -1,18 +1,22 @@
 package rollout
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"time"
 )
 
 const (
-	// sameTime is how far back the old version's answers are compared: long enough
-	// for some of each route, short enough that a disturbance counts for both.
+	// sameTime is how far back the old version's answers are compared, and atOnce how
+	// far where these are enough: what strikes both versions must count for both.
 	sameTime = 4 * time.Second
+	atOnce   = time.Second
 	// fewAnswers is how many of the old version's answers a comparison needs;
 	// below, all since the order are taken.
 	fewAnswers = 50
+	// fewForMedian is how many it takes until their median is about right.
+	fewForMedian = 10
 	// slowBuckets above the old version's median is slow: more than twice as long.
 	slowBuckets = 2
 	// leastRate is taken for the old version's part of bad answers at least: a few
@@ -20,9 +24,10 @@
 	leastRate = 0.01
 	// doubt is added to the old version's bad answers: few answers may lack the bad
 	// ones by chance.
-	doubt = 1
-	// unknownRate is taken where the old version has no answers of the route.
-	unknownRate = 0.05
+	doubt = 1.0
+	// likeOthers is how many answers a route's rate is taken to be like that of all
+	// routes together: its own few say little.
+	likeOthers = 20.0
 	// maxSeen bounds the answers of the new version that are looked at again.
 	maxSeen = 400
 )
@@ -83,7 +88,7 @@
 // that came in with them are to be added before.
 func (e *evidence) addNew(now time.Time, route, endpoint string, c Counts) {
 	r := e.route(route)
-	limit, rate := r.compare(now)
+	limit, rate := r.compare(now, e.pooled(now))
 	bad := int(c.Failed) + c.above(limit)
 	for i := range c.answers() {
 		s := seen{endpoint: endpoint, bad: i < bad, rate: rate}
@@ -99,48 +104,78 @@
 	return s
 }
 
-// compare returns the class of answer times above which an answer is slow, and which
-// part of the old version's answers is bad now.
-func (r *routeEvidence) compare(now time.Time) (limit int, rate float64) {
+// pooled returns which part of the old version's answers is bad now, over all routes.
+func (e *evidence) pooled(now time.Time) float64 {
+	bad, all := float64(doubt), 2*float64(doubt)
+	for _, r := range e.routes {
+		lately := r.lately(now)
+		if limit, ok := lately.slowFrom(); ok {
+			bad += float64(int(lately.Failed) + lately.above(limit))
+			all += float64(lately.answers())
+		}
+	}
+	return bad / all
+}
+
+// lately returns the old version's answers to compare with: the newest that are
+// enough.
+func (r *routeEvidence) lately(now time.Time) Counts {
 	for len(r.old) > 0 && now.Sub(r.old[0].at) > sameTime {
 		r.old = r.old[1:]
 	}
-	var lately Counts
-	for i := range r.old {
-		lately.plus(&r.old[i].counts)
+	var out Counts
+	for _, m := range slices.Backward(r.old) {
+		if now.Sub(m.at) > atOnce && out.answers() >= fewAnswers {
+			return out
+		}
+		out.plus(&m.counts)
 	}
-	if lately.answers() < fewAnswers {
-		lately = r.oldAll
+	if out.answers() < fewAnswers {
+		return r.oldAll
 	}
-	middle, ok := lately.median()
+	return out
+}
+
+// compare returns the class of answer times above which an answer is slow, and which
+// part of the old version's answers is bad now; pooled is that of all routes.
+func (r *routeEvidence) compare(now time.Time, pooled float64) (limit int, rate float64) {
+	old := r.lately(now)
+	limit, ok := old.slowFrom()
 	if !ok {
-		return timeBuckets, unknownRate
+		return timeBuckets, pooled
 	}
+	bad := float64(int(old.Failed)+old.above(limit)) + likeOthers*pooled
+	return limit, max(leastRate, bad/(float64(old.answers())+likeOthers))
+}
+
+// slowFrom returns the class of answer times above which an answer is slow, false
+// where there is none to compare with.
+func (c *Counts) slowFrom() (limit int, ok bool) {
+	middle, ok := c.median()
 	limit = middle + slowBuckets
-	if lately.answers() < fewAnswers {
+	if c.answers() < fewForMedian {
 		limit++ // the median of few is off by a class
 	}
-	bad := float64(int(lately.Failed) + lately.above(limit))
-	return limit, max(leastRate, (bad+doubt)/(float64(lately.answers())+2*doubt))
+	return limit, ok
 }
 
 // worst returns the least probability, over routes and windows, that the old
 // version's rate explains the new one's bad answers, and the route it is of, empty
-// for all together.
-func (e *evidence) worst() (p float64, route string) {
-	p = chance(e.all)
+// for all together. alone says that the new version has one endpoint.
+func (e *evidence) worst(alone bool) (p float64, route string) {
+	p = chance(e.all, alone)
 	for name, r := range e.routes {
-		if q := chance(r.new); q < p || q == p && name < route {
+		if q := chance(r.new, alone); q < p || q == p && name < route {
 			p, route = q, name
 		}
 	}
 	return p, route
 }
 
-func chance(all []seen) float64 {
+func chance(all []seen, alone bool) float64 {
 	least := 1.0
 	for _, n := range windows {
-		least = min(least, chanceOf(all[max(len(all)-n, 0):]))
+		least = min(least, chanceOf(all[max(len(all)-n, 0):], alone))
 		if n >= len(all) {
 			break
 		}
@@ -157,7 +192,7 @@
 // chanceOf returns the probability that chance alone makes as many answers bad. The
 // endpoint with the most bad answers counts for no more than the next one: one that
 // is broken says nothing of its version.
-func chanceOf(all []seen) float64 {
+func chanceOf(all []seen, alone bool) float64 {
 	tallies := map[string]*tally{}
 	for i := range all {
 		s := &all[i]
@@ -171,18 +206,25 @@
 			t.bad++
 		}
 	}
-	count, mean, most, second := 0, 0.0, 0, 0
-	for _, t := range tallies {
+	list := slices.SortedFunc(maps.Values(tallies), func(a, b *tally) int { return b.bad - a.bad })
+	switch len(list) {
+	case 0:
+		return 1
+	case 1:
+		if !alone {
+			return 1
+		}
+		p := poissonTail(list[0].bad, list[0].mean)
+		return p * p // it can't be told from its version: twice the evidence
+	case 2:
+		return poissonTail(list[1].bad, list[1].mean) // the better one of two speaks for both
+	}
+	count, mean := list[1].bad, list[0].mean
+	for _, t := range list[1:] {
 		count += t.bad
 		mean += t.mean
-		second = max(second, min(most, t.bad))
-		most = max(most, t.bad)
-	}
-	if len(tallies) == 1 {
-		p := poissonTail(count, mean)
-		return p * p // an endpoint alone can't be told from its version: twice the evidence
 	}
-	return poissonTail(count-most+second, mean)
+	return poissonTail(count, mean)
 }
 
 // poissonTail returns the probability of n or more where mean are expected.
