The version that has served longest counts only while some of it stays

A daemon that knows no word on a service of several versions uses the one that has served longest. Where all of that one's endpoints leave, it refused everything; now the others are used. Guarded by TestVersionThatHasServedLongestCountsWithoutAnOrder.

--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -101,12 +101,16 @@
 		if !mixed {
 			continue
 		}
-		b.settled[service] = nil
+		var of []*member
 		for _, m := range b.sets[service] {
 			if m.Version == version {
-				b.settled[service] = append(b.settled[service], m)
+				of = append(of, m)
 			}
 		}
+		if len(of) == 0 { // all of it leave
+			of = b.sets[service]
+		}
+		b.settled[service] = of
 	}
 }
 
--- /dev/null
+++ b/internal/balance/split_test.go
@@ -0,0 +1,76 @@
+package balance
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+var splitNow = time.Unix(1000, 0)
+
+// versioned returns endpoints of a version that started at a time.
+func versioned(version string, n int, born time.Time) []roster.Endpoint {
+	out := make([]roster.Endpoint, n)
+	for i := range out {
+		id := version + "-" + string(rune('a'+i))
+		out[i] = roster.Endpoint{ID: fleet.EndpointID(id), Service: "s", Address: id, Version: version, Slots: 4, Born: born}
+	}
+	return out
+}
+
+// pickedVersions returns the versions and endpoints that many requests go to.
+func pickedVersions(b *Balancer, side rollout.Side) (versions map[string]bool, endpoints map[fleet.EndpointID]bool) {
+	versions, endpoints = map[string]bool{}, map[fleet.EndpointID]bool{}
+	for range 200 {
+		c, ok := b.Pick(splitNow, &Ask{Service: "s", Side: side})
+		if ok {
+			versions[c.Endpoint.Version] = true
+			endpoints[c.Endpoint.ID] = true
+		}
+	}
+	return versions, endpoints
+}
+
+func TestSidesOfARollout(t *testing.T) {
+	b := New("z", rand.New(rand.NewPCG(1, 2)))
+	b.SetEndpoints(append(versioned("v1", 8, splitNow), versioned("v2", 8, splitNow.Add(time.Minute))...))
+	b.SetSplit(&rollout.Word{Service: "s", Key: rollout.Key{Target: "v2"}, Spread: 3, Turn: 1})
+	versions, _ := pickedVersions(b, rollout.Old)
+	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
+	versions, endpoints := pickedVersions(b, rollout.New)
+	assert.DeepEqual(t, versions, map[string]bool{"v2": true})
+	assert.Equal(t, len(endpoints), 3)
+	old, target := b.Versions("s")
+	assert.Equal(t, old, 8)
+	assert.Equal(t, target, 8)
+	b.SetSplit(&rollout.Word{Service: "s", Key: rollout.Key{Target: "v2"}, Spread: 3, Turn: 2})
+	_, next := pickedVersions(b, rollout.New)
+	assert.Assert(t, len(next) == 3)
+	for id := range endpoints {
+		if !next[id] {
+			return
+		}
+	}
+	t.Fatal("the next turn has the same endpoints")
+}
+
+func TestVersionThatHasServedLongestCountsWithoutAnOrder(t *testing.T) {
+	b := New("z", rand.New(rand.NewPCG(1, 2)))
+	old := versioned("v1", 3, splitNow)
+	b.SetEndpoints(append(versioned("v2", 3, splitNow.Add(time.Minute)), old...))
+	versions, _ := pickedVersions(b, rollout.Old)
+	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
+
+	for i := range old {
+		old[i].Draining = true
+	}
+	b.SetEndpoints(append(versioned("v2", 3, splitNow.Add(time.Minute)), old...))
+	versions, _ = pickedVersions(b, rollout.Old)
+	assert.DeepEqual(t, versions, map[string]bool{"v2": true})
+}
