Roll-outs: no order is known only from the store; a final state that the store lost is written again

The holder of the duties was cut off from the store when the operator ordered; it told the others that there is no order, and 1.5 s after the new version had appeared they used both. Now the word says how long ago its decider heard from the store, and a version that nobody ordered waits until the decider has heard from the store 1.5 s after it appeared. TestNoOrderIsKnownOnlyFromTheStore.

By reading: a final state that was lost with the store's copy wasn't written again (TestFinalStateIsWrittenAgainAfterTheStoreLostIt); an order with another duration forgot what was exposed; what runs at a daemon that leaves didn't hold the take-over.

--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -77,7 +77,7 @@
 		Rows: []rollout.Row{{Route: "r", Endpoint: "e", Counts: rollout.Counts{Failed: 1}}},
 	}}
 	p.RolloutNews = rollout.News{
-		Rank: rollout.Rank{Token: 4, Seq: 2}, Age: 30 * time.Millisecond,
+		Rank: rollout.Rank{Token: 4, Seq: 2}, Age: 30 * time.Millisecond, OrdersAge: 40 * time.Millisecond,
 		Words: []rollout.Word{{
 			Service: "s", Key: rollout.Key{Target: "v2", Started: 5}, Phase: rollout.Moving, Share: 0.25,
 			Routes: map[string]float64{"r": 1}, Spread: 4, Turn: 9,
--- a/internal/exchange/rollouts.go
+++ b/internal/exchange/rollouts.go
@@ -48,7 +48,7 @@
 	if n.Rank.Token == 0 {
 		return nil
 	}
-	out := &exchangepb.RolloutNews{Token: n.Rank.Token, Seq: n.Rank.Seq, AgeMs: n.Age.Milliseconds()}
+	out := &exchangepb.RolloutNews{Token: n.Rank.Token, Seq: n.Rank.Seq, AgeMs: n.Age.Milliseconds(), OrdersAgeMs: n.OrdersAge.Milliseconds()}
 	for i := range n.Words {
 		w := &n.Words[i]
 		word := &exchangepb.RolloutWord{
@@ -69,6 +69,7 @@
 	}
 	out := rollout.News{
 		Rank: rollout.Rank{Token: n.Token, Seq: n.Seq}, Age: time.Duration(n.AgeMs) * time.Millisecond,
+		OrdersAge: time.Duration(n.OrdersAgeMs) * time.Millisecond,
 	}
 	for _, w := range n.Words {
 		word := rollout.Word{
--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -264,6 +264,18 @@
 	}
 }
 
+// Guards against a final state that is lost with the store's copy.
+func TestFinalStateIsWrittenAgainAfterTheStoreLostIt(t *testing.T) {
+	f := newRollingFleet(t, 2, 2)
+	f.load(150)
+	f.rollOut("v2", 8, true)
+	before := f.store.copy()
+	assert.Equal(t, f.ended(), rollout.RolledBack)
+	f.store.comeBack(before)
+	assert.Equal(t, f.ended(), rollout.RolledBack)
+	f.stopLoad()
+}
+
 // stopHolder stops the daemon that holds the duties.
 func (f *rollingFleet) stopHolder() {
 	for i, n := range f.nodes {
--- /dev/null
+++ b/internal/node/rolloutrunning.go
@@ -0,0 +1,128 @@
+package node
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+)
+
+const (
+	// recordInterval is how often a running roll-out is written.
+	recordInterval = time.Second
+	// statusRetry is the pause after a status that could not be written.
+	statusRetry = 200 * time.Millisecond
+)
+
+// runningRollout is a roll-out of which this daemon is the decider.
+type runningRollout struct {
+	decider  *rollout.Decider
+	order    rollout.Order
+	revision uint64 // of the order's object
+	kept     time.Time
+	keeping  bool
+	writing  bool
+	stated   bool // the status names this target and isn't final
+	final    bool // the status is final
+	retry    time.Time
+}
+
+// reorder takes an order with the same target and another duration.
+func (r *runningRollout) reorder(order rollout.Order) {
+	if r.order != order {
+		r.order = order
+		r.decider.Reorder(order)
+	}
+}
+
+// take takes what the store says of a roll-out. A final status is never left; one that
+// the store has lost is written again.
+func (r *runningRollout) take(n *Node, o objects.Object) {
+	if o.Revision < r.revision {
+		return
+	}
+	r.revision = o.Revision
+	target, phase, final := n.platform.DecodeRollout(o)
+	r.stated = target == r.order.Target
+	switch {
+	case !r.stated || !final:
+		r.final = false
+	case !r.final:
+		r.final = true
+		r.decider.Settle(phase)
+	}
+}
+
+// say logs where a roll-out stands.
+func (d *rolloutDuty) say(r *runningRollout, what string) {
+	record := r.decider.Record()
+	d.log.WithFields(logrus.Fields{
+		"service": r.order.Service, "target": r.order.Target, "phase": record.Phase.String(), "reason": record.Reason,
+		"asked": record.Asked, "exposed": record.Exposed, "answers": record.Answers, "bad": record.Bad,
+		"chance": record.Chance, "route": record.Route, "share": record.Share,
+	}).Info(what)
+}
+
+// keep writes the record for a successor.
+func (d *rolloutDuty) keep(ctx context.Context, duties *duties, now time.Time, r *runningRollout, record rollout.Record) {
+	text, err := json.Marshal(record)
+	if err != nil {
+		d.log.WithError(err).Error("record not encoded")
+		return
+	}
+	r.keeping, r.kept = true, now
+	duties.call(ctx, func() func(time.Time) {
+		err := d.node.put(ctx, RolloutRecordKind, r.order.Service, text)
+		return func(time.Time) {
+			r.keeping = false
+			if err != nil {
+				d.log.WithError(err).WithField("service", r.order.Service).Info("record not kept")
+			}
+		}
+	})
+}
+
+// state writes the status. Two deciders may try: the store takes one of them.
+func (d *rolloutDuty) state(ctx context.Context, duties *duties, r *runningRollout, phase rollout.Phase) {
+	if _, ok := duties.fence(); !ok {
+		return
+	}
+	status, err := d.node.platform.EncodeRollout(r.order.Target, phase)
+	if err != nil {
+		d.log.WithError(err).Error("status not encoded")
+		return
+	}
+	r.writing = true
+	revision := r.revision
+	duties.call(ctx, func() func(time.Time) {
+		o, err := d.node.platform.Store.SetStatus(ctx, d.node.platform.RolloutKind, r.order.Service, revision, status)
+		return func(now time.Time) { d.stated(now, r, phase, o, err) }
+	})
+}
+
+// stated takes the answer to a status.
+func (d *rolloutDuty) stated(now time.Time, r *runningRollout, phase rollout.Phase, o objects.Object, err error) {
+	r.writing = false
+	log := d.log.WithFields(logrus.Fields{"service": r.order.Service, "target": r.order.Target, "phase": phase.String()})
+	switch {
+	case err == nil:
+		r.revision, r.stated = max(r.revision, o.Revision), true
+		if phase.Final() {
+			r.final = true
+			r.decider.Settle(phase)
+		}
+		log.Info("status written")
+	case errors.Is(err, objects.ErrConflict) && o.Revision != 0:
+		r.retry = now.Add(statusRetry)
+		r.take(d.node, o)
+		log.Info("another revision of the order stands")
+	default:
+		r.retry = now.Add(statusRetry)
+		log.WithError(err).Warn("status not written")
+	}
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -78,7 +78,7 @@
 func (t *telling) Tell(p exchange.Part) exchange.Sum {
 	t.node.fetching.heardFrom(p.Daemon, p.Version)
 	t.node.crashes.add(p.Crashes)
-	t.node.rollouts.hear(p.Daemon, p.Rollouts)
+	t.node.rollouts.told.hear(p.Daemon, p.Rollouts)
 	now := time.Now()
 	t.node.state.HearRollouts(now, p.RolloutNews)
 	steady := t.node.clock.Steady()
@@ -258,6 +258,7 @@
 func (t *telling) use(address string, sum *exchange.Sum, took time.Duration) {
 	sum.Fresh += took
 	sum.Rollouts.Age += took
+	sum.Rollouts.OrdersAge += took
 	t.node.state.HearRollouts(time.Now(), sum.Rollouts)
 	t.node.watching.told(sum.Fresh)
 	t.list(address, sum)
--- a/internal/relay/versions.go
+++ b/internal/relay/versions.go
@@ -24,11 +24,6 @@
 	}
 }
 
-// newVersion is how long a version that nobody has ordered waits for its first
-// request. Failure: its endpoints are listed before the order is known. Symptom:
-// they get requests that no order allows.
-const newVersion = 1500 * time.Millisecond
-
 // SetRollouts says what roll-outs are held to.
 func (s *State) SetRollouts(b rollout.Bounds) {
 	s.mu.Lock()
@@ -131,7 +126,7 @@
 		f.outcome.Rollout, f.outcome.Share = w.Target(), w.ShareOf(f.route.Name)
 		return w.Side(f.route.Name, draw)
 	}
-	if since, mixed := v.mixed[f.service]; mixed && (!v.gate.Fresh(now) || now.Sub(since) < newVersion) {
+	if since, mixed := v.mixed[f.service]; mixed && !v.gate.NoOrder(now, since) {
 		return rollout.Old
 	}
 	return rollout.Any
--- a/internal/rollout/decider.go
+++ b/internal/rollout/decider.go
@@ -35,6 +35,8 @@
 	// lateSlack is for requests that take longer than nearly all before them, and for
 	// the way of a word and of what follows it.
 	lateSlack = 100 * time.Millisecond
+	// lastWords is how long what runs at a daemon counts that is not heard any more.
+	lastWords = 2 * time.Second
 	// rare is the part of the answers that may take longer than the others.
 	rare = 0.003
 	// rateTime is the time constant of the rate of requests.
@@ -73,6 +75,7 @@
 type lastReport struct {
 	asked, exposed, running int
 	moved                   bool
+	at                      time.Time
 	rows                    map[place]Counts
 }
 
@@ -100,7 +103,7 @@
 	d.asked += max(r.Asked-last.asked, 0)
 	d.exposed += max(r.Exposed-last.exposed, 0)
 	last.asked, last.exposed = max(r.Asked, last.asked), max(r.Exposed, last.exposed)
-	last.running, last.moved = r.Running, r.Moved
+	last.running, last.moved, last.at = r.Running, r.Moved, now
 	d.hearRows(now, last, r.Rows)
 }
 
@@ -136,6 +139,9 @@
 	d.evidence.addNew(now, row.Route, row.Endpoint, *gained)
 }
 
+// Reorder takes an order with the same target and another duration.
+func (d *Decider) Reorder(o Order) { d.record.Order = o }
+
 // Settle takes a final phase that the store has.
 func (d *Decider) Settle(p Phase) {
 	d.record.Phase = p
@@ -171,7 +177,7 @@
 		d.end(now, RolledBack, "the deadline passed before the new version was tried")
 	case before == Trial && !now.Before(d.moveAt()) && v.New > 0:
 		d.record.Phase = Moving
-	case before == Moving && (d.moved() || !now.Before(d.record.Deadline().Add(-leastMargin/3)) && len(d.leftBehind()) == 0):
+	case before == Moving && (d.moved(now) || !now.Before(d.record.Deadline().Add(-leastMargin/3)) && len(d.leftBehind()) == 0):
 		d.end(now, Completed, "no bad answers beyond the old version's")
 	}
 	d.record.Share, d.routes = d.share(now)
@@ -254,11 +260,16 @@
 func (d *Decider) movedAt(route string) time.Time { return d.stopAt().Add(-d.lead(route)) }
 
 // moved reports whether no daemon sends to the old version any more, and nothing
-// that must not be sent again runs there.
-func (d *Decider) moved() bool {
+// that must not be sent again runs there, also at daemons that leave.
+func (d *Decider) moved(now time.Time) bool {
 	if len(d.view.Daemons) == 0 {
 		return false
 	}
+	for _, r := range d.reports {
+		if r.running > 0 && now.Sub(r.at) < lastWords {
+			return false
+		}
+	}
 	for _, name := range d.view.Daemons {
 		if r := d.reports[name]; r == nil || !r.moved || r.running > 0 {
 			return false
--- a/internal/rollout/gate.go
+++ b/internal/rollout/gate.go
@@ -17,6 +17,7 @@
 	age   time.Duration // how old the word may be
 	rank  Rank
 	at    time.Time // when the newest word was known to hold
+	read  time.Time // when the decider was known to know all orders
 	words map[string]Word
 }
 
@@ -31,9 +32,12 @@
 
 // News is all that a decider tells, and how old it is.
 type News struct {
-	Rank  Rank
-	Age   time.Duration
-	Words []Word
+	Rank Rank
+	Age  time.Duration
+	// OrdersAge is how long ago the decider heard from the store, and so knew that
+	// there is no other order.
+	OrdersAge time.Duration
+	Words     []Word
 }
 
 // NewGate returns a gate that has heard nothing.
@@ -47,6 +51,9 @@
 	if at := now.Add(-n.Age); g.rank.Below(n.Rank) || at.After(g.at) {
 		g.at = at
 	}
+	if read := now.Add(-n.OrdersAge); g.rank.Below(n.Rank) || read.After(g.read) {
+		g.read = read
+	}
 	g.rank = n.Rank
 	clear(g.words)
 	for _, w := range n.Words {
@@ -56,7 +63,7 @@
 
 // News returns what this daemon tells others.
 func (g *Gate) News(now time.Time) News {
-	out := News{Rank: g.rank, Age: now.Sub(g.at)}
+	out := News{Rank: g.rank, Age: now.Sub(g.at), OrdersAge: now.Sub(g.read)}
 	for _, w := range g.words {
 		out.Words = append(out.Words, w)
 	}
@@ -66,6 +73,16 @@
 // Fresh reports whether the word is known to hold.
 func (g *Gate) Fresh(now time.Time) bool { return g.rank.Token != 0 && now.Sub(g.at) <= g.age }
 
+// NoOrder reports whether a service for which there is no word is known to have had no
+// order some time after a moment. Failure: the decider can't reach the store.
+// Symptom: it tells of no order, and the new version gets as much as the old one.
+func (g *Gate) NoOrder(now, moment time.Time) bool {
+	return g.Fresh(now) && g.read.After(moment.Add(orderSlack))
+}
+
+// orderSlack is how much later than its first endpoint an order may be written.
+const orderSlack = 1500 * time.Millisecond
+
 // Word returns what is to be done with a service. Where the word is too old, nothing
 // is sent to a new version, but for one that has taken over for good. Failure: a
 // daemon is cut off before a roll-back. Symptom: callers get bad answers from a
--- a/internal/rollout/gate_test.go
+++ b/internal/rollout/gate_test.go
@@ -20,6 +20,18 @@
 	assert.Equal(t, heard.Side("r", 0), Old)
 }
 
+// Guards against a decider that can't reach the store and tells that there is no order.
+func TestNoOrderIsKnownOnlyFromTheStore(t *testing.T) {
+	g := NewGate(Bounds{Share: 0.1, Stop: 5 * time.Second})
+	g.Hear(gateNow, News{Rank: Rank{1, 1}})
+	appeared := gateNow.Add(time.Second)
+	g.Hear(gateNow.Add(4*time.Second), News{Rank: Rank{1, 2}, OrdersAge: 3 * time.Second})
+	assert.Assert(t, !g.NoOrder(gateNow.Add(4*time.Second), appeared))
+	g.Hear(gateNow.Add(5*time.Second), News{Rank: Rank{1, 3}, OrdersAge: time.Second})
+	assert.Assert(t, g.NoOrder(gateNow.Add(5*time.Second), appeared))
+	assert.Assert(t, !g.NoOrder(gateNow.Add(8*time.Second), appeared)) // the decider is gone
+}
+
 func TestCompletedHoldsForGood(t *testing.T) {
 	g := NewGate(Bounds{Share: 0.1, Stop: 5 * time.Second})
 	g.Hear(gateNow, News{Rank: Rank{1, 1}, Words: []Word{{Service: "s", Key: Key{Target: "v2"}, Phase: Completed, Share: 1}}})
