Roll-outs: the version that a daemon knew alone is the old one; no trial before the rate of requests is known

All endpoints of the old version had crashed under crashing requests and had started again after those of the new version, before any decider was heard; the version of the endpoint that started first was taken for the old one. Now a daemon keeps the version that it knew alone (TestVersionThatHasServedLongestCountsWithoutAnOrder).

The log showed besides that a decider that had heard no report tried half of the requests: it took the unknown rate for nearly none. There is no trial until the rate is known.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -20,10 +20,12 @@
 	listed  map[string][]*member // by service, with those that leave
 	splits  map[string]*split    // by service, while it moves to another version
 	settled map[string][]*member // by service of several versions, those of the one that has served longest
-	table   *route.Table
-	rate    rate
-	scratch []*member
-	homes   []*member
+	// versions are those that have served longest, by service.
+	versions map[string]string
+	table    *route.Table
+	rate     rate
+	scratch  []*member
+	homes    []*member
 }
 
 // New returns a balancer for a daemon in a data centre. The random source
@@ -35,8 +37,10 @@
 		members: map[fleet.EndpointID]*member{},
 		sets:    map[string][]*member{},
 		splits:  map[string]*split{},
-		table:   route.New(route.Table{}),
-		rate:    newRate(),
+
+		versions: map[string]string{},
+		table:    route.New(route.Table{}),
+		rate:     newRate(),
 	}
 }
 
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -97,7 +97,8 @@
 func (b *Balancer) settle() {
 	b.settled = map[string][]*member{}
 	for service, all := range b.listed {
-		version, mixed := oldest(all)
+		version, mixed := b.settledVersion(service, all)
+		b.versions[service] = version
 		if !mixed {
 			continue
 		}
@@ -114,16 +115,23 @@
 	}
 }
 
-// oldest returns the version of the endpoint that started first, and whether there
-// are others.
-func oldest(all []*member) (version string, mixed bool) {
-	first := all[0]
+// settledVersion returns the version that has served longest, and whether there are
+// others: the one that this daemon knew alone, where it is still there, or else that
+// of the endpoint that started first. Failure: all endpoints of the old version have
+// crashed and started again, later than those of the new one. Symptom: the new
+// version is taken for the old one.
+func (b *Balancer) settledVersion(service string, all []*member) (version string, mixed bool) {
+	first, known := all[0], false
 	for _, m := range all {
-		mixed = mixed || m.Version != first.Version
+		mixed = mixed || m.Version != all[0].Version
+		known = known || m.Version == b.versions[service]
 		if m.Born.Before(first.Born) {
 			first = m
 		}
 	}
+	if known {
+		return b.versions[service], mixed
+	}
 	return first.Version, mixed
 }
 
--- a/internal/balance/split_test.go
+++ b/internal/balance/split_test.go
@@ -67,6 +67,13 @@
 	versions, _ := pickedVersions(b, rollout.Old)
 	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
 
+	for i := range old {
+		old[i].Born = splitNow.Add(time.Hour) // it has started again
+	}
+	b.SetEndpoints(append(versioned("v2", 3, splitNow.Add(time.Minute)), old...))
+	versions, _ = pickedVersions(b, rollout.Old)
+	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
+
 	for i := range old {
 		old[i].Draining = true
 	}
--- a/internal/rollout/shares.go
+++ b/internal/rollout/shares.go
@@ -16,7 +16,8 @@
 )
 
 // share returns the new version's share of the requests, and of each route's where it
-// differs.
+// differs. There is none until it is known how many requests come: of a few half would
+// be tried.
 func (d *Decider) share(now time.Time) (share float64, routes map[string]float64) {
 	switch d.record.Phase {
 	case Completed:
@@ -24,7 +25,7 @@
 	case RolledBack:
 		return 0, nil
 	}
-	if d.view.New == 0 || d.record.Phase == Trial && (d.capped() || d.warming(now)) {
+	if d.view.New == 0 || d.record.Phase == Trial && (d.rateOf == 0 || d.capped() || d.warming(now)) {
 		return 0, nil
 	}
 	trial := d.moveAt().Sub(d.record.Started)
