Roll-outs: words of a lease that is held again after a lapse count

The number of a decider's words began anew when its lease lapsed for a moment and was held again under the same token: the daemons took the words for older ones, sent nothing to the new version and counted nothing until as many words had been told again, and a good version was rolled back at its deadline. Found by reading, after the soak had rolled good versions back "before they were tried"; that this was their cause isn't shown. TestWordsOfALeaseThatIsHeldAgainCount.

--- a/internal/node/rollout_test.go
+++ b/internal/node/rollout_test.go
@@ -13,10 +13,12 @@
 	"testing"
 	"time"
 
+	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -276,6 +278,30 @@
 	f.stopLoad()
 }
 
+// restingPace makes a follower of a test wait for long.
+type restingPace struct{}
+
+func (restingPace) Wait() time.Duration     { return time.Hour }
+func (restingPace) Together() time.Duration { return 0 }
+func (restingPace) Pauses() follow.Pauses   { return follow.Often() }
+
+// Guards against a holder that holds its lease again after a lapse and whose words are taken for older ones.
+func TestWordsOfALeaseThatIsHeldAgainCount(t *testing.T) {
+	store := newMemoryStore()
+	n := New(&Settings{}, Platform{Store: store}, logrus.New())
+	n.state.SetRollouts(rollout.Bounds{Share: 0.1, Slack: 50, Stop: 5 * time.Second})
+	d := newRolloutDuty(n)
+	d.store = follow.New(store, "orders", d.told, restingPace{})
+	now := time.Now()
+	for range 2 {
+		d.begin(t.Context(), 7)
+		d.tell(now, now)
+		d.tell(now, now)
+		d.end()
+	}
+	assert.Equal(t, n.state.Rollouts(now).Rank, rollout.Rank{Token: 7, Seq: 4})
+}
+
 // stopHolder stops the daemon that holds the duties.
 func (f *rollingFleet) stopHolder() {
 	for i, n := range f.nodes {
--- a/internal/node/rolloutduty.go
+++ b/internal/node/rolloutduty.go
@@ -28,7 +28,7 @@
 	holding  bool
 	stop     context.CancelFunc // of the follower
 	token    uint64
-	seq      uint64
+	seq      uint64 // of the last word; it never falls, also where the same lease is held again
 	restored bool
 	reading  bool
 	records  map[string]rollout.Record // as they were found in the store
@@ -50,7 +50,7 @@
 // begin starts afresh with an acquisition of the duties.
 func (d *rolloutDuty) begin(ctx context.Context, token uint64) {
 	d.end()
-	d.token, d.seq, d.restored, d.reading = token, 0, false, false
+	d.token, d.restored, d.reading = token, false, false
 	d.records, d.running, d.refused = map[string]rollout.Record{}, map[string]*runningRollout{}, map[string]uint64{}
 	d.told.forget()
 	var following context.Context
@@ -168,8 +168,9 @@
 
 // start begins a roll-out, or goes on with one.
 func (d *rolloutDuty) start(order rollout.Order, o ordered) *runningRollout {
-	record, known := d.records[order.Service]
-	if !known || record.Order.Target != order.Target {
+	record := d.records[order.Service]
+	known := record.Order.Target == order.Target
+	if !known {
 		record = rollout.Record{Started: o.seen}
 	}
 	record.Order = order
