--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -118,10 +118,8 @@
 	}
 	l := d.lease.Lease(0)
 	l.Superseded(d.node.telling.heldBy(d.node.id))
-	if !l.Held(now) {
-		d.node.rollouts.end()
-	}
 	if !l.Held(now) { // asking whether an order may leave would put off the lease's release
+		d.node.rollouts.end()
 		return
 	}
 	d.hold(now, l.Fencing())
