--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -29,6 +29,16 @@
 		CrashesHave:   quarantinepb.EncodePosition(p.CrashesHave),
 		Rollouts:      encodeReports(p.Rollouts),
 		RolloutNews:   encodeNews(&p.RolloutNews),
+		Seq:           p.Seq,
+		Spare:         p.Spare,
+		Hub:           p.Hub,
+		Members:       encodePosition(p.Members),
+	}
+	if p.Self != nil {
+		out.Self = encodeMember(p.Self)
+	}
+	for i := range p.Relayed {
+		out.Relayed = append(out.Relayed, encodeRelayed(&p.Relayed[i]))
 	}
 	for service, w := range p.Soft.Work {
 		out.Works = append(out.Works, &exchangepb.Work{
@@ -69,6 +79,19 @@
 
 		Rollouts:    decodeReports(r.Rollouts),
 		RolloutNews: decodeNews(r.RolloutNews),
+
+		Seq:   r.Seq,
+		Spare: r.Spare,
+		Hub:   r.Hub,
+
+		Members: decodePosition(r.Members),
+	}
+	if r.Self != nil {
+		self := decodeMember(r.Self)
+		p.Self = &self
+	}
+	for _, relayed := range r.Relayed {
+		p.Relayed = append(p.Relayed, decodeRelayed(relayed))
 	}
 	for _, w := range r.Works {
 		p.Soft.Work[w.Service] = relay.Work{
@@ -85,6 +108,19 @@
 	return p
 }
 
+// encodeRelayed leaves out what only the sender's own hub needs.
+func encodeRelayed(r *Relayed) *exchangepb.Report {
+	out := encodePart(&r.Part)
+	out.AgeMs, out.Changes = r.Age.Milliseconds(), r.Changes
+	out.Endpoints, out.CrashesHave, out.RolloutNews, out.Holder = nil, nil, nil, nil
+	out.Self, out.Members = nil, nil
+	return out
+}
+
+func decodeRelayed(r *exchangepb.Report) Relayed {
+	return Relayed{Part: decodePart(r), Age: time.Duration(r.AgeMs) * time.Millisecond, Changes: r.Changes}
+}
+
 func encodeSum(s *Sum) *exchangepb.Totals {
 	out := &exchangepb.Totals{
 		Spent:         encodeSpent(s.Soft.Spent),
@@ -101,6 +137,7 @@
 		Crashes:   quarantinepb.Encode(s.Crashes),
 		CrashesTo: quarantinepb.EncodePosition(s.CrashesTo),
 		Rollouts:  encodeNews(&s.Rollouts),
+		Members:   encodeUpdate(&s.Members),
 	}
 	if s.Loads != nil {
 		out.Loads, out.OwnLoads = s.Loads.packed, packLoads(s.Loads.Own)
@@ -123,6 +160,7 @@
 		Crashes:   quarantinepb.Decode(t.Crashes),
 		CrashesTo: quarantinepb.DecodePosition(t.CrashesTo),
 		Rollouts:  decodeNews(t.Rollouts),
+		Members:   decodeUpdate(t.Members),
 	}
 	if t.Loads != nil {
 		s.Loads = &Loads{All: unpackLoads(t.Loads), Own: unpackLoads(t.OwnLoads)}
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -30,12 +30,16 @@
 // eight seconds.
 const gap = 10 * time.Second
 
-// Hub sums the parts of all daemons. It is a plain decision and not safe for
+// Hub sums the parts of all daemons, which tell it themselves or through other
+// hubs. It is a plain decision and not safe for
 // concurrent use. Parts of daemons that are gone stay in the totals.
 type Hub struct {
 	parts map[fleet.DaemonID]*heard
-	gone  map[fleet.WorkspaceID]float64 // spent by daemons that were forgotten
-	sum   *total                        // the last one, nil before
+	// relays are the parts of daemons that tell this hub and that it relays.
+	relays map[fleet.DaemonID]*heard
+	spent  map[fleet.WorkspaceID]float64 // by all, those that were forgotten among them
+	sum    *total                        // of loads, the last one, nil before
+	forgot time.Time                     // when silent daemons were last looked for
 	// interval is how often a daemon that has nothing urgent to tell reports.
 	interval time.Duration
 }
@@ -51,6 +55,13 @@
 	base map[fleet.WorkspaceID]float64
 	// restored says that only the windows of usage are known.
 	restored bool
+	// direct says that the daemon told this hub, not another one that relayed it.
+	direct bool
+	// changed is when each workspace's spending was last told to be another, by the
+	// hub's clock.
+	changed map[fleet.WorkspaceID]time.Time
+	// counted is when the windows of usage were told.
+	counted time.Time
 }
 
 // spent returns what was spent since the daemon was first heard of.
@@ -62,7 +73,10 @@
 
 // NewHub returns an empty hub that is told at an interval.
 func NewHub(interval time.Duration) *Hub {
-	return &Hub{parts: map[fleet.DaemonID]*heard{}, gone: map[fleet.WorkspaceID]float64{}, interval: interval}
+	return &Hub{
+		parts: map[fleet.DaemonID]*heard{}, relays: map[fleet.DaemonID]*heard{},
+		spent: map[fleet.WorkspaceID]float64{}, interval: interval,
+	}
 }
 
 // SetInterval takes a changed interval of reports.
@@ -70,19 +84,133 @@
 
 // Take takes a part that came when the hub's steady count was steady. One without
 // windows leaves those that are known as they are.
-func (h *Hub) Take(now time.Time, steady time.Duration, p Part) {
-	skew := time.Duration(p.Wall.UnixNano()) - steady
-	base := p.Soft.Spent
+func (h *Hub) Take(now time.Time, steady time.Duration, p Part) { h.take(now, steady, p, true) }
+
+// TakeRelayed takes a part that came through another hub. One that is no newer than
+// what is known is left.
+func (h *Hub) TakeRelayed(now time.Time, steady time.Duration, r *Relayed) {
+	old := h.parts[r.Daemon]
+	if old != nil && (r.Seq == 0 && old.direct || r.Seq != 0 && r.Seq <= old.part.Seq) {
+		return
+	}
+	p := r.Part
+	if old != nil && r.Changes {
+		p.Soft.Spent = maps.Clone(old.part.Soft.Spent)
+		maps.Copy(p.Soft.Spent, r.Soft.Spent)
+	}
+	h.take(now.Add(-r.Age), steady-r.Age, p, false)
+}
+
+func (h *Hub) take(at time.Time, steady time.Duration, p Part, direct bool) {
+	p.Relayed = nil
+	next := &heard{
+		part: p, at: at, skew: time.Duration(p.Wall.UnixNano()) - steady, base: p.Soft.Spent, direct: direct, counted: at,
+	}
 	if p.Soft.Recent {
-		base = nil
+		next.base = nil
 	}
-	if old := h.parts[p.Daemon]; old != nil {
+	old, moved := h.parts[p.Daemon], false
+	if old != nil {
 		if len(p.Windows) == 0 {
-			p.Windows = old.part.Windows
+			next.part.Windows, next.counted = old.part.Windows, old.counted
+		}
+		next.base, moved = old.moved(at.Sub(old.at), h.interval, p.Soft.Spent)
+		next.changed = old.changes(at, &p)
+	}
+	h.count(old, next, moved)
+	h.parts[p.Daemon] = next
+	delete(h.relays, p.Daemon)
+	if direct && !p.Spare && !p.Hub {
+		h.relays[p.Daemon] = next
+	}
+}
+
+// changes returns when each workspace's spending changed, once a newer part has come.
+// All of it counts as changed where this hub relays the daemon from now on: another
+// hub may have died with a change that it had not relayed.
+func (h *heard) changes(at time.Time, p *Part) map[fleet.WorkspaceID]time.Time {
+	if h.part.Spare && !p.Spare {
+		return nil
+	}
+	out := h.changed
+	if out == nil {
+		out = make(map[fleet.WorkspaceID]time.Time, len(p.Soft.Spent))
+		for w := range h.part.Soft.Spent {
+			out[w] = h.at
+		}
+	}
+	for w, v := range p.Soft.Spent {
+		if old, ok := h.part.Soft.Spent[w]; !ok || old != v {
+			out[w] = at
+		}
+	}
+	return out
+}
+
+// Relay returns the parts that daemons have told this hub since a time, of those that
+// no other hub relays; the zero time is all. Of their spending it has what has changed
+// since. Windows are those of parts that have told theirs since counted.
+func (h *Hub) Relay(now, since, counted time.Time) []Relayed {
+	var out []Relayed
+	for _, p := range h.relays {
+		if !p.at.After(since) {
+			continue
+		}
+		r := Relayed{Part: p.part, Age: now.Sub(p.at), Changes: !since.IsZero() && p.changed != nil}
+		if r.Changes {
+			r.Soft.Spent = p.spentSince(since)
+		}
+		if !p.counted.After(counted) {
+			r.Windows = nil
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// Relays reports whether this hub was told something lately that it relays.
+func (h *Hub) Relays(now time.Time) bool {
+	for _, p := range h.relays {
+		if now.Sub(p.at) <= h.silence() {
+			return true
+		}
+	}
+	return false
+}
+
+// spentSince returns the spending that has changed since a time.
+func (h *heard) spentSince(since time.Time) map[fleet.WorkspaceID]float64 {
+	out := map[fleet.WorkspaceID]float64{}
+	for w, v := range h.part.Soft.Spent {
+		if at, ok := h.changed[w]; !ok || at.After(since) {
+			out[w] = v
+		}
+	}
+	return out
+}
+
+// count brings the total of spending up to date with a daemon's next part. moved says
+// that the part counts from another base than the one before.
+func (h *Hub) count(old, next *heard, moved bool) {
+	if old != nil && (moved || len(next.part.Soft.Spent) < len(old.part.Soft.Spent)) {
+		for w := range old.part.Soft.Spent {
+			h.spent[w] -= old.spent(w)
+		}
+		old = nil
+	}
+	for w, v := range next.part.Soft.Spent {
+		if old == nil {
+			h.spent[w] += next.spent(w)
+			continue
+		}
+		before, known := old.part.Soft.Spent[w]
+		switch {
+		case !known:
+			h.spent[w] += next.spent(w)
+		case before != v:
+			h.spent[w] += v - before
 		}
-		base = old.moved(now.Sub(old.at), h.interval, p.Soft.Spent)
 	}
-	h.parts[p.Daemon] = &heard{part: p, at: now, skew: skew, base: base}
 }
 
 // forget lets the parts of daemons go that have been silent for long. What they
@@ -90,10 +218,8 @@
 func (h *Hub) forget(now time.Time) {
 	for id, old := range h.parts {
 		if now.Sub(old.at) > forgetAfter {
-			for w := range old.part.Soft.Spent {
-				h.gone[w] += old.spent(w)
-			}
 			delete(h.parts, id)
+			delete(h.relays, id)
 		}
 	}
 }
@@ -101,54 +227,58 @@
 // moved returns the base of the next part, which comes after a silence. What a
 // daemon lets in while it isn't heard is its own share, for which the others
 // left room: only what it let in at the beginning is counted.
-func (h *heard) moved(silence, interval time.Duration, spent map[fleet.WorkspaceID]float64) map[fleet.WorkspaceID]float64 {
+func (h *heard) moved(silence, interval time.Duration, spent map[fleet.WorkspaceID]float64) (map[fleet.WorkspaceID]float64, bool) {
 	counts := quota.Heard(silence, interval)
 	if h.restored || silence > gap {
 		counts = 0
 	}
 	if counts == 1 {
-		return h.base
+		return h.base, false
 	}
 	base := make(map[fleet.WorkspaceID]float64, len(spent))
 	for w, v := range spent {
 		base[w] = v - h.spent(w) - counts*(v-h.part.Soft.Spent[w])
 	}
-	return base
+	return base, true
 }
 
-// Spent returns what all daemons but one have let in, as of sumAge ago at the
-// most.
+// Spent returns what all daemons but one have let in.
 func (h *Hub) Spent(now time.Time, but fleet.DaemonID) map[fleet.WorkspaceID]float64 {
-	return h.total(now).without(but)
+	h.forgetOften(now)
+	out := maps.Clone(h.spent)
+	if own := h.parts[but]; own != nil {
+		for w := range own.part.Soft.Spent {
+			out[w] -= own.spent(w)
+		}
+	}
+	return out
 }
 
 // Loads returns the endpoints' loads for one daemon, as of sumAge ago at the
 // most.
-func (h *Hub) Loads(now time.Time, to fleet.DaemonID) *Loads { return h.total(now).loads(to) }
-
-func (h *Hub) total(now time.Time) *total {
+func (h *Hub) Loads(now time.Time, to fleet.DaemonID) *Loads {
 	if h.sum == nil || now.Sub(h.sum.at) > sumAge || now.Before(h.sum.at) {
-		h.sum = h.sumUp(now)
+		h.sum = h.sumLoads(now)
 	}
-	return h.sum
+	return h.sum.loads(to)
 }
 
-// sumUp adds up all parts.
-func (h *Hub) sumUp(now time.Time) *total {
-	h.forget(now)
-	t := &total{
-		at: now, spent: maps.Clone(h.gone), load: balance.Loads{},
-		parts: make(map[fleet.DaemonID]counted, len(h.parts)),
+// forgetOften forgets silent daemons now and then: their parts are kept for much longer.
+func (h *Hub) forgetOften(now time.Time) {
+	if now.Sub(h.forgot) >= time.Second || now.Before(h.forgot) {
+		h.forgot = now
+		h.forget(now)
 	}
+}
+
+// sumLoads adds up the loads of all daemons that were heard of lately.
+func (h *Hub) sumLoads(now time.Time) *total {
+	t := &total{at: now, load: balance.Loads{}, own: make(map[fleet.DaemonID]balance.Loads, len(h.parts))}
 	for id, p := range h.parts {
-		c := counted{heard: p, loads: now.Sub(p.at) <= h.silence()}
-		t.parts[id] = c
-		for w := range p.part.Soft.Spent {
-			t.spent[w] += p.spent(w)
-		}
-		if !c.loads {
+		if now.Sub(p.at) > h.silence() {
 			continue
 		}
+		t.own[id] = p.part.Soft.Load
 		for e, l := range p.part.Soft.Load {
 			sum := t.load[e]
 			t.load[e] = balance.Load{Requests: sum.Requests + l.Requests, Unread: sum.Unread + l.Unread}
--- a/internal/exchange/interval.go
+++ b/internal/exchange/interval.go
@@ -4,7 +4,7 @@
 
 // Times between a daemon's reports to the hubs. What a daemon lets in beyond a
 // limit, and how far its view of the endpoints' loads is off, grows with them;
-// a hub's work is the number of daemons by them.
+// a hub's work is the number of its daemons by them.
 const (
 	// SmallFleet is the number of daemons up to which each does all for itself.
 	SmallFleet = 12
@@ -14,13 +14,17 @@
 	// largeInterval is that of a fleet above SmallFleet, where each daemon lets
 	// in less meanwhile.
 	largeInterval = 400 * time.Millisecond
+	// firstInterval is that of a daemon that has just started: until it is told
+	// something it lets in little.
+	firstInterval = 80 * time.Millisecond
 	// perDaemon bounds the reports that come to a hub at 670 a second.
 	perDaemon = 1500 * time.Microsecond
 	// urgentPerDaemon bounds them at 1,000 a second while a limit is short.
 	urgentPerDaemon = time.Millisecond
 )
 
-// CalmInterval is the time between two reports of a daemon in a fleet.
+// CalmInterval is the time between two reports of a daemon, where so many daemons
+// report to its hub.
 func CalmInterval(daemons int) time.Duration {
 	if daemons <= SmallFleet {
 		return smallInterval
@@ -28,10 +32,13 @@
 	return max(largeInterval, time.Duration(daemons)*perDaemon)
 }
 
-// UrgentInterval is that of a daemon that sees a workspace's limit run short.
-// Failure: a workspace asks for several times its limit, and the daemons hear of
-// each other's spending later than the limit is used up. Symptom: in turns, all
-// of its requests are let in and none of them, and the limit is exceeded.
+// UrgentInterval is that of a daemon that sees a workspace's limit run short: the
+// daemons have to hear of each other's spending before the limit is used up.
 func UrgentInterval(daemons int) time.Duration {
 	return min(CalmInterval(daemons), max(smallInterval, time.Duration(daemons)*urgentPerDaemon))
 }
+
+// StartInterval is that of a daemon that has just started.
+func StartInterval(daemons int) time.Duration {
+	return max(firstInterval, time.Duration(daemons)*perDaemon)
+}
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -5,6 +5,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
@@ -39,6 +40,26 @@
 	RolloutNews rollout.News
 	// WantLevels asks for what the limits have left.
 	WantLevels bool
+	// Seq rises with each report; 0 of an earlier release.
+	Seq uint64
+	// Spare says that another hub relays this report.
+	Spare bool
+	// Hub says that the daemon relays reports, and needs no sums.
+	Hub bool
+	// Relayed is what a hub was told since its last relay.
+	Relayed []Relayed
+	// Self is the daemon itself, as long as the hub may not know it; nil otherwise.
+	Self *membership.Member
+	// Members is the hub's state of the list of members that the daemon has.
+	Members feed.Position
+}
+
+// Relayed is a part that comes through a hub.
+type Relayed struct {
+	Part
+	Age time.Duration // since the hub was told
+	// Changes says that only the spending that has changed is told.
+	Changes bool
 }
 
 // Sum is what a hub answers: the sum of all others' parts.
@@ -59,6 +80,8 @@
 	CrashesTo quarantine.Position
 	// Rollouts is what the hub was told of the roll-outs.
 	Rollouts rollout.News
+	// Members leads to the hub's list of members; see EncodeMember.
+	Members feed.Update
 	// Fresh is the time since the hub last heard from the store.
 	Fresh time.Duration
 }
--- a/internal/gossip/node.go
+++ b/internal/gossip/node.go
@@ -100,6 +100,18 @@
 	})
 }
 
+// Introduced takes daemons that another one or the platform's store vouches for. Those
+// whose names or addresses other daemons would refuse are left out.
+func (n *Node) Introduced(members []membership.Member) {
+	sound := make([]membership.Member, 0, len(members))
+	for _, m := range members {
+		if checkSelf(m) == nil {
+			sound = append(sound, m)
+		}
+	}
+	n.do(context.Background(), func(now time.Time) []membership.Action { return n.members.Introduced(now, sound) })
+}
+
 // Leave tells the fleet that this daemon takes no new work. It returns when
 // the first peers were told; they pass it on. The Node goes on answering.
 func (n *Node) Leave(ctx context.Context) error {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -42,7 +42,7 @@
 	var read quarantine.Position
 	pause.Every(ctx, storeReads, func() {
 		at := c.table.Position()
-		if at.Seq == read.Seq || c.node.gathering() || !c.node.watching.hub() {
+		if at.Seq == read.Seq || c.node.gathering() || !c.node.watching.watcher() {
 			return
 		}
 		read = at
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -3,10 +3,13 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
@@ -34,19 +37,22 @@
 	Incarnation uint64           `json:"incarnation"`
 }
 
-// discover enters strong machines in the store and reads it where the others can't be
-// met soon enough by the seeds. A store that doesn't answer leaves it to them.
-func (n *Node) discover(ctx context.Context) {
+// meet learns what there was before this daemon started, and finds the hubs of a large
+// fleet. A store that doesn't answer leaves that to the seeds.
+func (n *Node) meet(ctx context.Context) {
+	n.learnFleet(ctx)
+	first := n.settings.Daemon.FirstStart
+	if known, _ := n.members.before(); !first && !exchange.Meshed(known) {
+		return
+	}
 	strong := strengthOf(n.id) >= entryStrength
 	if strong {
 		n.enterHub(ctx)
 	}
-	switch {
-	case strong && n.settings.Daemon.FirstStart:
+	if first {
 		pause.For(ctx, enterTime)
-	case n.settings.Daemon.FirstStart:
-		pause.For(ctx, enterTime+meetTime)
-	case !strong:
+	}
+	if !strong {
 		pause.For(ctx, meetTime)
 	}
 	if strong || n.lacksHubs() {
@@ -58,7 +64,10 @@
 	self := n.members.self
 	text, err := json.Marshal(hubEntry{self.Daemon, self.Caller, self.Peer, self.DataCentre, self.Region, self.Incarnation})
 	if err == nil {
-		err = n.put(ctx, hubKind, string(self.Instance), text)
+		_, err = n.platform.Store.Create(ctx, hubKind, string(self.Instance), text)
+	}
+	if errors.Is(err, objects.ErrConflict) {
+		_, err = n.platform.Store.Replace(ctx, hubKind, string(self.Instance), 0, text)
 	}
 	if err != nil {
 		n.say("membership").WithError(err).Info("not entered as a hub")
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -246,7 +246,7 @@
 // late reports whether this daemon could not list the store though it has run
 // for a while: then a hub is asked for all.
 func (d *endpointDuty) late() bool {
-	return !d.known() && time.Since(d.node.started) > firstList
+	return !d.known() && time.Since(d.node.started) > firstList && !d.node.watching.awaitsList()
 }
 
 // firstList is how long the first list of the store may take: a list of a
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -169,7 +169,7 @@
 		},
 		Store:  StoreSettings{Address: "memory"},
 		Cloud:  CloudSettings{Duties: []string{"usage_report"}},
-		Limits: LimitSettings{Cores: 1, LinkMbps: 1000},
+		Limits: LimitSettings{Cores: 0.5, LinkMbps: 1000},
 	}
 	// All daemons of a platform have the same port for each other; here, on one
 	// address, they are found by the first one's.
--- a/internal/node/keptlimits.go
+++ b/internal/node/keptlimits.go
@@ -89,6 +89,7 @@
 		return
 	}
 	n.crashes.add(kept.Crashes)
+	n.members.known.Store(&kept.Daemons)
 	now := time.Now()
 	n.state.SetDaemons(now, max(kept.Daemons, len(n.members.serving())))
 	n.state.RestoreLimits(now, n.clock.Now().Sub(kept.At), kept.Limits)
--- /dev/null
+++ b/internal/node/layout_test.go
@@ -0,0 +1,83 @@
+package node
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+)
+
+// fleetView returns the serving daemons of a fleet in six data centres, of which some
+// in each have strong machines.
+func fleetView(daemons, strong int) []membership.Member {
+	out := make([]membership.Member, daemons)
+	for i := range out {
+		l := LimitSettings{Cores: 0.192, LinkMbps: 20}
+		if i < 6*strong {
+			l = LimitSettings{Cores: 1.6, LinkMbps: 1000}
+		}
+		out[i] = membership.Member{
+			Instance: fleet.InstanceID(fmt.Sprint(i)), Daemon: newID(l), Peer: fmt.Sprint("peer-", i),
+			DataCentre: fleet.DataCentre(fmt.Sprint("dc-", i%6)),
+		}
+	}
+	return out
+}
+
+// Guards against a hub whose reports, or a daemon whose hubs, grow with the fleet.
+func TestNoHubServesMoreThanAGroup(t *testing.T) {
+	for _, daemons := range []int{6, 80, 266, 340, 986, 1972} {
+		all := fleetView(daemons, 10)
+		served := map[fleet.DaemonID]int{}
+		every := max(1, daemons/150)
+		for i := 0; i < daemons; i += every {
+			l := newLayout(&all[i], all, false)
+			assert.Equal(t, l.meshed, daemons > exchange.GroupSize)
+			assert.Assert(t, len(l.own) <= exchange.HubCount)
+			for _, h := range l.own {
+				served[h.Daemon] += every
+				assert.Assert(t, l.isHub(h.Daemon))
+				assert.Assert(t, !l.meshed || h.DataCentre == all[i].DataCentre)
+			}
+			for _, w := range l.watchers {
+				assert.Assert(t, l.isHub(w.Daemon), "a watcher relays what it hears")
+			}
+		}
+		for id, n := range served {
+			assert.Assert(t, n <= exchange.GroupSize*3/2, "%d daemons: %d at %s", daemons, n, id)
+			assert.Assert(t, daemons < 60 || strengthOf(id) == 9)
+		}
+	}
+}
+
+// The strong machines of a data centre are gone.
+func TestWeakMachinesServeWhereNoStrongOneIsLeft(t *testing.T) {
+	all := fleetView(986, 10)
+	left := make([]membership.Member, 0, len(all))
+	for _, m := range all {
+		if m.DataCentre != "dc-0" || strengthOf(m.Daemon) < 9 {
+			left = append(left, m)
+		}
+	}
+	for i := 0; i < len(left); i += 10 {
+		l := newLayout(&left[i], left, false)
+		assert.Assert(t, len(l.own) > 0 && l.own[0].DataCentre == left[i].DataCentre)
+	}
+}
+
+// BenchmarkLayout is the layout of one view, which is made once for each.
+func BenchmarkLayout(b *testing.B) {
+	for _, daemons := range []int{340, 986, 1972} {
+		b.Run(fmt.Sprint(daemons), func(b *testing.B) {
+			all := fleetView(daemons, 10)
+			b.ReportAllocs()
+			for b.Loop() {
+				newLayout(&all[0], all, false)
+			}
+		})
+	}
+}
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
@@ -37,11 +38,14 @@
 // position returns what this daemon has of a hub's list of endpoints. One hub's
 // list is followed at a time, and none while this daemon watches the store
 // itself. The lock is held.
-func (t *telling) position(address string) feed.Position {
+func (t *telling) position(l *layout, address string) feed.Position {
+	late := t.node.endpoints.late()
 	switch {
-	case t.node.endpoints.due() && !t.node.endpoints.late():
+	case t.node.endpoints.due() && !late:
 		return feed.Unwanted
-	case t.lister == "" && t.loader != "" && t.loader != address && !t.node.endpoints.known():
+	case !t.node.endpoints.known() && !late && !t.mayList(address):
+		return feed.Unwanted
+	case t.lister == "" && !t.follows(l, address):
 		return feed.Unwanted // all there is comes from one hub
 	case t.lister == "":
 		return feed.Position{Revision: t.node.endpoints.upTo()}
@@ -52,6 +56,15 @@
 	}
 }
 
+// follows reports whether this daemon may begin to follow a hub's list. A hub that
+// relays follows those that watch the store. The lock is held.
+func (t *telling) follows(l *layout, address string) bool {
+	if t.relaying {
+		return slices.Contains(peersOf(l.watchers), address)
+	}
+	return t.loader == "" || t.loader == address || t.node.endpoints.known()
+}
+
 // list takes a hub's list of endpoints where this daemon follows it, or none. A
 // daemon that has no list takes an old one as well: it goes on from there.
 func (t *telling) list(address string, sum *exchange.Sum) {
@@ -64,7 +77,7 @@
 		return
 	}
 	t.node.endpoints.heard(&sum.Endpoints)
-	t.setLister(address, sum.Endpoints.To)
+	t.setLister(address, sum.Endpoints.To, sum.Fresh)
 }
 
 // checkLister lets the followed hub go where it has told nothing for a while.
@@ -86,8 +99,11 @@
 // reports have gone unanswered by then.
 func (t *telling) silence() time.Duration { return 5 * t.node.interval() / 2 }
 
-func (t *telling) setLister(address string, at feed.Position) {
+// setLister notes which hub's list this daemon has, as it was some time ago.
+func (t *telling) setLister(address string, at feed.Position, age time.Duration) {
+	now := time.Now()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	t.lister, t.listed, t.listedAt = address, at, time.Now()
+	t.lister, t.listed, t.listedAt = address, at, now
+	t.passedOn = now.Add(-age)
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gossip"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
@@ -24,6 +25,17 @@
 	gossip *gossip.Node
 	seeds  atomic.Pointer[[]membership.Member]
 	count  atomic.Int64 // of the serving daemons, at the last look
+	last   atomic.Pointer[viewed]
+	self   membership.Member
+	// known is how many daemons there were before this one started, once it has learned.
+	known atomic.Pointer[int]
+}
+
+// viewed is the layout of a view.
+type viewed struct {
+	view   *membership.View
+	large  bool
+	layout *layout
 }
 
 // joinFleet starts the membership protocol at the peers' address.
@@ -49,7 +61,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	m := &members{node: n, gossip: g}
+	m := &members{node: n, gossip: g, self: self}
 	m.addSeeds(s)
 	return m, nil
 }
@@ -103,7 +115,7 @@
 		if n != seen {
 			seen = n
 			m.count.Store(int64(n))
-			m.node.telling.setInterval(m.node.interval())
+			m.node.telling.setInterval(m.node.way())
 			m.node.shareConnections()
 			m.node.say("membership").WithField("daemons", n).Info("fleet changed")
 		}
@@ -117,10 +129,56 @@
 // number returns how many daemons serve, as of countInterval ago at the most.
 func (m *members) number() int { return int(m.count.Load()) }
 
-// serving returns the daemons that take requests, this one among them unless
+// layout returns who works for whom, by the newest view.
+func (m *members) layout() *layout {
+	view, large := m.gossip.View(), m.large()
+	if last := m.last.Load(); last != nil && last.view == view && last.large == large {
+		return last.layout
+	}
+	l := newLayout(&m.self, aliveOf(view), large)
+	m.last.Store(&viewed{view, large, l})
+	return l
+}
+
+// large reports whether the fleet is taken for a large one though few have been met yet:
+// there were many before this daemon started, or it is a weak machine of a fleet that
+// starts for the first time.
+func (m *members) large() bool {
+	if time.Since(m.node.started) > startTime {
+		return false
+	}
+	first := m.node.settings.Daemon.FirstStart && m.mixed(m.gossip.View())
+	known, _ := m.before()
+	return first || exchange.Meshed(known)
+}
+
+// before returns how many daemons there were before this one started, and whether it
+// has learned so; none at a first start.
+func (m *members) before() (daemons int, learned bool) {
+	if known := m.known.Load(); known != nil {
+		return *known, true
+	}
+	return 0, false
+}
+
+// mixed reports whether a view has machines that enter themselves as hubs and weak ones.
+func (m *members) mixed(view *membership.View) bool {
+	strong, weak := false, false
+	for _, member := range view.Alive() {
+		grade := strengthOf(member.Daemon)
+		strong = strong || grade >= entryStrength
+		weak = weak || grade < hubStrength
+		if strong && weak {
+			return true
+		}
+	}
+	return false
+}
+
+// aliveOf returns the daemons of a view that take requests, its own among them unless
 // it leaves.
-func (m *members) serving() []membership.Member {
-	all := m.gossip.View().Alive()
+func aliveOf(view *membership.View) []membership.Member {
+	all := view.Alive()
 	out := make([]membership.Member, 0, len(all))
 	for _, member := range all {
 		if member.State == membership.Alive {
@@ -130,25 +188,31 @@
 	return out
 }
 
-// hubCount is the number of hubs: one more than can die at once without a loss
-// of what was told.
-const hubCount = 2
+// serving returns the daemons that take requests, this one among them unless
+// it leaves. The slice is shared.
+func (m *members) serving() []membership.Member { return m.layout().serving }
 
-// hubKey ranks daemons as hubs and as holders of the duties.
-var hubKey = rendezvous.Key("duties")
+// reporters returns how many daemons report to a hub of this one's.
+func (m *members) reporters() int { return m.layout().reporters }
 
-// hubs returns the hubs among the serving daemons.
-func (m *members) hubs() []membership.Member {
-	return strongest(m.serving(), hubCount)
+// at returns the serving daemon at a peers' address.
+func (m *members) at(address string) (membership.Member, bool) {
+	for _, member := range m.serving() {
+		if member.Peer == address {
+			return member, true
+		}
+	}
+	return membership.Member{}, false
 }
 
+// hubKey ranks daemons as hubs and as holders of the duties.
+var hubKey = rendezvous.Key("duties")
+
 // dutyCandidates is the number of daemons that may hold the duties.
 const dutyCandidates = 6
 
 // candidates returns the daemons that may hold the duties.
-func (m *members) candidates() []fleet.DaemonID {
-	return idsOf(strongest(m.serving(), dutyCandidates))
-}
+func (m *members) candidates() []fleet.DaemonID { return m.layout().candidates }
 
 // ids returns the serving daemons.
 func (m *members) ids() []fleet.DaemonID { return idsOf(m.serving()) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -133,7 +133,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetching.run, n.endpoints.run, n.endpoints.tick, n.telling.run, n.members.run, n.sweep, n.requests.run,
-		n.learnFleet, n.crashes.watch.Run, n.crashes.learn,
+		n.meet, n.crashes.watch.Run, n.crashes.learn,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -20,6 +20,9 @@
 	// told is what the hub has of this daemon's crashes of endpoints, heard what
 	// this daemon has of the hub's.
 	told, heard quarantine.Position
+	// relaying is up to when the relay under way has what this hub was told, relayedTo
+	// and windowsTo up to when the other hub has it.
+	relaying, relayedTo, windowsTo time.Time
 }
 
 // crashes takes what a hub told of crashes after it was told up to a position. A
@@ -70,6 +73,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.to(address)
+	r.relayed(p, err)
 	if err != nil {
 		if !r.unanswered {
 			t.node.say("peers").WithError(err).WithField("address", address).Warn("report not answered")
--- a/internal/node/rolloutduty.go
+++ b/internal/node/rolloutduty.go
@@ -238,7 +238,7 @@
 // movingInterval is the time between two reports while a service moves: what is
 // known of the requests at its old version must be fresh.
 func (n *Node) movingInterval() time.Duration {
-	return min(n.interval(), max(leastMovingInterval, time.Duration(n.members.number())*perDaemonMoving))
+	return min(n.interval(), max(leastMovingInterval, time.Duration(n.members.reporters())*perDaemonMoving))
 }
 
 const (
--- a/internal/node/strength.go
+++ b/internal/node/strength.go
@@ -26,6 +26,10 @@
 	return int(min(10*min(l.Cores, l.LinkMbps/linkPerCore), 9))
 }
 
+// hubStrength is the least grade of a machine that tells hundreds of others all there
+// is: a fifth of a core and 50 Mbit/s.
+const hubStrength = 2
+
 // newID names a run of a daemon. The name begins with the machine's strength,
 // so that all who know the daemon know that as well.
 func newID(l LimitSettings) fleet.DaemonID {
--- a/internal/node/strength_test.go
+++ b/internal/node/strength_test.go
@@ -5,6 +5,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 )
 
@@ -41,6 +42,6 @@
 	}
 	b.ReportAllocs()
 	for b.Loop() {
-		strongest(all, hubCount)
+		strongest(all, exchange.HubCount)
 	}
 }
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -17,12 +18,16 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
-// startInterval is the time between the reports of a daemon that has just
-// started: until it is told something it lets in little.
-const startInterval = 80 * time.Millisecond
-
 // interval is the calm one of the fleet as this daemon knows it.
-func (n *Node) interval() time.Duration { return exchange.CalmInterval(n.members.number()) }
+func (n *Node) interval() time.Duration { return exchange.CalmInterval(n.members.reporters()) }
+
+// way is how old a report is that a hub has from a daemon, whatever it came through.
+func (n *Node) way() time.Duration {
+	if n.members.layout().meshed {
+		return n.interval() + exchange.RelayInterval
+	}
+	return n.interval()
+}
 
 // knownLevels is how long a daemon has run when its view of what is left of the
 // limits is taken by one that has just started.
@@ -40,9 +45,15 @@
 	lister string          // that hub's address
 	// listedAt is when it told its list last.
 	listedAt time.Time
-	hubs     map[string]*reports // by address
-	loader   string              // the hub that tells the endpoints' loads, empty: all
-	loadedAt time.Time           // when loads were told last
+	hubs     map[string]*reports  // by address
+	loader   string               // the hub that tells the endpoints' loads, empty: all
+	loadedAt time.Time            // when loads were told last
+	seq      uint64               // of the last round
+	relaying bool                 // in this round this daemon relays what it is told
+	relayers map[string]time.Time // when other hubs last relayed something, by address
+	members  *introducing
+	// passedOn is how old the list is that this daemon has from a hub.
+	passedOn time.Time
 }
 
 func newTelling(n *Node) *telling {
@@ -51,6 +62,9 @@
 		client: exchange.NewClient(),
 		hub:    exchange.NewHub(exchange.CalmInterval(1)),
 		hubs:   map[string]*reports{},
+
+		relayers: map[string]time.Time{},
+		members:  newIntroducing(n),
 	}
 }
 
@@ -78,6 +92,9 @@
 func (t *telling) Tell(p exchange.Part) exchange.Sum {
 	t.node.fetching.heardFrom(p.Daemon, p.Version)
 	t.node.crashes.add(p.Crashes)
+	if p.Self != nil {
+		t.node.introduce([]membership.Member{*p.Self})
+	}
 	t.node.rollouts.told.hear(p.Daemon, p.Rollouts)
 	now := time.Now()
 	t.node.state.HearRollouts(now, p.RolloutNews)
@@ -85,9 +102,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.hub.Take(now, steady, p)
+	t.takeRelayed(now, steady, &p)
 	t.holder = t.holder.Newer(p.Holder)
-	sum := exchange.Sum{Soft: relay.Soft{Spent: t.hub.Spent(now, p.Daemon), Recent: t.node.gathering()}, Holder: t.holder}
-	if !p.Brief {
+	sum := exchange.Sum{Soft: relay.Soft{Recent: t.node.gathering()}, Holder: t.holder}
+	relayer := p.Hub && p.Daemon != t.node.id
+	if !relayer {
+		sum.Soft.Spent = t.hub.Spent(now, p.Daemon)
+	}
+	if !p.Brief && !relayer {
 		sum.Loads = t.hub.Loads(now, p.Daemon)
 	}
 	sum.Rollouts = t.node.state.Rollouts(now)
@@ -99,7 +121,10 @@
 		sum.True = time.Unix(0, int64(steady+skew))
 	}
 	sum.Endpoints = t.node.endpoints.since(p.Endpoints)
-	sum.Fresh = max(t.node.config.store.Age(), t.node.endpoints.store.Age())
+	if t.relaying {
+		sum.Members = t.members.since(now, p.Members)
+	}
+	sum.Fresh = t.fresh(now)
 	sum.VersionAt = t.node.config.upTo() // before the version, which may only be newer
 	newest := t.node.config.current()
 	sum.Version = newest.Version
@@ -122,11 +147,14 @@
 	interval := t.node.interval()
 	switch {
 	case t.node.gathering():
-		interval = startInterval
+		interval = exchange.StartInterval(t.node.members.reporters())
 	case t.node.state.Moving(time.Now()):
 		interval = t.node.movingInterval()
 	case t.node.state.LimitsShort(time.Now()):
-		interval = exchange.UrgentInterval(t.node.members.number())
+		interval = exchange.UrgentInterval(t.node.members.reporters())
+	}
+	if t.relays(t.node.members.layout()) {
+		interval = min(interval, exchange.RelayInterval)
 	}
 	t.node.state.SetInterval(time.Now(), interval)
 	return interval
@@ -143,6 +171,7 @@
 // a hub that is silent: what the other one tells would be late as well.
 func (t *telling) round(ctx context.Context) {
 	targets := t.targets()
+	t.begin()
 	t.chooseLoader(targets)
 	t.client.Keep(targets)
 	t.node.state.KeepHubs(targets)
@@ -173,26 +202,48 @@
 // targets returns the addresses to tell: the hubs, the holder of the duties,
 // and before anyone is known the seeds.
 func (t *telling) targets() []string {
-	var out []string
-	for _, h := range t.node.members.hubs() {
-		out = append(out, h.Peer)
+	l := t.node.members.layout()
+	out := t.ownHubs(l)
+	relays := t.relays(l)
+	t.setRelaying(relays)
+	if relays {
+		out = appendNew([]string{t.node.settings.Listen.Peers}, out...)
+		out = appendNew(out, t.otherHubs(l)...)
 	}
+	if relays || !l.meshed {
+		out = appendNew(out, t.holderAddress(l)...)
+	}
+	out = appendNew(out, t.listers(l)...)
+	if t.node.config.current().Version == 0 && (len(l.serving) <= 1 || t.node.config.store.Lost()) {
+		for _, s := range *t.node.members.seeds.Load() {
+			out = appendNew(out, s.Peer)
+		}
+	}
+	return out
+}
+
+// holderAddress returns the address of the holder of the duties, none where it isn't
+// known.
+func (t *telling) holderAddress(l *layout) []string {
 	t.mu.Lock()
 	holder := t.holder
 	t.mu.Unlock()
-	for _, m := range t.node.members.serving() {
-		if m.Daemon == holder.Daemon && !slices.Contains(out, m.Peer) {
-			out = append(out, m.Peer)
+	for _, m := range l.serving {
+		if m.Daemon == holder.Daemon {
+			return []string{m.Peer}
 		}
 	}
-	if t.node.config.current().Version == 0 {
-		for _, s := range *t.node.members.seeds.Load() {
-			if !slices.Contains(out, s.Peer) {
-				out = append(out, s.Peer)
-			}
+	return nil
+}
+
+// appendNew appends the addresses that aren't there yet.
+func appendNew(all []string, more ...string) []string {
+	for _, address := range more {
+		if !slices.Contains(all, address) {
+			all = append(all, address)
 		}
 	}
-	return out
+	return all
 }
 
 // one tells one hub, itself without a call, and uses its sum. A hub that has not
@@ -221,6 +272,10 @@
 	t.node.fetching.heard(address, sum.Version)
 	t.node.config.heard(sum.Version, sum.VersionAt)
 	t.crashes(address, upTo, &sum)
+	if p.Hub {
+		t.useHub(address, &sum, took)
+		return
+	}
 	t.use(address, &sum, took)
 }
 
@@ -235,18 +290,28 @@
 	}
 	p.Soft.Recent = t.node.gathering()
 	p.Rollouts, p.RolloutNews = t.node.state.RolloutReports(p.Wall), t.node.state.Rollouts(p.Wall)
+	l := t.node.members.layout()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	p.Seq, p.Spare = t.seq, t.loader != "" && t.loader != address
 	if time.Since(t.to(address).counted) >= windowsInterval {
 		p.Windows = t.node.begun.windows()
 	}
 	p.Holder = t.holder
-	p.Endpoints = t.position(address)
+	p.Hub = t.relaying
+	p.Endpoints = t.position(l, address)
+	p.Members = t.members.position(address, p.Hub || t.loader == "" || t.loader == address)
+	if r := t.to(address); r.unanswered || r.answered.IsZero() {
+		p.Self = &t.node.members.self
+	}
 	p.Brief = t.brief(address)
 	p.WantLevels = !t.node.state.LevelsKnown()
 	if address == t.node.settings.Listen.Peers {
 		return p, quarantine.Position{}
 	}
+	if p.Hub {
+		t.relay(l, address, &p)
+	}
 	var upTo quarantine.Position
 	p.Crashes, upTo = t.node.crashes.table.Since(t.to(address).told)
 	p.CrashesHave = t.to(address).heard
@@ -256,12 +321,7 @@
 // use takes a hub's sum, whose answer took a while. Of one that took long, time
 // and loads are past, and only what stays true is taken.
 func (t *telling) use(address string, sum *exchange.Sum, took time.Duration) {
-	sum.Fresh += took
-	sum.Rollouts.Age += took
-	sum.Rollouts.OrdersAge += took
-	t.node.state.HearRollouts(time.Now(), sum.Rollouts)
-	t.node.watching.told(sum.Fresh)
-	t.list(address, sum)
+	t.useNews(address, sum, took)
 	if took > exchange.Prompt {
 		t.late(sum)
 		return
@@ -282,6 +342,20 @@
 	t.node.state.Others(now, address, sum.Soft)
 }
 
+// useNews takes what a hub knows from the store and of the roll-outs.
+func (t *telling) useNews(address string, sum *exchange.Sum, took time.Duration) {
+	sum.Fresh += took
+	sum.Rollouts.Age += took
+	sum.Rollouts.OrdersAge += took
+	t.node.state.HearRollouts(time.Now(), sum.Rollouts)
+	t.node.watching.told(sum.Fresh)
+	t.list(address, sum)
+	t.mu.Lock()
+	members := t.members.heard(address, &sum.Members)
+	t.mu.Unlock()
+	t.node.introduce(members)
+}
+
 // late takes what stays true of a sum that came late.
 func (t *telling) late(sum *exchange.Sum) {
 	t.mu.Lock()
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -40,6 +40,14 @@
 	firstWatch = time.Second
 	// startTime is how long a daemon of a large fleet takes to know all others.
 	startTime = 5 * time.Second
+	// findStrong is how long a weak machine looks for a strong one that tells it the
+	// first list, listWait how long it waits for that where the whole system starts
+	// for the first time, and listAgain where callers may be there already.
+	findStrong = time.Second
+	listWait   = 3 * time.Second
+	listAgain  = 1500 * time.Millisecond
+	// learnTime is how long the store may take to tell how many daemons there were.
+	learnTime = 300 * time.Millisecond
 	// roleInterval is how often a daemon looks whether it should watch.
 	roleInterval = 100 * time.Millisecond
 )
@@ -75,38 +83,73 @@
 // fleet; there the hubs watch and tell the others.
 func (w *watching) small() bool { return len(w.node.members.serving()) <= exchange.SmallFleet }
 
-// hub reports whether this daemon is one of the hubs.
-func (w *watching) hub() bool {
-	for _, h := range w.node.members.hubs() {
-		if h.Daemon == w.node.id {
-			return true
-		}
-	}
-	return false
-}
+// watcher reports whether this daemon watches the store for the others.
+func (w *watching) watcher() bool { return w.node.members.layout().isWatcher(w.node.id) }
 
 // follows reports whether this daemon relies on the hubs' word while that is fresh.
-func (w *watching) follows() bool { return !w.small() && !w.hub() }
-
-// stale is the age from which the hubs' word isn't relied on.
-func (w *watching) stale() time.Duration { return staleAge(w.node.interval(), w.node.change()) }
+func (w *watching) follows() bool { return !w.small() && !w.watcher() }
+
+// stale is the age from which the hubs' word isn't relied on. Where hubs follow the
+// watchers themselves, their daemons leave them time to turn to the store first.
+func (w *watching) stale() time.Duration {
+	l := w.node.members.layout()
+	slack := staleSlack
+	if l.meshed && !l.isHub(w.node.id) {
+		slack += turnTime
+	}
+	return staleAge(w.node.way(), slack, w.node.change())
+}
 
 // staleAge returns the age from which a hub's word isn't relied on, of hubs that
 // are told at an interval, where a change must be in force within a bound.
-func staleAge(interval, change time.Duration) time.Duration {
+func staleAge(interval, slack, change time.Duration) time.Duration {
 	sound := hubWait + interval
-	return max(sound, min(sound+staleSlack, change-turnTime))
+	return max(sound, min(sound+slack, change-turnTime))
+}
+
+// weak reports whether this daemon's machine can be no hub of hundreds.
+func (w *watching) weak() bool { return strengthOf(w.node.id) < hubStrength }
+
+// awaitsList reports whether a weak machine leaves the first list to strong ones: the
+// lists of hundreds of daemons are most of what the store has to answer at a start.
+func (w *watching) awaitsList() bool {
+	if !w.weak() {
+		return false
+	}
+	age := time.Since(w.node.started)
+	if w.node.settings.Daemon.FirstStart {
+		return age < findStrong || age < listWait && w.knowsStrong()
+	}
+	known, learned := w.node.members.before()
+	if !learned {
+		return age < learnTime
+	}
+	return exchange.Meshed(known) && (age < findStrong || age < listAgain && w.knowsStrong())
+}
+
+// knowsStrong reports whether some serving daemon's machine can be a hub of hundreds.
+func (w *watching) knowsStrong() bool {
+	best := w.node.members.layout().watchers
+	return len(best) > 0 && strengthOf(best[0].Daemon) >= hubStrength
+}
+
+// gathers reports whether a weak machine may not have found the others yet, and isn't
+// to take its view for the fleet.
+func (w *watching) gathers() bool {
+	return w.weak() && time.Since(w.node.started) < startTime && w.knowsStrong()
 }
 
 // due reports whether this daemon should watch a kind now, of which it knows all
-// there is or nothing yet. One that has just started lists it first: the store's
-// link is the widest, and a hub that had to tell all endpoints to a whole fleet
-// would be late for seconds.
+// there is or nothing yet. One that has just started lists it first, unless its
+// machine is weak.
 func (w *watching) due(known bool) bool {
-	if !known || w.age() > w.stale() {
+	if !known {
+		return !w.awaitsList()
+	}
+	if w.age() > w.stale() {
 		return true
 	}
-	return !w.follows() && time.Since(w.node.started) > firstWatch
+	return !w.follows() && !w.gathers() && time.Since(w.node.started) > firstWatch
 }
 
 // Wait implements follow.Pace.
@@ -161,7 +204,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	w.node.say("watching").WithFields(map[string]any{
-		"kind": f.Kind(), "from": from, "daemons": len(w.node.members.serving()), "hub": w.hub(), "word_age_ms": w.age().Milliseconds(),
+		"kind": f.Kind(), "from": from, "daemons": len(w.node.members.serving()), "watcher": w.watcher(), "word_age_ms": w.age().Milliseconds(),
 	}).Info("watches the store")
 	go pause.Every(ctx, roleInterval, func() {
 		if !due() {
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"math/rand/v2"
 	"time"
 )
 
@@ -34,6 +35,8 @@
 	told       time.Time
 	untold     bool          // nothing was told yet
 	interval   time.Duration // until it is told next
+	meanCost   float64       // of what was asked for here, smoothed; zero: nothing was
+	random     *rand.Rand
 }
 
 // Fleet is what a daemon knows of those who share a limit.
@@ -53,6 +56,7 @@
 	return &Bucket{
 		rate: rate, burst: burst, level: min(level, burst), grace: grace, at: now,
 		told: now, untold: true, interval: startInterval, fleet: Fleet{Daemons: 1, Part: 1},
+		random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
@@ -152,6 +156,7 @@
 // Take lets a request of a cost in, or says after how long it could be.
 func (b *Bucket) Take(now time.Time, cost float64) (wait time.Duration, ok bool) {
 	b.fill(now)
+	b.asked(cost)
 	if b.rate <= 0 || b.plenty(cost) {
 		b.spend(cost)
 		return 0, true
@@ -159,6 +164,9 @@
 	if b.fleet.Daemons == 1 {
 		return waitFor((b.needs(cost) - b.left()) / b.rate), false
 	}
+	if b.sparse() {
+		return b.draw(cost)
+	}
 	need := min(b.asks(cost), b.depth())
 	if b.own < need {
 		return waitFor((need - b.own) / b.ownFill()), false
@@ -168,6 +176,33 @@
 	return 0, true
 }
 
+// asked notes the cost of a request.
+func (b *Bucket) asked(cost float64) {
+	if b.meanCost == 0 {
+		b.meanCost = cost
+		return
+	}
+	b.meanCost += (cost - b.meanCost) * costWeight
+}
+
+// sparse reports whether this daemon saves for a request for many seconds, since its
+// share of the limit is a small part of one. Were each to let in what it has a debt for,
+// a fleet of a thousand would let in a thousand requests at once.
+func (b *Bucket) sparse() bool {
+	return !b.alone() && b.fleet.Daemons > 1 && b.meanCost > sparseSeconds*b.rate*b.share()
+}
+
+// draw lets a request in by chance, so that of all daemons as many do as their savings
+// make whole requests. Large requests have the same chance as small ones.
+func (b *Bucket) draw(cost float64) (wait time.Duration, ok bool) {
+	if b.random.Float64()*b.meanCost >= b.own {
+		return waitFor((b.meanCost - b.own) / b.ownFill()), false
+	}
+	b.own -= cost
+	b.spend(cost)
+	return 0, true
+}
+
 // plenty reports whether a cost can be let in whatever the others do.
 func (b *Bucket) plenty(cost float64) bool {
 	if b.alone() {
@@ -270,7 +305,11 @@
 	if b.alone() {
 		return b.burst
 	}
-	return depthSeconds * b.rate * b.share()
+	depth := depthSeconds * b.rate * b.share()
+	if b.sparse() && b.left() < b.reserve() {
+		return max(depth, b.meanCost)
+	}
+	return depth
 }
 
 func (b *Bucket) fill(now time.Time) {
@@ -287,7 +326,7 @@
 // advance fills the bucket up to a time in which its rates don't change.
 func (b *Bucket) advance(now time.Time) {
 	d := now.Sub(b.at).Seconds()
-	b.own = min(b.own+b.ownFill()*d, max(b.depth(), b.own))
+	b.own = min(b.own+b.ownFill()*d, b.mostSaved())
 	if !b.alone() {
 		b.level = min(b.level+b.rate*b.fleet.Part*d, max(b.burst*b.fleet.Part, b.level))
 		b.predicted += b.othersRate * d
@@ -295,6 +334,16 @@
 	b.at = now
 }
 
+// mostSaved bounds what the own bucket holds after a while in which nothing was let in.
+// What a sparse share has saved is let go while the limit has much left: all daemons
+// would spend it at once when that is used up.
+func (b *Bucket) mostSaved() float64 {
+	if b.sparse() && b.left() >= b.reserve() {
+		return b.depth()
+	}
+	return max(b.depth(), b.own)
+}
+
 func waitFor(seconds float64) time.Duration {
 	return time.Duration(math.Min(seconds, maxWaitSeconds) * float64(time.Second))
 }
@@ -325,6 +374,11 @@
 	// depthSeconds is how much of its share a daemon may have saved: some
 	// reports long.
 	depthSeconds = 0.5
+	// sparseSeconds of its share are less than a request where a daemon lets requests in
+	// by chance.
+	sparseSeconds = 5.0
+	// costWeight is the weight of the newest request in the mean cost.
+	costWeight = 0.1
 	// correctSeconds is the time in which a difference of the common level from
 	// zero is made up for: several reports long, or it swings.
 	correctSeconds = 1.0
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -1,6 +1,7 @@
 package quota
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
@@ -23,6 +24,7 @@
 	interval time.Duration
 	kept     map[fleet.WorkspaceID]Kept // from before this daemon's start
 	keptAt   time.Time
+	random   *rand.Rand
 }
 
 // StartDaemons is the number of daemons that are taken to start together where
@@ -50,9 +52,14 @@
 		daemons: StartDaemons,
 
 		interval: startInterval,
+		random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}
 }
 
+// SetRandom takes the source of chance, which belongs to the Quota from now on. It is
+// to be called before Configure.
+func (q *Quota) SetRandom(r *rand.Rand) { q.random = r }
+
 // Configure takes the limits of a table.
 func (q *Quota) Configure(now time.Time, t *route.Table) {
 	for i := range t.Workspaces {
@@ -67,7 +74,7 @@
 		}
 		b := NewBucket(now, w.Rate, w.Burst, level, q.grace)
 		b.fleet = q.fleet(now)
-		b.interval = q.interval
+		b.interval, b.random = q.interval, q.random
 		q.restore(now, w.Name, b)
 		q.buckets[w.Name] = b
 	}
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -1,9 +1,14 @@
 package quota_test
 
 import (
+	"cmp"
+	"flag"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -52,27 +57,31 @@
 	// peak is demand after the jump, in limits; zero: 3.33.
 	peak float64
 
-	rng    *rand.Rand
+	rng    *rand.Rand // of the demand
+	chance *rand.Rand // of the daemons
 	limits []*quota.Quota
 	next   []time.Duration // report, by daemon
 	kept   map[fleet.WorkspaceID]quota.Kept
 	keptAt time.Duration
 	hubs   map[string]*exchange.Hub
-	let    []float64 // by step, in seconds of the limit
-	asked  []float64 // likewise
+	seqs   []uint64
+	// relayed is up to when each pair of hubs has relayed.
+	relayed map[[2]string]time.Time
+	let     []float64 // by step, in seconds of the limit
+	asked   []float64 // likewise
 }
 
 var largeWorkspace = route.Workspace{Name: workshop, Rate: largeRate, Burst: largeRate}
 
 func (f *sizedFleet) start(seed uint64) {
 	f.rng = rand.New(rand.NewPCG(seed, 1))
-	f.hubs = map[string]*exchange.Hub{}
-	interval := exchange.CalmInterval(f.daemons)
-	for _, name := range []string{"first", "second", "away"} {
-		f.hubs[name] = exchange.NewHub(interval)
-	}
+	f.chance = rand.New(rand.NewPCG(seed, 2))
+	f.newHubs()
+	f.seqs = make([]uint64, f.daemons)
+	interval := exchange.CalmInterval(f.reporters(f.daemons))
 	for range f.daemons {
 		q := quota.New(true, tolerated)
+		q.SetRandom(f.chance)
 		q.Configure(began, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
 		q.SetDaemons(began, f.daemons)
 		f.limits = append(f.limits, q)
@@ -89,11 +98,10 @@
 // again starts all daemons again, which know what was kept some time ago.
 func (f *sizedFleet) again(t, ago time.Duration, kept map[fleet.WorkspaceID]quota.Kept) {
 	now := began.Add(t)
-	for name := range f.hubs {
-		f.hubs[name] = exchange.NewHub(exchange.CalmInterval(f.daemons))
-	}
+	f.newHubs()
 	for i := range f.limits {
 		q := quota.New(false, tolerated)
+		q.SetRandom(f.chance)
 		q.Restore(now, ago, kept)
 		q.Configure(now, &route.Table{Workspaces: []route.Workspace{largeWorkspace}})
 		q.SetDaemons(now, f.daemons)
@@ -109,12 +117,75 @@
 	return f.isAway(i) && f.cut(t) && (f.alone || !f.noticed(t))
 }
 
+// playCentres is the data centres of a fleet whose hubs relay to each other.
+const playCentres = 6
+
+// newHubs starts all hubs, with nothing known.
+func (f *sizedFleet) newHubs() {
+	f.hubs, f.relayed = map[string]*exchange.Hub{}, map[[2]string]time.Time{}
+	interval := exchange.CalmInterval(f.reporters(f.daemons))
+	if exchange.Meshed(f.daemons) {
+		interval += exchange.RelayInterval
+	}
+	for i := range f.daemons {
+		for _, side := range []string{"", "away"} {
+			for _, name := range f.hubsOf(i, side) {
+				if f.hubs[name] == nil {
+					f.hubs[name] = exchange.NewHub(interval)
+				}
+			}
+		}
+	}
+}
+
+// reporters returns how many of a number of daemons report to one hub.
+func (f *sizedFleet) reporters(daemons int) int {
+	if !exchange.Meshed(daemons) {
+		return daemons
+	}
+	centre := (daemons + playCentres - 1) / playCentres
+	return centre / exchange.Groups(centre)
+}
+
+// hubsOf returns a daemon's hubs on one side of a cut.
+func (f *sizedFleet) hubsOf(i int, side string) []string {
+	if !exchange.Meshed(f.daemons) {
+		return []string{side + "first", side + "second"}
+	}
+	group := i / playCentres % exchange.Groups(f.daemons/playCentres)
+	name := fmt.Sprintf("%s%d/%d/", side, i%playCentres, group)
+	return []string{name + "first", name + "second"}
+}
+
 // told returns whom a daemon reports to.
 func (f *sizedFleet) told(i int, t time.Duration) []string {
 	if f.isAway(i) && f.noticed(t) {
-		return []string{"away"}
+		return f.hubsOf(i, "away")
+	}
+	return f.hubsOf(i, "")
+}
+
+// relay lets the hubs of each side relay to each other.
+func (f *sizedFleet) relay(t time.Duration) {
+	if !exchange.Meshed(f.daemons) || t%exchange.RelayInterval != 0 {
+		return
+	}
+	now := began.Add(t)
+	names := slices.Sorted(maps.Keys(f.hubs))
+	for _, from := range names {
+		for _, to := range names {
+			if from == to || strings.HasPrefix(from, "away") != strings.HasPrefix(to, "away") {
+				continue
+			}
+			pair := [2]string{from, to}
+			parts := f.hubs[from].Relay(now, f.relayed[pair], now)
+			f.relayed[pair] = now
+			slices.SortFunc(parts, func(a, b exchange.Relayed) int { return cmp.Compare(a.Daemon, b.Daemon) })
+			for i := range parts {
+				f.hubs[to].TakeRelayed(now, t, &parts[i])
+			}
+		}
 	}
-	return []string{"first", "second"}
 }
 
 // seen returns how many daemons a daemon knows of.
@@ -162,6 +233,7 @@
 			sum, asked = sum+let, asked+all
 			f.report(i, q, t)
 		}
+		f.relay(t)
 		f.keep(t)
 		f.let, f.asked = append(f.let, sum/largeRate), append(f.asked, asked/largeRate)
 	}
@@ -196,9 +268,10 @@
 		return
 	}
 	now := began.Add(t)
-	interval := exchange.CalmInterval(f.seen(i, t))
+	reporters := f.reporters(f.seen(i, t))
+	interval := exchange.CalmInterval(reporters)
 	if q.Short(now) {
-		interval = exchange.UrgentInterval(f.seen(i, t))
+		interval = exchange.UrgentInterval(reporters)
 	}
 	q.SetInterval(now, interval)
 	f.next[i] = t + interval + time.Duration(f.rng.Int64N(int64(30*time.Millisecond)))
@@ -209,9 +282,12 @@
 	young := f.killed > 0 && t >= f.killed && t < f.killed+downTime+youngTime
 	q.KeepHubs(hubs)
 	id := fleet.DaemonID(fmt.Sprint(i))
-	for _, name := range hubs {
+	f.seqs[i]++
+	for n, name := range hubs {
 		spent := map[fleet.WorkspaceID]float64{workshop: q.Spent()[workshop]}
-		f.hubs[name].Take(now, t, exchange.Part{Daemon: id, Soft: relay.Soft{Spent: spent, Recent: young}, Wall: now})
+		f.hubs[name].Take(now, t, exchange.Part{
+			Daemon: id, Soft: relay.Soft{Spent: spent, Recent: young}, Wall: now, Seq: f.seqs[i], Spare: n > 0,
+		})
 		q.Others(now, name, f.hubs[name].Spent(now, id), young)
 	}
 }
@@ -250,6 +326,52 @@
 
 var sizes = []int{6, 80, 195, 340}
 
+// largeFleet is a further size to play, which takes minutes.
+var largeFleet = flag.Int("large-fleet", 0, "daemons of one more fleet")
+
+// largeSizes are those of fleets whose hubs relay to each other. They are played once.
+func largeSizes() []int {
+	out := []int{986}
+	if *largeFleet > 0 {
+		out = append(out, *largeFleet)
+	}
+	return out
+}
+
+// Guards against a limit that a fleet of hundreds exceeds by a request for each daemon,
+// or because it hears of its spending the later the larger it is.
+func TestLimitIsKeptByAFleetOfHundreds(t *testing.T) {
+	for _, daemons := range largeSizes() {
+		for _, c := range []struct {
+			name   string
+			hot    time.Duration
+			cut    bool
+			killed time.Duration
+			most   float64
+		}{
+			{"a jump", 500 * time.Millisecond, false, 0, 1},
+			{"a third cut off, then a jump", 6 * time.Second, true, 0, 1},
+			{"a jump, then a third cut off", 500 * time.Millisecond, true, 0, 1.1},
+			{"a jump, then all killed", 2 * time.Second, false, 8 * time.Second, 1},
+		} {
+			t.Run(fmt.Sprintf("%d daemons, %s", daemons, c.name), func(t *testing.T) {
+				f := &sizedFleet{daemons: daemons, hot: c.hot, killed: c.killed}
+				if c.cut {
+					f.away, f.from, f.to = daemons*35/100, time.Second, 13*time.Second
+				}
+				f.play(1, 16*time.Second)
+				assert.Assert(t, f.most() <= c.most, "%.3f of what is tolerated", f.most())
+				from, to := c.hot+2*time.Second, 13*time.Second
+				if c.killed > 0 {
+					to = c.killed
+				}
+				got := f.between(from, to)
+				assert.Assert(t, got >= 0.85, "%.2f of the limit", got)
+			})
+		}
+	}
+}
+
 // A workspace's demand jumps to three times its limit, and stays there. The
 // daemons of a fleet of any size hear of each other's spending too late for the
 // jump, and must make up for it within the window: callers must get the limit, and
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// Adopt takes what a daemon that has run for longer knows to be left of the limits.
+func (s *State) Adopt(now time.Time, levels map[fleet.WorkspaceID]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.quota.Adopt(now, levels)
+}
+
 // KeepHubs forgets what all hubs but some have told.
 func (s *State) KeepHubs(hubs []string) {
 	s.mu.Lock()
