Lists to a fleet of hundreds: packed, each 0.6 s, and kept for others only by those that are asked

Cause: a fleet's endpoints register one after the other within some seconds, and each of 986 daemons took each change with work that grows with the list (four maps and a sorted log of 3,000), three times a second, and all of it as plain text, 900 kB for each.

Change: lists of 16 and more items are packed where the asker understands that; a daemon that isn't a hub looks at its hub's lists of endpoints and members each 0.6 s; what others are told is brought up to date when they ask; one map in place of three.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -33,6 +33,7 @@
 		Spare:         p.Spare,
 		Hub:           p.Hub,
 		Members:       encodePosition(p.Members),
+		Unpacks:       p.Unpacks,
 	}
 	if p.Self != nil {
 		out.Self = encodeMember(p.Self)
@@ -85,6 +86,7 @@
 		Hub:   r.Hub,
 
 		Members: decodePosition(r.Members),
+		Unpacks: r.Unpacks,
 	}
 	if r.Self != nil {
 		self := decodeMember(r.Self)
@@ -128,7 +130,7 @@
 		ConfigVersion: s.Version,
 		Config:        s.Text,
 		Holder:        encodeHolder(s.Holder),
-		Endpoints:     encodeUpdate(&s.Endpoints),
+		Endpoints:     encodeList(&s.Endpoints, s.Packed),
 		FreshMs:       s.Fresh.Milliseconds(),
 		Levels:        encodeSpent(s.Soft.Levels),
 
@@ -137,7 +139,7 @@
 		Crashes:   quarantinepb.Encode(s.Crashes),
 		CrashesTo: quarantinepb.EncodePosition(s.CrashesTo),
 		Rollouts:  encodeNews(&s.Rollouts),
-		Members:   encodeUpdate(&s.Members),
+		Members:   encodeList(&s.Members, s.Packed),
 	}
 	if s.Loads != nil {
 		out.Loads, out.OwnLoads = s.Loads.packed, packLoads(s.Loads.Own)
@@ -155,12 +157,12 @@
 		VersionAt: t.ConfigRevision,
 		Soft:      relay.Soft{Spent: decodeSpent(t.Spent), Recent: t.Recent, Levels: decodeSpent(t.Levels)},
 		Holder:    decodeHolder(t.Holder),
-		Endpoints: decodeUpdate(t.Endpoints),
+		Endpoints: decodeList(t.Endpoints),
 		Fresh:     time.Duration(t.FreshMs) * time.Millisecond,
 		Crashes:   quarantinepb.Decode(t.Crashes),
 		CrashesTo: quarantinepb.DecodePosition(t.CrashesTo),
 		Rollouts:  decodeNews(t.Rollouts),
-		Members:   decodeUpdate(t.Members),
+		Members:   decodeList(t.Members),
 	}
 	if t.Loads != nil {
 		s.Loads = &Loads{All: unpackLoads(t.Loads), Own: unpackLoads(t.OwnLoads)}
--- a/internal/exchange/part.go
+++ b/internal/exchange/part.go
@@ -48,6 +48,8 @@
 	Hub bool
 	// Relayed is what a hub was told since its last relay.
 	Relayed []Relayed
+	// Unpacks says that lists may be told packed.
+	Unpacks bool
 	// Self is the daemon itself, as long as the hub may not know it; nil otherwise.
 	Self *membership.Member
 	// Members is the hub's state of the list of members that the daemon has.
@@ -82,6 +84,8 @@
 	Rollouts rollout.News
 	// Members leads to the hub's list of members; see EncodeMember.
 	Members feed.Update
+	// Packed says that long lists are told packed.
+	Packed bool
 	// Fresh is the time since the hub last heard from the store.
 	Fresh time.Duration
 }
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -18,7 +18,7 @@
 
 const (
 	// entryStrength is the least grade of a machine that enters itself in the store.
-	entryStrength = 9
+	entryStrength = 8
 	// enterTime is how long after its start the others of a fleet have entered
 	// themselves; who reads earlier misses some.
 	enterTime = 600 * time.Millisecond
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -27,8 +27,10 @@
 	store *follow.Follower
 	specs map[fleet.EndpointID]spec // as the store or a hub told them
 	log   *feed.Log                 // for daemons that don't watch the store
-	bad   map[fleet.EndpointID]unread
-	ended map[fleet.EndpointID]uint64 // the last revision of entries that the store has ended
+	// unlogged says that the log lacks the newest list: most daemons are never asked.
+	unlogged bool
+	bad      map[fleet.EndpointID]unread
+	ended    map[fleet.EndpointID]uint64 // the last revision of entries that the store has ended
 }
 
 // unread is an entry that names no endpoint, and why.
@@ -263,8 +265,12 @@
 
 // since returns what leads another daemon to this one's list.
 func (d *endpointDuty) since(p feed.Position) feed.Update {
+	if p == feed.Unwanted {
+		return feed.Update{}
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.publish()
 	return d.log.Since(p)
 }
 
@@ -277,56 +283,76 @@
 	if !changed {
 		return
 	}
-	d.logChanges(all)
-	d.forgetGone(all)
+	d.forgetGone(all, d.logChanges(all))
 	d.all = all
-	d.publish()
+	d.unlogged = true
+	d.pruneSpecs()
 	d.node.state.SetEndpoints(time.Now(), all)
 	d.node.starting.hasEndpoints()
 	d.node.say("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
 
-// logChanges says which endpoints leave and which are gone. The lock is held.
-func (d *endpointDuty) logChanges(now []roster.Endpoint) {
+// logChanges says which endpoints leave and which are gone, and returns the new list by
+// ID. The lock is held.
+func (d *endpointDuty) logChanges(now []roster.Endpoint) map[fleet.EndpointID]*roster.Endpoint {
 	log := d.node.say("endpoints")
-	current := make(map[fleet.EndpointID]roster.Endpoint, len(now))
-	for _, e := range now {
-		current[e.ID] = e
+	current := make(map[fleet.EndpointID]*roster.Endpoint, len(now))
+	for i := range now {
+		current[now[i].ID] = &now[i]
 	}
-	for _, old := range d.all {
-		e, listed := current[old.ID]
+	for i := range d.all {
+		old := &d.all[i]
+		e := current[old.ID]
 		switch {
-		case !listed:
+		case e == nil:
 			log.WithField("endpoint", old.ID).Info("endpoint gone")
 		case e.Draining && !old.Draining:
 			log.WithFields(map[string]any{"endpoint": e.ID, "spot": e.Spot}).Info("endpoint leaves")
 		}
 	}
+	return current
 }
 
-// publish puts the new list into the log. The lock is held.
+// publish puts the newest list into the log. The lock is held.
 func (d *endpointDuty) publish() {
+	if !d.unlogged {
+		return
+	}
+	d.unlogged = false
 	items := make([]feed.Item, len(d.all))
+	for i := range d.all {
+		s := d.specs[d.all[i].ID]
+		items[i] = feed.Item{Name: string(d.all[i].ID), Spec: s.text, Revision: s.revision}
+	}
+	d.log.Set(d.roster.Complete(), items)
+}
+
+// pruneSpecs forgets the entries of endpoints that are gone, some at a time. The lock is
+// held.
+func (d *endpointDuty) pruneSpecs() {
+	if len(d.specs) <= len(d.all)+keptSpecs {
+		return
+	}
 	specs := make(map[fleet.EndpointID]spec, len(d.all))
-	for i, e := range d.all {
-		s := d.specs[e.ID]
-		specs[e.ID] = s
-		items[i] = feed.Item{Name: string(e.ID), Spec: s.text, Revision: s.revision}
+	for i := range d.all {
+		specs[d.all[i].ID] = d.specs[d.all[i].ID]
 	}
 	d.specs = specs
-	d.log.Set(d.roster.Complete(), items)
 }
 
+// keptSpecs is how many entries of endpoints that are gone may be kept: to look for them
+// takes as long as the list is.
+const keptSpecs = 256
+
 // forgetGone closes kept connections to addresses that nobody has any more, and
 // to endpoints that have started again.
-func (d *endpointDuty) forgetGone(now []roster.Endpoint) {
+func (d *endpointDuty) forgetGone(now []roster.Endpoint, current map[fleet.EndpointID]*roster.Endpoint) {
 	kept := make(map[string]bool, len(now))
-	current := make(map[fleet.EndpointID]*roster.Endpoint, len(now))
 	for i := range now {
 		kept[now[i].Address] = true
-		current[now[i].ID] = &now[i]
 	}
-	for _, e := range d.all {
+	for i := range d.all {
+		e := &d.all[i]
 		again := current[e.ID] != nil && e.RestartedAs(current[e.ID])
 		if again || !kept[e.Address] {
 			d.node.pool.Forget(e.Address)
--- a/internal/node/introducing.go
+++ b/internal/node/introducing.go
@@ -22,14 +22,18 @@
 	view *membership.View // that the log has
 	at   time.Time
 	told map[string]feed.Position // what this daemon has of hubs' lists, by address
+	asks map[string]time.Time     // when they last told theirs
 }
 
 func newIntroducing(n *Node) *introducing {
-	return &introducing{node: n, log: feed.NewLog(rand.Uint64() | 1), told: map[string]feed.Position{}}
+	return &introducing{node: n, log: feed.NewLog(rand.Uint64() | 1), told: map[string]feed.Position{}, asks: map[string]time.Time{}}
 }
 
 // since returns what leads another daemon to this hub's list of members.
 func (i *introducing) since(now time.Time, p feed.Position) feed.Update {
+	if p == feed.Unwanted {
+		return feed.Update{}
+	}
 	if view := i.node.members.gossip.View(); view != i.view && now.Sub(i.at) >= membersInterval {
 		i.view, i.at = view, now
 		i.log.Set(0, itemsOf(aliveOf(view)))
@@ -52,7 +56,7 @@
 	if u.To.Seq == 0 {
 		return nil
 	}
-	i.told[address] = u.To
+	i.told[address], i.asks[address] = u.To, time.Now()
 	out := make([]membership.Member, 0, len(u.Items))
 	for _, it := range u.Items {
 		if m, err := exchange.DecodeMember(it.Spec); err == nil {
@@ -63,9 +67,9 @@
 }
 
 // position returns what this daemon has of a hub's list, Unwanted where another one
-// tells it.
+// tells it or it was told a short while ago.
 func (i *introducing) position(address string, wanted bool) feed.Position {
-	if !wanted {
+	if !wanted || time.Since(i.asks[address]) < listInterval {
 		return feed.Unwanted
 	}
 	return i.told[address]
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -49,13 +49,23 @@
 		return feed.Unwanted // all there is comes from one hub
 	case t.lister == "":
 		return feed.Position{Revision: t.node.endpoints.upTo()}
-	case t.lister == address:
+	case t.lister == address && t.listsOften(l):
 		return t.listed
 	default:
 		return feed.Unwanted
 	}
 }
 
+// listInterval is the least time between two looks at a hub's list in a fleet of
+// hundreds: to take what has changed takes a daemon as long as the list is.
+const listInterval = 600 * time.Millisecond
+
+// listsOften reports whether it is time to look at the list again. Hubs always do: what
+// they tell is late by as much. The lock is held.
+func (t *telling) listsOften(l *layout) bool {
+	return !l.meshed || t.relaying || time.Since(t.listedAt) >= listInterval
+}
+
 // follows reports whether this daemon may begin to follow a hub's list. A hub that
 // relays follows those that watch the store. The lock is held.
 func (t *telling) follows(l *layout, address string) bool {
@@ -90,7 +100,7 @@
 	switch {
 	case t.node.endpoints.due():
 		t.listedAt = time.Now() // the hub's changes since then are asked for later
-	case time.Since(t.listedAt) > t.silence():
+	case time.Since(t.listedAt) > t.silence()+listInterval:
 		t.lister, t.listed = "", feed.Position{}
 	}
 }
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -104,7 +104,7 @@
 	t.hub.Take(now, steady, p)
 	t.takeRelayed(now, steady, &p)
 	t.holder = t.holder.Newer(p.Holder)
-	sum := exchange.Sum{Soft: relay.Soft{Recent: t.node.gathering()}, Holder: t.holder}
+	sum := exchange.Sum{Soft: relay.Soft{Recent: t.node.gathering()}, Holder: t.holder, Packed: p.Unpacks}
 	relayer := p.Hub && p.Daemon != t.node.id
 	if !relayer {
 		sum.Soft.Spent = t.hub.Spent(now, p.Daemon)
@@ -285,6 +285,7 @@
 		Daemon:  t.node.id,
 		Version: t.node.config.current().Version,
 		Fetches: true,
+		Unpacks: true,
 		Soft:    t.node.state.Own(),
 		Wall:    time.Now(),
 	}
--- a/internal/spread/patch.go
+++ b/internal/spread/patch.go
@@ -39,6 +39,9 @@
 	return e.EncodeAll(text, nil), nil
 }
 
+// Pack returns a patch from nothing.
+func Pack(text []byte) ([]byte, error) { return makePatch(nil, text) }
+
 // window returns how far back a patch may refer, so that all of its base and its
 // text is within reach: a power of two.
 func window(bytes int) int {
