Reports of a large fleet each second, urgent ones only by who has something to tell; periodic duties wake a daemon once

Cause: with hubs in each data centre 986 daemons made 4,900 reports a second, and with 333 workspaces one limit or another is always short, so that all of them reported as if it were theirs. Besides, a daemon's ten periodic duties woke it up at ten different moments of each 0.1 s.

Change: where hubs relay, a daemon reports each second, within 0.25 s of having let in something of a workspace that is short, and at once to others where its hub is silent; every third report goes to the second hub, which hears of the others by relays. Duties that are due at the same interval are due at the same moment. Where a daemon lets in by chance, what is shared out and the time of correction follow the interval, or all would open and close together.

--- a/internal/exchange/groups.go
+++ b/internal/exchange/groups.go
@@ -12,8 +12,22 @@
 	// RelayInterval is the time between two relays of a hub: with two urgent reports
 	// it is how late a daemon of a fleet of any size hears of another's spending.
 	RelayInterval = 100 * time.Millisecond
+	// MeshInterval is the time between two reports of a daemon whose hubs relay, while
+	// it has nothing urgent to tell: a daemon of hundreds serves some requests in it.
+	MeshInterval = time.Second
+	// SpareEvery is every how manieth of its reports goes to the hub that doesn't relay
+	// it, too: that one hears of it by the relays.
+	SpareEvery = 3
+	// meshPerDaemon bounds the reports of a start at 340 a second.
+	meshPerDaemon = 3 * time.Millisecond
 )
 
+// MeshStartInterval is the time between two reports of a daemon that has just started,
+// of so many that report to its hub.
+func MeshStartInterval(daemons int) time.Duration {
+	return max(firstInterval, time.Duration(daemons)*meshPerDaemon)
+}
+
 // Meshed reports whether a fleet has hubs in each data centre.
 func Meshed(daemons int) bool { return daemons > GroupSize }
 
--- a/internal/gossip/owner.go
+++ b/internal/gossip/owner.go
@@ -6,12 +6,13 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
 // own is the duty that owns the Membership.
 func (n *Node) own() {
 	defer n.done.Done()
-	ticker := time.NewTicker(tickInterval)
+	ticker := time.NewTimer(pause.ToNext(tickInterval))
 	defer ticker.Stop()
 	keysAt := n.opts.Now()
 	for {
@@ -19,6 +20,7 @@
 		case <-n.closing:
 			return
 		case <-ticker.C:
+			ticker.Reset(pause.ToNext(tickInterval))
 			now := n.opts.Now()
 			if now.Sub(keysAt) >= keyInterval {
 				keysAt = now
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -14,6 +14,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/lease"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/usage"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -84,7 +85,7 @@
 }
 
 func (d *duties) run(ctx context.Context) {
-	tick := time.NewTicker(dutyTick)
+	tick := time.NewTimer(pause.ToNext(dutyTick))
 	defer tick.Stop()
 	for {
 		select {
@@ -93,6 +94,7 @@
 		case f := <-d.results.C():
 			f(time.Now())
 		case <-tick.C:
+			tick.Reset(pause.ToNext(dutyTick))
 			d.tick(ctx, time.Now())
 		}
 	}
--- a/internal/node/lister.go
+++ b/internal/node/lister.go
@@ -15,13 +15,19 @@
 	defer t.mu.Unlock()
 	t.loader = ""
 	for _, address := range targets {
-		if address == t.node.settings.Listen.Peers || time.Since(t.to(address).answered) < t.silence() {
+		if address == t.node.settings.Listen.Peers || time.Since(t.to(address).answered) < t.silence() && !t.lost(address) {
 			t.loader = address
 			return
 		}
 	}
 }
 
+// lost reports whether a hub that relays has left a report unanswered: what it was told
+// since it last relayed isn't known to others. The lock is held.
+func (t *telling) lost(address string) bool {
+	return t.node.members.layout().meshed && t.to(address).unanswered
+}
+
 // perDaemonLoads bounds the loads that a hub tells at 125 a second: they are
 // most of the bytes between daemons, and grow with the endpoints.
 const perDaemonLoads = 8 * time.Millisecond
--- a/internal/node/relaying.go
+++ b/internal/node/relaying.go
@@ -51,13 +51,23 @@
 			silent++
 		}
 	}
-	return append(out, peersOf(l.standIns[:min(silent, len(l.standIns))])...)
+	out = append(out, peersOf(l.standIns[:min(silent, len(l.standIns))])...)
+	if l.meshed && silent == 0 && len(out) > 1 && t.loader == out[0] && t.seq%exchange.SpareEvery != 0 {
+		return out[:1]
+	}
+	return out
 }
 
-// silent reports whether a hub has left the last reports unanswered. The lock is held.
-func (t *telling) silent(address string) bool {
-	r := t.to(address)
-	return r.unanswered && time.Since(r.answered) > t.silence()
+// silent reports whether a hub has left the last report unanswered. One that was only
+// late is told by and by as well. The lock is held.
+func (t *telling) silent(address string) bool { return t.to(address).unanswered }
+
+// lostHub reports whether the hub that relays this daemon's reports has left the last one
+// unanswered, so that nobody may know of it.
+func (t *telling) lostHub() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.loader == "" || t.silent(t.loader)
 }
 
 // otherHubs returns the addresses of all hubs and of those that stand in for one.
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -19,7 +19,13 @@
 )
 
 // interval is the calm one of the fleet as this daemon knows it.
-func (n *Node) interval() time.Duration { return exchange.CalmInterval(n.members.reporters()) }
+func (n *Node) interval() time.Duration {
+	l := n.members.layout()
+	if l.meshed {
+		return exchange.MeshInterval
+	}
+	return exchange.CalmInterval(l.reporters)
+}
 
 // way is how old a report is that a hub has from a daemon, whatever it came through.
 func (n *Node) way() time.Duration {
@@ -137,26 +143,56 @@
 // run tells the hubs until the context ends.
 func (t *telling) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause.For(ctx, t.next())
+		t.wait(ctx)
 		t.round(ctx)
 	}
 }
 
-// next returns the time until the next report.
+// urgentLook is how often a daemon whose hubs relay looks whether it has something
+// urgent to tell.
+const urgentLook = 250 * time.Millisecond
+
+// wait waits until the next report is due, which may become urgent meanwhile.
+func (t *telling) wait(ctx context.Context) {
+	began := time.Now()
+	for ctx.Err() == nil {
+		left := t.next() - time.Since(began)
+		if left <= 0 {
+			return
+		}
+		if t.node.members.layout().meshed {
+			left = min(left, urgentLook)
+		}
+		pause.For(ctx, left)
+		if !t.node.members.layout().meshed {
+			return
+		}
+	}
+}
+
+// next returns the time between the last report and the next.
 func (t *telling) next() time.Duration {
+	l := t.node.members.layout()
+	now := time.Now()
 	interval := t.node.interval()
 	switch {
+	case t.node.gathering() && l.meshed:
+		interval = exchange.MeshStartInterval(l.reporters)
 	case t.node.gathering():
-		interval = exchange.StartInterval(t.node.members.reporters())
-	case t.node.state.Moving(time.Now()):
+		interval = exchange.StartInterval(l.reporters)
+	case t.node.state.Moving(now):
 		interval = t.node.movingInterval()
-	case t.node.state.LimitsShort(time.Now()):
-		interval = exchange.UrgentInterval(t.node.members.reporters())
+	case l.meshed:
+		if t.node.state.ShortSpent(now) || t.lostHub() {
+			interval = exchange.UrgentInterval(l.reporters)
+		}
+	case t.node.state.LimitsShort(now):
+		interval = exchange.UrgentInterval(l.reporters)
 	}
-	if t.relays(t.node.members.layout()) {
+	if t.relays(l) {
 		interval = min(interval, exchange.RelayInterval)
 	}
-	t.node.state.SetInterval(time.Now(), interval)
+	t.node.state.SetInterval(now, interval)
 	return interval
 }
 
@@ -173,8 +209,9 @@
 	targets := t.targets()
 	t.begin()
 	t.chooseLoader(targets)
-	t.client.Keep(targets)
-	t.node.state.KeepHubs(targets)
+	kept := appendNew(slices.Clone(targets), peersOf(t.node.members.layout().own)...)
+	t.client.Keep(kept)
+	t.node.state.KeepHubs(kept)
 	t.checkLister()
 	answered := make(chan struct{}, len(targets))
 	for _, address := range targets {
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -195,7 +195,7 @@
 		if due() {
 			w.follow(ctx, f, from(), due)
 		}
-		pause.For(ctx, roleInterval)
+		pause.Next(ctx, roleInterval)
 	}
 }
 
--- a/internal/pause/pause.go
+++ b/internal/pause/pause.go
@@ -18,16 +18,20 @@
 	}
 }
 
-// Every calls f at an interval until the context ends.
+// Every calls f at an interval until the context ends, at multiples of the interval:
+// what is due at the same moment wakes the process once.
 func Every(ctx context.Context, interval time.Duration, f func()) {
-	t := time.NewTicker(interval)
-	defer t.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-t.C:
-			f()
-		}
+	for Next(ctx, interval) {
+		f()
 	}
 }
+
+// Next waits for the next multiple of an interval and reports whether the context lived
+// until then.
+func Next(ctx context.Context, interval time.Duration) bool { return For(ctx, ToNext(interval)) }
+
+// ToNext returns the time until the next multiple of an interval.
+func ToNext(interval time.Duration) time.Duration {
+	now := time.Now()
+	return now.Truncate(interval).Add(interval).Sub(now)
+}
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -260,6 +260,9 @@
 	if b.fleet.Daemons == 1 {
 		return 0
 	}
+	if b.sparse() {
+		return min(b.interval.Seconds()*b.rate, sparseReserve*b.burst)
+	}
 	return min(reserveSeconds*b.rate, reserveShare*b.burst)
 }
 
@@ -295,10 +298,16 @@
 	if b.alone() {
 		return b.rate * b.share()
 	}
-	factor := 1 + b.left()/(correctSeconds*b.rate)
+	factor := 1 + b.left()/(b.correction()*b.rate)
 	return b.rate * b.fleet.Part * b.share() * min(max(factor, leastFactor), mostFactor)
 }
 
+// correction returns the seconds in which a difference of the common level from zero is
+// made up for.
+func (b *Bucket) correction() float64 {
+	return max(correctSeconds, correctReports*b.interval.Seconds())
+}
+
 // depth bounds the own bucket. A daemon that leaves no debt must be able to
 // save for the largest request.
 func (b *Bucket) depth() float64 {
@@ -382,6 +391,11 @@
 	// correctSeconds is the time in which a difference of the common level from
 	// zero is made up for: several reports long, or it swings.
 	correctSeconds = 1.0
+	// correctReports is how many reports long that is at least.
+	correctReports = 2.5
+	// sparseReserve is the part of the burst that is shared out where a daemon lets
+	// requests in by chance: all of them see a level of a report ago.
+	sparseReserve = 0.75
 	// leastFactor and mostFactor bound that correction.
 	leastFactor = 0.05
 	mostFactor  = 2
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -155,6 +155,17 @@
 	return false
 }
 
+// ShortSpent reports whether this daemon has let in something of a workspace that has
+// little left, which the others don't know of yet.
+func (q *Quota) ShortSpent(now time.Time) bool {
+	for _, b := range q.buckets {
+		if b.spent > 0 && b.short(now) {
+			return true
+		}
+	}
+	return false
+}
+
 // lostShare is the part of the limits that the larger part of a fleet takes
 // over at once from daemons it has lost: mostly they are dead, and their
 // callers come to the others. Were they cut off instead, it is within what is
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -61,6 +61,7 @@
 	chance *rand.Rand // of the daemons
 	limits []*quota.Quota
 	next   []time.Duration // report, by daemon
+	last   []time.Duration
 	kept   map[fleet.WorkspaceID]quota.Kept
 	keptAt time.Duration
 	hubs   map[string]*exchange.Hub
@@ -78,6 +79,7 @@
 	f.chance = rand.New(rand.NewPCG(seed, 2))
 	f.newHubs()
 	f.seqs = make([]uint64, f.daemons)
+	f.last = make([]time.Duration, f.daemons)
 	interval := exchange.CalmInterval(f.reporters(f.daemons))
 	for range f.daemons {
 		q := quota.New(true, tolerated)
@@ -125,7 +127,7 @@
 	f.hubs, f.relayed = map[string]*exchange.Hub{}, map[[2]string]time.Time{}
 	interval := exchange.CalmInterval(f.reporters(f.daemons))
 	if exchange.Meshed(f.daemons) {
-		interval += exchange.RelayInterval
+		interval = exchange.MeshInterval + exchange.RelayInterval
 	}
 	for i := range f.daemons {
 		for _, side := range []string{"", "away"} {
@@ -262,17 +264,34 @@
 	return let, asked
 }
 
+// interval returns the time until a daemon's next report.
+func (f *sizedFleet) interval(i int, q *quota.Quota, t time.Duration) time.Duration {
+	switch {
+	case exchange.Meshed(f.daemons):
+		return exchange.MeshInterval
+	case q.Short(began.Add(t)):
+		return exchange.UrgentInterval(f.seen(i, t))
+	default:
+		return exchange.CalmInterval(f.seen(i, t))
+	}
+}
+
+// urgent reports whether a daemon whose hubs relay has something urgent to tell.
+func (f *sizedFleet) urgent(i int, q *quota.Quota, t time.Duration) bool {
+	if !exchange.Meshed(f.daemons) || t%(250*time.Millisecond) != time.Duration(i%25)*playStep {
+		return false
+	}
+	return t-f.last[i] >= exchange.UrgentInterval(f.reporters(f.daemons)) && q.ShortSpent(began.Add(t))
+}
+
 // report makes a daemon's report if it is due.
 func (f *sizedFleet) report(i int, q *quota.Quota, t time.Duration) {
-	if t < f.next[i] {
-		return
-	}
 	now := began.Add(t)
-	reporters := f.reporters(f.seen(i, t))
-	interval := exchange.CalmInterval(reporters)
-	if q.Short(now) {
-		interval = exchange.UrgentInterval(reporters)
+	if t < f.next[i] && !f.urgent(i, q, t) {
+		return
 	}
+	f.last[i] = t
+	interval := f.interval(i, q, t)
 	q.SetInterval(now, interval)
 	f.next[i] = t + interval + time.Duration(f.rng.Int64N(int64(30*time.Millisecond)))
 	if f.isolated(i, t) {
@@ -284,6 +303,9 @@
 	id := fleet.DaemonID(fmt.Sprint(i))
 	f.seqs[i]++
 	for n, name := range hubs {
+		if n > 0 && exchange.Meshed(f.daemons) && f.seqs[i]%exchange.SpareEvery != 0 {
+			break
+		}
 		spent := map[fleet.WorkspaceID]float64{workshop: q.Spent()[workshop]}
 		f.hubs[name].Take(now, t, exchange.Part{
 			Daemon: id, Soft: relay.Soft{Spent: spent, Recent: young}, Wall: now, Seq: f.seqs[i], Spare: n > 0,
@@ -361,7 +383,7 @@
 				}
 				f.play(1, 16*time.Second)
 				assert.Assert(t, f.most() <= c.most, "%.3f of what is tolerated", f.most())
-				from, to := c.hot+2*time.Second, 13*time.Second
+				from, to := c.hot, 13*time.Second
 				if c.killed > 0 {
 					to = c.killed
 				}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -114,6 +114,14 @@
 	return s.quota.Short(now)
 }
 
+// ShortSpent reports whether this daemon has let in something of a workspace that has
+// little left, which the others don't know of yet.
+func (s *State) ShortSpent(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.ShortSpent(now)
+}
+
 // Soft is what daemons tell each other about the requests they carry.
 type Soft struct {
 	// Spent is what was let in since a daemon's start, by workspace.
