Reports of a large fleet by the daemons of their hub, a stand-in's test, roles as metrics

Change: 5 ms for each daemon of the hub's, 0.4 s at least; the reserve as it was. The play's young daemons report as often as real ones.

Without stand-ins the new test of silent hubs fails (planted).

--- a/internal/exchange/groups.go
+++ b/internal/exchange/groups.go
@@ -12,20 +12,26 @@
 	// RelayInterval is the time between two relays of a hub: with two urgent reports
 	// it is how late a daemon of a fleet of any size hears of another's spending.
 	RelayInterval = 100 * time.Millisecond
-	// MeshInterval is the time between two reports of a daemon whose hubs relay, while
-	// it has nothing urgent to tell: a daemon of hundreds serves some requests in it.
-	MeshInterval = time.Second
 	// SpareEvery is every how manieth of its reports goes to the hub that doesn't relay
 	// it, too: that one hears of it by the relays.
 	SpareEvery = 3
-	// meshPerDaemon bounds the reports of a start at 340 a second.
-	meshPerDaemon = 3 * time.Millisecond
+	// meshPerDaemon bounds the reports that come to a hub that relays at 200 a second: a
+	// daemon of a thousand serves about one request between two of them.
+	meshPerDaemon = 5 * time.Millisecond
+	// startPerDaemon bounds those of a start at 340 a second.
+	startPerDaemon = 3 * time.Millisecond
 )
 
+// MeshInterval is the time between two reports of a daemon whose hubs relay, while it
+// has nothing urgent to tell, where so many daemons report to its hub.
+func MeshInterval(daemons int) time.Duration {
+	return max(largeInterval, time.Duration(daemons)*meshPerDaemon)
+}
+
 // MeshStartInterval is the time between two reports of a daemon that has just started,
 // of so many that report to its hub.
 func MeshStartInterval(daemons int) time.Duration {
-	return max(firstInterval, time.Duration(daemons)*meshPerDaemon)
+	return max(firstInterval, time.Duration(daemons)*startPerDaemon)
 }
 
 // Meshed reports whether a fleet has hubs in each data centre.
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -102,6 +102,6 @@
 		reporters := centre / Groups(centre)
 		assert.Assert(t, Meshed(daemons))
 		assert.Assert(t, UrgentInterval(reporters) <= 300*time.Millisecond, "%d daemons: %v", daemons, UrgentInterval(reporters))
-		assert.Equal(t, CalmInterval(reporters), largeInterval)
+		assert.Assert(t, MeshInterval(reporters) <= MeshInterval(GroupSize), "%d daemons: %v", daemons, MeshInterval(reporters))
 	}
 }
--- a/internal/node/large_test.go
+++ b/internal/node/large_test.go
@@ -1,11 +1,17 @@
 package node
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"slices"
 	"strings"
+	"sync"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
@@ -65,3 +71,95 @@
 		return false
 	})
 }
+
+// severed is a daemon's way to its peers, some of which can be cut off.
+type severed struct {
+	dial func(context.Context, string) (net.Conn, error)
+
+	mu    sync.Mutex
+	gone  []string
+	conns map[string][]net.Conn
+}
+
+func sever(n *Node) *severed {
+	s := &severed{dial: n.telling.client.Dial, conns: map[string][]net.Conn{}}
+	n.telling.client.Dial = s.to
+	return s
+}
+
+func (s *severed) to(ctx context.Context, address string) (net.Conn, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if slices.Contains(s.gone, address) {
+		return nil, net.ErrClosed
+	}
+	c, err := s.dial(ctx, address)
+	if err == nil {
+		s.conns[address] = append(s.conns[address], c)
+	}
+	return c, err
+}
+
+func (s *severed) cut(addresses []string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.gone = addresses
+	for _, address := range addresses {
+		for _, c := range s.conns[address] {
+			_ = c.Close()
+		}
+	}
+}
+
+// Guards against a data centre whose hubs don't answer, so that nobody hears of its
+// daemons' requests until the membership protocol has noticed.
+func TestNextStrongestStandsInForSilentHubs(t *testing.T) {
+	f := mixed(t, 2, 3, 3)
+	var way *severed
+	last := f.addWith(f.store, func(n *Node) {
+		n.settings.Daemon.DataCentre = "dc-0"
+		n.settings.Limits = LimitSettings{Cores: 0.192, LinkMbps: 20}
+		n.id = newID(n.settings.Limits)
+		way = sever(n)
+	})
+	f.ready()
+	way.cut(peersOf(last.members.layout().own))
+	at := time.Now().Add(100 * time.Millisecond)
+	f.untilAmong("a hub of the other data centre has heard of the daemon", func(n *Node) bool {
+		if n.settings.Daemon.DataCentre == "dc-0" || !n.members.layout().isHub(n.id) {
+			return false
+		}
+		n.telling.mu.Lock()
+		defer n.telling.mu.Unlock()
+		return n.telling.hub.HeardAll(at, []fleet.DaemonID{last.id})
+	})
+}
+
+// untilAmong waits for a condition on one of the daemons.
+func (f *fleetOf) untilAmong(what string, ok func(n *Node) bool) {
+	f.t.Helper()
+	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
+		if slices.ContainsFunc(f.nodes, ok) {
+			return poll.Success()
+		}
+		return poll.Continue("%s: not yet", what)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
+
+func TestRoleIsAMetric(t *testing.T) {
+	f := mixed(t, 1, 3, 1)
+	f.ready()
+	roles := map[string]int{}
+	for _, n := range f.nodes {
+		var text strings.Builder
+		n.Metrics(&text)
+		for _, role := range []string{"watcher", "hub", "daemon"} {
+			if strings.Contains(text.String(), fmt.Sprintf("cyclamenbeam_role{role=%q} 1", role)) {
+				roles[role]++
+			}
+		}
+		assert.Assert(t, strings.Contains(text.String(), "cyclamenbeam_hub{address="))
+	}
+	assert.Equal(t, roles["watcher"], 2)
+	assert.Equal(t, roles["daemon"], 2)
+}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -28,6 +28,7 @@
 		all, _ := n.endpoints.list()
 		return float64(len(all))
 	})
+	m.set.NewGauge("cyclamenbeam_daemons_serving", func() float64 { return float64(len(n.members.serving())) })
 	m.set.NewGauge("cyclamenbeam_store_era", func() float64 { return float64(n.endpoints.Era()) })
 	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.crashes.table.Holding()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.Size()) })
@@ -89,5 +90,22 @@
 	for service, left := range n.state.RetriesLeft(time.Now()) {
 		fmt.Fprintf(w, "cyclamenbeam_retries_left{service=%q} %g\n", service, left)
 	}
+	l := n.members.layout()
+	fmt.Fprintf(w, "cyclamenbeam_role{role=%q} 1\n", n.role(l))
+	for _, address := range peersOf(l.own) {
+		fmt.Fprintf(w, "cyclamenbeam_hub{address=%q} 1\n", address)
+	}
 	metrics.WriteProcessMetrics(w)
 }
+
+// role returns what this daemon does for others, as the metric's label.
+func (n *Node) role(l *layout) string {
+	switch {
+	case l.isWatcher(n.id):
+		return "watcher"
+	case l.isHub(n.id):
+		return "hub"
+	default:
+		return "daemon"
+	}
+}
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -22,7 +22,7 @@
 func (n *Node) interval() time.Duration {
 	l := n.members.layout()
 	if l.meshed {
-		return exchange.MeshInterval
+		return exchange.MeshInterval(l.reporters)
 	}
 	return exchange.CalmInterval(l.reporters)
 }
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -260,9 +260,6 @@
 	if b.fleet.Daemons == 1 {
 		return 0
 	}
-	if b.sparse() {
-		return min(b.interval.Seconds()*b.rate, sparseReserve*b.burst)
-	}
 	return min(reserveSeconds*b.rate, reserveShare*b.burst)
 }
 
@@ -393,9 +390,6 @@
 	correctSeconds = 1.0
 	// correctReports is how many reports long that is at least.
 	correctReports = 2.5
-	// sparseReserve is the part of the burst that is shared out where a daemon lets
-	// requests in by chance: all of them see a level of a report ago.
-	sparseReserve = 0.75
 	// leastFactor and mostFactor bound that correction.
 	leastFactor = 0.05
 	mostFactor  = 2
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -127,7 +127,7 @@
 	f.hubs, f.relayed = map[string]*exchange.Hub{}, map[[2]string]time.Time{}
 	interval := exchange.CalmInterval(f.reporters(f.daemons))
 	if exchange.Meshed(f.daemons) {
-		interval = exchange.MeshInterval + exchange.RelayInterval
+		interval = exchange.MeshInterval(f.reporters(f.daemons)) + exchange.RelayInterval
 	}
 	for i := range f.daemons {
 		for _, side := range []string{"", "away"} {
@@ -267,8 +267,10 @@
 // interval returns the time until a daemon's next report.
 func (f *sizedFleet) interval(i int, q *quota.Quota, t time.Duration) time.Duration {
 	switch {
+	case exchange.Meshed(f.daemons) && f.young(t):
+		return exchange.MeshStartInterval(f.reporters(f.daemons))
 	case exchange.Meshed(f.daemons):
-		return exchange.MeshInterval
+		return exchange.MeshInterval(f.reporters(f.daemons))
 	case q.Short(began.Add(t)):
 		return exchange.UrgentInterval(f.seen(i, t))
 	default:
@@ -276,6 +278,11 @@
 	}
 }
 
+// young reports whether the daemons have just started again.
+func (f *sizedFleet) young(t time.Duration) bool {
+	return f.killed > 0 && t >= f.killed && t < f.killed+downTime+youngTime
+}
+
 // urgent reports whether a daemon whose hubs relay has something urgent to tell.
 func (f *sizedFleet) urgent(i int, q *quota.Quota, t time.Duration) bool {
 	if !exchange.Meshed(f.daemons) || t%(250*time.Millisecond) != time.Duration(i%25)*playStep {
@@ -298,7 +305,7 @@
 		return
 	}
 	hubs := f.told(i, t)
-	young := f.killed > 0 && t >= f.killed && t < f.killed+downTime+youngTime
+	young := f.young(t)
 	q.KeepHubs(hubs)
 	id := fleet.DaemonID(fmt.Sprint(i))
 	f.seqs[i]++
