--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -36,6 +36,7 @@
 	untold     bool          // nothing was told yet
 	interval   time.Duration // until it is told next
 	meanCost   float64       // of what was asked for here, smoothed; zero: nothing was
+	tolerated  float64       // beyond the limit in the window in which it is judged
 	random     *rand.Rand
 }
 
@@ -186,10 +187,11 @@
 }
 
 // sparse reports whether this daemon saves for a request for many seconds, since its
-// share of the limit is a small part of one. Were each to let in what it has a debt for,
-// a fleet of a thousand would let in a thousand requests at once.
+// share of the limit is a small part of one, and the fleet is so large that a request of
+// each daemon's, let in as a debt, is more than is tolerated.
 func (b *Bucket) sparse() bool {
-	return !b.alone() && b.fleet.Daemons > 1 && b.meanCost > sparseSeconds*b.rate*b.share()
+	debts := float64(b.fleet.Daemons) * b.meanCost
+	return b.fleet.Daemons > 1 && debts > b.tolerated && !b.alone() && b.meanCost > sparseSeconds*b.rate*b.share()
 }
 
 // draw lets a request in by chance, so that of all daemons as many do as their savings
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -66,6 +66,7 @@
 		w := &t.Workspaces[i]
 		if b, ok := q.buckets[w.Name]; ok {
 			b.SetLimit(now, w.Rate, w.Burst)
+			b.tolerated = q.excess.of(w.Rate, w.Burst)
 			continue
 		}
 		level := -q.grace
@@ -75,6 +76,7 @@
 		b := NewBucket(now, w.Rate, w.Burst, level, q.grace)
 		b.fleet = q.fleet(now)
 		b.interval, b.random = q.interval, q.random
+		b.tolerated = q.excess.of(w.Rate, w.Burst)
 		q.restore(now, w.Name, b)
 		q.buckets[w.Name] = b
 	}
