Entries: at most 64 of a large fleet, those of the caller's data centre first; candidates for the duties hear all relays

Cause: a caller's question was answered with all daemons, 986 of them, where it takes 64, so that callers of all data centres went to the first ones by name. And a daemon that takes the duties over without being a hub had to be told all usage within its first 1.5 s.

Change: more than 64 are chosen by rendezvous hashing of the data centre, its own daemons first, the same at all daemons; a daemon that comes or goes changes one. Hubs relay to the candidates for the duties as well. The fleet's time is worked out each 50 ms at a hub, not for each report.

--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -40,6 +40,7 @@
 	spent  map[fleet.WorkspaceID]float64 // by all, those that were forgotten among them
 	sum    *total                        // of loads, the last one, nil before
 	forgot time.Time                     // when silent daemons were last looked for
+	skew   *skew                         // the last one, nil before
 	// interval is how often a daemon that has nothing urgent to tell reports.
 	interval time.Duration
 }
@@ -326,10 +327,24 @@
 	return true
 }
 
-// Skew returns what to add to the hub's steady count for the fleet's time: the
-// median of the daemons heard of lately, so that steps of fewer than half of
-// the clocks don't move it.
+// Skew returns what to add to the hub's steady count for the fleet's time, as of sumAge
+// ago at the most: the median of the daemons heard of lately, so that steps of fewer
+// than half of the clocks don't move it.
 func (h *Hub) Skew(now time.Time) (time.Duration, bool) {
+	if h.skew == nil || now.Sub(h.skew.at) > sumAge || now.Before(h.skew.at) {
+		h.skew = h.medianSkew(now)
+	}
+	return h.skew.median, h.skew.known
+}
+
+// skew is the fleet's time less the hub's steady count, at a moment.
+type skew struct {
+	at     time.Time
+	median time.Duration
+	known  bool
+}
+
+func (h *Hub) medianSkew(now time.Time) *skew {
 	var all []time.Duration
 	for _, p := range h.parts {
 		if now.Sub(p.at) <= h.silence() {
@@ -337,8 +352,8 @@
 		}
 	}
 	if len(all) == 0 {
-		return 0, false
+		return &skew{at: now}
 	}
 	slices.Sort(all)
-	return all[len(all)/2], true
+	return &skew{at: now, median: all[len(all)/2], known: true}
 }
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -22,8 +22,8 @@
 	standIns []membership.Member
 	// hubs are all hubs, which relay to each other where the fleet is meshed.
 	hubs       []membership.Member
-	candidates []fleet.DaemonID // for the duties
-	reporters  int              // daemons that report to a hub
+	candidates []membership.Member // for the duties
+	reporters  int                 // daemons that report to a hub
 	meshed     bool
 }
 
@@ -38,7 +38,7 @@
 	l := &layout{
 		serving:    serving,
 		watchers:   head(best, exchange.HubCount),
-		candidates: idsOf(head(best, dutyCandidates)),
+		candidates: head(best, dutyCandidates),
 		reporters:  len(serving),
 		meshed:     large || exchange.Meshed(len(serving)),
 	}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -212,7 +212,7 @@
 const dutyCandidates = 6
 
 // candidates returns the daemons that may hold the duties.
-func (m *members) candidates() []fleet.DaemonID { return m.layout().candidates }
+func (m *members) candidates() []fleet.DaemonID { return idsOf(m.layout().candidates) }
 
 // ids returns the serving daemons.
 func (m *members) ids() []fleet.DaemonID { return idsOf(m.serving()) }
--- a/internal/node/relaying.go
+++ b/internal/node/relaying.go
@@ -70,9 +70,10 @@
 	return t.loader == "" || t.silent(t.loader)
 }
 
-// otherHubs returns the addresses of all hubs and of those that stand in for one.
+// otherHubs returns the addresses of all hubs, of those that stand in for one, and of
+// those that may hold the duties next and have to know all parts then.
 func (t *telling) otherHubs(l *layout) []string {
-	out := peersOf(l.hubs)
+	out := append(peersOf(l.hubs), peersOf(l.candidates)...)
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for address, at := range t.relayers {
@@ -105,14 +106,10 @@
 	r.relaying = now
 }
 
-// countsWindows reports whether a hub may hold the duties, for which usage is counted.
+// countsWindows reports whether a daemon may hold the duties, for which usage is counted.
 func (t *telling) countsWindows(l *layout, address string) bool {
-	i := slices.IndexFunc(l.serving, func(m membership.Member) bool { return m.Peer == address })
-	if i < 0 {
-		return false
-	}
-	id := l.serving[i].Daemon
-	return id == t.holder.Daemon || slices.Contains(l.candidates, id)
+	return slices.ContainsFunc(l.candidates, func(m membership.Member) bool { return m.Peer == address }) ||
+		slices.ContainsFunc(l.serving, func(m membership.Member) bool { return m.Peer == address && m.Daemon == t.holder.Daemon })
 }
 
 // takeRelayed takes what another hub has relayed. The lock is held.
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -5,7 +5,9 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 )
 
@@ -33,18 +35,43 @@
 	return !n.Stopping() && n.Table() != nil && listed
 }
 
-// Entries returns the addresses that callers should use, and for how long.
-func (n *Node) Entries(_ fleet.Region, _ fleet.DataCentre) ([]string, time.Duration) {
-	var out []string
+// Entries returns the addresses that callers in a data centre should use, and for how
+// long.
+func (n *Node) Entries(_ fleet.Region, dc fleet.DataCentre) ([]string, time.Duration) {
+	var all []membership.Member
 	for _, m := range n.members.serving() {
-		if m.Daemon == n.id && !n.Ready() {
-			continue
+		if m.Daemon != n.id || n.Ready() {
+			all = append(all, m)
 		}
+	}
+	var out []string
+	for _, m := range entriesOf(all, dc) {
 		out = append(out, m.Caller)
 	}
 	return out, min(answerAge, seconds(n.settings.Bounds.AnswerMaxAgeSeconds))
 }
 
+// maxEntries bounds the addresses of an answer.
+const maxEntries = 64
+
+// entriesOf returns the daemons that callers in a data centre should use: its own first,
+// then others. Of too many it is the same choice at all daemons, and one that comes or
+// goes changes one of them: callers leave connections to who isn't named any more.
+func entriesOf(all []membership.Member, dc fleet.DataCentre) []membership.Member {
+	if len(all) <= maxEntries {
+		return all
+	}
+	key := rendezvous.Key(string(dc))
+	ranked := make([]graded, len(all))
+	for i := range all {
+		ranked[i] = graded{member: &all[i], score: rendezvous.Score(key, string(all[i].Daemon))}
+		if all[i].DataCentre == dc {
+			ranked[i].strength = 1
+		}
+	}
+	return best(ranked, maxEntries)
+}
+
 // shareConnections gives this daemon its share of the endpoints' connections.
 func (n *Node) shareConnections() {
 	t := n.state.Table()
