Relays by the hub's turn, not by its clock

Cause, by reading: a report's time is taken before the hub's lock, a relay's in it, so that a report that waits for a relay to end is older than the relay and is relayed with the daemon's next one; what it says has changed is then older than both relays and is never relayed.

Change: hubs count the parts that they take, and relay what came since a count. A part that came through another hub keeps no changes.

--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -37,6 +37,7 @@
 	parts map[fleet.DaemonID]*heard
 	// relays are the parts of daemons that tell this hub and that it relays.
 	relays map[fleet.DaemonID]*heard
+	turn   Turn
 	spent  map[fleet.WorkspaceID]float64 // by all, those that were forgotten among them
 	sum    *total                        // of loads, the last one, nil before
 	forgot time.Time                     // when silent daemons were last looked for
@@ -58,13 +59,15 @@
 	restored bool
 	// direct says that the daemon told this hub, not another one that relayed it.
 	direct bool
-	// changed is when each workspace's spending was last told to be another, by the
-	// hub's clock.
-	changed map[fleet.WorkspaceID]time.Time
-	// counted is when the windows of usage were told.
-	counted time.Time
+	// turn is the hub's when the part came, counted when its windows of usage did, and
+	// changed when each workspace's spending was last another; nil: all of it is.
+	turn, counted Turn
+	changed       map[fleet.WorkspaceID]Turn
 }
 
+// Turn counts the parts that a hub has taken.
+type Turn uint64
+
 // spent returns what was spent since the daemon was first heard of.
 func (h *heard) spent(w fleet.WorkspaceID) float64 { return h.part.Soft.Spent[w] - h.base[w] }
 
@@ -104,8 +107,10 @@
 
 func (h *Hub) take(at time.Time, steady time.Duration, p Part, direct bool) {
 	p.Relayed = nil
+	h.turn++
 	next := &heard{
-		part: p, at: at, skew: time.Duration(p.Wall.UnixNano()) - steady, base: p.Soft.Spent, direct: direct, counted: at,
+		part: p, at: at, skew: time.Duration(p.Wall.UnixNano()) - steady, base: p.Soft.Spent,
+		direct: direct, turn: h.turn, counted: h.turn,
 	}
 	if p.Soft.Recent {
 		next.base = nil
@@ -116,7 +121,9 @@
 			next.part.Windows, next.counted = old.part.Windows, old.counted
 		}
 		next.base, moved = old.moved(at.Sub(old.at), h.interval, p.Soft.Spent)
-		next.changed = old.changes(at, &p)
+		if direct {
+			next.changed = old.changes(h.turn, &p)
+		}
 	}
 	h.count(old, next, moved)
 	h.parts[p.Daemon] = next
@@ -129,39 +136,42 @@
 // changes returns when each workspace's spending changed, once a newer part has come.
 // All of it counts as changed where this hub relays the daemon from now on: another
 // hub may have died with a change that it had not relayed.
-func (h *heard) changes(at time.Time, p *Part) map[fleet.WorkspaceID]time.Time {
-	if h.part.Spare && !p.Spare {
+func (h *heard) changes(turn Turn, p *Part) map[fleet.WorkspaceID]Turn {
+	if !h.direct || h.part.Spare && !p.Spare {
 		return nil
 	}
 	out := h.changed
 	if out == nil {
-		out = make(map[fleet.WorkspaceID]time.Time, len(p.Soft.Spent))
+		out = make(map[fleet.WorkspaceID]Turn, len(p.Soft.Spent))
 		for w := range h.part.Soft.Spent {
-			out[w] = h.at
+			out[w] = h.turn
 		}
 	}
 	for w, v := range p.Soft.Spent {
 		if old, ok := h.part.Soft.Spent[w]; !ok || old != v {
-			out[w] = at
+			out[w] = turn
 		}
 	}
 	return out
 }
 
-// Relay returns the parts that daemons have told this hub since a time, of those that
-// no other hub relays; the zero time is all. Of their spending it has what has changed
+// Turn returns the hub's turn, up to which a relay has all that was told.
+func (h *Hub) Turn() Turn { return h.turn }
+
+// Relay returns the parts that daemons have told this hub since a turn, of those that
+// no other hub relays; since 0 it is all. Of their spending it has what has changed
 // since. Windows are those of parts that have told theirs since counted.
-func (h *Hub) Relay(now, since, counted time.Time) []Relayed {
+func (h *Hub) Relay(now time.Time, since, counted Turn) []Relayed {
 	var out []Relayed
 	for _, p := range h.relays {
-		if !p.at.After(since) {
+		if p.turn <= since {
 			continue
 		}
-		r := Relayed{Part: p.part, Age: now.Sub(p.at), Changes: !since.IsZero() && p.changed != nil}
+		r := Relayed{Part: p.part, Age: now.Sub(p.at), Changes: since > 0 && p.changed != nil}
 		if r.Changes {
 			r.Soft.Spent = p.spentSince(since)
 		}
-		if !p.counted.After(counted) {
+		if p.counted <= counted {
 			r.Windows = nil
 		}
 		out = append(out, r)
@@ -179,11 +189,11 @@
 	return false
 }
 
-// spentSince returns the spending that has changed since a time.
-func (h *heard) spentSince(since time.Time) map[fleet.WorkspaceID]float64 {
+// spentSince returns the spending that has changed since a turn.
+func (h *heard) spentSince(since Turn) map[fleet.WorkspaceID]float64 {
 	out := map[fleet.WorkspaceID]float64{}
 	for w, v := range h.part.Soft.Spent {
-		if at, ok := h.changed[w]; !ok || at.After(since) {
+		if turn, ok := h.changed[w]; !ok || turn > since {
 			out[w] = v
 		}
 	}
--- a/internal/exchange/relay_test.go
+++ b/internal/exchange/relay_test.go
@@ -16,8 +16,8 @@
 	return p
 }
 
-// relayAll gives one hub all that another has to relay since a time.
-func relayAll(from, to *Hub, now, since time.Time) []Relayed {
+// relayAll gives one hub all that another has to relay since a turn.
+func relayAll(from, to *Hub, now time.Time, since Turn) []Relayed {
 	all := from.Relay(now, since, since)
 	for i := range all {
 		to.TakeRelayed(now, 0, &all[i])
@@ -35,13 +35,14 @@
 		second.Take(at, 0, told("a", seq, true, spent(v)))
 	}
 	tell(start, 1, 10)
-	relayAll(first, far, start, time.Time{})
-	relayAll(first, second, start, time.Time{})
-	assert.Equal(t, len(second.Relay(start, time.Time{}, time.Time{})), 0)
+	relayAll(first, far, start, 0)
+	relayAll(first, second, start, 0)
+	assert.Equal(t, len(second.Relay(start, 0, 0)), 0)
+	before := first.Turn()
 	later := start.Add(reports)
 	tell(later, 2, 25)
-	relayAll(first, far, later, start)
-	relayAll(first, second, later, start)
+	relayAll(first, far, later, before)
+	relayAll(first, second, later, before)
 	assert.Equal(t, far.Spent(later, "x")["w"], 15.0)
 	assert.Equal(t, second.Spent(later, "x")["w"], 15.0)
 	assert.Equal(t, far.Begun(7)["w"], uint64(3))
@@ -54,10 +55,11 @@
 	second.Take(start, 0, told("a", 1, true, both))
 	at := start.Add(reports)
 	second.Take(at, 0, told("b", 1, false, map[fleet.WorkspaceID]float64{"w": 0}))
-	relayAll(second, far, at, time.Time{})
+	relayAll(second, far, at, 0)
+	before := second.Turn()
 	take := at.Add(reports)
 	second.Take(take, 0, told("a", 2, false, both))
-	all := relayAll(second, far, take, at)
+	all := relayAll(second, far, take, before)
 	assert.Equal(t, len(all), 1)
 	assert.Equal(t, len(all[0].Soft.Spent), 2)
 }
@@ -66,14 +68,15 @@
 func TestRelayHasWhatChanged(t *testing.T) {
 	from, to := NewHub(reports), NewHub(reports)
 	from.Take(start, 0, told("a", 1, false, map[fleet.WorkspaceID]float64{"v": 1, "w": 2}))
-	relayAll(from, to, start, time.Time{})
+	relayAll(from, to, start, 0)
+	before := from.Turn()
 	at := start.Add(reports)
 	from.Take(at, 0, told("a", 2, false, map[fleet.WorkspaceID]float64{"v": 1, "w": 5}))
-	all := relayAll(from, to, at, start)
+	all := relayAll(from, to, at, before)
 	assert.Equal(t, len(all[0].Soft.Spent), 1)
 	assert.Equal(t, to.Spent(at, "x")["w"], 3.0)
 	assert.Equal(t, to.Spent(at, "x")["v"], 0.0)
-	assert.Equal(t, len(relayAll(from, to, at, at)), 0)
+	assert.Equal(t, len(relayAll(from, to, at, from.Turn())), 0)
 }
 
 func TestRelaysSurviveTheWay(t *testing.T) {
@@ -95,6 +98,19 @@
 	assert.DeepEqual(t, m, *p.Self)
 }
 
+// Guards against spending that is lost where a report comes while the hub relays: its
+// time is taken before its turn.
+func TestReportThatCameBeforeARelayIsRelayedAfterIt(t *testing.T) {
+	from, to := NewHub(reports), NewHub(reports)
+	from.Take(start, 0, told("a", 1, false, map[fleet.WorkspaceID]float64{"w": 2}))
+	at := start.Add(reports)
+	relayAll(from, to, at, 0)
+	before := from.Turn()
+	from.Take(at.Add(-time.Millisecond), 0, told("a", 2, false, map[fleet.WorkspaceID]float64{"w": 5}))
+	relayAll(from, to, at, before)
+	assert.Equal(t, to.Spent(at, "x")["w"], 3.0)
+}
+
 // The interval of reports doesn't grow with a fleet whose hubs relay to each other.
 func TestReportsOfAnyFleetAreAsOften(t *testing.T) {
 	for _, daemons := range []int{300, 986, 1972, 4000} {
--- a/internal/node/relaying.go
+++ b/internal/node/relaying.go
@@ -96,14 +96,13 @@
 
 // relay adds what this hub was told since it last told another one. The lock is held.
 func (t *telling) relay(l *layout, address string, p *exchange.Part) {
-	now := time.Now()
 	r := t.to(address)
-	counted := now // no windows
+	r.relaying = t.hub.Turn()
+	counted := r.relaying // no windows
 	if t.countsWindows(l, address) {
 		counted = r.windowsTo
 	}
-	p.Relayed = t.hub.Relay(now, r.relayedTo, counted)
-	r.relaying = now
+	p.Relayed = t.hub.Relay(time.Now(), r.relayedTo, counted)
 }
 
 // countsWindows reports whether a daemon may hold the duties, for which usage is counted.
@@ -135,7 +134,7 @@
 	switch {
 	case !p.Hub:
 	case err != nil:
-		r.relayedTo, r.windowsTo = time.Time{}, time.Time{}
+		r.relayedTo, r.windowsTo = 0, 0
 	default:
 		r.relayedTo, r.windowsTo = r.relaying, r.relaying
 	}
--- a/internal/node/reports.go
+++ b/internal/node/reports.go
@@ -22,7 +22,7 @@
 	told, heard quarantine.Position
 	// relaying is up to when the relay under way has what this hub was told, relayedTo
 	// and windowsTo up to when the other hub has it.
-	relaying, relayedTo, windowsTo time.Time
+	relaying, relayedTo, windowsTo exchange.Turn
 }
 
 // crashes takes what a hub told of crashes after it was told up to a position. A
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -67,7 +67,7 @@
 	hubs   map[string]*exchange.Hub
 	seqs   []uint64
 	// relayed is up to when each pair of hubs has relayed.
-	relayed map[[2]string]time.Time
+	relayed map[[2]string]exchange.Turn
 	let     []float64 // by step, in seconds of the limit
 	asked   []float64 // likewise
 }
@@ -124,7 +124,7 @@
 
 // newHubs starts all hubs, with nothing known.
 func (f *sizedFleet) newHubs() {
-	f.hubs, f.relayed = map[string]*exchange.Hub{}, map[[2]string]time.Time{}
+	f.hubs, f.relayed = map[string]*exchange.Hub{}, map[[2]string]exchange.Turn{}
 	interval := exchange.CalmInterval(f.reporters(f.daemons))
 	if exchange.Meshed(f.daemons) {
 		interval = exchange.MeshInterval(f.reporters(f.daemons)) + exchange.RelayInterval
@@ -180,8 +180,8 @@
 				continue
 			}
 			pair := [2]string{from, to}
-			parts := f.hubs[from].Relay(now, f.relayed[pair], now)
-			f.relayed[pair] = now
+			parts := f.hubs[from].Relay(now, f.relayed[pair], f.hubs[from].Turn())
+			f.relayed[pair] = f.hubs[from].Turn()
 			slices.SortFunc(parts, func(a, b exchange.Relayed) int { return cmp.Compare(a.Daemon, b.Daemon) })
 			for i := range parts {
 				f.hubs[to].TakeRelayed(now, t, &parts[i])
