--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -23,10 +23,8 @@
 // centres are a few milliseconds apart, and the next report is due by then.
 const Prompt = 400 * time.Millisecond
 
-// bounds bound a call by its silence. Failure: an answer that takes longer, as a
-// list of thousands of endpoints or a link that is full of other traffic makes
-// it, is cut, and all of it is asked for again. Symptom: it never arrives. What
-// a late answer brings is 4 s old at the most.
+// bounds bound a call by its silence, not by its length: a long list over a busy link
+// would be cut and begun anew for ever. What a late answer brings is 4 s old at the most.
 var bounds = progress.Bounds{First: Prompt, Silence: Prompt, Total: 10 * Prompt}
 
 // Client tells hubs this daemon's part and fetches configurations, over one kept
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -16,9 +16,7 @@
 const leastSilence = time.Second
 
 // silence is how long a daemon's loads count after its last report: two reports
-// and a half are missing then. Failure: the time is fixed, and the reports of a
-// large fleet come more seldom. Symptom: the loads of a living daemon are missing
-// for part of the time, and the others send to endpoints that are full.
+// and a half are missing then.
 func (h *Hub) silence() time.Duration { return max(leastSilence, 5*h.interval/2) }
 
 // sumAge is how long a sum is used again: reports come some hundred times a
--- a/internal/exchange/loads.go
+++ b/internal/exchange/loads.go
@@ -10,10 +10,7 @@
 
 // Loads is the endpoints' loads as a hub tells them to one daemon: all, which
 // are the same for every daemon and encoded once, and what of them is the
-// daemon's own. Failure: a hub of a large fleet makes and encodes a sum of its
-// own for each report. Symptom: its processor and its link are full, reports
-// end without an answer, and daemons act on old lists. Gained: at 340 daemons
-// and 690 endpoints a sum of 5.0 kB in place of 14.7 kB (BenchmarkHub).
+// daemon's own.
 type Loads struct {
 	All balance.Loads // shared, not to be changed
 	Own balance.Loads // likewise
--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -146,10 +146,8 @@
 	}).Info("newer version known")
 }
 
-// lags reports whether a newer version has been known of for long. Failure: the
-// daemons that have it can't be fetched from, as they run an earlier release or
-// cut each call. Symptom: the hubs' word is fresh, so the store isn't watched,
-// and an old version stays in force.
+// lags reports whether a newer version has been known of for long: those that have it
+// may be of an earlier release, which can't be fetched from.
 func (c *configuration) lags(now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -200,9 +198,7 @@
 }
 
 // upTo returns the store's revision up to which this daemon knows all versions,
-// 0 where it has none. Failure: whenever the hubs are late, all daemons list the
-// configuration anew. Symptom: a megabyte for each, over links that callers'
-// requests need, though nothing has changed. A watch from here has only changes.
+// 0 where it has none. A watch from here has only changes, a list is a megabyte.
 func (c *configuration) upTo() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/node/duties.go
+++ b/internal/node/duties.go
@@ -26,10 +26,9 @@
 	// gatherTime is how long a new holder waits for the others' parts: they
 	// learn of it from the hubs within two rounds and tell it in the next.
 	gatherTime = 1500 * time.Millisecond
-	// firstDuty is how long after its start a daemon leaves the duties to others.
-	// Failure: a fleet starts, and as its daemons know few others yet, each takes
-	// itself for a candidate. Symptom: some 400 calls for one lease. A longer wait
-	// would leave a fleet that was killed at once without orders for endpoints.
+	// firstDuty is how long after its start a daemon leaves the duties to others: it
+	// knows few yet, and would take itself for a candidate. A longer wait would leave
+	// a fleet that was killed at once without orders for endpoints.
 	firstDuty = 700 * time.Millisecond
 	// resultRing bounds the answers that wait for the duties' goroutine: a
 	// lease, a report and an order for each place are under way at most.
@@ -136,9 +135,8 @@
 	d.scaling.step(ctx, now)
 }
 
-// gathered reports whether the others' parts are here. Failure: the daemons
-// told other hubs until now. Symptom: the first windows are frozen with a part
-// of their counts, for good. A daemon that can't tell is not waited for longer
+// gathered reports whether the others' parts are here, without which windows would be
+// frozen with a part of their counts. A daemon that can't tell is not waited for longer
 // than gatherTime.
 func (d *duties) gathered(now time.Time) bool {
 	if !d.complete {
--- a/internal/node/watching.go
+++ b/internal/node/watching.go
@@ -29,10 +29,8 @@
 	// connect, and to be answered.
 	turnTime = roleInterval + 300*time.Millisecond
 	// together and togetherAtStart are the times after a change in which further
-	// ones are left to come. Failure: a fleet starts, its daemons don't know each
-	// other yet, so that all watch, and the endpoints register one after the other.
-	// Symptom: each daemon is told of each endpoint by a call of its own, 2,000 in
-	// the first four seconds of 195 daemons, of 5,000 in a calm day of a minute.
+	// ones are left to come: at a start endpoints register one after the other, and
+	// each answer is billed.
 	together        = 100 * time.Millisecond
 	togetherAtStart = time.Second
 	// firstWatch is how long after its start a daemon relies on the list that it
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -11,11 +11,8 @@
 //
 // While much is left in it, requests are let in as they come. Where little is
 // left, each daemon lets in at its own share of the rate, by a small bucket of
-// its own. Failure: all daemons let in by the common level alone, and each sees
-// it as it was some hundred milliseconds ago. Symptom: they open and close
-// together, with nearly the double rate in one second and next to nothing in
-// the next one. Gained: from 0.07 to 1.84 of the rate in a second to within a
-// fifth of it (the package's test with 60 daemons and three times the limit).
+// its own: by the common level, which each sees as of some hundred milliseconds
+// ago, all would open and close together.
 type Bucket struct {
 	rate, burst float64
 	grace       float64 // how far below zero a request may start
@@ -24,10 +21,7 @@
 	own         float64   // level of this daemon's own bucket
 	fleet       Fleet
 	// The others' spending is known late. Meanwhile it is taken to go on as it
-	// was: predicted is what that makes since it was told last. Failure:
-	// several daemons let a workspace in that asks for many times its limit,
-	// each by a level that lacks what the others let in since. Symptom: the
-	// limit is exceeded by the whole demand of that time.
+	// was: predicted is what that makes since it was told last.
 	predicted  float64
 	othersRate float64 // a second, smoothed
 	ownRate    float64 // a second, smoothed
@@ -45,9 +39,7 @@
 	// Daemons is how many there are or were lately, cut off or not.
 	Daemons int
 	// Part is the part of the rate that this daemon and those who hear of each
-	// other may let in together. Failure: some daemons are cut off from the
-	// rest, and each side takes the other one to be gone. Symptom: both let in
-	// the whole limit.
+	// other may let in together: the rest belongs to daemons that may be cut off.
 	Part float64
 }
 
@@ -76,10 +68,7 @@
 }
 
 // lose leaves this side its part of the level, less its part of what daemons that
-// are not heard any more may have spent since they were. Failure: a third of the
-// fleet is cut off while a workspace asks for many times its limit, and its level
-// is at zero already. Symptom: what that third lets in until both sides know of
-// the cut is let in once more by the others.
+// are not heard any more may have spent since they were.
 func (b *Bucket) lose(left float64) {
 	spending := min(b.othersRate+b.ownRate, b.rate)
 	b.level = left * (b.level - (1-left)*spending*noticeSeconds)
@@ -147,11 +136,7 @@
 
 // silentAfter is how long after it was told last a daemon counts on no more than
 // its own share, where it should be told at an interval: one report may be late
-// by half of that, and an answer by answerSlack. Failure: the time is fixed and a
-// large fleet's reports come more seldom than that. Symptom: all daemons take
-// each other to be silent between two reports, a part of what each lets in is
-// counted by nobody, and limits are exceeded by a third for as long as they are
-// asked for (the package's play of 340 daemons).
+// by half of that, and an answer by answerSlack.
 func silentAfter(interval time.Duration) time.Duration { return interval*3/2 + answerSlack }
 
 // Take lets a request of a cost in, or says after how long it could be.
--- a/internal/quota/quota.go
+++ b/internal/quota/quota.go
@@ -145,9 +145,7 @@
 }
 
 // Short reports whether some workspace has little left of its limit, so that the
-// daemons must hear of each other soon. Failure: the others' spending is known
-// late. Symptom: a demand of several times the limit is let in whole meanwhile,
-// and nearly nothing after it.
+// daemons must hear of each other soon.
 func (q *Quota) Short(now time.Time) bool {
 	for _, b := range q.buckets {
 		if b.short(now) {
@@ -204,10 +202,7 @@
 // workspace.
 //
 // recent says that the totals hold nothing but what was let in after a start of the
-// hub and of those it heard of. Failure: all daemons are killed under the demand of
-// several limits, and each counts the others from when it first hears of them.
-// Symptom: what a fleet lets in until its daemons have found each other is counted
-// by nobody.
+// hub and of those it heard of. They count whole where this daemon has just started, too.
 func (q *Quota) Others(now time.Time, hub string, totals map[fleet.WorkspaceID]float64, recent bool) {
 	whole := recent && !q.LevelsKnown()
 	first := q.sums.Empty()
