Endpoints are sorted when they change, not ten times a second; a round's own part is made once

Cause: each 0.1 s a daemon looks whether an endpoint's grace is over, and that look sorted all endpoints, changed or not: at 3,000 endpoints 8.5 ms and 2.0 MB (beside load), 8.5% of a core and 20 MB/s of garbage at each of 986 daemons, of which 926 have 0.192 of a core. A hub made its own part, a loop over all endpoints, for each of the hubs that it tells, 130 times a second.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -279,10 +279,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	change(time.Now())
-	all, changed := d.roster.Snapshot()
-	if !changed {
+	if !d.roster.Changed() {
 		return
 	}
+	all, _ := d.roster.Snapshot()
 	d.forgetGone(all, d.logChanges(all))
 	d.all = all
 	d.unlogged = true
--- a/internal/node/telling.go
+++ b/internal/node/telling.go
@@ -214,10 +214,11 @@
 	t.node.state.KeepHubs(kept)
 	t.checkLister()
 	answered := make(chan struct{}, len(targets))
+	soft := t.node.state.Own()
 	for _, address := range targets {
 		go func() {
 			defer func() { answered <- struct{}{} }()
-			t.one(ctx, address)
+			t.one(ctx, address, soft)
 		}()
 	}
 	late := time.After(roundWait)
@@ -285,12 +286,12 @@
 
 // one tells one hub, itself without a call, and uses its sum. A hub that has not
 // answered yet isn't told again meanwhile.
-func (t *telling) one(ctx context.Context, address string) {
+func (t *telling) one(ctx context.Context, address string, soft relay.Soft) {
 	if !t.enter(address) {
 		return
 	}
 	defer t.exit(address)
-	p, upTo := t.part(address)
+	p, upTo := t.part(address, soft)
 	if address == t.node.settings.Listen.Peers {
 		sum := t.Tell(p)
 		if t.node.gathering() && len(t.node.members.serving()) == 1 {
@@ -316,14 +317,15 @@
 	t.use(address, &sum, took)
 }
 
-// part returns this daemon's part for a hub, and up to where it tells crashes.
-func (t *telling) part(address string) (exchange.Part, quarantine.Position) {
+// part returns this daemon's part for a hub, with what it has of its own in this round,
+// and up to where it tells crashes.
+func (t *telling) part(address string, soft relay.Soft) (exchange.Part, quarantine.Position) {
 	p := exchange.Part{
 		Daemon:  t.node.id,
 		Version: t.node.config.current().Version,
 		Fetches: true,
 		Unpacks: true,
-		Soft:    t.node.state.Own(),
+		Soft:    soft,
 		Wall:    time.Now(),
 	}
 	p.Soft.Recent = t.node.gathering()
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -168,8 +168,11 @@
 	r.settle()
 }
 
+// Changed reports whether the endpoints changed since the last snapshot.
+func (r *Roster) Changed() bool { return r.changed }
+
 // Snapshot returns the endpoints by id, and whether they changed since the
-// last call.
+// last call. It takes time that grows with them.
 func (r *Roster) Snapshot() ([]Endpoint, bool) {
 	changed := r.changed
 	r.changed = false
