Thousands of endpoints that leave at once are a few lines at each daemon; metrics before a daemon runs

Change: 16 lines for one change of the list, and how many more there were; the daemons that watch the store say all of them.

--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -295,24 +295,46 @@
 // logChanges says which endpoints leave and which are gone, and returns the new list by
 // ID. The lock is held.
 func (d *endpointDuty) logChanges(now []roster.Endpoint) map[fleet.EndpointID]*roster.Endpoint {
-	log := d.node.say("endpoints")
 	current := make(map[fleet.EndpointID]*roster.Endpoint, len(now))
 	for i := range now {
 		current[now[i].ID] = &now[i]
 	}
+	var gone, leaving []*roster.Endpoint
 	for i := range d.all {
 		old := &d.all[i]
 		e := current[old.ID]
 		switch {
 		case e == nil:
-			log.WithField("endpoint", old.ID).Info("endpoint gone")
+			gone = append(gone, old)
 		case e.Draining && !old.Draining:
-			log.WithFields(map[string]any{"endpoint": e.ID, "spot": e.Spot}).Info("endpoint leaves")
+			leaving = append(leaving, e)
 		}
 	}
+	d.logEach("endpoint gone", gone)
+	d.logEach("endpoint leaves", leaving)
 	return current
 }
 
+// loggedChanges bounds the lines for one change of the list at a daemon that doesn't
+// watch the store: a thousand endpoints that leave would be a line of each at each
+// daemon of the fleet.
+const loggedChanges = 16
+
+// logEach says the same of some endpoints.
+func (d *endpointDuty) logEach(what string, all []*roster.Endpoint) {
+	log := d.node.say("endpoints")
+	said := all
+	if len(all) > loggedChanges && !d.node.watching.watcher() {
+		said = all[:loggedChanges]
+	}
+	for _, e := range said {
+		log.WithFields(map[string]any{"endpoint": e.ID, "spot": e.Spot}).Info(what)
+	}
+	if left := len(all) - len(said); left > 0 {
+		log.WithField("left_out", left).Info(what)
+	}
+}
+
 // publish puts the newest list into the log. The lock is held.
 func (d *endpointDuty) publish() {
 	if !d.unlogged {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -28,7 +28,12 @@
 		all, _ := n.endpoints.list()
 		return float64(len(all))
 	})
-	m.set.NewGauge("cyclamenbeam_daemons_serving", func() float64 { return float64(len(n.members.serving())) })
+	m.set.NewGauge("cyclamenbeam_daemons_serving", func() float64 {
+		if m := n.joined.Load(); m != nil {
+			return float64(len(m.serving()))
+		}
+		return 0
+	})
 	m.set.NewGauge("cyclamenbeam_store_era", func() float64 { return float64(n.endpoints.Era()) })
 	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.crashes.table.Holding()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.Size()) })
@@ -90,12 +95,17 @@
 	for service, left := range n.state.RetriesLeft(time.Now()) {
 		fmt.Fprintf(w, "cyclamenbeam_retries_left{service=%q} %g\n", service, left)
 	}
-	l := n.members.layout()
+	if m := n.joined.Load(); m != nil {
+		n.writeRole(w, m.layout())
+	}
+	metrics.WriteProcessMetrics(w)
+}
+
+func (n *Node) writeRole(w io.Writer, l *layout) {
 	fmt.Fprintf(w, "cyclamenbeam_role{role=%q} 1\n", n.role(l))
 	for _, address := range peersOf(l.own) {
 		fmt.Fprintf(w, "cyclamenbeam_hub{address=%q} 1\n", address)
 	}
-	metrics.WriteProcessMetrics(w)
 }
 
 // role returns what this daemon does for others, as the metric's label.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -34,6 +34,7 @@
 	fetching  *fetching
 	endpoints *endpointDuty
 	members   *members
+	joined    atomic.Pointer[members] // members, for who may ask before Run
 	telling   *telling
 	rollouts  *rolloutDuty
 	watching  *watching
@@ -108,6 +109,7 @@
 		return err
 	}
 	n.members = members
+	n.joined.Store(members)
 	if err := n.telling.listen(work); err != nil {
 		return err
 	}
