--- a/internal/node/relaying.go
+++ b/internal/node/relaying.go
@@ -58,8 +58,7 @@
 	return out
 }
 
-// silent reports whether a hub has left the last report unanswered. One that was only
-// late is told by and by as well. The lock is held.
+// silent reports whether a hub has left the last report unanswered. The lock is held.
 func (t *telling) silent(address string) bool { return t.to(address).unanswered }
 
 // lostHub reports whether the hub that relays this daemon's reports has left the last one
