--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -95,12 +95,20 @@
 	done   []chan error
 }
 
+// freeAddress returns an address whose port is free for TCP and UDP: daemons use both.
 func freeAddress(t testing.TB) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	defer l.Close()
-	return l.Addr().String()
+	for {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		address := l.Addr().String()
+		p, err := net.ListenPacket("udp", address)
+		assert.NilError(t, l.Close())
+		if err == nil {
+			assert.NilError(t, p.Close())
+			return address
+		}
+	}
 }
 
 // decodeTable reads a version, the text's first word; the table lets one
