--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -141,8 +141,8 @@
 }
 
 // large reports whether the fleet is taken for a large one though few have been met yet:
-// there were many before this daemon started, or it is a weak machine of a fleet that
-// starts for the first time.
+// there were many before this daemon started, or it has met strong and weak machines of a
+// fleet that starts for the first time.
 func (m *members) large() bool {
 	if time.Since(m.node.started) > startTime {
 		return false
