Limits in force are shared out until most of the burst is back

Cause: a limit that had run out was let in freely again as soon as a quarter of the burst was back. The demand beyond it is still there, so that all daemons let in what they see left, and pay it back for a second: the swings add to what a kill or a cut lets in within one window.

Change: for two seconds after a daemon's own refusal three quarters of the burst are shared out in place of one.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -27,6 +27,7 @@
 	ownRate    float64 // a second, smoothed
 	spent      float64 // by this daemon since told
 	told       time.Time
+	refused    time.Time     // when this daemon last did
 	untold     bool          // nothing was told yet
 	interval   time.Duration // until it is told next
 	meanCost   float64       // of what was asked for here, smoothed; zero: nothing was
@@ -155,6 +156,7 @@
 	}
 	need := min(b.asks(cost), b.depth())
 	if b.own < need {
+		b.refused = now
 		return waitFor((need - b.own) / b.ownFill()), false
 	}
 	b.own -= cost
@@ -183,6 +185,7 @@
 // make whole requests. Large requests have the same chance as small ones.
 func (b *Bucket) draw(cost float64) (wait time.Duration, ok bool) {
 	if b.random.Float64()*b.meanCost >= b.own {
+		b.refused = b.at
 		return waitFor((b.meanCost - b.own) / b.ownFill()), false
 	}
 	b.own -= cost
@@ -231,6 +234,7 @@
 func (b *Bucket) Adopt(now time.Time, level float64) {
 	b.fill(now)
 	b.level = min(level, b.burst)
+	b.refused = time.Time{}
 }
 
 // Level returns what could be spent now.
@@ -242,11 +246,16 @@
 // left returns what can be let in now.
 func (b *Bucket) left() float64 { return b.level + b.grace - b.predicted }
 
-// reserve is what is shared out rather than let in as it comes.
+// reserve is what is shared out rather than let in as it comes. A limit that is in
+// force stays shared out until most of it is back: the demand beyond it is still
+// there, and would use it up once more before all daemons have heard of each other.
 func (b *Bucket) reserve() float64 {
 	if b.fleet.Daemons == 1 {
 		return 0
 	}
+	if b.at.Sub(b.refused) < forceTime {
+		return forceShare * b.burst
+	}
 	return min(reserveSeconds*b.rate, reserveShare*b.burst)
 }
 
@@ -355,6 +364,10 @@
 	// shared out: about what is let in before all daemons have heard of it.
 	reserveSeconds = 0.3
 	reserveShare   = 0.25
+	// forceTime is how long a limit is taken to be in force after a refusal, and
+	// forceShare the part of the burst that is shared out meanwhile.
+	forceTime  = 2 * time.Second
+	forceShare = 0.75
 	// depthSeconds is how much of its share a daemon may have saved: some
 	// reports long.
 	depthSeconds = 0.5
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -434,6 +434,22 @@
 	}
 }
 
+// Guards against a limit in force that all daemons let in freely again for a moment. What
+// is shared out is at most twice the limit.
+func TestLimitInForceIsSharedOut(t *testing.T) {
+	const paidBack = 9 * time.Second
+	for _, daemons := range sizes {
+		for seed := range uint64(3) {
+			f := &sizedFleet{daemons: daemons, hot: 3 * time.Second, peak: 6}
+			f.play(seed, 25*time.Second)
+			for at := paidBack; at < 25*time.Second; at += time.Second {
+				got := f.between(at, at+time.Second)
+				assert.Assert(t, got <= 2, "%d daemons, seed %d, %v: %.2f of the limit in a second", daemons, seed, at, got)
+			}
+		}
+	}
+}
+
 // The same while a third of the fleet is cut off from the rest for twelve seconds,
 // as one part or each daemon alone. The jump comes after the cut is known of.
 func TestLimitIsKeptAtAnySizeThroughACut(t *testing.T) {
