Endpoints aren't taken for silent while this process was held up

What callers saw: a request that may have run and had no answer, though its endpoint had answered. A daemon that is held up for longer than it waits for a silent endpoint (1.5 or 4 s) finds the deadline of the read passed when it runs again, before it reads the answer that came meanwhile. All requests under way end so at once, and their endpoints count as failed.

Change: a wait looks each 0.5 s whether its deadline came late by more than 0.1 s; that time is no silence.

TestTimeInWhichTheProcessWasHeldUpIsNoSilence failed before.

--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -11,24 +11,33 @@
 // allows, on its own connection or on an older one.
 var ErrSilent = Error.New("the endpoint fell silent")
 
-// wait bounds the reading of one call's answer. Failure: an endpoint hangs with
-// its connections open, and its machine goes on acknowledging what is sent.
-// Symptom: callers wait until their deadline for an answer that another
-// endpoint could give. One connection's silence isn't enough to tell: prompts
-// queue, and long ones stop a batch; an endpoint that says something to another
-// caller is alive. What it says on connections that are younger than the call
-// proves nothing: it may have started again and know nothing of the call.
+// wait bounds the reading of one call's answer. One connection's silence isn't enough to
+// tell that an endpoint hangs: prompts queue, and long ones stop a batch; an endpoint that
+// says something to another caller is alive. What it says on connections that are younger
+// than the call proves nothing: it may have started again and know nothing of the call.
+// Nor does time in which this process was held up itself: what the endpoint said meanwhile
+// waits to be read.
 type wait struct {
 	patience time.Duration // 0: not bounded
 	limit    time.Time     // zero: none
 	began    time.Time
-	armed    bool        // a deadline is set on the connection
+	from     time.Time   // from when on silence counts
+	due      time.Time   // the deadline that is set on the connection, zero: none
 	ended    atomic.Bool // the call's context ended
 }
 
+const (
+	// watchInterval is how often a wait looks whether this process was held up: so
+	// much of that time may be taken for the endpoint's silence.
+	watchInterval = 500 * time.Millisecond
+	// heldUpTime is how late a deadline is when this process was held up: a busy
+	// machine is late by some ten milliseconds.
+	heldUpTime = 100 * time.Millisecond
+)
+
 // start begins a call's wait.
 func (c *conn) start(now time.Time, call *Call) {
-	c.wait.patience, c.wait.began, c.wait.limit = call.Patience, now, time.Time{}
+	c.wait.patience, c.wait.began, c.wait.from, c.wait.limit = call.Patience, now, now, time.Time{}
 	if call.HeadTimeout > 0 {
 		c.wait.limit = now.Add(call.HeadTimeout)
 	}
@@ -47,7 +56,7 @@
 // finish ends a call's wait, so that the connection can be kept.
 func (c *conn) finish() {
 	c.wait.patience, c.wait.limit = 0, time.Time{}
-	c.arm(c.lastHeard())
+	c.arm(time.Now(), c.lastHeard())
 }
 
 // until returns when the wait is over if the endpoint was heard last at a time;
@@ -57,8 +66,8 @@
 	if c.wait.patience <= 0 {
 		return out
 	}
-	if heard.Before(c.wait.began) {
-		heard = c.wait.began
+	if heard.Before(c.wait.from) {
+		heard = c.wait.from
 	}
 	if silent := heard.Add(c.wait.patience); out.IsZero() || silent.Before(out) {
 		out = silent
@@ -71,20 +80,38 @@
 
 // arm sets the connection's deadline, for an endpoint that was heard last at a
 // time.
-func (c *conn) arm(heard time.Time) {
+func (c *conn) arm(now, heard time.Time) {
 	until := c.until(heard)
-	if until.IsZero() && !c.wait.armed {
+	if until.IsZero() && c.wait.due.IsZero() {
 		return
 	}
-	c.wait.armed = !until.IsZero()
+	if watch := now.Add(watchInterval); until.After(watch) {
+		until = watch
+	}
+	c.wait.due = until
 	_ = c.nc.SetReadDeadline(until)
 }
 
+// excuse takes time in which this process was held up off an endpoint's silence.
+func (c *conn) excuse(now, heard time.Time) {
+	late := now.Sub(c.wait.due)
+	if late < heldUpTime {
+		return
+	}
+	if heard.Before(c.wait.from) {
+		heard = c.wait.from
+	}
+	c.wait.from = heard.Add(late)
+	if !c.wait.limit.IsZero() {
+		c.wait.limit = c.wait.limit.Add(late)
+	}
+}
+
 // Read reads from the connection within the call's bounds.
 func (c *conn) Read(p []byte) (int, error) {
 	heard := c.lastHeard()
 	for {
-		c.arm(heard)
+		c.arm(time.Now(), heard)
 		if c.wait.ended.Load() {
 			return 0, os.ErrDeadlineExceeded
 		}
@@ -96,6 +123,7 @@
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.wait.ended.Load() {
 			return n, err
 		}
+		c.excuse(now, heard)
 		if limit := c.wait.limit; !limit.IsZero() && !now.Before(limit) {
 			return n, err
 		}
--- a/internal/upstream/wait_test.go
+++ b/internal/upstream/wait_test.go
@@ -180,3 +180,51 @@
 		assert.Equal(t, time.Since(began), 300*time.Millisecond)
 	})
 }
+
+// pausedConn is a connection of a process that is held up while it waits: deadlines fire
+// when it runs again, and what came meanwhile can be read after them.
+type pausedConn struct {
+	net.Conn
+	until time.Time // held up until then
+}
+
+func (c *pausedConn) Read(p []byte) (int, error) {
+	if d := time.Until(c.until); d > 0 {
+		time.Sleep(d)
+	}
+	return c.Conn.Read(p)
+}
+
+// Guards against a daemon that was held up and takes the time for its endpoint's silence.
+func TestTimeInWhichTheProcessWasHeldUpIsNoSilence(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		after time.Duration // of the answer
+		ok    bool
+	}{
+		{"answered meanwhile", 100 * time.Millisecond, true},
+		{"answers after it", 6300 * time.Millisecond, true},
+		{"stays silent", time.Hour, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				dial := talker(ctx, map[string][]line{"1": {{c.after, answer("1", "done")}}})
+				p := NewPool(4, func(ctx context.Context, address string) (net.Conn, error) {
+					nc, err := dial(ctx, address)
+					return &pausedConn{Conn: nc, until: time.Now().Add(6 * time.Second)}, err
+				})
+				began := time.Now()
+				got, err := read(t, p, patient("1", time.Second))
+				if c.ok {
+					assert.NilError(t, err)
+					assert.Equal(t, got, "done")
+					return
+				}
+				assert.Assert(t, errors.Is(err, ErrSilent))
+				assert.Assert(t, time.Since(began) <= 7*time.Second)
+			})
+		})
+	}
+}
