--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -22,22 +22,24 @@
 	limit    time.Time     // zero: none
 	began    time.Time
 	from     time.Time   // from when on silence counts
-	due      time.Time   // the deadline that is set on the connection, zero: none
+	looked   time.Time   // when this call was last at work here
+	armed    bool        // a deadline is set on the connection
 	ended    atomic.Bool // the call's context ended
 }
 
 const (
-	// watchInterval is how often a wait looks whether this process was held up: so
-	// much of that time may be taken for the endpoint's silence.
-	watchInterval = 500 * time.Millisecond
-	// heldUpTime is how late a deadline is when this process was held up: a busy
-	// machine is late by some ten milliseconds.
+	// lookInterval is how often a wait looks whether this process was held up: so much of
+	// that time may be taken for the endpoint's silence.
+	lookInterval = 500 * time.Millisecond
+	// heldUpTime is how late a look is when this process was held up: on a busy machine
+	// it is late by some ten milliseconds.
 	heldUpTime = 100 * time.Millisecond
 )
 
 // start begins a call's wait.
 func (c *conn) start(now time.Time, call *Call) {
-	c.wait.patience, c.wait.began, c.wait.from, c.wait.limit = call.Patience, now, now, time.Time{}
+	c.wait.patience, c.wait.limit = call.Patience, time.Time{}
+	c.wait.began, c.wait.from, c.wait.looked = now, now, now
 	if call.HeadTimeout > 0 {
 		c.wait.limit = now.Add(call.HeadTimeout)
 	}
@@ -82,28 +84,30 @@
 // time.
 func (c *conn) arm(now, heard time.Time) {
 	until := c.until(heard)
-	if until.IsZero() && c.wait.due.IsZero() {
+	if until.IsZero() && !c.wait.armed {
 		return
 	}
-	if watch := now.Add(watchInterval); until.After(watch) {
-		until = watch
+	c.wait.armed = !until.IsZero()
+	if look := now.Add(lookInterval); until.After(look) {
+		until = look
 	}
-	c.wait.due = until
 	_ = c.nc.SetReadDeadline(until)
 }
 
-// excuse takes time in which this process was held up off an endpoint's silence.
-func (c *conn) excuse(now, heard time.Time) {
-	late := now.Sub(c.wait.due)
-	if late < heldUpTime {
+// look takes time in which this process was held up since the last look off the wait for
+// an endpoint that was heard last at a time.
+func (c *conn) look(now, heard time.Time) {
+	held := now.Sub(c.wait.looked) - lookInterval
+	c.wait.looked = now
+	if held < heldUpTime {
 		return
 	}
 	if heard.Before(c.wait.from) {
 		heard = c.wait.from
 	}
-	c.wait.from = heard.Add(late)
+	c.wait.from = heard.Add(held)
 	if !c.wait.limit.IsZero() {
-		c.wait.limit = c.wait.limit.Add(late)
+		c.wait.limit = c.wait.limit.Add(held)
 	}
 }
 
@@ -111,19 +115,21 @@
 func (c *conn) Read(p []byte) (int, error) {
 	heard := c.lastHeard()
 	for {
-		c.arm(time.Now(), heard)
+		now := time.Now()
+		c.look(now, heard)
+		c.arm(now, heard)
 		if c.wait.ended.Load() {
 			return 0, os.ErrDeadlineExceeded
 		}
 		n, err := c.nc.Read(p)
-		now := time.Now()
+		now = time.Now()
 		if n > 0 {
 			c.heard.Set(now)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.wait.ended.Load() {
 			return n, err
 		}
-		c.excuse(now, heard)
+		c.look(now, heard)
 		if limit := c.wait.limit; !limit.IsZero() && !now.Before(limit) {
 			return n, err
 		}
