Calls to a hub that is late wait longer each time

What callers saw: a daemon that the store turns away has no endpoints, and refuses all callers, for as long as its hubs are busy.

Cause: a call to a hub ends where its answer hasn't begun within 0.4 s. A hub on a busy machine takes longer to make a list of 3,000 endpoints, the call is given up, and the next report asks for all of it again: nothing ever arrives, and the hub is kept busy with answers that nobody reads.

Change: after a call that brought nothing the next waits twice as long for the first byte, up to the 4 s that bound a call as a whole, on its route alone. A call that brings something ends that. The same holds for pieces of configurations, which go through the same call.

TestHubThatIsLateIsWaitedForLonger: no answer ever before, the third call now.

--- a/internal/exchange/client.go
+++ b/internal/exchange/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"maps"
 	"net"
 	"slices"
 	"sync"
@@ -36,6 +37,9 @@
 
 	mu    sync.Mutex
 	conns map[route]*kept
+	// firsts is how long the next call waits for its answer to begin, where the last
+	// one was given up before it had.
+	firsts map[route]time.Duration
 }
 
 // route is where a kept connection leads to, and what for.
@@ -51,7 +55,9 @@
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{Dial: dialPeer, conns: map[route]*kept{}} }
+func NewClient() *Client {
+	return &Client{Dial: dialPeer, conns: map[route]*kept{}, firsts: map[route]time.Duration{}}
+}
 
 func dialPeer(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{Control: upstream.UserTimeout}
@@ -93,16 +99,42 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	ctx, cancel := progress.Within(ctx, conn.received, bounds)
+	b := c.bounds(r)
+	ctx, cancel := progress.Within(ctx, conn.received, b)
 	defer cancel()
 	before := conn.received.Bytes()
-	if err := f(ctx, exchangepb.NewDRPCExchangeClient(conn)); err != nil {
+	err = f(ctx, exchangepb.NewDRPCExchangeClient(conn))
+	came := conn.received.Bytes() - before
+	c.ended(r, b, came)
+	if err != nil {
 		c.drop(r, conn)
-		return Error.New("after %d bytes of the answer: %w", conn.received.Bytes()-before, progress.Ended(ctx, err))
+		return Error.New("after %d bytes of the answer: %w", came, progress.Ended(ctx, err))
 	}
 	return nil
 }
 
+// bounds returns those of the next call on a route.
+func (c *Client) bounds(r route) progress.Bounds {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	b := bounds
+	b.First = max(b.First, c.firsts[r])
+	return b
+}
+
+// ended notes how much of an answer came within a call's bounds. Where nothing did, the
+// next call waits twice as long: a hub that takes long to make a long list would begin
+// anew with each call.
+func (c *Client) ended(r route, b progress.Bounds, came int64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if came > 0 {
+		delete(c.firsts, r)
+		return
+	}
+	c.firsts[r] = min(2*b.First, b.Total)
+}
+
 // Keep closes the connections for reports to all but the given addresses.
 func (c *Client) Keep(addresses []string) {
 	c.close(func(r route) bool { return !r.fetch && !slices.Contains(addresses, r.address) })
@@ -114,6 +146,7 @@
 func (c *Client) close(which func(route) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	maps.DeleteFunc(c.firsts, func(r route, _ time.Duration) bool { return which(r) })
 	for r, conn := range c.conns {
 		if which(r) {
 			delete(c.conns, r)
--- a/internal/exchange/exchange_test.go
+++ b/internal/exchange/exchange_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -151,6 +152,44 @@
 	})
 }
 
+// Guards against a list that never arrives, since its hub takes longer to make it than a call waits.
+func TestHubThatIsLateIsWaitedForLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := NewClient()
+		ctx, cancel := context.WithCancel(t.Context())
+		var served sync.WaitGroup
+		c.Dial = func(context.Context, string) (net.Conn, error) {
+			client, server := net.Pipe()
+			served.Go(func() { _ = serveOne(ctx, server) })
+			return &late{client, time.Second}, nil
+		}
+		calls := 1
+		for ; ; calls++ {
+			if _, err := c.Tell(t.Context(), "a", &Part{Daemon: "a"}); err == nil {
+				break
+			}
+			assert.Assert(t, calls < 4, "no answer in %d calls", calls)
+		}
+		assert.Equal(t, calls, 3) // 0.4, 0.8 and 1.6 s
+		assert.Equal(t, c.bounds(route{address: "a"}), bounds)
+		c.Keep(nil)
+		cancel()
+		served.Wait()
+	})
+}
+
+// late is a connection on which nothing comes for a while.
+type late struct {
+	net.Conn
+	after time.Duration
+}
+
+func (l *late) Read(p []byte) (int, error) {
+	time.Sleep(l.after)
+	l.after = 0
+	return l.Conn.Read(p)
+}
+
 // fleetPart is a daemon's part in a fleet of the size that the users plan for.
 func fleetPart(i int) Part {
 	p := Part{
