Membership: a daemon that starts probes each of a few seeds once

What callers saw: a daemon that leaves within seconds of a start hands all of its streams to one other daemon.

Cause: the seeds to probe were drawn with replacement. Of two seeds one was asked twice in half of the starts. Once that one has answered, the list of instances gives way to what membership knows, and the other seed is asked again after the interval of reconnects.

Change: seeds are drawn without replacement.

TestFirstProbesGoToAllOfAFew failed before ("b:1" asked twice, "c:1" not).

--- a/internal/membership/join_test.go
+++ b/internal/membership/join_test.go
@@ -1,6 +1,7 @@
 package membership
 
 import (
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -28,3 +29,19 @@
 	t.Log(took)
 	assert.Assert(t, ok)
 }
+
+// Guards against a daemon that asks one of two others twice and knows nothing of the other for seconds.
+func TestFirstProbesGoToAllOfAFew(t *testing.T) {
+	for seed := range uint64(64) {
+		now := time.Unix(1000, 0)
+		m := New(Config{}, Member{Instance: "a", Daemon: "a", Peer: "a:1"}, rand.New(rand.NewPCG(seed, 1)))
+		m.Seeds(now, []Member{{Peer: "b:1"}, {Peer: "c:1"}})
+		asked := map[string]int{}
+		for _, a := range m.Tick(now) {
+			if send, ok := a.(Send); ok {
+				asked[send.To]++
+			}
+		}
+		assert.DeepEqual(t, asked, map[string]int{"b:1": 1, "c:1": 1})
+	}
+}
--- a/internal/membership/seeds.go
+++ b/internal/membership/seeds.go
@@ -115,17 +115,25 @@
 	return gone
 }
 
+// probeHints probes some hints, each once.
 func (m *Membership) probeHints(count int) {
-	for range min(count, len(m.seeds.hints)) {
-		at := m.rng.IntN(len(m.seeds.hints))
-		h := &m.seeds.hints[at]
-		p := m.bare(Ping)
-		p.Sequence = m.nextSequence()
-		m.complete(p, nil)
-		m.send(h.peer, p)
-		h.tries++
-		if m.joined && h.tries >= hintTries {
-			m.seeds.hints = slices.Delete(m.seeds.hints, at, at+1)
-		}
+	hints := m.seeds.hints
+	count = min(count, len(hints))
+	for i := range count {
+		at := i + m.rng.IntN(len(hints)-i)
+		hints[i], hints[at] = hints[at], hints[i]
+		m.probeHint(&hints[i])
+	}
+	if m.joined {
+		left := slices.DeleteFunc(hints[:count], func(h hint) bool { return h.tries >= hintTries })
+		m.seeds.hints = append(left, hints[count:]...)
 	}
 }
+
+func (m *Membership) probeHint(h *hint) {
+	p := m.bare(Ping)
+	p.Sequence = m.nextSequence()
+	m.complete(p, nil)
+	m.send(h.peer, p)
+	h.tries++
+}
