--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -27,10 +27,10 @@
 	ownRate    float64 // a second, smoothed
 	spent      float64 // by this daemon since told
 	told       time.Time
-	refused    time.Time // when this daemon last did
-	untold     bool      // nothing was told yet
-	restored   bool      // what was kept says what the others spent
-	presumed   presumed
+	refused    time.Time     // when this daemon last did
+	untold     bool          // nothing was told yet
+	restored   bool          // what was kept says what the others spent
+	presumed   presumed      // of the time before the start
 	interval   time.Duration // until it is told next
 	meanCost   float64       // of what was asked for here, smoothed; zero: nothing was
 	tolerated  float64       // beyond the limit in the window in which it is judged
--- a/internal/quota/kept.go
+++ b/internal/quota/kept.go
@@ -95,9 +95,9 @@
 		return
 	}
 	b.presumed = presume(now, b.unlimited(k))
-	// What is presumed of the last moments takes the place of the kept spending.
-	presumed := b.presumed.share * k.Spending * min(ago, unreported).Seconds()
-	b.level = min(k.left(b.rate, b.burst, ago)+presumed, most-b.grace)
+	// What is presumed takes the place of the kept spending in its time.
+	replaced := b.presumed.share * k.Spending * min(ago, unreported).Seconds()
+	b.level = min(k.left(b.rate, b.burst, ago)+replaced, most-b.grace)
 	if b.level > 0 {
 		b.own = b.depth()
 	}
