--- a/internal/membership/seeds.go
+++ b/internal/membership/seeds.go
@@ -118,16 +118,25 @@
 // probeHints probes some hints, each once.
 func (m *Membership) probeHints(count int) {
 	hints := m.seeds.hints
-	count = min(count, len(hints))
-	for i := range count {
-		at := i + m.rng.IntN(len(hints)-i)
-		hints[i], hints[at] = hints[at], hints[i]
-		m.probeHint(&hints[i])
+	probed := make([]bool, len(hints))
+	for range min(count, len(hints)) {
+		at := m.rng.IntN(len(hints))
+		for probed[at] {
+			at = (at + 1) % len(hints)
+		}
+		probed[at] = true
+		m.probeHint(&hints[at])
 	}
-	if m.joined {
-		left := slices.DeleteFunc(hints[:count], func(h hint) bool { return h.tries >= hintTries })
-		m.seeds.hints = append(left, hints[count:]...)
+	if !m.joined {
+		return
+	}
+	left := hints[:0]
+	for i, h := range hints {
+		if !probed[i] || h.tries < hintTries {
+			left = append(left, h)
+		}
 	}
+	m.seeds.hints = left
 }
 
 func (m *Membership) probeHint(h *hint) {
