Endpoints' silence: one function says from when on it counts

The wait and the look for hold-ups had the same clamp each. No change of behaviour. A test's comment is one line.

--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -434,8 +434,7 @@
 	}
 }
 
-// Guards against a limit in force that all daemons let in freely again for a moment. What
-// is shared out is at most twice the limit.
+// Guards against a limit in force that all daemons let in freely again for a moment.
 func TestLimitInForceIsSharedOut(t *testing.T) {
 	const paidBack = 9 * time.Second
 	for _, daemons := range sizes {
--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -68,15 +68,21 @@
 	if c.wait.patience <= 0 {
 		return out
 	}
-	if heard.Before(c.wait.from) {
-		heard = c.wait.from
-	}
-	if silent := heard.Add(c.wait.patience); out.IsZero() || silent.Before(out) {
+	if silent := c.silentFrom(heard).Add(c.wait.patience); out.IsZero() || silent.Before(out) {
 		out = silent
 	}
 	return out
 }
 
+// silentFrom returns from when on the silence of an endpoint counts that was heard last
+// at a time.
+func (c *conn) silentFrom(heard time.Time) time.Time {
+	if heard.Before(c.wait.from) {
+		return c.wait.from
+	}
+	return heard
+}
+
 // lastHeard returns when bytes came last on this connection.
 func (c *conn) lastHeard() time.Time { return c.heard.Time() }
 
@@ -102,10 +108,7 @@
 	if held < heldUpTime {
 		return
 	}
-	if heard.Before(c.wait.from) {
-		heard = c.wait.from
-	}
-	c.wait.from = heard.Add(held)
+	c.wait.from = c.silentFrom(heard).Add(held)
 	if !c.wait.limit.IsZero() {
 		c.wait.limit = c.wait.limit.Add(held)
 	}
