--- /dev/null
+++ b/internal/backpressure/stated.go
@@ -0,0 +1,46 @@
+package backpressure
+
+import (
+	"math"
+	"strconv"
+	"strings"
+)
+
+// Stated is what an answer says about the requests that its endpoint accepts.
+type Stated struct {
+	// RateLimit is the requests a second that the endpoint accepts from all daemons
+	// together.
+	RateLimit Limit
+	// RejectionLimit is the requests a second that the endpoint can reject for lack of
+	// room; with more, it crashes.
+	RejectionLimit Limit
+}
+
+// Limit is one limit of an answer.
+type Limit struct {
+	Presence  Presence
+	PerSecond float64 // of a valid limit; finite, not negative
+}
+
+// Presence says whether an answer states a limit.
+type Presence uint8
+
+// The values of Presence.
+const (
+	Absent  Presence = iota // the endpoint has no limit
+	Invalid                 // the value can't be used; the endpoint's earlier limit stays
+	Valid
+)
+
+// ParseLimit parses the value of a header, empty if the answer has none.
+func ParseLimit(text string) Limit {
+	text = strings.TrimSpace(text)
+	if text == "" {
+		return Limit{}
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	if err != nil || math.IsNaN(perSecond) || math.IsInf(perSecond, 0) || perSecond < 0 {
+		return Limit{Presence: Invalid}
+	}
+	return Limit{Presence: Valid, PerSecond: perSecond}
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -18,6 +18,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
@@ -61,6 +62,8 @@
 func (echo) Owns(*relay.Request) func(http.Header) upstream.Ownership {
 	return func(http.Header) upstream.Ownership { return upstream.ThisRequest }
 }
+func (echo) Stated(http.Header) backpressure.Stated { return backpressure.Stated{} }
+
 func (echo) Classify(status int, _ http.Header) relay.Class {
 	if status == http.StatusOK {
 		return relay.Success
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -19,6 +20,16 @@
 // Cut implements relay.Observer.
 func (o *observer) Cut(c ends.Disconnect) { o.node.crashes.watch.Disconnected(c) }
 
+// RateLimited implements relay.Observer.
+func (o *observer) RateLimited(e fleet.EndpointID, l backpressure.Limit) {
+	log := o.node.logFor("endpoints").WithField("endpoint", e)
+	if l.Presence == backpressure.Absent {
+		log.Info("endpoint's rate limit ended")
+		return
+	}
+	log.WithField("per_second", l.PerSecond).Warn("endpoint limits its requests")
+}
+
 // Ended implements relay.Observer.
 func (o *observer) Ended(out *relay.Outcome) {
 	o.node.metrics.ended(out)
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
@@ -178,6 +179,9 @@
 	}
 	defer a.Close()
 	class := f.relay.protocol.Classify(a.Status, a.Header)
+	if class != Misdirected {
+		f.noteStated(t, f.relay.protocol.Stated(a.Header))
+	}
 	res := attemptResult{class: class, reached: true, verdict: verdict.Ran}
 	if class == Refused || class == Misdirected {
 		res.verdict = verdict.NotRun
@@ -243,6 +247,13 @@
 	}
 }
 
+// noteStated records the limits that an answer states.
+func (f *inflight) noteStated(t *trackedAttempt, s backpressure.Stated) {
+	if f.relay.state.noteStated(time.Now(), t, s) {
+		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
+	}
+}
+
 // reportBegan notifies the observer, once, that an endpoint began to run the
 // request.
 func (f *inflight) reportBegan(at time.Time) {
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -17,6 +17,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -47,6 +48,10 @@
 	}
 }
 
+func (plainProtocol) Stated(h http.Header) backpressure.Stated {
+	return backpressure.Stated{RateLimit: backpressure.ParseLimit(h.Get("Rate-Limit"))}
+}
+
 func (plainProtocol) Classify(status int, _ http.Header) Class {
 	switch {
 	case status == http.StatusServiceUnavailable:
@@ -84,12 +89,13 @@
 
 // recorder records what the relay reports; it is its Observer and its Guard.
 type recorder struct {
-	mu    sync.Mutex
-	begun int
-	cuts  []ends.Disconnect
-	last  Outcome
-	held  map[quarantine.Key]time.Duration
-	ran   []quarantine.Key
+	mu     sync.Mutex
+	begun  int
+	cuts   []ends.Disconnect
+	last   Outcome
+	limits []float64
+	held   map[quarantine.Key]time.Duration
+	ran    []quarantine.Key
 }
 
 func (r *recorder) HeldFor(key func() quarantine.Key) time.Duration {
@@ -116,6 +122,12 @@
 	r.cuts = append(r.cuts, c)
 }
 
+func (r *recorder) RateLimited(_ fleet.EndpointID, l backpressure.Limit) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.limits = append(r.limits, l.PerSecond)
+}
+
 func (r *recorder) Ended(o *Outcome) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -82,12 +83,15 @@
 }
 
 // Observer is notified of the requests that endpoints began to run, of connections
-// that endpoints closed, and of the outcomes of requests. Its methods must return
+// that endpoints closed, of their rate limits, and of the outcomes of requests. Its methods must return
 // at once.
 type Observer interface {
 	// Began reports that an endpoint began to run a workspace's request.
 	Began(w fleet.WorkspaceID, at time.Time)
 	// Cut reports that an endpoint's connection ended during a request.
 	Cut(c ends.Disconnect)
+	// RateLimited reports that an endpoint has stated another rate limit, or that its
+	// limit has ended, which is Absent.
+	RateLimited(e fleet.EndpointID, l backpressure.Limit)
 	Ended(o *Outcome)
 }
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -18,6 +19,8 @@
 	Owns(r *Request) func(http.Header) upstream.Ownership
 	// Classify returns the meaning of an answer with this status and header.
 	Classify(status int, h http.Header) Class
+	// Stated returns the limits that an endpoint's answer states.
+	Stated(h http.Header) backpressure.Stated
 	// Answer returns the header to send to the caller.
 	Answer(h http.Header) http.Header
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
@@ -31,6 +32,7 @@
 	work         *workTotals
 	attempts     map[fleet.EndpointID]map[*trackedAttempt]struct{} // in progress
 	rollouts     rolloutState
+	rateLimits   *backpressure.Table
 }
 
 // NewState returns the state of a daemon in the data centre self. Each service gets
@@ -46,6 +48,8 @@
 		work:     newWorkTotals(),
 		attempts: map[fleet.EndpointID]map[*trackedAttempt]struct{}{},
 		rollouts: newRolloutState(rollout.Bounds{}),
+
+		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
 	}
 }
 
