Daemons share an endpoint's stated rate limit

Cause: no daemon read the limit; load balancing knows slots and loads only.

Change: a few daemons, chosen alike by all (rendezvous over the serving ones), send to an endpoint with a limit, each with a token bucket. There are N + 3 of them at N a second, and their buckets hold N + 3 requests together, so that any 4 s see at most 5 N + 3 of the 6 N + 5 allowed, whatever callers do. Statements and their ends travel in the reports to the hubs and in the replies; a daemon that hears of a limit follows it at once. Where a limit isn't stated for 10 s other daemons take over. A limited endpoint is no home of a prefix, its queue is no room, refusals tell when it has room, and the planner counts it as the part of an endpoint that it is.

Weighed: an even share for each daemon, one request deep.

--- /dev/null
+++ b/internal/backpressure/fleet.go
@@ -0,0 +1,42 @@
+package backpressure
+
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+)
+
+// Fleet is the serving daemons, among which the limits are shared.
+type Fleet struct {
+	self   uint64 // hash of the own ID
+	others []uint64
+}
+
+// NewFleet returns a fleet of which self is one daemon.
+func NewFleet(self fleet.DaemonID, serving []fleet.DaemonID) *Fleet {
+	f := &Fleet{self: rendezvous.Key(string(self))}
+	for _, id := range serving {
+		if id != self {
+			f.others = append(f.others, rendezvous.Key(string(id)))
+		}
+	}
+	return f
+}
+
+// ShareOf returns this daemon's share of a limit in force. Daemons with the same view of
+// the fleet agree on who sends. A nil Fleet is one that isn't known yet, and sends nothing.
+func (f *Fleet) ShareOf(now time.Time, s *Statement) Share {
+	if f == nil {
+		return Share{}
+	}
+	age := now.Sub(s.At).Seconds()
+	key := uint64(s.Endpoint)<<32 | rotation(s.PerSecond, age)
+	own, rank := rendezvous.ScoreHashed(key, f.self), 0
+	for _, other := range f.others {
+		if rendezvous.ScoreHashed(key, other) > own {
+			rank++
+		}
+	}
+	return ShareOf(s.PerSecond, rank, len(f.others)+1)
+}
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -24,6 +25,10 @@
 	establishedVersions map[string]string
 	table               *route.Table
 	prefillRate         prefillRate
+	rateLimits          *backpressure.Table
+	fleet               *backpressure.Fleet
+	byKey               map[rendezvous.ShortKey]*member
+	limited             map[*member]bool // those with a rate limit in force
 	scratch             []*member
 	homeScratch         []*member
 }
@@ -41,6 +46,9 @@
 		establishedVersions: map[string]string{},
 		table:               route.New(route.Table{}),
 		prefillRate:         newPrefillRate(),
+
+		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
+		byKey:      map[rendezvous.ShortKey]*member{},
 	}
 }
 
@@ -55,7 +63,7 @@
 // SetEndpoints applies the newest list. The state of endpoints that stay is kept,
 // except for those that have restarted: their caches are empty, and earlier requests
 // no longer run there.
-func (b *Balancer) SetEndpoints(all []roster.Endpoint) {
+func (b *Balancer) SetEndpoints(now time.Time, all []roster.Endpoint) {
 	listed := make(map[fleet.EndpointID]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
@@ -73,7 +81,9 @@
 		}
 	}
 	b.active, b.listed = map[string][]*member{}, map[string][]*member{}
+	b.byKey = make(map[rendezvous.ShortKey]*member, len(all))
 	for _, e := range all {
+		b.byKey[rendezvous.ShortKey(b.members[e.ID].hash)] = b.members[e.ID]
 		b.listed[e.Service] = append(b.listed[e.Service], b.members[e.ID])
 		if !e.Draining {
 			b.active[e.Service] = append(b.active[e.Service], b.members[e.ID])
@@ -81,6 +91,7 @@
 	}
 	b.rebuildSplits()
 	b.findEstablished()
+	b.applyRateLimits(now)
 }
 
 // applySettings applies the service's settings for its engines to a member.
@@ -136,7 +147,7 @@
 	var best *member
 	least, equal := 0.0, 0
 	for _, m := range set {
-		if m.avoided(now) != avoided || slices.Contains(r.Tried, m.ID) {
+		if m.avoided(now) != avoided || !m.hasRate(now) || slices.Contains(r.Tried, m.ID) {
 			continue
 		}
 		cost := b.cost(now, r, m, m == home, found)
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -21,7 +21,7 @@
 	b.Configure(route.New(route.Table{Services: []route.Service{
 		{Name: "llm", Engine: &route.Engine{Slots: 48, CacheTokens: 700_000}}, {Name: "app"},
 	}}))
-	b.SetEndpoints(testEndpoints(endpoints))
+	b.SetEndpoints(start, testEndpoints(endpoints))
 	return b
 }
 
@@ -106,14 +106,14 @@
 	b := newTestBalancer(1, 2)
 	all := testEndpoints(2)
 	all[0].Draining = true
-	b.SetEndpoints(all)
+	b.SetEndpoints(start, all)
 	for prefixID := range uint64(20) {
 		c, ok := b.Pick(start, requestWithPrefix(prefixID+2))
 		assert.Assert(t, ok)
 		assert.Equal(t, c.Endpoint.ID, all[1].ID)
 	}
 	all[1].Draining = true
-	b.SetEndpoints(all)
+	b.SetEndpoints(start, all)
 	_, ok := b.Pick(start, requestWithPrefix(2))
 	assert.Assert(t, !ok)
 }
@@ -217,7 +217,7 @@
 	b := newTestBalancer(1, 1)
 	before := testEndpoints(1)
 	before[0].StartedAt = start
-	b.SetEndpoints(before)
+	b.SetEndpoints(start, before)
 	q := requestWithPrefix(7)
 	old, ok := b.Pick(start, q)
 	assert.Assert(t, ok)
@@ -228,7 +228,7 @@
 
 	after := testEndpoints(1)
 	after[0].StartedAt = start.Add(time.Second)
-	b.SetEndpoints(after)
+	b.SetEndpoints(start, after)
 	assert.Equal(t, len(b.OwnLoads()), 0)
 	fresh, _ := b.Pick(start, q)
 	assert.Assert(t, fresh.Cached < q.Prompt, "%d", fresh.Cached)
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -27,7 +27,7 @@
 }
 
 // homeOf returns the first home of an affinity key by rendezvous hashing; nil for key
-// 0.
+// 0. An endpoint with a rate limit can't take the requests of a home.
 func (b *Balancer) homeOf(key uint64, set []*member) *member {
 	var best *member
 	var most uint64
@@ -35,6 +35,9 @@
 		return nil
 	}
 	for _, m := range set {
+		if m.pacer != nil {
+			continue
+		}
 		if s := rendezvous.ScoreHashed(key, m.hash); best == nil || s > most {
 			best, most = m, s
 		}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
@@ -35,6 +36,10 @@
 	consecutiveFailures int
 	avoidFor            time.Duration
 	avoidUntil          time.Time // zero or past: not avoided
+	// pacer spaces this daemon's requests while the endpoint has a rate limit; nil
+	// otherwise. rateLimit is the limit in requests a second, of all daemons.
+	pacer     *backpressure.Pacer
+	rateLimit float64
 }
 
 // running returns the number of requests of all daemons there.
--- a/internal/balance/source_test.go
+++ b/internal/balance/source_test.go
@@ -19,7 +19,7 @@
 	b.Configure(route.New(route.Table{Services: []route.Service{
 		{Name: "llm", Engine: &route.Engine{Slots: 48, CacheTokens: 700_000, FetchSeconds: perToken}},
 	}}))
-	b.SetEndpoints(addressedEndpoints(endpoints))
+	b.SetEndpoints(start, addressedEndpoints(endpoints))
 	return b
 }
 
@@ -82,13 +82,13 @@
 	b = fetchingBalancer(2e-6, 2)
 	all := addressedEndpoints(2)
 	all[0].StartedAt, all[1].StartedAt = start, start
-	b.SetEndpoints(all)
+	b.SetEndpoints(start, all)
 	first, _ = b.Pick(start, q)
 	b.Sent(q, first)
 	again := addressedEndpoints(2)
 	again[0].StartedAt, again[1].StartedAt = start.Add(time.Second), start.Add(time.Second)
 	drain(again, first.Endpoint.ID)
-	b.SetEndpoints(again)
+	b.SetEndpoints(start, again)
 	got, _ = b.Pick(start, q)
 	assert.Assert(t, got.Endpoint.ID != first.Endpoint.ID)
 	assert.Equal(t, got.FetchFrom, "")
@@ -102,7 +102,7 @@
 	b.Sent(q, first)
 	all := addressedEndpoints(2)
 	drain(all, first.Endpoint.ID)
-	b.SetEndpoints(all)
+	b.SetEndpoints(start, all)
 	got, _ := b.Pick(start, q)
 	assert.Assert(t, got.Endpoint.ID != first.Endpoint.ID)
 	assert.Equal(t, got.FetchFrom, string(first.Endpoint.ID))
--- a/internal/balance/split_test.go
+++ b/internal/balance/split_test.go
@@ -39,7 +39,7 @@
 
 func TestSidesOfARollout(t *testing.T) {
 	b := New("z", rand.New(rand.NewPCG(1, 2)))
-	b.SetEndpoints(append(versionedEndpoints("v1", 8, testNow), versionedEndpoints("v2", 8, testNow.Add(time.Minute))...))
+	b.SetEndpoints(start, append(versionedEndpoints("v1", 8, testNow), versionedEndpoints("v2", 8, testNow.Add(time.Minute))...))
 	b.SetSplit(&rollout.Split{Service: "s", Key: rollout.Key{Target: "v2"}, Spread: 3, Rotation: 1})
 	versions, _ := pickedVersions(b, rollout.Old)
 	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
@@ -63,21 +63,21 @@
 func TestEstablishedVersionIsChosenWithoutARollout(t *testing.T) {
 	b := New("z", rand.New(rand.NewPCG(1, 2)))
 	old := versionedEndpoints("v1", 3, testNow)
-	b.SetEndpoints(append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
+	b.SetEndpoints(start, append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
 	versions, _ := pickedVersions(b, rollout.Old)
 	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
 
 	for i := range old {
 		old[i].StartedAt = testNow.Add(time.Hour) // all endpoints of v1 restarted
 	}
-	b.SetEndpoints(append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
+	b.SetEndpoints(start, append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
 	versions, _ = pickedVersions(b, rollout.Old)
 	assert.DeepEqual(t, versions, map[string]bool{"v1": true})
 
 	for i := range old {
 		old[i].Draining = true
 	}
-	b.SetEndpoints(append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
+	b.SetEndpoints(start, append(versionedEndpoints("v2", 3, testNow.Add(time.Minute)), old...))
 	versions, _ = pickedVersions(b, rollout.Old)
 	assert.DeepEqual(t, versions, map[string]bool{"v2": true})
 }
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -34,6 +34,9 @@
 		Hub:           r.IsHub,
 		Members:       encodePosition(r.MembersPosition),
 		Unpacks:       r.AcceptsCompressed,
+
+		RateLimits:     encodeRateLimits(r.RateLimits),
+		RateLimitsHave: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
 	if r.Self != nil {
 		out.Self = encodeMember(r.Self)
@@ -87,6 +90,9 @@
 
 		MembersPosition:   decodePosition(in.Members),
 		AcceptsCompressed: in.Unpacks,
+
+		RateLimits:         decodeRateLimits(in.RateLimits),
+		RateLimitsPosition: decodeRateLimitPosition(in.RateLimitsHave),
 	}
 	if in.Self != nil {
 		self := decodeMember(in.Self)
@@ -116,6 +122,7 @@
 	out.AgeMs, out.Changes = r.Age.Milliseconds(), r.ChangedOnly
 	out.Endpoints, out.CrashesHave, out.RolloutNews, out.Holder = nil, nil, nil, nil
 	out.Self, out.Members = nil, nil
+	out.RateLimits, out.RateLimitsHave = nil, nil
 	return out
 }
 
@@ -140,6 +147,9 @@
 		CrashesTo: quarantinepb.EncodePosition(r.CrashesPosition),
 		Rollouts:  encodeRolloutUpdate(&r.RolloutUpdate),
 		Members:   encodeList(&r.Members, r.Compress),
+
+		RateLimits:   encodeRateLimits(r.RateLimits),
+		RateLimitsTo: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
 	if r.Loads != nil {
 		out.Loads, out.OwnLoads = r.Loads.encoded, encodeLoads(r.Loads.Own)
@@ -163,6 +173,9 @@
 		CrashesPosition: quarantinepb.DecodePosition(t.CrashesTo),
 		RolloutUpdate:   decodeRolloutUpdate(t.Rollouts),
 		Members:         decodeList(t.Members),
+
+		RateLimits:         decodeRateLimits(t.RateLimits),
+		RateLimitsPosition: decodeRateLimitPosition(t.RateLimitsTo),
 	}
 	if t.Loads != nil {
 		r.Loads = &Loads{All: decodeLoads(t.Loads), Own: decodeLoads(t.OwnLoads)}
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -7,6 +7,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
@@ -83,8 +84,14 @@
 			Routes: map[string]float64{"r": 1}, Spread: 4, Rotation: 9,
 		}},
 	}
+	r.RateLimits = []backpressure.Statement{
+		{Endpoint: 7, StartedAt: time.UnixMilli(900), InForce: true, PerSecond: 1.2, At: time.UnixMilli(1000)},
+		{Endpoint: 8, At: time.UnixMilli(2000)},
+	}
+	r.RateLimitsPosition = backpressure.Position{Epoch: 3, Seq: 4}
 	assert.DeepEqual(t, decodeReport(encodeReport(&r)), r)
 	reply := Reply{ConfigVersion: 4, Config: []byte("text"), ConfigRevision: 77, Soft: relay.SoftState{Spent: r.Soft.Spent, Levels: r.Soft.Spent}, FleetTime: start, Holder: Holder{Daemon: "a", Token: 7}}
+	reply.RateLimits, reply.RateLimitsPosition = r.RateLimits, r.RateLimitsPosition
 	reply.StoreAge, reply.RolloutUpdate = 300*time.Millisecond, r.RolloutUpdate
 	reply.Endpoints = feed.Update{
 		To: feed.Position{Epoch: 1, Seq: 2, Revision: 6}, Full: true, Keys: []rendezvous.ShortKey{7, 8},
--- a/internal/exchange/report.go
+++ b/internal/exchange/report.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
@@ -36,6 +37,11 @@
 	// daemon has reached.
 	Crashes         []quarantine.Crash
 	CrashesPosition quarantine.Position
+	// RateLimits is the statements about endpoints' rate limits that are new since the last
+	// report to the hub, by the fleet's time. RateLimitsPosition is the position in the
+	// hub's statements that the daemon has reached.
+	RateLimits         []backpressure.Statement
+	RateLimitsPosition backpressure.Position
 	// Rollouts is the daemon's counts for the roll-outs in progress, and RolloutUpdate the
 	// newest update about them that it has received.
 	Rollouts      []rollout.Report
@@ -85,6 +91,9 @@
 	// CrashesPosition.
 	Crashes         []quarantine.Crash
 	CrashesPosition quarantine.Position
+	// RateLimits are the hub's statements that the daemon lacks, up to RateLimitsPosition.
+	RateLimits         []backpressure.Statement
+	RateLimitsPosition backpressure.Position
 	// RolloutUpdate is the newest update about the roll-outs that the hub has.
 	RolloutUpdate rollout.Update
 	// Members updates the daemon's list of members to the hub's; see EncodeMember.
--- a/internal/node/hubstate.go
+++ b/internal/node/hubstate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 )
@@ -20,6 +21,8 @@
 	// crashesSent is the position up to which the hub has this daemon's crashes of endpoints,
 	// crashesReceived that up to which this daemon has the hub's.
 	crashesSent, crashesReceived quarantine.Position
+	// rateLimitsSent and rateLimitsReceived are the same for statements about rate limits.
+	rateLimitsSent, rateLimitsReceived backpressure.Position
 	// relaying is the position up to which the relay in flight includes what this hub
 	// received; relayedTo and windowsTo are those up to which the other hub has it.
 	relaying, relayedTo, windowsTo exchange.Cursor
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -110,6 +110,7 @@
 // run updates what depends on the number of daemons.
 func (m *members) run(ctx context.Context) {
 	seen := 0
+	var shared *layout
 	pause.Every(ctx, countInterval, func() {
 		n := len(m.serving())
 		if n != seen {
@@ -122,10 +123,23 @@
 		// A daemon that has just started finds the others one by one.
 		if !m.node.gathering() {
 			m.node.state.SetDaemons(time.Now(), n)
+			shared = m.shareRateLimits(shared)
 		}
 	})
 }
 
+// shareRateLimits shares the endpoints' rate limits among the daemons of the newest layout,
+// which it returns. last is the one that they were last shared by.
+func (m *members) shareRateLimits(last *layout) *layout {
+	l := m.layout()
+	if l == last {
+		m.node.state.RefreshRateLimits(time.Now())
+		return l
+	}
+	m.node.state.SetFleet(time.Now(), m.node.id, idsOf(l.serving))
+	return l
+}
+
 // cachedCount returns how many daemons serve, as of countInterval ago at the most.
 func (m *members) cachedCount() int { return int(m.count.Load()) }
 
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
@@ -100,6 +101,7 @@
 func (x *peerExchange) Report(report exchange.Report) exchange.Reply {
 	x.node.fetcher.offeredBy(report.Daemon, report.ConfigVersion)
 	x.node.crashes.add(report.Crashes)
+	x.node.mergeRateLimits(report.RateLimits)
 	if report.Self != nil {
 		x.node.addMembers([]membership.Member{*report.Self})
 	}
@@ -122,6 +124,7 @@
 	}
 	reply.RolloutUpdate = x.node.state.RolloutUpdate(now)
 	reply.Crashes, reply.CrashesPosition = x.node.crashes.table.Since(report.CrashesPosition)
+	reply.RateLimits, reply.RateLimitsPosition = x.node.rateLimitsSince(report.RateLimitsPosition)
 	if report.WantLevels && now.Sub(x.node.started) > minLevelsUptime {
 		reply.Soft.Levels = x.node.state.Levels(now)
 	}
@@ -293,7 +296,7 @@
 		return
 	}
 	defer x.endCall(address)
-	report, upTo := x.newReport(address, soft)
+	report, sent := x.newReport(address, soft)
 	if address == x.node.settings.Listen.Peers {
 		reply := x.Report(report)
 		if x.node.gathering() && len(x.node.members.serving()) == 1 {
@@ -311,7 +314,8 @@
 	}
 	x.node.fetcher.offered(address, reply.ConfigVersion)
 	x.node.config.noteHubRevision(reply.ConfigVersion, reply.ConfigRevision)
-	x.takeCrashes(address, upTo, &reply)
+	x.takeCrashes(address, sent.crashes, &reply)
+	x.takeRateLimits(address, sent.rateLimits, &reply)
 	if report.IsHub {
 		x.applyHubReply(address, &reply, took)
 		return
@@ -319,9 +323,15 @@
 	x.apply(address, &reply, took)
 }
 
-// newReport returns this daemon's report to a hub, with the soft state of this round, and
-// the position up to which it includes crashes.
-func (x *peerExchange) newReport(address string, soft relay.SoftState) (exchange.Report, quarantine.Position) {
+// sentPositions are the positions up to which a report includes this daemon's crashes and
+// statements about rate limits.
+type sentPositions struct {
+	crashes    quarantine.Position
+	rateLimits backpressure.Position
+}
+
+// newReport returns this daemon's report to a hub, with the soft state of this round.
+func (x *peerExchange) newReport(address string, soft relay.SoftState) (exchange.Report, sentPositions) {
 	report := exchange.Report{
 		Daemon:            x.node.id,
 		ConfigVersion:     x.node.config.current().Version,
@@ -349,15 +359,17 @@
 	report.OmitLoads = x.omitLoads(address)
 	report.WantLevels = !x.node.state.LevelsKnown()
 	if address == x.node.settings.Listen.Peers {
-		return report, quarantine.Position{}
+		return report, sentPositions{}
 	}
 	if report.IsHub {
 		x.addRelayed(l, address, &report)
 	}
-	var upTo quarantine.Position
-	report.Crashes, upTo = x.node.crashes.table.Since(x.hubState(address).crashesSent)
+	var sent sentPositions
+	report.Crashes, sent.crashes = x.node.crashes.table.Since(x.hubState(address).crashesSent)
 	report.CrashesPosition = x.hubState(address).crashesReceived
-	return report, upTo
+	report.RateLimits, sent.rateLimits = x.node.rateLimitsSince(x.hubState(address).rateLimitsSent)
+	report.RateLimitsPosition = x.hubState(address).rateLimitsReceived
+	return report, sent
 }
 
 // apply applies a hub's reply, which took a while. Of a reply that took longer than
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -70,8 +70,10 @@
 		out.Slots = max(work.SlotSeconds-last.SlotSeconds, 0) / out.Seconds
 		out.Prefill = max(work.Prefill-last.Prefill, 0) / out.Seconds
 		out.Prompt = max(work.Prompt-last.Prompt, 0) / out.Seconds
+		out.Requests = max(float64(work.Requests-last.Requests), 0) / out.Seconds
 	}
 	s.work[service.Name] = work
+	limits := s.duties.node.state.RateLimits(service.Name)
 	all, _ := s.duties.node.endpoints.list()
 	for _, e := range all {
 		if e.Service != service.Name {
@@ -82,6 +84,9 @@
 			out.Leaving[place]++
 		} else {
 			out.Serving[place]++
+			if limit, ok := limits[e.ID]; ok {
+				out.RateLimits = append(out.RateLimits, limit)
+			}
 		}
 	}
 	return out
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -32,7 +32,7 @@
 	defer s.mu.Unlock()
 	choice, ok := s.pickAllowed(now, f)
 	if !ok {
-		return choice, notRun(NoEndpoint, jitter(noEndpointRetryAfter, s.rng.Float64()))
+		return choice, s.refuseUnplaced(now, f)
 	}
 	if !f.workCounted {
 		f.workCounted = true
@@ -45,9 +45,19 @@
 		s.work.countRefused(f.service)
 		return choice, notRun(Overloaded, jitter(wait, s.rng.Float64()))
 	}
+	s.balancer.Reserve(now, choice)
 	return choice, nil
 }
 
+// refuseUnplaced refuses a request that no endpoint can take. The lock is held.
+func (s *State) refuseUnplaced(now time.Time, f *inflight) *Refusal {
+	if wait, limited := s.balancer.RateLimitWait(now, f.balanceReq); limited {
+		s.work.countRefused(f.service)
+		return notRun(Overloaded, jitter(wait, s.rng.Float64()))
+	}
+	return notRun(NoEndpoint, jitter(noEndpointRetryAfter, s.rng.Float64()))
+}
+
 // overloadWait returns 0 if a request is worth an attempt. A request that would
 // miss its target by far even at the best endpoint isn't: a late answer is worth a
 // tenth of one in time and takes its place. For it overloadWait returns the time
--- a/internal/relay/ratelimits.go
+++ b/internal/relay/ratelimits.go
@@ -4,7 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
 // noteStated records the limits that an attempt's answer states, and reports whether the
@@ -12,15 +12,52 @@
 func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	e := &t.choice.Endpoint
-	return s.rateLimits.Observe(now, t.sent, rendezvous.ShortKeyOf(string(e.ID)), e.StartedAt, stated.RateLimit)
+	return s.balancer.ObserveRateLimit(now, t.sent, &t.choice.Endpoint, stated.RateLimit)
+}
+
+// SetFleet sets the serving daemons, with which the endpoints' rate limits are shared.
+func (s *State) SetFleet(now time.Time, self fleet.DaemonID, serving []fleet.DaemonID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.SetFleet(now, self, serving)
+}
+
+// RefreshRateLimits updates this daemon's shares of rate limits that weren't stated for a
+// while.
+func (s *State) RefreshRateLimits(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.RefreshRateLimits(now)
+}
+
+// MergeRateLimits takes other daemons' statements about the endpoints' rate limits.
+func (s *State) MergeRateLimits(now time.Time, all []backpressure.Statement) {
+	if len(all) == 0 {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.balancer.MergeRateLimits(now, all)
+}
+
+// RateLimitsSince returns the statements about rate limits that a daemon at a position
+// lacks, and its position with them.
+func (s *State) RateLimitsSince(p backpressure.Position) ([]backpressure.Statement, backpressure.Position) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.RateLimitsSince(p)
+}
+
+// RateLimits returns the rate limits in force of a service's endpoints, by endpoint.
+func (s *State) RateLimits(service string) map[fleet.EndpointID]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.RateLimits(service)
 }
 
 // RateLimitedEndpoints returns the number of endpoints with a rate limit in force.
 func (s *State) RateLimitedEndpoints() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	n := 0
-	s.rateLimits.InForce(func(*backpressure.Statement) { n++ })
-	return n
+	return s.balancer.RateLimited()
 }
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -6,7 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
@@ -32,7 +31,6 @@
 	work         *workTotals
 	attempts     map[fleet.EndpointID]map[*trackedAttempt]struct{} // in progress
 	rollouts     rolloutState
-	rateLimits   *backpressure.Table
 }
 
 // NewState returns the state of a daemon in the data centre self. Each service gets
@@ -48,8 +46,6 @@
 		work:     newWorkTotals(),
 		attempts: map[fleet.EndpointID]map[*trackedAttempt]struct{}{},
 		rollouts: newRolloutState(rollout.Bounds{}),
-
-		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
 	}
 }
 
@@ -80,7 +76,7 @@
 func (s *State) SetEndpoints(now time.Time, all []roster.Endpoint) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.SetEndpoints(all)
+	s.balancer.SetEndpoints(now, all)
 	services := map[string]bool{}
 	for i := range all {
 		services[all[i].Service] = true
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -26,6 +26,7 @@
 	fewerSince         time.Time // since when fewer reclaimable endpoints would suffice; zero: they wouldn't
 	onDemand           int       // on-demand endpoints wanted in all data centres
 	fewerOnDemandSince time.Time // since when fewer would suffice during a wave; zero: they wouldn't
+	limitedLoss        float64   // capacity that rate limits take, in endpoints
 	supply             *supply
 	perDataCentre      int // reclaimable endpoints wanted in each data centre
 }
@@ -115,6 +116,21 @@
 	p.estimated = p.loadedFor(now, estimateTime)
 	p.load = smooth(p.load, busy, s.Seconds)
 	p.cachedLoad = smooth(p.cachedLoad, cached, s.Seconds)
+	p.limitedLoss = p.lossByRateLimits(s)
+}
+
+// lossByRateLimits returns how many endpoints the rate limits make up for: an endpoint with
+// a limit counts as the part of an endpoint that its limit is of what the others serve.
+func (p *Planner) lossByRateLimits(s *Sample) float64 {
+	if p.load <= 0 || s.Requests <= 0 {
+		return 0
+	}
+	usual := targetUtilisation * s.Requests / p.load // requests a second of an endpoint
+	lost := 0.0
+	for _, limit := range s.RateLimits {
+		lost += max(1-limit/usual, 0)
+	}
+	return lost
 }
 
 // loadedFor reports whether requests first arrived at least d ago.
@@ -134,9 +150,9 @@
 
 // needAfterLoss returns how many endpoints the load takes at targetUtilisation after
 // the loss of a share of the endpoints: the prompts cached there need prefill again
-// elsewhere.
+// elsewhere. It includes what endpoints with a rate limit don't serve.
 func (p *Planner) needAfterLoss(lost float64) float64 {
-	return max((p.load+lost*p.cachedLoad)/targetUtilisation, 1)
+	return max((p.load+lost*p.cachedLoad)/targetUtilisation, 1) + p.limitedLoss
 }
 
 // estimatedNeed returns how many endpoints the load takes, or is assumed to take
--- a/internal/scaling/planner_test.go
+++ b/internal/scaling/planner_test.go
@@ -29,6 +29,7 @@
 	serving       map[Place]int
 	pending       []pendingOrder
 	noReclaimable bool // orders for reclaimable endpoints are refused
+	rateLimits    []float64
 	orderCount    int
 }
 
@@ -50,7 +51,7 @@
 			w.serving[c.Place] = max(w.serving[c.Place], c.Count)
 		}
 	}
-	s := &Sample{Service: service(), Serving: w.serving, Slots: float64(requests), Seconds: 0.5}
+	s := &Sample{Service: service(), Serving: w.serving, Slots: float64(requests), Seconds: 0.5, RateLimits: w.rateLimits, Requests: float64(requests)}
 	for _, o := range w.planner.Plan(w.now, s) {
 		w.orderCount++
 		if w.noReclaimable && o.Spot {
@@ -161,3 +162,19 @@
 	s.Serving[Place{"b", false}] = 1
 	assert.Equal(t, p.reclaimableRoom(s, "b"), 9)
 }
+
+// Guards against endpoints that serve a request or two a second and count as whole ones.
+func TestEndpointsWithARateLimitAreReplaced(t *testing.T) {
+	w := newSimCloud()
+	w.run(120, 200)
+	before := w.planner.perDataCentre
+	w.rateLimits = []float64{0.5, 1}
+	w.run(10, 200)
+	assert.Equal(t, w.planner.perDataCentre, before+1) // in each of four data centres, two of which may be lost
+	w.rateLimits = nil
+	w.run(60, 200)
+	assert.Equal(t, w.planner.perDataCentre, before)
+	w.rateLimits = []float64{10_000} // more than the endpoint would get
+	w.run(10, 200)
+	assert.Equal(t, w.planner.perDataCentre, before)
+}
--- a/internal/scaling/sample.go
+++ b/internal/scaling/sample.go
@@ -12,6 +12,10 @@
 	Serving map[Place]int
 	// Leaving is the number of endpoints under notice or draining, by place.
 	Leaving map[Place]int
+	// RateLimits are the rate limits of serving endpoints that have one, in requests a
+	// second, and Requests the requests a second to all endpoints.
+	RateLimits []float64
+	Requests   float64
 	// Slots is the number of batch slots that the requests since the last sample need
 	// at endpoints that aren't overloaded; it doesn't grow when endpoints slow down.
 	Slots float64
