Brittle endpoints: their slots are divided among the daemons

What callers would see: engines that say they are brittle crash one after the other, since all daemons fill the same gap by load reports that are tenths of a second old.

Change: while a service's endpoints state a rejection limit, each daemon sends only within its own part of an endpoint's slots (rendezvous for what can't be divided evenly). While little of the service is in use, more than the slots are divided, and after a rejection no more than that, below what the endpoint had then. A rejected daemon stays away for a while. What has no room is refused at once as not run.

--- a/internal/backpressure/fleet.go
+++ b/internal/backpressure/fleet.go
@@ -24,6 +24,9 @@
 	return f
 }
 
+// Size returns the number of serving daemons.
+func (f *Fleet) Size() int { return len(f.others) + 1 }
+
 // ShareOf returns this daemon's share of a limit in force. Daemons with the same view of
 // the fleet agree on who sends. A nil Fleet is one that isn't known yet, and sends nothing.
 func (f *Fleet) ShareOf(now time.Time, s *Statement) Share {
@@ -32,11 +35,16 @@
 	}
 	age := now.Sub(s.At).Seconds()
 	key := uint64(s.Endpoint)<<32 | rotation(s.PerSecond, age)
+	return ShareOf(s.PerSecond, f.Rank(key), f.Size())
+}
+
+// Rank returns how many other daemons rank before this one for a key.
+func (f *Fleet) Rank(key uint64) int {
 	own, rank := rendezvous.ScoreHashed(key, f.self), 0
 	for _, other := range f.others {
 		if rendezvous.ScoreHashed(key, other) > own {
 			rank++
 		}
 	}
-	return ShareOf(s.PerSecond, rank, len(f.others)+1)
+	return rank
 }
--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -2,7 +2,6 @@
 
 import (
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
@@ -29,6 +28,7 @@
 	fleet               *backpressure.Fleet
 	byKey               map[rendezvous.ShortKey]*member
 	limited             map[*member]bool // those with a rate limit in force
+	brittle             map[string]*brittleService
 	scratch             []*member
 	homeScratch         []*member
 }
@@ -49,6 +49,7 @@
 
 		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
 		byKey:      map[rendezvous.ShortKey]*member{},
+		brittle:    map[string]*brittleService{},
 	}
 }
 
@@ -113,6 +114,7 @@
 	for _, m := range b.members {
 		m.others = load[rendezvous.ShortKey(m.hash)]
 	}
+	b.updateUse()
 }
 
 // OwnLoads returns this daemon's load.
@@ -129,7 +131,7 @@
 // Pick chooses an endpoint; ok is false if the service has none left. Avoided
 // endpoints are chosen only when there are no others.
 func (b *Balancer) Pick(now time.Time, r *Request) (c Choice, ok bool) {
-	set := b.candidates(r)
+	set := b.candidates(now, r)
 	home := b.homeOf(r.affinityKey(), set)
 	found := b.findSources(r, set)
 	for _, avoided := range [...]bool{false, true} {
@@ -147,7 +149,7 @@
 	var best *member
 	least, equal := 0.0, 0
 	for _, m := range set {
-		if m.avoided(now) != avoided || !m.hasRate(now) || slices.Contains(r.Tried, m.ID) {
+		if m.avoided(now) != avoided || !m.hasRate(now) || r.tried(m) {
 			continue
 		}
 		cost := b.cost(now, r, m, m == home, found)
@@ -213,4 +215,7 @@
 	}
 	m.own.Requests = max(m.own.Requests-1, 0)
 	m.observe(now, o)
+	if s := b.brittle[r.Service]; s != nil && o == Refused {
+		b.rejected(now, m, s)
+	}
 }
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -2,13 +2,18 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
 // candidates returns the members to compare: all of a small set; of a large one the
-// first homes of the affinity key and a random sample. The slice is reused.
-func (b *Balancer) candidates(r *Request) []*member {
+// first homes of the affinity key and a random sample. Of a brittle service these are the
+// members where this daemon has free slots. The slice is reused.
+func (b *Balancer) candidates(now time.Time, r *Request) []*member {
+	if s := b.brittle[r.Service]; s != nil {
+		return b.withOwnSlots(now, r, s)
+	}
 	set := b.eligible(r)
 	if len(set) <= scanLimit {
 		return set
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -40,6 +40,14 @@
 	// otherwise. rateLimit is the limit in requests a second, of all daemons.
 	pacer     *backpressure.Pacer
 	rateLimit float64
+	// After a rejection by a brittle endpoint: when, the ceiling of its requests then, and
+	// how long it gets nothing from this daemon.
+	rejectedAt         time.Time
+	ceilingAtRejection float64
+	backoff            time.Duration
+	backoffUntil       time.Time
+	rank               int // of this daemon for the endpoint, in the fleet rankedIn
+	rankedIn           *backpressure.Fleet
 }
 
 // running returns the number of requests of all daemons there.
@@ -62,7 +70,7 @@
 	switch o {
 	case Answered:
 		m.failureShare *= 1 - failureWeight
-		m.consecutiveFailures, m.avoidFor = 0, 0
+		m.consecutiveFailures, m.avoidFor, m.backoff = 0, 0, 0
 		m.avoidUntil = time.Time{}
 	case Failed, Unreachable:
 		m.failureShare += failureWeight * (1 - m.failureShare)
--- a/internal/balance/ratelimits.go
+++ b/internal/balance/ratelimits.go
@@ -87,9 +87,13 @@
 	}
 }
 
-// RateLimitWait returns the time until an endpoint that a request may go to has room within
-// its rate limit, at this daemon or at another; ok is false if none of them has a limit.
-func (b *Balancer) RateLimitWait(now time.Time, r *Request) (d time.Duration, ok bool) {
+// LimitWait returns the time until an endpoint that a request may go to has room within the
+// limits that endpoints state, at this daemon or at another; ok is false if none of them
+// states a limit.
+func (b *Balancer) LimitWait(now time.Time, r *Request) (d time.Duration, ok bool) {
+	if b.brittle[r.Service] != nil {
+		return minBackoff, true
+	}
 	total := 0.0
 	for _, m := range b.eligible(r) {
 		if m.pacer == nil {
--- a/internal/balance/ratelimits_play_test.go
+++ b/internal/balance/ratelimits_play_test.go
@@ -348,7 +348,7 @@
 	b.ObserveRateLimit(start, start, &c.Endpoint, backpressure.Limit{Presence: backpressure.Valid, PerSecond: 0.5})
 	_, ok := b.Pick(start, q)
 	assert.Assert(t, !ok)
-	wait, limited := b.RateLimitWait(start, q)
+	wait, limited := b.LimitWait(start, q)
 	assert.Assert(t, limited && wait > 0 && wait <= 2*time.Second, "%v", wait)
 	_, ok = b.Pick(start.Add(wait), q)
 	assert.Assert(t, ok)
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"slices"
+
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -28,6 +30,9 @@
 	Tried []fleet.EndpointID
 }
 
+// tried reports whether a member was tried before.
+func (r *Request) tried(m *member) bool { return slices.Contains(r.Tried, m.ID) }
+
 // affinityKey returns the ID of the last shared part, which identifies the shared
 // prefix; 0 if there is none.
 func (r *Request) affinityKey() uint64 {
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -30,6 +30,16 @@
 	log.WithField("per_second", l.PerSecond).Warn("endpoint limits its requests")
 }
 
+// RejectionsLimited implements relay.Observer.
+func (o *observer) RejectionsLimited(service string, l backpressure.Limit) {
+	log := o.node.logFor("endpoints").WithField("service", service)
+	if l.Presence == backpressure.Absent {
+		log.Info("service's endpoints are no longer brittle")
+		return
+	}
+	log.WithField("rejections_per_second", l.PerSecond).Warn("service's endpoints are brittle")
+}
+
 // Ended implements relay.Observer.
 func (o *observer) Ended(out *relay.Outcome) {
 	o.node.metrics.ended(out)
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -51,7 +51,7 @@
 
 // refuseUnplaced refuses a request that no endpoint can take. The lock is held.
 func (s *State) refuseUnplaced(now time.Time, f *inflight) *Refusal {
-	if wait, limited := s.balancer.RateLimitWait(now, f.balanceReq); limited {
+	if wait, limited := s.balancer.LimitWait(now, f.balanceReq); limited {
 		s.work.countRefused(f.service)
 		return notRun(Overloaded, jitter(wait, s.rng.Float64()))
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -249,9 +249,13 @@
 
 // noteStated records the limits that an answer states.
 func (f *inflight) noteStated(t *trackedAttempt, s backpressure.Stated) {
-	if f.relay.state.noteStated(time.Now(), t, s) {
+	rate, brittle := f.relay.state.noteStated(time.Now(), t, s)
+	if rate {
 		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
 	}
+	if brittle {
+		f.relay.observer.RejectionsLimited(t.choice.Endpoint.Service, s.RejectionLimit)
+	}
 }
 
 // reportBegan notifies the observer, once, that an endpoint began to run the
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -93,5 +93,8 @@
 	// RateLimited reports that an endpoint has stated another rate limit, or that its
 	// limit has ended, which is Absent.
 	RateLimited(e fleet.EndpointID, l backpressure.Limit)
+	// RejectionsLimited reports that endpoints of a service crash above a rate of
+	// rejections, or, where it is Absent, that they no longer do.
+	RejectionsLimited(service string, l backpressure.Limit)
 	Ended(o *Outcome)
 }
--- a/internal/relay/ratelimits.go
+++ b/internal/relay/ratelimits.go
@@ -8,11 +8,13 @@
 )
 
 // noteStated records the limits that an attempt's answer states, and reports whether the
-// endpoint's rate limit changed.
-func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) bool {
+// endpoint's rate limit changed, and whether its service became brittle or ceased to be.
+func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) (rate, brittle bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.balancer.ObserveRateLimit(now, t.sent, &t.choice.Endpoint, stated.RateLimit)
+	rate = s.balancer.ObserveRateLimit(now, t.sent, &t.choice.Endpoint, stated.RateLimit)
+	brittle = s.balancer.ObserveRejectionLimit(now, t.choice.Endpoint.Service, stated.RejectionLimit)
+	return rate, brittle
 }
 
 // SetFleet sets the serving daemons, with which the endpoints' rate limits are shared.
