Daemons detect a lost path to a service's endpoints, log and count it

Logs named single endpoints and causes; they couldn't tell a lost path from endpoints that are down, which is what a fix has to tell apart.

A daemon now connects to up to six endpoints of a service, over all data centres, where connecting to two of them has failed, or where none has sent a byte for 0.4 s though requests to several wait. If none accepts, the path is lost: logged, and counted as cyclamenbeam_services_unreachable. Probes of a path in order become rarer, from 0.5 to 4 s. Endpoints that can't be reached while others can are avoided by later requests.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -219,3 +219,10 @@
 		b.rejected(now, m, s)
 	}
 }
+
+// NoteUnreachable records that connecting to an endpoint failed.
+func (b *Balancer) NoteUnreachable(now time.Time, id fleet.EndpointID) {
+	if m := b.members[id]; m != nil {
+		m.observe(now, Unreachable)
+	}
+}
--- /dev/null
+++ b/internal/faultproxy/path.go
@@ -0,0 +1,116 @@
+package faultproxy
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"syscall"
+)
+
+// PathState is the state of a Path.
+type PathState int32
+
+// The states of a path.
+const (
+	PathOpen       PathState = iota
+	PathHanging              // open connections lose all bytes, new ones aren't answered
+	PathReset                // open connections are reset, new ones are refused
+	PathRefusesNew           // open connections live on, new ones are refused
+)
+
+// Path is the network path from one process to its targets, as a dialer. Its methods may be
+// called at any time, from several goroutines. The zero value is open.
+type Path struct {
+	state atomic.Int32
+	mu    sync.Mutex
+	conns map[*pathConn]struct{}
+}
+
+// Set sets the path's state.
+func (p *Path) Set(s PathState) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.state.Store(int32(s))
+	if s != PathHanging && s != PathReset {
+		return
+	}
+	for c := range p.conns {
+		if s == PathHanging {
+			c.lost.Store(true)
+			continue
+		}
+		c.reset.Store(true)
+		_ = c.Conn.Close()
+	}
+}
+
+// Dial connects to an address.
+func (p *Path) Dial(ctx context.Context, address string) (net.Conn, error) {
+	switch PathState(p.state.Load()) {
+	case PathHanging:
+		<-ctx.Done()
+		return nil, ctx.Err()
+	case PathReset, PathRefusesNew:
+		return nil, syscall.ECONNREFUSED
+	}
+	var d net.Dialer
+	nc, err := d.DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &pathConn{Conn: nc, path: p}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns == nil {
+		p.conns = map[*pathConn]struct{}{}
+	}
+	p.conns[c] = struct{}{}
+	return c, nil
+}
+
+// pathConn is a connection over a path.
+type pathConn struct {
+	net.Conn
+	path  *Path
+	lost  atomic.Bool // all bytes are lost
+	reset atomic.Bool
+}
+
+// Read implements net.Conn.
+func (c *pathConn) Read(b []byte) (int, error) {
+	for {
+		n, err := c.Conn.Read(b)
+		switch {
+		case c.reset.Load():
+			return 0, syscall.ECONNRESET
+		case c.lost.Load() && err == nil:
+			continue
+		}
+		return n, err
+	}
+}
+
+// Write implements net.Conn.
+func (c *pathConn) Write(b []byte) (int, error) {
+	switch {
+	case c.reset.Load():
+		return 0, syscall.ECONNRESET
+	case c.lost.Load():
+		return len(b), nil
+	}
+	return c.Conn.Write(b)
+}
+
+// Close implements net.Conn.
+func (c *pathConn) Close() error {
+	c.path.mu.Lock()
+	delete(c.path.conns, c)
+	c.path.mu.Unlock()
+	return c.Conn.Close()
+}
+
+// SyscallConn implements syscall.Conn.
+func (c *pathConn) SyscallConn() (syscall.RawConn, error) {
+	return c.Conn.(syscall.Conn).SyscallConn()
+}
--- a/internal/importguard/importguard_test.go
+++ b/internal/importguard/importguard_test.go
@@ -16,7 +16,7 @@
 // checked as well.
 var decisionPackages = []string{
 	"admission", "backpressure", "balance", "directory", "ledger", "lease", "membership",
-	"outside/budget", "quota", "reclaim", "rendezvous", "request", "retry", "rollout",
+	"outside/budget", "quota", "reach", "reclaim", "rendezvous", "request", "retry", "rollout",
 	"roster", "route", "routing", "scaling", "feed", "spread", "template", "usage",
 }
 
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -290,6 +290,7 @@
 	l.unlogged = true
 	l.pruneSpecs()
 	l.node.state.SetEndpoints(time.Now(), all)
+	l.node.paths.setEndpoints(all)
 	l.node.startGate.hasEndpoints()
 	l.node.logFor("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -29,6 +29,7 @@
 	state     *relay.State
 	relay     *relay.Relay
 	pool      *upstream.Pool
+	paths     *paths
 	clock     *clock.Clock
 	config    *configuration
 	fetcher   *configFetcher
@@ -62,8 +63,9 @@
 		log:      log,
 		started:  time.Now(),
 		clock:    clock.New(),
-		pool:     upstream.NewPool(initialShare, upstream.DialTCP),
 	}
+	n.paths = newPaths(n, p.Dial)
+	n.pool = upstream.NewPool(initialShare, n.paths.dial)
 	budget := retry.Config{
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 	}
@@ -134,7 +136,7 @@
 // start starts the goroutines of all parts.
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
-		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run,
+		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
 		n.discover, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -11,6 +11,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
 // Platform is what the daemon needs of a platform.
@@ -18,6 +19,8 @@
 	Store objects.Store
 	// Protocol is the protocol of the endpoints.
 	Protocol relay.Protocol
+	// Dial connects to endpoints; nil is upstream.DialTCP.
+	Dial upstream.Dialer
 	// Cloud takes usage reports and orders for endpoints; nil where there are no duties.
 	Cloud duty.Cloud
 	// ConfigKind and ConfigName are the kind and name of the configuration's object in the
--- /dev/null
+++ b/internal/reach/tracker_test.go
@@ -0,0 +1,78 @@
+package reach
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+var start = time.Unix(1000, 0)
+
+// Guards against a single endpoint that is down, or slow, and is taken for a lost path.
+func TestOneEndpointIsNotThePath(t *testing.T) {
+	tr := New()
+	for i := range 10 {
+		tr.Failed(start.Add(time.Duration(i)*100*time.Millisecond), "s", "e1")
+	}
+	assert.Equal(t, len(tr.Due(start.Add(time.Second))), 0)
+	tr.Silent("s")
+	assert.DeepEqual(t, tr.Due(start.Add(time.Second)), []string{"s"})
+	assert.Equal(t, tr.Probed(start.Add(time.Second), "s", 1, 4), Unchanged)
+	assert.Assert(t, !tr.Lost("s"))
+}
+
+func TestPathIsLostWhereNoEndpointCanBeReached(t *testing.T) {
+	tr := New()
+	tr.Failed(start, "s", "e1")
+	tr.Failed(start, "s", "e2")
+	assert.DeepEqual(t, tr.Due(start), []string{"s"})
+	assert.Equal(t, tr.Probed(start, "s", 0, 4), Lost)
+	assert.Equal(t, tr.DirectShare(start, "s"), 0.0)
+	assert.DeepEqual(t, tr.LostServices(), []string{"s"})
+	tr.Failed(start, "other", "o1") // one failure suffices now
+	assert.DeepEqual(t, tr.Due(start), []string{"other"})
+}
+
+// Guards against an endpoint that is probed all the time while it says nothing.
+func TestSilentEndpointIsProbedLessAndLess(t *testing.T) {
+	tr := New()
+	probes := 0
+	for ms := 0; ms < 10_000; ms += 100 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		tr.Silent("s")
+		for range tr.Due(now) {
+			probes++
+			tr.Probed(now, "s", 3, 3)
+		}
+	}
+	assert.Assert(t, probes <= 6, "%d", probes)
+}
+
+// Guards against a path that is taken for restored by one connection, and against all
+// requests that return to it at once.
+func TestRestoredPathIsUsedStepByStep(t *testing.T) {
+	tr := New()
+	tr.Probed(start, "s", 0, 4)
+	tr.Connected("s")
+	assert.Assert(t, tr.Lost("s"))
+	assert.Equal(t, tr.Probed(start.Add(time.Second), "s", 1, 4), Unchanged)
+	assert.Equal(t, tr.Probed(start.Add(2*time.Second), "s", 0, 4), Unchanged)
+	assert.Equal(t, tr.Probed(start.Add(3*time.Second), "s", 4, 4), Unchanged)
+	assert.Equal(t, tr.Probed(start.Add(4*time.Second), "s", 4, 4), Restored)
+	assert.Equal(t, tr.DirectShare(start.Add(4*time.Second), "s"), 0.0)
+	assert.Equal(t, tr.DirectShare(start.Add(5*time.Second), "s"), 0.5)
+	assert.Equal(t, tr.DirectShare(start.Add(7*time.Second), "s"), 1.0)
+}
+
+// Guards against failures that add up over minutes.
+func TestOldFailuresDoNotCount(t *testing.T) {
+	tr := New()
+	for i := range 20 {
+		tr.Failed(start.Add(time.Duration(i)*2*failureMemory), "s", fleet.EndpointID(fmt.Sprint(i)))
+	}
+	assert.Equal(t, len(tr.Due(start.Add(time.Hour))), 0)
+}
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -145,7 +145,61 @@
 	return true, nil
 }
 
-// open establishes a connection that acquire has reserved.
+// Connect establishes a new connection to an address, which is kept for the next call. It
+// returns ErrPoolExhausted if no further connection may be opened.
+func (p *Pool) Connect(ctx context.Context, address string) error {
+	h, err := p.reserve(address)
+	if err != nil {
+		return err
+	}
+	c, err := p.open(ctx, address, h)
+	if err != nil {
+		return err
+	}
+	c.expires = time.Now().Add(idleDefault)
+	p.put(c)
+	return nil
+}
+
+// reserve reserves a new connection.
+func (p *Pool) reserve(address string) (*host, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.host(address)
+	if h.open >= p.share {
+		return nil, verdict.Wrap(verdict.NotRun, ErrPoolExhausted)
+	}
+	h.open++
+	return h, nil
+}
+
+// host returns the connections to an address. The lock is held.
+func (p *Pool) host(address string) *host {
+	h := p.hosts[address]
+	if h == nil {
+		h = &host{conns: map[*conn]struct{}{}}
+		p.hosts[address] = h
+	}
+	return h
+}
+
+// EachHost calls f with each address that has connections, and when bytes were last received
+// on any of them, zero for never.
+func (p *Pool) EachHost(f func(address string, received time.Time)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for address, h := range p.hosts {
+		var last time.Time
+		for c := range h.conns {
+			if at := c.lastReceived(); at.After(last) {
+				last = at
+			}
+		}
+		f(address, last)
+	}
+}
+
+// open establishes a connection that acquire or reserve has reserved.
 func (p *Pool) open(ctx context.Context, address string, h *host) (*conn, error) {
 	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
 	defer cancel()
@@ -166,11 +220,7 @@
 func (p *Pool) acquire(address string) (*conn, *host, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	h := p.hosts[address]
-	if h == nil {
-		h = &host{conns: map[*conn]struct{}{}}
-		p.hosts[address] = h
-	}
+	h := p.host(address)
 	now := time.Now()
 	for n := len(h.idle); n > 0; n = len(h.idle) {
 		c := h.idle[n-1]
