--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/faultproxy"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -168,6 +169,16 @@
 // addWith starts one more daemon with a store of its own, which may wrap the fleet's.
 // change is called before the daemon runs.
 func (f *testFleet) addWith(store objects.Store, change func(*Node)) *Node {
+	return f.addNode(Platform{Store: store}, change)
+}
+
+// addWithPath starts one more daemon, whose path to the endpoints can be lost.
+func (f *testFleet) addWithPath(path *faultproxy.Path) *Node {
+	return f.addNode(Platform{Store: f.store, Dial: path.Dial}, func(*Node) {})
+}
+
+// addNode starts one more daemon, with the store and the dialer of a platform.
+func (f *testFleet) addNode(p Platform, change func(*Node)) *Node {
 	i := len(f.nodes)
 	s := &Settings{
 		Daemon: DaemonSettings{
@@ -187,7 +198,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	n := New(s, Platform{
-		Store: store, Protocol: echo{}, Cloud: f.cloud, ConfigKind: "config", ConfigName: "main",
+		Store: p.Store, Dial: p.Dial, Protocol: echo{}, Cloud: f.cloud, ConfigKind: "config", ConfigName: "main",
 		EndpointKind: "endpoints", DecodeTable: decodeTable, DecodeEndpoint: decodeEndpoint,
 		Open: func(context.Context, *Node) (func(context.Context), error) { return func(context.Context) {}, nil },
 	}, quiet)
--- /dev/null
+++ b/internal/node/paths_test.go
@@ -0,0 +1,73 @@
+package node
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/faultproxy"
+)
+
+// cutFleet is a fleet, some of whose daemons have a path to the endpoints of their own.
+type cutFleet struct {
+	*testFleet
+	path faultproxy.Path
+	cut  []*Node
+}
+
+func newCutFleet(t *testing.T, whole, cut int) *cutFleet {
+	t.Helper()
+	f := &cutFleet{testFleet: newFleet(t, whole)}
+	for range cut {
+		f.cut = append(f.cut, f.addWithPath(&f.path))
+	}
+	f.awaitReady()
+	return f
+}
+
+// closeIdle closes a daemon's idle connections to endpoints, as if others used them.
+func (f *cutFleet) closeIdle(n *Node) {
+	all, _ := n.endpoints.list()
+	for _, e := range all {
+		n.pool.CloseIdle(e.Address)
+	}
+}
+
+// pathStates are the ways in which a path is lost.
+var pathStates = map[string]faultproxy.PathState{
+	"hanging": faultproxy.PathHanging, "reset": faultproxy.PathReset, "refuses new": faultproxy.PathRefusesNew,
+}
+
+// Guards against callers that are refused by a daemon which can't reach the endpoints while
+// others can.
+func TestCallersAreServedWithoutAPathToTheEndpoints(t *testing.T) {
+	for name, state := range pathStates {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newCutFleet(t, 2, 2)
+			for _, n := range f.nodes {
+				assert.Equal(t, sendRequest(n).status, 200)
+			}
+			f.path.Set(state)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				for _, n := range f.cut {
+					f.closeIdle(n)
+					if out := sendRequest(n); out.status != 200 {
+						return poll.Continue("%s: %+v", n.settings.Daemon.Instance, out)
+					}
+				}
+				return poll.Success()
+			}, poll.WithTimeout(20*time.Second), poll.WithDelay(50*time.Millisecond))
+			for range 20 {
+				for _, n := range f.cut {
+					f.closeIdle(n)
+					out := sendRequest(n)
+					assert.Equal(t, out.status, 200, "%+v", out.refusal)
+					assert.Equal(t, out.body, "done")
+				}
+			}
+		})
+	}
+}
