Daemons without a path to endpoints send requests through others

Cause: a daemon had no other way to an endpoint than its own connections. It tried six and refused, or ran into the caller's deadline, while daemons beside it served.

Change: where the path to a service is lost (reach.Tracker), a request goes through another daemon, chosen from those that a hub offers: with a path to the service, in the region, least loaded; of two drawn, the one with fewer requests of this daemon. It is one hop: the other daemon only sends to endpoints. The first daemon admits the request, charges the limit and decides on repeats; the other one makes a single attempt, reports usage and holds crashing requests. Over the hop (HTTP, envelope in a header) a closed connection cancels, an early end is no complete answer, a refusal says whether the request may have run. The caller's key isn't sent, the workspace is. A daemon of an earlier release reports no address and is never chosen; one that leaves ceases to. When the path is back, requests return to it within 2 s.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -35,6 +35,9 @@
 		Members:       encodePosition(r.MembersPosition),
 		Unpacks:       r.AcceptsCompressed,
 
+		Unreachable:    r.Unreachable,
+		Forward:        r.ForwardAddress,
+		WantForwarders: r.WantForwarders,
 		RateLimits:     encodeRateLimits(r.RateLimits),
 		RateLimitsHave: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
@@ -91,6 +94,9 @@
 		MembersPosition:   decodePosition(in.Members),
 		AcceptsCompressed: in.Unpacks,
 
+		Unreachable:        in.Unreachable,
+		ForwardAddress:     in.Forward,
+		WantForwarders:     in.WantForwarders,
 		RateLimits:         decodeRateLimits(in.RateLimits),
 		RateLimitsPosition: decodeRateLimitPosition(in.RateLimitsHave),
 	}
@@ -148,6 +154,7 @@
 		Rollouts:  encodeRolloutUpdate(&r.RolloutUpdate),
 		Members:   encodeList(&r.Members, r.Compress),
 
+		Forwarders:   encodeForwarders(r.Forwarders),
 		RateLimits:   encodeRateLimits(r.RateLimits),
 		RateLimitsTo: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
@@ -174,6 +181,7 @@
 		RolloutUpdate:   decodeRolloutUpdate(t.Rollouts),
 		Members:         decodeList(t.Members),
 
+		Forwarders:         decodeForwarders(t.Forwarders),
 		RateLimits:         decodeRateLimits(t.RateLimits),
 		RateLimitsPosition: decodeRateLimitPosition(t.RateLimitsTo),
 	}
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -89,8 +89,10 @@
 		{Endpoint: 8, At: time.UnixMilli(2000)},
 	}
 	r.RateLimitsPosition = backpressure.Position{Epoch: 3, Seq: 4}
+	r.Unreachable, r.ForwardAddress, r.WantForwarders = []string{"s"}, "127.0.0.1:9", true
 	assert.DeepEqual(t, decodeReport(encodeReport(&r)), r)
 	reply := Reply{ConfigVersion: 4, Config: []byte("text"), ConfigRevision: 77, Soft: relay.SoftState{Spent: r.Soft.Spent, Levels: r.Soft.Spent}, FleetTime: start, Holder: Holder{Daemon: "a", Token: 7}}
+	reply.Forwarders = []Forwarder{{Address: "127.0.0.1:9", Unreachable: []string{"t"}}}
 	reply.RateLimits, reply.RateLimitsPosition = r.RateLimits, r.RateLimitsPosition
 	reply.StoreAge, reply.RolloutUpdate = 300*time.Millisecond, r.RolloutUpdate
 	reply.Endpoints = feed.Update{
--- a/internal/exchange/report.go
+++ b/internal/exchange/report.go
@@ -42,6 +42,12 @@
 	// hub's statements that the daemon has reached.
 	RateLimits         []backpressure.Statement
 	RateLimitsPosition backpressure.Position
+	// Unreachable is the services whose endpoints the daemon can't reach, ForwardAddress where
+	// it takes requests of daemons that can't; empty from an earlier release.
+	Unreachable    []string
+	ForwardAddress string
+	// WantForwarders requests daemons through which requests can be sent.
+	WantForwarders bool
 	// Rollouts is the daemon's counts for the roll-outs in progress, and RolloutUpdate the
 	// newest update about them that it has received.
 	Rollouts      []rollout.Report
@@ -94,6 +100,8 @@
 	// RateLimits are the hub's statements that the daemon lacks, up to RateLimitsPosition.
 	RateLimits         []backpressure.Statement
 	RateLimitsPosition backpressure.Position
+	// Forwarders are daemons that take forwarded requests, if the report wants them.
+	Forwarders []Forwarder
 	// RolloutUpdate is the newest update about the roll-outs that the hub has.
 	RolloutUpdate rollout.Update
 	// Members updates the daemon's list of members to the hub's; see EncodeMember.
--- /dev/null
+++ b/internal/forward/codec.go
@@ -0,0 +1,61 @@
+package forward
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Codec encodes requests to other daemons and decodes their answers. It implements a part of
+// relay.Forwarder.
+type Codec struct{}
+
+// Header implements relay.Forwarder.
+func (Codec) Header(r *relay.ForwardedRequest) http.Header {
+	h := r.Request.Header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	removeOwn(h)
+	h.Set(envelopeHeader, encode(r))
+	return h
+}
+
+// Owns implements relay.Forwarder.
+func (Codec) Owns(r *relay.Request) func(http.Header) upstream.Ownership {
+	id := r.ID
+	return func(h http.Header) upstream.Ownership {
+		switch got := h.Values(idHeader); {
+		case len(got) == 0:
+			return upstream.NoRequest
+		case got[0] == id:
+			return upstream.ThisRequest
+		}
+		return upstream.OtherRequest
+	}
+}
+
+// Refusal implements relay.Forwarder. A status that the other daemon doesn't use comes from
+// its HTTP server, which has not passed the request on.
+func (Codec) Refusal(status int, h http.Header) *relay.Refusal {
+	reason := h.Get(refusalHeader)
+	if len(h.Values(idHeader)) == 0 {
+		return &relay.Refusal{Reason: relay.NoEndpoint, Verdict: verdict.NotRun}
+	}
+	if reason == "" {
+		removeOwn(h)
+		return nil
+	}
+	r := &relay.Refusal{Reason: relay.Reason(reason)}
+	if err := r.Verdict.UnmarshalText([]byte(h.Get(verdict.Header))); err != nil {
+		r.Verdict = verdict.MayHaveRun
+	}
+	if seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && seconds > 0 {
+		r.RetryAfter = time.Duration(seconds * float64(time.Second))
+	}
+	return r
+}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -184,7 +184,7 @@
 		Daemon: DaemonSettings{
 			Instance: fleet.InstanceID("i" + strconv.Itoa(i)), DataCentre: "a", Region: "r", FirstStart: true,
 		},
-		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t)},
+		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Forward: freeAddress(f.t)},
 		Bounds: BoundsSettings{
 			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
 			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1, ContactMillis: 3000, ChangeMillis: 3000,
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -47,6 +47,13 @@
 
 // ended counts a request.
 func (m *metricSet) ended(o *relay.Outcome) {
+	if o.Forwarded { // counted by the daemon that admitted it
+		m.set.GetOrCreateCounter(`cyclamenbeam_forwarded_requests_total{direction="in"}`).Inc()
+		return
+	}
+	if o.Via != "" {
+		m.set.GetOrCreateCounter(`cyclamenbeam_forwarded_requests_total{direction="out"}`).Inc()
+	}
 	outcome := "answered"
 	switch {
 	case o.Reason != "":
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,6 +30,7 @@
 	relay     *relay.Relay
 	pool      *upstream.Pool
 	paths     *paths
+	forwarder *forwarders
 	clock     *clock.Clock
 	config    *configuration
 	fetcher   *configFetcher
@@ -77,6 +78,8 @@
 	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
 	n.requests = newRequestLog(log, n.metrics)
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
+	n.forwarder = newForwarders(n)
+	n.relay.SetForwarder(n.forwarder)
 	n.watch = newWatchPolicy(n)
 	n.startGate = newStartGate(n.started)
 	n.config = newConfiguration(n)
@@ -118,6 +121,10 @@
 	if err := n.serveMetrics(work); err != nil {
 		return err
 	}
+	forwarded, err := n.openForward()
+	if err != nil {
+		return err
+	}
 	stop, err := n.platform.Open(work, n)
 	if err != nil {
 		return err
@@ -126,7 +133,14 @@
 	n.start(work)
 	n.wg.Go(func() { n.watchSettings(work, path, signals) })
 	<-ctx.Done()
-	n.leave(stop)
+	n.leave(func(ctx context.Context) {
+		stop(ctx)
+		if forwarded != nil {
+			if err := forwarded.Close(ctx); err != nil {
+				n.logFor("forward").WithError(err).Warn("listener not closed cleanly")
+			}
+		}
+	})
 	cancel()
 	n.wg.Wait()
 	n.logFor("daemon").Info("stopped")
@@ -147,9 +161,12 @@
 	}
 }
 
-// sweep closes connections to endpoints that have been idle for too long.
+// sweep closes connections to endpoints and other daemons that have been idle for too long.
 func (n *Node) sweep(ctx context.Context) {
-	pause.Every(ctx, time.Second, func() { n.pool.Sweep(time.Now()) })
+	pause.Every(ctx, time.Second, func() {
+		n.pool.Sweep(time.Now())
+		n.forwarder.pool.Sweep(time.Now())
+	})
 }
 
 // logFor returns the log of a part.
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -89,7 +89,7 @@
 		p.tracker.Connected(e.Service)
 	case errors.Is(err, context.Canceled), errors.Is(err, context.DeadlineExceeded) && took < minDialTime:
 	default:
-		p.tracker.Failed(time.Now(), e.Service, e.ID)
+		p.tracker.Failed(time.Now(), e.Service, e.ID, len(p.byService[e.Service]))
 	}
 	return nc, err
 }
@@ -226,3 +226,18 @@
 	defer p.mu.Unlock()
 	return p.tracker.LostServices()
 }
+
+// suspects reports whether a path is lost or may be.
+func (p *paths) suspects() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.Suspects()
+}
+
+// directShare returns the share of a service's requests that should go to its endpoints
+// directly.
+func (p *paths) directShare(now time.Time, service string) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.tracker.DirectShare(now, service)
+}
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -135,6 +135,7 @@
 	if x.relaying {
 		reply.Members = x.memberLists.since(now, report.MembersPosition)
 	}
+	reply.Forwarders = x.forwardersFor(now, &report)
 	reply.StoreAge = x.storeAge(now)
 	reply.ConfigRevision = x.node.config.upTo() // read before the version, which is then at least as new
 	newest := x.node.config.current()
@@ -194,6 +195,9 @@
 	case x.node.state.NearLimit(now):
 		interval = exchange.UrgentInterval(l.reporters)
 	}
+	if x.node.paths.suspects() {
+		interval = min(interval, max(suspectInterval, time.Duration(l.reporters)*suspectPerDaemon))
+	}
 	if x.relays(l) {
 		interval = min(interval, exchange.RelayInterval)
 	}
@@ -201,6 +205,14 @@
 	return interval
 }
 
+const (
+	// suspectInterval is the time between two reports of a daemon that may have lost its
+	// path to endpoints and needs other daemons; suspectPerDaemon bounds the reports to a hub
+	// to 500 a second if all do.
+	suspectInterval  = 200 * time.Millisecond
+	suspectPerDaemon = 2 * time.Millisecond
+)
+
 // setInterval sets the interval of the fleet's reports.
 func (x *peerExchange) setInterval(d time.Duration) {
 	x.mu.Lock()
@@ -341,6 +353,8 @@
 		WallTime:          time.Now(),
 	}
 	report.Soft.JustStarted = x.node.gathering()
+	report.Unreachable, report.ForwardAddress = x.node.paths.lostServices(), x.node.forwardAddress()
+	report.WantForwarders = x.node.paths.suspects()
 	report.Rollouts, report.RolloutUpdate = x.node.state.RolloutReports(report.WallTime), x.node.state.RolloutUpdate(report.WallTime)
 	l := x.node.members.layout()
 	x.mu.Lock()
@@ -403,6 +417,7 @@
 	reply.RolloutUpdate.OrdersAge += took
 	x.node.state.ApplyRollouts(time.Now(), reply.RolloutUpdate)
 	x.node.watch.noteHubContact(reply.StoreAge)
+	x.node.forwarder.setKnown(reply.Forwarders)
 	x.takeList(address, reply)
 	x.mu.Lock()
 	members := x.memberLists.receive(address, &reply.Members)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -86,6 +86,12 @@
 	if o.LongestPause > 0 {
 		f["pause_ms"] = o.LongestPause.Milliseconds()
 	}
+	if o.Via != "" {
+		f["via"] = o.Via
+	}
+	if o.Forwarded {
+		f["forwarded"] = true
+	}
 	if o.Late != relay.InTime {
 		f["late"] = o.Late
 	}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,6 +2,8 @@
 
 import (
 	"bytes"
+	"net"
+	"strconv"
 	"time"
 
 	"github.com/goccy/go-yaml"
@@ -42,7 +44,10 @@
 	Ready     string `yaml:"ready"`
 	Directory string `yaml:"directory"`
 	Peers     string `yaml:"peers"` // other daemons, TCP and UDP
-	Metrics   string `yaml:"metrics"`
+	// Forward is for requests that other daemons forward; the default is the port after that
+	// of Peers.
+	Forward string `yaml:"forward"`
+	Metrics string `yaml:"metrics"`
 }
 
 // StoreSettings are the address of the platform's object store, host:port.
@@ -124,9 +129,18 @@
 	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(s); err != nil {
 		return nil, Error.New("%s", yaml.FormatError(err, false, true))
 	}
+	s.Listen.setDefaults()
 	return s, s.check()
 }
 
+func (l *ListenSettings) setDefaults() {
+	host, port, err := net.SplitHostPort(l.Peers)
+	n, atoiErr := strconv.Atoi(port)
+	if l.Forward == "" && err == nil && atoiErr == nil {
+		l.Forward = net.JoinHostPort(host, strconv.Itoa(n+1))
+	}
+}
+
 // check returns an error that names the first key that is missing or out of range.
 func (s *Settings) check() error {
 	for _, c := range []struct {
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -73,8 +73,8 @@
 	}
 }
 
-// Failed records that connecting to an endpoint failed.
-func (t *Tracker) Failed(now time.Time, service string, e fleet.EndpointID) {
+// Failed records that connecting to one of a service's listed endpoints failed.
+func (t *Tracker) Failed(now time.Time, service string, e fleet.EndpointID, listed int) {
 	p := t.path(service)
 	p.failures[e] = now
 	recent := 0
@@ -85,7 +85,7 @@
 		}
 		recent++
 	}
-	if recent >= suspectFailures || t.lost > 0 {
+	if recent >= min(suspectFailures, listed) || t.lost > 0 {
 		p.suspected = true
 	}
 }
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -16,7 +16,7 @@
 func TestOneEndpointIsNotThePath(t *testing.T) {
 	tr := New()
 	for i := range 10 {
-		tr.Failed(start.Add(time.Duration(i)*100*time.Millisecond), "s", "e1")
+		tr.Failed(start.Add(time.Duration(i)*100*time.Millisecond), "s", "e1", 4)
 	}
 	assert.Equal(t, len(tr.Due(start.Add(time.Second))), 0)
 	tr.Silent("s")
@@ -27,13 +27,13 @@
 
 func TestPathIsLostWhereNoEndpointCanBeReached(t *testing.T) {
 	tr := New()
-	tr.Failed(start, "s", "e1")
-	tr.Failed(start, "s", "e2")
+	tr.Failed(start, "s", "e1", 4)
+	tr.Failed(start, "s", "e2", 4)
 	assert.DeepEqual(t, tr.Due(start), []string{"s"})
 	assert.Equal(t, tr.Probed(start, "s", 0, 4), Lost)
 	assert.Equal(t, tr.DirectShare(start, "s"), 0.0)
 	assert.DeepEqual(t, tr.LostServices(), []string{"s"})
-	tr.Failed(start, "other", "o1") // one failure suffices now
+	tr.Failed(start, "other", "o1", 4) // one failure suffices now
 	assert.DeepEqual(t, tr.Due(start), []string{"other"})
 }
 
@@ -72,7 +72,7 @@
 func TestOldFailuresDoNotCount(t *testing.T) {
 	tr := New()
 	for i := range 20 {
-		tr.Failed(start.Add(time.Duration(i)*2*failureMemory), "s", fleet.EndpointID(fmt.Sprint(i)))
+		tr.Failed(start.Add(time.Duration(i)*2*failureMemory), "s", fleet.EndpointID(fmt.Sprint(i)), 4)
 	}
 	assert.Equal(t, len(tr.Due(start.Add(time.Hour))), 0)
 }
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -60,7 +60,7 @@
 
 // refund returns the cost of a request that was not run to its workspace's limit.
 func (s *State) refund(a *admitted) {
-	if a.workspace == nil {
+	if a.workspace == nil || a.cost == 0 {
 		return
 	}
 	s.mu.Lock()
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -16,6 +16,7 @@
 	choice         balance.Choice
 	sent           time.Time
 	firstPieceSeen bool
+	forwarded      bool // through another daemon, which records it
 	abort          context.CancelCauseFunc
 	// counter counts the attempt for a roll-out, nil without one; toNew says that
 	// it goes to the new version.
--- /dev/null
+++ b/internal/relay/forward.go
@@ -0,0 +1,153 @@
+package relay
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// ForwardedRequest is a request that one daemon has admitted and another one sends to an
+// endpoint. The first one charges the workspace's limit and repeats the request where that
+// is allowed; the other one reports its usage.
+type ForwardedRequest struct {
+	Request       *Request // without the caller's credential
+	Route         route.Route
+	Workspace     fleet.WorkspaceID // empty without a credential
+	Service       string
+	Priority      int
+	TimeLeft      time.Duration
+	Elapsed       time.Duration // since the caller's request was received
+	ConfigVersion uint64        // by which it was admitted
+}
+
+// Forwarder sends requests through other daemons, for services whose endpoints this daemon
+// can't reach. It is safe for concurrent use.
+type Forwarder interface {
+	// Target returns the address of another daemon for a request that has found this many
+	// endpoints unreachable, and that the tried daemons didn't run. ok is false if the
+	// request should go to an endpoint directly.
+	Target(service string, unreached int, tried []string) (address string, ok bool)
+	// Done records the end of a request at an address, and whether the daemon there
+	// answered.
+	Done(address string, answered bool)
+	// Pool holds the connections to other daemons.
+	Pool() *upstream.Pool
+	// Header returns the header to send.
+	Header(r *ForwardedRequest) http.Header
+	// Owns returns a function that reports whether an answer belongs to the request.
+	Owns(r *Request) func(http.Header) upstream.Ownership
+	// Refusal returns the other daemon's refusal, nil if the answer is an endpoint's. It
+	// removes what the other daemon added to the header.
+	Refusal(status int, h http.Header) *Refusal
+}
+
+// forwardMargin is added to the time for which an endpoint may send nothing, since the other
+// daemon ends the attempt first.
+const forwardMargin = time.Second
+
+// maxForwards bounds the daemons that are tried for one request.
+const maxForwards = 3
+
+// SetForwarder sets the forwarder. It must be called before Serve.
+func (r *Relay) SetForwarder(f Forwarder) { r.forwarder = f }
+
+// ServeForwarded runs a request that another daemon has admitted, and sends the answer to
+// sink. It sends the request to endpoints only, never to a third daemon.
+func (r *Relay) ServeForwarded(ctx context.Context, fr *ForwardedRequest, sink Sink) {
+	a, refusal := r.state.admitForwarded(time.Now(), fr)
+	r.serve(ctx, fr.Request, a, refusal, sink, true)
+}
+
+// admitForwarded returns the request as admitted by another daemon. Its bound on attempts
+// stays with that daemon, which counts this one as a single attempt.
+func (s *State) admitForwarded(now time.Time, fr *ForwardedRequest) (*admitted, *Refusal) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fr.Request.Received = now.Add(-fr.Elapsed)
+	r := fr.Route
+	r.MaxAttempts = 1
+	a := &admitted{
+		table: s.table, configuredAt: s.configuredAt, route: &r, service: fr.Service, priority: fr.Priority,
+		deadline: now.Add(fr.TimeLeft),
+	}
+	if fr.Workspace != "" {
+		a.workspace = &route.Workspace{Name: fr.Workspace}
+	}
+	if s.table == nil {
+		return a, notRun(NoConfiguration, noConfigurationRetryAfter)
+	}
+	return a, nil
+}
+
+// forwardTarget returns the daemon through which the next attempt goes, if any.
+func (f *inflight) forwardTarget() (address string, ok bool) {
+	if f.forwarded || f.relay.forwarder == nil || len(f.triedDaemons) >= maxForwards {
+		return "", false
+	}
+	return f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons)
+}
+
+// attemptVia sends the request through another daemon once and reads the answer.
+func (f *inflight) attemptVia(ctx context.Context, address string) (attemptResult, *bufferedAnswer) {
+	f.triedDaemons = append(f.triedDaemons, address)
+	f.outcome.Via, f.outcome.Endpoint, f.outcome.Predicted = address, "", 0
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	res, buffered, err := f.exchangeForwarded(ctx, address)
+	f.outcome.Cause = err
+	f.outcome.Failed = res.class == Failure && res.complete
+	f.relay.forwarder.Done(address, err == nil)
+	f.count(res)
+	return res, buffered
+}
+
+// exchangeForwarded sends the request to another daemon and reads the answer.
+func (f *inflight) exchangeForwarded(ctx context.Context, address string) (attemptResult, *bufferedAnswer, error) {
+	a, err := f.relay.forwarder.Pool().Send(ctx, f.forwardCall(address))
+	if err != nil {
+		v := verdict.Of(err)
+		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
+	}
+	defer a.Close()
+	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
+		ran := refusal.Verdict != verdict.NotRun
+		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
+	}
+	t := &trackedAttempt{inflight: f, sent: time.Now(), forwarded: true}
+	return f.readAnswer(t, a, f.relay.protocol.Classify(a.Status, a.Header))
+}
+
+func (f *inflight) forwardCall(address string) *upstream.Call {
+	q := *f.request
+	q.Key, q.LastEvent = "", f.events.lastID
+	fr := &ForwardedRequest{
+		Request: &q, Route: *f.route, Workspace: f.outcome.Workspace, Service: f.service, Priority: f.priority,
+		ConfigVersion: f.outcome.ConfigVersion,
+	}
+	return &upstream.Call{
+		Address: address, Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body,
+		Header: func() http.Header {
+			fr.TimeLeft, fr.Elapsed = time.Until(f.deadline), time.Since(f.request.Received)
+			return f.relay.forwarder.Header(fr)
+		},
+		Owns:           f.relay.forwarder.Owns(&q),
+		SilenceTimeout: finalStallTimeout + forwardMargin,
+	}
+}
+
+// isFinal reports whether another daemon's refusal would be the same at a third one.
+func isFinal(r *Refusal) bool {
+	switch {
+	case r == nil || r.Verdict != verdict.NotRun:
+		return false
+	case r.Reason == NoEndpoint || r.Reason == NoConfiguration || r.Reason == Stopping || r.Reason == Shed:
+		return false
+	default:
+		return true
+	}
+}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -42,8 +42,12 @@
 	requestKey quarantine.Key
 	// lastPieceAt is when the caller was last sent a piece of a stream.
 	lastPieceAt time.Time
-	events      eventBuffer
-	outcome     Outcome
+	// forwarded says that another daemon has admitted the request.
+	forwarded bool
+	// triedDaemons are the daemons to which the request was forwarded.
+	triedDaemons []string
+	events       eventBuffer
+	outcome      Outcome
 }
 
 func newInflight(r *Relay, q *Request, a *admitted, sink Sink) *inflight {
@@ -74,7 +78,7 @@
 func (f *inflight) run(ctx context.Context) {
 	var failed *bufferedAnswer // the last complete answer that reports a failure of its endpoint
 	for {
-		choice, refusal := f.choose()
+		target, refusal := f.choose()
 		if refusal != nil && failed != nil {
 			f.outcome.Failed = true
 			f.conclude(ctx, answer, nil, failed)
@@ -84,7 +88,7 @@
 			f.conclude(ctx, giveUp(f.tally), refusal, nil)
 			return
 		}
-		result, buffered := f.attempt(ctx, choice)
+		result, buffered := f.attemptAt(ctx, target)
 		if result.class == Failure && result.complete {
 			failed = buffered
 		}
@@ -92,20 +96,39 @@
 		step := next(f.route, f.tally, result, f.takeRetry)
 		if step == again {
 			f.outcome.keepFirstCause()
-			f.balanceReq.Tried = append(f.balanceReq.Tried, choice.Endpoint.ID)
 			continue
 		}
-		f.conclude(ctx, step, nil, buffered)
+		f.conclude(ctx, step, result.refusal, buffered)
 		return
 	}
 }
 
-// choose returns the endpoint of the next attempt, or a refusal if there is none.
-func (f *inflight) choose() (balance.Choice, *Refusal) {
+// target is where an attempt goes: to an endpoint, or through the daemon at an address.
+type target struct {
+	choice balance.Choice
+	daemon string
+}
+
+func (f *inflight) attemptAt(ctx context.Context, t target) (attemptResult, *bufferedAnswer) {
+	if t.daemon != "" {
+		return f.attemptVia(ctx, t.daemon)
+	}
+	f.outcome.Via = ""
+	res, buffered := f.attempt(ctx, t.choice)
+	f.balanceReq.Tried = append(f.balanceReq.Tried, t.choice.Endpoint.ID)
+	return res, buffered
+}
+
+// choose returns the target of the next attempt, or a refusal if there is none.
+func (f *inflight) choose() (target, *Refusal) {
 	if refusal := f.refuseHeld(); refusal != nil {
-		return balance.Choice{}, refusal
+		return target{}, refusal
+	}
+	if daemon, ok := f.forwardTarget(); ok {
+		return target{daemon: daemon}, nil
 	}
-	return f.relay.state.pick(time.Now(), f)
+	choice, refusal := f.relay.state.pick(time.Now(), f)
+	return target{choice: choice}, refusal
 }
 
 func (f *inflight) takeRetry() bool { return f.relay.state.takeRetry(time.Now(), f.service) }
@@ -135,6 +158,17 @@
 		f.reportCut(t)
 	}
 	f.outcome.Failed = res.class == Failure && res.complete
+	f.count(res)
+	ran := res.reached && res.verdict != verdict.NotRun
+	if ran && (f.route.Kind != route.Streaming || res.complete && res.class != Success) {
+		f.reportBegan(sent)
+	}
+	f.relay.state.done(time.Now(), t, balanceOutcome(ctx, res))
+	return res, buffered
+}
+
+// count counts an attempt.
+func (f *inflight) count(res attemptResult) {
 	switch {
 	case !res.reached:
 		f.tally.unreached++
@@ -144,12 +178,7 @@
 		f.tally.reached++
 		f.tally.ran++
 		f.outcome.Verdict = res.verdict
-		if f.route.Kind != route.Streaming || res.complete && res.class != Success {
-			f.reportBegan(sent)
-		}
 	}
-	f.relay.state.done(time.Now(), t, balanceOutcome(ctx, res))
-	return res, buffered
 }
 
 // balanceOutcome returns an attempt's result in the balancer's terms.
@@ -182,6 +211,12 @@
 	if class != Misdirected {
 		f.noteStated(t, f.relay.protocol.Stated(a.Header))
 	}
+	return f.readAnswer(t, a, class)
+}
+
+// readAnswer reads an answer whose head was received, and forwards it if it is a stream or
+// long.
+func (f *inflight) readAnswer(t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
 	res := attemptResult{class: class, reached: true, verdict: verdict.Ran}
 	if class == Refused || class == Misdirected {
 		res.verdict = verdict.NotRun
@@ -239,8 +274,10 @@
 func (f *inflight) firstPiece(t *trackedAttempt) {
 	if !t.firstPieceSeen {
 		t.firstPieceSeen = true
-		f.relay.state.firstPiece(t)
-		f.relay.guard.Ran(&t.choice.Endpoint, t.sent, f.key)
+		if !t.forwarded {
+			f.relay.state.firstPiece(t)
+			f.relay.guard.Ran(&t.choice.Endpoint, t.sent, f.key)
+		}
 		if f.outcome.First == 0 {
 			f.outcome.First = time.Since(f.request.Received)
 		}
--- a/internal/relay/next.go
+++ b/internal/relay/next.go
@@ -36,6 +36,9 @@
 	// complete says that the endpoint's answer was read to its end, so that it can
 	// be passed on.
 	complete bool
+	// refusal is that of the daemon to which the request was forwarded, nil if an
+	// endpoint answered.
+	refusal *Refusal
 	// timeLeft says that another attempt could still end before the deadline.
 	timeLeft bool
 }
@@ -44,6 +47,8 @@
 // budget; it is called only if everything else allows one.
 func next(r *route.Route, t tally, res attemptResult, budget func() bool) step {
 	switch {
+	case isFinal(res.refusal):
+		return giveUp(t)
 	case res.complete && (res.class == Success || res.class == Rejected):
 		return answer
 	case !res.reached:
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -24,6 +24,11 @@
 	// empty without a roll-out.
 	RolloutShare  float64
 	RolloutTarget string
+	// Via is the address of the daemon through which the last attempt went, empty if it
+	// went to an endpoint directly. Forwarded says that another daemon has admitted the
+	// request and sent it here.
+	Via           string
+	Forwarded     bool
 	ConfigVersion uint64    // of the configuration that applied
 	ConfiguredAt  time.Time // when that configuration took effect
 	Tokens        int
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,8 +15,10 @@
 	protocol Protocol
 	observer Observer
 	guard    Guard
-	stopping atomic.Pointer[time.Time] // when the daemon began to stop, nil before
-	active   atomic.Int64
+	// forwarder sends requests through other daemons, nil if there are none.
+	forwarder Forwarder
+	stopping  atomic.Pointer[time.Time] // when the daemon began to stop, nil before
+	active    atomic.Int64
 }
 
 // New returns a relay that takes its decisions from state and its connections from
@@ -40,9 +42,15 @@
 // Serve runs a request to its end and sends the answer to sink. ctx must end when
 // the caller disconnects.
 func (r *Relay) Serve(ctx context.Context, q *Request, sink Sink) {
+	a, refusal := r.state.admit(time.Now(), q)
+	r.serve(ctx, q, a, refusal, sink, false)
+}
+
+// serve runs a request that was admitted or refused. forwarded says that another daemon
+// has admitted it.
+func (r *Relay) serve(ctx context.Context, q *Request, a *admitted, refusal *Refusal, sink Sink, forwarded bool) {
 	r.active.Add(1)
 	defer r.active.Add(-1)
-	a, refusal := r.state.admit(time.Now(), q)
 	if refusal == nil && r.tooLate(a) {
 		r.state.refund(a)
 		refusal = notRun(Stopping, 0)
@@ -50,6 +58,7 @@
 	if refusal != nil {
 		sink.Refuse(*refusal)
 		o := initialOutcome(q, a)
+		o.Forwarded = forwarded
 		o.Reason, o.Total, o.RetryAfter = refusal.Reason, time.Since(q.Received), refusal.RetryAfter
 		r.observer.Ended(&o)
 		return
@@ -57,6 +66,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	f := newInflight(r, q, a, sink)
+	f.forwarded, f.outcome.Forwarded = forwarded, forwarded
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
 	f.outcome.TimeLeft = time.Until(a.deadline)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -43,7 +43,9 @@
 	}
 	now := time.Now()
 	f.firstPiece(t)
-	f.reportBegan(now)
+	if !t.forwarded {
+		f.reportBegan(now)
+	}
 	f.sendHead(a)
 	if !f.lastPieceAt.IsZero() {
 		f.outcome.LongestPause = max(f.outcome.LongestPause, now.Sub(f.lastPieceAt))
