A lost path to the endpoints is not taken for their crash

What callers would see: their requests held as if they crashed endpoints.

Cause: nothing listens at an endpoint's address, by a refused connection, was proof of its end. Where a path is lost by resets, all endpoints refuse.

Change: an endpoint counts as ended only if another one accepts a new connection at that moment.

--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -24,7 +24,7 @@
 	c.watch = ends.New(ends.Options{
 		Table:   c.table,
 		Now:     n.clock.Now,
-		Listens: n.pool.Listens,
+		Listens: n.listens,
 		State:   func(id fleet.EndpointID) (bool, bool) { return n.endpoints.state(id) },
 		Ended:   c.ended,
 		Changed: c.changed,
@@ -32,6 +32,16 @@
 	return c
 }
 
+// listens reports whether a process listens at an endpoint's address. If the path to the
+// endpoints may be lost, that isn't known.
+func (n *Node) listens(ctx context.Context, address string) (bool, error) {
+	listening, err := n.pool.Listens(ctx, address)
+	if !listening && err == nil && !n.paths.inOrder(ctx, address) {
+		return false, Error.New("no endpoint beside %s can be reached", address)
+	}
+	return listening, err
+}
+
 // storeReadInterval is how often the need to read the stored crashes is checked.
 const storeReadInterval = time.Second
 
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -92,6 +93,8 @@
 // testFleet is daemons on one store.
 type testFleet struct {
 	t      testing.TB
+	hold   atomic.Int64 // how long the endpoints take, in nanoseconds
+	runs   atomic.Int64 // requests that they ran
 	store  *memoryStore
 	cloud  *recordingCloud
 	nodes  []*Node
@@ -143,18 +146,8 @@
 func newFleet(t testing.TB, n int) *testFleet {
 	t.Helper()
 	f := &testFleet{t: t, store: newMemoryStore(), cloud: &recordingCloud{}}
-	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
-		_, _ = io.WriteString(w, "done")
-	})}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	go func() { _ = engine.Serve(l) }()
-	t.Cleanup(func() { _ = engine.Close() })
-	spec, err := json.Marshal(l.Addr().String())
-	assert.NilError(t, err)
-	_, err = f.store.Create(t.Context(), "endpoints", "e1", spec)
-	assert.NilError(t, err)
-	_, err = f.store.Create(t.Context(), "config", "main", json.RawMessage("1"))
+	f.addEndpoint("e1")
+	_, err := f.store.Create(t.Context(), "config", "main", json.RawMessage("1"))
 	assert.NilError(t, err)
 	for range n {
 		f.add()
@@ -163,6 +156,28 @@
 	return f
 }
 
+// addEndpoint starts and registers an endpoint.
+func (f *testFleet) addEndpoint(id string) {
+	f.t.Helper()
+	engine := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		f.runs.Add(1)
+		select {
+		case <-time.After(time.Duration(f.hold.Load())):
+			_, _ = io.WriteString(w, "done")
+		case <-r.Context().Done():
+			f.runs.Add(-1) // cancelled
+		}
+	})}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(f.t, err)
+	go func() { _ = engine.Serve(l) }()
+	f.t.Cleanup(func() { _ = engine.Close() })
+	spec, err := json.Marshal(l.Addr().String())
+	assert.NilError(f.t, err)
+	_, err = f.store.Create(f.t.Context(), "endpoints", id, spec)
+	assert.NilError(f.t, err)
+}
+
 // add starts one more daemon.
 func (f *testFleet) add() *Node { return f.addWith(f.store, func(*Node) {}) }
 
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"sync"
 	"testing"
 	"time"
 
@@ -20,10 +21,15 @@
 func newCutFleet(t *testing.T, whole, cut int) *cutFleet {
 	t.Helper()
 	f := &cutFleet{testFleet: newFleet(t, whole)}
+	f.addEndpoint("e2")
 	for range cut {
 		f.cut = append(f.cut, f.addWithPath(&f.path))
 	}
 	f.awaitReady()
+	f.until("both endpoints are listed", func(n *Node) bool {
+		all, _ := n.endpoints.list()
+		return len(all) == 2
+	})
 	return f
 }
 
@@ -71,3 +77,19 @@
 		})
 	}
 }
+
+// Guards against a daemon that loses its path to the endpoints, takes that for the end of all
+// of them, and suspects the requests that ran there.
+func TestLostPathIsNoCrash(t *testing.T) {
+	f := newCutFleet(t, 2, 1)
+	f.hold.Store(int64(300 * time.Millisecond))
+	var sent sync.WaitGroup
+	for range 6 {
+		sent.Go(func() { sendRequest(f.cut[0]) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.path.Set(faultproxy.PathReset)
+	sent.Wait()
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, f.cut[0].crashes.table.CrashCount(), 0)
+}
