--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -30,9 +30,6 @@
 	// the time for connecting: data centres are a few milliseconds apart.
 	probeCount   = 6
 	probeTimeout = 300 * time.Millisecond
-	// orderValidity is how long a result of inOrder is used. It is less than the time from a
-	// disconnect to the question, so that the result is never from before the disconnect.
-	orderValidity = 10 * time.Millisecond
 	// minDialTime is the least time after which a dial that was given up counts as failed:
 	// it may have had little time.
 	minDialTime = 250 * time.Millisecond
@@ -51,8 +48,6 @@
 	byService map[string][]*roster.Endpoint
 	checkedAt time.Time
 	heldUp    time.Time // when the process was last held up
-	order     bool      // the last result of inOrder
-	orderAt   time.Time
 }
 
 func newPaths(n *Node, dial upstream.Dialer) *paths {
@@ -174,29 +169,30 @@
 }
 
 // inOrder reports whether an endpoint other than the one at an address accepts a new
-// connection, or there is none to tell. The result is used again for a moment.
+// connection, one of its service if there is another, or there is none to tell.
 func (p *paths) inOrder(ctx context.Context, except string) bool {
 	p.mu.Lock()
-	if time.Since(p.orderAt) < orderValidity {
-		defer p.mu.Unlock()
-		return p.order
-	}
-	var all []*roster.Endpoint
-	for _, service := range p.byService {
+	var same, all []*roster.Endpoint
+	ended := p.byAddress[except]
+	for name, service := range p.byService {
 		for _, e := range service {
-			if e.Address != except {
-				all = append(all, e)
+			if e.Address == except {
+				continue
+			}
+			all = append(all, e)
+			if ended != nil && name == ended.Service {
+				same = append(same, e)
 			}
 		}
 	}
+	if len(same) > 0 {
+		all = same
+	}
 	p.mu.Unlock()
 	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
 	all = all[:min(len(all), probeCount)]
 	accepted, failed := p.connectAll(ctx, all)
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.order, p.orderAt = accepted > 0 || len(failed) == 0, time.Now()
-	return p.order
+	return accepted > 0 || len(failed) == 0
 }
 
 // probeTargets draws endpoints of a service, from different data centres where there are.
