An endpoint's connections survive a second of silence

What callers would see: their requests broken off at an engine that is silent for a second and goes on. A TCP_USER_TIMEOUT decides when keep-alive probes give up, whatever their count: with 2 s, an idle second and a probe each second, one lost probe closed a connection. Connections to endpoints have 4 s now, so that three probes must be lost. Those to the store and between daemons keep 2 s: their bounds follow the deployment's.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -35,6 +35,9 @@
 	// network drops all packets. Two seconds are many round trips and
 	// retransmissions.
 	userTimeout = 2 * time.Second
+	// endpointUserTimeout is the same for endpoints. An endpoint may be silent for a second
+	// or two and go on, so that several keep-alive probes must be lost in that time.
+	endpointUserTimeout = 4 * time.Second
 )
 
 // Pool holds connections to endpoints. It is safe for concurrent use.
