Tests of requests that are sent through another daemon

Unchanged request and answer, no key, no forged headers; usage and limit once; an order that may have run isn't sent again; attempts bounded over both daemons; never a third daemon; the next one where one is gone or leaves; cancelled at the engine; streams event by event and resumed; bodies bounded in memory.

--- /dev/null
+++ b/internal/forward/hop_test.go
@@ -0,0 +1,421 @@
+package forward_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// protocol is that of the test's engines.
+type protocol struct{}
+
+func (protocol) Header(r *relay.Request, a *relay.Attempt) http.Header {
+	h := r.Header.Clone()
+	h.Set("Id", r.ID)
+	h.Set("Workspace", string(a.Workspace))
+	h.Set("After", a.LastEvent)
+	h.Set("Left", fmt.Sprint(a.TimeLeft.Milliseconds()))
+	return h
+}
+
+func (protocol) Owns(*relay.Request) func(http.Header) upstream.Ownership {
+	return func(http.Header) upstream.Ownership { return upstream.ThisRequest }
+}
+
+func (protocol) Classify(status int, h http.Header) relay.Class {
+	switch {
+	case h.Get("Not-Run") != "":
+		return relay.Refused
+	case status == http.StatusOK:
+		return relay.Success
+	}
+	return relay.Failure
+}
+
+func (protocol) Stated(http.Header) backpressure.Stated { return backpressure.Stated{} }
+
+func (protocol) Answer(h http.Header) http.Header {
+	out := h.Clone()
+	for _, name := range [...]string{"Content-Length", "Transfer-Encoding", "Connection"} {
+		out.Del(name)
+	}
+	return out
+}
+
+// observer counts the requests that engines began to run.
+type observer struct{ begun atomic.Int64 }
+
+func (o *observer) Began(fleet.WorkspaceID, time.Time)                     { o.begun.Add(1) }
+func (o *observer) Cut(ends.Disconnect)                                    {}
+func (o *observer) RateLimited(fleet.EndpointID, backpressure.Limit)       {}
+func (o *observer) RejectionsLimited(string, backpressure.Limit)           {}
+func (o *observer) Ended(*relay.Outcome)                                   {}
+func (o *observer) HeldFor(func() quarantine.Key) time.Duration            { return 0 }
+func (o *observer) Ran(*roster.Endpoint, time.Time, func() quarantine.Key) {}
+
+// forwarder sends all requests of a cut-off daemon to the given addresses, in their order.
+type forwarder struct {
+	forward.Codec
+	pool      *upstream.Pool
+	addresses []string
+}
+
+func (f *forwarder) Pool() *upstream.Pool { return f.pool }
+func (f *forwarder) Done(string, bool)    {}
+func (f *forwarder) Target(_ string, _ int, tried []string) (string, bool) {
+	for _, a := range f.addresses {
+		if !slices.Contains(tried, a) {
+			return a, true
+		}
+	}
+	return "", false
+}
+
+// hopDaemon is one daemon.
+type hopDaemon struct {
+	observer
+	state   *relay.State
+	relay   *relay.Relay
+	address string // for forwarded requests
+	server  *forward.Server
+}
+
+const maxBytes = 1 << 20
+
+// newHopDaemon starts a daemon before an engine; without one, it can reach none.
+func newHopDaemon(t *testing.T, engine string, forwardTo ...string) *hopDaemon {
+	t.Helper()
+	d := &hopDaemon{}
+	d.state = relay.NewState("a", quota.New(true, quota.Tolerance{}), retry.Config{Window: 10 * time.Second, Ratio: 0.2, Slack: 50}, rand.New(rand.NewPCG(1, 2)))
+	var routes []route.Route
+	for _, r := range []route.Route{
+		{Name: "order", Prefix: "/order/", Kind: route.NonIdempotent, MaxAttempts: 3},
+		{Name: "lookup", Prefix: "/lookup/", Kind: route.Idempotent, MaxAttempts: 2},
+		{Name: "stream", Prefix: "/stream/", Kind: route.Streaming, MaxAttempts: 2, Resumable: true},
+	} {
+		r.Host, r.Backends, r.Timeout, r.Target = "h", []route.Backend{{Service: "s", Weight: 1}}, 10*time.Second, 10*time.Second
+		routes = append(routes, r)
+	}
+	d.state.Configure(time.Now(), route.New(route.Table{
+		Version: 1, Routes: routes, Services: []route.Service{{Name: "s"}},
+		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"secret"}, Rate: 1e-6, Burst: 1000, CountsTokens: true, PlainTokens: 10}},
+	}))
+	dial := func(context.Context, string) (net.Conn, error) { return nil, errors.New("no path") }
+	if engine != "" {
+		dial = upstream.DialTCP
+	}
+	d.state.SetEndpoints(time.Now(), []roster.Endpoint{{ID: "e1", Service: "s", Address: engine, Slots: 8, DataCentre: "a"}})
+	d.relay = relay.New(d.state, upstream.NewPool(8, dial), protocol{}, d, d)
+	if len(forwardTo) > 0 {
+		d.relay.SetForwarder(&forwarder{pool: upstream.NewPool(8, upstream.DialTCP), addresses: forwardTo})
+	}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	d.address = l.Addr().String()
+	assert.NilError(t, l.Close())
+	quiet := logrus.New()
+	quiet.SetOutput(io.Discard)
+	d.server, err = forward.Open(d, d.address, maxBytes, quiet.WithField("part", "forward"))
+	assert.NilError(t, err)
+	t.Cleanup(func() {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_ = d.server.Close(ctx)
+	})
+	return d
+}
+
+// ServeForwarded implements forward.Handler.
+func (d *hopDaemon) ServeForwarded(ctx context.Context, r *relay.ForwardedRequest, s relay.Sink) {
+	d.relay.ServeForwarded(ctx, r, s)
+}
+
+// hopSink records what a caller gets.
+type hopSink struct {
+	mu      sync.Mutex
+	status  int
+	header  http.Header
+	pieces  []string
+	refusal *relay.Refusal
+	ended   bool
+	aborted bool
+}
+
+func (s *hopSink) Whole(status int, h http.Header, body []byte) {
+	s.status, s.header, s.pieces, s.ended = status, h, []string{string(body)}, true
+}
+func (s *hopSink) Refuse(r relay.Refusal)          { s.refusal = &r }
+func (s *hopSink) Begin(status int, h http.Header) { s.status, s.header = status, h }
+func (s *hopSink) End()                            { s.ended = true }
+func (s *hopSink) Abort()                          { s.aborted = true }
+func (s *hopSink) WriteBody(p []byte) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pieces = append(s.pieces, string(p))
+	return nil
+}
+
+func (s *hopSink) text() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return strings.Join(s.pieces, "")
+}
+
+func (d *hopDaemon) send(ctx context.Context, path string, body string) *hopSink {
+	out := &hopSink{}
+	d.sendTo(ctx, path, body, out)
+	return out
+}
+
+func (d *hopDaemon) sendTo(ctx context.Context, path, body string, out *hopSink) {
+	now := time.Now()
+	d.relay.Serve(ctx, &relay.Request{
+		ID: "r1", Method: "POST", Target: path + "?a=%20b", Path: path, Host: "h", Key: "secret", Body: []byte(body),
+		Header: http.Header{"X-Any": {"kept"}, "Cyclamenbeam-Forward": {"forged"}}, Received: now, Deadline: now.Add(5 * time.Second),
+	}, out)
+}
+
+// hopEngine is an engine that counts its runs.
+type hopEngine struct {
+	*httptest.Server
+	runs atomic.Int64
+}
+
+func newHopEngine(t *testing.T, h http.HandlerFunc) *hopEngine {
+	e := &hopEngine{}
+	e.Server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		e.runs.Add(1)
+		h(w, r)
+	}))
+	t.Cleanup(e.Close)
+	return e
+}
+
+func (e *hopEngine) address() string { return strings.TrimPrefix(e.URL, "http://") }
+
+func TestRequestAndAnswerCrossTheHopUnchanged(t *testing.T) {
+	var got *http.Request
+	var body []byte
+	e := newHopEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		got = r.Clone(context.Background())
+		body, _ = io.ReadAll(r.Body)
+		w.Header().Set("Signature", "of-the-engine")
+		w.Header().Set("Cyclamenbeam-Forward-Refusal", "forged")
+		_, _ = io.WriteString(w, "answer")
+	})
+	b := newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address)
+	out := a.send(t.Context(), "/order/1", "body")
+	assert.Assert(t, out.refusal == nil, "%+v", out.refusal)
+	assert.Equal(t, out.status, 200)
+	assert.Equal(t, out.text(), "answer")
+	assert.Equal(t, out.header.Get("Signature"), "of-the-engine")
+	for name := range out.header {
+		assert.Assert(t, !strings.HasPrefix(name, "Cyclamenbeam-Forward"), name)
+	}
+	assert.Equal(t, got.RequestURI, "/order/1?a=%20b")
+	assert.Equal(t, string(body), "body")
+	assert.Equal(t, got.Host, "h")
+	assert.Equal(t, got.Header.Get("X-Any"), "kept")
+	assert.Equal(t, got.Header.Get("Workspace"), "w")
+	assert.Equal(t, got.Header.Get("Cyclamenbeam-Forward"), "")
+	assert.Equal(t, got.Header.Get("Authorization"), "")
+	for name, values := range got.Header {
+		assert.Assert(t, !strings.Contains(strings.Join(values, ""), "secret"), name)
+	}
+	assert.Equal(t, e.runs.Load(), int64(1))
+}
+
+// Guards against usage and limits that are counted by both daemons, or by none.
+func TestUsageAndLimitsAreCountedOnceOverTheHop(t *testing.T) {
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	b := newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address)
+	for range 5 {
+		assert.Equal(t, a.send(t.Context(), "/lookup/1", "").status, 200)
+	}
+	assert.Equal(t, a.begun.Load()+b.begun.Load(), int64(5))
+	assert.Equal(t, a.state.OwnState().Spent["w"], 50.0)
+	assert.Equal(t, b.state.OwnState().Spent["w"], 0.0)
+}
+
+// Guards against a request that may have run and is sent again, or is said not to have run.
+func TestOrderThatMayHaveRunIsNotSentAgainOverTheHop(t *testing.T) {
+	e := newHopEngine(t, func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	b, other := newHopDaemon(t, e.address()), newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address, other.address)
+	out := a.send(t.Context(), "/order/1", "")
+	assert.Equal(t, out.refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, e.runs.Load(), int64(1))
+}
+
+// Guards against a daemon that dies with a request on the way to it.
+func TestDaemonThatDiesWithAnOrderLeavesItsVerdictOpen(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1000))
+			_ = c.Close()
+		}
+	}()
+	a := newHopDaemon(t, "", l.Addr().String())
+	out := a.send(t.Context(), "/order/1", "")
+	assert.Equal(t, out.refusal.Verdict, verdict.MayHaveRun)
+}
+
+// Guards against more runs of a request than its route allows, where both daemons repeat it.
+func TestAttemptsAreBoundedOverTheHop(t *testing.T) {
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
+	var addresses []string
+	for range 3 {
+		addresses = append(addresses, newHopDaemon(t, e.address()).address)
+	}
+	out := newHopDaemon(t, "", addresses...).send(t.Context(), "/lookup/1", "")
+	assert.Equal(t, out.status, 500)
+	assert.Equal(t, e.runs.Load(), int64(2))
+}
+
+// Guards against two daemons without a path that pass a request to and fro.
+func TestRequestIsForwardedOnce(t *testing.T) {
+	b := newHopDaemon(t, "")
+	a := newHopDaemon(t, "", b.address)
+	b.relay.SetForwarder(&forwarder{pool: upstream.NewPool(8, upstream.DialTCP), addresses: []string{a.address}})
+	out := a.send(t.Context(), "/order/1", "")
+	assert.Equal(t, out.refusal.Verdict, verdict.NotRun)
+	assert.Equal(t, out.refusal.Reason, relay.NoEndpoint)
+}
+
+func TestNextDaemonIsTriedWhereOneIsGoneOrLeaves(t *testing.T) {
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	gone, leaving, b := newHopDaemon(t, e.address()), newHopDaemon(t, e.address()), newHopDaemon(t, e.address())
+	assert.NilError(t, gone.server.Close(t.Context()))
+	leaving.relay.Stop(time.Now().Add(-time.Hour))
+	a := newHopDaemon(t, "", gone.address, leaving.address, b.address)
+	out := a.send(t.Context(), "/order/1", "")
+	assert.Equal(t, out.status, 200)
+	assert.Equal(t, e.runs.Load(), int64(1))
+}
+
+// Guards against an engine that works on for a caller who has left.
+func TestCallersLeavingCancelsOverTheHop(t *testing.T) {
+	started, cancelled := make(chan struct{}), make(chan struct{})
+	e := newHopEngine(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(started)
+		<-r.Context().Done()
+		close(cancelled)
+	})
+	b := newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address)
+	ctx, leave := context.WithCancel(t.Context())
+	go a.send(ctx, "/lookup/1", "")
+	<-started
+	leave()
+	select {
+	case <-cancelled:
+	case <-time.After(10 * time.Second):
+		t.Fatal("the engine still works on the request")
+	}
+}
+
+// Guards against a stream that is buffered on the way, or that goes on after it broke off
+// with events lost or repeated.
+func TestStreamCrossesTheHopEventByEvent(t *testing.T) {
+	step := make(chan struct{})
+	var runs atomic.Int64
+	e := newHopEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		last := 0
+		_, _ = fmt.Sscan(r.Header.Get("After"), &last)
+		first := runs.Add(1) == 1
+		for n := last + 1; n <= 4; n++ {
+			if first && n == 3 {
+				panic(http.ErrAbortHandler)
+			}
+			<-step
+			fmt.Fprintf(w, "id: %d\ndata: x\n\n", n)
+			w.(http.Flusher).Flush()
+		}
+	})
+	b, other := newHopDaemon(t, e.address()), newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address, other.address)
+	out, done := &hopSink{}, make(chan struct{})
+	go func() {
+		defer close(done)
+		a.sendTo(t.Context(), "/stream/1", "", out)
+	}()
+	want := ""
+	for n := 1; n <= 4; n++ {
+		step <- struct{}{}
+		want += fmt.Sprintf("id: %d\ndata: x\n\n", n)
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if got := out.text(); got != want {
+				return poll.Continue("%q", got)
+			}
+			return poll.Success()
+		}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	}
+	<-done
+	assert.Assert(t, out.ended && !out.aborted)
+	assert.Equal(t, runs.Load(), int64(2))
+}
+
+// Guards against a daemon that runs out of memory by the bodies of others.
+func TestBodiesAreBoundedInMemory(t *testing.T) {
+	hold := make(chan struct{})
+	e := newHopEngine(t, func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-hold
+		_, _ = io.WriteString(w, "answer")
+	})
+	b := newHopDaemon(t, e.address())
+	a := newHopDaemon(t, "", b.address)
+	body := strings.Repeat("x", 2*maxBytes/3)
+	first := make(chan *hopSink)
+	go func() { first <- a.send(t.Context(), "/order/1", body) }()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if e.runs.Load() == 0 {
+			return poll.Continue("not running")
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(time.Millisecond))
+	second := a.send(t.Context(), "/order/1", body)
+	assert.Equal(t, second.refusal.Verdict, verdict.NotRun)
+	assert.Assert(t, second.refusal.RetryAfter > 0)
+	close(hold)
+	assert.Equal(t, (<-first).status, 200)
+	assert.Equal(t, a.send(t.Context(), "/order/1", body).status, 200)
+	assert.Equal(t, e.runs.Load(), int64(2))
+}
