--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -93,7 +93,7 @@
 func (f *forwarder) Target(_ string, _ int, tried []string) (string, bool) {
 	for _, a := range f.addresses {
 		if !slices.Contains(tried, a) {
-			return a, true
+			return a, false
 		}
 	}
 	return "", false
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net"
 	"slices"
 	"sync"
@@ -49,6 +50,7 @@
 
 	mu           sync.Mutex
 	hub          *exchange.Hub
+	rng          *rand.Rand
 	holder       exchange.Holder // of the duties, the newest reported
 	listPosition feed.Position   // this daemon's position in the list of listHub
 	listHub      string          // address of the hub whose list of endpoints is followed, empty: none
@@ -71,6 +73,7 @@
 		client: exchange.NewClient(),
 		hub:    exchange.NewHub(exchange.NormalInterval(1)),
 		hubs:   map[string]*hubState{},
+		rng:    random(),
 
 		relayers:    map[string]time.Time{},
 		memberLists: newMemberLists(n),
--- /dev/null
+++ b/internal/reach/forwarders_test.go
@@ -0,0 +1,120 @@
+package reach
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against requests that all go through the same few daemons, or through one that has
+// lost its path too.
+func TestForwardedRequestsAreSpreadAtAnySize(t *testing.T) {
+	for _, daemons := range []int{9, 78, 340, 986} {
+		for _, half := range []string{"every second one", "whole data centres"} {
+			t.Run(fmt.Sprintf("%d daemons, cut off: %s", daemons, half), func(t *testing.T) {
+				rng := rand.New(rand.NewPCG(uint64(daemons), 1))
+				isCut := func(i int) bool {
+					if half == "every second one" {
+						return i%2 == 0
+					}
+					return i%4 < 2 // of four data centres
+				}
+				taken := map[string]int{}
+				running := make([]int, daemons)
+				choosers := make([]*Chooser, daemons)
+				cut := 0
+				for i := range choosers {
+					choosers[i] = NewChooser(rand.New(rand.NewPCG(uint64(i), 2)))
+					if isCut(i) {
+						cut++
+					}
+				}
+				const rounds, perRound = 8, 10 // reports, and requests between two of them
+				for round := range rounds {
+					now := start.Add(time.Duration(round) * time.Second)
+					reported := append([]int{}, running...)
+					clear(running)
+					for i, c := range choosers {
+						if !isCut(i) {
+							continue
+						}
+						c.SetKnown(now, Offer(rng, peersOf(daemons, i, reported, isCut)))
+						for range perRound {
+							address, ok := c.Choose(now, "s", nil)
+							assert.Assert(t, ok)
+							at := 0
+							_, err := fmt.Sscanf(address, "d%d", &at)
+							assert.NilError(t, err)
+							assert.Assert(t, !isCut(at), "through %s, which has lost its path", address)
+							taken[address]++
+							running[at]++
+							c.Done(now, address, true)
+						}
+					}
+				}
+				most := 0
+				for _, n := range taken {
+					most = max(most, n)
+				}
+				own := rounds * perRound // requests of its own callers, at the same rate
+				share := float64(cut) / float64(daemons-cut)
+				t.Logf("most forwarded to a daemon: %.2f of its own requests, %.2f on average", float64(most)/float64(own), share)
+				assert.Assert(t, float64(most) <= 2*share*float64(own), "%d of %d", most, own)
+			})
+		}
+	}
+}
+
+func peersOf(daemons, self int, running []int, isCut func(int) bool) []Peer {
+	var out []Peer
+	for _, i := range rand.New(rand.NewPCG(uint64(self), uint64(len(running)))).Perm(daemons) {
+		if i == self || len(out) == MaxPeers {
+			continue
+		}
+		p := Peer{Address: fmt.Sprint("d", i), Running: running[i]}
+		if isCut(i) {
+			p.Unreachable = []string{"s"}
+		}
+		out = append(out, p)
+	}
+	return out
+}
+
+func TestDaemonThatDoesNotAnswerIsAvoided(t *testing.T) {
+	c := NewChooser(rand.New(rand.NewPCG(1, 1)))
+	c.SetKnown(start, []Peer{{Address: "d1"}})
+	address, ok := c.Choose(start, "s", nil)
+	assert.Assert(t, ok)
+	_, ok = c.Choose(start, "s", []string{address})
+	assert.Assert(t, !ok)
+	c.Done(start, address, false)
+	_, ok = c.Choose(start, "s", nil)
+	assert.Assert(t, !ok)
+	_, ok = c.Choose(start.Add(avoidance), "s", nil)
+	assert.Assert(t, ok)
+	_, ok = c.Choose(start.Add(2*offerTTL), "s", nil)
+	assert.Assert(t, !ok) // the offer is too old
+}
+
+func TestRequestsGoDirectWhereTheyCan(t *testing.T) {
+	c := NewChooser(rand.New(rand.NewPCG(1, 1)))
+	assert.Assert(t, c.GoDirect(1, 0))
+	assert.Assert(t, c.GoDirect(1, directAttempts-1))
+	assert.Assert(t, !c.GoDirect(1, directAttempts)) // a part of the endpoints can't be reached
+	assert.Assert(t, !c.GoDirect(0, 0))
+	direct := 0
+	for range 1000 {
+		if c.GoDirect(0.3, 0) {
+			direct++
+		}
+	}
+	assert.Assert(t, direct > 200 && direct < 400, "%d", direct)
+}
+
+func TestOfferPrefersTheRegion(t *testing.T) {
+	peers := []Peer{{Address: "far", Remote: true}, {Address: "near", Running: 100}}
+	assert.Equal(t, Offer(rand.New(rand.NewPCG(1, 1)), peers)[0].Address, "near")
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -29,9 +29,10 @@
 // can't reach. It is safe for concurrent use.
 type Forwarder interface {
 	// Target returns the address of another daemon for a request that has found this many
-	// endpoints unreachable, and that the tried daemons didn't run. ok is false if the
-	// request should go to an endpoint directly.
-	Target(service string, unreached int, tried []string) (address string, ok bool)
+	// endpoints unreachable, and that the tried daemons didn't run. direct says that it
+	// should go to an endpoint directly; the address is empty then, and if there is no
+	// other daemon.
+	Target(service string, unreached int, tried []string) (address string, direct bool)
 	// Done records the end of a request at an address, and whether the daemon there
 	// answered.
 	Done(address string, answered bool)
@@ -84,12 +85,24 @@
 	return a, nil
 }
 
-// forwardTarget returns the daemon through which the next attempt goes, if any.
-func (f *inflight) forwardTarget() (address string, ok bool) {
-	if f.forwarded || f.relay.forwarder == nil || len(f.triedDaemons) >= maxForwards {
-		return "", false
+// forwardTarget returns the daemon through which the next attempt goes, empty if it should
+// go to an endpoint. It returns a refusal if no daemon is left for a request that others
+// could not run either.
+func (f *inflight) forwardTarget() (string, *Refusal) {
+	if f.forwarded || f.relay.forwarder == nil {
+		return "", nil
+	}
+	address, direct := f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons)
+	switch {
+	case direct:
+		return "", nil
+	case address != "" && len(f.triedDaemons) < maxForwards:
+		return address, nil
+	case len(f.triedDaemons) > 0:
+		return "", f.relay.state.refuseBusy(f, NoEndpoint)
+	default:
+		return "", nil
 	}
-	return f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons)
 }
 
 // attemptVia sends the request through another daemon once and reads the answer.
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -124,8 +124,8 @@
 	if refusal := f.refuseHeld(); refusal != nil {
 		return target{}, refusal
 	}
-	if daemon, ok := f.forwardTarget(); ok {
-		return target{daemon: daemon}, nil
+	if daemon, refusal := f.forwardTarget(); daemon != "" || refusal != nil {
+		return target{daemon: daemon}, refusal
 	}
 	choice, refusal := f.relay.state.pick(time.Now(), f)
 	return target{choice: choice}, refusal
