An end that can't be told from a lost path counts once the endpoint has restarted

What callers would see: a request that crashes its endpoints isn't held where it has ended all of a service's endpoints, since no other one accepts connections then and the path may be lost.

Such an end is kept for 15 s and counts when the endpoint is listed with a later start.

--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"errors"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -24,6 +28,8 @@
 	// lateNotice is how long after an endpoint's end its notice that it leaves may
 	// arrive: two report intervals of a large fleet.
 	lateNotice = 3 * time.Second
+	// maxUndecided is how long an endpoint may take to restart.
+	maxUndecided = 15 * time.Second
 	// tick is the interval of the checks for late notices.
 	tick = 250 * time.Millisecond
 	// timePrecision is the precision of times in messages. Times are truncated to
@@ -31,6 +37,10 @@
 	timePrecision = time.Millisecond
 )
 
+// ErrUndecided is returned by Options.Listens where nothing listens, but the path to the
+// endpoint may be lost.
+var ErrUndecided = errs.New("endpoint or the path to it has ended")
+
 // Options are the dependencies of a Watch. All functions but Listens must return
 // at once.
 type Options struct {
@@ -43,6 +53,9 @@
 	// State reports whether an endpoint is listed, and whether it has announced
 	// that it leaves.
 	State func(id fleet.EndpointID) (listed, leaving bool)
+	// Restarted reports whether an endpoint is listed with a later start than the given one.
+	// It is needed where Listens returns ErrUndecided.
+	Restarted func(id fleet.EndpointID, startedAt time.Time) bool
 	// Ended is called when an endpoint has ended, and again if the crash becomes
 	// void.
 	Ended func(id fleet.EndpointID, c *quarantine.Crash)
@@ -57,6 +70,7 @@
 	disconnects *ring.Ring[Disconnect]
 	answers     *ring.Ring[*probe]
 	probes      map[fleet.EndpointID]*probe
+	undecided   []*probe // until their endpoints are listed as restarted
 	probeGroup  sync.WaitGroup
 }
 
@@ -66,6 +80,7 @@
 	startedAt  time.Time
 	crash      quarantine.Crash
 	ended      bool // the result, set before the probe is sent to answers
+	undecided  bool // likewise: the endpoint may have ended, or the path to it
 	crashed    bool // the endpoint has ended, and the crash is in the table
 }
 
@@ -133,16 +148,24 @@
 	}
 	listening, err := w.o.Listens(ctx, p.disconnect.Address)
 	p.ended = !listening && err == nil
+	p.undecided = errors.Is(err, ErrUndecided)
 	w.answers.Send(ctx.Done(), p)
 }
 
 // handleAnswer handles the result of a probe. An endpoint that has not ended is
 // probed again at the next disconnect.
 func (w *Watch) handleAnswer(p *probe) {
+	if p.undecided {
+		w.undecided = append(w.undecided, p)
+	}
 	if !p.ended {
 		delete(w.probes, p.disconnect.Endpoint)
 		return
 	}
+	w.recordCrash(p)
+}
+
+func (w *Watch) recordCrash(p *probe) {
 	listed, leaving := w.o.State(p.disconnect.Endpoint)
 	p.crashed, p.crash.Void = true, !listed || leaving
 	w.o.Ended(p.disconnect.Endpoint, &p.crash)
@@ -163,5 +186,17 @@
 			w.o.Changed(w.o.Table.Void(w.o.Now(), p.crash.Endpoint, p.crash.At))
 		}
 	}
+	w.decide(now)
 	w.o.Changed(w.o.Table.Tick(w.o.Now()))
 }
+
+// decide records the crashes of undecided endpoints that have restarted.
+func (w *Watch) decide(now time.Time) {
+	w.undecided = slices.DeleteFunc(w.undecided, func(p *probe) bool {
+		if w.o.Restarted(p.disconnect.Endpoint, p.disconnect.StartedAt) {
+			w.recordCrash(p)
+			return true
+		}
+		return now.Sub(p.startedAt) > maxUndecided
+	})
+}
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -23,6 +23,7 @@
 	listenErr error
 	listed    bool
 	leaving   bool
+	restarted bool
 }
 
 func runWatch(t *testing.T, f func(t *testing.T, s *fixture)) {
@@ -42,6 +43,11 @@
 				defer s.mu.Unlock()
 				return s.listed, s.leaving
 			},
+			Restarted: func(fleet.EndpointID, time.Time) bool {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				return s.restarted
+			},
 			Ended:   func(fleet.EndpointID, *quarantine.Crash) {},
 			Changed: func(quarantine.Change) {},
 		})
@@ -167,3 +173,25 @@
 		assert.Assert(t, !void)
 	})
 }
+
+// Guards against a crash that is never counted since no other endpoint accepts connections
+// at that moment, and against a lost path that counts as one.
+func TestUndecidedEndCountsOnceTheEndpointHasRestarted(t *testing.T) {
+	runWatch(t, func(t *testing.T, s *fixture) {
+		s.listenErr = ErrUndecided
+		s.disconnect("e", "a", false)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		crashes, _, _ := s.crashes()
+		assert.Equal(t, crashes, 0)
+		s.mu.Lock()
+		s.restarted = true
+		s.mu.Unlock()
+		time.Sleep(2 * tick)
+		synctest.Wait()
+		crashes, suspects, void := s.crashes()
+		assert.Equal(t, crashes, 1)
+		assert.Equal(t, suspects, 1)
+		assert.Assert(t, !void)
+	})
+}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -22,10 +22,12 @@
 func newCrashGuard(n *Node) *crashGuard {
 	c := &crashGuard{node: n, table: quarantine.NewTable(random().Uint64() | 1)}
 	c.watch = ends.New(ends.Options{
-		Table:   c.table,
-		Now:     n.clock.Now,
-		Listens: n.listens,
-		State:   func(id fleet.EndpointID) (bool, bool) { return n.endpoints.state(id) },
+		Table:     c.table,
+		Now:       n.clock.Now,
+		Listens:   n.listens,
+		State:     func(id fleet.EndpointID) (bool, bool) { return n.endpoints.state(id) },
+		Restarted: func(id fleet.EndpointID, startedAt time.Time) bool { return n.endpoints.restarted(id, startedAt) },
+
 		Ended:   c.ended,
 		Changed: c.changed,
 	})
@@ -37,7 +39,7 @@
 func (n *Node) listens(ctx context.Context, address string) (bool, error) {
 	listening, err := n.pool.Listens(ctx, address)
 	if !listening && err == nil && !n.paths.inOrder(ctx, address) {
-		return false, Error.New("no endpoint beside %s can be reached", address)
+		return false, ends.ErrUndecided
 	}
 	return listening, err
 }
@@ -108,3 +110,14 @@
 	}
 	return false, false
 }
+
+// restarted reports whether an endpoint is listed with a later start than the given one.
+func (l *endpointList) restarted(id fleet.EndpointID, startedAt time.Time) bool {
+	all, _ := l.list()
+	for i := range all {
+		if all[i].ID == id {
+			return all[i].StartedAt.After(startedAt) && !startedAt.IsZero()
+		}
+	}
+	return false
+}
