Crashes under one request's quick retries count separately

What callers saw: a request that crashes its endpoints isn't held (TestCompletionThatEndsItsEnginesIsHeld fails in about one run of four without -race: four engines had ended under the one request, none counted beyond the first).

Cause: whether a retry was sent before the last crash was taken from a sending time cut to a millisecond and from the moment at which the watcher took the disconnect from its queue, which is after the retry was sent.

Change: who reads the end of a connection takes its time, before any retry is sent. TestQuickRetriesCountAsSeparateCrashes failed each time before; endpoints killed together within a millisecond still count once.

--- a/internal/ends/disconnect.go
+++ b/internal/ends/disconnect.go
@@ -15,6 +15,9 @@
 	Address   string
 	Request   quarantine.Key
 	Sent      time.Time
+	// EndedAt is when the end of the connection was read: before any further attempt of the
+	// request was sent.
+	EndedAt time.Time
 	// AnswerBegun is true if a piece of the answer was received, so the endpoint
 	// had already been running the request for a while.
 	AnswerBegun bool
--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -33,8 +33,12 @@
 	// tick is the interval of the checks for late notices.
 	tick = 250 * time.Millisecond
 	// timePrecision is the precision of times in messages. Times are truncated to
-	// it, so that all daemons have the same.
-	timePrecision = time.Millisecond
+	// it, so that all daemons have the same. A retry is sent less than a millisecond after
+	// the end that caused it.
+	timePrecision = time.Microsecond
+	// maxClockStep is the least change of the fleet's clock that changes how times are
+	// converted: smaller corrections must not invert the order of two events here.
+	maxClockStep = 20 * time.Millisecond
 )
 
 // ErrUndecided is returned by Options.Listens where nothing listens, but the path to the
@@ -70,6 +74,8 @@
 	disconnects *ring.Ring[Disconnect]
 	answers     *ring.Ring[*probe]
 	probes      map[fleet.EndpointID]*probe
+	local       time.Time // a time of this process, and the same by the fleet's clock
+	fleet       time.Time
 	undecided   []*probe // until their endpoints are listed as restarted
 	probeGroup  sync.WaitGroup
 }
@@ -121,11 +127,13 @@
 	if p == nil || time.Since(p.startedAt) > probeValidity {
 		p = w.startProbe(ctx, d)
 	}
+	if at := w.fleetTime(d.EndedAt); at.Before(p.crash.At) {
+		p.crash.At = at
+	}
 	if d.AnswerBegun {
 		return
 	}
-	sent := w.o.Now().Add(-time.Since(d.Sent)).Truncate(timePrecision)
-	p.crash.AddSuspect(quarantine.Suspect{Request: d.Request, Sent: sent})
+	p.crash.AddSuspect(quarantine.Suspect{Request: d.Request, Sent: w.fleetTime(d.Sent)})
 	if p.crashed {
 		w.o.Changed(w.o.Table.Add(w.o.Now(), p.crash))
 	}
@@ -133,12 +141,22 @@
 
 func (w *Watch) startProbe(ctx context.Context, d Disconnect) *probe {
 	p := &probe{disconnect: d, startedAt: time.Now()}
-	p.crash = quarantine.Crash{Endpoint: quarantine.IncarnationOf(d.Endpoint, d.StartedAt), At: w.o.Now().Truncate(timePrecision)}
+	p.crash = quarantine.Crash{Endpoint: quarantine.IncarnationOf(d.Endpoint, d.StartedAt), At: w.fleetTime(d.EndedAt)}
 	w.probes[d.Endpoint] = p
 	w.probeGroup.Go(func() { w.runProbe(ctx, p) })
 	return p
 }
 
+// fleetTime converts a time of this process to the fleet's clock. Two times are converted
+// alike unless the clock was set in between.
+func (w *Watch) fleetTime(t time.Time) time.Time {
+	now, fleetNow := time.Now(), w.o.Now()
+	if w.local.IsZero() || fleetNow.Sub(w.fleet.Add(now.Sub(w.local))).Abs() > maxClockStep {
+		w.local, w.fleet = now, fleetNow
+	}
+	return w.fleet.Add(t.Sub(w.local)).Truncate(timePrecision)
+}
+
 // runProbe finds out whether the endpoint's process has ended, which is so only if
 // nothing listens at its address: a single connection may be reset, and an endpoint
 // behind a network partition doesn't answer.
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -63,7 +63,7 @@
 func (s *fixture) disconnect(e fleet.EndpointID, request string, answerBegun bool) {
 	s.Disconnected(Disconnect{
 		Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", request, nil),
-		Sent: time.Now().Add(-50 * time.Millisecond), AnswerBegun: answerBegun,
+		Sent: time.Now().Add(-50 * time.Millisecond), EndedAt: time.Now(), AnswerBegun: answerBegun,
 	})
 }
 
@@ -195,3 +195,38 @@
 		assert.Assert(t, !void)
 	})
 }
+
+// Guards against crashes under one request that count once, since its retry seems to have been
+// sent before the crash that caused it: in the same millisecond, while the watcher is late.
+func TestQuickRetriesCountAsSeparateCrashes(t *testing.T) {
+	runWatch(t, func(t *testing.T, s *fixture) {
+		sent := time.Now()
+		for _, e := range []fleet.EndpointID{"e1", "e2", "e3"} {
+			ended := sent.Add(300 * time.Microsecond)
+			time.Sleep(5 * time.Millisecond)
+			s.Disconnected(Disconnect{
+				Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", "a", nil), Sent: sent, EndedAt: ended,
+			})
+			sent = ended.Add(20 * time.Microsecond)
+			time.Sleep(10 * time.Millisecond)
+		}
+		time.Sleep(2 * probeDelay)
+		synctest.Wait()
+		assert.Equal(t, s.o.Table.HeldCount(), 1)
+	})
+}
+
+// Guards against one request at several endpoints that are killed together, which counts once.
+func TestEndpointsKilledTogetherCountOnce(t *testing.T) {
+	runWatch(t, func(t *testing.T, s *fixture) {
+		for i, e := range []fleet.EndpointID{"e1", "e2", "e3", "e4"} {
+			s.Disconnected(Disconnect{
+				Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", "a", nil),
+				Sent: time.Now().Add(-time.Millisecond), EndedAt: time.Now().Add(time.Duration(i) * 200 * time.Microsecond),
+			})
+		}
+		time.Sleep(2 * probeDelay)
+		synctest.Wait()
+		assert.Equal(t, s.o.Table.HeldCount(), 0)
+	})
+}
--- a/internal/quarantine/quarantinepb/codec.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -14,7 +14,7 @@
 	for i := range all {
 		c := &all[i]
 		out[i] = &Crash{
-			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), Void: c.Void,
+			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), AtUs: uint32(c.At.UnixMicro() % 1000), Void: c.Void,
 			Suspects: encodeSuspects(c), Cleared: encodeKeys(c.Cleared),
 		}
 	}
@@ -27,7 +27,7 @@
 	var out []quarantine.Crash
 	for _, c := range all {
 		crash := quarantine.Crash{
-			Endpoint: quarantine.Incarnation(c.GetEndpoint()), At: time.UnixMilli(c.GetAtMs()), Void: c.GetVoid(),
+			Endpoint: quarantine.Incarnation(c.GetEndpoint()), At: time.UnixMicro(1000*c.GetAtMs() + int64(c.GetAtUs())), Void: c.GetVoid(),
 			Cleared: decodeKeys(c.GetCleared()),
 		}
 		crash.Suspects = decodeSuspects(crash.At, c.GetSuspects())
@@ -45,6 +45,7 @@
 		out.Workspaces = append(out.Workspaces, s.Request.Workspace)
 		out.Requests = append(out.Requests, s.Request.Request)
 		out.SentMs = append(out.SentMs, c.At.Sub(s.Sent).Milliseconds())
+		out.SentUs = append(out.SentUs, c.At.Sub(s.Sent).Microseconds())
 	}
 	return out
 }
@@ -52,9 +53,11 @@
 func decodeSuspects(at time.Time, r *Requests) []quarantine.Suspect {
 	var out []quarantine.Suspect
 	for i, k := range decodeKeys(r) {
-		if i < len(r.SentMs) {
-			sent := at.Add(-time.Duration(r.SentMs[i]) * time.Millisecond)
-			out = append(out, quarantine.Suspect{Request: k, Sent: sent})
+		switch {
+		case i < len(r.SentUs):
+			out = append(out, quarantine.Suspect{Request: k, Sent: at.Add(-time.Duration(r.SentUs[i]) * time.Microsecond)})
+		case i < len(r.SentMs):
+			out = append(out, quarantine.Suspect{Request: k, Sent: at.Add(-time.Duration(r.SentMs[i]) * time.Millisecond)})
 		}
 	}
 	return out
--- a/internal/quarantine/quarantinepb/codec_test.go
+++ b/internal/quarantine/quarantinepb/codec_test.go
@@ -11,13 +11,13 @@
 
 // Encoding and decoding must keep every field of crashes and positions.
 func TestCrashesRoundTrip(t *testing.T) {
-	at := time.UnixMilli(1_000_000_123)
+	at := time.UnixMicro(1_000_000_123_456)
 	k := quarantine.KeyOf("w", "POST", "/x", []byte("b"))
 	sent := []quarantine.Crash{
 		{Endpoint: 7, At: at, Void: true},
 		{
 			Endpoint: 8, At: at, Cleared: []quarantine.Key{k},
-			Suspects: []quarantine.Suspect{{Request: k, Sent: at.Add(-50 * time.Millisecond)}},
+			Suspects: []quarantine.Suspect{{Request: k, Sent: at.Add(-50_007 * time.Microsecond)}},
 		},
 	}
 	assert.DeepEqual(t, Decode(Encode(sent)), sent)
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"syscall"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -26,7 +27,7 @@
 	f.outcome.RequestKey = f.key()
 	e := &t.choice.Endpoint
 	f.relay.observer.Cut(ends.Disconnect{
-		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: f.outcome.RequestKey, Sent: t.sent, AnswerBegun: t.firstPieceSeen,
+		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: f.outcome.RequestKey, Sent: t.sent, EndedAt: time.Now(), AnswerBegun: t.firstPieceSeen,
 	})
 }
 
