--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -29,6 +29,9 @@
 	byKey               map[rendezvous.ShortKey]*member
 	limited             map[*member]bool // those with a rate limit in force
 	brittle             map[string]*brittleService
+	reported            bool           // a load report was received
+	slots               map[string]int // by service, of endpoints that take requests
+	ownRunning          map[string]int // attempts of this daemon, by service
 	scratch             []*member
 	homeScratch         []*member
 }
@@ -50,6 +53,7 @@
 		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
 		byKey:      map[rendezvous.ShortKey]*member{},
 		brittle:    map[string]*brittleService{},
+		ownRunning: map[string]int{},
 	}
 }
 
@@ -82,12 +86,14 @@
 		}
 	}
 	b.active, b.listed = map[string][]*member{}, map[string][]*member{}
+	b.slots = map[string]int{}
 	b.byKey = make(map[rendezvous.ShortKey]*member, len(all))
 	for _, e := range all {
 		b.byKey[rendezvous.ShortKey(b.members[e.ID].hash)] = b.members[e.ID]
 		b.listed[e.Service] = append(b.listed[e.Service], b.members[e.ID])
 		if !e.Draining {
 			b.active[e.Service] = append(b.active[e.Service], b.members[e.ID])
+			b.slots[e.Service] += max(b.members[e.ID].Slots, 1)
 		}
 	}
 	b.rebuildSplits()
@@ -114,6 +120,7 @@
 	for _, m := range b.members {
 		m.others = load[rendezvous.ShortKey(m.hash)]
 	}
+	b.reported = true
 	b.updateUse()
 }
 
@@ -178,6 +185,7 @@
 
 // Sent records the start of an attempt.
 func (b *Balancer) Sent(r *Request, c Choice) {
+	b.ownRunning[r.Service]++
 	m := b.member(c)
 	if m == nil {
 		return
@@ -206,6 +214,7 @@
 
 // Done records the end of an attempt. first says whether FirstToken was called.
 func (b *Balancer) Done(now time.Time, r *Request, c Choice, first bool, o Outcome) {
+	b.ownRunning[r.Service]--
 	m := b.member(c)
 	if m == nil {
 		return
--- a/internal/balance/brittle.go
+++ b/internal/balance/brittle.go
@@ -60,12 +60,11 @@
 
 // use returns the share of a service's slots that are in use, by the last load report.
 func (b *Balancer) use(service string) float64 {
-	running, slots := 0, 0
+	running := 0
 	for _, m := range b.active[service] {
 		running += m.running()
-		slots += max(m.Slots, 1)
 	}
-	return float64(running) / float64(max(slots, 1))
+	return float64(running) / float64(max(b.slots[service], 1))
 }
 
 // updateUse takes a new load report into account.
@@ -76,12 +75,26 @@
 }
 
 // overbooking returns how many times the slots of a service's endpoints may be divided
-// among the daemons.
-func (s *brittleService) overbooking(now time.Time) float64 {
-	if !s.rejectedAt.IsZero() && now.Sub(s.rejectedAt) < strictTime {
+// among the daemons. Before the first load report it isn't known how many are in use.
+func (b *Balancer) overbooking(now time.Time, service string, s *brittleService) float64 {
+	if !b.reported || !s.rejectedAt.IsZero() && now.Sub(s.rejectedAt) < strictTime {
 		return 1
 	}
-	return max(targetUse/max(s.use, minUse), 1)
+	return max(targetUse/max(s.use, b.ownUse(service), minUse), 1)
+}
+
+// ownUse returns the share of a service's slots that would be in use if all daemons had as
+// many requests there as this one. It is newer than the load reports.
+func (b *Balancer) ownUse(service string) float64 {
+	return float64(b.ownRunning[service]*b.fleetSize()) / float64(max(b.slots[service], 1))
+}
+
+// fleetSize returns the number of serving daemons.
+func (b *Balancer) fleetSize() int {
+	if b.fleet == nil {
+		return unknownFleetSize
+	}
+	return b.fleet.Size()
 }
 
 // ceiling returns the requests that a brittle endpoint should have at most.
@@ -97,11 +110,11 @@
 // daemons' shares add up to its ceiling, times the overbooking; what can't be divided evenly
 // goes to the daemons that rendezvous hashing ranks first.
 func (b *Balancer) slotShare(now time.Time, m *member, s *brittleService) int {
-	daemons, rank := unknownFleetSize, unknownFleetSize
+	daemons, rank := b.fleetSize(), unknownFleetSize
 	if b.fleet != nil {
-		daemons, rank = b.fleet.Size(), b.rankAt(m)
+		rank = b.rankAt(m)
 	}
-	slots := int(m.ceiling(now) * s.overbooking(now))
+	slots := int(m.ceiling(now) * b.overbooking(now, m.Service, s))
 	share := slots / daemons
 	if rank < slots%daemons {
 		share++
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -199,3 +199,20 @@
 	h.Add(start.Add(2*reportInterval), 0, newReport("a", 30, 1, 5))
 	assert.Equal(t, h.RequestCounts(7)["w"], uint64(5))
 }
+
+// Guards against requests that are forwarded to a daemon of an earlier release, or to one
+// that has stopped reporting.
+func TestForwardersReportTheirAddress(t *testing.T) {
+	h := NewHub(smallInterval)
+	old, current := newReport("old", 0, 0, 0), newReport("current", 0, 2, 0)
+	current.ForwardAddress, current.Unreachable = "127.0.0.1:9", []string{"s"}
+	h.Add(start, 0, old)
+	h.Add(start, 0, current)
+	_, _, ok := h.Forwarder(start, "old")
+	assert.Assert(t, !ok)
+	f, _, ok := h.Forwarder(start, "current")
+	assert.Assert(t, ok)
+	assert.DeepEqual(t, f, Forwarder{Address: "127.0.0.1:9", Unreachable: []string{"s"}})
+	_, _, ok = h.Forwarder(start.Add(time.Minute), "current")
+	assert.Assert(t, !ok)
+}
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -74,6 +74,12 @@
 					assert.Equal(t, out.body, "done")
 				}
 			}
+			f.path.Set(faultproxy.PathOpen)
+			f.until("the path is in order", func(n *Node) bool { return n.paths.directShare(time.Now(), "s") == 1 })
+			for _, n := range f.cut {
+				assert.Equal(t, sendRequest(n).status, 200)
+				assert.Equal(t, n.relay.Active(), 0)
+			}
 		})
 	}
 }
