--- a/integration/ports_test.go
+++ b/integration/ports_test.go
@@ -16,10 +16,10 @@
 
 // reservation keeps ports for processes that are still to be started.
 //
-// Failure: the kernel hands a port that a deployment has written down to
-// another test before the deployment's process listens on it. Symptom: address
-// already in use. A socket that is bound and does not listen keeps the kernel
-// from choosing the port, and lets a listener that asks for it have it.
+// The kernel may assign a port of a deployment's settings to another test before the deployment's
+// process listens on it, which then fails with "address already in use". A socket that is bound
+// and doesn't listen keeps the kernel from choosing the port, and lets a listener that asks
+// for it have it.
 type reservation struct{ sockets []int }
 
 // reserve takes all addresses, or none and an error.
--- a/internal/daemon/bodydigest.go
+++ b/internal/daemon/bodydigest.go
@@ -19,9 +19,8 @@
 
 // withDigest lets the calls under ctx carry a digest; a zero one is left out.
 //
-// Failure: a key is used for another request through another entry than the
-// first time. Symptom: the caller gets the answer to a question that it did not
-// ask. The holder alone knows the first body, so it is the one that compares.
+// A key may be used for another request through another entry than the first time; the caller
+// would get the answer to a different question. Only the holder has the first body, so it compares.
 func withDigest(ctx context.Context, d request.Digest) context.Context {
 	if d == (request.Digest{}) {
 		return ctx
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -106,9 +106,9 @@
 
 // watch follows the store's changes from the last list on.
 //
-// Failure: the store's log of changes no longer reaches back to where the watch
-// stands. Symptom: it answers 410 for ever, and templates go stale. A list
-// gives both what was missed and a version to go on from.
+// The store's history may no longer reach back to the watch's position. The store then answers
+// 410 for ever, and templates become stale. A list returns both what was missed and a version
+// to continue from.
 func (d *configurationDuty) watch() {
 	wait := time.Duration(0)
 	for d.ctx.Err() == nil {
@@ -161,10 +161,9 @@
 
 // accepted puts a change in force that an operator made through this daemon.
 //
-// Failure: the store goes away in the moment in which it takes a change, before
-// any watch brings it. Symptom: the operator is told accepted, and no daemon
-// has it until the store is back. Here it is in force at once, and others
-// fetch it by this daemon's digest.
+// The store may become unavailable as it accepts a change, before any watch delivers it. The
+// operator is told that it was accepted, and no daemon would have it until the store is back.
+// This daemon puts it in force at once, and others fetch it because of this daemon's digest.
 func (d *configurationDuty) accepted(c template.Change, version uint64) {
 	made := template.Record{Name: c.Name, Version: version, Template: c.Template, Deleted: c.Template == nil}
 	revision, err := made.Revision()
--- a/internal/daemon/digestinbox.go
+++ b/internal/daemon/digestinbox.go
@@ -10,10 +10,9 @@
 // digestInbox holds the newest digest of each daemon until the configuration's
 // owner takes them.
 //
-// Failure: one view of a large fleet brings more digests at once than a ring
-// holds, and the oldest are dropped. Symptom: with the store down, a newer
-// template at one of those daemons is not fetched. One place for each daemon
-// bounds the inbox and loses nothing that counts.
+// A view of a large fleet brings more digests at once than a ring holds. If the oldest were
+// dropped, a newer template at one of those daemons would not be fetched while the store is
+// down. One entry for each daemon bounds the inbox and loses nothing that is needed.
 type digestInbox struct {
 	mu     sync.Mutex
 	newest map[fleet.DaemonID]template.Digest
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -45,9 +45,8 @@
 		From:      int64(from),
 	})
 	if err == nil {
-		// Failure: the holder's machine is gone and nothing answers. Symptom: the
-		// caller hangs. Known requests are answered at once, so a short wait is
-		// enough to tell.
+		// If the holder's machine is gone, nothing answers, and the caller would hang. Known requests
+		// are answered at once, so a short wait is enough.
 		timer := time.AfterFunc(directoryTimeout, cancel)
 		var first *peerpb.Piece
 		first, err = s.Recv()
--- a/internal/daemon/givingback.go
+++ b/internal/daemon/givingback.go
@@ -57,11 +57,10 @@
 // idle reports whether a draining engine can be ended without cutting off a
 // request.
 //
-// Failure: the newest load report is older than the wish to drain, since
-// draining engines are not polled. Symptom: an engine that was busy then is
-// kept and paid for ever, and one that was idle is ended under a request that
-// came later. So daemons get time to hear of the wish, and the engine is asked
-// then. One that answers nothing is ended when no request can still live.
+// Draining engines are not polled, so the newest load report may be older than the order to
+// drain. By that report, an engine that was busy would be kept and paid for ever, and one that
+// was idle would be ended under a request that came later. So daemons get time to learn of the
+// drain, and the engine is asked afterwards. One that doesn't answer is ended when no request can still run.
 func (b *buyer) idle(ctx context.Context, e fleet.Endpoint) bool {
 	now := time.Now()
 	since, ok := b.draining[e.Instance]
--- a/internal/daemon/idleengines.go
+++ b/internal/daemon/idleengines.go
@@ -9,12 +9,11 @@
 // these get a model, in proportion to the replicas that the templates ask for.
 // Engines with another version of a model count as held: all get the new one.
 //
-// Failure: capacity buys more engines than the templates name replicas, to
-// stand the loss of a data centre, and nobody loads a model there. Symptom: the
-// reserve is cold when it is needed; it never counts as ready, is given back as
-// stuck and bought again. The same happens to engines that an amended version
-// leaves empty. Once an engine holds something it is idle no more, so the
-// wants fall back and others may have its room.
+// Capacity buys more engines than the templates have replicas, so that a data centre can be
+// lost. If no model were loaded there, the reserve would be cold when it is needed: it would never
+// count as ready, be returned as stuck and be bought again. The same happens to engines that a
+// changed version leaves empty. An engine that holds a model is no longer idle, so the wanted
+// numbers fall back and others may use its room.
 func useIdle(wants []placement.Want, list []fleet.Endpoint) {
 	if len(wants) == 0 {
 		return
--- a/internal/daemon/intending.go
+++ b/internal/daemon/intending.go
@@ -74,11 +74,10 @@
 // fallBack records the wish without the shard's writer, as a new owner: at the
 // standby, so that the wishes of all daemons still go together, or here.
 //
-// Failure: the writer took the first wish and was then paused or cut off. When
-// it goes on it refuses that wish as late and frees the key of its owner.
-// Symptom: were the owner granted the key elsewhere as well, its order would
-// run, and so would the next one under the freed key. As an earlier owner never
-// dispatches, freeing what it holds is right at any time.
+// The writer may have taken the first intent and then been paused or partitioned. When it
+// continues, it refuses that intent as late and frees the key of its owner. If the same owner
+// were granted the key elsewhere as well, its order would run, and so would the next one under
+// the freed key. An earlier owner never dispatches, so freeing its key is always safe.
 func (d *ledgerDuty) fallBack(ctx context.Context, shard int, first ledger.Intent) ledger.Action {
 	out := []ledger.Intent{first}
 	wish := again(first)
--- a/internal/daemon/pastchanges.go
+++ b/internal/daemon/pastchanges.go
@@ -14,11 +14,10 @@
 // pastChanges remembers the changes that this daemon may have written. Safe for
 // concurrent use.
 //
-// Failure: the answer to an accepted change is lost, or the store goes away
-// before it says what became of one; the operator asks again while the store is
-// still away. Symptom: "refused", since nothing was written this time, though
-// the first ask took effect. Who has no way to read must not say less than it
-// knew before.
+// The answer to an accepted change may be lost, or the store may become unavailable before it says what
+// became of one, and the operator repeats the change meanwhile. Nothing is written then, but
+// the first request may have taken effect, so the answer must not be "refused". A daemon that can't read
+// must not state less than it knew before.
 type pastChanges struct {
 	mu     sync.Mutex
 	known  map[string]operator.ChangeResult // by operation
--- a/internal/daemon/reclaim.go
+++ b/internal/daemon/reclaim.go
@@ -174,11 +174,10 @@
 
 // spread lets each target take its part of so many streams and no more.
 //
-// Failure: all daemons that hold streams of the same endpoints plan at once,
-// from the same reports. Symptom: by chance some targets are drawn more often,
-// by all of them together, and streams wait for seconds in one target's queue
-// while others have slots free. When each daemon's streams are spread in
-// proportion to the room, all of them together are.
+// All daemons that hold streams of the same endpoints plan at once, from the same reports. If
+// each drew targets at random, all of them together would draw some more often, and streams
+// would wait for seconds in one target's queue while others have free slots. If each daemon's
+// streams are spread in proportion to the room, so are all of them together.
 func spread(targets []reclaim.Target, streams int) {
 	total := 0
 	for _, t := range targets {
--- a/internal/daemon/settling.go
+++ b/internal/daemon/settling.go
@@ -12,9 +12,9 @@
 
 // settleAll waits until the outcomes of this daemon's orders are stored.
 //
-// Failure: outcomes linger to be written together, and a daemon stops before.
-// Symptom: who repeats an order that was answered is told for ever that it may
-// have run. Nothing new comes while a daemon stops, so waiting is enough.
+// Outcomes are delayed to be written together. If the daemon stopped before, a caller who repeats
+// an order that was answered would be told for ever that it may have run. No new outcomes
+// arrive while a daemon stops, so waiting is enough.
 func (d *ledgerDuty) settleAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
 	defer cancel()
--- a/internal/daemon/watching.go
+++ b/internal/daemon/watching.go
@@ -19,10 +19,10 @@
 
 // watchedKinds returns what a daemon's one watch follows.
 //
-// Failure: each change of a template wakes the watches of all daemons, and the
-// store sends the whole object, with its audit trail, to each. Symptom: at 340
-// daemons a day's 3,700 changes are 1.3 million reads and, at 100 KB, 126 GB. A
-// few daemons watch, and the others hear of a new version by their digests.
+// Each change of a template wakes the watches of all daemons, and the store sends the whole
+// object with its audit trail to each: at 340 daemons a day's 3,700 changes are 1.3 million
+// reads and, at 100 KB, 126 GB. So a few daemons watch, and the others learn of a new version
+// by their digests.
 func watchedKinds(self fleet.DaemonID, alive []fleet.DaemonID) []string {
 	if len(alive) <= watchAllUpTo || template.IsWatcher(self, alive) {
 		return allKinds
--- a/internal/daemon/wishes.go
+++ b/internal/daemon/wishes.go
@@ -14,11 +14,10 @@
 // followFromNow starts the watch of a daemon that has its templates from a
 // peer, and reads the wishes about endpoints, which peers don't pass on.
 //
-// Failure: the peer's answer puts the daemon's own list off for minutes, up to
-// hours in a large fleet, and only a list used to start the watch. Symptom: an
-// engine that an operator drained gets work from this daemon all that time, and
-// changes of templates come seconds late. The watch goes on from the store's
-// version now; a template changed just before is found by the peers' digests.
+// A peer's answer delays the daemon's own list by minutes, in a large fleet by hours. If only a
+// list started the watch, an engine that an operator drained would get work from this daemon
+// all that time, and changes of templates would arrive seconds late. The watch continues from
+// the store's current version; a template changed just before is found by the peers' digests.
 func (d *configurationDuty) followFromNow(now time.Time, s *configurationState) {
 	if d.listed.Load() || d.since.Load() != 0 || !s.store.Ready() || now.Before(d.wishesNext) {
 		return
--- a/internal/outside/budget/lane.go
+++ b/internal/outside/budget/lane.go
@@ -87,11 +87,10 @@
 // partNeed is the level of its part at which a call of the class may go. An
 // intent whose write lost its condition goes again on credit.
 //
-// Failure: two daemons write one shard, both as fast as they may. One loses,
-// learns the current version and waits for its next token, in which time the
-// other writes again: it loses for ever, and its orders are refused. A write
-// right after the loss meets the other's only if that comes within a store
-// call, so one on credit is enough.
+// Otherwise, if two daemons write one shard as fast as they may, one loses, reads the current
+// version and waits for its next token, while the other writes again: it would lose for ever, and
+// its orders would be refused. A write right after the loss conflicts only if the other writes within one
+// call of the store, so one on credit is enough.
 func (l *lane) partNeed(c Class) float64 {
 	if c == Intent && l.lost {
 		return 0
--- a/internal/outside/budget/pacer.go
+++ b/internal/outside/budget/pacer.go
@@ -12,9 +12,8 @@
 // pacer makes a call wait for a random moment within a window, which is one
 // period of the rate where its caller can wait so long.
 //
-// Failure: a change that all daemons see at once (a write that wakes every
-// watch, a lost data centre that changes every status) makes them call in the
-// same instant, however empty their buckets were meant to keep the store.
+// A change that all daemons see at once (a write that wakes every watch, a lost data centre that
+// changes every status) would make them call at the same moment, whatever their buckets hold.
 // Uniform delays over one period spread N calls to the fleet's planned rate.
 type pacer struct {
 	waiting bool
--- a/internal/outside/budget/role.go
+++ b/internal/outside/budget/role.go
@@ -59,11 +59,10 @@
 
 // partRate is the rate of a role's part here, in calls a second.
 //
-// Failure: regions lose each other, and each finds a writer of its own for
-// every shard. Symptom: as many times the part as there are regions goes to
-// the store, for an hour. Each writer takes the share of the part which the
-// daemons it sees are of the fleet, so that the shares of all sides come to
-// one. Leases have one holder each, whoever sees whom.
+// If regions are partitioned, each chooses a writer of its own for every shard, and the store
+// would get as many times the part as there are regions, for an hour. Each writer takes the
+// share of the part that the daemons in its view are of the fleet, so that the shares of all
+// sides add up to one. Leases have one holder each in any case.
 func (c Config) partRate(k Kind, r role, now Roles) float64 {
 	if r == leaseHolder {
 		return c.setApart(k, r) * ratio(float64(now.LeaseShards), c.LeaseShards)
--- a/internal/outside/caller.go
+++ b/internal/outside/caller.go
@@ -103,10 +103,9 @@
 
 // onTimeout closes what may be silent as well.
 //
-// Failure: something between here and the API loses track of open connections,
-// which stay open and silent while new ones work. Each call would try one of
-// them and time out. Closing the idle ones makes the next call dial; waiting
-// watches are told to look again, since they would notice last of all.
+// A middlebox may lose track of open connections, which stay open and silent while new ones
+// work. Each call would try one of them and time out. Closing the idle ones makes the next call
+// connect anew; waiting watches are told to check, since they would notice last.
 func (c *caller) onTimeout() {
 	c.client.CloseIdleConnections()
 	c.silence.suspect(time.Now())
--- a/internal/outside/mirror/view.go
+++ b/internal/outside/mirror/view.go
@@ -11,11 +11,10 @@
 // view is what a mirror has told: the versions of the live objects. It does no
 // I/O. Its methods return what to tell, oldest first.
 //
-// Failure: a list answered by a part of the store that lags, or a store that
-// was put back to an older state, shows a lower version after a higher one;
-// what is in force would revert. A version is told only when it is above the
-// object's last one and above its kind's floor, and a list from before what
-// was seen is not used at all.
+// A list from a lagging replica of the store, or a store that was restored to an older state,
+// shows a lower version after a higher one, and what is in force would revert. A version is
+// reported only if it is above the object's last one and above its kind's floor, and a list
+// from before the latest state is not used at all.
 type view struct {
 	live    map[objectKey]uint64
 	floors  map[string]uint64 // by kind: every change up to it was told by a list
--- a/internal/outside/readback.go
+++ b/internal/outside/readback.go
@@ -85,13 +85,11 @@
 
 // readBack resolves one conditional write.
 //
-// Failure: the answer of a write is lost although it took effect, or the write
-// is still on its way when the object is read back and takes effect later.
-// Symptom: an accepted change is reported as refused, or the reverse. Reading
-// back settles it once the version has moved on from the condition's, since
-// versions never come back. While the version hasn't moved, the same
-// conditional write is sent again: whichever copy comes first wins, and the
-// other one loses its condition.
+// The answer of a write may be lost although it took effect, or the write may be in flight when
+// the object is read back, and take effect later. An accepted change would be reported as
+// refused, or the reverse. Reading back decides once the version has passed that of the
+// condition, since versions never decrease. Until then the same conditional write is sent
+// again: whichever copy arrives first takes effect, and the other one fails its condition.
 type readBack struct {
 	objects   Objects
 	kind      string
--- a/internal/outside/singleuse.go
+++ b/internal/outside/singleuse.go
@@ -14,12 +14,11 @@
 
 // sendOnce makes the request leave at most once.
 //
-// Failure: the Transport sends a request again by itself when it believes that
-// nothing of it was written to a reused connection. Where it is wrong, the
-// second copy of a conditional write meets the first one's effect, and the
-// caller is told of a conflict with its own write. The Transport doesn't
-// repeat a request whose body it can't rewind, which is enough: a body without
-// GetBody, also where it is empty.
+// http.Transport sends a request again by itself when it assumes that nothing of it was written
+// to a reused connection. If that is wrong, the second copy of a conditional write conflicts
+// with the first one's effect, and the caller is told of a conflict with its own write. The
+// Transport doesn't repeat a request whose body it can't rewind: one without GetBody, even if
+// it is empty.
 func sendOnce(req *http.Request, body []byte) {
 	req.Body = singleUse{bytes.NewReader(body)}
 	req.ContentLength = int64(len(body))
