--- a/internal/backpressure/share.go
+++ b/internal/backpressure/share.go
@@ -3,8 +3,8 @@
 import "math"
 
 const (
-	// minPerSecond is the rate at which a limit of 0 is still tried: only an answer tells
-	// that it has ended.
+	// minPerSecond is the rate at which a limit of 0 is still tried: its end shows
+	// only in an answer.
 	minPerSecond = 0.05
 	// extraSenders is the number of daemons that send to an endpoint beside those that its
 	// limit in requests a second suggests.
--- a/internal/balance/brittle_play_test.go
+++ b/internal/balance/brittle_play_test.go
@@ -245,8 +245,7 @@
 	return out
 }
 
-// Guards against a fleet that fills the same room of an engine twice, so that the engine
-// rejects more than it survives.
+// Guards against a fleet that fills the same room of an engine twice.
 func TestBrittleEnginesSurviveAtAnySize(t *testing.T) {
 	for _, c := range brittleCases() {
 		t.Run(fmt.Sprintf("%d daemons, %d engines of %d, load %g", c.daemons, c.engines, c.slots, c.load), func(t *testing.T) {
--- a/internal/balance/ratelimits_play_test.go
+++ b/internal/balance/ratelimits_play_test.go
@@ -49,7 +49,7 @@
 type playDaemon struct {
 	id       fleet.DaemonID
 	balancer *Balancer
-	told     time.Time // zero: not told of the limit in force
+	told     time.Time // when it passed on an answer with the limit in force; zero: not yet
 	sent     backpressure.Position
 	received backpressure.Position
 	gone     bool
@@ -223,8 +223,7 @@
 // perDaemonRates are the requests that each daemon gets a second, by size of the fleet.
 var perDaemonRates = map[int]float64{9: 14, 78: 8, 340: 3, 986: 1}
 
-// Guards against a fleet that sends more to an engine than the rate that this states: each
-// daemon its own share at once, or those that just learned of the limit all together.
+// Guards against daemons that follow an engine's rate limit one by one, or all start at once.
 func TestRateLimitIsKeptAtAnySize(t *testing.T) {
 	for _, daemons := range []int{9, 78, 340, 986} {
 		for _, limit := range []float64{0.5, 1, 1.2, 4, 12, 50} {
@@ -273,8 +272,7 @@
 	}
 }
 
-// Guards against a fleet whose daemons all save their shares while callers ask for little, and
-// then send at once.
+// Guards against shares that all daemons save while demand is low, and then use at once.
 func TestRateLimitIsKeptThroughAJumpInDemand(t *testing.T) {
 	for _, daemons := range []int{9, 78, 340, 986} {
 		for _, limit := range []float64{0.5, 1.2, 12, 50} {
@@ -324,8 +322,7 @@
 	assert.Equal(t, b.RateLimited(), 1)
 }
 
-// Guards against requests of a prefix that are all sent to an engine with a rate limit, or
-// that are spread over all others as if they had no home.
+// Guards against a prefix without a home while its home has a rate limit.
 func TestRateLimitedHomeIsReplaced(t *testing.T) {
 	b := newTestBalancer(1, 18)
 	b.SetFleet(start, "d1", []fleet.DaemonID{"d1"})
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -162,7 +162,7 @@
 // accepted puts a change in force that an operator made through this daemon.
 //
 // The store may become unavailable as it accepts a change, before any watch delivers it. The
-// operator is told that it was accepted, and no daemon would have it until the store is back.
+// operator gets "accepted", and no daemon would have it until the store is back.
 // This daemon puts it in force at once, and others fetch it because of this daemon's digest.
 func (d *configurationDuty) accepted(c template.Change, version uint64) {
 	made := template.Record{Name: c.Name, Version: version, Template: c.Template, Deleted: c.Template == nil}
--- a/internal/daemon/settling.go
+++ b/internal/daemon/settling.go
@@ -13,7 +13,7 @@
 // settleAll waits until the outcomes of this daemon's orders are stored.
 //
 // Outcomes are delayed to be written together. If the daemon stopped before, a caller who repeats
-// an order that was answered would be told for ever that it may have run. No new outcomes
+// an order that was answered would get "may have run" for ever. No new outcomes
 // arrive while a daemon stops, so waiting is enough.
 func (d *ledgerDuty) settleAll(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, settleTimeout)
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -174,8 +174,7 @@
 	})
 }
 
-// Guards against a crash that is never counted since no other endpoint accepts connections
-// at that moment, and against a lost path that counts as one.
+// Guards against a crash that is never counted since the path to the endpoints may be lost.
 func TestUndecidedEndCountsOnceTheEndpointHasRestarted(t *testing.T) {
 	runWatch(t, func(t *testing.T, s *fixture) {
 		s.listenErr = ErrUndecided
@@ -196,8 +195,7 @@
 	})
 }
 
-// Guards against crashes under one request that count once, since its retry seems to have been
-// sent before the crash that caused it: in the same millisecond, while the watcher is late.
+// Guards against a retry that seems to have been sent before the crash that caused it.
 func TestQuickRetriesCountAsSeparateCrashes(t *testing.T) {
 	runWatch(t, func(t *testing.T, s *fixture) {
 		sent := time.Now()
--- a/internal/exchange/hub_test.go
+++ b/internal/exchange/hub_test.go
@@ -200,8 +200,7 @@
 	assert.Equal(t, h.RequestCounts(7)["w"], uint64(5))
 }
 
-// Guards against requests that are forwarded to a daemon of an earlier release, or to one
-// that has stopped reporting.
+// Guards against requests that are forwarded to a daemon of an earlier release.
 func TestForwardersReportTheirAddress(t *testing.T) {
 	h := NewHub(smallInterval)
 	old, current := newReport("old", 0, 0, 0), newReport("current", 0, 2, 0)
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -351,8 +351,7 @@
 	}
 }
 
-// Guards against a stream that is buffered on the way, or that goes on after it broke off
-// with events lost or repeated.
+// Guards against streams that are buffered on the way, or resumed with events lost or repeated.
 func TestStreamCrossesTheHopEventByEvent(t *testing.T) {
 	step := make(chan struct{})
 	var runs atomic.Int64
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -46,8 +46,7 @@
 	"hanging": faultproxy.PathHanging, "reset": faultproxy.PathReset, "refuses new": faultproxy.PathRefusesNew,
 }
 
-// Guards against callers that are refused by a daemon which can't reach the endpoints while
-// others can.
+// Guards against daemons that refuse what they can't send themselves while others can.
 func TestCallersAreServedWithoutAPathToTheEndpoints(t *testing.T) {
 	for name, state := range pathStates {
 		t.Run(name, func(t *testing.T) {
@@ -84,8 +83,7 @@
 	}
 }
 
-// Guards against a daemon that loses its path to the endpoints, takes that for the end of all
-// of them, and suspects the requests that ran there.
+// Guards against requests that are suspected of a crash since a daemon has lost its path.
 func TestLostPathIsNoCrash(t *testing.T) {
 	f := newCutFleet(t, 2, 1)
 	f.hold.Store(int64(300 * time.Millisecond))
--- a/internal/outside/caller.go
+++ b/internal/outside/caller.go
@@ -105,7 +105,7 @@
 //
 // A middlebox may lose track of open connections, which stay open and silent while new ones
 // work. Each call would try one of them and time out. Closing the idle ones makes the next call
-// connect anew; waiting watches are told to check, since they would notice last.
+// connect anew; waiting watches are notified, since they would detect it last.
 func (c *caller) onTimeout() {
 	c.client.CloseIdleConnections()
 	c.silence.suspect(time.Now())
--- a/internal/outside/singleuse.go
+++ b/internal/outside/singleuse.go
@@ -16,7 +16,7 @@
 //
 // http.Transport sends a request again by itself when it assumes that nothing of it was written
 // to a reused connection. If that is wrong, the second copy of a conditional write conflicts
-// with the first one's effect, and the caller is told of a conflict with its own write. The
+// with the first one's effect, and the caller gets a conflict with its own write. The
 // Transport doesn't repeat a request whose body it can't rewind: one without GetBody, even if
 // it is empty.
 func sendOnce(req *http.Request, body []byte) {
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -9,8 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// Guards against requests that all go through the same few daemons, or through one that has
-// lost its path too.
+// Guards against requests that all go through the same few daemons.
 func TestForwardedRequestsAreSpreadAtAnySize(t *testing.T) {
 	for _, daemons := range []int{9, 78, 340, 986} {
 		for _, half := range []string{"every second one", "whole data centres"} {
--- a/internal/reach/tracker_test.go
+++ b/internal/reach/tracker_test.go
@@ -52,8 +52,7 @@
 	assert.Assert(t, probes <= 6, "%d", probes)
 }
 
-// Guards against a path that is taken for restored by one connection, and against all
-// requests that return to it at once.
+// Guards against requests that all return at once to a path that seems restored.
 func TestRestoredPathIsUsedStepByStep(t *testing.T) {
 	tr := New()
 	tr.Probed(start, "s", 0, 4)
--- a/internal/upstream/dial_test.go
+++ b/internal/upstream/dial_test.go
@@ -14,8 +14,7 @@
 // second or two, before its connections are closed.
 const minLostProbes = 2
 
-// Guards against a TCP_USER_TIMEOUT that closes a connection after a single lost probe,
-// whatever the number of probes that is set.
+// Guards against a TCP_USER_TIMEOUT that closes a connection after a single lost probe.
 func TestConnectionSurvivesLostKeepAliveProbes(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
