Lost paths: failures are probed soon, suspicion ends

By reading: after silence that was none, the next probe of a path waited up to 4 s, though two endpoints refused connections; callers of a daemon that is cut off then have 3 s. It waits 0.5 s for failures and 2 s for silence. One failed connection made a daemon report each 0.2 s until the next one was established; it ends after 3 s.

--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -258,7 +258,7 @@
 func (p *paths) suspects() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	return p.tracker.Suspects()
+	return p.tracker.Suspects(time.Now())
 }
 
 // directShare returns the share of a service's requests that should go to its endpoints
--- a/internal/reach/tracker.go
+++ b/internal/reach/tracker.go
@@ -16,7 +16,7 @@
 	// minProbePause and maxProbePause bound the time between two probes of a service; it
 	// doubles with each probe that finds the path in order.
 	minProbePause = 500 * time.Millisecond
-	maxProbePause = 4 * time.Second
+	maxProbePause = 2 * time.Second
 	// confirmations is the number of probes in a row that must find a lost path in order.
 	confirmations = 2
 	// rampTime is the time in which requests return to a restored path, so that not all
@@ -43,7 +43,8 @@
 // path is the state of the path to one service.
 type path struct {
 	failures   map[fleet.EndpointID]time.Time // since the last success
-	probeAt    time.Time                      // the earliest time of the next probe
+	probedAt   time.Time                      // of the last probe
+	probeAt    time.Time                      // the earliest time of the next one
 	pause      time.Duration
 	suspected  bool // a probe is due
 	lost       bool
@@ -87,6 +88,9 @@
 	}
 	if recent >= min(suspectFailures, listed) || t.lost > 0 {
 		p.suspected = true
+		if soon := p.probedAt.Add(minProbePause); soon.Before(p.probeAt) {
+			p.probeAt = soon // stronger evidence than silence
+		}
 	}
 }
 
@@ -105,7 +109,7 @@
 		if p.lost {
 			p.pause = minProbePause
 		}
-		p.probeAt = now.Add(p.pause)
+		p.probedAt, p.probeAt = now, now.Add(p.pause)
 		out = append(out, service)
 	}
 	return out
@@ -156,14 +160,19 @@
 }
 
 // Suspects reports whether any path is lost or may be.
-func (t *Tracker) Suspects() bool {
+func (t *Tracker) Suspects(now time.Time) bool {
 	if t.lost > 0 {
 		return true
 	}
 	for _, p := range t.services {
-		if len(p.failures) > 0 || p.suspected {
+		if p.suspected {
 			return true
 		}
+		for _, at := range p.failures {
+			if now.Sub(at) <= failureMemory {
+				return true
+			}
+		}
 	}
 	return false
 }
