--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -12,6 +12,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -102,15 +103,21 @@
 	done   []chan error
 }
 
-// freeAddress returns an address whose port is free for TCP and UDP: daemons use both.
+// freeAddress returns an address whose port is free for TCP and UDP: daemons use both. A
+// socket that is bound and doesn't listen keeps other tests and connections from the port.
 func freeAddress(t testing.TB) string {
 	t.Helper()
 	for {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
 		assert.NilError(t, err)
-		address := l.Addr().String()
+		syscall.CloseOnExec(fd)
+		t.Cleanup(func() { _ = syscall.Close(fd) })
+		assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
+		assert.NilError(t, syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)) // for the listener
+		bound, err := syscall.Getsockname(fd)
+		assert.NilError(t, err)
+		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
 		p, err := net.ListenPacket("udp", address)
-		assert.NilError(t, l.Close())
 		if err == nil {
 			assert.NilError(t, p.Close())
 			return address
