Logs and a metric name who continued a stream, and its versions

The caller's first attempt (Resumes) is decoded; each request that continues a stream is logged with who continued it, the version that began it where this daemon knows, and the one it goes on at. No decision changes.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -62,6 +62,9 @@
 		outcome = "failed"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
+	if o.Continued != relay.NotContinued {
+		m.continued(o)
+	}
 	if o.RolloutTarget != "" {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_version_requests_total{service=%q,version=%q,outcome=%q}`, o.Service, o.Version, outcome)).Inc()
 	}
@@ -73,6 +76,19 @@
 	}
 }
 
+// continued counts a stream that was continued, by who did, by what was known of the version
+// that began it, and by whether it was completed.
+func (m *metricSet) continued(o *relay.Outcome) {
+	version := "unknown"
+	switch {
+	case o.BeganAt != "" && o.Events > 0 && o.Version != o.BeganAt:
+		version = "other"
+	case o.BeganAt != "":
+		version = "known"
+	}
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_streams_continued_total{by=%q,version=%q,completed="%t"}`, o.Continued, version, o.Reason == "")).Inc()
+}
+
 // crashed counts an endpoint that ended, by whether it was leaving.
 func (m *metricSet) crashed(leaving bool) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_endpoint_ends_total{leaving="%t"}`, leaving)).Inc()
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -37,7 +37,7 @@
 
 // add takes an outcome; it never blocks.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && !o.Failed && o.Late == relay.InTime && r.successes.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -83,6 +83,9 @@
 	if o.RolloutTarget != "" {
 		f["version"], f["rollout"], f["rollout_share"] = o.Version, o.RolloutTarget, o.RolloutShare
 	}
+	if o.Continued != relay.NotContinued {
+		f["continued"], f["began_at"], f["version"], f["resumes"] = o.Continued, o.BeganAt, o.Version, o.Resumes
+	}
 	if o.LongestPause > 0 {
 		f["pause_ms"] = o.LongestPause.Milliseconds()
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -55,6 +55,9 @@
 	f.events.lastID = q.LastEvent
 	f.outcome = initialOutcome(q, a)
 	f.outcome.Service = a.service
+	if a.route.Resumable && q.takesUp() {
+		f.outcome.Continued, f.outcome.Resumes = ByCaller, q.Resumes
+	}
 	return f
 }
 
@@ -144,6 +147,9 @@
 // attempt sends the request to an endpoint once and reads its answer.
 func (f *inflight) attempt(ctx context.Context, c balance.Choice) (attemptResult, *bufferedAnswer) {
 	f.outcome.Endpoint, f.outcome.Version = c.Endpoint.ID, c.Endpoint.Version
+	if f.events.count > 0 && f.outcome.Continued == NotContinued {
+		f.outcome.Continued = ByDaemon
+	}
 	f.outcome.Predicted = time.Duration(c.Wait * float64(time.Second))
 	sent := time.Now()
 	attemptCtx, abort := context.WithCancelCause(ctx)
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -19,6 +19,12 @@
 	Service   string
 	Endpoint  fleet.EndpointID // of the last attempt
 	Version   string           // of that endpoint
+	// Continued says who continued a stream after its first attempt, empty if nobody did.
+	// BeganAt is the version that began it, empty if unknown, and Resumes the caller's
+	// attempt that did.
+	Continued Continuation
+	BeganAt   string
+	Resumes   string
 	// RolloutShare is the share of the route's requests that went to the new
 	// version when the request was placed, RolloutTarget that version; both are
 	// empty without a roll-out.
@@ -59,6 +65,16 @@
 	TimeLeft   time.Duration // until the deadline
 }
 
+// Continuation says who continued a stream.
+type Continuation string
+
+// The values of Continuation.
+const (
+	NotContinued Continuation = ""
+	ByCaller     Continuation = "caller" // in another attempt
+	ByDaemon     Continuation = "daemon" // at another endpoint, within one answer
+)
+
 // Late is the target of its route that an answer missed.
 type Late string
 
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -34,8 +34,14 @@
 	// LastEvent is the id of the event after which a stream is to be continued,
 	// empty for its start.
 	LastEvent string
+	// Resumes is the ID of the caller's attempt that brought the first event of the stream
+	// that it takes up, empty if it names none.
+	Resumes string
 }
 
+// takesUp reports whether the caller has events of the stream from an earlier attempt.
+func (r *Request) takesUp() bool { return r.LastEvent != "" || r.Resumes != "" }
+
 // tokens returns the tokens that count against a limit.
 func (r *Request) tokens() int { return r.Prompt + r.Output }
 
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,6 +42,9 @@
 		return nil
 	}
 	now := time.Now()
+	if f.outcome.BeganAt == "" && f.outcome.Continued == NotContinued {
+		f.outcome.BeganAt = t.choice.Endpoint.Version
+	}
 	f.firstPiece(t)
 	if !t.forwarded {
 		f.reportBegan(now)
