--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -16,10 +16,11 @@
 	self        fleet.DataCentre
 	rng         *rand.Rand
 	members     map[fleet.EndpointID]*member
-	active      map[string][]*member // by service, without draining ones
-	listed      map[string][]*member // by service, with draining ones
-	splits      map[string]*split    // by service, during a roll-out of another version
-	established map[string][]*member // by service of several versions: the members of the established version
+	active      map[string][]*member     // by service, without draining ones
+	listed      map[string][]*member     // by service, with draining ones
+	splits      map[string]*split        // by service, during a roll-out of another version
+	established map[string][]*member     // by service of several versions: the members of the established version
+	byVersion   map[versionKey][]*member // of services of several versions, without draining ones
 	// establishedVersions are the versions that have served longest, by service.
 	establishedVersions map[string]string
 	table               *route.Table
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -26,6 +26,9 @@
 	// Side selects the service's endpoints that may be chosen during a roll-out, by
 	// version.
 	Side rollout.Side
+	// Pinned requests go to endpoints of Version only, whichever the side.
+	Pinned  bool
+	Version string
 	// Tried endpoints are not chosen again.
 	Tried []fleet.EndpointID
 }
--- a/internal/balance/source.go
+++ b/internal/balance/source.go
@@ -64,11 +64,12 @@
 	costSeconds float64 // cost of the transfer
 }
 
-// planFetch returns what a member that has some tokens cached should fetch.
+// planFetch returns what a member that has some tokens cached should fetch, from one of its
+// own version.
 func (b *Balancer) planFetch(m *member, cached int, s *sources) fetchPlan {
 	from := s.except(m)
 	tokens := from.cached - cached
-	if from.member == nil || m.fetchSeconds == 0 || tokens < minFetchTokens {
+	if from.member == nil || from.member.Version != m.Version || m.fetchSeconds == 0 || tokens < minFetchTokens {
 		return fetchPlan{cached: cached}
 	}
 	return fetchPlan{
--- a/internal/balance/split.go
+++ b/internal/balance/split.go
@@ -75,6 +75,9 @@
 
 // eligible returns the members of a service that may be chosen.
 func (b *Balancer) eligible(r *Request) []*member {
+	if r.Pinned {
+		return b.ofVersion(r.Service, r.Version)
+	}
 	s := b.splits[r.Service]
 	switch {
 	case s == nil && r.Side == rollout.Old && b.MixedVersions(r.Service):
@@ -88,6 +91,20 @@
 	}
 }
 
+// ofVersion returns the members of a service at a version, without draining ones.
+func (b *Balancer) ofVersion(service, version string) []*member {
+	if b.MixedVersions(service) || len(b.active[service]) == 0 {
+		return b.byVersion[versionKey{service, version}]
+	}
+	if b.active[service][0].Version != version {
+		return nil
+	}
+	return b.active[service]
+}
+
+// versionKey is a version of a service.
+type versionKey struct{ service, version string }
+
 // MixedVersions reports whether a service has endpoints of several versions.
 func (b *Balancer) MixedVersions(service string) bool {
 	_, mixed := b.established[service]
@@ -97,19 +114,18 @@
 // findEstablished finds the established version of each service, and its members if
 // there are several versions.
 func (b *Balancer) findEstablished() {
-	b.established = map[string][]*member{}
+	b.established, b.byVersion = map[string][]*member{}, map[versionKey][]*member{}
 	for service, all := range b.listed {
 		version, mixed := b.establishedVersion(service, all)
 		b.establishedVersions[service] = version
 		if !mixed {
 			continue
 		}
-		var members []*member
 		for _, m := range b.active[service] {
-			if m.Version == version {
-				members = append(members, m)
-			}
+			key := versionKey{service, m.Version}
+			b.byVersion[key] = append(b.byVersion[key], m)
 		}
+		members := b.byVersion[versionKey{service, version}]
 		if len(members) == 0 { // all endpoints of the version are draining
 			members = b.active[service]
 		}
@@ -139,6 +155,9 @@
 
 // versionAllowed reports whether a member's version may be chosen.
 func (b *Balancer) versionAllowed(r *Request, m *member) bool {
+	if r.Pinned {
+		return m.Version == r.Version
+	}
 	s := b.splits[r.Service]
 	return s == nil || r.Side == rollout.Any || (m.Version == s.target) == (r.Side == rollout.New)
 }
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -38,6 +38,8 @@
 		Unreachable:    r.Unreachable,
 		Forward:        r.ForwardAddress,
 		WantForwarders: r.WantForwarders,
+		KeepsVersions:  r.KeepsVersions,
+		WantVersions:   r.WantVersions,
 		RateLimits:     encodeRateLimits(r.RateLimits),
 		RateLimitsHave: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
@@ -97,6 +99,8 @@
 		Unreachable:        in.Unreachable,
 		ForwardAddress:     in.Forward,
 		WantForwarders:     in.WantForwarders,
+		KeepsVersions:      in.KeepsVersions,
+		WantVersions:       in.WantVersions,
 		RateLimits:         decodeRateLimits(in.RateLimits),
 		RateLimitsPosition: decodeRateLimitPosition(in.RateLimitsHave),
 	}
@@ -155,6 +159,7 @@
 		Members:   encodeList(&r.Members, r.Compress),
 
 		Forwarders:   encodeForwarders(r.Forwarders),
+		Versions:     encodeVersions(r.Versions),
 		RateLimits:   encodeRateLimits(r.RateLimits),
 		RateLimitsTo: encodeRateLimitPosition(r.RateLimitsPosition),
 	}
@@ -182,6 +187,7 @@
 		Members:         decodeList(t.Members),
 
 		Forwarders:         decodeForwarders(t.Forwarders),
+		Versions:           decodeVersions(t.Versions),
 		RateLimits:         decodeRateLimits(t.RateLimits),
 		RateLimitsPosition: decodeRateLimitPosition(t.RateLimitsTo),
 	}
--- a/internal/exchange/forwarders.go
+++ b/internal/exchange/forwarders.go
@@ -11,6 +11,9 @@
 type Forwarder struct {
 	Address     string
 	Unreachable []string // services whose endpoints it can't reach
+	// KeepsVersions means that it sends a stream that goes on to endpoints of the version that
+	// began it; an earlier release doesn't.
+	KeepsVersions bool
 }
 
 // Forwarder returns how a daemon takes forwarded requests, and its requests in progress at
@@ -23,13 +26,13 @@
 	for _, l := range d.report.Soft.Load {
 		running += l.Requests
 	}
-	return Forwarder{Address: d.report.ForwardAddress, Unreachable: d.report.Unreachable}, running, true
+	return Forwarder{Address: d.report.ForwardAddress, Unreachable: d.report.Unreachable, KeepsVersions: d.report.KeepsVersions}, running, true
 }
 
 func encodeForwarders(all []Forwarder) []*exchangepb.Forwarder {
 	out := make([]*exchangepb.Forwarder, 0, len(all))
 	for _, f := range all {
-		out = append(out, &exchangepb.Forwarder{Address: f.Address, Unreachable: f.Unreachable})
+		out = append(out, &exchangepb.Forwarder{Address: f.Address, Unreachable: f.Unreachable, KeepsVersions: f.KeepsVersions})
 	}
 	return out
 }
@@ -37,7 +40,7 @@
 func decodeForwarders(all []*exchangepb.Forwarder) []Forwarder {
 	var out []Forwarder
 	for _, f := range all {
-		out = append(out, Forwarder{Address: f.GetAddress(), Unreachable: f.GetUnreachable()})
+		out = append(out, Forwarder{Address: f.GetAddress(), Unreachable: f.GetUnreachable(), KeepsVersions: f.GetKeepsVersions()})
 	}
 	return out
 }
--- a/internal/exchange/report.go
+++ b/internal/exchange/report.go
@@ -7,6 +7,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/feed"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
@@ -46,6 +47,11 @@
 	// it takes requests of daemons that can't; empty from an earlier release.
 	Unreachable    []string
 	ForwardAddress string
+	// KeepsVersions means that the daemon sends forwarded streams that go on to endpoints of the
+	// version that began them; an earlier release doesn't.
+	KeepsVersions bool
+	// WantVersions requests the versions that services had before the daemon started.
+	WantVersions bool
 	// WantForwarders requests daemons through which requests can be sent.
 	WantForwarders bool
 	// Rollouts is the daemon's counts for the roll-outs in progress, and RolloutUpdate the
@@ -102,6 +108,8 @@
 	RateLimitsPosition backpressure.Position
 	// Forwarders are daemons that take forwarded requests, if the report wants them.
 	Forwarders []Forwarder
+	// Versions are those that services had, if the report wants them.
+	Versions origin.History
 	// RolloutUpdate is the newest update about the roll-outs that the hub has.
 	RolloutUpdate rollout.Update
 	// Members updates the daemon's list of members to the hub's; see EncodeMember.
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -39,6 +39,11 @@
 	}
 }
 
+// Version implements relay.Forwarder.
+func (Codec) Version(h http.Header) (version string, stated bool) {
+	return h.Get(versionHeader), len(h.Values(versionHeader)) == 1
+}
+
 // Refusal implements relay.Forwarder. A status that the other daemon doesn't use comes from
 // its HTTP server, which has not passed the request on.
 func (Codec) Refusal(status int, h http.Header) *relay.Refusal {
--- a/internal/forward/envelope.go
+++ b/internal/forward/envelope.go
@@ -26,6 +26,8 @@
 	idHeader = "Cyclamenbeam-Forward-Id"
 	// refusalHeader is the reason of a refusal by the daemon; an endpoint's answer has none.
 	refusalHeader = "Cyclamenbeam-Forward-Refusal"
+	// versionHeader is the version of the endpoint that an answer comes from.
+	versionHeader = "Cyclamenbeam-Forward-Version"
 )
 
 // envelope is what the other daemon needs beside the caller's request. Times are in
@@ -40,6 +42,8 @@
 	LastEvent      string  `json:"lastEvent,omitempty"`
 	Workspace      string  `json:"workspace,omitempty"`
 	Service        string  `json:"service"`
+	Pinned         bool    `json:"pinned,omitempty"`
+	Version        string  `json:"version,omitempty"`
 	Priority       int     `json:"priority,omitempty"`
 	TimeLeft       float64 `json:"timeLeftMillis"`
 	Elapsed        float64 `json:"elapsedMillis"`
@@ -61,7 +65,7 @@
 	q := r.Request
 	e := envelope{
 		ID: q.ID, Path: q.Path, Prompt: q.Prompt, Output: q.Output, ExpectedOutput: q.ExpectedOutput, LastEvent: q.LastEvent,
-		Workspace: string(r.Workspace), Service: r.Service, Priority: r.Priority, ConfigVersion: r.ConfigVersion,
+		Workspace: string(r.Workspace), Service: r.Service, Pinned: r.Pinned, Version: r.Version, Priority: r.Priority, ConfigVersion: r.ConfigVersion,
 		TimeLeft: millis(r.TimeLeft), Elapsed: millis(r.Elapsed),
 		Route: r.Route.Name, Kind: int(r.Route.Kind), Target: millis(r.Route.Target), PauseTarget: millis(r.Route.PauseTarget),
 		Timeout: millis(r.Route.Timeout), Resumable: r.Route.Resumable,
@@ -100,7 +104,7 @@
 		q.Parts = append(q.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
 	}
 	return &relay.ForwardedRequest{
-		Request: q, Workspace: fleet.WorkspaceID(e.Workspace), Service: e.Service, Priority: e.Priority,
+		Request: q, Workspace: fleet.WorkspaceID(e.Workspace), Service: e.Service, Pinned: e.Pinned, Version: e.Version, Priority: e.Priority,
 		TimeLeft: duration(e.TimeLeft), Elapsed: duration(e.Elapsed), ConfigVersion: e.ConfigVersion,
 		Route: route.Route{
 			Name: e.Route, Kind: route.Kind(e.Kind), Target: duration(e.Target), PauseTarget: duration(e.PauseTarget),
@@ -111,7 +115,7 @@
 
 // removeOwn removes the protocol's headers.
 func removeOwn(h http.Header) {
-	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader} {
+	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader, versionHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -90,7 +90,7 @@
 
 func (f *forwarder) Pool() *upstream.Pool { return f.pool }
 func (f *forwarder) Done(string, bool)    {}
-func (f *forwarder) Target(_ string, _ int, tried []string) (string, bool) {
+func (f *forwarder) Target(_ string, _ int, tried []string, _ bool) (string, bool) {
 	for _, a := range f.addresses {
 		if !slices.Contains(tried, a) {
 			return a, false
--- a/internal/forward/sink.go
+++ b/internal/forward/sink.go
@@ -12,11 +12,15 @@
 type sink struct {
 	w        http.ResponseWriter
 	id       string
-	headOnly bool // the method is HEAD
-	aborted  bool // the connection must be closed early
+	headOnly bool    // the method is HEAD
+	version  *string // nil: unknown
+	aborted  bool    // the connection must be closed early
 }
 
-var _ relay.Sink = (*sink)(nil)
+var _ relay.VersionSink = (*sink)(nil)
+
+// SetVersion implements relay.VersionSink.
+func (s *sink) SetVersion(version string) { s.version = &version }
 
 // header adds an endpoint's header, and nothing that net/http would detect by itself.
 func (s *sink) header(h http.Header) {
@@ -26,6 +30,9 @@
 	}
 	removeOwn(to)
 	to.Set(idHeader, s.id)
+	if s.version != nil {
+		to.Set(versionHeader, *s.version)
+	}
 	for _, name := range [...]string{"Content-Type", "Date"} {
 		if h.Get(name) == "" {
 			to[name] = nil
--- a/internal/importguard/importguard_test.go
+++ b/internal/importguard/importguard_test.go
@@ -15,7 +15,7 @@
 // time and events, and return actions for their caller to perform. Sub-packages are
 // checked as well.
 var decisionPackages = []string{
-	"admission", "backpressure", "balance", "directory", "ledger", "lease", "membership",
+	"admission", "backpressure", "balance", "directory", "ledger", "lease", "membership", "origin",
 	"outside/budget", "quota", "reach", "reclaim", "rendezvous", "request", "retry", "rollout",
 	"roster", "route", "routing", "scaling", "feed", "spread", "template", "usage",
 }
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -291,6 +291,7 @@
 	l.pruneSpecs()
 	l.node.state.SetEndpoints(time.Now(), all)
 	l.node.paths.setEndpoints(all)
+	l.node.origins.setEndpoints(time.Now(), all)
 	l.node.startGate.hasEndpoints()
 	l.node.logFor("endpoints").WithField("listed", len(all)).Debug("list changed")
 }
--- a/internal/node/forwarders.go
+++ b/internal/node/forwarders.go
@@ -49,7 +49,7 @@
 func (f *forwarders) setKnown(all []exchange.Forwarder) {
 	peers := make([]reach.Peer, 0, len(all))
 	for _, o := range all {
-		peers = append(peers, reach.Peer{Address: o.Address, Unreachable: o.Unreachable})
+		peers = append(peers, reach.Peer{Address: o.Address, Unreachable: o.Unreachable, KeepsVersions: o.KeepsVersions})
 	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -57,7 +57,7 @@
 }
 
 // Target implements relay.Forwarder.
-func (f *forwarders) Target(service string, unreached int, tried []string) (string, bool) {
+func (f *forwarders) Target(service string, unreached int, tried []string, pinned bool) (string, bool) {
 	now := time.Now()
 	direct := f.node.paths.directShare(now, service)
 	f.mu.Lock()
@@ -65,7 +65,7 @@
 	if f.chooser.GoDirect(direct, unreached) {
 		return "", true
 	}
-	address, _ := f.chooser.Choose(now, service, tried)
+	address, _ := f.chooser.Choose(now, service, tried, pinned)
 	return address, false
 }
 
@@ -119,12 +119,14 @@
 		m := &serving[i]
 		f, running, ok := x.hub.Forwarder(now, m.Daemon)
 		if ok && m.Daemon != report.Daemon {
-			peers = append(peers, reach.Peer{Address: f.Address, Unreachable: f.Unreachable, Remote: m.Region != region, Running: running})
+			peers = append(peers, reach.Peer{
+				Address: f.Address, Unreachable: f.Unreachable, KeepsVersions: f.KeepsVersions, Remote: m.Region != region, Running: running,
+			})
 		}
 	}
 	var out []exchange.Forwarder
 	for _, p := range reach.Offer(x.rng, peers) {
-		out = append(out, exchange.Forwarder{Address: p.Address, Unreachable: p.Unreachable})
+		out = append(out, exchange.Forwarder{Address: p.Address, Unreachable: p.Unreachable, KeepsVersions: p.KeepsVersions})
 	}
 	return out
 }
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -55,7 +55,7 @@
 		Incarnation: uint64(time.Now().UnixMilli()),
 	}
 	g, err := gossip.Start(gossip.Options{
-		Conn:       conn,
+		Conn:       n.origins.wrap(conn),
 		Membership: membership.New(membership.Config{ProbeInterval: probeInterval}, self, random()),
 	})
 	if err != nil {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -37,6 +37,7 @@
 	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.crashes.table.HeldCount()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.CrashCount()) })
 	m.set.NewGauge("cyclamenbeam_endpoints_rate_limited", func() float64 { return float64(n.state.RateLimitedEndpoints()) })
+	m.set.NewGauge("cyclamenbeam_stream_origins", func() float64 { return float64(n.origins.count()) })
 	m.set.NewGauge("cyclamenbeam_services_unreachable", func() float64 { return float64(len(n.paths.lostServices())) })
 	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
 	m.set.NewGauge("cyclamenbeam_connections_reused_total", func() float64 { return float64(n.pool.Stats().Reused) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -31,6 +31,7 @@
 	pool      *upstream.Pool
 	paths     *paths
 	forwarder *forwarders
+	origins   *origins
 	clock     *clock.Clock
 	config    *configuration
 	fetcher   *configFetcher
@@ -80,6 +81,8 @@
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
 	n.forwarder = newForwarders(n)
 	n.relay.SetForwarder(n.forwarder)
+	n.origins = newOrigins(n)
+	n.relay.SetOrigins(n.origins)
 	n.watch = newWatchPolicy(n)
 	n.startGate = newStartGate(n.started)
 	n.config = newConfiguration(n)
@@ -151,7 +154,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
-		n.discover, n.crashes.watch.Run, n.crashes.readStored,
+		n.discover, n.origins.run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- /dev/null
+++ b/internal/node/origins.go
@@ -0,0 +1,244 @@
+package node
+
+import (
+	"context"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/node/originpb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
+)
+
+const (
+	// findTimeout bounds the time for finding the origin of a stream: several round trips
+	// between data centres.
+	findTimeout = 300 * time.Millisecond
+	// askInterval is the time after which daemons that haven't answered are asked again.
+	askInterval = 60 * time.Millisecond
+	// originCheckInterval is how often the age of the list of endpoints is checked.
+	originCheckInterval = 100 * time.Millisecond
+)
+
+// origins holds the versions that began streams, its own and copies of other daemons', which
+// daemons send each other in datagrams. It implements relay.Origins.
+type origins struct {
+	node     *Node
+	conn     atomic.Pointer[originConn]
+	listedAt atomic.Pointer[time.Time]
+	homes    atomic.Pointer[cachedHomes]
+
+	mu       sync.Mutex
+	table    *origin.Table
+	versions *origin.Versions
+	searches map[origin.Key]*search
+}
+
+// cachedHomes is the homes in a layout.
+type cachedHomes struct {
+	layout *layout
+	homes  *origin.Homes
+}
+
+var _ relay.Origins = (*origins)(nil)
+
+func newOrigins(n *Node) *origins {
+	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), searches: map[origin.Key]*search{}}
+	o.listedAt.Store(&time.Time{})
+	return o
+}
+
+// wrap returns a connection for the membership protocol that hands the datagrams about
+// origins on to o.
+func (o *origins) wrap(c net.PacketConn) net.PacketConn {
+	oc := &originConn{PacketConn: c, receive: o.receive}
+	o.conn.Store(oc)
+	return oc
+}
+
+// run tracks the age of the list of endpoints until the context ends.
+func (o *origins) run(ctx context.Context) {
+	pause.Every(ctx, originCheckInterval, func() {
+		now := time.Now()
+		at := now.Add(-o.node.peers.listAge(now))
+		o.listedAt.Store(&at)
+		o.mu.Lock()
+		defer o.mu.Unlock()
+		o.table.Expire(now)
+		if now.Sub(at) > o.node.contactBound() {
+			o.versions.Interrupted(now)
+		}
+	})
+}
+
+// listAge returns the time since the list of endpoints was last known to be complete.
+func (x *peerExchange) listAge(now time.Time) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	return x.storeAge(now)
+}
+
+// setEndpoints takes the newest list.
+func (o *origins) setEndpoints(now time.Time, all []roster.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Listed(now, all)
+}
+
+// ListedAt implements relay.Origins.
+func (o *origins) ListedAt() time.Time { return *o.listedAt.Load() }
+
+// Only implements relay.Origins.
+func (o *origins) Only(service string, horizon time.Duration) (string, bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Only(time.Now(), service, horizon)
+}
+
+// wantsVersions reports whether another daemon's history of versions may help this one.
+func (o *origins) wantsVersions() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Wants(time.Now())
+}
+
+// history returns what this daemon knows of versions that are gone.
+func (o *origins) history() origin.History {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.History(time.Now())
+}
+
+// mergeHistory takes another daemon's history of versions.
+func (o *origins) mergeHistory(h origin.History) {
+	if h.Known == 0 {
+		return
+	}
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Merge(time.Now(), h)
+}
+
+// Record implements relay.Origins.
+func (o *origins) Record(k origin.Key, from origin.Origin) {
+	o.mu.Lock()
+	o.table.Put(time.Now(), k, from)
+	o.mu.Unlock()
+	o.sendCopies(recordPacket(k, from))
+}
+
+// Revoke implements relay.Origins.
+func (o *origins) Revoke(k origin.Key) {
+	o.mu.Lock()
+	o.table.Revoke(time.Now(), k)
+	o.mu.Unlock()
+	o.sendCopies(&originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)})
+}
+
+func (o *origins) sendCopies(p *originpb.Packet) {
+	conn := o.conn.Load()
+	if conn == nil {
+		return
+	}
+	for _, address := range o.currentHomes().Of(origin.Key(p.Key), origin.Copies) {
+		conn.sendTo(address, p)
+	}
+}
+
+// currentHomes returns the homes among the serving daemons.
+func (o *origins) currentHomes() *origin.Homes {
+	l := o.node.members.layout()
+	if c := o.homes.Load(); c != nil && c.layout == l {
+		return c.homes
+	}
+	all := make([]origin.Daemon, 0, len(l.serving))
+	for i := range l.serving {
+		all = append(all, origin.Daemon{Name: string(l.serving[i].Instance), Address: l.serving[i].Peer})
+	}
+	homes := origin.NewHomes(string(o.node.members.self.Instance), all)
+	o.homes.Store(&cachedHomes{l, homes})
+	return homes
+}
+
+// receive handles a datagram.
+func (o *origins) receive(p *originpb.Packet, from net.Addr) {
+	k, now := origin.Key(p.Key), time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch p.Kind {
+	case originpb.Packet_RECORD:
+		o.table.Put(now, k, origin.Origin{Service: p.Service, Version: p.Version})
+		o.searches[k].found()
+	case originpb.Packet_REVOKE:
+		o.table.Revoke(now, k)
+		o.searches[k].found()
+	case originpb.Packet_UNKNOWN:
+		o.searches[k].unknownAt(from.String())
+	case originpb.Packet_ASK:
+		o.conn.Load().send(from, o.answer(now, k))
+	}
+}
+
+// answer returns the answer to a question. The lock is held.
+func (o *origins) answer(now time.Time, k origin.Key) *originpb.Packet {
+	if from, known := o.table.Get(now, k); known {
+		return recordPacket(k, from)
+	}
+	if o.table.Has(k) {
+		return &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)}
+	}
+	return &originpb.Packet{Kind: originpb.Packet_UNKNOWN, Key: uint64(k)}
+}
+
+// Find implements relay.Origins.
+func (o *origins) Find(ctx context.Context, k origin.Key) (origin.Origin, bool) {
+	if from, known, settled := o.get(k); settled {
+		return from, known
+	}
+	homes := o.currentHomes().Of(k, origin.Asked)
+	conn := o.conn.Load()
+	if len(homes) == 0 || conn == nil {
+		return origin.Origin{}, false
+	}
+	s := o.beginSearch(k, homes)
+	defer o.endSearch(k, s)
+	ctx, cancel := context.WithTimeout(ctx, findTimeout)
+	defer cancel()
+	for {
+		for _, address := range o.unanswered(s) {
+			conn.sendTo(address, &originpb.Packet{Kind: originpb.Packet_ASK, Key: uint64(k)})
+		}
+		select {
+		case <-s.done:
+		case <-ctx.Done():
+		case <-time.After(askInterval):
+			continue
+		}
+		from, known, _ := o.get(k)
+		return from, known
+	}
+}
+
+// get returns the origin of a stream as recorded here; settled says that other daemons need
+// not be asked.
+func (o *origins) get(k origin.Key) (from origin.Origin, known, settled bool) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	from, known = o.table.Get(time.Now(), k)
+	return from, known, o.table.Has(k)
+}
+
+// count returns the number of streams whose origins are held.
+func (o *origins) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Len()
+}
+
+func recordPacket(k origin.Key, from origin.Origin) *originpb.Packet {
+	return &originpb.Packet{Kind: originpb.Packet_RECORD, Key: uint64(k), Service: from.Service, Version: from.Version}
+}
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -139,6 +139,9 @@
 		reply.Members = x.memberLists.since(now, report.MembersPosition)
 	}
 	reply.Forwarders = x.forwardersFor(now, &report)
+	if report.WantVersions {
+		reply.Versions = x.node.origins.history()
+	}
 	reply.StoreAge = x.storeAge(now)
 	reply.ConfigRevision = x.node.config.upTo() // read before the version, which is then at least as new
 	newest := x.node.config.current()
@@ -358,6 +361,7 @@
 	report.Soft.JustStarted = x.node.gathering()
 	report.Unreachable, report.ForwardAddress = x.node.paths.lostServices(), x.node.forwardAddress()
 	report.WantForwarders = x.node.paths.suspects()
+	report.KeepsVersions, report.WantVersions = true, x.node.origins.wantsVersions()
 	report.Rollouts, report.RolloutUpdate = x.node.state.RolloutReports(report.WallTime), x.node.state.RolloutUpdate(report.WallTime)
 	l := x.node.members.layout()
 	x.mu.Lock()
@@ -421,6 +425,7 @@
 	x.node.state.ApplyRollouts(time.Now(), reply.RolloutUpdate)
 	x.node.watch.noteHubContact(reply.StoreAge)
 	x.node.forwarder.setKnown(reply.Forwarders)
+	x.node.origins.mergeHistory(reply.Versions)
 	x.takeList(address, reply)
 	x.mu.Lock()
 	members := x.memberLists.receive(address, &reply.Members)
--- /dev/null
+++ b/internal/origin/doc.go
@@ -0,0 +1,9 @@
+// Package origin decides which software version of a service began a stream, so that the
+// stream goes on at that version only. What two versions write doesn't fit together, and
+// endpoints don't check it.
+//
+// A Table holds the origins that a daemon has recorded or received. Homes are the other
+// daemons that hold a stream's origin too, since the daemon that began it may be gone when
+// its caller takes it up. Versions tells whether one version alone can have begun a stream.
+// The package is plain decision logic: no clock, goroutine or socket.
+package origin
--- a/internal/reach/forwarders.go
+++ b/internal/reach/forwarders.go
@@ -25,8 +25,11 @@
 type Peer struct {
 	Address     string
 	Unreachable []string // services to whose endpoints it has lost the path
-	Remote      bool     // in another region
-	Running     int      // its requests in progress
+	// KeepsVersions means that it sends a stream that goes on to endpoints of the version that
+	// began it; an earlier release doesn't.
+	KeepsVersions bool
+	Remote        bool // in another region
+	Running       int  // its requests in progress
 }
 
 // Offer returns the daemons to offer to one that has lost a path: in its region if there are
@@ -94,15 +97,16 @@
 }
 
 // Choose returns the daemon for a request for a service: of two drawn at random the one with
-// fewer requests of this daemon. ok is false if there is none beside the tried ones.
-func (c *Chooser) Choose(now time.Time, service string, tried []string) (address string, ok bool) {
+// fewer requests of this daemon. ok is false if there is none beside the tried ones. pinned
+// requests a daemon that keeps versions.
+func (c *Chooser) Choose(now time.Time, service string, tried []string, pinned bool) (address string, ok bool) {
 	if now.Sub(c.knownAt) > offerTTL {
 		return "", false
 	}
 	n := 0
 	for _, i := range c.rng.Perm(len(c.known)) {
 		p := &c.known[i]
-		if slices.Contains(tried, p.Address) || slices.Contains(p.Unreachable, service) || now.Before(c.avoided[p.Address]) {
+		if pinned && !p.KeepsVersions || slices.Contains(tried, p.Address) || slices.Contains(p.Unreachable, service) || now.Before(c.avoided[p.Address]) {
 			continue
 		}
 		if address == "" || c.inFlight[p.Address] < c.inFlight[address] {
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -42,7 +42,7 @@
 						}
 						c.SetKnown(now, Offer(rng, peersOf(daemons, i, reported, isCut)))
 						for range perRound {
-							address, ok := c.Choose(now, "s", nil)
+							address, ok := c.Choose(now, "s", nil, false)
 							assert.Assert(t, ok)
 							at := 0
 							_, err := fmt.Sscanf(address, "d%d", &at)
@@ -85,16 +85,16 @@
 func TestDaemonThatDoesNotAnswerIsAvoided(t *testing.T) {
 	c := NewChooser(rand.New(rand.NewPCG(1, 1)))
 	c.SetKnown(start, []Peer{{Address: "d1"}})
-	address, ok := c.Choose(start, "s", nil)
+	address, ok := c.Choose(start, "s", nil, false)
 	assert.Assert(t, ok)
-	_, ok = c.Choose(start, "s", []string{address})
+	_, ok = c.Choose(start, "s", []string{address}, false)
 	assert.Assert(t, !ok)
 	c.Done(start, address, false)
-	_, ok = c.Choose(start, "s", nil)
+	_, ok = c.Choose(start, "s", nil, false)
 	assert.Assert(t, !ok)
-	_, ok = c.Choose(start.Add(avoidance), "s", nil)
+	_, ok = c.Choose(start.Add(avoidance), "s", nil, false)
 	assert.Assert(t, ok)
-	_, ok = c.Choose(start.Add(2*offerTTL), "s", nil)
+	_, ok = c.Choose(start.Add(2*offerTTL), "s", nil, false)
 	assert.Assert(t, !ok) // the offer is too old
 }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -17,6 +17,9 @@
 	cost         float64 // charged to the workspace's limit
 	deadline     time.Time
 	priority     int
+	// pinned says that a forwarded stream goes on, at version.
+	pinned  bool
+	version string
 }
 
 // admit matches a request with its route and workspace and charges it to the
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -16,7 +16,9 @@
 	choice         balance.Choice
 	sent           time.Time
 	firstPieceSeen bool
-	forwarded      bool // through another daemon, which records it
+	forwarded      bool   // through another daemon, which records it
+	version        string // of the endpoint, if the other daemon states it
+	versionKnown   bool
 	abort          context.CancelCauseFunc
 	// counter counts the attempt for a roll-out, nil without one; toNew says that
 	// it goes to the new version.
@@ -65,7 +67,7 @@
 // after which it could be served. Requests of lower priority are refused earlier; a
 // request without a target is always worth an attempt.
 func overloadWait(f *inflight, c balance.Choice, now time.Time) time.Duration {
-	if f.tally.reached > 0 || f.headSent || f.route.Target <= 0 {
+	if f.tally.reached > 0 || f.headSent || f.continuation.begun || f.route.Target <= 0 {
 		return 0
 	}
 	limit := f.route.Target
--- /dev/null
+++ b/internal/relay/continuation.go
@@ -0,0 +1,237 @@
+package relay
+
+import (
+	"context"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
+)
+
+// Origins knows which version of a service began a stream, here or at another daemon. It is
+// safe for concurrent use.
+type Origins interface {
+	// Record records the origin of a stream, Revoke that it isn't known. They return at once.
+	Record(k origin.Key, o origin.Origin)
+	Revoke(k origin.Key)
+	// Find returns the origin of a stream; other daemons are asked for some hundred
+	// milliseconds at most.
+	Find(ctx context.Context, k origin.Key) (o origin.Origin, known bool)
+	// Only returns the version of a service that began all streams of the last horizon; ok is
+	// false if there were several, or if that isn't known.
+	Only(service string, horizon time.Duration) (version string, ok bool)
+	// ListedAt returns a time, not after now, as of which the list of endpoints is complete.
+	ListedAt() time.Time
+}
+
+// noOrigins is a daemon without others, which knows the streams that it is serving.
+type noOrigins struct{}
+
+func (noOrigins) Record(origin.Key, origin.Origin) {}
+func (noOrigins) Revoke(origin.Key)                {}
+func (noOrigins) Find(context.Context, origin.Key) (origin.Origin, bool) {
+	return origin.Origin{}, false
+}
+func (noOrigins) Only(string, time.Duration) (string, bool) { return "", false }
+func (noOrigins) ListedAt() time.Time                       { return time.Now() }
+
+// SetOrigins sets the source of streams' origins. It must be called before Serve.
+func (r *Relay) SetOrigins(o Origins) { r.origins = o }
+
+// maxListDelay is how long after its start an endpoint is listed, while the list of endpoints
+// is kept up to date.
+const maxListDelay = 3 * time.Second
+
+// refreshInterval is the time between two records of one stream's origin.
+const refreshInterval = origin.Retention / 2
+
+// continuation is what is known of a resumable stream, which goes on only at the version that
+// began it.
+type continuation struct {
+	begun  bool          // the caller has events of it
+	known  bool          // origin is known
+	origin origin.Origin // of a known one
+	// key identifies the stream at other daemons; keyed is false if the caller didn't name the
+	// attempt that began it.
+	key        origin.Key
+	keyed      bool
+	recordedAt time.Time
+}
+
+// newContinuation returns what is known before the first attempt.
+func newContinuation(q *Request, a *admitted, forwarded bool) continuation {
+	c := continuation{}
+	switch {
+	case a.route.Kind != route.Streaming || !a.route.Resumable:
+		return c
+	case forwarded: // the other daemon records the origin
+		c.begun, c.known = q.takesUp() || a.pinned, a.pinned
+		c.origin = origin.Origin{Service: a.service, Version: a.version}
+		return c
+	}
+	attempt := q.ID
+	if q.takesUp() {
+		c.begun, attempt = true, q.Resumes
+	}
+	var w fleet.WorkspaceID
+	if a.workspace != nil {
+		w = a.workspace.Name
+	}
+	c.key, c.keyed = origin.KeyOf(w, attempt), attempt != ""
+	return c
+}
+
+// findOrigin finds the version that began the stream that the caller takes up. Without one
+// the request is refused.
+func (f *inflight) findOrigin(ctx context.Context) *Refusal {
+	c := &f.continuation
+	if !c.begun || c.known {
+		return nil
+	}
+	if c.keyed {
+		c.origin, c.known = f.relay.origins.Find(ctx, c.key)
+	}
+	if !c.known {
+		c.origin, c.known = f.onlyOrigin()
+	}
+	switch {
+	case !c.known:
+		return f.relay.state.refuseBusy(f, UnknownVersion)
+	case !f.route.Serves(c.origin.Service):
+		return f.relay.state.refuseBusy(f, NoEndpoint)
+	}
+	f.setService(c.origin.Service)
+	f.outcome.BeganAt = c.origin.Version
+	return nil
+}
+
+// onlyOrigin returns the origin of a stream that one version alone can have begun.
+func (f *inflight) onlyOrigin() (origin.Origin, bool) {
+	if len(f.route.Backends) != 1 || f.relay.state.backendsChanged(f.route.Name, time.Now().Add(-f.horizon())) {
+		return origin.Origin{}, false
+	}
+	version, ok := f.relay.origins.Only(f.service, f.horizon())
+	return origin.Origin{Service: f.service, Version: version}, ok
+}
+
+// horizon returns how long ago a stream that is taken up can have begun at most: within the
+// timeouts of two attempts.
+func (f *inflight) horizon() time.Duration { return max(2*f.route.Timeout, origin.Retention) }
+
+// setService moves the request to the service that began its stream.
+func (f *inflight) setService(service string) {
+	f.service, f.outcome.Service, f.balanceReq.Service = service, service, service
+}
+
+// requiredVersion sets the version at which the next attempt must be made, if any. It returns
+// a refusal if the stream has begun at an unknown one.
+func (f *inflight) requiredVersion() *Refusal {
+	c := &f.continuation
+	if !c.begun {
+		return nil
+	}
+	if !c.known {
+		return f.relay.state.refuseBusy(f, UnknownVersion)
+	}
+	f.balanceReq.Pinned, f.balanceReq.Version = true, c.origin.Version
+	return nil
+}
+
+// noteOrigin records the version that wrote the events of an attempt, before they are passed
+// on.
+func (f *inflight) noteOrigin(now time.Time, t *trackedAttempt, a *upstream.Answer) {
+	c := &f.continuation
+	if !c.begun {
+		c.begun = true
+		c.origin, c.known = f.originOf(t, a)
+		f.outcome.BeganAt = c.origin.Version
+	}
+	if c.known && c.keyed && now.Sub(c.recordedAt) >= refreshInterval {
+		c.recordedAt = now
+		f.relay.origins.Record(c.key, c.origin)
+	}
+}
+
+// originOf returns the version of the run that an answer comes from; known is false if the
+// endpoint may have started again at another one than the listed one.
+func (f *inflight) originOf(t *trackedAttempt, a *upstream.Answer) (o origin.Origin, known bool) {
+	if t.forwarded {
+		return origin.Origin{Service: f.service, Version: t.version}, t.versionKnown
+	}
+	if a.Established().After(f.relay.origins.ListedAt().Add(maxListDelay)) {
+		return origin.Origin{}, false
+	}
+	return origin.Origin{Service: f.service, Version: t.choice.Endpoint.Version}, true
+}
+
+// establishedBy returns until when the connection of the next attempt must have been
+// established; zero: any will do. A stream that goes on must reach the run that is listed.
+func (f *inflight) establishedBy(now time.Time) time.Time {
+	by := f.relay.origins.ListedAt().Add(maxListDelay)
+	if !f.continuation.begun || now.Before(by) {
+		return time.Time{}
+	}
+	return by
+}
+
+// revokeOrigin records that the version of the events passed on isn't known: their endpoint
+// has started again at another one.
+func (f *inflight) revokeOrigin() {
+	c := &f.continuation
+	if !c.begun {
+		return
+	}
+	c.known = false
+	if c.keyed {
+		f.relay.origins.Revoke(c.key)
+	}
+}
+
+// errOtherVersion ends attempts at an endpoint that has started again at another version.
+var errOtherVersion = errs.New("the endpoint has started again at another version")
+
+// mayUseVersion reports whether the roll-outs allow a required version. The lock is held.
+func (s *State) mayUseVersion(now time.Time, f *inflight) bool {
+	r := &s.rollouts
+	if !r.enabled {
+		return true
+	}
+	split, known := r.gate.Split(now, f.service)
+	if !known || split.Target() != f.balanceReq.Version {
+		return true
+	}
+	f.outcome.RolloutTarget, f.outcome.RolloutShare = split.Target(), split.ShareOf(f.route.Name)
+	return split.Side(f.route.Name, 0) == rollout.New
+}
+
+// backendsChanged reports whether the services of a route have changed after a time.
+func (s *State) backendsChanged(route string, after time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.backendsSince[route].After(after)
+}
+
+// noteBackends records when routes' services change with a new table. The lock is held.
+func (s *State) noteBackends(now time.Time, t *route.Table) {
+	if s.table == nil {
+		return
+	}
+	old := map[string]*route.Route{}
+	for i := range s.table.Routes {
+		old[s.table.Routes[i].Name] = &s.table.Routes[i]
+	}
+	since := map[string]time.Time{}
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		since[r.Name] = s.backendsSince[r.Name]
+		if before := old[r.Name]; before != nil && !before.SameServices(r) {
+			since[r.Name] = now
+		}
+	}
+	s.backendsSince = since
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -19,6 +19,8 @@
 	Route         route.Route
 	Workspace     fleet.WorkspaceID // empty without a credential
 	Service       string
+	Pinned        bool   // the stream goes on, at Version
+	Version       string // of the endpoint's software
 	Priority      int
 	TimeLeft      time.Duration
 	Elapsed       time.Duration // since the caller's request was received
@@ -31,8 +33,8 @@
 	// Target returns the address of another daemon for a request that has found this many
 	// endpoints unreachable, and that the tried daemons didn't run. direct says that it
 	// should go to an endpoint directly; the address is empty then, and if there is no
-	// other daemon.
-	Target(service string, unreached int, tried []string) (address string, direct bool)
+	// other daemon. pinned says that the daemon must keep to a version.
+	Target(service string, unreached int, tried []string, pinned bool) (address string, direct bool)
 	// Done records the end of a request at an address, and whether the daemon there
 	// answered.
 	Done(address string, answered bool)
@@ -42,6 +44,9 @@
 	Header(r *ForwardedRequest) http.Header
 	// Owns returns a function that reports whether an answer belongs to the request.
 	Owns(r *Request) func(http.Header) upstream.Ownership
+	// Version returns the version of the endpoint that an answer comes from, if that is stated.
+	// It must be called before Refusal.
+	Version(h http.Header) (version string, stated bool)
 	// Refusal returns the other daemon's refusal, nil if the answer is an endpoint's. It
 	// removes what the other daemon added to the header.
 	Refusal(status int, h http.Header) *Refusal
@@ -74,7 +79,7 @@
 	r.MaxAttempts = 1
 	a := &admitted{
 		table: s.table, configuredAt: s.configuredAt, route: &r, service: fr.Service, priority: fr.Priority,
-		deadline: now.Add(fr.TimeLeft),
+		deadline: now.Add(fr.TimeLeft), pinned: fr.Pinned, version: fr.Version,
 	}
 	if fr.Workspace != "" {
 		a.workspace = &route.Workspace{Name: fr.Workspace}
@@ -92,7 +97,7 @@
 	if f.forwarded || f.relay.forwarder == nil {
 		return "", nil
 	}
-	address, direct := f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons)
+	address, direct := f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons, f.continuation.begun)
 	switch {
 	case direct:
 		return "", nil
@@ -127,11 +132,12 @@
 		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
 	}
 	defer a.Close()
+	version, stated := f.relay.forwarder.Version(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
 		ran := refusal.Verdict != verdict.NotRun
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
-	t := &trackedAttempt{inflight: f, sent: time.Now(), forwarded: true}
+	t := &trackedAttempt{inflight: f, sent: time.Now(), forwarded: true, version: version, versionKnown: stated}
 	return f.readAnswer(t, a, f.relay.protocol.Classify(a.Status, a.Header))
 }
 
@@ -140,7 +146,7 @@
 	q.Key, q.LastEvent = "", f.events.lastID
 	fr := &ForwardedRequest{
 		Request: &q, Route: *f.route, Workspace: f.outcome.Workspace, Service: f.service, Priority: f.priority,
-		ConfigVersion: f.outcome.ConfigVersion,
+		ConfigVersion: f.outcome.ConfigVersion, Pinned: f.balanceReq.Pinned, Version: f.balanceReq.Version,
 	}
 	return &upstream.Call{
 		Address: address, Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body,
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net/http"
 	"time"
@@ -47,14 +48,16 @@
 	// triedDaemons are the daemons to which the request was forwarded.
 	triedDaemons []string
 	events       eventBuffer
+	continuation continuation
 	outcome      Outcome
 }
 
-func newInflight(r *Relay, q *Request, a *admitted, sink Sink) *inflight {
-	f := &inflight{relay: r, request: q, admitted: *a, sink: sink, balanceReq: q.balanceRequest(a.service)}
+func newInflight(r *Relay, q *Request, a *admitted, sink Sink, forwarded bool) *inflight {
+	f := &inflight{relay: r, request: q, admitted: *a, sink: sink, balanceReq: q.balanceRequest(a.service), forwarded: forwarded}
 	f.events.lastID = q.LastEvent
+	f.continuation = newContinuation(q, a, forwarded)
 	f.outcome = initialOutcome(q, a)
-	f.outcome.Service = a.service
+	f.outcome.Service, f.outcome.Forwarded = a.service, forwarded
 	if a.route.Resumable && q.takesUp() {
 		f.outcome.Continued, f.outcome.Resumes = ByCaller, q.Resumes
 	}
@@ -79,6 +82,10 @@
 
 // run makes attempts until the caller has its final answer.
 func (f *inflight) run(ctx context.Context) {
+	if refusal := f.findOrigin(ctx); refusal != nil {
+		f.conclude(ctx, refuse, refusal, nil)
+		return
+	}
 	var failed *bufferedAnswer // the last complete answer that reports a failure of its endpoint
 	for {
 		target, refusal := f.choose()
@@ -127,6 +134,9 @@
 	if refusal := f.refuseHeld(); refusal != nil {
 		return target{}, refusal
 	}
+	if refusal := f.requiredVersion(); refusal != nil {
+		return target{}, refusal
+	}
 	if daemon, refusal := f.forwardTarget(); daemon != "" || refusal != nil {
 		return target{daemon: daemon}, refusal
 	}
@@ -160,6 +170,9 @@
 		err = cause
 	}
 	f.outcome.Cause = err
+	if errors.Is(err, errOtherVersion) && t.firstPieceSeen {
+		f.revokeOrigin()
+	}
 	if closedByEndpoint(ctx, attemptCtx, res, err) {
 		f.reportCut(t)
 	}
@@ -268,6 +281,7 @@
 		Body: f.request.Body,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
+	c.EstablishedBy = f.establishedBy(time.Now())
 	canRetry := f.route.Repeatable() && f.tally.ran+1 < f.route.MaxAttempts
 	c.SilenceTimeout = stallTimeout(canRetry, f.outcome.Predicted)
 	if canRetry && f.route.Kind == route.Idempotent {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -53,6 +53,13 @@
 	Rejected                 // the request itself is invalid; final, whether it ran or not
 )
 
+// VersionSink is a Sink for which the version of a stream's endpoint is of interest.
+type VersionSink interface {
+	Sink
+	// SetVersion is called before Begin, if the version is known.
+	SetVersion(version string)
+}
+
 // Sink sends an answer to one caller. It gets one call of Whole or Refuse; or a
 // call of Begin, then calls of WriteBody, and at last End or Abort.
 type Sink interface {
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -23,6 +23,9 @@
 	Broken          Reason = "broken"      // an endpoint's answer broke off
 	Quarantined     Reason = "quarantined" // the request crashes the endpoints that run it
 	CallerLeft      Reason = "caller-left"
+	// UnknownVersion means that the version that began a stream isn't known, so that it can't
+	// go on.
+	UnknownVersion Reason = "unknown-version"
 )
 
 // Refusal is an answer of this daemon itself.
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -15,6 +15,7 @@
 	protocol Protocol
 	observer Observer
 	guard    Guard
+	origins  Origins
 	// forwarder sends requests through other daemons, nil if there are none.
 	forwarder Forwarder
 	stopping  atomic.Pointer[time.Time] // when the daemon began to stop, nil before
@@ -24,7 +25,7 @@
 // New returns a relay that takes its decisions from state and its connections from
 // pool.
 func New(state *State, pool *upstream.Pool, protocol Protocol, observer Observer, guard Guard) *Relay {
-	return &Relay{state: state, pool: pool, protocol: protocol, observer: observer, guard: guard}
+	return &Relay{state: state, pool: pool, protocol: protocol, observer: observer, guard: guard, origins: noOrigins{}}
 }
 
 // Active returns the number of requests in progress.
@@ -65,8 +66,7 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
-	f := newInflight(r, q, a, sink)
-	f.forwarded, f.outcome.Forwarded = forwarded, forwarded
+	f := newInflight(r, q, a, sink, forwarded)
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
 	f.outcome.TimeLeft = time.Until(a.deadline)
--- a/internal/relay/rollouts.go
+++ b/internal/relay/rollouts.go
@@ -136,6 +136,12 @@
 // pickAllowed chooses an endpoint of a version that a request may be sent to. A
 // request that the new version can't take goes to the old one.
 func (s *State) pickAllowed(now time.Time, f *inflight) (balance.Choice, bool) {
+	if f.balanceReq.Pinned {
+		if !s.mayUseVersion(now, f) {
+			return balance.Choice{}, false
+		}
+		return s.balancer.Pick(now, f.balanceReq)
+	}
 	f.balanceReq.Side = s.allowedSide(now, f)
 	c, ok := s.balancer.Pick(now, f.balanceReq)
 	if !ok && f.balanceReq.Side == rollout.New {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -31,6 +31,8 @@
 	work         *workTotals
 	attempts     map[fleet.EndpointID]map[*trackedAttempt]struct{} // in progress
 	rollouts     rolloutState
+	// backendsSince is when the services of a route last changed, by its name.
+	backendsSince map[string]time.Time
 }
 
 // NewState returns the state of a daemon in the data centre self. Each service gets
@@ -58,6 +60,7 @@
 	if s.table != nil && t.Version <= s.table.Version {
 		return false
 	}
+	s.noteBackends(now, t)
 	s.table, s.configuredAt = t, now
 	s.balancer.Configure(t)
 	s.quota.Configure(now, t)
@@ -81,7 +84,10 @@
 	for i := range all {
 		services[all[i].Service] = true
 		for t := range s.attempts[all[i].ID] {
-			if t.choice.Endpoint.RestartedAs(&all[i]) {
+			switch {
+			case t.choice.Endpoint.Version != all[i].Version:
+				t.abort(errOtherVersion)
+			case t.choice.Endpoint.RestartedAs(&all[i]):
 				t.abort(errRestarted)
 			}
 		}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -42,8 +42,8 @@
 		return nil
 	}
 	now := time.Now()
-	if f.outcome.BeganAt == "" && f.outcome.Continued == NotContinued {
-		f.outcome.BeganAt = t.choice.Endpoint.Version
+	if f.route.Resumable {
+		f.noteOrigin(now, t, a)
 	}
 	f.firstPiece(t)
 	if !t.forwarded {
@@ -63,6 +63,9 @@
 func (f *inflight) sendHead(a *upstream.Answer) {
 	if !f.headSent {
 		f.headSent = true
+		if v, ok := f.sink.(VersionSink); ok && f.continuation.known {
+			v.SetVersion(f.continuation.origin.Version)
+		}
 		f.sink.Begin(a.Status, f.relay.protocol.Answer(a.Header))
 	}
 }
--- a/internal/route/route.go
+++ b/internal/route/route.go
@@ -1,6 +1,9 @@
 package route
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Route says which services get the requests of a host and path prefix, and how
 // these requests are handled.
@@ -60,3 +63,23 @@
 	}
 	return r.Backends[len(r.Backends)-1].Service
 }
+
+// Serves reports whether a service gets requests of the route.
+func (r *Route) Serves(service string) bool {
+	return slices.ContainsFunc(r.Backends, func(b Backend) bool { return b.Service == service && b.Weight > 0 })
+}
+
+// SameServices reports whether the same services get requests of both routes.
+func (r *Route) SameServices(o *Route) bool {
+	return r.servedBy(o) && o.servedBy(r)
+}
+
+// servedBy reports whether all services of r get requests of another route.
+func (r *Route) servedBy(o *Route) bool {
+	for _, b := range r.Backends {
+		if b.Weight > 0 && !o.Serves(b.Service) {
+			return false
+		}
+	}
+	return true
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -18,6 +18,9 @@
 	// Owns reports whether an answer's header names this request: on a reused
 	// connection, a late answer to an earlier request may come first.
 	Owns func(http.Header) Ownership
+	// EstablishedBy is until when the connection must have been established; zero: any will
+	// do.
+	EstablishedBy time.Time
 	// HeadTimeout bounds the wait for the answer's head; 0 leaves it to the
 	// context.
 	HeadTimeout time.Duration
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -20,6 +20,9 @@
 // endpoint are in use.
 var ErrPoolExhausted = Error.New("no connection to the endpoint is free")
 
+// ErrNoOldConnection means that no connection to the endpoint was established early enough.
+var ErrNoOldConnection = Error.New("no connection to the endpoint is old enough")
+
 const (
 	// dialTimeout bounds the time for connecting: data centres are a few
 	// milliseconds apart, and a lost packet is retransmitted within a second.
@@ -141,11 +144,16 @@
 	if err != nil {
 		return false, err
 	}
+	p.giveBack(c)
+	return true, nil
+}
+
+// giveBack keeps a connection that wasn't used.
+func (p *Pool) giveBack(c *conn) {
 	if c.expires.IsZero() {
 		c.expires = time.Now().Add(idleDefault)
 	}
 	p.put(c)
-	return true, nil
 }
 
 // Connect establishes a new connection to an address, which is kept for the next call. It
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -48,6 +48,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if by := call.EstablishedBy; !by.IsZero() && c.dialled.After(by) {
+		p.giveBack(c)
+		return nil, verdict.Wrap(verdict.NotRun, ErrNoOldConnection)
+	}
 	a := &Answer{pool: p, conn: c}
 	c.startWait(time.Now(), call)
 	a.stop = context.AfterFunc(ctx, c.cancel)
@@ -62,6 +66,9 @@
 	return a, nil
 }
 
+// Established returns when the answer's connection was established.
+func (a *Answer) Established() time.Time { return a.conn.dialled }
+
 // write sends the head and the body. A goroutine sends a large body, since the
 // endpoint may answer before it has read all of it.
 func (a *Answer) write(call *Call) error {
