--- a/internal/backpressure/stated.go
+++ b/internal/backpressure/stated.go
@@ -14,6 +14,8 @@
 	// RejectionLimit is the requests a second that the endpoint can reject for lack of
 	// room; with more, it crashes.
 	RejectionLimit Limit
+	// Leaving says that the endpoint leaves and should get no further requests.
+	Leaving bool
 }
 
 // Limit is one limit of an answer.
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -76,6 +76,7 @@
 func (o *observer) Began(fleet.WorkspaceID, time.Time)                     { o.begun.Add(1) }
 func (o *observer) Cut(ends.Disconnect)                                    {}
 func (o *observer) RateLimited(fleet.EndpointID, backpressure.Limit)       {}
+func (o *observer) Leaving(*roster.Endpoint)                               {}
 func (o *observer) RejectionsLimited(string, backpressure.Limit)           {}
 func (o *observer) Ended(*relay.Outcome)                                   {}
 func (o *observer) HeldFor(func() quarantine.Key) time.Duration            { return 0 }
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -7,6 +7,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
 // observer implements relay.Observer.
@@ -30,6 +31,14 @@
 	log.WithField("per_second", l.PerSecond).Warn("endpoint limits its requests")
 }
 
+// Leaving implements relay.Observer.
+func (o *observer) Leaving(e *roster.Endpoint) {
+	o.node.metrics.set.GetOrCreateCounter(`cyclamenbeam_answers_leaving_total`).Inc()
+	if _, leaving := o.node.endpoints.state(e.ID); !leaving {
+		o.node.logFor("endpoints").WithField("endpoint", e.ID).Info("endpoint's answer says that it leaves")
+	}
+}
+
 // RejectionsLimited implements relay.Observer.
 func (o *observer) RejectionsLimited(service string, l backpressure.Limit) {
 	log := o.node.logFor("endpoints").WithField("service", service)
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -310,6 +310,9 @@
 	if rate {
 		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
 	}
+	if s.Leaving {
+		f.relay.observer.Leaving(&t.choice.Endpoint)
+	}
 	if brittle {
 		f.relay.observer.RejectionsLimited(t.choice.Endpoint.Service, s.RejectionLimit)
 	}
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -128,6 +128,8 @@
 	r.limits = append(r.limits, l.PerSecond)
 }
 
+func (r *recorder) Leaving(*roster.Endpoint) {}
+
 func (r *recorder) RejectionsLimited(string, backpressure.Limit) {}
 
 func (r *recorder) Ended(o *Outcome) {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -7,6 +7,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -114,6 +115,8 @@
 	// RateLimited reports that an endpoint has stated another rate limit, or that its
 	// limit has ended, which is Absent.
 	RateLimited(e fleet.EndpointID, l backpressure.Limit)
+	// Leaving reports that an answer of an endpoint says that it leaves.
+	Leaving(e *roster.Endpoint)
 	// RejectionsLimited reports that endpoints of a service crash above a rate of
 	// rejections, or, where it is Absent, that they no longer do.
 	RejectionsLimited(service string, l backpressure.Limit)
