Endpoints that say in an answer that they leave get no further requests

Cause: daemons knew of a leave from the registry alone, which was away. The statement in the answer was not read.

Change: the first such answer marks the listed run as draining, in the list from which routing, scaling and pinned streams choose; no entry, held removal or stale list takes that back, only a later run. Other daemons receive it with the statements about rate limits.

--- a/internal/backpressure/table.go
+++ b/internal/backpressure/table.go
@@ -54,6 +54,8 @@
 	switch {
 	case l.Presence == Invalid:
 		return false
+	case old != nil && old.Leaving && old.sameRun(&next):
+		return false
 	case old != nil && old.StartedAt.After(startedAt):
 		return false // a late answer of an earlier run
 	case l.Presence == Absent && (old == nil || !old.InForce):
@@ -66,6 +68,27 @@
 	return changed
 }
 
+// ObserveLeaving records that an answer of a run of an endpoint says that it leaves. It reports
+// whether that is new.
+func (t *Table) ObserveLeaving(now time.Time, endpoint rendezvous.ShortKey, startedAt time.Time) bool {
+	old := t.entries[endpoint]
+	next := Statement{Endpoint: endpoint, StartedAt: startedAt, Leaving: true, At: now}
+	if old != nil && (old.StartedAt.After(startedAt) || old.sameRun(&next) && old.Leaving) {
+		return false
+	}
+	t.put(old, next)
+	return true
+}
+
+// Leaving calls f with the statements of runs that leave.
+func (t *Table) Leaving(f func(*Statement)) {
+	for _, e := range t.entries {
+		if e.Leaving {
+			f(&e.Statement)
+		}
+	}
+}
+
 // Merge takes the statements of another daemon and reports whether any changed a limit.
 func (t *Table) Merge(all []Statement) bool {
 	changed := false
@@ -91,6 +114,12 @@
 		t.put(old, s)
 		return true
 	}
+	if old.Leaving || s.Leaving {
+		if !old.Leaving {
+			t.put(old, s)
+		}
+		return !old.Leaving
+	}
 	same := old.sameLimit(&s)
 	if same && s.At.Sub(old.At) <= clockTolerance || !s.At.After(old.At) {
 		return false
@@ -134,7 +163,7 @@
 func (t *Table) Prune(now time.Time, listed func(rendezvous.ShortKey) bool) {
 	for key, e := range t.entries {
 		age := now.Sub(e.At)
-		if !e.InForce && age > endRetention || age > unlistedRetention && !listed(key) {
+		if !e.InForce && !e.Leaving && age > endRetention || age > unlistedRetention && !listed(key) {
 			delete(t.entries, key)
 		}
 	}
--- a/internal/backpressure/table_test.go
+++ b/internal/backpressure/table_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
 var start = time.Unix(1000, 0)
@@ -129,3 +131,32 @@
 	_, sends := p.Wait(start.Add(time.Hour))
 	assert.Assert(t, !sends && !p.Ready(start.Add(time.Hour)))
 }
+
+func (t *Table) leaving() int {
+	n := 0
+	t.Leaving(func(*Statement) { n++ })
+	return n
+}
+
+// Guards against a later answer or another daemon's older statement that takes a leave back.
+func TestLeaveIsFinalForTheRun(t *testing.T) {
+	a, b := NewTable(1), NewTable(2)
+	b.Observe(start, start, endpoint, start, valid(2))
+	limit, _ := b.Since(Position{})
+	assert.Assert(t, a.ObserveLeaving(start, endpoint, start))
+	assert.Assert(t, !a.ObserveLeaving(start.Add(time.Second), endpoint, start))
+	assert.Assert(t, !a.Observe(start.Add(time.Second), start.Add(time.Second), endpoint, start, valid(1)))
+	assert.Assert(t, !a.Observe(start.Add(time.Second), start.Add(time.Second), endpoint, start, Limit{}))
+	assert.Assert(t, !a.Merge(limit))
+	leave, _ := a.Since(Position{})
+	assert.Assert(t, b.Merge(leave))
+	assert.Assert(t, !b.Merge(leave))
+	assert.Equal(t, a.leaving()+b.leaving(), 2)
+	_, limited := b.inForce()
+	assert.Assert(t, !limited)
+	b.Prune(start.Add(time.Hour), func(rendezvous.ShortKey) bool { return true })
+	assert.Equal(t, b.leaving(), 1)
+	assert.Assert(t, !b.ObserveLeaving(start, endpoint, start.Add(-time.Second))) // of an earlier run
+	assert.Assert(t, b.Observe(start, start, endpoint, start.Add(time.Second), valid(1)))
+	assert.Equal(t, b.leaving(), 0) // a later run
+}
--- a/internal/balance/ratelimits.go
+++ b/internal/balance/ratelimits.go
@@ -26,6 +26,24 @@
 	return changed
 }
 
+// ObserveLeaving records that an answer of an endpoint says that it leaves. It reports whether
+// that is new.
+func (b *Balancer) ObserveLeaving(now time.Time, e *roster.Endpoint) bool {
+	return b.rateLimits.ObserveLeaving(now, rendezvous.ShortKeyOf(string(e.ID)), e.StartedAt)
+}
+
+// Leaving returns the listed endpoints that have said that they leave, to this daemon or to
+// another, and aren't listed as draining.
+func (b *Balancer) Leaving() []roster.Endpoint {
+	var out []roster.Endpoint
+	b.rateLimits.Leaving(func(s *backpressure.Statement) {
+		if m := b.byKey[s.Endpoint]; m != nil && !m.Draining && m.StartedAt.Equal(s.StartedAt) {
+			out = append(out, m.Endpoint)
+		}
+	})
+	return out
+}
+
 // RefreshRateLimits updates this daemon's shares: where a limit wasn't stated for a while,
 // other daemons send.
 func (b *Balancer) RefreshRateLimits(now time.Time) {
--- a/internal/exchange/ratelimits.go
+++ b/internal/exchange/ratelimits.go
@@ -14,7 +14,7 @@
 	for i := range all {
 		s := &all[i]
 		p := &exchangepb.RateLimit{
-			Endpoint: uint32(s.Endpoint), PerSecond: s.PerSecond, Ended: !s.InForce, AtMs: s.At.UnixMilli(),
+			Endpoint: uint32(s.Endpoint), PerSecond: s.PerSecond, Ended: !s.InForce && !s.Leaving, Leaving: s.Leaving, AtMs: s.At.UnixMilli(),
 		}
 		if !s.StartedAt.IsZero() {
 			p.StartedMs = s.StartedAt.UnixMilli()
@@ -32,7 +32,7 @@
 			continue
 		}
 		s := backpressure.Statement{
-			Endpoint: rendezvous.ShortKey(p.GetEndpoint()), InForce: !p.GetEnded(), PerSecond: p.GetPerSecond(), At: time.UnixMilli(p.GetAtMs()),
+			Endpoint: rendezvous.ShortKey(p.GetEndpoint()), InForce: !p.GetEnded() && !p.GetLeaving(), Leaving: p.GetLeaving(), PerSecond: p.GetPerSecond(), At: time.UnixMilli(p.GetAtMs()),
 		}
 		if p.GetStartedMs() != 0 {
 			s.StartedAt = time.UnixMilli(p.GetStartedMs())
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -281,8 +281,31 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	change(time.Now())
+	if l.publishChanged() {
+		l.markLeaves() // of endpoints that weren't listed before
+	}
+}
+
+// applyLeaves marks the endpoints that have said in their answers that they leave.
+func (l *endpointList) applyLeaves() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.markLeaves()
+}
+
+// markLeaves is applyLeaves with the lock held.
+func (l *endpointList) markLeaves() {
+	for _, e := range l.node.state.Leaving() {
+		l.roster.Leaves(e.ID, e.StartedAt)
+	}
+	l.publishChanged()
+}
+
+// publishChanged publishes the list if it has changed, and reports whether it did. The lock is
+// held.
+func (l *endpointList) publishChanged() bool {
 	if !l.roster.Changed() {
-		return
+		return false
 	}
 	all, _ := l.roster.Snapshot()
 	l.forgetGone(all, l.logChanges(all))
@@ -294,6 +317,7 @@
 	l.node.origins.setEndpoints(time.Now(), all)
 	l.node.startGate.hasEndpoints()
 	l.node.logFor("endpoints").WithField("listed", len(all)).Debug("list changed")
+	return true
 }
 
 // logChanges logs which endpoints leave and which are gone, and returns the new list by
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -37,6 +37,7 @@
 	if _, leaving := o.node.endpoints.state(e.ID); !leaving {
 		o.node.logFor("endpoints").WithField("endpoint", e.ID).Info("endpoint's answer says that it leaves")
 	}
+	o.node.endpoints.applyLeaves()
 }
 
 // RejectionsLimited implements relay.Observer.
--- a/internal/node/ratelimits.go
+++ b/internal/node/ratelimits.go
@@ -26,6 +26,9 @@
 		all[i].At = now.Add(-age)
 	}
 	n.state.MergeRateLimits(now, all)
+	if len(all) > 0 {
+		n.endpoints.applyLeaves()
+	}
 }
 
 // takeRateLimits takes the statements in the reply to a report that included this
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -306,11 +306,11 @@
 
 // noteStated records the limits that an answer states.
 func (f *inflight) noteStated(t *trackedAttempt, s backpressure.Stated) {
-	rate, brittle := f.relay.state.noteStated(time.Now(), t, s)
+	rate, brittle, leaves := f.relay.state.noteStated(time.Now(), t, s)
 	if rate {
 		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
 	}
-	if s.Leaving {
+	if leaves {
 		f.relay.observer.Leaving(&t.choice.Endpoint)
 	}
 	if brittle {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -115,7 +115,8 @@
 	// RateLimited reports that an endpoint has stated another rate limit, or that its
 	// limit has ended, which is Absent.
 	RateLimited(e fleet.EndpointID, l backpressure.Limit)
-	// Leaving reports that an answer of an endpoint says that it leaves.
+	// Leaving reports that an answer of an endpoint says, for the first time, that it leaves.
+	// The endpoint must get no further requests once it returns.
 	Leaving(e *roster.Endpoint)
 	// RejectionsLimited reports that endpoints of a service crash above a rate of
 	// rejections, or, where it is Absent, that they no longer do.
--- a/internal/relay/ratelimits.go
+++ b/internal/relay/ratelimits.go
@@ -5,16 +5,28 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
-// noteStated records the limits that an attempt's answer states, and reports whether the
-// endpoint's rate limit changed, and whether its service became brittle or ceased to be.
-func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) (rate, brittle bool) {
+// noteStated records what an attempt's answer states, and reports whether the endpoint's rate
+// limit changed, whether its service became brittle or ceased to be, and whether the endpoint
+// leaves and that is new.
+func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) (rate, brittle, leaves bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if stated.Leaving {
+		return false, false, s.balancer.ObserveLeaving(now, &t.choice.Endpoint)
+	}
 	rate = s.balancer.ObserveRateLimit(now, t.sent, &t.choice.Endpoint, stated.RateLimit)
 	brittle = s.balancer.ObserveRejectionLimit(now, t.choice.Endpoint.Service, stated.RejectionLimit)
-	return rate, brittle
+	return rate, brittle, false
+}
+
+// Leaving returns the endpoints that have said that they leave and aren't listed as draining.
+func (s *State) Leaving() []roster.Endpoint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Leaving()
 }
 
 // SetFleet sets the serving daemons, with which the endpoints' rate limits are shared.
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -29,7 +29,7 @@
 type Roster struct {
 	endpoints  map[fleet.EndpointID]Endpoint
 	held       map[fleet.EndpointID]time.Time // removed from the registry, but kept until then
-	leaving    map[fleet.EndpointID]time.Time // StartedAt of endpoints that announced their leave
+	leaving    map[fleet.EndpointID]leave     // endpoints that announced their leave
 	graceEnd   time.Time                      // end of OutageGrace after the last outage
 	catchingUp bool                           // changes during the outage are not applied yet
 	changed    bool
@@ -37,9 +37,16 @@
 	complete   uint64 // the newest revision up to which no removal is held back
 }
 
+// leave is the announcement of a run of an endpoint that it leaves.
+type leave struct {
+	startedAt time.Time // of the run, zero if unknown
+	// stated says that the endpoint itself announced it in an answer, which no entry revokes.
+	stated bool
+}
+
 // New returns an empty roster.
 func New() *Roster {
-	return &Roster{endpoints: map[fleet.EndpointID]Endpoint{}, held: map[fleet.EndpointID]time.Time{}, leaving: map[fleet.EndpointID]time.Time{}}
+	return &Roster{endpoints: map[fleet.EndpointID]Endpoint{}, held: map[fleet.EndpointID]time.Time{}, leaving: map[fleet.EndpointID]leave{}}
 }
 
 // OutageEnded records that the registry answers again after an outage, in which
@@ -90,7 +97,7 @@
 		e.Draining = true
 	}
 	if e.Draining {
-		r.recordLeave(&e)
+		r.recordLeave(e.ID, leave{startedAt: e.StartedAt})
 	}
 	delete(r.held, e.ID)
 	r.endpoints[e.ID] = e
@@ -101,15 +108,29 @@
 // That is final: if the registry is restored from a copy some seconds old, it may
 // list a leaving or departed endpoint as serving, which must get no requests.
 func (r *Roster) announcedLeave(e *Endpoint) bool {
-	startedAt, ok := r.leaving[e.ID]
-	return ok && !e.StartedAt.IsZero() && e.StartedAt.Equal(startedAt)
+	l, ok := r.leaving[e.ID]
+	return ok && e.StartedAt.Equal(l.startedAt) && (l.stated || !e.StartedAt.IsZero())
 }
 
-func (r *Roster) recordLeave(e *Endpoint) {
+// Leaves records that a run of an endpoint, which started at a time or at an unknown one, has
+// said in an answer that it leaves. Only a later run brings the endpoint back, or, without start
+// times, an entry after its removal.
+func (r *Roster) Leaves(id fleet.EndpointID, startedAt time.Time) {
+	r.recordLeave(id, leave{startedAt, true})
+	if e, ok := r.endpoints[id]; ok && !e.Draining && e.StartedAt.Equal(startedAt) {
+		e.Draining = true
+		r.endpoints[id] = e
+		r.changed = true
+	}
+}
+
+func (r *Roster) recordLeave(id fleet.EndpointID, l leave) {
 	if len(r.leaving) >= maxLeaving {
 		clear(r.leaving)
 	}
-	r.leaving[e.ID] = e.StartedAt
+	old := r.leaving[id]
+	l.stated = l.stated || old.stated && old.startedAt.Equal(l.startedAt)
+	r.leaving[id] = l
 }
 
 // maxLeaving limits the recorded leaves, to those of several hours at the usual
@@ -186,6 +207,9 @@
 }
 
 func (r *Roster) drop(id fleet.EndpointID) {
+	if r.endpoints[id].StartedAt.IsZero() {
+		delete(r.leaving, id)
+	}
 	delete(r.endpoints, id)
 	delete(r.held, id)
 	r.changed = true
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -130,3 +130,36 @@
 	assert.Equal(t, len(all), 1)
 	assert.Assert(t, !all[0].Draining)
 }
+
+// Guards against an endpoint that has said that it leaves and is brought back by a stale list, a
+// restored store or the grace after an outage.
+func TestStatedLeaveIsFinalForTheRun(t *testing.T) {
+	for _, startedAt := range []time.Time{time.Unix(500, 0), {}} {
+		r, now := New(), time.Unix(1000, 0)
+		e := Endpoint{ID: "a", Service: "s", StartedAt: startedAt}
+		r.Upsert(e)
+		r.Leaves("a", startedAt)
+		all, changed := r.Snapshot()
+		assert.Assert(t, changed && all[0].Draining)
+		r.Upsert(e)
+		r.Replace(now, []Endpoint{e})
+		all, _ = r.Snapshot()
+		assert.Assert(t, all[0].Draining)
+		r.OutageEnded(now)
+		r.Replace(now, nil)
+		all, _ = r.Snapshot()
+		assert.Equal(t, len(all), 0)
+		r.Upsert(Endpoint{ID: "a", Service: "s", StartedAt: startedAt.Add(time.Second)})
+		all, _ = r.Snapshot()
+		assert.Assert(t, len(all) == 1 && !all[0].Draining)
+	}
+}
+
+// Guards against a leave that is stated before the endpoint is listed.
+func TestStatedLeaveOfAnUnlistedEndpointIsKept(t *testing.T) {
+	r, startedAt := New(), time.Unix(500, 0)
+	r.Leaves("a", startedAt)
+	r.Upsert(Endpoint{ID: "a", Service: "s", StartedAt: startedAt})
+	all, _ := r.Snapshot()
+	assert.Equal(t, len(all), 0)
+}
