The rest that an endpoint asks for is decoded, logged and counted

Fractions of a second count; zero, negative, unreadable values and dates are no rest; more than an hour is an hour. No decision changes.

--- a/internal/backpressure/stated.go
+++ b/internal/backpressure/stated.go
@@ -4,6 +4,7 @@
 	"math"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Stated is what an answer says about the requests that its endpoint accepts.
@@ -14,6 +15,8 @@
 	// RejectionLimit is the requests a second that the endpoint can reject for lack of
 	// room; with more, it crashes.
 	RejectionLimit Limit
+	// Rest is how long the endpoint wants no requests from this daemon; 0: not stated.
+	Rest time.Duration
 	// Leaving says that the endpoint leaves and should get no further requests.
 	Leaving bool
 }
@@ -46,3 +49,16 @@
 	}
 	return Limit{Presence: Valid, PerSecond: perSecond}
 }
+
+// maxRest bounds a rest that an endpoint asks for: a longer one is no useful statement.
+const maxRest = time.Hour
+
+// ParseRest parses the seconds, which may have fractions, of a header with the rest that an
+// endpoint asks for. It returns 0 if there is none, or if it can't be read.
+func ParseRest(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(seconds > 0) {
+		return 0
+	}
+	return time.Duration(min(seconds, maxRest.Seconds()) * float64(time.Second))
+}
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -60,7 +60,7 @@
 	return relay.Failure
 }
 
-func (protocol) Stated(http.Header) backpressure.Stated { return backpressure.Stated{} }
+func (protocol) Stated(int, http.Header) backpressure.Stated { return backpressure.Stated{} }
 
 func (protocol) Answer(h http.Header) http.Header {
 	out := h.Clone()
@@ -76,6 +76,7 @@
 func (o *observer) Began(fleet.WorkspaceID, time.Time)                     { o.begun.Add(1) }
 func (o *observer) Cut(ends.Disconnect)                                    {}
 func (o *observer) RateLimited(fleet.EndpointID, backpressure.Limit)       {}
+func (o *observer) Resting(fleet.EndpointID, time.Duration)                {}
 func (o *observer) Leaving(*roster.Endpoint)                               {}
 func (o *observer) RejectionsLimited(string, backpressure.Limit)           {}
 func (o *observer) Ended(*relay.Outcome)                                   {}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -65,7 +65,7 @@
 func (echo) Owns(*relay.Request) func(http.Header) upstream.Ownership {
 	return func(http.Header) upstream.Ownership { return upstream.ThisRequest }
 }
-func (echo) Stated(http.Header) backpressure.Stated { return backpressure.Stated{} }
+func (echo) Stated(int, http.Header) backpressure.Stated { return backpressure.Stated{} }
 
 func (echo) Classify(status int, _ http.Header) relay.Class {
 	if status == http.StatusOK {
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -31,6 +31,12 @@
 	log.WithField("per_second", l.PerSecond).Warn("endpoint limits its requests")
 }
 
+// Resting implements relay.Observer.
+func (o *observer) Resting(e fleet.EndpointID, rest time.Duration) {
+	o.node.metrics.set.GetOrCreateCounter(`cyclamenbeam_answers_asking_for_rest_total`).Inc()
+	o.node.requests.rested(e, rest)
+}
+
 // Leaving implements relay.Observer.
 func (o *observer) Leaving(e *roster.Endpoint) {
 	o.node.metrics.set.GetOrCreateCounter(`cyclamenbeam_answers_leaving_total`).Inc()
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -7,6 +7,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -20,6 +21,8 @@
 	// microseconds, so that both together stay below a thousandth of a core.
 	failureLines = 60
 	successLines = 4
+	// restLines bounds the lines a second about endpoints that ask for rest.
+	restLines = 8
 )
 
 // requestLog logs each request that failed or was late and some of the others, up to a
@@ -29,6 +32,7 @@
 	metrics   *metricSet
 	ring      *ring.Ring[*relay.Outcome]
 	successes atomic.Uint64 // successes offered in this second
+	rests     atomic.Uint64 // rests offered in this second
 }
 
 func newRequestLog(l *logrus.Logger, m *metricSet) *requestLog {
@@ -43,6 +47,13 @@
 	r.ring.Push(o)
 }
 
+// rested logs that an endpoint asks for rest, up to a bound a second.
+func (r *requestLog) rested(e fleet.EndpointID, rest time.Duration) {
+	if r.rests.Add(1) <= restLines {
+		r.log.WithFields(logrus.Fields{"part": "endpoints", "endpoint": e, "rest_ms": rest.Milliseconds()}).Info("endpoint wants no requests for a while")
+	}
+}
+
 func (r *requestLog) run(ctx context.Context) {
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
@@ -58,6 +69,7 @@
 			}
 			written, dropped = 0, 0
 			r.successes.Store(0)
+			r.rests.Store(0)
 		case o := <-r.ring.C():
 			if written >= failureLines {
 				dropped++
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -228,7 +228,7 @@
 	defer a.Close()
 	class := f.relay.protocol.Classify(a.Status, a.Header)
 	if class != Misdirected {
-		f.noteStated(t, f.relay.protocol.Stated(a.Header))
+		f.noteStated(t, f.relay.protocol.Stated(a.Status, a.Header))
 	}
 	return f.readAnswer(t, a, class)
 }
@@ -310,6 +310,9 @@
 	if rate {
 		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
 	}
+	if s.Rest > 0 {
+		f.relay.observer.Resting(t.choice.Endpoint.ID, s.Rest)
+	}
 	if leaves {
 		f.relay.observer.Leaving(&t.choice.Endpoint)
 	}
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -48,8 +48,8 @@
 	}
 }
 
-func (plainProtocol) Stated(h http.Header) backpressure.Stated {
-	return backpressure.Stated{RateLimit: backpressure.ParseLimit(h.Get("Rate-Limit"))}
+func (plainProtocol) Stated(_ int, h http.Header) backpressure.Stated {
+	return backpressure.Stated{RateLimit: backpressure.ParseLimit(h.Get("Rate-Limit")), Rest: backpressure.ParseRest(h.Get("Rest"))}
 }
 
 func (plainProtocol) Classify(status int, _ http.Header) Class {
@@ -128,7 +128,8 @@
 	r.limits = append(r.limits, l.PerSecond)
 }
 
-func (r *recorder) Leaving(*roster.Endpoint) {}
+func (r *recorder) Leaving(*roster.Endpoint)                {}
+func (r *recorder) Resting(fleet.EndpointID, time.Duration) {}
 
 func (r *recorder) RejectionsLimited(string, backpressure.Limit) {}
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -115,6 +115,8 @@
 	// RateLimited reports that an endpoint has stated another rate limit, or that its
 	// limit has ended, which is Absent.
 	RateLimited(e fleet.EndpointID, l backpressure.Limit)
+	// Resting reports that an endpoint wants no requests from this daemon for a while.
+	Resting(e fleet.EndpointID, rest time.Duration)
 	// Leaving reports that an answer of an endpoint says, for the first time, that it leaves.
 	// The endpoint must get no further requests once it returns.
 	Leaving(e *roster.Endpoint)
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -19,8 +19,8 @@
 	Owns(r *Request) func(http.Header) upstream.Ownership
 	// Classify returns the meaning of an answer with this status and header.
 	Classify(status int, h http.Header) Class
-	// Stated returns the limits that an endpoint's answer states.
-	Stated(h http.Header) backpressure.Stated
+	// Stated returns what an endpoint's answer states about the requests that it accepts.
+	Stated(status int, h http.Header) backpressure.Stated
 	// Answer returns the header to send to the caller.
 	Answer(h http.Header) http.Header
 }
