Endpoints that ask a daemon for rest get none of its requests

Cause: the time in the answer was not read. An endpoint that turned a request away was as good as any for the next one, and for the retries of all others.

Where all rest, requests are refused at once with the time of the earliest end, spread. Where most rest, a request that was turned away gets one further choice.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -140,7 +140,7 @@
 // endpoints are chosen only when there are no others.
 func (b *Balancer) Pick(now time.Time, r *Request) (c Choice, ok bool) {
 	set := b.candidates(now, r)
-	home := b.homeOf(r.affinityKey(), set)
+	home := b.homeOf(now, r.affinityKey(), set)
 	found := b.findSources(r, set)
 	for _, avoided := range [...]bool{false, true} {
 		best := b.cheapest(now, r, set, home, &found, avoided)
@@ -157,7 +157,7 @@
 	var best *member
 	least, equal := 0.0, 0
 	for _, m := range set {
-		if m.avoided(now) != avoided || !m.hasRate(now) || r.tried(m) {
+		if m.avoided(now) != avoided || !m.hasRate(now) || m.resting(now) || r.tried(m) {
 			continue
 		}
 		cost := b.cost(now, r, m, m == home, found)
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -32,15 +32,15 @@
 }
 
 // homeOf returns the first home of an affinity key by rendezvous hashing; nil for key
-// 0. An endpoint with a rate limit can't take the requests of a home.
-func (b *Balancer) homeOf(key uint64, set []*member) *member {
+// 0. An endpoint with a rate limit or at rest can't take the requests of a home.
+func (b *Balancer) homeOf(now time.Time, key uint64, set []*member) *member {
 	var best *member
 	var most uint64
 	if key == 0 {
 		return nil
 	}
 	for _, m := range set {
-		if m.pacer != nil {
+		if m.pacer != nil || m.resting(now) {
 			continue
 		}
 		if s := rendezvous.ScoreHashed(key, m.hash); best == nil || s > most {
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -46,7 +46,8 @@
 	ceilingAtRejection float64
 	backoff            time.Duration
 	backoffUntil       time.Time
-	rank               int // of this daemon for the endpoint, in the fleet rankedIn
+	restUntil          time.Time // until when the endpoint wants no requests of this daemon
+	rank               int       // of this daemon for the endpoint, in the fleet rankedIn
 	rankedIn           *backpressure.Fleet
 }
 
--- a/internal/balance/ratelimits.go
+++ b/internal/balance/ratelimits.go
@@ -106,9 +106,18 @@
 }
 
 // LimitWait returns the time until an endpoint that a request may go to has room within the
-// limits that endpoints state, at this daemon or at another; ok is false if none of them
-// states a limit.
+// limits that endpoints state, at this daemon or at another, or ends its rest; ok is false if
+// none of them states a limit or rests.
 func (b *Balancer) LimitWait(now time.Time, r *Request) (d time.Duration, ok bool) {
+	d, ok = b.rateWait(now, r)
+	if rest, rests := b.restWait(now, r); rests && (!ok || rest < d) {
+		return rest, true
+	}
+	return d, ok
+}
+
+// rateWait is LimitWait without rests.
+func (b *Balancer) rateWait(now time.Time, r *Request) (d time.Duration, ok bool) {
 	if b.brittle[r.Service] != nil {
 		return minBackoff, true
 	}
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -7,8 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/node/originpb"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -90,6 +90,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.work.countRefused(f.service)
+	if wait, limited := s.balancer.LimitWait(time.Now(), f.balanceReq); reason == Shed && limited {
+		return notRun(reason, jitter(wait, s.rng.Float64()))
+	}
 	return notRun(reason, jitter(noEndpointRetryAfter, s.rng.Float64()))
 }
 
@@ -128,3 +131,10 @@
 		delete(s.attempts, id)
 	}
 }
+
+// mostRest reports whether most endpoints that a request may go to want no requests.
+func (s *State) mostRest(f *inflight) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.MostRest(time.Now(), f.balanceReq)
+}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -103,6 +103,7 @@
 			failed = buffered
 		}
 		result.timeLeft = ctx.Err() == nil && time.Until(f.deadline) > minTimeLeft
+		result.mostRest = result.class == Refused && f.relay.state.mostRest(f)
 		step := next(f.route, f.tally, result, f.takeRetry)
 		if step == again {
 			f.outcome.keepFirstCause()
--- a/internal/relay/next.go
+++ b/internal/relay/next.go
@@ -39,6 +39,8 @@
 	// refusal is that of the daemon to which the request was forwarded, nil if an
 	// endpoint answered.
 	refusal *Refusal
+	// mostRest says that most endpoints to choose from want no requests.
+	mostRest bool
 	// timeLeft says that another attempt could still end before the deadline.
 	timeLeft bool
 }
@@ -59,7 +61,8 @@
 	case res.verdict == verdict.NotRun:
 		// A refused request is safe to send again, but adds to the load, so the
 		// retry budget and the route's bound apply.
-		if res.timeLeft && t.reached <= r.MaxAttempts && budget() {
+		// Where most endpoints rest, one further choice is made, not a chain.
+		if res.timeLeft && !(res.mostRest && t.reached > 1) && t.reached <= r.MaxAttempts && budget() {
 			return again
 		}
 		return giveUp(t)
--- a/internal/relay/next_test.go
+++ b/internal/relay/next_test.go
@@ -48,3 +48,14 @@
 		assert.Equal(t, got, c.want, c.name)
 	}
 }
+
+// Guards against a chain of attempts where most endpoints want no requests.
+func TestOneFurtherChoiceWhereMostEndpointsRest(t *testing.T) {
+	r := &route.Route{Kind: route.Idempotent, MaxAttempts: 4}
+	res := attemptResult{reached: true, class: Refused, verdict: verdict.NotRun, complete: true, timeLeft: true, mostRest: true}
+	budget := func() bool { return true }
+	assert.Equal(t, next(r, tally{reached: 1}, res, budget), again)
+	assert.Equal(t, next(r, tally{reached: 2}, res, budget), refuse)
+	res.mostRest = false
+	assert.Equal(t, next(r, tally{reached: 2}, res, budget), again)
+}
--- a/internal/relay/ratelimits.go
+++ b/internal/relay/ratelimits.go
@@ -14,6 +14,9 @@
 func (s *State) noteStated(now time.Time, t *trackedAttempt, stated backpressure.Stated) (rate, brittle, leaves bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if stated.Rest > 0 {
+		s.balancer.Rest(now, t.choice, stated.Rest)
+	}
 	if stated.Leaving {
 		return false, false, s.balancer.ObserveLeaving(now, &t.choice.Endpoint)
 	}
