--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -393,6 +393,58 @@
 	assert.Equal(t, runs.Load(), int64(2))
 }
 
+// Guards against a stream that begins at one version and goes on at another behind the hop.
+func TestStreamKeepsItsVersionOverTheHop(t *testing.T) {
+	versioned := func(version string, breakOff bool) *hopEngine {
+		return newHopEngine(t, func(w http.ResponseWriter, r *http.Request) {
+			last := 0
+			_, _ = fmt.Sscan(r.Header.Get("After"), &last)
+			fmt.Fprintf(w, "id: %d\ndata: %s\n\n", last+1, version)
+			w.(http.Flusher).Flush()
+			if breakOff {
+				panic(http.ErrAbortHandler)
+			}
+		})
+	}
+	first, other, same := versioned("v1", true), versioned("v2", false), versioned("v1", false)
+	list := func(d *hopDaemon, engines map[string]*hopEngine) {
+		var all []roster.Endpoint
+		for id, e := range engines {
+			version, _, _ := strings.Cut(id, "-")
+			all = append(all, roster.Endpoint{ID: fleet.EndpointID(id), Service: "s", Address: e.address(), Slots: 8, DataCentre: "a", Version: version})
+		}
+		d.state.SetEndpoints(time.Now(), all)
+	}
+	b, c := newHopDaemon(t, first.address()), newHopDaemon(t, first.address())
+	a := newHopDaemon(t, "", b.address, c.address)
+	list(b, map[string]*hopEngine{"v1-first": first})
+	list(c, map[string]*hopEngine{"v2-other": other})
+	out := a.send(t.Context(), "/stream/1", "")
+	assert.Equal(t, out.text(), "id: 1\ndata: v1\n\n")
+	assert.Assert(t, out.aborted)
+	assert.Equal(t, other.runs.Load(), int64(0))
+	list(c, map[string]*hopEngine{"v2-other": other, "v1-same": same})
+	out = a.send(t.Context(), "/stream/1", "")
+	assert.Equal(t, out.text(), "id: 1\ndata: v1\n\nid: 2\ndata: v1\n\n")
+	assert.Assert(t, out.ended)
+	assert.Equal(t, other.runs.Load(), int64(0))
+}
+
+// Guards against a stream that goes on where the daemon that forwarded it doesn't state its
+// version, as one of an earlier release.
+func TestForwardedStreamWithoutItsVersionIsRefused(t *testing.T) {
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\n\n") })
+	b := newHopDaemon(t, e.address())
+	out := &hopSink{}
+	b.ServeForwarded(t.Context(), &relay.ForwardedRequest{
+		Request: &relay.Request{ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", LastEvent: "4"},
+		Route:   route.Route{Name: "stream", Kind: route.Streaming, Resumable: true}, Service: "s", TimeLeft: time.Second,
+	}, out)
+	assert.Equal(t, out.refusal.Reason, relay.UnknownVersion)
+	assert.Equal(t, out.refusal.Verdict, verdict.NotRun)
+	assert.Equal(t, e.runs.Load(), int64(0))
+}
+
 // Guards against a daemon that runs out of memory by the bodies of others.
 func TestBodiesAreBoundedInMemory(t *testing.T) {
 	hold := make(chan struct{})
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -117,3 +117,18 @@
 	peers := []Peer{{Address: "far", Remote: true}, {Address: "near", Running: 100}}
 	assert.Equal(t, Offer(rand.New(rand.NewPCG(1, 1)), peers)[0].Address, "near")
 }
+
+// Guards against a stream that goes on through a daemon of an earlier release, which doesn't
+// keep to its version.
+func TestPinnedRequestGoesThroughDaemonsThatKeepVersions(t *testing.T) {
+	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
+	c.SetKnown(start, []Peer{{Address: "old"}, {Address: "new", KeepsVersions: true}})
+	for range 20 {
+		address, ok := c.Choose(start, "s", nil, true)
+		assert.Assert(t, ok && address == "new")
+	}
+	_, ok := c.Choose(start, "s", []string{"new"}, true)
+	assert.Assert(t, !ok)
+	address, ok := c.Choose(start, "s", []string{"new"}, false)
+	assert.Assert(t, ok && address == "old")
+}
