Versions of streams: the trust in a listed run follows the contact bound

Larger fleets learn of endpoints later than 3 s in calm: their reports and watches are longer, and streams on new connections would have begun with an unknown origin. The bound is the platform's contact bound now. Daemons ask for the history of versions until it reaches as far back as any horizon (2 min; it was 20 s, less than twice a route's timeout). An entry that names another version for the same start time ends no attempts: no run has changed.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -27,10 +27,10 @@
 // origins holds the versions that began streams, its own and copies of other daemons', which
 // daemons send each other in datagrams. It implements relay.Origins.
 type origins struct {
-	node     *Node
-	conn     atomic.Pointer[originConn]
-	listedAt atomic.Pointer[time.Time]
-	homes    atomic.Pointer[cachedHomes]
+	node    *Node
+	conn    atomic.Pointer[originConn]
+	trusted atomic.Pointer[time.Time]
+	homes   atomic.Pointer[cachedHomes]
 
 	mu       sync.Mutex
 	table    *origin.Table
@@ -48,7 +48,7 @@
 
 func newOrigins(n *Node) *origins {
 	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), searches: map[origin.Key]*search{}}
-	o.listedAt.Store(&time.Time{})
+	o.trusted.Store(&time.Time{})
 	return o
 }
 
@@ -64,12 +64,12 @@
 func (o *origins) run(ctx context.Context) {
 	pause.Every(ctx, originCheckInterval, func() {
 		now := time.Now()
-		at := now.Add(-o.node.peers.listAge(now))
-		o.listedAt.Store(&at)
+		until := now.Add(o.node.contactBound() - o.node.peers.listAge(now))
+		o.trusted.Store(&until)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.table.Expire(now)
-		if now.Sub(at) > o.node.contactBound() {
+		if now.After(until) {
 			o.versions.Interrupted(now)
 		}
 	})
@@ -89,8 +89,9 @@
 	o.versions.Listed(now, all)
 }
 
-// ListedAt implements relay.Origins.
-func (o *origins) ListedAt() time.Time { return *o.listedAt.Load() }
+// TrustedUntil implements relay.Origins. While the list is kept up to date, an endpoint that
+// starts is listed within the contact bound.
+func (o *origins) TrustedUntil() time.Time { return *o.trusted.Load() }
 
 // Only implements relay.Origins.
 func (o *origins) Only(service string, horizon time.Duration) (string, bool) {
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -103,7 +103,7 @@
 
 // Wants reports whether another daemon's history may help.
 func (v *Versions) Wants(now time.Time) bool {
-	return !v.since.IsZero() && now.Sub(v.since) < Retention
+	return !v.since.IsZero() && now.Sub(v.since) < maxHorizon
 }
 
 // Merge takes another daemon's history, if it reaches further back.
--- a/internal/origin/versions_test.go
+++ b/internal/origin/versions_test.go
@@ -61,7 +61,7 @@
 func TestHistoryOfAnotherDaemonReachesFurtherBack(t *testing.T) {
 	old, fresh := NewVersions(), NewVersions()
 	old.Listed(start, endpoints("v1"))
-	at := 2 * Retention
+	at := maxHorizon
 	old.Listed(start.Add(at), endpoints("v2"))
 	now := start.Add(at + time.Second)
 	fresh.Listed(now, endpoints("v2"))
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
 // trackedAttempt is an attempt in progress as the shared state records it.
@@ -29,6 +30,20 @@
 // errRestarted ends attempts at an endpoint that has restarted.
 var errRestarted = errs.New("the endpoint has started again")
 
+// restartOf returns why attempts at an endpoint end, nil if its newest entry describes the same
+// run. Without start times, another version shows another run.
+func restartOf(e, newest *roster.Endpoint) error {
+	otherVersion := e.Version != newest.Version
+	switch {
+	case otherVersion && (e.RestartedAs(newest) || e.StartedAt.IsZero()):
+		return errOtherVersion
+	case e.RestartedAs(newest):
+		return errRestarted
+	default:
+		return nil
+	}
+}
+
 // pick chooses an endpoint for a request, or returns a refusal if there is none.
 func (s *State) pick(now time.Time, f *inflight) (balance.Choice, *Refusal) {
 	s.mu.Lock()
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -25,8 +25,9 @@
 	// Only returns the version of a service that began all streams of the last horizon; ok is
 	// false if there were several, or if that isn't known.
 	Only(service string, horizon time.Duration) (version string, ok bool)
-	// ListedAt returns a time, not after now, as of which the list of endpoints is complete.
-	ListedAt() time.Time
+	// TrustedUntil returns until when connections reach the listed runs of endpoints. One that
+	// was established later may reach a run that has started since the list was complete.
+	TrustedUntil() time.Time
 }
 
 // noOrigins is a daemon without others, which knows the streams that it is serving.
@@ -38,15 +39,11 @@
 	return origin.Origin{}, false
 }
 func (noOrigins) Only(string, time.Duration) (string, bool) { return "", false }
-func (noOrigins) ListedAt() time.Time                       { return time.Now() }
+func (noOrigins) TrustedUntil() time.Time                   { return time.Now().Add(time.Hour) }
 
 // SetOrigins sets the source of streams' origins. It must be called before Serve.
 func (r *Relay) SetOrigins(o Origins) { r.origins = o }
 
-// maxListDelay is how long after its start an endpoint is listed, while the list of endpoints
-// is kept up to date.
-const maxListDelay = 3 * time.Second
-
 // refreshInterval is the time between two records of one stream's origin.
 const refreshInterval = origin.Retention / 2
 
@@ -163,7 +160,7 @@
 	if t.forwarded {
 		return origin.Origin{Service: f.service, Version: t.version}, t.versionKnown
 	}
-	if a.Established().After(f.relay.origins.ListedAt().Add(maxListDelay)) {
+	if a.Established().After(f.relay.origins.TrustedUntil()) {
 		return origin.Origin{}, false
 	}
 	return origin.Origin{Service: f.service, Version: t.choice.Endpoint.Version}, true
@@ -172,7 +169,7 @@
 // establishedBy returns until when the connection of the next attempt must have been
 // established; zero: any will do. A stream that goes on must reach the run that is listed.
 func (f *inflight) establishedBy(now time.Time) time.Time {
-	by := f.relay.origins.ListedAt().Add(maxListDelay)
+	by := f.relay.origins.TrustedUntil()
 	if !f.continuation.begun || now.Before(by) {
 		return time.Time{}
 	}
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -20,10 +20,10 @@
 
 // knownOrigins are the origins that a test sets, and those that the relay records.
 type knownOrigins struct {
-	table    map[origin.Key]origin.Origin
-	revoked  map[origin.Key]bool
-	only     string
-	listedAt time.Time // zero: now
+	table   map[origin.Key]origin.Origin
+	revoked map[origin.Key]bool
+	only    string
+	trusted time.Time // zero: for ever
 }
 
 func newKnownOrigins() *knownOrigins {
@@ -37,11 +37,11 @@
 	return from, known
 }
 func (o *knownOrigins) Only(string, time.Duration) (string, bool) { return o.only, o.only != "" }
-func (o *knownOrigins) ListedAt() time.Time {
-	if o.listedAt.IsZero() {
-		return time.Now()
+func (o *knownOrigins) TrustedUntil() time.Time {
+	if o.trusted.IsZero() {
+		return time.Now().Add(time.Hour)
 	}
-	return o.listedAt
+	return o.trusted
 }
 
 // versionedFixture is a relay before engines of the given versions, which write the version
@@ -192,7 +192,7 @@
 // since the list was complete.
 func TestVersionOfANewConnectionIsUnknownWhileTheListIsOld(t *testing.T) {
 	s, o := versionedFixture(t, nil, "v1")
-	o.listedAt = time.Now().Add(-time.Minute)
+	o.trusted = time.Now().Add(-time.Minute)
 	assert.Assert(t, s.send(t.Context(), "/stream/1").ended)
 	assert.Equal(t, len(o.table), 0)
 	o.table[origin.KeyOf("w", "first")] = origin.Origin{Service: "s", Version: "v1"}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -84,11 +84,8 @@
 	for i := range all {
 		services[all[i].Service] = true
 		for t := range s.attempts[all[i].ID] {
-			switch {
-			case t.choice.Endpoint.Version != all[i].Version:
-				t.abort(errOtherVersion)
-			case t.choice.Endpoint.RestartedAs(&all[i]):
-				t.abort(errRestarted)
+			if cause := restartOf(&t.choice.Endpoint, &all[i]); cause != nil {
+				t.abort(cause)
 			}
 		}
 	}
