A rest outlasts an endpoint's entry that is missing for a moment

A list without the entry dropped the endpoint's state, and the same run was asked again when it was listed anew (a registration that lapses, a store that comes back from a copy).

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -29,6 +29,7 @@
 	fleet               *backpressure.Fleet
 	byKey               map[rendezvous.ShortKey]*member
 	limited             map[*member]bool // those with a rate limit in force
+	rests               map[fleet.EndpointID]runRest
 	brittle             map[string]*brittleService
 	reported            bool           // a load report was received
 	slots               map[string]int // by service, of endpoints that take requests
@@ -44,6 +45,7 @@
 		self:    self,
 		rng:     rng,
 		members: map[fleet.EndpointID]*member{},
+		rests:   map[fleet.EndpointID]runRest{},
 		active:  map[string][]*member{},
 		splits:  map[string]*split{},
 
@@ -70,6 +72,7 @@
 // except for those that have restarted: their caches are empty, and earlier requests
 // no longer run there.
 func (b *Balancer) SetEndpoints(now time.Time, all []roster.Endpoint) {
+	b.pruneRests(now)
 	listed := make(map[fleet.EndpointID]bool, len(all))
 	for _, e := range all {
 		listed[e.ID] = true
@@ -78,7 +81,11 @@
 			m = &member{hash: rendezvous.Key(string(e.ID))}
 			b.members[e.ID] = m
 		}
+		isNew := m.ID == ""
 		m.Endpoint = e
+		if isNew {
+			b.restoreRest(m)
+		}
 		b.applySettings(m)
 	}
 	for id := range b.members {
--- a/internal/balance/rest.go
+++ b/internal/balance/rest.go
@@ -1,6 +1,11 @@
 package balance
 
-import "time"
+import (
+	"maps"
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
 
 // rampTime is the time after an endpoint's rest in which this daemon's requests there may rise
 // from one at a time to all slots.
@@ -15,9 +20,29 @@
 	}
 	if until := now.Add(rest); until.After(m.restUntil) {
 		m.restUntil = until
+		b.rests[m.ID] = runRest{m.StartedAt, until}
+	}
+}
+
+// runRest is the rest that one run of an endpoint has asked for.
+type runRest struct {
+	startedAt time.Time
+	until     time.Time
+}
+
+// restoreRest gives a member that is listed anew the rest that its run has asked for: an entry
+// may be missing in the list for a moment.
+func (b *Balancer) restoreRest(m *member) {
+	if r, ok := b.rests[m.ID]; ok && r.startedAt.Equal(m.StartedAt) {
+		m.restUntil = r.until
 	}
 }
 
+// pruneRests forgets the rests that have ended.
+func (b *Balancer) pruneRests(now time.Time) {
+	maps.DeleteFunc(b.rests, func(_ fleet.EndpointID, r runRest) bool { return now.Sub(r.until) > rampTime })
+}
+
 // resting reports whether the endpoint gets no further requests from this daemon, at rest or
 // just after it.
 func (m *member) resting(now time.Time) bool {
@@ -42,6 +67,15 @@
 	return d, ok
 }
 
+// AnyRest reports whether an endpoint that a request may go to is at rest.
+func (b *Balancer) AnyRest(now time.Time, r *Request) bool {
+	if len(b.rests) == 0 {
+		return false
+	}
+	_, ok := b.restWait(now, r)
+	return ok
+}
+
 // minRestWait is the least wait after a rest, while its endpoint takes few requests.
 const minRestWait = 100 * time.Millisecond
 
--- a/internal/balance/rest_test.go
+++ b/internal/balance/rest_test.go
@@ -46,6 +46,7 @@
 		assert.Assert(t, !ok, "%v", at)
 		wait, limited := b.LimitWait(restStart.Add(at), r)
 		assert.Assert(t, limited && wait >= 3*time.Second-at, "%v after %v", wait, at)
+		assert.Assert(t, b.AnyRest(restStart.Add(at), r))
 	}
 	_, ok = b.Pick(restStart.Add(3*time.Second), r)
 	assert.Assert(t, ok)
@@ -63,6 +64,21 @@
 	assert.Assert(t, ok)
 }
 
+// Guards against a rest that is forgotten where the endpoint's entry is missing for a moment.
+func TestRestOutlastsAMissingEntry(t *testing.T) {
+	b, r := restingBalancer(1, 1), &Request{Service: "s"}
+	c, _ := b.Pick(restStart, r)
+	b.Rest(restStart, c, 3*time.Second)
+	b.SetEndpoints(restStart, nil)
+	b.SetEndpoints(restStart.Add(time.Second), restEndpoints(1, restStart.Add(-time.Hour)))
+	_, ok := b.Pick(restStart.Add(3*time.Second-1), r)
+	assert.Assert(t, !ok)
+	_, ok = b.Pick(restStart.Add(3*time.Second), r)
+	assert.Assert(t, ok)
+	b.SetEndpoints(restStart.Add(time.Minute), nil)
+	assert.Equal(t, len(b.rests), 0)
+}
+
 // Guards against all that waits at once after a rest.
 func TestRequestsRampUpAfterARest(t *testing.T) {
 	b, r := restingBalancer(1, 1), &Request{Service: "s"}
