Requests are not passed to a resting endpoint through another daemon

The trace: two endpoints of the service were down, the third rested; after two unreachable endpoints the request went through another daemon, whose rest had ended, to the third. Where an endpoint rests, a request is forwarded only if the path is lost.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -147,6 +147,13 @@
 	}
 }
 
+// anyRest reports whether an endpoint that a request may go to wants no requests.
+func (s *State) anyRest(f *inflight) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.AnyRest(time.Now(), f.balanceReq)
+}
+
 // mostRest reports whether most endpoints that a request may go to want no requests.
 func (s *State) mostRest(f *inflight) bool {
 	s.mu.Lock()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -97,7 +97,11 @@
 	if f.forwarded || f.relay.forwarder == nil {
 		return "", nil
 	}
-	address, direct := f.relay.forwarder.Target(f.service, f.tally.unreached, f.triedDaemons, f.continuation.begun)
+	unreached := f.tally.unreached
+	if f.relay.state.anyRest(f) {
+		unreached = 0 // other daemons could reach only the endpoints that want rest
+	}
+	address, direct := f.relay.forwarder.Target(f.service, unreached, f.triedDaemons, f.continuation.begun)
 	switch {
 	case direct:
 		return "", nil
