--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -20,9 +20,8 @@
 	Service   string
 	Endpoint  fleet.EndpointID // of the last attempt
 	Version   string           // of that endpoint
-	// Continued says who continued a stream after its first attempt, empty if nobody did.
-	// BeganAt is the version that began it, empty if unknown, and Resumes the caller's
-	// attempt that did.
+	// Continued is who continued a stream after its first attempt, empty for none. BeganAt is
+	// the version that began it, empty if unknown, and Resumes the caller's attempt that did.
 	Continued Continuation
 	BeganAt   string
 	Resumes   string
