--- a/internal/balance/source_test.go
+++ b/internal/balance/source_test.go
@@ -113,3 +113,16 @@
 		all[i].Draining = all[i].Draining || all[i].ID == id
 	}
 }
+
+// Guards against cached tokens that one version has written and another one reads.
+func TestCachedTokensAreFetchedFromTheSameVersionOnly(t *testing.T) {
+	b, s := restingBalancer(1, 1), sources{}
+	to := &member{fetchSeconds: 1e-6}
+	to.Version = "v1"
+	from := &member{}
+	from.Version = "v2"
+	s.add(from, 2*minFetchTokens)
+	assert.Assert(t, b.planFetch(to, 0, &s).from == nil)
+	from.Version = "v1"
+	assert.Assert(t, b.planFetch(to, 0, &s).from == from)
+}
