A closed server accepts no connection, also if it was closed at once

A server that is closed before its goroutine ran goes on accepting until it does, and then resets the connections; a request sent on one of them counts as one that may have run. For callers: an order sent to a daemon that stops within its first moments. (2) the test's "gone" daemon had a free port, which other processes' tests got ("answered" by a foreign daemon).

The metrics listener (no requests that run) stays as it is. Tests reserve ports with a socket that doesn't listen, as the node's fleets did (internal/testport).

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gateway"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ledger"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
@@ -63,7 +63,7 @@
 	listBusy      busyTime  // in taking the instance list's answers
 	noticedAt     chan time.Time
 	listed        atomic.Pointer[listapi.List] // the newest answer
-	servers       []*http.Server
+	servers       []*httpserver.Server
 }
 
 // New makes a daemon from checked settings. Start lets it serve.
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -13,6 +13,7 @@
 	"golang.org/x/net/netutil"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/certs"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/peer"
@@ -187,13 +188,7 @@
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    d.settings.Limits.MaxHeaderBytes,
 	}
-	d.servers = append(d.servers, server)
-	go func() {
-		err := server.Serve(l)
-		if !errors.Is(err, http.ErrServerClosed) {
-			logging.For(d.log, part).WithError(err).Error("listener ended")
-		}
-	}()
+	d.servers = append(d.servers, httpserver.Start(server, l, logging.For(d.log, part)))
 }
 
 func (d *Daemon) servePeers(ctx context.Context, l net.Listener) {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -65,9 +65,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), closeTimeout)
 	defer cancel()
 	for _, s := range d.servers {
-		if s.Shutdown(ctx) != nil {
-			_ = s.Close()
-		}
+		_ = s.Close(ctx)
 	}
 	d.dispatcher.Close()
 	if d.membership != nil {
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -30,6 +30,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/testport"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -139,12 +140,10 @@
 	if len(forwardTo) > 0 {
 		d.relay.SetForwarder(&forwarder{pool: upstream.NewPool(8, upstream.DialTCP), addresses: forwardTo})
 	}
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	d.address = l.Addr().String()
-	assert.NilError(t, l.Close())
+	d.address = testport.Reserve(t)
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
+	var err error
 	d.server, err = forward.Open(d, d.address, maxBytes, quiet.WithField("part", "forward"))
 	assert.NilError(t, err)
 	t.Cleanup(func() {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"io"
 	"log"
 	"net"
@@ -12,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -39,14 +39,14 @@
 	handler  Handler
 	maxBytes int64
 	bytes    atomic.Int64 // of the bodies in memory
-	server   *http.Server
+	server   *httpserver.Server
 	log      *logrus.Entry
 }
 
 // Open listens at an address. maxBytes bounds the bodies of all requests in progress.
 func Open(h Handler, address string, maxBytes int64, logger *logrus.Entry) (*Server, error) {
 	s := &Server{handler: h, maxBytes: maxBytes, log: logger}
-	s.server = &http.Server{
+	server := &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       log.New(io.Discard, "", 0), // only broken connections
@@ -56,22 +56,13 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	go func() {
-		if err := s.server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			s.log.WithError(err).Error("listener ended")
-		}
-	}()
+	s.server = httpserver.Start(server, l, logger)
 	return s, nil
 }
 
 // Close stops listening, waits for the requests in progress until the context ends, and
 // closes all connections.
-func (s *Server) Close(ctx context.Context) error {
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Join(err, s.server.Close())
-	}
-	return nil
-}
+func (s *Server) Close(ctx context.Context) error { return s.server.Close(ctx) }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
 	size := max(r.ContentLength, 0)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -12,7 +12,6 @@
 	"strings"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
@@ -28,6 +27,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/testport"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -103,28 +103,6 @@
 	done   []chan error
 }
 
-// freeAddress returns an address whose port is free for TCP and UDP: daemons use both. A
-// socket that is bound and doesn't listen keeps other tests and connections from the port.
-func freeAddress(t testing.TB) string {
-	t.Helper()
-	for {
-		fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM, 0)
-		assert.NilError(t, err)
-		syscall.CloseOnExec(fd)
-		t.Cleanup(func() { _ = syscall.Close(fd) })
-		assert.NilError(t, syscall.Bind(fd, &syscall.SockaddrInet4{Addr: [4]byte{127, 0, 0, 1}}))
-		assert.NilError(t, syscall.SetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_REUSEADDR, 1)) // for the listener
-		bound, err := syscall.Getsockname(fd)
-		assert.NilError(t, err)
-		address := net.JoinHostPort("127.0.0.1", strconv.Itoa(bound.(*syscall.SockaddrInet4).Port))
-		p, err := net.ListenPacket("udp", address)
-		if err == nil {
-			assert.NilError(t, p.Close())
-			return address
-		}
-	}
-}
-
 // decodeTable reads a version, the text's first word; the table lets one
 // workspace call one service.
 func decodeTable(spec []byte) (*route.Table, error) {
@@ -206,7 +184,7 @@
 		Daemon: DaemonSettings{
 			Instance: fleet.InstanceID("i" + strconv.Itoa(i)), DataCentre: "a", Region: "r", FirstStart: true,
 		},
-		Listen: ListenSettings{Callers: freeAddress(f.t), Peers: freeAddress(f.t), Forward: freeAddress(f.t)},
+		Listen: ListenSettings{Callers: testport.Reserve(f.t), Peers: testport.Reserve(f.t), Forward: testport.Reserve(f.t)},
 		Bounds: BoundsSettings{
 			GraceSeconds: 0.4, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
 			UsageWindowSeconds: 0.5, LeaseMillis: 900, AnswerMaxAgeSeconds: 1, ContactMillis: 3000, ChangeMillis: 3000,
