Test: daemons without a path serve as soon as others, after endpoints were down

Hypothesis: the other daemons count the outage as a lost path too and report it; until they have probed twice and reported again, a daemon without a path finds nobody to send requests through.

--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -97,3 +97,49 @@
 	time.Sleep(500 * time.Millisecond)
 	assert.Equal(t, f.cut[0].crashes.table.CrashCount(), 0)
 }
+
+// Guards against callers of daemons without a path who are refused longer than others, after all
+// endpoints of a service were down.
+func TestDaemonWithoutAPathServesAsSoonAsOthersDo(t *testing.T) {
+	var outage, path faultproxy.Path
+	f := &cutFleet{testFleet: newFleet(t, 0)}
+	f.addEndpoint("e2")
+	whole := []*Node{f.addWithPath(&outage), f.addWithPath(&outage)}
+	f.cut = []*Node{f.addWithPath(&path), f.addWithPath(&path)}
+	f.awaitReady()
+	f.until("both endpoints are listed", func(n *Node) bool {
+		all, _ := n.endpoints.list()
+		return len(all) == 2
+	})
+	path.Set(faultproxy.PathReset)
+	f.sendFor(time.Second, f.nodes)
+	outage.Set(faultproxy.PathReset)
+	f.sendFor(2*time.Second, f.nodes)
+	outage.Set(faultproxy.PathOpen)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		for _, n := range whole {
+			if out := sendRequest(n); out.status != 200 {
+				return poll.Continue("%+v", out.refusal)
+			}
+		}
+		return poll.Success()
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(5*time.Millisecond))
+	served, all := f.sendFor(time.Second, f.cut)
+	t.Logf("%d of %d served", served, all)
+	assert.Assert(t, float64(served) >= 0.9*float64(all), "%d of %d", served, all)
+}
+
+// sendFor sends requests to daemons in turn for a time, and returns how many were served.
+func (f *cutFleet) sendFor(d time.Duration, to []*Node) (served, all int) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for _, n := range to {
+			f.closeIdle(n)
+			if sendRequest(n).status == 200 {
+				served++
+			}
+			all++
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	return served, all
+}
