Requests visit daemons that have lost the path too, once endpoints may be back

Cause: connected daemons count the outage as a lost path, and report it until they have probed twice (0.5 s each) and reported again. Until then a daemon without a path finds nobody to send requests through: it chose only among daemons that state no lost path for the service.

Change: a request that has found endpoints unreachable, or that no endpoint can be chosen for, visits a daemon with the fewest lost paths; one request in 50 ms through each daemon offered, at most three daemons for a request; not where an endpoint wants rest. Where a daemon ran a request, the way counts as open for a second, whatever is offered.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -91,8 +91,9 @@
 	addresses []string
 }
 
-func (f *forwarder) Pool() *upstream.Pool { return f.pool }
-func (f *forwarder) Done(string, bool)    {}
+func (f *forwarder) Pool() *upstream.Pool     { return f.pool }
+func (f *forwarder) FoundOpen(string, string) {}
+func (f *forwarder) Done(string, bool)        {}
 func (f *forwarder) Target(_ string, _ int, tried []string, _ bool) (string, bool) {
 	for _, a := range f.addresses {
 		if !slices.Contains(tried, a) {
--- a/internal/node/forwarders.go
+++ b/internal/node/forwarders.go
@@ -65,10 +65,17 @@
 	if f.chooser.GoDirect(direct, unreached) {
 		return "", true
 	}
-	address, _ := f.chooser.Choose(now, service, tried, pinned)
+	address, _ := f.chooser.Choose(now, service, unreached, tried, pinned)
 	return address, false
 }
 
+// FoundOpen implements relay.Forwarder.
+func (f *forwarders) FoundOpen(service, address string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.chooser.FoundOpen(time.Now(), service, address)
+}
+
 // Done implements relay.Forwarder.
 func (f *forwarders) Done(address string, answered bool) {
 	f.mu.Lock()
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -42,7 +42,7 @@
 						}
 						c.SetKnown(now, Offer(rng, peersOf(daemons, i, reported, isCut)))
 						for range perRound {
-							address, ok := c.Choose(now, "s", nil, false)
+							address, ok := c.Choose(now, "s", 0, nil, false)
 							assert.Assert(t, ok)
 							at := 0
 							_, err := fmt.Sscanf(address, "d%d", &at)
@@ -85,16 +85,16 @@
 func TestDaemonThatDoesNotAnswerIsAvoided(t *testing.T) {
 	c := NewChooser(rand.New(rand.NewPCG(1, 1)))
 	c.SetKnown(start, []Peer{{Address: "d1"}})
-	address, ok := c.Choose(start, "s", nil, false)
+	address, ok := c.Choose(start, "s", 0, nil, false)
 	assert.Assert(t, ok)
-	_, ok = c.Choose(start, "s", []string{address}, false)
+	_, ok = c.Choose(start, "s", 0, []string{address}, false)
 	assert.Assert(t, !ok)
 	c.Done(start, address, false)
-	_, ok = c.Choose(start, "s", nil, false)
+	_, ok = c.Choose(start, "s", 0, nil, false)
 	assert.Assert(t, !ok)
-	_, ok = c.Choose(start.Add(avoidance), "s", nil, false)
+	_, ok = c.Choose(start.Add(avoidance), "s", 0, nil, false)
 	assert.Assert(t, ok)
-	_, ok = c.Choose(start.Add(2*offerTTL), "s", nil, false)
+	_, ok = c.Choose(start.Add(2*offerTTL), "s", 0, nil, false)
 	assert.Assert(t, !ok) // the offer is too old
 }
 
@@ -124,11 +124,49 @@
 	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
 	c.SetKnown(start, []Peer{{Address: "old"}, {Address: "new", KeepsVersions: true}})
 	for range 20 {
-		address, ok := c.Choose(start, "s", nil, true)
+		address, ok := c.Choose(start, "s", 0, nil, true)
 		assert.Assert(t, ok && address == "new")
 	}
-	_, ok := c.Choose(start, "s", []string{"new"}, true)
+	_, ok := c.Choose(start, "s", 0, []string{"new"}, true)
 	assert.Assert(t, !ok)
-	address, ok := c.Choose(start, "s", []string{"new"}, false)
+	address, ok := c.Choose(start, "s", 0, []string{"new"}, false)
 	assert.Assert(t, ok && address == "old")
 }
+
+// Guards against callers of a daemon without a path who wait for reports of the others, once the
+// endpoints of a service that were all down are back.
+func TestRequestGoesThroughAnotherWhereAllHaveLostThePath(t *testing.T) {
+	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
+	c.SetKnown(start, []Peer{
+		{Address: "cut off", Unreachable: []string{"r", "s"}},
+		{Address: "one", Unreachable: []string{"s"}},
+		{Address: "other", Unreachable: []string{"s"}},
+	})
+	_, ok := c.Choose(start, "s", 0, nil, false)
+	assert.Assert(t, !ok)
+	first, ok := c.Choose(start, "s", 1, nil, false)
+	assert.Assert(t, ok && first != "cut off", "%q", first)
+	second, ok := c.Choose(start, "s", 1, nil, false)
+	assert.Assert(t, ok && second != "cut off" && second != first, "%q", second)
+
+	c.FoundOpen(start, "s", second)
+	for range 20 {
+		address, ok := c.Choose(start, "s", 0, nil, false)
+		assert.Assert(t, ok && address == second, "%q", address)
+	}
+	_, ok = c.Choose(start.Add(openMemory), "s", 0, nil, false)
+	assert.Assert(t, !ok)
+}
+
+// Guards against requests that all visit other daemons in vain while a service is down.
+func TestDownServiceIsLookedForNowAndThen(t *testing.T) {
+	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
+	c.SetKnown(start, []Peer{{Address: "d1", Unreachable: []string{"s"}}, {Address: "d2", Unreachable: []string{"s"}}})
+	visits := 0
+	for i := range 1000 { // for a second
+		if _, ok := c.Choose(start.Add(time.Duration(i)*time.Millisecond), "s", 1, nil, false); ok {
+			visits++
+		}
+	}
+	assert.Equal(t, visits, 2*int(time.Second/visitPause))
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -31,10 +31,13 @@
 // can't reach. It is safe for concurrent use.
 type Forwarder interface {
 	// Target returns the address of another daemon for a request that has found this many
-	// endpoints unreachable, and that the tried daemons didn't run. direct says that it
+	// endpoints unreachable, at least 1 if none can be chosen, and that the tried daemons didn't run. direct says that it
 	// should go to an endpoint directly; the address is empty then, and if there is no
 	// other daemon. pinned says that the daemon must keep to a version.
 	Target(service string, unreached int, tried []string, pinned bool) (address string, direct bool)
+	// FoundOpen records that the daemon at an address has sent a request to an endpoint of a
+	// service.
+	FoundOpen(service, address string)
 	// Done records the end of a request at an address, and whether the daemon there
 	// answered.
 	Done(address string, answered bool)
@@ -101,11 +104,11 @@
 	if f.relay.state.anyRest(f) {
 		unreached = 0 // other daemons could reach only the endpoints that want rest
 	}
-	address, direct := f.relay.forwarder.Target(f.service, unreached, f.triedDaemons, f.continuation.begun)
+	address, direct := f.targetDaemon(unreached)
 	switch {
 	case direct:
 		return "", nil
-	case address != "" && len(f.triedDaemons) < maxForwards:
+	case address != "":
 		return address, nil
 	case len(f.triedDaemons) > 0:
 		return "", f.relay.state.refuseBusy(f, NoEndpoint)
@@ -114,6 +117,24 @@
 	}
 }
 
+// lastDaemon returns a daemon for a request that no endpoint can be chosen for, empty if there
+// is none.
+func (f *inflight) lastDaemon(r *Refusal) string {
+	if f.forwarded || f.relay.forwarder == nil || r.Reason != NoEndpoint || f.relay.state.anyRest(f) {
+		return ""
+	}
+	address, _ := f.targetDaemon(max(f.tally.unreached, 1))
+	return address
+}
+
+// targetDaemon returns the forwarder's choice within the bound on forwarding.
+func (f *inflight) targetDaemon(unreached int) (address string, direct bool) {
+	if len(f.triedDaemons) >= maxForwards {
+		return "", false
+	}
+	return f.relay.forwarder.Target(f.service, unreached, f.triedDaemons, f.continuation.begun)
+}
+
 // attemptVia sends the request through another daemon once and reads the answer.
 func (f *inflight) attemptVia(ctx context.Context, address string) (attemptResult, *bufferedAnswer) {
 	f.triedDaemons = append(f.triedDaemons, address)
@@ -141,6 +162,7 @@
 		ran := refusal.Verdict != verdict.NotRun
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
+	f.relay.forwarder.FoundOpen(f.service, address)
 	t := &trackedAttempt{inflight: f, sent: time.Now(), forwarded: true, version: version, versionKnown: stated}
 	return f.readAnswer(t, a, f.relay.protocol.Classify(a.Status, a.Header))
 }
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -142,6 +142,11 @@
 		return target{daemon: daemon}, refusal
 	}
 	choice, refusal := f.relay.state.pick(time.Now(), f)
+	if refusal != nil {
+		if daemon := f.lastDaemon(refusal); daemon != "" {
+			return target{daemon: daemon}, nil
+		}
+	}
 	return target{choice: choice}, refusal
 }
 
