A run that has ended isn't trusted at its listed version

Cause: only the list's age decided whether a new connection reaches the listed run.

Change: connecting to an endpoint that is refused shows that its run has ended. Connections established since then carry no stream that goes on, and streams that begin on them have an unknown origin, until the endpoint is listed with a later start or the list is complete up to 3 s after the first of these connections (origin.Runs, a decision without I/O). Each break of a connection under a request is followed by such a try already, to tell a crash.

Reset connections alone aren't taken for an end: then many streams at once would be refused. Not covered: a daemon that had no connection there and tried none while the endpoint was down.

The window was not measured with real engines.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/node/originpb"
@@ -29,12 +31,13 @@
 type origins struct {
 	node    *Node
 	conn    atomic.Pointer[originConn]
-	trusted atomic.Pointer[time.Time]
+	upTo    atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
 	homes   atomic.Pointer[cachedHomes]
 
 	mu       sync.Mutex
 	table    *origin.Table
 	versions *origin.Versions
+	runs     *origin.Runs
 	searches map[origin.Key]*search
 }
 
@@ -47,8 +50,8 @@
 var _ relay.Origins = (*origins)(nil)
 
 func newOrigins(n *Node) *origins {
-	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), searches: map[origin.Key]*search{}}
-	o.trusted.Store(&time.Time{})
+	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), runs: origin.NewRuns(), searches: map[origin.Key]*search{}}
+	o.upTo.Store(&time.Time{})
 	return o
 }
 
@@ -64,12 +67,12 @@
 func (o *origins) run(ctx context.Context) {
 	pause.Every(ctx, originCheckInterval, func() {
 		now := time.Now()
-		until := now.Add(o.node.contactBound() - o.node.peers.listAge(now))
-		o.trusted.Store(&until)
+		upTo := now.Add(-o.node.peers.listAge(now))
+		o.upTo.Store(&upTo)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.table.Expire(now)
-		if now.After(until) {
+		if now.After(upTo.Add(o.node.contactBound())) {
 			o.versions.Interrupted(now)
 		}
 	})
@@ -87,11 +90,33 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.versions.Listed(now, all)
+	o.runs.Listed(all)
 }
 
 // TrustedUntil implements relay.Origins. While the list is kept up to date, an endpoint that
-// starts is listed within the contact bound.
-func (o *origins) TrustedUntil() time.Time { return *o.trusted.Load() }
+// starts is listed within the contact bound; where one has certainly ended, that isn't relied on.
+func (o *origins) TrustedUntil(address string) time.Time {
+	upTo := *o.upTo.Load()
+	until := upTo.Add(o.node.contactBound())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ended, doubted := o.runs.TrustedUntil(address, upTo); doubted && ended.Before(until) {
+		return ended
+	}
+	return until
+}
+
+// dialled records the result of connecting to an endpoint.
+func (o *origins) dialled(address string, err error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	switch {
+	case err == nil:
+		o.runs.Connected(time.Now(), address)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		o.runs.Refused(time.Now(), address)
+	}
+}
 
 // Only implements relay.Origins.
 func (o *origins) Only(service string, horizon time.Duration) (string, bool) {
--- a/internal/node/paths.go
+++ b/internal/node/paths.go
@@ -80,6 +80,7 @@
 	began := time.Now()
 	nc, err := p.dialTo(ctx, address)
 	took := time.Since(began)
+	p.node.origins.dialled(address, err)
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	e := p.byAddress[address]
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -9,8 +9,8 @@
 const (
 	// maxHorizon is the longest time that versions are known back.
 	maxHorizon = 2 * time.Minute
-	// settling is how long after an interruption endpoints that have started meanwhile may be
-	// missing in the list.
+	// settling is how long endpoints that have started may be missing in a list that is kept up
+	// to date, also after an interruption.
 	settling = 3 * time.Second
 )
 
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -25,9 +25,9 @@
 	// Only returns the version of a service that began all streams of the last horizon; ok is
 	// false if there were several, or if that isn't known.
 	Only(service string, horizon time.Duration) (version string, ok bool)
-	// TrustedUntil returns until when connections reach the listed runs of endpoints. One that
-	// was established later may reach a run that has started since the list was complete.
-	TrustedUntil() time.Time
+	// TrustedUntil returns until when connections to an endpoint's address reach the listed run.
+	// One that was established later may reach a run that isn't listed yet.
+	TrustedUntil(address string) time.Time
 }
 
 // noOrigins is a daemon without others, which knows the streams that it is serving.
@@ -39,7 +39,7 @@
 	return origin.Origin{}, false
 }
 func (noOrigins) Only(string, time.Duration) (string, bool) { return "", false }
-func (noOrigins) TrustedUntil() time.Time                   { return time.Now().Add(time.Hour) }
+func (noOrigins) TrustedUntil(string) time.Time             { return time.Now().Add(time.Hour) }
 
 // SetOrigins sets the source of streams' origins. It must be called before Serve.
 func (r *Relay) SetOrigins(o Origins) { r.origins = o }
@@ -160,7 +160,7 @@
 	if t.forwarded {
 		return origin.Origin{Service: f.service, Version: t.version}, t.versionKnown
 	}
-	if a.Established().After(f.relay.origins.TrustedUntil()) {
+	if a.Established().After(f.relay.origins.TrustedUntil(t.choice.Endpoint.Address)) {
 		return origin.Origin{}, false
 	}
 	return origin.Origin{Service: f.service, Version: t.choice.Endpoint.Version}, true
@@ -168,9 +168,12 @@
 
 // establishedBy returns until when the connection of the next attempt must have been
 // established; zero: any will do. A stream that goes on must reach the run that is listed.
-func (f *inflight) establishedBy(now time.Time) time.Time {
-	by := f.relay.origins.TrustedUntil()
-	if !f.continuation.begun || now.Before(by) {
+func (f *inflight) establishedBy(now time.Time, address string) time.Time {
+	if !f.continuation.begun {
+		return time.Time{}
+	}
+	by := f.relay.origins.TrustedUntil(address)
+	if now.Before(by) {
 		return time.Time{}
 	}
 	return by
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -37,7 +37,7 @@
 	return from, known
 }
 func (o *knownOrigins) Only(string, time.Duration) (string, bool) { return o.only, o.only != "" }
-func (o *knownOrigins) TrustedUntil() time.Time {
+func (o *knownOrigins) TrustedUntil(string) time.Time {
 	if o.trusted.IsZero() {
 		return time.Now().Add(time.Hour)
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -287,7 +287,7 @@
 		Body: f.request.Body,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
-	c.EstablishedBy = f.establishedBy(time.Now())
+	c.EstablishedBy = f.establishedBy(time.Now(), c.Address)
 	canRetry := f.route.Repeatable() && f.tally.ran+1 < f.route.MaxAttempts
 	c.SilenceTimeout = stallTimeout(canRetry, f.outcome.Predicted)
 	if canRetry && f.route.Kind == route.Idempotent {
