An endpoint that a stream can't go on at isn't avoided by other requests

Where a stream that goes on finds no connection old enough to reach the listed run, it isn't sent; that counted as an unreachable endpoint, which the daemon's other requests then avoided for a while. Found by reading. TestEndpointWithoutAnOldConnectionIsNotAvoided: 0 of 20 requests reached the endpoint before.

--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -269,3 +269,15 @@
 	got := s.takeUp(t, "x", "unknown", "4", "key")
 	assert.Equal(t, got.refusal.Reason, UnknownVersion)
 }
+
+// Guards against an endpoint that others' requests avoid since a stream couldn't go on there.
+func TestEndpointWithoutAnOldConnectionIsNotAvoided(t *testing.T) {
+	s, o := versionedFixture(t, nil, "v1", "v2")
+	o.trusted = time.Now().Add(-time.Minute)
+	o.table[origin.KeyOf("w", "first")] = origin.Origin{Service: "s", Version: "v1"}
+	assert.Assert(t, s.takeUp(t, "next", "first", "4", "key").refusal != nil)
+	for range 20 {
+		s.send(t.Context(), "/stream/1")
+	}
+	assert.Assert(t, s.engines[0].runs() > 0)
+}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -188,7 +188,7 @@
 	if ran && (f.route.Kind != route.Streaming || res.complete && res.class != Success) {
 		f.reportBegan(sent)
 	}
-	f.relay.state.done(time.Now(), t, balanceOutcome(ctx, res))
+	f.relay.state.done(time.Now(), t, balanceOutcome(ctx, res, err))
 	return res, buffered
 }
 
@@ -207,8 +207,10 @@
 }
 
 // balanceOutcome returns an attempt's result in the balancer's terms.
-func balanceOutcome(ctx context.Context, res attemptResult) balance.Outcome {
+func balanceOutcome(ctx context.Context, res attemptResult, err error) balance.Outcome {
 	switch {
+	case errors.Is(err, upstream.ErrNoOldConnection):
+		return balance.Refused // by this daemon, for this request
 	case res.class == Success && res.complete, res.class == Rejected:
 		return balance.Answered
 	case !res.reached && ctx.Err() == nil, res.class == Misdirected:
