A stream that goes on takes an old connection where one is idle

The pool hands out the connection that was used last. Where the list of endpoints is old, a stream that goes on was refused if that one was young, though an older one was idle beside it. Expired connections are closed before one is chosen, not only those on top; a host has some tens of them at most.

--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -66,6 +67,36 @@
 	h.open--
 }
 
+// closeExpired closes the idle connections that are kept no longer.
+func (h *host) closeExpired(now time.Time) {
+	h.idle = slices.DeleteFunc(h.idle, func(c *conn) bool {
+		expired := !now.Before(c.expires)
+		if expired {
+			h.remove(c)
+			c.close()
+		}
+		return expired
+	})
+}
+
+// takeIdle returns the idle connection that was used last, of those established no later than by
+// if there are any; nil if there is none.
+func (h *host) takeIdle(by time.Time) *conn {
+	at := len(h.idle) - 1
+	for i := at; i >= 0 && !by.IsZero(); i-- {
+		if !h.idle[i].dialled.After(by) {
+			at = i
+			break
+		}
+	}
+	if at < 0 {
+		return nil
+	}
+	c := h.idle[at]
+	h.idle = slices.Delete(h.idle, at, at+1)
+	return c
+}
+
 // Stats are totals since the pool was created.
 type Stats struct {
 	Dialled uint64
@@ -115,11 +146,12 @@
 	}
 }
 
-// get returns an idle connection that is still open, or a new one. Its errors
-// have the verdict NotRun.
-func (p *Pool) get(ctx context.Context, address string) (*conn, error) {
+// get returns an idle connection that is still open, or a new one; an idle one that was
+// established no later than by, if there is one. by is zero if any will do. Its errors have the
+// verdict NotRun.
+func (p *Pool) get(ctx context.Context, address string, by time.Time) (*conn, error) {
 	for {
-		c, h, err := p.acquire(address)
+		c, h, err := p.acquire(address, by)
 		if err != nil {
 			return nil, err
 		}
@@ -137,7 +169,7 @@
 // it is still open, or a new one can be established, which is then kept. It
 // returns false if the connection is refused, and an error if neither is known.
 func (p *Pool) Listens(ctx context.Context, address string) (bool, error) {
-	c, err := p.get(ctx, address)
+	c, err := p.get(ctx, address, time.Time{})
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return false, nil
 	}
@@ -228,20 +260,14 @@
 }
 
 // acquire returns an idle connection, or reserves a new one and returns nil.
-func (p *Pool) acquire(address string) (*conn, *host, error) {
+func (p *Pool) acquire(address string, by time.Time) (*conn, *host, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(address)
-	now := time.Now()
-	for n := len(h.idle); n > 0; n = len(h.idle) {
-		c := h.idle[n-1]
-		h.idle = h.idle[:n-1]
-		if now.Before(c.expires) {
-			p.stats.Reused++
-			return c, h, nil
-		}
-		h.remove(c)
-		c.close()
+	h.closeExpired(time.Now())
+	if c := h.takeIdle(by); c != nil {
+		p.stats.Reused++
+		return c, h, nil
 	}
 	if h.open >= p.share {
 		return nil, nil, verdict.Wrap(verdict.NotRun, ErrPoolExhausted)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -44,7 +44,7 @@
 // errors carry a verdict. The end of the context ends the wait and, until Close,
 // the reading of the body.
 func (p *Pool) Send(ctx context.Context, call *Call) (*Answer, error) {
-	c, err := p.get(ctx, call.Address)
+	c, err := p.get(ctx, call.Address, call.EstablishedBy)
 	if err != nil {
 		return nil, err
 	}
