--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -29,10 +29,10 @@
 // origins holds the versions that began streams, its own and copies of other daemons', which
 // daemons send each other in datagrams. It implements relay.Origins.
 type origins struct {
-	node    *Node
-	conn    atomic.Pointer[originConn]
-	upTo    atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
-	homes   atomic.Pointer[cachedHomes]
+	node  *Node
+	conn  atomic.Pointer[originConn]
+	upTo  atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
+	homes atomic.Pointer[cachedHomes]
 
 	mu       sync.Mutex
 	table    *origin.Table
