--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+	"net"
 	"sync"
 	"testing"
 	"time"
@@ -9,6 +11,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/faultproxy"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
 // cutFleet is a fleet, some of whose daemons have a path to the endpoints of their own.
@@ -143,3 +146,32 @@
 	}
 	return served, all
 }
+
+// Guards against living endpoints that are taken for crashed by a daemon that has lost its path to
+// them alone.
+func TestPathLostToOneEndpointIsNoCrash(t *testing.T) {
+	f := newCutFleet(t, 3, 0)
+	all, _ := f.nodes[0].endpoints.list()
+	cutOff := all[0].Address
+	n := f.addNode(Platform{Store: f.store, Dial: func(ctx context.Context, address string) (net.Conn, error) {
+		if address == cutOff {
+			return f.path.Dial(ctx, address)
+		}
+		return upstream.DialTCP(ctx, address)
+	}}, func(*Node) {})
+	f.awaitReady()
+	f.until("both endpoints and all daemons are known", func(n *Node) bool {
+		listed, _ := n.endpoints.list()
+		return len(listed) == 2 && len(n.members.layout().serving) == 4
+	})
+	f.hold.Store(int64(300 * time.Millisecond))
+	var sent sync.WaitGroup
+	for range 12 {
+		sent.Go(func() { sendRequest(n) })
+	}
+	time.Sleep(100 * time.Millisecond)
+	f.path.Set(faultproxy.PathReset)
+	sent.Wait()
+	time.Sleep(500 * time.Millisecond)
+	assert.Equal(t, n.crashes.table.CrashCount(), 0)
+}
