Test: both daemons of a hop know that an endpoint leaves

A daemon that has lost its path passes on answers that it got through another one. It learns from reports alone that an endpoint leaves, not from the answer that says so: once its path is back, or for another service's path, it may send the endpoint requests until a report arrives, seconds in a large fleet.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -61,7 +61,9 @@
 	return relay.Failure
 }
 
-func (protocol) Stated(int, http.Header) backpressure.Stated { return backpressure.Stated{} }
+func (protocol) Stated(_ int, h http.Header) backpressure.Stated {
+	return backpressure.Stated{Leaving: h.Get("Leaves") != ""}
+}
 
 func (protocol) Answer(h http.Header) http.Header {
 	out := h.Clone()
@@ -332,6 +334,30 @@
 	assert.Equal(t, e.runs.Load(), int64(1))
 }
 
+// Guards against an engine that gets requests of a daemon which has passed on its answer that it
+// leaves.
+func TestLeavingIsKnownToBothDaemonsOfAHop(t *testing.T) {
+	for _, path := range []string{"/order/1", "/stream/1"} {
+		e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Leaves", "1")
+			_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		})
+		b := newHopDaemon(t, e.address())
+		a := newHopDaemon(t, "", b.address)
+		out := a.send(t.Context(), path, "")
+		assert.Equal(t, out.status, 200)
+		assert.Equal(t, out.header.Get("Leaves"), "1")
+		for _, d := range []*hopDaemon{a, b} {
+			leaving := d.state.Leaving()
+			assert.Equal(t, len(leaving), 1)
+			assert.Equal(t, leaving[0].ID, fleet.EndpointID("e1"))
+		}
+		for name := range out.header {
+			assert.Assert(t, !strings.HasPrefix(name, "Cyclamenbeam-Forward"), name)
+		}
+	}
+}
+
 // Guards against an engine that works on for a caller who has left.
 func TestCallersLeavingCancelsOverTheHop(t *testing.T) {
 	started, cancelled := make(chan struct{}), make(chan struct{})
