Both daemons of a hop take what an answer states about its endpoint

A daemon that passed on a forwarded answer learned from reports alone that the endpoint leaves, or limits its requests: seconds in a large fleet, or never out of touch, while it may send requests there once its path is back.

Cause: the answer names no endpoint. Change: the daemon at the end of the hop names the endpoint and its start in a header of its own; the one at the hop's start records what the answer states, as for its own attempts. A rest is asked of the daemon that sent the request there, so it isn't taken. Daemons of an earlier release name none; then reports tell it, as before.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -1,11 +1,15 @@
 package forward
 
 import (
+	"fmt"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -44,6 +48,29 @@
 	return h.Get(versionHeader), len(h.Values(versionHeader)) == 1
 }
 
+// Endpoint implements relay.Forwarder.
+func (Codec) Endpoint(h http.Header) *roster.Endpoint {
+	id, start, ok := strings.Cut(h.Get(endpointHeader), " ")
+	nanos, err := strconv.ParseInt(start, 10, 64)
+	if !ok || id == "" || err != nil {
+		return nil
+	}
+	e := &roster.Endpoint{ID: fleet.EndpointID(id)}
+	if nanos != 0 {
+		e.StartedAt = time.Unix(0, nanos)
+	}
+	return e
+}
+
+// encodeEndpoint returns the value of endpointHeader.
+func encodeEndpoint(id fleet.EndpointID, startedAt time.Time) string {
+	nanos := int64(0)
+	if !startedAt.IsZero() {
+		nanos = startedAt.UnixNano()
+	}
+	return fmt.Sprintf("%s %d", id, nanos)
+}
+
 // Refusal implements relay.Forwarder. A status that the other daemon doesn't use comes from
 // its HTTP server, which has not passed the request on.
 func (Codec) Refusal(status int, h http.Header) *relay.Refusal {
--- a/internal/forward/envelope.go
+++ b/internal/forward/envelope.go
@@ -28,6 +28,9 @@
 	refusalHeader = "Cyclamenbeam-Forward-Refusal"
 	// versionHeader is the version of the endpoint that an answer comes from.
 	versionHeader = "Cyclamenbeam-Forward-Version"
+	// endpointHeader names that endpoint: its ID, a space, and its start in Unix nanoseconds, 0 if
+	// that is unknown.
+	endpointHeader = "Cyclamenbeam-Forward-Endpoint"
 )
 
 // envelope is what the other daemon needs beside the caller's request. Times are in
@@ -115,7 +118,7 @@
 
 // removeOwn removes the protocol's headers.
 func removeOwn(h http.Header) {
-	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader, versionHeader} {
+	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader, versionHeader, endpointHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forward/sink.go
+++ b/internal/forward/sink.go
@@ -3,7 +3,9 @@
 import (
 	"net/http"
 	"strconv"
+	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
@@ -14,14 +16,23 @@
 	id       string
 	headOnly bool    // the method is HEAD
 	version  *string // nil: unknown
+	endpoint string  // encoded
 	aborted  bool    // the connection must be closed early
 }
 
-var _ relay.VersionSink = (*sink)(nil)
+var (
+	_ relay.VersionSink  = (*sink)(nil)
+	_ relay.EndpointSink = (*sink)(nil)
+)
 
 // SetVersion implements relay.VersionSink.
 func (s *sink) SetVersion(version string) { s.version = &version }
 
+// SetEndpoint implements relay.EndpointSink.
+func (s *sink) SetEndpoint(id fleet.EndpointID, startedAt time.Time) {
+	s.endpoint = encodeEndpoint(id, startedAt)
+}
+
 // header adds an endpoint's header, and nothing that net/http would detect by itself.
 func (s *sink) header(h http.Header) {
 	to := s.w.Header()
@@ -30,6 +41,7 @@
 	}
 	removeOwn(to)
 	to.Set(idHeader, s.id)
+	to.Set(endpointHeader, s.endpoint)
 	if s.version != nil {
 		to.Set(versionHeader, *s.version)
 	}
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -18,6 +18,7 @@
 			f.sink.Abort()
 		}
 	case s == answer && buffered != nil && !f.headSent:
+		f.setEndpoint(buffered.endpoint)
 		f.sink.Whole(buffered.status, buffered.header, buffered.body)
 	case s == answer && buffered == nil && f.headSent:
 		f.sink.End()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -5,7 +5,9 @@
 	"net/http"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -50,6 +52,9 @@
 	// Version returns the version of the endpoint that an answer comes from, if that is stated.
 	// It must be called before Refusal.
 	Version(h http.Header) (version string, stated bool)
+	// Endpoint returns the endpoint that an answer comes from, with its ID and start alone, nil if
+	// that isn't stated. It must be called before Refusal.
+	Endpoint(h http.Header) *roster.Endpoint
 	// Refusal returns the other daemon's refusal, nil if the answer is an endpoint's. It
 	// removes what the other daemon added to the header.
 	Refusal(status int, h http.Header) *Refusal
@@ -151,6 +156,7 @@
 
 // exchangeForwarded sends the request to another daemon and reads the answer.
 func (f *inflight) exchangeForwarded(ctx context.Context, address string) (attemptResult, *bufferedAnswer, error) {
+	sent := time.Now()
 	a, err := f.relay.forwarder.Pool().Send(ctx, f.forwardCall(address))
 	if err != nil {
 		v := verdict.Of(err)
@@ -158,15 +164,28 @@
 	}
 	defer a.Close()
 	version, stated := f.relay.forwarder.Version(a.Header)
+	endpoint := f.relay.forwarder.Endpoint(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
 		ran := refusal.Verdict != verdict.NotRun
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
 	f.relay.forwarder.FoundOpen(f.service, address)
-	t := &trackedAttempt{inflight: f, sent: time.Now(), forwarded: true, version: version, versionKnown: stated}
+	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: stated}
+	if endpoint != nil {
+		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
+	}
 	return f.readAnswer(t, a, f.relay.protocol.Classify(a.Status, a.Header))
 }
 
+// noteForwarded records what an answer through another daemon states about its endpoint. A rest
+// is asked of the daemon that sent the request there.
+func (f *inflight) noteForwarded(t *trackedAttempt, e *roster.Endpoint, s backpressure.Stated) {
+	t.choice.Endpoint = *e
+	t.choice.Endpoint.Service = f.service
+	s.Rest = 0
+	f.noteStated(t, s)
+}
+
 func (f *inflight) forwardCall(address string) *upstream.Call {
 	q := *f.request
 	q.Key, q.LastEvent = "", f.events.lastID
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -155,9 +156,10 @@
 // bufferedAnswer is an endpoint's complete answer that was not sent to the caller
 // yet.
 type bufferedAnswer struct {
-	status int
-	header http.Header
-	body   []byte
+	status   int
+	header   http.Header
+	body     []byte
+	endpoint *roster.Endpoint
 }
 
 // attempt sends the request to an endpoint once and reads its answer.
@@ -260,12 +262,14 @@
 	}
 	f.firstPiece(t)
 	if len(body) > maxBufferedBytes {
-		err := f.forwardLong(a, body)
+		err := f.forwardLong(t, a, body)
 		res.complete = err == nil
 		return res, nil, err
 	}
 	res.complete = true
-	return res, &bufferedAnswer{status: a.Status, header: f.relay.protocol.Answer(a.Header), body: body}, nil
+	return res, &bufferedAnswer{
+		status: a.Status, header: f.relay.protocol.Answer(a.Header), body: body, endpoint: &t.choice.Endpoint,
+	}, nil
 }
 
 // call returns the request to send in an attempt.
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -60,6 +60,13 @@
 	SetVersion(version string)
 }
 
+// EndpointSink is a Sink for which it is of interest whose answer it gets.
+type EndpointSink interface {
+	Sink
+	// SetEndpoint is called before Whole and Begin, with the endpoint that wrote the answer's head.
+	SetEndpoint(id fleet.EndpointID, startedAt time.Time)
+}
+
 // Sink sends an answer to one caller. It gets one call of Whole or Refuse; or a
 // call of Begin, then calls of WriteBody, and at last End or Abort.
 type Sink interface {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -4,6 +4,7 @@
 	"io"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -22,7 +23,7 @@
 			}
 		}
 		if err == io.EOF && !f.events.partial() {
-			f.sendHead(a)
+			f.sendHead(t, a)
 			return nil
 		}
 		if err == io.EOF {
@@ -49,7 +50,7 @@
 	if !t.forwarded {
 		f.reportBegan(now)
 	}
-	f.sendHead(a)
+	f.sendHead(t, a)
 	if !f.lastPieceAt.IsZero() {
 		f.outcome.LongestPause = max(f.outcome.LongestPause, now.Sub(f.lastPieceAt))
 	}
@@ -60,20 +61,28 @@
 }
 
 // sendHead sends the head of the first endpoint's answer, once.
-func (f *inflight) sendHead(a *upstream.Answer) {
+func (f *inflight) sendHead(t *trackedAttempt, a *upstream.Answer) {
 	if !f.headSent {
 		f.headSent = true
 		if v, ok := f.sink.(VersionSink); ok && f.continuation.known {
 			v.SetVersion(f.continuation.origin.Version)
 		}
+		f.setEndpoint(&t.choice.Endpoint)
 		f.sink.Begin(a.Status, f.relay.protocol.Answer(a.Header))
 	}
 }
 
+// setEndpoint tells the sink whose answer it gets.
+func (f *inflight) setEndpoint(e *roster.Endpoint) {
+	if s, ok := f.sink.(EndpointSink); ok {
+		s.SetEndpoint(e.ID, e.StartedAt)
+	}
+}
+
 // forwardLong forwards an answer that is too long to be buffered; buffered is the
 // part read so far.
-func (f *inflight) forwardLong(a *upstream.Answer, buffered []byte) error {
-	f.sendHead(a)
+func (f *inflight) forwardLong(t *trackedAttempt, a *upstream.Answer, buffered []byte) error {
+	f.sendHead(t, a)
 	if err := f.sink.WriteBody(buffered); err != nil {
 		return err
 	}
