--- a/internal/reach/forwarders.go
+++ b/internal/reach/forwarders.go
@@ -120,7 +120,7 @@
 //
 // Where all have lost the path, the service's endpoints may have been down and be back before
 // the others report it: a request that has found endpoints unreachable visits one with the fewest
-// lost paths, at most one request in visitPause each.
+// lost paths, and no second one; at most one request in visitPause visits each.
 func (c *Chooser) Choose(now time.Time, service string, unreached int, tried []string, pinned bool) (address string, ok bool) {
 	if now.Sub(c.knownAt) > offerTTL {
 		return "", false
@@ -129,7 +129,7 @@
 		return (p.KeepsVersions || !pinned) && !slices.Contains(tried, p.Address) && !now.Before(c.avoided[p.Address])
 	}
 	address = c.draw(func(p *Peer) bool { return usable(p) && c.hasPath(now, service, p) })
-	if address == "" && unreached > 0 {
+	if address == "" && unreached > 0 && len(tried) == 0 {
 		address = c.visit(now, service, usable)
 	}
 	if address == "" {
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -170,3 +170,57 @@
 	}
 	assert.Equal(t, visits, 2*int(time.Second/visitPause))
 }
+
+// Guards against callers of daemons without a path who are refused on, in a fleet of any size, once
+// the endpoints of a service that were all down are back.
+func TestServiceThatWasDownIsFoundAgainAtAnySize(t *testing.T) {
+	const (
+		step  = 50 * time.Millisecond // between two requests of a daemon's callers
+		down  = 20                    // steps until the endpoints are back
+		steps = 40
+	)
+	for _, daemons := range []int{9, 78, 340, 986} {
+		rng := rand.New(rand.NewPCG(uint64(daemons), 3))
+		isCut := func(i int) bool { return i%2 == 0 }
+		running := make([]int, daemons)
+		visits := map[string]int{}
+		served, all := 0, 0
+		for i := range daemons {
+			if !isCut(i) {
+				continue
+			}
+			peers := peersOf(daemons, i, running, isCut)
+			for j := range peers {
+				if len(peers[j].Unreachable) > 0 {
+					peers[j].Unreachable = []string{"r", "s"}
+					continue
+				}
+				peers[j].Unreachable = []string{"s"}
+			}
+			c := NewChooser(rand.New(rand.NewPCG(uint64(i), 4)))
+			c.SetKnown(start, Offer(rng, peers))
+			for k := range steps {
+				now := start.Add(time.Duration(k) * step)
+				address, found := c.Choose(now, "s", 1, nil, false)
+				if found {
+					visits[address]++
+					c.Done(now, address, true)
+				}
+				if k < down {
+					continue
+				}
+				all++
+				if found {
+					served++
+					c.FoundOpen(now, "s", address)
+				}
+			}
+		}
+		most := 0
+		for _, n := range visits {
+			most = max(most, n)
+		}
+		t.Logf("%d daemons, half of them cut off: %d of %d served, %d visits at most to one, %d requests at each", daemons, served, all, most, steps)
+		assert.Assert(t, float64(served) >= 0.9*float64(all), "%d of %d", served, all)
+	}
+}
