--- a/internal/outside/budget/backoff.go
+++ b/internal/outside/budget/backoff.go
@@ -6,8 +6,8 @@
 )
 
 // Backoff gives growing waits between repeated attempts, each drawn evenly
-// from the upper half of its bound, so that daemons which failed together
-// don't come back together.
+// from the upper half of its bound, so that daemons whose calls failed at the same time don't
+// repeat them at the same time.
 type Backoff struct {
 	First   time.Duration // bound of the first wait
 	Longest time.Duration // bound of all waits
--- a/internal/outside/budget/breaker.go
+++ b/internal/outside/budget/breaker.go
@@ -14,9 +14,9 @@
 	// probe every 6 s on average are 57 calls a second.
 	firstOpen   = 500 * time.Millisecond
 	longestOpen = 8 * time.Second
-	// probeExpires lets another probe go when the first was never reported.
+	// probeExpires is when another probe is allowed though the first was never reported.
 	probeExpires = 10 * time.Second
-	// probePoll is when to ask again while a probe is on its way.
+	// probePoll is when to check again while a probe is in progress.
 	probePoll = 250 * time.Millisecond
 )
 
@@ -25,10 +25,10 @@
 const (
 	breakerClosed breakerState = iota
 	breakerOpen
-	breakerProbing // half open: one call is on its way
+	breakerProbing // half open: one call is in progress
 )
 
-// breaker keeps calls away from an API that fails, but for single probes.
+// breaker stops calls to an API that fails, except for single probes.
 type breaker struct {
 	state    breakerState
 	failures int // in a row, while closed
@@ -40,7 +40,7 @@
 	return breaker{wait: Backoff{First: firstOpen, Longest: longestOpen}}
 }
 
-// check reports whether a call may go, or when to ask again.
+// check reports whether a call may be made, or when to check again.
 func (b *breaker) check(now time.Time) (time.Time, bool) {
 	switch {
 	case b.state == breakerClosed || !now.Before(b.until):
@@ -52,7 +52,7 @@
 	}
 }
 
-// sent notes that a call goes. In an open breaker it is the probe.
+// sent records a call. With an open breaker it is the probe.
 func (b *breaker) sent(now time.Time) {
 	if b.state != breakerClosed {
 		b.state = breakerProbing
@@ -78,7 +78,7 @@
 	b.until = now.Add(b.wait.Next(random))
 }
 
-// abandoned lets another probe go, if the abandoned call may have been one.
+// abandoned allows another probe, if the abandoned call may have been one.
 func (b *breaker) abandoned(now time.Time) {
 	if b.state == breakerProbing {
 		b.state, b.until = breakerOpen, now
--- a/internal/outside/budget/bucket.go
+++ b/internal/outside/budget/bucket.go
@@ -20,7 +20,7 @@
 }
 
 // take takes a token if the level is at least need, or returns when it will be;
-// the zero time of a bucket that gains nothing.
+// the zero time for a bucket without a rate.
 func (b *bucket) take(now time.Time, need float64) (time.Time, bool) {
 	if b.rate <= 0 {
 		return time.Time{}, false
@@ -33,7 +33,7 @@
 	return time.Time{}, true
 }
 
-// resize changes the rate and keeps what has been gained, up to the new capacity.
+// resize changes the rate and keeps the level, up to the new capacity.
 func (b *bucket) resize(now time.Time, rate, capacity float64) {
 	b.fill(now)
 	b.rate, b.capacity = rate, capacity
@@ -49,6 +49,6 @@
 func (b *bucket) reaches(need float64) time.Time {
 	seconds := (need - b.level) / b.rate
 	// One microsecond more than the quotient: a time that is rounded down
-	// would find the level a hair too low and ask again and again.
+	// would find the level slightly too low each time.
 	return b.filled.Add(time.Duration(seconds*float64(time.Second)) + time.Microsecond)
 }
--- a/internal/outside/budget/budget.go
+++ b/internal/outside/budget/budget.go
@@ -9,15 +9,15 @@
 // concurrent use.
 type Budget struct {
 	config   Config
-	listed   int // fleet size as told
+	listed   int // fleet size as set
 	now      Roles
 	lanes    [Kinds]lane
 	breakers [apis]breaker
 	random   *rand.Rand
 }
 
-// New returns a budget that starts empty at a random phase: after a restart of
-// the whole fleet the first calls are spread as later ones are.
+// New returns a budget that starts empty at a random phase, so that after a restart of the whole
+// fleet the first calls are spread like later ones.
 func New(c Config, now time.Time, random *rand.Rand) *Budget {
 	b := &Budget{config: c.withDefaults(), random: random}
 	b.listed = b.config.FleetSize
@@ -34,9 +34,9 @@
 	return b
 }
 
-// SetFleetSize tells how many daemons share the platform. Take it from the
-// instance list rather than from who can be reached: a daemon that is cut off
-// from half of the fleet still shares the platform with it.
+// SetFleetSize sets how many daemons share the platform: those of the instance list, not only
+// those that can be reached, since a daemon that is cut off from half of the fleet still shares
+// the platform with it.
 func (b *Budget) SetFleetSize(now time.Time, daemons int) {
 	if daemons > 0 {
 		b.listed = daemons
@@ -44,15 +44,14 @@
 	}
 }
 
-// SetRoles tells what this daemon does now. Call it whenever that changes: a
-// daemon keeps the part of a shard that it lost for as long as it isn't told.
+// SetRoles sets this daemon's roles. It must be called whenever they change: until then a daemon
+// keeps the part of a shard that it no longer writes.
 func (b *Budget) SetRoles(now time.Time, r Roles) {
 	b.now = r
 	b.resize(now)
 }
 
-// resize fits all rates to the fleet's size and the roles. Who sees more
-// daemons than were told of shares the platform with those it sees.
+// resize fits all rates to the fleet's size, as set or as seen if that is larger, and the roles.
 func (b *Budget) resize(now time.Time) {
 	b.config.FleetSize = max(b.listed, b.now.Daemons)
 	for k := range b.lanes {
@@ -65,7 +64,7 @@
 	}
 }
 
-// Admit decides whether a call may go now. The outcome of an allowed call must
+// Admit decides whether a call may be made now. The outcome of an allowed call must
 // be reported.
 func (b *Budget) Admit(now time.Time, c Class, k Kind) Decision {
 	c, k = min(c, Lease), min(k, WeightFetch)
@@ -80,7 +79,7 @@
 	return d
 }
 
-// Report tells how an allowed call ended.
+// Report records the end of an allowed call.
 func (b *Budget) Report(now time.Time, k Kind, o Outcome) {
 	k = min(k, WeightFetch)
 	br := &b.breakers[k.api()]
@@ -101,7 +100,7 @@
 }
 
 // answered closes the breaker. The end of an outage is seen by all daemons
-// within seconds, with full buckets and everything to catch up on: each starts
+// within seconds, with full buckets and a backlog of calls: each starts
 // again as after a restart.
 func (b *Budget) answered(now time.Time, k Kind) {
 	if !b.breakers[k.api()].answered() {
--- a/internal/outside/budget/budget_test.go
+++ b/internal/outside/budget/budget_test.go
@@ -13,7 +13,7 @@
 	return New(Config{FleetSize: n}, start, rand.New(rand.NewPCG(1, 2)))
 }
 
-// next is the moment from which a call is allowed, and takes it.
+// next returns when a call is allowed, and takes its token.
 func next(b *Budget, now time.Time, c Class, k Kind) time.Time {
 	for {
 		d := b.Admit(now, c, k)
@@ -24,9 +24,7 @@
 	}
 }
 
-// Callers' orders come faster than the daemon's share of writes, and every
-// token goes to them. A lease that can't be renewed for want of a token is
-// lost, and its duties stop. One call is always left for the lease.
+// Guards against a lease that is lost since orders have taken all tokens for writes.
 func TestIntentsLeaveACallForTheLease(t *testing.T) {
 	b := newBudget(9)
 	now := start.Add(time.Minute)
@@ -37,9 +35,7 @@
 	assert.Equal(t, b.Admit(now, Lease, ObjectWrite).Action, Allowed)
 }
 
-// Orders take all writes for as long as they come. A template that an operator
-// applies meanwhile has to be in force within 15 s, so after some seconds it
-// goes ahead of them.
+// Guards against a template that isn't applied within 15 s since orders take all writes.
 func TestConfigurationIsNotStarvedByIntents(t *testing.T) {
 	b := newBudget(340)
 	done := make(map[Class]int)
@@ -59,9 +55,7 @@
 	assert.Assert(t, done[Intent] > done[Configuration])
 }
 
-// The store stops answering. Every call would cost its caller a timeout, so
-// after some failures in a row calls are refused at once, until one probe at a
-// time finds the store back.
+// Guards against calls that each wait for a timeout while the store doesn't answer.
 func TestBreakerOpensAndProbes(t *testing.T) {
 	b := newBudget(9)
 	now := start.Add(time.Minute)
@@ -82,8 +76,7 @@
 	assert.Equal(t, b.Admit(now, Lease, ObjectRead).Action, Allowed)
 }
 
-// The caller of a probe goes away before the answer, or dies without a report.
-// Were the breaker to wait for it, no call would ever go again.
+// Guards against a breaker that stays open since the probe's caller left without a report.
 func TestLostProbeIsReplaced(t *testing.T) {
 	b := newBudget(9)
 	now := start.Add(time.Minute)
@@ -124,8 +117,7 @@
 	assert.Assert(t, large <= 10 && small >= 70, "%d and %d writes in 10 s", large, small)
 }
 
-// Whatever the sequence of questions, outcomes and sizes, in any stretch of
-// time no more calls of a kind go than the share and the saved-up capacity.
+// Guards against more calls in any period than the share and the saved-up capacity allow.
 func TestBudgetNeverExceedsItsShare(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 400).Draw(t, "daemons")
--- a/internal/outside/budget/config.go
+++ b/internal/outside/budget/config.go
@@ -17,8 +17,8 @@
 	LedgerPart   float64 // of the planned writes, in (0, 1); zero takes the default
 }
 
-// Defaults of Config. The rates of the object API are the brief's; the others
-// are guesses on the low side, since the platform states none.
+// Defaults of Config. The platform states the rates of the object API; the others are low,
+// since it states none.
 const (
 	DefaultObjectReads  = 2000.0
 	DefaultObjectWrites = 300.0
@@ -28,10 +28,10 @@
 	// DefaultFleetSize is the largest fleet planned for: a daemon that doesn't
 	// know the fleet's size yet must not take more than its share of that one.
 	DefaultFleetSize = 340
-	// DefaultLedgerPart was measured in docs/adr/0012-platform-budget.md.
+	// DefaultLedgerPart is explained in docs/adr/0012-platform-budget.md.
 	DefaultLedgerPart = 0.6
 	// DefaultUtilisation leaves a fifth for phases that happen to coincide,
-	// for operators' commands, and for a fleet that is larger than was told.
+	// for operators' commands, and for a fleet that is larger than configured.
 	DefaultUtilisation = 0.8
 )
 
--- a/internal/outside/budget/decision.go
+++ b/internal/outside/budget/decision.go
@@ -7,11 +7,11 @@
 
 // The actions.
 const (
-	// Refused: the API is thought to be down. Don't call, and don't wait here.
+	// Refused: the API seems to be down. Don't call, and don't wait here.
 	Refused Action = iota
 	// Allowed: call now, and report the outcome.
 	Allowed
-	// WaitUntil: ask again at the decision's time.
+	// WaitUntil: call Admit again at the decision's time.
 	WaitUntil
 )
 
@@ -47,7 +47,7 @@
 type Decision struct {
 	Action Action
 	Reason Reason
-	At     time.Time // when to ask again; zero when Allowed
+	At     time.Time // when to call Admit again; zero when Allowed
 }
 
 func waitUntil(at time.Time, why Reason) Decision {
--- a/internal/outside/budget/fleet_test.go
+++ b/internal/outside/budget/fleet_test.go
@@ -9,7 +9,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// caller is one endless sequence of calls of a simulated daemon.
+// caller makes calls of a simulated daemon without end.
 type caller struct {
 	budget *Budget
 	class  Class
@@ -17,7 +17,7 @@
 	at     time.Time
 }
 
-// agenda orders the callers by their next moment.
+// agenda orders the callers by the times of their next calls.
 type agenda []*caller
 
 func (a agenda) Len() int           { return len(a) }
@@ -61,7 +61,7 @@
 	return Outcome{Result: Answered}
 }
 
-// peak is the most calls of the kind in any second from a moment on.
+// peak returns the most calls of the kind in any second from a time on.
 func (s *store) peak(k Kind, from time.Time) int {
 	calls := s.allowed[k]
 	first, most := 0, 0
@@ -76,7 +76,7 @@
 	return most
 }
 
-// newFleet returns the budgets of daemons that start in the same instant.
+// newFleet returns the budgets of daemons that start at the same time.
 func newFleet(n int, now time.Time) []*Budget {
 	fleet := make([]*Budget, n)
 	for i := range fleet {
@@ -85,7 +85,7 @@
 	return fleet
 }
 
-// greedy lets each daemon call for every class at once, without end.
+// greedy lets each daemon make calls of every class without end.
 func greedy(fleet []*Budget, now time.Time) agenda {
 	var a agenda
 	for _, b := range fleet {
@@ -99,10 +99,8 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// All 340 daemons restart in the same instant, and each wants to read and
-// write without end for every class. The platform would see hundreds of calls
-// in the first millisecond, refuse them, and see them all again. Each budget
-// starts empty at a random phase, so no second holds more than the rates.
+// Guards against a wave of calls above the platform's rates after 340 daemons have started at the
+// same time.
 func TestRestartOfTheFleetStaysWithinTheRates(t *testing.T) {
 	for _, n := range []int{9, 34, 340} {
 		s := &store{took: 3 * time.Millisecond}
@@ -115,10 +113,7 @@
 	}
 }
 
-// The store is down for a minute. All breakers are open and everything is to
-// be caught up on. When the store is back, every daemon finds out within
-// seconds; with buckets that filled up in the outage they would send
-// everything at once and bring it down again.
+// Guards against a wave of calls above the platform's rates after an outage, with full buckets.
 func TestReturnOfTheStoreStaysWithinTheRates(t *testing.T) {
 	back := start.Add(time.Minute)
 	s := &store{took: 3 * time.Millisecond, downUntil: back}
@@ -140,10 +135,8 @@
 	assert.Assert(t, len(s.allowed[ObjectWrite]) > 10*DefaultObjectWrites/2, "calls don't resume")
 }
 
-// A change wakes the watches of all daemons in the same instant after a long
-// quiet, when every bucket is full, and each writes its status because of it.
-// Without a random delay all 340 writes and reads would arrive at once; also
-// where a caller was told to wait once, and never came back.
+// Guards against a wave of calls after a change that all daemons see at once, also where a caller
+// was delayed once and didn't call again.
 func TestWaveAfterQuietIsSpread(t *testing.T) {
 	fleet := newFleet(340, start)
 	wave := start.Add(time.Minute)
@@ -162,10 +155,7 @@
 	assert.Assert(t, writes <= DefaultObjectWrites, "%d writes", writes)
 }
 
-// Callers' orders reach all 340 daemons in one instant after a quiet time. An
-// intent isn't made to wait at random, since a caller waits for it, so this is
-// the one wave above the rates; it is bounded to few calls for each daemon, and
-// afterwards the daemons must not go on in step.
+// Guards against daemons that stay in step after orders reached all of them at once.
 func TestIntentsOfOneInstantAreBounded(t *testing.T) {
 	wave := start.Add(time.Minute)
 	var a agenda
--- a/internal/outside/budget/lane.go
+++ b/internal/outside/budget/lane.go
@@ -8,7 +8,7 @@
 const (
 	// minCapacity lets a call of each class but the lease's go at once after a
 	// quiet time, and a lease's two, in fleets so large that a share is below
-	// one call a second. In a wave of one instant it bounds what a daemon sends.
+	// one call a second. It bounds what a daemon sends at one moment.
 	minCapacity = 2.25
 	// capacityPhase is the greatest random addition to the least capacity.
 	// Without it daemons that emptied full buckets in the same instant would
@@ -16,11 +16,11 @@
 	capacityPhase = 1.0
 	// capacityTime is the share that may be saved up in small fleets.
 	capacityTime = 250 * time.Millisecond
-	// longestSpread bounds the random wait of a call that somebody waits for:
-	// an intent has 2 s in all, and an operator sits before a change.
+	// longestSpread bounds the random wait of a call that a caller waits for: an intent has 2 s
+	// in all, and an operator waits for a change.
 	longestSpread = 1200 * time.Millisecond
-	// starvesAfter is how long a configuration call waits before it goes ahead
-	// of intents: a template must be in force within 15 s.
+	// starvesAfter is how long a configuration call waits until it has priority over
+	// intents: a template must be in force within 15 s.
 	starvesAfter = 4 * time.Second
 )
 
@@ -87,9 +87,9 @@
 // partNeed is the level of its part at which a call of the class may go. An
 // intent whose write lost its condition goes again on credit.
 //
-// Otherwise, if two daemons write one shard as fast as they may, one loses, reads the current
-// version and waits for its next token, while the other writes again: it would lose for ever, and
-// its orders would be refused. A write right after the loss conflicts only if the other writes within one
+// Otherwise, if two daemons write one shard as fast as they may, one conflicts, reads the current
+// version and waits for its next token, while the other writes again: it would conflict each time,
+// and its orders would be refused. A write right after the loss conflicts only if the other writes within one
 // call of the store, so one on credit is enough.
 func (l *lane) partNeed(c Class) float64 {
 	if c == Intent && l.lost {
@@ -99,7 +99,7 @@
 }
 
 // window is the time over which calls of the class are spread at random, 0 for
-// those that go at once. Intents go at once by their writer's part.
+// those that are made at once. Intents are made at once by their writer's part.
 func (l *lane) window(c Class) time.Duration {
 	part := l.parts[c.role()].rate
 	if c == Lease || c == Intent && (part > 0 || !l.writers) {
@@ -140,10 +140,9 @@
 	l.bucket.resize(now, rate, max(minCapacity+l.phase, rate*capacityTime.Seconds()))
 }
 
-// setPart changes the rate of a role's part. Who has just been given a role has
-// saved nothing up, since the one before it may have used that already, and
-// waits for up to two tokens, so that many who are given one together, as after
-// a restart, don't go on in step.
+// setPart changes the rate of a role's part. A daemon that has just got a role starts with an
+// empty part, since its predecessor may have used that already, and waits for up to two tokens, so
+// that daemons which get a role at the same time, as after a restart, don't stay in step.
 func (l *lane) setPart(now time.Time, r role, rate float64, random *rand.Rand) {
 	p := &l.parts[r]
 	if p.rate == 0 {
--- a/internal/outside/budget/outcome.go
+++ b/internal/outside/budget/outcome.go
@@ -2,24 +2,24 @@
 
 import "time"
 
-// Result is how a call ended, as far as the API's health goes.
+// Result is what a call's end shows of the API's health.
 type Result uint8
 
 // The results.
 const (
-	// Failed: no answer, a late one, or one that says the API is unwell.
+	// Failed: no answer, a late one, or one that reports a fault of the API.
 	Failed Result = iota
 	// Answered: the API works, whatever the answer says.
 	Answered
 	// Limited: the API works and asked to wait for Outcome.After.
 	Limited
-	// Abandoned: the caller went away, which says nothing about the API.
+	// Abandoned: the caller left, which shows nothing of the API.
 	Abandoned
-	// Lost: the API works, and a conditional write lost its condition.
+	// Lost: the API works, and the condition of a write didn't hold.
 	Lost
 )
 
-// Outcome is what Report is told.
+// Outcome is the end of a call, for Report.
 type Outcome struct {
 	Result Result
 	After  time.Duration // of Limited
--- a/internal/outside/budget/pacer.go
+++ b/internal/outside/budget/pacer.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// pacerForgets is how long after its moment a call that never came back is
-// forgotten; longer than any caller takes to ask again.
+// pacerForgets is how long after its moment a call is forgotten whose caller didn't call Admit
+// again; longer than any caller takes.
 const pacerForgets = 5 * time.Second
 
 // pacer makes a call wait for a random moment within a window, which is one
@@ -18,7 +18,7 @@
 type pacer struct {
 	waiting bool
 	since   time.Time // of the call that waits
-	at      time.Time // its moment, or when it was last told to ask again
+	at      time.Time // its moment, or when Admit is to be called again
 }
 
 // delay returns the moment to wait for, and whether the call must still wait.
@@ -34,10 +34,10 @@
 	return p.at, now.Before(p.at)
 }
 
-// waited is how long the call that waits has done so.
+// waited is how long the call has waited.
 func (p *pacer) waited(now time.Time) time.Duration { return now.Sub(p.since) }
 
-// put off notes that the call was told to ask again at a later moment.
+// putOff records that the call is to be asked for again at a later moment.
 func (p *pacer) putOff(at time.Time) { p.at = at }
 
 // done forgets the call that waits.
--- a/internal/outside/budget/role.go
+++ b/internal/outside/budget/role.go
@@ -1,7 +1,7 @@
 package budget
 
-// Roles is what a daemon does now beyond what every daemon does. The zero
-// value is a daemon without a role.
+// Roles are the duties that a daemon has now beyond those of all daemons. The zero value is a
+// daemon without a role.
 type Roles struct {
 	LedgerShards  int // ledger shards that it writes
 	LedgerStandby int // ledger shards that it writes while their writers don't answer
@@ -19,10 +19,10 @@
 	// ledgerReadPart is the share of the planned reads set apart for the ledger's
 	// writers. One whose write lost its condition reads what the other wrote,
 	// segment by segment: by the common share, 5 a second in a fleet of 340,
-	// it would never catch up with 60 segments a second.
+	// it would fall ever further behind 60 segments a second.
 	ledgerReadPart = 0.3
 	// standbyPart is what a standby has of a shard's part, on top of it. With
-	// every standby at work beside its writer, the fleet still stays below what
+	// every standby active beside its writer, the fleet still stays below what
 	// Utilisation leaves: 0.8 and a quarter of 0.6 of it are 0.92.
 	standbyPart = 0.25
 	// leaseShardRate is set apart for each control shard, in calls a second: its
--- a/internal/outside/budget/role_test.go
+++ b/internal/outside/budget/role_test.go
@@ -18,7 +18,7 @@
 	return b
 }
 
-// admitted counts the calls that a caller without end makes in some time.
+// admitted counts the calls that an endless caller may make in some time.
 func admitted(b *Budget, from time.Time, d time.Duration, c Class, k Kind) (n int) {
 	for now := next(b, from, c, k); now.Before(from.Add(d)); now = next(b, now, c, k) {
 		n++
@@ -26,10 +26,8 @@
 	return n
 }
 
-// All daemons restart in one instant, writers of the ledger and holders of
-// leases among them, and each wants to write without end for every class. The
-// platform must not see more than its rates, and the orders' writers must have
-// their part all the same.
+// Guards against writers and lease holders that exceed the platform's rates, or lack their part,
+// after all daemons have restarted at the same time.
 func TestRestartWithRolesStaysWithinTheRates(t *testing.T) {
 	for _, n := range []int{9, 34, 340} {
 		w := newSim(standby(0.6), n, 4)
@@ -53,9 +51,7 @@
 	}
 }
 
-// Orders reach all 340 daemons in one instant after a quiet time. Were each to
-// write its own, 631 writes would reach the store in the first second. They go
-// to the writers of the four shards, which write them together.
+// Guards against 340 daemons that each write their own orders where writers can combine them.
 func TestIntentsOfOneInstantGoTogether(t *testing.T) {
 	s := newSim(standby(0.6), 340, 4)
 	s.run(time.Minute)
@@ -69,8 +65,7 @@
 	assert.Assert(t, s.peak() <= 40, "%d writes", s.peak())
 }
 
-// No writer can be reached, and all 340 daemons turn to their own share in one
-// instant. What they have saved up must not reach the store in one second.
+// Guards against a wave of writes by all daemons where no writer can be reached.
 func TestIntentsAwayFromTheirWritersAreSpread(t *testing.T) {
 	var a agenda
 	wave := start.Add(time.Minute)
@@ -84,9 +79,8 @@
 	assert.Assert(t, s.peak(ObjectWrite, wave) <= 340, "%d writes", s.peak(ObjectWrite, wave))
 }
 
-// A shard's writer changes. The new one must have the shard's part at once, but
-// not what the old one may have saved up and used already, and the old one must
-// not go on.
+// Guards against a new writer that inherits what the old one may have used, and an old one that goes
+// on.
 func TestPartGoesWithTheRole(t *testing.T) {
 	b := newWriter(Roles{})
 	later := start.Add(time.Minute)
@@ -102,8 +96,7 @@
 	assert.Assert(t, admitted(b, later, 10*time.Second, Intent, ObjectWrite) <= 5)
 }
 
-// Three regions lose each other for an hour, and each finds writers for all
-// shards among its own. Together they must not use more than one part.
+// Guards against partitioned regions whose writers use more than one part together.
 func TestPartsOfASplitFleetComeToOne(t *testing.T) {
 	together := 0
 	for range 3 {
@@ -117,9 +110,7 @@
 	assert.Assert(t, together <= one+one/10)
 }
 
-// A daemon of 340 holds eight leases, each to be renewed every 6 s, and has as
-// much to write for its duties as it may. By the common share, one call in four
-// seconds, the leases would be lost.
+// Guards against leases that are lost since a daemon's share is too small for its eight renewals.
 func TestHolderOfManyLeasesRenewsThem(t *testing.T) {
 	b := newWriter(Roles{LeaseShards: 8})
 	worst := time.Duration(0)
@@ -136,9 +127,7 @@
 	assert.Assert(t, worst <= 10*time.Millisecond)
 }
 
-// Two daemons write one shard, both as fast as they may. The one whose write
-// lost its condition knows the version that stands. If it waited for its next
-// token, the other would have written again.
+// Guards against a writer that conflicts each time, since it waits for a token after a conflict.
 func TestLostIntentGoesAgainAtOnce(t *testing.T) {
 	b := newWriter(Roles{LedgerShards: 1})
 	now := start.Add(time.Minute)
@@ -152,10 +141,8 @@
 	assert.Equal(t, b.Admit(now, Intent, ObjectWrite).Action, WaitUntil, "on credit twice")
 }
 
-// The writers of shards die one after the other, which the daemons see within
-// seconds. Were each daemon to write its own orders meanwhile, they would
-// conflict with each other and run out of their small shares: every order of
-// the shard would be refused. The standby takes them all.
+// Guards against orders of a shard that are refused since daemons conflict with each other until
+// they know that its writer is gone.
 func TestOrdersOfADeadWriterAreTakenByItsStandby(t *testing.T) {
 	s := play("writer-dies", standby(0.6))
 	assert.Assert(t, len(s.added) > 2000)
@@ -163,9 +150,7 @@
 	assert.Assert(t, s.peak() <= DefaultObjectWrites, "%d writes", s.peak())
 }
 
-// Regions lose each other, and three daemons write each shard. All of them must
-// get through: by reading what the others wrote, for which a common share of
-// the reads is too small, and by writing right after they lost.
+// Guards against writers in partitioned regions of which only one makes progress.
 func TestSplitFleetTakesOrdersOnAllSides(t *testing.T) {
 	s := play("three-regions-apart", standby(0.6))
 	assert.Assert(t, len(s.added) > 2000)
@@ -187,8 +172,7 @@
 	return s
 }
 
-// Whatever the sequence of questions, outcomes and roles, in any stretch of
-// time no more writes go than the greatest rates and savings allow, and one on
+// Guards against more writes in any period than the greatest rates and savings allow, and one on
 // credit.
 func TestRolesNeverExceedTheirParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
@@ -219,8 +203,7 @@
 	})
 }
 
-// In a fleet of nine each daemon's share carries a writer; what is set apart
-// would be missing where operators make their changes.
+// Guards against a part that is reserved in a small fleet, where a share carries a writer.
 func TestSmallFleetKeepsItsShares(t *testing.T) {
 	small := withRoles
 	small.FleetSize = 9
@@ -228,8 +211,7 @@
 	assert.Assert(t, admitted(b, start.Add(time.Minute), 10*time.Second, Configuration, ObjectWrite) >= 150)
 }
 
-// An operator's change must not wait for a period of the daemon's small share,
-// which is four seconds in a fleet of 340, before anything is done.
+// Guards against an operator's change that waits for a period of a small share, 4 s at 340 daemons.
 func TestChangeAfterQuietGoesSoon(t *testing.T) {
 	for seed := range uint64(50) {
 		b := New(withRoles, start, rand.New(rand.NewPCG(seed, 2)))
@@ -239,9 +221,8 @@
 	}
 }
 
-// A daemon of a large fleet starts and knows seven seeds. Once it sees the rest
-// it must not go on with a seventh of the platform until the instance list
-// comes.
+// Guards against a daemon that uses a seventh of the platform's rates since it started with seven
+// seeds.
 func TestShareFollowsWhoIsSeen(t *testing.T) {
 	b := New(Config{FleetSize: 7}, start, rand.New(rand.NewPCG(1, 2)))
 	b.SetRoles(start, Roles{Daemons: 340})
--- a/internal/outside/budget/scenes_test.go
+++ b/internal/outside/budget/scenes_test.go
@@ -6,34 +6,34 @@
 	"time"
 )
 
-// scene is what befalls the fleet while orders come.
+// scene is a fault of the fleet while orders arrive.
 type scene struct {
 	name string
 	play func(*sim)
 }
 
-// move lets every daemon learn within 1 to 4 s that a shard's writer is gone.
+// move lets the daemons learn within 1 to 4 s that a shard's writer is gone.
 func (s *sim) move(shard int) {
 	for _, d := range s.daemons {
 		s.after(time.Second+time.Duration(s.random.Float64()*float64(3*time.Second)), func() {
 			d.view[shard]++
-			s.tellRoles(d)
+			s.setRoles(d)
 		})
 	}
 }
 
-// disagree lets every other daemon, and the next in rank, hold that one for
-// the writer of a shard for 5 s, while the rest keep to the old one.
+// disagree lets every other daemon, and the next in rank, take that one for the writer of a shard
+// for 5 s, while the rest keep to the old one.
 func (s *sim) disagree(shard int) {
 	for _, d := range s.daemons {
 		if d == s.ranked(shard, 0) || d.id%2 == 0 && d != s.ranked(shard, 1) {
 			continue
 		}
 		d.view[shard] = 1
-		s.tellRoles(d)
+		s.setRoles(d)
 		s.after(5*time.Second, func() {
 			d.view[shard] = 0
-			s.tellRoles(d)
+			s.setRoles(d)
 		})
 	}
 }
@@ -44,7 +44,7 @@
 		for _, d := range s.daemons {
 			clear(d.writers)
 			d.budgets = s.way.budgets(s, d)
-			s.tellRoles(d)
+			s.setRoles(d)
 		}
 	}},
 	{"writer-dies", func(s *sim) { // of one shard after the other, every 5 s
@@ -74,7 +74,7 @@
 				}
 			}
 			d.sees = s.fleet / 3
-			s.tellRoles(d)
+			s.setRoles(d)
 		}
 	}},
 	{"outcomes-by-dispatchers", func(s *sim) { s.settleBy = false }},
--- a/internal/outside/budget/sim_test.go
+++ b/internal/outside/budget/sim_test.go
@@ -14,7 +14,7 @@
 	"github.com/google/uuid"
 )
 
-// What the simulated fleet assumes; the ledger's duty has the same bounds.
+// Parameters of the simulated fleet; the ledger's duty has the same bounds.
 const (
 	simStore   = 2 * time.Millisecond  // a store call, and as much again at random
 	simHop     = time.Millisecond      // between two daemons, one way
@@ -58,7 +58,7 @@
 	wanted  int   // writes asked for since the last look of the lending way
 }
 
-// sim is a fleet before one store, in virtual time.
+// sim is a fleet with one store, in virtual time.
 type sim struct {
 	way      way
 	queue    simQueue
@@ -94,7 +94,7 @@
 	}
 	for _, d := range s.daemons {
 		d.budgets = w.budgets(s, d)
-		s.tellRoles(d)
+		s.setRoles(d)
 	}
 	return s
 }
@@ -117,8 +117,8 @@
 	s.now = end
 }
 
-// tellRoles gives a daemon's budget the shards that it believes to write.
-func (s *sim) tellRoles(d *simDaemon) {
+// setRoles sets the shards that a daemon takes itself for the writer of.
+func (s *sim) setRoles(d *simDaemon) {
 	if !s.way.roles {
 		return
 	}
@@ -142,8 +142,8 @@
 
 func (s *sim) holder(lease int) *simDaemon { return s.daemons[(lease*7919)%len(s.daemons)] }
 
-// call makes a platform call within the budget, or gives it up at its deadline.
-// Who gets an answer reports it.
+// call makes a platform call within the budget, or abandons it at its deadline, and reports its
+// end.
 func (s *sim) call(d *simDaemon, c Class, k Kind, deadline time.Time, done func(ok bool)) {
 	b := d.budgets[c]
 	a := b.Admit(s.now, c, k)
@@ -293,8 +293,8 @@
 	})
 }
 
-// answering is who takes a daemon's order: the writer, the standby where the
-// way has one, or the daemon itself; and after what time.
+// answering returns the daemon that takes an order, the writer, the standby if the way has one, or
+// the daemon itself, and after what time.
 func (s *sim) answering(d *simDaemon, shard int) (*simDaemon, time.Duration) {
 	ranks := 1
 	if s.way.standby {
@@ -366,8 +366,7 @@
 	return most
 }
 
-// stored is how many in a hundred of the granted orders have their outcome in
-// the ledger.
+// stored returns how many in a hundred of the granted orders have their outcome in the ledger.
 func (s *sim) stored() float64 {
 	keys := make(map[uuid.UUID]bool)
 	for _, o := range s.objects {
--- a/internal/outside/budget/ways_test.go
+++ b/internal/outside/budget/ways_test.go
@@ -35,15 +35,14 @@
 	}}
 }
 
-// reserved sets a part apart for the writers of shards.
+// reserved reserves a part for the writers of shards.
 func reserved(part float64) way {
 	return way{name: fmt.Sprintf("reserved%.0f", 100*part), roles: true, budgets: func(s *sim, d *simDaemon) [classes]*Budget {
 		return all(s.seeded(d, Config{FleetSize: s.fleet, LedgerShards: s.shards, LeaseShards: simLeases, LedgerPart: part}))
 	}}
 }
 
-// standby adds a second daemon for each shard, which is asked when the writer
-// doesn't answer.
+// standby adds a second daemon for each shard, which is asked when the writer doesn't answer.
 func standby(part float64) way {
 	w := reserved(part)
 	w.name, w.standby = fmt.Sprintf("standby%.0f", 100*part), true
@@ -61,8 +60,8 @@
 
 const lendLag = 3 * time.Second // until all daemons heard of a demand
 
-// lent gives what nobody uses to those that want more, by demands told a
-// second and known to all some seconds later.
+// lent lends unused shares to daemons that want more, by demands that are exchanged each second and
+// known to all some seconds later.
 func lent() way {
 	w := equal()
 	w.name = "lent"
--- a/internal/outside/caller.go
+++ b/internal/outside/caller.go
@@ -21,7 +21,7 @@
 	op      string
 	object  string        // kind of object, for metrics
 	write   bool          // it may have an effect
-	refuses bool          // a 503 is the API's word that there was no effect
+	refuses bool          // a 503 states that there was no effect
 	timeout time.Duration // from leaving the budget to the last byte of the answer
 	limit   int64         // bytes of the answer
 }
@@ -46,7 +46,7 @@
 	return &caller{base: sling.New().Base(url), client: client, gate: g, observer: observer}
 }
 
-// do waits for the budget, makes the call and tells budget and observer. The
+// do waits for the budget, makes the call and reports its end to budget and observer. The
 // error is one of this package's types for any answer but a 2xx.
 func (c *caller) do(ctx context.Context, o operation, req *http.Request) (answer, error) {
 	asked := time.Now()
@@ -101,7 +101,7 @@
 	return answer{status: resp.StatusCode, header: resp.Header, body: body}, nil
 }
 
-// onTimeout closes what may be silent as well.
+// onTimeout closes the other connections that may have become silent.
 //
 // A middlebox may lose track of open connections, which stay open and silent while new ones
 // work. Each call would try one of them and time out. Closing the idle ones makes the next call
--- a/internal/outside/caller_test.go
+++ b/internal/outside/caller_test.go
@@ -14,9 +14,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// A reused connection refuses the first byte of a write. The Transport would
-// dial and send the write again by itself, on its belief that nothing left.
-// The write must leave once, and whoever asked for it decides what follows.
+// Guards against a write that the Transport sends again by itself on a new connection.
 func TestTransportNeverRepeatsAWrite(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		clients, network, _ := connect(t, objectstore.New(objectstore.Options{}).Handler(), plenty)
@@ -43,10 +41,8 @@
 	})
 }
 
-// Something on the way loses track of the open connections: they stay open and
-// silent for good, while new ones work. One call times out; after it nothing
-// may touch another silent connection, and the watch that waits on one must
-// not wait to its end.
+// Guards against calls that try one silent connection after the other, and a watch that waits to its
+// end on one, once a middlebox has lost track of the open connections.
 func TestSilentConnectionsAreLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -86,8 +82,7 @@
 	})
 }
 
-// A hurried caller gives a slow store a few milliseconds. Its impatience says
-// nothing about the store and must not open the breaker for everyone.
+// Guards against a breaker that opens since callers set deadlines of a few milliseconds.
 func TestHurriedCallersDontOpenTheBreaker(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -105,8 +100,7 @@
 	})
 }
 
-// The share is used up, and the caller's deadline passes before there is more.
-// It is told at once that nothing was called.
+// Guards against a caller who waits though its deadline passes before the share allows a call.
 func TestOverBudgetIsRefusedEarly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
--- a/internal/outside/classify.go
+++ b/internal/outside/classify.go
@@ -17,8 +17,8 @@
 	defaultAfter = time.Second
 	// longestAfter bounds what a 429 can ask for.
 	longestAfter = time.Minute
-	// soonest is the shortest deadline of a caller whose passing says that the
-	// API is slow, rather than that the caller was in a hurry.
+	// soonest is the shortest deadline of a caller that counts as a failure of the API when it
+	// passes.
 	soonest = 500 * time.Millisecond
 	// maxDetail bounds the text that is kept of a rejection, in bytes.
 	maxDetail = 512
@@ -58,7 +58,7 @@
 	return string(a.body[:min(len(a.body), maxDetail)])
 }
 
-// outcomeOf says what a call's end tells about the API's health. The context is
+// outcomeOf returns what a call's end shows of the API's health. The context is
 // the caller's, without the call's own timeout.
 func outcomeOf(ctx context.Context, err error, took time.Duration) budget.Outcome {
 	var (
--- a/internal/outside/clients.go
+++ b/internal/outside/clients.go
@@ -9,7 +9,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/outside/budget"
 )
 
-// Options says where the platform is. The addresses are URLs without a path.
+// Options are the addresses of the platform and the dependencies of its clients. The addresses are URLs without a path.
 type Options struct {
 	Objects   string
 	Instances string
@@ -78,10 +78,10 @@
 	return nil
 }
 
-// SetFleetSize tells how many daemons share the platform; see budget.Budget.
+// SetFleetSize sets how many daemons share the platform; see budget.Budget.
 func (c *Clients) SetFleetSize(daemons int) { c.gate.setFleetSize(daemons) }
 
-// SetLedgerRole tells how many ledger shards this daemon writes, of how many it
+// SetLedgerRole sets how many ledger shards this daemon writes, of how many it
 // is the standby, and from how many daemons, itself included, the writers were
 // chosen; see budget.Roles.
 func (c *Clients) SetLedgerRole(shards, standby, daemons int) {
@@ -90,12 +90,12 @@
 	})
 }
 
-// SetLeaseRole tells how many control shards' leases this daemon holds.
+// SetLeaseRole sets how many control shards' leases this daemon holds.
 func (c *Clients) SetLeaseRole(shards int) {
 	c.gate.setRoles(func(r *budget.Roles) { r.LeaseShards = shards })
 }
 
-// Close closes idle connections. Calls that are on their way end by themselves.
+// Close closes idle connections. Calls in progress end by themselves.
 func (c *Clients) Close() {
 	for _, caller := range c.callers {
 		caller.client.CloseIdleConnections()
--- a/internal/outside/cloud.go
+++ b/internal/outside/cloud.go
@@ -50,7 +50,7 @@
 }
 
 // launchedInstance reads the answer to a launch that took effect. One that
-// can't be read leaves the instance unknown, which is as good as lost.
+// can't be read leaves the instance unknown, like a lost answer.
 func launchedInstance(a answer) (cloudapi.Instance, error) {
 	var instance cloudapi.Instance
 	if err := json.Unmarshal(a.body, &instance); err != nil {
--- a/internal/outside/errors.go
+++ b/internal/outside/errors.go
@@ -30,7 +30,7 @@
 
 func (e *NotFound) Error() string { return fmt.Sprintf("there is no %s/%s", e.Kind, e.Name) }
 
-// Gone is a watch whose since is too old, or not of this store: list again.
+// Gone is a watch from a version that is too old, or not of this store: list again.
 type Gone struct{}
 
 func (e *Gone) Error() string { return "the watch's start is no longer known" }
@@ -57,10 +57,10 @@
 // Unwrap returns the cause.
 func (e *Ambiguous) Unwrap() error { return e.Err }
 
-// Refused is a call that the budget didn't let go. It had no effect.
+// Refused is a call that the budget refused. It had no effect.
 type Refused struct {
 	Reason budget.Reason
-	Until  time.Time // when asking again may help
+	Until  time.Time // when to try again
 }
 
 func (e *Refused) Error() string { return "not called: " + e.Reason.String() }
@@ -74,7 +74,7 @@
 	return "the API asks to wait for " + e.After.String()
 }
 
-// Rejected is a call that the API finds wrong, or won't serve as it is.
+// Rejected is a call that the API finds invalid, or doesn't serve as it is.
 // It had no effect.
 type Rejected struct {
 	Status int // HTTP
--- a/internal/outside/gate.go
+++ b/internal/outside/gate.go
@@ -13,7 +13,7 @@
 // are refused: they would wait for longer than their callers do.
 const maxWaiters = 512
 
-// gate holds the daemon's one budget and lets calls wait for it.
+// gate holds the daemon's one budget, and calls that wait for it.
 type gate struct {
 	mu      sync.Mutex
 	budget  *budget.Budget
@@ -26,7 +26,7 @@
 	return &gate{budget: budget.New(c, time.Now(), random), random: random}
 }
 
-// admit returns nil once the call may go, and Refused or the context's error otherwise.
+// admit returns nil once the call may be made, and Refused or the context's error otherwise.
 func (g *gate) admit(ctx context.Context, c budget.Class, k budget.Kind) error {
 	for {
 		d, err := g.ask(c, k)
@@ -85,7 +85,7 @@
 	g.budget.SetFleetSize(time.Now(), daemons)
 }
 
-// setRoles changes what the budget knows of this daemon's roles.
+// setRoles changes this daemon's roles in the budget.
 func (g *gate) setRoles(change func(*budget.Roles)) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/outside/mirror/mirror.go
+++ b/internal/outside/mirror/mirror.go
@@ -1,6 +1,5 @@
-// Package mirror keeps up with all objects of some kinds: it lists them once
-// and then watches, through outages, lost connections and watches that the
-// store no longer knows.
+// Package mirror follows all objects of some kinds: it lists them once and then watches, through
+// outages, lost connections and watches that the store no longer has.
 package mirror
 
 import (
@@ -15,8 +14,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 )
 
-// Mirror tells of every object's newest version, and never of a lower version
-// of an object after a higher one. It keeps versions, not values.
+// Mirror reports every object's newest version, and never a lower version of an object after a
+// higher one. It keeps versions, not values.
 type Mirror struct {
 	options  Options
 	view     *view
@@ -37,7 +36,7 @@
 	}
 }
 
-// Synced is closed once all objects that were there at the start have been told.
+// Synced is closed once all objects that were there at the start have been reported.
 func (m *Mirror) Synced() <-chan struct{} { return m.synced }
 
 // Run mirrors until the context ends. It may be called once.
@@ -97,8 +96,8 @@
 	return nil
 }
 
-// wait is how long the next watch waits. After a failure it doesn't: a watch
-// that waits would leave a breaker's probe undecided for as long.
+// wait is how long the next watch waits: not at all after a failure, since the watch may be a
+// breaker's probe, which would stay undecided as long.
 func (m *Mirror) wait() time.Duration {
 	if m.failed {
 		return 0
--- a/internal/outside/mirror/mirror_test.go
+++ b/internal/outside/mirror/mirror_test.go
@@ -36,7 +36,7 @@
 	return clients.Objects.As(budget.Configuration)
 }
 
-// audience is what a mirror's owner knows, with a lock round it.
+// audience is what a mirror's owner knows, under a lock.
 type audience struct {
 	mu    sync.Mutex
 	t     *testing.T
@@ -79,7 +79,7 @@
 	return a
 }
 
-// barrier cuts one client off from the store, which works for others.
+// barrier separates one client from the store, which works for others.
 type barrier struct {
 	next http.Handler
 	down atomic.Bool
@@ -92,9 +92,8 @@
 	b.next.ServeHTTP(w, r)
 }
 
-// The mirror can't reach the store for a while, in which more is written than
-// the store remembers. Each time the mirror must come back by itself, list
-// again, and end with what the store has, without a version that falls.
+// Guards against a mirror that doesn't recover from an outage in which the store dropped changes, or
+// that reports a lower version.
 func TestMirrorSurvivesOutagesAndGoneWatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{LogChanges: 8})
@@ -131,8 +130,7 @@
 	return objects.Update(t.Context(), "template", name, value, version)
 }
 
-// Nothing changes for an hour. What a quiet fleet costs the store is one call
-// for each wait, and nothing else.
+// Guards against calls of an idle fleet beyond one for each wait.
 func TestQuietMirrorCostsOneCallAWait(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -144,8 +142,7 @@
 	})
 }
 
-// A change reaches every mirror in the moment it is written, not at the end of
-// a wait.
+// Guards against changes that reach mirrors only at the end of a wait.
 func TestMirrorHearsAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -158,9 +155,7 @@
 	})
 }
 
-// The store comes back after an outage, and the mirror's next watch is the call
-// that the breaker lets go to find out. A watch that waits would keep all other
-// callers refused for as long.
+// Guards against a watch that waits though it is the breaker's probe.
 func TestWatchAfterAnOutageIsAQuickProbe(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
--- a/internal/outside/mirror/options.go
+++ b/internal/outside/mirror/options.go
@@ -14,14 +14,14 @@
 	Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) (objectapi.WatchAnswer, error)
 }
 
-// Options sets a mirror up.
+// Options are the settings of a mirror.
 type Options struct {
 	Source Source
 	Kinds  []string
-	// OnChange is told each object's newest version, and of its deletion. It
-	// is called from Run, one call after the other, and must not block.
+	// OnChange is called with each object's newest version and its deletion, from Run, one call
+	// after the other. It must not block.
 	OnChange func(objectapi.Object)
-	// OnError is told of a failed call; nil for none.
+	// OnError is called with the error of a failed call; nil for none.
 	OnError func(error)
 	Wait    time.Duration // of a watch; zero takes DefaultWait
 	Random  *rand.Rand    // of the jitter, used by Run only; nil for a random one
--- a/internal/outside/mirror/view.go
+++ b/internal/outside/mirror/view.go
@@ -8,8 +8,8 @@
 
 type objectKey struct{ kind, name string }
 
-// view is what a mirror has told: the versions of the live objects. It does no
-// I/O. Its methods return what to tell, oldest first.
+// view is what a mirror has reported: the versions of the objects that exist. It does no I/O. Its
+// methods return what to report, oldest first.
 //
 // A list from a lagging replica of the store, or a store that was restored to an older state,
 // shows a lower version after a higher one, and what is in force would revert. A version is
@@ -17,7 +17,7 @@
 // from before the latest state is not used at all.
 type view struct {
 	live    map[objectKey]uint64
-	floors  map[string]uint64 // by kind: every change up to it was told by a list
+	floors  map[string]uint64 // by kind: every change up to it was in a list
 	version uint64            // the watch continues after it
 	highest uint64            // the highest version of the store that was seen
 }
@@ -41,7 +41,7 @@
 	return oldest
 }
 
-// stale reports whether the list is older than what was told.
+// stale reports whether the list is older than what was reported.
 func (v *view) stale(list objectapi.List) bool { return list.Version < v.highest }
 
 // reset takes full lists, none of them stale.
@@ -92,7 +92,7 @@
 	return told
 }
 
-// accept notes the object's version, and reports whether it is a new one.
+// accept records the object's version, and reports whether it is a new one.
 func (v *view) accept(o objectapi.Object) bool {
 	key := objectKey{o.Kind, o.Name}
 	if o.Version <= v.live[key] {
--- a/internal/outside/mirror/view_test.go
+++ b/internal/outside/mirror/view_test.go
@@ -31,7 +31,7 @@
 	return list
 }
 
-// told is what a mirror's owner knows. It fails when a version falls.
+// told is what a mirror's owner knows. It fails when a version decreases.
 type told map[objectKey]objectapi.Object
 
 func (k told) hear(t assert.TestingT, changes []objectapi.Object) {
@@ -42,10 +42,8 @@
 	}
 }
 
-// A mirror lists again after the store forgot where it was, is answered by
-// parts of the store that lag, and lists its kinds at different moments. Its
-// owner must never hear of a lower version of an object after a higher one, or
-// what is in force would revert; and in the end it must know the truth.
+// Guards against lower versions after higher ones, where the store's replicas lag and kinds are listed
+// at different times.
 func TestVersionsNeverFall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h truth
@@ -75,7 +73,7 @@
 	})
 }
 
-// live is the versions of what the owner believes to exist.
+// live returns the versions of the objects that the owner takes to exist.
 func (k told) live() map[string]uint64 {
 	live := make(map[string]uint64)
 	for key, o := range k {
@@ -86,7 +84,7 @@
 	return live
 }
 
-// live is the versions of what exists in the end.
+// live returns the versions of the objects that exist in the end.
 func (h truth) live() map[string]uint64 {
 	live := make(map[string]uint64)
 	for _, kind := range kinds {
--- a/internal/outside/objects.go
+++ b/internal/outside/objects.go
@@ -18,7 +18,7 @@
 	callTimeout = 2 * time.Second
 	// listTimeout bounds a list, which may be long.
 	listTimeout = 10 * time.Second
-	// objectLimit bounds an object's answer: its value and what is round it.
+	// objectLimit bounds an object's answer: its value and the JSON around it.
 	objectLimit = objectapi.MaxValueBytes + 64<<10
 	// listLimit bounds the answer to a list or a watch, in bytes.
 	listLimit = 64 << 20
@@ -84,7 +84,7 @@
 }
 
 // objectPath escapes the kind and the name. Names that path cleaning would
-// change on the way are wrong.
+// change are invalid.
 func objectPath(kind, name string) (string, error) {
 	if kind == "" || name == "" || name == "." || name == ".." || strings.Contains(kind, "/") {
 		return "", &Rejected{Status: http.StatusBadRequest, Detail: "an object has a kind and a name"}
--- a/internal/outside/objects_test.go
+++ b/internal/outside/objects_test.go
@@ -68,8 +68,7 @@
 	})
 }
 
-// The store applies a write and the answer is lost. The writer can't know
-// whether it took effect and must not say that it didn't.
+// Guards against a write that took effect, whose answer was lost, and that is reported as not made.
 func TestLostAnswerIsAmbiguous(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -83,8 +82,7 @@
 	})
 }
 
-// The store says 503, by contract without effect: the write is known not to
-// have been made, and needs no reading back.
+// Guards against reading back after a 503, which states that there was no effect.
 func TestUnavailableStoreHadNoEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -95,8 +93,7 @@
 	})
 }
 
-// The store is out. Each call fails, and after some of them the calls stop
-// leaving, but for a probe now and then. When it is back, calls go on.
+// Guards against calls that go on throughout an outage, or don't resume after it.
 func TestOutageStopsTheCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
--- a/internal/outside/objectwatch.go
+++ b/internal/outside/objectwatch.go
@@ -20,7 +20,7 @@
 }
 
 // Watch returns the changes of the kinds after since, waiting up to wait for
-// the first; Gone when the store no longer knows them all.
+// the first; Gone when the store no longer has them all.
 func (o Objects) Watch(ctx context.Context, kinds []string, since uint64, wait time.Duration) (objectapi.WatchAnswer, error) {
 	query := watchQuery{Kinds: strings.Join(kinds, ","), Since: since, Wait: wait.Milliseconds()}
 	req, err := o.caller.base.New().Get(objectapi.WatchPath).QueryStruct(query).Request()
@@ -36,7 +36,7 @@
 	case statusOf(err) == http.StatusGone:
 		return answer, &Gone{}
 	case err != nil && errors.Is(context.Cause(guarded), errSuspected):
-		// Nothing is known to have changed: the caller watches again at once.
+		// No change is known: the caller watches again at once.
 		return objectapi.WatchAnswer{Version: since}, nil
 	}
 	return answer, err
--- a/internal/outside/objectwrites.go
+++ b/internal/outside/objectwrites.go
@@ -85,8 +85,8 @@
 }
 
 // writtenObject reads the answer to a write that took effect. One that can't
-// be read leaves the version unknown, which is as good as lost. The answer need
-// not repeat the value.
+// be read leaves the version unknown, like a lost answer. The answer need not repeat the
+// value.
 func writtenObject(a answer, value json.RawMessage) (objectapi.Object, error) {
 	var written objectapi.Object
 	if err := json.Unmarshal(a.body, &written); err != nil {
--- a/internal/outside/observer.go
+++ b/internal/outside/observer.go
@@ -33,8 +33,8 @@
 	Took   time.Duration // from leaving the budget to the answer
 }
 
-// Observer is told of every call. It is called from many goroutines and must
-// not block.
+// Observer is called with every finished call, from several goroutines at a time. It must not
+// block.
 type Observer interface {
 	Called(Call)
 }
--- a/internal/outside/others_test.go
+++ b/internal/outside/others_test.go
@@ -15,8 +15,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// The cloud buys an instance and the answer is lost. The buyer repeats the
-// launch with the same client token and is given the instance that was bought.
+// Guards against an instance that is bought twice after the answer to its launch was lost.
 func TestLostLaunchIsNotBoughtTwice(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		market := cloud.New(cloud.Options{Prices: cloud.DefaultPrices([]fleet.DataCentre{"a"})})
@@ -50,8 +49,7 @@
 	})
 }
 
-// A data centre is reclaimed: its instances are told, then vanish. A second
-// notice for one of them must not keep it alive for longer.
+// Guards against a second notice that postpones the end of a reclaimed instance.
 func TestReclaimGivesNoticeAndEnds(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gone := make(chan fleet.InstanceID, 3)
--- a/internal/outside/platform_test.go
+++ b/internal/outside/platform_test.go
@@ -12,13 +12,13 @@
 	"gotest.tools/v3/assert"
 )
 
-// plenty is a budget that doesn't hold the tests up.
+// plenty is a budget that delays no test.
 var plenty = budget.Config{
 	FleetSize: 1,
 	Fleet:     budget.Rates{1e6, 1e6, 1e6, 1e6, 1e6},
 }
 
-// recorder remembers the calls it is told of.
+// recorder records the calls that it observes.
 type recorder struct {
 	mu    sync.Mutex
 	calls []Call
--- a/internal/outside/readback.go
+++ b/internal/outside/readback.go
@@ -12,17 +12,16 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
-// WriteState says what became of a write.
+// WriteState is the outcome of a write.
 type WriteState uint8
 
 // The states of a write.
 const (
-	// WriteUnknown: it may have taken effect, and reading back didn't tell.
+	// WriteUnknown: it may have taken effect, and reading back didn't show it.
 	WriteUnknown WriteState = iota
 	// WriteAccepted: it took effect.
 	WriteAccepted
-	// WriteRefused: the condition didn't hold, and it never took effect as far
-	// as mine can tell.
+	// WriteRefused: the condition didn't hold, and the object shows no effect of it.
 	WriteRefused
 	// WriteNotSent: it certainly had no effect, for another reason than its
 	// condition.
@@ -52,17 +51,16 @@
 }
 
 const (
-	// maxRounds bounds the attempts to learn what became of a write, to some
-	// eight seconds where the context sets no deadline.
+	// maxRounds bounds the attempts to read a write back, to some eight seconds where the
+	// context sets no deadline.
 	maxRounds = 10
 	// firstRound and longestRound bound the waits between them.
 	firstRound   = 50 * time.Millisecond
 	longestRound = 2 * time.Second
 )
 
-// CreateOrReadBack creates an object and finds out what became of it when the
-// answer is lost. mine tells this very write from any other by something in
-// the value that no other write has.
+// CreateOrReadBack creates an object, and reads it back when the answer is lost. mine reports
+// whether an object is of this write, by something in the value that no other write has.
 func (o Objects) CreateOrReadBack(ctx context.Context, kind, name string, value json.RawMessage, mine func(objectapi.Object) bool) WriteResult {
 	w := readBack{objects: o, kind: kind, name: name, mine: mine}
 	w.send = func(ctx context.Context) (objectapi.Object, error) {
@@ -71,10 +69,9 @@
 	return w.run(ctx)
 }
 
-// UpdateOrReadBack updates an object and finds out what became of it when the
-// answer is lost. mine must know the write in later versions of the object as
-// well, by a history in the value; otherwise a write that took effect and was
-// then overwritten is called refused.
+// UpdateOrReadBack updates an object, and reads it back when the answer is lost. mine must
+// recognise the write in later versions of the object too, by a history in the value; otherwise
+// a write that took effect and was then overwritten counts as refused.
 func (o Objects) UpdateOrReadBack(ctx context.Context, kind, name string, value json.RawMessage, ifVersion uint64, mine func(objectapi.Object) bool) WriteResult {
 	w := readBack{objects: o, kind: kind, name: name, ifVersion: ifVersion, mine: mine}
 	w.send = func(ctx context.Context) (objectapi.Object, error) {
@@ -135,7 +132,7 @@
 	return WriteResult{State: WriteUnknown, Err: verdict.Wrap(verdict.MayHaveRun, err)}, true
 }
 
-// lookState says what reading back showed.
+// lookState is the result of reading back.
 type lookState uint8
 
 const (
@@ -160,7 +157,7 @@
 	return current, lookMoved
 }
 
-// judge compares the object that won with this write.
+// judge compares the stored object with this write.
 func (w readBack) judge(current objectapi.Object) WriteResult {
 	if current.Version != 0 && w.mine(current) {
 		return WriteResult{State: WriteAccepted, Object: current}
--- a/internal/outside/readback_test.go
+++ b/internal/outside/readback_test.go
@@ -36,9 +36,8 @@
 	return func(o objectapi.Object) bool { return slices.Contains(historyOf(o), mark) }
 }
 
-// Ten operators amend one object at once, and the store loses one answer in
-// five. Each is told accepted or refused; the final history holds each accepted
-// change exactly once and no refused one.
+// Guards against changes that are reported wrongly where ten writers amend one object and the store
+// loses one answer in five.
 func TestRacingWritersAndLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -80,9 +79,8 @@
 	})
 }
 
-// A write hangs on its way, its connection dies, and the object is read back
-// unchanged. Calling the write refused would be wrong: it arrives after that.
-// Sent again, one of the copies wins, and the writer is told so.
+// Guards against a write that is reported as refused, since the object was read back before the
+// delayed write arrived.
 func TestWriteThatArrivesAfterTheReadBack(t *testing.T) {
 	for _, create := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
@@ -111,8 +109,8 @@
 	}
 }
 
-// lateWrites cuts the connection of one write and applies it 60 ms later, after
-// the first reading back.
+// lateWrites closes the connection of one write and applies it 60 ms later, after the first reading
+// back.
 type lateWrites struct {
 	next http.Handler
 	hold bool
@@ -135,8 +133,7 @@
 	panic(http.ErrAbortHandler)
 }
 
-// The store goes down in the moment of a write and stays down. The writer is
-// told that the outcome is unknown, after a bounded time.
+// Guards against a writer who waits without end where the store goes down during the write.
 func TestOutcomeStaysUnknownInAnOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
--- a/internal/outside/silence.go
+++ b/internal/outside/silence.go
@@ -14,7 +14,7 @@
 // errSuspected ends a watch whose connection may have gone silent.
 var errSuspected = Error.New("another call timed out; the connection may be silent")
 
-// silence knows the waiting watches of one API.
+// silence holds the waiting watches of one API.
 type silence struct {
 	mu      sync.Mutex
 	waiting map[*waitingWatch]struct{}
--- a/internal/outside/singleuse.go
+++ b/internal/outside/singleuse.go
@@ -12,7 +12,7 @@
 // Close does nothing.
 func (singleUse) Close() error { return nil }
 
-// sendOnce makes the request leave at most once.
+// sendOnce makes the transport send a request at most once.
 //
 // http.Transport sends a request again by itself when it assumes that nothing of it was written
 // to a reused connection. If that is wrong, the second copy of a conditional write conflicts
--- a/internal/outside/transport.go
+++ b/internal/outside/transport.go
@@ -15,9 +15,9 @@
 	keepAliveInterval = 2 * time.Second
 	keepAliveCount    = 3
 	// idleTimeout is shorter than usual servers' own, so that a connection is
-	// rarely closed by the server in the moment a write is sent on it.
+	// rarely closed by the server just as a write is sent on it.
 	idleTimeout = 20 * time.Second
-	// maxIdle is more than a daemon's calls at once to one API.
+	// maxIdle is more than the calls that a daemon makes to one API at the same time.
 	maxIdle = 8
 )
 
@@ -48,7 +48,7 @@
 }
 
 // newHTTPClient returns a client that follows no redirect: a redirected write
-// would leave a second time.
+// would be sent a second time.
 func newHTTPClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
 		Transport: transport,
--- a/internal/outside/transport_test.go
+++ b/internal/outside/transport_test.go
@@ -13,8 +13,7 @@
 	"gotest.tools/v3/assert"
 )
 
-// The store offers HTTP/2, on which all calls would share one connection. When
-// that one goes silent nothing else is left, so the client keeps to HTTP/1.1.
+// Guards against HTTP/2, on which all calls share one connection that may become silent.
 func TestTLSKeepsToHTTP1(t *testing.T) {
 	store := objectstore.New(objectstore.Options{}).Handler()
 	protocols := make(chan int, 1)
