--- a/internal/peer/client.go
+++ b/internal/peer/client.go
@@ -18,12 +18,11 @@
 	// dialTimeout bounds a connection's set-up between data centres.
 	dialTimeout = 2 * time.Second
 	// poolCapacity bounds the idle connections, whatever the fleet's size: a
-	// daemon talks often to few others.
+	// daemon calls few others often.
 	poolCapacity = 32
 	// poolKeyCapacity bounds the idle connections to one daemon.
 	poolKeyCapacity = 4
-	// poolExpiration ends connections that nobody used, so that one which went
-	// silent unnoticed is not kept.
+	// poolExpiration ends idle connections, so that one that became silent isn't kept.
 	poolExpiration = 30 * time.Second
 )
 
--- a/internal/standin/cloud/cloud.go
+++ b/internal/standin/cloud/cloud.go
@@ -26,7 +26,7 @@
 	notices noticeLog
 }
 
-// machine is an instance and what will become of it.
+// machine is an instance and its announced end.
 type machine struct {
 	instance cloudapi.Instance
 	ended    bool
@@ -45,8 +45,8 @@
 	}
 }
 
-// Register makes the cloud know an instance that was there from the start, so
-// that it is listed and can be reclaimed. OnLaunch isn't called.
+// Register adds an instance that was there from the start, so that it is listed and can be
+// reclaimed. OnLaunch isn't called.
 func (c *Cloud) Register(instance cloudapi.Instance) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/standin/cloud/handler.go
+++ b/internal/standin/cloud/handler.go
@@ -61,7 +61,7 @@
 	}
 	instance, state, refusal := c.launch(l)
 	if state == launched && c.currentFaults().LoseAnswers {
-		panic(http.ErrAbortHandler) // bought, but the caller isn't told
+		panic(http.ErrAbortHandler) // bought, but the answer is lost
 	}
 	answerLaunch(w, instance, state, refusal)
 }
--- a/internal/standin/cloud/options.go
+++ b/internal/standin/cloud/options.go
@@ -7,12 +7,12 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
-// Options sets the stand-in up. Hooks may be nil. They are called without the
+// Options are the settings of the stand-in. Hooks may be nil. They are called without the
 // cloud's lock, so they may call it back, and from several goroutines at once.
 type Options struct {
 	Prices   []cloudapi.Price                         // the market; DefaultPrices where none are given
 	OnLaunch func(cloudapi.Instance)                  // before the launch is answered
-	OnNotice func(id fleet.InstanceID, end time.Time) // when an instance is told that it will vanish
+	OnNotice func(id fleet.InstanceID, end time.Time) // when an instance gets notice of its end
 	OnGone   func(fleet.InstanceID)                   // when an instance has vanished or was given back
 }
 
--- a/internal/standin/cloud/reclaim.go
+++ b/internal/standin/cloud/reclaim.go
@@ -14,7 +14,7 @@
 
 // Reclaim gives notice to the named instances and to the reclaimable ones of
 // the data centre; they vanish after Millis. A further notice never moves the
-// end later. It returns the instances that were told.
+// end later. It returns the instances that got it.
 func (c *Cloud) Reclaim(r cloudapi.Reclaim) []fleet.InstanceID {
 	told := c.giveNotice(r)
 	ids := make([]fleet.InstanceID, 0, len(told))
--- a/internal/standin/engine/cache.go
+++ b/internal/standin/engine/cache.go
@@ -34,8 +34,8 @@
 	return len(hashes)
 }
 
-// put stores a block. It returns whether the block is new and which block had
-// to go, if any.
+// put stores a block. It returns whether the block is new and which one was
+// evicted, if any.
 func (c *prefixCache) put(hash uint64) (stored bool, evicted uint64, full bool) {
 	if c.touch(hash) {
 		return false, 0, false
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -95,9 +95,8 @@
 	})
 }
 
-// The caller's connection drops in the middle of an answer. The engine goes on
-// generating, and whoever resumes by the stream's id gets the rest. Left
-// without a reader for longer than Linger, the stream is gone.
+// Guards against a stream that ends with its caller's connection, and one that is kept for longer
+// than Linger without a reader.
 func TestStreamOutlivesItsConnection(t *testing.T) {
 	o := exact()
 	o.Linger = time.Second
@@ -256,8 +255,7 @@
 	})
 }
 
-// The engine's instance vanishes with a stream open. The caller sees its
-// connection cut without a last piece, and so does every later request.
+// Guards against a killed engine that ends a stream as if it were complete.
 func TestKillCutsConnections(t *testing.T) {
 	in(t, exact(), func(t *testing.T, e *Engine) {
 		time.AfterFunc(500*time.Millisecond, func() { e.SetFaults(enginefault.Faults{Kill: true}) })
--- a/internal/standin/engine/generate.go
+++ b/internal/standin/engine/generate.go
@@ -21,7 +21,7 @@
 	}
 }
 
-// crash ends the engine where the prompt does.
+// crash ends the engine if the prompt has the text of the fault.
 func (e *Engine) crash(s *stream) {
 	if text := e.currentFaults().CrashOn; text != "" && strings.Contains(s.rendered, text) {
 		e.Kill()
@@ -85,7 +85,7 @@
 	}
 }
 
-// drop forgets a stream that ended or that nobody reads.
+// drop removes a stream that has ended or has no reader.
 func (e *Engine) drop(s *stream) {
 	if !s.abandoned() {
 		return
--- a/internal/standin/engine/stream.go
+++ b/internal/standin/engine/stream.go
@@ -37,7 +37,7 @@
 	linger    *time.Timer
 }
 
-// progress is what a reader needs to know to write on.
+// progress is what a reader needs to go on writing.
 type progress struct {
 	produced int
 	ended    bool
@@ -94,7 +94,7 @@
 	return wake
 }
 
-// detach removes a reader and reports whether the stream now runs for nobody.
+// detach removes a reader and reports whether the stream now has none.
 func (s *stream) detach(wake chan struct{}) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -112,8 +112,7 @@
 	s.linger = time.AfterFunc(d, drop)
 }
 
-// abandoned reports whether the stream may be dropped: it ended, or nobody
-// reads it.
+// abandoned reports whether the stream may be dropped: it has ended, or has no reader.
 func (s *stream) abandoned() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/objectstore/faults.go
+++ b/internal/standin/objectstore/faults.go
@@ -6,7 +6,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objectapi"
 )
 
-// SetFaults switches the faults. A waiting watch feels an outage at once.
+// SetFaults switches the faults. A waiting watch ends at once in an outage.
 func (s *Store) SetFaults(f objectapi.Faults) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/standin/objectstore/handler.go
+++ b/internal/standin/objectstore/handler.go
@@ -25,7 +25,7 @@
 	return mux
 }
 
-// failsNow acts out an outage or unavailability and reports whether it did.
+// failsNow applies an outage or unavailability and reports whether it did.
 func (s *Store) failsNow(w http.ResponseWriter) bool {
 	f := s.Faults()
 	switch {
@@ -41,8 +41,8 @@
 // closeConnection ends the request without an answer.
 func closeConnection() { panic(http.ErrAbortHandler) }
 
-// dawdle holds an answer back for as long as the slow fault says.
-func (s *Store) dawdle(r *http.Request) {
+// delayAnswer delays an answer by the time of the slow fault.
+func (s *Store) delayAnswer(r *http.Request) {
 	delay := time.Duration(s.Faults().SlowMillis) * time.Millisecond
 	if delay <= 0 {
 		return
--- a/internal/standin/objectstore/objectstore_test.go
+++ b/internal/standin/objectstore/objectstore_test.go
@@ -59,8 +59,7 @@
 	assert.Equal(t, s.version, uint64(3))
 }
 
-// A watch waits when the store goes out. It must not wait on unharmed: its
-// connection is cut like any other.
+// Guards against a watch whose connection survives an outage.
 func TestWaitingWatchFeelsTheOutage(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{})
@@ -75,8 +74,7 @@
 	})
 }
 
-// A kind is quiet while others are written. Its watcher's place must move on
-// with the store, or the bounded log would soon not reach back to it.
+// Guards against a watch of an idle kind whose position falls behind the bounded log.
 func TestQuietWatchMovesOn(t *testing.T) {
 	s := New(Options{LogChanges: 2})
 	since := uint64(0)
@@ -88,7 +86,7 @@
 	}
 }
 
-// Values are large. The log must not keep more of them alive than its bound.
+// Guards against a log that keeps more bytes of values than its bound.
 func TestLogIsBoundedInBytes(t *testing.T) {
 	s := New(Options{LogBytes: 100})
 	value := []byte(`"` + strings.Repeat("x", 38) + `"`)
--- a/internal/standin/objectstore/options.go
+++ b/internal/standin/objectstore/options.go
@@ -1,9 +1,9 @@
 package objectstore
 
-// Options sizes the stand-in. The zero value takes the defaults.
+// Options are the sizes of the stand-in. The zero value takes the defaults.
 type Options struct {
 	LogChanges int // changes that a watch can look back on
-	LogBytes   int // bytes of values that the log keeps alive
+	LogBytes   int // bytes of values that the log keeps
 }
 
 // Defaults of Options.
--- a/internal/standin/objectstore/reads.go
+++ b/internal/standin/objectstore/reads.go
@@ -19,7 +19,7 @@
 		return
 	}
 	object, found := s.get(kind, name)
-	s.dawdle(r)
+	s.delayAnswer(r)
 	if !found {
 		jsonio.Fail(w, http.StatusNotFound, "there is no such object")
 		return
@@ -34,7 +34,7 @@
 		return
 	}
 	found := s.list(kind, r.URL.Query().Get("prefix"))
-	s.dawdle(r)
+	s.delayAnswer(r)
 	jsonio.Write(w, http.StatusOK, found)
 }
 
@@ -55,7 +55,7 @@
 	if state == watchFails && s.failsNow(w) {
 		return
 	}
-	s.dawdle(r)
+	s.delayAnswer(r)
 	if state == watchGone {
 		jsonio.Fail(w, http.StatusGone, "since is older than the log, or not of this store; list again")
 		return
--- a/internal/standin/objectstore/store.go
+++ b/internal/standin/objectstore/store.go
@@ -1,5 +1,5 @@
 // Package objectstore is an in-memory stand-in of the platform's object API
-// (package objectapi). It is honest about the nasty parts: conditional writes,
+// (package objectapi). It has the platform's difficult properties: conditional writes,
 // a bounded watch log, outages, slowness and answers that are lost after the
 // write took effect. A restart forgets everything.
 package objectstore
@@ -107,7 +107,7 @@
 	return o, true
 }
 
-// wake lets every waiting watch look again. The caller holds the mutex.
+// wake makes every waiting watch check again. The caller holds the mutex.
 func (s *Store) wake() {
 	close(s.changed)
 	s.changed = make(chan struct{})
--- a/internal/standin/objectstore/watch.go
+++ b/internal/standin/objectstore/watch.go
@@ -14,7 +14,7 @@
 	maxPage = 1000
 )
 
-// watchState says how a look at the log ended.
+// watchState is the result of a read of the log.
 type watchState uint8
 
 const (
--- a/internal/standin/objectstore/writes.go
+++ b/internal/standin/objectstore/writes.go
@@ -55,7 +55,7 @@
 	if applied && s.losesAnswer() {
 		closeConnection()
 	}
-	s.dawdle(r)
+	s.delayAnswer(r)
 	if !applied {
 		jsonio.Write(w, http.StatusPreconditionFailed, object)
 		return
--- a/internal/standin/service/service_test.go
+++ b/internal/standin/service/service_test.go
@@ -49,8 +49,7 @@
 	assert.Equal(t, stock(a), stock(b))
 }
 
-// Each fault lets the order run first: the caller sees a failure of what has
-// happened.
+// Guards against faults that keep an order from running.
 func TestFaultsComeAfterTheEffect(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := New(Options{})
--- a/internal/standin/weightstore/options.go
+++ b/internal/standin/weightstore/options.go
@@ -2,7 +2,7 @@
 
 import "github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 
-// Options sets the rate. The zero value takes the defaults.
+// Options are the rates and sizes. The zero value takes the defaults.
 type Options struct {
 	PerSecond float64                  // requests a second
 	Burst     int                      // requests at once after a quiet time
