--- a/internal/daemon/admission.go
+++ b/internal/daemon/admission.go
@@ -87,12 +87,12 @@
 	return d
 }
 
-// maxRetryAfter bounds the wait that a caller is told.
+// maxRetryAfter bounds the retry delay in a refusal.
 const maxRetryAfter = 30 * time.Second
 
-// retryAfter tells a caller that comes back under overload to wait as long
-// again as it has waited: refusals then cost ever less. A workspace's own limit
-// says exactly when there is room again, and costs the others nothing.
+// retryAfter returns the retry delay of a refusal. Under overload it is as long as the caller has
+// waited so far, so that repeated refusals become rarer. For a workspace's own limit it is the time
+// until there is room again.
 func (s *admissionState) retryAfter(now time.Time, id fleet.RequestID, why admission.Reason, hint time.Duration) time.Duration {
 	if why != admission.Overload && why != admission.QueueFull {
 		return hint
--- a/internal/daemon/capacity.go
+++ b/internal/daemon/capacity.go
@@ -76,7 +76,7 @@
 }
 
 // plan reads the cloud's list, then the record: only a record that is newer
-// than the list can prove that an instance is wanted by nobody.
+// than the list proves that an instance isn't wanted.
 func (b *buyer) plan(ctx context.Context) error {
 	if b.planner == nil {
 		rng := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
--- a/internal/daemon/configuration.go
+++ b/internal/daemon/configuration.go
@@ -57,7 +57,7 @@
 	fetch     func(ctx context.Context, from fleet.DaemonID, have map[string]uint64) ([]template.Revision, bool, error)
 	onChange  func(*template.Snapshot) // called on the owner's goroutine
 	onObjects func([]objectapi.Object) // of kinds that are not templates
-	setDigest func(template.Digest)    // told to the membership
+	setDigest func(template.Digest)    // published by the membership
 	lag       templateLag
 	digests   digestInbox
 	log       *logrus.Entry
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -21,13 +21,13 @@
 )
 
 const (
-	// crashInterval is the time between two rounds in which other daemons are
-	// told of crashes.
+	// crashInterval is the time between two rounds in which crashes are sent to
+	// other daemons.
 	crashInterval = time.Second
-	// crashPeers is how many are told in a round, drawn at random.
+	// crashPeers is to how many they are sent in a round, drawn at random.
 	crashPeers = 3
 	// crashRounds is how many rounds follow a change. Each daemon that learns of
-	// one tells it on: 340 daemons have it after about six rounds.
+	// one sends it on: 340 daemons have it after about six rounds.
 	crashRounds = 8
 )
 
@@ -104,7 +104,7 @@
 
 func (d *crashDuty) changed(c quarantine.Change) { ends.LogChange(d.log, d.table, c) }
 
-// round tells some other daemons of what has changed lately.
+// round sends recent changes to some other daemons.
 func (d *crashDuty) round(ctx context.Context) {
 	d.mu.Lock()
 	if at := d.table.Position().Seq; at != d.seq {
@@ -146,7 +146,7 @@
 		Have: quarantinepb.EncodePosition(have), NowMs: time.Now().UnixMilli(),
 	})
 	if err != nil {
-		return // another round, or another daemon, tells it
+		return // another round, or another daemon, sends it
 	}
 	d.take(reply.GetCrashes(), reply.GetNowMs())
 	d.mu.Lock()
@@ -167,8 +167,8 @@
 	}
 }
 
-// take takes crashes that another daemon told. Their times go by its clock, which
-// may differ from this one's by more than endpoints that are killed together do.
+// take takes crashes from another daemon. Their times are by its clock, which may differ from this
+// one's by more than the ends of endpoints that are killed together.
 func (d *crashDuty) take(told []*quarantinepb.Crash, nowMillis int64) {
 	now := time.Now()
 	all := quarantinepb.Decode(told)
--- a/internal/daemon/follower.go
+++ b/internal/daemon/follower.go
@@ -105,8 +105,8 @@
 	return gateway.Part{MovedTo: p.Callers}
 }
 
-// lost tells a caller that the holder is gone. The request may go on; asking
-// again finds its successor.
+// lost answers a caller that the holder is gone. The request may go on; the next question finds
+// the holder's successor.
 func (f *follower) lost(ctx context.Context) (gateway.Part, error) {
 	if ctx.Err() != nil {
 		return gateway.Part{}, ctx.Err()
--- a/internal/daemon/givingback.go
+++ b/internal/daemon/givingback.go
@@ -13,7 +13,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/operator"
 )
 
-// drainGrace is how long daemons may need to hear that an engine drains: a
+// drainGrace is how long daemons may need to learn that an engine drains: a
 // leaving endpoint gets no new work after a few seconds.
 const drainGrace = 5 * time.Second
 
--- a/internal/daemon/leasing.go
+++ b/internal/daemon/leasing.go
@@ -28,7 +28,7 @@
 	self    fleet.DaemonID
 	ready   func() bool // the fleet is known: alone, a daemon prefers all shards
 	alive   func() []fleet.DaemonID
-	onHeld  func(shards int) // told how many are held, each tick; nil for nobody
+	onHeld  func(shards int) // called each tick with how many are held; nil for none
 	log     *logrus.Entry
 }
 
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -76,10 +76,8 @@
 
 var testDigest = request.Digest{1, 2, 3}
 
-// The daemon that writes a shard takes an order's wish to run, and then its
-// connection breaks. The daemon that asked records the order itself and runs
-// it. The writer, which was slow, finds the wish late, believes that nobody
-// waits for it and frees its key; the next order under the key would run too.
+// Guards against a slow writer that frees the key of an order which the daemon that asked it has
+// meanwhile recorded and run by itself.
 func TestLateWriterDoesNotFreeWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{}).Handler()
@@ -176,9 +174,8 @@
 	})
 }
 
-// Neither the writer nor its standby answers in time, though both have taken
-// the wish, or the standby alone, and go on with it. Whatever the caller is
-// told, of all orders under the key one is granted, and none after it.
+// Guards against a second order under a key that is granted, where the writer and its standby have
+// taken the first one and don't answer in time.
 func TestOrderRunsOnceWhereWriterAndStandbyStop(t *testing.T) {
 	for _, tenths := range []time.Duration{0, 1, 3, 6} {
 		synctest.Test(t, func(t *testing.T) { stopWriterAndStandby(t, tenths, "writer", "standby") })
--- a/internal/daemon/locator.go
+++ b/internal/daemon/locator.go
@@ -24,7 +24,7 @@
 	directoryTick = time.Second
 	// directoryEntries bounds one daemon's part: at 4,100 requests a second
 	// over 340 daemons, two copies and answers kept for two minutes, some
-	// 6,000 are alive. An entry takes about 200 bytes.
+	// 6,000 are kept. An entry takes about 200 bytes.
 	directoryEntries = 16_384
 	// directoryTimeout bounds the question to a directory daemon. It delays
 	// requests with a key when a daemon has just died, so it is short.
@@ -73,7 +73,7 @@
 // owners returns the directory daemons of a request, best first: some of its
 // workspace's entries. Among all daemons, each announcement would go to another
 // one, over a connection of its own: 3.9 KB and 2 ms each with TLS, 48 times a
-// second at 340 daemons. A workspace's entries are few and talk all the time.
+// second at 340 daemons. A workspace's entries are few and have connections to each other.
 func (l *locator) owners(workspace fleet.WorkspaceID, id fleet.RequestID, n int) []peerInfo {
 	entries := l.roster.entries(workspace)
 	byName := make(map[string]peerInfo, len(entries))
--- a/internal/daemon/membership.go
+++ b/internal/daemon/membership.go
@@ -19,14 +19,14 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// membershipDuty knows which daemons are alive, leaving and gone, and passes
+// membershipDuty tracks which daemons are running, leaving and gone, and passes
 // their digests on to the configuration.
 type membershipDuty struct {
 	node    *gossip.Node
 	roster  *roster
-	onGone  func(membership.Member) // a daemon that ended, by its will or not
+	onGone  func(membership.Member) // a daemon that left or failed
 	onHeard func(fleet.DaemonID, template.Digest)
-	known   map[fleet.DaemonID]membership.Member // alive in the last view
+	known   map[fleet.DaemonID]membership.Member // running, in the last view
 	log     *logrus.Entry
 }
 
--- a/internal/daemon/observing.go
+++ b/internal/daemon/observing.go
@@ -89,7 +89,7 @@
 	}
 }
 
-// pollEvents asks for cache events. In large fleets nobody does: each engine's
+// pollEvents requests cache events. In large fleets no daemon does: each engine's
 // events grow with the whole fleet's requests to it, thousands of bytes a
 // second, and daemons agree on an owner for each prefix without them.
 func (d *observingDuty) pollEvents(ctx context.Context, e fleet.Endpoint) {
--- a/internal/daemon/outcomes.go
+++ b/internal/daemon/outcomes.go
@@ -16,9 +16,9 @@
 	outcomesFor = 5 * time.Second
 )
 
-// outcomes remembers what this daemon's own orders were answered. An outcome
-// waits up to half a second for a batch of the ledger to go with, and a caller
-// that repeats its order in that time must not be told that nobody knows it.
+// outcomes holds the answers to this daemon's own orders. An outcome waits up to half a second for
+// a batch of the ledger; a caller that repeats its order in that time must not get the answer that
+// the order is unknown.
 type outcomes struct {
 	byKey map[outcomeKey]outcome
 	order []outcomeKey // oldest first
--- a/internal/daemon/reclaim.go
+++ b/internal/daemon/reclaim.go
@@ -39,7 +39,7 @@
 }
 
 // reclaimDuty moves this daemon's streams off endpoints under notice. It needs
-// neither the store nor a lease: nobody else may move what this daemon holds.
+// neither the store nor a lease, since no other daemon may move what this one holds.
 type reclaimDuty struct {
 	*owner[*reclaimState]
 	dispatcher *dispatch.Dispatcher
--- a/internal/daemon/roles.go
+++ b/internal/daemon/roles.go
@@ -36,8 +36,8 @@
 	return shards, standby
 }
 
-// takeRoles lets this daemon's share of the platform follow what it does. It
-// is told of every new view: what a daemon no longer writes is another's.
+// takeRoles fits this daemon's share of the platform to its roles. It is called with every new
+// view, since a shard that a daemon no longer writes is another's.
 func (d *Daemon) takeRoles(v *rosterView) {
 	shards, standby := v.ledgerRoles(d.settings.Instance)
 	d.platform.SetLedgerRole(shards, standby, len(v.serving))
--- a/internal/daemon/roles_test.go
+++ b/internal/daemon/roles_test.go
@@ -20,9 +20,7 @@
 	return r.view.Load()
 }
 
-// The platform's budget is given out by these counts: were a shard counted at
-// two daemons, or at another than orders are sent to, its part would be used
-// twice or by nobody.
+// Guards against a shard's part of the platform's budget that two daemons use, or none.
 func TestEveryLedgerShardHasOneWriterAndOneStandby(t *testing.T) {
 	for _, n := range []int{1, 2, 9, 340} {
 		v := testView(n)
--- a/internal/daemon/roster.go
+++ b/internal/daemon/roster.go
@@ -39,7 +39,7 @@
 	subset int
 	state  *lifecycle
 	view   atomic.Pointer[rosterView]
-	onView func(*rosterView) // told of each new view; nil for nobody
+	onView func(*rosterView) // called with each new view; nil for none
 }
 
 var _ gateway.Directory = (*roster)(nil)
@@ -164,9 +164,9 @@
 }
 
 // entries returns a workspace's subset by rendezvous, best first, so that its
-// limits and its prompts' prefixes live in few daemons. A second data centre is
-// always among them where two are alive: callers keep the answer for a while,
-// and the first may vanish as a whole meanwhile.
+// limits and its prompts' prefixes are held by few daemons. A second data centre is among them
+// wherever two have daemons: callers keep the answer for a while, and the first one may be
+// reclaimed as a whole meanwhile.
 func (r *roster) entries(workspace fleet.WorkspaceID) []peerInfo {
 	v := r.view.Load()
 	key := rendezvous.Key("entries " + string(workspace))
--- a/internal/daemon/routing.go
+++ b/internal/daemon/routing.go
@@ -34,7 +34,7 @@
 	*owner[*routing.Router]
 	current atomic.Pointer[endpoints]
 	probe   func(ctx context.Context, address string) error
-	used    func(fleet.EndpointID) // told of each dispatch
+	used    func(fleet.EndpointID) // called with each dispatch
 	ctx     context.Context
 	log     *logrus.Entry
 }
@@ -72,8 +72,7 @@
 	d.tell(func(now time.Time, r *routing.Router) { r.SetEndpoints(now, list) })
 }
 
-// Pick implements dispatch.Router. A full ring counts as no endpoint: nothing
-// was sent, and the caller is told so.
+// Pick implements dispatch.Router. A full ring counts as no endpoint, since nothing was sent.
 func (d *routingDuty) Pick(q *routing.Request) (routing.Choice, error) {
 	var choice routing.Choice
 	err := error(routing.NoEndpoint{Cause: routing.NotServed})
--- a/internal/daemon/serve.go
+++ b/internal/daemon/serve.go
@@ -24,7 +24,7 @@
 // so that idle connections of strangers don't hold memory for long.
 const headerTimeout = 10 * time.Second
 
-// idleTimeout ends callers' connections that nobody uses.
+// idleTimeout ends callers' idle connections.
 const idleTimeout = 2 * time.Minute
 
 // Start opens the listeners and starts the duties. It returns once callers and
@@ -102,7 +102,7 @@
 }
 
 // mustKnowList reports whether this daemon needs the newest instance list:
-// it decides for the whole fleet, knows no other source of notices, or has not
+// it decides for the whole fleet, has no other source of notices, or has not
 // found the other daemons.
 func (d *Daemon) mustKnowList() bool {
 	return d.noticesAway.Load() || d.decides() || !d.membership.node.View().Joined()
@@ -136,7 +136,7 @@
 	s := &d.settings
 	l := &listeners{}
 	var err error
-	// The limit is below TLS: net/http tells a request's scheme by its connection.
+	// The limit is below TLS: net/http derives a request's scheme from its connection.
 	limit := func(l net.Listener) net.Listener { return netutil.LimitListener(l, s.Limits.MaxConnections) }
 	if l.callers, err = listen(s.Listen.Callers, files(s.TLS.Callers), limit); err != nil {
 		return nil, err
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -94,8 +94,8 @@
 }
 
 // once runs a non-idempotent call: its intent is recorded before the one
-// dispatch, and whoever comes second gets the first one's outcome. The
-// dispatch goes on when the caller leaves, since nobody else may repeat it.
+// dispatch, and a repeated request gets the first one's outcome. The dispatch goes on when the
+// caller leaves, since no one else may repeat it.
 func (s *services) once(ctx context.Context, id fleet.RequestID, c *gateway.ServiceCall) (*gateway.ServiceAnswer, *problem.Problem) {
 	ref := request.Ref{Workspace: c.Workspace, ID: c.Key}
 	owner := ledger.Owner(string(s.daemon) + "/" + string(id))
@@ -184,7 +184,7 @@
 	}
 }
 
-// cut tells of a call that ended with its connection.
+// cut reports a call that ended with its connection.
 func (s *services) cut(ctx context.Context, c ends.Disconnect, err error) {
 	var silent *endpoint.StallError
 	if ctx.Err() == nil && !errors.As(err, &silent) && verdict.Of(err) == verdict.MayHaveRun {
--- a/internal/daemon/sharing.go
+++ b/internal/daemon/sharing.go
@@ -165,7 +165,7 @@
 	})
 }
 
-// exchange tells a daemon this one's demand and takes its own in reply.
+// exchange sends this daemon's demand to another one and takes its demand in reply.
 func (d *sharingDuty) exchange(to fleet.DaemonID, all []*peerpb.WorkspaceDemand) {
 	p, ok := d.roster.view.Load().byRun[to]
 	if !ok {
@@ -216,7 +216,7 @@
 	return shares.Demand{Requests: n.GetRequests(), Tokens: n.GetTokens(), Running: int(n.GetRunning())}
 }
 
-// demandIn returns what was told of a workspace.
+// demandIn returns the demand of a workspace in a message.
 func demandIn(all []*peerpb.WorkspaceDemand, workspace string) shares.Demand {
 	for _, n := range all {
 		if n.GetWorkspace() == workspace {
--- a/internal/daemon/stop.go
+++ b/internal/daemon/stop.go
@@ -12,9 +12,8 @@
 const drainTick = 50 * time.Millisecond
 
 // Leave stops the daemon without cutting off a request: it leaves the entries'
-// answer at once, serves callers that still remember it for as long as they
-// were told to keep the answer, hands long requests over and lets short ones
-// finish. It returns an error when some had not ended by the time ctx did.
+// answer at once, serves callers that still use it for as long as they may keep the answer, hands
+// long requests over and lets short ones finish. It returns an error when some had not ended by the time ctx did.
 func (d *Daemon) Leave(ctx context.Context) error {
 	by, ok := ctx.Deadline()
 	if !ok {
--- a/internal/daemon/templatelag.go
+++ b/internal/daemon/templatelag.go
@@ -7,9 +7,9 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// templateLag says for how long this daemon has known of a template that it
-// has not in force. It hears of one by the digests of other daemons, so a
-// change that no daemon has is not seen. Safe for concurrent use.
+// templateLag tracks for how long this daemon has known of a template that it doesn't have in
+// force. It learns of one from the digests of other daemons, so that a change that no daemon has
+// isn't seen. Safe for concurrent use.
 type templateLag struct {
 	mu      sync.Mutex
 	inForce uint64
