--- a/internal/balance/ratelimits_play_test.go
+++ b/internal/balance/ratelimits_play_test.go
@@ -44,6 +44,11 @@
 	arrivals []time.Time
 	worst    float64 // most requests in a window, as a share of those allowed
 	used     int     // requests to the limited engine after statedSettle
+
+	// Called with a request to the first engine, an answer of it, and after a report; nil for none.
+	onArrival func(d *playDaemon)
+	onAnswer  func(d *playDaemon, c Choice)
+	onReport  func(d *playDaemon)
 }
 
 type playDaemon struct {
@@ -157,6 +162,9 @@
 	all, d.received = p.hub.RateLimitsSince(d.received)
 	d.balancer.MergeRateLimits(p.now, all)
 	d.balancer.RefreshRateLimits(p.now)
+	if p.onReport != nil {
+		p.onReport(d)
+	}
 }
 
 // serve sends a request of a daemon's caller, unless no engine has room.
@@ -171,6 +179,9 @@
 	sent := p.now
 	if c.Endpoint.ID == "e0" {
 		p.arrived(d)
+		if p.onArrival != nil {
+			p.onArrival(d)
+		}
 	}
 	p.in(playAnswerTime, func() {
 		d.balancer.FirstToken(q, c, playAnswerTime.Seconds())
@@ -182,6 +193,9 @@
 			}
 		}
 		d.balancer.ObserveRateLimit(p.now, sent, &c.Endpoint, l)
+		if c.Endpoint.ID == "e0" && p.onAnswer != nil {
+			p.onAnswer(d, c)
+		}
 	})
 	p.in(playHoldTime, func() { d.balancer.Done(p.now, q, c, true, Answered) })
 }
