--- a/integration/chat_test.go
+++ b/integration/chat_test.go
@@ -62,7 +62,7 @@
 // refused is an answer that says that the request was not run.
 type refused struct {
 	text  string
-	after time.Duration // when a repeat may be served, as told
+	after time.Duration // the refusal's Retry-After
 }
 
 func (r *refused) Error() string { return r.text }
@@ -90,8 +90,8 @@
 	leastWait = 50 * time.Millisecond
 )
 
-// completeAsCallers is complete for a caller that does as it is told: a request
-// that was not run is repeated after the time that was told, within a bound.
+// completeAsCallers is complete for a caller that repeats a request that was not run after its
+// Retry-After, within a bound.
 func completeAsCallers(ctx context.Context, entry string, messages []engineapi.Message, tokens int) error {
 	end := time.Now().Add(repeatBound)
 	for {
--- a/integration/control_capacity_test.go
+++ b/integration/control_capacity_test.go
@@ -19,11 +19,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// The template asks for more engines than there are. They must be bought, boot,
-// get the model and make the workspace ready, with a warm reserve for the loss
-// of a data centre. Then a data centre is reclaimed under load: the workspace
-// must stay ready, all requests be answered, and the loss be replaced. No
-// instance may be bought twice.
+// Guards against a workspace that isn't ready, requests without an answer or instances bought twice, where a
+// data centre is reclaimed under load.
 func TestCapacityStandsTheLossOfADataCentre(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withCapacity)
@@ -50,10 +47,8 @@
 	c.checkTokens(t)
 }
 
-// Every reclaimable start is refused. The missing engines must be bought on
-// demand once the patience of the settings is over. Later the template asks for
-// fewer: the surplus must be drained and given back while requests keep all
-// engines busy, without cutting one off.
+// Guards against missing capacity while all reclaimable starts are refused, and against answers that are cut off
+// when surplus engines are drained and given back.
 func TestCapacityOnDemandAndGivingBack(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withCapacity)
--- a/integration/control_drains_test.go
+++ b/integration/control_drains_test.go
@@ -12,10 +12,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// An operator drains an engine. A daemon is replaced later and has its
-// templates from a peer, long before its own first list of the store. It must
-// know of the wish, and give the engine nothing, as the daemons do that were
-// there when it was made.
+// Guards against a new daemon that sends requests to an engine which an operator has drained, before its first
+// list of the store.
 func TestReplacedDaemonKnowsDrainedEngines(t *testing.T) {
 	t.Parallel()
 	const replaced = 2
--- a/integration/control_exitstatus_test.go
+++ b/integration/control_exitstatus_test.go
@@ -19,11 +19,8 @@
 	statusUnknown  = 3
 )
 
-// An operator's changes are accepted, refused because another one came first,
-// and unknown: the answer is lost and the store goes away before it can be read
-// back. The exit statuses must tell these apart. Asking again must never be
-// answered with "refused" for what may stand, must tell what became of the
-// change once the store is back, and must not make a second version.
+// Guards against an exit status that doesn't tell accepted, refused and unknown changes apart, and against a second
+// version where a change is asked for again.
 func TestExitStatusesOfChanges(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
--- a/integration/control_lease_test.go
+++ b/integration/control_lease_test.go
@@ -20,11 +20,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// The holders of the leases on placement and capacity are stopped for longer
-// than a lease, while a launch of theirs is on its way and the template is
-// amended once more. New holders carry it out; then the old ones go on, and the
-// launch and old orders arrive. Engines that fence must refuse those, the others
-// be brought back to the template, and nothing may be bought twice.
+// Guards against late orders and purchases of lease holders that were stopped for longer than their lease, while new
+// holders carry out the next version.
 func TestLeaseHoldersPausedForLongerThanTheirLease(t *testing.T) {
 	t.Parallel()
 	gate := newCloudGate(t, 2)
--- a/integration/control_operators_test.go
+++ b/integration/control_operators_test.go
@@ -22,11 +22,8 @@
 // changesEach is how many accepted changes each operator makes.
 func changesEach() int { return scaled(10, 50) }
 
-// Ten operators amend one template at once through different daemons, while
-// the store loses one answer in five; each repeats what was refused. What they
-// are told must be the story of one line of versions, with each accepted change
-// once in history and audit and no refused one. No daemon may ever show a lower
-// version after a higher one.
+// Guards against lost or repeated changes, and versions that decrease, where ten operators amend one template through
+// different daemons and the store loses one answer in five.
 func TestOperatorsAmendOneTemplateAtOnce(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withOperators)
--- a/integration/control_outage_test.go
+++ b/integration/control_outage_test.go
@@ -26,11 +26,8 @@
 // returnTime is how long calls are counted once changes are accepted again.
 const returnTime = 5 * time.Second
 
-// The store is away, and half of the engines get notice and vanish, while
-// completions keep coming and operators press their commands. All answers must
-// be whole, and no daemon may show an older template than before. On the
-// store's return all want it at once: the calls that reach it must stay within
-// what the settings allow, as they must in the outage.
+// Guards against broken answers, older templates and calls above the platform's rates, where half of the engines are
+// reclaimed while the store is away, and when it is back.
 func TestWaveInAnOutageOfTheStore(t *testing.T) {
 	t.Parallel()
 	o := roomy()
--- a/integration/control_spread_test.go
+++ b/integration/control_spread_test.go
@@ -24,11 +24,8 @@
 	return o
 }
 
-// A change is accepted in the very moment in which the store goes away: one of
-// nine daemons knows of it. It must be in force everywhere all the same. One that
-// starts anew meanwhile must refuse callers while it reaches neither store nor
-// peer, and have the newest version once it serves them: no caller may be told
-// that its token is unknown.
+// Guards against a change that only one of nine daemons knows when the store goes away, and against a daemon that
+// starts meanwhile and answers callers that their token is unknown.
 func TestChangeSpreadsWithoutTheStore(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
--- a/integration/control_storegate_test.go
+++ b/integration/control_storegate_test.go
@@ -20,7 +20,7 @@
 
 const (
 	gatePasses      gateFault = iota
-	gateFailsAfter            // the change is answered, and nobody hears of the store again
+	gateFailsAfter            // the change is answered, and the store answers nothing more
 	gateLosesAnswer           // not even the change is answered
 )
 
--- a/integration/control_versions_test.go
+++ b/integration/control_versions_test.go
@@ -105,7 +105,7 @@
 	}
 }
 
-// check compares the history with what operators were told.
+// check compares the history with the operators' answers.
 func (c *changes) check(t *testing.T) {
 	t.Helper()
 	c.mu.Lock()
@@ -127,7 +127,7 @@
 	assert.Equal(t, len(c.entries), len(c.accepted)+1, "versions in the history; one is the deployment's own")
 }
 
-// The specification itself must refuse what operators must never see.
+// Guards against a specification that accepts what operators must never see.
 func TestSpecificationOfChanges(t *testing.T) {
 	first := became{version: 1}
 	for name, c := range map[string]struct {
--- a/integration/crashing_test.go
+++ b/integration/crashing_test.go
@@ -17,10 +17,7 @@
 // crashingWord ends the engines of these tests that begin to run it.
 const crashingWord = "unbalanced"
 
-// Callers' answers break off, again and again: a completion ends the engine that
-// begins to run it, is tried at four engines, and its caller sends it again with
-// a key of its own, to any entry. Each time four more engines end. The cause is
-// that nothing is known of it beyond one try's end.
+// Guards against a completion that ends each engine which runs it, and is sent again with other keys to any entry.
 func TestCompletionThatEndsItsEnginesIsHeld(t *testing.T) {
 	t.Parallel()
 	const engines, allowed = 10, 6 // three, and three retries
--- a/integration/history_test.go
+++ b/integration/history_test.go
@@ -148,7 +148,7 @@
 	assert.Equal(t, result, porcupine.Ok, "the history of orders is not one of at-most-once registers")
 }
 
-// The specification itself must refuse what callers must never see.
+// Guards against a specification that accepts what callers must never see.
 func TestSpecificationOfOrders(t *testing.T) {
 	answer := func(order string) sent { return sent{attempt: attempt{class: ran, order: order}} }
 	unknown := sent{attempt: attempt{class: mayHaveRun}}
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -33,9 +33,7 @@
 	return o
 }
 
-// An entry gets SIGTERM while callers read long answers through it. It must
-// not cut one off: each goes on at another entry, where its caller takes it up
-// after the token that it has, and the process ends with status 0.
+// Guards against answers that are cut off by SIGTERM to their entry, rather than continued at another one.
 func TestStreamsSurviveTheirEntry(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, roomy())
@@ -48,8 +46,7 @@
 	assert.Assert(t, moves > 0, "the entry waited for its streams: nothing was handed over")
 }
 
-// A second entry, which took streams over from the first, leaves as well while
-// the first is still at it. The streams go on at the third.
+// Guards against answers that are cut off where a second entry leaves while the first one still hands over to it.
 func TestStreamsSurviveTheirSuccessorToo(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, roomy())
@@ -64,8 +61,7 @@
 	c.report(t, s)
 }
 
-// The cloud gives an entry's instance notice, twice. The entry leaves by itself
-// as if it had been told to, well before its end.
+// Guards against answers that are cut off where the cloud gives an entry's instance notice, twice.
 func TestStreamsSurviveNoticeForTheirEntry(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
@@ -79,8 +75,7 @@
 	c.report(t, s)
 }
 
-// Callers wait for their answers in one piece when their entry gets SIGTERM.
-// They are sent on to its successor, which has the whole answer for them.
+// Guards against callers who wait for a whole answer and get none when their entry leaves.
 func TestWaitingCallersAreSentOn(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
@@ -96,8 +91,8 @@
 	}
 }
 
-// Notice for half of the engines, SIGTERM for the entry and an outage of the
-// store come at once. Moving streams needs no lease and no store.
+// Guards against streams that can't move without a lease or the store, when an entry and half of the engines leave at
+// once.
 func TestStreamsSurviveEntryEnginesAndStore(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, roomy())
@@ -119,7 +114,7 @@
 		len(s.outcomes), s.tokens, s.longestGap().Round(time.Millisecond), resumes, moves, total.Executions, total.RecomputedTokens)
 }
 
-// A leaving entry that is asked for entries must not name itself.
+// Guards against a leaving entry that lists itself.
 func TestLeavingEntryIsNotListed(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
--- a/integration/orders_test.go
+++ b/integration/orders_test.go
@@ -16,8 +16,8 @@
 const (
 	callersOfKey = 10 // send the same order at once
 	keysAtOnce   = 25
-	// orderTries bounds the sendings of one caller, which goes on while it is
-	// told that the order was not run.
+	// orderTries bounds the attempts of one caller, which goes on while the answer is that the order
+	// was not run.
 	orderTries = 3
 )
 
@@ -27,11 +27,8 @@
 	return time.Duration(scaled(int(5*time.Second), int(lease.DefaultConfig.Duration+2*time.Second)))
 }
 
-// Ten callers send each order at once, through all entries. Meanwhile the store
-// loses the answer of one write in five, an entry is stopped for longer than
-// callers and the ledger wait and then goes on as if nothing had happened, and
-// another one is killed. No order may run twice, and none that all its callers
-// were told was not run may have run.
+// Guards against orders that run twice, or that ran though all callers were told they didn't, where ten callers send
+// each one, the store loses answers, and entries are stopped and killed.
 func TestOrdersRunAtMostOnce(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
@@ -78,7 +75,7 @@
 }
 
 // orderAtOnce sends one order by ten callers, each starting at another entry.
-// Who is told that it was not run tries again when the answer says so.
+// A caller whose order was not run repeats it after the answer's Retry-After.
 func (c *cluster) orderAtOnce(h *history, key string, quantity int) {
 	entries := c.callers()
 	var callers sync.WaitGroup
@@ -110,7 +107,7 @@
 	all.Wait()
 }
 
-// judge compares what callers were told with what the service ran.
+// judge compares the callers' answers with what the service ran.
 func (c *cluster) judge(t *testing.T, h *history, keys []string) {
 	t.Helper()
 	runs := c.executions(t)
--- a/integration/ports_test.go
+++ b/integration/ports_test.go
@@ -35,7 +35,7 @@
 }
 
 // add binds a socket that shares its port only once it has it: two tests must
-// not believe that they have the same one.
+// not get the same one.
 func (r *reservation) add(address string) error {
 	at, err := net.ResolveTCPAddr("tcp4", address)
 	if err != nil {
@@ -139,8 +139,7 @@
 	return reserve(addressesOf(&l))
 }
 
-// A port that is reserved is there for who listens on it, and for nobody who
-// wants to reserve it as well.
+// Guards against a reservation that keeps its owner from listening, or lets another one reserve the port.
 func TestReservedPortCanBeListenedOn(t *testing.T) {
 	l := lay(t, options())
 	for _, a := range addressesOf(l) {
--- a/integration/processes_test.go
+++ b/integration/processes_test.go
@@ -13,9 +13,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
 )
 
-// The deployment that "dev --write" describes runs as real processes: every
-// entry answers model requests and service calls, and each ends with status 0
-// on SIGTERM though a caller reads a long answer through it.
+// Guards against a written deployment that doesn't run as real processes, or doesn't end with status 0 on SIGTERM
+// while a caller reads a long answer.
 func TestWrittenDeploymentRunsAndStops(t *testing.T) {
 	t.Parallel()
 	dir := writeDeployment(t)
--- a/integration/progress_test.go
+++ b/integration/progress_test.go
@@ -9,7 +9,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
 )
 
-// progress tells when all of some streams have brought a token.
+// progress reports when all of some streams have brought a token.
 type progress struct {
 	all  chan struct{} // closed then
 	mu   sync.Mutex
--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -26,9 +26,7 @@
 	laterAnswers = 60
 )
 
-// An engine gets notice while short requests keep coming through all entries.
-// Three seconds after the instance list shows it, no request may reach that
-// engine any more, although it still runs and others are busy.
+// Guards against requests to an engine later than three seconds after the instance list shows its notice.
 func TestLeavingEngineGetsNoNewWork(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
@@ -61,9 +59,8 @@
 // noticeTime is the time from notice to end of an engine.
 const noticeTime = 2500 * time.Millisecond
 
-// Half of the engines get notice and vanish while they generate. Their streams
-// must go on elsewhere without a caller seeing it. The same without a notice
-// shows what the notice is used for: tokens that need not be recomputed.
+// Guards against streams that break where half of the engines are reclaimed, with notice and without, and shows the
+// tokens that a notice saves.
 func TestStreamsSurviveHalfOfTheEngines(t *testing.T) {
 	t.Parallel()
 	noticed := throughLoss(t, (*cluster).reclaimHalf)
@@ -103,8 +100,7 @@
 	post(t, c.platform()+cloudapi.ReclaimPath, order)
 }
 
-// killHalf makes half of the engines vanish without notice. Whether a dying
-// engine still answers is not told.
+// killHalf ends half of the engines without notice.
 func (c *cluster) killHalf(t *testing.T) {
 	t.Helper()
 	for _, i := range c.half() {
--- a/integration/silence_test.go
+++ b/integration/silence_test.go
@@ -15,14 +15,12 @@
 	// unguarded is a progress deadline that never comes in a test.
 	unguarded = 10 * time.Minute
 	// patience bounds a request without the safeguard, which would wait for as
-	// long as the connection lives.
+	// long as the connection is open.
 	patience = 12 * time.Second
 )
 
-// Something between a daemon and its engines loses track of the open
-// connections in the middle of answers: no byte comes any more and no error,
-// while new connections work. Callers must get their whole answers after a
-// short gap. The same without the progress deadline shows what it is for.
+// Guards against answers that never end where open connections to engines become silent, and shows what happens without
+// the progress deadline.
 func TestSilentEngineConnections(t *testing.T) {
 	t.Parallel()
 	guarded := blackHole(t, func(*deployment.Layout) {})
@@ -78,9 +76,7 @@
 	return all
 }
 
-// Connections between a daemon and its engines are reset again and again, each
-// after a few hundred bytes of an answer. The daemon must put the answers
-// together from what the engines' streams still hold.
+// Guards against answers that break where connections to engines are reset after a few hundred bytes, again and again.
 func TestEngineConnectionsThatAreReset(t *testing.T) {
 	t.Parallel()
 	o := options()
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -14,9 +14,8 @@
 // and shorter than callers wait.
 const slowAnswer = 6000 // milliseconds
 
-// An order is under way at a slow service when its entry gets SIGTERM. The
-// caller must get its answer, the process must end with status 0, and a repeat
-// at another entry must be answered with the same order, not with a shrug.
+// Guards against an order in progress whose caller gets no answer after SIGTERM to its entry, or that runs again at
+// another one.
 func TestOrderSurvivesItsEntry(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
@@ -43,8 +42,7 @@
 	}
 }
 
-// Whoever stops a process may ask again and again, to the very end. That must
-// neither hurry it nor kill it in place of its clean exit.
+// Guards against repeated signals that kill a process in place of its clean exit.
 func TestRepeatedSignalsChangeNothing(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
