--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -3,8 +3,11 @@
 import (
 	"io"
 	"os"
+	"runtime"
+	"slices"
 
 	"github.com/spf13/cobra"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/explain"
 )
@@ -71,23 +74,31 @@
 	return err
 }
 
-// readLogs reads the files, or standard input if there are none.
+// readLogs reads the files, several at a time, or standard input if there are none.
 func readLogs(stdin io.Reader, files []string) ([]explain.Line, error) {
 	if len(files) == 0 {
 		return explain.Read("stdin", stdin)
 	}
-	var all []explain.Line
-	for _, name := range files {
-		f, err := os.Open(name)
-		if err != nil {
-			return nil, err
-		}
-		lines, err := explain.Read(name, f)
-		_ = f.Close() // read only
-		if err != nil {
-			return nil, err
-		}
-		all = append(all, lines...)
+	read := make([][]explain.Line, len(files))
+	var g errgroup.Group
+	g.SetLimit(runtime.GOMAXPROCS(0))
+	for i, name := range files {
+		g.Go(func() (err error) {
+			read[i], err = readLog(name)
+			return err
+		})
 	}
-	return all, nil
+	if err := g.Wait(); err != nil {
+		return nil, err
+	}
+	return slices.Concat(read...), nil
+}
+
+func readLog(name string) ([]explain.Line, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close() // read only
+	return explain.Read(name, f)
 }
