--- a/integration/control_capacity_test.go
+++ b/integration/control_capacity_test.go
@@ -19,8 +19,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// Guards against a workspace that isn't ready, requests without an answer or instances bought twice, where a
-// data centre is reclaimed under load.
+// Guards against a workspace that isn't ready after a data centre is reclaimed under load.
 func TestCapacityStandsTheLossOfADataCentre(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withCapacity)
@@ -47,8 +46,7 @@
 	c.checkTokens(t)
 }
 
-// Guards against missing capacity while all reclaimable starts are refused, and against answers that are cut off
-// when surplus engines are drained and given back.
+// Guards against capacity that stays missing, or is given back with requests in progress.
 func TestCapacityOnDemandAndGivingBack(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withCapacity)
--- a/integration/control_drains_test.go
+++ b/integration/control_drains_test.go
@@ -12,8 +12,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// Guards against a new daemon that sends requests to an engine which an operator has drained, before its first
-// list of the store.
+// Guards against a new daemon that uses drained engines before its first list of the store.
 func TestReplacedDaemonKnowsDrainedEngines(t *testing.T) {
 	t.Parallel()
 	const replaced = 2
--- a/integration/control_exitstatus_test.go
+++ b/integration/control_exitstatus_test.go
@@ -19,8 +19,7 @@
 	statusUnknown  = 3
 )
 
-// Guards against an exit status that doesn't tell accepted, refused and unknown changes apart, and against a second
-// version where a change is asked for again.
+// Guards against exit statuses that don't tell accepted, refused and unknown changes apart.
 func TestExitStatusesOfChanges(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
--- a/integration/control_lease_test.go
+++ b/integration/control_lease_test.go
@@ -20,8 +20,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
 
-// Guards against late orders and purchases of lease holders that were stopped for longer than their lease, while new
-// holders carry out the next version.
+// Guards against late orders and purchases of holders that were stopped for longer than their lease.
 func TestLeaseHoldersPausedForLongerThanTheirLease(t *testing.T) {
 	t.Parallel()
 	gate := newCloudGate(t, 2)
--- a/integration/control_operators_test.go
+++ b/integration/control_operators_test.go
@@ -22,8 +22,7 @@
 // changesEach is how many accepted changes each operator makes.
 func changesEach() int { return scaled(10, 50) }
 
-// Guards against lost or repeated changes, and versions that decrease, where ten operators amend one template through
-// different daemons and the store loses one answer in five.
+// Guards against lost or repeated changes where ten operators amend one template.
 func TestOperatorsAmendOneTemplateAtOnce(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options(), withOperators)
--- a/integration/control_outage_test.go
+++ b/integration/control_outage_test.go
@@ -26,8 +26,7 @@
 // returnTime is how long calls are counted once changes are accepted again.
 const returnTime = 5 * time.Second
 
-// Guards against broken answers, older templates and calls above the platform's rates, where half of the engines are
-// reclaimed while the store is away, and when it is back.
+// Guards against broken answers where half of the engines are reclaimed while the store is away.
 func TestWaveInAnOutageOfTheStore(t *testing.T) {
 	t.Parallel()
 	o := roomy()
--- a/integration/control_spread_test.go
+++ b/integration/control_spread_test.go
@@ -24,8 +24,7 @@
 	return o
 }
 
-// Guards against a change that only one of nine daemons knows when the store goes away, and against a daemon that
-// starts meanwhile and answers callers that their token is unknown.
+// Guards against a change that only one daemon knows when the store goes away.
 func TestChangeSpreadsWithoutTheStore(t *testing.T) {
 	t.Parallel()
 	gate := newStoreGate(t)
--- a/integration/leaving_test.go
+++ b/integration/leaving_test.go
@@ -91,8 +91,7 @@
 	}
 }
 
-// Guards against streams that can't move without a lease or the store, when an entry and half of the engines leave at
-// once.
+// Guards against streams that can't move without a lease or the store.
 func TestStreamsSurviveEntryEnginesAndStore(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, roomy())
--- a/integration/orders_test.go
+++ b/integration/orders_test.go
@@ -27,8 +27,7 @@
 	return time.Duration(scaled(int(5*time.Second), int(lease.DefaultConfig.Duration+2*time.Second)))
 }
 
-// Guards against orders that run twice, or that ran though all callers were told they didn't, where ten callers send
-// each one, the store loses answers, and entries are stopped and killed.
+// Guards against orders that run twice, or that ran though all callers were answered they didn't.
 func TestOrdersRunAtMostOnce(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
--- a/integration/processes_test.go
+++ b/integration/processes_test.go
@@ -13,8 +13,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/load/caller"
 )
 
-// Guards against a written deployment that doesn't run as real processes, or doesn't end with status 0 on SIGTERM
-// while a caller reads a long answer.
+// Guards against a written deployment that doesn't run, or doesn't end with status 0 on SIGTERM.
 func TestWrittenDeploymentRunsAndStops(t *testing.T) {
 	t.Parallel()
 	dir := writeDeployment(t)
--- a/integration/reclaim_test.go
+++ b/integration/reclaim_test.go
@@ -59,8 +59,7 @@
 // noticeTime is the time from notice to end of an engine.
 const noticeTime = 2500 * time.Millisecond
 
-// Guards against streams that break where half of the engines are reclaimed, with notice and without, and shows the
-// tokens that a notice saves.
+// Guards against streams that break where half of the engines are reclaimed.
 func TestStreamsSurviveHalfOfTheEngines(t *testing.T) {
 	t.Parallel()
 	noticed := throughLoss(t, (*cluster).reclaimHalf)
--- a/integration/silence_test.go
+++ b/integration/silence_test.go
@@ -19,8 +19,7 @@
 	patience = 12 * time.Second
 )
 
-// Guards against answers that never end where open connections to engines become silent, and shows what happens without
-// the progress deadline.
+// Guards against answers that never end where open connections to engines become silent.
 func TestSilentEngineConnections(t *testing.T) {
 	t.Parallel()
 	guarded := blackHole(t, func(*deployment.Layout) {})
--- a/integration/stop_test.go
+++ b/integration/stop_test.go
@@ -14,8 +14,7 @@
 // and shorter than callers wait.
 const slowAnswer = 6000 // milliseconds
 
-// Guards against an order in progress whose caller gets no answer after SIGTERM to its entry, or that runs again at
-// another one.
+// Guards against an order that is lost, or runs again, after SIGTERM to its entry.
 func TestOrderSurvivesItsEntry(t *testing.T) {
 	t.Parallel()
 	c := deploy(t, options())
--- a/internal/balance/leaving_play_test.go
+++ b/internal/balance/leaving_play_test.go
@@ -79,8 +79,7 @@
 	d.balancer.SetEndpoints(p.now, p.lists[d])
 }
 
-// Guards against requests to an engine that leaves, by daemons that have passed on its answer or
-// have had time to learn of it from others.
+// Guards against requests to an engine of whose leave the daemon knows, or has had time to learn.
 func TestLeavingEngineGetsNoRequestsAtAnySize(t *testing.T) {
 	for _, daemons := range []int{9, 78, 340, 986} {
 		p := newLeavePlay(daemons)
--- a/internal/daemon/ledger_test.go
+++ b/internal/daemon/ledger_test.go
@@ -76,8 +76,7 @@
 
 var testDigest = request.Digest{1, 2, 3}
 
-// Guards against a slow writer that frees the key of an order which the daemon that asked it has
-// meanwhile recorded and run by itself.
+// Guards against a slow writer that frees the key of an order which another daemon has run.
 func TestLateWriterDoesNotFreeWhatRuns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{}).Handler()
@@ -174,8 +173,7 @@
 	})
 }
 
-// Guards against a second order under a key that is granted, where the writer and its standby have
-// taken the first one and don't answer in time.
+// Guards against a second order under a key that is granted after writer and standby didn't answer.
 func TestOrderRunsOnceWhereWriterAndStandbyStop(t *testing.T) {
 	for _, tenths := range []time.Duration{0, 1, 3, 6} {
 		synctest.Test(t, func(t *testing.T) { stopWriterAndStandby(t, tenths, "writer", "standby") })
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -334,8 +334,7 @@
 	assert.Equal(t, e.runs.Load(), int64(1))
 }
 
-// Guards against an engine that gets requests of a daemon which has passed on its answer that it
-// leaves.
+// Guards against requests of a daemon that has passed on an answer saying that its engine leaves.
 func TestLeavingIsKnownToBothDaemonsOfAHop(t *testing.T) {
 	for _, path := range []string{"/order/1", "/stream/1"} {
 		e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) {
@@ -456,8 +455,7 @@
 	assert.Equal(t, other.runs.Load(), int64(0))
 }
 
-// Guards against a stream that goes on where the daemon that forwarded it doesn't state its
-// version, as one of an earlier release.
+// Guards against a stream that goes on though the daemon that forwarded it states no version.
 func TestForwardedStreamWithoutItsVersionIsRefused(t *testing.T) {
 	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\n\n") })
 	b := newHopDaemon(t, e.address())
--- a/internal/node/paths_test.go
+++ b/internal/node/paths_test.go
@@ -101,8 +101,7 @@
 	assert.Equal(t, f.cut[0].crashes.table.CrashCount(), 0)
 }
 
-// Guards against callers of daemons without a path who are refused longer than others, after all
-// endpoints of a service were down.
+// Guards against daemons without a path that refuse for longer than others after an outage of endpoints.
 func TestDaemonWithoutAPathServesAsSoonAsOthersDo(t *testing.T) {
 	var outage, path faultproxy.Path
 	f := &cutFleet{testFleet: newFleet(t, 0)}
@@ -147,8 +146,7 @@
 	return served, all
 }
 
-// Guards against living endpoints that are taken for crashed by a daemon that has lost its path to
-// them alone.
+// Guards against a living endpoint that is taken for crashed by a daemon without a path to it.
 func TestPathLostToOneEndpointIsNoCrash(t *testing.T) {
 	f := newCutFleet(t, 3, 0)
 	all, _ := f.nodes[0].endpoints.list()
--- a/internal/outside/budget/fleet_test.go
+++ b/internal/outside/budget/fleet_test.go
@@ -99,8 +99,7 @@
 
 var start = time.Unix(1_700_000_000, 0)
 
-// Guards against a wave of calls above the platform's rates after 340 daemons have started at the
-// same time.
+// Guards against a wave of calls after 340 daemons have started at the same time.
 func TestRestartOfTheFleetStaysWithinTheRates(t *testing.T) {
 	for _, n := range []int{9, 34, 340} {
 		s := &store{took: 3 * time.Millisecond}
@@ -135,8 +134,7 @@
 	assert.Assert(t, len(s.allowed[ObjectWrite]) > 10*DefaultObjectWrites/2, "calls don't resume")
 }
 
-// Guards against a wave of calls after a change that all daemons see at once, also where a caller
-// was delayed once and didn't call again.
+// Guards against a wave of calls after a change that all daemons see at once.
 func TestWaveAfterQuietIsSpread(t *testing.T) {
 	fleet := newFleet(340, start)
 	wave := start.Add(time.Minute)
--- a/internal/outside/budget/role_test.go
+++ b/internal/outside/budget/role_test.go
@@ -26,8 +26,7 @@
 	return n
 }
 
-// Guards against writers and lease holders that exceed the platform's rates, or lack their part,
-// after all daemons have restarted at the same time.
+// Guards against writers and lease holders that exceed the rates, or lack their part, after a restart.
 func TestRestartWithRolesStaysWithinTheRates(t *testing.T) {
 	for _, n := range []int{9, 34, 340} {
 		w := newSim(standby(0.6), n, 4)
@@ -79,8 +78,7 @@
 	assert.Assert(t, s.peak(ObjectWrite, wave) <= 340, "%d writes", s.peak(ObjectWrite, wave))
 }
 
-// Guards against a new writer that inherits what the old one may have used, and an old one that goes
-// on.
+// Guards against a new writer that inherits what the old one may have used.
 func TestPartGoesWithTheRole(t *testing.T) {
 	b := newWriter(Roles{})
 	later := start.Add(time.Minute)
@@ -141,8 +139,7 @@
 	assert.Equal(t, b.Admit(now, Intent, ObjectWrite).Action, WaitUntil, "on credit twice")
 }
 
-// Guards against orders of a shard that are refused since daemons conflict with each other until
-// they know that its writer is gone.
+// Guards against orders that are refused until all daemons know that their shard's writer is gone.
 func TestOrdersOfADeadWriterAreTakenByItsStandby(t *testing.T) {
 	s := play("writer-dies", standby(0.6))
 	assert.Assert(t, len(s.added) > 2000)
@@ -172,8 +169,7 @@
 	return s
 }
 
-// Guards against more writes in any period than the greatest rates and savings allow, and one on
-// credit.
+// Guards against more writes in any period than the greatest rates and savings allow.
 func TestRolesNeverExceedTheirParts(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := New(withRoles, start, rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 0)))
@@ -221,8 +217,7 @@
 	}
 }
 
-// Guards against a daemon that uses a seventh of the platform's rates since it started with seven
-// seeds.
+// Guards against a daemon that uses a seventh of the rates since it started with seven seeds.
 func TestShareFollowsWhoIsSeen(t *testing.T) {
 	b := New(Config{FleetSize: 7}, start, rand.New(rand.NewPCG(1, 2)))
 	b.SetRoles(start, Roles{Daemons: 340})
--- a/internal/outside/caller_test.go
+++ b/internal/outside/caller_test.go
@@ -41,8 +41,7 @@
 	})
 }
 
-// Guards against calls that try one silent connection after the other, and a watch that waits to its
-// end on one, once a middlebox has lost track of the open connections.
+// Guards against calls that try one silent connection after the other.
 func TestSilentConnectionsAreLeft(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
--- a/internal/outside/mirror/mirror_test.go
+++ b/internal/outside/mirror/mirror_test.go
@@ -92,8 +92,7 @@
 	b.next.ServeHTTP(w, r)
 }
 
-// Guards against a mirror that doesn't recover from an outage in which the store dropped changes, or
-// that reports a lower version.
+// Guards against a mirror that doesn't recover from an outage, or reports a lower version.
 func TestMirrorSurvivesOutagesAndGoneWatches(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{LogChanges: 8})
--- a/internal/outside/mirror/view_test.go
+++ b/internal/outside/mirror/view_test.go
@@ -31,7 +31,7 @@
 	return list
 }
 
-// told is what a mirror's owner knows. It fails when a version decreases.
+// told is the versions that a mirror has reported. It fails when one decreases.
 type told map[objectKey]objectapi.Object
 
 func (k told) hear(t assert.TestingT, changes []objectapi.Object) {
@@ -42,8 +42,7 @@
 	}
 }
 
-// Guards against lower versions after higher ones, where the store's replicas lag and kinds are listed
-// at different times.
+// Guards against lower versions after higher ones, from lagging replicas of the store.
 func TestVersionsNeverFall(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		var h truth
--- a/internal/outside/readback_test.go
+++ b/internal/outside/readback_test.go
@@ -36,8 +36,7 @@
 	return func(o objectapi.Object) bool { return slices.Contains(historyOf(o), mark) }
 }
 
-// Guards against changes that are reported wrongly where ten writers amend one object and the store
-// loses one answer in five.
+// Guards against changes that are reported wrongly where writers race and answers are lost.
 func TestRacingWritersAndLostAnswers(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := objectstore.New(objectstore.Options{})
@@ -79,8 +78,7 @@
 	})
 }
 
-// Guards against a write that is reported as refused, since the object was read back before the
-// delayed write arrived.
+// Guards against a write that is reported as refused and arrives after the object was read back.
 func TestWriteThatArrivesAfterTheReadBack(t *testing.T) {
 	for _, create := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
--- a/internal/reach/forwarders_test.go
+++ b/internal/reach/forwarders_test.go
@@ -118,8 +118,7 @@
 	assert.Equal(t, Offer(rand.New(rand.NewPCG(1, 1)), peers)[0].Address, "near")
 }
 
-// Guards against a stream that goes on through a daemon of an earlier release, which doesn't
-// keep to its version.
+// Guards against a stream that goes on through a daemon which doesn't keep to its version.
 func TestPinnedRequestGoesThroughDaemonsThatKeepVersions(t *testing.T) {
 	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
 	c.SetKnown(start, []Peer{{Address: "old"}, {Address: "new", KeepsVersions: true}})
@@ -133,8 +132,7 @@
 	assert.Assert(t, ok && address == "old")
 }
 
-// Guards against callers of a daemon without a path who wait for reports of the others, once the
-// endpoints of a service that were all down are back.
+// Guards against callers who wait for other daemons' reports once endpoints are back.
 func TestRequestGoesThroughAnotherWhereAllHaveLostThePath(t *testing.T) {
 	c := NewChooser(rand.New(rand.NewPCG(1, 2)))
 	c.SetKnown(start, []Peer{
@@ -171,8 +169,7 @@
 	assert.Equal(t, visits, 2*int(time.Second/visitPause))
 }
 
-// Guards against callers of daemons without a path who are refused on, in a fleet of any size, once
-// the endpoints of a service that were all down are back.
+// Guards against callers who are refused on, in a fleet of any size, once endpoints are back.
 func TestServiceThatWasDownIsFoundAgainAtAnySize(t *testing.T) {
 	const (
 		step  = 50 * time.Millisecond // between two requests of a daemon's callers
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -173,8 +173,7 @@
 	}
 }
 
-// Guards against a third attempt, which names the first one, at a daemon that knows only the
-// second.
+// Guards against a third attempt, which names the first, at a daemon that knows only the second.
 func TestStreamTakenUpIsRecordedUnderItsFirstAttempt(t *testing.T) {
 	s, o := versionedFixture(t, nil, "v1", "v2")
 	first := origin.KeyOf("w", "first")
@@ -188,8 +187,7 @@
 	assert.Equal(t, got.Version, s.recorder.last.Version)
 }
 
-// Guards against the listed version of an engine that may have started again at another one
-// since the list was complete.
+// Guards against the listed version of an engine that may have started again since.
 func TestVersionOfANewConnectionIsUnknownWhileTheListIsOld(t *testing.T) {
 	s, o := versionedFixture(t, nil, "v1")
 	o.trusted = time.Now().Add(-time.Minute)
@@ -201,8 +199,7 @@
 	assert.Equal(t, s.runs(), 1)
 }
 
-// Guards against events of an engine that has started again at another version and is listed
-// late.
+// Guards against events of an engine that has started again at another version.
 func TestStreamOfAnEngineThatChangedItsVersionDoesNotGoOn(t *testing.T) {
 	synctest.Test(t, streamOfAnEngineThatChangesItsVersion)
 }
@@ -228,8 +225,7 @@
 	assert.Assert(t, o.revoked[origin.KeyOf("w", "r1")])
 }
 
-// Guards against a bad version that gets requests after its roll-back since streams began
-// there.
+// Guards against a bad version that gets requests after its roll-back.
 func TestStreamOfAVersionThatWasRolledBackIsRefused(t *testing.T) {
 	s, o := versionedFixture(t, nil, "v1", "v2")
 	s.state.SetRollouts(rollout.Bounds{Share: 0.1, Slack: 50, Stop: 5 * time.Second})
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -72,7 +72,7 @@
 	}
 }
 
-// setEndpoint tells the sink whose answer it gets.
+// setEndpoint sets the endpoint of the answer that the sink gets.
 func (f *inflight) setEndpoint(e *roster.Endpoint) {
 	if s, ok := f.sink.(EndpointSink); ok {
 		s.SetEndpoint(e.ID, e.StartedAt)
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -95,8 +95,7 @@
 	})
 }
 
-// Guards against a stream that ends with its caller's connection, and one that is kept for longer
-// than Linger without a reader.
+// Guards against a stream that ends with its caller's connection.
 func TestStreamOutlivesItsConnection(t *testing.T) {
 	o := exact()
 	o.Linger = time.Second
