Crash log lines name the parts of prompts; explain finds them

The parts of the prompts were in no line.

"endpoint ended under requests" has the parts of the suspects' prompts and, as begun, how many other requests there had a piece of their answer. A part is named as callers do, with a hash of service, route and model, since the same ID means other weights elsewhere. explain takes the ID. Requests carry their model, over a forwarded hop too. No decision changes.

--- a/internal/cli/explain.go
+++ b/internal/cli/explain.go
@@ -23,6 +23,7 @@
 version of the configuration. For a request, what its daemon believed in the
 seconds before each line stands indented above it. What log lines name as request
 stands for a request that comes again under other ids: all its tries are shown.
+The ID of a part of prompts, as callers send it, shows the crashes under it.
 With --lost, count the
 requests that failed, were refused or were late, by reason and route and by
 reason and second. Exit status 1: nothing found.`,
--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -97,9 +97,9 @@
 	d.changed(d.table.Ran(time.Now(), sent, quarantine.IncarnationOf(id, time.Time{}), func() quarantine.Key { return k }))
 }
 
-func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash) {
+func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash, begun int) {
 	d.ended(c.Void)
-	ends.LogEnd(d.log, id, c)
+	ends.LogEnd(d.log, id, c, begun)
 }
 
 func (d *crashDuty) changed(c quarantine.Change) { ends.LogChange(d.log, d.table, c) }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -164,7 +164,7 @@
 	if err != nil {
 		s.router.Finished(choice.Endpoint, id, routing.Failed)
 		s.blame(choice.Endpoint, err)
-		s.cut(ctx, ends.Disconnect{Endpoint: choice.Endpoint, Address: choice.Address, Request: key, Sent: sent, EndedAt: time.Now()}, err)
+		s.cut(ctx, ends.Disconnect{Endpoint: choice.Endpoint, Address: choice.Address, Request: quarantine.Identity{Request: key}, Sent: sent, EndedAt: time.Now()}, err)
 		s.log.WithField("request", c.Key).WithField("endpoint", choice.Endpoint).Infof("call failed: %v", err)
 		return nil, choice.Endpoint, problem.New(http.StatusBadGateway, verdict.Of(err), "the service did not answer")
 	}
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -47,5 +47,5 @@
 	if ctx.Err() != nil || failureOf(s.number, err).Kind != request.Reset {
 		return
 	}
-	r.d.opts.Quarantine.Cut(ends.Disconnect{Endpoint: s.endpoint, Address: s.address, Request: r.quarantineKey(), Sent: s.at, EndedAt: time.Now(), AnswerBegun: s.begun})
+	r.d.opts.Quarantine.Cut(ends.Disconnect{Endpoint: s.endpoint, Address: s.address, Request: quarantine.Identity{Request: r.quarantineKey()}, Sent: s.at, EndedAt: time.Now(), AnswerBegun: s.begun})
 }
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -48,6 +48,6 @@
 		readAll(t, a)
 		assert.Equal(t, len(f.cuts), 1)
 		assert.Assert(t, f.cuts[0].AnswerBegun)
-		assert.Equal(t, f.cuts[0].Request, f.ran[0])
+		assert.Equal(t, f.cuts[0].Request.Request, f.ran[0])
 	})
 }
--- a/internal/ends/disconnect.go
+++ b/internal/ends/disconnect.go
@@ -13,7 +13,7 @@
 	Endpoint  fleet.EndpointID
 	StartedAt time.Time // start of the endpoint, zero if unknown
 	Address   string
-	Request   quarantine.Key
+	Request   quarantine.Identity
 	Sent      time.Time
 	// EndedAt is when the end of the connection was read: before any further attempt of the
 	// request was sent.
--- a/internal/ends/log.go
+++ b/internal/ends/log.go
@@ -1,15 +1,20 @@
 package ends
 
 import (
+	"slices"
+
 	"github.com/sirupsen/logrus"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 )
 
-// LogEnd logs the crash of an endpoint with the suspected requests.
-func LogEnd(log *logrus.Entry, id fleet.EndpointID, c *quarantine.Crash) {
-	log.WithFields(logrus.Fields{"endpoint": id, "requests": names(c), "leaving": c.Void}).Warn("endpoint ended under requests")
+// LogEnd logs the crash of an endpoint with the suspected requests and the parts of their
+// prompts. begun is how many other requests there had a piece of their answer.
+func LogEnd(log *logrus.Entry, id fleet.EndpointID, c *quarantine.Crash, begun int) {
+	log.WithFields(logrus.Fields{
+		"endpoint": id, "requests": names(c), "parts": partNames(c), "begun": begun, "leaving": c.Void,
+	}).Warn("endpoint ended under requests")
 }
 
 // LogChange logs the requests that are put in quarantine or released from it.
@@ -22,8 +27,22 @@
 	}
 }
 
-// maxNamed limits the requests in a log line.
-const maxNamed = 8
+// maxNamed limits the requests in a log line, maxNamedParts the parts.
+const (
+	maxNamed      = 8
+	maxNamedParts = 24
+)
+
+// partNames returns the parts of the suspects' prompts, at most maxNamedParts of them.
+func partNames(c *quarantine.Crash) []string {
+	var out []string
+	for _, p := range c.Parts {
+		if name := p.Part.String(); len(out) < maxNamedParts && !slices.Contains(out, name) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
 
 // names returns the suspected requests of a crash, at most maxNamed of them.
 func names(c *quarantine.Crash) []string {
--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -61,8 +61,8 @@
 	// It is needed where Listens returns ErrUndecided.
 	Restarted func(id fleet.EndpointID, startedAt time.Time) bool
 	// Ended is called when an endpoint has ended, and again if the crash becomes
-	// void.
-	Ended func(id fleet.EndpointID, c *quarantine.Crash)
+	// void. begun is how many requests there had a piece of their answer.
+	Ended func(id fleet.EndpointID, c *quarantine.Crash, begun int)
 	// Changed is called with changes to the requests in quarantine.
 	Changed func(quarantine.Change)
 }
@@ -85,6 +85,7 @@
 	disconnect Disconnect
 	startedAt  time.Time
 	crash      quarantine.Crash
+	begun      int  // requests with a piece of their answer
 	ended      bool // the result, set before the probe is sent to answers
 	undecided  bool // likewise: the endpoint may have ended, or the path to it
 	crashed    bool // the endpoint has ended, and the crash is in the table
@@ -131,9 +132,10 @@
 		p.crash.At = at
 	}
 	if d.AnswerBegun {
+		p.begun++
 		return
 	}
-	p.crash.AddSuspect(quarantine.Suspect{Request: d.Request, Sent: w.fleetTime(d.Sent)})
+	p.crash.AddRequest(&d.Request, w.fleetTime(d.Sent))
 	if p.crashed {
 		w.o.Changed(w.o.Table.Add(w.o.Now(), p.crash))
 	}
@@ -186,7 +188,7 @@
 func (w *Watch) recordCrash(p *probe) {
 	listed, leaving := w.o.State(p.disconnect.Endpoint)
 	p.crashed, p.crash.Void = true, !listed || leaving
-	w.o.Ended(p.disconnect.Endpoint, &p.crash)
+	w.o.Ended(p.disconnect.Endpoint, &p.crash, p.begun)
 	w.o.Changed(w.o.Table.Add(w.o.Now(), p.crash))
 }
 
@@ -200,7 +202,7 @@
 		}
 		if _, leaving := w.o.State(id); leaving && p.crashed && !p.crash.Void {
 			p.crash.Void = true
-			w.o.Ended(id, &p.crash)
+			w.o.Ended(id, &p.crash, p.begun)
 			w.o.Changed(w.o.Table.Void(w.o.Now(), p.crash.Endpoint, p.crash.At))
 		}
 	}
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -48,7 +48,7 @@
 				defer s.mu.Unlock()
 				return s.restarted
 			},
-			Ended:   func(fleet.EndpointID, *quarantine.Crash) {},
+			Ended:   func(fleet.EndpointID, *quarantine.Crash, int) {},
 			Changed: func(quarantine.Change) {},
 		})
 		ctx, cancel := context.WithCancel(t.Context())
@@ -62,7 +62,7 @@
 
 func (s *fixture) disconnect(e fleet.EndpointID, request string, answerBegun bool) {
 	s.Disconnected(Disconnect{
-		Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", request, nil),
+		Endpoint: e, Address: string(e), Request: quarantine.Identity{Request: quarantine.KeyOf("w", "", request, nil)},
 		Sent: time.Now().Add(-50 * time.Millisecond), EndedAt: time.Now(), AnswerBegun: answerBegun,
 	})
 }
@@ -203,7 +203,7 @@
 			ended := sent.Add(300 * time.Microsecond)
 			time.Sleep(5 * time.Millisecond)
 			s.Disconnected(Disconnect{
-				Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", "a", nil), Sent: sent, EndedAt: ended,
+				Endpoint: e, Address: string(e), Request: quarantine.Identity{Request: quarantine.KeyOf("w", "", "a", nil)}, Sent: sent, EndedAt: ended,
 			})
 			sent = ended.Add(20 * time.Microsecond)
 			time.Sleep(10 * time.Millisecond)
@@ -219,7 +219,7 @@
 	runWatch(t, func(t *testing.T, s *fixture) {
 		for i, e := range []fleet.EndpointID{"e1", "e2", "e3", "e4"} {
 			s.Disconnected(Disconnect{
-				Endpoint: e, Address: string(e), Request: quarantine.KeyOf("w", "", "a", nil),
+				Endpoint: e, Address: string(e), Request: quarantine.Identity{Request: quarantine.KeyOf("w", "", "a", nil)},
 				Sent: time.Now().Add(-time.Millisecond), EndedAt: time.Now().Add(time.Duration(i) * 200 * time.Microsecond),
 			})
 		}
--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -12,7 +12,7 @@
 
 // Query selects log lines; exactly one field is set.
 type Query struct {
-	ID       string // of a request, or the key that all its retries share
+	ID       string // of a request, the key that all its retries share, or a part of prompts, also without its scope
 	Endpoint string
 	Config   uint64 // a version of the configuration
 }
@@ -50,7 +50,7 @@
 func (q Query) matches(l *Line) bool {
 	switch {
 	case q.ID != "":
-		return l.Fields.ID == q.ID || slices.Contains(l.Fields.Requests, q.ID)
+		return l.Fields.ID == q.ID || slices.Contains(l.Fields.Requests, q.ID) || slices.ContainsFunc(l.Fields.Parts, q.names)
 	case q.Endpoint != "":
 		return l.Fields.Endpoint == q.Endpoint
 	default:
@@ -58,6 +58,12 @@
 	}
 }
 
+// names reports whether the query is for a part of prompts.
+func (q Query) names(part string) bool {
+	id, _, _ := strings.Cut(part, "@")
+	return part == q.ID || id == q.ID
+}
+
 // writeState prints the lines just before a request's line: those that the same
 // daemon logged about its state, and those of any daemon about the request's
 // endpoint.
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -17,6 +17,22 @@
   9.5 front-b {"level":"info","msg":"answered","part":"requests","id":"r2","endpoint":"e2","time":"2026-12-02T10:00:09.500Z"}
 `
 
+// Requests that share a part of their prompts and nothing else crash endpoints. All lines about
+// the part must be found by the ID that callers send, and no others.
+func TestCrashesAreFoundByAPartOfPrompts(t *testing.T) {
+	lines, err := Read("file", strings.NewReader(`
+  1.0 front-a {"msg":"endpoint ended under requests","part":"quarantine","endpoint":"e1","parts":["5c1e07a2@0000beef","91bd@0000beef"],"time":"2026-12-02T10:00:01.000Z"}
+  2.0 front-b {"msg":"endpoint ended under requests","part":"quarantine","endpoint":"e2","parts":["15c1e07a2@0000beef"],"time":"2026-12-02T10:00:02.000Z"}
+  3.0 front-b {"msg":"part of prompts held","part":"quarantine","prompt_part":"5c1e07a2@0000beef","time":"2026-12-02T10:00:03.000Z"}
+`))
+	assert.NilError(t, err)
+	for id, want := range map[string]int{"5c1e07a2": 2, "5c1e07a2@0000beef": 2, "5c1e07a2@0000dead": 0, "91bd": 1} {
+		n, err := Write(&strings.Builder{}, lines, Query{ID: id})
+		assert.NilError(t, err)
+		assert.Equal(t, n, want, id)
+	}
+}
+
 func explained(t *testing.T, q Query) (int, string) {
 	t.Helper()
 	lines, err := Read("file", strings.NewReader(logs))
--- a/internal/explain/line.go
+++ b/internal/explain/line.go
@@ -28,6 +28,7 @@
 type Fields struct {
 	ID       string
 	Requests []string // keys of requests; all retries of a request share one
+	Parts    []string // of prompts, each its ID, @ and its scope
 	Endpoint string
 	Version  uint64
 }
@@ -68,7 +69,7 @@
 		return Line{}, false
 	}
 	l.Time = when
-	l.Fields = Fields{ID: l.text("id"), Requests: l.texts("request", "requests"), Endpoint: l.text("endpoint")}
+	l.Fields = Fields{ID: l.text("id"), Requests: l.texts("request", "requests"), Parts: l.texts("prompt_part", "parts"), Endpoint: l.text("endpoint")}
 	if v, ok := l.raw["version"].(float64); ok {
 		l.Fields.Version = uint64(v)
 	}
--- a/internal/forward/envelope.go
+++ b/internal/forward/envelope.go
@@ -41,6 +41,7 @@
 	Prompt         int     `json:"prompt,omitempty"`
 	Output         int     `json:"output,omitempty"`
 	ExpectedOutput int     `json:"expectedOutput,omitempty"`
+	Model          string  `json:"model,omitempty"`
 	Parts          []part  `json:"parts,omitempty"`
 	LastEvent      string  `json:"lastEvent,omitempty"`
 	Workspace      string  `json:"workspace,omitempty"`
@@ -67,7 +68,7 @@
 func encode(r *relay.ForwardedRequest) string {
 	q := r.Request
 	e := envelope{
-		ID: q.ID, Path: q.Path, Prompt: q.Prompt, Output: q.Output, ExpectedOutput: q.ExpectedOutput, LastEvent: q.LastEvent,
+		ID: q.ID, Path: q.Path, Prompt: q.Prompt, Output: q.Output, ExpectedOutput: q.ExpectedOutput, Model: q.Model, LastEvent: q.LastEvent,
 		Workspace: string(r.Workspace), Service: r.Service, Pinned: r.Pinned, Version: r.Version, Priority: r.Priority, ConfigVersion: r.ConfigVersion,
 		TimeLeft: millis(r.TimeLeft), Elapsed: millis(r.Elapsed),
 		Route: r.Route.Name, Kind: int(r.Route.Kind), Target: millis(r.Route.Target), PauseTarget: millis(r.Route.PauseTarget),
@@ -101,7 +102,7 @@
 	h.Del("Content-Length")
 	q := &relay.Request{
 		ID: e.ID, Method: r.Method, Target: r.RequestURI, Path: e.Path, Host: r.Host, Header: h, Body: body,
-		Prompt: e.Prompt, Output: e.Output, ExpectedOutput: e.ExpectedOutput, LastEvent: e.LastEvent,
+		Prompt: e.Prompt, Output: e.Output, ExpectedOutput: e.ExpectedOutput, Model: e.Model, LastEvent: e.LastEvent,
 	}
 	for _, p := range e.Parts {
 		q.Parts = append(q.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -46,6 +46,8 @@
 	Suspects []Suspect `json:",omitempty"`
 	// Cleared are suspects that an endpoint has since run without a crash.
 	Cleared []Key `json:",omitempty"`
+	// Parts are the parts of the suspects' prompts.
+	Parts []PartSuspect `json:",omitempty"`
 }
 
 // Suspect is a request that may be the cause of a crash.
@@ -54,6 +56,17 @@
 	Sent    time.Time // when it was first sent to the endpoint, by the fleet's clock
 }
 
+// PartSuspect is a part of prompts that may be the cause of a crash.
+type PartSuspect struct {
+	Part      Key
+	Workspace uint32    // hash, of a suspect whose prompt has the part
+	Depth     int       // position in that prompt
+	Sent      time.Time // when the first such suspect was sent, by the fleet's clock
+}
+
+// maxParts bounds the parts of a crash's suspects, most of which share some.
+const maxParts = 96
+
 // maxSuspects bounds the suspects of a crash. An endpoint runs some dozens of
 // requests at once, few of which have not started their responses.
 const maxSuspects = 64
@@ -92,6 +105,32 @@
 	for i := range c.Suspects {
 		c.Suspects[i].Sent = c.Suspects[i].Sent.Add(d)
 	}
+	for i := range c.Parts {
+		c.Parts[i].Sent = c.Parts[i].Sent.Add(d)
+	}
+}
+
+// AddRequest adds a request and the parts of its prompt as possible causes.
+func (c *Crash) AddRequest(id *Identity, sent time.Time) {
+	c.AddSuspect(Suspect{Request: id.Request, Sent: sent})
+	for i, k := range id.Parts {
+		c.AddPart(PartSuspect{Part: k, Workspace: id.Workspace(), Depth: i, Sent: sent})
+	}
+}
+
+// AddPart adds a part that may be the cause, or its earlier sending time, and reports whether
+// that changed c.
+func (c *Crash) AddPart(p PartSuspect) bool {
+	i := slices.IndexFunc(c.Parts, func(o PartSuspect) bool { return o.Part == p.Part && o.Workspace == p.Workspace })
+	switch {
+	case i < 0 && len(c.Parts) < maxParts:
+		c.Parts = append(c.Parts, p)
+		return true
+	case i >= 0 && c.Parts[i].Sent.Sub(p.Sent) > timeTolerance:
+		c.Parts[i].Sent = p.Sent
+		return true
+	}
+	return false
 }
 
 // AddSuspect adds a request that may be the cause, or its earlier sending time,
@@ -135,6 +174,6 @@
 // clone returns a deep copy.
 func (c *Crash) clone() Crash {
 	out := *c
-	out.Suspects, out.Cleared = slices.Clone(c.Suspects), slices.Clone(c.Cleared)
+	out.Suspects, out.Cleared, out.Parts = slices.Clone(c.Suspects), slices.Clone(c.Cleared), slices.Clone(c.Parts)
 	return out
 }
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -12,13 +12,28 @@
 // Error is the class of this package's errors.
 var Error = errs.Class("quarantine")
 
-// Key identifies a request by its content, so that it is recognised when it is
-// sent again under another id or to another daemon. The workspace has a field of
-// its own: hash collisions can be produced on purpose, and a workspace must not
-// be able to get the requests of another one held.
+// Kind says what a Key identifies.
+type Kind uint8
+
+// The kinds.
+const (
+	WholeRequest Kind = iota
+	PromptPart
+)
+
+// Key identifies a possible cause of crashes, so that it is recognised when it comes again
+// under another id or at another daemon.
+//
+// For a WholeRequest, Scope is the hash of its workspace and ID that of its content. The
+// workspace has a field of its own: hash collisions can be produced on purpose, and a workspace
+// must not be able to get the requests of another one held.
+//
+// For a PromptPart, Scope is the hash of the service, the route and the model, and ID is what
+// callers call the part.
 type Key struct {
-	Workspace uint32 // hash of its name
-	Request   uint64 // hash of method, target and body
+	Kind  Kind
+	Scope uint32
+	ID    uint64
 }
 
 // KeyOf returns the key of a workspace's request. target is the path with the
@@ -30,19 +45,41 @@
 	_, _ = h.WriteString(target)
 	_, _ = h.WriteString("\n")
 	_, _ = h.Write(body)
-	return Key{Workspace: uint32(xxh3.HashString(string(w))), Request: h.Sum64()}
+	return Key{Scope: workspaceHash(w), ID: h.Sum64()}
+}
+
+func workspaceHash(w fleet.WorkspaceID) uint32 { return uint32(xxh3.HashString(string(w))) }
+
+// PartScope returns the scope of the parts of prompts that a route sends to a model of a
+// service.
+func PartScope(service, route, model string) uint32 {
+	return uint32(xxh3.HashString(service + "\n" + route + "\n" + model))
 }
 
+// PartOf returns the key of a part with a scope from PartScope.
+func PartOf(scope uint32, id uint64) Key { return Key{Kind: PromptPart, Scope: scope, ID: id} }
+
 const keyFormat = "%08x-%016x"
 
-// String returns the form used in logs and in the store.
-func (k Key) String() string { return fmt.Sprintf(keyFormat, k.Workspace, k.Request) }
+// String returns the form used in logs and, for requests, in the store. That of a part begins
+// with its ID as callers write it.
+func (k Key) String() string {
+	if k.Kind == PromptPart {
+		return fmt.Sprintf("%x@%08x", k.ID, k.Scope)
+	}
+	return fmt.Sprintf(keyFormat, k.Scope, k.ID)
+}
 
 // MarshalText returns the form of String.
 func (k Key) MarshalText() ([]byte, error) { return []byte(k.String()), nil }
 
 // UnmarshalText parses the form of String.
 func (k *Key) UnmarshalText(text []byte) error {
-	_, err := fmt.Sscanf(string(text), keyFormat, &k.Workspace, &k.Request)
+	*k = Key{}
+	if _, err := fmt.Sscanf(string(text), "%x@%08x", &k.ID, &k.Scope); err == nil {
+		k.Kind = PromptPart
+		return nil
+	}
+	_, err := fmt.Sscanf(string(text), keyFormat, &k.Scope, &k.ID)
 	return Error.Wrap(err)
 }
--- a/internal/quarantine/quarantinepb/codec.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -42,8 +42,8 @@
 	}
 	out := &Requests{}
 	for _, s := range c.Suspects {
-		out.Workspaces = append(out.Workspaces, s.Request.Workspace)
-		out.Requests = append(out.Requests, s.Request.Request)
+		out.Workspaces = append(out.Workspaces, s.Request.Scope)
+		out.Requests = append(out.Requests, s.Request.ID)
 		out.SentMs = append(out.SentMs, c.At.Sub(s.Sent).Milliseconds())
 		out.SentUs = append(out.SentUs, c.At.Sub(s.Sent).Microseconds())
 	}
@@ -69,8 +69,8 @@
 	}
 	out := &Requests{}
 	for _, k := range keys {
-		out.Workspaces = append(out.Workspaces, k.Workspace)
-		out.Requests = append(out.Requests, k.Request)
+		out.Workspaces = append(out.Workspaces, k.Scope)
+		out.Requests = append(out.Requests, k.ID)
 	}
 	return out
 }
@@ -80,7 +80,7 @@
 	n := min(len(r.GetWorkspaces()), len(r.GetRequests()))
 	var out []quarantine.Key
 	for i := range n {
-		out = append(out, quarantine.Key{Workspace: r.Workspaces[i], Request: r.Requests[i]})
+		out = append(out, quarantine.Key{Scope: r.Workspaces[i], ID: r.Requests[i]})
 	}
 	return out
 }
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -24,17 +24,41 @@
 // reportCut notifies the observer that the endpoint's side closed an attempt's
 // connection.
 func (f *inflight) reportCut(t *trackedAttempt) {
-	f.outcome.RequestKey = f.key()
+	id := f.identity()
+	f.outcome.RequestKey = id.Request
 	e := &t.choice.Endpoint
 	f.relay.observer.Cut(ends.Disconnect{
-		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: f.outcome.RequestKey, Sent: t.sent, EndedAt: time.Now(), AnswerBegun: t.firstPieceSeen,
+		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: *id, Sent: t.sent, EndedAt: time.Now(), AnswerBegun: t.firstPieceSeen,
 	})
 }
 
-// key returns the request's key; the first call hashes the body.
-func (f *inflight) key() quarantine.Key {
-	if f.requestKey == (quarantine.Key{}) {
-		f.requestKey = quarantine.KeyOf(f.outcome.Workspace, f.request.Method, f.request.Target, f.request.Body)
+// key returns the request's key.
+func (f *inflight) key() quarantine.Key { return f.identity().Request }
+
+// identity returns by what the request is recognised; the first call hashes the body.
+func (f *inflight) identity() *quarantine.Identity {
+	if f.requestIdentity == nil {
+		f.requestIdentity = &quarantine.Identity{
+			Request: quarantine.KeyOf(f.outcome.Workspace, f.request.Method, f.request.Target, f.request.Body),
+			Parts:   sharedParts(f.request, f.service, f.route.Name),
+		}
+	}
+	return f.requestIdentity
+}
+
+// sharedParts returns the parts of a prompt that other requests may have too: all but the last,
+// and the first and last ones of those if there are very many.
+func sharedParts(q *Request, service, route string) []quarantine.Key {
+	if len(q.Parts) < 2 {
+		return nil
+	}
+	shared := q.Parts[:len(q.Parts)-1]
+	scope := quarantine.PartScope(service, route, q.Model)
+	out := make([]quarantine.Key, 0, min(len(shared), quarantine.MaxParts))
+	for i, p := range shared {
+		if i < quarantine.MaxParts/2 || i >= len(shared)-quarantine.MaxParts/2 {
+			out = append(out, quarantine.PartOf(scope, p.ID))
+		}
 	}
-	return f.requestKey
+	return out
 }
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -21,9 +21,9 @@
 	for _, c := range cuts {
 		assert.Assert(t, !c.AnswerBegun)
 	}
-	assert.Equal(t, cuts[0].Request, cuts[3].Request)
-	assert.Assert(t, cuts[0].Request != cuts[4].Request)
-	assert.Equal(t, s.recorder.last.RequestKey, cuts[5].Request)
+	assert.Equal(t, cuts[0].Request.Request, cuts[3].Request.Request)
+	assert.Assert(t, cuts[0].Request.Request != cuts[4].Request.Request)
+	assert.Equal(t, s.recorder.last.RequestKey, cuts[5].Request.Request)
 }
 
 // A stream is cut after its first event: the endpoint had already run it for a
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -40,8 +40,8 @@
 	// beganReported says that the observer was notified that the request began to
 	// run.
 	beganReported bool
-	// requestKey is the request's key, zero until key is called.
-	requestKey quarantine.Key
+	// requestIdentity is by what the request is recognised, nil until identity is called.
+	requestIdentity *quarantine.Identity
 	// lastPieceAt is when the caller was last sent a piece of a stream.
 	lastPieceAt time.Time
 	// forwarded says that another daemon has admitted the request.
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -28,6 +28,8 @@
 	Prompt, Output int
 	// ExpectedOutput is the caller's estimate of the output tokens, 0 without one.
 	ExpectedOutput int
+	// Model is the model that the prompt is for, empty if none is named.
+	Model string
 	// Parts are the prompt's parts, which are compared with those that endpoints
 	// have cached.
 	Parts []balance.Part
