--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -86,7 +86,7 @@
 
 // Held implements dispatch.Quarantine.
 func (d *crashDuty) Held(k quarantine.Key) time.Duration {
-	return d.table.Held(time.Now(), func() quarantine.Key { return k })
+	return d.table.Held(time.Now(), func() *quarantine.Identity { return &quarantine.Identity{Request: k} })
 }
 
 // Cut implements dispatch.Quarantine.
@@ -94,7 +94,9 @@
 
 // Ran implements dispatch.Quarantine.
 func (d *crashDuty) Ran(id fleet.EndpointID, sent time.Time, k quarantine.Key) {
-	d.changed(d.table.Ran(time.Now(), sent, quarantine.IncarnationOf(id, time.Time{}), func() quarantine.Key { return k }))
+	now := time.Now()
+	d.changed(d.table.Responded(now, sent, quarantine.IncarnationOf(id, time.Time{})))
+	d.changed(d.table.Ran(now, now, func() *quarantine.Identity { return &quarantine.Identity{Request: k} }))
 }
 
 func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash, begun int) {
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -76,15 +76,16 @@
 // observer counts the requests that engines began to run.
 type observer struct{ begun atomic.Int64 }
 
-func (o *observer) Began(fleet.WorkspaceID, time.Time)                     { o.begun.Add(1) }
-func (o *observer) Cut(ends.Disconnect)                                    {}
-func (o *observer) RateLimited(fleet.EndpointID, backpressure.Limit)       {}
-func (o *observer) Resting(fleet.EndpointID, time.Duration)                {}
-func (o *observer) Leaving(*roster.Endpoint)                               {}
-func (o *observer) RejectionsLimited(string, backpressure.Limit)           {}
-func (o *observer) Ended(*relay.Outcome)                                   {}
-func (o *observer) HeldFor(func() quarantine.Key) time.Duration            { return 0 }
-func (o *observer) Ran(*roster.Endpoint, time.Time, func() quarantine.Key) {}
+func (o *observer) Began(fleet.WorkspaceID, time.Time)                { o.begun.Add(1) }
+func (o *observer) Cut(ends.Disconnect)                               {}
+func (o *observer) RateLimited(fleet.EndpointID, backpressure.Limit)  {}
+func (o *observer) Resting(fleet.EndpointID, time.Duration)           {}
+func (o *observer) Leaving(*roster.Endpoint)                          {}
+func (o *observer) RejectionsLimited(string, backpressure.Limit)      {}
+func (o *observer) Ended(*relay.Outcome)                              {}
+func (o *observer) HeldFor(func() *quarantine.Identity) time.Duration { return 0 }
+func (o *observer) Responded(*roster.Endpoint, time.Time)             {}
+func (o *observer) Ran(time.Time, func() *quarantine.Identity)        {}
 
 // forwarder sends all requests of a cut-off daemon to the given addresses, in their order.
 type forwarder struct {
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -87,20 +87,29 @@
 }
 
 // HeldFor implements relay.Guard.
-func (g *crashGuard) HeldFor(key func() quarantine.Key) time.Duration {
+func (g *crashGuard) HeldFor(id func() *quarantine.Identity) time.Duration {
 	if g.table.HeldCount() == 0 { // the usual case; reading the clock is a system call
 		return 0
 	}
-	return g.table.Held(g.node.clock.Now(), key)
+	return g.table.Held(g.node.clock.Now(), id)
+}
+
+// Responded implements relay.Guard.
+func (g *crashGuard) Responded(e *roster.Endpoint, sent time.Time) {
+	if g.table.CrashCount() == 0 {
+		return
+	}
+	now := g.node.clock.Now()
+	g.changed(g.table.Responded(now, now.Add(-time.Since(sent)), quarantine.IncarnationOf(e.ID, e.StartedAt)))
 }
 
 // Ran implements relay.Guard.
-func (g *crashGuard) Ran(e *roster.Endpoint, sent time.Time, key func() quarantine.Key) {
+func (g *crashGuard) Ran(began time.Time, id func() *quarantine.Identity) {
 	if g.table.CrashCount() == 0 {
 		return
 	}
 	now := g.node.clock.Now()
-	g.changed(g.table.Ran(now, now.Add(-time.Since(sent)), quarantine.IncarnationOf(e.ID, e.StartedAt), key))
+	g.changed(g.table.Ran(now, now.Add(-time.Since(began)), id))
 }
 
 // state reports whether an endpoint is listed, and whether it is leaving.
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -64,6 +64,10 @@
 	Sent      time.Time // when the first such suspect was sent, by the fleet's clock
 }
 
+// Settled is how long an endpoint must have written a response until its request isn't suspected
+// of a crash: the cause takes effect when the response begins.
+const Settled = 300 * time.Millisecond
+
 // maxParts bounds the parts of a crash's suspects, most of which share some.
 const maxParts = 96
 
--- a/internal/quarantine/fleet_test.go
+++ b/internal/quarantine/fleet_test.go
@@ -113,7 +113,7 @@
 // send sends a request from a daemon to a random running endpoint, unless it is
 // held.
 func (s *fleetSim) send(d *daemon, k quarantine.Key, crashes bool) {
-	if d.table.Held(d.time(s), func() quarantine.Key { return k }) > 0 {
+	if d.table.Held(d.time(s), identityOf(k)) > 0 {
 		if !crashes {
 			s.harmlessHeld++
 		}
@@ -151,7 +151,8 @@
 				break
 			}
 			inc := quarantine.Incarnation(n<<32 | e.incarnation)
-			r.daemon.table.Ran(r.daemon.time(s), r.sent, inc, func() quarantine.Key { return r.key })
+			r.daemon.table.Responded(r.daemon.time(s), r.sent, inc)
+			r.daemon.table.Ran(r.daemon.time(s), r.daemon.time(s), identityOf(r.key))
 			e.attempts = append(e.attempts[:i], e.attempts[i+1:]...)
 			i--
 		}
@@ -200,6 +201,10 @@
 
 func (s *fleetSim) anyDaemon() *daemon { return s.daemons[s.rng.IntN(len(s.daemons))] }
 
+func identityOf(k quarantine.Key) func() *quarantine.Identity {
+	return func() *quarantine.Identity { return &quarantine.Identity{Request: k} }
+}
+
 func requestKey(kind string, n int) quarantine.Key {
 	return quarantine.KeyOf("w", "POST", "/x", fmt.Append(nil, kind, n))
 }
@@ -245,7 +250,7 @@
 				assert.Assert(t, s.mostLateSends <= retries, "%s: %d sends too late", label, s.mostLateSends)
 				held := 0
 				for k := range crashing {
-					if s.anyDaemon().table.Held(s.now, func() quarantine.Key { return requestKey("crashing", k) }) > 0 {
+					if s.anyDaemon().table.Held(s.now, identityOf(requestKey("crashing", k))) > 0 {
 						held++
 					}
 				}
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -60,12 +60,12 @@
 }
 
 // Held returns for how long a request must not be sent to endpoints, 0 if it may
-// be sent. It calls key only if any request is held.
-func (t *Table) Held(now time.Time, key func() Key) time.Duration {
+// be sent. It calls id only if any request is held.
+func (t *Table) Held(now time.Time, id func() *Identity) time.Duration {
 	if t.heldCount.Load() == 0 {
 		return 0
 	}
-	k := key()
+	k := id().Request
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return max(t.held[k].Sub(now), 0)
@@ -158,23 +158,33 @@
 	return t.recompute(now)
 }
 
-// Ran records that an endpoint has sent the first part of its response to a
-// request that was sent to it at sent. So the request does not crash endpoints, and
-// the endpoint had not exited before sent. It calls key only if any crash is
-// stored.
-func (t *Table) Ran(now, sent time.Time, inc Incarnation, key func() Key) Change {
+// Responded records that an endpoint has sent the first piece of its response to a request that
+// was sent to it at sent: it had not exited before that.
+func (t *Table) Responded(now, sent time.Time, inc Incarnation) Change {
 	if t.crashCount.Load() == 0 {
 		return Change{}
 	}
-	k := key()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	changed := t.clear(k)
-	if r := t.recent(now, inc); r != nil && !r.Crash.Void && sent.After(r.At) {
-		r.Crash.Void, changed = true, true
-		t.touch(r)
+	r := t.recent(now, inc)
+	if r == nil || r.Crash.Void || !sent.After(r.At) {
+		return Change{}
 	}
-	if !changed {
+	r.Crash.Void = true
+	t.touch(r)
+	return t.recompute(now)
+}
+
+// Ran records that an endpoint has run a request whose response began at began, without a
+// crash. It calls id only if any crash is stored.
+func (t *Table) Ran(now, began time.Time, id func() *Identity) Change {
+	if t.crashCount.Load() == 0 {
+		return Change{}
+	}
+	k := id().Request
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.clear(k) {
 		return Change{}
 	}
 	return t.recompute(now)
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -28,8 +28,16 @@
 	return c
 }
 
-func held(t *Table, now float64, request int) bool {
-	return t.Held(at(now), func() Key { return key(request) }) > 0
+func identity(request int) func() *Identity {
+	return func() *Identity { return &Identity{Request: key(request)} }
+}
+
+func held(t *Table, now float64, request int) bool { return t.Held(at(now), identity(request)) > 0 }
+
+// ran records that endpoint e has run a request that was sent to it at sent.
+func ran(t *Table, now, sent float64, e, request int) {
+	t.Responded(at(now), at(sent), incarnation(e))
+	t.Ran(at(now), at(now), identity(request))
 }
 
 // A request crashes one endpoint after another, at times while other requests run
@@ -118,7 +126,7 @@
 	for i := range 3 {
 		now := float64(i)
 		table.Add(at(now), crash(i, now, 7))
-		table.Ran(at(now+0.3), at(now+0.1), incarnation(i), func() Key { return key(99) })
+		ran(table, now+0.3, now+0.1, i, 99)
 	}
 	assert.Equal(t, table.HeldCount(), 0)
 }
@@ -130,8 +138,8 @@
 	for i := range 3 {
 		now := float64(i)
 		table.Add(at(now), crash(i, now, 0))
-		table.Ran(at(now+0.01), at(now-0.1), incarnation(i), func() Key { return key(99) })
-		table.Ran(at(now+4), at(now+3.9), incarnation(i), func() Key { return key(99) })
+		ran(table, now+0.01, now-0.1, i, 99)
+		ran(table, now+4, now+3.9, i, 99)
 	}
 	assert.Assert(t, held(table, 3, 0))
 }
@@ -142,7 +150,7 @@
 	table := NewTable(1)
 	table.Add(at(1), crash(1, 1, 7))
 	table.Add(at(2), crash(2, 2, 7))
-	table.Ran(at(2.5), at(2.4), incarnation(9), func() Key { return key(7) })
+	ran(table, 2.5, 2.4, 9, 7)
 	table.Add(at(3), crash(3, 3, 7))
 	assert.Assert(t, !held(table, 3, 7))
 }
@@ -154,7 +162,7 @@
 	for i := range 3 {
 		table.Add(at(float64(i)), crash(i, float64(i), 0))
 	}
-	left := table.Held(at(3), func() Key { return key(0) })
+	left := table.Held(at(3), identity(0))
 	assert.Equal(t, left, retention-3*time.Second)
 	later := retention.Seconds()
 	table.Tick(at(later))
@@ -191,7 +199,7 @@
 	a, b := NewTable(1), NewTable(2)
 	a.Add(at(1), crash(1, 1, 0, 7), crash(2, 2, 0))
 	b.Add(at(1), crash(1, 1, 0, 8), crash(3, 3, 0))
-	b.Ran(at(3), at(2.9), incarnation(9), func() Key { return key(8) })
+	ran(b, 3, 2.9, 9, 8)
 	var fromA, fromB Position
 	for range 3 {
 		var batch []Crash
@@ -273,7 +281,7 @@
 			now := at(1)
 			b.ReportAllocs()
 			for b.Loop() {
-				table.Held(now, func() Key { return KeyOf("w", "POST", "/x", body) })
+				table.Held(now, func() *Identity { return &Identity{Request: KeyOf("w", "POST", "/x", body)} })
 			}
 		})
 	}
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -32,9 +32,6 @@
 	})
 }
 
-// key returns the request's key.
-func (f *inflight) key() quarantine.Key { return f.identity().Request }
-
 // identity returns by what the request is recognised; the first call hashes the body.
 func (f *inflight) identity() *quarantine.Identity {
 	if f.requestIdentity == nil {
--- a/internal/relay/guard.go
+++ b/internal/relay/guard.go
@@ -8,15 +8,17 @@
 )
 
 // Guard detects the requests that crash the endpoints that run them. Its methods
-// must return at once. They get the request's key as a function, since its first
+// must return at once. They get the request's identity as a function, since its first
 // call hashes the body.
 type Guard interface {
 	// HeldFor returns for how long a request must not be sent to any endpoint, 0 if
 	// it may be sent.
-	HeldFor(key func() quarantine.Key) time.Duration
-	// Ran records that an endpoint returned the first piece of an answer to a
+	HeldFor(id func() *quarantine.Identity) time.Duration
+	// Responded records that an endpoint returned the first piece of an answer to a
 	// request that it was sent at the time sent.
-	Ran(e *roster.Endpoint, sent time.Time, key func() quarantine.Key)
+	Responded(e *roster.Endpoint, sent time.Time)
+	// Ran records that an endpoint has run a request, whose first piece arrived at began.
+	Ran(began time.Time, id func() *quarantine.Identity)
 }
 
 // refuseHeld refuses a request that crashes endpoints. It is called before each
@@ -24,8 +26,8 @@
 // so that the bound on the attempts of one request doesn't stop it from crashing
 // one endpoint after the other, each with all its streams.
 func (f *inflight) refuseHeld() *Refusal {
-	if left := f.relay.guard.HeldFor(f.key); left > 0 {
-		f.outcome.RequestKey = f.key()
+	if left := f.relay.guard.HeldFor(f.identity); left > 0 {
+		f.outcome.RequestKey = f.identity().Request
 		return notRun(Quarantined, left)
 	}
 	return nil
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -308,7 +308,8 @@
 		t.firstPieceSeen = true
 		if !t.forwarded {
 			f.relay.state.firstPiece(t)
-			f.relay.guard.Ran(&t.choice.Endpoint, t.sent, f.key)
+			f.relay.guard.Responded(&t.choice.Endpoint, t.sent)
+			f.relay.guard.Ran(time.Now(), f.identity)
 		}
 		if f.outcome.First == 0 {
 			f.outcome.First = time.Since(f.request.Received)
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -98,16 +98,18 @@
 	ran    []quarantine.Key
 }
 
-func (r *recorder) HeldFor(key func() quarantine.Key) time.Duration {
+func (r *recorder) HeldFor(id func() *quarantine.Identity) time.Duration {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.held[key()]
+	return r.held[id().Request]
 }
 
-func (r *recorder) Ran(_ *roster.Endpoint, _ time.Time, key func() quarantine.Key) {
+func (r *recorder) Responded(*roster.Endpoint, time.Time) {}
+
+func (r *recorder) Ran(_ time.Time, id func() *quarantine.Identity) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.ran = append(r.ran, key())
+	r.ran = append(r.ran, id().Request)
 }
 
 func (r *recorder) Began(fleet.WorkspaceID, time.Time) {
