An answer without a length is whole only if its endpoint lives on

An endpoint that crashed after the head of such an answer gave the caller a complete 200 with an empty or short body, no cut was reported, and the crash cleared the request that had caused it.

Cause: the end of the connection was taken both for the end of the answer and for proof that the endpoint had run the request.

Change: an answer that isn't delimited counts as whole if its endpoint accepts connections 20 ms after its end, else as cut off there: plain ones end with the verdict that they may have run, resumable streams go on at another endpoint, others are truncated for the caller. Daemons delimit what they pass on over a hop, so that one without a length from a daemon is broken. A reset was an error before and stays one. A request counts as run without a crash once its answer is whole and a success, or has gone on for 300 ms; a refusal or the first piece alone no longer clears it. An Answer may be closed twice.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -13,14 +13,15 @@
 
 // trackedAttempt is an attempt in progress as the shared state records it.
 type trackedAttempt struct {
-	inflight       *inflight
-	choice         balance.Choice
-	sent           time.Time
-	firstPieceSeen bool
-	forwarded      bool   // through another daemon, which records it
-	version        string // of the endpoint, if the other daemon states it
-	versionKnown   bool
-	abort          context.CancelCauseFunc
+	inflight     *inflight
+	choice       balance.Choice
+	sent         time.Time
+	firstPieceAt time.Time // when the first piece of the answer arrived, zero before
+	ranReported  bool      // the guard was notified that the endpoint ran the request
+	forwarded    bool      // through another daemon, which records it
+	version      string    // of the endpoint, if the other daemon states it
+	versionKnown bool
+	abort        context.CancelCauseFunc
 	// counter counts the attempt for a roll-out, nil without one; toNew says that
 	// it goes to the new version.
 	counter *rollout.Counter
@@ -138,7 +139,7 @@
 func (s *State) done(now time.Time, t *trackedAttempt, o balance.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.Done(now, t.inflight.balanceReq, t.choice, t.firstPieceSeen, o)
+	s.balancer.Done(now, t.inflight.balanceReq, t.choice, !t.firstPieceAt.IsZero(), o)
 	s.countDone(now, t, o)
 	id := t.choice.Endpoint.ID
 	delete(s.attempts[id], t)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -174,7 +174,7 @@
 	if endpoint != nil {
 		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
 	}
-	return f.readAnswer(t, a, f.relay.protocol.Classify(a.Status, a.Header))
+	return f.readAnswer(ctx, t, a, f.relay.protocol.Classify(a.Status, a.Header))
 }
 
 // noteForwarded records what an answer through another daemon states about its endpoint. A rest
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -178,9 +178,12 @@
 		err = cause
 	}
 	f.outcome.Cause = err
-	if errors.Is(err, errOtherVersion) && t.firstPieceSeen {
+	if errors.Is(err, errOtherVersion) && !t.firstPieceAt.IsZero() {
 		f.revokeOrigin()
 	}
+	if res.complete && res.class == Success {
+		f.reportRan(t)
+	}
 	if closedByEndpoint(ctx, attemptCtx, res, err) {
 		f.reportCut(t)
 	}
@@ -240,19 +243,19 @@
 	if class != Misdirected {
 		f.noteStated(t, f.relay.protocol.Stated(a.Status, a.Header))
 	}
-	return f.readAnswer(t, a, class)
+	return f.readAnswer(ctx, t, a, class)
 }
 
 // readAnswer reads an answer whose head was received, and forwards it if it is a stream or
 // long.
-func (f *inflight) readAnswer(t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
+func (f *inflight) readAnswer(ctx context.Context, t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
 	res := attemptResult{class: class, reached: true, verdict: verdict.Ran}
 	if class == Refused || class == Misdirected {
 		res.verdict = verdict.NotRun
 	}
 	f.outcome.Status = a.Status
 	if class == Success && f.route.Kind == route.Streaming {
-		err := f.forwardStream(t, a)
+		err := f.forwardStream(ctx, t, a)
 		res.complete = err == nil
 		return res, nil, err
 	}
@@ -260,12 +263,16 @@
 	if err != nil {
 		return res, nil, err
 	}
-	f.firstPiece(t)
 	if len(body) > maxBufferedBytes {
-		err := f.forwardLong(t, a, body)
+		f.firstPiece(time.Now(), t)
+		err := f.forwardLong(ctx, t, a, body)
 		res.complete = err == nil
 		return res, nil, err
 	}
+	if err := f.confirmEnd(ctx, t, a); err != nil {
+		return res, nil, err
+	}
+	f.firstPiece(time.Now(), t)
 	res.complete = true
 	return res, &bufferedAnswer{
 		status: a.Status, header: f.relay.protocol.Answer(a.Header), body: body, endpoint: &t.choice.Endpoint,
@@ -303,13 +310,12 @@
 }
 
 // firstPiece records that the first piece of an attempt's answer arrived.
-func (f *inflight) firstPiece(t *trackedAttempt) {
-	if !t.firstPieceSeen {
-		t.firstPieceSeen = true
+func (f *inflight) firstPiece(now time.Time, t *trackedAttempt) {
+	if t.firstPieceAt.IsZero() {
+		t.firstPieceAt = now
 		if !t.forwarded {
 			f.relay.state.firstPiece(t)
 			f.relay.guard.Responded(&t.choice.Endpoint, t.sent)
-			f.relay.guard.Ran(time.Now(), f.identity)
 		}
 		if f.outcome.First == 0 {
 			f.outcome.First = time.Since(f.request.Received)
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,11 +143,12 @@
 }
 
 // engine answers each request with what script returns for the number of earlier
-// requests. An answer other than 2xx, or one that contains "cut", is followed by
-// the end of the connection.
+// requests. An answer other than 2xx, one that contains "cut", or one without a length
+// is followed by the end of the connection.
 type engine struct {
 	script   func(n int, r *http.Request) string
 	mu       sync.Mutex
+	gone     bool // connections are refused
 	received []*http.Request
 }
 
@@ -165,7 +167,8 @@
 		e.mu.Unlock()
 		answer := e.script(n, req)
 		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", req.Header.Get("Id")))
-		if !strings.HasPrefix(answer, "HTTP/1.1 2") || strings.Contains(answer, "cut") {
+		delimited := strings.Contains(answer, "Content-Length") || strings.Contains(answer, "chunked") || !strings.Contains(answer, "\r\n\r\n")
+		if !strings.HasPrefix(answer, "HTTP/1.1 2") || strings.Contains(answer, "cut") || !delimited {
 			return
 		}
 	}
@@ -220,6 +223,12 @@
 		if err != nil {
 			return nil, err
 		}
+		s.engines[i].mu.Lock()
+		gone := s.engines[i].gone
+		s.engines[i].mu.Unlock()
+		if gone {
+			return nil, syscall.ECONNREFUSED
+		}
 		here, there := net.Pipe()
 		context.AfterFunc(t.Context(), func() { _ = there.Close() })
 		go s.engines[i].serve(there)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"context"
 	"io"
 	"time"
 
@@ -13,7 +14,7 @@
 
 // forwardStream forwards events as they arrive. It returns nil if the stream is
 // complete.
-func (f *inflight) forwardStream(t *trackedAttempt, a *upstream.Answer) error {
+func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
 	buf := make([]byte, readBufferBytes)
 	for {
 		n, err := a.Body.Read(buf)
@@ -22,12 +23,11 @@
 				return err
 			}
 		}
-		if err == io.EOF && !f.events.partial() {
-			f.sendHead(t, a)
-			return nil
-		}
 		if err == io.EOF {
-			err = io.ErrUnexpectedEOF
+			err = f.endStream(ctx, t, a)
+			if err == nil {
+				return nil
+			}
 		}
 		if err != nil {
 			f.events.discardPartial()
@@ -36,6 +36,19 @@
 	}
 }
 
+// endStream ends a stream that was read to its end. It returns an error if the stream has been
+// cut off there.
+func (f *inflight) endStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
+	if f.events.partial() {
+		return io.ErrUnexpectedEOF
+	}
+	if err := f.confirmEnd(ctx, t, a); err != nil {
+		return err
+	}
+	f.sendHead(t, a)
+	return nil
+}
+
 // forward sends the whole events among new bytes to the caller.
 func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte) error {
 	whole := f.events.add(p)
@@ -46,7 +59,8 @@
 	if f.route.Resumable {
 		f.noteOrigin(now, t, a)
 	}
-	f.firstPiece(t)
+	f.firstPiece(now, t)
+	f.reportSettled(now, t)
 	if !t.forwarded {
 		f.reportBegan(now)
 	}
@@ -81,7 +95,7 @@
 
 // forwardLong forwards an answer that is too long to be buffered; buffered is the
 // part read so far.
-func (f *inflight) forwardLong(t *trackedAttempt, a *upstream.Answer, buffered []byte) error {
+func (f *inflight) forwardLong(ctx context.Context, t *trackedAttempt, a *upstream.Answer, buffered []byte) error {
 	f.sendHead(t, a)
 	if err := f.sink.WriteBody(buffered); err != nil {
 		return err
@@ -95,7 +109,7 @@
 			}
 		}
 		if err == io.EOF {
-			return nil
+			return f.confirmEnd(ctx, t, a)
 		}
 		if err != nil {
 			return err
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -25,8 +25,9 @@
 	bodyWriteTimeout = time.Second
 )
 
-// Answer is an endpoint's answer. Body returns io.EOF only at the end of a
-// complete body. Close may be called at any time, and must be called once.
+// Answer is an endpoint's answer. Body returns io.EOF at the end of a complete body,
+// and of one that isn't Delimited also if the endpoint has closed the connection early.
+// Close may be called at any time, and must be called.
 type Answer struct {
 	Status int
 	Header http.Header
@@ -38,6 +39,7 @@
 	writeDone chan error // result of writing the request's body in the background, or nil
 	stop      func() bool
 	complete  bool
+	closed    bool
 }
 
 // Send sends a call and returns once the head of its answer is received. Its
@@ -66,6 +68,12 @@
 	return a, nil
 }
 
+// Delimited reports whether the answer states where its body ends, by a length or by
+// chunks. Otherwise it ends with its connection.
+func (a *Answer) Delimited() bool {
+	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 || a.resp.Body == http.NoBody
+}
+
 // Established returns when the answer's connection was established.
 func (a *Answer) Established() time.Time { return a.conn.dialled }
 
@@ -159,6 +167,10 @@
 // answer was read to its end. Otherwise it is closed, and the endpoint stops
 // working on the request.
 func (a *Answer) Close() {
+	if a.closed {
+		return
+	}
+	a.closed = true
 	if !a.stop() { // the context has ended, and cancel has run
 		a.pool.drop(a.conn)
 		return
