A request whose answer has just begun is suspected of a crash as well

Cause: a crash's suspects were the requests without a piece of an answer, and the first piece cleared a request for all crashes.

--- a/internal/daemon/crashes.go
+++ b/internal/daemon/crashes.go
@@ -92,16 +92,19 @@
 // Cut implements dispatch.Quarantine.
 func (d *crashDuty) Cut(c ends.Disconnect) { d.watch.Disconnected(c) }
 
+// Responded implements dispatch.Quarantine.
+func (d *crashDuty) Responded(id fleet.EndpointID, sent time.Time) {
+	d.changed(d.table.Responded(time.Now(), sent, quarantine.IncarnationOf(id, time.Time{})))
+}
+
 // Ran implements dispatch.Quarantine.
-func (d *crashDuty) Ran(id fleet.EndpointID, sent time.Time, k quarantine.Key) {
-	now := time.Now()
-	d.changed(d.table.Responded(now, sent, quarantine.IncarnationOf(id, time.Time{})))
-	d.changed(d.table.Ran(now, now, func() *quarantine.Identity { return &quarantine.Identity{Request: k} }))
+func (d *crashDuty) Ran(began time.Time, k quarantine.Key) {
+	d.changed(d.table.Ran(time.Now(), began, func() *quarantine.Identity { return &quarantine.Identity{Request: k} }))
 }
 
-func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash, begun int) {
+func (d *crashDuty) end(id fleet.EndpointID, c *quarantine.Crash, settled int) {
 	d.ended(c.Void)
-	ends.LogEnd(d.log, id, c, begun)
+	ends.LogEnd(d.log, id, c, settled)
 }
 
 func (d *crashDuty) changed(c quarantine.Change) { ends.LogChange(d.log, d.table, c) }
--- a/internal/daemon/services.go
+++ b/internal/daemon/services.go
@@ -170,7 +170,10 @@
 	}
 	s.router.Finished(choice.Endpoint, id, routing.Answered)
 	s.router.Connected(choice.Endpoint)
-	s.crashes.Ran(choice.Endpoint, sent, key)
+	s.crashes.Responded(choice.Endpoint, sent)
+	if a.Status < http.StatusInternalServerError {
+		s.crashes.Ran(time.Now(), key)
+	}
 	return a, choice.Endpoint, nil
 }
 
--- a/internal/dispatch/attempt.go
+++ b/internal/dispatch/attempt.go
@@ -163,6 +163,7 @@
 // resume reopens an engine's stream in the background. Called with r.mu held.
 func (r *run) resume(a request.ResumeStream) {
 	ctx := r.newAttemptContext()
+	begunAt := r.firstAt
 	go func() {
 		address, ok := r.d.opts.Router.Address(a.Endpoint)
 		if !ok {
@@ -173,7 +174,7 @@
 		if a.Replace {
 			r.d.opts.Router.Stalled(a.Endpoint)
 		}
-		s := &sentAttempt{number: a.Attempt, endpoint: a.Endpoint, address: address, at: time.Now(), begun: a.From > 0}
+		s := &sentAttempt{number: a.Attempt, endpoint: a.Endpoint, address: address, at: time.Now(), firstAt: begunAt}
 		stream, err := r.d.opts.Engines.Resume(ctx, address, a.Stream, a.From, a.Replace)
 		if err != nil {
 			r.attemptFailed(ctx, a.Attempt, a.Endpoint, err)
@@ -203,14 +204,15 @@
 			return routing.Failed
 		}
 		if p.Done {
+			r.reportRan(s)
 			r.receiveEnd(s.number, p)
 			return routing.Answered
 		}
 		if first {
-			first, s.begun = false, true
+			first = false
 			r.d.opts.Router.FirstToken(s.endpoint, r.ref.ID)
-			r.d.opts.Quarantine.Ran(s.endpoint, s.at, r.quarantineKey())
 		}
+		r.reportPiece(s)
 		r.receivePiece(s.number, p)
 	}
 }
--- a/internal/dispatch/deps.go
+++ b/internal/dispatch/deps.go
@@ -41,9 +41,11 @@
 	Held(k quarantine.Key) time.Duration
 	// Cut reports an attempt whose connection broke before the answer was complete.
 	Cut(c ends.Disconnect)
-	// Ran reports that an engine has sent the first piece of its answer to a
+	// Responded reports that an engine has sent the first piece of its answer to a
 	// request that was sent to it at sent.
-	Ran(engine fleet.EndpointID, sent time.Time, k quarantine.Key)
+	Responded(engine fleet.EndpointID, sent time.Time)
+	// Ran reports that an engine has run a request, whose first piece arrived at began.
+	Ran(began time.Time, k quarantine.Key)
 }
 
 // Admission enforces the workspaces' limits.
--- a/internal/dispatch/fakes_test.go
+++ b/internal/dispatch/fakes_test.go
@@ -153,7 +153,8 @@
 	f.cuts = append(f.cuts, c)
 }
 
-func (f *fakeDeps) Ran(_ fleet.EndpointID, _ time.Time, k quarantine.Key) {
+func (f *fakeDeps) Responded(fleet.EndpointID, time.Time) {}
+func (f *fakeDeps) Ran(_ time.Time, k quarantine.Key) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.ran = append(f.ran, k)
--- a/internal/dispatch/quarantine.go
+++ b/internal/dispatch/quarantine.go
@@ -18,7 +18,9 @@
 	endpoint fleet.EndpointID
 	address  string
 	at       time.Time
-	begun    bool // a piece of the answer was received
+	firstAt  time.Time // when the first piece of the answer was received, zero before
+	heard    bool      // the quarantine was notified that the engine responded
+	ran      bool      // likewise that it ran the request
 }
 
 // quarantineKey identifies the request by its content, so that it is recognised
@@ -47,5 +49,30 @@
 	if ctx.Err() != nil || failureOf(s.number, err).Kind != request.Reset {
 		return
 	}
-	r.d.opts.Quarantine.Cut(ends.Disconnect{Endpoint: s.endpoint, Address: s.address, Request: quarantine.Identity{Request: r.quarantineKey()}, Sent: s.at, EndedAt: time.Now(), AnswerBegun: s.begun})
+	r.d.opts.Quarantine.Cut(ends.Disconnect{Endpoint: s.endpoint, Address: s.address, Request: quarantine.Identity{Request: r.quarantineKey()}, Sent: s.at, EndedAt: time.Now(), FirstPiece: s.firstAt})
+}
+
+// reportPiece notifies the quarantine of the first piece of an attempt's answer, and once the answer
+// has gone on for a while.
+func (r *run) reportPiece(s *sentAttempt) {
+	now := time.Now()
+	if !s.heard {
+		s.heard = true
+		r.d.opts.Quarantine.Responded(s.endpoint, s.at)
+	}
+	if s.firstAt.IsZero() {
+		s.firstAt = now
+	}
+	if now.Sub(s.firstAt) >= quarantine.Settled {
+		r.reportRan(s)
+	}
+}
+
+// reportRan notifies the quarantine, once, that an engine has run the request without a crash.
+func (r *run) reportRan(s *sentAttempt) {
+	if s.ran || s.firstAt.IsZero() {
+		return
+	}
+	s.ran = true
+	r.d.opts.Quarantine.Ran(s.firstAt, r.quarantineKey())
 }
--- a/internal/dispatch/quarantine_test.go
+++ b/internal/dispatch/quarantine_test.go
@@ -47,7 +47,7 @@
 		assert.Assert(t, p == nil)
 		readAll(t, a)
 		assert.Equal(t, len(f.cuts), 1)
-		assert.Assert(t, f.cuts[0].AnswerBegun)
+		assert.Assert(t, !f.cuts[0].FirstPiece.IsZero())
 		assert.Equal(t, f.cuts[0].Request.Request, f.ran[0])
 	})
 }
--- a/internal/ends/disconnect.go
+++ b/internal/ends/disconnect.go
@@ -18,7 +18,12 @@
 	// EndedAt is when the end of the connection was read: before any further attempt of the
 	// request was sent.
 	EndedAt time.Time
-	// AnswerBegun is true if a piece of the answer was received, so the endpoint
-	// had already been running the request for a while.
-	AnswerBegun bool
+	// FirstPiece is when the first piece of the answer was received, zero if none was.
+	FirstPiece time.Time
+}
+
+// settled reports whether the endpoint had written the answer for long enough that the request
+// isn't suspected.
+func (d *Disconnect) settled() bool {
+	return !d.FirstPiece.IsZero() && d.EndedAt.Sub(d.FirstPiece) >= quarantine.Settled
 }
--- a/internal/ends/log.go
+++ b/internal/ends/log.go
@@ -10,10 +10,10 @@
 )
 
 // LogEnd logs the crash of an endpoint with the suspected requests and the parts of their
-// prompts. begun is how many other requests there had a piece of their answer.
-func LogEnd(log *logrus.Entry, id fleet.EndpointID, c *quarantine.Crash, begun int) {
+// prompts. settled is how many requests there are not suspected.
+func LogEnd(log *logrus.Entry, id fleet.EndpointID, c *quarantine.Crash, settled int) {
 	log.WithFields(logrus.Fields{
-		"endpoint": id, "requests": names(c), "parts": partNames(c), "begun": begun, "leaving": c.Void,
+		"endpoint": id, "requests": names(c), "parts": partNames(c), "settled": settled, "leaving": c.Void,
 	}).Warn("endpoint ended under requests")
 }
 
--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -61,8 +61,9 @@
 	// It is needed where Listens returns ErrUndecided.
 	Restarted func(id fleet.EndpointID, startedAt time.Time) bool
 	// Ended is called when an endpoint has ended, and again if the crash becomes
-	// void. begun is how many requests there had a piece of their answer.
-	Ended func(id fleet.EndpointID, c *quarantine.Crash, begun int)
+	// void. settled is how many requests there are not suspected, since their answers had
+	// gone on for a while.
+	Ended func(id fleet.EndpointID, c *quarantine.Crash, settled int)
 	// Changed is called with changes to the requests in quarantine.
 	Changed func(quarantine.Change)
 }
@@ -85,7 +86,7 @@
 	disconnect Disconnect
 	startedAt  time.Time
 	crash      quarantine.Crash
-	begun      int  // requests with a piece of their answer
+	settled    int  // requests that are not suspected, since their answers had gone on for a while
 	ended      bool // the result, set before the probe is sent to answers
 	undecided  bool // likewise: the endpoint may have ended, or the path to it
 	crashed    bool // the endpoint has ended, and the crash is in the table
@@ -131,8 +132,8 @@
 	if at := w.fleetTime(d.EndedAt); at.Before(p.crash.At) {
 		p.crash.At = at
 	}
-	if d.AnswerBegun {
-		p.begun++
+	if d.settled() {
+		p.settled++
 		return
 	}
 	p.crash.AddRequest(&d.Request, w.fleetTime(d.Sent))
@@ -188,7 +189,7 @@
 func (w *Watch) recordCrash(p *probe) {
 	listed, leaving := w.o.State(p.disconnect.Endpoint)
 	p.crashed, p.crash.Void = true, !listed || leaving
-	w.o.Ended(p.disconnect.Endpoint, &p.crash, p.begun)
+	w.o.Ended(p.disconnect.Endpoint, &p.crash, p.settled)
 	w.o.Changed(w.o.Table.Add(w.o.Now(), p.crash))
 }
 
@@ -202,7 +203,7 @@
 		}
 		if _, leaving := w.o.State(id); leaving && p.crashed && !p.crash.Void {
 			p.crash.Void = true
-			w.o.Ended(id, &p.crash, p.begun)
+			w.o.Ended(id, &p.crash, p.settled)
 			w.o.Changed(w.o.Table.Void(w.o.Now(), p.crash.Endpoint, p.crash.At))
 		}
 	}
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -60,10 +60,14 @@
 	})
 }
 
-func (s *fixture) disconnect(e fleet.EndpointID, request string, answerBegun bool) {
+func (s *fixture) disconnect(e fleet.EndpointID, request string, settled bool) {
+	first := time.Now().Add(-time.Millisecond)
+	if settled {
+		first = time.Now().Add(-quarantine.Settled)
+	}
 	s.Disconnected(Disconnect{
 		Endpoint: e, Address: string(e), Request: quarantine.Identity{Request: quarantine.KeyOf("w", "", request, nil)},
-		Sent: time.Now().Add(-50 * time.Millisecond), EndedAt: time.Now(), AnswerBegun: answerBegun,
+		Sent: time.Now().Add(-50 * time.Millisecond), EndedAt: time.Now(), FirstPiece: first,
 	})
 }
 
@@ -78,8 +82,8 @@
 }
 
 // A crash ends many attempts, and some disconnects arrive after it was detected.
-// The endpoint must be probed once, and the requests without a piece of their
-// answer are the suspects.
+// The endpoint must be probed once, and the requests whose answers had not
+// gone on for a while are the suspects.
 func TestEndpointIsProbedOncePerCrash(t *testing.T) {
 	runWatch(t, func(t *testing.T, s *fixture) {
 		s.disconnect("e", "a", false)
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -75,9 +75,9 @@
 	}
 }
 
-func (g *crashGuard) ended(id fleet.EndpointID, crash *quarantine.Crash, begun int) {
+func (g *crashGuard) ended(id fleet.EndpointID, crash *quarantine.Crash, settled int) {
 	g.node.metrics.crashed(crash.Void)
-	ends.LogEnd(g.node.logFor("quarantine"), id, crash, begun)
+	ends.LogEnd(g.node.logFor("quarantine"), id, crash, settled)
 }
 
 func (g *crashGuard) changed(change quarantine.Change) {
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -28,7 +28,7 @@
 	f.outcome.RequestKey = id.Request
 	e := &t.choice.Endpoint
 	f.relay.observer.Cut(ends.Disconnect{
-		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: *id, Sent: t.sent, EndedAt: time.Now(), AnswerBegun: !t.firstPieceAt.IsZero(),
+		Endpoint: e.ID, StartedAt: e.StartedAt, Address: e.Address, Request: *id, Sent: t.sent, EndedAt: time.Now(), FirstPiece: t.firstPieceAt,
 	})
 }
 
--- a/internal/relay/cut_test.go
+++ b/internal/relay/cut_test.go
@@ -19,20 +19,20 @@
 	cuts := s.recorder.cuts
 	assert.Equal(t, len(cuts), 6)
 	for _, c := range cuts {
-		assert.Assert(t, !c.AnswerBegun)
+		assert.Assert(t, c.FirstPiece.IsZero())
 	}
 	assert.Equal(t, cuts[0].Request.Request, cuts[3].Request.Request)
 	assert.Assert(t, cuts[0].Request.Request != cuts[4].Request.Request)
 	assert.Equal(t, s.recorder.last.RequestKey, cuts[5].Request.Request)
 }
 
-// A stream is cut after its first event: the endpoint had already run it for a
-// while, which the report must say.
+// A stream is cut after its first event. The report must say when that arrived.
 func TestCutStreamHadBegun(t *testing.T) {
 	s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk("id: 1\ndata: a\n\nid: 2\ndata: cut")))
 	s.send(t.Context(), "/once/1")
 	assert.Equal(t, len(s.recorder.cuts), 1)
-	assert.Assert(t, s.recorder.cuts[0].AnswerBegun)
+	first, end := s.recorder.cuts[0].FirstPiece, s.recorder.cuts[0].EndedAt
+	assert.Assert(t, !first.IsZero() && !first.After(end))
 }
 
 // A caller leaves, and the connection to the endpoint is closed for that reason. It
