Parts of prompts that crash endpoints are held

Cause: a cause was looked for under one fixed identity, the whole request. Requests that share a part and nothing else are as many keys with one crash each, and none is ever held.

Change: a crash keeps the parts of its suspects' prompts (all but the last) with their workspace and depth. An endpoint that has written a response on a part since a crash, whole or for 300 ms, excludes the part from it; daemons tell this only about parts that are suspected, and only what is new. A part that is left over in three crashes, more than any other part there, is held, 1.2 s after the first if others were excluded, else 2 s after it, when evidence has had time to arrive. Of parts that only come together the deepest is held, until a crash or a run tells them apart. A request that crashes endpoints by itself does not incriminate its parts. The hold binds the workspace under whose requests endpoints crashed, all once there are two; the scope is service, route and model. After 30 minutes one request is tried in the whole fleet, every 20 s at most, until one shows that endpoints survive it. What is sent is checked again where something was newly held while its connection was being established; over a hop by both daemons.

--- a/internal/ends/log.go
+++ b/internal/ends/log.go
@@ -17,16 +17,30 @@
 	}).Warn("endpoint ended under requests")
 }
 
-// LogChange logs the requests that are put in quarantine or released from it.
+// LogChange logs the requests and parts of prompts that are put in quarantine or released from it.
 func LogChange(log *logrus.Entry, t *quarantine.Table, c quarantine.Change) {
 	for _, k := range c.Held {
+		if k.Kind == quarantine.PromptPart {
+			logPart(log, k, t.Evidence(k))
+			continue
+		}
 		log.WithFields(logrus.Fields{"request": k.String(), "crashes": t.SuspectedIn(k)}).Error("request held: it crashes the endpoints that run it")
 	}
 	for _, k := range c.Released {
+		if k.Kind == quarantine.PromptPart {
+			log.WithField("prompt_part", k.String()).Info("part of prompts released")
+			continue
+		}
 		log.WithField("request", k.String()).Info("request released")
 	}
 }
 
+func logPart(log *logrus.Entry, k quarantine.Key, e quarantine.Evidence) {
+	log.WithFields(logrus.Fields{
+		"prompt_part": k.String(), "crashes": e.Crashes, "excluded_parts": e.Excluded, "age_s": e.Age.Seconds(), "all_workspaces": e.Shared,
+	}).Error("part of prompts held: it crashes the endpoints that write responses on it")
+}
+
 // maxNamed limits the requests in a log line, maxNamedParts the parts.
 const (
 	maxNamed      = 8
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -2,12 +2,14 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
@@ -21,6 +23,7 @@
 
 func newCrashGuard(n *Node) *crashGuard {
 	c := &crashGuard{node: n, table: quarantine.NewTable(random().Uint64() | 1)}
+	c.table.SetTrials(c.tries)
 	c.watch = ends.New(ends.Options{
 		Table:     c.table,
 		Now:       n.clock.Now,
@@ -94,6 +97,24 @@
 	return g.table.Held(g.node.clock.Now(), id)
 }
 
+// Holds implements relay.Guard.
+func (g *crashGuard) Holds() uint64 { return g.table.Holds() }
+
+// tries reports whether the trial of a part of prompts in a numbered interval is this daemon's.
+func (g *crashGuard) tries(k quarantine.Key, interval int64) bool {
+	m := g.node.joined.Load()
+	if m == nil {
+		return false
+	}
+	ids := m.ids()
+	names := make([]string, len(ids))
+	for i, id := range ids {
+		names[i] = string(id)
+	}
+	best := rendezvous.Best(rendezvous.Key(fmt.Sprint(k, " ", interval)), names)
+	return best >= 0 && ids[best] == g.node.id
+}
+
 // Responded implements relay.Guard.
 func (g *crashGuard) Responded(e *roster.Endpoint, sent time.Time) {
 	if g.table.CrashCount() == 0 {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -35,6 +35,7 @@
 	})
 	m.set.NewGauge("cyclamenbeam_store_era", func() float64 { return float64(n.endpoints.Era()) })
 	m.set.NewGauge("cyclamenbeam_requests_held", func() float64 { return float64(n.crashes.table.HeldCount()) })
+	m.set.NewGauge("cyclamenbeam_prompt_parts_held", func() float64 { return float64(n.crashes.table.HeldPartCount()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.CrashCount()) })
 	m.set.NewGauge("cyclamenbeam_endpoints_rate_limited", func() float64 { return float64(n.state.RateLimitedEndpoints()) })
 	m.set.NewGauge("cyclamenbeam_stream_origins", func() float64 { return float64(n.origins.count()) })
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -46,8 +46,10 @@
 	Suspects []Suspect `json:",omitempty"`
 	// Cleared are suspects that an endpoint has since run without a crash.
 	Cleared []Key `json:",omitempty"`
-	// Parts are the parts of the suspects' prompts.
+	// Parts are the parts of the suspects' prompts: one of them may be the cause.
 	Parts []PartSuspect `json:",omitempty"`
+	// ClearedParts are parts on which an endpoint has since written a response without a crash.
+	ClearedParts []Key `json:",omitempty"`
 }
 
 // Suspect is a request that may be the cause of a crash.
@@ -80,10 +82,9 @@
 // daemons, and far below correlationWindow.
 const timeTolerance = 5 * time.Millisecond
 
-// merge adds another daemon's report of the same crash, and reports whether it
-// changed c. The earlier time wins.
-func (c *Crash) merge(o *Crash) bool {
-	changed := false
+// merge adds another daemon's report of the same crash. The earlier time wins. It returns whether
+// that changed c, and whether it only cleared parts.
+func (c *Crash) merge(o *Crash) (changed, onlyParts bool) {
 	if o.Void && !c.Void {
 		c.Void, changed = true, true
 	}
@@ -91,16 +92,19 @@
 		c.At, changed = o.At, true
 	}
 	for _, s := range o.Suspects {
-		if c.AddSuspect(s) {
-			changed = true
-		}
+		changed = c.AddSuspect(s) || changed
 	}
 	for _, k := range o.Cleared {
-		if c.clear(k) {
-			changed = true
-		}
+		changed = c.clear(k) || changed
 	}
-	return changed
+	for _, p := range o.Parts {
+		changed = c.AddPart(p) || changed
+	}
+	cleared := false
+	for _, k := range o.ClearedParts {
+		cleared = c.clearPart(k) || cleared
+	}
+	return changed || cleared, !changed
 }
 
 // Shift adds d to all times, to convert them from one daemon's clock to another's.
@@ -161,6 +165,21 @@
 	return true
 }
 
+// clearPart records that a part isn't the cause, and reports whether that changed c.
+func (c *Crash) clearPart(k Key) bool {
+	if len(c.ClearedParts) >= maxParts || slices.Contains(c.ClearedParts, k) {
+		return false
+	}
+	c.ClearedParts = append(c.ClearedParts, k)
+	return true
+}
+
+// hasPart reports whether a part may be the cause.
+func (c *Crash) hasPart(k Key) bool {
+	return !c.Void && !slices.Contains(c.ClearedParts, k) &&
+		slices.ContainsFunc(c.Parts, func(p PartSuspect) bool { return p.Part == k })
+}
+
 func (c *Crash) index(k Key) int {
 	return slices.IndexFunc(c.Suspects, func(s Suspect) bool { return s.Request == k })
 }
@@ -178,6 +197,7 @@
 // clone returns a deep copy.
 func (c *Crash) clone() Crash {
 	out := *c
-	out.Suspects, out.Cleared, out.Parts = slices.Clone(c.Suspects), slices.Clone(c.Cleared), slices.Clone(c.Parts)
+	out.Suspects, out.Cleared = slices.Clone(c.Suspects), slices.Clone(c.Cleared)
+	out.Parts, out.ClearedParts = slices.Clone(c.Parts), slices.Clone(c.ClearedParts)
 	return out
 }
--- a/internal/quarantine/diagnosis.go
+++ b/internal/quarantine/diagnosis.go
@@ -24,7 +24,7 @@
 // crashes that none of them explains. crashes must be sorted by time. An explained
 // crash counts neither against the other requests that ran there nor as evidence
 // that a crash at the same time had a common cause.
-func diagnose(crashes []*Crash) (causes []Key, unexplained []*Crash) {
+func diagnose(crashes []*evidence) (causes []Key, unexplained []*evidence) {
 	for {
 		found := newDiagnosis(crashes).causes()
 		if len(found) == 0 {
@@ -35,71 +35,70 @@
 	}
 }
 
-// withoutCauses returns the crashes that are not void and have no suspect for
-// which isCause holds.
-func withoutCauses(crashes []*Crash, isCause func(k Key) bool) []*Crash {
-	var out []*Crash
+// withoutCauses returns the crashes that have no possible cause for which isCause
+// holds.
+func withoutCauses(crashes []*evidence, isCause func(k Key) bool) []*evidence {
+	var out []*evidence
 	for _, c := range crashes {
-		if !c.Void && !c.anySuspect(isCause) {
+		if !c.any(isCause) {
 			out = append(out, c)
 		}
 	}
 	return out
 }
 
-// diagnosis counts the crashes that are not explained yet, by suspect.
+// diagnosis counts the crashes that are not explained yet, by possible cause.
 type diagnosis struct {
-	crashes  []*Crash
+	crashes  []*evidence
 	isolated map[Key]int // isolated crashes
-	counted  map[Key]int // crashes that count against the suspect
+	counted  map[Key]int // crashes that count against the cause
 }
 
-func newDiagnosis(crashes []*Crash) *diagnosis {
+func newDiagnosis(crashes []*evidence) *diagnosis {
 	d := &diagnosis{crashes: crashes}
 	d.isolated = d.count(func(i int, k Key) bool { return d.isIsolated(i, k, false) })
 	d.counted = d.count(func(i int, k Key) bool { return d.counts(i, k) })
 	return d
 }
 
-// count returns for each suspect the number of crashes for which counts holds.
+// count returns for each possible cause the number of crashes for which counts holds.
 // Crashes within the correlation window count once for a request that had been
 // sent to all of their endpoints before, since many callers may send the same one.
 func (d *diagnosis) count(counts func(i int, k Key) bool) map[Key]int {
 	n := map[Key]int{}
 	last := map[Key]time.Time{}
 	for i, c := range d.crashes {
-		for _, s := range c.Suspects {
-			k := s.Request
-			again := n[k] > 0 && c.At.Sub(last[k]) <= correlationWindow && !s.Sent.After(last[k])
-			if again || !c.isSuspect(k) || !counts(i, k) {
+		for k, o := range c.open {
+			again := n[k] > 0 && c.at.Sub(last[k]) <= correlationWindow && !o.sent.After(last[k])
+			if again || !counts(i, k) {
 				continue
 			}
 			n[k]++
-			last[k] = c.At
+			last[k] = c.at
 		}
 	}
 	return n
 }
 
-// counts reports whether crash i counts against its suspect k.
+// counts reports whether crash i counts against its possible cause k.
 func (d *diagnosis) counts(i int, k Key) bool {
 	return d.isolated[k] >= minIsolated || d.isIsolated(i, k, true)
 }
 
 // isIsolated reports whether each other crash within the correlation window of
-// crash i has suspect k as well. With ignoreExplained, crashes that have a likely
-// cause of their own are ignored.
+// crash i has k as a possible cause as well. With ignoreExplained, crashes that have
+// a likely cause of their own are ignored.
 func (d *diagnosis) isIsolated(i int, k Key, ignoreExplained bool) bool {
 	c := d.crashes[i]
-	beside := func(o *Crash) bool {
-		return !o.isSuspect(k) && !(ignoreExplained && d.hasLikelyCause(o))
+	beside := func(o *evidence) bool {
+		return !o.has(k) && !o.explained && !(ignoreExplained && d.hasLikelyCause(o))
 	}
-	for n := i - 1; n >= 0 && c.At.Sub(d.crashes[n].At) <= correlationWindow; n-- {
+	for n := i - 1; n >= 0 && c.at.Sub(d.crashes[n].at) <= correlationWindow; n-- {
 		if beside(d.crashes[n]) {
 			return false
 		}
 	}
-	for n := i + 1; n < len(d.crashes) && d.crashes[n].At.Sub(c.At) <= correlationWindow; n++ {
+	for n := i + 1; n < len(d.crashes) && d.crashes[n].at.Sub(c.at) <= correlationWindow; n++ {
 		if beside(d.crashes[n]) {
 			return false
 		}
@@ -107,10 +106,10 @@
 	return true
 }
 
-// hasLikelyCause reports whether a crash has a suspect with enough isolated
+// hasLikelyCause reports whether a crash has a possible cause with enough isolated
 // crashes.
-func (d *diagnosis) hasLikelyCause(c *Crash) bool {
-	return c.anySuspect(func(k Key) bool { return d.isolated[k] >= minIsolated })
+func (d *diagnosis) hasLikelyCause(c *evidence) bool {
+	return c.any(func(k Key) bool { return d.isolated[k] >= minIsolated })
 }
 
 // causes returns the requests that are the likeliest cause of enough crashes.
@@ -125,8 +124,8 @@
 	return out
 }
 
-// isLikeliest reports whether k is a suspect of more crashes than each other
-// suspect of c. Two requests that always ran together can't be distinguished.
-func (d *diagnosis) isLikeliest(c *Crash, k Key) bool {
-	return !c.anySuspect(func(o Key) bool { return o != k && d.counted[o] >= d.counted[k] })
+// isLikeliest reports whether k may have caused more crashes than each other possible
+// cause of c. Two requests that always ran together can't be distinguished.
+func (d *diagnosis) isLikeliest(c *evidence, k Key) bool {
+	return !c.any(func(o Key) bool { return o != k && d.counted[o] >= d.counted[k] })
 }
--- /dev/null
+++ b/internal/quarantine/parts_test.go
@@ -0,0 +1,337 @@
+package quarantine
+
+import (
+	"encoding/json"
+	"fmt"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
+
+func part(n int) Key { return PartOf(PartScope("s", "route", "m"), uint64(n)) }
+
+// prompt returns the identity of request n of a workspace, with parts in order.
+func prompt(workspace, n int, parts ...int) *Identity {
+	id := &Identity{Request: KeyOf(fleet.WorkspaceID(fmt.Sprint(workspace)), "POST", "/x", fmt.Append(nil, n))}
+	for _, p := range parts {
+		id.Parts = append(id.Parts, part(p))
+	}
+	return id
+}
+
+// under returns a crash of endpoint n with requests that were sent 50 ms before.
+func under(n int, seconds float64, requests ...*Identity) Crash {
+	c := Crash{Endpoint: incarnation(n), At: at(seconds)}
+	for _, id := range requests {
+		c.AddRequest(id, at(seconds-0.05))
+	}
+	return c
+}
+
+func heldPrompt(t *Table, now float64, id *Identity) bool {
+	t.Tick(at(now))
+	return t.Held(at(now), func() *Identity { return id }) > 0
+}
+
+// wrote records that an endpoint wrote a whole response to a request after a time.
+func wrote(t *Table, after float64, id *Identity) {
+	t.Ran(at(after+0.5), at(after+0.1), func() *Identity { return id })
+}
+
+// Requests that share part 7 and nothing else of their own crash endpoints, while others with the
+// same caller and the same other parts are served.
+func TestPartLeftOverInThreeCrashesIsHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := float64(i)
+		table.Add(at(now), under(i, now, prompt(1, 10+i, 1, 7), prompt(2, 50+i, 1, 20+i)))
+		wrote(table, now, prompt(1, 90+i, 1, 8))
+		assert.Equal(t, heldPrompt(table, now+0.6, prompt(1, 99, 1, 7)), i == 2)
+	}
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 8)), "same caller and first part")
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 20)))
+	assert.Assert(t, table.Held(at(3), func() *Identity { return prompt(1, 99, 1, 7) }) > retention-2*time.Second)
+	assert.Equal(t, table.Evidence(part(7)).Crashes, 3)
+	assert.Equal(t, table.Evidence(part(7)).Excluded, 1)
+}
+
+// Endpoints end one by one within a second, for reasons of their own, while one popular part runs at
+// each. The evidence that it isn't the cause arrives later than the third end.
+func TestPopularPartIsNotHeldBeforeEvidenceCanArrive(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := 0.3 * float64(i)
+		table.Add(at(now), under(i, now, prompt(1, i, 1)))
+	}
+	assert.Assert(t, !heldPrompt(table, 1.9, prompt(1, 99, 1)))
+	wrote(table, 1, prompt(2, 50, 1))
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1)))
+}
+
+// Nothing sound has the part: it is held once evidence has had time to arrive.
+func TestPartWithoutEvidenceIsHeldInTheEnd(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(0.3*float64(i)), under(i, 0.3*float64(i), prompt(1, i, 1)))
+	}
+	assert.Assert(t, heldPrompt(table, 2.1, prompt(1, 99, 1)))
+}
+
+// Two parts come only together: the deeper one is held, since the other is in more prompts. A crash
+// under the first part alone must move the hold there.
+func TestOneOfTwoPartsThatComeTogetherIsHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1, 2)))
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 1, 2)))
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 3)))
+	table.Add(at(4), under(4, 4, prompt(1, 40, 1, 3)))
+	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 3)))
+	assert.Assert(t, !heldPrompt(table, 4, prompt(1, 99, 5, 2)), "the deeper part is released")
+}
+
+// The innocent one of two parts that came together was held, and a request with it that was sent
+// before is served.
+func TestHeldPartIsReleasedAtItsFirstProof(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1, 2)))
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 5, 2)))
+	wrote(table, 3, prompt(1, 50, 5, 2))
+	assert.Assert(t, !heldPrompt(table, 4, prompt(1, 99, 5, 2)))
+	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 9)))
+}
+
+// One request crashes endpoints, not the parts of its prompt.
+func TestPartsOfARequestThatCrashesEndpointsAreNotHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 4 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, 0, 1, 7)))
+	}
+	assert.Assert(t, heldPrompt(table, 9, prompt(1, 0, 1, 7)))
+	assert.Assert(t, !heldPrompt(table, 9, prompt(1, 99, 1, 7)))
+}
+
+// The first request with the part was sent to three endpoints and is held by itself. The next one
+// must be the last.
+func TestPartIsHeldAfterARequestWithItWasHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, 0, 1, 7)))
+		wrote(table, float64(i), prompt(1, 50+i, 1, 8))
+	}
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 7)))
+	table.Add(at(4), under(4, 4, prompt(1, 40, 1, 7)))
+	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 7)))
+}
+
+// A workspace names another one's part in requests that crash endpoints. Only its own requests may
+// be held, until those of another one crash endpoints too.
+func TestHoldBindsTheWorkspacesUnderWhichEndpointsCrashed(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 7)))
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)))
+	assert.Assert(t, !heldPrompt(table, 3, prompt(2, 99, 7)))
+	table.Add(at(4), under(4, 4, prompt(2, 40, 7)))
+	assert.Assert(t, heldPrompt(table, 4, prompt(3, 99, 7)))
+}
+
+// A flood comes from several callers, no one of which crashes three endpoints.
+func TestCrashesUnderAPartAreCountedOverWorkspaces(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(i, i, 7)))
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(9, 99, 7)))
+}
+
+// A part crashes endpoints on one route and is served on another.
+func TestPartIsHeldOnItsRouteOnly(t *testing.T) {
+	table := NewTable(1)
+	other := prompt(1, 99)
+	other.Parts = []Key{PartOf(PartScope("s", "other", "m"), 7)}
+	for i := range 3 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 7)))
+		wrote(table, float64(i), other)
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)))
+	assert.Assert(t, !heldPrompt(table, 3, other))
+}
+
+// Two parts and a request each crash endpoints, all at the same time. All must be held, and
+// nothing else.
+func TestSeveralCausesAtOnceAreFound(t *testing.T) {
+	table := NewTable(1)
+	for i := range 6 {
+		now := float64(i)
+		table.Add(at(now), under(3*i, now, prompt(1, i, 1, 7), prompt(3, 60+i, 3)))
+		table.Add(at(now), under(3*i+1, now+0.3, prompt(2, 20+i, 2, 8), prompt(3, 70+i, 3)))
+		table.Add(at(now), under(3*i+2, now+0.6, prompt(3, 0, 3, 9), prompt(1, 80+i, 1)))
+		wrote(table, now+0.6, prompt(1, 90, 1))
+		wrote(table, now+0.6, prompt(2, 91, 2))
+		wrote(table, now+0.6, prompt(3, 92, 3))
+	}
+	assert.Assert(t, heldPrompt(table, 9, prompt(1, 99, 1, 7)))
+	assert.Assert(t, heldPrompt(table, 9, prompt(2, 99, 2, 8)))
+	assert.Assert(t, heldPrompt(table, 9, prompt(3, 0, 3, 9)))
+	for _, p := range []int{1, 2, 3, 9} {
+		assert.Assert(t, !heldPrompt(table, 9, prompt(3, 99, p)), "%d", p)
+	}
+}
+
+// Two parts crash endpoints so often that each crash has one of the other within the correlation
+// window.
+func TestTwoFrequentCausesAreFound(t *testing.T) {
+	table := NewTable(1)
+	for i := range 60 {
+		now := 0.05 * float64(i)
+		c := Crash{Endpoint: incarnation(i), At: at(now)}
+		c.AddRequest(prompt(1, i, 7+i%2), at(now-0.02))
+		table.Add(at(now), c)
+	}
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)) && heldPrompt(table, 3, prompt(1, 99, 8)))
+}
+
+// Endpoints are killed together again and again, each time while a request with the same popular
+// part runs at each, and requests with it are served in between.
+func TestPartOnEndpointsKilledTogetherIsNotHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 8 {
+		now := 4 * float64(i)
+		for e := range 5 {
+			table.Add(at(now), under(10*i+e, now+0.01*float64(e), prompt(1, 10*i+e, 1)))
+		}
+		assert.Assert(t, !heldPrompt(table, now+1, prompt(1, 99, 1)))
+		wrote(table, now+1, prompt(2, 50+i, 1))
+		assert.Assert(t, !heldPrompt(table, now+3.9, prompt(1, 99, 1)))
+	}
+}
+
+// heldTables returns the tables of two daemons that hold a part, with the trial's turn at the
+// second one.
+func heldTables() (a, b *Table) {
+	a, b = NewTable(1), NewTable(2)
+	a.SetTrials(func(Key, int64) bool { return false })
+	b.SetTrials(func(Key, int64) bool { return true })
+	for i := range 3 {
+		c := under(i, float64(i), prompt(1, i, 7))
+		a.Add(at(float64(i)), c)
+		b.Add(at(float64(i)), c)
+	}
+	a.Tick(at(3))
+	b.Tick(at(3))
+	return a, b
+}
+
+// trialAt returns the first beginning of a trial's interval after the retention, in seconds.
+func trialAt() float64 {
+	return at(retention.Seconds()+3).Truncate(trialInterval).Add(trialInterval).Sub(start).Seconds()
+}
+
+// When the hold is over, one request is tried in the whole fleet, and no other until it is known how
+// it ended.
+func TestOneRequestIsTriedAfterTheHold(t *testing.T) {
+	a, b := heldTables()
+	now := trialAt()
+	assert.Assert(t, heldPrompt(a, now, prompt(1, 99, 7)))
+	assert.Assert(t, !heldPrompt(b, now, prompt(1, 99, 7)))
+	assert.Assert(t, heldPrompt(b, now+0.01, prompt(1, 98, 7)))
+	left := b.Held(at(now+0.01), func() *Identity { return prompt(1, 98, 7) })
+	assert.Assert(t, left <= trialInterval)
+	assert.Assert(t, !heldPrompt(b, now+trialInterval.Seconds(), prompt(1, 97, 7)), "the next interval")
+
+	c := under(9, now, prompt(1, 99, 7))
+	a.Add(at(now), c)
+	left = a.Held(at(now), func() *Identity { return prompt(1, 98, 7) })
+	assert.Equal(t, left, retention, "the trial crashed an endpoint")
+
+	wrote(b, now, prompt(1, 99, 7))
+	assert.Assert(t, !heldPrompt(b, now+1, prompt(1, 98, 7)), "the trial was served")
+}
+
+// All daemons start again after the retention, before a trial: the part is still held.
+func TestPartIsHeldUntilItsTrialAfterARestart(t *testing.T) {
+	a, _ := heldTables()
+	now := trialAt()
+	a.Tick(at(now))
+	text, err := json.Marshal(a.Snapshot())
+	assert.NilError(t, err)
+	var kept []Crash
+	assert.NilError(t, json.Unmarshal(text, &kept))
+	fresh := NewTable(3)
+	fresh.Add(at(now), kept...)
+	assert.Assert(t, heldPrompt(fresh, now, prompt(1, 99, 7)))
+	fresh.Tick(at(maxHold.Seconds() + 3))
+	assert.Equal(t, fresh.CrashCount(), 0)
+}
+
+// A header names thousands of parts, and endpoints crash under many such requests. What is kept,
+// sent and stored must stay bounded.
+func TestPartsAreBounded(t *testing.T) {
+	table := NewTable(1)
+	for i := range 300 {
+		id := prompt(1, i)
+		for p := range 5000 {
+			id.Parts = append(id.Parts, part(5000*i+p))
+		}
+		table.Add(at(float64(i)), under(i, float64(i), id))
+	}
+	all, _ := table.Since(Position{})
+	for _, c := range all {
+		assert.Assert(t, len(c.Parts) <= maxParts)
+	}
+	text, err := json.Marshal(table.Snapshot())
+	assert.NilError(t, err)
+	assert.Assert(t, len(text) < 1<<19, "%d bytes of the store's 1 MiB", len(text))
+}
+
+// Dozens of parts are cleared of a crash. Daemons that know the crash get these alone.
+func TestClearedPartsAreSentAlone(t *testing.T) {
+	table := NewTable(1)
+	table.Add(at(1), under(1, 1, prompt(1, 1, 1, 2, 3)))
+	_, known := table.Since(Position{})
+	wrote(table, 1, prompt(1, 2, 1))
+	first, then := table.Since(known)
+	assert.Equal(t, len(first), 1)
+	assert.Equal(t, len(first[0].Parts)+len(first[0].Suspects), 0)
+	assert.DeepEqual(t, first[0].ClearedParts, []Key{part(1)})
+	wrote(table, 1, prompt(1, 3, 2))
+	second, _ := table.Since(then)
+	assert.DeepEqual(t, second[0].ClearedParts, []Key{part(2)})
+
+	late := NewTable(2)
+	late.Add(at(2), second...) // out of order, and before the crash itself
+	late.Add(at(2), first...)
+	all, _ := table.Since(Position{})
+	late.Add(at(2), all...)
+	assert.Equal(t, late.CrashCount(), 1)
+	assert.Assert(t, late.crashes[0].hasPart(part(3)) && !late.crashes[0].hasPart(part(1)))
+}
+
+// The keys of parts must be read as they are written, and differ from those of requests.
+func TestPartKeysRoundTrip(t *testing.T) {
+	var read Key
+	text, err := part(0x5c1e).MarshalText()
+	assert.NilError(t, err)
+	assert.NilError(t, read.UnmarshalText(text))
+	assert.Equal(t, read, part(0x5c1e))
+	assert.Assert(t, part(7) != PartOf(PartScope("s", "route", "other"), 7))
+}
+
+// BenchmarkHeldPart measures the cost of the check for each request while a part is held.
+func BenchmarkHeldPart(b *testing.B) {
+	table, _ := heldTables()
+	id := prompt(1, 99, 1, 2, 3, 4)
+	now := at(4)
+	b.ReportAllocs()
+	for b.Loop() {
+		table.Held(now, func() *Identity { return id })
+	}
+}
--- a/internal/quarantine/quarantinepb/codec.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -16,6 +16,7 @@
 		out[i] = &Crash{
 			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), AtUs: uint32(c.At.UnixMicro() % 1000), Void: c.Void,
 			Suspects: encodeSuspects(c), Cleared: encodeKeys(c.Cleared),
+			Parts: encodeParts(c), ClearedParts: encodeClearedParts(c.ClearedParts),
 		}
 	}
 	return out
@@ -28,9 +29,10 @@
 	for _, c := range all {
 		crash := quarantine.Crash{
 			Endpoint: quarantine.Incarnation(c.GetEndpoint()), At: time.UnixMicro(1000*c.GetAtMs() + int64(c.GetAtUs())), Void: c.GetVoid(),
-			Cleared: decodeKeys(c.GetCleared()),
+			Cleared: decodeKeys(c.GetCleared()), ClearedParts: decodeClearedParts(c.GetClearedParts()),
 		}
 		crash.Suspects = decodeSuspects(crash.At, c.GetSuspects())
+		crash.Parts = decodeParts(crash.At, c.GetParts())
 		out = append(out, crash)
 	}
 	return out
@@ -85,6 +87,54 @@
 	return out
 }
 
+func encodeParts(c *quarantine.Crash) *Parts {
+	if len(c.Parts) == 0 {
+		return nil
+	}
+	out := &Parts{}
+	for _, p := range c.Parts {
+		out.Scopes = append(out.Scopes, p.Part.Scope)
+		out.Ids = append(out.Ids, p.Part.ID)
+		out.Workspaces = append(out.Workspaces, p.Workspace)
+		out.Depths = append(out.Depths, uint32(p.Depth))
+		out.SentUs = append(out.SentUs, c.At.Sub(p.Sent).Microseconds())
+	}
+	return out
+}
+
+// decodeParts ignores entries without a counterpart in another list.
+func decodeParts(at time.Time, in *Parts) []quarantine.PartSuspect {
+	n := min(len(in.GetScopes()), len(in.GetIds()), len(in.GetWorkspaces()), len(in.GetDepths()), len(in.GetSentUs()))
+	var out []quarantine.PartSuspect
+	for i := range n {
+		out = append(out, quarantine.PartSuspect{
+			Part: quarantine.PartOf(in.Scopes[i], in.Ids[i]), Workspace: in.Workspaces[i], Depth: int(in.Depths[i]),
+			Sent: at.Add(-time.Duration(in.SentUs[i]) * time.Microsecond),
+		})
+	}
+	return out
+}
+
+func encodeClearedParts(keys []quarantine.Key) *Parts {
+	if len(keys) == 0 {
+		return nil
+	}
+	out := &Parts{}
+	for _, k := range keys {
+		out.Scopes = append(out.Scopes, k.Scope)
+		out.Ids = append(out.Ids, k.ID)
+	}
+	return out
+}
+
+func decodeClearedParts(in *Parts) []quarantine.Key {
+	var out []quarantine.Key
+	for i := range min(len(in.GetScopes()), len(in.GetIds())) {
+		out = append(out, quarantine.PartOf(in.Scopes[i], in.Ids[i]))
+	}
+	return out
+}
+
 // EncodePosition returns a position in the wire format.
 func EncodePosition(p quarantine.Position) *Position {
 	return &Position{Epoch: p.Epoch, Seq: p.Seq}
--- a/internal/quarantine/quarantinepb/codec_test.go
+++ b/internal/quarantine/quarantinepb/codec_test.go
@@ -19,6 +19,10 @@
 			Endpoint: 8, At: at, Cleared: []quarantine.Key{k},
 			Suspects: []quarantine.Suspect{{Request: k, Sent: at.Add(-50_007 * time.Microsecond)}},
 		},
+		{
+			Endpoint: 9, At: at, ClearedParts: []quarantine.Key{quarantine.PartOf(4, 5)},
+			Parts: []quarantine.PartSuspect{{Part: quarantine.PartOf(1, 2), Workspace: 3, Depth: 1, Sent: at.Add(-7 * time.Microsecond)}},
+		},
 	}
 	assert.DeepEqual(t, Decode(Encode(sent)), sent)
 	p := quarantine.Position{Epoch: 3, Seq: 4}
@@ -31,9 +35,10 @@
 	got := Decode([]*Crash{
 		{Endpoint: 1, Suspects: &Requests{Workspaces: []uint32{1, 2}, Requests: []uint64{1}, SentMs: []int64{5, 6, 7}}},
 		{Endpoint: 2, Suspects: &Requests{Workspaces: []uint32{1}, Requests: []uint64{1}}},
-		{Endpoint: 3},
+		{Endpoint: 3, Parts: &Parts{Scopes: []uint32{1}, Ids: []uint64{1}}, ClearedParts: &Parts{Scopes: []uint32{1}}},
 	})
 	assert.Equal(t, len(got), 3)
+	assert.Equal(t, len(got[2].Parts)+len(got[2].ClearedParts), 0)
 	assert.Equal(t, len(got[0].Suspects), 1)
 	assert.Equal(t, len(got[1].Suspects)+len(got[2].Suspects), 0)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -38,25 +38,25 @@
 type Table struct {
 	epoch uint64
 
-	mu         sync.Mutex
-	seq        uint64
-	crashes    []*record // sorted by time
-	held       map[Key]time.Time
-	suspected  map[Key]bool // requests that may be the cause of an unexplained crash
-	crashCount atomic.Int64 // len(crashes), readable without the lock; heldCount is len(held)
+	mu        sync.Mutex
+	seq       uint64
+	crashes   []*record // sorted by time
+	held      map[Key]time.Time
+	heldParts map[Key]partHold
+	trials    trials
+	suspected map[Key]bool // may be the cause of an unexplained crash, or are held parts
+	review    time.Time    // when the crashes are to be diagnosed again, zero: when one changes
+	// The numbers of crashes, of what is held, and of the times at which something was newly held
+	// are readable without the lock.
+	crashCount atomic.Int64
 	heldCount  atomic.Int64
-}
-
-// record is a crash with the sequence number of its latest change.
-type record struct {
-	Crash
-	changed uint64
+	holds      atomic.Uint64
 }
 
 // NewTable returns an empty table. epoch identifies the run of the process and
 // must differ from those of earlier runs.
 func NewTable(epoch uint64) *Table {
-	return &Table{epoch: epoch, held: map[Key]time.Time{}, suspected: map[Key]bool{}}
+	return &Table{epoch: epoch, held: map[Key]time.Time{}, heldParts: map[Key]partHold{}, suspected: map[Key]bool{}}
 }
 
 // Held returns for how long a request must not be sent to endpoints, 0 if it may
@@ -65,15 +65,32 @@
 	if t.heldCount.Load() == 0 {
 		return 0
 	}
-	k := id().Request
+	i := id()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return max(t.held[k].Sub(now), 0)
+	left := max(t.held[i.Request].Sub(now), 0)
+	for _, k := range i.Parts {
+		if h, ok := t.heldParts[k]; ok && h.binds(i.Workspace()) {
+			left = max(left, t.partWait(now, k, h))
+		}
+	}
+	return left
 }
 
-// HeldCount returns the number of requests that are held.
+// HeldCount returns the number of requests and parts of prompts that are held.
 func (t *Table) HeldCount() int { return int(t.heldCount.Load()) }
 
+// HeldPartCount returns the number of parts of prompts that are held.
+func (t *Table) HeldPartCount() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.heldParts)
+}
+
+// Holds returns how often something was newly held. A request that was found not to be held may
+// still be sent while it is the same.
+func (t *Table) Holds() uint64 { return t.holds.Load() }
+
 // CrashCount returns the number of stored crashes.
 func (t *Table) CrashCount() int { return int(t.crashCount.Load()) }
 
@@ -85,7 +102,7 @@
 	changed := false
 	for i := range crashes {
 		c := &crashes[i]
-		if now.Sub(c.At) < retention && c.At.Sub(now) < maxFuture && t.addOne(c) {
+		if now.Sub(c.At) < maxAge(c) && c.At.Sub(now) < maxFuture && t.addOne(c) {
 			changed = true
 		}
 	}
@@ -106,11 +123,14 @@
 		t.touch(r)
 		return true
 	}
-	if !r.merge(c) {
-		return false
+	changed, onlyParts := r.merge(c)
+	switch {
+	case changed && onlyParts:
+		t.touchCleared(r)
+	case changed:
+		t.touch(r)
 	}
-	t.touch(r)
-	return true
+	return changed
 }
 
 // find returns the crash of an incarnation at about the given time, or nil. If
@@ -140,10 +160,16 @@
 }
 
 func (t *Table) touch(r *record) {
-	t.seq++
+	t.touchCleared(r)
 	r.changed = t.seq
 }
 
+// touchCleared records that parts were cleared of a crash, and nothing else has changed.
+func (t *Table) touchCleared(r *record) {
+	t.seq++
+	r.cleared(t.seq)
+}
+
 // Void records that an endpoint that exited at about the given time did not crash,
 // because it was leaving.
 func (t *Table) Void(now time.Time, inc Incarnation, at time.Time) Change {
@@ -181,36 +207,58 @@
 	if t.crashCount.Load() == 0 {
 		return Change{}
 	}
-	k := id().Request
+	i := id()
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if !t.clear(k) {
+	changed := t.clear(i.Request, began)
+	for _, k := range i.Parts {
+		changed = t.clearPart(k, began) || changed
+	}
+	if !changed {
 		return Change{}
 	}
 	return t.recompute(now)
 }
 
-// clear clears a request of all crashes of which it is suspected, and reports
-// whether there are any. The lock must be held.
-func (t *Table) clear(k Key) bool {
+// clear clears a request of all crashes before its response began of which it is suspected, and
+// reports whether there are any. The lock must be held.
+func (t *Table) clear(k Key, began time.Time) bool {
 	if !t.suspected[k] {
 		return false
 	}
+	changed := false
 	for _, r := range t.crashes {
-		if r.isSuspect(k) && r.Crash.clear(k) {
+		if r.At.Before(began) && r.isSuspect(k) && r.Crash.clear(k) {
 			t.touch(r)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// clearPart does the same for a part of its prompt. Later crashes count anew: a part that was
+// served for long may crash endpoints of another version.
+func (t *Table) clearPart(k Key, began time.Time) bool {
+	if !t.suspected[k] {
+		return false
+	}
+	changed := false
+	for _, r := range t.crashes {
+		if r.At.Before(began) && r.hasPart(k) && r.Crash.clearPart(k) {
+			t.touchCleared(r)
+			changed = true
 		}
 	}
-	return true
+	return changed
 }
 
-// Tick removes crashes older than the retention. It should be called about once a
-// second.
+// Tick removes old crashes, and takes decisions that were waiting for evidence. It should be
+// called some times a second.
 func (t *Table) Tick(now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	old := slices.ContainsFunc(t.crashes, func(r *record) bool { return now.Sub(r.At) >= retention })
-	if !old {
+	due := !t.review.IsZero() && !now.Before(t.review)
+	if !due && !slices.ContainsFunc(t.crashes, func(r *record) bool { return t.expired(now, r) }) {
 		return Change{}
 	}
 	return t.recompute(now)
@@ -237,48 +285,76 @@
 	}
 	var newer []*record
 	for _, r := range t.crashes {
-		if r.changed > p.Seq {
+		if r.latest() > p.Seq {
 			newer = append(newer, r)
 		}
 	}
 	to := Position{Epoch: t.epoch, Seq: t.seq}
 	if len(newer) > maxBatch {
-		slices.SortFunc(newer, func(a, b *record) int { return cmp.Compare(a.changed, b.changed) })
+		slices.SortFunc(newer, func(a, b *record) int { return cmp.Compare(a.latest(), b.latest()) })
 		newer = newer[:maxBatch]
-		to.Seq = newer[maxBatch-1].changed
+		to.Seq = newer[maxBatch-1].latest()
 	}
 	out := make([]Crash, len(newer))
 	for i, r := range newer {
-		out[i] = r.clone()
+		out[i] = r.since(p.Seq)
 	}
 	return out, to
 }
 
-// maxStored bounds the crashes written to the store, which stay well below the
-// largest size of an object there.
-const maxStored = 256
+// maxStored bounds the crashes written to the store, maxStoredParts the parts of prompts with
+// them, which both stay well below the largest size of an object there.
+const (
+	maxStored      = 256
+	maxStoredParts = 1024
+)
 
 // Snapshot returns what is written to the store for daemons that start when no
-// other is running: the newest crashes that have a suspect.
+// other is running: the newest crashes that have a suspect, with the parts that may be their
+// causes.
 func (t *Table) Snapshot() []Crash {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var out []Crash
+	parts := 0
 	for _, r := range slices.Backward(t.crashes) {
-		if len(out) < maxStored && r.anySuspect(func(Key) bool { return true }) {
-			out = append(out, r.clone())
+		if len(out) == maxStored || !r.anySuspect(func(Key) bool { return true }) {
+			continue
 		}
+		c := r.clone()
+		c.Parts, c.ClearedParts = t.openParts(r, maxStoredParts-parts), nil
+		parts += len(c.Parts)
+		out = append(out, c)
 	}
 	return out
 }
 
-// SuspectedIn returns the number of crashes of which a request is suspected.
+// openParts returns the parts that may have caused a crash, the held ones alone if there are any,
+// at most limit of them. The lock must be held.
+func (t *Table) openParts(r *record, limit int) []PartSuspect {
+	var open, held []PartSuspect
+	for _, p := range r.Parts {
+		if r.Crash.Void || slices.Contains(r.ClearedParts, p.Part) {
+			continue
+		}
+		open = append(open, p)
+		if _, ok := t.heldParts[p.Part]; ok {
+			held = append(held, p)
+		}
+	}
+	if len(held) > 0 {
+		open = held
+	}
+	return open[:min(len(open), limit)]
+}
+
+// SuspectedIn returns the number of crashes of which a request or a part of prompts is suspected.
 func (t *Table) SuspectedIn(k Key) int {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	n := 0
 	for _, r := range t.crashes {
-		if r.isSuspect(k) {
+		if r.isSuspect(k) || r.hasPart(k) {
 			n++
 		}
 	}
@@ -288,26 +364,61 @@
 // recompute removes old crashes and updates everything derived from the others.
 // The lock must be held.
 func (t *Table) recompute(now time.Time) Change {
-	t.crashes = slices.DeleteFunc(t.crashes, func(r *record) bool { return now.Sub(r.At) >= retention })
 	slices.SortStableFunc(t.crashes, func(a, b *record) int { return a.At.Compare(b.At) })
 	t.crashes = slices.Delete(t.crashes, 0, max(len(t.crashes)-maxCrashes, 0))
-	crashes := make([]*Crash, len(t.crashes))
-	for i, r := range t.crashes {
-		crashes[i] = &r.Crash
+	before := t.holding()
+	t.suspected = map[Key]bool{}
+	t.holdRequests(now)
+	t.holdParts(now)
+	t.crashes = slices.DeleteFunc(t.crashes, func(r *record) bool { return t.expired(now, r) })
+	t.crashCount.Store(int64(len(t.crashes)))
+	t.heldCount.Store(int64(len(t.held) + len(t.heldParts)))
+	change := diff(before, t.holding())
+	if len(change.Held) > 0 {
+		t.holds.Add(1)
 	}
-	before := t.held
-	t.held = heldUntil(crashes, slices.Collect(maps.Keys(before)))
-	causes, unexplained := diagnose(withoutCauses(crashes, func(k Key) bool { return !t.held[k].IsZero() }))
+	return change
+}
+
+// holding returns all that is held.
+func (t *Table) holding() map[Key]bool {
+	out := make(map[Key]bool, len(t.held)+len(t.heldParts))
+	for k := range t.held {
+		out[k] = true
+	}
+	for k := range t.heldParts {
+		out[k] = true
+	}
+	return out
+}
+
+// holdRequests updates which requests are held. Crashes under a part that is held count against no
+// request.
+func (t *Table) holdRequests(now time.Time) {
+	var crashes []*Crash
+	var unexplained []*evidence
+	for _, r := range t.crashes {
+		if now.Sub(r.At) >= retention {
+			continue
+		}
+		crashes = append(crashes, &r.Crash)
+		if !r.Crash.Void && !r.partEvidence().any(t.isHeldPart) {
+			unexplained = append(unexplained, r.requestEvidence())
+		}
+	}
+	t.held = heldUntil(crashes, slices.Collect(maps.Keys(t.held)))
+	causes, rest := diagnose(withoutCauses(unexplained, func(k Key) bool { return !t.held[k].IsZero() }))
 	maps.Copy(t.held, heldUntil(crashes, causes))
-	t.suspected = map[Key]bool{}
-	for _, c := range unexplained {
-		for _, s := range c.Suspects {
-			t.suspected[s.Request] = c.isSuspect(s.Request) || t.suspected[s.Request]
+	for _, e := range rest {
+		for k := range e.open {
+			t.suspected[k] = true
 		}
 	}
-	t.crashCount.Store(int64(len(crashes)))
-	t.heldCount.Store(int64(len(t.held)))
-	return diff(before, t.held)
+}
+
+func (t *Table) isHeldPart(k Key) bool {
+	_, ok := t.heldParts[k]
+	return ok
 }
 
 // heldUntil returns the end of the hold for each of the keys that is suspected of
@@ -334,7 +445,7 @@
 }
 
 // diff returns the keys that are only in after, and those only in before.
-func diff(before, after map[Key]time.Time) Change {
+func diff(before, after map[Key]bool) Change {
 	var out Change
 	for k := range after {
 		if _, ok := before[k]; !ok {
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -199,6 +199,7 @@
 			fr.TimeLeft, fr.Elapsed = time.Until(f.deadline), time.Since(f.request.Received)
 			return f.relay.forwarder.Header(fr)
 		},
+		Gate:           f,
 		Owns:           f.relay.forwarder.Owns(&q),
 		SilenceTimeout: finalStallTimeout + forwardMargin,
 	}
--- a/internal/relay/guard_test.go
+++ b/internal/relay/guard_test.go
@@ -1,13 +1,18 @@
 package relay
 
 import (
+	"context"
+	"io"
+	"net"
 	"net/http"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -44,13 +49,54 @@
 	assert.Equal(t, *got.refusal, Refusal{Reason: Quarantined, Verdict: verdict.MayHaveRun, RetryAfter: time.Minute})
 }
 
-// The first piece of an answer shows that a request can be run without a crash; the
-// head alone doesn't.
-func TestFirstPieceIsReported(t *testing.T) {
+// A request is found to crash endpoints while the connection for its attempt is being
+// established. It must not be sent, and the endpoint isn't to blame.
+func TestRequestQuarantinedWhileConnecting(t *testing.T) {
+	s := newFixture(t, testRoutes(), alwaysAnswers(response(200, "done")))
+	dial := s.dial(t)
+	s.relay.pool = upstream.NewPool(4, func(ctx context.Context, address string) (net.Conn, error) {
+		s.recorder.mu.Lock()
+		s.recorder.held = map[quarantine.Key]time.Duration{lookupKey("/lookup/1"): time.Minute}
+		s.recorder.mu.Unlock()
+		return dial(ctx, address)
+	})
+	got := s.send(t.Context(), "/lookup/1")
+	assert.Equal(t, s.runs(), 0)
+	assert.Equal(t, *got.refusal, Refusal{Reason: Quarantined, Verdict: verdict.NotRun, RetryAfter: time.Minute})
+	assert.Equal(t, s.send(t.Context(), "/lookup/2").body.String(), "done")
+}
+
+// A whole answer shows that a request can be run without a crash; the head of one, or a refusal,
+// doesn't.
+func TestWholeAnswerIsReportedAsRun(t *testing.T) {
 	s := newFixture(t, testRoutes(), alwaysAnswers(response(200, "done")))
 	s.send(t.Context(), "/lookup/1")
 	assert.DeepEqual(t, s.recorder.ran, []quarantine.Key{lookupKey("/lookup/1")})
 	s = newFixture(t, testRoutes(), alwaysAnswers(streamHead()+"cut"))
 	s.send(t.Context(), "/once/1")
 	assert.Equal(t, len(s.recorder.ran), 0)
+	s = newFixture(t, testRoutes(), alwaysAnswers(response(503, "full")))
+	s.send(t.Context(), "/order/1")
+	assert.Equal(t, len(s.recorder.ran), 0)
+}
+
+// A stream has gone on for long enough before it is cut off: it was run without a crash, and its
+// first event alone doesn't show that.
+func TestStreamThatGoesOnIsReportedAsRun(t *testing.T) {
+	for _, c := range []struct {
+		pause time.Duration
+		ran   int
+	}{{quarantine.Settled / 2, 0}, {quarantine.Settled, 1}} {
+		synctest.Test(t, func(t *testing.T) {
+			s := newFixture(t, testRoutes(), &engine{script: func(int, *http.Request) string { return "" }})
+			s.engines[0].write = func(w io.Writer) {
+				_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+chunk(oneEvent))
+				time.Sleep(c.pause)
+				_, _ = io.WriteString(w, chunk("id: 2\ndata: b\n\n"))
+			}
+			s.send(t.Context(), "/once/1")
+			assert.Equal(t, len(s.recorder.ran), c.ran)
+			assert.Equal(t, len(s.recorder.cuts), 1)
+		})
+	}
 }
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -42,6 +42,8 @@
 	beganReported bool
 	// requestIdentity is by what the request is recognised, nil until identity is called.
 	requestIdentity *quarantine.Identity
+	// holds is the guard's number when the request was found not to be held.
+	holds uint64
 	// lastPieceAt is when the caller was last sent a piece of a stream.
 	lastPieceAt time.Time
 	// forwarded says that another daemon has admitted the request.
@@ -214,7 +216,7 @@
 // balanceOutcome returns an attempt's result in the balancer's terms.
 func balanceOutcome(ctx context.Context, res attemptResult, err error) balance.Outcome {
 	switch {
-	case errors.Is(err, upstream.ErrNoOldConnection):
+	case errors.Is(err, upstream.ErrNoOldConnection), errors.Is(err, errHeld):
 		return balance.Refused // by this daemon, for this request
 	case res.class == Success && res.complete, res.class == Rejected:
 		return balance.Answered
@@ -298,6 +300,7 @@
 			return f.relay.protocol.Header(f.request, attempt)
 		},
 		Body: f.request.Body,
+		Gate: f,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
 	c.EstablishedBy = f.establishedBy(time.Now(), c.Address)
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -105,6 +105,12 @@
 	return r.held[id().Request]
 }
 
+func (r *recorder) Holds() uint64 {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return uint64(len(r.held))
+}
+
 func (r *recorder) Responded(*roster.Endpoint, time.Time) {}
 
 func (r *recorder) Ran(_ time.Time, id func() *quarantine.Identity) {
@@ -146,9 +152,11 @@
 // requests. An answer other than 2xx, one that contains "cut", or one without a length
 // is followed by the end of the connection.
 type engine struct {
-	script   func(n int, r *http.Request) string
-	mu       sync.Mutex
-	gone     bool // connections are refused
+	script func(n int, r *http.Request) string
+	mu     sync.Mutex
+	gone   bool // connections are refused
+	// write writes an answer piece by piece, after which the connection ends; nil: script is used.
+	write    func(w io.Writer)
 	received []*http.Request
 }
 
@@ -165,6 +173,10 @@
 		n := len(e.received)
 		e.received = append(e.received, req)
 		e.mu.Unlock()
+		if e.write != nil {
+			e.write(c)
+			return
+		}
 		answer := e.script(n, req)
 		_, _ = io.WriteString(c, strings.ReplaceAll(answer, "ID", req.Header.Get("Id")))
 		delimited := strings.Contains(answer, "Content-Length") || strings.Contains(answer, "chunked") || !strings.Contains(answer, "\r\n\r\n")
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -15,6 +15,9 @@
 	// time that is left, which excludes the time for connecting.
 	Header func() http.Header
 	Body   []byte
+	// Gate is asked once a connection is established, just before the call is sent; nil: it may
+	// be sent.
+	Gate Gate
 	// Owns reports whether an answer's header names this request: on a reused
 	// connection, a late answer to an earlier request may come first.
 	Owns func(http.Header) Ownership
@@ -30,6 +33,12 @@
 	SilenceTimeout time.Duration
 }
 
+// Gate decides whether a call may still be sent.
+type Gate interface {
+	// MaySend returns nil, or why the call must not be sent. It must return at once.
+	MaySend() error
+}
+
 // Ownership is the request that an answer's header names.
 type Ownership uint8
 
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -54,6 +54,12 @@
 		p.giveBack(c)
 		return nil, verdict.Wrap(verdict.NotRun, ErrNoOldConnection)
 	}
+	if call.Gate != nil {
+		if err := call.Gate.MaySend(); err != nil {
+			p.giveBack(c)
+			return nil, verdict.Wrap(verdict.NotRun, err)
+		}
+	}
 	a := &Answer{pool: p, conn: c}
 	c.startWait(time.Now(), call)
 	a.stop = context.AfterFunc(ctx, c.cancel)
