Parts are told apart by prompts, and popular ones are not held without evidence

Cause: of parts that are left over in the same crashes the deepest was held, though it may be the most popular; and once it is held, no request can prove it innocent. Beside that, a crash that other daemons had not reported on yet counted with the suspects of one daemon alone, and parts that were read back from the store lost what they came with.

Change: a crash keeps its suspects' prompts, so that it is known which parts come together. A hold binds requests with all parts that may be the cause together; a request with some of them is sent, and tells them apart. What it explains counts against no other part. A crash counts when all daemons have had time to report, which follows from the interval of reports, or where the part alone was left over before. A part that is held without any evidence about others is tried after 3 s, and then ever later, four times the time between the last two crashes; others after 30 minutes. An earlier unit test said that of two parts that come together one is held whichever comes alone; requests with both are held now, those with one are sent, which asks for more.

--- a/internal/ends/log.go
+++ b/internal/ends/log.go
@@ -38,9 +38,18 @@
 func logPart(log *logrus.Entry, k quarantine.Key, e quarantine.Evidence) {
 	log.WithFields(logrus.Fields{
 		"prompt_part": k.String(), "crashes": e.Crashes, "excluded_parts": e.Excluded, "age_s": e.Age.Seconds(), "all_workspaces": e.Shared,
+		"with": keyNames(e.With),
 	}).Error("part of prompts held: it crashes the endpoints that write responses on it")
 }
 
+func keyNames(keys []quarantine.Key) []string {
+	var out []string
+	for _, k := range keys[:min(len(keys), maxNamedParts)] {
+		out = append(out, k.String())
+	}
+	return out
+}
+
 // maxNamed limits the requests in a log line, maxNamedParts the parts.
 const (
 	maxNamed      = 8
@@ -50,9 +59,11 @@
 // partNames returns the parts of the suspects' prompts, at most maxNamedParts of them.
 func partNames(c *quarantine.Crash) []string {
 	var out []string
-	for _, p := range c.Parts {
-		if name := p.Part.String(); len(out) < maxNamedParts && !slices.Contains(out, name) {
-			out = append(out, name)
+	for _, p := range c.Prompts {
+		for _, id := range p.Parts {
+			if name := quarantine.PartOf(p.Scope, id).String(); len(out) < maxNamedParts && !slices.Contains(out, name) {
+				out = append(out, name)
+			}
 		}
 	}
 	return out
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -84,6 +84,7 @@
 func (o *observer) RejectionsLimited(string, backpressure.Limit)      {}
 func (o *observer) Ended(*relay.Outcome)                              {}
 func (o *observer) HeldFor(func() *quarantine.Identity) time.Duration { return 0 }
+func (o *observer) Served(quarantine.Key)                             {}
 func (o *observer) Holds() uint64                                     { return 0 }
 func (o *observer) Responded(*roster.Endpoint, time.Time)             {}
 func (o *observer) Ran(time.Time, func() *quarantine.Identity)        {}
--- a/internal/node/crashes.go
+++ b/internal/node/crashes.go
@@ -97,6 +97,9 @@
 	return g.table.Held(g.node.clock.Now(), id)
 }
 
+// Served implements relay.Guard.
+func (g *crashGuard) Served(k quarantine.Key) { g.table.Served(k) }
+
 // Holds implements relay.Guard.
 func (g *crashGuard) Holds() uint64 { return g.table.Holds() }
 
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -208,6 +208,7 @@
 		interval = min(interval, exchange.RelayInterval)
 	}
 	x.node.state.SetReportInterval(now, interval)
+	x.node.crashes.table.SetReportInterval(x.node.interval())
 	return interval
 }
 
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -46,8 +46,8 @@
 	Suspects []Suspect `json:",omitempty"`
 	// Cleared are suspects that an endpoint has since run without a crash.
 	Cleared []Key `json:",omitempty"`
-	// Parts are the parts of the suspects' prompts: one of them may be the cause.
-	Parts []PartSuspect `json:",omitempty"`
+	// Prompts are those of the suspects: one of their parts may be the cause.
+	Prompts []Prompt `json:",omitempty"`
 	// ClearedParts are parts on which an endpoint has since written a response without a crash.
 	ClearedParts []Key `json:",omitempty"`
 }
@@ -58,20 +58,31 @@
 	Sent    time.Time // when it was first sent to the endpoint, by the fleet's clock
 }
 
-// PartSuspect is a part of prompts that may be the cause of a crash.
-type PartSuspect struct {
-	Part      Key
-	Workspace uint32    // hash, of a suspect whose prompt has the part
-	Depth     int       // position in that prompt
+// Prompt is what the prompts of some suspects of a crash have in common with others: all parts
+// but the last.
+type Prompt struct {
+	Workspace uint32 // hash
+	Scope     uint32 // of the parts, see PartScope
+	Parts     []uint64
 	Sent      time.Time // when the first such suspect was sent, by the fleet's clock
 }
 
+func (p *Prompt) same(o *Prompt) bool {
+	return p.Workspace == o.Workspace && p.Scope == o.Scope && slices.Equal(p.Parts, o.Parts)
+}
+
+func (p *Prompt) has(k Key) bool { return p.Scope == k.Scope && slices.Contains(p.Parts, k.ID) }
+
 // Settled is how long an endpoint must have written a response until its request isn't suspected
 // of a crash: the cause takes effect when the response begins.
 const Settled = 300 * time.Millisecond
 
-// maxParts bounds the parts of a crash's suspects, most of which share some.
-const maxParts = 96
+// maxPrompts bounds the prompts of a crash's suspects, most of which have the same parts, and
+// maxParts the parts of all of them.
+const (
+	maxPrompts = 32
+	maxParts   = 128
+)
 
 // maxSuspects bounds the suspects of a crash. An endpoint runs some dozens of
 // requests at once, few of which have not started their responses.
@@ -97,8 +108,8 @@
 	for _, k := range o.Cleared {
 		changed = c.clear(k) || changed
 	}
-	for _, p := range o.Parts {
-		changed = c.AddPart(p) || changed
+	for _, p := range o.Prompts {
+		changed = c.AddPrompt(p) || changed
 	}
 	cleared := false
 	for _, k := range o.ClearedParts {
@@ -113,34 +124,42 @@
 	for i := range c.Suspects {
 		c.Suspects[i].Sent = c.Suspects[i].Sent.Add(d)
 	}
-	for i := range c.Parts {
-		c.Parts[i].Sent = c.Parts[i].Sent.Add(d)
+	for i := range c.Prompts {
+		c.Prompts[i].Sent = c.Prompts[i].Sent.Add(d)
 	}
 }
 
-// AddRequest adds a request and the parts of its prompt as possible causes.
+// AddRequest adds a request and its prompt as possible causes.
 func (c *Crash) AddRequest(id *Identity, sent time.Time) {
 	c.AddSuspect(Suspect{Request: id.Request, Sent: sent})
-	for i, k := range id.Parts {
-		c.AddPart(PartSuspect{Part: k, Workspace: id.Workspace(), Depth: i, Sent: sent})
+	if len(id.Parts) > 0 {
+		c.AddPrompt(Prompt{Workspace: id.Workspace(), Scope: id.Scope, Parts: id.Parts, Sent: sent})
 	}
 }
 
-// AddPart adds a part that may be the cause, or its earlier sending time, and reports whether
-// that changed c.
-func (c *Crash) AddPart(p PartSuspect) bool {
-	i := slices.IndexFunc(c.Parts, func(o PartSuspect) bool { return o.Part == p.Part && o.Workspace == p.Workspace })
+// AddPrompt adds a prompt whose parts may be the cause, or its earlier sending time, and reports
+// whether that changed c.
+func (c *Crash) AddPrompt(p Prompt) bool {
+	i := slices.IndexFunc(c.Prompts, func(o Prompt) bool { return o.same(&p) })
 	switch {
-	case i < 0 && len(c.Parts) < maxParts:
-		c.Parts = append(c.Parts, p)
+	case i < 0 && len(c.Prompts) < maxPrompts && c.partCount()+len(p.Parts) <= maxParts:
+		c.Prompts = append(c.Prompts, p)
 		return true
-	case i >= 0 && c.Parts[i].Sent.Sub(p.Sent) > timeTolerance:
-		c.Parts[i].Sent = p.Sent
+	case i >= 0 && c.Prompts[i].Sent.Sub(p.Sent) > timeTolerance:
+		c.Prompts[i].Sent = p.Sent
 		return true
 	}
 	return false
 }
 
+func (c *Crash) partCount() int {
+	n := 0
+	for i := range c.Prompts {
+		n += len(c.Prompts[i].Parts)
+	}
+	return n
+}
+
 // AddSuspect adds a request that may be the cause, or its earlier sending time,
 // and reports whether that changed c.
 func (c *Crash) AddSuspect(s Suspect) bool {
@@ -177,7 +196,7 @@
 // hasPart reports whether a part may be the cause.
 func (c *Crash) hasPart(k Key) bool {
 	return !c.Void && !slices.Contains(c.ClearedParts, k) &&
-		slices.ContainsFunc(c.Parts, func(p PartSuspect) bool { return p.Part == k })
+		slices.ContainsFunc(c.Prompts, func(p Prompt) bool { return p.has(k) })
 }
 
 func (c *Crash) index(k Key) int {
@@ -198,6 +217,6 @@
 func (c *Crash) clone() Crash {
 	out := *c
 	out.Suspects, out.Cleared = slices.Clone(c.Suspects), slices.Clone(c.Cleared)
-	out.Parts, out.ClearedParts = slices.Clone(c.Parts), slices.Clone(c.ClearedParts)
+	out.Prompts, out.ClearedParts = slices.Clone(c.Prompts), slices.Clone(c.ClearedParts)
 	return out
 }
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -1,19 +1,27 @@
 package quarantine
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // evidence is a crash as a diagnosis sees it: with the causes of one kind that it may have.
 type evidence struct {
 	at        time.Time
 	open      map[Key]openCause
-	explained bool // a cause of the other kind is known
-	cleared   bool // some causes of this kind were excluded by what ran since
+	prompts   []Prompt
+	explained bool  // a cause of the other kind is known
+	cleared   bool  // some causes of this kind were excluded by what ran since
+	excluded  []Key // these, of parts
+	fresh     bool  // other daemons may not have reported their suspects yet
+	sole      bool  // one cause alone is left over that is so in other crashes too
 }
 
 // openCause is a possible cause of a crash.
 type openCause struct {
-	sent  time.Time // when the first request with it was sent to the endpoint
-	depth int       // position in the prompt, of a part
+	sent    time.Time // when the first request with it was sent to the endpoint
+	depth   int       // position in the prompt, of a part
+	prompts int       // with a part
 }
 
 // ofRequests returns the requests that may have caused a crash.
@@ -30,24 +38,34 @@
 
 // ofParts returns the parts of prompts that may have caused a crash.
 func ofParts(c *Crash) *evidence {
-	e := &evidence{at: c.At, open: make(map[Key]openCause, len(c.Parts))}
-	for _, p := range c.Parts {
-		o, known := e.open[p.Part]
-		if !known || p.Sent.Before(o.sent) {
-			o.sent = p.Sent
+	e := &evidence{at: c.At, open: map[Key]openCause{}, prompts: c.Prompts}
+	for _, p := range c.Prompts {
+		for depth, id := range p.Parts {
+			k := PartOf(p.Scope, id)
+			o, known := e.open[k]
+			if !known || p.Sent.Before(o.sent) {
+				o.sent = p.Sent
+			}
+			o.depth = max(o.depth, depth)
+			o.prompts++
+			e.open[k] = o
 		}
-		o.depth = max(o.depth, p.Depth)
-		e.open[p.Part] = o
 	}
 	for _, k := range c.ClearedParts {
 		if _, ok := e.open[k]; ok {
 			e.cleared = true
+			e.excluded = append(e.excluded, k)
 			delete(e.open, k)
 		}
 	}
 	return e
 }
 
+// together reports whether each prompt that has part k also has part o, which is left over as well.
+func (e *evidence) together(k, o Key) bool {
+	return e.has(o) && !slices.ContainsFunc(e.prompts, func(p Prompt) bool { return p.has(k) && !p.has(o) })
+}
+
 func (e *evidence) has(k Key) bool {
 	_, ok := e.open[k]
 	return ok
--- a/internal/quarantine/key.go
+++ b/internal/quarantine/key.go
@@ -53,7 +53,7 @@
 // PartScope returns the scope of the parts of prompts that a route sends to a model of a
 // service.
 func PartScope(service, route, model string) uint32 {
-	return uint32(xxh3.HashString(service + "\n" + route + "\n" + model))
+	return uint32(xxh3.HashStringSeed(model, xxh3.HashStringSeed(route, xxh3.HashString(service))))
 }
 
 // PartOf returns the key of a part with a scope from PartScope.
--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -100,8 +100,10 @@
 }
 
 func (s *partSim) newDaemon(epoch uint64) *daemon {
+	table := quarantine.NewTable(epoch)
+	table.SetReportInterval(s.interval())
 	return &daemon{
-		table: quarantine.NewTable(epoch), nextReport: s.now.Add(time.Duration(s.rng.Int64N(int64(s.interval())))),
+		table: table, nextReport: s.now.Add(time.Duration(s.rng.Int64N(int64(s.interval())))),
 		skew: time.Duration(s.rng.Int64N(int64(20*time.Millisecond))) - 10*time.Millisecond,
 	}
 }
@@ -169,9 +171,6 @@
 	d.table.Add(s.at(d), others...)
 }
 
-// The parts of the prompts.
-var scope = quarantine.PartScope("s", "route", "m")
-
 const guiltyPart = 0xbad
 
 // identity returns that of a new request. Sound ones share with those that crash endpoints all
@@ -179,16 +178,15 @@
 func (s *partSim) identity(guilty bool) *quarantine.Identity {
 	s.n++
 	caller := s.rng.IntN(3)
-	parts := []quarantine.Key{
-		quarantine.PartOf(scope, 1), quarantine.PartOf(scope, 100+uint64(caller)), quarantine.PartOf(scope, 1000+uint64(s.rng.IntN(40))),
-	}
+	parts := []uint64{1, 100 + uint64(caller), 1000 + uint64(s.rng.IntN(40))}
 	if guilty {
 		caller = 0
-		parts[1] = quarantine.PartOf(scope, 100)
-		parts[s.position] = quarantine.PartOf(scope, guiltyPart)
+		parts[1] = 100
+		parts[s.position] = guiltyPart
 	}
 	return &quarantine.Identity{
-		Request: quarantine.KeyOf(fleet.WorkspaceID(fmt.Sprint("w", caller)), "POST", "/x", fmt.Append(nil, s.n)), Parts: parts,
+		Request: quarantine.KeyOf(fleet.WorkspaceID(fmt.Sprint("w", caller)), "POST", "/x", fmt.Append(nil, s.n)),
+		Scope:   quarantine.PartScope("s", "route", "m"), Parts: parts,
 	}
 }
 
@@ -255,6 +253,9 @@
 	if !a.told && since >= quarantine.Settled && since%pieceInterval < step || since >= streamTime {
 		a.told = true
 		a.daemon.table.Ran(s.at(a.daemon), a.firstAt.Add(a.daemon.skew), func() *quarantine.Identity { return a.id })
+		for _, p := range a.id.Parts {
+			a.daemon.table.Served(quarantine.PartOf(a.id.Scope, p))
+		}
 	}
 	return since < streamTime
 }
--- a/internal/quarantine/parthold.go
+++ b/internal/quarantine/parthold.go
@@ -16,8 +16,29 @@
 	shared    bool
 }
 
-// binds reports whether the requests of a workspace are held.
-func (h *partHold) binds(workspace uint32) bool { return h.shared || h.workspace == workspace }
+// binds reports whether a request is held: it has all parts that may be the cause together.
+func (h *partHold) binds(id *Identity) bool {
+	if !h.shared && h.workspace != id.Workspace() {
+		return false
+	}
+	return !slices.ContainsFunc(h.with, func(k Key) bool { return !id.has(k) })
+}
+
+// minTrialWait is the shortest time from the newest crash under a part to its trial, where no
+// evidence about other parts has arrived, and trialBackoff the factor by which it grows with each
+// crash: endpoints that are all down serve nothing that could exclude a part.
+const (
+	minTrialWait = 3 * time.Second
+	trialBackoff = 4
+)
+
+// trialAt returns when a part may be tried.
+func (c *partCause) trialAt() time.Time {
+	if c.narrowed {
+		return c.newest.Add(retention)
+	}
+	return c.newest.Add(min(max(minTrialWait, trialBackoff*c.gap), retention))
+}
 
 // holdParts updates which parts are held. Crashes of a held request alone don't make a part of its
 // prompt the cause. The lock must be held.
@@ -31,20 +52,16 @@
 		}
 	}
 	var found map[Key]partCause
-	found, t.review = diagnoseParts(now, all)
-	for k := range t.heldParts {
-		if _, ok := found[k]; ok {
-			continue
-		}
-		if c := causeIn(all, k); c.crashes >= minCrashes && !superseded(all, k, c, found) {
-			found[k] = c
-		}
-	}
-	t.heldParts = make(map[Key]partHold, len(found))
+	q := partQuery{now: now, timing: t.timing, served: t.served.count}
+	found, t.review = q.diagnose(all)
+	t.keepHeld(all, found)
 	t.trials.keep(found)
+	t.heldParts = make(map[Key]partHold, len(found))
 	for k, c := range found {
 		t.heldParts[k] = t.newPartHold(k, c)
-		t.suspected[k] = true
+		for _, o := range c.with {
+			t.suspected[o] = true
+		}
 	}
 	for _, e := range all {
 		if e.any(t.isHeldPart) {
@@ -56,38 +73,40 @@
 	}
 }
 
-func (t *Table) newPartHold(k Key, c partCause) partHold {
-	h := partHold{partCause: c, until: c.newest.Add(retention)}
-	first := true
-	for _, r := range t.crashes {
-		if !r.hasPart(k) {
+// keepHeld adds the parts that were held and may still be the cause of enough crashes, which may no
+// longer look isolated, unless those that were found are the cause.
+func (t *Table) keepHeld(all []*evidence, found map[Key]partCause) {
+	rest := withoutCauses(all, func(k Key) bool { _, ok := found[k]; return ok })
+	for k := range t.heldParts {
+		if _, ok := found[k]; ok {
 			continue
 		}
-		for _, p := range r.Parts {
-			if p.Part != k {
-				continue
-			}
-			h.shared = h.shared || !first && p.Workspace != h.workspace
-			h.workspace, first = p.Workspace, false
+		if c := causeIn(rest, k); c.crashes >= minCrashes {
+			found[k] = c
 		}
 	}
-	return h
 }
 
-// causeIn returns the crashes of which a part may be the cause.
-func causeIn(all []*evidence, k Key) partCause {
-	return (&partDiagnosis{diagnosis: &diagnosis{crashes: all}}).cause(k)
+// causeIn returns what is known of a part by some crashes.
+func causeIn(crashes []*evidence, k Key) partCause {
+	return (&partDiagnosis{diagnosis: &diagnosis{crashes: crashes}}).cause(k) // none is fresh
 }
 
-// superseded reports whether another part is the cause of all crashes of k and of more.
-func superseded(all []*evidence, k Key, c partCause, found map[Key]partCause) bool {
-	for o, other := range found {
-		alone := slices.ContainsFunc(all, func(e *evidence) bool { return e.has(k) && !e.has(o) })
-		if other.crashes > c.crashes && !alone {
-			return true
+func (t *Table) newPartHold(k Key, c partCause) partHold {
+	h := partHold{partCause: c, until: c.trialAt()}
+	first := true
+	for _, r := range t.crashes {
+		if !r.hasPart(k) {
+			continue
+		}
+		for i := range r.Prompts {
+			if p := &r.Prompts[i]; p.has(k) {
+				h.shared = h.shared || !first && p.Workspace != h.workspace
+				h.workspace, first = p.Workspace, false
+			}
 		}
 	}
-	return false
+	return h
 }
 
 // Evidence is why a part is held.
@@ -96,6 +115,7 @@
 	Excluded int           // other parts that were excluded as the causes of these crashes
 	Age      time.Duration // from the first of these crashes to the newest
 	Shared   bool          // all workspaces' requests with the part are held
+	With     []Key         // parts that a request must have too to be held
 }
 
 // Evidence returns why a part is held, the zero value if it isn't.
@@ -106,6 +126,7 @@
 	if !ok {
 		return Evidence{}
 	}
+	with := slices.DeleteFunc(slices.Clone(h.with), func(o Key) bool { return o == k })
 	excluded := map[Key]bool{}
 	for _, r := range t.crashes {
 		if r.hasPart(k) {
@@ -114,5 +135,5 @@
 			}
 		}
 	}
-	return Evidence{Crashes: h.crashes, Excluded: len(excluded), Age: h.newest.Sub(h.first), Shared: h.shared}
+	return Evidence{Crashes: h.crashes, Excluded: len(excluded), Age: h.newest.Sub(h.first), Shared: h.shared, With: with}
 }
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -15,9 +15,9 @@
 
 // prompt returns the identity of request n of a workspace, with parts in order.
 func prompt(workspace, n int, parts ...int) *Identity {
-	id := &Identity{Request: KeyOf(fleet.WorkspaceID(fmt.Sprint(workspace)), "POST", "/x", fmt.Append(nil, n))}
+	id := &Identity{Request: KeyOf(fleet.WorkspaceID(fmt.Sprint(workspace)), "POST", "/x", fmt.Append(nil, n)), Scope: part(0).Scope}
 	for _, p := range parts {
-		id.Parts = append(id.Parts, part(p))
+		id.Parts = append(id.Parts, uint64(p))
 	}
 	return id
 }
@@ -66,7 +66,7 @@
 		now := 0.3 * float64(i)
 		table.Add(at(now), under(i, now, prompt(1, i, 1)))
 	}
-	assert.Assert(t, !heldPrompt(table, 1.9, prompt(1, 99, 1)))
+	assert.Assert(t, !heldPrompt(table, 1.7, prompt(1, 99, 1)))
 	wrote(table, 1, prompt(2, 50, 1))
 	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1)))
 }
@@ -80,31 +80,83 @@
 	assert.Assert(t, heldPrompt(table, 2.1, prompt(1, 99, 1)))
 }
 
-// Two parts come only together: the deeper one is held, since the other is in more prompts. A crash
-// under the first part alone must move the hold there.
-func TestOneOfTwoPartsThatComeTogetherIsHeld(t *testing.T) {
-	table := NewTable(1)
+// Two parts come only together, so that either may be the cause. Requests with both must be held,
+// and a request with one of them, which is sent, must tell them apart.
+func TestPartsThatComeTogetherAreToldApartByWhatHasOneOfThem(t *testing.T) {
+	together := func() *Table {
+		table := NewTable(1)
+		for i := range 3 {
+			table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1, 2)))
+		}
+		assert.Assert(t, heldPrompt(table, 3.1, prompt(1, 99, 1, 2)))
+		assert.Assert(t, !heldPrompt(table, 3.1, prompt(1, 99, 1, 3)))
+		assert.Assert(t, !heldPrompt(table, 3.1, prompt(1, 99, 5, 2)))
+		return table
+	}
+	for innocent, guilty := range map[int]int{1: 2, 2: 1} {
+		table := together()
+		wrote(table, 4, prompt(1, 50, innocent, 7))
+		assert.Assert(t, heldPrompt(table, 5, prompt(1, 99, guilty, 8)), "%d was served", innocent)
+		assert.Assert(t, !heldPrompt(table, 5, prompt(1, 99, innocent, 8)), "%d was served", innocent)
+	}
+	table := together()
 	for i := range 3 {
-		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1, 2)))
+		table.Add(at(4+float64(i)), under(3+i, 4+float64(i), prompt(1, 40+i, 1, 20+i)))
+	}
+	assert.Assert(t, heldPrompt(table, 7.1, prompt(1, 99, 1, 8)), "the first part alone crashes endpoints as well")
+}
+
+// All endpoints of a service are down again and again, so that nothing is served that could exclude
+// the parts which all prompts have. Only requests that have all else in common with those that
+// crash endpoints may be held.
+func TestPopularPartsAreNotHeldWhileNothingIsServed(t *testing.T) {
+	table := NewTable(1)
+	for i := range 8 {
+		now := 0.4 * float64(i)
+		table.Add(at(now), under(i, now, prompt(1, i, 1, 7, 2), prompt(1, 50+i, 1, 2)))
 	}
-	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 1, 2)))
-	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 3)))
-	table.Add(at(4), under(4, 4, prompt(1, 40, 1, 3)))
-	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 3)))
-	assert.Assert(t, !heldPrompt(table, 4, prompt(1, 99, 5, 2)), "the deeper part is released")
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 1, 7, 2)))
+	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1, 2)))
+	wrote(table, 4, prompt(1, 90, 1, 2))
+	assert.Assert(t, heldPrompt(table, 5, prompt(1, 99, 7)))
 }
 
-// The innocent one of two parts that came together was held, and a request with it that was sent
-// before is served.
-func TestHeldPartIsReleasedAtItsFirstProof(t *testing.T) {
+// Endpoints that end one by one take a service down, and nothing is served that could exclude the
+// part of all prompts. It is tried a few seconds later, and released when that is served.
+func TestPartWithoutEvidenceIsTriedEarly(t *testing.T) {
 	table := NewTable(1)
+	table.SetTrials(func(Key, int64) bool { return true })
+	for i := range 4 {
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1)))
+	}
+	assert.Assert(t, heldPrompt(table, 5.9, prompt(1, 99, 1)))
+	tried := -1.0
+	for now := 6.0; now < 14 && tried < 0; now += 0.1 {
+		if !heldPrompt(table, now, prompt(1, 99, 1)) {
+			tried = now
+		}
+	}
+	assert.Assert(t, tried > 0)
+	assert.Assert(t, heldPrompt(table, tried+0.1, prompt(1, 98, 1)), "one at a time")
+	wrote(table, tried, prompt(1, 99, 1))
+	assert.Assert(t, !heldPrompt(table, tried+1, prompt(1, 98, 1)))
+}
+
+// Each early trial that crashes an endpoint must make the next one wait longer.
+func TestEarlyTrialsBackOff(t *testing.T) {
+	table := NewTable(1)
+	table.SetTrials(func(Key, int64) bool { return true })
 	for i := range 3 {
-		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1, 2)))
+		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 1)))
+	}
+	trials := 0
+	for now := 2.5; now < 600; now += 0.5 {
+		if !heldPrompt(table, now, prompt(1, 99, 1)) {
+			trials++
+			table.Add(at(now), under(10+trials, now, prompt(1, 100+trials, 1)))
+		}
 	}
-	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 5, 2)))
-	wrote(table, 3, prompt(1, 50, 5, 2))
-	assert.Assert(t, !heldPrompt(table, 4, prompt(1, 99, 5, 2)))
-	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 9)))
+	assert.Assert(t, trials >= 2 && trials <= 5, "%d trials in ten minutes", trials)
 }
 
 // One request crashes endpoints, not the parts of its prompt.
@@ -155,8 +207,8 @@
 // A part crashes endpoints on one route and is served on another.
 func TestPartIsHeldOnItsRouteOnly(t *testing.T) {
 	table := NewTable(1)
-	other := prompt(1, 99)
-	other.Parts = []Key{PartOf(PartScope("s", "other", "m"), 7)}
+	other := prompt(1, 99, 7)
+	other.Scope = PartScope("s", "other", "m")
 	for i := range 3 {
 		table.Add(at(float64(i)), under(i, float64(i), prompt(1, i, 7)))
 		wrote(table, float64(i), other)
@@ -232,7 +284,7 @@
 
 // trialAt returns the first beginning of a trial's interval after the retention, in seconds.
 func trialAt() float64 {
-	return at(retention.Seconds()+3).Truncate(trialInterval).Add(trialInterval).Sub(start).Seconds()
+	return at(retention.Seconds() + 3).Truncate(trialInterval).Add(trialInterval).Sub(start).Seconds()
 }
 
 // When the hold is over, one request is tried in the whole fleet, and no other until it is known how
@@ -279,13 +331,13 @@
 	for i := range 300 {
 		id := prompt(1, i)
 		for p := range 5000 {
-			id.Parts = append(id.Parts, part(5000*i+p))
+			id.Parts = append(id.Parts, uint64(5000*i+p))
 		}
 		table.Add(at(float64(i)), under(i, float64(i), id))
 	}
 	all, _ := table.Since(Position{})
 	for _, c := range all {
-		assert.Assert(t, len(c.Parts) <= maxParts)
+		assert.Assert(t, c.partCount() <= maxParts)
 	}
 	text, err := json.Marshal(table.Snapshot())
 	assert.NilError(t, err)
@@ -300,7 +352,7 @@
 	wrote(table, 1, prompt(1, 2, 1))
 	first, then := table.Since(known)
 	assert.Equal(t, len(first), 1)
-	assert.Equal(t, len(first[0].Parts)+len(first[0].Suspects), 0)
+	assert.Equal(t, len(first[0].Prompts)+len(first[0].Suspects), 0)
 	assert.DeepEqual(t, first[0].ClearedParts, []Key{part(1)})
 	wrote(table, 1, prompt(1, 3, 2))
 	second, _ := table.Since(then)
--- a/internal/quarantine/quarantinepb/codec.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -16,7 +16,7 @@
 		out[i] = &Crash{
 			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), AtUs: uint32(c.At.UnixMicro() % 1000), Void: c.Void,
 			Suspects: encodeSuspects(c), Cleared: encodeKeys(c.Cleared),
-			Parts: encodeParts(c), ClearedParts: encodeClearedParts(c.ClearedParts),
+			Prompts: encodePrompts(c), ClearedParts: encodeClearedParts(c.ClearedParts),
 		}
 	}
 	return out
@@ -32,7 +32,7 @@
 			Cleared: decodeKeys(c.GetCleared()), ClearedParts: decodeClearedParts(c.GetClearedParts()),
 		}
 		crash.Suspects = decodeSuspects(crash.At, c.GetSuspects())
-		crash.Parts = decodeParts(crash.At, c.GetParts())
+		crash.Prompts = decodePrompts(crash.At, c.GetPrompts())
 		out = append(out, crash)
 	}
 	return out
@@ -87,29 +87,20 @@
 	return out
 }
 
-func encodeParts(c *quarantine.Crash) *Parts {
-	if len(c.Parts) == 0 {
-		return nil
-	}
-	out := &Parts{}
-	for _, p := range c.Parts {
-		out.Scopes = append(out.Scopes, p.Part.Scope)
-		out.Ids = append(out.Ids, p.Part.ID)
-		out.Workspaces = append(out.Workspaces, p.Workspace)
-		out.Depths = append(out.Depths, uint32(p.Depth))
-		out.SentUs = append(out.SentUs, c.At.Sub(p.Sent).Microseconds())
+func encodePrompts(c *quarantine.Crash) []*Prompt {
+	var out []*Prompt
+	for _, p := range c.Prompts {
+		out = append(out, &Prompt{Workspace: p.Workspace, Scope: p.Scope, Parts: p.Parts, SentUs: c.At.Sub(p.Sent).Microseconds()})
 	}
 	return out
 }
 
-// decodeParts ignores entries without a counterpart in another list.
-func decodeParts(at time.Time, in *Parts) []quarantine.PartSuspect {
-	n := min(len(in.GetScopes()), len(in.GetIds()), len(in.GetWorkspaces()), len(in.GetDepths()), len(in.GetSentUs()))
-	var out []quarantine.PartSuspect
-	for i := range n {
-		out = append(out, quarantine.PartSuspect{
-			Part: quarantine.PartOf(in.Scopes[i], in.Ids[i]), Workspace: in.Workspaces[i], Depth: int(in.Depths[i]),
-			Sent: at.Add(-time.Duration(in.SentUs[i]) * time.Microsecond),
+func decodePrompts(at time.Time, all []*Prompt) []quarantine.Prompt {
+	var out []quarantine.Prompt
+	for _, p := range all {
+		out = append(out, quarantine.Prompt{
+			Workspace: p.GetWorkspace(), Scope: p.GetScope(), Parts: p.GetParts(),
+			Sent: at.Add(-time.Duration(p.GetSentUs()) * time.Microsecond),
 		})
 	}
 	return out
--- a/internal/quarantine/quarantinepb/codec_test.go
+++ b/internal/quarantine/quarantinepb/codec_test.go
@@ -21,7 +21,7 @@
 		},
 		{
 			Endpoint: 9, At: at, ClearedParts: []quarantine.Key{quarantine.PartOf(4, 5)},
-			Parts: []quarantine.PartSuspect{{Part: quarantine.PartOf(1, 2), Workspace: 3, Depth: 1, Sent: at.Add(-7 * time.Microsecond)}},
+			Prompts: []quarantine.Prompt{{Workspace: 3, Scope: 4, Parts: []uint64{5, 1 << 60}, Sent: at.Add(-7 * time.Microsecond)}},
 		},
 	}
 	assert.DeepEqual(t, Decode(Encode(sent)), sent)
@@ -35,10 +35,10 @@
 	got := Decode([]*Crash{
 		{Endpoint: 1, Suspects: &Requests{Workspaces: []uint32{1, 2}, Requests: []uint64{1}, SentMs: []int64{5, 6, 7}}},
 		{Endpoint: 2, Suspects: &Requests{Workspaces: []uint32{1}, Requests: []uint64{1}}},
-		{Endpoint: 3, Parts: &Parts{Scopes: []uint32{1}, Ids: []uint64{1}}, ClearedParts: &Parts{Scopes: []uint32{1}}},
+		{Endpoint: 3, Prompts: []*Prompt{{}}, ClearedParts: &Parts{Scopes: []uint32{1}}},
 	})
 	assert.Equal(t, len(got), 3)
-	assert.Equal(t, len(got[2].Parts)+len(got[2].ClearedParts), 0)
+	assert.Equal(t, len(got[2].Prompts[0].Parts)+len(got[2].ClearedParts), 0)
 	assert.Equal(t, len(got[0].Suspects), 1)
 	assert.Equal(t, len(got[1].Suspects)+len(got[2].Suspects), 0)
 }
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -61,7 +61,7 @@
 // maxAge is the age up to which a crash is taken from others. One under a part may be kept for longer,
 // since the part is held until a trial.
 func maxAge(c *Crash) time.Duration {
-	if len(c.Parts) > 0 {
+	if len(c.Prompts) > 0 {
 		return maxHold
 	}
 	return retention
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -44,6 +44,8 @@
 	held      map[Key]time.Time
 	heldParts map[Key]partHold
 	trials    trials
+	served    served
+	timing    timing
 	suspected map[Key]bool // may be the cause of an unexplained crash, or are held parts
 	review    time.Time    // when the crashes are to be diagnosed again, zero: when one changes
 	// The numbers of crashes, of what is held, and of the times at which something was newly held
@@ -56,7 +58,20 @@
 // NewTable returns an empty table. epoch identifies the run of the process and
 // must differ from those of earlier runs.
 func NewTable(epoch uint64) *Table {
-	return &Table{epoch: epoch, held: map[Key]time.Time{}, heldParts: map[Key]partHold{}, suspected: map[Key]bool{}}
+	return &Table{
+		epoch: epoch, held: map[Key]time.Time{}, heldParts: map[Key]partHold{}, suspected: map[Key]bool{},
+		timing: newTiming(defaultInterval),
+	}
+}
+
+// defaultInterval is that of the reports of a small fleet.
+const defaultInterval = 250 * time.Millisecond
+
+// SetReportInterval sets the time between two reports of a daemon of the fleet.
+func (t *Table) SetReportInterval(d time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.timing = newTiming(d)
 }
 
 // Held returns for how long a request must not be sent to endpoints, 0 if it may
@@ -69,8 +84,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	left := max(t.held[i.Request].Sub(now), 0)
-	for _, k := range i.Parts {
-		if h, ok := t.heldParts[k]; ok && h.binds(i.Workspace()) {
+	for _, p := range i.Parts {
+		k := PartOf(i.Scope, p)
+		if h, ok := t.heldParts[k]; ok && h.binds(i) {
 			left = max(left, t.partWait(now, k, h))
 		}
 	}
@@ -211,8 +227,8 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	changed := t.clear(i.Request, began)
-	for _, k := range i.Parts {
-		changed = t.clearPart(k, began) || changed
+	for _, p := range i.Parts {
+		changed = t.clearPart(PartOf(i.Scope, p), began) || changed
 	}
 	if !changed {
 		return Change{}
@@ -252,11 +268,15 @@
 	return changed
 }
 
+// Served records that an endpoint has served a request with a part of prompts. It takes no lock.
+func (t *Table) Served(k Key) { t.served.add(k) }
+
 // Tick removes old crashes, and takes decisions that were waiting for evidence. It should be
 // called some times a second.
 func (t *Table) Tick(now time.Time) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.served.halve(now)
 	due := !t.review.IsZero() && !now.Before(t.review)
 	if !due && !slices.ContainsFunc(t.crashes, func(r *record) bool { return t.expired(now, r) }) {
 		return Change{}
@@ -322,30 +342,32 @@
 			continue
 		}
 		c := r.clone()
-		c.Parts, c.ClearedParts = t.openParts(r, maxStoredParts-parts), nil
-		parts += len(c.Parts)
+		c.Prompts = t.openPrompts(r, maxStoredParts-parts)
+		c.ClearedParts = slices.DeleteFunc(c.ClearedParts, func(k Key) bool {
+			return !slices.ContainsFunc(c.Prompts, func(p Prompt) bool { return p.has(k) })
+		})
+		parts += c.partCount()
 		out = append(out, c)
 	}
 	return out
 }
 
-// openParts returns the parts that may have caused a crash, the held ones alone if there are any,
-// at most limit of them. The lock must be held.
-func (t *Table) openParts(r *record, limit int) []PartSuspect {
-	var open, held []PartSuspect
-	for _, p := range r.Parts {
-		if r.Crash.Void || slices.Contains(r.ClearedParts, p.Part) {
-			continue
-		}
-		open = append(open, p)
-		if _, ok := t.heldParts[p.Part]; ok {
-			held = append(held, p)
+// openPrompts returns the prompts with parts that may have caused a crash; if some of these are
+// held, the prompts with those alone. They have at most limit parts. The lock must be held.
+func (t *Table) openPrompts(r *record, limit int) []Prompt {
+	held := r.partEvidence().any(t.isHeldPart)
+	var out []Prompt
+	for _, p := range r.Prompts {
+		matters := slices.ContainsFunc(p.Parts, func(id uint64) bool {
+			k := PartOf(p.Scope, id)
+			return r.partEvidence().has(k) && (!held || t.isHeldPart(k))
+		})
+		if matters && len(p.Parts) <= limit {
+			limit -= len(p.Parts)
+			out = append(out, p)
 		}
 	}
-	if len(held) > 0 {
-		open = held
-	}
-	return open[:min(len(open), limit)]
+	return out
 }
 
 // SuspectedIn returns the number of crashes of which a request or a part of prompts is suspected.
--- a/internal/quarantine/trials.go
+++ b/internal/quarantine/trials.go
@@ -2,9 +2,13 @@
 
 import "time"
 
-// trialInterval is the time between two trials of a part whose hold is over. A trial begins in the
-// first half, so that all daemons know how it ended before the next.
-const trialInterval = 20 * time.Second
+// trialInterval is the time between two trials of a part whose hold is over, earlyTrialInterval that
+// while no evidence about other parts has arrived. A trial begins in the first half, so that all
+// daemons know how it ended before the next.
+const (
+	trialInterval      = 20 * time.Second
+	earlyTrialInterval = 4 * time.Second
+)
 
 // trials are the requests that show whether a held part still crashes endpoints: one at a time in
 // the whole fleet.
@@ -34,11 +38,15 @@
 	if left := h.until.Sub(now); left > 0 {
 		return left
 	}
-	interval := now.UnixNano() / int64(trialInterval)
-	begun := now.Sub(time.Unix(0, interval*int64(trialInterval)))
+	length := trialInterval
+	if !h.narrowed {
+		length = earlyTrialInterval
+	}
+	interval := now.UnixNano() / int64(length)
+	begun := now.Sub(time.Unix(0, interval*int64(length)))
 	last, tried := t.trials.used[k]
-	if begun > trialInterval/2 || tried && last == interval || t.trials.turn == nil || !t.trials.turn(k, interval) {
-		return trialInterval - begun
+	if begun > length/2 || tried && last == interval || t.trials.turn == nil || !t.trials.turn(k, interval) {
+		return length - begun
 	}
 	if t.trials.used == nil {
 		t.trials.used = map[Key]int64{}
--- a/internal/relay/cut.go
+++ b/internal/relay/cut.go
@@ -37,24 +37,28 @@
 	if f.requestIdentity == nil {
 		f.requestIdentity = &quarantine.Identity{
 			Request: quarantine.KeyOf(f.outcome.Workspace, f.request.Method, f.request.Target, f.request.Body),
-			Parts:   sharedParts(f.request, f.service, f.route.Name),
+			Scope:   f.partScope(), Parts: f.request.sharedParts(),
 		}
 	}
 	return f.requestIdentity
 }
 
+// partScope returns the scope of the prompt's parts.
+func (f *inflight) partScope() uint32 {
+	return quarantine.PartScope(f.service, f.route.Name, f.request.Model)
+}
+
 // sharedParts returns the parts of a prompt that other requests may have too: all but the last,
 // and the first and last ones of those if there are very many.
-func sharedParts(q *Request, service, route string) []quarantine.Key {
-	if len(q.Parts) < 2 {
+func (r *Request) sharedParts() []uint64 {
+	if len(r.Parts) < 2 {
 		return nil
 	}
-	shared := q.Parts[:len(q.Parts)-1]
-	scope := quarantine.PartScope(service, route, q.Model)
-	out := make([]quarantine.Key, 0, min(len(shared), quarantine.MaxParts))
+	shared := r.Parts[:len(r.Parts)-1]
+	out := make([]uint64, 0, min(len(shared), quarantine.MaxParts))
 	for i, p := range shared {
 		if i < quarantine.MaxParts/2 || i >= len(shared)-quarantine.MaxParts/2 {
-			out = append(out, quarantine.PartOf(scope, p.ID))
+			out = append(out, p.ID)
 		}
 	}
 	return out
--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -48,6 +48,12 @@
 	}
 	t.ranReported = true
 	f.relay.guard.Ran(t.firstPieceAt, f.identity)
+	if n := len(f.request.Parts) - 1; n > 0 {
+		scope := f.partScope()
+		for _, p := range f.request.Parts[:min(n, quarantine.MaxParts)] {
+			f.relay.guard.Served(quarantine.PartOf(scope, p.ID))
+		}
+	}
 }
 
 // reportSettled does so where a stream has gone on for long enough.
--- a/internal/relay/guard.go
+++ b/internal/relay/guard.go
@@ -23,6 +23,8 @@
 	Responded(e *roster.Endpoint, sent time.Time)
 	// Ran records that an endpoint has run a request, whose first piece arrived at began.
 	Ran(began time.Time, id func() *quarantine.Identity)
+	// Served records the same of a part of its prompt, for each part that others may have.
+	Served(k quarantine.Key)
 }
 
 // refuseHeld refuses a request that crashes endpoints. It is called before each
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -111,6 +111,7 @@
 	return uint64(len(r.held))
 }
 
+func (r *recorder) Served(quarantine.Key)                 {}
 func (r *recorder) Responded(*roster.Endpoint, time.Time) {}
 
 func (r *recorder) Ran(_ time.Time, id func() *quarantine.Identity) {
