Popular parts are not held after a flood; crashes are told in smaller pieces

Causes, by traces of the diagnosis: crashes of the earlier flood kept parts that nobody cleared any more, and counted with two new ones; parts of another route at the same endpoints were held where only the flood's own route had evidence; a daemon that could not tell an endpoint's end from a lost path named its suspects a second late.

Change: a part that was excluded from some crash of the last minute needs evidence about parts of its own scope, or six crashes, and waits for the longer time; such a part doesn't widen a hold. A daemon that is undecided on an end reports it once another daemon has recorded it. What is cleared is sent alone for requests too, not with the whole crash each time.

--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -211,10 +211,12 @@
 	w.o.Changed(w.o.Table.Tick(w.o.Now()))
 }
 
-// decide records the crashes of undecided endpoints that have restarted.
+// decide records the crashes of undecided endpoints that have restarted, or that other daemons
+// have recorded.
 func (w *Watch) decide(now time.Time) {
 	w.undecided = slices.DeleteFunc(w.undecided, func(p *probe) bool {
-		if w.o.Restarted(p.disconnect.Endpoint, p.disconnect.StartedAt) {
+		restarted := w.o.Restarted(p.disconnect.Endpoint, p.disconnect.StartedAt)
+		if restarted || w.o.Table.HasCrash(p.crash.Endpoint, p.crash.At) {
 			w.recordCrash(p)
 			return true
 		}
--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -232,3 +232,25 @@
 		assert.Equal(t, s.o.Table.HeldCount(), 0)
 	})
 }
+
+// Nothing listens at an endpoint, and this daemon can't tell its crash from a lost path, while another
+// one could. The suspects here must be known as soon as that one has told.
+func TestUndecidedEndIsACrashOnceAnotherDaemonHasRecordedIt(t *testing.T) {
+	runWatch(t, func(t *testing.T, s *fixture) {
+		s.listenErr = ErrUndecided
+		began := time.Now()
+		s.disconnect("e", "a", false)
+		time.Sleep(2 * tick)
+		if crashes, _, _ := s.crashes(); crashes != 0 {
+			t.Fatalf("%d crashes before another daemon told", crashes)
+		}
+		told := quarantine.Crash{Endpoint: quarantine.IncarnationOf("e", time.Time{}), At: began.Add(time.Millisecond)}
+		told.AddSuspect(quarantine.Suspect{Request: quarantine.KeyOf("w", "", "b", nil), Sent: began})
+		s.o.Table.Add(time.Now(), told)
+		time.Sleep(2 * tick)
+		synctest.Wait()
+		crashes, suspects, _ := s.crashes()
+		assert.Equal(t, crashes, 1)
+		assert.Equal(t, suspects, 2)
+	})
+}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -94,8 +94,8 @@
 const timeTolerance = 5 * time.Millisecond
 
 // merge adds another daemon's report of the same crash. The earlier time wins. It returns whether
-// that changed c, and whether it only cleared parts.
-func (c *Crash) merge(o *Crash) (changed, onlyParts bool) {
+// that changed c, and whether it only cleared requests and parts.
+func (c *Crash) merge(o *Crash) (changed, onlyCleared bool) {
 	if o.Void && !c.Void {
 		c.Void, changed = true, true
 	}
@@ -105,13 +105,13 @@
 	for _, s := range o.Suspects {
 		changed = c.AddSuspect(s) || changed
 	}
-	for _, k := range o.Cleared {
-		changed = c.clear(k) || changed
-	}
 	for _, p := range o.Prompts {
 		changed = c.AddPrompt(p) || changed
 	}
 	cleared := false
+	for _, k := range o.Cleared {
+		cleared = c.clear(k) || cleared
+	}
 	for _, k := range o.ClearedParts {
 		cleared = c.clearPart(k) || cleared
 	}
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -11,8 +11,7 @@
 	open      map[Key]openCause
 	prompts   []Prompt
 	explained bool  // a cause of the other kind is known
-	cleared   bool  // some causes of this kind were excluded by what ran since
-	excluded  []Key // these, of parts
+	excluded  []Key // parts that are not open, since an endpoint has written a response on them
 	fresh     bool  // other daemons may not have reported their suspects yet
 	sole      bool  // one cause alone is left over that is so in other crashes too
 }
@@ -26,7 +25,7 @@
 
 // ofRequests returns the requests that may have caused a crash.
 func ofRequests(c *Crash) *evidence {
-	e := &evidence{at: c.At, open: make(map[Key]openCause, len(c.Suspects)), cleared: len(c.Cleared) > 0}
+	e := &evidence{at: c.At, open: make(map[Key]openCause, len(c.Suspects))}
 	for _, s := range c.Suspects {
 		e.open[s.Request] = openCause{sent: s.Sent}
 	}
@@ -53,7 +52,6 @@
 	}
 	for _, k := range c.ClearedParts {
 		if _, ok := e.open[k]; ok {
-			e.cleared = true
 			e.excluded = append(e.excluded, k)
 			delete(e.open, k)
 		}
--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -6,11 +6,13 @@
 	"testing"
 	"time"
 
+	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine/quarantinepb"
 )
 
 const (
@@ -27,6 +29,9 @@
 	floodSeconds = 10
 )
 
+// maxControlRate is the KB/s that a daemon may spend for all control.
+const maxControlRate = 7
+
 // partPlay is a fleet whose callers' prompts share parts, one of which crashes the endpoints
 // that begin to write an answer on it.
 type partPlay struct {
@@ -58,7 +63,8 @@
 	late       int       // sends later than contactBound after the fifth crash
 	soundSent  [2]int    // first attempts: before the flood, and once the part should be held
 	soundBegun [2]int
-	soundHeld  int // sound requests refused as held, at any time
+	soundHeld  int             // sound requests refused as held, at any time
+	bytes      map[*daemon]int // sent and received for crashes
 }
 
 type partEndpoint struct {
@@ -79,7 +85,7 @@
 }
 
 func newPartSim(seed uint64, p partPlay) *partSim {
-	s := &partSim{partPlay: p, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_000_000, 0)}
+	s := &partSim{partPlay: p, bytes: map[*daemon]int{}, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_000_000, 0)}
 	s.start, s.nextRelay = s.now, s.now
 	groups := 1
 	if exchange.Meshed(p.daemons) {
@@ -169,6 +175,12 @@
 	h.table.Add(s.at(h), own...)
 	others, *received = h.table.Since(*received)
 	d.table.Add(s.at(d), others...)
+	size := 0
+	for _, c := range quarantinepb.Encode(append(own, others...)) {
+		size += proto.Size(c)
+	}
+	s.bytes[d] += size
+	s.bytes[h] += size
 }
 
 const guiltyPart = 0xbad
@@ -365,10 +377,13 @@
 }
 
 func (s *partSim) String() string {
-	return fmt.Sprintf("%d crashes, the last %v after the first request with the part, %d sends too late, sound requests begun %.3f of calm, %d held",
-		s.crashes, s.held.Sub(s.start.Add(floodAt)).Round(step), s.late, s.share(), s.soundHeld)
+	return fmt.Sprintf("%d crashes, the last %v after the first request with the part, %d sends too late, sound requests begun %.3f of calm, %d held, %.1f KB/s at a daemon, %.1f at a hub",
+		s.crashes, s.held.Sub(s.start.Add(floodAt)).Round(step), s.late, s.share(), s.soundHeld, s.rateAt(s.all[len(s.all)-1]), s.rateAt(s.hubs[0][0]))
 }
 
+// rateAt returns the kilobytes a second for crashes at a daemon during the flood.
+func (s *partSim) rateAt(d *daemon) float64 { return float64(s.bytes[d]) / 1000 / floodSeconds }
+
 // Requests that share a part of their prompts and nothing else crash the endpoints that begin to
 // write an answer on it. The part must be held in time, and sound requests that share all else
 // must go on.
@@ -387,6 +402,7 @@
 			t.Log(s)
 			assert.Assert(t, s.late <= maxLateSends, "%v", s)
 			assert.Assert(t, s.share() >= 0.95, "%v", s)
+			assert.Assert(t, s.rateAt(s.all[len(s.all)-1]) <= maxControlRate, "%v", s)
 		})
 	}
 }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -46,8 +46,8 @@
 	crashes       int
 	first, newest time.Time
 	gap           time.Duration // between the last two crashes
-	// narrowed says that other parts were excluded, so that evidence about this one would have
-	// arrived too.
+	// narrowed says that other parts with the same scope were excluded, so that evidence about
+	// this one would have arrived too.
 	narrowed bool
 }
 
@@ -56,15 +56,18 @@
 	now time.Time
 	timing
 	served   func(Key) uint32 // how often a part was served lately
-	excluded map[Key]bool     // parts that were excluded from some crash
+	excluded map[Key]bool     // parts that were excluded from some crash lately
 }
 
-// excludedParts returns the parts that were excluded from some crash.
-func excludedParts(crashes []*evidence) map[Key]bool {
+// lately is how long a part that was excluded from a crash counts as an unlikely cause of others.
+const lately = time.Minute
+
+// excludedLately returns the parts that were excluded from some crash.
+func (q *partQuery) excludedLately(crashes []*evidence) map[Key]bool {
 	out := map[Key]bool{}
 	for _, c := range crashes {
 		for _, k := range c.excluded {
-			out[k] = true
+			out[k] = out[k] || q.now.Sub(c.at) < lately
 		}
 	}
 	return out
@@ -86,16 +89,21 @@
 			review = earliest(review, c.at.Add(q.reports))
 		}
 	}
-	q.excluded = excludedParts(crashes)
+	q.excluded = q.excludedLately(crashes)
 	all := newPartDiagnosis(crashes, q)
 	rest := all
+	doubtful := map[Key]bool{}
 	for {
-		k, ok := rest.mostSpecific()
+		k, ok := rest.mostSpecific(doubtful)
 		if !ok {
 			break
 		}
 		c := rest.cause(k)
-		if due := q.due(&c); q.now.Before(due) {
+		if q.excluded[k] && !c.narrowed && c.crashes < 2*minCrashes {
+			doubtful[k] = true
+			continue
+		}
+		if due := q.due(k, &c); q.now.Before(due) {
 			review = earliest(review, due)
 		} else {
 			found[k] = c
@@ -111,8 +119,8 @@
 }
 
 // due returns when a part may be held.
-func (q *partQuery) due(c *partCause) time.Time {
-	if c.narrowed {
+func (q *partQuery) due(k Key, c *partCause) time.Time {
+	if c.narrowed && !q.excluded[k] {
 		return c.first.Add(q.someEvidence)
 	}
 	return c.first.Add(q.evidence)
@@ -208,9 +216,9 @@
 }
 
 // mostSpecific returns the part with enough crashes that comes first, see before.
-func (d *partDiagnosis) mostSpecific() (best Key, ok bool) {
+func (d *partDiagnosis) mostSpecific(except map[Key]bool) (best Key, ok bool) {
 	for k := range d.present {
-		if d.enough(k) && (!ok || d.before(k, best)) {
+		if !except[k] && d.enough(k) && (!ok || d.before(k, best)) {
 			best, ok = k, true
 		}
 	}
@@ -266,7 +274,7 @@
 // widens reports whether a part is the cause of crashes beyond those that other parts explain: it
 // was not excluded where others were, so that two more crashes are enough.
 func (d *partDiagnosis) widens(k Key, rest *partDiagnosis) bool {
-	return d.score(k) > minCrashes && rest.unexplained(k) >= minIsolated && d.cause(k).narrowed
+	return !d.query.excluded[k] && d.score(k) > minCrashes && rest.unexplained(k) >= minIsolated && d.cause(k).narrowed
 }
 
 // cause returns what is known of a part.
@@ -280,7 +288,7 @@
 		if out.crashes == 0 {
 			out.first, out.with = c.at, slices.Collect(maps.Keys(c.open))
 		}
-		if c.cleared {
+		if slices.ContainsFunc(c.excluded, func(o Key) bool { return o.Scope == k.Scope }) {
 			excluded++
 		}
 		out.with = slices.DeleteFunc(out.with, func(o Key) bool { return !c.together(k, o) })
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -8,37 +8,56 @@
 // record is a crash in a table, with the sequence numbers of its changes.
 type record struct {
 	Crash
-	changed uint64 // the latest but those that cleared parts
-	// clearedAt is the number for each of Crash.ClearedParts.
-	clearedAt []uint64
-	requests  *evidence // nil until it is needed
-	parts     *evidence
+	changed uint64 // the latest but those that cleared something
+	// requestsAt and partsAt are the numbers for each of Crash.Cleared and Crash.ClearedParts.
+	requestsAt, partsAt []uint64
+	requests            *evidence // nil until it is needed
+	parts               *evidence
 }
 
-// cleared numbers what was added to ClearedParts, and drops what was derived from the crash.
+// cleared numbers what was added to Cleared and ClearedParts, and drops what was derived from the
+// crash.
 func (r *record) cleared(seq uint64) {
-	for len(r.clearedAt) < len(r.ClearedParts) {
-		r.clearedAt = append(r.clearedAt, seq)
+	for len(r.requestsAt) < len(r.Cleared) {
+		r.requestsAt = append(r.requestsAt, seq)
+	}
+	for len(r.partsAt) < len(r.ClearedParts) {
+		r.partsAt = append(r.partsAt, seq)
 	}
 	r.requests, r.parts = nil, nil
 }
 
 // latest returns the number of the latest change.
 func (r *record) latest() uint64 {
-	if n := len(r.clearedAt); n > 0 {
-		return max(r.changed, r.clearedAt[n-1])
+	out := r.changed
+	for _, all := range [...][]uint64{r.requestsAt, r.partsAt} {
+		if n := len(all); n > 0 {
+			out = max(out, all[n-1])
+		}
 	}
-	return r.changed
+	return out
 }
 
-// since returns what a reader lacks that has all changes up to seq. If only parts were cleared,
-// these are all that it gets: they are the changes that come by dozens.
+// since returns what a reader lacks that has all changes up to seq. If only requests and parts were
+// cleared, these are all that it gets: they are the changes that come by dozens.
 func (r *record) since(seq uint64) Crash {
 	if r.changed > seq {
 		return r.clone()
 	}
-	first := slices.IndexFunc(r.clearedAt, func(at uint64) bool { return at > seq })
-	return Crash{Endpoint: r.Endpoint, At: r.At, Void: r.Crash.Void, ClearedParts: slices.Clone(r.ClearedParts[first:])}
+	return Crash{
+		Endpoint: r.Endpoint, At: r.At, Void: r.Crash.Void,
+		Cleared: newer(r.Cleared, r.requestsAt, seq), ClearedParts: newer(r.ClearedParts, r.partsAt, seq),
+	}
+}
+
+// newer returns the keys with a number above seq.
+func newer(keys []Key, at []uint64, seq uint64) []Key {
+	for i := range at {
+		if at[i] > seq {
+			return slices.Clone(keys[i:])
+		}
+	}
+	return nil
 }
 
 func (r *record) requestEvidence() *evidence {
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -139,9 +139,9 @@
 		t.touch(r)
 		return true
 	}
-	changed, onlyParts := r.merge(c)
+	changed, onlyCleared := r.merge(c)
 	switch {
-	case changed && onlyParts:
+	case changed && onlyCleared:
 		t.touchCleared(r)
 	case changed:
 		t.touch(r)
@@ -175,12 +175,21 @@
 	return nil
 }
 
+// HasCrash reports whether the crash of an incarnation at about the given time is stored, and no
+// daemon has found that it was none.
+func (t *Table) HasCrash(inc Incarnation, at time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.find(inc, at)
+	return r != nil && !r.Crash.Void
+}
+
 func (t *Table) touch(r *record) {
 	t.touchCleared(r)
 	r.changed = t.seq
 }
 
-// touchCleared records that parts were cleared of a crash, and nothing else has changed.
+// touchCleared records that requests or parts were cleared of a crash, and nothing else has changed.
 func (t *Table) touchCleared(r *record) {
 	t.seq++
 	r.cleared(t.seq)
@@ -245,7 +254,7 @@
 	changed := false
 	for _, r := range t.crashes {
 		if r.At.Before(began) && r.isSuspect(k) && r.Crash.clear(k) {
-			t.touch(r)
+			t.touchCleared(r)
 			changed = true
 		}
 	}
@@ -424,7 +433,7 @@
 			continue
 		}
 		crashes = append(crashes, &r.Crash)
-		if !r.Crash.Void && !r.partEvidence().any(t.isHeldPart) {
+		if underHeldPart := len(t.heldParts) > 0 && r.partEvidence().any(t.isHeldPart); !r.Crash.Void && !underHeldPart {
 			unexplained = append(unexplained, r.requestEvidence())
 		}
 	}
