One crash is stored once where daemons know different starts of the endpoint

Causes, by the trace: a daemon with an older list reported a crash under the endpoint's earlier start, so that it was stored twice, once with the cause and once without, and neither looked isolated; and crashes that a held request explains counted towards a part without any evidence.

Change: a crash carries the hash of its endpoint's ID, and reports within 500 ms of each other are of one crash. Without evidence about others, a part needs three (six if it was excluded lately) crashes that nothing else explains. An earlier release sends no hash, and is merged as before.

--- a/internal/ends/watch.go
+++ b/internal/ends/watch.go
@@ -144,7 +144,9 @@
 
 func (w *Watch) startProbe(ctx context.Context, d Disconnect) *probe {
 	p := &probe{disconnect: d, startedAt: time.Now()}
-	p.crash = quarantine.Crash{Endpoint: quarantine.IncarnationOf(d.Endpoint, d.StartedAt), At: w.fleetTime(d.EndedAt)}
+	p.crash = quarantine.Crash{
+		Endpoint: quarantine.IncarnationOf(d.Endpoint, d.StartedAt), Hash: quarantine.EndpointHash(d.Endpoint), At: w.fleetTime(d.EndedAt),
+	}
 	w.probes[d.Endpoint] = p
 	w.probeGroup.Go(func() { w.runProbe(ctx, p) })
 	return p
@@ -204,7 +206,7 @@
 		if _, leaving := w.o.State(id); leaving && p.crashed && !p.crash.Void {
 			p.crash.Void = true
 			w.o.Ended(id, &p.crash, p.settled)
-			w.o.Changed(w.o.Table.Void(w.o.Now(), p.crash.Endpoint, p.crash.At))
+			w.o.Changed(w.o.Table.Void(w.o.Now(), &p.crash))
 		}
 	}
 	w.decide(now)
@@ -216,7 +218,7 @@
 func (w *Watch) decide(now time.Time) {
 	w.undecided = slices.DeleteFunc(w.undecided, func(p *probe) bool {
 		restarted := w.o.Restarted(p.disconnect.Endpoint, p.disconnect.StartedAt)
-		if restarted || w.o.Table.HasCrash(p.crash.Endpoint, p.crash.At) {
+		if restarted || w.o.Table.HasCrash(&p.crash) {
 			w.recordCrash(p)
 			return true
 		}
--- a/internal/quarantine/crash.go
+++ b/internal/quarantine/crash.go
@@ -33,10 +33,16 @@
 	return Error.Wrap(err)
 }
 
+// EndpointHash returns the hash of an endpoint's ID, which all its incarnations share.
+func EndpointHash(id fleet.EndpointID) uint32 { return uint32(xxh3.HashString(string(id))) }
+
 // Crash is the unannounced exit of an endpoint's process.
 type Crash struct {
 	Endpoint Incarnation
-	At       time.Time // by the fleet's clock
+	// Hash is that of the endpoint's ID, 0 from an earlier release. Daemons may know different
+	// starts of one endpoint for a while.
+	Hash uint32    `json:",omitempty"`
+	At   time.Time // by the fleet's clock
 	// Void means that it was no crash after all: the endpoint was leaving, or it
 	// still responds.
 	Void bool `json:",omitempty"`
@@ -88,6 +94,16 @@
 // requests at once, few of which have not started their responses.
 const maxSuspects = 64
 
+// sameCrash is the largest difference between the times of one crash that daemons report with
+// different starts of the endpoint. It is far less than a restart takes.
+const sameCrash = 500 * time.Millisecond
+
+// same reports whether another daemon's report is of the same crash.
+func (c *Crash) same(o *Crash) bool {
+	apart := c.At.Sub(o.At).Abs()
+	return c.Endpoint == o.Endpoint && apart < minRestartTime || c.Hash == o.Hash && c.Hash != 0 && apart < sameCrash
+}
+
 // timeTolerance is the difference below which two reported times of one event
 // count as equal: many times the rounding error of one transmission between
 // daemons, and far below correlationWindow.
@@ -99,6 +115,9 @@
 	if o.Void && !c.Void {
 		c.Void, changed = true, true
 	}
+	if c.Hash == 0 && o.Hash != 0 {
+		c.Hash, changed = o.Hash, true
+	}
 	if c.At.Sub(o.At) > timeTolerance {
 		c.At, changed = o.At, true
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -99,7 +99,7 @@
 			break
 		}
 		c := rest.cause(k)
-		if q.excluded[k] && !c.narrowed && c.crashes < 2*minCrashes {
+		if !c.narrowed && rest.unexplained(k) < q.needed(k) {
 			doubtful[k] = true
 			continue
 		}
@@ -118,6 +118,15 @@
 	return found, review
 }
 
+// needed returns the number of crashes without another known cause that are needed to hold a part
+// without evidence about others.
+func (q *partQuery) needed(k Key) int {
+	if q.excluded[k] {
+		return 2 * minCrashes
+	}
+	return minCrashes
+}
+
 // due returns when a part may be held.
 func (q *partQuery) due(k Key, c *partCause) time.Time {
 	if c.narrowed && !q.excluded[k] {
--- a/internal/quarantine/quarantinepb/codec.go
+++ b/internal/quarantine/quarantinepb/codec.go
@@ -14,7 +14,7 @@
 	for i := range all {
 		c := &all[i]
 		out[i] = &Crash{
-			Endpoint: uint64(c.Endpoint), AtMs: c.At.UnixMilli(), AtUs: uint32(c.At.UnixMicro() % 1000), Void: c.Void,
+			Endpoint: uint64(c.Endpoint), Hash: c.Hash, AtMs: c.At.UnixMilli(), AtUs: uint32(c.At.UnixMicro() % 1000), Void: c.Void,
 			Suspects: encodeSuspects(c), Cleared: encodeKeys(c.Cleared),
 			Prompts: encodePrompts(c), ClearedParts: encodeClearedParts(c.ClearedParts),
 		}
@@ -28,7 +28,7 @@
 	var out []quarantine.Crash
 	for _, c := range all {
 		crash := quarantine.Crash{
-			Endpoint: quarantine.Incarnation(c.GetEndpoint()), At: time.UnixMicro(1000*c.GetAtMs() + int64(c.GetAtUs())), Void: c.GetVoid(),
+			Endpoint: quarantine.Incarnation(c.GetEndpoint()), Hash: c.GetHash(), At: time.UnixMicro(1000*c.GetAtMs() + int64(c.GetAtUs())), Void: c.GetVoid(),
 			Cleared: decodeKeys(c.GetCleared()), ClearedParts: decodeClearedParts(c.GetClearedParts()),
 		}
 		crash.Suspects = decodeSuspects(crash.At, c.GetSuspects())
--- a/internal/quarantine/quarantinepb/codec_test.go
+++ b/internal/quarantine/quarantinepb/codec_test.go
@@ -20,7 +20,7 @@
 			Suspects: []quarantine.Suspect{{Request: k, Sent: at.Add(-50_007 * time.Microsecond)}},
 		},
 		{
-			Endpoint: 9, At: at, ClearedParts: []quarantine.Key{quarantine.PartOf(4, 5)},
+			Endpoint: 9, Hash: 10, At: at, ClearedParts: []quarantine.Key{quarantine.PartOf(4, 5)},
 			Prompts: []quarantine.Prompt{{Workspace: 3, Scope: 4, Parts: []uint64{5, 1 << 60}, Sent: at.Add(-7 * time.Microsecond)}},
 		},
 	}
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -45,7 +45,7 @@
 		return r.clone()
 	}
 	return Crash{
-		Endpoint: r.Endpoint, At: r.At, Void: r.Crash.Void,
+		Endpoint: r.Endpoint, Hash: r.Hash, At: r.At, Void: r.Crash.Void,
 		Cleared: newer(r.Cleared, r.requestsAt, seq), ClearedParts: newer(r.ClearedParts, r.partsAt, seq),
 	}
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -131,9 +131,9 @@
 // addOne adds or merges one crash and reports whether that changed anything. The
 // lock must be held.
 func (t *Table) addOne(c *Crash) bool {
-	r := t.find(c.Endpoint, c.At)
+	r := t.find(c)
 	if r == nil {
-		r = &record{Crash: Crash{Endpoint: c.Endpoint, At: c.At, Void: c.Void}}
+		r = &record{Crash: Crash{Endpoint: c.Endpoint, Hash: c.Hash, At: c.At, Void: c.Void}}
 		r.merge(c)
 		t.crashes = append(t.crashes, r)
 		t.touch(r)
@@ -149,12 +149,11 @@
 	return changed
 }
 
-// find returns the crash of an incarnation at about the given time, or nil. If
-// endpoints do not report when they started, several crashes can have the same
-// incarnation. The lock must be held.
-func (t *Table) find(inc Incarnation, at time.Time) *record {
+// find returns the stored crash that a report is of, or nil. If endpoints do not report when they
+// started, several crashes can have the same incarnation. The lock must be held.
+func (t *Table) find(c *Crash) *record {
 	for _, r := range slices.Backward(t.crashes) {
-		if r.Endpoint == inc && r.At.Sub(at).Abs() < minRestartTime {
+		if r.same(c) {
 			return r
 		}
 	}
@@ -175,12 +174,11 @@
 	return nil
 }
 
-// HasCrash reports whether the crash of an incarnation at about the given time is stored, and no
-// daemon has found that it was none.
-func (t *Table) HasCrash(inc Incarnation, at time.Time) bool {
+// HasCrash reports whether a crash is stored already, and no daemon has found that it was none.
+func (t *Table) HasCrash(c *Crash) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.find(inc, at)
+	r := t.find(c)
 	return r != nil && !r.Crash.Void
 }
 
@@ -195,12 +193,11 @@
 	r.cleared(t.seq)
 }
 
-// Void records that an endpoint that exited at about the given time did not crash,
-// because it was leaving.
-func (t *Table) Void(now time.Time, inc Incarnation, at time.Time) Change {
+// Void records that an endpoint did not crash, because it was leaving.
+func (t *Table) Void(now time.Time, c *Crash) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.find(inc, at)
+	r := t.find(c)
 	if r == nil || r.Crash.Void {
 		return Change{}
 	}
--- a/internal/quarantine/table_test.go
+++ b/internal/quarantine/table_test.go
@@ -113,7 +113,7 @@
 		table.Add(at(now), crash(i, now, 7))
 	}
 	assert.Assert(t, held(table, 3, 7))
-	change := table.Void(at(3), incarnation(1), at(1))
+	change := table.Void(at(3), &Crash{Endpoint: incarnation(1), At: at(1)})
 	assert.DeepEqual(t, change.Released, []Key{key(7)})
 	table.Add(at(3), crash(1, 1, 7)) // from a daemon without the announcement
 	assert.Assert(t, !held(table, 3, 7))
@@ -325,3 +325,20 @@
 	table.Add(at(1), again)
 	assert.Assert(t, table.Position() != before)
 }
+
+// Daemons know different starts of an endpoint when it crashes, just after a restart. Their reports
+// are of one crash; a crash after the next restart is another.
+func TestCrashIsOneWhereDaemonsKnowDifferentStarts(t *testing.T) {
+	table := NewTable(1)
+	report := func(n int, seconds float64, request int) {
+		c := crash(n, seconds, request)
+		c.Hash = EndpointHash("e")
+		table.Add(at(seconds), c)
+	}
+	report(1, 1, 0)
+	report(2, 1.02, 7)
+	assert.Equal(t, table.CrashCount(), 1)
+	assert.Equal(t, len(table.crashes[0].Suspects), 2)
+	report(2, 2.3, 0)
+	assert.Equal(t, table.CrashCount(), 2)
+}
