Without evidence about others a part needs six crashes, or nine

Callers saw (in the soak, TestSoakOfRollouts 1201 and 1204): where floods kill all three endpoints of a service at the start, the part of all prompts was held after two seconds without any served request.

Change: the number of crashes without evidence is six that nothing else explains, in three groups at least, nine for a part that was excluded from a crash or served by this daemon twenty times lately. With evidence three suffice, as before.

--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -99,7 +99,7 @@
 			break
 		}
 		c := rest.cause(k)
-		if !c.narrowed && rest.unexplained(k) < q.needed(k) {
+		if !c.narrowed && (rest.unexplained(k) < q.needed(k) || rest.groups[k] < minCrashes) {
 			doubtful[k] = true
 			continue
 		}
@@ -118,13 +118,20 @@
 	return found, review
 }
 
-// needed returns the number of crashes without another known cause that are needed to hold a part
-// without evidence about others.
+// The numbers of crashes without another known cause that are needed to hold a part without evidence
+// about others: endpoints that are all down serve nothing that could exclude a part. popular is the
+// number of requests with a part lately from which it takes the larger one.
+const (
+	minUnproven        = 2 * minCrashes
+	minUnprovenPopular = 3 * minCrashes
+	popular            = 20
+)
+
 func (q *partQuery) needed(k Key) int {
-	if q.excluded[k] {
-		return 2 * minCrashes
+	if q.excluded[k] || q.served(k) >= popular {
+		return minUnprovenPopular
 	}
-	return minCrashes
+	return minUnproven
 }
 
 // due returns when a part may be held.
--- a/internal/quarantine/served.go
+++ b/internal/quarantine/served.go
@@ -35,10 +35,14 @@
 
 // halve halves all counts if the interval is over.
 func (s *served) halve(now time.Time) {
-	if now.Sub(time.Unix(0, s.halvedAt.Load())) < halving {
+	last := s.halvedAt.Load()
+	if last != 0 && now.Sub(time.Unix(0, last)) < halving {
 		return
 	}
 	s.halvedAt.Store(now.UnixNano())
+	if last == 0 {
+		return
+	}
 	for row := range s.counts {
 		for i := range s.counts[row] {
 			c := &s.counts[row][i]
