--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -59,7 +59,7 @@
 
 	crashes    int // under the guilty part
 	fifth      time.Time
-	held       time.Time // when the last crash under the part happened
+	lastCrash  time.Time // under the guilty part
 	late       int       // sends later than contactBound after the fifth crash
 	soundSent  [2]int    // first attempts: before the flood, and once the part should be held
 	soundBegun [2]int
@@ -247,7 +247,7 @@
 		e.attempts = kept
 		if crashed {
 			s.crashes++
-			s.held = s.now
+			s.lastCrash = s.now
 			if s.crashes == 5 {
 				s.fifth = s.now
 			}
@@ -337,7 +337,7 @@
 	switch {
 	case s.now.Sub(s.start) < floodAt:
 		return 0
-	case !s.held.IsZero() && s.now.Sub(s.start) >= floodAt+2*contactBound:
+	case !s.lastCrash.IsZero() && s.now.Sub(s.start) >= floodAt+2*contactBound:
 		return 1
 	}
 	return -1
@@ -378,7 +378,7 @@
 
 func (s *partSim) String() string {
 	return fmt.Sprintf("%d crashes, the last %v after the first request with the part, %d sends too late, sound requests begun %.3f of calm, %d held, %.1f KB/s at a daemon, %.1f at a hub",
-		s.crashes, s.held.Sub(s.start.Add(floodAt)).Round(step), s.late, s.share(), s.soundHeld, s.rateAt(s.all[len(s.all)-1]), s.rateAt(s.hubs[0][0]))
+		s.crashes, s.lastCrash.Sub(s.start.Add(floodAt)).Round(step), s.late, s.share(), s.soundHeld, s.rateAt(s.all[len(s.all)-1]), s.rateAt(s.hubs[0][0]))
 }
 
 // rateAt returns the kilobytes a second for crashes at a daemon during the flood.
--- a/internal/quarantine/parthold.go
+++ b/internal/quarantine/parthold.go
@@ -24,22 +24,6 @@
 	return !slices.ContainsFunc(h.with, func(k Key) bool { return !id.has(k) })
 }
 
-// minTrialWait is the shortest time from the newest crash under a part to its trial, where no
-// evidence about other parts has arrived, and trialBackoff the factor by which it grows with each
-// crash: endpoints that are all down serve nothing that could exclude a part.
-const (
-	minTrialWait = 3 * time.Second
-	trialBackoff = 4
-)
-
-// trialAt returns when a part may be tried.
-func (c *partCause) trialAt() time.Time {
-	if c.narrowed {
-		return c.newest.Add(retention)
-	}
-	return c.newest.Add(min(max(minTrialWait, trialBackoff*c.gap), retention))
-}
-
 // holdParts updates which parts are held. Crashes of a held request alone don't make a part of its
 // prompt the cause. The lock must be held.
 func (t *Table) holdParts(now time.Time) {
