A part that is released after its trial is released at all daemons

Callers saw: nothing; found by reading the diff. A trial 30 minutes after the crashes is served at one daemon, which drops the old crashes at once: the others never learn it, and each holds the part until a trial of its own. What they would have got was refused as too old besides.

Change: a crash is kept for a minute after its latest change, and cleared parts are taken like crashes with prompts, up to 24 hours. TestTrialThatIsServedReleasesThePartEverywhere failed before.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -323,6 +323,19 @@
 	assert.Assert(t, !heldPrompt(b, now+1, prompt(1, 98, 7)), "the trial was served")
 }
 
+// A trial is served at one daemon, long after the crashes. The others must learn that from what it
+// sends.
+func TestTrialThatIsServedReleasesThePartEverywhere(t *testing.T) {
+	a, b := heldTables()
+	now := trialAt()
+	_, known := b.Since(Position{})
+	assert.Assert(t, !heldPrompt(b, now, prompt(1, 99, 7)))
+	wrote(b, now, prompt(1, 99, 7))
+	told, _ := b.Since(known)
+	change := a.Add(at(now+1), told...)
+	assert.DeepEqual(t, change.Released, []Key{part(7)})
+}
+
 // All daemons start again after the retention, before a trial: the part is still held.
 func TestPartIsHeldUntilItsTrialAfterARestart(t *testing.T) {
 	a, _ := heldTables()
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -8,7 +8,8 @@
 // record is a crash in a table, with the sequence numbers of its changes.
 type record struct {
 	Crash
-	changed uint64 // the latest but those that cleared something
+	touched time.Time // when it last changed
+	changed uint64    // the latest change but those that cleared something
 	// requestsAt and partsAt are the numbers for each of Crash.Cleared and Crash.ClearedParts.
 	requestsAt, partsAt []uint64
 	requests            *evidence // nil until it is needed
@@ -80,14 +81,18 @@
 // maxAge is the age up to which a crash is taken from others. One under a part may be kept for longer,
 // since the part is held until a trial.
 func maxAge(c *Crash) time.Duration {
-	if len(c.Prompts) > 0 {
+	if len(c.Prompts)+len(c.ClearedParts) > 0 {
 		return maxHold
 	}
 	return retention
 }
 
+// tellTime is how long a change is kept to be told to other daemons.
+const tellTime = time.Minute
+
 // expired reports whether a crash is no longer kept. The lock must be held.
 func (t *Table) expired(now time.Time, r *record) bool {
 	age := now.Sub(r.At)
-	return age >= maxHold || age >= retention && !r.partEvidence().any(t.isHeldPart)
+	told := now.Sub(r.touched) >= tellTime
+	return age >= maxHold || age >= retention && told && !r.partEvidence().any(t.isHeldPart)
 }
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -39,6 +39,7 @@
 	epoch uint64
 
 	mu        sync.Mutex
+	now       time.Time // of the latest change
 	seq       uint64
 	crashes   []*record // sorted by time
 	held      map[Key]time.Time
@@ -115,6 +116,7 @@
 func (t *Table) Add(now time.Time, crashes ...Crash) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.now = now
 	changed := false
 	for i := range crashes {
 		c := &crashes[i]
@@ -190,6 +192,7 @@
 // touchCleared records that requests or parts were cleared of a crash, and nothing else has changed.
 func (t *Table) touchCleared(r *record) {
 	t.seq++
+	r.touched = t.now
 	r.cleared(t.seq)
 }
 
@@ -197,6 +200,7 @@
 func (t *Table) Void(now time.Time, c *Crash) Change {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.now = now
 	r := t.find(c)
 	if r == nil || r.Crash.Void {
 		return Change{}
@@ -214,6 +218,7 @@
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.now = now
 	r := t.recent(now, inc)
 	if r == nil || r.Crash.Void || !sent.After(r.At) {
 		return Change{}
@@ -232,6 +237,7 @@
 	i := id()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.now = now
 	changed := t.clear(i.Request, began)
 	for _, p := range i.Parts {
 		changed = t.clearPart(PartOf(i.Scope, p), began) || changed
