A cause that isn't proven yet stands in the way of popular parts

Cause, by the trace: the part that crashed the endpoints had five crashes, where six are needed without evidence about others; it was passed over, and the part of all prompts, with six, was held.

Change: a part that comes first but isn't proven explains its crashes all the same, so that nothing else is held for them.

--- a/internal/quarantine/partdiagnosis.go
+++ b/internal/quarantine/partdiagnosis.go
@@ -64,9 +64,9 @@
 }
 
 // mostSpecific returns the part with enough crashes that comes first, see before.
-func (d *partDiagnosis) mostSpecific(except map[Key]bool) (best Key, ok bool) {
+func (d *partDiagnosis) mostSpecific() (best Key, ok bool) {
 	for k := range d.present {
-		if !except[k] && d.enough(k) && (!ok || d.before(k, best)) {
+		if d.enough(k) && (!ok || d.before(k, best)) {
 			best, ok = k, true
 		}
 	}
--- a/internal/quarantine/partquery.go
+++ b/internal/quarantine/partquery.go
@@ -47,22 +47,20 @@
 	q.excluded = q.excludedLately(crashes)
 	all := newPartDiagnosis(crashes, q)
 	rest := all
-	doubtful := map[Key]bool{}
 	for {
-		k, ok := rest.mostSpecific(doubtful)
+		k, ok := rest.mostSpecific()
 		if !ok {
 			break
 		}
 		c := rest.cause(k)
-		if !c.narrowed && (rest.unexplained(k) < q.needed(k) || rest.groups[k] < minCrashes) {
-			doubtful[k] = true
-			continue
-		}
-		if due := q.due(k, &c); q.now.Before(due) {
+		proven := c.narrowed || rest.unexplained(k) >= q.needed(k) && rest.groups[k] >= minCrashes
+		switch due := q.due(k, &c); {
+		case proven && q.now.Before(due):
 			review = earliest(review, due)
-		} else {
+		case proven:
 			found[k] = c
 		}
+		// A cause that isn't proven yet stands in the way of others too.
 		rest = newPartDiagnosis(withoutCauses(rest.crashes, func(o Key) bool { return o == k }), q)
 	}
 	for k := range all.present {
