--- a/internal/ends/watch_test.go
+++ b/internal/ends/watch_test.go
@@ -233,8 +233,7 @@
 	})
 }
 
-// Nothing listens at an endpoint, and this daemon can't tell its crash from a lost path, while another
-// one could. The suspects here must be known as soon as that one has told.
+// Guards against suspects that a daemon reports late, since it can't tell a crash from a lost path.
 func TestUndecidedEndIsACrashOnceAnotherDaemonHasRecordedIt(t *testing.T) {
 	runWatch(t, func(t *testing.T, s *fixture) {
 		s.listenErr = ErrUndecided
--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -256,7 +256,7 @@
 	}
 }
 
-// write tells the table of a sound attempt that goes on, and reports whether it isn't finished.
+// write records a sound attempt that has settled in the table, and reports whether it is unfinished.
 func (s *partSim) write(a *partAttempt) bool {
 	if a.guilty {
 		return true
--- a/internal/quarantine/record.go
+++ b/internal/quarantine/record.go
@@ -87,7 +87,7 @@
 	return retention
 }
 
-// tellTime is how long a change is kept to be told to other daemons.
+// tellTime is how long a change is kept at least, so that other daemons receive it.
 const tellTime = time.Minute
 
 // expired reports whether a crash is no longer kept. The lock must be held.
