--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -384,9 +384,7 @@
 // rateAt returns the kilobytes a second for crashes at a daemon during the flood.
 func (s *partSim) rateAt(d *daemon) float64 { return float64(s.bytes[d]) / 1000 / floodSeconds }
 
-// Requests that share a part of their prompts and nothing else crash the endpoints that begin to
-// write an answer on it. The part must be held in time, and sound requests that share all else
-// must go on.
+// Guards against a part that crashes one endpoint after the other, in fleets of any size.
 func TestFleetsHoldAPartOfPromptsThatCrashesEndpoints(t *testing.T) {
 	for _, p := range []partPlay{
 		{daemons: 9, rate: 4, flood: 1.2, position: 1},
@@ -407,8 +405,7 @@
 	}
 }
 
-// Endpoints end one by one and together for reasons of their own, while a few parts are in most
-// prompts. No request may be held.
+// Guards against popular parts that are held for crashes of other causes.
 func TestPopularPartsAreNotHeldForOtherCrashes(t *testing.T) {
 	for _, daemons := range []int{9, 78} {
 		for seed := range uint64(3) {
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -49,8 +49,7 @@
 	t.Ran(at(after+0.5), at(after+0.1), func() *Identity { return id })
 }
 
-// Requests that share part 7 and nothing else of their own crash endpoints, while others with the
-// same caller and the same other parts are served.
+// Guards against requests that share one part, and crash endpoints unrecognised.
 func TestPartLeftOverInThreeCrashesIsHeld(t *testing.T) {
 	table := NewTable(1)
 	for i := range 3 {
@@ -66,8 +65,7 @@
 	assert.Equal(t, table.Evidence(part(7)).Excluded, 1)
 }
 
-// Endpoints end one by one within a second, for reasons of their own, while one popular part runs at
-// each. The evidence that it isn't the cause arrives later than the third end.
+// Guards against a popular part that is held for three unrelated crashes within a second.
 func TestPopularPartIsNotHeldBeforeEvidenceCanArrive(t *testing.T) {
 	table := NewTable(1)
 	for i := range 3 {
@@ -79,8 +77,7 @@
 	assert.Assert(t, !heldPrompt(table, 3, prompt(1, 99, 1)))
 }
 
-// Nothing sound has the part, and nothing else of its route is served: it takes more crashes, and more
-// again if the part was served a lot before.
+// Guards against a part that is never held, since nothing else of its route is served.
 func TestPartWithoutEvidenceIsHeldInTheEnd(t *testing.T) {
 	for served, crashes := range map[int]int{0: minUnproven, popular: minUnprovenPopular} {
 		table := NewTable(1)
@@ -105,8 +102,7 @@
 	assert.Assert(t, !heldPrompt(table, 9, prompt(1, 99, 1)))
 }
 
-// Two parts come only together, so that either may be the cause. Requests with both must be held,
-// and a request with one of them, which is sent, must tell them apart.
+// Guards against an innocent part that is held with the cause it came with.
 func TestPartsThatComeTogetherAreToldApartByWhatHasOneOfThem(t *testing.T) {
 	together := func() *Table {
 		table := NewTable(1)
@@ -128,9 +124,7 @@
 	assert.Assert(t, heldPrompt(table, 10.1, prompt(1, 99, 1, 8)), "the first part alone crashes endpoints as well")
 }
 
-// All endpoints of a service are down again and again, so that nothing is served that could exclude
-// the parts which all prompts have. Only requests that have all else in common with those that
-// crash endpoints may be held.
+// Guards against parts of all prompts that are held while all endpoints are down.
 func TestPopularPartsAreNotHeldWhileNothingIsServed(t *testing.T) {
 	table := NewTable(1)
 	for i := range 8 {
@@ -143,8 +137,7 @@
 	assert.Assert(t, heldPrompt(table, 5, prompt(1, 99, 7)))
 }
 
-// Endpoints that end one by one take a service down, and nothing is served that could exclude the
-// part of all prompts. It is tried a few seconds later, and released when that is served.
+// Guards against a part that stays held for long without any evidence.
 func TestPartWithoutEvidenceIsTriedEarly(t *testing.T) {
 	table := NewTable(1)
 	table.SetTrials(func(Key, int64) bool { return true })
@@ -187,8 +180,7 @@
 	assert.Assert(t, !heldPrompt(table, 9, prompt(1, 99, 1, 7)))
 }
 
-// The first request with the part was sent to three endpoints and is held by itself. The next one
-// must be the last.
+// Guards against three more crashes after a request with the part was held by itself.
 func TestPartIsHeldAfterARequestWithItWasHeld(t *testing.T) {
 	table := NewTable(1)
 	for i := range 3 {
@@ -200,8 +192,7 @@
 	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 7)))
 }
 
-// A workspace names another one's part in requests that crash endpoints. Only its own requests may
-// be held, until those of another one crash endpoints too.
+// Guards against a workspace that gets another one's requests held by naming their parts.
 func TestHoldBindsTheWorkspacesUnderWhichEndpointsCrashed(t *testing.T) {
 	table := NewTable(1)
 	crashUnder(table, 0, 0, 3, func(i int) *Identity { return prompt(1, i, 4, 7) })
@@ -234,8 +225,7 @@
 	assert.Assert(t, !heldPrompt(table, 3, other))
 }
 
-// Two parts and a request each crash endpoints, all at the same time. All must be held, and
-// nothing else.
+// Guards against causes that hide each other.
 func TestSeveralCausesAtOnceAreFound(t *testing.T) {
 	table := NewTable(1)
 	for i := range 6 {
@@ -255,8 +245,7 @@
 	}
 }
 
-// Two parts crash endpoints so often that each crash has one of the other within the correlation
-// window.
+// Guards against two floods so dense that no crash is isolated.
 func TestTwoFrequentCausesAreFound(t *testing.T) {
 	table := NewTable(1)
 	for i := range 60 {
@@ -269,8 +258,7 @@
 	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)) && heldPrompt(table, 3, prompt(1, 99, 8)))
 }
 
-// Endpoints are killed together again and again, each time while a request with the same popular
-// part runs at each, and requests with it are served in between.
+// Guards against a popular part that is held since endpoints are killed together.
 func TestPartOnEndpointsKilledTogetherIsNotHeld(t *testing.T) {
 	table := NewTable(1)
 	for i := range 8 {
@@ -303,8 +291,7 @@
 	return at(retention.Seconds() + 3).Truncate(trialInterval).Add(trialInterval).Sub(start).Seconds()
 }
 
-// When the hold is over, one request is tried in the whole fleet, and no other until it is known how
-// it ended.
+// Guards against a trial at each daemon once the hold is over.
 func TestOneRequestIsTriedAfterTheHold(t *testing.T) {
 	a, b := heldTables()
 	now := trialAt()
@@ -323,8 +310,7 @@
 	assert.Assert(t, !heldPrompt(b, now+1, prompt(1, 98, 7)), "the trial was served")
 }
 
-// A trial is served at one daemon, long after the crashes. The others must learn that from what it
-// sends.
+// Guards against a trial whose success only one daemon learns of.
 func TestTrialThatIsServedReleasesThePartEverywhere(t *testing.T) {
 	a, b := heldTables()
 	now := trialAt()
@@ -352,8 +338,7 @@
 	assert.Equal(t, fresh.CrashCount(), 0)
 }
 
-// A header names thousands of parts, and endpoints crash under many such requests. What is kept,
-// sent and stored must stay bounded.
+// Guards against headers that name thousands of parts.
 func TestPartsAreBounded(t *testing.T) {
 	table := NewTable(1)
 	for i := range 300 {
--- a/internal/relay/closeframed_test.go
+++ b/internal/relay/closeframed_test.go
@@ -33,8 +33,7 @@
 	twoEvents = oneEvent + "id: 2\ndata: b\n\n"
 )
 
-// An answer ends with its connection while its endpoint lives on: it is whole unless it ends
-// inside an event.
+// Guards against whole answers without a length that count as broken.
 func TestAnswerThatEndsWithItsConnectionIsWhole(t *testing.T) {
 	for path, body := range map[string]string{"/order/1": "done", "/lookup/1": "", "/once/1": twoEvents, "/stream/1": twoEvents} {
 		s := newFixture(t, testRoutes(), alwaysAnswers(closeFramed(body)))
@@ -47,8 +46,7 @@
 	}
 }
 
-// An endpoint crashes under an answer that has neither a length nor chunks. The end of the
-// connection must not make it look complete, nor clear the request of the crash.
+// Guards against a crash that looks like the end of an answer without a length.
 func TestAnswerIsBrokenWhereItsEndpointCrashesAtItsEnd(t *testing.T) {
 	for _, c := range []struct{ path, body string }{
 		{"/order/1", ""}, {"/order/1", "part"}, {"/once/1", ""}, {"/once/1", oneEvent}, {"/once/1", oneEvent + "id: 2\nda"},
@@ -65,8 +63,7 @@
 	}
 }
 
-// A stream that may be resumed is cut between two events, at the end of its endpoint. It must
-// go on elsewhere.
+// Guards against a stream that ends as complete where a crash has cut it between events.
 func TestStreamGoesOnWhereItsEndpointCrashesBetweenEvents(t *testing.T) {
 	s := newFixture(t, testRoutes(), &engine{}, &engine{})
 	for _, e := range s.engines {
@@ -83,8 +80,7 @@
 	assert.Assert(t, got.ended && !got.aborted)
 }
 
-// The endpoint can't be reached after an answer without a length has ended, and whether it lives
-// on isn't known. A repeated lookup must bring a whole answer.
+// Guards against a short answer where a repeat would bring a whole one.
 func TestLookupIsRepeatedWhereItsAnswersEndIsUnconfirmed(t *testing.T) {
 	s := newFixture(t, testRoutes(), &engine{}, &engine{})
 	for _, e := range s.engines {
--- a/internal/relay/guard_test.go
+++ b/internal/relay/guard_test.go
@@ -49,8 +49,7 @@
 	assert.Equal(t, *got.refusal, Refusal{Reason: Quarantined, Verdict: verdict.MayHaveRun, RetryAfter: time.Minute})
 }
 
-// A request is found to crash endpoints while the connection for its attempt is being
-// established. It must not be sent, and the endpoint isn't to blame.
+// Guards against a request that is held while its connection is established, and still sent.
 func TestRequestQuarantinedWhileConnecting(t *testing.T) {
 	s := newFixture(t, testRoutes(), alwaysAnswers(response(200, "done")))
 	dial := s.dial(t)
@@ -66,8 +65,7 @@
 	assert.Equal(t, s.send(t.Context(), "/lookup/2").body.String(), "done")
 }
 
-// A whole answer shows that a request can be run without a crash; the head of one, or a refusal,
-// doesn't.
+// Guards against a head or a refusal that clears a request.
 func TestWholeAnswerIsReportedAsRun(t *testing.T) {
 	s := newFixture(t, testRoutes(), alwaysAnswers(response(200, "done")))
 	s.send(t.Context(), "/lookup/1")
@@ -80,8 +78,7 @@
 	assert.Equal(t, len(s.recorder.ran), 0)
 }
 
-// A stream has gone on for long enough before it is cut off: it was run without a crash, and its
-// first event alone doesn't show that.
+// Guards against a first event that clears a request.
 func TestStreamThatGoesOnIsReportedAsRun(t *testing.T) {
 	for _, c := range []struct {
 		pause time.Duration
