--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -34,6 +34,8 @@
 		Hub:           r.IsHub,
 		Members:       encodePosition(r.MembersPosition),
 		Unpacks:       r.AcceptsCompressed,
+		Speeds:        encodeSpeeds(r.Soft.Speeds),
+		Demands:       encodeDemands(r.Soft.Demands),
 
 		Unreachable:    r.Unreachable,
 		Forward:        r.ForwardAddress,
@@ -73,6 +75,8 @@
 			JustStarted: in.Recent,
 			Load:        decodeLoads(in.Loads),
 			Work:        make(map[string]relay.Work, len(in.Works)),
+			Speeds:      decodeSpeeds(in.Speeds),
+			Demands:     decodeDemands(in.Demands),
 		},
 		Windows:  make(map[uint64]RequestCounts, len(in.Windows)),
 		WallTime: time.UnixMilli(in.WallMs),
@@ -150,6 +154,7 @@
 		Endpoints:     encodeList(&r.Endpoints, r.Compress),
 		FreshMs:       r.StoreAge.Milliseconds(),
 		Levels:        encodeAmounts(r.Soft.Levels),
+		Demands:       encodeDemands(r.Soft.Demands),
 
 		ConfigRevision: r.ConfigRevision,
 
@@ -166,6 +171,9 @@
 	if r.Loads != nil {
 		out.Loads, out.OwnLoads = r.Loads.encoded, encodeLoads(r.Loads.Own)
 	}
+	if r.Speeds != nil {
+		out.Speeds, out.OwnSpeeds = encodeSpeeds(r.Speeds.All), encodeSpeeds(r.Speeds.Own)
+	}
 	if !r.FleetTime.IsZero() {
 		out.TrueMs = r.FleetTime.UnixMilli()
 	}
@@ -177,7 +185,7 @@
 		ConfigVersion:   t.ConfigVersion,
 		Config:          t.Config,
 		ConfigRevision:  t.ConfigRevision,
-		Soft:            relay.SoftState{Spent: decodeAmounts(t.Spent), JustStarted: t.Recent, Levels: decodeAmounts(t.Levels)},
+		Soft:            relay.SoftState{Spent: decodeAmounts(t.Spent), JustStarted: t.Recent, Levels: decodeAmounts(t.Levels), Demands: decodeDemands(t.Demands)},
 		Holder:          decodeHolder(t.Holder),
 		Endpoints:       decodeList(t.Endpoints),
 		StoreAge:        time.Duration(t.FreshMs) * time.Millisecond,
@@ -194,6 +202,9 @@
 	if t.Loads != nil {
 		r.Loads = &Loads{All: decodeLoads(t.Loads), Own: decodeLoads(t.OwnLoads)}
 	}
+	if t.Speeds != nil {
+		r.Speeds = &Speeds{All: decodeSpeeds(t.Speeds), Own: decodeSpeeds(t.OwnSpeeds)}
+	}
 	if t.TrueMs != 0 {
 		r.FleetTime = time.UnixMilli(t.TrueMs)
 	}
--- a/internal/exchange/report.go
+++ b/internal/exchange/report.go
@@ -93,8 +93,9 @@
 	// ConfigRevision is the store's revision up to which the hub has all versions of the
 	// configuration, 0 if it has not listed them.
 	ConfigRevision uint64
-	Soft           relay.SoftState // Spent, Levels and JustStarted only
+	Soft           relay.SoftState // Spent, Levels, Demands and JustStarted only
 	Loads          *Loads          // nil if the report had OmitLoads
+	Speeds         *Speeds         // likewise
 	FleetTime      time.Time       // median of the daemons' clocks; zero if unknown
 	Holder         Holder          // the newest that the hub has received
 	// Endpoints updates the daemon's list of endpoints to the hub's.
--- /dev/null
+++ b/internal/quota/demand.go
@@ -0,0 +1,15 @@
+package quota
+
+import "github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+
+// Asked is what callers have asked for on one route since a daemon's start, admitted or not.
+type Asked struct {
+	Amount   float64 // in the unit of the workspace's limit
+	Requests uint64
+}
+
+// Demand is the demand of one workspace by route.
+type Demand map[string]Asked
+
+// Demands is the demand of workspaces whose limit is short.
+type Demands map[fleet.WorkspaceID]Demand
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -13,6 +13,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
 )
 
 // State is what requests share: the configuration in force, the choice of
@@ -140,6 +141,10 @@
 	Load balance.Loads
 	// Work is the work given to endpoints since a daemon's start, by service.
 	Work map[string]Work
+	// Speeds is what was observed of endpoints' speeds.
+	Speeds speed.Observations
+	// Demands is what was asked for of limits that are short, since a daemon's start.
+	Demands quota.Demands
 }
 
 // OwnState returns this daemon's part of the soft state.
