--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -78,7 +78,7 @@
 		listed[e.ID] = true
 		m := b.members[e.ID]
 		if m == nil || m.RestartedAs(&e) {
-			m = &member{hash: rendezvous.Key(string(e.ID))}
+			m = &member{hash: rendezvous.Key(string(e.ID)), slow: usual}
 			b.members[e.ID] = m
 		}
 		isNew := m.ID == ""
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -29,6 +29,7 @@
 	fetchSeconds float64
 	own          Load
 	others       Load
+	slow         slowness
 	parts        partCache
 	// failureShare is the smoothed share of failures among recent outcomes.
 	failureShare        float64
