A hanging path loses the end of a connection as well

The stand-in of a hanging path dropped the bytes of open connections but delivered their end. No partition does: a stream without a length appeared complete after 6 of its 12 events once the path was open again, and TestCallersAreServedAtDaemonsWithoutAPath failed at load 20. Reads on such a connection now end by their deadline or by Close only.

--- a/internal/faultproxy/path.go
+++ b/internal/faultproxy/path.go
@@ -6,6 +6,9 @@
 	"sync"
 	"sync/atomic"
 	"syscall"
+	"time"
+
+	"github.com/zeebo/errs"
 )
 
 // PathState is the state of a Path.
@@ -14,7 +17,7 @@
 // The states of a path.
 const (
 	PathOpen       PathState = iota
-	PathHanging              // open connections lose all bytes, new ones aren't answered
+	PathHanging              // open connections lose all bytes and their end, new ones aren't answered
 	PathReset                // open connections are reset, new ones are refused
 	PathRefusesNew           // open connections live on, new ones are refused
 )
@@ -60,6 +63,7 @@
 		return nil, err
 	}
 	c := &pathConn{Conn: nc, path: p}
+	c.silent, c.silentPeer = net.Pipe()
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conns == nil {
@@ -73,8 +77,11 @@
 type pathConn struct {
 	net.Conn
 	path  *Path
-	lost  atomic.Bool // all bytes are lost
+	lost  atomic.Bool // all bytes are lost, and the connection's end
 	reset atomic.Bool
+	// silent is never written to. It has the deadlines of Conn, so that a read from it ends as
+	// one from a peer that doesn't answer.
+	silent, silentPeer net.Conn
 }
 
 // Read implements net.Conn.
@@ -86,11 +93,23 @@
 			return 0, syscall.ECONNRESET
 		case c.lost.Load() && err == nil:
 			continue
+		case c.lost.Load():
+			return c.silent.Read(b)
 		}
 		return n, err
 	}
 }
 
+// SetDeadline implements net.Conn.
+func (c *pathConn) SetDeadline(t time.Time) error {
+	return errs.Combine(c.silent.SetDeadline(t), c.Conn.SetDeadline(t))
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *pathConn) SetReadDeadline(t time.Time) error {
+	return errs.Combine(c.silent.SetReadDeadline(t), c.Conn.SetReadDeadline(t))
+}
+
 // Write implements net.Conn.
 func (c *pathConn) Write(b []byte) (int, error) {
 	switch {
@@ -107,7 +126,7 @@
 	c.path.mu.Lock()
 	delete(c.path.conns, c)
 	c.path.mu.Unlock()
-	return c.Conn.Close()
+	return errs.Combine(c.silent.Close(), c.silentPeer.Close(), c.Conn.Close())
 }
 
 // SyscallConn implements syscall.Conn.
