Speeds of endpoints: measured from streams, summed at hubs, estimated per service

Engines of one service that differ in speed get as many streams as the others. Each daemon now measures runs of events and times to the first event, hubs sum the daemons' observations with the loads, and each daemon sets the slowness of its endpoints by them; the cost doesn't use it yet.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -25,6 +25,7 @@
 	establishedVersions map[string]string
 	table               *route.Table
 	prefillRate         prefillRate
+	speeds              speeds
 	rateLimits          *backpressure.Table
 	fleet               *backpressure.Fleet
 	byKey               map[rendezvous.ShortKey]*member
@@ -51,6 +52,7 @@
 
 		establishedVersions: map[string]string{},
 		table:               route.New(route.Table{}),
+		speeds:              newSpeeds(),
 		prefillRate:         newPrefillRate(),
 
 		rateLimits: backpressure.NewTable(rng.Uint64() | 1),
@@ -77,7 +79,11 @@
 	for _, e := range all {
 		listed[e.ID] = true
 		m := b.members[e.ID]
-		if m == nil || m.RestartedAs(&e) {
+		if m != nil && m.RestartedAs(&e) {
+			b.forgetSpeed(now, m)
+			m = nil
+		}
+		if m == nil {
 			m = &member{hash: rendezvous.Key(string(e.ID)), slow: usual}
 			b.members[e.ID] = m
 		}
@@ -90,6 +96,7 @@
 	}
 	for id := range b.members {
 		if !listed[id] {
+			b.forgetSpeed(now, b.members[id])
 			delete(b.members, id)
 		}
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -30,6 +30,7 @@
 	own          Load
 	others       Load
 	slow         slowness
+	slowReport   slowReport
 	parts        partCache
 	// failureShare is the smoothed share of failures among recent outcomes.
 	failureShare        float64
--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -172,7 +172,7 @@
 		out.Loads, out.OwnLoads = r.Loads.encoded, encodeLoads(r.Loads.Own)
 	}
 	if r.Speeds != nil {
-		out.Speeds, out.OwnSpeeds = encodeSpeeds(r.Speeds.All), encodeSpeeds(r.Speeds.Own)
+		out.Speeds, out.OwnSpeeds = r.Speeds.encoded, encodeSpeeds(r.Speeds.Own)
 	}
 	if !r.FleetTime.IsZero() {
 		out.TrueMs = r.FleetTime.UnixMilli()
--- a/internal/exchange/hub.go
+++ b/internal/exchange/hub.go
@@ -38,6 +38,7 @@
 	cursor      Cursor
 	spent       map[fleet.WorkspaceID]float64 // by all daemons, including removed ones
 	loadTotal   *loadTotal                    // cached; nil before the first use
+	speedTotal  *speedTotal                   // likewise
 	lastRemoval time.Time                     // when expired daemons were last removed
 	skew        *skew                         // cached; nil before the first use
 	// interval is the time between two reports of a daemon without urgent changes.
@@ -62,6 +63,10 @@
 	// counts as changed.
 	cursor, windowsCursor Cursor
 	changeCursors         map[fleet.WorkspaceID]Cursor
+	// speedsAt and speedsCursor are the time and the cursor of the report that had the
+	// observations of speeds; speedsSentAt is when the daemon was last sent the sums.
+	speedsAt, speedsSentAt time.Time
+	speedsCursor           Cursor
 }
 
 // Cursor is the number of reports that a hub has added. It identifies a point in their
@@ -111,7 +116,7 @@
 	h.cursor++
 	next := &daemonState{
 		report: r, receivedAt: at, skew: time.Duration(r.WallTime.UnixNano()) - monotonic, base: r.Soft.Spent,
-		direct: direct, cursor: h.cursor, windowsCursor: h.cursor,
+		direct: direct, cursor: h.cursor, windowsCursor: h.cursor, speedsAt: at, speedsCursor: h.cursor,
 	}
 	if r.Soft.JustStarted {
 		next.base = nil
@@ -121,6 +126,7 @@
 		if len(r.Windows) == 0 {
 			next.report.Windows, next.windowsCursor = old.report.Windows, old.windowsCursor
 		}
+		next.takeSpeeds(old)
 		next.base, rebased = old.rebase(at.Sub(old.receivedAt), h.interval, r.Soft.Spent)
 		if direct {
 			next.changeCursors = old.nextChangeCursors(h.cursor, &r)
@@ -175,6 +181,7 @@
 		if r.ChangedOnly {
 			r.Soft.Spent = d.spentSince(since)
 		}
+		r.Soft.Speeds = d.speedsSince(since)
 		if d.windowsCursor <= windowsSince {
 			r.Windows = nil
 		}
--- a/internal/exchange/speeds.go
+++ b/internal/exchange/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
@@ -9,10 +10,38 @@
 )
 
 // Speeds is the observations of endpoints' speeds in a hub's reply to one daemon: those of all
-// daemons and the part that this daemon has reported itself.
+// daemons, which are the same in every reply and encoded once, and the part that this daemon has
+// reported itself.
 type Speeds struct {
 	All speed.Observations // shared, must not be modified
 	Own speed.Observations // likewise
+
+	encoded *exchangepb.Speeds // All in its encoded form; set by a hub only
+}
+
+// Others returns the observations without the daemon's own part.
+func (s *Speeds) Others() speed.Observations { return s.All.Without(s.Own) }
+
+const (
+	// minSpeedsInterval is the least time between two messages of observations from a daemon to a
+	// hub, or of sums from a hub to a daemon. They count for several times as long.
+	minSpeedsInterval = 700 * time.Millisecond
+	// speedsPerDaemon bounds the messages of observations to a hub, and those that it relays.
+	speedsPerDaemon = 4 * time.Millisecond
+	// speedsPerEndpoint bounds the sums that a daemon receives to 2 KB a second at any number of
+	// endpoints, each of which takes 12 bytes.
+	speedsPerEndpoint = 6 * time.Millisecond
+)
+
+// SpeedsInterval returns the time between two reports of a daemon's observations of speeds in a
+// fleet of so many daemons.
+func SpeedsInterval(daemons int) time.Duration {
+	return max(minSpeedsInterval, time.Duration(daemons)*speedsPerDaemon)
+}
+
+// speedSumsInterval returns the time between two replies with the sums for so many endpoints.
+func speedSumsInterval(endpoints int) time.Duration {
+	return max(minSpeedsInterval, time.Duration(endpoints)*speedsPerEndpoint)
 }
 
 // Units of encoded observations.
@@ -20,6 +49,8 @@
 	weightUnits = 4.0
 	logUnits    = 64.0
 	loadUnits   = 100.0
+	// minSentWeight is the weight below which observations aren't sent.
+	minSentWeight = 1
 	// maxWeight bounds a decoded weight: a daemon sees a few hundred samples of an endpoint
 	// in the time for which they count.
 	maxWeight = 1e5
@@ -33,6 +64,10 @@
 	}
 	out := &exchangepb.Speeds{}
 	for key, o := range all {
+		o = withoutLittle(o)
+		if o.DecodeWeight == 0 && o.PrefillWeight == 0 {
+			continue
+		}
 		out.Endpoints = append(out.Endpoints, uint32(key))
 		out.DecodeWeight = append(out.DecodeWeight, uint32(math.Round(o.DecodeWeight*weightUnits)))
 		out.DecodeLog = append(out.DecodeLog, int32(math.Round(o.LogEventSeconds*logUnits)))
@@ -43,6 +78,17 @@
 	return out
 }
 
+// withoutLittle returns an observation without the parts that aren't sent.
+func withoutLittle(o speed.Observation) speed.Observation {
+	if o.DecodeWeight < minSentWeight {
+		o.DecodeWeight, o.LogEventSeconds, o.Load = 0, 0, 0
+	}
+	if o.PrefillWeight < minSentWeight {
+		o.PrefillWeight, o.LogPrefillRate = 0, 0
+	}
+	return o
+}
+
 // decodeSpeeds ignores the elements of a list that have no counterpart in the others.
 func decodeSpeeds(p *exchangepb.Speeds) speed.Observations {
 	n := min(len(p.GetEndpoints()), len(p.GetDecodeWeight()), len(p.GetDecodeLog()), len(p.GetDecodeLoad()), len(p.GetPrefillWeight()), len(p.GetPrefillLog()))
@@ -51,7 +97,7 @@
 		out[rendezvous.ShortKey(p.Endpoints[i])] = speed.Observation{
 			DecodeWeight:    min(float64(p.DecodeWeight[i])/weightUnits, maxWeight),
 			LogEventSeconds: bounded(float64(p.DecodeLog[i])/logUnits, maxLog),
-			Load:            float64(p.DecodeLoad[i]) / loadUnits,
+			Load:            min(float64(p.DecodeLoad[i])/loadUnits, 1),
 			PrefillWeight:   min(float64(p.PrefillWeight[i])/weightUnits, maxWeight),
 			LogPrefillRate:  bounded(float64(p.PrefillLog[i])/logUnits, maxLog),
 		}
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -270,8 +270,8 @@
 		assert.Equal(t, a.send(t.Context(), "/lookup/1", "").status, 200)
 	}
 	assert.Equal(t, a.begun.Load()+b.begun.Load(), int64(5))
-	assert.Equal(t, a.state.OwnState().Spent["w"], 50.0)
-	assert.Equal(t, b.state.OwnState().Spent["w"], 0.0)
+	assert.Equal(t, a.state.OwnState(time.Now()).Spent["w"], 50.0)
+	assert.Equal(t, b.state.OwnState(time.Now()).Spent["w"], 0.0)
 }
 
 // Guards against a request that may have run and is sent again, or is said not to have run.
--- a/internal/node/hubstate.go
+++ b/internal/node/hubstate.go
@@ -18,6 +18,7 @@
 	unanswered bool      // the last report failed
 	answeredAt time.Time // when the last reply arrived
 	windowsAt  time.Time // when the last report with the windows of usage was answered
+	speedsAt   time.Time // when the last report with observations of speeds was answered
 	// crashesSent is the position up to which the hub has this daemon's crashes of endpoints,
 	// crashesReceived that up to which this daemon has the hub's.
 	crashesSent, crashesReceived quarantine.Position
@@ -82,11 +83,14 @@
 			x.node.logFor("peers").WithError(err).WithField("address", address).Warn("report not answered")
 		}
 		r.unanswered = true
-		r.windowsAt = time.Time{} // the next reply there may be another process's
+		r.windowsAt, r.speedsAt = time.Time{}, time.Time{} // the next reply there may be another process's
 		return
 	}
 	r.answeredAt, r.unanswered = time.Now(), false
 	if report.Windows != nil {
 		r.windowsAt = r.answeredAt
 	}
+	if len(report.Soft.Speeds) > 0 {
+		r.speedsAt = r.answeredAt
+	}
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -121,6 +121,7 @@
 	for service, left := range n.state.RetriesLeft(time.Now()) {
 		fmt.Fprintf(w, "cyclamenbeam_retries_left{service=%q} %g\n", service, left)
 	}
+	n.writeSpeeds(w)
 	if m := n.joined.Load(); m != nil {
 		n.writeRole(w, m.layout())
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -92,6 +92,7 @@
 	n.endpoints = newEndpointList(n)
 	n.peers = newPeerExchange(n)
 	n.state.SetRollouts(s.Bounds.rollouts())
+	n.state.SetSpeeds(s.Balance.speeds())
 	n.rollouts = newRolloutDuty(n)
 	n.grace.Store(int64(seconds(s.Bounds.GraceSeconds)))
 	return n
@@ -156,7 +157,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
-		n.discover, n.origins.run, n.crashes.watch.Run, n.crashes.readStored,
+		n.discover, n.watchHoldUps, n.origins.run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -124,6 +124,7 @@
 	}
 	if !report.OmitLoads && !relayer {
 		reply.Loads = x.hub.Loads(now, report.Daemon)
+		reply.Speeds = x.hub.Speeds(now, report.Daemon)
 	}
 	reply.RolloutUpdate = x.node.state.RolloutUpdate(now)
 	reply.Crashes, reply.CrashesPosition = x.node.crashes.table.Since(report.CrashesPosition)
@@ -238,7 +239,8 @@
 	x.node.state.KeepHubs(kept)
 	x.checkListHub()
 	answered := make(chan struct{}, len(targets))
-	soft := x.node.state.OwnState()
+	soft := x.node.state.OwnState(time.Now())
+	x.node.logSlowChanges()
 	for _, address := range targets {
 		go func() {
 			defer func() { answered <- struct{}{} }()
@@ -380,6 +382,9 @@
 	}
 	report.OmitLoads = x.omitLoads(address)
 	report.WantLevels = !x.node.state.LevelsKnown()
+	if !x.speedsDue(l, address) {
+		report.Soft.Speeds = nil
+	}
 	if address == x.node.settings.Listen.Peers {
 		return report, sentPositions{}
 	}
@@ -415,6 +420,9 @@
 	if reply.Loads != nil {
 		reply.Soft.Load = reply.Loads.Others()
 	}
+	if reply.Speeds != nil {
+		reply.Soft.Speeds = reply.Speeds.Others()
+	}
 	x.node.state.SetOthers(now, address, reply.Soft)
 }
 
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"net"
 	"strconv"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
 )
 
 // Settings are a daemon's settings, as its file gives them. Times are in the unit that
@@ -20,12 +22,13 @@
 	Listen ListenSettings `yaml:"listen"`
 	// Seeds are addresses of other daemons' machines, host:port; the port is not used. They
 	// may be out of date.
-	Seeds  []string       `yaml:"seeds"`
-	Store  StoreSettings  `yaml:"store"`
-	Cloud  CloudSettings  `yaml:"cloud"`
-	Limits LimitSettings  `yaml:"limits"`
-	Bounds BoundsSettings `yaml:"bounds"`
-	Log    LogSettings    `yaml:"log"`
+	Seeds   []string        `yaml:"seeds"`
+	Store   StoreSettings   `yaml:"store"`
+	Cloud   CloudSettings   `yaml:"cloud"`
+	Limits  LimitSettings   `yaml:"limits"`
+	Balance BalanceSettings `yaml:"balance"`
+	Bounds  BoundsSettings  `yaml:"bounds"`
+	Log     LogSettings     `yaml:"log"`
 }
 
 // DaemonSettings identify the daemon.
@@ -71,6 +74,18 @@
 	LinkMbps float64 `yaml:"linkMbps"`
 }
 
+// BalanceSettings say how endpoints are chosen.
+type BalanceSettings struct {
+	// Speeds says whether the speeds of endpoints are estimated: auto, on or off.
+	Speeds string `yaml:"speeds"`
+}
+
+// speeds returns the mode of estimating speeds; the settings were checked.
+func (b *BalanceSettings) speeds() speed.Mode {
+	mode, _ := speed.ParseMode(b.Speeds)
+	return mode
+}
+
 // BoundsSettings are the bounds that the platform's operators require of the system.
 type BoundsSettings struct {
 	GraceSeconds       float64 `yaml:"graceSeconds"`
@@ -124,7 +139,8 @@
 			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
 			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5, ContactMillis: 3000, ChangeMillis: 2000,
 		},
-		Log: LogSettings{Level: "info"},
+		Balance: BalanceSettings{Speeds: "auto"},
+		Log:     LogSettings{Level: "info"},
 	}
 	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(s); err != nil {
 		return nil, Error.New("%s", yaml.FormatError(err, false, true))
@@ -143,6 +159,7 @@
 
 // check returns an error that names the first key that is missing or out of range.
 func (s *Settings) check() error {
+	_, speedsErr := speed.ParseMode(s.Balance.Speeds)
 	for _, c := range []struct {
 		bad  bool
 		text string
@@ -153,6 +170,7 @@
 		{s.Listen.Peers == "", "listen.peers: is missing"},
 		{s.Store.Address == "", "store.address: is missing"},
 		{s.Limits.MemoryMB < 0, "limits.memoryMB: is negative"},
+		{speedsErr != nil, fmt.Sprintf("balance.speeds: is %q, must be auto, on or off", s.Balance.Speeds)},
 		{s.Bounds.GraceSeconds <= 0, "bounds.graceSeconds: must be above 0"},
 		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
 		{s.Bounds.LimitExcessShare < 0, "bounds.limitExcessShare: is negative"},
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -22,6 +23,14 @@
 	version      string    // of the endpoint, if the other daemon states it
 	versionKnown bool
 	abort        context.CancelCauseFunc
+	// streams says that the answer is a stream, and prefillAhead is the prompt tokens to be
+	// computed before its first event.
+	streams      bool
+	prefillAhead int
+	run          eventRun // used by the stream's goroutine only
+	// waitsAfter is the time after sent, in nanoseconds, since when the stream has waited for its
+	// next event; 0 before the first one and while events are written to the caller.
+	waitsAfter atomic.Int64
 	// counter counts the attempt for a roll-out, nil without one; toNew says that
 	// it goes to the new version.
 	counter *rollout.Counter
@@ -121,6 +130,7 @@
 func (s *State) sent(t *trackedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	t.prefillAhead = s.balancer.PrefillAhead(t.inflight.balanceReq, t.choice)
 	s.balancer.Sent(t.inflight.balanceReq, t.choice)
 	s.countSent(t)
 	id := t.choice.Endpoint.ID
@@ -133,7 +143,9 @@
 func (s *State) firstPiece(t *trackedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.FirstToken(t.inflight.balanceReq, t.choice, time.Since(t.sent).Seconds())
+	now := time.Now()
+	s.observePrefill(now, t)
+	s.balancer.FirstToken(t.inflight.balanceReq, t.choice, now.Sub(t.sent).Seconds())
 }
 
 func (s *State) done(now time.Time, t *trackedAttempt, o balance.Outcome) {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
@@ -30,6 +31,7 @@
 	daemons      int                      // that share the limits and budgets
 	rng          *rand.Rand
 	work         *workTotals
+	holdUps      pause.Monitor
 	attempts     map[fleet.EndpointID]map[*trackedAttempt]struct{} // in progress
 	rollouts     rolloutState
 	// backendsSince is when the services of a route last changed, by its name.
@@ -148,14 +150,17 @@
 }
 
 // OwnState returns this daemon's part of the soft state.
-func (s *State) OwnState() SoftState {
+func (s *State) OwnState(now time.Time) SoftState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return SoftState{Spent: maps.Clone(s.quota.Spent()), Load: s.balancer.OwnLoads(), Work: s.work.snapshot()}
+	return SoftState{
+		Spent: maps.Clone(s.quota.Spent()), Load: s.balancer.OwnLoads(), Work: s.work.snapshot(),
+		Speeds: s.balancer.OwnSpeeds(now, s.waits(now)),
+	}
 }
 
 // SetOthers applies the sum of all other daemons' parts, as a hub reported it.
-// Without loads in the sum, those of before stay.
+// Without loads or speeds in the sum, those of before stay.
 func (s *State) SetOthers(now time.Time, hub string, others SoftState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -164,6 +169,9 @@
 	if others.Load != nil {
 		s.balancer.SetOthers(others.Load)
 	}
+	if others.Speeds != nil {
+		s.balancer.SetOtherSpeeds(now, others.Speeds)
+	}
 }
 
 // AdoptLevels adopts what is left of the limits from a daemon that has run for
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,11 +15,14 @@
 // forwardStream forwards events as they arrive. It returns nil if the stream is
 // complete.
 func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
+	t.streams = true
+	defer t.waitsAfter.Store(0)
 	buf := make([]byte, readBufferBytes)
 	for {
+		began := time.Now()
 		n, err := a.Body.Read(buf)
 		if n > 0 {
-			if err := f.forward(t, a, buf[:n]); err != nil {
+			if err := f.forward(t, a, buf[:n], began); err != nil {
 				return err
 			}
 		}
@@ -49,8 +52,9 @@
 	return nil
 }
 
-// forward sends the whole events among new bytes to the caller.
-func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte) error {
+// forward sends the whole events among new bytes to the caller. readBegan is when reading the
+// bytes began.
+func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte, readBegan time.Time) error {
 	whole := f.events.add(p)
 	if len(whole) == 0 {
 		return nil
@@ -63,6 +67,8 @@
 	f.reportSettled(now, t)
 	if !t.forwarded {
 		f.reportBegan(now)
+		t.waitsAfter.Store(0)
+		f.relay.state.observeArrival(now, readBegan, t, f.events.count)
 	}
 	f.sendHead(t, a)
 	if !f.lastPieceAt.IsZero() {
@@ -71,6 +77,11 @@
 	f.lastPieceAt = now
 	err := f.sink.WriteBody(whole)
 	f.events.consume(len(whole))
+	written := time.Now()
+	t.run.written(written.Sub(now))
+	if !t.forwarded {
+		t.waitsAfter.Store(int64(written.Sub(t.sent)))
+	}
 	return err
 }
 
--- a/internal/speed/observation.go
+++ b/internal/speed/observation.go
@@ -1,6 +1,9 @@
 package speed
 
-import "github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+import (
+	"math"
+	"time"
+)
 
 // Observation is what was seen of the speed of one endpoint, with older samples decayed. The
 // zero value is no observation.
@@ -17,9 +20,6 @@
 	LogPrefillRate float64
 }
 
-// Observations is observations by endpoint.
-type Observations map[rendezvous.ShortKey]Observation
-
 // Add returns the observation of both.
 func (o Observation) Add(p Observation) Observation {
 	return Observation{
@@ -38,3 +38,52 @@
 	}
 	return (weight1*value1 + weight2*value2) / (weight1 + weight2)
 }
+
+const (
+	// decodeHalfLife is the half-life of decoding samples. A period of 600 ms at 2.5 times the
+	// usual time moves the mean by a tenth, one of 5 s by half.
+	decodeHalfLife = 4 * time.Second
+	// prefillHalfLife is longer, since there is one sample of prefill per stream.
+	prefillHalfLife = 8 * time.Second
+	// maxLog bounds logarithms: e^20 is a half billion seconds or tokens.
+	maxLog = 20.0
+	// minRemaining is the least weight that remains after a part is subtracted. Below it the
+	// rounding of both would dominate the mean.
+	minRemaining = 0.5
+)
+
+// Without returns the observation without a part of it.
+func (o Observation) Without(part Observation) Observation {
+	var out Observation
+	out.DecodeWeight, out.LogEventSeconds = subtract(o.DecodeWeight, o.LogEventSeconds, part.DecodeWeight, part.LogEventSeconds)
+	_, out.Load = subtract(o.DecodeWeight, o.Load, part.DecodeWeight, part.Load)
+	out.PrefillWeight, out.LogPrefillRate = subtract(o.PrefillWeight, o.LogPrefillRate, part.PrefillWeight, part.LogPrefillRate)
+	return out
+}
+
+// subtract returns the weight and the mean that remain without a part; 0 where little does.
+func subtract(weight, value, partWeight, partValue float64) (remaining, mean float64) {
+	remaining = weight - partWeight
+	if remaining < minRemaining {
+		return 0, 0
+	}
+	return remaining, min(max((weight*value-partWeight*partValue)/remaining, -maxLog), maxLog)
+}
+
+// Aged returns the observation as it counts after a time without samples.
+func (o Observation) Aged(age time.Duration) Observation {
+	if age > 0 {
+		o.DecodeWeight *= decay(age, decodeHalfLife)
+		o.PrefillWeight *= decay(age, prefillHalfLife)
+	}
+	return o
+}
+
+// decay returns the share that remains after a time.
+func decay(age, halfLife time.Duration) float64 { return math.Exp2(-float64(age) / float64(halfLife)) }
+
+// finite reports whether all numbers are finite and the weights not negative.
+func (o *Observation) finite() bool {
+	sum := o.DecodeWeight + o.LogEventSeconds + o.Load + o.PrefillWeight + o.LogPrefillRate
+	return !math.IsNaN(sum) && !math.IsInf(sum, 0) && o.DecodeWeight >= 0 && o.PrefillWeight >= 0
+}
