--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -14,7 +14,7 @@
 	minSpeedsUpdate         = 200 * time.Millisecond
 	speedsUpdatePerEndpoint = 200 * time.Microsecond
 	// maxSumsHold bounds the time for which sums count in full until the next ones are due.
-	maxSumsHold = 20 * time.Second
+	maxSumsHold = 30 * time.Second
 	// restartGrace is how long sums are ignored for an endpoint that has restarted, or was removed
 	// and is listed again, since other daemons may not know of it yet.
 	restartGrace = 2 * time.Second
@@ -124,7 +124,7 @@
 	}
 	s.updatedAt = now
 	s.pruneForgotten(now)
-	age := max(now.Sub(s.othersAt)-s.hold, 0)
+	share := speed.Remainder(now.Sub(s.othersAt) - s.hold)
 	observed := func(k rendezvous.ShortKey) speed.Observation {
 		own := s.meter.At(now, k)
 		if stall, ok := s.stalls[k]; ok {
@@ -133,7 +133,7 @@
 		if _, ok := s.forgotten[k]; ok {
 			return own
 		}
-		return own.Add(s.others[k].Aged(age))
+		return own.Add(s.others[k].Remaining(share))
 	}
 	for service, set := range b.listed {
 		if !set[0].isEngine {
--- a/internal/exchange/demands.go
+++ b/internal/exchange/demands.go
@@ -20,6 +20,9 @@
 
 // decodeDemands skips amounts that are negative or not finite.
 func decodeDemands(all []*exchangepb.Demand) quota.Demands {
+	if len(all) == 0 {
+		return nil
+	}
 	out := quota.Demands{}
 	for _, d := range all {
 		if !(d.GetAmount() >= 0) || math.IsInf(d.GetAmount(), 0) {
--- a/internal/exchange/hubspeeds.go
+++ b/internal/exchange/hubspeeds.go
@@ -8,19 +8,21 @@
 )
 
 // Speeds returns the observations of endpoints' speeds for the reply to one daemon, nil while the
-// last ones are recent. They may be up to maxSpeedCacheAge old.
+// last ones are recent.
 func (h *Hub) Speeds(now time.Time, to fleet.DaemonID) *Speeds {
 	d := h.daemons[to]
-	if d == nil || now.Sub(d.speedsSentAt) < h.speedsInterval() && !now.Before(d.speedsSentAt) {
+	interval := h.speedsInterval()
+	if d == nil || now.Sub(d.speedsSentAt) < interval && !now.Before(d.speedsSentAt) {
 		return nil
 	}
-	d.speedsSentAt = now
-	if h.speedTotal == nil || now.Sub(h.speedTotal.at) > maxSpeedCacheAge || now.Before(h.speedTotal.at) {
+	maxAge := max(minSpeedCacheAge, interval/speedCacheShare)
+	if h.speedTotal == nil || now.Sub(h.speedTotal.at) > maxAge || now.Before(h.speedTotal.at) {
 		h.speedTotal = h.sumSpeeds(now)
 	}
 	if len(h.speedTotal.all) == 0 {
 		return nil
 	}
+	d.speedsSentAt = now
 	return h.speedTotal.speedsFor(to)
 }
 
--- a/internal/exchange/speeds.go
+++ b/internal/exchange/speeds.go
@@ -92,6 +92,9 @@
 // decodeSpeeds ignores the elements of a list that have no counterpart in the others.
 func decodeSpeeds(p *exchangepb.Speeds) speed.Observations {
 	n := min(len(p.GetEndpoints()), len(p.GetDecodeWeight()), len(p.GetDecodeLog()), len(p.GetDecodeLoad()), len(p.GetPrefillWeight()), len(p.GetPrefillLog()))
+	if n == 0 {
+		return nil
+	}
 	out := make(speed.Observations, n)
 	for i := range n {
 		out[rendezvous.ShortKey(p.Endpoints[i])] = speed.Observation{
--- a/internal/exchange/speedtotal.go
+++ b/internal/exchange/speedtotal.go
@@ -8,9 +8,14 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
 )
 
-// maxSpeedCacheAge is how long a computed sum of observations is reused. It is longer than for
-// loads, since observations change by a twentieth in it.
-const maxSpeedCacheAge = 250 * time.Millisecond
+const (
+	// minSpeedCacheAge is how long a computed sum of observations is reused, in which it decays
+	// by a twentieth. It is longer than for loads, since the sum takes a hub of 986 daemons 8 ms.
+	minSpeedCacheAge = 250 * time.Millisecond
+	// speedCacheShare is the part of the time between two replies to a daemon for which a sum is
+	// reused where that is longer.
+	speedCacheShare = 16
+)
 
 // speedTotal is the sum of all daemons' observations of endpoints' speeds at one time.
 type speedTotal struct {
--- /dev/null
+++ b/internal/relay/speeds_test.go
@@ -0,0 +1,159 @@
+package relay
+
+import (
+	"fmt"
+	"io"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
+)
+
+var firstEngine = rendezvous.ShortKeyOf("e0")
+
+// newEngineFixture is newFixture with engines, which have a time per event.
+func newEngineFixture(t *testing.T, engines ...*engine) *fixture {
+	s := newFixture(t, testRoutes(), engines...)
+	table := *s.state.Table()
+	s.state.Configure(time.Now(), route.New(route.Table{
+		Version: 2, Routes: table.Routes, Workspaces: table.Workspaces,
+		Services: []route.Service{{Name: "s", Engine: &route.Engine{Slots: 8, CacheTokens: 100_000}}},
+	}))
+	return s
+}
+
+// streaming answers with events some time apart, the first after a second.
+func streaming(events int, apart func(i int) time.Duration) *engine {
+	return &engine{write: func(w io.Writer) {
+		time.Sleep(time.Second)
+		_, _ = io.WriteString(w, "HTTP/1.1 200 OK\r\nId: r1\r\nTransfer-Encoding: chunked\r\n\r\n")
+		for i := range events {
+			if i > 0 {
+				time.Sleep(apart(i))
+			}
+			event := fmt.Sprintf("id: %d\ndata: x\n\n", i)
+			if _, err := fmt.Fprintf(w, "%x\r\n%s\r\n", len(event), event); err != nil {
+				return
+			}
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}}
+}
+
+func every(d time.Duration) func(int) time.Duration { return func(int) time.Duration { return d } }
+
+// sendPrompt sends a stream's request with a prompt.
+func (s *fixture) sendPrompt(t *testing.T, sink Sink, prompt int) {
+	now := time.Now()
+	s.relay.Serve(t.Context(), &Request{
+		ID: "r1", Method: "POST", Target: "/once/1", Path: "/once/1", Host: "h", Key: "key",
+		Received: now, Deadline: now.Add(time.Minute), Prompt: prompt, Parts: []balance.Part{{ID: 9, Tokens: prompt}},
+	}, sink)
+}
+
+func seconds(log float64) float64 { return math.Round(math.Exp(log)*1000) / 1000 }
+
+// Guards against an engine whose speed isn't observed, and against one counted twice.
+func TestStreamsShowTheSpeedOfTheirEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(50, every(40*time.Millisecond)))
+		s.sendPrompt(t, &recordingSink{}, 8)
+		got := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Equal(t, seconds(got.LogEventSeconds), 0.04)
+		assert.Assert(t, got.DecodeWeight > 5 && got.PrefillWeight == 0, "%+v", got)
+		assert.Equal(t, got.Load, 0.125)
+	})
+}
+
+// slowSink takes a while for each piece.
+type slowSink struct {
+	recordingSink
+	takes time.Duration
+}
+
+func (s *slowSink) WriteBody(p []byte) error {
+	time.Sleep(s.takes)
+	return s.recordingSink.WriteBody(p)
+}
+
+// Guards against a slow caller that makes its engine look slow.
+func TestSlowCallerDoesNotSlowItsEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(30, every(40*time.Millisecond)))
+		s.sendPrompt(t, &slowSink{takes: 30 * time.Millisecond}, 8)
+		fast := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Equal(t, seconds(fast.LogEventSeconds), 0.04)
+		s = newEngineFixture(t, streaming(30, every(40*time.Millisecond)))
+		s.sendPrompt(t, &slowSink{takes: 150 * time.Millisecond}, 8)
+		assert.Equal(t, len(s.state.OwnState(time.Now()).Speeds), 0)
+	})
+}
+
+// Guards against a stream that hangs and shows nothing before its next event, which may never
+// come, and against a daemon that was stopped and takes that for its engines' slowness.
+func TestWaitForAnEventCountsBeforeItArrives(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(100, func(i int) time.Duration {
+			if i == 80 {
+				return 3 * time.Second
+			}
+			return 40 * time.Millisecond
+		}))
+		go s.sendPrompt(t, &recordingSink{}, 8)
+		before := speed.Observation{}
+		for range 20 {
+			time.Sleep(200 * time.Millisecond)
+			s.state.Tick(time.Now())
+			before = s.state.OwnState(time.Now()).Speeds[firstEngine]
+		}
+		assert.Equal(t, seconds(before.LogEventSeconds), 0.04)
+		s.state.Tick(time.Now())
+		time.Sleep(1500 * time.Millisecond)
+		frozen := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Equal(t, seconds(frozen.LogEventSeconds), 0.04)
+		s.state.Tick(time.Now())
+		for range 5 {
+			time.Sleep(pause.MonitorInterval)
+			s.state.Tick(time.Now())
+		}
+		stalled := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Assert(t, seconds(stalled.LogEventSeconds) > 0.05, "%v", seconds(stalled.LogEventSeconds))
+		synctest.Wait()
+		time.Sleep(10 * time.Second)
+	})
+}
+
+// The first event of a long prompt shows the speed of prefill.
+func TestFirstEventShowsPrefill(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(3, every(40*time.Millisecond)))
+		table := *s.state.Table()
+		s.state.Configure(time.Now(), route.New(route.Table{
+			Version: 3, Routes: table.Routes, Services: table.Services,
+			Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}, Rate: 1e6, Burst: 1e6}},
+		}))
+		time.Sleep(time.Second) // the limit's bucket fills
+		s.sendPrompt(t, &recordingSink{}, 20_000)
+		got := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Equal(t, math.Round(math.Exp(got.LogPrefillRate)/1000), 20.0)
+		assert.Equal(t, got.DecodeWeight, 0.0)
+	})
+}
+
+// A daemon whose settings turn it off must observe and send nothing.
+func TestNothingIsObservedWhereSpeedsAreOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(50, every(40*time.Millisecond)))
+		s.state.SetSpeeds(speed.ModeOff)
+		s.sendPrompt(t, &recordingSink{}, 8)
+		assert.Equal(t, len(s.state.OwnState(time.Now()).Speeds), 0)
+	})
+}
--- a/internal/speed/estimator.go
+++ b/internal/speed/estimator.go
@@ -90,7 +90,11 @@
 
 // update takes the observations of the endpoints and drops the state of those that are gone.
 func (e *Estimator) update(now time.Time, endpoints []rendezvous.ShortKey, observed func(rendezvous.ShortKey) Observation) {
-	elapsed := now.Sub(e.updatedAt)
+	elapsed := max(now.Sub(e.updatedAt), 0)
+	if e.updatedAt.IsZero() {
+		elapsed = 0
+	}
+	decodeShare, prefillShare := decay(elapsed, decodeHalfLife), decay(elapsed, prefillHalfLife)
 	e.updatedAt = now
 	e.order = e.order[:0]
 	for _, key := range endpoints {
@@ -102,8 +106,9 @@
 		s.seenAt = now
 		if o := observed(key); o.finite() {
 			s.observed = o
-			s.decode.update(o.DecodeWeight, elapsed, decodeHalfLife, maxDecodeEvidence)
-			s.prefill.update(o.PrefillWeight, elapsed, prefillHalfLife, maxPrefillEvidence)
+			s.decode.update(o.DecodeWeight, decodeShare, elapsed.Seconds(), decodeEvidencePerSecond)
+			s.prefill.update(o.PrefillWeight, prefillShare, elapsed.Seconds(), prefillEvidencePerSecond)
+			s.prefill.weight = min(s.prefill.weight, maxPrefillEvidence)
 		}
 		e.order = append(e.order, s)
 	}
--- a/internal/speed/evidence.go
+++ b/internal/speed/evidence.go
@@ -1,31 +1,37 @@
 package speed
 
-import "time"
-
 const (
-	// maxDecodeEvidence and maxPrefillEvidence cap the evidence about an endpoint, which thousands
-	// of events would raise so far that a recovered endpoint without requests stayed slow for half
-	// a minute. From the cap, estimates are back within the band in about 16 s.
-	maxDecodeEvidence  = 48.0
-	maxPrefillEvidence = 8.0
+	// decodeEvidencePerSecond is the most evidence about an endpoint that a second adds, that of
+	// one stream: more streams show the same slow period. It also bounds the evidence, to 29, so
+	// that a recovered endpoint without requests is back within the band in about 14 s, where the
+	// weight of all streams would keep it slow for half a minute.
+	decodeEvidencePerSecond = 1 / RunSeconds
+	// prefillEvidencePerSecond and maxPrefillEvidence are the same for first events.
+	prefillEvidencePerSecond = 2.0
+	maxPrefillEvidence       = 8.0
+	// maxCreditSeconds is the longest time for which evidence that arrives at once may stand: that
+	// between two sums of a fleet of a hundred.
+	maxCreditSeconds = 1.0
 	// decodePrior and prefillPrior are the evidence at which an estimate is shrunk by half: 1.2 s
-	// of a stream, longer than a short slow period, and three first events.
+	// of a stream, longer than a short slow period, and four first events.
 	decodePrior  = 6.0
-	prefillPrior = 3.0
+	prefillPrior = 4.0
 )
 
 // evidence is the capped weight of what is known of an endpoint. Since sums arrive whole, new
 // samples are what the weight has grown compared to the decayed earlier one.
-type evidence struct{ weight, total float64 }
+type evidence struct {
+	weight, total float64
+	credit        float64 // what may be added
+}
 
-// update takes the total weight after a time.
-func (e *evidence) update(total float64, elapsed, halfLife time.Duration, limit float64) {
-	share := 1.0
-	if elapsed > 0 {
-		share = decay(elapsed, halfLife)
-	}
-	added := max(total-e.total*share, 0)
-	e.weight = min(e.weight*share+added, limit, total)
+// update takes the total weight after some seconds in which a share of the earlier one remains,
+// and of which each adds at most perSecond.
+func (e *evidence) update(total, share, seconds, perSecond float64) {
+	e.credit = min(e.credit+perSecond*seconds, perSecond*maxCreditSeconds)
+	added := min(max(total-e.total*share, 0), e.credit)
+	e.credit -= added
+	e.weight = min(e.weight*share+added, total)
 	e.total = total
 }
 
--- a/internal/speed/observation.go
+++ b/internal/speed/observation.go
@@ -72,10 +72,22 @@
 
 // Aged returns the observation as it counts after a time without samples.
 func (o Observation) Aged(age time.Duration) Observation {
-	if age > 0 {
-		o.DecodeWeight *= decay(age, decodeHalfLife)
-		o.PrefillWeight *= decay(age, prefillHalfLife)
-	}
+	return o.Remaining(Remainder(age))
+}
+
+// Share is the part of each weight that remains after a time.
+type Share struct{ decode, prefill float64 }
+
+// Remainder returns what remains after a time without samples.
+func Remainder(age time.Duration) Share {
+	age = max(age, 0)
+	return Share{decode: decay(age, decodeHalfLife), prefill: decay(age, prefillHalfLife)}
+}
+
+// Remaining returns the observation with a share of its weights.
+func (o Observation) Remaining(s Share) Observation {
+	o.DecodeWeight *= s.decode
+	o.PrefillWeight *= s.prefill
 	return o
 }
 
--- a/internal/speed/observations.go
+++ b/internal/speed/observations.go
@@ -11,8 +11,9 @@
 
 // Add adds what was observed a while ago.
 func (o Observations) Add(other Observations, age time.Duration) {
+	share := Remainder(age)
 	for key, v := range other {
-		o[key] = o[key].Add(v.Aged(age))
+		o[key] = o[key].Add(v.Remaining(share))
 	}
 }
 
@@ -29,9 +30,9 @@
 
 // Aged returns the observations as they count after a time without samples.
 func (o Observations) Aged(age time.Duration) Observations {
-	out := make(Observations, len(o))
+	out, share := make(Observations, len(o)), Remainder(age)
 	for key, v := range o {
-		out[key] = v.Aged(age)
+		out[key] = v.Remaining(share)
 	}
 	return out
 }
