--- a/internal/exchange/speeds_test.go
+++ b/internal/exchange/speeds_test.go
@@ -9,8 +9,10 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/exchange/exchangepb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
 )
@@ -169,10 +171,41 @@
 		replies := float64(sums+own) / speedSumsInterval(f.endpoints).Seconds()
 		t.Logf("%d daemons, %d endpoints: report %d bytes, reply %d + %d, %.0f sent and %.0f received a second",
 			f.daemons, f.endpoints, report, sums, own, reports, replies)
+		t.Logf("whole messages: report %d bytes without and %d with speeds, reply %d and %d",
+			proto.Size(encodeReport(wholeReport(f.used, nil))), proto.Size(encodeReport(wholeReport(f.used, speedsOf(f.used, 8)))),
+			proto.Size(encodeReply(wholeReply(f.endpoints, f.used, nil))),
+			proto.Size(encodeReply(wholeReply(f.endpoints, f.used, &Speeds{Own: speedsOf(f.used, 8), encoded: encodeSpeeds(speedsOf(f.endpoints, 400))}))))
 		assert.Assert(t, reports < 1100 && replies < 2300, "%v %v", reports, replies)
 	}
 }
 
+// wholeReport returns a report with what a busy daemon usually sends, of 16 workspaces.
+func wholeReport(used int, speeds speed.Observations) *Report {
+	spent, load := map[fleet.WorkspaceID]float64{}, balance.Loads{}
+	for i := range 16 {
+		spent[fleet.WorkspaceID(fmt.Sprint("workspace-", i))] = 1e6
+	}
+	for i := range used / 4 {
+		load[rendezvous.ShortKeyOf(fmt.Sprint("i-", i))] = balance.Load{Requests: 1, PendingPrefill: 6400}
+	}
+	return &Report{
+		Daemon: "9-0123456789abcdef", ConfigVersion: 7, WallTime: start, Seq: 1000, Fetches: true, AcceptsCompressed: true,
+		Soft: relay.SoftState{Spent: spent, Load: load, Speeds: speeds, Work: map[string]relay.Work{"llm": {Requests: 1e6, SlotSeconds: 1e6, Prefill: 1e6, Prompt: 1e6}}},
+	}
+}
+
+// wholeReply returns the reply to such a report.
+func wholeReply(endpoints, used int, speeds *Speeds) *Reply {
+	report, all := wholeReport(used, nil), balance.Loads{}
+	for i := range endpoints {
+		all[rendezvous.ShortKeyOf(fmt.Sprint("i-", i))] = balance.Load{Requests: 12, PendingPrefill: 6400}
+	}
+	return &Reply{
+		ConfigVersion: 7, ConfigRevision: 1e9, Soft: relay.SoftState{Spent: report.Soft.Spent}, FleetTime: start, Speeds: speeds,
+		Loads: &Loads{Own: report.Soft.Load, encoded: encodeLoads(all)},
+	}
+}
+
 // BenchmarkSumSpeeds measures a hub's sum of the observations of a large fleet.
 func BenchmarkSumSpeeds(b *testing.B) {
 	h := NewHub(reportInterval)
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -104,20 +104,24 @@
 }
 
 // decodeTable reads a version, the text's first word; the table lets one
-// workspace call one service.
+// workspace call one service, of engines if the second word says so.
 func decodeTable(spec []byte) (*route.Table, error) {
-	word, _, _ := strings.Cut(string(spec), " ")
+	word, rest, _ := strings.Cut(string(spec), " ")
 	version, err := strconv.ParseUint(word, 10, 64)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	service := route.Service{Name: "s"}
+	if rest == "engines" {
+		service.Engine = &route.Engine{Slots: 8, CacheTokens: 100_000}
+	}
 	return route.New(route.Table{
 		Version: version,
 		Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: route.NonIdempotent, Timeout: time.Minute, Target: time.Minute,
 			MaxAttempts: 1, Backends: []route.Backend{{Service: "s", Weight: 1}},
 		}},
-		Services:   []route.Service{{Name: "s"}},
+		Services:   []route.Service{service},
 		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}}},
 	}), nil
 }
--- a/internal/relay/speeds_test.go
+++ b/internal/relay/speeds_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"math"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -13,8 +14,10 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
 var firstEngine = rendezvous.ShortKeyOf("e0")
@@ -157,3 +160,42 @@
 		assert.Equal(t, len(s.state.OwnState(time.Now()).Speeds), 0)
 	})
 }
+
+// throughAnother is a Forwarder that sends all requests through a daemon that states its endpoint.
+type throughAnother struct{ pool *upstream.Pool }
+
+func (throughAnother) Target(string, int, []string, bool) (string, bool) { return "e0", false }
+func (throughAnother) FoundOpen(string, string)                          {}
+func (throughAnother) Done(string, bool)                                 {}
+func (f throughAnother) Pool() *upstream.Pool                            { return f.pool }
+func (throughAnother) Header(*ForwardedRequest) http.Header              { return http.Header{"Id": {"r1"}} }
+func (throughAnother) Owns(r *Request) func(http.Header) upstream.Ownership {
+	return plainProtocol{}.Owns(r)
+}
+func (throughAnother) Version(http.Header) (string, bool)    { return "", false }
+func (throughAnother) Endpoint(http.Header) *roster.Endpoint { return &roster.Endpoint{ID: "e0"} }
+func (throughAnother) Refusal(int, http.Header) *Refusal     { return nil }
+
+// Guards against a stream that two daemons count, or none.
+func TestForwardedStreamCountsAtTheDaemonThatReachesTheEngine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newEngineFixture(t, streaming(50, every(40*time.Millisecond)))
+		now := time.Now()
+		r := s.state.Table().Routes[3]
+		sink := &recordingSink{}
+		s.relay.ServeForwarded(t.Context(), &ForwardedRequest{
+			Request: &Request{ID: "r1", Method: "POST", Target: "/once/1", Path: "/once/1", Host: "h", Received: now, Deadline: now.Add(time.Minute)},
+			Route:   r, Service: "s", TimeLeft: time.Minute,
+		}, sink)
+		assert.Assert(t, sink.ended)
+		got := s.state.OwnState(time.Now()).Speeds[firstEngine]
+		assert.Equal(t, seconds(got.LogEventSeconds), 0.04)
+
+		s = newEngineFixture(t, streaming(50, every(40*time.Millisecond)))
+		s.relay.SetForwarder(throughAnother{s.relay.pool})
+		sink = &recordingSink{}
+		s.sendPrompt(t, sink, 8)
+		assert.Assert(t, sink.ended)
+		assert.Equal(t, len(s.state.OwnState(time.Now()).Speeds), 0)
+	})
+}
