--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -113,7 +113,7 @@
 }
 
 // Only implements relay.Origins.
-func (o *origins) Only(service string, horizon time.Duration) (string, bool) {
+func (o *origins) Only(_ context.Context, service string, horizon time.Duration) (string, bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.versions.Only(time.Now(), service, horizon)
@@ -126,11 +126,12 @@
 	return o.versions.Wants(time.Now())
 }
 
-// history returns what this daemon knows of versions that are gone.
+// history returns what this daemon knows of the versions that services had.
 func (o *origins) history() origin.History {
+	_, routesSince, _ := o.node.state.ResumableServices()
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.versions.History(time.Now())
+	return o.versions.History(time.Now(), routesSince)
 }
 
 // mergeHistory takes another daemon's history of versions.
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -5,5 +5,6 @@
 // A Table holds the origins that a daemon has recorded or received. Homes are the other
 // daemons that hold a stream's origin too, since the daemon that began it may be gone when
 // its caller takes it up. Versions records the versions that each service had, by which one
-// version alone may have begun a stream. The package is plain decision logic: no clock, goroutine or socket.
+// version alone may have begun a stream; a Record of it is stored for daemons that start after
+// all were killed. The package is plain decision logic: no clock, goroutine or socket.
 package origin
--- a/internal/origin/key.go
+++ b/internal/origin/key.go
@@ -16,6 +16,6 @@
 
 // Origin is what began a stream.
 type Origin struct {
-	Service string
-	Version string // of the software of the service's endpoint
+	Service string `json:"service"`
+	Version string `json:"version"` // of the software of the service's endpoint
 }
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"slices"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -19,6 +20,8 @@
 type Versions struct {
 	since     time.Time // from when on all versions are recorded, zero before the first list
 	settledAt time.Time // when the list is complete after an interruption
+	era       uint64    // the store's, see objects.EraOf
+	eraSince  time.Time // when the store came back from an older copy, zero if it didn't
 	listed    map[string]map[string]bool
 	gone      map[Origin]time.Time // when the last endpoint of a version was removed
 }
@@ -56,13 +59,30 @@
 	}
 }
 
+// Seen records a version that an endpoint's entry had, also if it is replaced before the next
+// list.
+func (v *Versions) Seen(now time.Time, o Origin) {
+	if !v.listed[o.Service][o.Version] {
+		v.gone[o] = now
+	}
+}
+
+// Era records the era of the store that the list is from. Entries written shortly before the
+// store came back from an older copy may never have been listed here.
+func (v *Versions) Era(now time.Time, era uint64) {
+	if era > v.era && !v.since.IsZero() {
+		v.eraSince = now
+	}
+	v.era = max(v.era, era)
+}
+
 // Interrupted records that the list may lack endpoints that have started lately.
 func (v *Versions) Interrupted(now time.Time) { v.settledAt = now.Add(settling) }
 
 // Only returns the version of a service that began all streams of the last horizon; ok is
 // false if there were several, or if that isn't known.
 func (v *Versions) Only(now time.Time, service string, horizon time.Duration) (version string, ok bool) {
-	if v.since.IsZero() || now.Sub(v.since) < horizon || horizon > maxHorizon || now.Before(v.settledAt) {
+	if horizon > maxHorizon || !v.Reaches(now, horizon) {
 		return "", false
 	}
 	found := 0
@@ -77,41 +97,67 @@
 	return version, found == 1
 }
 
-// History is what a daemon knows of versions that are gone, for another that started later.
+// Settled records that the list lacks no endpoints that have started lately.
+func (v *Versions) Settled() { v.settledAt = time.Time{} }
+
+// History is what a daemon knows of versions, for another one that started later.
 type History struct {
 	Known time.Duration // how far it reaches back; 0: nothing is known
 	Gone  []Gone
 }
 
-// Gone is a version without endpoints.
+// Gone is a version that had endpoints.
 type Gone struct {
 	Origin
-	Ago time.Duration // since its last endpoint was removed
+	Ago time.Duration `json:"ago_ns"` // since its last endpoint was removed, 0 if it has some
 }
 
-// History returns what is known.
-func (v *Versions) History(now time.Time) History {
+// History returns what is known. It reaches back to the last event after which versions may
+// have served that are not recorded here: an interruption, a store that came back from an
+// older copy, or from, a time given by the caller. Versions that have endpoints are included:
+// their last entry may have been removed before the receiver's first list.
+func (v *Versions) History(now, from time.Time) History {
 	if v.since.IsZero() || now.Before(v.settledAt) {
 		return History{}
 	}
-	out := History{Known: min(now.Sub(v.since), maxHorizon)}
+	out := History{Known: min(now.Sub(latest(v.since, v.settledAt, v.eraSince, from)), maxHorizon)}
+	for service, versions := range v.listed {
+		for version := range versions {
+			out.Gone = append(out.Gone, Gone{Origin{service, version}, 0})
+		}
+	}
 	for o, at := range v.gone {
-		out.Gone = append(out.Gone, Gone{o, now.Sub(at)})
+		if !v.listed[o.Service][o.Version] {
+			out.Gone = append(out.Gone, Gone{o, max(now.Sub(at), 0)})
+		}
 	}
 	return out
 }
 
+// latest returns the latest of some times.
+func latest(all ...time.Time) time.Time {
+	return slices.MaxFunc(all, time.Time.Compare)
+}
+
 // Wants reports whether another daemon's history may help.
 func (v *Versions) Wants(now time.Time) bool {
 	return !v.since.IsZero() && now.Sub(v.since) < maxHorizon
 }
 
-// Merge takes another daemon's history, if it reaches further back.
+// Reaches reports whether all versions since some time ago are known.
+func (v *Versions) Reaches(now time.Time, back time.Duration) bool {
+	return !v.since.IsZero() && now.Sub(v.since) >= back && !now.Before(v.settledAt)
+}
+
+// Merge takes another daemon's history: its versions, and how far it reaches back if that is
+// further than here.
 func (v *Versions) Merge(now time.Time, h History) {
-	if v.since.IsZero() || now.Add(-h.Known).After(v.since) {
+	if v.since.IsZero() || h.Known <= 0 {
 		return
 	}
-	v.since = now.Add(-h.Known)
+	if since := now.Add(-h.Known); since.Before(v.since) {
+		v.since = since
+	}
 	for _, g := range h.Gone {
 		if at := now.Add(-g.Ago); at.After(v.gone[g.Origin]) {
 			v.gone[g.Origin] = at
--- a/internal/origin/versions_test.go
+++ b/internal/origin/versions_test.go
@@ -67,8 +67,60 @@
 	fresh.Listed(now, endpoints("v2"))
 	assert.Assert(t, fresh.Wants(now))
 	fresh.Merge(now, History{})
-	fresh.Merge(now, old.History(now))
+	fresh.Merge(now, old.History(now, time.Time{}))
 	assert.Assert(t, !fresh.Wants(now))
 	assert.Equal(t, fresh.only(at+time.Second, Retention), "")
 	assert.Equal(t, fresh.only(at+Retention+time.Second, Retention), "v2")
 }
+
+// Guards against a version that has gone before the reader's first list and that the sender still lists.
+func TestHistoryNamesListedVersions(t *testing.T) {
+	old, fresh := NewVersions(), NewVersions()
+	old.Listed(start, endpoints("v1"))
+	at := maxHorizon
+	fresh.Listed(start.Add(at), endpoints("v2"))
+	fresh.Merge(start.Add(at), old.History(start.Add(at), time.Time{}))
+	assert.Equal(t, fresh.only(at+Retention, Retention), "")
+	assert.Equal(t, fresh.only(at+Retention+1, Retention), "v2")
+}
+
+// Guards against a version that was listed between two lists and that another daemon alone has seen.
+func TestMergeTakesVersionsAlsoFromAShorterHistory(t *testing.T) {
+	long, short := NewVersions(), NewVersions()
+	long.Listed(start, endpoints("v1"))
+	at := Retention
+	short.Listed(start.Add(at), endpoints("v1"))
+	short.Seen(start.Add(at), Origin{"s", "v2"})
+	long.Merge(start.Add(at+1), short.History(start.Add(at+1), time.Time{}))
+	assert.Equal(t, long.only(at+2, Retention), "")
+	assert.Equal(t, long.only(2*at+1, Retention), "v1")
+}
+
+// Guards against a history that claims the time before an event after which versions may be missing in it.
+func TestHistoryReachesBackToTheLastDoubt(t *testing.T) {
+	for name, doubt := range map[string]func(v *Versions, at time.Time) time.Time{
+		"the store came back from an older copy": func(v *Versions, at time.Time) time.Time { v.Era(at, 2); return time.Time{} },
+		"the routes' services changed":           func(_ *Versions, at time.Time) time.Time { return at },
+		"the list was interrupted": func(v *Versions, at time.Time) time.Time {
+			v.Interrupted(at.Add(-settling))
+			return time.Time{}
+		},
+	} {
+		v := NewVersions()
+		v.Listed(start, endpoints("v1"))
+		v.Era(start, 1)
+		at := start.Add(Retention)
+		from := doubt(v, at)
+		assert.Equal(t, v.History(at.Add(time.Second), from).Known, time.Second, name)
+		assert.Equal(t, v.only(Retention+time.Second, Retention), "v1", name)
+	}
+}
+
+// Guards against the first era that a daemon sees being taken for one that has begun.
+func TestFirstEraIsNoDoubt(t *testing.T) {
+	v := NewVersions()
+	v.Era(start, 3)
+	v.Listed(start, endpoints("v1"))
+	v.Era(start.Add(1), 3)
+	assert.Equal(t, v.History(start.Add(time.Second), time.Time{}).Known, time.Second)
+}
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -23,8 +23,9 @@
 	// milliseconds at most.
 	Find(ctx context.Context, k origin.Key) (o origin.Origin, known bool)
 	// Only returns the version of a service that began all streams of the last horizon; ok is
-	// false if there were several, or if that isn't known.
-	Only(service string, horizon time.Duration) (version string, ok bool)
+	// false if there were several, or if that isn't known. A daemon that has just started may
+	// learn it within the next second or two, for which Only waits.
+	Only(ctx context.Context, service string, horizon time.Duration) (version string, ok bool)
 	// TrustedUntil returns until when connections to an endpoint's address reach the listed run.
 	// One that was established later may reach a run that isn't listed yet.
 	TrustedUntil(address string) time.Time
@@ -38,8 +39,8 @@
 func (noOrigins) Find(context.Context, origin.Key) (origin.Origin, bool) {
 	return origin.Origin{}, false
 }
-func (noOrigins) Only(string, time.Duration) (string, bool) { return "", false }
-func (noOrigins) TrustedUntil(string) time.Time             { return time.Now().Add(time.Hour) }
+func (noOrigins) Only(context.Context, string, time.Duration) (string, bool) { return "", false }
+func (noOrigins) TrustedUntil(string) time.Time                              { return time.Now().Add(time.Hour) }
 
 // SetOrigins sets the source of streams' origins. It must be called before Serve.
 func (r *Relay) SetOrigins(o Origins) { r.origins = o }
@@ -94,7 +95,7 @@
 		c.origin, c.known = f.relay.origins.Find(ctx, c.key)
 	}
 	if !c.known {
-		c.origin, c.known = f.onlyOrigin()
+		c.origin, c.known = f.onlyOrigin(ctx)
 	}
 	switch {
 	case !c.known:
@@ -108,11 +109,14 @@
 }
 
 // onlyOrigin returns the origin of a stream that one version alone can have begun.
-func (f *inflight) onlyOrigin() (origin.Origin, bool) {
-	if len(f.route.Backends) != 1 || f.relay.state.backendsChanged(f.route.Name, time.Now().Add(-f.horizon())) {
+func (f *inflight) onlyOrigin(ctx context.Context) (origin.Origin, bool) {
+	if len(f.route.Backends) != 1 {
+		return origin.Origin{}, false
+	}
+	version, ok := f.relay.origins.Only(ctx, f.service, f.horizon())
+	if f.relay.state.backendsChanged(f.route.Name, time.Now().Add(-f.horizon())) {
 		return origin.Origin{}, false
 	}
-	version, ok := f.relay.origins.Only(f.service, f.horizon())
 	return origin.Origin{Service: f.service, Version: version}, ok
 }
 
@@ -216,11 +220,24 @@
 	return s.backendsSince[route].After(after)
 }
 
+// ResumableServices returns route.Table.ResumableServices of the table in force, and since when
+// it has been the same, the zero time if since the first table. ok is false without a table.
+func (s *State) ResumableServices() (services uint64, since time.Time, ok bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.resumable, s.resumableSince, s.table != nil
+}
+
 // noteBackends records when routes' services change with a new table. The lock is held.
 func (s *State) noteBackends(now time.Time, t *route.Table) {
+	before := s.resumable
+	s.resumable = t.ResumableServices()
 	if s.table == nil {
 		return
 	}
+	if s.resumable != before {
+		s.resumableSince = now
+	}
 	old := map[string]*route.Route{}
 	for i := range s.table.Routes {
 		old[s.table.Routes[i].Name] = &s.table.Routes[i]
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -36,7 +36,9 @@
 	from, known := o.table[k]
 	return from, known
 }
-func (o *knownOrigins) Only(string, time.Duration) (string, bool) { return o.only, o.only != "" }
+func (o *knownOrigins) Only(context.Context, string, time.Duration) (string, bool) {
+	return o.only, o.only != ""
+}
 func (o *knownOrigins) TrustedUntil(string) time.Time {
 	if o.trusted.IsZero() {
 		return time.Now().Add(time.Hour)
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -34,6 +34,10 @@
 	rollouts     rolloutState
 	// backendsSince is when the services of a route last changed, by its name.
 	backendsSince map[string]time.Time
+	// resumable is route.Table.ResumableServices of the table, and resumableSince when it last
+	// changed.
+	resumable      uint64
+	resumableSince time.Time
 }
 
 // NewState returns the state of a daemon in the data centre self. Each service gets
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"strings"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
 // Table is one version of the configuration. It must not be changed after New.
@@ -72,3 +74,24 @@
 // RequiresCredential reports whether requests to routes that aren't public need a
 // credential.
 func (t *Table) RequiresCredential() bool { return len(t.Workspaces) > 0 }
+
+// ResumableServices identifies the services of the routes whose streams can be taken up: two
+// tables with the same value send each of these streams to the same services.
+func (t *Table) ResumableServices() uint64 {
+	sum := uint64(0)
+	for i := range t.Routes {
+		r := &t.Routes[i]
+		if r.Kind != Streaming || !r.Resumable {
+			continue
+		}
+		var services []string
+		for _, b := range r.Backends {
+			if b.Weight > 0 {
+				services = append(services, b.Service)
+			}
+		}
+		slices.Sort(services)
+		sum += rendezvous.Key(strings.Join(append([]string{r.Name, r.Host, r.Prefix}, services...), "\x00"))
+	}
+	return sum
+}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -40,3 +41,30 @@
 	assert.Equal(t, w.Cost(1540), 1540.0)
 	assert.Equal(t, (&Workspace{}).Cost(1540), 1.0)
 }
+
+// Guards against a change of a stream's services that a daemon which starts doesn't notice.
+func TestResumableServices(t *testing.T) {
+	table := func(change func(r []Route)) uint64 {
+		routes := []Route{
+			{Name: "a", Prefix: "/a/", Kind: Streaming, Resumable: true, Backends: []Backend{{"s", 1}, {"t", 1}}},
+			{Name: "b", Prefix: "/b/", Kind: Streaming, Resumable: true, Backends: []Backend{{"s", 1}}},
+			{Name: "c", Prefix: "/c/", Kind: Idempotent, Backends: []Backend{{"s", 1}}},
+		}
+		change(routes)
+		return New(Table{Routes: routes}).ResumableServices()
+	}
+	same := table(func([]Route) {})
+	assert.Equal(t, table(func(r []Route) { slices.Reverse(r) }), same)
+	assert.Equal(t, table(func(r []Route) { slices.Reverse(r[0].Backends) }), same)
+	assert.Equal(t, table(func(r []Route) { r[0].Backends[0].Weight = 3 }), same)
+	assert.Equal(t, table(func(r []Route) { r[2].Backends[0].Service = "t" }), same)
+	for _, change := range []func(r []Route){
+		func(r []Route) { r[1].Backends[0].Service = "t" },
+		func(r []Route) { r[0].Backends[1].Weight = 0 },
+		func(r []Route) { r[1].Prefix = "/b/c/" },
+		func(r []Route) { r[1].Resumable = false },
+		func(r []Route) { r[0].Backends, r[1].Backends = r[1].Backends, r[0].Backends },
+	} {
+		assert.Assert(t, table(change) != same)
+	}
+}
