node: versions are restored after a kill of all daemons

Cause: the record of versions had neither a writer nor a reader. Change: the holder of the duties stores it with the limits, which are written each second and read by each daemon that starts anyway: no further write. A daemon that watches the store for others reads the changes since, one call; the others get the result from a hub as before. Streams that are taken up wait for it in the first 2.5 s after a daemon's start. Histories are merged only from hubs whose configuration is at least as new as the first one here. Without the reader, without the changes, the record's versions, the check of routes, of entries that can't be decoded, of dropped history, of a first start or the wait, a test fails.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -17,6 +17,7 @@
 	store        *follow.Follower
 	mu           sync.Mutex
 	newest       spread.Text
+	first        uint64    // the first version in force here
 	hubRevision  uint64    // the store's revision up to which hubs report no newer version
 	announced    uint64    // the newest version that any daemon has reported
 	behindSince  time.Time // when a version that isn't in force was first reported
@@ -94,6 +95,9 @@
 	if c.announced > c.newest.Version {
 		log = log.WithField("known_ms", now.Sub(c.behindSince).Milliseconds())
 	}
+	if c.first == 0 {
+		c.first = t.Version
+	}
 	c.newest = spread.Text{Version: t.Version, Bytes: text}
 	c.offer(c.newest)
 	c.node.startGate.hasConfiguration()
@@ -110,6 +114,13 @@
 	return c.newest
 }
 
+// firstVersion returns the first version that was in force here, 0 if none was yet.
+func (c *configuration) firstVersion() uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.first
+}
+
 // offer makes a version available to other daemons.
 func (c *configuration) offer(t spread.Text) {
 	c.sourceMu.Lock()
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -10,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -23,6 +24,7 @@
 	all    []roster.Endpoint
 	listed bool
 	era    uint64 // the store's, see objects.EraOf
+	first  uint64 // the store's revision up to which the first list was complete
 
 	store *follow.Follower
 	specs map[fleet.EndpointID]spec // as received from the store or a hub
@@ -81,10 +83,11 @@
 			}
 		}
 		l.noteEra(objects.EraOf(revision), len(list))
+		l.node.origins.setEra(now, objects.EraOf(revision))
 		l.roster.Replace(now, list)
 		l.roster.Applied(revision)
 		l.roster.CaughtUp()
-		l.listed = true
+		l.markListed()
 	})
 }
 
@@ -118,6 +121,7 @@
 				continue
 			}
 			if e, ok := l.decode(now, c.Object); ok {
+				l.node.origins.seen(now, &e)
 				l.roster.Upsert(e)
 			}
 		}
@@ -220,12 +224,37 @@
 			l.removeOthers(now, u.Keys)
 		}
 		if !older {
+			l.node.origins.setEra(now, objects.EraOf(u.To.Revision))
 			l.roster.Applied(u.To.Revision)
 		}
-		l.listed = true
+		l.markListed()
 	})
 }
 
+// markListed notes that there is a list. The lock is held.
+func (l *endpointList) markListed() {
+	if !l.listed {
+		l.listed, l.first = true, l.roster.CompleteRevision()
+	}
+}
+
+// firstListed returns the store's revision up to which the first list was complete, 0 if
+// unknown.
+func (l *endpointList) firstListed() uint64 {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.first
+}
+
+// versionsRecord returns the record of the versions that services had, as of the list's
+// revision; ok is false if they aren't known.
+func (l *endpointList) versionsRecord() (r origin.Record, ok bool) {
+	routes, _, _ := l.node.state.ResumableServices() // read before the history, which ends with a change of it
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return origin.NewRecord(l.node.origins.history(), l.node.clock.Now(), l.roster.CompleteRevision(), routes)
+}
+
 // removeOthers removes the endpoints whose key is not among the given ones. The lock
 // is held.
 func (l *endpointList) removeOthers(now time.Time, keys []rendezvous.ShortKey) {
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -103,10 +103,14 @@
 	done   []chan error
 }
 
-// decodeTable reads a version, the text's first word; the table lets one
-// workspace call one service.
+// decodeTable reads a version, the text's first word, and the service of the streams, which is
+// the second one or "s"; the table lets one workspace call the services.
 func decodeTable(spec []byte) (*route.Table, error) {
-	word, _, _ := strings.Cut(string(spec), " ")
+	word, rest, _ := strings.Cut(string(spec), " ")
+	streams, _, _ := strings.Cut(rest, " ")
+	if len(streams) != 1 { // padding of some tests
+		streams = "s"
+	}
 	version, err := strconv.ParseUint(word, 10, 64)
 	if err != nil {
 		return nil, Error.Wrap(err)
@@ -116,16 +120,21 @@
 		Routes: []route.Route{{
 			Name: "r", Host: "h", Prefix: "/", Kind: route.NonIdempotent, Timeout: time.Minute, Target: time.Minute,
 			MaxAttempts: 1, Backends: []route.Backend{{Service: "s", Weight: 1}},
+		}, {
+			Name: "streams", Host: "h", Prefix: "/stream/", Kind: route.Streaming, Resumable: true, Timeout: 5 * time.Second, Target: 4 * time.Second,
+			MaxAttempts: 1, Backends: []route.Backend{{Service: streams, Weight: 1}},
 		}},
-		Services:   []route.Service{{Name: "s"}},
+		Services:   []route.Service{{Name: "s"}, {Name: "t"}},
 		Workspaces: []route.Workspace{{Name: "w", Keys: []string{"key"}}},
 	}), nil
 }
 
+// decodeEndpoint reads an address, and a version after a space.
 func decodeEndpoint(_ time.Time, o objects.Object) (roster.Endpoint, error) {
-	var address string
-	err := json.Unmarshal(o.Spec, &address)
-	return roster.Endpoint{ID: fleet.EndpointID(o.Name), Service: "s", Address: address, Slots: 8}, err
+	var text string
+	err := json.Unmarshal(o.Spec, &text)
+	address, version, _ := strings.Cut(text, " ")
+	return roster.Endpoint{ID: fleet.EndpointID(o.Name), Service: "s", Address: address, Version: version, Slots: 8}, err
 }
 
 func newFleet(t testing.TB, n int) *testFleet {
--- a/internal/node/limitscheckpoint.go
+++ b/internal/node/limitscheckpoint.go
@@ -27,6 +27,10 @@
 	Limits  map[fleet.WorkspaceID]quota.Checkpoint `json:"limits"`
 	// Crashes are the endpoints' crashes, from which it follows which requests are held.
 	Crashes []quarantine.Crash `json:"crashes,omitempty"`
+	// Versions is an origin.Record, empty where the writer knows no versions. It is stored here
+	// since this object is written each second and read by each daemon that starts. It is decoded
+	// apart, so that an invalid one doesn't hide the limits.
+	Versions json.RawMessage `json:"versions,omitempty"`
 }
 
 // limitsWriter writes the checkpoint. Only the duties' goroutine uses it.
@@ -51,7 +55,7 @@
 	}
 	n := w.duties.node
 	w.last, w.limits = now, n.state.LimitCheckpoints(now)
-	text, err := json.Marshal(limitsCheckpoint{n.clock.Now(), n.members.cachedCount(), w.limits, n.crashes.table.Snapshot()})
+	text, err := json.Marshal(limitsCheckpoint{n.clock.Now(), n.members.cachedCount(), w.limits, n.crashes.table.Snapshot(), w.versions()})
 	if err != nil {
 		w.duties.log.WithError(err).Error("limits not encoded")
 		return
@@ -68,6 +72,19 @@
 	})
 }
 
+// versions returns the record of the versions, nil where they aren't known.
+func (w *limitsWriter) versions() json.RawMessage {
+	record, ok := w.duties.node.endpoints.versionsRecord()
+	if !ok {
+		return nil
+	}
+	text, err := json.Marshal(record)
+	if err != nil {
+		w.duties.log.WithError(err).Error("versions not encoded")
+	}
+	return text
+}
+
 // put writes an object whatever its revision, and creates it where there is none.
 func (n *Node) put(ctx context.Context, kind, name string, text []byte) error {
 	_, err := n.platform.Store.Replace(ctx, kind, name, 0, text)
@@ -78,7 +95,7 @@
 }
 
 // restoreLimits reads the checkpoint that was written before this daemon started: the
-// number of daemons, what the limits had left, and the crashes.
+// number of daemons, what the limits had left, the crashes and the versions.
 func (n *Node) restoreLimits(ctx context.Context) {
 	if n.settings.Daemon.FirstStart {
 		return
@@ -88,6 +105,7 @@
 		n.logFor("daemon").WithError(err).Info("limits not restored")
 		return
 	}
+	n.restorer.keep(kept.Versions)
 	n.crashes.add(kept.Crashes)
 	n.members.prior.Store(&kept.Daemons)
 	now := time.Now()
--- a/internal/node/memorystore_test.go
+++ b/internal/node/memorystore_test.go
@@ -20,6 +20,8 @@
 	revision  uint64                               // the counter; revisionNow adds the era
 	objects   map[string]map[string]objects.Object // by kind and name
 	changes   []loggedChange
+	oldest    uint64 // the counter up to which the history was dropped
+	reads     int    // watches that don't wait
 	changed   chan struct{}
 	listCalls int
 	calls     atomic.Int64 // of all kinds
@@ -88,7 +90,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.era++
-	s.revision, s.changes = c.revision, nil
+	s.revision, s.changes, s.oldest = c.revision, nil, c.revision
 	s.objects = map[string]map[string]objects.Object{}
 	for kind, all := range c.objects {
 		s.objects[kind] = map[string]objects.Object{}
@@ -100,6 +102,22 @@
 	s.wake()
 }
 
+// dropHistory drops the changes up to now.
+func (s *memoryStore) dropHistory() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.oldest, s.changes = s.revision, nil
+}
+
+// takeReadCount returns the number of watches that didn't wait since the last call, and resets it.
+func (s *memoryStore) takeReadCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	n := s.reads
+	s.reads = 0
+	return n
+}
+
 // takeListCount returns the number of lists since the last call, and resets it.
 func (s *memoryStore) takeListCount() int {
 	s.mu.Lock()
@@ -133,6 +151,11 @@
 
 func (s *memoryStore) Watch(ctx context.Context, kind string, after uint64, wait time.Duration) ([]objects.Change, uint64, error) {
 	s.calls.Add(1)
+	if wait == 0 {
+		s.mu.Lock()
+		s.reads++
+		s.mu.Unlock()
+	}
 	late := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -143,7 +166,7 @@
 			}
 		}
 		down, revision, changed := s.down, s.revisionNow(), s.changed
-		past := objects.EraOf(after) != s.era
+		past := objects.EraOf(after) != s.era || objects.CounterOf(after) < s.oldest
 		s.mu.Unlock()
 		if past {
 			return nil, 0, objects.ErrGone
@@ -211,3 +234,18 @@
 }
 
 func (s *memoryStore) Delete(context.Context, string, string) error { return errDown }
+
+// remove removes an object.
+func (s *memoryStore) remove(kind, name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	o, ok := s.objects[kind][name]
+	if !ok {
+		return
+	}
+	delete(s.objects[kind], name)
+	s.revision++
+	o.Revision = s.revisionNow()
+	s.changes = append(s.changes, loggedChange{kind, objects.Change{Object: o, Deleted: true}})
+	s.wake()
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	paths     *paths
 	forwarder *forwarders
 	origins   *origins
+	restorer  *versionsRestorer
 	clock     *clock.Clock
 	config    *configuration
 	fetcher   *configFetcher
@@ -85,6 +86,7 @@
 	n.relay.SetForwarder(n.forwarder)
 	n.origins = newOrigins(n)
 	n.relay.SetOrigins(n.origins)
+	n.restorer = newVersionsRestorer(n)
 	n.watch = newWatchPolicy(n)
 	n.startGate = newStartGate(n.started)
 	n.config = newConfiguration(n)
@@ -156,7 +158,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
-		n.discover, n.origins.run, n.crashes.watch.Run, n.crashes.readStored,
+		n.discover, n.origins.run, n.restorer.run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -35,6 +35,8 @@
 	conn  atomic.Pointer[datagramConn]
 	upTo  atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
 	homes atomic.Pointer[cachedHomes]
+	// waiting is the number of streams that wait for the versions from before the start.
+	waiting atomic.Int64
 
 	mu       sync.Mutex
 	table    *origin.Table
@@ -61,8 +63,7 @@
 func (o *origins) run(ctx context.Context) {
 	pause.Every(ctx, originCheckInterval, func() {
 		now := time.Now()
-		upTo := now.Add(-o.node.peers.listAge(now))
-		o.upTo.Store(&upTo)
+		upTo := o.updateUpTo(now)
 		o.mu.Lock()
 		defer o.mu.Unlock()
 		o.table.Expire(now)
@@ -72,6 +73,13 @@
 	})
 }
 
+// updateUpTo updates until when the list of endpoints is known to be complete.
+func (o *origins) updateUpTo(now time.Time) time.Time {
+	upTo := now.Add(-o.node.peers.listAge(now))
+	o.upTo.Store(&upTo)
+	return upTo
+}
+
 // listAge returns the time since the list of endpoints was last known to be complete.
 func (x *peerExchange) listAge(now time.Time) time.Duration {
 	x.mu.Lock()
@@ -113,12 +121,65 @@
 }
 
 // Only implements relay.Origins.
-func (o *origins) Only(_ context.Context, service string, horizon time.Duration) (string, bool) {
+func (o *origins) Only(ctx context.Context, service string, horizon time.Duration) (string, bool) {
+	o.awaitHistory(ctx, horizon)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	return o.versions.Only(time.Now(), service, horizon)
 }
 
+const (
+	// historyHold is how long after a daemon's start streams that are taken up wait for the
+	// versions from before. In a large fleet that starts again, daemons take up to a second to
+	// find the two that read them, and as long to get them from a hub.
+	historyHold = 2500 * time.Millisecond
+	// historyCheckInterval is how often a stream that waits is checked.
+	historyCheckInterval = 20 * time.Millisecond
+)
+
+// awaitHistory waits, while this daemon has just started, until the versions of a horizon are
+// known. At a first start of the whole system there are none.
+func (o *origins) awaitHistory(ctx context.Context, horizon time.Duration) {
+	if o.node.settings.Daemon.FirstStart {
+		return
+	}
+	defer o.waiting.Add(-1)
+	if o.waiting.Add(1) > maxWaiting {
+		return
+	}
+	for time.Since(o.node.started) < historyHold && !o.reaches(horizon) && pause.For(ctx, historyCheckInterval) {
+	}
+}
+
+// reaches reports whether all versions of a horizon are known.
+func (o *origins) reaches(horizon time.Duration) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.versions.Reaches(time.Now(), horizon)
+}
+
+// seen records the version of an entry.
+func (o *origins) seen(now time.Time, e *roster.Endpoint) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Seen(now, originOf(e))
+}
+
+// setEra records the store's era of the list of endpoints.
+func (o *origins) setEra(now time.Time, era uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Era(now, era)
+}
+
+// originOf returns the service and the version of an endpoint.
+func originOf(e *roster.Endpoint) origin.Origin {
+	return origin.Origin{Service: e.Service, Version: e.Version}
+}
+
+// lacksHistory reports whether the versions from before this daemon's start may help it.
+func (o *origins) lacksHistory() bool { return !o.node.endpoints.hasList() || o.wantsVersions() }
+
 // wantsVersions reports whether another daemon's history of versions may help this one.
 func (o *origins) wantsVersions() bool {
 	o.mu.Lock()
@@ -134,14 +195,38 @@
 	return o.versions.History(time.Now(), routesSince)
 }
 
-// mergeHistory takes another daemon's history of versions.
-func (o *origins) mergeHistory(h origin.History) {
-	if h.Known == 0 {
+// mergeHistory takes the history of versions of another daemon, which has a version of the
+// configuration. Changes of routes' services between an older one and this daemon's first one
+// are known to neither. A daemon that knows its history has been in contact with the store, so
+// that the first list of this one lacks no endpoints that started in an outage.
+func (o *origins) mergeHistory(h origin.History, configVersion uint64) {
+	first := o.node.config.firstVersion()
+	if h.Known == 0 || first == 0 || configVersion < first {
 		return
 	}
+	now := time.Now()
+	settled := now.Sub(o.node.started) < startTime && now.Sub(o.updateUpTo(now)) <= o.node.contactBound()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.versions.Merge(now, h)
+	if settled {
+		o.versions.Settled()
+	}
+}
+
+// restore takes the versions from before this daemon's start. Streams may go on at once, for
+// which connections to the listed endpoints must be trusted.
+func (o *origins) restore(c origin.Conclusion) {
+	now := time.Now()
+	o.updateUpTo(now)
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	o.versions.Merge(time.Now(), h)
+	o.versions.Merge(now, c.History)
+	if c.Settled {
+		o.versions.Settled()
+	} else {
+		o.versions.Interrupted(now)
+	}
 }
 
 // Record implements relay.Origins.
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -139,9 +139,6 @@
 		reply.Members = x.memberLists.since(now, report.MembersPosition)
 	}
 	reply.Forwarders = x.forwardersFor(now, &report)
-	if report.WantVersions {
-		reply.Versions = x.node.origins.history()
-	}
 	reply.StoreAge = x.storeAge(now)
 	reply.ConfigRevision = x.node.config.upTo() // read before the version, which is then at least as new
 	newest := x.node.config.current()
@@ -149,6 +146,9 @@
 	if !report.Fetches && report.ConfigVersion < newest.Version {
 		reply.Config = newest.Bytes
 	}
+	if report.WantVersions { // read after the configuration's version, whose changes it includes
+		reply.Versions = x.node.origins.history()
+	}
 	return reply
 }
 
@@ -372,6 +372,8 @@
 		report.Windows = x.node.begun.windows()
 	}
 	report.Holder = x.holder
+	// The holder records the versions, also those that a hub alone has seen.
+	report.WantVersions = report.WantVersions || x.holder.Daemon == x.node.id
 	report.IsHub = x.relaying
 	report.EndpointsPosition = x.endpointsPosition(l, address)
 	report.MembersPosition = x.memberLists.position(address, report.IsHub || x.loadHub == "" || x.loadHub == address)
@@ -426,8 +428,8 @@
 	x.node.state.ApplyRollouts(time.Now(), reply.RolloutUpdate)
 	x.node.watch.noteHubContact(reply.StoreAge)
 	x.node.forwarder.setKnown(reply.Forwarders)
-	x.node.origins.mergeHistory(reply.Versions)
 	x.takeList(address, reply)
+	x.node.origins.mergeHistory(reply.Versions, reply.ConfigVersion)
 	x.mu.Lock()
 	members := x.memberLists.receive(address, &reply.Members)
 	x.mu.Unlock()
