--- a/internal/node/versionsrestore_test.go
+++ b/internal/node/versionsrestore_test.go
@@ -51,7 +51,7 @@
 }
 
 // servedFleet is a fleet that has served one version for long.
-func servedFleet(t *testing.T, daemons int, config string) (*testFleet, *versionedEngine) {
+func servedFleet(t testing.TB, daemons int, config string) (*testFleet, *versionedEngine) {
 	t.Helper()
 	f := newFleet(t, 0)
 	f.write(config)
