--- a/internal/node/versionsrestore.go
+++ b/internal/node/versionsrestore.go
@@ -47,7 +47,7 @@
 	wait, backoff := restoreCheckInterval, minRestoreBackoff
 	for pause.For(ctx, wait) && r.node.origins.lacksHistory() {
 		wait = restoreCheckInterval
-		if !r.due() {
+		if !r.due(time.Now()) {
 			continue
 		}
 		record, c, err := r.read(ctx)
@@ -76,16 +76,16 @@
 // due reports whether this daemon should read the versions now: it has a list of endpoints and a
 // configuration, and watches the store. In a large fleet it must have found enough others to
 // know that, or all daemons of one that starts again would read.
-func (r *versionsRestorer) due() bool {
+func (r *versionsRestorer) due(now time.Time) bool {
 	n := r.node
-	if !n.Ready() || n.peers.listAge(time.Now()) > n.contactBound() {
+	if !n.Ready() || n.peers.listAge(now) > n.contactBound() {
 		return false
 	}
 	prior, read := n.members.priorCount()
 	if read && prior <= exchange.SmallFleet && n.watch.smallFleet() {
 		return true
 	}
-	found, age := len(n.members.serving()), time.Since(n.started)
+	found, age := len(n.members.serving()), now.Sub(n.started)
 	nearlyAll := read && 10*found >= 9*prior
 	if !nearlyAll && (age < watchDelay || age < startTime && 2*found < prior) {
 		return false
--- a/internal/node/versionsrestore_test.go
+++ b/internal/node/versionsrestore_test.go
@@ -275,3 +275,27 @@
 	f.until("a later start would have read", func(n *Node) bool { return time.Since(n.started) > watchDelay+time.Second })
 	assert.Equal(t, f.store.takeReadCount(), 0)
 }
+
+// Guards against reads by each daemon of a large fleet that starts again and has found few others.
+func TestDaemonOfALargeFleetReadsOnceItHasFoundTheOthers(t *testing.T) {
+	f := newFleet(t, 1)
+	f.awaitReady()
+	n := f.nodes[0]
+	f.until("the list is in order", func(n *Node) bool { return n.peers.listAge(time.Now()) < n.contactBound() })
+	for prior, due := range map[int]bool{1: true, exchange.SmallFleet: true, exchange.SmallFleet + 1: false, 986: false} {
+		n.members.prior.Store(&prior)
+		assert.Equal(t, n.restorer.due(n.started.Add(startTime-1)), due, "%d daemons before", prior)
+	}
+}
+
+// Guards against a history of versions without a change of routes' services before this daemon's
+// first configuration, which its sender hadn't received.
+func TestHistoryOfAnOlderConfigurationIsNotTaken(t *testing.T) {
+	f := newFleet(t, 1)
+	f.awaitReady()
+	n, h := f.nodes[0], origin.History{Known: time.Hour}
+	n.origins.mergeHistory(h, n.config.firstVersion()-1)
+	assert.Assert(t, n.origins.wantsVersions())
+	n.origins.mergeHistory(h, n.config.firstVersion())
+	assert.Assert(t, !n.origins.wantsVersions())
+}
