quarantine: two causes under the same crashes are told apart

Cause: a request and a part of prompts that crash the same endpoints explained each other's crashes away. A daemon that found the part first dropped all crashes under it from the request's evidence, one that found the request first took the part's as explained. Differences of milliseconds between daemons decided which, and from then on one half of the fleet went on sending the request and the other the part.

Change: crashes under a held part count for a request again once it is suspected of one that no held part explains. Crashes at the same moment no longer spoil a request's isolated ones where a part is their likely cause. A part without evidence needs nine crashes instead of six where a repeated request may have caused them, and a part from whose crashes others of its scope were excluded is tried as the explanation before one without such evidence.

--- a/internal/quarantine/diagnosis.go
+++ b/internal/quarantine/diagnosis.go
@@ -86,12 +86,12 @@
 }
 
 // isIsolated reports whether each other crash within the correlation window of
-// crash i has k as a possible cause as well. With ignoreExplained, crashes that have
-// a likely cause of their own are ignored.
+// crash i has k as a possible cause as well, or a part of prompts as a likely one that is none of
+// crash i. With ignoreExplained, crashes that have a likely cause of their own are ignored.
 func (d *diagnosis) isIsolated(i int, k Key, ignoreExplained bool) bool {
 	c := d.crashes[i]
 	beside := func(o *evidence) bool {
-		return !o.has(k) && !o.explained && !(ignoreExplained && d.hasLikelyCause(o))
+		return !o.has(k) && !o.explained && !o.hasLikelyPartBeyond(c) && !(ignoreExplained && d.hasLikelyCause(o))
 	}
 	for n := i - 1; n >= 0 && c.at.Sub(d.crashes[n].at) <= correlationWindow; n-- {
 		if beside(d.crashes[n]) {
@@ -117,13 +117,18 @@
 	likeliest := d.count(func(i int, k Key) bool { return d.counts(i, k) && d.isLikeliest(d.crashes[i], k) })
 	var out []Key
 	for k, n := range likeliest {
-		if n >= minCrashes && d.isolated[k] >= minIsolated {
+		if n >= minCrashes && d.isolated[k] >= minIsolated && d.hasUnexplained(k) {
 			out = append(out, k)
 		}
 	}
 	return out
 }
 
+// hasUnexplained reports whether k may have caused a crash that has no known cause.
+func (d *diagnosis) hasUnexplained(k Key) bool {
+	return slices.ContainsFunc(d.crashes, func(c *evidence) bool { return !c.explained && c.has(k) })
+}
+
 // isLikeliest reports whether k may have caused more crashes than each other possible
 // cause of c. Two requests that always ran together can't be distinguished.
 func (d *diagnosis) isLikeliest(c *evidence, k Key) bool {
--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -11,6 +11,8 @@
 	open      map[Key]openCause
 	prompts   []Prompt
 	explained bool  // a cause of the other kind is known
+	doubtful  bool  // a request that is suspected of enough crashes may be the cause
+	parts     []Key // likely causes of the other kind
 	excluded  []Key // parts that are not open, since an endpoint has written a response on them
 	fresh     bool  // other daemons may not have reported their suspects yet
 	sole      bool  // one cause alone is left over that is so in other crashes too
@@ -69,6 +71,38 @@
 	return ok
 }
 
+// among returns the possible causes that are in a set.
+func (e *evidence) among(set map[Key]bool) []Key {
+	var out []Key
+	for k := range set {
+		if e.has(k) {
+			out = append(out, k)
+		}
+	}
+	return out
+}
+
+// hasLikelyPartBeyond reports whether a part is a likely cause of the crash, and none of another one.
+func (e *evidence) hasLikelyPartBeyond(other *evidence) bool {
+	return slices.ContainsFunc(e.parts, func(k Key) bool { return !slices.Contains(other.parts, k) })
+}
+
+// countCauses returns the number of crashes by possible cause.
+func countCauses(crashes []*evidence) map[Key]int {
+	n := map[Key]int{}
+	for _, c := range crashes {
+		for k := range c.open {
+			n[k]++
+		}
+	}
+	return n
+}
+
+// hasExcluded reports whether a part with a scope was excluded.
+func (e *evidence) hasExcluded(scope uint32) bool {
+	return slices.ContainsFunc(e.excluded, func(k Key) bool { return k.Scope == scope })
+}
+
 // any reports whether f holds for any possible cause.
 func (e *evidence) any(f func(k Key) bool) bool {
 	for k := range e.open {
--- a/internal/quarantine/partdiagnosis.go
+++ b/internal/quarantine/partdiagnosis.go
@@ -22,12 +22,14 @@
 	prompts map[Key]int // of these crashes, that have the part
 	depth   map[Key]int // position in a prompt
 	sole    map[Key]int // crashes in which no other part is left over that is in others too
+	beside  map[Key]int // crashes from which other parts of the scope were excluded
 }
 
 func newPartDiagnosis(crashes []*evidence, q *partQuery) *partDiagnosis {
 	d := &partDiagnosis{
 		diagnosis: newDiagnosis(crashes), query: q,
 		known: map[Key]int{}, present: map[Key]int{}, groups: map[Key]int{}, prompts: map[Key]int{}, depth: map[Key]int{}, sole: map[Key]int{},
+		beside: map[Key]int{},
 	}
 	for _, c := range crashes {
 		if c.sole && !c.fresh {
@@ -48,6 +50,9 @@
 			}
 			d.prompts[k] += o.prompts
 			d.depth[k] = max(d.depth[k], o.depth)
+			if c.hasExcluded(k.Scope) {
+				d.beside[k]++
+			}
 			if d.groups[k] == 0 || c.at.Sub(last[k]) > correlationWindow {
 				d.groups[k]++
 				last[k] = c.at
@@ -73,12 +78,16 @@
 	return best, ok
 }
 
-// before orders parts: one that was excluded from no crash comes first, then the one in the fewest
-// crashes and prompts, the one that was served least, and the one that is deepest in its prompt.
+// before orders parts: one that was excluded from no crash comes first, then one where others of its
+// scope were, so that it would have been too, then the one in the fewest crashes and prompts, the one
+// that was served least, and the one that is deepest in its prompt.
 func (d *partDiagnosis) before(a, b Key) bool {
 	if d.query.excluded[a] != d.query.excluded[b] {
 		return d.query.excluded[b]
 	}
+	if n := d.isNarrowed(a); n != d.isNarrowed(b) {
+		return n
+	}
 	return cmp.Or(
 		cmp.Compare(d.known[a], d.known[b]),
 		cmp.Compare(d.prompts[a], d.prompts[b]),
@@ -89,6 +98,8 @@
 	) < 0
 }
 
+func (d *partDiagnosis) isNarrowed(k Key) bool { return d.beside[k] >= minIsolated }
+
 // enough reports whether a part may be the cause of enough crashes, not all of which have another
 // known cause.
 func (d *partDiagnosis) enough(k Key) bool {
@@ -107,6 +118,17 @@
 	return n
 }
 
+// undoubted returns the number of these crashes that no repeated request may have caused.
+func (d *partDiagnosis) undoubted(k Key) int {
+	n := 0
+	for _, c := range d.crashes {
+		if c.has(k) && !c.explained && !c.doubtful && d.complete(c, k) {
+			n++
+		}
+	}
+	return n
+}
+
 // score returns the number of crashes, or of groups of them, that count against a part.
 func (d *partDiagnosis) score(k Key) int {
 	switch {
@@ -136,7 +158,7 @@
 		if out.crashes == 0 {
 			out.first, out.with = c.at, slices.Collect(maps.Keys(c.open))
 		}
-		if slices.ContainsFunc(c.excluded, func(o Key) bool { return o.Scope == k.Scope }) {
+		if c.hasExcluded(k.Scope) {
 			excluded++
 		}
 		out.with = slices.DeleteFunc(out.with, func(o Key) bool { return !c.together(k, o) })
--- a/internal/quarantine/partfleet_test.go
+++ b/internal/quarantine/partfleet_test.go
@@ -1,8 +1,10 @@
 package quarantine_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -18,8 +20,9 @@
 const (
 	// streamTime is how long a sound stream lasts after its first piece, and pieceInterval
 	// the time between two pieces.
-	streamTime    = 900 * time.Millisecond
-	pieceInterval = 100 * time.Millisecond
+	streamTime      = 900 * time.Millisecond
+	shortStreamTime = 180 * time.Millisecond
+	pieceInterval   = 100 * time.Millisecond
 	// contactBound is the shortest time after the fifth crash from which on few sends may
 	// follow.
 	contactBound = 3 * time.Second
@@ -43,6 +46,12 @@
 	reclaims float64 // endpoints that end for other reasons, a second
 	herds    bool    // some endpoints end together every 3 s
 	noFlood  bool    // no part crashes endpoints
+
+	fewEndpoints int           // 0: as many as daemons of this number have
+	restart      time.Duration // of an endpoint after a crash, 0: restartTime
+	short        bool          // sound streams begin soon, and are short
+	onePrompt    bool          // all sound requests have the same parts
+	repeated     float64       // attempts a second with one request that crashes endpoints by itself
 }
 
 // partSim plays it without sockets.
@@ -55,7 +64,10 @@
 	hubs      [][]*daemon // by group
 	nextRelay time.Time
 	endpoints []*partEndpoint
-	n         int // requests so far
+	n         int                  // requests so far
+	waiting   []*partAttempt       // requests for which no endpoint is up
+	repeats   *quarantine.Identity // the request that crashes endpoints by itself
+	outcome   outcome              // of that request
 
 	crashes    int // under the guilty part
 	fifth      time.Time
@@ -80,10 +92,13 @@
 	firstAt   time.Time
 	responded bool
 	told      bool
-	guilty    bool
+	guilty    bool // has the part that crashes endpoints
+	repeated  bool // is the request that crashes endpoints by itself
 	retried   bool
 }
 
+func (a *partAttempt) crashes() bool { return a.guilty || a.repeated }
+
 func newPartSim(seed uint64, p partPlay) *partSim {
 	s := &partSim{partPlay: p, bytes: map[*daemon]int{}, rng: rand.New(rand.NewPCG(seed, 3)), now: time.Unix(1_000_000, 0)}
 	s.start, s.nextRelay = s.now, s.now
@@ -99,7 +114,10 @@
 		s.all = append(s.all, members...)
 		s.hubs = append(s.hubs, members[:min(len(members), exchange.HubCount)])
 	}
-	for range 18 + p.daemons*2/3 {
+	if s.restart == 0 {
+		s.restart = restartTime
+	}
+	for range cmp.Or(p.fewEndpoints, 18+p.daemons*2/3) {
 		s.endpoints = append(s.endpoints, &partEndpoint{})
 	}
 	return s
@@ -191,7 +209,13 @@
 	s.n++
 	caller := s.rng.IntN(3)
 	parts := []uint64{1, 100 + uint64(caller), 1000 + uint64(s.rng.IntN(40))}
-	if guilty {
+	if s.onePrompt {
+		caller, parts = 0, []uint64{1, 2}
+	}
+	switch {
+	case guilty && s.onePrompt:
+		parts = slices.Insert(parts, s.position, guiltyPart)
+	case guilty:
 		caller = 0
 		parts[1] = 100
 		parts[s.position] = guiltyPart
@@ -202,27 +226,55 @@
 	}
 }
 
-// send sends a request from a daemon, and reports whether it was begun.
-func (s *partSim) send(d *daemon, id *quarantine.Identity, guilty, retried bool) bool {
-	if d.table.Held(s.at(d), func() *quarantine.Identity { return id }) > 0 {
-		if !guilty {
+// send sends a request from a daemon, or keeps it until an endpoint is up, and reports whether it
+// is not held.
+func (s *partSim) send(a partAttempt) bool {
+	if a.daemon.table.Held(s.at(a.daemon), func() *quarantine.Identity { return a.id }) > 0 {
+		if !a.crashes() {
 			s.soundHeld++
 		}
 		return false
 	}
-	if guilty && !s.fifth.IsZero() && s.now.Sub(s.fifth) > contactBound {
+	up := s.upEndpoints()
+	if len(up) == 0 {
+		s.waiting = append(s.waiting, &a)
+		return s.fewEndpoints > 0
+	}
+	s.countLate(&a)
+	first, mean := 60*time.Millisecond, 100*time.Millisecond
+	if s.short {
+		first, mean = 10*time.Millisecond, 10*time.Millisecond
+	}
+	a.sent, a.responded, a.told = s.now, false, false
+	a.firstAt = s.now.Add(first + time.Duration(s.rng.ExpFloat64()*float64(mean)))
+	e := up[s.rng.IntN(len(up))]
+	e.attempts = append(e.attempts, &a)
+	return true
+}
+
+func (s *partSim) upEndpoints() []*partEndpoint {
+	return slices.DeleteFunc(slices.Clone(s.endpoints), func(e *partEndpoint) bool { return s.now.Before(e.upAt) })
+}
+
+// sendWaiting sends what waits for an endpoint once one is up.
+func (s *partSim) sendWaiting() {
+	if len(s.waiting) == 0 || len(s.upEndpoints()) == 0 {
+		return
+	}
+	waiting := s.waiting
+	s.waiting = nil
+	for _, a := range waiting {
+		s.send(*a)
+	}
+}
+
+func (s *partSim) countLate(a *partAttempt) {
+	if a.guilty && !s.fifth.IsZero() && s.now.Sub(s.fifth) > contactBound {
 		s.late++
 	}
-	for range 20 {
-		e := s.endpoints[s.rng.IntN(len(s.endpoints))]
-		if s.now.Before(e.upAt) {
-			continue
-		}
-		first := s.now.Add(60*time.Millisecond + time.Duration(s.rng.ExpFloat64()*float64(100*time.Millisecond)))
-		e.attempts = append(e.attempts, &partAttempt{daemon: d, id: id, sent: s.now, firstAt: first, guilty: guilty, retried: retried})
-		return true
+	if third := s.outcome.thirdCrash; a.repeated && !third.IsZero() && s.now.Sub(third) > grace {
+		s.outcome.lateSends++
 	}
-	return false
 }
 
 // serve lets endpoints write, and crash.
@@ -235,33 +287,48 @@
 				kept = append(kept, a)
 				continue
 			}
-			if !a.responded && (!a.guilty || s.after) {
+			if !a.responded && (!a.crashes() || s.after) {
 				a.responded = true
 				a.daemon.table.Responded(s.at(a.daemon), a.sent.Add(a.daemon.skew), quarantine.Incarnation(n<<32|e.incarnation))
 			}
-			crashed = crashed || a.guilty && (!s.after || s.now.Sub(a.firstAt) >= 2*step)
+			crashed = crashed || a.crashes() && (!s.after || s.now.Sub(a.firstAt) >= 2*step)
 			if s.write(a) {
 				kept = append(kept, a)
 			}
 		}
 		e.attempts = kept
 		if crashed {
-			s.crashes++
-			s.lastCrash = s.now
-			if s.crashes == 5 {
-				s.fifth = s.now
-			}
+			s.countCrash(e)
 			s.kill(n)
 		}
 	}
 }
 
+func (s *partSim) countCrash(e *partEndpoint) {
+	if slices.ContainsFunc(e.attempts, func(a *partAttempt) bool { return a.guilty }) {
+		s.crashes++
+		s.lastCrash = s.now
+		if s.crashes == 5 {
+			s.fifth = s.now
+		}
+	}
+	if slices.ContainsFunc(e.attempts, func(a *partAttempt) bool { return a.repeated }) {
+		s.outcome.crashes++
+		if s.outcome.crashes == 3 {
+			s.outcome.thirdCrash = s.now
+		}
+	}
+}
+
 // write records a sound attempt that has settled in the table, and reports whether it is unfinished.
 func (s *partSim) write(a *partAttempt) bool {
-	if a.guilty {
+	if a.crashes() {
 		return true
 	}
-	since := s.now.Sub(a.firstAt)
+	since, streamTime := s.now.Sub(a.firstAt), streamTime
+	if s.short {
+		streamTime = shortStreamTime
+	}
 	if !a.told && since >= quarantine.Settled && since%pieceInterval < step || since >= streamTime {
 		a.told = true
 		a.daemon.table.Ran(s.at(a.daemon), a.firstAt.Add(a.daemon.skew), func() *quarantine.Identity { return a.id })
@@ -290,10 +357,12 @@
 	for d, c := range reports {
 		d.table.Add(s.at(d), *c)
 	}
-	e.attempts, e.incarnation, e.upAt = nil, e.incarnation+1, s.now.Add(restartTime)
+	e.attempts, e.incarnation, e.upAt = nil, e.incarnation+1, s.now.Add(s.restart)
 	for _, a := range cut {
 		if !a.retried {
-			s.send(a.daemon, a.id, a.guilty, true)
+			again := *a
+			again.retried = true
+			s.send(again)
 		}
 	}
 }
@@ -303,6 +372,7 @@
 	seconds := floodAt + floodSeconds*time.Second
 	for ; s.now.Sub(s.start) < seconds; s.now = s.now.Add(step) {
 		s.arrive()
+		s.sendWaiting()
 		s.end()
 		s.serve()
 		s.exchangeAll()
@@ -317,7 +387,7 @@
 func (s *partSim) arrive() {
 	phase := s.phase()
 	for range s.count(s.rate * float64(s.daemons)) {
-		begun := s.send(s.any(), s.identity(false), false, false)
+		begun := s.send(partAttempt{daemon: s.any(), id: s.identity(false)})
 		if phase >= 0 {
 			s.soundSent[phase]++
 			if begun {
@@ -325,10 +395,19 @@
 			}
 		}
 	}
-	if !s.noFlood && s.now.Sub(s.start) >= floodAt {
+	if s.now.Sub(s.start) < floodAt {
+		return
+	}
+	if !s.noFlood {
 		for range s.count(s.flood) {
-			s.send(s.any(), s.identity(true), true, false)
+			s.send(partAttempt{daemon: s.any(), id: s.identity(true), guilty: true})
+		}
+	}
+	for range s.count(s.repeated) {
+		if s.repeats == nil {
+			s.repeats = s.identity(false)
 		}
+		s.send(partAttempt{daemon: s.any(), id: s.repeats, repeated: true})
 	}
 }
 
@@ -415,3 +494,17 @@
 		}
 	}
 }
+
+// Guards against a request and a part that crash the same few endpoints and hide each other.
+func TestRequestAndPartThatCrashTheSameEndpointsAreHeld(t *testing.T) {
+	for seed := range uint64(8) {
+		p := partPlay{daemons: 6, rate: 4, flood: 6.7, position: 1, after: seed%2 == 1, fewEndpoints: 3, restart: 1200 * time.Millisecond, short: true, onePrompt: true, repeated: 5}
+		t.Run(fmt.Sprint(seed), func(t *testing.T) {
+			s := newPartSim(seed, p)
+			s.run()
+			t.Logf("%v; of the request %+v", s, s.outcome)
+			assert.Check(t, s.late <= maxLateSends, "%v", s)
+			assert.Check(t, s.outcome.lateSends <= retries, "%+v", s.outcome)
+		})
+	}
+}
--- a/internal/quarantine/parthold.go
+++ b/internal/quarantine/parthold.go
@@ -25,18 +25,17 @@
 }
 
 // holdParts updates which parts are held. Crashes of a held request alone don't make a part of its
-// prompt the cause. The lock must be held.
-func (t *Table) holdParts(now time.Time) {
-	var all []*evidence
+// prompt the cause. suspected are the numbers of crashes of which other requests are suspected. The
+// lock must be held.
+func (t *Table) holdParts(now time.Time, suspected map[Key]int) {
 	for _, r := range t.crashes {
-		if !r.Crash.Void && now.Sub(r.At) < maxHold {
-			e := r.partEvidence()
-			e.explained = r.anySuspect(func(k Key) bool { return !t.held[k].IsZero() })
-			all = append(all, e)
-		}
+		e := r.partEvidence()
+		e.explained = r.anySuspect(func(k Key) bool { return !t.held[k].IsZero() })
+		e.doubtful = r.anySuspect(func(k Key) bool { return suspected[k] >= minCrashes })
 	}
+	all := t.partCrashes(now)
 	var found map[Key]partCause
-	q := partQuery{now: now, timing: t.timing, served: t.served.count}
+	q := t.partQuery(now)
 	found, t.review = q.diagnose(all)
 	t.keepHeld(all, found)
 	t.trials.keep(found)
@@ -57,6 +56,21 @@
 	}
 }
 
+func (t *Table) partQuery(now time.Time) *partQuery {
+	return &partQuery{now: now, timing: t.timing, served: t.served.count}
+}
+
+// partCrashes returns the crashes that count against parts.
+func (t *Table) partCrashes(now time.Time) []*evidence {
+	var out []*evidence
+	for _, r := range t.crashes {
+		if !r.Crash.Void && now.Sub(r.At) < maxHold {
+			out = append(out, r.partEvidence())
+		}
+	}
+	return out
+}
+
 // keepHeld adds the parts that were held and may still be the cause of enough crashes, which may no
 // longer look isolated, unless those that were found are the cause.
 func (t *Table) keepHeld(all []*evidence, found map[Key]partCause) {
--- a/internal/quarantine/partquery.go
+++ b/internal/quarantine/partquery.go
@@ -53,7 +53,7 @@
 			break
 		}
 		c := rest.cause(k)
-		proven := c.narrowed || rest.unexplained(k) >= q.needed(k) && rest.groups[k] >= minCrashes
+		proven := c.narrowed || rest.groups[k] >= minCrashes && q.isProven(k, rest)
 		switch due := q.due(k, &c); {
 		case proven && q.now.Before(due):
 			review = earliest(review, due)
@@ -71,20 +71,35 @@
 	return found, review
 }
 
+// likely returns the parts that are probably the cause of some crashes, whatever crashed at the same
+// moments: they are left over in enough groups of crashes, in which other parts were excluded.
+func (q *partQuery) likely(crashes []*evidence) map[Key]bool {
+	out := map[Key]bool{}
+	excluded := q.excludedLately(crashes)
+	for k, n := range countGroups(crashes) {
+		if n >= minCrashes && !excluded[k] && causeIn(crashes, k).narrowed {
+			out[k] = true
+		}
+	}
+	return out
+}
+
 // The numbers of crashes without another known cause that are needed to hold a part without evidence
 // about others: endpoints that are all down serve nothing that could exclude a part. popular is the
-// number of requests with a part lately from which it takes the larger one.
+// number of requests with a part lately from which it takes the larger one. Crashes of a request
+// that is not held yet count in the larger one only, since its own parts are in all of them.
 const (
 	minUnproven        = 2 * minCrashes
 	minUnprovenPopular = 3 * minCrashes
 	popular            = 20
 )
 
-func (q *partQuery) needed(k Key) int {
-	if q.excluded[k] || q.served(k) >= popular {
-		return minUnprovenPopular
+// isProven reports whether there are so many crashes that no evidence about others is needed.
+func (q *partQuery) isProven(k Key, d *partDiagnosis) bool {
+	if d.unexplained(k) >= minUnprovenPopular {
+		return true
 	}
-	return minUnproven
+	return !q.excluded[k] && q.served(k) < popular && d.undoubted(k) >= minUnproven
 }
 
 // due returns when a part may be held.
@@ -102,15 +117,25 @@
 	return a
 }
 
-// onlyFrequent returns the crashes with those possible causes that are left over in enough of them:
-// the others can't be found.
-func onlyFrequent(crashes []*evidence) []*evidence {
+// countGroups returns the number of groups of crashes, each within the correlation window, by part.
+func countGroups(crashes []*evidence) map[Key]int {
 	n := map[Key]int{}
+	last := map[Key]time.Time{}
 	for _, c := range crashes {
 		for k := range c.open {
-			n[k]++
+			if n[k] == 0 || c.at.Sub(last[k]) > correlationWindow {
+				n[k]++
+				last[k] = c.at
+			}
 		}
 	}
+	return n
+}
+
+// onlyFrequent returns the crashes with those possible causes that are left over in enough of them:
+// the others can't be found.
+func onlyFrequent(crashes []*evidence) []*evidence {
+	n := countCauses(crashes)
 	if !slices.ContainsFunc(slices.Collect(maps.Values(n)), func(n int) bool { return n >= minCrashes }) {
 		return nil
 	}
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -192,6 +192,82 @@
 	assert.Assert(t, heldPrompt(table, 4, prompt(1, 99, 1, 7)))
 }
 
+// Guards against a request that goes on crashing endpoints, since a part that crashes them too is
+// held for the same crashes.
+func TestRequestIsHeldAfterAPartInTheSameCrashesWasHeld(t *testing.T) {
+	table := NewTable(1)
+	for i := range 6 {
+		now := float64(i)
+		crash := under(2*i, now, prompt(1, 50+i, 1, 7))
+		if i >= 4 {
+			crash.AddRequest(prompt(1, 0, 1), at(now-0.05))
+		}
+		table.Add(at(now), crash)
+		wrote(table, now, prompt(1, 90+i, 1))
+	}
+	assert.Assert(t, heldPrompt(table, 7, prompt(1, 99, 1, 7)))
+	table.Add(at(8), under(20, 8, prompt(1, 0, 1)))
+	assert.Assert(t, heldPrompt(table, 8.1, prompt(1, 0, 1)))
+	assert.Assert(t, !heldPrompt(table, 8.1, prompt(1, 98, 1)))
+}
+
+// Guards against a sound request that is held for crashes that a held part explains.
+func TestRequestInCrashesUnderAHeldPartIsNotHeld(t *testing.T) {
+	table := NewTable(1)
+	crashUnder(table, 0, 0, 3, func(i int) *Identity { return prompt(1, i, 4, 7) })
+	wrote(table, 2, prompt(1, 30, 4))
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)))
+	for i := range 6 {
+		table.Add(at(float64(4+i)), under(10+i, float64(4+i), prompt(1, 50+i, 4, 7), prompt(1, 40, 4)))
+		assert.Assert(t, !heldPrompt(table, float64(4+i), prompt(1, 40, 4)))
+	}
+}
+
+// Guards against a part of another route that is held for the crashes of a part with evidence.
+func TestPartWithEvidenceComesBeforeOneWithout(t *testing.T) {
+	table := NewTable(1)
+	for i := range 8 {
+		now := 0.4 * float64(i)
+		crash := under(i, now, prompt(1, 10+i, 1, 7))
+		if i > 0 {
+			other := prompt(2, 50+i, 2)
+			other.Scope = PartScope("s", "other", "m")
+			crash.AddRequest(other, at(now-0.05))
+		}
+		table.Add(at(now), crash)
+		wrote(table, now, prompt(1, 30+i, 1))
+	}
+	other := prompt(2, 99, 2)
+	other.Scope = PartScope("s", "other", "m")
+	assert.Assert(t, heldPrompt(table, 3.5, prompt(1, 99, 1, 7)))
+	assert.Assert(t, !heldPrompt(table, 3.5, other))
+}
+
+// Guards against a request whose crashes come at the same moments as those under a part.
+func TestRequestIsFoundBesideCrashesUnderAPart(t *testing.T) {
+	table := NewTable(1)
+	for i := range 3 {
+		now := float64(i)
+		table.Add(at(now), under(2*i, now, prompt(1, 0)), under(2*i+1, now+0.05, prompt(1, 10+i, 4, 7)))
+		wrote(table, now, prompt(1, 50+i, 4))
+	}
+	table.Tick(at(3.5))
+	assert.Assert(t, heldPrompt(table, 3.5, prompt(1, 0)))
+	assert.Assert(t, heldPrompt(table, 3.5, prompt(1, 99, 4, 7)))
+}
+
+// Guards against parts of a request that crashes endpoints, held before the request is found.
+func TestPartsOfARepeatedRequestAreNotHeldBeforeIt(t *testing.T) {
+	table := NewTable(1)
+	for i := range 7 {
+		now := float64(i)
+		table.Add(at(now), under(2*i, now, prompt(1, 0, 1, 2)), under(2*i+1, now+0.05, prompt(1, 10+i, 3, 4)))
+	}
+	assert.Assert(t, !heldPrompt(table, 9, prompt(1, 99, 1, 2)))
+	assert.Assert(t, heldPrompt(table, 9, prompt(1, 0, 1, 2)))
+	assert.Assert(t, heldPrompt(table, 9, prompt(1, 99, 3, 4)))
+}
+
 // Guards against a workspace that gets another one's requests held by naming their parts.
 func TestHoldBindsTheWorkspacesUnderWhichEndpointsCrashed(t *testing.T) {
 	table := NewTable(1)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -402,8 +402,7 @@
 	t.crashes = slices.Delete(t.crashes, 0, max(len(t.crashes)-maxCrashes, 0))
 	before := t.holding()
 	t.suspected = map[Key]bool{}
-	t.holdRequests(now)
-	t.holdParts(now)
+	t.holdParts(now, t.holdRequests(now))
 	t.crashes = slices.DeleteFunc(t.crashes, func(r *record) bool { return t.expired(now, r) })
 	t.crashCount.Store(int64(len(t.crashes)))
 	t.heldCount.Store(int64(len(t.held) + len(t.heldParts)))
@@ -426,28 +425,39 @@
 	return out
 }
 
-// holdRequests updates which requests are held. Crashes under a part that is held count against no
-// request.
-func (t *Table) holdRequests(now time.Time) {
+// holdRequests updates which requests are held. Crashes under a part that is held count against a
+// request only if another one does: daemons that hold the one cause of two under the same crashes
+// must find the other one, and those that hold that other one must find the first. It returns the
+// numbers of crashes of which the other requests are suspected.
+func (t *Table) holdRequests(now time.Time) map[Key]int {
 	var crashes []*Crash
-	var unexplained []*evidence
+	var open []*evidence
+	likely := t.partQuery(now).likely(t.partCrashes(now))
 	for _, r := range t.crashes {
 		if now.Sub(r.At) >= retention {
 			continue
 		}
 		crashes = append(crashes, &r.Crash)
-		if underHeldPart := len(t.heldParts) > 0 && r.partEvidence().any(t.isHeldPart); !r.Crash.Void && !underHeldPart {
-			unexplained = append(unexplained, r.requestEvidence())
+		if !r.Crash.Void {
+			e := r.requestEvidence()
+			parts := r.partEvidence()
+			e.explained = len(t.heldParts) > 0 && parts.any(t.isHeldPart)
+			e.parts = parts.among(likely)
+			open = append(open, e)
 		}
 	}
 	t.held = heldUntil(crashes, slices.Collect(maps.Keys(t.held)))
-	causes, rest := diagnose(withoutCauses(unexplained, func(k Key) bool { return !t.held[k].IsZero() }))
+	causes, rest := diagnose(withoutCauses(open, func(k Key) bool { return !t.held[k].IsZero() }))
 	maps.Copy(t.held, heldUntil(crashes, causes))
+	repeated := countCauses(rest)
 	for _, e := range rest {
 		for k := range e.open {
-			t.suspected[k] = true
+			if !e.explained || repeated[k] >= minIsolated {
+				t.suspected[k] = true
+			}
 		}
 	}
+	return repeated
 }
 
 func (t *Table) isHeldPart(k Key) bool {
