quarantine: a part of some prompts before one of a whole route

Cause: while all endpoints are down nothing is served that could exclude a part. Of two routes whose requests were waiting at each crash, the one whose own parts were in the fewest crashes was held, with all its sound requests, although the other one had a part that only some of its prompts have.

Change: without evidence, a part that not all prompts of its scope have is tried as the explanation first, since the other hold is that of a whole route.

Measured: the new unit test fails on the earlier code.

--- a/internal/quarantine/evidence.go
+++ b/internal/quarantine/evidence.go
@@ -98,6 +98,17 @@
 	return n
 }
 
+// promptsOf returns the number of prompts whose parts have a scope.
+func (e *evidence) promptsOf(scope uint32) int {
+	n := 0
+	for i := range e.prompts {
+		if e.prompts[i].Scope == scope {
+			n++
+		}
+	}
+	return n
+}
+
 // hasExcluded reports whether a part with a scope was excluded.
 func (e *evidence) hasExcluded(scope uint32) bool {
 	return slices.ContainsFunc(e.excluded, func(k Key) bool { return k.Scope == scope })
--- a/internal/quarantine/partdiagnosis.go
+++ b/internal/quarantine/partdiagnosis.go
@@ -23,13 +23,14 @@
 	depth   map[Key]int // position in a prompt
 	sole    map[Key]int // crashes in which no other part is left over that is in others too
 	beside  map[Key]int // crashes from which other parts of the scope were excluded
+	without map[Key]int // prompts of these crashes with the scope, but without the part
 }
 
 func newPartDiagnosis(crashes []*evidence, q *partQuery) *partDiagnosis {
 	d := &partDiagnosis{
 		diagnosis: newDiagnosis(crashes), query: q,
 		known: map[Key]int{}, present: map[Key]int{}, groups: map[Key]int{}, prompts: map[Key]int{}, depth: map[Key]int{}, sole: map[Key]int{},
-		beside: map[Key]int{},
+		beside: map[Key]int{}, without: map[Key]int{},
 	}
 	for _, c := range crashes {
 		if c.sole && !c.fresh {
@@ -49,6 +50,7 @@
 				d.known[k]++
 			}
 			d.prompts[k] += o.prompts
+			d.without[k] += c.promptsOf(k.Scope) - o.prompts
 			d.depth[k] = max(d.depth[k], o.depth)
 			if c.hasExcluded(k.Scope) {
 				d.beside[k]++
@@ -79,7 +81,8 @@
 }
 
 // before orders parts: one that was excluded from no crash comes first, then one where others of its
-// scope were, so that it would have been too, then the one in the fewest crashes and prompts, the one
+// scope were, so that it would have been too, then one that not all prompts of its scope have, since
+// otherwise the hold is that of a whole route, then the one in the fewest crashes and prompts, the one
 // that was served least, and the one that is deepest in its prompt.
 func (d *partDiagnosis) before(a, b Key) bool {
 	if d.query.excluded[a] != d.query.excluded[b] {
@@ -88,6 +91,9 @@
 	if n := d.isNarrowed(a); n != d.isNarrowed(b) {
 		return n
 	}
+	if all := d.without[a] == 0; all != (d.without[b] == 0) {
+		return !all
+	}
 	return cmp.Or(
 		cmp.Compare(d.known[a], d.known[b]),
 		cmp.Compare(d.prompts[a], d.prompts[b]),
--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -243,6 +243,22 @@
 	assert.Assert(t, !heldPrompt(table, 3.5, other))
 }
 
+// Guards against a route that is held for a part of another one, while nothing is served.
+func TestPartOfSomePromptsComesBeforeOneOfAllOfItsRoute(t *testing.T) {
+	table := NewTable(1)
+	other := func(n int) *Identity {
+		id := prompt(2, n, 4, 5, 6)
+		id.Scope = PartScope("s", "other", "m")
+		return id
+	}
+	for i := range 7 {
+		now := 0.5 * float64(i)
+		table.Add(at(now), under(i, now, prompt(1, 10+i, 1, 7), prompt(1, 30+i, 1), other(50+i)))
+	}
+	assert.Assert(t, heldPrompt(table, 3.7, prompt(1, 99, 1, 7)))
+	assert.Assert(t, !heldPrompt(table, 3.7, other(99)))
+}
+
 // Guards against a request whose crashes come at the same moments as those under a part.
 func TestRequestIsFoundBesideCrashesUnderAPart(t *testing.T) {
 	table := NewTable(1)
