Endpoints are used by their speed

All endpoints of a service got the same requests, whatever their speed: in a play of 60 engines at 0.7, 0.7 and 1.7 of the usual speed, 7.4% of the streams had a pause above 500 ms, and the slow engines ran twice the requests of the fast ones.

The predicted wait and the cost scale with an endpoint's factors, the prefill rate is that of the usual endpoint, and homes are weighted by speed. Streams with a pause target report their longest pause: after a late one, prompts cost more where they are expected to delay events beyond the target. Scaling counts endpoints by their mean speed.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"maps"
 	"math/rand/v2"
 	"time"
 
@@ -30,12 +31,14 @@
 	byKey               map[rendezvous.ShortKey]*member
 	limited             map[*member]bool // those with a rate limit in force
 	rests               map[fleet.EndpointID]runRest
+	pauses              map[string]*pauses // of the streams with a pause target, by service
 	brittle             map[string]*brittleService
 	reported            bool           // a load report was received
 	slots               map[string]int // by service, of endpoints that take requests
 	ownRunning          map[string]int // attempts of this daemon, by service
 	scratch             []*member
 	homeScratch         []*member
+	listedHomesKnown    bool // homeScratch has the homes of the request that is placed
 }
 
 // New returns a balancer for a daemon in a data centre. The random source belongs to
@@ -46,6 +49,7 @@
 		rng:     rng,
 		members: map[fleet.EndpointID]*member{},
 		rests:   map[fleet.EndpointID]runRest{},
+		pauses:  map[string]*pauses{},
 		active:  map[string][]*member{},
 		splits:  map[string]*split{},
 
@@ -104,6 +108,12 @@
 			b.slots[e.Service] += max(b.members[e.ID].Slots, 1)
 		}
 	}
+	maps.DeleteFunc(b.pauses, func(service string, _ *pauses) bool { return b.listed[service] == nil })
+	for service, all := range b.listed {
+		if len(b.active[service]) == len(all) {
+			b.active[service] = all
+		}
+	}
 	b.rebuildSplits()
 	b.findEstablished()
 	b.applyRateLimits(now)
@@ -130,6 +140,7 @@
 	}
 	b.reported = true
 	b.updateUse()
+	b.updatePauseLoads()
 }
 
 // OwnLoads returns this daemon's load.
@@ -203,13 +214,17 @@
 	m.parts.add(r.Parts)
 }
 
-// PrefillRate returns the prompt tokens per second that an engine computes, as
+// PrefillRate returns the prompt tokens per second that the usual engine computes, as
 // observed.
 func (b *Balancer) PrefillRate() float64 { return b.prefillRate.perSecond }
 
 // FirstToken records an attempt's first token, some seconds after it was sent.
 func (b *Balancer) FirstToken(r *Request, c Choice, seconds float64) {
-	b.prefillRate.observe(r.Prompt-c.Cached, seconds)
+	slow := usual
+	if m := b.member(c); m != nil {
+		slow = m.slow
+	}
+	b.prefillRate.observe(r.Prompt-c.Cached, seconds, slow.prefill)
 	b.prefilled(r, c)
 }
 
--- a/internal/balance/balancer_test.go
+++ b/internal/balance/balancer_test.go
@@ -184,28 +184,46 @@
 	rng := rand.New(rand.NewPCG(1, 2))
 	for range 2000 {
 		queued := max(rng.NormFloat64(), 0) * 0.05
-		r.observe(8000, 8000.0/112_000+queued)
+		r.observe(8000, 8000.0/112_000+queued, 1)
 	}
 	assert.Assert(t, r.perSecond > 95_000 && r.perSecond < 130_000, "%v", r.perSecond)
 }
 
 func BenchmarkPick(b *testing.B) {
-	for _, n := range []int{18, 140, 690} {
-		b.Run(fmt.Sprint(n), func(b *testing.B) {
-			balancer := newTestBalancer(1, n)
-			requests := make([]*Request, 320)
-			for i := range requests {
-				requests[i] = requestWithPrefix(uint64(i + 2))
-			}
-			b.ReportAllocs()
-			i := 0
-			for b.Loop() {
-				i++
-				if _, ok := balancer.Pick(start, requests[i%len(requests)]); !ok {
-					b.Fatal("none")
-				}
-			}
-		})
+	for _, n := range []int{18, 140, 690, 3000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) { benchmarkPick(b, newTestBalancer(1, n)) })
+		b.Run(fmt.Sprint(n, "/uneven"), func(b *testing.B) { benchmarkPick(b, unevenBalancer(n)) })
+	}
+}
+
+// unevenBalancer returns a balancer of endpoints at three speeds, one of which drains, that has
+// seen late pauses.
+func unevenBalancer(endpoints int) *Balancer {
+	b := newTestBalancer(1, endpoints)
+	all := testEndpoints(endpoints)
+	all[endpoints/2].Draining = true
+	b.SetEndpoints(start, all)
+	for i, e := range all {
+		f := []float64{1 / 0.7, 1, 1 / 1.7}[i%3]
+		b.members[e.ID].slow = slowness{f, f}
+		b.ObservePause(start, Choice{Endpoint: e}, 600*time.Millisecond, 500*time.Millisecond)
+	}
+	return b
+}
+
+func benchmarkPick(b *testing.B, balancer *Balancer) {
+	requests := make([]*Request, 320)
+	for i := range requests {
+		requests[i] = requestWithPrefix(uint64(i + 2))
+		requests[i].PauseTarget = 500 * time.Millisecond
+	}
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		if _, ok := balancer.Pick(start, requests[i%len(requests)]); !ok {
+			b.Fatal("none")
+		}
 	}
 }
 
--- a/internal/balance/candidates.go
+++ b/internal/balance/candidates.go
@@ -11,6 +11,7 @@
 // first homes of the affinity key and a random sample. Of a brittle service these are the
 // members where this daemon has free slots. The slice is reused.
 func (b *Balancer) candidates(now time.Time, r *Request) []*member {
+	b.listedHomesKnown = false
 	if s := b.brittle[r.Service]; s != nil {
 		return b.withOwnSlots(now, r, s)
 	}
@@ -20,7 +21,7 @@
 	}
 	b.scratch = b.scratch[:0]
 	if key := r.affinityKey(); key != 0 {
-		b.scratch = appendHomes(key, set, b.scratch)
+		b.scratch = b.appendEligibleHomes(key, r, set, b.scratch)
 	}
 	for range sampleSize {
 		m := set[b.rng.IntN(len(set))]
@@ -31,8 +32,8 @@
 	return b.scratch
 }
 
-// homeOf returns the first home of an affinity key by rendezvous hashing; nil for key
-// 0. An endpoint with a rate limit or at rest can't take the requests of a home.
+// homeOf returns the first home of an affinity key by rendezvous hashing, weighted by speed;
+// nil for key 0. An endpoint with a rate limit or at rest can't take the requests of a home.
 func (b *Balancer) homeOf(now time.Time, key uint64, set []*member) *member {
 	var best *member
 	var most uint64
@@ -43,32 +44,14 @@
 		if m.pacer != nil || m.resting(now) {
 			continue
 		}
-		if s := rendezvous.ScoreHashed(key, m.hash); best == nil || s > most {
-			best, most = m, s
-		}
-	}
-	return best
-}
-
-// appendHomes appends the first homes of an affinity key in a set, best first.
-func appendHomes(key uint64, set []*member, out []*member) []*member {
-	var scores [homeCount]uint64
-	var top [homeCount]*member
-	for _, m := range set {
 		s := rendezvous.ScoreHashed(key, m.hash)
-		for i := range top {
-			if top[i] == nil || s > scores[i] {
-				copy(top[i+1:], top[i:homeCount-1])
-				copy(scores[i+1:], scores[i:homeCount-1])
-				top[i], scores[i] = m, s
-				break
-			}
+		w := m.weight()
+		if best != nil && !w.CanExceed(s, most) {
+			continue
 		}
-	}
-	for _, m := range top {
-		if m != nil {
-			out = append(out, m)
+		if s = w.Score(s); best == nil || s > most {
+			best, most = m, s
 		}
 	}
-	return out
+	return best
 }
--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -36,6 +36,13 @@
 	// operators weigh most. With 5 and 10, compared to 2, recomputed tokens decrease by a
 	// quarter and by a third, with no fewer answers in time.
 	recomputeWeight = 7.0
+	// unscaledPrefill is the part of a request's own prefill time that costs the same at
+	// endpoints of all speeds, as the rest of recomputeWeight does: recomputed tokens are
+	// wasted wherever that is. In plays with engines at 0.7, 1 and 1.7 of the usual speed,
+	// scaling all of recomputeWeight drew prompts off their homes, and 0.6 of all tokens were
+	// computed instead of 0.25; with 0 here the fast engines filled up at 0.79 of the
+	// capacity; with 1 running requests were 0.3 to 0.4 off the proportion to speed.
+	unscaledPrefill = 0.35
 	// homeCachedShare is the part of the shared tokens that a home is expected to have
 	// cached if this daemon has not sent them there itself.
 	homeCachedShare = 0.7
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -24,12 +24,12 @@
 	if m.isEngine {
 		holdSeconds = slotHoldSeconds
 		prefillTokens := m.own.PendingPrefill + m.others.PendingPrefill + max(r.Prompt-cached, 0)
-		sum = float64(prefillTokens)/b.prefillRate.perSecond + fullBatchSeconds*float64(running)/float64(slots)
+		sum = m.slow.prefill*float64(prefillTokens)/b.prefillRate.perSecond + m.slow.decode*fullBatchSeconds*float64(running)/float64(slots)
 	} else {
 		sum = plainCallSeconds * float64(running) / float64(slots)
 	}
 	if waiting := running - slots + 1; waiting > 0 {
-		sum += holdSeconds * float64(waiting) / float64(slots)
+		sum += m.slow.decode * holdSeconds * float64(waiting) / float64(slots)
 	}
 	return sum
 }
@@ -38,8 +38,10 @@
 func (b *Balancer) cost(now time.Time, r *Request, m *member, home bool, s *sources) float64 {
 	f := b.planFetch(m, cachedTokens(r, m, home), s)
 	sum := b.predictWait(r, m, f.cached) + f.costSeconds
-	sum += (recomputeWeight - 1) * float64(max(r.Prompt-f.cached, 0)) / b.prefillRate.perSecond
-	sum += failureCostSeconds * m.currentFailureShare(now)
+	uncached := max(r.Prompt-f.cached, 0)
+	sum += (recomputeWeight - 1 + unscaledPrefill*(1-m.slow.prefill)) * float64(uncached) / b.prefillRate.perSecond
+	sum += failureCostSeconds * m.failures.current(now)
+	sum += b.pauseCost(now, r, m, uncached)
 	if m.DataCentre != b.self {
 		sum += remoteSeconds
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -1,7 +1,6 @@
 package balance
 
 import (
-	"math"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
@@ -23,17 +22,17 @@
 // member is an endpoint with its state.
 type member struct {
 	roster.Endpoint
-	hash     uint64 // of the endpoint's ID
-	isEngine bool
+	hash       uint64 // of the endpoint's ID
+	slow       slowness
+	homeWeight homeWeight // next to hash and slow, which every choice reads of all members
+	isEngine   bool
 	// fetchSeconds is the time to fetch one cached token; 0 if the engine can't fetch.
-	fetchSeconds float64
-	own          Load
-	others       Load
-	slow         slowness
-	parts        partCache
-	// failureShare is the smoothed share of failures among recent outcomes.
-	failureShare        float64
-	failedAt            time.Time // time of failureShare
+	fetchSeconds        float64
+	own                 Load
+	others              Load
+	parts               partCache
+	failures            decayingShare // of attempts
+	latePauses          decayingShare // of streams with a pause target
 	consecutiveFailures int
 	avoidFor            time.Duration
 	avoidUntil          time.Time // zero or past: not avoided
@@ -58,24 +57,16 @@
 // avoided reports whether requests should go to other endpoints.
 func (m *member) avoided(now time.Time) bool { return now.Before(m.avoidUntil) }
 
-// currentFailureShare returns the failure share, decayed up to now.
-func (m *member) currentFailureShare(now time.Time) float64 {
-	if m.failureShare == 0 {
-		return 0
-	}
-	return m.failureShare * math.Exp2(-now.Sub(m.failedAt).Seconds()/failureHalfLife.Seconds())
-}
-
 // observe records the outcome of an attempt.
 func (m *member) observe(now time.Time, o Outcome) {
-	m.failureShare, m.failedAt = m.currentFailureShare(now), now
+	m.failures.decay(now)
 	switch o {
 	case Answered:
-		m.failureShare *= 1 - failureWeight
+		m.failures.observe(now, false)
 		m.consecutiveFailures, m.avoidFor, m.backoff = 0, 0, 0
 		m.avoidUntil = time.Time{}
 	case Failed, Unreachable:
-		m.failureShare += failureWeight * (1 - m.failureShare)
+		m.failures.observe(now, true)
 		m.consecutiveFailures++
 		if m.consecutiveFailures >= avoidAfter || o == Unreachable {
 			m.avoidFor = min(max(2*m.avoidFor, minAvoid), maxAvoid)
--- /dev/null
+++ b/internal/balance/pauses.go
@@ -0,0 +1,108 @@
+package balance
+
+import "time"
+
+const (
+	// lateMemory is how long after a late pause of a service's streams the risk of further
+	// ones has a cost.
+	lateMemory = 30 * time.Second
+	// targetStep is the part by which a stream changes the mean pause target of its service.
+	targetStep = 0.05
+	// delayWeight is the cost of computing prompt tokens beside streams whose events get late
+	// by it for certain, as a multiple of its time: ten to twenty streams run at an endpoint.
+	// In plays 20 left running requests up to 0.27 off the proportion to speed, 30 up to 0.2.
+	delayWeight = 30.0
+	// latePauseSeconds is the cost of a late pause of the request itself. It is below that of
+	// a failure, since the answer is complete; with 0.3 the fast endpoints filled up in plays.
+	latePauseSeconds = 0.1
+	// Below minRelativeLoad of its share of the running requests by speed, the cost of late
+	// pauses is 0 at an endpoint, and from maxRelativeLoad on all of it counts. Without this
+	// bound the fast endpoints filled up where a fifth of the streams had a target of 200 ms.
+	minRelativeLoad = 0.8
+	maxRelativeLoad = 1.2
+)
+
+// pauses is what this daemon has seen of the streams of a service that have a pause target.
+type pauses struct {
+	// tail is that of the pauses at the usual endpoint: each is divided by the factor of its
+	// endpoint for prefill, since the longest event is one during which a prompt is computed.
+	tail   pauseTail
+	target float64   // mean of the targets, in seconds
+	lateAt time.Time // of the last late pause
+	load   float64   // of the usual endpoint of the service, by the last load report
+}
+
+// ObservePause records the longest pause between the events of a stream at an endpoint, and its
+// target; 0 is none of either. Time in which the caller doesn't read is not part of a pause.
+func (b *Balancer) ObservePause(now time.Time, c Choice, longest, target time.Duration) {
+	m := b.member(c)
+	if m == nil || target <= 0 || longest <= 0 {
+		return
+	}
+	p := b.pauses[m.Service]
+	if p == nil {
+		p = &pauses{target: target.Seconds()}
+		b.pauses[m.Service] = p
+	}
+	p.tail.add(longest.Seconds() / m.slow.prefill)
+	p.target += targetStep * (target.Seconds() - p.target)
+	late := longest > target
+	if late {
+		p.lateAt = now
+	}
+	m.latePauses.observe(now, late)
+}
+
+// HadLatePause reports whether a stream of a service had a late pause lately.
+func (b *Balancer) HadLatePause(now time.Time, service string) bool {
+	p := b.pauses[service]
+	return p != nil && now.Sub(p.lateAt) <= lateMemory
+}
+
+// pauseCost returns the cost of the late pauses that a request is expected to cause at a
+// member, where it computes some tokens of its prompt, and to have there itself. It is 0
+// unless a stream of the service had a late pause lately.
+func (b *Balancer) pauseCost(now time.Time, r *Request, m *member, uncached int) float64 {
+	if !b.HadLatePause(now, r.Service) {
+		return 0
+	}
+	p := b.pauses[r.Service]
+	weight := p.weight(m)
+	if weight == 0 {
+		return 0
+	}
+	risk := max(p.tail.above(p.target/m.slow.prefill), m.latePauses.current(now))
+	sum := delayWeight * risk * m.slow.prefill * float64(uncached) / b.prefillRate.perSecond
+	if r.PauseTarget > 0 {
+		sum += latePauseSeconds * p.tail.above(r.PauseTarget.Seconds()/m.slow.prefill)
+	}
+	return weight * sum
+}
+
+// weight returns the part of the cost of late pauses that counts at a member: none where it has
+// much less than its share of the running requests by speed, so that the cost doesn't move
+// more requests to the fast endpoints than they can run.
+func (p *pauses) weight(m *member) float64 {
+	if p.load == 0 {
+		return 1
+	}
+	relative := m.load() / p.load
+	return min(max((relative-minRelativeLoad)/(maxRelativeLoad-minRelativeLoad), 0), 1)
+}
+
+// load returns the requests at a member as a share of its slots, as if it were a usual one.
+func (m *member) load() float64 {
+	return m.slow.decode * float64(m.running()) / float64(max(m.Slots, 1))
+}
+
+// updatePauseLoads takes a new load report into account.
+func (b *Balancer) updatePauseLoads() {
+	for service, p := range b.pauses {
+		running, slots := 0, 0.0
+		for _, m := range b.active[service] {
+			running += m.running()
+			slots += float64(max(m.Slots, 1)) / m.slow.decode
+		}
+		p.load = float64(running) / max(slots, 1)
+	}
+}
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
@@ -29,6 +30,9 @@
 	// Pinned requests go to endpoints of Version only, whichever the side.
 	Pinned  bool
 	Version string
+	// PauseTarget is the target for the longest pause between the events of a stream; 0 is
+	// none.
+	PauseTarget time.Duration
 	// Tried endpoints are not chosen again.
 	Tried []fleet.EndpointID
 }
--- a/internal/balance/source.go
+++ b/internal/balance/source.go
@@ -43,7 +43,10 @@
 	for _, m := range set {
 		out.add(m, m.parts.prefixTokens(r.Parts))
 	}
-	for _, m := range b.homesOf(key, b.listed[r.Service]) {
+	if sameMembers(set, b.listed[r.Service]) {
+		return out
+	}
+	for _, m := range b.listedHomes(key, r) {
 		if b.versionAllowed(r, m) { // versions don't share cached tokens
 			out.add(m, m.parts.prefixTokens(r.Parts))
 		}
@@ -51,12 +54,6 @@
 	return out
 }
 
-// homesOf returns the first homes of an affinity key among members, best first.
-func (b *Balancer) homesOf(key uint64, set []*member) []*member {
-	b.homeScratch = appendHomes(key, set, b.homeScratch[:0])
-	return b.homeScratch
-}
-
 // fetchPlan is what a member can fetch of a prompt.
 type fetchPlan struct {
 	from        *member // nil: no fetch
--- a/internal/node/scalingduty.go
+++ b/internal/node/scalingduty.go
@@ -62,6 +62,7 @@
 		Serving:         map[scaling.Place]int{},
 		Leaving:         map[scaling.Place]int{},
 		PrefillCapacity: s.duties.node.state.PrefillRate(),
+		MeanSpeed:       s.duties.node.state.MeanSpeed(service.Name),
 		Seconds:         elapsed.Seconds(),
 	}
 	// A total decreases where a daemon that is gone was dropped; and a new holder has no
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -16,10 +16,12 @@
 	inflight     *inflight
 	choice       balance.Choice
 	sent         time.Time
-	firstPieceAt time.Time // when the first piece of the answer arrived, zero before
-	ranReported  bool      // the guard was notified that the endpoint ran the request
-	forwarded    bool      // through another daemon, which records it
-	version      string    // of the endpoint, if the other daemon states it
+	firstPieceAt time.Time     // when the first piece of the answer arrived, zero before
+	eventSentAt  time.Time     // when the caller had taken the last event, zero before the first
+	longestPause time.Duration // in which the endpoint sent no event
+	ranReported  bool          // the guard was notified that the endpoint ran the request
+	forwarded    bool          // through another daemon, which records it
+	version      string        // of the endpoint, if the other daemon states it
 	versionKnown bool
 	abort        context.CancelCauseFunc
 	// counter counts the attempt for a roll-out, nil without one; toNew says that
@@ -28,6 +30,14 @@
 	toNew   bool
 }
 
+// eventArrived records an event of the endpoint. The time before the caller has taken the
+// previous one is no pause: the endpoint could not send.
+func (t *trackedAttempt) eventArrived(now time.Time) {
+	if !t.eventSentAt.IsZero() {
+		t.longestPause = max(t.longestPause, now.Sub(t.eventSentAt))
+	}
+}
+
 // errRestarted ends attempts at an endpoint that has restarted.
 var errRestarted = errs.New("the endpoint has started again")
 
@@ -139,6 +149,7 @@
 func (s *State) done(now time.Time, t *trackedAttempt, o balance.Outcome) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.balancer.ObservePause(now, t.choice, t.longestPause, t.inflight.balanceReq.PauseTarget)
 	s.balancer.Done(now, t.inflight.balanceReq, t.choice, !t.firstPieceAt.IsZero(), o)
 	s.countDone(now, t, o)
 	id := t.choice.Endpoint.ID
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -57,6 +57,9 @@
 
 func newInflight(r *Relay, q *Request, a *admitted, sink Sink, forwarded bool) *inflight {
 	f := &inflight{relay: r, request: q, admitted: *a, sink: sink, balanceReq: q.balanceRequest(a.service), forwarded: forwarded}
+	if a.route != nil && a.route.Kind == route.Streaming {
+		f.balanceReq.PauseTarget = a.route.PauseTarget
+	}
 	f.events.lastID = q.LastEvent
 	f.continuation = newContinuation(q, a, forwarded)
 	f.outcome = initialOutcome(q, a)
--- /dev/null
+++ b/internal/relay/pause_test.go
@@ -0,0 +1,58 @@
+package relay
+
+import (
+	"io"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+// slowSink is a caller that takes a while to read each piece.
+type slowSink struct {
+	recordingSink
+	takes time.Duration
+}
+
+func (s *slowSink) WriteBody(p []byte) error {
+	time.Sleep(s.takes)
+	return s.recordingSink.WriteBody(p)
+}
+
+// latePauseAfter streams three events with a pause between them to a caller that takes a while
+// for each, and reports whether that counts as a late pause of the engine.
+func latePauseAfter(t *testing.T, pause, takes time.Duration) bool {
+	paused := route.Route{Name: "stream", Prefix: "/stream/", Kind: route.Streaming, MaxAttempts: 1, PauseTarget: 400 * time.Millisecond}
+	e := &engine{write: func(w io.Writer) {
+		_, _ = io.WriteString(w, strings.ReplaceAll(streamHead(), "ID", "r1"))
+		for range 3 {
+			_, _ = io.WriteString(w, chunk("data: a\n\n"))
+			time.Sleep(pause)
+		}
+		_, _ = io.WriteString(w, "0\r\n\r\n")
+	}}
+	s := newFixture(t, []route.Route{paused}, e)
+	now := time.Now()
+	out := &slowSink{takes: takes}
+	s.relay.Serve(t.Context(), &Request{
+		ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", Key: "key", Received: now, Deadline: now.Add(time.Minute),
+	}, out)
+	assert.Assert(t, out.ended)
+	return s.state.balancer.HadLatePause(time.Now(), "s")
+}
+
+// Guards against late pauses that the choice of endpoints isn't told, or that callers cause.
+func TestLatePausesOfEndpointsAreReported(t *testing.T) {
+	for _, c := range []struct {
+		pause, takes time.Duration
+		late         bool
+	}{{time.Second, 0, true}, {100 * time.Millisecond, 0, false}, {100 * time.Millisecond, time.Second, false}} {
+		synctest.Test(t, func(t *testing.T) {
+			assert.Equal(t, latePauseAfter(t, c.pause, c.takes), c.late)
+		})
+	}
+}
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -226,6 +226,14 @@
 	return s.balancer.PrefillRate()
 }
 
+// MeanSpeed returns the mean speed of a service's endpoints that take requests, compared to
+// the usual one.
+func (s *State) MeanSpeed(service string) float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.MeanSpeed(service)
+}
+
 // RetriesLeft returns what is left of the retry budgets, by service.
 func (s *State) RetriesLeft(now time.Time) map[string]float64 {
 	s.mu.Lock()
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -69,7 +69,9 @@
 		f.outcome.LongestPause = max(f.outcome.LongestPause, now.Sub(f.lastPieceAt))
 	}
 	f.lastPieceAt = now
+	t.eventArrived(now)
 	err := f.sink.WriteBody(whole)
+	t.eventSentAt = time.Now()
 	f.events.consume(len(whole))
 	return err
 }
--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -96,7 +96,8 @@
 }
 
 // updateLoad smooths the load of a sample. An engine alternates between decoding its
-// batch and prefill, so the shares of its time that they take add up.
+// batch and prefill, so the shares of its time that they take add up. Load is in endpoints of
+// the mean speed, since those that are started or released may be of any.
 func (p *Planner) updateLoad(now time.Time, s *Sample) {
 	slots := 1
 	if s.Service.Engine != nil {
@@ -108,6 +109,9 @@
 		busy += s.Prefill / s.PrefillCapacity
 		cached = max(s.Prompt-s.Prefill, 0) / s.PrefillCapacity
 	}
+	if s.MeanSpeed > 0 {
+		busy, cached = busy/s.MeanSpeed, cached/s.MeanSpeed
+	}
 	if busy > 0 && p.loadedSince.IsZero() {
 		p.loadedSince = now
 		p.load, p.cachedLoad = busy, cached
--- a/internal/scaling/sample.go
+++ b/internal/scaling/sample.go
@@ -24,9 +24,12 @@
 	Prefill float64
 	// Prompt is the prompt tokens a second in all, cached ones included.
 	Prompt float64
-	// PrefillCapacity is the prompt tokens that one endpoint can process in a
+	// PrefillCapacity is the prompt tokens that the usual endpoint can process in a
 	// second; 0: unknown, so that only slots count as load.
 	PrefillCapacity float64
+	// MeanSpeed is the mean speed of the serving endpoints, compared to the usual one: 1
+	// where they are alike; 0: unknown, which counts as 1.
+	MeanSpeed float64
 	// Seconds is the time since the last sample.
 	Seconds float64
 }
