--- a/internal/node/speeds.go
+++ b/internal/node/speeds.go
@@ -18,9 +18,14 @@
 	pause.Every(ctx, pause.MonitorInterval, func() { n.state.Tick(time.Now()) })
 }
 
-// logSlowChanges logs the endpoints that have become slow, or are no longer.
+// logSlowChanges logs the endpoints that have become slow, or are no longer. All daemons
+// estimate nearly the same, so only the holder of the duties logs; without a known one, all do.
 func (n *Node) logSlowChanges() {
-	for _, c := range n.state.TakeSlowChanges() {
+	changes := n.state.TakeSlowChanges()
+	if n.peers.otherHolderToken(n.id) != 0 {
+		return
+	}
+	for _, c := range changes {
 		log := n.logFor("endpoints").WithFields(logrus.Fields{
 			"endpoint": c.Endpoint, "service": c.Service, "factor": fmt.Sprintf("%.2f", c.Factor),
 		})
