Limits by priority: daemons exchange the demand, setting, metrics and log lines

Daemons report the demand for limits that are short and hubs answer with the sums of the others'. limits.by_priority (auto, off) turns it off. A limit that isn't short has no state and adds no bytes.

TestReportsAndRepliesRoundTrip of internal/exchange fails as before for Speeds, which are decoded as an empty map; the same fault of Demands is mended.

--- a/internal/exchange/demands.go
+++ b/internal/exchange/demands.go
@@ -20,16 +20,12 @@
 
 // decodeDemands skips amounts that are negative or not finite.
 func decodeDemands(all []*exchangepb.Demand) quota.Demands {
-	out := quota.Demands{}
+	var out quota.Demands
 	for _, d := range all {
 		if !(d.GetAmount() >= 0) || math.IsInf(d.GetAmount(), 0) {
 			continue
 		}
-		w := fleet.WorkspaceID(d.GetWorkspace())
-		if out[w] == nil {
-			out[w] = quota.Demand{}
-		}
-		out[w][d.GetRoute()] = quota.Asked{Amount: d.GetAmount(), Requests: d.GetRequests()}
+		out = out.With(fleet.WorkspaceID(d.GetWorkspace()), d.GetRoute(), quota.Asked{Amount: d.GetAmount(), Requests: d.GetRequests()})
 	}
 	return out
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,7 @@
 	m.set.NewGauge("cyclamenbeam_prompt_parts_held", func() float64 { return float64(n.crashes.table.HeldPartCount()) })
 	m.set.NewGauge("cyclamenbeam_crashes_remembered", func() float64 { return float64(n.crashes.table.CrashCount()) })
 	m.set.NewGauge("cyclamenbeam_endpoints_rate_limited", func() float64 { return float64(n.state.RateLimitedEndpoints()) })
+	m.set.NewGauge("cyclamenbeam_limit_shares", func() float64 { return float64(len(n.state.LimitShares(time.Now()))) })
 	m.set.NewGauge("cyclamenbeam_stream_origins", func() float64 { return float64(n.origins.count()) })
 	m.set.NewGauge("cyclamenbeam_services_unreachable", func() float64 { return float64(len(n.paths.lostServices())) })
 	m.set.NewGauge("cyclamenbeam_connections_dialled_total", func() float64 { return float64(n.pool.Stats().Dialled) })
@@ -64,6 +65,9 @@
 		outcome = "failed"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
+	if o.Reason == relay.OverLimit {
+		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_over_limit_total{priority="%d"}`, o.Priority)).Inc()
+	}
 	if o.Continued != relay.NotContinued {
 		m.continued(o)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -73,6 +73,9 @@
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
 	}
 	limits := quota.New(s.Daemon.FirstStart, s.Bounds.tolerance())
+	if s.Limits.ByPriority == NotByPriority {
+		limits.SpendInOrder()
+	}
 	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
 	n.crashes = newCrashGuard(n)
 	n.witnesses = newWitnesses(n)
@@ -156,7 +159,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
-		n.discover, n.origins.run, n.crashes.watch.Run, n.crashes.readStored,
+		n.discover, n.origins.run, newLimitLog(n).run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/peerexchange.go
+++ b/internal/node/peerexchange.go
@@ -121,6 +121,7 @@
 	relayer := report.IsHub && report.Daemon != x.node.id
 	if !relayer {
 		reply.Soft.Spent = x.hub.Spent(now, report.Daemon)
+		reply.Soft.Demands = x.hub.Demands(now, report.Daemon)
 	}
 	if !report.OmitLoads && !relayer {
 		reply.Loads = x.hub.Loads(now, report.Daemon)
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -62,15 +62,26 @@
 	Duties  []string `yaml:"duties"`
 }
 
-// LimitSettings are the resources of the process.
+// LimitSettings are the resources of the process, and how workspaces' limits are spent.
 type LimitSettings struct {
 	MemoryMB int `yaml:"memoryMB"`
 	// Cores is the number of the machine's cores, or its share of one.
 	Cores float64 `yaml:"cores"`
 	// LinkMbps is the rate of the machine's network link, in megabits a second.
 	LinkMbps float64 `yaml:"linkMbps"`
+	// ByPriority says whether a workspace above its limit spends it by priority.
+	ByPriority ByPriority `yaml:"by_priority"`
 }
 
+// ByPriority says whether limits are spent by the priorities of the requests.
+type ByPriority string
+
+// The values of ByPriority.
+const (
+	AutoByPriority ByPriority = "auto" // where a limit is short and routes have several priorities
+	NotByPriority  ByPriority = "off"  // in order of arrival
+)
+
 // BoundsSettings are the bounds that the platform's operators require of the system.
 type BoundsSettings struct {
 	GraceSeconds       float64 `yaml:"graceSeconds"`
@@ -124,7 +135,8 @@
 			GraceSeconds: 8, RetryRatio: 0.2, RetryWindowSeconds: 10, RetrySlack: 10,
 			UsageWindowSeconds: 5, LeaseMillis: 3000, AnswerMaxAgeSeconds: 5, ContactMillis: 3000, ChangeMillis: 2000,
 		},
-		Log: LogSettings{Level: "info"},
+		Limits: LimitSettings{ByPriority: AutoByPriority},
+		Log:    LogSettings{Level: "info"},
 	}
 	if err := yaml.NewDecoder(bytes.NewReader(text), yaml.Strict()).Decode(s); err != nil {
 		return nil, Error.New("%s", yaml.FormatError(err, false, true))
@@ -153,6 +165,7 @@
 		{s.Listen.Peers == "", "listen.peers: is missing"},
 		{s.Store.Address == "", "store.address: is missing"},
 		{s.Limits.MemoryMB < 0, "limits.memoryMB: is negative"},
+		{s.Limits.ByPriority != AutoByPriority && s.Limits.ByPriority != NotByPriority, "limits.by_priority: must be auto or off"},
 		{s.Bounds.GraceSeconds <= 0, "bounds.graceSeconds: must be above 0"},
 		{s.Bounds.RetryWindowSeconds <= 0, "bounds.retryWindowSeconds: must be above 0"},
 		{s.Bounds.LimitExcessShare < 0, "bounds.limitExcessShare: is negative"},
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -44,11 +44,23 @@
 	assert.Equal(t, s.Bounds.ChangeMillis, 2000.0)
 }
 
+func TestLimitsAreSpentByPriorityUnlessSetOff(t *testing.T) {
+	const text = "daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\n"
+	for limits, want := range map[string]ByPriority{
+		"": AutoByPriority, "limits: {memoryMB: 5}\n": AutoByPriority, "limits: {by_priority: auto}\n": AutoByPriority, "limits: {by_priority: off}\n": NotByPriority,
+	} {
+		s, err := ParseSettings([]byte(text + limits))
+		assert.NilError(t, err)
+		assert.Equal(t, s.Limits.ByPriority, want, limits)
+	}
+}
+
 func TestSettingsAreChecked(t *testing.T) {
 	for text, want := range map[string]string{
 		"store: {address: a:1}": "daemon.instance: is missing",
-		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {graceSeconds: 0}":  "bounds.graceSeconds",
-		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {contactMillis: 0}": "bounds.contactMillis",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {graceSeconds: 0}":     "bounds.graceSeconds",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nbounds: {contactMillis: 0}":    "bounds.contactMillis",
+		"daemon: {instance: i, dataCentre: d}\nlisten: {callers: a:1, peers: a:2}\nstore: {address: a:3}\nlimits: {by_priority: always}": "limits.by_priority: must be auto or off",
 		"store: {adress: a:1}": `unknown field "adress"`,
 		"store: [":             "",
 	} {
--- a/internal/quota/bypriority.go
+++ b/internal/quota/bypriority.go
@@ -80,6 +80,17 @@
 	}
 }
 
+// LimitShares returns the shares of the workspaces whose limit is spent by priority.
+func (q *Quota) LimitShares(now time.Time) map[fleet.WorkspaceID]RouteShares {
+	out := map[fleet.WorkspaceID]RouteShares{}
+	for w, r := range q.rationings {
+		if shares := r.shares(now); shares != nil {
+			out[w] = shares
+		}
+	}
+	return out
+}
+
 // endRationing drops the rationing of workspaces that haven't been near their limit for a
 // while.
 func (q *Quota) endRationing(now time.Time) {
--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -11,6 +11,9 @@
 // Demand is the demand of one workspace by route.
 type Demand map[string]Asked
 
+// RouteShares is the parts of the demand for a limit that may pass, by route.
+type RouteShares map[string]float64
+
 // Demands is the demand of workspaces whose limit is short.
 type Demands map[fleet.WorkspaceID]Demand
 
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -16,6 +16,7 @@
 	all, alone demandClock
 	sharesAt   time.Time // when the shares were last computed
 	inForce    bool      // some share is below 1
+	inForceAt  time.Time // when that was last so
 }
 
 func newRationing(now time.Time, p *priorities) *rationing {
@@ -111,7 +112,9 @@
 			r.routes[name].share = shares[i]
 		}
 	}
-	r.inForce = shares != nil
+	if r.inForce = shares != nil; r.inForce {
+		r.inForceAt = now
+	}
 }
 
 // refillTime returns the time in which a route's share of a limit pays for a cost, at one
@@ -132,6 +135,18 @@
 	return out
 }
 
+// shares returns the shares in force; nil if none have been for rationedTime.
+func (r *rationing) shares(now time.Time) RouteShares {
+	if r.inForceAt.IsZero() || now.Sub(r.inForceAt) > rationedTime {
+		return nil
+	}
+	out := make(RouteShares, len(r.routes))
+	for name, d := range r.routes {
+		out[name] = d.share
+	}
+	return out
+}
+
 func (r *rationing) keepHubs(hubs []string) {
 	for _, d := range r.routes {
 		d.keepHubs(hubs)
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -69,7 +69,7 @@
 
 // initialOutcome returns a request's outcome as known before any attempt.
 func initialOutcome(q *Request, a *admitted) Outcome {
-	o := Outcome{ID: q.ID, Verdict: verdict.NotRun, Tokens: q.tokens()}
+	o := Outcome{ID: q.ID, Verdict: verdict.NotRun, Tokens: q.tokens(), Priority: a.priority}
 	if a.table != nil {
 		o.ConfigVersion = a.table.Version
 		o.ConfiguredAt = a.configuredAt
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -17,6 +17,7 @@
 	ID        string
 	Route     string
 	Workspace fleet.WorkspaceID
+	Priority  int // 0 is the highest
 	Service   string
 	Endpoint  fleet.EndpointID // of the last attempt
 	Version   string           // of that endpoint
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -151,7 +151,7 @@
 func (s *State) OwnState() SoftState {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return SoftState{Spent: maps.Clone(s.quota.Spent()), Load: s.balancer.OwnLoads(), Work: s.work.snapshot()}
+	return SoftState{Spent: maps.Clone(s.quota.Spent()), Load: s.balancer.OwnLoads(), Work: s.work.snapshot(), Demands: s.quota.Demands()}
 }
 
 // SetOthers applies the sum of all other daemons' parts, as a hub reported it.
@@ -161,6 +161,7 @@
 	defer s.mu.Unlock()
 	s.quota.Adopt(now, others.Levels)
 	s.quota.UpdateOthers(now, hub, others.Spent, others.JustStarted)
+	s.quota.UpdateDemands(now, hub, others.Demands)
 	if others.Load != nil {
 		s.balancer.SetOthers(others.Load)
 	}
@@ -211,6 +212,14 @@
 	return s.quota.LevelsKnown()
 }
 
+// LimitShares returns the parts of the demand that may pass of the workspaces whose limit
+// is spent by priority, by route.
+func (s *State) LimitShares(now time.Time) map[fleet.WorkspaceID]quota.RouteShares {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.quota.LimitShares(now)
+}
+
 // Levels returns what is left of the workspaces' limits.
 func (s *State) Levels(now time.Time) map[fleet.WorkspaceID]float64 {
 	s.mu.Lock()
