--- a/internal/quota/fleetsize_test.go
+++ b/internal/quota/fleetsize_test.go
@@ -65,6 +65,8 @@
 	withoutDemandSums bool
 	// inOrder makes limits be spent in order of arrival.
 	inOrder bool
+	// floor replaces the least share of a route if it is set.
+	floor *float64
 
 	demandRNG    *rand.Rand // for the demand
 	quotaRNG     *rand.Rand // for the daemons
@@ -94,6 +96,9 @@
 	for i := range f.daemons {
 		q := quota.New(true, tolerated)
 		q.SetRandom(f.quotaRNG)
+		if f.floor != nil {
+			q.SetFloorShare(*f.floor)
+		}
 		if f.inOrder {
 			q.SpendInOrder()
 		}
