--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -283,10 +283,14 @@
 // without updates must not incur a debt: the others don't know of it, and the debts
 // of a whole fleet add up.
 func (b *Bucket) requiredOwnLevel(cost float64) float64 {
-	if b.stale() {
+	switch {
+	case b.stale():
 		return cost
+	case b.shared: // else a route of large requests would get less than its share
+		return debtShare * b.meanCost
+	default:
+		return debtShare * cost
 	}
-	return debtShare * cost
 }
 
 func (b *Bucket) spend(cost float64) {
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -181,5 +181,5 @@
 	minKnownDemand = 0.7
 	// passingMargin is the part of the limit that passes in addition, since the bucket
 	// refuses some of what passes.
-	passingMargin = 0.15
+	passingMargin = 0.2
 )
