--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -160,7 +160,9 @@
 // Take admits a request of a cost, or returns after how long it could be admitted.
 func (b *Bucket) Take(now time.Time, cost float64) (wait time.Duration, ok bool) {
 	b.fill(now)
-	b.observeCost(cost)
+	if !b.shared {
+		b.observeCost(cost)
+	}
 	if b.rate <= 0 || b.ample(cost) {
 		b.spend(cost)
 		return 0, true
@@ -184,6 +186,15 @@
 	return 0, true
 }
 
+// setShared puts the shares of the routes in force, with the mean cost of what passes at
+// all daemons, or ends them. That cost replaces the one that this daemon observes, which
+// depends on the requests that it decides about: the larger one is, the lower its chance.
+func (b *Bucket) setShared(inForce bool, meanCost float64) {
+	if b.shared = inForce; inForce {
+		b.meanCost = meanCost
+	}
+}
+
 // observeCost adds a request to the mean cost.
 func (b *Bucket) observeCost(cost float64) {
 	if b.meanCost == 0 {
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -16,8 +16,10 @@
 	nearAt     time.Time // when the workspace was last near its limit
 	all, alone demandClock
 	sharesAt   time.Time // when the shares were last computed
-	inForce    bool      // some share is below 1
-	inForceAt  time.Time // when that was last so
+	// passingCost is the mean cost of the requests that pass.
+	passingCost float64
+	inForce     bool      // some share is below 1
+	inForceAt   time.Time // when that was last so
 }
 
 func newRationing(now time.Time, p *priorities, floorShare float64) *rationing {
@@ -114,6 +116,17 @@
 		shares = sharesOf(b.passing(), r.floorShare, demands)
 	}
 	r.apply(now, names, shares)
+	r.passingCost = passingCost(demands, shares)
+}
+
+// passingCost returns the mean cost of the requests that pass by their shares.
+func passingCost(demands []RouteDemand, shares []float64) float64 {
+	amount, requests := 0.0, 0.0
+	for i, share := range shares {
+		amount += share * demands[i].Amount
+		requests += share * demands[i].Requests
+	}
+	return amount / max(requests, 1e-9)
 }
 
 // apply puts shares in force; nil means that everything may pass.
