--- a/internal/quota/fleetsize_test.go
+++ b/internal/quota/fleetsize_test.go
@@ -63,6 +63,8 @@
 	routes []playRoute
 	// withoutDemandSums is a fault: hubs send no sums of the demand.
 	withoutDemandSums bool
+	// demandScale is a fault if it is set: hubs send this part of the demand.
+	demandScale float64
 	// inOrder makes limits be spent in order of arrival.
 	inOrder bool
 	// floor replaces the least share of a route if it is set.
--- a/internal/quota/overlimit_test.go
+++ b/internal/quota/overlimit_test.go
@@ -227,3 +227,18 @@
 		})
 	}
 }
+
+// Guards against a limit that depends on the sums of demand, which may be wrong or missing.
+func TestLimitIsKeptByWrongShares(t *testing.T) {
+	for _, daemons := range []int{9, 78, 340, 986} {
+		for name, routes := range overLimitMixes {
+			for _, scale := range []float64{0, 0.3} {
+				r := newOverLimit(1, func() *sizedFleet {
+					return &sizedFleet{daemons: daemons, jumpAt: overFrom, peakDemand: 6, routes: routes(), withoutDemandSums: scale == 0, demandScale: scale}
+				})
+				t.Logf("%d daemons, %s, %v of the demand: %v", daemons, name, scale, r)
+				assert.Check(t, r.tolerance <= 1, "%d daemons, %s, %v of the demand: %.3f of what is tolerated", daemons, name, scale, r.tolerance)
+			}
+		}
+	}
+}
--- a/internal/quota/routes_test.go
+++ b/internal/quota/routes_test.go
@@ -79,7 +79,13 @@
 	if f.withoutDemandSums {
 		return nil
 	}
-	return f.hubs[hub].Demands(now, id)
+	all := f.hubs[hub].Demands(now, id)
+	if f.demandScale > 0 {
+		for route, asked := range all[testWorkspace] {
+			all[testWorkspace][route] = quota.Asked{Amount: f.demandScale * asked.Amount, Requests: uint64(f.demandScale * float64(asked.Requests))}
+		}
+	}
+	return all
 }
 
 // forRoutes runs a simulation with one route and with three.
