Limits by priority: the routes' order counts in every workspace, by service

A workspace with a priority of its own got no order at all: its priority replaced those of its routes, so that all were equal. It ranks the workspace against others and says nothing about its own requests; within its limit the routes' priorities count now.

--- a/internal/quota/bypriority.go
+++ b/internal/quota/bypriority.go
@@ -12,7 +12,7 @@
 
 // byPriority reports whether the requests of a workspace may have several priorities.
 func (q *Quota) byPriority(w *route.Workspace) bool {
-	return !q.inOrder && q.priorities.several && w.Priority == nil && w.Rate > 0
+	return !q.inOrder && q.priorities.several && w.Rate > 0
 }
 
 // rationingOf returns the rationing of a workspace, which begins when the workspace comes
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -30,7 +30,7 @@
 func (r *rationing) route(name string) *routeDemand {
 	d := r.routes[name]
 	if d == nil {
-		d = &routeDemand{priority: r.priorities.of(name), share: 1}
+		d = &routeDemand{priority: r.priorities.of(name), services: r.priorities.services[name], share: 1}
 		r.routes[name] = d
 		r.sharesAt = time.Time{}
 	}
@@ -41,7 +41,7 @@
 func (r *rationing) setPriorities(p *priorities) {
 	r.priorities = p
 	for name, d := range r.routes {
-		d.priority = p.of(name)
+		d.priority, d.services = p.of(name), p.services[name]
 	}
 	r.sharesAt = time.Time{}
 }
--- a/internal/quota/routedemand.go
+++ b/internal/quota/routedemand.go
@@ -3,6 +3,7 @@
 // routeDemand is the demand for a short limit on one route.
 type routeDemand struct {
 	priority int
+	services string
 	own      Asked // at this daemon since the limit became short
 	// allSeen and aloneSeen are the parts of own that the sums include.
 	allSeen, aloneSeen Asked
@@ -78,9 +79,9 @@
 		sum, seconds = d.alone, max(aloneSeconds, minDemandSeconds)
 	}
 	if seconds <= 0 {
-		return RouteDemand{Priority: d.priority}
+		return RouteDemand{Priority: d.priority, Services: d.services}
 	}
-	return RouteDemand{Priority: d.priority, Amount: sum.amount / seconds, Requests: sum.requests / seconds}
+	return RouteDemand{Priority: d.priority, Services: d.services, Amount: sum.amount / seconds, Requests: sum.requests / seconds}
 }
 
 func (d *routeDemand) keepHubs(hubs []string) {
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 )
@@ -9,6 +10,7 @@
 // RouteDemand is a fleet's demand for a workspace's limit on one route.
 type RouteDemand struct {
 	Priority int     // 0 is the highest
+	Services string  // names of the route's services
 	Amount   float64 // per second, in the unit of the limit
 	Requests float64 // per second
 }
@@ -25,7 +27,9 @@
 // sharesOf returns the part of each route's demand that may pass, in the order of the
 // demands. The shares maximise the value of the requests that fit into a limit per second,
 // where a request is worth twice one of the next lower priority, no share is above that of a
-// route of higher priority, and each is at least floorShare of an equal share.
+// route of higher priority to the same services, and each is at least floorShare of an equal
+// share. Routes to other services aren't ordered: few of their requests, which cost little, are
+// no reason to refuse the others.
 //
 // The result is nil if everything may pass: there is no limit, the demand is within it, or
 // all routes have one priority.
@@ -65,40 +69,47 @@
 func (p *pool) valuePerToken() float64 { return p.value / p.amount }
 
 // pools returns the routes that have demand in the order in which the limit is allocated
-// to them. A route of lower priority that is worth more per token than the routes before
-// it gets the same share as these: more would put it above a higher priority, less would
-// waste the limit.
+// to them: by value per token, while routes to the same services keep the order of their
+// priorities.
 func pools(demands []RouteDemand) []pool {
-	var out []pool
-	for _, p := range ordered(demands) {
-		for len(out) > 0 && out[len(out)-1].valuePerToken() < p.valuePerToken() {
-			last := out[len(out)-1]
-			out = out[:len(out)-1]
-			p = pool{value: last.value + p.value, amount: last.amount + p.amount, routes: append(last.routes, p.routes...)}
+	byServices := map[string][]pool{}
+	for i, d := range demands {
+		if d.Amount > 0 {
+			p := pool{value: d.Requests * math.Exp2(-float64(d.Priority)), amount: d.Amount, routes: []int{i}}
+			byServices[d.Services] = append(byServices[d.Services], p)
 		}
-		out = append(out, p)
 	}
+	var out []pool
+	for _, services := range slices.Sorted(maps.Keys(byServices)) {
+		out = append(out, pooled(demands, byServices[services])...)
+	}
+	slices.SortStableFunc(out, func(a, b pool) int { return cmp.Compare(b.valuePerToken(), a.valuePerToken()) })
 	return out
 }
 
-// ordered returns each route that has demand as a pool, sorted by priority and, within one
-// priority, by value per token.
-func ordered(demands []RouteDemand) []pool {
-	out := make([]pool, 0, len(demands))
-	for i, d := range demands {
-		if d.Amount > 0 {
-			out = append(out, pool{value: d.Requests * math.Exp2(-float64(d.Priority)), amount: d.Amount, routes: []int{i}})
-		}
-	}
-	slices.SortFunc(out, func(a, b pool) int {
+// pooled returns routes to the same services in the order of their priorities, which is that of
+// their value per token then. A route of lower priority that is worth more per token than the
+// routes before it gets the same share as these: more would put it above a higher priority, less
+// would waste the limit.
+func pooled(demands []RouteDemand, routes []pool) []pool {
+	slices.SortFunc(routes, func(a, b pool) int {
 		byPriority := cmp.Compare(demands[a.routes[0]].Priority, demands[b.routes[0]].Priority)
 		return cmp.Or(byPriority, cmp.Compare(b.valuePerToken(), a.valuePerToken()))
 	})
+	var out []pool
+	for _, p := range routes {
+		for len(out) > 0 && out[len(out)-1].valuePerToken() < p.valuePerToken() {
+			last := out[len(out)-1]
+			out = out[:len(out)-1]
+			p = pool{value: last.value + p.value, amount: last.amount + p.amount, routes: append(last.routes, p.routes...)}
+		}
+		out = append(out, p)
+	}
 	return out
 }
 
 // shareIdle gives a route without demand, which takes nothing of the limit, the largest
-// share that the routes of higher priority allow.
+// share that the routes of higher priority to the same services allow.
 func shareIdle(demands []RouteDemand, shares []float64) {
 	for i, d := range demands {
 		if d.Amount > 0 {
@@ -106,7 +117,7 @@
 		}
 		shares[i] = 1
 		for j, higher := range demands {
-			if higher.Priority < d.Priority && higher.Amount > 0 {
+			if higher.Priority < d.Priority && higher.Services == d.Services && higher.Amount > 0 {
 				shares[i] = min(shares[i], shares[j])
 			}
 		}
