quota: simulations of workspaces above their limit with several priorities

Demand of three, five and eight times the limit at 9, 78, 340 and 986 daemons; the checks find a floor of 0, shares that are ignored and sums that are missing. All limit simulations run with one route, unchanged, and with three.

--- a/internal/quota/fleetsize_test.go
+++ b/internal/quota/fleetsize_test.go
@@ -63,8 +63,12 @@
 	routes []playRoute
 	// withoutDemandSums is a fault: hubs send no sums of the demand.
 	withoutDemandSums bool
+	// demandScale is a fault if it is set: hubs send this part of the demand.
+	demandScale float64
 	// inOrder makes limits be spent in order of arrival.
 	inOrder bool
+	// floor replaces the least share of a route if it is set.
+	floor *float64
 
 	demandRNG    *rand.Rand // for the demand
 	quotaRNG     *rand.Rand // for the daemons
@@ -94,6 +98,9 @@
 	for i := range f.daemons {
 		q := quota.New(true, tolerated)
 		q.SetRandom(f.quotaRNG)
+		if f.floor != nil {
+			q.SetFloorShare(*f.floor)
+		}
 		if f.inOrder {
 			q.SpendInOrder()
 		}
--- a/internal/quota/routes_test.go
+++ b/internal/quota/routes_test.go
@@ -79,13 +79,23 @@
 	if f.withoutDemandSums {
 		return nil
 	}
-	return f.hubs[hub].Demands(now, id)
+	all := f.hubs[hub].Demands(now, id)
+	if f.demandScale > 0 {
+		for route, asked := range all[testWorkspace] {
+			all[testWorkspace][route] = quota.Asked{Amount: f.demandScale * asked.Amount, Requests: uint64(f.demandScale * float64(asked.Requests))}
+		}
+	}
+	return all
 }
 
 // forRoutes runs a simulation with one route and with three.
 func forRoutes(t *testing.T, f func(t *testing.T, routes []playRoute)) {
-	t.Run("one_route", func(t *testing.T) { f(t, nil) })
-	t.Run("three_routes", func(t *testing.T) { f(t, threeRoutes()) })
+	for name, routes := range map[string][]playRoute{"one_route": nil, "three_routes": threeRoutes()} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f(t, routes)
+		})
+	}
 }
 
 // seedsOf returns the number of seeds with which a simulation runs: fewer with several
