--- a/internal/quota/overlimit_test.go
+++ b/internal/quota/overlimit_test.go
@@ -174,7 +174,7 @@
 }
 
 // overLimitSizes are numbers of daemons with the demand, in limits, and the seeds that are
-// simulated. With the race detector one simulation of 986 daemons takes half a minute.
+// simulated. 986 daemons are simulated with one demand only, to bound the time of the package.
 var overLimitSizes = []struct {
 	daemons int
 	seeds   uint64
