quota: the simulations of a kill of all daemons run in parallel

The package took 634 s with the race detector on a busy machine (load 10 to 16 on 7 cores, -parallel 3), longer than the default timeout of go test.

--- a/internal/quota/fleetkill_test.go
+++ b/internal/quota/fleetkill_test.go
@@ -15,6 +15,7 @@
 		for _, daemons := range []int{6, 9, 80, 195, 340} {
 			for _, peak := range []float64{3, 6} {
 				t.Run(fmt.Sprintf("%ddaemons_%.0flimits", daemons, peak), func(t *testing.T) {
+					t.Parallel()
 					used := worstAfterKill(daemons, peak, routes)
 					assert.Assert(t, used <= 1, "%.3f of what is tolerated", used)
 				})
