--- a/internal/quota/fleetkill_test.go
+++ b/internal/quota/fleetkill_test.go
@@ -11,6 +11,7 @@
 // Guards against a fleet that admits a limit once more after a kill of all daemons,
 // just when one workspace's demand had jumped.
 func TestLimitIsKeptWhenAllDaemonsAreKilled(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range []int{6, 9, 80, 195, 340} {
 			for _, peak := range []float64{3, 6} {
--- a/internal/quota/fleetsize_test.go
+++ b/internal/quota/fleetsize_test.go
@@ -401,6 +401,7 @@
 // Guards against a large fleet that exceeds a limit by one request for each daemon, or
 // because reports of spending arrive the later the larger the fleet is.
 func TestLargeFleetKeepsTheLimit(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range largeSizes() {
 			for _, c := range []struct {
@@ -439,6 +440,7 @@
 // size must compensate within the window: callers get the limit, and a check of any
 // window finds it kept.
 func TestLimitIsKeptAtAnyFleetSize(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range fleetSizes {
 			for _, jumpAt := range []time.Duration{500 * time.Millisecond, 6 * time.Second} {
@@ -457,6 +459,7 @@
 // Guards against daemons that accumulate savings at a larger share before they have
 // discovered each other, and all spend them when demand jumps.
 func TestSavingsFromBeforeDiscoveryStayWithinTheLimit(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range fleetSizes {
 			for seed := range seedsOf(routes) {
@@ -470,6 +473,7 @@
 
 // Guards against an enforced limit that all daemons admit freely again for a moment.
 func TestEnforcedLimitStaysRationed(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		const debtRepaid = 9 * time.Second
 		for _, daemons := range fleetSizes {
@@ -489,6 +493,7 @@
 // each daemon alone. Demand jumps after the partition is detected. Each side must keep
 // to its share of the limit.
 func TestLimitIsKeptThroughAPartition(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range fleetSizes {
 			for _, eachAlone := range []bool{false, true} {
@@ -511,6 +516,7 @@
 // reports of the others' spending yet. Until the parts detect the partition, callers
 // may get somewhat more than the limit: a tenth more than is tolerated.
 func TestPartitionJustAfterADemandJumpAtAnyFleetSize(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		for _, daemons := range fleetSizes {
 			for _, eachAlone := range []bool{false, true} {
@@ -533,6 +539,7 @@
 // must be served from the first moment, by the checkpointed level of a second before.
 // A workspace that asks for three times its limit must not get more than is tolerated.
 func TestRestartedFleetRestoresCheckpoints(t *testing.T) {
+	t.Parallel()
 	forRoutes(t, func(t *testing.T, routes []playRoute) {
 		const killAt = 10 * time.Second
 		for _, daemons := range fleetSizes {
@@ -554,6 +561,7 @@
 // A checkpoint is too old to tell what was spent since, or is from the future, as the
 // clock is off: it must not admit anything.
 func TestExpiredCheckpointsAreIgnored(t *testing.T) {
+	t.Parallel()
 	checkpoints := map[fleet.WorkspaceID]quota.Checkpoint{testWorkspace: {Left: largeRate}}
 	for _, ago := range []time.Duration{-time.Millisecond, 4 * time.Second} {
 		q := quota.New(false, quota.Tolerance{})
--- a/internal/quota/overlimit_test.go
+++ b/internal/quota/overlimit_test.go
@@ -184,6 +184,7 @@
 // Guards against a limit that is spent in order of arrival, that isn't used up, or on which
 // a kind or a size of requests starves.
 func TestLimitIsSpentByPriorityAtAnyFleetSize(t *testing.T) {
+	t.Parallel()
 	for _, size := range overLimitSizes {
 		for name, routes := range overLimitMixes {
 			t.Run(fmt.Sprintf("%d_daemons/%s", size.daemons, name), func(t *testing.T) {
@@ -206,6 +207,7 @@
 // A fault of the shares must be seen by the checks: no floor, shares ignored, and hubs that
 // send no sums of the demand.
 func TestChecksDetectFaultsOfTheShares(t *testing.T) {
+	t.Parallel()
 	for name, c := range map[string]struct {
 		mix   string
 		fault func(f *sizedFleet)
@@ -233,6 +235,7 @@
 
 // Guards against a limit that depends on the sums of demand, which may be wrong or missing.
 func TestLimitIsKeptByWrongShares(t *testing.T) {
+	t.Parallel()
 	for _, daemons := range []int{9, 78, 340, 986} {
 		for name, routes := range overLimitMixes {
 			for _, scale := range []float64{0, 0.3} {
--- a/internal/quota/partition_test.go
+++ b/internal/quota/partition_test.go
@@ -159,6 +159,7 @@
 // spending. If each part admitted the whole limit, callers would get nearly twice the
 // limit.
 func TestPartitionedFleetKeepsOneLimit(t *testing.T) {
+	t.Parallel()
 	for _, cutOff := range []int{6, 22, 40} {
 		f := &partitionedFleet{
 			daemons: 60, cutOff: cutOff, from: 8 * time.Second, to: 20 * time.Second, jumpAt: 500 * time.Millisecond,
@@ -176,6 +177,7 @@
 // received reports of the others' spending yet. Callers may then get somewhat more
 // than the limit until the parts detect the partition.
 func TestPartitionJustAfterADemandJump(t *testing.T) {
+	t.Parallel()
 	for _, cutOff := range []int{6, 22} {
 		f := &partitionedFleet{
 			daemons: 60, cutOff: cutOff, from: time.Second, to: 13 * time.Second, jumpAt: 500 * time.Millisecond,
@@ -192,6 +194,7 @@
 // Callers must be served evenly: a second in which nearly everything is admitted must
 // not be followed by one in which nearly everything is refused.
 func TestLimitIsServedEvenly(t *testing.T) {
+	t.Parallel()
 	f := &partitionedFleet{daemons: 60, jumpAt: 0, demandAfter: 3, reportInterval: 400 * time.Millisecond, from: time.Hour, to: time.Hour}
 	admitted := f.run(30 * time.Second)
 	for s := 4 * time.Second; s < 30*time.Second; s += time.Second {
@@ -204,6 +207,7 @@
 // partitioned. A second later its demand jumps. If each daemon could spend the burst
 // before it receives reports, the part that is cut off would admit its whole demand.
 func TestBurstIsSharedByIsolatedDaemons(t *testing.T) {
+	t.Parallel()
 	f := &partitionedFleet{
 		daemons: 60, cutOff: 22, from: 4 * time.Second, to: 16 * time.Second, jumpAt: 5 * time.Second,
 		demandBefore: 0.2, demandAfter: 6, reportInterval: 400 * time.Millisecond, detection: 2 * time.Second,
@@ -217,6 +221,7 @@
 // Daemons die for good while a workspace asks for more than its limit. The others must
 // soon admit the whole limit again.
 func TestShrunkFleetServesTheWholeLimit(t *testing.T) {
+	t.Parallel()
 	f := &partitionedFleet{
 		daemons: 9, cutOff: 1, from: 5 * time.Second, to: time.Hour, dead: true,
 		demandBefore: 3, demandAfter: 3, reportInterval: 250 * time.Millisecond, detection: 2 * time.Second,
