--- a/internal/balance/config.go
+++ b/internal/balance/config.go
@@ -38,10 +38,8 @@
 	recomputeWeight = 7.0
 	// unscaledPrefill is the part of a request's own prefill time that costs the same at
 	// endpoints of all speeds, as the rest of recomputeWeight does: recomputed tokens are
-	// wasted wherever that is. In plays with engines at 0.7, 1 and 1.7 of the usual speed,
-	// scaling all of recomputeWeight drew prompts off their homes, and 0.6 of all tokens were
-	// computed instead of 0.25; with 0 here the fast engines filled up at 0.79 of the
-	// capacity; with 1 running requests were 0.3 to 0.4 off the proportion to speed.
+	// wasted wherever that is. If all of it scaled with speed, prompts would leave the homes
+	// that have them cached for fast endpoints, and fill these up.
 	unscaledPrefill = 0.35
 	// homeCachedShare is the part of the shared tokens that a home is expected to have
 	// cached if this daemon has not sent them there itself.
--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -9,15 +9,14 @@
 	// targetStep is the part by which a stream changes the mean pause target of its service.
 	targetStep = 0.05
 	// delayWeight is the cost of computing prompt tokens beside streams whose events get late
-	// by it for certain, as a multiple of its time: ten to twenty streams run at an endpoint.
-	// In plays 20 left running requests up to 0.27 off the proportion to speed, 30 up to 0.2.
+	// by it for certain, as a multiple of its time: tens of streams run at an endpoint.
 	delayWeight = 30.0
 	// latePauseSeconds is the cost of a late pause of the request itself. It is below that of
-	// a failure, since the answer is complete; with 0.3 the fast endpoints filled up in plays.
+	// a failure, since the answer is complete.
 	latePauseSeconds = 0.1
 	// Below minRelativeLoad of its share of the running requests by speed, the cost of late
 	// pauses is 0 at an endpoint, and from maxRelativeLoad on all of it counts. Without this
-	// bound the fast endpoints filled up where a fifth of the streams had a target of 200 ms.
+	// bound, streams with tight targets would fill up the fast endpoints.
 	minRelativeLoad = 0.8
 	maxRelativeLoad = 1.2
 )
--- a/internal/balance/speeds_play_test.go
+++ b/internal/balance/speeds_play_test.go
@@ -189,7 +189,7 @@
 	p.in(time.Duration(p.rng.Int64N(int64(speedPlayReport))), report)
 }
 
-// slowDown makes an engine some times as slow, and tells the daemons after a while.
+// slowDown divides an engine's speed by a factor, and gives the daemons the new factor after told.
 func (p *speedPlay) slowDown(e *speedEngine, by float64, told time.Duration) {
 	e.slowBy = by
 	p.in(told, func() {
--- a/internal/balance/speeds_test.go
+++ b/internal/balance/speeds_test.go
@@ -29,8 +29,8 @@
 	return out
 }
 
-// hear lets sums arrive every 800 ms for some seconds and returns the time after them.
-func hear(b *Balancer, now time.Time, sums speed.Observations, seconds int) time.Time {
+// receiveSums applies sums every 800 ms for a number of seconds and returns the time after them.
+func receiveSums(b *Balancer, now time.Time, sums speed.Observations, seconds int) time.Time {
 	for end := now.Add(time.Duration(seconds) * time.Second); now.Before(end); now = now.Add(200 * time.Millisecond) {
 		if now.Sub(start)%(800*time.Millisecond) == 0 {
 			b.SetOtherSpeeds(now, sums)
@@ -44,7 +44,7 @@
 
 func TestSumsSetTheSlownessOfEndpoints(t *testing.T) {
 	b := newTestBalancer(1, 10)
-	now := hear(b, start, othersSeeing(10, 2.4), 5)
+	now := receiveSums(b, start, othersSeeing(10, 2.4), 5)
 	slow := b.slownessOf("e0")
 	assert.Assert(t, slow.decode > 2 && slow.decode < 2.5 && slow.prefill > 1.8 && slow.prefill < 2.5, "%+v", slow)
 	assert.Equal(t, b.slownessOf("e1"), usual)
@@ -63,7 +63,7 @@
 	b := newTestBalancer(1, 10)
 	now, reported := start, 0
 	for i := range 60 {
-		now = hear(b, now, othersSeeing(10, 1+2*float64(i%2)), 1)
+		now = receiveSums(b, now, othersSeeing(10, 1+2*float64(i%2)), 1)
 		reported += len(b.TakeSlowChanges())
 	}
 	assert.Assert(t, reported > 1 && reported <= 12, "%d", reported)
@@ -76,7 +76,7 @@
 	all := testEndpoints(3)
 	all[0].StartedAt = start
 	b.SetEndpoints(start, all)
-	now := hear(b, start, othersSeeing(3, 3), 6)
+	now := receiveSums(b, start, othersSeeing(3, 3), 6)
 	choice := Choice{Endpoint: all[0]}
 	for range 20 {
 		b.ObserveEvents(now, choice, 0.6, 4)
@@ -118,7 +118,7 @@
 // Guards against the wait for a stream's event that is kept after it has ended.
 func TestWaitCountsWhileItLasts(t *testing.T) {
 	b := newTestBalancer(1, 3)
-	now := hear(b, start, othersSeeing(3, 1), 5)
+	now := receiveSums(b, start, othersSeeing(3, 1), 5)
 	choice := Choice{Endpoint: testEndpoints(1)[0]}
 	for range 5 {
 		b.ObserveEvents(now, choice, 0.2, 4)
@@ -157,7 +157,7 @@
 					x.ObservePrefill(start, Choice{Endpoint: all[i]}, 9000, 0.2)
 				}
 			}
-			now := hear(x, start, othersSeeing(n, 2), 3)
+			now := receiveSums(x, start, othersSeeing(n, 2), 3)
 			b.ReportAllocs()
 			for b.Loop() {
 				now = now.Add(10 * time.Millisecond)
--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -493,9 +493,9 @@
 	// admits by chance.
 	sparseSeconds = 5.0
 	// gatedRequests is how many mean requests a daemon may save or owe while requests pass
-	// by shares, and gatedFill by how much its own bucket then fills faster. With 2 requests
-	// and 1, a quarter of the requests that pass were refused at 340 daemons, where a request
-	// is some seconds of a daemon's part and requests come at random.
+	// by shares, and gatedFill by how much its own bucket then fills faster. Requests come at
+	// random, and in a large fleet one is some seconds of a daemon's part: a narrow bucket
+	// would refuse many of those that pass.
 	gatedRequests = 6.0
 	gatedFill     = 3.0
 	// gatedDebtShare bounds how far below zero the common level may be meanwhile, as a part
--- a/internal/relay/pause_test.go
+++ b/internal/relay/pause_test.go
@@ -45,7 +45,7 @@
 	return s.state.balancer.HadLatePause(time.Now(), "s")
 }
 
-// Guards against late pauses that the choice of endpoints isn't told, or that callers cause.
+// Guards against late pauses of endpoints that the balancer doesn't get, and callers' own pauses that it does.
 func TestLatePausesOfEndpointsAreReported(t *testing.T) {
 	for _, c := range []struct {
 		pause, takes time.Duration
--- a/internal/rendezvous/weight.go
+++ b/internal/rendezvous/weight.go
@@ -10,9 +10,8 @@
 // MaxWeight and -MaxWeight bound weights.
 const MaxWeight Weight = 4
 
-// nextStep is the part of a step from which a weight is the next one. Below a half, nodes that
-// are about equal would get different weights; in plays of endpoints by speed, 0.5 gave the
-// fast ones more than they could run.
+// nextStep is the part of a step from which a weight is the next one. It is above a half, so
+// that fast nodes rather get less than their share than more.
 const nextStep = 0.7
 
 // WeightOf returns the weight for a positive number; 0 if it is none.
