scaling: mean speed divides prefill only

Slots are counted as those at an endpoint of nominal speed, so dividing them by the mean speed counted speed twice: a fleet at 0.7 of the usual speed was planned 1/0.7 times too large for its decoding.

--- a/internal/scaling/planner.go
+++ b/internal/scaling/planner.go
@@ -96,8 +96,9 @@
 }
 
 // updateLoad smooths the load of a sample. An engine alternates between decoding its
-// batch and prefill, so the shares of its time that they take add up. Load is in endpoints of
-// the mean speed, since those that are started or released may be of any.
+// batch and prefill, so the shares of its time that they take add up. Prefill counts by
+// the mean speed, since endpoints that are started or released may be of any; Slots are
+// those at an endpoint of nominal speed already.
 func (p *Planner) updateLoad(now time.Time, s *Sample) {
 	slots := 1
 	if s.Service.Engine != nil {
@@ -106,11 +107,12 @@
 	busy := s.Slots / float64(slots)
 	cached := 0.0
 	if s.PrefillCapacity > 0 {
-		busy += s.Prefill / s.PrefillCapacity
-		cached = max(s.Prompt-s.Prefill, 0) / s.PrefillCapacity
-	}
-	if s.MeanSpeed > 0 {
-		busy, cached = busy/s.MeanSpeed, cached/s.MeanSpeed
+		capacity := s.PrefillCapacity
+		if s.MeanSpeed > 0 {
+			capacity *= s.MeanSpeed
+		}
+		busy += s.Prefill / capacity
+		cached = max(s.Prompt-s.Prefill, 0) / capacity
 	}
 	if busy > 0 && p.loadedSince.IsZero() {
 		p.loadedSince = now
