relay: time in which a daemon stood still is not a pause of the endpoint

A daemon that was held up counted its own stall as a late pause, and charged the endpoint for it. The same hold-ups that end a run of events are left out of pauses. Found in review.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -40,9 +40,10 @@
 }
 
 // eventArrived records an event of the endpoint. The time before the caller has taken the
-// previous one is no pause: the endpoint could not send.
-func (t *trackedAttempt) eventArrived(now time.Time) {
-	if !t.eventSentAt.IsZero() {
+// previous one is no pause, since the endpoint could not send, nor is one in which this process
+// was held up.
+func (t *trackedAttempt) eventArrived(now, heldUpUntil time.Time) {
+	if !t.eventSentAt.IsZero() && !heldUpUntil.After(t.eventSentAt) {
 		t.longestPause = max(t.longestPause, now.Sub(t.eventSentAt))
 	}
 }
--- a/internal/relay/speeds_test.go
+++ b/internal/relay/speeds_test.go
@@ -199,3 +199,13 @@
 		assert.Equal(t, len(s.state.OwnState(time.Now()).Speeds), 0)
 	})
 }
+
+// Guards against a time in which this process stood still that counts as a late pause of an endpoint.
+func TestPauseOfThisProcessIsNotOneOfTheEndpoint(t *testing.T) {
+	sent := time.Unix(1000, 0)
+	a := &trackedAttempt{eventSentAt: sent}
+	a.eventArrived(sent.Add(3*time.Second), sent.Add(3*time.Second))
+	assert.Equal(t, a.longestPause, time.Duration(0))
+	a.eventArrived(sent.Add(time.Second), sent)
+	assert.Equal(t, a.longestPause, time.Second)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -75,11 +75,11 @@
 		f.outcome.LongestPause = max(f.outcome.LongestPause, now.Sub(f.lastPieceAt))
 	}
 	f.lastPieceAt = now
-	t.eventArrived(now)
+	t.eventArrived(now, f.relay.state.holdUps.HeldUpUntil(now))
 	err := f.sink.WriteBody(whole)
-	t.eventSentAt = time.Now()
 	f.events.consume(len(whole))
 	written := time.Now()
+	t.eventSentAt = written
 	t.run.written(written.Sub(now))
 	if !t.forwarded {
 		t.waitsAfter.Store(int64(written.Sub(t.sent)))
