speeds: one factor for each endpoint, from its events alone

Review: the time to the first event is noise as a sample of prefill. So prefill follows the speed of events, and the fields and code of prefill samples go.

Also found there, and changed: - A factor is used from 1.6 on and until it is back at 1.4. The steady transition between 1.4 and 1.7 used parts of estimates that were good, and those near an edge moved prompts back and forth.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -130,7 +130,9 @@
 func (b *Balancer) applySettings(m *member) {
 	s := b.table.Service(m.Service)
 	m.isEngine = s != nil && s.Engine != nil
-	if m.isEngine {
+	if !m.isEngine {
+		m.slow = usual
+	} else {
 		m.parts.capacity = s.Engine.CacheTokens
 		m.fetchSeconds = s.Engine.FetchSeconds
 		if m.Slots == 0 {
@@ -231,7 +233,7 @@
 	if m := b.member(c); m != nil {
 		slow = m.slow
 	}
-	b.prefillRate.observe(r.Prompt-c.Cached, seconds, slow.prefill)
+	b.prefillRate.observe(r.Prompt-c.Cached, seconds, float64(slow))
 	b.prefilled(r, c)
 }
 
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -24,12 +24,12 @@
 	if m.isEngine {
 		holdSeconds = slotHoldSeconds
 		prefillTokens := m.own.PendingPrefill + m.others.PendingPrefill + max(r.Prompt-cached, 0)
-		sum = m.slow.prefill*float64(prefillTokens)/b.prefillRate.perSecond + m.slow.decode*fullBatchSeconds*float64(running)/float64(slots)
+		sum = float64(m.slow)*float64(prefillTokens)/b.prefillRate.perSecond + float64(m.slow)*fullBatchSeconds*float64(running)/float64(slots)
 	} else {
 		sum = plainCallSeconds * float64(running) / float64(slots)
 	}
 	if waiting := running - slots + 1; waiting > 0 {
-		sum += m.slow.decode * holdSeconds * float64(waiting) / float64(slots)
+		sum += float64(m.slow) * holdSeconds * float64(waiting) / float64(slots)
 	}
 	return sum
 }
@@ -39,7 +39,7 @@
 	f := b.planFetch(m, cachedTokens(r, m, home), s)
 	sum := b.predictWait(r, m, f.cached) + f.costSeconds
 	uncached := max(r.Prompt-f.cached, 0)
-	sum += (recomputeWeight - 1 + unscaledPrefill*(1-m.slow.prefill)) * float64(uncached) / b.prefillRate.perSecond
+	sum += (recomputeWeight - 1 + unscaledPrefill*(1-float64(m.slow))) * float64(uncached) / b.prefillRate.perSecond
 	sum += failureCostSeconds * m.failures.current(now)
 	sum += b.pauseCost(now, r, m, uncached)
 	if m.DataCentre != b.self {
--- a/internal/balance/homeweight.go
+++ b/internal/balance/homeweight.go
@@ -1,10 +1,6 @@
 package balance
 
-import (
-	"math"
-
-	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
-)
+import "github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 
 // homeWeight is the weight of a member among the homes, for the slowness it was computed from.
 type homeWeight struct {
@@ -12,9 +8,6 @@
 	weight rendezvous.Weight
 }
 
-// speed returns how fast an endpoint is compared to the usual one, over prefill and decoding.
-func (s slowness) speed() float64 { return 1 / math.Sqrt(s.decode*s.prefill) }
-
 // weight returns the member's weight among the homes: its speed.
 func (m *member) weight() rendezvous.Weight {
 	if m.homeWeight.of != m.slow {
--- a/internal/balance/pauses.go
+++ b/internal/balance/pauses.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
+)
 
 const (
 	// lateMemory is how long after a late pause of a service's streams the risk of further
@@ -35,7 +39,7 @@
 // target; 0 is none of either. Time in which the caller doesn't read is not part of a pause.
 func (b *Balancer) ObservePause(now time.Time, c Choice, longest, target time.Duration) {
 	m := b.member(c)
-	if m == nil || target <= 0 || longest <= 0 {
+	if m == nil || target <= 0 || longest <= 0 || b.speeds.mode == speed.ModeOff {
 		return
 	}
 	p := b.pauses[m.Service]
@@ -43,7 +47,7 @@
 		p = &pauses{target: target.Seconds()}
 		b.pauses[m.Service] = p
 	}
-	p.tail.add(longest.Seconds() / m.slow.prefill)
+	p.tail.add(longest.Seconds() / float64(m.slow))
 	p.target += targetStep * (target.Seconds() - p.target)
 	late := longest > target
 	if late {
@@ -70,10 +74,10 @@
 	if weight == 0 {
 		return 0
 	}
-	risk := max(p.tail.above(p.target/m.slow.prefill), m.latePauses.current(now))
-	sum := delayWeight * risk * m.slow.prefill * float64(uncached) / b.prefillRate.perSecond
+	risk := max(p.tail.above(p.target/float64(m.slow)), m.latePauses.current(now))
+	sum := delayWeight * risk * float64(m.slow) * float64(uncached) / b.prefillRate.perSecond
 	if r.PauseTarget > 0 {
-		sum += latePauseSeconds * p.tail.above(r.PauseTarget.Seconds()/m.slow.prefill)
+		sum += latePauseSeconds * p.tail.above(r.PauseTarget.Seconds()/float64(m.slow))
 	}
 	return weight * sum
 }
@@ -91,7 +95,7 @@
 
 // usualLoad returns the load of a member with its speed taken out: that of the usual endpoint if
 // all have their share of the requests.
-func (m *member) usualLoad() float64 { return m.slow.decode * m.load() }
+func (m *member) usualLoad() float64 { return float64(m.slow) * m.load() }
 
 // updatePauseLoads takes a new load report into account.
 func (b *Balancer) updatePauseLoads() {
@@ -99,7 +103,7 @@
 		running, slots := 0, 0.0
 		for _, m := range b.active[service] {
 			running += m.running()
-			slots += float64(max(m.Slots, 1)) / m.slow.decode
+			slots += float64(max(m.Slots, 1)) / float64(m.slow)
 		}
 		p.load = float64(running) / max(slots, 1)
 	}
--- a/internal/balance/slowchange.go
+++ b/internal/balance/slowchange.go
@@ -7,13 +7,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/speed"
 )
 
-const (
-	// slowFrom is the factor from which an endpoint is reported as slow, until it is back within
-	// the band.
-	slowFrom = 1.6
-	// minChangeInterval is the least time between two reports about an endpoint.
-	minChangeInterval = 5 * time.Second
-)
+// minChangeInterval is the least time between two reports about an endpoint.
+const minChangeInterval = 5 * time.Second
 
 // SlowChange reports that an endpoint has become slow, or is no longer.
 type SlowChange struct {
@@ -29,13 +24,10 @@
 	at   time.Time
 }
 
-// factor returns the larger of an endpoint's factors.
-func (s slowness) factor() float64 { return max(s.decode, s.prefill) }
-
 // noteSlow records a change of an endpoint to be reported.
 func (s *speeds) noteSlow(now time.Time, m *member) {
-	factor := m.slow.factor()
-	slow := factor >= slowFrom || m.slowReport.slow && factor > speed.Band
+	factor := float64(m.slow)
+	slow := factor >= speed.UnusualFrom || m.slowReport.slow && factor > speed.Band
 	if slow == m.slowReport.slow || now.Sub(m.slowReport.at) < minChangeInterval {
 		return
 	}
@@ -60,7 +52,7 @@
 	for service := range b.speeds.estimators {
 		n := SpeedCounts{}
 		for _, m := range b.listed[service] {
-			switch factor := m.slow.factor(); {
+			switch factor := float64(m.slow); {
 			case factor > speed.Band:
 				n.Slower++
 			case factor < 1/speed.Band:
--- a/internal/balance/slowness.go
+++ b/internal/balance/slowness.go
@@ -1,8 +1,11 @@
 package balance
 
-// slowness is how much longer an endpoint takes than the usual one of its service: 1 is as
-// long, 2 twice as long.
-type slowness struct{ decode, prefill float64 }
+// slowness is how much longer an endpoint takes than the usual one of its service, for a token of
+// a prompt and of an answer alike: 1 is as long, 2 twice as long.
+type slowness float64
 
 // usual is the slowness of an endpoint of which nothing else is known.
-var usual = slowness{decode: 1, prefill: 1}
+const usual slowness = 1
+
+// speed returns how fast an endpoint is compared to the usual one.
+func (s slowness) speed() float64 { return 1 / float64(s) }
--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -14,7 +14,7 @@
 	minSpeedsUpdate         = 200 * time.Millisecond
 	speedsUpdatePerEndpoint = 200 * time.Microsecond
 	// maxSumsHold bounds the time for which sums count in full until the next ones are due, which
-	// is the time between the last two; firstSumsHold is the time after the first ones.
+	// is the time between the last two, and at least firstSumsHold.
 	maxSumsHold   = 30 * time.Second
 	firstSumsHold = 2 * time.Second
 	// restartGrace is how long sums are ignored for an endpoint that has restarted, or was removed
@@ -48,7 +48,7 @@
 
 // ObserveEvents records the seconds that a run of a stream's events took at a choice.
 func (b *Balancer) ObserveEvents(now time.Time, c Choice, seconds float64, events int) {
-	m := b.measured(c)
+	m := b.measured(now, c)
 	if m == nil {
 		return
 	}
@@ -56,24 +56,6 @@
 	b.speeds.estimator(m.Service).ObserveDeviation(now, d)
 }
 
-// PrefillAhead returns the prompt tokens to be computed at a choice before the first token of a
-// request that is about to be sent there; 0 if the time to it would not be that of computing them.
-func (b *Balancer) PrefillAhead(r *Request, c Choice) int {
-	m := b.measured(c)
-	if m == nil || c.FetchFrom != "" {
-		return 0
-	}
-	return m.own.PendingPrefill + m.others.PendingPrefill + max(r.Prompt-c.Cached, 0)
-}
-
-// ObservePrefill records the seconds to the first event of a stream at a choice, for which so many
-// tokens had to be computed.
-func (b *Balancer) ObservePrefill(now time.Time, c Choice, tokens int, seconds float64) {
-	if m := b.measured(c); m != nil {
-		b.speeds.meter.ObservePrefill(now, m.key(), tokens, seconds)
-	}
-}
-
 // Wait is a stream in progress that has waited for its next event for some seconds.
 type Wait struct {
 	Choice  Choice
@@ -89,7 +71,7 @@
 	}
 	s.stalls = speed.Observations{}
 	for i := range waits {
-		m := b.measured(waits[i].Choice)
+		m := b.measured(now, waits[i].Choice)
 		if m == nil {
 			continue
 		}
@@ -103,15 +85,19 @@
 	return own
 }
 
-// SetOtherSpeeds takes the observations of all other daemons.
+// SetOtherSpeeds takes the observations of all other daemons, which belong to the balancer from
+// then on.
 func (b *Balancer) SetOtherSpeeds(now time.Time, others speed.Observations) {
 	s := &b.speeds
 	if s.mode == speed.ModeOff {
 		return
 	}
 	s.hold = firstSumsHold
-	if !s.othersAt.IsZero() {
-		s.hold = min(max(now.Sub(s.othersAt), 0), maxSumsHold)
+	if !s.othersAt.IsZero() { // after a change of the hub, two sums may come close together
+		s.hold = min(max(now.Sub(s.othersAt), firstSumsHold), maxSumsHold)
+	}
+	for key := range s.forgotten {
+		delete(others, key)
 	}
 	s.others, s.othersAt = others, now
 	b.updateSlowness(now, true)
@@ -128,16 +114,13 @@
 	s.updatedAt = now
 	s.pruneForgotten(now)
 	age := now.Sub(s.othersAt)
-	share, hold := speed.Remainder(age-s.hold), age > 0 && age < s.hold
+	part, hold := speed.Decay(age-s.hold), age > 0 && age < s.hold
 	observed := func(k rendezvous.ShortKey) speed.Observation {
 		own := s.meter.At(now, k)
 		if stall, ok := s.stalls[k]; ok {
 			own = own.Add(stall)
 		}
-		if _, ok := s.forgotten[k]; ok {
-			return own
-		}
-		return own.Add(s.others[k].Remaining(share))
+		return own.Add(s.others[k].Scaled(part))
 	}
 	for service, set := range b.listed {
 		if !set[0].isEngine {
@@ -148,7 +131,7 @@
 			s.keys = append(s.keys, m.key())
 		}
 		for i, f := range s.estimator(service).Estimate(now, s.keys, observed, hold, s.mode) {
-			set[i].slow = slowness{decode: f.Decode, prefill: f.Prefill}
+			set[i].slow = slowness(f)
 			s.noteSlow(now, set[i])
 		}
 	}
@@ -162,11 +145,15 @@
 // forgetSpeed drops what is known of the speed of an endpoint that is gone or has restarted.
 func (b *Balancer) forgetSpeed(now time.Time, m *member) {
 	s := &b.speeds
+	if s.mode == speed.ModeOff {
+		return
+	}
 	s.meter.Forget(m.key())
 	if e := s.estimators[m.Service]; e != nil {
 		e.Forget(m.key())
 	}
 	delete(s.stalls, m.key())
+	delete(s.others, m.key())
 	s.forgotten[m.key()] = now.Add(restartGrace)
 }
 
@@ -188,10 +175,10 @@
 	return e
 }
 
-// measured returns the engine of a choice, nil if its speed isn't observed.
-func (b *Balancer) measured(c Choice) *member {
+// measured returns the engine of a choice, nil if its speed isn't observed, as while it warms up.
+func (b *Balancer) measured(now time.Time, c Choice) *member {
 	m := b.member(c)
-	if m == nil || !m.isEngine || b.speeds.mode == speed.ModeOff {
+	if m == nil || !m.isEngine || now.Before(m.WarmUpEnd) || b.speeds.mode == speed.ModeOff {
 		return nil
 	}
 	return m
--- a/internal/exchange/demands_test.go
+++ b/internal/exchange/demands_test.go
@@ -19,6 +19,7 @@
 	return report
 }
 
+// Guards against demand that is lost or changed between daemon and hub.
 func TestDemandsRoundTrip(t *testing.T) {
 	want := quota.Demands{"w": {"r": {Amount: 1.5, Requests: 2}, "s": {Amount: 3}}, "v": {"r": {Amount: 4, Requests: 1}}}
 	assert.DeepEqual(t, decodeDemands(encodeDemands(want)), want)
@@ -56,6 +57,7 @@
 	assert.Equal(t, h.Demands(at, "x")["w"]["r"], quota.Asked{Amount: 40, Requests: 4})
 }
 
+// Guards against requests at new daemons that count for nothing after a kill of all.
 func TestDemandOfADaemonThatHasJustStartedCounts(t *testing.T) {
 	h := NewHub(reportInterval)
 	r := demandReport("a", 1, 50, 7)
--- a/internal/exchange/speeds.go
+++ b/internal/exchange/speeds.go
@@ -24,18 +24,18 @@
 
 const (
 	// minSpeedsInterval is the least time between two reports of a daemon's observations, and
-	// minSumsInterval that between two replies with sums. They count for several times as long.
-	// With half of minSumsInterval a daemon of a fleet of 78 would use more than 7 KB a second.
-	minSpeedsInterval = 700 * time.Millisecond
-	minSumsInterval   = 1500 * time.Millisecond
+	// minSumsInterval that between two replies with sums. They count for several times as long,
+	// and with half of minSumsInterval control would use more than 7 KB a second.
+	minSpeedsInterval = 500 * time.Millisecond
+	minSumsInterval   = time.Second
 	// BackupSpeedsEvery is the number of reports of observations to a daemon's hub for each to its
 	// backup hub, whose sums are needed only after the former has failed.
 	BackupSpeedsEvery = 4
 	// speedsPerDaemon bounds the messages of observations to a hub, and those that it relays.
 	speedsPerDaemon = 4 * time.Millisecond
 	// speedsPerEndpoint bounds the sums that a daemon receives to 2 KB a second at any number of
-	// endpoints, each of which takes 12 bytes.
-	speedsPerEndpoint = 6 * time.Millisecond
+	// endpoints, each of which takes 8 bytes.
+	speedsPerEndpoint = 4 * time.Millisecond
 )
 
 // SpeedsInterval returns the time between two reports of a daemon's observations of speeds in a
@@ -56,10 +56,10 @@
 	loadUnits   = 100.0
 	// minSentWeight is the weight below which observations aren't sent.
 	minSentWeight = 1
-	// maxWeight bounds a decoded weight: a daemon sees a few hundred samples of an endpoint
-	// in the time for which they count.
-	maxWeight = 1e5
-	// maxLog bounds a decoded logarithm: e^20 is a half billion seconds or tokens.
+	// maxWeight bounds a decoded weight: all daemons see some thousand samples of an endpoint in
+	// the time for which they count.
+	maxWeight = 1e4
+	// maxLog bounds a decoded logarithm: e^20 is a half billion seconds.
 	maxLog = 20.0
 )
 
@@ -69,45 +69,29 @@
 	}
 	out := &exchangepb.Speeds{}
 	for key, o := range all {
-		o = withoutLittle(o)
-		if o.DecodeWeight == 0 && o.PrefillWeight == 0 {
+		if o.Weight < minSentWeight {
 			continue
 		}
 		out.Endpoints = append(out.Endpoints, uint32(key))
-		out.DecodeWeight = append(out.DecodeWeight, uint32(math.Round(o.DecodeWeight*weightUnits)))
-		out.DecodeLog = append(out.DecodeLog, int32(math.Round(o.LogEventSeconds*logUnits)))
-		out.DecodeLoad = append(out.DecodeLoad, uint32(math.Round(o.Load*loadUnits)))
-		out.PrefillWeight = append(out.PrefillWeight, uint32(math.Round(o.PrefillWeight*weightUnits)))
-		out.PrefillLog = append(out.PrefillLog, int32(math.Round(o.LogPrefillRate*logUnits)))
+		out.Weight = append(out.Weight, uint32(math.Round(o.Weight*weightUnits)))
+		out.LogSeconds = append(out.LogSeconds, int32(math.Round(o.LogEventSeconds*logUnits)))
+		out.Load = append(out.Load, uint32(math.Round(o.Load*loadUnits)))
 	}
 	return out
 }
 
-// withoutLittle returns an observation without the parts that aren't sent.
-func withoutLittle(o speed.Observation) speed.Observation {
-	if o.DecodeWeight < minSentWeight {
-		o.DecodeWeight, o.LogEventSeconds, o.Load = 0, 0, 0
-	}
-	if o.PrefillWeight < minSentWeight {
-		o.PrefillWeight, o.LogPrefillRate = 0, 0
-	}
-	return o
-}
-
 // decodeSpeeds ignores the elements of a list that have no counterpart in the others.
 func decodeSpeeds(p *exchangepb.Speeds) speed.Observations {
-	n := min(len(p.GetEndpoints()), len(p.GetDecodeWeight()), len(p.GetDecodeLog()), len(p.GetDecodeLoad()), len(p.GetPrefillWeight()), len(p.GetPrefillLog()))
+	n := min(len(p.GetEndpoints()), len(p.GetWeight()), len(p.GetLogSeconds()), len(p.GetLoad()))
 	if n == 0 {
 		return nil
 	}
 	out := make(speed.Observations, n)
 	for i := range n {
 		out[rendezvous.ShortKey(p.Endpoints[i])] = speed.Observation{
-			DecodeWeight:    min(float64(p.DecodeWeight[i])/weightUnits, maxWeight),
-			LogEventSeconds: bounded(float64(p.DecodeLog[i])/logUnits, maxLog),
-			Load:            min(float64(p.DecodeLoad[i])/loadUnits, 1),
-			PrefillWeight:   min(float64(p.PrefillWeight[i])/weightUnits, maxWeight),
-			LogPrefillRate:  bounded(float64(p.PrefillLog[i])/logUnits, maxLog),
+			Weight:          min(float64(p.Weight[i])/weightUnits, maxWeight),
+			LogEventSeconds: bounded(float64(p.LogSeconds[i])/logUnits, maxLog),
+			Load:            min(float64(p.Load[i])/loadUnits, 1),
 		}
 	}
 	return out
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -25,10 +25,6 @@
 	version      string        // of the endpoint, if the other daemon states it
 	versionKnown bool
 	abort        context.CancelCauseFunc
-	// streams says that the answer is a stream, and prefillAhead is the prompt tokens to be
-	// computed before its first event.
-	streams      bool
-	prefillAhead int
 	run          eventRun // used by the stream's goroutine only
 	// waitsAfter is the time after sent, in nanoseconds, since when the stream has waited for its
 	// next event; 0 before the first one and while events are written to the caller.
@@ -141,7 +137,6 @@
 func (s *State) sent(t *trackedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	t.prefillAhead = s.balancer.PrefillAhead(t.inflight.balanceReq, t.choice)
 	s.balancer.Sent(t.inflight.balanceReq, t.choice)
 	s.countSent(t)
 	id := t.choice.Endpoint.ID
@@ -154,9 +149,7 @@
 func (s *State) firstPiece(t *trackedAttempt) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	now := time.Now()
-	s.observePrefill(now, t)
-	s.balancer.FirstToken(t.inflight.balanceReq, t.choice, now.Sub(t.sent).Seconds())
+	s.balancer.FirstToken(t.inflight.balanceReq, t.choice, time.Since(t.sent).Seconds())
 }
 
 func (s *State) done(now time.Time, t *trackedAttempt, o balance.Outcome) {
--- a/internal/relay/eventrun_test.go
+++ b/internal/relay/eventrun_test.go
@@ -30,6 +30,7 @@
 
 func (a *arrivals) perEvent() time.Duration { return a.took / time.Duration(max(a.counts, 1)) }
 
+// Guards against runs so short that one delayed event decides them, and against too many of them.
 func TestRunsHaveFourEventsAtLeast(t *testing.T) {
 	a := &arrivals{now: time.Unix(1000, 0)}
 	for range 40 {
--- a/internal/relay/speeds.go
+++ b/internal/relay/speeds.go
@@ -45,13 +45,6 @@
 	s.balancer.ObserveEvents(now, t.choice, took.Seconds(), n)
 }
 
-// observePrefill records the time to the first event of an attempt's stream. The lock is held.
-func (s *State) observePrefill(now time.Time, t *trackedAttempt) {
-	if t.streams && s.holdUps.HeldUpUntil(now).Before(t.sent) {
-		s.balancer.ObservePrefill(now, t.choice, t.prefillAhead, now.Sub(t.sent).Seconds())
-	}
-}
-
 // waits returns how long streams in progress have waited for their next event. The lock is held.
 func (s *State) waits(now time.Time) []balance.Wait {
 	heldUp := s.holdUps.HeldUpUntil(now)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -15,7 +15,6 @@
 // forwardStream forwards events as they arrive. It returns nil if the stream is
 // complete.
 func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
-	t.streams = true
 	defer t.waitsAfter.Store(0)
 	buf := make([]byte, readBufferBytes)
 	for {
--- a/internal/speed/deviation.go
+++ b/internal/speed/deviation.go
@@ -10,12 +10,12 @@
 // deviationOf returns the deviation of a sample from what was observed before. The weight is that
 // of the sample's term in the sum of squares around the common mean.
 func deviationOf(before, sample Observation) Deviation {
-	if before.DecodeWeight == 0 {
+	if before.Weight == 0 {
 		return Deviation{}
 	}
 	return Deviation{
 		LogEventSeconds: sample.LogEventSeconds - before.LogEventSeconds,
 		Load:            sample.Load - before.Load,
-		Weight:          before.DecodeWeight * sample.DecodeWeight / (before.DecodeWeight + sample.DecodeWeight),
+		Weight:          before.Weight * sample.Weight / (before.Weight + sample.Weight),
 	}
 }
--- a/internal/speed/estimator.go
+++ b/internal/speed/estimator.go
@@ -17,14 +17,15 @@
 	usual     float64 // seconds per event at the median endpoint, 0: unknown
 	order     []*endpointState
 	scratch   []float64
-	factors   []Factors
+	factors   []float64
 }
 
 // endpointState is what an estimator knows of one endpoint.
 type endpointState struct {
-	observed        Observation
-	decode, prefill evidence
-	seenAt          time.Time
+	observed Observation
+	evidence evidence
+	seenAt   time.Time
+	unusual  bool // the factor left the band and isn't back
 }
 
 // NewEstimator returns an estimator without observations.
@@ -42,51 +43,33 @@
 // aren't known.
 func (e *Estimator) UsualEventSeconds() float64 { return e.usual }
 
-// Estimate returns the factors of the service's endpoints, in their order, by all daemons'
-// observations. hold means that newer sums of these are due: until they arrive, the evidence
-// neither decays nor grows. The result is valid until the next call.
-func (e *Estimator) Estimate(now time.Time, endpoints []rendezvous.ShortKey, observed func(rendezvous.ShortKey) Observation, hold bool, mode Mode) []Factors {
+// Estimate returns by which factor each of the service's endpoints takes longer than the median
+// one, in their order, by all daemons' observations. hold means that newer sums of these are due:
+// until they arrive, the evidence neither decays nor grows. The result is valid until the next
+// call.
+func (e *Estimator) Estimate(now time.Time, endpoints []rendezvous.ShortKey, observed func(rendezvous.ShortKey) Observation, hold bool, mode Mode) []float64 {
 	e.update(now, endpoints, observed)
 	if !hold {
 		e.updateEvidence(now)
 	}
 	perLoad := e.effect.PerLoad()
-	decodeMedian, loads := e.median(func(s *endpointState) (float64, bool) {
-		return s.logAtNoLoad(perLoad), s.decode.weight >= 1
-	}), e.meanLoad()
-	prefillMedian := e.median(func(s *endpointState) (float64, bool) {
-		return s.observed.LogPrefillRate, s.prefill.weight >= 1
-	})
+	median, known := e.median(perLoad)
 	e.usual = 0
-	if !math.IsNaN(decodeMedian) {
-		e.usual = math.Exp(decodeMedian + perLoad*loads)
+	if known {
+		e.usual = math.Exp(median + perLoad*e.meanLoad())
 	}
 	e.factors = e.factors[:0]
 	for _, s := range e.order {
-		decode, prefill := 0.0, 0.0
-		if s.decode.weight > 0 && !math.IsNaN(decodeMedian) {
-			decode = s.decode.trust(decodePrior) * (s.logAtNoLoad(perLoad) - decodeMedian)
+		deviation := 0.0
+		if s.evidence.weight > 0 && known {
+			deviation = s.evidence.trust() * (s.logAtNoLoad(perLoad) - median)
 		}
-		prefill = decode
-		if s.prefill.weight > 0 && !math.IsNaN(prefillMedian) {
-			prefill += s.prefill.trust(prefillPrior) * (prefillMedian - s.observed.LogPrefillRate - decode)
-		}
-		e.factors = append(e.factors, factorsOf(decode, prefill, mode))
+		s.unusual = isUnusual(deviation, s.unusual)
+		e.factors = append(e.factors, mode.factorOf(deviation, s.unusual))
 	}
 	return e.factors
 }
 
-// factorsOf returns the factors of deviations from the median, in the logarithm.
-func factorsOf(decode, prefill float64, mode Mode) Factors {
-	if mode == ModeOff {
-		return Usual
-	}
-	if mode == ModeAuto {
-		decode, prefill = banded(decode), banded(prefill)
-	}
-	return Factors{Decode: math.Exp(decode), Prefill: math.Exp(prefill)}
-}
-
 // logAtNoLoad returns the logarithm of the time of an event without the effect of the load.
 func (s *endpointState) logAtNoLoad(perLoad float64) float64 {
 	return s.observed.LogEventSeconds - perLoad*s.observed.Load
@@ -124,34 +107,33 @@
 		elapsed = 0
 	}
 	e.updatedAt = now
-	share, seconds := Remainder(elapsed), elapsed.Seconds()
 	for _, s := range e.order {
-		s.decode.update(s.observed.DecodeWeight, share.decode, seconds, decodeEvidencePerSecond, maxDecodeEvidence)
-		s.prefill.update(s.observed.PrefillWeight, share.prefill, seconds, prefillEvidencePerSecond, maxPrefillEvidence)
+		s.evidence.update(s.observed.Weight, Decay(elapsed), elapsed.Seconds())
 	}
 }
 
-// median returns the median of a value over the endpoints that have it, NaN if none has.
-func (e *Estimator) median(value func(*endpointState) (float64, bool)) float64 {
+// median returns the median logarithm of the time of an event without the effect of the load;
+// ok is false if no endpoint has events.
+func (e *Estimator) median(perLoad float64) (median float64, ok bool) {
 	e.scratch = e.scratch[:0]
 	for _, s := range e.order {
-		if v, ok := value(s); ok {
-			e.scratch = append(e.scratch, v)
+		if s.evidence.weight >= 1 {
+			e.scratch = append(e.scratch, s.logAtNoLoad(perLoad))
 		}
 	}
 	n := len(e.scratch)
 	if n == 0 {
-		return math.NaN()
+		return 0, false
 	}
 	slices.Sort(e.scratch)
-	return (e.scratch[(n-1)/2] + e.scratch[n/2]) / 2
+	return (e.scratch[(n-1)/2] + e.scratch[n/2]) / 2, true
 }
 
 // meanLoad returns the mean load of the endpoints with events.
 func (e *Estimator) meanLoad() float64 {
 	sum, n := 0.0, 0
 	for _, s := range e.order {
-		if s.decode.weight >= 1 {
+		if s.evidence.weight >= 1 {
 			sum += s.observed.Load
 			n++
 		}
--- a/internal/speed/meter.go
+++ b/internal/speed/meter.go
@@ -17,9 +17,6 @@
 	maxRunWeight = 4.0
 	// maxStallWeight bounds the weight of a stream that waits for an event.
 	maxStallWeight = 8.0
-	// MinPrefillTokens is the smallest prefill that is a sample: for less, the time is mostly that
-	// of decoding steps and of the network.
-	MinPrefillTokens = 4000
 	// minKeptWeight is the weight below which observations are dropped.
 	minKeptWeight = 0.05
 )
@@ -43,7 +40,7 @@
 		return Deviation{}
 	}
 	sample := Observation{
-		DecodeWeight:    min(max(seconds/RunSeconds, 1), maxRunWeight),
+		Weight:          min(max(seconds/RunSeconds, 1), maxRunWeight),
 		LogEventSeconds: logOf(seconds / float64(events)),
 		Load:            min(max(load, 0), 1),
 	}
@@ -51,15 +48,6 @@
 	return deviationOf(before, sample)
 }
 
-// ObservePrefill records the seconds to the first event of a stream for which so many tokens had
-// to be computed.
-func (m *Meter) ObservePrefill(now time.Time, endpoint rendezvous.ShortKey, tokens int, seconds float64) {
-	if tokens < MinPrefillTokens || !positive(seconds) {
-		return
-	}
-	m.add(now, endpoint, Observation{PrefillWeight: 1, LogPrefillRate: logOf(float64(tokens) / seconds)})
-}
-
 // add adds a sample and returns what was there before.
 func (m *Meter) add(now time.Time, endpoint rendezvous.ShortKey, sample Observation) Observation {
 	e := m.endpoints[endpoint]
@@ -85,7 +73,7 @@
 	out := make(Observations, len(m.endpoints))
 	for key, e := range m.endpoints {
 		o := e.Aged(now.Sub(e.at))
-		if o.DecodeWeight < minKeptWeight && o.PrefillWeight < minKeptWeight {
+		if o.Weight < minKeptWeight {
 			delete(m.endpoints, key)
 			continue
 		}
@@ -101,7 +89,7 @@
 		return Observation{}, false
 	}
 	return Observation{
-		DecodeWeight:    min(seconds/max(RunSeconds, MinRunEvents*usual), maxStallWeight),
+		Weight:          min(seconds/max(RunSeconds, MinRunEvents*usual), maxStallWeight),
 		LogEventSeconds: logOf(seconds),
 		Load:            min(max(load, 0), 1),
 	}, true
--- a/internal/speed/observations.go
+++ b/internal/speed/observations.go
@@ -11,9 +11,9 @@
 
 // Add adds what was observed a while ago.
 func (o Observations) Add(other Observations, age time.Duration) {
-	share := Remainder(age)
+	part := Decay(age)
 	for key, v := range other {
-		o[key] = o[key].Add(v.Remaining(share))
+		o[key] = o[key].Add(v.Scaled(part))
 	}
 }
 
@@ -21,7 +21,7 @@
 func (o Observations) Without(part Observations) Observations {
 	out := make(Observations, len(o))
 	for key, v := range o {
-		if left := v.Without(part[key]); left.DecodeWeight > 0 || left.PrefillWeight > 0 {
+		if left := v.Without(part[key]); left.Weight > 0 {
 			out[key] = left
 		}
 	}
@@ -30,9 +30,9 @@
 
 // Aged returns the observations as they count after a time without samples.
 func (o Observations) Aged(age time.Duration) Observations {
-	out, share := make(Observations, len(o)), Remainder(age)
+	out, part := make(Observations, len(o)), Decay(age)
 	for key, v := range o {
-		out[key] = v.Remaining(share)
+		out[key] = v.Scaled(part)
 	}
 	return out
 }
