relay: offer the soonest endpoint before a request is refused

Speeds and late pauses make endpoints cost more than their wait. A request whose chosen endpoint would not begin it in time was refused, though another would. It is now offered to the one with the least predicted wait, where speeds or late pauses may have decided the choice.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -178,13 +178,43 @@
 	return Choice{}, false
 }
 
+// PickSoonest chooses the endpoint with the least predicted wait, where speeds or late pauses may
+// have made Pick choose another one; ok is false where they haven't.
+func (b *Balancer) PickSoonest(now time.Time, r *Request) (c Choice, ok bool) {
+	set := b.candidates(now, r)
+	home := b.homeOf(now, r.affinityKey(), set)
+	found := b.findSources(r, set)
+	uneven := b.HadLatePause(now, r.Service)
+	var best *member
+	least := 0.0
+	for _, m := range set {
+		uneven = uneven || m.slow != usual
+		if !m.mayGet(now, r) || m.avoided(now) {
+			continue
+		}
+		f := b.planFetch(m, cachedTokens(r, m, m == home), &found)
+		if wait := b.predictWait(r, m, f.cached); best == nil || wait < least {
+			best, least = m, wait
+		}
+	}
+	if best == nil || !uneven {
+		return Choice{}, false
+	}
+	return b.choice(r, best, home, &found), true
+}
+
+// mayGet reports whether a request may be sent to a member that isn't avoided.
+func (m *member) mayGet(now time.Time, r *Request) bool {
+	return m.hasRate(now) && !m.resting(now) && !r.tried(m)
+}
+
 // cheapest returns the member of the least cost, drawn from those whose costs are
 // about equal; nil if there is none to choose.
 func (b *Balancer) cheapest(now time.Time, r *Request, set []*member, home *member, found *sources, avoided bool) *member {
 	var best *member
 	least, equal := 0.0, 0
 	for _, m := range set {
-		if m.avoided(now) != avoided || !m.hasRate(now) || m.resting(now) || r.tried(m) {
+		if m.avoided(now) != avoided || !m.mayGet(now, r) {
 			continue
 		}
 		cost := b.cost(now, r, m, m == home, found)
--- a/internal/balance/speeds_test.go
+++ b/internal/balance/speeds_test.go
@@ -149,3 +149,18 @@
 		})
 	}
 }
+
+// Guards against a request that is refused though a slower endpoint would serve it in time.
+func TestSoonestEndpointIsOfferedWhereSpeedsDiffer(t *testing.T) {
+	b := newTestBalancer(1, 3)
+	r := &Request{Service: "llm", Prompt: 4000, Output: 100, Parts: []Part{{1, 4000}}}
+	_, ok := b.PickSoonest(start, r)
+	assert.Assert(t, !ok)
+	b.members["e0"].slow = 2
+	for _, id := range []fleet.EndpointID{"e1", "e2"} {
+		b.members[id].own.PendingPrefill = 1_000_000
+	}
+	c, ok := b.PickSoonest(start, r)
+	assert.Assert(t, ok)
+	assert.Equal(t, c.Endpoint.ID, fleet.EndpointID("e0"))
+}
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -69,6 +69,11 @@
 	if !ok {
 		return choice, s.refuseUnplaced(now, f)
 	}
+	if overloadWait(f, choice, now) > 0 {
+		if soonest, ok := s.balancer.PickSoonest(now, f.balanceReq); ok {
+			choice = soonest
+		}
+	}
 	if !f.workCounted {
 		f.workCounted = true
 		if counter := s.rollouts.counters[f.service]; counter != nil {
