--- a/internal/balance/equalspeeds_test.go
+++ b/internal/balance/equalspeeds_test.go
@@ -112,6 +112,7 @@
 
 // Guards against speeds that change the choices, predictions or draws among equal endpoints.
 func TestEqualSpeedsChangeNothing(t *testing.T) {
+	t.Parallel()
 	for _, endpoints := range []int{18, 60, 140, 690} {
 		for _, draining := range []int{0, 3} {
 			rng := rand.New(rand.NewPCG(uint64(endpoints), 9))
--- a/internal/balance/unevenspeeds_test.go
+++ b/internal/balance/unevenspeeds_test.go
@@ -30,6 +30,7 @@
 
 // Guards against streams that stall at slow engines, and against fast ones that get too few.
 func TestRequestsFollowTheSpeedsOfEngines(t *testing.T) {
+	t.Parallel()
 	for _, f := range unevenFleets {
 		t.Log(f.speeds, "without factors:", playSpeeds(1, speedCase{speeds: f.speeds, load: playLoad}))
 		for seed, noise := range []float64{0, 0, 0.1} {
@@ -60,6 +61,7 @@
 
 // Guards against predictions that uneven speeds make worse than those of an even fleet.
 func TestPredictionsHoldAtUnevenSpeeds(t *testing.T) {
+	t.Parallel()
 	even := meanOf(speedCase{speeds: []float64{1}, load: playLoad, pauses: true}, p95)
 	uneven := meanOf(speedCase{speeds: []float64{0.7, 0.7, 1.7}, load: playLoad, known: true, pauses: true}, p95)
 	t.Logf("95th percentile of the error: %.3f s, with even speeds %.3f s", uneven, even)
@@ -68,6 +70,7 @@
 
 // Guards against streams with a tight target at endpoints that can't keep it.
 func TestTightStreamsAvoidSlowEngines(t *testing.T) {
+	t.Parallel()
 	c := speedCase{speeds: []float64{0.7, 0.7, 1.7}, load: playLoad, tight: 0.2}
 	tightLate := func(r speedResult) float64 { return r.tightLate }
 	old := meanOf(c, tightLate)
@@ -81,6 +84,7 @@
 
 // Guards against speeds that are learned wrongly where engines are alike, and move prompts off their homes.
 func TestEnginesAlikeAreUsedAsBeforeWhileSpeedsAreLearned(t *testing.T) {
+	t.Parallel()
 	for _, load := range []float64{0.5, 0.6, 0.7} {
 		c := speedCase{speeds: []float64{1}, load: load, pauses: true}
 		before := playSpeeds(1, c)
@@ -96,6 +100,7 @@
 
 // Guards against learned speeds that don't keep streams from stalling as known ones do.
 func TestLearnedSpeedsKeepStreamsFromStalling(t *testing.T) {
+	t.Parallel()
 	c := speedCase{speeds: []float64{0.7, 0.7, 1.7}, load: playLoad, pauses: true}
 	t.Log("without factors:", playSpeeds(1, c))
 	c.learned = true
@@ -132,6 +137,7 @@
 
 // Guards against an endpoint that keeps its share while it is slow, or doesn't get it back.
 func TestEngineThatIsSlowForSecondsGetsLess(t *testing.T) {
+	t.Parallel()
 	before, during, after, late := slowSpell(false)
 	t.Logf("without factors: %.1f requests a second, slow %.1f, afterwards %.1f, %d streams late", before, during, after, late)
 	lateBefore := late
