quota: a rounding error of a hub's sum is no restart of the hub

Cause: a hub subtracts a daemon's own part from a sum that has fractions after a gap between reports, and cuts off those of a number of requests. The result may be lower by a rounding error or by one request than the one before. It was taken for that of a restarted hub and set a new base, so that what this hub had yet to report, and another one had reported, counted twice.

Change: a total of a demand that is lower by at most one, or by a billionth, sets no new base.

--- a/internal/quota/hubsum.go
+++ b/internal/quota/hubsum.go
@@ -16,7 +16,7 @@
 		s.hubs = map[string]rebasedTotal{}
 	}
 	t, ok := s.hubs[hub]
-	if !ok || total < t.last {
+	if !ok || total < t.last-rounding(t.last) {
 		t.base = total - s.applied
 	}
 	t.last = total
@@ -26,6 +26,11 @@
 	return added
 }
 
+// rounding returns by how much a hub's total may decrease without a restart of the hub. A hub
+// subtracts a daemon's own part from a sum that may have fractions, and cuts off those of a
+// number of requests.
+func rounding(total float64) float64 { return max(1, 1e-9*total) }
+
 // keep forgets all hubs that are not listed.
 func (s *hubSum) keep(hubs []string) {
 	for name := range s.hubs {
--- /dev/null
+++ b/internal/quota/hubsum_test.go
@@ -0,0 +1,29 @@
+package quota
+
+import (
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// Guards against a hub's total that is lower by a rounding error, or by the fraction of a
+// request that is cut off, and is taken for that of a restarted hub: what this hub has yet to
+// report and another one has reported would count twice.
+func TestRoundingIsNoRestartOfAHub(t *testing.T) {
+	for _, c := range []struct {
+		name              string
+		total, afterwards float64
+	}{
+		{"amounts", 1e6 + 1.0/3, 1e6 + 1.0/3 - 1e-9},
+		{"requests", 1000, 999},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var s hubSum
+			s.add("a", c.total)
+			s.add("b", c.total)
+			assert.Equal(t, s.add("a", c.total+500), 500.0)
+			assert.Equal(t, s.add("b", c.afterwards), 0.0)
+			assert.Equal(t, s.add("b", c.total+500), 0.0)
+		})
+	}
+}
