quota: demand after a silence, Retry-After without updates, unnamed routes

Causes: a daemon that has no update for a long time took the demand in that time with the weight of all of it, so that its mean outweighed the demand since for seconds. A daemon without updates told refused callers a time by the demand that the hubs had last reported, and 15 s if they never did. Routes that a hub names and that the configuration lacks were kept for as long as the limit was short.

Changes: what is new after more than the time constant of the demand has the weight of one time constant. Without updates the time is that of the daemon's own part. A route without requests at this daemon is dropped 10 s after a hub last named it.

--- a/internal/quota/demand.go
+++ b/internal/quota/demand.go
@@ -8,6 +8,11 @@
 	Requests uint64
 }
 
+// since returns what was asked for after an earlier count.
+func (a Asked) since(before Asked) (amount, requests float64) {
+	return a.Amount - before.Amount, float64(a.Requests - before.Requests)
+}
+
 // Demand is the demand of one workspace by route.
 type Demand map[string]Asked
 
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -18,6 +18,7 @@
 	sharesAt   time.Time // when the shares were last computed
 	// passingCost is the mean cost of the requests that pass.
 	passingCost float64
+	isAlone     bool      // the shares are of this daemon's part, for its own demand
 	inForce     bool      // some share is below 1
 	inForceAt   time.Time // when that was last so
 }
@@ -52,41 +53,56 @@
 	seconds float64   // decayed
 }
 
-// advance returns by how much the sums decay, and whether they have begun before.
-func (c *demandClock) advance(now time.Time, interval time.Duration) (decay float64, begun bool) {
+// demandStep is how decayed sums change with an update.
+type demandStep struct {
+	decay  float64 // of what the sums contain
+	weight float64 // of what is new, 0 for the first update
+}
+
+// advance returns how the sums change with an update. What is new after a longer time than the
+// time constant has the weight of that time: otherwise the mean over a silence would outweigh
+// the demand after it for seconds.
+func (c *demandClock) advance(now time.Time, interval time.Duration) demandStep {
 	elapsed := now.Sub(c.at).Seconds()
-	begun = !c.at.IsZero()
+	begun := !c.at.IsZero()
 	c.at = now
 	if !begun {
-		return 1, false
+		return demandStep{decay: 1}
+	}
+	constant := demandSeconds(interval)
+	s := demandStep{decay: math.Exp(-elapsed / constant), weight: 1}
+	if elapsed > constant {
+		s.weight = constant / elapsed
 	}
-	decay = math.Exp(-elapsed / demandSeconds(interval))
-	c.seconds = c.seconds*decay + elapsed
-	return decay, true
+	c.seconds = c.seconds*s.decay + s.weight*elapsed
+	return s
 }
 
 // update takes a hub's sums of the other daemons' demand. interval is the time between two
 // such updates.
 func (r *rationing) update(now time.Time, hub string, interval time.Duration, others Demand) {
 	for name := range others {
-		r.route(name)
+		r.route(name).namedAt = now
 	}
-	decay, begun := r.all.advance(now, interval)
+	step := r.all.advance(now, interval)
 	for name, d := range r.routes {
 		amount, requests := 0.0, 0.0
 		if total, ok := others[name]; ok {
 			amount, requests = d.addOthers(hub, total)
 		}
-		d.updateAll(decay, begun, amount, requests)
+		d.updateAll(step, amount, requests)
+		if d.own.Requests == 0 && now.Sub(d.namedAt) > unnamedTime {
+			delete(r.routes, name)
+		}
 	}
 	r.sharesAt = time.Time{}
 }
 
 // updateAlone updates the demand at this daemon alone.
 func (r *rationing) updateAlone(now time.Time, interval time.Duration) {
-	decay, begun := r.alone.advance(now, interval)
+	step := r.alone.advance(now, interval)
 	for _, d := range r.routes {
-		d.updateAlone(decay, begun)
+		d.updateAlone(step)
 	}
 }
 
@@ -101,18 +117,18 @@
 	if now.Sub(r.sharesAt) < sharesAge {
 		return
 	}
-	r.sharesAt = now
+	r.sharesAt, r.isAlone = now, b.stale()
 	r.updateAlone(now, interval)
 	names := slices.Sorted(maps.Keys(r.routes))
 	demands := make([]RouteDemand, 0, len(names))
 	total := 0.0
 	for _, name := range names {
-		d := r.routes[name].rate(r.all.seconds, r.alone.seconds, b.stale())
+		d := r.routes[name].rate(r.all.seconds, r.alone.seconds, r.isAlone)
 		demands = append(demands, d)
 		total += d.Amount
 	}
 	var shares []float64
-	if b.stale() || total >= minKnownDemand*b.spendRate() {
+	if r.isAlone || total >= minKnownDemand*b.spendRate() {
 		shares = sharesOf(b.passing(), r.floorShare, demands)
 	}
 	r.apply(now, names, shares)
@@ -145,8 +161,11 @@
 // refillTime returns the time in which a route's share of a limit pays for a cost, at one
 // of a number of daemons.
 func (r *rationing) refillTime(d *routeDemand, cost float64, daemons int) time.Duration {
-	perSecond := d.share * d.all.amount / max(r.all.seconds, 1e-9) / float64(daemons)
-	return boundedWait(cost / perSecond)
+	demand := d.rate(r.all.seconds, r.alone.seconds, r.isAlone).Amount
+	if !r.isAlone {
+		demand /= float64(daemons)
+	}
+	return boundedWait(cost / max(d.share*demand, 1e-9))
 }
 
 // demand returns what this daemon was asked for.
@@ -188,6 +207,9 @@
 	// rationedTime is how long the demand for a limit is counted after the workspace was
 	// last near it.
 	rationedTime = 3 * time.Second
+	// unnamedTime is how long the demand on a route without requests at this daemon is kept
+	// after a hub last named it: longer than hubs keep one that no daemon reports.
+	unnamedTime = 10 * time.Second
 	// minKnownDemand is the part of what daemons admit that the known demand must reach.
 	// Otherwise the demand of most daemons isn't known, as from an earlier release, and the
 	// shares would be several times too high.
--- /dev/null
+++ b/internal/quota/rationing_test.go
@@ -0,0 +1,71 @@
+package quota
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+)
+
+const updateInterval = 250 * time.Millisecond
+
+// Guards against demand that is averaged over a silence of the hubs for seconds after it: with
+// shares for a fraction of the demand, or none, since too little of it is known.
+func TestSilenceOfTheHubsDoesNotOutweighTheDemandAfterIt(t *testing.T) {
+	r := newRationing(start, &priorities{}, floorShare)
+	now, total := start, Asked{}
+	run := func(d time.Duration, perSecond float64) {
+		for end := now.Add(d); now.Before(end); {
+			now = now.Add(updateInterval)
+			total.Amount += perSecond * updateInterval.Seconds()
+			total.Requests++
+			r.update(now, "hub", updateInterval, Demand{"r": total})
+		}
+	}
+	rate := func() float64 { return r.routes["r"].rate(r.all.seconds, r.alone.seconds, false).Amount }
+	run(5*time.Second, 1000)
+	assert.Assert(t, rate() > 999 && rate() < 1001, "%v", rate())
+	now = now.Add(30 * time.Second)
+	run(3*time.Second, 1000)
+	assert.Assert(t, rate() > 800, "%v", rate())
+}
+
+// Guards against a Retry-After by the demand that the hubs last reported, or the longest one if
+// they never did, at a daemon that applies its own demand to its own part.
+func TestRefusedRouteWithoutUpdatesIsToldByItsOwnPart(t *testing.T) {
+	routes := routesOf(0, 1, 2)
+	q := New(false, Tolerance{Amount: 100, Share: 0.1, Window: 8 * time.Second})
+	q.SetRandom(rand.New(rand.NewPCG(7, 7)))
+	q.Configure(start, &route.Table{Routes: routes, Workspaces: []route.Workspace{limited}})
+	d := newDriver(q, &limited, routes, 8)
+	d.silent = true
+	d.run(1500)
+	// A tenth of the limit, of which the route gets at least a ninth: 11 a second.
+	for range 100 {
+		d.now = d.now.Add(10 * time.Millisecond)
+		if wait, ok := q.passes(d.now, &limited, &routes[2], q.buckets["w"], d.cost); !ok {
+			assert.Assert(t, wait > 0 && wait < 2*time.Second, "%v", wait)
+			return
+		}
+	}
+	t.Fatal("no request was refused")
+}
+
+// Guards against state of routes that hubs name and the configuration lacks, which would grow
+// for as long as the limit is short.
+func TestRoutesThatNobodyNamesAreDropped(t *testing.T) {
+	r := newRationing(start, &priorities{}, floorShare)
+	now := start
+	r.route("own").ask(10)
+	for i := range 100 {
+		now = now.Add(time.Second)
+		r.update(now, "earlier release", time.Second, nil)
+		r.update(now, "hub", time.Second, Demand{"r": {Amount: float64(i), Requests: uint64(i)}, fmt.Sprint("other", i): {Amount: 1, Requests: 1}})
+	}
+	assert.Assert(t, len(r.routes) <= 14, "%d routes", len(r.routes))
+	assert.Assert(t, r.routes["own"] != nil && r.routes["r"].othersAmount.applied == 99)
+}
--- a/internal/quota/routedemand.go
+++ b/internal/quota/routedemand.go
@@ -1,5 +1,7 @@
 package quota
 
+import "time"
+
 // routeDemand is the demand for a short limit on one route.
 type routeDemand struct {
 	priority int
@@ -9,6 +11,7 @@
 	allSeen, aloneSeen Asked
 	// The others' amounts and requests, as hubs report them.
 	othersAmount, othersRequests hubSum
+	namedAt                      time.Time // when a hub last named the route
 	// Decayed sums over all daemons, and of this one alone.
 	all, alone decayedAsked
 	share      float64 // of the demand that may pass
@@ -21,9 +24,9 @@
 type decayedAsked struct{ amount, requests float64 }
 
 // add decays the sum and adds to it.
-func (s *decayedAsked) add(decay, amount, requests float64) {
-	s.amount = s.amount*decay + amount
-	s.requests = s.requests*decay + requests
+func (s *decayedAsked) add(step demandStep, amount, requests float64) {
+	s.amount = s.amount*step.decay + step.weight*amount
+	s.requests = s.requests*step.decay + step.weight*requests
 }
 
 // passes decides about a request. Of a number of requests as many pass as the shares allow,
@@ -56,18 +59,16 @@
 
 // updateAll decays the sums over all daemons and adds this daemon's new demand and that of
 // the others. What was asked for before the sums begin doesn't count.
-func (d *routeDemand) updateAll(decay float64, begun bool, othersAmount, othersRequests float64) {
-	if begun {
-		d.all.add(decay, d.own.Amount-d.allSeen.Amount+othersAmount, float64(d.own.Requests-d.allSeen.Requests)+othersRequests)
-	}
+func (d *routeDemand) updateAll(s demandStep, othersAmount, othersRequests float64) {
+	amount, requests := d.own.since(d.allSeen)
+	d.all.add(s, amount+othersAmount, requests+othersRequests)
 	d.allSeen = d.own
 }
 
 // updateAlone decays the sums of this daemon alone and adds its new demand.
-func (d *routeDemand) updateAlone(decay float64, begun bool) {
-	if begun {
-		d.alone.add(decay, d.own.Amount-d.aloneSeen.Amount, float64(d.own.Requests-d.aloneSeen.Requests))
-	}
+func (d *routeDemand) updateAlone(s demandStep) {
+	amount, requests := d.own.since(d.aloneSeen)
+	d.alone.add(s, amount, requests)
 	d.aloneSeen = d.own
 }
 
