exchange: demand before a pause isn't counted again, unreported routes expire

Causes: a hub relays only the demand that has changed, and the other hub removes a workspace's demand 4 s after its last report. After a pause in which the limit stays short, or a cut between hubs, the other hub took all that each daemon had counted for new demand with the daemon's next change. The routes of a workspace expired together, so that one that no daemon names any more was kept while others were in use.

Changes: a demand that is reported without a change is relayed again after 2 s. A demand that a hub doesn't know and that is first reported after a gap is a base. Each route expires by itself.

--- a/internal/exchange/demandtotals.go
+++ b/internal/exchange/demandtotals.go
@@ -7,9 +7,14 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 )
 
-// demandExpireAfter is how long a workspace's demand is kept after the last report of it.
-// Daemons report it only while the workspace's limit is short.
-const demandExpireAfter = 4 * time.Second
+const (
+	// demandExpireAfter is how long a demand is kept after the last report of it. Daemons
+	// report it only while the workspace's limit is short.
+	demandExpireAfter = 4 * time.Second
+	// demandRelayInterval is the time after which an unchanged demand that is still reported
+	// is relayed again: a hub that removed it would take all of it for new with its next change.
+	demandRelayInterval = demandExpireAfter / 2
+)
 
 // demandKey identifies the demand of a workspace on a route.
 type demandKey struct {
@@ -23,18 +28,19 @@
 // demandTotals is the demand for limits that are short, by all daemons.
 type demandTotals struct {
 	all        map[demandKey]demandAmount
-	reportedAt map[fleet.WorkspaceID]time.Time
+	reportedAt map[demandKey]time.Time
 }
 
 func newDemandTotals() *demandTotals {
-	return &demandTotals{all: map[demandKey]demandAmount{}, reportedAt: map[fleet.WorkspaceID]time.Time{}}
+	return &demandTotals{all: map[demandKey]demandAmount{}, reportedAt: map[demandKey]time.Time{}}
 }
 
 // daemonDemand is a demand that one daemon has reported.
 type daemonDemand struct {
 	reported quota.Asked
 	counted  demandAmount // the part of it in the totals
-	cursor   Cursor       // of its last change
+	cursor   Cursor       // of its last change, or when it was to be relayed again
+	cursorAt time.Time    // time of the report with that cursor
 }
 
 // increase returns by how much a reported demand exceeds the last report. A daemon counts
@@ -61,11 +67,8 @@
 		next.demands = map[demandKey]*daemonDemand{}
 	}
 	for w, byRoute := range next.report.Soft.Demands {
-		if at.After(h.demands.reportedAt[w]) {
-			h.demands.reportedAt[w] = at
-		}
 		for route, reported := range byRoute {
-			h.addDemand(next, demandKey{w, route}, reported, share)
+			h.addDemand(at, next, demandKey{w, route}, reported, share)
 		}
 	}
 }
@@ -79,14 +82,22 @@
 	return quota.CountedShare(gap, h.interval)
 }
 
-func (h *Hub) addDemand(daemon *daemonState, key demandKey, reported quota.Asked, share float64) {
+// addDemand adds a reported demand to the totals. After a gap, one that this hub doesn't know is
+// a base for the next reports: it may have begun long before.
+func (h *Hub) addDemand(at time.Time, daemon *daemonState, key demandKey, reported quota.Asked, share float64) {
+	if at.After(h.demands.reportedAt[key]) {
+		h.demands.reportedAt[key] = at
+	}
 	d := daemon.demands[key]
 	if d == nil {
-		d = &daemonDemand{cursor: h.cursor}
+		d = &daemonDemand{cursor: h.cursor, cursorAt: at}
 		daemon.demands[key] = d
+		if share < 1 {
+			d.reported = reported
+		}
 	}
-	if d.reported != reported {
-		d.cursor = h.cursor
+	if d.reported != reported || at.Sub(d.cursorAt) >= demandRelayInterval {
+		d.cursor, d.cursorAt = h.cursor, at
 	}
 	more := d.increase(reported)
 	d.reported = reported
@@ -126,23 +137,17 @@
 	return out
 }
 
-// removeExpiredDemands removes the demand of workspaces that no daemon has reported for
-// demandExpireAfter.
+// removeExpiredDemands removes the demands that no daemon has reported for demandExpireAfter.
 func (h *Hub) removeExpiredDemands(now time.Time) {
-	for w, at := range h.demands.reportedAt {
-		if now.Sub(at) <= demandExpireAfter {
-			continue
-		}
-		delete(h.demands.reportedAt, w)
-		for key := range h.demands.all {
-			if key.workspace == w {
-				h.removeDemand(key)
-			}
+	for key, at := range h.demands.reportedAt {
+		if now.Sub(at) > demandExpireAfter {
+			h.removeDemand(key)
 		}
 	}
 }
 
 func (h *Hub) removeDemand(key demandKey) {
+	delete(h.demands.reportedAt, key)
 	delete(h.demands.all, key)
 	for _, d := range h.daemons {
 		delete(d.demands, key)
