origin: an invalid history from another daemon is ignored

Cause: a hub's history of versions was taken whatever it claimed. One that reaches further back than any daemon keeps made a version count as the only one without evidence. An age below 0, also from an overflow of milliseconds, made a version count until the daemon ended.

Change: a history beyond the longest horizon is ignored, as in a stored record; an age below 0 is taken as 0.

Measured: the new test got v1 as the only version where nothing was known; now it gets none.

--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -150,16 +150,16 @@
 }
 
 // Merge takes another daemon's history: its versions, and how far it reaches back if that is
-// further than here.
+// further than here. One that no daemon can have is ignored.
 func (v *Versions) Merge(now time.Time, h History) {
-	if v.since.IsZero() || h.Known <= 0 {
+	if v.since.IsZero() || h.Known <= 0 || h.Known > maxHorizon {
 		return
 	}
 	if since := now.Add(-h.Known); since.Before(v.since) {
 		v.since = since
 	}
 	for _, g := range h.Gone {
-		if at := now.Add(-g.Ago); at.After(v.gone[g.Origin]) {
+		if at := now.Add(-max(g.Ago, 0)); at.After(v.gone[g.Origin]) {
 			v.gone[g.Origin] = at
 		}
 	}
--- a/internal/origin/versions_test.go
+++ b/internal/origin/versions_test.go
@@ -96,6 +96,18 @@
 	assert.Equal(t, long.only(2*at+1, Retention), "v1")
 }
 
+// Guards against a history of a faulty daemon that claims more than any daemon keeps, and against
+// an age below 0, of a version that would count until this daemon ends.
+func TestInvalidHistoryIsIgnored(t *testing.T) {
+	v := NewVersions()
+	v.Listed(start, endpoints("v1"))
+	v.Merge(start, History{Known: maxHorizon + 1})
+	assert.Equal(t, v.only(0, Retention), "")
+	v.Merge(start, History{Known: maxHorizon, Gone: []Gone{seen("v2", -time.Hour)}})
+	assert.Equal(t, v.only(Retention, Retention), "")
+	assert.Equal(t, v.only(Retention+1, Retention), "v1")
+}
+
 // Guards against a history that claims the time before an event after which versions may be missing in it.
 func TestHistoryReachesBackToTheLastDoubt(t *testing.T) {
 	for name, doubt := range map[string]func(v *Versions, at time.Time) time.Time{
