quarantine: a served request is cleared of crashes under a held part

Cause: crashes under a held part count for a request once it is suspected of one that no held part explains, but a request in a single one of them wasn't cleared when it was served afterwards. So a sound request could be held for two such crashes and one other, though an endpoint had run it in between.

Change: a request that is served is cleared of all crashes of which it may be the cause, whether a held part explains them or not.

--- a/internal/quarantine/parts_test.go
+++ b/internal/quarantine/parts_test.go
@@ -223,6 +223,21 @@
 	}
 }
 
+// Guards against a sound request that is held for crashes under a held part after which it was
+// served.
+func TestServedRequestIsClearedOfCrashesUnderAHeldPart(t *testing.T) {
+	table := NewTable(1)
+	crashUnder(table, 0, 0, 3, func(i int) *Identity { return prompt(1, i, 4, 7) })
+	wrote(table, 2, prompt(1, 30, 4))
+	assert.Assert(t, heldPrompt(table, 3, prompt(1, 99, 7)))
+	sound := prompt(1, 40, 4)
+	table.Add(at(4), under(10, 4, prompt(1, 50, 4, 7), sound))
+	wrote(table, 4, sound)
+	table.Add(at(5), under(11, 5, prompt(1, 51, 4, 7), sound))
+	table.Add(at(6), under(12, 6, sound))
+	assert.Assert(t, !heldPrompt(table, 6, sound))
+}
+
 // Guards against a part of another route that is held for the crashes of a part with evidence.
 func TestPartWithEvidenceComesBeforeOneWithout(t *testing.T) {
 	table := NewTable(1)
--- a/internal/quarantine/table.go
+++ b/internal/quarantine/table.go
@@ -47,7 +47,7 @@
 	trials    trials
 	served    served
 	timing    timing
-	suspected map[Key]bool // may be the cause of an unexplained crash, or are held parts
+	suspected map[Key]bool // may be the cause of a crash that no held request explains, or are held parts
 	review    time.Time    // when the crashes are to be diagnosed again, zero: when one changes
 	// The numbers of crashes, of what is held, and of the times at which something was newly held
 	// are readable without the lock.
@@ -449,15 +449,12 @@
 	t.held = heldUntil(crashes, slices.Collect(maps.Keys(t.held)))
 	causes, rest := diagnose(withoutCauses(open, func(k Key) bool { return !t.held[k].IsZero() }))
 	maps.Copy(t.held, heldUntil(crashes, causes))
-	repeated := countCauses(rest)
 	for _, e := range rest {
-		for k := range e.open {
-			if !e.explained || repeated[k] >= minIsolated {
-				t.suspected[k] = true
-			}
+		for k := range e.open { // also of an explained crash, which may count with later ones
+			t.suspected[k] = true
 		}
 	}
-	return repeated
+	return countCauses(rest)
 }
 
 func (t *Table) isHeldPart(k Key) bool {
