quota: a rounding error of a hub's total of spending is no restart

Cause: as for the demand by route: a total that is lower by a rounding error set a new base, so that what another hub had reported already counted twice.

Change: a total that is lower by at most a billionth sets no new base.

Measured: in the new test 500 counted twice before, none now.

--- a/internal/quota/hubsum_test.go
+++ b/internal/quota/hubsum_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 )
 
 // Guards against a hub's total that is lower by a rounding error, or by the fraction of a
@@ -27,3 +29,19 @@
 		})
 	}
 }
+
+// Guards against the same of the totals of what was spent.
+func TestRoundingOfSpendingIsNoRestartOfAHub(t *testing.T) {
+	h := NewHubTotals()
+	add := func(hub string, total float64) float64 {
+		return h.Add(hub, map[fleet.WorkspaceID]float64{"w": total}, false)["w"]
+	}
+	total := 1e6 + 1.0/3
+	add("a", total)
+	add("b", total)
+	assert.Equal(t, add("a", total+500), 500.0)
+	assert.Equal(t, add("b", total-1e-9), 0.0)
+	assert.Equal(t, add("b", total+500), 0.0)
+	assert.Equal(t, add("b", 3), 0.0) // restarted
+	assert.Equal(t, add("b", 7), 4.0)
+}
--- a/internal/quota/hubtotals.go
+++ b/internal/quota/hubtotals.go
@@ -1,6 +1,10 @@
 package quota
 
-import "github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+import (
+	"math"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+)
 
 // HubTotals merges the totals of the others' spending that several hubs report, and
 // turns them into increments. Each hub's totals have a base of their own. What one hub
@@ -30,7 +34,7 @@
 	added := map[fleet.WorkspaceID]float64{}
 	for w, total := range totals {
 		t, ok := known[w]
-		if total < t.last || !ok && !whole {
+		if total < t.last-spentRounding*math.Abs(t.last) || !ok && !whole {
 			t.base = total - h.applied[w]
 		}
 		t.last = total
@@ -43,6 +47,10 @@
 	return added
 }
 
+// spentRounding is the part of a total by which it may decrease without a restart of the hub,
+// which subtracts a daemon's own part from a sum that may have fractions.
+const spentRounding = 1e-9
+
 // Empty reports whether no hub is known.
 func (h *HubTotals) Empty() bool { return len(h.hubs) == 0 }
 
