exchange: a relayed report is never from the future

Cause: the age of a relayed report was taken as another daemon sent it. With a negative one, also by an overflow, the report, its load and its demand were from the future and expired late or never.

Change: an age below 0 is taken as 0.

Measured: the new test fails on the earlier code.

--- a/internal/exchange/codec.go
+++ b/internal/exchange/codec.go
@@ -141,7 +141,8 @@
 }
 
 func decodeRelayed(r *exchangepb.Report) RelayedReport {
-	return RelayedReport{Report: decodeReport(r), Age: time.Duration(r.AgeMs) * time.Millisecond, ChangedOnly: r.Changes}
+	age := max(time.Duration(r.AgeMs)*time.Millisecond, 0) // a report from the future would never expire
+	return RelayedReport{Report: decodeReport(r), Age: age, ChangedOnly: r.Changes}
 }
 
 func encodeReply(r *Reply) *exchangepb.Totals {
--- a/internal/exchange/demandexpiry_test.go
+++ b/internal/exchange/demandexpiry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -87,3 +88,11 @@
 		assert.Equal(t, len(decodeDemands([]*exchangepb.Demand{d})), 0, "%v", d)
 	}
 }
+
+// Guards against a demand that never expires, since a faulty hub says that it will receive the
+// report of it later.
+func TestRelayedReportIsNotFromTheFuture(t *testing.T) {
+	for _, ms := range []int64{-3_600_000, math.MaxInt64} {
+		assert.Assert(t, decodeRelayed(&exchangepb.Report{AgeMs: ms}).Age >= 0)
+	}
+}
