quota: the mean cost of what passes is bounded

Cause: hubs cut off the fractions of requests and not those of amounts, and a faulty daemon may report an amount of no requests. The mean cost was then the amount divided by 1e-9, which the buckets keep as the mean cost of requests: a sparse daemon then admits next to nothing until its own requests have brought it down, a tenth each.

Change: the mean is computed from at least 0.1 requests a second.

--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -142,7 +142,7 @@
 		amount += share * demands[i].Amount
 		requests += share * demands[i].Requests
 	}
-	return amount / max(requests, 1e-9)
+	return amount / max(requests, minPassingRate)
 }
 
 // apply puts shares in force; nil means that everything may pass.
@@ -210,6 +210,10 @@
 	// unnamedTime is how long the demand on a route without requests at this daemon is kept
 	// after a hub last named it: longer than hubs keep one that no daemon reports.
 	unnamedTime = 10 * time.Second
+	// minPassingRate is the least number of requests a second for a mean cost. Hubs cut off the
+	// fractions of requests and not those of amounts: an amount of no request would make the
+	// mean so large that the buckets admit nothing more.
+	minPassingRate = 0.1
 	// minKnownDemand is the part of what daemons admit that the known demand must reach.
 	// Otherwise the demand of most daemons isn't known, as from an earlier release, and the
 	// shares would be several times too high.
--- a/internal/quota/rationing_test.go
+++ b/internal/quota/rationing_test.go
@@ -69,3 +69,12 @@
 	assert.Assert(t, len(r.routes) <= 14, "%d routes", len(r.routes))
 	assert.Assert(t, r.routes["own"] != nil && r.routes["r"].othersAmount.applied == 99)
 }
+
+// Guards against a mean cost far above that of any request, where the amount of a request is known
+// before its number.
+func TestAmountOfNoRequestHasABoundedCost(t *testing.T) {
+	demands := []RouteDemand{{Priority: 0, Amount: 3000}, {Priority: 1, Amount: 100}}
+	assert.Assert(t, passingCost(demands, []float64{0.5, 0.1}) <= 10*3100)
+	demands[0].Requests = 3
+	assert.Equal(t, passingCost(demands[:1], []float64{1}), 1000.0)
+}
