Refusals over the limit are counted by the priority of the route

Cause: cyclamenbeam_requests_over_limit_total had the workspace's own priority where it has one, which is the same for all of its requests, while its limit is spent by the priorities of the routes.

Change: an outcome has the route's priority as well, and the metric that one. The test of the metric uses two different priorities.

Measured: tests of internal/relay pass, and those of the limits in internal/node.

--- a/internal/node/limitlog_test.go
+++ b/internal/node/limitlog_test.go
@@ -13,6 +13,8 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
 
+// Guards against a log line each second for as long as a limit is short, and against a second time
+// that isn't logged.
 func TestLimitSpentByPriorityIsLoggedOnceEachTime(t *testing.T) {
 	var out bytes.Buffer
 	log := logrus.New()
@@ -27,9 +29,11 @@
 	assert.Assert(t, strings.Contains(out.String(), "0.25"), out.String())
 }
 
+// Guards against refusals that are counted by the priority of the workspace, which ranks it
+// against others and is the same for all of its requests.
 func TestRequestsOverTheLimitAreCountedByPriority(t *testing.T) {
 	n := New(&Settings{}, Platform{}, logrus.New())
-	n.metrics.ended(&relay.Outcome{Reason: relay.OverLimit, Priority: 2})
+	n.metrics.ended(&relay.Outcome{Reason: relay.OverLimit, Priority: 5, RoutePriority: 2})
 	n.metrics.ended(&relay.Outcome{Reason: relay.NoEndpoint, Priority: 1})
 	var out bytes.Buffer
 	n.metrics.set.WritePrometheus(&out)
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -66,7 +66,7 @@
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
 	if o.Reason == relay.OverLimit {
-		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_over_limit_total{priority="%d"}`, o.Priority)).Inc()
+		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_over_limit_total{priority="%d"}`, o.RoutePriority)).Inc()
 	}
 	if o.Continued != relay.NotContinued {
 		m.continued(o)
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -78,7 +78,7 @@
 		o.ConfiguredAt = a.configuredAt
 	}
 	if a.route != nil {
-		o.Route = a.route.Name
+		o.Route, o.RoutePriority = a.route.Name, a.route.Priority
 	}
 	if a.workspace != nil {
 		o.Workspace = a.workspace.Name
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -432,6 +432,16 @@
 	assert.Assert(t, out.refusal.RetryAfter > 0)
 }
 
+// Guards against an outcome that has the workspace's priority alone: its limit is spent by that of
+// the routes.
+func TestOutcomeHasThePriorityOfTheRoute(t *testing.T) {
+	own := 7
+	a := &admitted{route: &route.Route{Name: "r", Priority: 2}, workspace: &route.Workspace{Name: "w", Priority: &own}, priority: own}
+	o := initialOutcome(&Request{}, a)
+	assert.Equal(t, o.Priority, 7)
+	assert.Equal(t, o.RoutePriority, 2)
+}
+
 // A daemon that has no configuration yet can't tell whether a route exists, so it
 // must refuse as not run instead of answering that there is none.
 func TestWithoutAConfigurationRequestsAreNotRun(t *testing.T) {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -17,10 +17,12 @@
 	ID        string
 	Route     string
 	Workspace fleet.WorkspaceID
-	Priority  int // 0 is the highest
-	Service   string
-	Endpoint  fleet.EndpointID // of the last attempt
-	Version   string           // of that endpoint
+	Priority  int // 0 is the highest; the workspace's own where it has one
+	// RoutePriority is the route's, by which a workspace's limit is spent.
+	RoutePriority int
+	Service       string
+	Endpoint      fleet.EndpointID // of the last attempt
+	Version       string           // of that endpoint
 	// Continued is who continued a stream after its first attempt, empty for none. BeganAt is
 	// the version that began it, empty if unknown, and Resumes the caller's attempt that did.
 	Continued Continuation
