quota: routes that have a service in common are ordered

Cause: routes were ordered by priority only where the names of all of their services are equal. While a part of the requests of one of them goes to another service, as to a new version's, the order was lost.

Change: routes that are connected by services count as routes to the same services. Tables whose routes have equal or disjoint services are treated as before.

In its example, which asks for four times the limit, the shares of priorities 0 and 1 were 0.08 and 0.42; now both are 0.25.

--- a/internal/quota/rationing_test.go
+++ b/internal/quota/rationing_test.go
@@ -78,3 +78,30 @@
 	demands[0].Requests = 3
 	assert.Equal(t, passingCost(demands[:1], []float64{1}), 1000.0)
 }
+
+// Guards against a lower priority that is served before a higher one, since a part of the requests
+// of one of the routes goes to another version's service.
+func TestRoutesThatShareAServiceAreOrdered(t *testing.T) {
+	backends := func(services ...string) []route.Backend {
+		var out []route.Backend
+		for _, s := range services {
+			out = append(out, route.Backend{Service: s, Weight: 1})
+		}
+		return out
+	}
+	routes := routesOf(0, 1, 1, 2, 3)
+	routes[4].Backends, routes[4].Public = backends("engine", "plain"), true
+	routes[0].Backends = backends("engine")
+	routes[1].Backends = backends("engine", "canary")
+	routes[2].Backends = backends("plain")
+	routes[3].Backends = backends("canary")
+	p := newPriorities(&route.Table{Routes: routes})
+	assert.Equal(t, p.services["r1"], p.services["r0"])
+	assert.Equal(t, p.services["r3"], p.services["r0"])
+	assert.Assert(t, p.services["r2"] != p.services["r0"])
+	shares := Shares(100, []RouteDemand{
+		{Priority: 0, Services: p.services["r0"], Amount: 200, Requests: 2},
+		{Priority: 1, Services: p.services["r1"], Amount: 200, Requests: 200},
+	})
+	assert.DeepEqual(t, shares, []float64{0.25, 0.25})
+}
--- a/internal/quota/shares.go
+++ b/internal/quota/shares.go
@@ -10,7 +10,7 @@
 // RouteDemand is a fleet's demand for a workspace's limit on one route.
 type RouteDemand struct {
 	Priority int     // 0 is the highest
-	Services string  // names of the route's services
+	Services string  // equal for routes that have services in common, see priorities
 	Amount   float64 // per second, in the unit of the limit
 	Requests float64 // per second
 }
