--- a/internal/exchange/demandtotals.go
+++ b/internal/exchange/demandtotals.go
@@ -43,7 +43,7 @@
 	cursorAt time.Time    // time of the report with that cursor
 }
 
-// increase returns by how much a reported demand exceeds the last report. A daemon counts
+// increase returns by how much a reported demand exceeds that of the last report. A daemon counts
 // from zero again if the limit wasn't short in between.
 func (d *daemonDemand) increase(now quota.Asked) demandAmount {
 	if now.Amount < d.reported.Amount || now.Requests < d.reported.Requests {
--- a/internal/origin/record_test.go
+++ b/internal/origin/record_test.go
@@ -35,6 +35,7 @@
 	return v.only(after, horizon)
 }
 
+// Guards against streams that wait, though the record shows that one version alone has served.
 func TestRecordOfOneVersionIsUsedAtOnce(t *testing.T) {
 	assert.Equal(t, restore(t, record(seen("v1", 0)), reader(), nil, 0, Retention, "v1"), "v1")
 	assert.Equal(t, restore(t, record(seen("v1", 0)), reader(), nil, 0, maxHorizon, "v1"), "v1")
@@ -100,6 +101,8 @@
 	assert.Assert(t, !got.Settled)
 }
 
+// Guards against a version that is concluded from a record that is invalid, or that may lack
+// versions.
 func TestRecordIsRefused(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -148,6 +151,7 @@
 	assert.Assert(t, !ok)
 }
 
+// Guards against a field that is lost in the store, so that a version isn't counted.
 func TestRecordIsStoredWhole(t *testing.T) {
 	r := record(seen("v1", 0), seen("v2", time.Second))
 	text, err := json.Marshal(r)
--- a/internal/origin/versions_test.go
+++ b/internal/origin/versions_test.go
@@ -58,6 +58,8 @@
 	assert.Equal(t, v.only(Retention+settling, Retention), "v1")
 }
 
+// Guards against streams that are refused for the horizon after a daemon's start, though others
+// know the versions.
 func TestHistoryOfAnotherDaemonReachesFurtherBack(t *testing.T) {
 	old, fresh := NewVersions(), NewVersions()
 	old.Listed(start, endpoints("v1"))
--- a/internal/quota/bypriority_test.go
+++ b/internal/quota/bypriority_test.go
@@ -126,6 +126,8 @@
 	}
 }
 
+// Guards against a limit that is spent in order of arrival, and against a lowest priority that
+// gets nothing.
 func TestLimitIsSpentByPriority(t *testing.T) {
 	routes := routesOf(0, 1, 2)
 	q, _ := newLimited(limited, routes)
--- a/internal/quota/rationing.go
+++ b/internal/quota/rationing.go
@@ -14,6 +14,7 @@
 	floorShare float64
 	routes     map[string]*routeDemand
 	nearAt     time.Time // when the workspace was last near its limit
+	// The time that the routes' sums over all daemons and of this one alone cover.
 	all, alone demandClock
 	sharesAt   time.Time // when the shares were last computed
 	// passingCost is the mean cost of the requests that pass.
--- a/internal/quota/shares_test.go
+++ b/internal/quota/shares_test.go
@@ -19,6 +19,8 @@
 	return d
 }
 
+// Guards against shares that are in force where everything may pass, and against another order
+// than that of priorities and value per token.
 func TestSharesAreAllocatedByPriority(t *testing.T) {
 	for _, c := range []struct {
 		name    string
