--- a/internal/node/versionsrestore_test.go
+++ b/internal/node/versionsrestore_test.go
@@ -243,6 +243,18 @@
 	assert.Assert(t, watch.left.Load() < 0)
 }
 
+// Guards against a new holder of the duties that replaces the record before any daemon has read it,
+// where the store doesn't answer at all when the daemons start.
+func TestVersionsAreRestoredAfterAnOutageAtTheStart(t *testing.T) {
+	f, _ := servedFleet(t, 2, "1")
+	f.killAll()
+	f.store.setDown(true)
+	f.startAgain(2)
+	time.Sleep(1500 * time.Millisecond) // past the first reads
+	f.store.setDown(false)
+	f.until("the versions are known", func(n *Node) bool { return n.origins.reaches(origin.Retention) })
+}
+
 // failingReads is a store whose first reads of the history and of the limits fail.
 type failingReads struct {
 	*memoryStore
