relay: an answer broken off doesn't count against the daemon

Cause: a daemon that has lost the path to its endpoints sends requests through others and avoids one that doesn't answer for 2 s. It counted every answer that broke off as none. Where an engine crashes, the other daemons break the streams off that they have sent there, so one crash excluded several of them, and all requests of the daemon without a path, also those for other services, were refused until these 2 s had passed.

Change: an answer whose head was received counts as one, however it ends, unless the daemon was silent for longer than allowed or didn't acknowledge what was sent. A caller that leaves after the head doesn't count against the daemon either. A daemon that was killed refuses the next connection and is avoided from then on.

Measured: TestDaemonCountsAsAnsweringWhereItsEngineCrashes fails without the change. go test of relay, forward, reach and node passes.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -94,11 +94,18 @@
 	forward.Codec
 	pool      *upstream.Pool
 	addresses []string
+
+	mu       sync.Mutex
+	answered []bool // by request, in the order of their ends
 }
 
 func (f *forwarder) Pool() *upstream.Pool     { return f.pool }
 func (f *forwarder) FoundOpen(string, string) {}
-func (f *forwarder) Done(string, bool)        {}
+func (f *forwarder) Done(_ string, answered bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answered = append(f.answered, answered)
+}
 func (f *forwarder) Target(_ string, _ int, tried []string, _ bool) (string, bool) {
 	for _, a := range f.addresses {
 		if !slices.Contains(tried, a) {
@@ -304,6 +311,44 @@
 	assert.Equal(t, out.refusal.Verdict, verdict.MayHaveRun)
 }
 
+// Guards against daemons that are avoided because an engine crashed under the streams that they
+// had forwarded: once all are avoided, requests are refused that these could run.
+func TestDaemonCountsAsAnsweringWhereItsEngineCrashes(t *testing.T) {
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, "id: 1\ndata: x\n\n")
+		w.(http.Flusher).Flush()
+		panic(http.ErrAbortHandler)
+	})
+	f := &forwarder{pool: upstream.NewPool(8, upstream.DialTCP), addresses: []string{newHopDaemon(t, e.address()).address}}
+	a := newHopDaemon(t, "")
+	a.relay.SetForwarder(f)
+	out := a.send(t.Context(), "/stream/1", "")
+	assert.Assert(t, out.aborted)
+	assert.DeepEqual(t, f.answered, []bool{true})
+}
+
+// Guards against a daemon that stays in use though it ends before it answers.
+func TestDaemonThatDiesDoesNotCountAsAnswering(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = c.Read(make([]byte, 1000))
+			_ = c.Close()
+		}
+	}()
+	f := &forwarder{pool: upstream.NewPool(8, upstream.DialTCP), addresses: []string{l.Addr().String()}}
+	a := newHopDaemon(t, "")
+	a.relay.SetForwarder(f)
+	a.send(t.Context(), "/order/1", "")
+	assert.DeepEqual(t, f.answered, []bool{false})
+}
+
 // Guards against more runs of a request than its route allows, where both daemons repeat it.
 func TestAttemptsAreBoundedOverTheHop(t *testing.T) {
 	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -41,7 +42,7 @@
 	// service.
 	FoundOpen(service, address string)
 	// Done records the end of a request at an address, and whether the daemon there
-	// answered.
+	// answered. An answer that breaks off counts as one, since its endpoint may have crashed.
 	Done(address string, answered bool)
 	// Pool holds the connections to other daemons.
 	Pool() *upstream.Pool
@@ -144,16 +145,32 @@
 func (f *inflight) attemptVia(ctx context.Context, address string) (attemptResult, *bufferedAnswer) {
 	f.triedDaemons = append(f.triedDaemons, address)
 	f.outcome.Via, f.outcome.Endpoint, f.outcome.Predicted = address, "", 0
-	ctx, cancel := context.WithCancel(ctx)
+	attemptCtx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	res, buffered, err := f.exchangeForwarded(ctx, address)
+	res, buffered, err := f.exchangeForwarded(attemptCtx, address)
 	f.outcome.Cause = err
 	f.outcome.Failed = res.class == Failure && res.complete
-	f.relay.forwarder.Done(address, err == nil)
+	f.relay.forwarder.Done(address, daemonAnswered(ctx, res, err))
 	f.count(res)
 	return res, buffered
 }
 
+// daemonAnswered reports whether the daemon answered to which a request was forwarded. It passes
+// the crash of its endpoint on by breaking the answer off. If that counted against the daemon,
+// the crash of an endpoint with many streams would exclude all daemons that have sent them there.
+func daemonAnswered(ctx context.Context, res attemptResult, err error) bool {
+	switch {
+	case err == nil:
+		return true
+	case !res.headReceived:
+		return false
+	case errors.Is(ctx.Err(), context.Canceled): // the caller has left
+		return true
+	}
+	var timeout interface{ Timeout() bool }
+	return !errors.Is(err, upstream.ErrSilent) && !(errors.As(err, &timeout) && timeout.Timeout())
+}
+
 // exchangeForwarded sends the request to another daemon and reads the answer.
 func (f *inflight) exchangeForwarded(ctx context.Context, address string) (attemptResult, *bufferedAnswer, error) {
 	sent := time.Now()
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -254,7 +254,7 @@
 // readAnswer reads an answer whose head was received, and forwards it if it is a stream or
 // long.
 func (f *inflight) readAnswer(ctx context.Context, t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
-	res := attemptResult{class: class, reached: true, verdict: verdict.Ran}
+	res := attemptResult{class: class, reached: true, headReceived: true, verdict: verdict.Ran}
 	if class == Refused || class == Misdirected {
 		res.verdict = verdict.NotRun
 	}
--- a/internal/relay/next.go
+++ b/internal/relay/next.go
@@ -36,6 +36,8 @@
 	// complete says that the endpoint's answer was read to its end, so that it can
 	// be passed on.
 	complete bool
+	// headReceived says that the head of an answer was received.
+	headReceived bool
 	// refusal is that of the daemon to which the request was forwarded, nil if an
 	// endpoint answered.
 	refusal *Refusal
