speed: take the prompts out of events' times, and wait for steady estimates

Cause: the time of an event contains the prompts computed in between, and fast engines compute more, so their factor was too mild (0.58 for 0.41). In the first seconds estimates of alike engines differ by 0.4 in the logarithm, and factors taken from them move prompts away from where they are cached.

Change: the share of load reports with pending prefill says how much of an event's time prompts take; no message grows. In ModeAuto a deviation counts from 6 times the median change of all estimates, and is averaged while it changes little.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -146,6 +146,7 @@
 func (b *Balancer) SetOthers(load Loads) {
 	for _, m := range b.members {
 		m.others = load[rendezvous.ShortKey(m.hash)]
+		m.observePrefilling()
 	}
 	b.reported = true
 	b.updateUse()
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -32,6 +32,7 @@
 	others              Load
 	slowReport          slowReport
 	parts               partCache
+	prefilling          float64       // share of recent load reports with prompts to compute
 	failures            decayingShare // of attempts
 	latePauses          decayingShare // of streams with a pause target
 	consecutiveFailures int
--- a/internal/balance/speeds.go
+++ b/internal/balance/speeds.go
@@ -17,6 +17,9 @@
 	// is the time between the last two, and at least firstSumsHold.
 	maxSumsHold   = 30 * time.Second
 	firstSumsHold = 2 * time.Second
+	// prefillingStep is the part by which a load report changes the share of those with prompts to
+	// compute: with one every 400 ms, it covers the time that the observations of events do.
+	prefillingStep = 0.07
 	// restartGrace is how long sums are ignored for an endpoint that has restarted, or was removed
 	// and is listed again, since other daemons may not know of it yet.
 	restartGrace = 2 * time.Second
@@ -120,7 +123,11 @@
 		if stall, ok := s.stalls[k]; ok {
 			own = own.Add(stall)
 		}
-		return own.Add(s.others[k].Scaled(part))
+		own = own.Add(s.others[k].Scaled(part))
+		if m := b.byKey[k]; m != nil {
+			own.Prefilling = m.prefilling
+		}
+		return own
 	}
 	for service, set := range b.listed {
 		if !set[0].isEngine {
@@ -184,6 +191,15 @@
 	return m
 }
 
+// observePrefilling takes from a new load report whether the endpoint has prompts to compute.
+func (m *member) observePrefilling() {
+	now := 0.0
+	if m.own.PendingPrefill+m.others.PendingPrefill > 0 {
+		now = 1
+	}
+	m.prefilling += prefillingStep * (now - m.prefilling)
+}
+
 // load returns the share of the endpoint's slots in use.
 func (m *member) load() float64 { return float64(m.running()) / float64(max(m.Slots, 1)) }
 
--- a/internal/speed/estimator.go
+++ b/internal/speed/estimator.go
@@ -8,10 +8,16 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
+// prefillPart is the part of an engine's time that the prompts take while there are any to compute:
+// a step with a thousand prompt tokens takes about 4 times as long as one without. Engines with more
+// prompts seem slower otherwise, and the fast ones have more.
+const prefillPart = 0.75
+
 // Estimator estimates the speeds of the endpoints of one service. It is not safe for concurrent
 // use.
 type Estimator struct {
 	effect    LoadEffect
+	changes   changes
 	known     map[rendezvous.ShortKey]*endpointState
 	updatedAt time.Time
 	usual     float64 // seconds per event at the median endpoint, 0: unknown
@@ -25,7 +31,11 @@
 	observed Observation
 	evidence evidence
 	seenAt   time.Time
-	unusual  bool // the factor left the band and isn't back
+	// deviation is the logarithm of the factor by the current observations, before shrinking.
+	deviation float64
+	recent    float64 // deviation, smoothed over changesSeconds
+	steady    steadyMean
+	unusual   bool // the factor left the band and isn't back
 }
 
 // NewEstimator returns an estimator without observations.
@@ -52,27 +62,40 @@
 	if !hold {
 		e.updateEvidence(now)
 	}
+	elapsed := e.changes.elapsed(now)
 	perLoad := e.effect.PerLoad()
 	median, known := e.median(perLoad)
 	e.usual = 0
 	if known {
-		e.usual = math.Exp(median + perLoad*e.meanLoad())
+		e.usual = math.Exp(median + e.meanEffect(perLoad))
 	}
-	e.factors = e.factors[:0]
 	for _, s := range e.order {
-		deviation := 0.0
+		s.deviation = 0
 		if s.evidence.weight > 0 && known {
-			deviation = s.evidence.trust() * (s.logAtNoLoad(perLoad) - median)
+			s.deviation = s.logAtIdle(perLoad) - median
+		}
+	}
+	e.updateChanges(elapsed)
+	e.factors = e.factors[:0]
+	for _, s := range e.order {
+		deviation := s.evidence.trust() * s.deviation
+		if mode == ModeAuto {
+			deviation = s.steadyDeviation(elapsed, e.changes.size)
 		}
-		s.unusual = isUnusual(deviation, s.unusual)
 		e.factors = append(e.factors, mode.factorOf(deviation, s.unusual))
 	}
 	return e.factors
 }
 
-// logAtNoLoad returns the logarithm of the time of an event without the effect of the load.
-func (s *endpointState) logAtNoLoad(perLoad float64) float64 {
-	return s.observed.LogEventSeconds - perLoad*s.observed.Load
+// logAtIdle returns the logarithm of the time of an event without the effect of the load and of
+// the prompts that are computed in between.
+func (s *endpointState) logAtIdle(perLoad float64) float64 {
+	return s.observed.LogEventSeconds - s.effect(perLoad)
+}
+
+// effect returns the effect of the load and of the prompts on the logarithm of the time of an event.
+func (s *endpointState) effect(perLoad float64) float64 {
+	return perLoad*s.observed.Load - math.Log(1-prefillPart*min(max(s.observed.Prefilling, 0), 1))
 }
 
 // update takes the observations of the endpoints and drops the state of those that are gone.
@@ -112,13 +135,12 @@
 	}
 }
 
-// median returns the median logarithm of the time of an event without the effect of the load;
-// ok is false if no endpoint has events.
+// median returns the median logarithm of the time of an event at an idle endpoint; ok is false if no endpoint has events.
 func (e *Estimator) median(perLoad float64) (median float64, ok bool) {
 	e.scratch = e.scratch[:0]
 	for _, s := range e.order {
 		if s.evidence.weight >= 1 {
-			e.scratch = append(e.scratch, s.logAtNoLoad(perLoad))
+			e.scratch = append(e.scratch, s.logAtIdle(perLoad))
 		}
 	}
 	n := len(e.scratch)
@@ -129,12 +151,12 @@
 	return (e.scratch[(n-1)/2] + e.scratch[n/2]) / 2, true
 }
 
-// meanLoad returns the mean load of the endpoints with events.
-func (e *Estimator) meanLoad() float64 {
+// meanEffect returns the mean effect of load and prompts at the endpoints with events.
+func (e *Estimator) meanEffect(perLoad float64) float64 {
 	sum, n := 0.0, 0
 	for _, s := range e.order {
 		if s.evidence.weight >= 1 {
-			sum += s.observed.Load
+			sum += s.effect(perLoad)
 			n++
 		}
 	}
--- a/internal/speed/observation.go
+++ b/internal/speed/observation.go
@@ -14,6 +14,9 @@
 	Weight          float64
 	LogEventSeconds float64
 	Load            float64
+	// Prefilling is the share of recent load reports in which the endpoint had prompts to compute.
+	// Each daemon knows it from the loads; it is neither summed nor sent.
+	Prefilling float64
 }
 
 // Add returns the observation of both.
@@ -81,6 +84,6 @@
 
 // finite reports whether all numbers are finite and the weight not negative.
 func (o *Observation) finite() bool {
-	sum := o.Weight + o.LogEventSeconds + o.Load
+	sum := o.Weight + o.LogEventSeconds + o.Load + o.Prefilling
 	return !math.IsNaN(sum) && !math.IsInf(sum, 0) && o.Weight >= 0
 }
