quota: a small tolerance is kept while a limit is spent by priority

Cause: more passes the shares than the limit allows until the common level is passingMargin of the correction time and half a report below zero. The wide own buckets refuse none of it in a small fleet, so that the level stays there: 0.4 s of the rate, whatever the tolerance. Before the shares come into force, savings of the own buckets and rates that are smoothed over a second add to it.

Change: the level at which as much passes as the limit allows keeps three spreads from the tolerated excess (the square root of mean cost, rate and correction time); own buckets are wide only down to one spread from it. Where the tolerance is below what own buckets may save, a limit that is spent by priority, is nearly used up and was exceeded since the last update counts as enforced until the next one.

--- a/internal/quota/bucket.go
+++ b/internal/quota/bucket.go
@@ -36,6 +36,10 @@
 	tolerance       float64       // excess beyond the limit that is tolerated in a window
 	random          *rand.Rand
 	shared          bool // the routes' shares of the limit are in force
+	byPriority      bool // the limit is spent by priority while demand exceeds it
+	// exhausted: the limit was near its end at the last update and exceeded since the one
+	// before, while no shares were in force.
+	exhausted bool
 }
 
 // Fleet is a daemon's view of the daemons that share a limit.
@@ -113,13 +117,28 @@
 	switch {
 	case d <= 0:
 	case !b.noReportYet:
-		b.updateRates(spent/d.Seconds(), b.spent/d.Seconds(), 1-math.Exp(-d.Seconds()/rateSeconds))
+		weight := 1 - math.Exp(-d.Seconds()/rateSeconds)
+		if b.exhausted = b.exceeded(spent, d); b.exhausted {
+			weight = 1 // smoothed rates would follow the jump of demand too late
+		}
+		b.updateRates(spent/d.Seconds(), b.spent/d.Seconds(), weight)
 	case b.restored:
 		b.updateRates(spent/d.Seconds(), b.spent/d.Seconds(), 1)
 	}
 	b.markUpdated(now)
 }
 
+// exceeded reports whether more than the rate was spent in the time since the last update,
+// of a limit that is spent by priority, is nearly used up and has no shares yet. It is false
+// where the tolerated excess covers the savings of all own buckets: daemons may then follow a
+// jump of demand more slowly.
+func (b *Bucket) exceeded(othersSpent float64, d time.Duration) bool {
+	if !b.byPriority || b.shared || b.tolerance >= depthSeconds*b.rate {
+		return false
+	}
+	return b.available() < nearLimitShare*b.burst && othersSpent+b.spent > b.rate*d.Seconds()
+}
+
 // updateRates smooths both spending rates, per second, with the weight of the new
 // values.
 func (b *Bucket) updateRates(others, own, weight float64) {
@@ -229,7 +248,8 @@
 // may be wide. Otherwise the common level is far below zero or unknown: the own bucket must
 // keep the limit whatever passes.
 func (b *Bucket) gated() bool {
-	return b.shared && !b.stale() && b.available() > -gatedDebtShare*b.correctionSeconds()*b.rate
+	debt := min(gatedDebtShare*b.correctionSeconds()*b.rate, max(b.tolerance-b.spread(), 0))
+	return b.shared && !b.stale() && b.available() > -debt
 }
 
 // admitGated admits a request that its route's share has let pass. The shares keep what
@@ -276,14 +296,20 @@
 	if b.stale() {
 		return b.rate * b.share()
 	}
-	available, margin := b.available(), 0.0
+	debt := 0.0 // at which as much passes as the limit allows
 	if b.fleet.ReachableShare == 1 {
-		available, margin = available+b.othersRate*b.reportInterval.Seconds()/2, passingMargin
+		debt = b.othersRate*b.reportInterval.Seconds()/2 + passingMargin*b.correctionSeconds()*b.rate
 	}
-	factor := 1 + margin + available/(b.correctionSeconds()*b.rate)
+	debt = min(debt, b.tolerance-meanDebtSpreads*b.spread())
+	debt = max(debt, -nearLimitShare*b.burst) // large requests must not keep the limit unused
+	factor := 1 + (b.available()+debt)/(b.correctionSeconds()*b.rate)
 	return b.rate * b.fleet.ReachableShare * min(max(factor, minFillFactor), maxFillFactor)
 }
 
+// spread estimates by how much the common level deviates from its mean while requests pass
+// by shares: requests come at random, and what passes is corrected after correctionSeconds.
+func (b *Bucket) spread() float64 { return math.Sqrt(b.meanCost * b.rate * b.correctionSeconds()) }
+
 // requiredLevel returns the level that a cost requires: half of it, while the rest
 // becomes a debt. If the whole cost were required, the largest requests would hardly
 // ever be admitted; if nothing were, small requests would be refused for the debts of
@@ -359,7 +385,7 @@
 
 // enforcedReserve returns the reserve of a fleet of any size.
 func (b *Bucket) enforcedReserve() float64 {
-	if b.shared || b.levelAt.Sub(b.refusedAt) < enforcedTime {
+	if b.shared || b.exhausted || b.levelAt.Sub(b.refusedAt) < enforcedTime {
 		return enforcedReserveShare * b.burst
 	}
 	return min(reserveSeconds*b.rate, reserveShare*b.burst)
@@ -425,6 +451,9 @@
 		return b.gatedDepth()
 	}
 	depth := depthSeconds * b.rate * b.share()
+	if b.exhausted {
+		depth = min(depth, savingsShare*b.tolerance/float64(b.fleet.Daemons))
+	}
 	if b.sparse() && b.available() < b.reserve() {
 		return max(depth, b.meanCost)
 	}
@@ -501,6 +530,14 @@
 	// gatedDebtShare bounds how far below zero the common level may be meanwhile, as a part
 	// of what corrects the own buckets to nothing.
 	gatedDebtShare = 0.5
+	// meanDebtSpreads is how many spreads the mean of the common level keeps from the tolerated
+	// excess while shares are in force. With two, six daemons with a tolerance of 100 exceeded
+	// their limit by up to 200 once settled, with three by up to 110.
+	meanDebtSpreads = 3.0
+	// savingsShare bounds the savings of all own buckets together, as a part of the tolerated
+	// excess, while a limit is exceeded and its shares aren't known yet: they are spent on top
+	// of what was admitted before the reports of it arrived.
+	savingsShare = 0.5
 	// costWeight is the weight of the newest request in the mean cost.
 	costWeight = 0.1
 	// minCorrectionSeconds is the shortest time in which a deviation of the common level
--- a/internal/quota/bypriority.go
+++ b/internal/quota/bypriority.go
@@ -33,7 +33,8 @@
 // passes counts a request and reports whether the share of its route lets it pass. wait is
 // the time until that share pays for it.
 func (q *Quota) passes(now time.Time, w *route.Workspace, r *route.Route, b *Bucket, cost float64) (wait time.Duration, ok bool) {
-	if r == nil || !q.byPriority(w) {
+	b.byPriority = r != nil && q.byPriority(w)
+	if !b.byPriority {
 		return 0, true
 	}
 	rationing := q.rationingOf(now, w.Name, b)
--- a/internal/quota/bypriority_test.go
+++ b/internal/quota/bypriority_test.go
@@ -126,6 +126,44 @@
 	}
 }
 
+// Guards against requests below the limit that are refused, or treated differently, where the
+// tolerated excess is small: the rule for an exceeded limit must wait until it is nearly used up.
+func TestBurstsBelowASmallToleranceAreTreatedAlike(t *testing.T) {
+	routes := routesOf(0, 1, 2)
+	var results [2][]bool
+	for i := range results {
+		q := New(true, Tolerance{Amount: 100})
+		q.SetRandom(rand.New(rand.NewPCG(7, 7)))
+		q.Configure(start, &route.Table{Routes: routes, Workspaces: []route.Workspace{limited}})
+		q.SetDaemons(start, 10)
+		if i == 0 {
+			q.SpendInOrder()
+		}
+		d := newDriver(q, &limited, routes, 0)
+		d.demand = 3
+		for d.q.buckets[limited.Name].Level(d.now) > 0.6*limited.Burst {
+			d.run(25)
+		}
+		d.demand = 0.6
+		d.run(400)
+		results[i] = d.results
+	}
+	assert.DeepEqual(t, results[0], results[1])
+	for _, ok := range results[1] {
+		assert.Assert(t, ok)
+	}
+}
+
+// Guards against a limit that is left unused because its requests are large beside the tolerated
+// excess.
+func TestLargeRequestsLeaveNoLimitUnused(t *testing.T) {
+	b := NewBucket(start, 1000, 1000, 500, 0)
+	b.SetFleet(start, Fleet{Daemons: 6, ReachableShare: 1})
+	b.AddOthers(start, 0)
+	b.setShared(true, 1000)
+	assert.Assert(t, b.passing() >= 1000, "%v of 1000 a second pass at half of the burst", b.passing())
+}
+
 func TestLimitIsSpentByPriority(t *testing.T) {
 	routes := routesOf(0, 1, 2)
 	q, _ := newLimited(limited, routes)
