--- a/internal/speed/estimator.go
+++ b/internal/speed/estimator.go
@@ -135,7 +135,8 @@
 	}
 }
 
-// median returns the median logarithm of the time of an event at an idle endpoint; ok is false if no endpoint has events.
+// median returns the median logarithm of the time of an event at an idle endpoint; ok is false if
+// no endpoint has events.
 func (e *Estimator) median(perLoad float64) (median float64, ok bool) {
 	e.scratch = e.scratch[:0]
 	for _, s := range e.order {
