--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -122,9 +122,7 @@
 // Metrics writes the daemon's metrics in the Prometheus text format.
 func (n *Node) Metrics(w io.Writer) {
 	n.metrics.set.WritePrometheus(w)
-	for service, left := range n.state.RetriesLeft(time.Now()) {
-		fmt.Fprintf(w, "cyclamenbeam_retries_left{service=%q} %g\n", service, left)
-	}
+	n.writeRetries(w)
 	n.writeSpeeds(w)
 	if m := n.joined.Load(); m != nil {
 		n.writeRole(w, m.layout())
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -255,13 +255,13 @@
 	return s.balancer.MeanSpeed(service)
 }
 
-// RetriesLeft returns what is left of the retry budgets, by service.
-func (s *State) RetriesLeft(now time.Time) map[string]float64 {
+// Retries returns the state of the retry budgets, by service.
+func (s *State) Retries(now time.Time) map[string]retry.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]float64, len(s.budgets))
+	out := make(map[string]retry.Status, len(s.budgets))
 	for name, b := range s.budgets {
-		out[name] = b.Left(now)
+		out[name] = b.Status(now)
 	}
 	return out
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -31,6 +31,21 @@
 	bucket   int64 // newest bucket, numbered from the Unix epoch
 	requests [buckets + 1]int
 	retries  [buckets + 1]int
+	counts   Counts
+}
+
+// Counts is what a Budget was asked for since its creation.
+type Counts struct {
+	Requests uint64
+	Retries  uint64 // that were allowed
+	Refused  uint64
+}
+
+// Status is the state of a Budget at one time.
+type Status struct {
+	Counts
+	Left    float64 // retries that may be sent now, see Budget.Left
+	Daemons int     // that share the slack
 }
 
 // New returns a budget for a single daemon; Daemons changes their number.
@@ -40,17 +55,27 @@
 func (b *Budget) Daemons(n int) { b.daemons = max(n, 1) }
 
 // Request counts a caller's request.
-func (b *Budget) Request(now time.Time) { b.requests[b.advance(now)]++ }
+func (b *Budget) Request(now time.Time) {
+	b.counts.Requests++
+	b.requests[b.advance(now)]++
+}
 
 // Take counts one retry and returns true if the budget allows it.
 func (b *Budget) Take(now time.Time) bool {
 	if b.Left(now) < 1 {
+		b.counts.Refused++
 		return false
 	}
+	b.counts.Retries++
 	b.retries[b.advance(now)]++
 	return true
 }
 
+// Status returns the state at a time.
+func (b *Budget) Status(now time.Time) Status {
+	return Status{Counts: b.counts, Left: b.Left(now), Daemons: b.daemons}
+}
+
 // Left returns how many retries this daemon may send now. It is negative when
 // the requests that allowed earlier retries have left the window.
 func (b *Budget) Left(now time.Time) float64 {
