retry: a new process doesn't use again what its predecessor has sent

Cause: a process started with an empty window, so that all of its part was left: what its predecessor had sent in the same window was in nobody's count, of the slack and of the ratio's part alike.

Change: until a process knows what it sent in the whole window (13 s after its start) it uses 0.08 of its part, earned by requests and time; after that 0.88. Both together stay below the bound however often processes are replaced. A window has 40 buckets in place of 10, and time is counted from the process's start, by its monotonic clock, so that a clock step drops no bucket.

--- a/internal/node/limitscheckpoint.go
+++ b/internal/node/limitscheckpoint.go
@@ -138,8 +138,8 @@
 // findSharers reads the checkpoint again if it could not be read at the start: until then the
 // retry budgets have no slack.
 func (n *Node) findSharers(ctx context.Context) {
-	for ctx.Err() == nil && !n.members.sharersKnown() {
-		if pause.For(ctx, sharersInterval); n.members.sharersKnown() {
+	for ctx.Err() == nil && !n.members.sharersRestored() {
+		if pause.For(ctx, sharersInterval); n.members.sharersRestored() {
 			return
 		}
 		kept, err := stored[limitsCheckpoint](n.platform.Store.Get(ctx, limitsKind, limitsName))
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -12,7 +12,6 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/gossip"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/membership"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/retry"
 )
@@ -69,7 +68,7 @@
 	}
 	m := &members{
 		node: n, gossip: g, self: self,
-		sharers: retry.NewSharers(seconds(s.Bounds.RetryWindowSeconds), s.Daemon.FirstStart),
+		sharers: retry.NewSharers(seconds(s.Bounds.RetryWindowSeconds), n.started, s.Daemon.FirstStart),
 	}
 	m.addSeeds(s)
 	return m, nil
@@ -155,18 +154,15 @@
 	m.sharersMu.Lock()
 	defer m.sharersMu.Unlock()
 	m.sharers.Update(time.Now(), m.node.clock.Now(), m.gossip.View().All())
-	daemons := m.sharers.Daemons()
-	if daemons > 0 && m.node.gathering() {
-		daemons = max(daemons, quota.DefaultDaemons)
-	}
-	m.node.state.SetRetryDaemons(daemons)
+	m.node.state.SetRetryDaemons(m.sharers.Daemons())
 }
 
-// sharersKnown reports whether it is known how many daemons there were before this one started.
-func (m *members) sharersKnown() bool {
+// sharersRestored reports whether it is known how many daemons there were before this one
+// started.
+func (m *members) sharersRestored() bool {
 	m.sharersMu.Lock()
 	defer m.sharersMu.Unlock()
-	return m.sharers.Daemons() > 0
+	return m.sharers.Restored()
 }
 
 // restoreSharers takes the peak that was stored before this process started.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -70,14 +70,14 @@
 	}
 	n.paths = newPaths(n, p.Dial)
 	n.pool = upstream.NewPool(initialShare, n.paths.dial)
-	budget := retry.Config{
+	retries := retry.NewBudgets(retry.Config{
 		Window: seconds(s.Bounds.RetryWindowSeconds), Ratio: s.Bounds.RetryRatio, Slack: s.Bounds.RetrySlack,
-	}
+	}, n.started, s.Daemon.FirstStart)
 	limits := quota.New(s.Daemon.FirstStart, s.Bounds.tolerance())
 	if s.Limits.ByPriority == NotByPriority {
 		limits.SpendInOrder()
 	}
-	n.state = relay.NewState(s.Daemon.DataCentre, limits, budget, random())
+	n.state = relay.NewState(s.Daemon.DataCentre, limits, retries, random())
 	n.crashes = newCrashGuard(n)
 	n.witnesses = newWitnesses(n)
 	n.begun = newBegunCounts(seconds(s.Bounds.UsageWindowSeconds))
--- a/internal/node/retrylog.go
+++ b/internal/node/retrylog.go
@@ -19,10 +19,10 @@
 // allowed meanwhile.
 type retryLog struct {
 	node   *Node
-	logged map[string]retry.Counts // as of the last update
+	logged map[string]retry.Totals // as of the last update
 }
 
-func newRetryLog(n *Node) *retryLog { return &retryLog{node: n, logged: map[string]retry.Counts{}} }
+func newRetryLog(n *Node) *retryLog { return &retryLog{node: n, logged: map[string]retry.Totals{}} }
 
 func (l *retryLog) run(ctx context.Context) {
 	pause.Every(ctx, time.Second, func() { l.update(l.node.state.Retries(time.Now())) })
@@ -32,14 +32,14 @@
 	lines := 0
 	for service, s := range all {
 		last := l.logged[service]
-		l.logged[service] = s.Counts
+		l.logged[service] = s.Totals
 		if s.Refused == last.Refused || lines == retryLines {
 			continue
 		}
 		lines++
 		l.node.logFor("retries").WithFields(logrus.Fields{
 			"service": service, "refused": s.Refused - last.Refused, "sent": s.Retries - last.Retries,
-			"requests": s.Requests - last.Requests, "left": s.Left, "daemons": s.Daemons,
+			"requests": s.Requests - last.Requests, "left": s.Left, "daemons": s.Daemons, "complete": s.Complete,
 		}).Warn("retries refused")
 	}
 }
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -136,7 +136,7 @@
 func (s *State) takeRetry(now time.Time, service string) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget(service).Take(now)
+	return s.retries.Take(now, service)
 }
 
 func (s *State) sent(t *trackedAttempt) {
--- a/internal/relay/state.go
+++ b/internal/relay/state.go
@@ -26,9 +26,7 @@
 	configuredAt time.Time    // when the table took effect
 	balancer     *balance.Balancer
 	quota        *quota.Quota
-	retry        retry.Config
-	budgets      map[string]*retry.Budget // by service
-	retryDaemons int                      // that share the budgets
+	retries      *retry.Budgets
 	rng          *rand.Rand
 	work         *workTotals
 	holdUps      pause.Monitor
@@ -42,20 +40,16 @@
 	resumableSince time.Time
 }
 
-// NewState returns the state of a daemon in the data centre self. Each service gets
-// a retry budget of its own, as budget says.
-func NewState(self fleet.DataCentre, limits *quota.Quota, budget retry.Config, rng *rand.Rand) *State {
+// NewState returns the state of a daemon in the data centre self.
+func NewState(self fleet.DataCentre, limits *quota.Quota, retries *retry.Budgets, rng *rand.Rand) *State {
 	return &State{
 		balancer: balance.New(self, rand.New(rand.NewPCG(rng.Uint64(), rng.Uint64()))),
 		quota:    limits,
-		retry:    budget,
-		budgets:  map[string]*retry.Budget{},
+		retries:  retries,
 		rng:      rng,
 		work:     newWorkTotals(),
 		attempts: map[fleet.EndpointID]map[*trackedAttempt]struct{}{},
 		rollouts: newRolloutState(rollout.Bounds{}),
-
-		retryDaemons: quota.DefaultDaemons,
 	}
 }
 
@@ -112,10 +106,7 @@
 func (s *State) SetRetryDaemons(n int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.retryDaemons = n
-	for _, b := range s.budgets {
-		b.Daemons(n)
-	}
+	s.retries.SetDaemons(n)
 }
 
 // SetReportInterval sets the time between two reports of what the other daemons
@@ -266,20 +257,5 @@
 func (s *State) Retries(now time.Time) map[string]retry.Status {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	out := make(map[string]retry.Status, len(s.budgets))
-	for name, b := range s.budgets {
-		out[name] = b.Status(now)
-	}
-	return out
-}
-
-// budget returns a service's retry budget. The lock is held.
-func (s *State) budget(service string) *retry.Budget {
-	b := s.budgets[service]
-	if b == nil {
-		b = retry.New(s.retry)
-		b.Daemons(s.retryDaemons)
-		s.budgets[service] = b
-	}
-	return b
+	return s.retries.Status(now)
 }
--- a/internal/retry/budget.go
+++ b/internal/retry/budget.go
@@ -13,99 +13,110 @@
 	Slack float64
 }
 
-// margin is the fraction of the bound that is used. The rest covers two
-// differences from an observer's count: its windows begin at other times, and
-// it counts requests when they are sent, a Budget when they are read.
-const margin = 0.8
+// The parts of the bound that are used. What the predecessor of a process sent in the window
+// is unknown, so that both parts may fall into one window. The rest covers the difference from
+// an observer's count: requests are counted when they are read, not when they are sent.
+const (
+	completeShare   = 0.88 // by a process that knows what it sent in the whole window
+	incompleteShare = 0.08 // by one that started too short a time ago
+)
 
-// buckets is the number of equal parts of a window. A Budget keeps one bucket
-// more, because it drops only whole buckets and the oldest may still overlap
-// the window.
-const buckets = 10
+// buckets is the number of equal parts of a window. One bucket more is kept, because only
+// whole buckets are dropped and the oldest may still overlap the window.
+const buckets = 40
 
-// Budget is one daemon's part of the bound for one service. It is not safe for
-// concurrent use.
-type Budget struct {
-	config   Config
-	daemons  int
-	bucket   int64 // newest bucket, numbered from the Unix epoch
-	requests [buckets + 1]int
-	retries  [buckets + 1]int
-	counts   Counts
+// budget is one daemon's part of the bound for one service.
+type budget struct {
+	shared *Budgets
+	bucket int64 // newest bucket, numbered from the start of the history
+	counts [buckets + 1]count
+	totals Totals
 }
 
-// Counts is what a Budget was asked for since its creation.
-type Counts struct {
+// count is the requests and retries of a bucket.
+type count struct{ requests, retries int }
+
+// Totals is what a daemon was asked for a service since its start.
+type Totals struct {
 	Requests uint64
 	Retries  uint64 // that were allowed
 	Refused  uint64
 }
 
-// Status is the state of a Budget at one time.
+// Status is the state of a service's budget at one time.
 type Status struct {
-	Counts
-	Left    float64 // retries that may be sent now, see Budget.Left
-	Daemons int     // that share the slack, 0 if unknown
+	Totals
+	// Left is how many retries may be sent now. It is negative when the requests that
+	// allowed earlier retries have left the window.
+	Left    float64
+	Daemons int // that share the slack, 0 if unknown
+	// Complete says that all that was sent in the window is known.
+	Complete bool
 }
 
-// New returns a budget for a single daemon; Daemons changes their number.
-func New(config Config) *Budget { return &Budget{config: config, daemons: 1} }
-
-// Daemons sets how many daemons share the slack; 0 means that their number is unknown, and
-// leaves this daemon none.
-func (b *Budget) Daemons(n int) { b.daemons = n }
-
-// Request counts a caller's request.
-func (b *Budget) Request(now time.Time) {
-	b.counts.Requests++
-	b.requests[b.advance(now)]++
+// request counts a caller's request.
+func (b *budget) request(now time.Time) {
+	b.totals.Requests++
+	b.counts[b.advance(now)].requests++
 }
 
-// Take counts one retry and returns true if the budget allows it.
-func (b *Budget) Take(now time.Time) bool {
-	if b.Left(now) < 1 {
-		b.counts.Refused++
+// take counts one retry and returns true if the budget allows it.
+func (b *budget) take(now time.Time) bool {
+	if b.left(now) < 1 {
+		b.totals.Refused++
 		return false
 	}
-	b.counts.Retries++
-	b.retries[b.advance(now)]++
+	b.totals.Retries++
+	b.counts[b.advance(now)].retries++
 	return true
 }
 
-// Status returns the state at a time.
-func (b *Budget) Status(now time.Time) Status {
-	return Status{Counts: b.counts, Left: b.Left(now), Daemons: b.daemons}
-}
-
-// Left returns how many retries this daemon may send now. It is negative when
-// the requests that allowed earlier retries have left the window.
-func (b *Budget) Left(now time.Time) float64 {
+// left returns how many retries may be sent now, see Status.Left.
+func (b *budget) left(now time.Time) float64 {
 	current := b.advance(now)
 	requests, retries := 0, 0
-	for i := range b.requests {
-		retries += b.retries[i]
-		if i != (current+1)%len(b.requests) { // the oldest may lie outside the window
-			requests += b.requests[i]
+	for i, c := range b.counts {
+		retries += c.retries
+		if i != (current+1)%len(b.counts) { // the oldest may lie outside the window
+			requests += c.requests
 		}
 	}
+	return b.allowed(now, requests) - float64(retries)
+}
+
+// allowed returns how many retries are allowed in the window that ends now, with this
+// number of requests.
+func (b *budget) allowed(now time.Time, requests int) float64 {
+	c, h := &b.shared.config, &b.shared.history
 	slack := 0.0
-	if b.daemons > 0 {
-		slack = b.config.Slack / float64(b.daemons)
+	if b.shared.daemons > 0 {
+		slack = c.Slack / float64(b.shared.daemons)
+	}
+	if h.complete(now, c.Window) {
+		return completeShare * (c.Ratio*float64(requests) + slack)
+	}
+	elapsed := min(now.Sub(h.start).Seconds()/c.Window.Seconds(), 1)
+	return incompleteShare * (c.Ratio*float64(requests) + slack*elapsed)
+}
+
+// status returns the state at a time.
+func (b *budget) status(now time.Time) Status {
+	return Status{
+		Totals: b.totals, Left: b.left(now), Daemons: b.shared.daemons,
+		Complete: b.shared.history.complete(now, b.shared.config.Window),
 	}
-	return margin*(b.config.Ratio*float64(requests)+slack) - float64(retries)
 }
 
 // advance moves on to the bucket of now, clears those in between and returns
 // its index.
-func (b *Budget) advance(now time.Time) int {
-	width := int64(b.config.Window) / buckets
-	bucket := now.UnixNano() / width
-	if bucket-b.bucket > int64(len(b.requests)) {
-		b.bucket = bucket - int64(len(b.requests))
+func (b *budget) advance(now time.Time) int {
+	width := b.shared.config.Window / buckets
+	bucket := int64(now.Sub(b.shared.history.start) / width)
+	if bucket-b.bucket > int64(len(b.counts)) {
+		b.bucket = bucket - int64(len(b.counts))
 	}
 	for ; b.bucket < bucket; b.bucket++ {
-		i := int((b.bucket + 1) % int64(len(b.requests)))
-		b.requests[i], b.retries[i] = 0, 0
+		b.counts[(b.bucket+1)%int64(len(b.counts))] = count{}
 	}
-	return int(b.bucket % int64(len(b.requests)))
+	return int(b.bucket % int64(len(b.counts)))
 }
--- /dev/null
+++ b/internal/retry/budgets.go
@@ -0,0 +1,57 @@
+package retry
+
+import "time"
+
+// Budgets holds one daemon's parts of the bounds for all services. It is not safe for
+// concurrent use.
+type Budgets struct {
+	config    Config
+	history   history
+	daemons   int
+	byService map[string]*budget
+}
+
+// NewBudgets returns the budgets of a process that started at a time. first means that
+// nothing was sent before, because the whole system starts for the first time.
+func NewBudgets(config Config, started time.Time, first bool) *Budgets {
+	return &Budgets{config: config, history: history{start: started, known: first}, byService: map[string]*budget{}}
+}
+
+// SetDaemons sets how many daemons share the slack. 0 means that their number is unknown,
+// and leaves this daemon none.
+func (b *Budgets) SetDaemons(n int) { b.daemons = n }
+
+// Request counts a caller's request for a service.
+func (b *Budgets) Request(now time.Time, service string) { b.of(service).request(now) }
+
+// Take counts one retry and returns true if the service's budget allows it.
+func (b *Budgets) Take(now time.Time, service string) bool { return b.of(service).take(now) }
+
+// Status returns the state of the budgets, by service.
+func (b *Budgets) Status(now time.Time) map[string]Status {
+	out := make(map[string]Status, len(b.byService))
+	for service, budget := range b.byService {
+		out[service] = budget.status(now)
+	}
+	return out
+}
+
+func (b *Budgets) of(service string) *budget {
+	found := b.byService[service]
+	if found == nil {
+		found = &budget{shared: b}
+		b.byService[service] = found
+	}
+	return found
+}
+
+// history says since when a process counts, and whether it knows what was sent before.
+type history struct {
+	start time.Time
+	known bool
+}
+
+// complete reports whether all that was sent in the window is known.
+func (h *history) complete(now time.Time, window time.Duration) bool {
+	return h.known || now.Sub(h.start) >= window+settleTime
+}
--- a/internal/retry/sharers.go
+++ b/internal/retry/sharers.go
@@ -18,35 +18,41 @@
 // membership protocol keeps daemons that are gone.
 const peakLifetime = 4 * time.Hour
 
-// settleTime is how long it takes at most until daemons know of one that starts or leaves.
+// settleTime is how long it takes at most until daemons know of one that starts or leaves,
+// and divide the slack anew.
 const settleTime = 3 * time.Second
 
 // Sharers counts the daemons that the slack is divided by: all that may send retries now or
 // have sent some within the window, as far as this daemon knows. A daemon that is gone may be
 // serving behind a cut. It is not safe for concurrent use.
 type Sharers struct {
-	window time.Duration
-	leftAt map[fleet.InstanceID]time.Time // when a daemon was first seen to have left
-	prior  Peak                           // from before this process started
-	known  bool                           // prior is known, or there is none
-	count  int
-	peak   Peak
+	window   time.Duration
+	started  time.Time
+	leftAt   map[fleet.InstanceID]time.Time // when a daemon was first seen to have left
+	prior    Peak                           // from before this process started
+	restored bool                           // prior was read, or there is none
+	now      time.Time
+	count    int
+	peak     Peak
 }
 
-// NewSharers returns a Sharers for budgets with a window. first means that the whole system
-// starts for the first time, so that there are no daemons but those that will be found.
-func NewSharers(window time.Duration, first bool) *Sharers {
-	return &Sharers{window: window, known: first}
+// NewSharers returns a Sharers for budgets with a window, of a process that started at a time.
+// first means that the whole system starts for the first time.
+func NewSharers(window time.Duration, started time.Time, first bool) *Sharers {
+	return &Sharers{window: window, started: started, restored: first}
 }
 
 // Restore takes the peak that was stored before this process started, the zero Peak if there
 // is none. A new process isn't told of daemons that are gone or behind a cut otherwise.
-func (s *Sharers) Restore(p Peak) { s.prior, s.known = p, true }
+func (s *Sharers) Restore(p Peak) { s.prior, s.restored = p, true }
+
+// Restored reports whether Restore was called, or isn't needed.
+func (s *Sharers) Restored() bool { return s.restored }
 
 // Update counts the daemons of a view, at a time by this process's clock and by the fleet's.
 func (s *Sharers) Update(now, fleetNow time.Time, members []membership.Member) {
 	left := map[fleet.InstanceID]time.Time{}
-	s.count = 0
+	s.count, s.now = 0, now
 	for i := range members {
 		m := &members[i]
 		if m.State != membership.Left {
@@ -74,7 +80,8 @@
 
 // Daemons returns the number by which the slack is divided, 0 while it is unknown.
 func (s *Sharers) Daemons() int {
-	if !s.known {
+	finding := s.now.Sub(s.started) < settleTime // the others, one by one
+	if !s.restored || finding && s.prior.Daemons == 0 {
 		return 0
 	}
 	return max(s.count, s.prior.Daemons)
