retry: requests that waited through a hold-up allow no retries

Cause: a daemon that wakes reads all requests that arrived meanwhile at once. They were sent in an earlier window, and count in one in which they allow retries again. The hold-up is known, and was used for endpoints' silence only.

Change: requests read within 0.2 s after a hold-up aren't counted for the budget.

--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -57,7 +57,7 @@
 			return a, notRun(OverLimit, jitter(wait, s.rng.Float64()))
 		}
 	}
-	s.retries.Request(now, a.service)
+	s.retries.Request(now, s.holdUps.HeldUpUntil(now), a.service)
 	return a, nil
 }
 
--- a/internal/retry/budget_test.go
+++ b/internal/retry/budget_test.go
@@ -32,7 +32,7 @@
 		sent, retried := 0, 0
 		for range perSecond / 10 {
 			for _, b := range fleet {
-				b.Request(now, service)
+				b.Request(now, time.Time{}, service)
 				sent++
 				if b.Take(now, service) {
 					retried++
@@ -69,7 +69,7 @@
 	b := newBudgets(0, true)
 	assert.Equal(t, takeAll(b, start), 0)
 	for range 100 {
-		b.Request(start, service)
+		b.Request(start, time.Time{}, service)
 	}
 	assert.Equal(t, takeAll(b, start), 17)
 }
@@ -80,7 +80,7 @@
 	assert.Equal(t, takeAll(b, start), 0)
 	now := start.Add(5 * time.Second)
 	for range 500 {
-		b.Request(now, service)
+		b.Request(now, time.Time{}, service)
 	}
 	assert.Equal(t, takeAll(b, now), 10) // floor(0.08 * (0.2 * 500 + 52 / 2))
 	assert.Assert(t, !b.Status(now)[service].Complete)
@@ -97,7 +97,7 @@
 		request := func(seconds, perSecond int) {
 			for range seconds {
 				for range perSecond {
-					b.Request(now, service)
+					b.Request(now, time.Time{}, service)
 				}
 				now = now.Add(time.Second)
 			}
@@ -124,20 +124,34 @@
 	now := start.Add(time.Minute)
 	for range 10 {
 		for range 100 {
-			b.Request(now, service)
+			b.Request(now, time.Time{}, service)
 		}
 		now = now.Add(time.Second)
 	}
 	assert.Equal(t, takeAll(b, now), 139) // floor(0.86 * 0.2 * 800 + 0.08 * 0.2 * 100)
 }
 
+// Guards against requests that waited during a freeze and allow retries in a later window.
+func TestRequestsReadAfterAHoldUpAllowNoRetries(t *testing.T) {
+	b := newBudgets(0, true)
+	now := start.Add(time.Minute)
+	for range 1000 {
+		b.Request(now, now, service)
+	}
+	assert.Equal(t, takeAll(b, now), 0)
+	for range 1000 {
+		b.Request(now, now.Add(-backlogTime), service)
+	}
+	assert.Assert(t, takeAll(b, now) > 0)
+}
+
 // BenchmarkTake measures a retry's decision while daemons depart all the time.
 func BenchmarkTake(b *testing.B) {
 	budgets := newBudgets(6, true)
 	now := start.Add(time.Minute)
 	for range 300 {
 		now = now.Add(100 * time.Millisecond)
-		budgets.Request(now, service)
+		budgets.Request(now, time.Time{}, service)
 		budgets.Departed(now)
 	}
 	for b.Loop() {
--- a/internal/retry/budgets.go
+++ b/internal/retry/budgets.go
@@ -26,6 +26,9 @@
 // whole ones that some can.
 func (b *Budgets) SetDaemons(n int, offset float64) { b.daemons, b.offset = n, offset }
 
+// backlogTime is how long it takes to read the requests that arrived during a hold-up.
+const backlogTime = 200 * time.Millisecond
+
 // Departed records that a daemon no longer serves. Its callers move to others, whose budgets
 // would grow with their requests, while what it sent for them is still in the window.
 func (b *Budgets) Departed(now time.Time) {
@@ -43,8 +46,14 @@
 	return int64(now.Sub(b.history.start) / (b.config.Window / buckets))
 }
 
-// Request counts a caller's request for a service.
-func (b *Budgets) Request(now time.Time, service string) { b.of(service).request(now) }
+// Request counts a caller's request for a service. heldUpUntil is the end of the last time in
+// which this process was held up, zero if there was none. A request that may have waited
+// meanwhile isn't counted: it was sent in an earlier window.
+func (b *Budgets) Request(now, heldUpUntil time.Time, service string) {
+	if now.Sub(heldUpUntil) >= backlogTime {
+		b.of(service).request(now)
+	}
+}
 
 // Take counts one retry and returns true if the service's budget allows it.
 func (b *Budgets) Take(now time.Time, service string) bool { return b.of(service).take(now) }
--- a/internal/retry/fleet_test.go
+++ b/internal/retry/fleet_test.go
@@ -264,7 +264,7 @@
 
 // serve lets a daemon serve a request and returns how often it sent it again.
 func (p *fleetPlay) serve(r *process) (retries int) {
-	r.budgets.Request(p.now, service)
+	r.budgets.Request(p.now, r.wakeAt, service)
 	for range 2 {
 		if p.now.Before(p.refusedAt) || p.random.Float64() >= refusedShare {
 			return retries
@@ -352,6 +352,15 @@
 			p.cut(func(int) int { return 0 })
 		}
 	}},
+	{"half frozen twice", func(p *fleetPlay, step int) {
+		if step == 0 || step == 50 {
+			p.each(func(i int, s *slot) {
+				if i%2 == 0 {
+					p.freeze(s, 3*time.Second)
+				}
+			})
+		}
+	}},
 	{"callers leave", func(p *fleetPlay, step int) {
 		if step == 0 {
 			p.perSecond *= 0.3
