--- a/internal/backpressure/fleet.go
+++ b/internal/backpressure/fleet.go
@@ -7,16 +7,16 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
-// Fleet is the serving daemons, among which the limits are shared.
+// Fleet is the running daemons, among which the limits are shared.
 type Fleet struct {
 	self   uint64 // hash of the own ID
 	others []uint64
 }
 
 // NewFleet returns a fleet of which self is one daemon.
-func NewFleet(self fleet.DaemonID, serving []fleet.DaemonID) *Fleet {
+func NewFleet(self fleet.DaemonID, running []fleet.DaemonID) *Fleet {
 	f := &Fleet{self: rendezvous.Key(string(self))}
-	for _, id := range serving {
+	for _, id := range running {
 		if id != self {
 			f.others = append(f.others, rendezvous.Key(string(id)))
 		}
@@ -24,7 +24,7 @@
 	return f
 }
 
-// Size returns the number of serving daemons.
+// Size returns the number of running daemons.
 func (f *Fleet) Size() int { return len(f.others) + 1 }
 
 // ShareOf returns this daemon's share of a limit in force. Daemons with the same view of
--- a/internal/balance/ratelimits.go
+++ b/internal/balance/ratelimits.go
@@ -9,10 +9,10 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 )
 
-// SetFleet sets the serving daemons, with which the endpoints' rate limits are shared. Until
+// SetFleet sets the running daemons, with which the endpoints' rate limits are shared. Until
 // then this daemon sends nothing to an endpoint with a limit.
-func (b *Balancer) SetFleet(now time.Time, self fleet.DaemonID, serving []fleet.DaemonID) {
-	b.fleet = backpressure.NewFleet(self, serving)
+func (b *Balancer) SetFleet(now time.Time, self fleet.DaemonID, running []fleet.DaemonID) {
+	b.fleet = backpressure.NewFleet(self, running)
 	b.applyRateLimits(now)
 }
 
--- a/internal/node/layout.go
+++ b/internal/node/layout.go
@@ -15,6 +15,9 @@
 // the same layout. It is immutable.
 type layout struct {
 	serving []membership.Member
+	// running are the serving daemons and those that go on sending though they leave or are
+	// suspected, by which shares of what endpoints take are divided.
+	running []fleet.DaemonID
 	// watchers watch the store for all others.
 	watchers []membership.Member
 	// own are the hubs that this daemon reports to; a hub reports to itself alone where the
--- a/internal/node/layout_test.go
+++ b/internal/node/layout_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -86,3 +87,17 @@
 		})
 	}
 }
+
+// Guards against leaving daemons that each take all that an endpoint grants the fleet.
+func TestLeavingDaemonsGoOnSharingWhatEndpointsTake(t *testing.T) {
+	f := newFleet(t, 3)
+	f.awaitReady()
+	for i, n := range f.nodes {
+		n.grace.Store(int64(20 * time.Second))
+		f.cancel[i]()
+	}
+	f.until("no daemon counts as serving", func(n *Node) bool { return len(n.members.serving()) == 0 })
+	for _, n := range f.nodes {
+		assert.Equal(t, len(n.members.layout().running), 3)
+	}
+}
--- a/internal/node/members.go
+++ b/internal/node/members.go
@@ -129,7 +129,7 @@
 
 // run updates what depends on the number of daemons.
 func (m *members) run(ctx context.Context) {
-	seen := 0
+	seen, sharing := 0, 0
 	var shared *layout
 	pause.Every(ctx, countInterval, func() {
 		m.countSharers()
@@ -138,9 +138,12 @@
 			seen = n
 			m.count.Store(int64(n))
 			m.node.peers.setInterval(m.node.reportAge())
-			m.node.shareConnections()
 			m.node.logFor("membership").WithField("daemons", n).Info("fleet changed")
 		}
+		if running := len(m.layout().running); running != sharing {
+			sharing = running
+			m.node.shareConnections()
+		}
 		// A daemon that has just started finds the others one by one.
 		if !m.node.gathering() {
 			m.node.state.SetDaemons(time.Now(), n)
@@ -191,7 +194,7 @@
 		m.node.state.RefreshRateLimits(time.Now())
 		return l
 	}
-	m.node.state.SetFleet(time.Now(), m.node.id, idsOf(l.serving))
+	m.node.state.SetFleet(time.Now(), m.node.id, l.running)
 	return l
 }
 
@@ -205,6 +208,7 @@
 		return last.layout
 	}
 	l := newLayout(&m.self, aliveOf(view), large)
+	l.running = idsOf(view.Alive())
 	m.cache.Store(&cachedLayout{view, large, l})
 	return l
 }
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -85,7 +85,7 @@
 		}
 	}
 	if least > 0 {
-		n.pool.SetShare(max(int(connectionShare*float64(least))/max(len(n.members.serving()), 1), minShare))
+		n.pool.SetShare(max(int(connectionShare*float64(least))/max(len(n.members.layout().running), 1), minShare))
 	}
 }
 
--- a/internal/relay/ratelimits.go
+++ b/internal/relay/ratelimits.go
@@ -32,11 +32,11 @@
 	return s.balancer.Leaving()
 }
 
-// SetFleet sets the serving daemons, with which the endpoints' rate limits are shared.
-func (s *State) SetFleet(now time.Time, self fleet.DaemonID, serving []fleet.DaemonID) {
+// SetFleet sets the running daemons, with which the endpoints' rate limits are shared.
+func (s *State) SetFleet(now time.Time, self fleet.DaemonID, running []fleet.DaemonID) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.balancer.SetFleet(now, self, serving)
+	s.balancer.SetFleet(now, self, running)
 }
 
 // RefreshRateLimits updates this daemon's shares of rate limits that weren't stated for a
