--- a/internal/retry/sharers_test.go
+++ b/internal/retry/sharers_test.go
@@ -114,3 +114,15 @@
 	}
 	assert.Equal(t, retries, 45) // 0.86 * 52
 }
+
+// BenchmarkUpdate measures the count of a large fleet's daemons, which is made four times a second.
+func BenchmarkUpdate(b *testing.B) {
+	var all []membership.Member
+	for i := range 986 {
+		all = append(all, membership.Member{Instance: fleet.InstanceID(fmt.Sprintf("%03d", i)), Daemon: "d"})
+	}
+	s := NewSharers("500", config.Window, start, true)
+	for b.Loop() {
+		s.Update(start, start, all)
+	}
+}
