--- a/internal/retry/sharers.go
+++ b/internal/retry/sharers.go
@@ -46,7 +46,7 @@
 }
 
 // Restore takes the peak that was stored before this process started, the zero Peak if there
-// is none. A new process isn't told of daemons that are gone or behind a cut otherwise.
+// is none. The membership protocol doesn't send daemons that are gone to a new process.
 func (s *Sharers) Restore(p Peak) { s.prior, s.restored = p, true }
 
 // Restored reports whether Restore was called, or isn't needed.
