Review: orders lost at a daemon that is stopped

Cause: a leaving daemon refuses only requests whose route's timeout is over 2.5 s. Shorter ones are accepted until it closes all channels.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -21,6 +21,7 @@
 
 var cases = map[string]func(*stage, bool) (broken bool, err error){
 	"joined": playJoined,
+	"rolled": playRolled,
 }
 
 func main() {
