Review: streams that go on at another version

Cause: an endpoint that crashes and starts again at once, under its id and at another version, is trusted to be the listed run until its next entry. Streams that are taken up meanwhile go on there.

--- a/review/stage/main.go
+++ b/review/stage/main.go
@@ -2,17 +2,16 @@
 // play a case against real daemons and check the rule that it names.
 //
 //	stage CASE FOLDER     play a case, and write FOLDER/record.txt
-//	stage server ...      one server's process
+//	stage server CONFIG   one server's process
 package main
 
 import (
+	"encoding/json"
 	"fmt"
 	"os"
-	"strconv"
-	"time"
 )
 
-// errCannotRun is the exit status of a case that couldn't be played.
+// The exit statuses of a case.
 const (
 	exitHeld      = 0
 	exitBroken    = 1
@@ -20,13 +19,18 @@
 )
 
 var cases = map[string]func(*stage, bool) (broken bool, err error){
-	"joined": playJoined,
-	"rolled": playRolled,
+	"joined":   playJoined,
+	"rolled":   playRolled,
+	"taken-up": playTakenUp,
 }
 
 func main() {
-	if len(os.Args) == 6 && os.Args[1] == "server" {
-		err := runServer(serverConfig{id: os.Args[2], work: duration(os.Args[3]), bytes: number(os.Args[4]), over: duration(os.Args[5])})
+	if len(os.Args) == 3 && os.Args[1] == "server" {
+		var fields configFields
+		err := json.Unmarshal([]byte(os.Args[2]), &fields)
+		if err == nil {
+			err = runServer(fields.config())
+		}
 		fmt.Fprintln(os.Stderr, err)
 		os.Exit(exitCannotRun)
 	}
@@ -63,19 +67,3 @@
 		return exitHeld
 	}
 }
-
-func duration(text string) time.Duration {
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		panic(err)
-	}
-	return d
-}
-
-func number(text string) int {
-	n, err := strconv.Atoi(text)
-	if err != nil {
-		panic(err)
-	}
-	return n
-}
--- a/review/stage/server.go
+++ b/review/stage/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"fmt"
 	"hash/fnv"
 	"io"
@@ -22,12 +23,17 @@
 	work  time.Duration // before the answer
 	bytes int           // of the body
 	over  time.Duration // in which the body is written
+	// A server of streams writes a number of events, one each interval, and its version in each.
+	version  string
+	events   int
+	interval time.Duration
+	listen   string // its address, empty for any free one
 }
 
 // runServer serves requests until the process ends. The first line that it writes to its
 // standard output is its address; each further line is a request that it began to run.
 func runServer(c serverConfig) error {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	l, err := net.Listen("tcp", c.listen)
 	if err != nil {
 		return err
 	}
@@ -63,6 +69,10 @@
 		return
 	}
 	say("ran %s %d", id, time.Now().UnixMilli())
+	if c.events > 0 {
+		c.stream(w, r, id, say)
+		return
+	}
 	work := c.work
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil && work > time.Duration(ms*float64(time.Millisecond)) {
 		time.Sleep(time.Duration(ms * float64(time.Millisecond)))
@@ -93,6 +103,26 @@
 	say("ended %s %d", id, time.Now().UnixMilli())
 }
 
+// stream writes the events after the last one that the consumer has.
+func (c *serverConfig) stream(w http.ResponseWriter, r *http.Request, id string, say func(string, ...any)) {
+	last, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
+	w.Header().Set("X-Response-Signature", "signed-by-"+c.id)
+	w.Header().Set("Content-Type", "text/event-stream")
+	for n := last + 1; n <= c.events; n++ {
+		select {
+		case <-time.After(c.interval):
+		case <-r.Context().Done():
+			say("dropped %s %d", id, time.Now().UnixMilli())
+			return
+		}
+		if _, err := fmt.Fprintf(w, "id: %d\ndata: written by version %s\n\n", n, c.version); err != nil {
+			return
+		}
+		_ = http.NewResponseController(w).Flush()
+	}
+	say("ended %s %d", id, time.Now().UnixMilli())
+}
+
 // bodyOf returns the body of the answer to a request: bytes that depend on its id, so that
 // any server of the service gives the same.
 func bodyOf(id string, n int) []byte {
@@ -106,6 +136,33 @@
 	return out[:n]
 }
 
+// configFields is a serverConfig as it is passed to a server's process.
+type configFields struct {
+	ID                   string
+	Work, Over, Interval time.Duration
+	Bytes, Events        int
+	Version, Listen      string
+}
+
+func (c *serverConfig) fields() configFields {
+	return configFields{c.id, c.work, c.over, c.interval, c.bytes, c.events, c.version, c.listen}
+}
+
+func (f configFields) config() serverConfig {
+	c := serverConfig{id: f.ID, work: f.Work, bytes: f.Bytes, over: f.Over, version: f.Version, events: f.Events, interval: f.Interval, listen: f.Listen}
+	if c.listen == "" {
+		c.listen = "127.0.0.1:0"
+	}
+	return c
+}
+
+func (c *serverConfig) softwareVersion() string {
+	if c.version == "" {
+		return "v1"
+	}
+	return c.version
+}
+
 // server is a server process as the stage sees it.
 type server struct {
 	config  serverConfig
@@ -115,6 +172,7 @@
 	process *process
 	address string
 	born    int64
+	late    time.Duration // from its start to its first entry, at most a heartbeat
 }
 
 // startServer starts a server's process and registers it once it listens.
@@ -125,13 +183,20 @@
 	if err != nil {
 		return err
 	}
-	v.process, err = s.start(v.log, self, "server", v.config.id, v.config.work.String(), strconv.Itoa(v.config.bytes), v.config.over.String())
+	config, err := json.Marshal(v.config.fields())
+	if err != nil {
+		return err
+	}
+	v.process, err = s.start(v.log, self, "server", string(config))
 	if err != nil {
 		return err
 	}
 	for end := time.Now().Add(5 * time.Second); time.Now().Before(end); time.Sleep(10 * time.Millisecond) {
 		if first, _, ok := strings.Cut(readText(v.log), "\n"); ok {
 			v.address = first
+			if v.late > 0 {
+				time.Sleep(v.late)
+			}
 			s.register(v, "ready")
 			return nil
 		}
@@ -142,7 +207,7 @@
 // register writes a server's entry, as its heartbeat does.
 func (s *stage) register(v *server, state string) {
 	s.store.put("servers", v.config.id, map[string]any{
-		"service": v.service, "address": v.address, "zone": v.zone, "version": "v1", "slots": 64, "state": state,
+		"service": v.service, "address": v.address, "zone": v.zone, "version": v.config.softwareVersion(), "slots": 64, "state": state,
 		"cold_remaining_ms": 0, "sequence": 1, "born": v.born,
 	})
 }
