Review: survivors of a kill that die of their memory

Cause: bodies of requests in progress are held whole in memory, and nothing bounds their sum. When half of the daemons are killed, the others take twice the requests, exceed memory_mb and are killed too.

--- a/review/.stage/main.go
+++ b/review/.stage/main.go
@@ -22,6 +22,7 @@
 	"joined":   playJoined,
 	"rolled":   playRolled,
 	"taken-up": playTakenUp,
+	"uploads":  playUploads,
 }
 
 func main() {
