relay, node: logs say which requests a stop cuts off, and on what a refusal rests

The logs couldn't tell the hypotheses apart: a request that the close cuts off was logged as caller-left, if at all, since the lines of the last moment were lost.

Changed: reason cut-off, stopping_ms (since the SIGTERM when the request was received), evidence (what a verdict rests on), a warning with the number of requests in progress when the grace ends, the queued lines written at the end, and cyclamenbeam_unproven_refusals_total for an endpoint's status that says 'not run' without the endpoint stating so. No decision changes.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -32,6 +32,10 @@
 	n.drain(started, end)
 	ctx, cancel := context.WithDeadline(context.Background(), end)
 	defer cancel()
+	if active := n.relay.Active(); active > 0 {
+		n.logFor("daemon").WithField("active", active).Warn("the grace ends with requests in progress")
+		n.relay.Closing()
+	}
 	endListeners(ctx)
 	n.finalReport()
 	if err := n.members.gossip.Close(); err != nil {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -41,7 +41,7 @@
 
 // add takes an outcome; it never blocks.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && !o.Failed && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && o.Evidence != relay.StatusAlone && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -61,6 +61,7 @@
 	for {
 		select {
 		case <-ctx.Done():
+			r.writeRest(failureLines - written)
 			return
 		case <-second.C:
 			if dropped > 0 {
@@ -81,6 +82,18 @@
 	}
 }
 
+// writeRest writes the queued outcomes, up to a number of lines.
+func (r *requestLog) writeRest(lines int) {
+	for ; lines > 0; lines-- {
+		select {
+		case o := <-r.ring.C():
+			r.write(o)
+		default:
+			return
+		}
+	}
+}
+
 func (r *requestLog) write(o *relay.Outcome) {
 	f := logrus.Fields{
 		"part": "requests", "id": o.ID, "route": o.Route, "workspace": o.Workspace, "endpoint": o.Endpoint,
@@ -104,6 +117,12 @@
 	if o.Via != "" {
 		f["via"] = o.Via
 	}
+	if o.Evidence != "" && (o.Reason != "" || o.Evidence == relay.StatusAlone) {
+		f["evidence"] = o.Evidence
+	}
+	if o.StoppingFor > 0 {
+		f["stopping_ms"] = o.StoppingFor.Milliseconds()
+	}
 	if o.Forwarded {
 		f["forwarded"] = true
 	}
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -14,6 +14,9 @@
 	switch {
 	case errors.Is(ctx.Err(), context.Canceled):
 		f.outcome.Reason = CallerLeft
+		if f.relay.closing.Load() {
+			f.outcome.Reason = CutOff
+		}
 		if f.headSent {
 			f.sink.Abort()
 		}
--- /dev/null
+++ b/internal/relay/evidence.go
@@ -0,0 +1,51 @@
+package relay
+
+import (
+	"net/http"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// Evidence is what the verdict on an attempt rests on.
+type Evidence string
+
+// The values of Evidence. Without an attempt it is empty.
+const (
+	NeverSent       Evidence = "never-sent"       // there was no connection, or the request was held
+	NoAnswer        Evidence = "no-answer"        // the request was sent, and no answer was read
+	EndpointStates  Evidence = "endpoint"         // the endpoint's answer names the request
+	EndpointUnnamed Evidence = "endpoint-unnamed" // it names none
+	DaemonStates    Evidence = "daemon"           // the refusal of another daemon names the request
+	DaemonUnnamed   Evidence = "daemon-unnamed"   // it names none
+	// StatusAlone means that an endpoint's status says that the request was not run, though the
+	// endpoint doesn't state so.
+	StatusAlone Evidence = "status-alone"
+)
+
+// evidenceOf returns the evidence of an attempt without an answer.
+func evidenceOf(v verdict.Verdict) Evidence {
+	if v == verdict.NotRun {
+		return NeverSent
+	}
+	return NoAnswer
+}
+
+// saysNotRun reports whether a status tells a caller that its request was not run.
+func saysNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
+// endpointEvidence returns the evidence of an endpoint's answer.
+func endpointEvidence(class Class, status int, unnamed bool) Evidence {
+	switch {
+	case class != Refused && class != Misdirected && saysNotRun(status):
+		return StatusAlone
+	case unnamed:
+		return EndpointUnnamed
+	}
+	return EndpointStates
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -177,9 +177,14 @@
 	a, err := f.relay.forwarder.Pool().Send(ctx, f.forwardCall(address))
 	if err != nil {
 		v := verdict.Of(err)
+		f.outcome.Evidence = evidenceOf(v)
 		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
 	}
 	defer a.Close()
+	f.outcome.Evidence = DaemonStates
+	if a.Unnamed {
+		f.outcome.Evidence = DaemonUnnamed
+	}
 	version, stated := f.relay.forwarder.Version(a.Header)
 	endpoint := f.relay.forwarder.Endpoint(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
@@ -191,7 +196,9 @@
 	if endpoint != nil {
 		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
 	}
-	return f.readAnswer(ctx, t, a, f.relay.protocol.Classify(a.Status, a.Header))
+	class := f.relay.protocol.Classify(a.Status, a.Header)
+	f.outcome.Evidence = endpointEvidence(class, a.Status, a.Unnamed)
+	return f.readAnswer(ctx, t, a, class)
 }
 
 // noteForwarded records what an answer through another daemon states about its endpoint. A rest
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -241,10 +241,12 @@
 	a, err := f.relay.pool.Send(ctx, call)
 	if err != nil {
 		v := verdict.Of(err)
+		f.outcome.Evidence = evidenceOf(v)
 		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
 	}
 	defer a.Close()
 	class := f.relay.protocol.Classify(a.Status, a.Header)
+	f.outcome.Evidence = endpointEvidence(class, a.Status, a.Unnamed)
 	if class != Misdirected {
 		f.noteStated(t, f.relay.protocol.Stated(a.Status, a.Header))
 	}
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -49,7 +49,12 @@
 	// itself.
 	Failed  bool
 	Verdict verdict.Verdict
-	Cause   error // the last attempt's error
+	// Evidence is what the last attempt's verdict rests on.
+	Evidence Evidence
+	// StoppingFor is how long the daemon had been stopping when the request was received, 0 if
+	// it was not.
+	StoppingFor time.Duration
+	Cause       error // the last attempt's error
 	// RequestKey identifies a request that is repeated under another ID; it is zero
 	// if it wasn't computed.
 	RequestKey quarantine.Key
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -19,6 +19,7 @@
 	// forwarder sends requests through other daemons, nil if there are none.
 	forwarder Forwarder
 	stopping  atomic.Pointer[time.Time] // when the daemon began to stop, nil before
+	closing   atomic.Bool               // the connections of requests in progress are being closed
 	active    atomic.Int64
 }
 
@@ -35,6 +36,9 @@
 // while after that, see acceptAfterStop.
 func (r *Relay) Stop(now time.Time) { r.stopping.CompareAndSwap(nil, &now) }
 
+// Closing marks the requests in progress as cut off, before their connections are closed.
+func (r *Relay) Closing() { r.closing.Store(true) }
+
 // acceptAfterStop is how long after Stop requests with a longer timeout are still
 // accepted: the platform kills a process 8 s after its notice, and a stream takes 2
 // to 3 s.
@@ -60,6 +64,7 @@
 		sink.Refuse(*refusal)
 		o := initialOutcome(q, a)
 		o.Forwarded = forwarded
+		o.StoppingFor = r.stoppingFor(q)
 		o.Reason, o.Total, o.RetryAfter = refusal.Reason, time.Since(q.Received), refusal.RetryAfter
 		r.observer.Ended(&o)
 		return
@@ -67,6 +72,7 @@
 	ctx, cancel := context.WithDeadline(ctx, a.deadline)
 	defer cancel()
 	f := newInflight(r, q, a, sink, forwarded)
+	f.outcome.StoppingFor = r.stoppingFor(q)
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
 	f.outcome.TimeLeft = time.Until(a.deadline)
@@ -74,6 +80,15 @@
 	r.observer.Ended(&f.outcome)
 }
 
+// stoppingFor returns how long the daemon had been stopping when a request was received.
+func (r *Relay) stoppingFor(q *Request) time.Duration {
+	since := r.stopping.Load()
+	if since == nil {
+		return 0
+	}
+	return max(q.Received.Sub(*since), 0)
+}
+
 // tooLate reports whether the daemon is stopping and may end before the request
 // does.
 func (r *Relay) tooLate(a *admitted) bool {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -32,6 +32,8 @@
 	Status int
 	Header http.Header
 	Body   io.Reader
+	// Unnamed says that the answer names no request, and came on a new connection.
+	Unnamed bool
 
 	pool      *Pool
 	conn      *conn
@@ -126,6 +128,7 @@
 		switch owner := call.Owns(resp.Header); {
 		case owner == ThisRequest, owner == NoRequest && !a.conn.reused:
 			a.setHead(resp)
+			a.Unnamed = owner == NoRequest
 			return nil
 		case owner == NoRequest:
 			return Error.New("answer on a reused connection names no request")
