relay, node: a stopping daemon passes on only what it can answer before its end

Cause: what a stopping daemon refuses followed a constant (routes with a timeout over 2.5 s, 2.5 s after the SIGTERM), not what is left of its grace; orders were passed on until the last moment, and the end closed the connections of whatever was in progress. Evidence: every lost request is one that the log calls cut-off at the end of a grace, received within its timeout before it.

Changed: - A request is sent to an endpoint, the first time or again, only if its deadline is before the end.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -368,7 +368,7 @@
 	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
 	gone, leaving, b := newHopDaemon(t, e.address()), newHopDaemon(t, e.address()), newHopDaemon(t, e.address())
 	assert.NilError(t, gone.server.Close(t.Context()))
-	leaving.relay.Stop(time.Now().Add(-time.Hour))
+	leaving.relay.Stop(time.Now().Add(-time.Hour), time.Now())
 	a := newHopDaemon(t, "", gone.address, leaving.address, b.address)
 	out := a.send(t.Context(), "/order/1", "")
 	assert.Equal(t, out.status, 200)
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -7,8 +7,13 @@
 )
 
 const (
-	// leaveMargin is the part of the grace that is left for closing the listeners.
-	leaveMargin = 300 * time.Millisecond
+	// leaveMargin is the part of the grace that is left for the answers to the requests that are
+	// ended, and for closing the listeners; of a short grace it is at most leaveMarginShare.
+	leaveMargin      = 300 * time.Millisecond
+	leaveMarginShare = 0.2
+	// answerShare and closeShare are the parts of it in which the answers are sent and the
+	// listeners closed; the rest is for the last report.
+	answerShare, closeShare = 0.4, 0.4
 	// minDrain is how long a leaving daemon goes on serving though no request is
 	// running: callers keep the addresses that they received for up to three times
 	// answerAge, and new requests on open connections are answered with the
@@ -20,29 +25,52 @@
 
 // leave removes this daemon from the entries, drains it, closes the listeners, and
 // then sends a last report of what it admitted. It returns when no request is running
-// or the grace has ended. The listeners stay open for minDrain at least: a request that
-// arrives on a closing one would run at an endpoint without an answer to its caller.
+// or the grace has ended. The listeners stay open for minDrain, if the grace is as long.
 func (n *Node) leave(endListeners func(context.Context)) {
 	started := time.Now()
+	grace := time.Duration(n.grace.Load())
+	margin := min(leaveMargin, part(grace, leaveMarginShare))
+	end := started.Add(grace - margin)
 	n.stopping.Store(true)
-	n.relay.Stop(started)
+	n.relay.Stop(started, end)
 	n.logFor("daemon").WithField("active", n.relay.Active()).Info("leaving")
 	n.announceLeave()
-	end := started.Add(time.Duration(n.grace.Load()) - leaveMargin)
 	n.drain(started, end)
-	ctx, cancel := context.WithDeadline(context.Background(), end)
+	n.endRequests(end, margin)
+	closing, cancel := context.WithDeadline(context.Background(), end.Add(part(margin, answerShare+closeShare)))
 	defer cancel()
-	if active := n.relay.Active(); active > 0 {
-		n.logFor("daemon").WithField("active", active).Warn("the grace ends with requests in progress")
-		n.relay.Closing()
-	}
-	endListeners(ctx)
-	n.finalReport()
+	endListeners(closing)
+	n.finalReport(end.Add(margin))
 	if err := n.members.gossip.Close(); err != nil {
 		n.logFor("membership").WithError(err).Debug("gossip not closed")
 	}
 }
 
+// endRequests ends the requests that are in progress at the end, before their connections are
+// closed: a connection that is closed in place of an answer leaves open what became of its
+// request. Requests that arrive meanwhile are refused, so that none is sent to an endpoint while
+// its connection is being closed.
+func (n *Node) endRequests(end time.Time, margin time.Duration) {
+	n.relay.Close()
+	n.awaitIdle(end)
+	active := n.relay.Active()
+	if active == 0 {
+		return
+	}
+	n.logFor("daemon").WithField("active", active).Warn("the grace ends with requests in progress")
+	n.relay.EndAll()
+	n.awaitIdle(time.Now().Add(part(margin, answerShare)))
+}
+
+func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
+
+// awaitIdle waits until no request is running, or until a time.
+func (n *Node) awaitIdle(until time.Time) {
+	for n.relay.Active() > 0 && time.Now().Before(until) {
+		time.Sleep(idlePollInterval)
+	}
+}
+
 // announceLeave announces by the membership protocol that this daemon leaves.
 func (n *Node) announceLeave() {
 	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
@@ -64,8 +92,8 @@
 
 // finalReport sends the hubs this daemon's last report, and stores the record of its retry
 // budgets.
-func (n *Node) finalReport() {
-	ctx, cancel := context.WithTimeout(context.Background(), announceTimeout)
+func (n *Node) finalReport(end time.Time) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(announceTimeout, time.Until(end)))
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { n.leaveRetryRecord(ctx) })
@@ -73,5 +101,9 @@
 	wg.Wait()
 }
 
-// drainPollInterval is how often running requests are checked for during a drain.
-const drainPollInterval = 20 * time.Millisecond
+const (
+	// drainPollInterval is how often running requests are checked for during a drain.
+	drainPollInterval = 20 * time.Millisecond
+	// idlePollInterval is the same while they are ended.
+	idlePollInterval = 2 * time.Millisecond
+)
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -12,11 +11,8 @@
 func (f *inflight) conclude(ctx context.Context, s step, refusal *Refusal, buffered *bufferedAnswer) {
 	f.outcome.Events, f.outcome.Reached, f.outcome.Unreached = f.events.count, f.tally.reached, f.tally.unreached
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case callerLeft(ctx):
 		f.outcome.Reason = CallerLeft
-		if f.relay.closing.Load() {
-			f.outcome.Reason = CutOff
-		}
 		if f.headSent {
 			f.sink.Abort()
 		}
@@ -43,6 +39,8 @@
 		refusal.Verdict = f.verdict()
 	case s == fail || f.tally.ran > 0:
 		refusal = &Refusal{Reason: f.failureReason(ctx), Verdict: verdict.MayHaveRun}
+	case stopped(ctx):
+		refusal = notRun(Stopping, 0)
 	case refusal == nil && f.tally.reached > 0:
 		refusal = f.relay.state.refuseBusy(f, Shed)
 	case refusal == nil:
@@ -64,6 +62,9 @@
 
 // failureReason returns the reason why a request that may have run has no answer.
 func (f *inflight) failureReason(ctx context.Context) Reason {
+	if stopped(ctx) {
+		return CutOff
+	}
 	if ctx.Err() != nil || time.Until(f.deadline) < minTimeLeft {
 		return TimedOut
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -138,6 +138,9 @@
 
 // choose returns the target of the next attempt, or a refusal if there is none.
 func (f *inflight) choose() (target, *Refusal) {
+	if !f.relay.accepts(f.request, &f.admitted) {
+		return target{}, notRun(Stopping, 0)
+	}
 	if refusal := f.refuseHeld(); refusal != nil {
 		return target{}, refusal
 	}
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -23,7 +23,7 @@
 	Broken          Reason = "broken"      // an endpoint's answer broke off
 	Quarantined     Reason = "quarantined" // the request crashes the endpoints that run it
 	CallerLeft      Reason = "caller-left"
-	CutOff          Reason = "cut-off" // this daemon closed the caller's connection at the end of its stop
+	CutOff          Reason = "cut-off" // in progress when this daemon ended
 	// UnknownVersion means that the version that began a stream isn't known, so that it can't
 	// go on.
 	UnknownVersion Reason = "unknown-version"
