relay: an endpoint's status is no proof that an order was not run

Requests that may be repeated get the endpoint's status, as before. 421 stays proof, since an endpoint that isn't the expected one runs nothing.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 
+	"github.com/zeebo/errs"
+
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -39,10 +41,19 @@
 	return false
 }
 
+// errUnproven replaces an endpoint's answer whose status would be a guarantee of this system that
+// the endpoint doesn't give. A caller who relied on it would send an order again that has run.
+var errUnproven = errs.New("the endpoint's status says that the request was not run, and its header doesn't")
+
+// unproven reports whether an endpoint's status alone says that a request was not run.
+func unproven(class Class, status int) bool {
+	return class != Refused && class != Misdirected && saysNotRun(status)
+}
+
 // endpointEvidence returns the evidence of an endpoint's answer.
 func endpointEvidence(class Class, status int, unnamed bool) Evidence {
 	switch {
-	case class != Refused && class != Misdirected && saysNotRun(status):
+	case unproven(class, status):
 		return StatusAlone
 	case unnamed:
 		return EndpointUnnamed
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -264,6 +264,10 @@
 		res.verdict = verdict.NotRun
 	}
 	f.outcome.Status = a.Status
+	if !f.route.Repeatable() && unproven(class, a.Status) {
+		res.class, res.verdict = Failure, verdict.MayHaveRun
+		return res, nil, errUnproven
+	}
 	if class == Success && f.route.Kind == route.Streaming {
 		err := f.forwardStream(ctx, t, a)
 		res.complete = err == nil
