forward: an answer that names no request proves 'not run' by few statuses

No run of real processes has shown such an answer to be read: by reading alone.

Changed: only the statuses of requests that the other daemon's server can't read are proof.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -71,12 +71,16 @@
 	return fmt.Sprintf("%s %d", id, nanos)
 }
 
-// Refusal implements relay.Forwarder. A status that the other daemon doesn't use comes from
-// its HTTP server, which has not passed the request on.
+// Refusal implements relay.Forwarder. An answer that names no request isn't one of the other
+// daemon's relay: its HTTP server rejects a request that it can't read before the relay gets it.
+// Any other status leaves open what became of the request.
 func (Codec) Refusal(status int, h http.Header) *relay.Refusal {
 	reason := h.Get(refusalHeader)
 	if len(h.Values(idHeader)) == 0 {
-		return &relay.Refusal{Reason: relay.NoEndpoint, Verdict: verdict.NotRun}
+		if unreadable(status) {
+			return &relay.Refusal{Reason: relay.NoEndpoint, Verdict: verdict.NotRun}
+		}
+		return &relay.Refusal{Reason: relay.Broken, Verdict: verdict.MayHaveRun}
 	}
 	if reason == "" {
 		removeOwn(h)
@@ -91,3 +95,14 @@
 	}
 	return r
 }
+
+// unreadable reports whether a status is one with which net/http, or this package, answers a
+// request that can't be read.
+func unreadable(status int) bool {
+	switch status {
+	case http.StatusBadRequest, http.StatusExpectationFailed, http.StatusRequestHeaderFieldsTooLarge,
+		http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
+		return true
+	}
+	return false
+}
