--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -13,9 +13,7 @@
 	switch {
 	case callerLeft(ctx):
 		f.outcome.Reason = CallerLeft
-		if f.headSent {
-			f.sink.Abort()
-		}
+		f.sink.Abort()
 	case s == answer && buffered != nil && !f.headSent:
 		f.setEndpoint(buffered.endpoint)
 		f.sink.Whole(buffered.status, buffered.header, buffered.body)
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -460,7 +460,7 @@
 	s := newFixture(t, testRoutes(), &engine{script: func(int, *http.Request) string { cancel(); return streamHead() + "cut" }}, alwaysAnswers(""))
 	got := s.send(ctx, "/lookup/1")
 	assert.Equal(t, s.recorder.last.Reason, CallerLeft)
-	assert.Assert(t, got.refusal == nil && !got.ended)
+	assert.Assert(t, got.refusal == nil && !got.ended && got.aborted)
 }
 
 func TestOlderConfigurationIsNeverApplied(t *testing.T) {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -68,7 +68,7 @@
 }
 
 // Sink sends an answer to one caller. It gets one call of Whole or Refuse; or a
-// call of Begin, then calls of WriteBody, and at last End or Abort.
+// call of Begin, then calls of WriteBody, and at last End or Abort; or Abort alone.
 type Sink interface {
 	// Whole sends an endpoint's complete answer.
 	Whole(status int, h http.Header, body []byte)
@@ -81,6 +81,6 @@
 	WriteBody([]byte) error
 	// End marks the answer as complete.
 	End()
-	// Abort ends the answer so that the caller detects that it is truncated.
+	// Abort ends the answer, or its absence, so that the caller detects that it is truncated.
 	Abort()
 }
