upstream: the head of an answer is bounded

Nothing bounded the head of an answer, nor the informational answers before it: http.ReadResponse takes what it gets. One endpoint used up a daemon's memory in a second, and by retries the next daemons'.

Changed: at most 64 KB are read until a head is complete, informational answers included, and again after each skipped answer. Beyond it the attempt has failed, may have run, and counts against the endpoint as any answer that breaks off.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -135,9 +135,11 @@
 		case skipped == maxSkipped:
 			return Error.New("%d answers name other requests", skipped+1)
 		}
+		a.conn.endHead()
 		if err := skip(resp); err != nil {
 			return err
 		}
+		a.conn.beginHead()
 		a.pool.count(func(s *Stats) { s.Skipped++ })
 	}
 }
--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -11,6 +11,14 @@
 // Call.SilenceTimeout, neither on the call's connection nor on an older one.
 var ErrSilent = Error.New("endpoint silent for longer than the call allows")
 
+// ErrHeadTooLong means that an endpoint sent more than maxHeadBytes without completing the head of
+// an answer.
+var ErrHeadTooLong = Error.New("no end of the answer's head in %d bytes", maxHeadBytes)
+
+// maxHeadBytes bounds the bytes until an answer's head is complete, informational answers
+// included. A faulty endpoint may send bytes without end.
+const maxHeadBytes = 64 << 10
+
 // readWait bounds the reading of one call's answer.
 //
 // Silence on one connection doesn't prove that an endpoint hangs, because prompts
@@ -27,6 +35,8 @@
 	checkedAt      time.Time   // when discountPause last ran
 	deadlineSet    bool        // the connection has a read deadline
 	cancelled      atomic.Bool // the call's context has ended
+	readsHead      bool        // a head is being read, of which headLeft bytes may follow
+	headLeft       int
 }
 
 const (
@@ -46,10 +56,20 @@
 		c.wait.headDeadline = now.Add(call.HeadTimeout)
 	}
 	c.wait.cancelled.Store(false)
+	c.beginHead()
 }
 
-// headReceived removes the bound on the answer's head.
-func (c *conn) headReceived() { c.wait.headDeadline = time.Time{} }
+// beginHead bounds the next answer's head.
+func (c *conn) beginHead() { c.wait.readsHead, c.wait.headLeft = true, maxHeadBytes }
+
+// endHead removes the bound on its bytes.
+func (c *conn) endHead() { c.wait.readsHead = false }
+
+// headReceived removes the bounds on the answer's head.
+func (c *conn) headReceived() {
+	c.endHead()
+	c.wait.headDeadline = time.Time{}
+}
 
 // cancel ends all reading and writing when the call's context ends.
 func (c *conn) cancel() {
@@ -117,8 +137,20 @@
 }
 
 // Read reads from the connection within the call's bounds. It returns ErrSilent
-// when the endpoint was silent for too long.
+// when the endpoint was silent for too long, and ErrHeadTooLong when it sent too much.
 func (c *conn) Read(p []byte) (int, error) {
+	switch {
+	case !c.wait.readsHead:
+		return c.read(p)
+	case c.wait.headLeft == 0:
+		return 0, ErrHeadTooLong
+	}
+	n, err := c.read(p[:min(len(p), c.wait.headLeft)])
+	c.wait.headLeft -= n
+	return n, err
+}
+
+func (c *conn) read(p []byte) (int, error) {
 	received := c.lastReceived()
 	for {
 		now := time.Now()
