relay: answers that aren't passed on yet are bounded together

An event without an end was kept whole, and plain answers of up to 1 MB each, so that what all requests hold followed their number alone.

Changed: an event is at most 1 MB. What an answer holds above 32 KB counts against one limit of all answers (a tenth of limits.memoryMB): beyond it a plain answer is passed on as it arrives, and an event that goes on ends its attempt.

--- a/internal/node/forwarders.go
+++ b/internal/node/forwarders.go
@@ -17,10 +17,6 @@
 	// forwarderConnections bounds the connections to one other daemon, each of which
 	// carries one request.
 	forwarderConnections = 256
-	// forwardedShare is the part of the memory for the bodies of forwarded requests, and
-	// minForwardedBytes its least.
-	forwardedShare    = 0.1
-	minForwardedBytes = 8 << 20
 )
 
 // forwarders are the daemons through which this one sends requests for services whose
@@ -93,8 +89,7 @@
 	if n.settings.Listen.Forward == "" {
 		return nil, nil
 	}
-	maxBytes := max(int64(forwardedShare*float64(n.settings.Limits.MemoryMB)*(1<<20)), minForwardedBytes)
-	return forward.Open(n, n.settings.Listen.Forward, maxBytes, n.logFor("forward"))
+	return forward.Open(n, n.settings.Listen.Forward, memoryPart(n.settings, forwardedShare), n.logFor("forward"))
 }
 
 // forwardAddress returns the address to report for forwarded requests, empty while this
--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -11,9 +11,9 @@
 	// ended, and for closing the listeners; of a short grace it is at most leaveMarginShare.
 	leaveMargin      = 300 * time.Millisecond
 	leaveMarginShare = 0.2
-	// answerShare and closeShare are the parts of it in which the answers are sent and the
+	// answerTimeShare and closeTimeShare are the parts of it in which the answers are sent and the
 	// listeners closed; the rest is for the last report.
-	answerShare, closeShare = 0.4, 0.4
+	answerTimeShare, closeTimeShare = 0.4, 0.4
 	// minDrain is how long a leaving daemon goes on serving though no request is
 	// running: callers keep the addresses that they received for up to three times
 	// answerAge, and new requests on open connections are answered with the
@@ -37,7 +37,7 @@
 	n.announceLeave()
 	n.drain(started, end)
 	n.endRequests(end, margin)
-	closing, cancel := context.WithDeadline(context.Background(), end.Add(part(margin, answerShare+closeShare)))
+	closing, cancel := context.WithDeadline(context.Background(), end.Add(part(margin, answerTimeShare+closeTimeShare)))
 	defer cancel()
 	endListeners(closing)
 	n.finalReport(end.Add(margin))
@@ -59,7 +59,7 @@
 	}
 	n.logFor("daemon").WithField("active", active).Warn("the grace ends with requests in progress")
 	n.relay.EndAll()
-	n.awaitIdle(time.Now().Add(part(margin, answerShare)))
+	n.awaitIdle(time.Now().Add(part(margin, answerTimeShare)))
 }
 
 func part(d time.Duration, share float64) time.Duration { return time.Duration(share * float64(d)) }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -87,6 +88,7 @@
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
 	n.forwarder = newForwarders(n)
 	n.relay.SetForwarder(n.forwarder)
+	n.relay.SetAnswerMemory(memlimit.New(memoryPart(s, answerShare)))
 	n.origins = newOrigins(n)
 	n.relay.SetOrigins(n.origins)
 	n.restorer = newVersionsRestorer(n)
--- /dev/null
+++ b/internal/relay/buffering_test.go
@@ -0,0 +1,76 @@
+package relay
+
+import (
+	"io"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// endlessEngine answers with start, and then with piece until its connection is closed.
+func endlessEngine(start, piece string, written *atomic.Int64) *engine {
+	return &engine{write: func(w io.Writer) {
+		_, err := io.WriteString(w, strings.ReplaceAll(start, "ID", "r1"))
+		for block := strings.Repeat(piece, 1+(4<<10)/len(piece)); err == nil; {
+			var n int
+			n, err = io.WriteString(w, block)
+			written.Add(int64(n))
+		}
+	}}
+}
+
+// Guards against a daemon that keeps an event without an end.
+func TestEventWithoutEndEndsTheAttempt(t *testing.T) {
+	for _, path := range []string{"/once/1", "/stream/1"} {
+		var written atomic.Int64
+		s := newFixture(t, testRoutes(), endlessEngine("HTTP/1.1 200 OK\r\nId: ID\r\n\r\nid: 1\ndata: a\n\ndata: ", "x", &written))
+		got := s.send(t.Context(), path)
+		assert.Equal(t, got.body.String(), "id: 1\ndata: a\n\n")
+		assert.Assert(t, got.aborted && !got.ended)
+		assert.Assert(t, written.Load() < 2*maxEventBytes, "%d bytes read", written.Load())
+		assert.Equal(t, s.relay.answerMemory.Used(), int64(0))
+	}
+}
+
+// Guards against answers in memory that only their own lengths bound.
+func TestAnswersInMemoryAreBoundedTogether(t *testing.T) {
+	const size = maxBufferedBytes / 2
+	s := newFixture(t, testRoutes(), alwaysAnswers(response(200, strings.Repeat("x", size))))
+	s.relay.SetAnswerMemory(memlimit.New(4 * bufferStepBytes))
+	var wg sync.WaitGroup
+	for range 4 {
+		wg.Go(func() {
+			got := s.send(t.Context(), "/lookup/1")
+			assert.Check(t, got.refusal == nil && got.ended, "%+v", got.refusal)
+			assert.Check(t, got.body.Len() == size)
+		})
+	}
+	wg.Wait()
+	assert.Equal(t, s.relay.answerMemory.Used(), int64(0))
+}
+
+// Guards against an event that is taken for endless since others hold the memory: small ones
+// always fit.
+func TestSmallEventsNeedNoMemoryOfTheLimit(t *testing.T) {
+	events := strings.Repeat("id: 1\ndata: "+strings.Repeat("y", 4000)+"\n\n", 50)
+	s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk(events)+"0\r\n\r\n"))
+	s.relay.SetAnswerMemory(memlimit.New(0))
+	got := s.send(t.Context(), "/once/1")
+	assert.Assert(t, got.ended, "%v", s.recorder.last.Cause)
+	assert.Equal(t, got.body.Len(), len(events))
+}
+
+// Guards against a verdict that an endless answer ran nothing.
+func TestEndlessHeadLeavesTheVerdictOpen(t *testing.T) {
+	var written atomic.Int64
+	s := newFixture(t, testRoutes(), endlessEngine("HTTP/1.1 200 OK\r\nId: ID\r\nA: ", "x", &written))
+	got := s.send(t.Context(), "/order/1")
+	assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, got.refusal.Reason, Broken)
+}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"io"
 	"net/http"
 	"time"
 
@@ -46,6 +45,8 @@
 	holds uint64
 	// lastPieceAt is when the caller was last sent a piece of a stream.
 	lastPieceAt time.Time
+	// held is what the answer takes of the limit of all answers in memory, in bytes.
+	held int64
 	// forwarded says that another daemon has admitted the request.
 	forwarded bool
 	// triedDaemons are the daemons to which the request was forwarded.
@@ -273,11 +274,11 @@
 		res.complete = err == nil
 		return res, nil, err
 	}
-	body, err := io.ReadAll(io.LimitReader(a.Body, maxBufferedBytes+1))
+	body, whole, err := f.readWhole(a.Body)
 	if err != nil {
 		return res, nil, err
 	}
-	if len(body) > maxBufferedBytes {
+	if !whole {
 		f.firstPiece(time.Now(), t)
 		err := f.forwardLong(ctx, t, a, body)
 		res.complete = err == nil
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
@@ -19,9 +20,11 @@
 	// forwarder sends requests through other daemons, nil if there are none.
 	forwarder Forwarder
 	durations durations
-	stopping  atomic.Pointer[stop] // nil before the daemon stops
-	closed    atomic.Bool          // no further request is accepted
-	active    atomic.Int64
+	// answerMemory limits the answers that aren't passed on yet.
+	answerMemory *memlimit.Limit
+	stopping     atomic.Pointer[stop] // nil before the daemon stops
+	closed       atomic.Bool          // no further request is accepted
+	active       atomic.Int64
 	// ending ends when the requests in progress must, by endAll.
 	ending context.Context
 	endAll context.CancelCauseFunc
@@ -30,7 +33,7 @@
 // New returns a relay that takes its decisions from state and its connections from
 // pool.
 func New(state *State, pool *upstream.Pool, protocol Protocol, observer Observer, guard Guard) *Relay {
-	r := &Relay{state: state, pool: pool, protocol: protocol, observer: observer, guard: guard, origins: noOrigins{}}
+	r := &Relay{state: state, pool: pool, protocol: protocol, observer: observer, guard: guard, origins: noOrigins{}, answerMemory: memlimit.New(defaultAnswerBytes)}
 	r.ending, r.endAll = context.WithCancelCause(context.Background())
 	return r
 }
@@ -69,6 +72,7 @@
 	defer abort(nil)
 	defer context.AfterFunc(r.ending, func() { abort(errStopped) })()
 	f := newInflight(r, q, a, sink, forwarded)
+	defer f.releaseHeld()
 	f.outcome.StoppingFor = r.stoppingFor(q)
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -56,6 +56,9 @@
 func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte, readBegan time.Time) error {
 	whole := f.events.add(p)
 	if len(whole) == 0 {
+		if f.events.length() > maxEventBytes || !f.hold(f.events.size()) {
+			return errEventTooLong
+		}
 		return nil
 	}
 	now := time.Now()
