relay: an answer of which a part was sent is never followed by another run's bytes

Cause: an answer over 1 MB is passed on as it arrives, and one that then breaks off was followed by a further attempt, since the route allows it; nothing asked whether a part had been sent. A long failure before a stream of events the same.

Changed: after a part of an answer that isn't a stream of events was sent there is no further attempt; the caller sees it break off. Over another daemon the same.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -537,3 +537,20 @@
 	assert.Equal(t, a.send(t.Context(), "/order/1", body).status, 200)
 	assert.Equal(t, e.runs.Load(), int64(2))
 }
+
+// Guards against an answer that is joined from the runs at two daemons.
+func TestLongAnswerIsNeverJoinedOverTheHop(t *testing.T) {
+	long := strings.Repeat("x", 2<<20)
+	var runs atomic.Int64
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, long)
+		if runs.Add(1) == 1 {
+			panic(http.ErrAbortHandler)
+		}
+	})
+	a := newHopDaemon(t, "", newHopDaemon(t, e.address()).address, newHopDaemon(t, e.address()).address)
+	out := a.send(t.Context(), "/lookup/1", "")
+	assert.Assert(t, out.aborted && !out.ended)
+	assert.Assert(t, len(out.text()) <= len(long))
+	assert.Equal(t, runs.Load(), int64(1))
+}
--- a/internal/relay/buffering_test.go
+++ b/internal/relay/buffering_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net/http"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -55,6 +56,28 @@
 	assert.Equal(t, s.relay.answerMemory.Used(), int64(0))
 }
 
+// Guards against an answer that is joined from two runs since a part of it was sent.
+func TestLongAnswerIsNeverJoinedFromTwoRuns(t *testing.T) {
+	long := strings.Repeat("x", maxBufferedBytes+10)
+	for path, first := range map[string]string{
+		"/lookup/1": "HTTP/1.1 200 OK\r\nId: ID\r\nContent-Length: 9000000\r\n\r\n" + long + "cut",
+		"/stream/1": "HTTP/1.1 500 X\r\nId: ID\r\nContent-Length: 9000000\r\n\r\n" + long,
+	} {
+		var runs atomic.Int64
+		script := func(int, *http.Request) string {
+			if runs.Add(1) == 1 {
+				return first
+			}
+			return streamHead() + chunk("id: 1\ndata: a\n\n") + "0\r\n\r\n"
+		}
+		s := newFixture(t, testRoutes(), &engine{script: script}, &engine{script: script})
+		got := s.send(t.Context(), path)
+		assert.Equal(t, runs.Load(), int64(1), path)
+		assert.Assert(t, got.aborted && !got.ended, path)
+		assert.Equal(t, strings.Trim(got.body.String(), "xcut"), "", path)
+	}
+}
+
 // Guards against an event that is taken for endless since others hold the memory: small ones
 // always fit.
 func TestSmallEventsNeedNoMemoryOfTheLimit(t *testing.T) {
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -280,6 +280,7 @@
 	}
 	if !whole {
 		f.firstPiece(time.Now(), t)
+		res.passedOn = true
 		err := f.forwardLong(ctx, t, a, body)
 		res.complete = err == nil
 		return res, nil, err
--- a/internal/relay/next.go
+++ b/internal/relay/next.go
@@ -36,6 +36,9 @@
 	// complete says that the endpoint's answer was read to its end, so that it can
 	// be passed on.
 	complete bool
+	// passedOn says that a part of an answer that isn't a stream of events was sent to the caller.
+	// No other answer can go on from there.
+	passedOn bool
 	// headReceived says that the head of an answer was received.
 	headReceived bool
 	// refusal is that of the daemon to which the request was forwarded, nil if an
@@ -51,6 +54,10 @@
 // budget; it is called only if everything else allows one.
 func next(r *route.Route, t tally, res attemptResult, budget func() bool) step {
 	switch {
+	case res.passedOn && res.complete:
+		return answer
+	case res.passedOn:
+		return fail
 	case isFinal(res.refusal):
 		return giveUp(t)
 	case res.complete && (res.class == Success || res.class == Rejected):
--- a/internal/relay/next_test.go
+++ b/internal/relay/next_test.go
@@ -43,6 +43,8 @@
 		{"a lookup ran, then was shed", lookup, tally{reached: 2, ran: 1}, late(shed), true, fail},
 		{"a stream may have run", stream, tally{reached: 1, ran: 1}, broken, true, fail},
 		{"a stream that resumes", resumable, tally{reached: 1, ran: 1}, broken, true, again},
+		{"a long answer breaks off", lookup, tally{reached: 1, ran: 1}, attemptResult{class: Success, reached: true, passedOn: true, timeLeft: true}, true, fail},
+		{"a long failure was passed on", resumable, tally{reached: 1, ran: 1}, attemptResult{class: Failure, reached: true, complete: true, passedOn: true, timeLeft: true}, true, answer},
 	} {
 		got := next(c.route, c.tally, c.end, func() bool { return c.budget })
 		assert.Equal(t, got, c.want, c.name)
