A stream goes on only on a connection that reaches the listed run of its endpoint

Cause: a new connection was trusted to reach the listed run for as long as the list was fresh, unless connecting had been refused; a quick restart refuses nothing, and the daemon that takes a stream up needn't have seen a connection end.

Changed: a stream that goes on is sent on a connection that was established so long ago that any later run would be listed, or else on one that was asked first: the endpoint's report on that connection states its start, and a connection stays with its process. An endpoint that doesn't state the listed one gets nothing of the stream, which is not run there. A connection is asked once. Endpoints whose entries state no start are trusted as before. It needs no store.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -45,6 +45,8 @@
 	m.set.NewGauge("cyclamenbeam_connections_reused_total", func() float64 { return float64(n.pool.Stats().Reused) })
 	m.set.NewGauge("cyclamenbeam_endpoints_silent_total", func() float64 { return float64(n.pool.Stats().Silent) })
 	m.set.NewGauge("cyclamenbeam_answers_skipped_total", func() float64 { return float64(n.pool.Stats().Skipped) })
+	m.set.NewGauge(`cyclamenbeam_connections_confirmed_total{result="expected"}`, func() float64 { return float64(n.pool.Stats().Confirmed) })
+	m.set.NewGauge(`cyclamenbeam_connections_confirmed_total{result="other"}`, func() float64 { return float64(n.pool.Stats().Unconfirmed) })
 	return m
 }
 
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -108,6 +108,18 @@
 	return until
 }
 
+// ListedUntil implements relay.Origins.
+func (o *origins) ListedUntil(address string) time.Time {
+	upTo := *o.upTo.Load()
+	until := upTo.Add(-o.node.contactBound())
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if ended, doubted := o.runs.TrustedUntil(address, upTo); doubted && ended.Before(until) {
+		return ended
+	}
+	return until
+}
+
 // dialled records the result of connecting to an endpoint.
 func (o *origins) dialled(address string, err error) {
 	o.mu.Lock()
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"time"
 
 	"github.com/zeebo/errs"
@@ -9,6 +10,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rollout"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
@@ -29,6 +31,9 @@
 	// TrustedUntil returns until when connections to an endpoint's address reach the listed run.
 	// One that was established later may reach a run that isn't listed yet.
 	TrustedUntil(address string) time.Time
+	// ListedUntil returns until when connections to an endpoint's address certainly reach the listed
+	// run: any that has started since would be listed by now.
+	ListedUntil(address string) time.Time
 }
 
 // noOrigins is a daemon without others, which knows the streams that it is serving.
@@ -41,6 +46,7 @@
 }
 func (noOrigins) Only(context.Context, string, time.Duration) (string, bool) { return "", false }
 func (noOrigins) TrustedUntil(string) time.Time                              { return time.Now().Add(time.Hour) }
+func (noOrigins) ListedUntil(string) time.Time                               { return time.Now().Add(time.Hour) }
 
 // SetOrigins sets the source of streams' origins. It must be called before Serve.
 func (r *Relay) SetOrigins(o Origins) { r.origins = o }
@@ -170,17 +176,31 @@
 	return origin.Origin{Service: f.service, Version: t.choice.Endpoint.Version}, true
 }
 
-// establishedBy returns until when the connection of the next attempt must have been
-// established; zero: any will do. A stream that goes on must reach the run that is listed.
-func (f *inflight) establishedBy(now time.Time, address string) time.Time {
+// requireRun makes a call of a stream that goes on reach the listed run of its endpoint. A run at
+// another version may have started in its place, under the same ID and address.
+func (f *inflight) requireRun(now time.Time, c *upstream.Call, e *roster.Endpoint) {
 	if !f.continuation.begun {
-		return time.Time{}
+		return
+	}
+	runs, ok := f.relay.protocol.(RunProtocol)
+	if ok && !e.StartedAt.IsZero() {
+		c.EstablishedBy, c.Confirm = f.relay.origins.ListedUntil(c.Address), confirmation(runs, c.Address, e)
+		return
 	}
-	by := f.relay.origins.TrustedUntil(address)
-	if now.Before(by) {
-		return time.Time{}
+	if by := f.relay.origins.TrustedUntil(c.Address); !now.Before(by) {
+		c.EstablishedBy = by
+	}
+}
+
+// confirmation asks for a run of an endpoint.
+func confirmation(p RunProtocol, address string, e *roster.Endpoint) *upstream.Confirmation {
+	return &upstream.Confirmation{
+		Run: fmt.Sprint(e.ID, e.StartedAt.UnixNano()), Target: p.RunTarget(), Host: address,
+		Check: func(body []byte) bool {
+			at, stated := p.StartedAt(body)
+			return stated && at.Equal(e.StartedAt)
+		},
 	}
-	return by
 }
 
 // revokeOrigin records that the version of the events passed on isn't known: their endpoint
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"strconv"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -46,6 +47,8 @@
 	return o.trusted
 }
 
+func (o *knownOrigins) ListedUntil(a string) time.Time { return o.TrustedUntil(a) }
+
 // versionedFixture is a relay before engines of the given versions, which write the version
 // into their events. The engines that break off do so after their first event.
 func versionedFixture(t *testing.T, breakOff map[int]bool, versions ...string) (*fixture, *knownOrigins) {
@@ -279,3 +282,43 @@
 	}
 	assert.Assert(t, s.engines[0].runs() > 0)
 }
+
+// runningProtocol is a protocol by which engines state their start.
+type runningProtocol struct{ plainProtocol }
+
+func (runningProtocol) RunTarget() string { return "/run" }
+func (runningProtocol) StartedAt(body []byte) (time.Time, bool) {
+	ms, err := strconv.ParseInt(string(body), 10, 64)
+	return time.UnixMilli(ms), err == nil
+}
+
+// Guards against a stream that goes on at an engine which has started again at another version,
+// before its entry says so.
+func TestStreamGoesOnAtTheListedRunOnly(t *testing.T) {
+	for _, born := range []int64{1000, 2000} { // the listed run, and its successor
+		asked, streamed := 0, 0
+		e := &engine{script: func(_ int, r *http.Request) string {
+			if r.URL.Path == "/run" {
+				asked++
+				return response(200, strconv.FormatInt(born, 10))
+			}
+			streamed++
+			return streamHead() + chunk(event(2, "written")) + "0\r\n\r\n"
+		}}
+		s := newFixture(t, testRoutes(), e)
+		s.relay.protocol = runningProtocol{}
+		s.state.SetEndpoints(time.Now(), []roster.Endpoint{{ID: "e0", Service: "s", Address: "e0", Slots: 8, DataCentre: "a", Version: "v1", StartedAt: time.UnixMilli(1000)}})
+		o := newKnownOrigins()
+		o.trusted = time.Now().Add(-time.Minute)
+		s.relay.SetOrigins(o)
+		o.table[origin.KeyOf("w", "began")] = origin.Origin{Service: "s", Version: "v1"}
+		got := s.takeUp(t, "r2", "began", "1", "key")
+		assert.Equal(t, asked, 1)
+		if born == 1000 {
+			assert.Equal(t, got.body.String(), event(2, "written"))
+			continue
+		}
+		assert.Equal(t, streamed, 0)
+		assert.Equal(t, got.refusal.Verdict, verdict.NotRun)
+	}
+}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -223,7 +223,7 @@
 // balanceOutcome returns an attempt's result in the balancer's terms.
 func balanceOutcome(ctx context.Context, res attemptResult, err error) balance.Outcome {
 	switch {
-	case errors.Is(err, upstream.ErrNoOldConnection), errors.Is(err, errHeld):
+	case errors.Is(err, upstream.ErrNoOldConnection), errors.Is(err, upstream.ErrOtherRun), errors.Is(err, errHeld):
 		return balance.Refused // by this daemon, for this request
 	case res.class == Success && res.complete, res.class == Rejected:
 		return balance.Answered
@@ -317,7 +317,7 @@
 		Gate: f,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
-	c.EstablishedBy = f.establishedBy(time.Now(), c.Address)
+	f.requireRun(time.Now(), c, &t.choice.Endpoint)
 	canRetry := f.route.Repeatable() && f.tally.ran+1 < f.route.MaxAttempts
 	c.SilenceTimeout = stallTimeout(canRetry, f.outcome.Predicted)
 	if canRetry && f.route.Kind == route.Idempotent {
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -25,6 +25,15 @@
 	Answer(h http.Header) http.Header
 }
 
+// RunProtocol is a Protocol by which endpoints state when their process has started.
+type RunProtocol interface {
+	Protocol
+	// RunTarget returns the target of a GET request whose answer states the start.
+	RunTarget() string
+	// StartedAt returns the start that the body of the answer states.
+	StartedAt(body []byte) (at time.Time, stated bool)
+}
+
 // Attempt is one send of a request to an endpoint.
 type Attempt struct {
 	Endpoint  roster.Endpoint
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -24,6 +24,8 @@
 	// EstablishedBy is until when the connection must have been established; zero: any will
 	// do.
 	EstablishedBy time.Time
+	// Confirm confirms a connection that was established later; nil: it isn't used.
+	Confirm *Confirmation
 	// HeadTimeout bounds the wait for the answer's head; 0 leaves it to the
 	// context.
 	HeadTimeout time.Duration
--- /dev/null
+++ b/internal/upstream/confirm_test.go
@@ -0,0 +1,88 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+// runServer states a run, and counts the requests of each kind.
+func runServer(t *testing.T, report string, asked, sent *int) string {
+	return serveScript(t, func(_ int, r *http.Request) string {
+		if r.URL.Path == "/run" {
+			*asked++
+			return report
+		}
+		*sent++
+		return answerText(r.Header.Get("Id"), "one")
+	})
+}
+
+func runReport(status int, run string) string {
+	return fmt.Sprintf("HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(run), run)
+}
+
+// confirmedCall is a call whose connection must reach run a, unless it was established long ago.
+func confirmedCall(address, id string) *Call {
+	c := newCall(address, id)
+	c.EstablishedBy = time.Now().Add(-time.Hour)
+	c.Confirm = &Confirmation{Run: "a", Target: "/run", Host: "h", Check: func(body []byte) bool { return string(body) == "a" }}
+	return c
+}
+
+// Guards against a request that reaches a process which has started in place of the expected one.
+func TestRequestReachesTheExpectedRunOnly(t *testing.T) {
+	for name, report := range map[string]string{
+		"another run":         runReport(200, "b"),
+		"a failure":           runReport(500, "a"),
+		"a refusal":           runReport(400, ""),
+		"no answer":           "",
+		"a broken answer":     "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\na",
+		"more than it says":   runReport(200, "a") + "more",
+		"an endless head":     "HTTP/1.1 200 OK\r\nA: " + strings.Repeat("a", 2*maxHeadBytes),
+		"a body that is long": runReport(200, strings.Repeat("a", 2*maxConfirmBytes)),
+	} {
+		asked, sent := 0, 0
+		p := NewPool(1, DialTCP)
+		_, err := p.Send(t.Context(), confirmedCall(runServer(t, report, &asked, &sent), "1"))
+		assert.ErrorIs(t, err, ErrOtherRun, name)
+		assert.Equal(t, verdict.Of(err), verdict.NotRun, name)
+		assert.Equal(t, sent, 0, name)
+		assert.Equal(t, p.Stats().Unconfirmed, uint64(1), name)
+	}
+}
+
+func TestConnectionIsConfirmedOnce(t *testing.T) {
+	asked, sent := 0, 0
+	p := NewPool(1, DialTCP)
+	address := runServer(t, runReport(200, "a"), &asked, &sent)
+	for i := range 3 {
+		body, err := sendAndRead(t, p, confirmedCall(address, fmt.Sprint(i)))
+		assert.NilError(t, err)
+		assert.Equal(t, body, "one")
+	}
+	assert.Equal(t, asked, 1)
+	assert.Equal(t, p.Stats().Dialled, uint64(1))
+	other := confirmedCall(address, "4")
+	other.Confirm.Run, other.Confirm.Check = "b", func(body []byte) bool { return string(body) == "b" }
+	_, err := p.Send(t.Context(), other)
+	assert.ErrorIs(t, err, ErrOtherRun)
+	assert.Equal(t, sent, 3)
+}
+
+// An endpoint that is silent must not hold a request for longer than it takes to ask.
+func TestConfirmationEndsWithItsTimeout(t *testing.T) {
+	silent := make(chan struct{})
+	address := serveScript(t, func(int, *http.Request) string { <-silent; return "" })
+	defer close(silent)
+	began := time.Now()
+	_, err := NewPool(1, DialTCP).Send(t.Context(), confirmedCall(address, "1"))
+	assert.ErrorIs(t, err, ErrOtherRun)
+	assert.Assert(t, time.Since(began) < 10*confirmTimeout)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -30,6 +30,7 @@
 	wait     readWait
 	expires  time.Time // when the idle connection is closed; zero: not set
 	reused   bool      // has served an earlier request
+	run      string    // of the endpoint, that the connection is confirmed to reach; empty: unknown
 }
 
 func newConn(p *Pool, h *host, address string, nc net.Conn) *conn {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -103,6 +103,9 @@
 	Reused  uint64
 	Silent  uint64 // calls that ended with ErrSilent
 	Skipped uint64 // late answers to earlier requests
+	// Confirmed and Unconfirmed are the connections that were asked which run of their endpoint
+	// they reach, by whether it was the expected one.
+	Confirmed, Unconfirmed uint64
 }
 
 // Dialer connects to an endpoint at an address, host:port.
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -52,9 +52,8 @@
 	if err != nil {
 		return nil, err
 	}
-	if by := call.EstablishedBy; !by.IsZero() && c.dialled.After(by) {
-		p.giveBack(c)
-		return nil, verdict.Wrap(verdict.NotRun, ErrNoOldConnection)
+	if err := c.admit(ctx, call); err != nil {
+		return nil, err
 	}
 	if call.Gate != nil {
 		if err := call.Gate.MaySend(); err != nil {
