entry, relay: bodies of requests in progress are bounded together

Cause: bodies were read whole as they came, and nothing bounded their sum (those of forwarded requests alone had a bound of their own).

Changed: memory for a body is taken before it is read, out of 0.55 of limits.memoryMB, forwarded ones included. Not done: the most valued first.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -24,6 +24,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
@@ -158,7 +159,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	var err error
-	d.server, err = forward.Open(d, d.address, maxBytes, quiet.WithField("part", "forward"))
+	d.server, err = forward.Open(d, d.address, relay.NewBodies(memlimit.New(maxBytes)), quiet.WithField("part", "forward"))
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"log"
 	"net"
 	"net/http"
-	"sync/atomic"
 	"time"
 
 	"github.com/sirupsen/logrus"
@@ -14,7 +14,6 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 const (
@@ -24,9 +23,10 @@
 	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds a request's head: prompts may have hundreds of parts.
 	maxHeaderBytes = 256 << 10
-	// busyRetryAfter is the retry delay of a request whose body doesn't fit into the memory
-	// for forwarded ones.
-	busyRetryAfter = 250 * time.Millisecond
+	// maxBodyBytes bounds a body: daemons forward what their listeners accept.
+	maxBodyBytes = 64 << 20
+	// bodyTimeout is the time of a request from which its wait for memory follows.
+	bodyTimeout = time.Second
 )
 
 // Handler serves the requests of other daemons.
@@ -36,16 +36,15 @@
 
 // Server accepts the requests of other daemons.
 type Server struct {
-	handler  Handler
-	maxBytes int64
-	bytes    atomic.Int64 // of the bodies in memory
-	server   *httpserver.Server
-	log      *logrus.Entry
+	handler Handler
+	bodies  *relay.Bodies
+	server  *httpserver.Server
+	log     *logrus.Entry
 }
 
-// Open listens at an address. maxBytes bounds the bodies of all requests in progress.
-func Open(h Handler, address string, maxBytes int64, logger *logrus.Entry) (*Server, error) {
-	s := &Server{handler: h, maxBytes: maxBytes, log: logger}
+// Open listens at an address. bodies holds the bodies of the requests in progress.
+func Open(h Handler, address string, bodies *relay.Bodies, logger *logrus.Entry) (*Server, error) {
+	s := &Server{handler: h, bodies: bodies, log: logger}
 	server := &http.Server{
 		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
 		MaxHeaderBytes: maxHeaderBytes,
@@ -65,21 +64,20 @@
 func (s *Server) Close(ctx context.Context) error { return s.server.Close(ctx) }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	size := max(r.ContentLength, 0)
-	defer s.bytes.Add(-size)
 	to := &sink{w: w, headOnly: r.Method == http.MethodHead}
-	if s.bytes.Add(size) > s.maxBytes && size > 0 {
+	body, err := s.bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, bodyTimeout)
+	defer body.Release()
+	if errors.Is(err, relay.ErrNoMemory) {
 		if e, err := decode(r, nil); err == nil {
 			to.id = e.Request.ID
 		}
-		to.Refuse(relay.Refusal{Reason: relay.Shed, Verdict: verdict.NotRun, RetryAfter: busyRetryAfter})
+		to.Refuse(relay.RefuseBody())
 		return
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.maxBytes))
 	if err != nil {
 		panic(http.ErrAbortHandler) // the request was truncated
 	}
-	fr, err := decode(r, body)
+	fr, err := decode(r, body.Bytes)
 	if err != nil {
 		s.log.WithError(err).Warn("forwarded request not decoded")
 		w.WriteHeader(http.StatusBadRequest)
--- a/internal/forward/server_test.go
+++ b/internal/forward/server_test.go
@@ -11,6 +11,8 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/testport"
 )
 
@@ -20,7 +22,7 @@
 	quiet.SetOutput(io.Discard)
 	for range 200 {
 		address := testport.Reserve(t)
-		s, err := forward.Open(nil, address, maxBytes, quiet.WithField("part", "forward"))
+		s, err := forward.Open(nil, address, relay.NewBodies(memlimit.New(maxBytes)), quiet.WithField("part", "forward"))
 		assert.NilError(t, err)
 		assert.NilError(t, s.Close(t.Context()))
 		c, err := net.Dial("tcp", address)
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -3,8 +3,8 @@
 // Parts of the process's memory, which together leave room for the heap's growth and the kernel's
 // buffers.
 const (
-	// forwardedShare is for the bodies of requests that other daemons forward.
-	forwardedShare = 0.1
+	// bodyShare is for the bodies of requests, those that other daemons forward included.
+	bodyShare = 0.55
 	// answerShare is for answers that aren't passed on yet.
 	answerShare = 0.1
 	// minMemoryPart is the least of each, in bytes.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -32,6 +32,7 @@
 	pool      *upstream.Pool
 	paths     *paths
 	forwarder *forwarders
+	bodies    *relay.Bodies
 	origins   *origins
 	restorer  *versionsRestorer
 	clock     *clock.Clock
@@ -88,6 +89,7 @@
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
 	n.forwarder = newForwarders(n)
 	n.relay.SetForwarder(n.forwarder)
+	n.bodies = relay.NewBodies(memlimit.New(memoryPart(s, bodyShare)))
 	n.relay.SetAnswerMemory(memlimit.New(memoryPart(s, answerShare)))
 	n.origins = newOrigins(n)
 	n.relay.SetOrigins(n.origins)
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -21,6 +21,14 @@
 	n.relay.Serve(ctx, q, sink)
 }
 
+// Bodies holds the bodies of requests.
+func (n *Node) Bodies() *relay.Bodies { return n.bodies }
+
+// RefusedBody counts a request whose body finds no memory.
+func (n *Node) RefusedBody() {
+	n.metrics.set.GetOrCreateCounter("cyclamenbeam_bodies_refused_total").Inc()
+}
+
 // Table returns the configuration in force, nil where there is none.
 func (n *Node) Table() *route.Table { return n.state.Table() }
 
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -234,7 +234,7 @@
 	switch {
 	case r == nil || r.Verdict != verdict.NotRun:
 		return false
-	case r.Reason == NoEndpoint || r.Reason == NoConfiguration || r.Reason == Stopping || r.Reason == Shed:
+	case r.Reason == NoEndpoint || r.Reason == NoConfiguration || r.Reason == Stopping || r.Reason == Shed || r.Reason == NoMemory:
 		return false
 	default:
 		return true
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -19,6 +19,7 @@
 	Overloaded      Reason = "overloaded"  // the answer would miss its target at every endpoint
 	Stopping        Reason = "stopping"    // this daemon is shutting down
 	Shed            Reason = "shed"        // endpoints refused it without running it
+	NoMemory        Reason = "no-memory"   // the bodies in progress leave no memory for the request's
 	TimedOut        Reason = "timed-out"
 	Broken          Reason = "broken"      // an endpoint's answer broke off
 	Quarantined     Reason = "quarantined" // the request crashes the endpoints that run it
