--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -9,9 +9,15 @@
 	answerShare = 0.1
 	// minMemoryPart is the least of each, in bytes.
 	minMemoryPart = 8 << 20
+	// assumedMemoryMB is the memory of a process whose settings state none.
+	assumedMemoryMB = 256
 )
 
 // memoryPart returns a part of the process's memory in bytes.
 func memoryPart(s *Settings, share float64) int64 {
-	return max(int64(share*float64(s.Limits.MemoryMB)*(1<<20)), minMemoryPart)
+	mb := s.Limits.MemoryMB
+	if mb == 0 {
+		mb = assumedMemoryMB
+	}
+	return max(int64(share*float64(mb)*(1<<20)), minMemoryPart)
 }
