--- a/internal/relay/buffering_test.go
+++ b/internal/relay/buffering_test.go
@@ -10,20 +10,14 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/endless"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // endlessEngine answers with start, and then with piece until its connection is closed.
 func endlessEngine(start, piece string, written *atomic.Int64) *engine {
-	return &engine{write: func(w io.Writer) {
-		_, err := io.WriteString(w, strings.ReplaceAll(start, "ID", "r1"))
-		for block := strings.Repeat(piece, 1+(4<<10)/len(piece)); err == nil; {
-			var n int
-			n, err = io.WriteString(w, block)
-			written.Add(int64(n))
-		}
-	}}
+	return &engine{write: func(w io.Writer) { endless.Write(w, strings.ReplaceAll(start, "ID", "r1"), piece, written) }}
 }
 
 // Guards against a daemon that keeps an event without an end.
--- a/internal/upstream/endless_test.go
+++ b/internal/upstream/endless_test.go
@@ -1,51 +1,17 @@
 package upstream
 
 import (
-	"bufio"
-	"io"
-	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/endless"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
-// serveEndless starts a server that answers each request with start, and then with piece until
-// its caller closes the connection. It returns its address and the bytes that it has written.
-func serveEndless(t *testing.T, start, piece string) (string, *atomic.Int64) {
-	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	assert.NilError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	written := &atomic.Int64{}
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
-					return
-				}
-				_, err := io.WriteString(c, start)
-				for block := strings.Repeat(piece, 1+8<<10/len(piece)); err == nil; {
-					var n int
-					n, err = io.WriteString(c, block)
-					written.Add(int64(n))
-				}
-			}()
-		}
-	}()
-	return l.Addr().String(), written
-}
-
 // Guards against a daemon that runs out of memory by one endpoint's bytes without end.
 func TestHeadsWithoutEndAreGivenUp(t *testing.T) {
 	const windows = 16 << 20 // that the kernel's buffers may hold
@@ -58,7 +24,7 @@
 		"answers to others":      {"", "HTTP/1.1 200 OK\r\nId: other\r\nContent-Length: 0\r\n\r\n"},
 		"an answer to another's": {"HTTP/1.1 200 OK\r\nId: other\r\n\r\n", "body"},
 	} {
-		address, written := serveEndless(t, c.start, c.piece)
+		address, written := endless.Serve(t, c.start, c.piece)
 		p := NewPool(1, DialTCP)
 		began := time.Now()
 		_, err := p.Send(t.Context(), newCall(address, "1"))
