--- a/internal/relay/stopping.go
+++ b/internal/relay/stopping.go
@@ -24,7 +24,7 @@
 // accepts reports whether a request that is sent to an endpoint now ends before the daemon does.
 // One whose timeout is shorter than the whole stop must have its deadline before the end, since
 // another daemon can grant it that. Of the longer ones no daemon can: they are accepted early in
-// the stop, if requests of their route usually end in what is left of it.
+// the stop, unless requests of their route are known to take longer than what is left of it.
 func (s *stop) accepts(now time.Time, timeout time.Duration, deadline time.Time, usual func() (time.Duration, bool)) bool {
 	length, left := s.end.Sub(s.began), s.end.Sub(now)
 	switch {
@@ -36,7 +36,7 @@
 		return false
 	}
 	longest, known := usual()
-	return known && longest <= left && now.Sub(s.began) <= time.Duration(longRequestShare*float64(length))
+	return (!known || longest <= left) && now.Sub(s.began) <= time.Duration(longRequestShare*float64(length))
 }
 
 // Stop marks the daemon as stopping: from now on it accepts only requests that end before end.
