--- a/internal/memlimit/limit.go
+++ b/internal/memlimit/limit.go
@@ -38,7 +38,7 @@
 	return l.take(bytes)
 }
 
-// take does so where nobody waits. The lock is held.
+// take takes bytes if they are free and no call of Wait is pending. The lock is held.
 func (l *Limit) take(bytes int64) bool {
 	if len(l.waiting) > 0 || l.used+bytes > l.max {
 		return false
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -32,7 +32,7 @@
 	return NoAnswer
 }
 
-// saysNotRun reports whether a status tells a caller that its request was not run.
+// saysNotRun reports whether a status guarantees to callers that their request was not run.
 func saysNotRun(status int) bool {
 	switch status {
 	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -26,7 +26,7 @@
 	return Failure
 }
 
-// Guards against an endpoint's status that tells a caller that its order was not run.
+// Guards against an endpoint's status that is passed on as a guarantee that an order was not run.
 func TestStatusOfAnEndpointIsNoProof(t *testing.T) {
 	for _, path := range []string{"/order/1", "/once/1"} {
 		for _, status := range []int{408, 429, 503} {
