Request lines and a metric say on which deliveries a refusal rests

Callers were refused requests that had run, and no log could say why: a refused request had one line with its last attempt's evidence, without the attempts before it or those of the daemon it was forwarded to, and the line was left out beside 60 others a second.

The pool records each delivery before its first byte is written (internal/delivery), the relay what the answer shows of it, and a daemon that refuses another one's request states its deliveries. Lines of refused requests have proof and deliveries, up to 40 a second more than before where the request was sent somewhere; cyclamenbeam_refusals_total counts them by reason and proof. Requests refused for their body's memory have a line too. What is decided is unchanged.

--- /dev/null
+++ b/internal/delivery/basis.go
@@ -0,0 +1,31 @@
+package delivery
+
+// Basis is what the statement rests on that a request was not run.
+type Basis string
+
+// The values of Basis.
+const (
+	Unsent    Basis = "unsent"    // it was sent nowhere
+	Endpoints Basis = "endpoints" // the endpoints that it was sent to state so
+	Daemons   Basis = "daemons"   // so do the other daemons
+	Nothing   Basis = "nothing"   // it may have been run somewhere
+)
+
+// BasisOf returns the basis for a request with these deliveries.
+func BasisOf(all []Record) Basis {
+	basis := Unsent
+	for _, r := range all {
+		if !r.NotRun {
+			return Nothing
+		}
+		switch r.Evidence {
+		case DaemonStates, DaemonUnnamed:
+			basis = Daemons
+		default:
+			if basis == Unsent {
+				basis = Endpoints
+			}
+		}
+	}
+	return basis
+}
--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -7,6 +7,7 @@
 	"strings"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -62,6 +63,16 @@
 	return e
 }
 
+// Deliveries implements relay.Forwarder.
+func (Codec) Deliveries(h http.Header) (all []delivery.Record, stated bool) {
+	values := h.Values(deliveriesHeader)
+	if len(values) != 1 {
+		return nil, false
+	}
+	all, err := delivery.Parse(values[0])
+	return all, err == nil
+}
+
 // encodeEndpoint returns the value of endpointHeader.
 func encodeEndpoint(id fleet.EndpointID, startedAt time.Time) string {
 	nanos := int64(0)
--- a/internal/forward/envelope.go
+++ b/internal/forward/envelope.go
@@ -31,6 +31,8 @@
 	// endpointHeader names that endpoint: its ID, a space, and its start in Unix nanoseconds, 0 if
 	// that is unknown.
 	endpointHeader = "Cyclamenbeam-Forward-Endpoint"
+	// deliveriesHeader states where the daemon sent a request that it refuses, see delivery.Format.
+	deliveriesHeader = "Cyclamenbeam-Forward-Deliveries"
 )
 
 // envelope is what the other daemon needs beside the caller's request. Times are in
@@ -119,7 +121,7 @@
 
 // removeOwn removes the protocol's headers.
 func removeOwn(h http.Header) {
-	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader, versionHeader, endpointHeader} {
+	for _, name := range [...]string{envelopeHeader, idHeader, refusalHeader, versionHeader, endpointHeader, deliveriesHeader} {
 		h.Del(name)
 	}
 }
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
@@ -183,6 +184,8 @@
 	refusal *relay.Refusal
 	ended   bool
 	aborted bool
+
+	deliveries *delivery.Log
 }
 
 func (s *hopSink) Whole(status int, h http.Header, body []byte) {
@@ -192,6 +195,12 @@
 func (s *hopSink) Begin(status int, h http.Header) { s.status, s.header = status, h }
 func (s *hopSink) End()                            { s.ended = true }
 func (s *hopSink) Abort()                          { s.aborted = true }
+func (s *hopSink) Deliveries() *delivery.Log {
+	if s.deliveries == nil {
+		s.deliveries = delivery.NewLog("r1")
+	}
+	return s.deliveries
+}
 func (s *hopSink) WriteBody(p []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -68,9 +68,11 @@
 	body, err := s.bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, bodyTimeout)
 	defer body.Release()
 	if errors.Is(err, relay.ErrNoMemory) {
+		id := ""
 		if e, err := decode(r, nil); err == nil {
-			to.id = e.Request.ID
+			id = e.Request.ID
 		}
+		to.of(id)
 		to.Refuse(relay.RefuseBody())
 		return
 	}
@@ -83,7 +85,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	to.id = fr.Request.ID
+	to.of(fr.Request.ID)
 	s.handler.ServeForwarded(r.Context(), fr, to)
 	if to.aborted {
 		panic(http.ErrAbortHandler) // the other daemon must see a truncated answer
--- a/internal/forward/sink.go
+++ b/internal/forward/sink.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
@@ -12,12 +13,14 @@
 
 // sink implements relay.Sink for another daemon's connection.
 type sink struct {
-	w        http.ResponseWriter
-	id       string
-	headOnly bool    // the method is HEAD
-	version  *string // nil: unknown
-	endpoint string  // encoded
-	aborted  bool    // the connection must be closed early
+	w  http.ResponseWriter
+	id string
+	// deliveries is the record of where this daemon sends the request.
+	deliveries *delivery.Log
+	headOnly   bool    // the method is HEAD
+	version    *string // nil: unknown
+	endpoint   string  // encoded
+	aborted    bool    // the connection must be closed early
 }
 
 var (
@@ -25,6 +28,9 @@
 	_ relay.EndpointSink = (*sink)(nil)
 )
 
+// of sets the request that the answer belongs to.
+func (s *sink) of(id string) { s.id, s.deliveries = id, delivery.NewLog(id) }
+
 // SetVersion implements relay.VersionSink.
 func (s *sink) SetVersion(version string) { s.version = &version }
 
@@ -52,6 +58,9 @@
 	}
 }
 
+// Deliveries implements relay.Sink.
+func (s *sink) Deliveries() *delivery.Log { return s.deliveries }
+
 // Whole implements relay.Sink.
 func (s *sink) Whole(status int, h http.Header, body []byte) {
 	s.header(h)
@@ -90,6 +99,7 @@
 	h.Set(idHeader, s.id)
 	h.Set(refusalHeader, string(r.Reason))
 	h.Set(verdict.Header, r.Verdict.String())
+	h.Set(deliveriesHeader, delivery.Format(s.deliveries.Records()))
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -20,6 +20,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/duty"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/faultproxy"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
@@ -80,6 +81,8 @@
 	status  int
 	body    string
 	refusal *relay.Refusal
+
+	deliveries *delivery.Log
 }
 
 func (s *recordingSink) Whole(status int, _ http.Header, body []byte) {
@@ -90,6 +93,12 @@
 func (s *recordingSink) WriteBody([]byte) error { return nil }
 func (s *recordingSink) End()                   {}
 func (s *recordingSink) Abort()                 {}
+func (s *recordingSink) Deliveries() *delivery.Log {
+	if s.deliveries == nil {
+		s.deliveries = delivery.NewLog("r1")
+	}
+	return s.deliveries
+}
 
 // testFleet is daemons on one store.
 type testFleet struct {
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -7,7 +7,9 @@
 
 	"github.com/VictoriaMetrics/metrics"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // metricSet is the daemon's metrics. Their names and meanings are in docs/OPERATIONS.md.
@@ -67,10 +69,13 @@
 		outcome = "failed"
 	}
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_total{route=%q,outcome=%q}`, o.Route, outcome)).Inc()
+	if o.Reason != "" && o.Reason != relay.CallerLeft && o.Verdict == verdict.NotRun {
+		m.refused(o)
+	}
 	if o.Reason == relay.OverLimit {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_over_limit_total{priority="%d"}`, o.RoutePriority)).Inc()
 	}
-	if o.Evidence == relay.StatusAlone {
+	if o.Evidence == delivery.StatusAlone {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_unproven_refusals_total{route=%q,status="%d"}`, o.Route, o.Status)).Inc()
 	}
 	if o.Continued != relay.NotContinued {
@@ -87,6 +92,11 @@
 	}
 }
 
+// refused counts a request whose caller was answered that it was not run, by reason and proof.
+func (m *metricSet) refused(o *relay.Outcome) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_refusals_total{reason=%q,proof=%q}`, o.Reason, delivery.BasisOf(o.Deliveries))).Inc()
+}
+
 // continued counts a stream that was continued, by who did, by what was known of the version
 // that began it, and by whether it was completed.
 func (m *metricSet) continued(o *relay.Outcome) {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -7,11 +7,13 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/logging"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ring"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 const (
@@ -21,6 +23,8 @@
 	// microseconds, so that both together stay below a thousandth of a core.
 	failureLines = 60
 	successLines = 4
+	// refusalLines bounds the further lines a second about refused requests that were sent somewhere.
+	refusalLines = 40
 	// restLines bounds the lines a second about endpoints that ask for rest.
 	restLines = 8
 )
@@ -41,7 +45,7 @@
 
 // add takes an outcome; it never blocks.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && !o.Failed && o.Evidence != relay.StatusAlone && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && o.Evidence != delivery.StatusAlone && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -57,7 +61,7 @@
 func (r *requestLog) run(ctx context.Context) {
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
-	written, dropped := 0, 0
+	written, refusals, dropped := 0, 0, 0
 	for {
 		select {
 		case <-ctx.Done():
@@ -68,15 +72,19 @@
 				r.log.WithFields(logrus.Fields{"part": "requests", "left_out": dropped}).Warn("lines left out")
 				r.metrics.linesLeftOut.Add(dropped)
 			}
-			written, dropped = 0, 0
+			written, refusals, dropped = 0, 0, 0
 			r.successes.Store(0)
 			r.rests.Store(0)
 		case o := <-r.ring.C():
-			if written >= failureLines {
+			switch {
+			case refusedAfterSend(o) && refusals < refusalLines:
+				refusals++
+			case written < failureLines:
+				written++
+			default:
 				dropped++
 				continue
 			}
-			written++
 			r.write(o)
 		}
 	}
@@ -94,6 +102,12 @@
 	}
 }
 
+// refusedAfterSend reports whether the caller was answered that the request was not run though it
+// was sent somewhere.
+func refusedAfterSend(o *relay.Outcome) bool {
+	return o.Reason != "" && o.Verdict == verdict.NotRun && len(o.Deliveries) > 0
+}
+
 func (r *requestLog) write(o *relay.Outcome) {
 	f := logrus.Fields{
 		"part": "requests", "id": o.ID, "route": o.Route, "workspace": o.Workspace, "endpoint": o.Endpoint,
@@ -117,9 +131,15 @@
 	if o.Via != "" {
 		f["via"] = o.Via
 	}
-	if o.Evidence != "" && (o.Reason != "" || o.Evidence == relay.StatusAlone) {
+	if o.Evidence != "" && (o.Reason != "" || o.Evidence == delivery.StatusAlone) {
 		f["evidence"] = o.Evidence
 	}
+	if o.Reason != "" && o.Verdict == verdict.NotRun {
+		f["proof"] = delivery.BasisOf(o.Deliveries)
+	}
+	if len(o.Deliveries) > 1 || len(o.Deliveries) == 1 && o.Reason != "" {
+		f["deliveries"] = delivery.Format(o.Deliveries)
+	}
 	if o.StoppingFor > 0 {
 		f["stopping_ms"] = o.StoppingFor.Milliseconds()
 	}
--- a/internal/node/requestlog_test.go
+++ b/internal/node/requestlog_test.go
@@ -11,7 +11,9 @@
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // An endpoint's failure is passed on to the caller. Among thousands of successes a second
@@ -38,3 +40,28 @@
 		assert.Assert(t, strings.Contains(got, "id=refused"))
 	})
 }
+
+// Guards against refusals of requests that were sent somewhere whose lines are left out.
+func TestRefusalsAfterASendAreLoggedBeforeOthers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var text bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&text)
+		r := newRequestLog(log, newMetricSet(&Node{}))
+		for i := range 2 * failureLines {
+			r.add(&relay.Outcome{ID: fmt.Sprint("unsent", i), Reason: relay.OverLimit, Verdict: verdict.NotRun})
+		}
+		r.add(&relay.Outcome{ID: "sent", Reason: relay.Shed, Verdict: verdict.NotRun, Deliveries: []delivery.Record{
+			{To: "i-1", NotRun: true, Evidence: delivery.EndpointStates, Status: 503},
+			{To: "10.1.0.2:1", NotRun: true, Evidence: delivery.DaemonStates, Status: 503, Further: []delivery.Record{{To: "i-2", NotRun: true, Evidence: delivery.EndpointStates, Status: 429}}},
+		}})
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.run(ctx)
+		synctest.Wait()
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(text.String(), `deliveries="i-1 not-run endpoint 503, 10.1.0.2:1 not-run daemon 503 (i-2 not-run endpoint 429)"`))
+		assert.Assert(t, strings.Contains(text.String(), "proof=daemons"))
+		assert.Equal(t, strings.Count(text.String(), "proof=unsent"), failureLines)
+	})
+}
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -24,9 +24,12 @@
 // Bodies holds the bodies of requests.
 func (n *Node) Bodies() *relay.Bodies { return n.bodies }
 
-// RefusedBody counts a request whose body finds no memory.
-func (n *Node) RefusedBody() {
+// RefusedBody records that a request was refused whose body finds no memory.
+func (n *Node) RefusedBody(id string, r relay.Refusal) {
 	n.metrics.set.GetOrCreateCounter("cyclamenbeam_bodies_refused_total").Inc()
+	o := &relay.Outcome{ID: id, Reason: r.Reason, Verdict: r.Verdict, RetryAfter: r.RetryAfter}
+	n.metrics.refused(o)
+	n.requests.add(o)
 }
 
 // Table returns the configuration in force, nil where there is none.
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -5,31 +5,16 @@
 
 	"github.com/zeebo/errs"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
-// Evidence is what the verdict on an attempt rests on.
-type Evidence string
-
-// The values of Evidence. Without an attempt it is empty.
-const (
-	NeverSent       Evidence = "never-sent"       // there was no connection, or the request was held
-	NoAnswer        Evidence = "no-answer"        // the request was sent, and no answer was read
-	EndpointStates  Evidence = "endpoint"         // the endpoint's answer names the request
-	EndpointUnnamed Evidence = "endpoint-unnamed" // it names none
-	DaemonStates    Evidence = "daemon"           // the refusal of another daemon names the request
-	DaemonUnnamed   Evidence = "daemon-unnamed"   // it names none
-	// StatusAlone means that an endpoint's status says that the request was not run, though the
-	// endpoint doesn't state so.
-	StatusAlone Evidence = "status-alone"
-)
-
 // evidenceOf returns the evidence of an attempt without an answer.
-func evidenceOf(v verdict.Verdict) Evidence {
+func evidenceOf(v verdict.Verdict) delivery.Evidence {
 	if v == verdict.NotRun {
-		return NeverSent
+		return delivery.NeverSent
 	}
-	return NoAnswer
+	return delivery.NoAnswer
 }
 
 // saysNotRun reports whether a status guarantees to callers that their request was not run.
@@ -51,12 +36,12 @@
 }
 
 // endpointEvidence returns the evidence of an endpoint's answer.
-func endpointEvidence(class Class, status int, unnamed bool) Evidence {
+func endpointEvidence(class Class, status int, unnamed bool) delivery.Evidence {
 	switch {
 	case unproven(class, status):
-		return StatusAlone
+		return delivery.StatusAlone
 	case unnamed:
-		return EndpointUnnamed
+		return delivery.EndpointUnnamed
 	}
-	return EndpointStates
+	return delivery.EndpointStates
 }
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -6,6 +6,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -37,7 +38,7 @@
 				assert.Assert(t, got.refusal != nil, "%s, status %d: %d bytes with status %d", path, status, got.body.Len(), got.status)
 				assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
 				assert.Equal(t, s.runs(), 1)
-				assert.Equal(t, s.recorder.last.Evidence, StatusAlone)
+				assert.Equal(t, s.recorder.last.Evidence, delivery.StatusAlone)
 			}
 		}
 	}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
@@ -56,6 +57,9 @@
 	// Endpoint returns the endpoint that an answer comes from, with its ID and start alone, nil if
 	// that isn't stated. It must be called before Refusal.
 	Endpoint(h http.Header) *roster.Endpoint
+	// Deliveries returns where the other daemon sent the request that it refused; stated is false
+	// if it doesn't say. It must be called before Refusal.
+	Deliveries(h http.Header) (all []delivery.Record, stated bool)
 	// Refusal returns the other daemon's refusal, nil if the answer is an endpoint's. It
 	// removes what the other daemon added to the header.
 	Refusal(status int, h http.Header) *Refusal
@@ -181,14 +185,16 @@
 		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
 	}
 	defer a.Close()
-	f.outcome.Evidence = DaemonStates
+	f.outcome.Evidence = delivery.DaemonStates
 	if a.Unnamed {
-		f.outcome.Evidence = DaemonUnnamed
+		f.outcome.Evidence = delivery.DaemonUnnamed
 	}
 	version, stated := f.relay.forwarder.Version(a.Header)
 	endpoint := f.relay.forwarder.Endpoint(a.Header)
+	further, _ := f.relay.forwarder.Deliveries(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
 		ran := refusal.Verdict != verdict.NotRun
+		a.Delivery.Settle(delivery.Record{NotRun: !ran, Evidence: f.outcome.Evidence, Status: a.Status, Further: further})
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
 	f.relay.forwarder.FoundOpen(f.service, address)
@@ -218,7 +224,7 @@
 		ConfigVersion: f.outcome.ConfigVersion, Pinned: f.balanceReq.Pinned, Version: f.balanceReq.Version,
 	}
 	return &upstream.Call{
-		Address: address, Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body,
+		Address: address, Deliveries: f.sink.Deliveries(), To: address, Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body,
 		Header: func() http.Header {
 			fr.TimeLeft, fr.Elapsed = time.Until(f.deadline), time.Since(f.request.Received)
 			return f.relay.forwarder.Header(fr)
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -8,6 +8,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
@@ -265,6 +266,7 @@
 		res.verdict = verdict.NotRun
 	}
 	f.outcome.Status = a.Status
+	a.Delivery.Settle(delivery.Record{NotRun: res.verdict == verdict.NotRun, Evidence: f.outcome.Evidence, Status: a.Status})
 	if !f.route.Repeatable() && unproven(class, a.Status) {
 		res.class, res.verdict = Failure, verdict.MayHaveRun
 		return res, nil, errUnproven
@@ -305,10 +307,10 @@
 		FetchFrom: t.choice.FetchFrom,
 	}
 	c := &upstream.Call{
-		Address: t.choice.Endpoint.Address,
-		Method:  f.request.Method,
-		Target:  f.request.Target,
-		Host:    f.request.Host,
+		Address: t.choice.Endpoint.Address, Deliveries: f.sink.Deliveries(), To: string(t.choice.Endpoint.ID),
+		Method: f.request.Method,
+		Target: f.request.Target,
+		Host:   f.request.Host,
 		Header: func() http.Header {
 			attempt.TimeLeft = time.Until(f.deadline)
 			return f.relay.protocol.Header(f.request, attempt)
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -19,6 +19,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -76,6 +77,8 @@
 	refusal *Refusal
 	ended   bool
 	aborted bool
+
+	deliveries *delivery.Log
 }
 
 func (s *recordingSink) Whole(status int, _ http.Header, body []byte) {
@@ -87,6 +90,12 @@
 func (s *recordingSink) WriteBody(p []byte) error        { s.body.Write(p); return nil }
 func (s *recordingSink) End()                            { s.ended = true }
 func (s *recordingSink) Abort()                          { s.aborted = true }
+func (s *recordingSink) Deliveries() *delivery.Log {
+	if s.deliveries == nil {
+		s.deliveries = delivery.NewLog("r1")
+	}
+	return s.deliveries
+}
 
 // recorder records what the relay reports; it is its Observer and its Guard.
 type recorder struct {
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
@@ -50,7 +51,9 @@
 	Failed  bool
 	Verdict verdict.Verdict
 	// Evidence is what the last attempt's verdict rests on.
-	Evidence Evidence
+	Evidence delivery.Evidence
+	// Deliveries are all attempts that were sent, those of other daemons included.
+	Deliveries []delivery.Record
 	// StoppingFor is how long the daemon had been stopping when the request was received, 0 if
 	// it was not.
 	StoppingFor time.Duration
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -83,6 +84,8 @@
 	Whole(status int, h http.Header, body []byte)
 	// Refuse sends an answer of this daemon itself.
 	Refuse(Refusal)
+	// Deliveries is the record of where the request was sent, to which the relay adds.
+	Deliveries() *delivery.Log
 	// Begin sends the status and header of an answer whose body follows in pieces.
 	Begin(status int, h http.Header)
 	// WriteBody sends a piece of the body: whole events of a stream, or any bytes
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -62,6 +62,7 @@
 		o := initialOutcome(q, a)
 		o.Forwarded = forwarded
 		o.StoppingFor = r.stoppingFor(q)
+		o.Deliveries = sink.Deliveries().Records()
 		o.Reason, o.Total, o.RetryAfter = refusal.Reason, time.Since(q.Received), refusal.RetryAfter
 		r.observer.Ended(&o)
 		return
@@ -76,6 +77,7 @@
 	f.outcome.StoppingFor = r.stoppingFor(q)
 	f.run(ctx)
 	f.outcome.Total = time.Since(q.Received)
+	f.outcome.Deliveries = sink.Deliveries().Records()
 	f.outcome.TimeLeft = time.Until(a.deadline)
 	f.outcome.noteLate(f.route)
 	if f.outcome.Reason == "" {
--- a/internal/relay/speeds_test.go
+++ b/internal/relay/speeds_test.go
@@ -12,6 +12,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -157,6 +158,9 @@
 func (throughAnother) Version(http.Header) (string, bool)    { return "", false }
 func (throughAnother) Endpoint(http.Header) *roster.Endpoint { return &roster.Endpoint{ID: "e0"} }
 func (throughAnother) Refusal(int, http.Header) *Refusal     { return nil }
+func (throughAnother) Deliveries(http.Header) ([]delivery.Record, bool) {
+	return nil, false
+}
 
 // Guards against a stream that two daemons count, or none.
 func TestForwardedStreamCountsAtTheDaemonThatReachesTheEngine(t *testing.T) {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -3,14 +3,20 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 )
 
 // Call is one request to one endpoint.
 type Call struct {
 	Address string // host:port of the endpoint
-	Method  string
-	Target  string // path and query as the caller sent them
-	Host    string
+	// Deliveries records the call, under the receiver's name To, before its first byte is written;
+	// nil: it isn't recorded.
+	Deliveries *delivery.Log
+	To         string
+	Method     string
+	Target     string // path and query as the caller sent them
+	Host       string
 	// Header is called once a connection is established: a header may state the
 	// time that is left, which excludes the time for connecting.
 	Header func() http.Header
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -34,6 +35,8 @@
 	Body   io.Reader
 	// Unnamed says that the answer names no request, and came on a new connection.
 	Unnamed bool
+	// Delivery is the call's record, nil if it isn't recorded.
+	Delivery *delivery.Delivery
 
 	pool      *Pool
 	conn      *conn
@@ -61,7 +64,7 @@
 			return nil, verdict.Wrap(verdict.NotRun, err)
 		}
 	}
-	a := &Answer{pool: p, conn: c}
+	a := &Answer{pool: p, conn: c, Delivery: call.Deliveries.Begin(call.To)}
 	c.startWait(time.Now(), call)
 	a.stop = context.AfterFunc(ctx, c.cancel)
 	if err := a.write(call); err != nil {
