relay: an answer that names no request doesn't prove 'not run'

Callers got 503 for orders and streams that then ran: the first answer on a new connection was taken for the endpoint's even if it named no request, and its statement of 'not run' (503 with the header, or 421) for a proof. Whatever stands before the endpoint can send such an answer by itself, and the endpoint gets the request all the same.

A statement counts if the answer names the request and comes directly; the daemon in between states its own refusals. Otherwise the request may have run: 502 for what may run once, a repeat within the route's bound for the rest. TestAnswerThatNamesNoRequestIsNoProof failed before.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -6,6 +6,7 @@
 	"github.com/zeebo/errs"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -28,13 +29,29 @@
 
 // errUnproven replaces an endpoint's answer whose status would be a guarantee of this system that
 // the endpoint doesn't give. A caller who relied on it would send an order again that has run.
-var errUnproven = errs.New("the endpoint's status says that the request was not run, and its header doesn't")
+var errUnproven = errs.New("the endpoint's answer says that the request was not run, without a proof")
 
 // unproven reports whether an endpoint's status alone says that a request was not run.
 func unproven(class Class, status int) bool {
 	return class != Refused && class != Misdirected && saysNotRun(status)
 }
 
+// judge returns whether a request may have been run by an endpoint that sent this answer, and an
+// error if the answer must not be passed on: it says that the request was not run, and doesn't
+// prove it. One that names no request may be that of something before the endpoint, which gets the
+// request all the same. So may one through another daemon that doesn't state a refusal of its own.
+func judge(r *route.Route, class Class, status int, unnamed, forwarded bool) (verdict.Verdict, error) {
+	states := class == Refused || class == Misdirected
+	switch {
+	case states && !unnamed && !forwarded:
+		return verdict.NotRun, nil
+	case states, !r.Repeatable() && saysNotRun(status):
+		return verdict.MayHaveRun, errUnproven
+	default:
+		return verdict.Ran, nil
+	}
+}
+
 // endpointEvidence returns the evidence of an endpoint's answer.
 func endpointEvidence(class Class, status int, unnamed bool) delivery.Evidence {
 	switch {
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// Guards against a refusal by something before an endpoint, which gets the request all the same.
+func TestAnswerThatNamesNoRequestIsNoProof(t *testing.T) {
+	for _, path := range []string{"/order/1", "/once/1", "/lookup/1"} {
+		for _, answer := range []string{"HTTP/1.1 503 X\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", "HTTP/1.1 421 X\r\nContent-Length: 0\r\n\r\n"} {
+			s := newFixture(t, testRoutes(), alwaysAnswers(answer), alwaysAnswers(answer))
+			s.relay.protocol = statedProtocol{}
+			got := s.send(t.Context(), path)
+			assert.Assert(t, got.refusal != nil, "%s: status %d", path, got.status)
+			assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+			assert.Equal(t, s.recorder.last.Evidence, delivery.EndpointUnnamed)
+		}
+	}
+}
+
 func TestStatusOfAFailedLookupIsPassedOn(t *testing.T) {
 	for _, status := range []int{408, 429, 500, 503} {
 		s := newFixture(t, testRoutes(), alwaysAnswers(response(status, "failed")))
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -261,15 +261,14 @@
 // readAnswer reads an answer whose head was received, and forwards it if it is a stream or
 // long.
 func (f *inflight) readAnswer(ctx context.Context, t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
-	res := attemptResult{class: class, reached: true, headReceived: true, verdict: verdict.Ran}
-	if class == Refused || class == Misdirected {
-		res.verdict = verdict.NotRun
-	}
+	res := attemptResult{class: class, reached: true, headReceived: true}
+	var unproven error
+	res.verdict, unproven = judge(f.route, class, a.Status, a.Unnamed, t.forwarded)
 	f.outcome.Status = a.Status
 	a.Delivery.Settle(delivery.Record{NotRun: res.verdict == verdict.NotRun, Evidence: f.outcome.Evidence, Status: a.Status})
-	if !f.route.Repeatable() && unproven(class, a.Status) {
-		res.class, res.verdict = Failure, verdict.MayHaveRun
-		return res, nil, errUnproven
+	if unproven != nil {
+		res.class = Failure
+		return res, nil, unproven
 	}
 	if class == Success && f.route.Kind == route.Streaming {
 		err := f.forwardStream(ctx, t, a)
