endpoint: a statement of 'not run' counts only with the status of a refusal

Callers got 503 for orders and streams that had run: an answer with the header X-Not-Executed counted as a refusal whatever its status was, also 200, 500 and 504, which say that the request was run.

With a status that says 'run' the answer is the endpoint's failure: 500 and 504 are passed on, a success that contradicts itself becomes 502.

--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -36,10 +36,14 @@
 	return class != Refused && class != Misdirected && saysNotRun(status)
 }
 
-// judge returns whether a request may have been run by an endpoint that sent this answer, and an
-// error if the answer must not be passed on: it says that the request was not run, and doesn't
-// prove it. One that names no request may be that of something before the endpoint, which gets the
-// request all the same. So may one through another daemon that doesn't state a refusal of its own.
+// errNoSuccess replaces an endpoint's answer with the status of a success and a header to the
+// contrary.
+var errNoSuccess = errs.New("the endpoint's status says that the request has succeeded, and its header doesn't")
+
+// judge returns whether an endpoint that sent this answer may have run the request, and an error if
+// the answer must not be passed on: it says "not run" without proving it, or contradicts itself.
+// An answer that names no request may come from something before the endpoint, which gets the
+// request all the same. Through another daemon only that daemon's own refusal is a proof.
 func judge(r *route.Route, class Class, status int, unnamed, forwarded bool) (verdict.Verdict, error) {
 	states := class == Refused || class == Misdirected
 	switch {
@@ -47,6 +51,8 @@
 		return verdict.NotRun, nil
 	case states, !r.Repeatable() && saysNotRun(status):
 		return verdict.MayHaveRun, errUnproven
+	case class == Failure && status < http.StatusMultipleChoices:
+		return verdict.MayHaveRun, errNoSuccess
 	default:
 		return verdict.Ran, nil
 	}
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -15,6 +15,8 @@
 
 func (statedProtocol) Classify(status int, h http.Header) Class {
 	switch {
+	case h.Get("Not-Run") != "" && status < 300:
+		return Failure
 	case h.Get("Not-Run") != "":
 		return Refused
 	case status == http.StatusMisdirectedRequest:
@@ -58,6 +60,18 @@
 	}
 }
 
+// Guards against a success whose endpoint states that it has not run the request.
+func TestContradictorySuccessIsNotPassedOn(t *testing.T) {
+	for _, path := range []string{"/order/1", "/once/1", "/lookup/1", "/stream/1"} {
+		answer := "HTTP/1.1 200 X\r\nId: ID\r\nNot-Run: 1\r\nContent-Length: 4\r\n\r\ndone"
+		s := newFixture(t, testRoutes(), alwaysAnswers(answer), alwaysAnswers(answer))
+		s.relay.protocol = statedProtocol{}
+		got := s.send(t.Context(), path)
+		assert.Assert(t, got.refusal != nil, "%s: status %d", path, got.status)
+		assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+	}
+}
+
 func TestStatusOfAFailedLookupIsPassedOn(t *testing.T) {
 	for _, status := range []int{408, 429, 500, 503} {
 		s := newFixture(t, testRoutes(), alwaysAnswers(response(status, "failed")))
