relay: another daemon's refusal proves 'not run' only by its deliveries

Beside daemons of the earlier release, callers of new ones got 503 for orders that had run: the earlier ones take more for a proof, and a new daemon passed their 'not run' on.

A refusal through another daemon counts as 'not run' if the daemon states its deliveries and each of them proves it. A daemon of the earlier release states none: while both serve side by side, what may run once ends with 502 there, and the rest is repeated. TestRefusalOfAnotherDaemonFollowsFromItsDeliveries failed before.

--- a/internal/delivery/basis.go
+++ b/internal/delivery/basis.go
@@ -1,5 +1,7 @@
 package delivery
 
+import "slices"
+
 // Basis is what the statement rests on that a request was not run.
 type Basis string
 
@@ -13,19 +15,14 @@
 
 // BasisOf returns the basis for a request with these deliveries.
 func BasisOf(all []Record) Basis {
-	basis := Unsent
-	for _, r := range all {
-		if !r.NotRun {
-			return Nothing
-		}
-		switch r.Evidence {
-		case DaemonStates, DaemonUnnamed:
-			basis = Daemons
-		default:
-			if basis == Unsent {
-				basis = Endpoints
-			}
-		}
+	switch {
+	case len(all) == 0:
+		return Unsent
+	case !AllProve(all):
+		return Nothing
+	case slices.ContainsFunc(all, func(r Record) bool { return r.Evidence == DaemonStates }):
+		return Daemons
+	default:
+		return Endpoints
 	}
-	return basis
 }
--- a/internal/delivery/record.go
+++ b/internal/delivery/record.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 
@@ -23,6 +24,23 @@
 	Further []Record
 }
 
+// proves reports whether the record proves that the request was not run by its receiver.
+func (r Record) proves() bool {
+	switch r.Evidence {
+	case EndpointStates:
+		return r.NotRun
+	case DaemonStates:
+		return r.NotRun && AllProve(r.Further)
+	default:
+		return false
+	}
+}
+
+// AllProve reports whether all records prove that the request was not run.
+func AllProve(all []Record) bool {
+	return !slices.ContainsFunc(all, func(r Record) bool { return !r.proves() })
+}
+
 // String returns the form in log lines and in the protocol between daemons: the receiver, the
 // result, the evidence and the status, and in parentheses the deliveries by that daemon, such as
 // "i-7f3a not-run endpoint 503" or "10.1.0.2:7341 not-run daemon 503 (i-7f3a not-run endpoint 503)".
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -302,6 +302,40 @@
 	assert.Equal(t, e.runs.Load(), int64(1))
 }
 
+// refusingDaemon returns the address of a daemon that refuses each request as not run, with a header
+// of its deliveries unless that is "none".
+func refusingDaemon(t *testing.T, deliveries string) string {
+	t.Helper()
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Cyclamenbeam-Forward-Id", "r1")
+		w.Header().Set("Cyclamenbeam-Forward-Refusal", "shed")
+		w.Header().Set("Cyclamenbeam-Verdict", "not-run")
+		if deliveries != "none" {
+			w.Header().Set("Cyclamenbeam-Forward-Deliveries", deliveries)
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	t.Cleanup(s.Close)
+	return strings.TrimPrefix(s.URL, "http://")
+}
+
+// Guards against a refusal of another daemon that doesn't follow from its deliveries, such as one of
+// an earlier release.
+func TestRefusalOfAnotherDaemonFollowsFromItsDeliveries(t *testing.T) {
+	for deliveries, want := range map[string]verdict.Verdict{
+		"":                             verdict.NotRun,
+		"i-1 not-run endpoint 503":     verdict.NotRun,
+		"none":                         verdict.MayHaveRun,
+		"unreadable":                   verdict.MayHaveRun,
+		"i-1 may-have-run no-answer 0": verdict.MayHaveRun,
+		"i-1 not-run endpoint 503, i-2 not-run endpoint-unnamed 503": verdict.MayHaveRun,
+	} {
+		a := newHopDaemon(t, "", refusingDaemon(t, deliveries))
+		out := a.send(t.Context(), "/order/1", "")
+		assert.Equal(t, out.refusal.Verdict, want, "%q", deliveries)
+	}
+}
+
 // dyingDaemon returns the address of a daemon that ends whenever it has received a request.
 func dyingDaemon(t *testing.T) string {
 	t.Helper()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -189,16 +189,19 @@
 	if a.Unnamed {
 		f.outcome.Evidence = delivery.DaemonUnnamed
 	}
-	version, stated := f.relay.forwarder.Version(a.Header)
+	version, versionKnown := f.relay.forwarder.Version(a.Header)
 	endpoint := f.relay.forwarder.Endpoint(a.Header)
-	further, _ := f.relay.forwarder.Deliveries(a.Header)
+	further, stated := f.relay.forwarder.Deliveries(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
+		if !stated || !delivery.AllProve(further) {
+			refusal.Verdict = verdict.MayHaveRun // also by a daemon of a release that doesn't state them
+		}
 		ran := refusal.Verdict != verdict.NotRun
 		a.Delivery.Settle(delivery.Record{NotRun: !ran, Evidence: f.outcome.Evidence, Status: a.Status, Further: further})
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
 	f.relay.forwarder.FoundOpen(f.service, address)
-	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: stated}
+	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: versionKnown}
 	if endpoint != nil {
 		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
 	}
