forward: an answer without an ID proves nothing, whatever its status is

By reading, not seen: 400, 417, 431, 501 and 505 without an ID counted as 'not run', since net/http answers so what it can't read. Whatever else listens at that address answers so too, also after it has run the request.

No answer that names no request is a proof. A daemon's own server doesn't reject what another one sends: a head that the callers' listener accepts (64 KB) fits the one between daemons (256 KB). The test asks for all statuses now and sends them over a hop; it failed for the five before.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -83,14 +83,10 @@
 }
 
 // Refusal implements relay.Forwarder. An answer that names no request isn't one of the other
-// daemon's relay: its HTTP server rejects a request that it can't read before the relay gets it.
-// Any other status leaves open what became of the request.
-func (Codec) Refusal(status int, h http.Header) *relay.Refusal {
+// daemon's relay, and leaves open what became of the request.
+func (Codec) Refusal(h http.Header) *relay.Refusal {
 	reason := h.Get(refusalHeader)
 	if len(h.Values(idHeader)) == 0 {
-		if unreadable(status) {
-			return &relay.Refusal{Reason: relay.NoEndpoint, Verdict: verdict.NotRun}
-		}
 		return &relay.Refusal{Reason: relay.Broken, Verdict: verdict.MayHaveRun}
 	}
 	if reason == "" {
@@ -106,14 +102,3 @@
 	}
 	return r
 }
-
-// unreadable reports whether a status is one with which net/http, or this package, answers a
-// request that can't be read.
-func unreadable(status int) bool {
-	switch status {
-	case http.StatusBadRequest, http.StatusExpectationFailed, http.StatusRequestHeaderFieldsTooLarge,
-		http.StatusNotImplemented, http.StatusHTTPVersionNotSupported:
-		return true
-	}
-	return false
-}
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -336,6 +336,16 @@
 	}
 }
 
+// Guards against an order that counts as not run by an answer that names no request.
+func TestAnswerWithoutAnIDProvesNothing(t *testing.T) {
+	for status := 200; status < 600; status++ {
+		s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(status) }))
+		a := newHopDaemon(t, "", strings.TrimPrefix(s.URL, "http://"))
+		assert.Equal(t, a.send(t.Context(), "/order/1", "").refusal.Verdict, verdict.MayHaveRun, "status %d", status)
+		s.Close()
+	}
+}
+
 // dyingDaemon returns the address of a daemon that ends whenever it has received a request.
 func dyingDaemon(t *testing.T) string {
 	t.Helper()
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -62,7 +62,7 @@
 	Deliveries(h http.Header) (all []delivery.Record, stated bool)
 	// Refusal returns the other daemon's refusal, nil if the answer is an endpoint's. It
 	// removes what the other daemon added to the header.
-	Refusal(status int, h http.Header) *Refusal
+	Refusal(h http.Header) *Refusal
 }
 
 // forwardMargin is added to the time for which an endpoint may send nothing, since the other
@@ -192,7 +192,7 @@
 	version, versionKnown := f.relay.forwarder.Version(a.Header)
 	endpoint := f.relay.forwarder.Endpoint(a.Header)
 	further, stated := f.relay.forwarder.Deliveries(a.Header)
-	if refusal := f.relay.forwarder.Refusal(a.Status, a.Header); refusal != nil {
+	if refusal := f.relay.forwarder.Refusal(a.Header); refusal != nil {
 		if !stated || !delivery.AllProve(further) {
 			refusal.Verdict = verdict.MayHaveRun // also by a daemon of a release that doesn't state them
 		}
--- a/internal/relay/speeds_test.go
+++ b/internal/relay/speeds_test.go
@@ -157,7 +157,7 @@
 }
 func (throughAnother) Version(http.Header) (string, bool)    { return "", false }
 func (throughAnother) Endpoint(http.Header) *roster.Endpoint { return &roster.Endpoint{ID: "e0"} }
-func (throughAnother) Refusal(int, http.Header) *Refusal     { return nil }
+func (throughAnother) Refusal(http.Header) *Refusal          { return nil }
 func (throughAnother) Deliveries(http.Header) ([]delivery.Record, bool) {
 	return nil, false
 }
