One writer through which statuses that say 'not run' leave, with a proof

Whether callers get 408, 421, 429 or 503 followed from a tally of this daemon's attempts, from the reason of a refusal (429 whatever its verdict, by reading) and from the endpoint's own status, in several places; nothing kept a later one from giving a guarantee that the request's deliveries don't.

All answers to callers and to other daemons leave through delivery.Writer. It lets these statuses pass only if each delivery of the request proves 'not run', or if the request may be repeated; else the caller gets 502, and an error is logged. The pool records a delivery before its first byte, so that one without an answer is open. Proving closes the record: the pool sends the request nowhere after its caller was refused. net/http's own answers on these connections (400, 417, 431, 501, 505) promise nothing.

TestStatusNeedsAProof, TestRefusedRequestIsSentNowhere; the rows 'over-limit, may have run' and 'no-route, may have run' of TestRefusalStatusMatchesVerdict failed before (429, 404). TestUnknownRouteUnknownKeyAndLimitAreRefused uses a sink for each request, as callers do.

--- a/internal/delivery/log.go
+++ b/internal/delivery/log.go
@@ -7,17 +7,17 @@
 
 // Log records the deliveries of one request. It is safe for concurrent use.
 type Log struct {
-	request string // its ID
-
-	mu  sync.Mutex
-	all []*Delivery
+	mu      sync.Mutex
+	all     []*Delivery
+	repeats bool // the request may be run more than once
+	closed  bool // its caller is answered that it was not run
 }
 
-// NewLog returns the log of a request that was sent nowhere yet.
-func NewLog(request string) *Log { return &Log{request: request} }
+// ErrClosed means that a request's caller is answered that it was not run.
+var ErrClosed = Error.New("the request is refused as not run")
 
-// Request returns the request's ID.
-func (l *Log) Request() string { return l.request }
+// NewLog returns the log of a request that was sent nowhere yet.
+func NewLog() *Log { return &Log{} }
 
 // Delivery is one delivery. Until it is settled the request may have been run.
 type Delivery struct {
@@ -25,16 +25,28 @@
 	record Record
 }
 
-// Begin records that the request is about to be sent. A nil log records nothing.
-func (l *Log) Begin(to string) *Delivery {
+// AllowRepeats records that the request may be run more than once, so that its callers send it
+// again after any failure, and the status of an endpoint's failure is passed on.
+func (l *Log) AllowRepeats() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.repeats = true
+}
+
+// Begin records that the request is about to be sent. It returns ErrClosed if it must not be. A nil
+// log records nothing.
+func (l *Log) Begin(to string) (*Delivery, error) {
 	if l == nil {
-		return nil
+		return nil, nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	if l.closed {
+		return nil, ErrClosed
+	}
 	d := &Delivery{log: l, record: Record{To: to, Evidence: NoAnswer}}
 	l.all = append(l.all, d)
-	return d
+	return d, nil
 }
 
 // Settle records what became of the delivery.
@@ -52,6 +64,11 @@
 func (l *Log) Records() []Record {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	return l.records()
+}
+
+// records returns them; the lock is held.
+func (l *Log) records() []Record {
 	out := make([]Record, len(l.all))
 	for i, d := range l.all {
 		out[i] = d.record
@@ -59,3 +76,25 @@
 	}
 	return out
 }
+
+// Prove reports whether each delivery proves that the request was not run. If so it closes the log:
+// the request is sent nowhere from then on.
+func (l *Log) Prove() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.closed = l.closed || AllProve(l.records())
+	return l.closed
+}
+
+// permits reports whether the caller may be sent a status.
+func (l *Log) permits(status int) bool {
+	if !SaysNotRun(status) {
+		return true
+	}
+	if l.Prove() {
+		return true
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.repeats
+}
--- a/internal/delivery/record_test.go
+++ b/internal/delivery/record_test.go
@@ -36,8 +36,9 @@
 
 // Guards against a refusal while a request is on its way.
 func TestDeliveryIsOpenUntilItIsSettled(t *testing.T) {
-	l := NewLog("r1")
-	d := l.Begin("i-1")
+	l := NewLog()
+	d, err := l.Begin("i-1")
+	assert.NilError(t, err)
 	assert.Equal(t, BasisOf(l.Records()), Nothing)
 	d.Settle(Record{NotRun: true, Evidence: EndpointStates, Status: 503})
 	assert.Equal(t, BasisOf(l.Records()), Endpoints)
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -197,7 +197,7 @@
 func (s *hopSink) Abort()                          { s.aborted = true }
 func (s *hopSink) Deliveries() *delivery.Log {
 	if s.deliveries == nil {
-		s.deliveries = delivery.NewLog("r1")
+		s.deliveries = delivery.NewLog()
 	}
 	return s.deliveries
 }
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -11,6 +11,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -64,15 +65,13 @@
 func (s *Server) Close(ctx context.Context) error { return s.server.Close(ctx) }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	to := &sink{w: w, headOnly: r.Method == http.MethodHead}
+	to := &sink{w: delivery.NewWriter(w, delivery.NewLog()), headOnly: r.Method == http.MethodHead}
 	body, err := s.bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, bodyTimeout)
 	defer body.Release()
 	if errors.Is(err, relay.ErrNoMemory) {
-		id := ""
 		if e, err := decode(r, nil); err == nil {
-			id = e.Request.ID
+			to.id = e.Request.ID
 		}
-		to.of(id)
 		to.Refuse(relay.RefuseBody())
 		return
 	}
@@ -85,7 +84,7 @@
 		w.WriteHeader(http.StatusBadRequest)
 		return
 	}
-	to.of(fr.Request.ID)
+	to.id = fr.Request.ID
 	s.handler.ServeForwarded(r.Context(), fr, to)
 	if to.aborted {
 		panic(http.ErrAbortHandler) // the other daemon must see a truncated answer
--- a/internal/forward/sink.go
+++ b/internal/forward/sink.go
@@ -13,14 +13,12 @@
 
 // sink implements relay.Sink for another daemon's connection.
 type sink struct {
-	w  http.ResponseWriter
-	id string
-	// deliveries is the record of where this daemon sends the request.
-	deliveries *delivery.Log
-	headOnly   bool    // the method is HEAD
-	version    *string // nil: unknown
-	endpoint   string  // encoded
-	aborted    bool    // the connection must be closed early
+	w        *delivery.Writer
+	id       string
+	headOnly bool    // the method is HEAD
+	version  *string // nil: unknown
+	endpoint string  // encoded
+	aborted  bool    // the connection must be closed early
 }
 
 var (
@@ -28,9 +26,6 @@
 	_ relay.EndpointSink = (*sink)(nil)
 )
 
-// of sets the request that the answer belongs to.
-func (s *sink) of(id string) { s.id, s.deliveries = id, delivery.NewLog(id) }
-
 // SetVersion implements relay.VersionSink.
 func (s *sink) SetVersion(version string) { s.version = &version }
 
@@ -59,7 +54,7 @@
 }
 
 // Deliveries implements relay.Sink.
-func (s *sink) Deliveries() *delivery.Log { return s.deliveries }
+func (s *sink) Deliveries() *delivery.Log { return s.w.Deliveries() }
 
 // Whole implements relay.Sink.
 func (s *sink) Whole(status int, h http.Header, body []byte) {
@@ -99,10 +94,18 @@
 	h.Set(idHeader, s.id)
 	h.Set(refusalHeader, string(r.Reason))
 	h.Set(verdict.Header, r.Verdict.String())
-	h.Set(deliveriesHeader, delivery.Format(s.deliveries.Records()))
+	h.Set(deliveriesHeader, delivery.Format(s.w.Deliveries().Records()))
 	if r.RetryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(r.RetryAfter.Seconds(), 'f', 3, 64))
 	}
 	h.Set("Content-Length", "0")
-	s.w.WriteHeader(http.StatusServiceUnavailable)
+	s.w.WriteHeader(status(r))
+}
+
+// status returns the status of a refusal, whose meaning is in the header.
+func status(r relay.Refusal) int {
+	if r.Verdict == verdict.NotRun {
+		return http.StatusServiceUnavailable
+	}
+	return http.StatusBadGateway
 }
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -95,7 +95,7 @@
 func (s *recordingSink) Abort()                 {}
 func (s *recordingSink) Deliveries() *delivery.Log {
 	if s.deliveries == nil {
-		s.deliveries = delivery.NewLog("r1")
+		s.deliveries = delivery.NewLog()
 	}
 	return s.deliveries
 }
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -44,10 +44,9 @@
 	case refusal == nil:
 		refusal = f.relay.state.refuseBusy(f, NoEndpoint)
 	}
-	f.outcome.Reason = refusal.Reason
-	f.outcome.Verdict = refusal.Verdict
-	f.outcome.RetryAfter = refusal.RetryAfter
-	f.sink.Refuse(*refusal)
+	r := refusal.confirmed(f.sink.Deliveries())
+	f.outcome.Reason, f.outcome.Verdict, f.outcome.RetryAfter = r.Reason, r.Verdict, r.RetryAfter
+	f.sink.Refuse(r)
 }
 
 // verdict returns whether an endpoint may have run the request.
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -18,22 +18,13 @@
 	return delivery.NoAnswer
 }
 
-// saysNotRun reports whether a status guarantees to callers that their request was not run.
-func saysNotRun(status int) bool {
-	switch status {
-	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
-		return true
-	}
-	return false
-}
-
 // errUnproven replaces an endpoint's answer whose status would be a guarantee of this system that
 // the endpoint doesn't give. A caller who relied on it would send an order again that has run.
 var errUnproven = errs.New("the endpoint's answer says that the request was not run, without a proof")
 
 // unproven reports whether an endpoint's status alone says that a request was not run.
 func unproven(class Class, status int) bool {
-	return class != Refused && class != Misdirected && saysNotRun(status)
+	return class != Refused && class != Misdirected && delivery.SaysNotRun(status)
 }
 
 // errNoSuccess replaces an endpoint's answer with the status of a success and a header to the
@@ -49,7 +40,7 @@
 	switch {
 	case states && !unnamed && !forwarded:
 		return verdict.NotRun, nil
-	case states, !r.Repeatable() && saysNotRun(status):
+	case states, !r.Repeatable() && delivery.SaysNotRun(status):
 		return verdict.MayHaveRun, errUnproven
 	case class == Failure && status < http.StatusMultipleChoices:
 		return verdict.MayHaveRun, errNoSuccess
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -92,7 +92,7 @@
 func (s *recordingSink) Abort()                          { s.aborted = true }
 func (s *recordingSink) Deliveries() *delivery.Log {
 	if s.deliveries == nil {
-		s.deliveries = delivery.NewLog("r1")
+		s.deliveries = delivery.NewLog()
 	}
 	return s.deliveries
 }
@@ -436,6 +436,7 @@
 	for range 3 {
 		s.relay.Serve(t.Context(), small, out)
 		assert.Assert(t, out.refusal == nil)
+		out = &recordingSink{}
 	}
 	s.relay.Serve(t.Context(), small, out)
 	assert.Equal(t, out.refusal.Reason, OverLimit)
--- a/internal/relay/reason.go
+++ b/internal/relay/reason.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -37,3 +38,11 @@
 	// RetryAfter is the delay after which a retry may succeed; 0 if unknown.
 	RetryAfter time.Duration
 }
+
+// confirmed returns the refusal with the verdict that a request's deliveries prove.
+func (r Refusal) confirmed(l *delivery.Log) Refusal {
+	if r.Verdict == verdict.NotRun && !l.Prove() {
+		return Refusal{Reason: Broken, Verdict: verdict.MayHaveRun}
+	}
+	return r
+}
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -58,7 +58,7 @@
 		refusal = notRun(Stopping, 0)
 	}
 	if refusal != nil {
-		sink.Refuse(*refusal)
+		sink.Refuse(refusal.confirmed(sink.Deliveries()))
 		o := initialOutcome(q, a)
 		o.Forwarded = forwarded
 		o.StoppingFor = r.stoppingFor(q)
@@ -72,6 +72,9 @@
 	ctx, abort := context.WithCancelCause(ctx)
 	defer abort(nil)
 	defer context.AfterFunc(r.ending, func() { abort(errStopped) })()
+	if a.route.Repeatable() {
+		sink.Deliveries().AllowRepeats()
+	}
 	f := newInflight(r, q, a, sink, forwarded)
 	defer f.releaseHeld()
 	f.outcome.StoppingFor = r.stoppingFor(q)
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -64,7 +64,12 @@
 			return nil, verdict.Wrap(verdict.NotRun, err)
 		}
 	}
-	a := &Answer{pool: p, conn: c, Delivery: call.Deliveries.Begin(call.To)}
+	d, err := call.Deliveries.Begin(call.To)
+	if err != nil {
+		p.giveBack(c)
+		return nil, verdict.Wrap(verdict.NotRun, err)
+	}
+	a := &Answer{pool: p, conn: c, Delivery: d}
 	c.startWait(time.Now(), call)
 	a.stop = context.AfterFunc(ctx, c.cancel)
 	if err := a.write(call); err != nil {
