upstream: a request that comes again uses a connection that hasn't carried it

By reading, not seen: an answer belongs to a request by its ID alone, and an endpoint may send a further copy of an answer late. The same request again on the same kept connection would take a late copy of its first refusal for the second answer, while the second is run. A daemon doesn't choose an endpoint, or another daemon, twice for one request, so it takes a caller that uses an ID again.

A connection remembers as many requests as late answers are skipped, and isn't used for one of them again. TestRequestThatComesAgainUsesAnotherConnection failed before: the second call got the copy of the first answer.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -233,6 +233,7 @@
 			return f.relay.forwarder.Header(fr)
 		},
 		Gate:           f,
+		ID:             q.ID,
 		Owns:           f.relay.forwarder.Owns(&q),
 		SilenceTimeout: finalStallTimeout + forwardMargin,
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -316,6 +316,7 @@
 		},
 		Body: f.request.Body,
 		Gate: f,
+		ID:   f.request.ID,
 		Owns: f.relay.protocol.Owns(f.request),
 	}
 	f.requireRun(time.Now(), c, &t.choice.Endpoint)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -24,6 +24,10 @@
 	// Gate is asked once a connection is established, just before the call is sent; nil: it may
 	// be sent.
 	Gate Gate
+	// ID is what answers name the request by. A connection that has carried it lately isn't used
+	// for it again: a late copy of the earlier answer would be taken for the new one. Empty: any
+	// connection will do.
+	ID string
 	// Owns reports whether an answer's header names this request: on a reused
 	// connection, a late answer to an earlier request may come first.
 	Owns func(http.Header) Ownership
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -30,7 +31,9 @@
 	wait     readWait
 	expires  time.Time // when the idle connection is closed; zero: not set
 	reused   bool      // has served an earlier request
-	run      string    // of the endpoint, that the connection is confirmed to reach; empty: unknown
+	// recent are the IDs of the last requests, of which late answers are skipped.
+	recent [maxSkipped]string
+	run    string // of the endpoint, that the connection is confirmed to reach; empty: unknown
 }
 
 func newConn(p *Pool, h *host, address string, nc net.Conn) *conn {
@@ -41,6 +44,15 @@
 
 func (c *conn) close() { _ = c.nc.Close() }
 
+// carry records that the connection carries a request.
+func (c *conn) carry(id string) {
+	copy(c.recent[1:], c.recent[:])
+	c.recent[0] = id
+}
+
+// carried reports whether one of the last requests had this ID.
+func (c *conn) carried(id string) bool { return id != "" && slices.Contains(c.recent[:], id) }
+
 // reusable reports whether an idle connection is open and has no bytes to read.
 // On a connection that the endpoint has closed, a request that must run at most
 // once would be lost without a retry; unread bytes are an answer to an earlier
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -150,9 +150,9 @@
 }
 
 // get returns an idle connection that is still open, or a new one; an idle one that was
-// established no later than by, if there is one. by is zero if any will do. Its errors have the
-// verdict NotRun.
-func (p *Pool) get(ctx context.Context, address string, by time.Time) (*conn, error) {
+// established no later than by, if there is one; by is zero if any will do. One that has carried a
+// request with this ID is closed. Its errors have the verdict NotRun.
+func (p *Pool) get(ctx context.Context, address string, by time.Time, id string) (*conn, error) {
 	for {
 		c, h, err := p.acquire(address, by)
 		if err != nil {
@@ -161,7 +161,7 @@
 		if c == nil {
 			return p.open(ctx, address, h)
 		}
-		if c.reusable() {
+		if c.reusable() && !c.carried(id) {
 			return c, nil
 		}
 		p.drop(c)
@@ -172,7 +172,7 @@
 // it is still open, or a new one can be established, which is then kept. It
 // returns false if the connection is refused, and an error if neither is known.
 func (p *Pool) Listens(ctx context.Context, address string) (bool, error) {
-	c, err := p.get(ctx, address, time.Time{})
+	c, err := p.get(ctx, address, time.Time{}, "")
 	if errors.Is(err, syscall.ECONNREFUSED) {
 		return false, nil
 	}
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -19,7 +19,7 @@
 			return nc, nil
 		})
 		get := func(by time.Time) *conn {
-			c, err := p.get(t.Context(), "e1", by)
+			c, err := p.get(t.Context(), "e1", by, "")
 			assert.NilError(t, err)
 			return c
 		}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -51,7 +51,7 @@
 // errors carry a verdict. The end of the context ends the wait and, until Close,
 // the reading of the body.
 func (p *Pool) Send(ctx context.Context, call *Call) (*Answer, error) {
-	c, err := p.get(ctx, call.Address, call.EstablishedBy)
+	c, err := p.get(ctx, call.Address, call.EstablishedBy, call.ID)
 	if err != nil {
 		return nil, err
 	}
@@ -70,6 +70,7 @@
 		return nil, verdict.Wrap(verdict.NotRun, err)
 	}
 	a := &Answer{pool: p, conn: c, Delivery: d}
+	c.carry(call.ID)
 	c.startWait(time.Now(), call)
 	a.stop = context.AfterFunc(ctx, c.cancel)
 	if err := a.write(call); err != nil {
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -254,3 +254,23 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "4")
 }
+
+// Guards against a late copy of a request's first answer that is taken for the answer to its second try.
+func TestRequestThatComesAgainUsesAnotherConnection(t *testing.T) {
+	address := serveScript(t, func(n int, _ *http.Request) string {
+		if n == 0 {
+			return answerText("a", "first")
+		}
+		return answerText("a", "first") + answerText("a", "again")
+	})
+	p := NewPool(2, DialTCP)
+	for range 3 {
+		c := newCall(address, "a")
+		c.ID = "a"
+		text, err := sendAndRead(t, p, c)
+		assert.NilError(t, err)
+		assert.Equal(t, text, "first")
+	}
+	assert.Equal(t, p.Stats().Dialled, uint64(3))
+	assert.Equal(t, p.Stats().Reused, uint64(2)) // taken, and closed
+}
