problem: 408, 421, 429 and 503 come with the verdict 'not-run' alone

On the interface of the product itself callers got 503 with the verdict 'may-have-run' where the entry that holds a request doesn't answer, where its caller left, and where the retry budget was spent after an attempt that may have run: the same status that promises 'not run' elsewhere.

New turns these statuses into 502 with any other verdict, so that no place can combine them. By reading, not seen; TestStatusFollowsTheVerdict failed before.

--- a/internal/problem/problem.go
+++ b/internal/problem/problem.go
@@ -10,6 +10,7 @@
 	"strconv"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -27,9 +28,12 @@
 	RetryAfter time.Duration   `json:"-"` // sent as the Retry-After header; 0 omits it
 }
 
-// New returns a problem with the given HTTP status and verdict. Its detail is
-// formatted as by fmt.Sprintf.
+// New returns a problem with the given HTTP status and verdict. A status that says that the request
+// was not run becomes 502 with another verdict. The detail is formatted as by fmt.Sprintf.
 func New(status int, v verdict.Verdict, format string, args ...any) *Problem {
+	if delivery.SaysNotRun(status) && v != verdict.NotRun {
+		status = http.StatusBadGateway
+	}
 	return &Problem{
 		Type:    "about:blank",
 		Title:   http.StatusText(status),
