Answers that claim 'not run' without a proof are counted and logged as such

cyclamenbeam_unproven_refusals_total and the request line had the endpoint's status alone; an answer that names no request, and a success that states that it wasn't run, are among them now (evidence: contradiction).

--- a/internal/delivery/evidence.go
+++ b/internal/delivery/evidence.go
@@ -14,4 +14,7 @@
 	// StatusAlone means that an endpoint's status says that the request was not run, though the
 	// endpoint doesn't state so.
 	StatusAlone Evidence = "status-alone"
+	// Contradiction means that an endpoint answers with a success and states that it has not run the
+	// request.
+	Contradiction Evidence = "contradiction"
 )
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -75,7 +75,7 @@
 	if o.Reason == relay.OverLimit {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_requests_over_limit_total{priority="%d"}`, o.RoutePriority)).Inc()
 	}
-	if o.Evidence == delivery.StatusAlone {
+	if o.Unproven() {
 		m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_unproven_refusals_total{route=%q,status="%d"}`, o.Route, o.Status)).Inc()
 	}
 	if o.Continued != relay.NotContinued {
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -45,7 +45,7 @@
 
 // add takes an outcome; it never blocks.
 func (r *requestLog) add(o *relay.Outcome) {
-	if o.Reason == "" && !o.Failed && o.Evidence != delivery.StatusAlone && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
+	if o.Reason == "" && !o.Failed && !o.Unproven() && o.Continued == relay.NotContinued && o.Late == relay.InTime && r.successes.Add(1) > successLines {
 		return
 	}
 	r.ring.Push(o)
@@ -131,7 +131,7 @@
 	if o.Via != "" {
 		f["via"] = o.Via
 	}
-	if o.Evidence != "" && (o.Reason != "" || o.Evidence == delivery.StatusAlone) {
+	if o.Evidence != "" && (o.Reason != "" || o.Unproven()) {
 		f["evidence"] = o.Evidence
 	}
 	if o.Reason != "" && o.Verdict == verdict.NotRun {
--- a/internal/relay/evidence.go
+++ b/internal/relay/evidence.go
@@ -31,6 +31,11 @@
 // contrary.
 var errNoSuccess = errs.New("the endpoint's status says that the request has succeeded, and its header doesn't")
 
+// contradicts reports whether an answer has the status of a success and is none.
+func contradicts(class Class, status int) bool {
+	return class == Failure && status < http.StatusMultipleChoices
+}
+
 // judge returns whether an endpoint that sent this answer may have run the request, and an error if
 // the answer must not be passed on: it says "not run" without proving it, or contradicts itself.
 // An answer that names no request may come from something before the endpoint, which gets the
@@ -42,7 +47,7 @@
 		return verdict.NotRun, nil
 	case states, !r.Repeatable() && delivery.SaysNotRun(status):
 		return verdict.MayHaveRun, errUnproven
-	case class == Failure && status < http.StatusMultipleChoices:
+	case contradicts(class, status):
 		return verdict.MayHaveRun, errNoSuccess
 	default:
 		return verdict.Ran, nil
@@ -52,6 +57,8 @@
 // endpointEvidence returns the evidence of an endpoint's answer.
 func endpointEvidence(class Class, status int, unnamed bool) delivery.Evidence {
 	switch {
+	case contradicts(class, status):
+		return delivery.Contradiction
 	case unproven(class, status):
 		return delivery.StatusAlone
 	case unnamed:
--- a/internal/relay/evidence_test.go
+++ b/internal/relay/evidence_test.go
@@ -56,6 +56,7 @@
 			assert.Assert(t, got.refusal != nil, "%s: status %d", path, got.status)
 			assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
 			assert.Equal(t, s.recorder.last.Evidence, delivery.EndpointUnnamed)
+			assert.Assert(t, s.recorder.last.Unproven())
 		}
 	}
 }
@@ -69,6 +70,7 @@
 		got := s.send(t.Context(), path)
 		assert.Assert(t, got.refusal != nil, "%s: status %d", path, got.status)
 		assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+		assert.Equal(t, s.recorder.last.Evidence, delivery.Contradiction)
 	}
 }
 
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -107,6 +107,18 @@
 	}
 }
 
+// Unproven reports whether the last answer says that the request was not run without proving it.
+func (o *Outcome) Unproven() bool {
+	switch o.Evidence {
+	case delivery.StatusAlone, delivery.Contradiction:
+		return true
+	case delivery.EndpointUnnamed:
+		return delivery.SaysNotRun(o.Status)
+	default:
+		return false
+	}
+}
+
 // keepFirstCause keeps the first attempt's error when another attempt follows.
 func (o *Outcome) keepFirstCause() {
 	if o.FirstCause == nil {
