node: a stop's grace counts from when the process last ran before its signal

When a signal was sent isn't known, only that it was after the process last ran: the monitor of hold-ups knows that.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -25,9 +25,10 @@
 
 // leave removes this daemon from the entries, drains it, closes the listeners, and
 // then sends a last report of what it admitted. It returns when no request is running
-// or the grace has ended. The listeners stay open for minDrain, if the grace is as long.
+// or the grace has ended. The listeners stay open for minDrain, if the grace is as long. The grace
+// counts from when the signal was sent: a process that was held up gets it later.
 func (n *Node) leave(endListeners func(context.Context)) {
-	started := time.Now()
+	started := n.state.RanBefore(time.Now())
 	grace := time.Duration(n.grace.Load())
 	margin := min(leaveMargin, part(grace, leaveMarginShare))
 	end := started.Add(grace - margin)
--- a/internal/pause/monitor.go
+++ b/internal/pause/monitor.go
@@ -18,14 +18,17 @@
 type Monitor struct {
 	mu     sync.Mutex
 	tickAt time.Time // of the last tick
-	until  time.Time // end of the last hold-up
+	from   time.Time // start of the last hold-up at the earliest
+	until  time.Time // its end
 }
 
 // Tick must be called every MonitorInterval.
 func (m *Monitor) Tick(now time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	m.until = m.heldUpUntil(now)
+	if m.overdue(now) {
+		m.from, m.until = m.tickAt, now
+	}
 	m.tickAt = now
 }
 
@@ -38,8 +41,28 @@
 }
 
 func (m *Monitor) heldUpUntil(now time.Time) time.Time {
-	if !m.tickAt.IsZero() && now.Sub(m.tickAt) > MonitorInterval+minHoldUp {
+	if m.overdue(now) {
 		return now
 	}
 	return m.until
 }
+
+// RanBefore returns when this process last ran before now. What it learns now may have happened at
+// any time since: a signal is delivered at the end of a hold-up, whenever it was sent.
+func (m *Monitor) RanBefore(now time.Time) time.Time {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	switch {
+	case m.overdue(now):
+		return m.tickAt
+	case now.Sub(m.until) <= MonitorInterval:
+		return m.from
+	default:
+		return now
+	}
+}
+
+// overdue reports whether a tick is so late that the process was held up.
+func (m *Monitor) overdue(now time.Time) bool {
+	return !m.tickAt.IsZero() && now.Sub(m.tickAt) > MonitorInterval+minHoldUp
+}
--- a/internal/relay/speeds.go
+++ b/internal/relay/speeds.go
@@ -18,6 +18,9 @@
 // isn't taken for slowness of endpoints.
 func (s *State) Tick(now time.Time) { s.holdUps.Tick(now) }
 
+// RanBefore returns when this process last ran before now, see pause.Monitor.
+func (s *State) RanBefore(now time.Time) time.Time { return s.holdUps.RanBefore(now) }
+
 // TakeSlowChanges returns the endpoints that have become slow, or are no longer, since the last
 // call.
 func (s *State) TakeSlowChanges() []balance.SlowChange {
