relay: streams that begin while the list of endpoints is old can be taken up

Callers that took a stream up while the store was away got unknown-version: a stream that began on a connection from after the contact bound had no known version, since another run may have started in the listed one's place.

Such a connection is asked for its run before a resumable stream begins on it, once, as one is on which a stream goes on.

--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -170,32 +170,39 @@
 	if t.forwarded {
 		return origin.Origin{Service: f.service, Version: t.version}, t.versionKnown
 	}
-	if a.Established().After(f.relay.origins.TrustedUntil(t.choice.Endpoint.Address)) {
+	e := &t.choice.Endpoint
+	if a.Established().After(f.relay.origins.TrustedUntil(e.Address)) && a.Run() != runOf(e) {
 		return origin.Origin{}, false
 	}
 	return origin.Origin{Service: f.service, Version: t.choice.Endpoint.Version}, true
 }
 
 // requireRun makes a call of a stream that goes on reach the listed run of its endpoint. A run at
-// another version may have started in its place, under the same ID and address.
+// another version may have started in its place, under the same ID and address. A call that begins a
+// stream may reach any run; whether it is the listed one is asked where the list doesn't show it, so
+// that the stream can go on.
 func (f *inflight) requireRun(now time.Time, c *upstream.Call, e *roster.Endpoint) {
-	if !f.continuation.begun {
-		return
-	}
-	runs, ok := f.relay.protocol.(RunProtocol)
-	if ok && !e.StartedAt.IsZero() {
+	runs, states := f.relay.protocol.(RunProtocol)
+	states = states && !e.StartedAt.IsZero()
+	trusted := f.relay.origins.TrustedUntil(c.Address)
+	switch doubted := !now.Before(trusted); {
+	case f.continuation.begun && states:
 		c.EstablishedBy, c.Confirm = f.relay.origins.ListedUntil(c.Address), confirmation(runs, c.Address, e)
-		return
-	}
-	if by := f.relay.origins.TrustedUntil(c.Address); !now.Before(by) {
-		c.EstablishedBy = by
+	case f.continuation.begun && doubted:
+		c.EstablishedBy = trusted
+	case doubted && states && f.route.Kind == route.Streaming && f.route.Resumable:
+		c.EstablishedBy, c.Confirm = trusted, confirmation(runs, c.Address, e)
+		c.Confirm.Optional = true
 	}
 }
 
+// runOf names the listed run of an endpoint.
+func runOf(e *roster.Endpoint) string { return fmt.Sprint(e.ID, e.StartedAt.UnixNano()) }
+
 // confirmation asks for a run of an endpoint.
 func confirmation(p RunProtocol, address string, e *roster.Endpoint) *upstream.Confirmation {
 	return &upstream.Confirmation{
-		Run: fmt.Sprint(e.ID, e.StartedAt.UnixNano()), Target: p.RunTarget(), Host: address,
+		Run: runOf(e), Target: p.RunTarget(), Host: address,
 		Check: func(body []byte) bool {
 			at, stated := p.StartedAt(body)
 			return stated && at.Equal(e.StartedAt)
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -322,3 +322,24 @@
 		assert.Equal(t, got.refusal.Verdict, verdict.NotRun)
 	}
 }
+
+// Guards against streams that can't go on since the list of endpoints was out of date when they began.
+func TestStreamThatBeginsWithAnOldListGoesOnWhereItsRunIsListed(t *testing.T) {
+	for _, born := range []int64{1000, 2000} { // the listed run, and its successor
+		e := &engine{script: func(_ int, r *http.Request) string {
+			if r.URL.Path == "/run" {
+				return response(200, strconv.FormatInt(born, 10))
+			}
+			return streamHead() + chunk(event(1, "written")) + "0\r\n\r\n"
+		}}
+		s := newFixture(t, testRoutes(), e)
+		s.relay.protocol = runningProtocol{}
+		s.state.SetEndpoints(time.Now(), []roster.Endpoint{{ID: "e0", Service: "s", Address: "e0", Slots: 8, DataCentre: "a", Version: "v1", StartedAt: time.UnixMilli(1000)}})
+		o := newKnownOrigins()
+		o.trusted = time.Now().Add(-time.Minute)
+		s.relay.SetOrigins(o)
+		assert.Equal(t, s.send(t.Context(), "/stream/1").body.String(), event(1, "written"))
+		_, known := o.table[origin.KeyOf("w", "r1")]
+		assert.Equal(t, known, born == 1000)
+	}
+}
--- a/internal/upstream/confirm.go
+++ b/internal/upstream/confirm.go
@@ -17,6 +17,8 @@
 	Host   string
 	// Check reports whether the body of an answer with status 200 is of the expected run.
 	Check func(body []byte) bool
+	// Optional says that the call may go to another run as well, as long as the connection answers.
+	Optional bool
 }
 
 // ErrOtherRun means that a connection doesn't reach the expected run of an endpoint, or that this
@@ -39,43 +41,47 @@
 	case call.Confirm == nil:
 		c.pool.giveBack(c)
 		return verdict.Wrap(verdict.NotRun, ErrNoOldConnection)
-	case c.run == call.Confirm.Run:
+	case c.run == call.Confirm.Run, call.Confirm.Optional && c.askedFor == call.Confirm.Run:
 		return nil
 	}
-	confirmed := c.confirm(ctx, call.Confirm)
+	usable, confirmed := c.confirm(ctx, call.Confirm)
 	c.pool.count(func(s *Stats) { s.countConfirmed(confirmed) })
-	if !confirmed {
+	if !usable || !confirmed && !call.Confirm.Optional {
 		c.pool.drop(c)
 		return verdict.Wrap(verdict.NotRun, ErrOtherRun)
 	}
-	c.run, c.reused = call.Confirm.Run, true
+	c.askedFor, c.reused = call.Confirm.Run, true
+	if confirmed {
+		c.run = call.Confirm.Run
+	}
 	return nil
 }
 
-// confirm asks for the run on the connection.
-func (c *conn) confirm(ctx context.Context, q *Confirmation) bool {
+// confirm asks for the run on the connection. usable says that the whole answer was read.
+func (c *conn) confirm(ctx context.Context, q *Confirmation) (usable, confirmed bool) {
 	c.startWait(time.Now(), &Call{HeadTimeout: confirmTimeout})
 	stop := context.AfterFunc(ctx, c.cancel)
-	body, ok := c.ask(q)
+	body, status, usable := c.ask(q)
 	if !stop() {
-		return false
+		return false, false
 	}
 	c.endHead()
 	c.endWait()
-	return ok && c.r.Buffered() == 0 && q.Check(body)
+	usable = usable && c.r.Buffered() == 0
+	return usable, usable && status == http.StatusOK && q.Check(body)
 }
 
 // ask sends the request and reads the whole answer.
-func (c *conn) ask(q *Confirmation) ([]byte, bool) {
+func (c *conn) ask(q *Confirmation) (body []byte, status int, ok bool) {
 	if _, err := io.WriteString(c.nc, "GET "+q.Target+" HTTP/1.1\r\nHost: "+q.Host+"\r\n\r\n"); err != nil {
-		return nil, false
+		return nil, 0, false
 	}
 	resp, err := http.ReadResponse(c.r, &http.Request{Method: http.MethodGet})
-	if err != nil || resp.StatusCode != http.StatusOK || resp.Close {
-		return nil, false
+	if err != nil || resp.Close {
+		return nil, 0, false
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxConfirmBytes))
-	return body, err == nil && len(body) < maxConfirmBytes
+	body, err = io.ReadAll(io.LimitReader(resp.Body, maxConfirmBytes))
+	return body, resp.StatusCode, err == nil && len(body) < maxConfirmBytes
 }
 
 // countConfirmed counts a confirmation.
--- a/internal/upstream/confirm_test.go
+++ b/internal/upstream/confirm_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 	"testing"
@@ -86,3 +87,30 @@
 	assert.ErrorIs(t, err, ErrOtherRun)
 	assert.Assert(t, time.Since(began) < 10*confirmTimeout)
 }
+
+// Guards against calls that may go to any run and are refused since an endpoint states none.
+func TestOptionalConfirmationTakesAnyRunThatAnswers(t *testing.T) {
+	for report, run := range map[string]string{runReport(200, "a"): "a", runReport(200, "b"): "", runReport(404, "a"): ""} {
+		asked, sent := 0, 0
+		p := NewPool(1, DialTCP)
+		address := runServer(t, report, &asked, &sent)
+		for i := range 2 {
+			c := confirmedCall(address, fmt.Sprint(i))
+			c.Confirm.Optional = true
+			a, err := p.Send(t.Context(), c)
+			assert.NilError(t, err)
+			assert.Equal(t, a.Run(), run)
+			_, err = io.ReadAll(a.Body)
+			assert.NilError(t, err)
+			a.Close()
+		}
+		assert.Equal(t, asked, 1)
+		assert.Equal(t, sent, 2)
+	}
+	asked, sent := 0, 0
+	c := confirmedCall(runServer(t, "", &asked, &sent), "1")
+	c.Confirm.Optional = true
+	_, err := NewPool(1, DialTCP).Send(t.Context(), c)
+	assert.ErrorIs(t, err, ErrOtherRun)
+	assert.Equal(t, sent, 0)
+}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -34,6 +34,8 @@
 	// recent are the IDs of the last requests, of which late answers are skipped.
 	recent [maxSkipped]string
 	run    string // of the endpoint, that the connection is confirmed to reach; empty: unknown
+	// askedFor is the run that it was last asked for.
+	askedFor string
 }
 
 func newConn(p *Pool, h *host, address string, nc net.Conn) *conn {
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -93,6 +93,10 @@
 // Established returns when the answer's connection was established.
 func (a *Answer) Established() time.Time { return a.conn.dialled }
 
+// Run returns the run of the endpoint that the answer's connection is confirmed to reach, see
+// Confirmation; empty if that isn't known.
+func (a *Answer) Run() string { return a.conn.run }
+
 // write sends the head and the body. A goroutine sends a large body, since the
 // endpoint may answer before it has read all of it.
 func (a *Answer) write(call *Call) error {
