--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -86,6 +86,9 @@
 	}
 	to.id = fr.Request.ID
 	s.handler.ServeForwarded(r.Context(), fr, to)
+	if status := to.w.Replaced(); status != 0 {
+		s.log.WithFields(logrus.Fields{"id": to.id, "status": status}).Error("answer replaced: nothing proves its status")
+	}
 	if to.aborted {
 		panic(http.ErrAbortHandler) // the other daemon must see a truncated answer
 	}
