Soak: paths between daemons on which requests arrive and answers are lost

Not played so far: a hop that is cut one way. Daemons connect to each other through a dialer that tests replace, as for endpoints.

--- a/internal/faultproxy/path.go
+++ b/internal/faultproxy/path.go
@@ -16,10 +16,11 @@
 
 // The states of a path.
 const (
-	PathOpen       PathState = iota
-	PathHanging              // open connections lose all bytes and their end, new ones aren't answered
-	PathReset                // open connections are reset, new ones are refused
-	PathRefusesNew           // open connections live on, new ones are refused
+	PathOpen        PathState = iota
+	PathHanging               // open connections lose all bytes and their end, new ones aren't answered
+	PathReset                 // open connections are reset, new ones are refused
+	PathRefusesNew            // open connections live on, new ones are refused
+	PathAnswersLost           // what is sent arrives; all connections lose the answers and their end
 )
 
 // Path is the network path from one process to its targets, as a dialer. Its methods may be
@@ -35,16 +36,16 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.state.Store(int32(s))
-	if s != PathHanging && s != PathReset {
-		return
-	}
 	for c := range p.conns {
-		if s == PathHanging {
+		switch s {
+		case PathHanging:
 			c.lost.Store(true)
-			continue
+		case PathAnswersLost:
+			c.answersLost.Store(true)
+		case PathReset:
+			c.reset.Store(true)
+			_ = c.Conn.Close()
 		}
-		c.reset.Store(true)
-		_ = c.Conn.Close()
 	}
 }
 
@@ -66,6 +67,7 @@
 	c.silent, c.silentPeer = net.Pipe()
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	c.answersLost.Store(PathState(p.state.Load()) == PathAnswersLost)
 	if p.conns == nil {
 		p.conns = map[*pathConn]struct{}{}
 	}
@@ -79,6 +81,8 @@
 	path  *Path
 	lost  atomic.Bool // all bytes are lost, and the connection's end
 	reset atomic.Bool
+	// answersLost says that this holds for the received ones alone.
+	answersLost atomic.Bool
 	// silent is never written to. It has the deadlines of Conn, so that a read from it ends as
 	// one from a peer that doesn't answer.
 	silent, silentPeer net.Conn
@@ -88,12 +92,13 @@
 func (c *pathConn) Read(b []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(b)
+		lost := c.lost.Load() || c.answersLost.Load()
 		switch {
 		case c.reset.Load():
 			return 0, syscall.ECONNRESET
-		case c.lost.Load() && err == nil:
+		case lost && err == nil:
 			continue
-		case c.lost.Load():
+		case lost:
 			return c.silent.Read(b)
 		}
 		return n, err
--- a/internal/node/forwarders.go
+++ b/internal/node/forwarders.go
@@ -32,9 +32,12 @@
 
 var _ relay.Forwarder = (*forwarders)(nil)
 
-func newForwarders(n *Node) *forwarders {
+func newForwarders(n *Node, dial upstream.Dialer) *forwarders {
+	if dial == nil {
+		dial = upstream.DialTCP
+	}
 	return &forwarders{
-		node: n, pool: upstream.NewPool(forwarderConnections, upstream.DialTCP), chooser: reach.NewChooser(random()),
+		node: n, pool: upstream.NewPool(forwarderConnections, dial), chooser: reach.NewChooser(random()),
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -87,7 +87,7 @@
 	n.platform.Store = &countedStore{store: p.Store, metrics: n.metrics}
 	n.requests = newRequestLog(log, n.metrics)
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
-	n.forwarder = newForwarders(n)
+	n.forwarder = newForwarders(n, p.DialDaemon)
 	n.relay.SetForwarder(n.forwarder)
 	n.bodies = relay.NewBodies(memlimit.New(memoryPart(s, bodyShare)))
 	n.relay.SetAnswerMemory(memlimit.New(memoryPart(s, answerShare)))
--- a/internal/node/platform.go
+++ b/internal/node/platform.go
@@ -21,6 +21,9 @@
 	Protocol relay.Protocol
 	// Dial connects to endpoints; nil is upstream.DialTCP.
 	Dial upstream.Dialer
+	// DialDaemon connects to other daemons for requests that go through them; nil is
+	// upstream.DialTCP.
+	DialDaemon upstream.Dialer
 	// Cloud takes usage reports and orders for endpoints; nil where there are no duties.
 	Cloud duty.Cloud
 	// ConfigKind and ConfigName are the kind and name of the configuration's object in the
