--- a/internal/admission/bucket.go
+++ b/internal/admission/bucket.go
@@ -15,7 +15,8 @@
 // refill adds the tokens accrued since the last call.
 func (b *bucket) refill(now time.Duration) {
 	if now > b.last {
-		b.balance = min(b.burst, b.balance+b.rate*(now-b.last).Seconds())
+		// The conversion keeps machines that fuse multiply and add from rounding differently.
+		b.balance = min(b.burst, b.balance+float64(b.rate*(now-b.last).Seconds()))
 		b.last = now
 	}
 }
