node: the last report of a stop is sent while the listeners close

Such callers hold the listeners open until they are cut; the last report was sent after that, up to the very end of the grace, which left nothing for the process's end.

What the report holds is final once the requests in progress have ended, so it is sent while the listeners close, and both end 0.6 of the margin after the end.

--- a/internal/node/leave.go
+++ b/internal/node/leave.go
@@ -11,9 +11,9 @@
 	// ended, and for closing the listeners; of a short grace it is at most leaveMarginShare.
 	leaveMargin      = 300 * time.Millisecond
 	leaveMarginShare = 0.2
-	// answerTimeShare and closeTimeShare are the parts of it in which the answers are sent and the
-	// listeners closed; the rest is for the last report.
-	answerTimeShare, closeTimeShare = 0.4, 0.4
+	// answerTimeShare and closeTimeShare are the parts of it in which the answers are sent, and in
+	// which the listeners are closed and the last report is sent; in the rest the process ends.
+	answerTimeShare, closeTimeShare = 0.4, 0.2
 	// minDrain is how long a leaving daemon goes on serving though no request is
 	// running: callers keep the addresses that they received for up to three times
 	// answerAge, and new requests on open connections are answered with the
@@ -24,7 +24,7 @@
 )
 
 // leave removes this daemon from the entries, drains it, closes the listeners, and
-// then sends a last report of what it admitted. It returns when no request is running
+// sends a last report of what it admitted. It returns when no request is running
 // or the grace has ended. The listeners stay open for minDrain, if the grace is as long. The grace
 // counts from when the signal was sent: a process that was held up gets it later.
 func (n *Node) leave(endListeners func(context.Context)) {
@@ -40,8 +40,10 @@
 	n.endRequests(end, margin)
 	closing, cancel := context.WithDeadline(context.Background(), end.Add(part(margin, answerTimeShare+closeTimeShare)))
 	defer cancel()
-	endListeners(closing)
-	n.finalReport(end.Add(margin))
+	var closed sync.WaitGroup
+	closed.Go(func() { endListeners(closing) })
+	n.finalReport(closing)
+	closed.Wait()
 	if err := n.members.gossip.Close(); err != nil {
 		n.logFor("membership").WithError(err).Debug("gossip not closed")
 	}
@@ -93,8 +95,8 @@
 
 // finalReport sends the hubs this daemon's last report, and stores the record of its retry
 // budgets.
-func (n *Node) finalReport(end time.Time) {
-	ctx, cancel := context.WithTimeout(context.Background(), min(announceTimeout, time.Until(end)))
+func (n *Node) finalReport(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
 	defer cancel()
 	var wg sync.WaitGroup
 	wg.Go(func() { n.leaveRetryRecord(ctx) })
