Invalid bytes in streams are logged and counted, with their kind and endpoint

A parser beside the one that splits events now names the kind of what can't follow the last event (ids that are missing, empty, repeated, earlier, skipped or no number; lines that are no field; control characters), the event before it, and whether the connection was used before. What is passed on is unchanged.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -84,6 +84,7 @@
 func (o *observer) Resting(fleet.EndpointID, time.Duration)           {}
 func (o *observer) Leaving(*roster.Endpoint)                          {}
 func (o *observer) RejectionsLimited(string, backpressure.Limit)      {}
+func (o *observer) InvalidAnswer(*relay.InvalidAnswer)                {}
 func (o *observer) Ended(*relay.Outcome)                              {}
 func (o *observer) HeldFor(func() *quarantine.Identity) time.Duration { return 0 }
 func (o *observer) Served(quarantine.Key)                             {}
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
@@ -56,6 +57,12 @@
 	log.WithField("rejections_per_second", l.PerSecond).Warn("service's endpoints are brittle")
 }
 
+// InvalidAnswer implements relay.Observer.
+func (o *observer) InvalidAnswer(a *relay.InvalidAnswer) {
+	o.node.metrics.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_invalid_answers_total{service=%q,kind=%q}`, a.Service, a.Kind)).Inc()
+	o.node.requests.invalid(a)
+}
+
 // Ended implements relay.Observer.
 func (o *observer) Ended(out *relay.Outcome) {
 	o.node.metrics.ended(out)
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -27,6 +27,8 @@
 	refusalLines = 40
 	// restLines bounds the lines a second about endpoints that ask for rest.
 	restLines = 8
+	// invalidLines bounds the lines a second about invalid answers.
+	invalidLines = 8
 )
 
 // requestLog logs each request that failed or was late and some of the others, up to a
@@ -37,6 +39,7 @@
 	ring      *ring.Ring[*relay.Outcome]
 	successes atomic.Uint64 // successes offered in this second
 	rests     atomic.Uint64 // rests offered in this second
+	invalids  atomic.Uint64 // invalid answers offered in this second
 }
 
 func newRequestLog(l *logrus.Logger, m *metricSet) *requestLog {
@@ -58,6 +61,17 @@
 	}
 }
 
+// invalid logs an answer with bytes that can't belong to it, up to a bound a second.
+func (r *requestLog) invalid(a *relay.InvalidAnswer) {
+	if r.invalids.Add(1) > invalidLines {
+		return
+	}
+	r.log.WithFields(logrus.Fields{
+		"part": "endpoints", "id": a.Request, "endpoint": a.Endpoint, "service": a.Service, "via": a.Via,
+		"kind": a.Kind, "after": a.After, "text": a.Text, "reused": a.Reused,
+	}).Warn("answer is invalid")
+}
+
 func (r *requestLog) run(ctx context.Context) {
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
@@ -75,6 +89,7 @@
 			written, refusals, dropped = 0, 0, 0
 			r.successes.Store(0)
 			r.rests.Store(0)
+			r.invalids.Store(0)
 		case o := <-r.ring.C():
 			switch {
 			case refusedAfterSend(o) && refusals < refusalLines:
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -151,6 +151,7 @@
 func (r *recorder) Resting(fleet.EndpointID, time.Duration) {}
 
 func (r *recorder) RejectionsLimited(string, backpressure.Limit) {}
+func (r *recorder) InvalidAnswer(*InvalidAnswer)                 {}
 
 func (r *recorder) Ended(o *Outcome) {
 	r.mu.Lock()
--- a/internal/relay/outcome.go
+++ b/internal/relay/outcome.go
@@ -145,5 +145,7 @@
 	// RejectionsLimited reports that endpoints of a service crash above a rate of
 	// rejections, or, where it is Absent, that they no longer do.
 	RejectionsLimited(service string, l backpressure.Limit)
+	// InvalidAnswer reports an answer with bytes that can't belong to it.
+	InvalidAnswer(a *InvalidAnswer)
 	Ended(o *Outcome)
 }
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -5,6 +5,7 @@
 	"io"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/eventstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
@@ -17,10 +18,17 @@
 func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
 	defer t.waitsAfter.Store(0)
 	buf := make([]byte, readBufferBytes)
+	check, reported := eventstream.New(f.events.lastID, maxEventBytes), false
 	for {
 		began := time.Now()
 		n, err := a.Body.Read(buf)
 		if n > 0 {
+			whole, fault := check.Add(buf[:n])
+			check.Consume(len(whole))
+			if fault != nil && !reported {
+				reported = true
+				f.reportInvalid(t, fault, a.Reused())
+			}
 			if err := f.forward(t, a, buf[:n], began); err != nil {
 				return err
 			}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -90,6 +90,9 @@
 	return a.resp.ContentLength >= 0 || len(a.resp.TransferEncoding) > 0 || a.resp.Body == http.NoBody
 }
 
+// Reused reports whether the answer's connection has carried another call before.
+func (a *Answer) Reused() bool { return a.conn.reused }
+
 // Established returns when the answer's connection was established.
 func (a *Answer) Established() time.Time { return a.conn.dialled }
 
