Relay: streams with bytes that no run wrote (failing)

18 kinds of spoiled streams, each in three framings, on a route whose streams can be resumed and on one where they can't: 108 of 108 cases reach the caller as a whole answer.

--- /dev/null
+++ b/internal/relay/spoiled_test.go
@@ -0,0 +1,83 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+)
+
+// soundEvents returns events of a stream.
+func soundEvents(from, to int) string {
+	var b strings.Builder
+	for n := from; n <= to; n++ {
+		fmt.Fprintf(&b, "id: %d\ndata: %d\n\n", n, n)
+	}
+	return b.String()
+}
+
+// spoiledStreams are bodies of which the events before the mark may be passed on.
+var spoiledStreams = map[string]string{
+	"empty id":             soundEvents(1, 2) + "|id: \ndata: x\n\n" + soundEvents(3, 4),
+	"no id":                soundEvents(1, 2) + "|data: x\n\n" + soundEvents(3, 4),
+	"no id at the end":     soundEvents(1, 2) + "|data: x\n\n",
+	"noise first":          "|x7 noise\n\n" + soundEvents(1, 4),
+	"noise within":         soundEvents(1, 2) + "|id: 3\nx7 noise\ndata: 3\n\n" + soundEvents(4, 4),
+	"noise last":           soundEvents(1, 2) + "|x7 noise\n\n",
+	"another answer":       soundEvents(1, 2) + "|HTTP/1.1 200 OK\r\nId: other\r\n\r\n" + soundEvents(1, 2),
+	"head of an answer":    soundEvents(1, 2) + "|Content-Length: 7\n\n" + soundEvents(3, 4),
+	"an event twice":       soundEvents(1, 2) + "|" + soundEvents(2, 4),
+	"an earlier event":     soundEvents(1, 3) + "|" + soundEvents(1, 1) + soundEvents(4, 4),
+	"an event is missing":  soundEvents(1, 2) + "|" + soundEvents(4, 4),
+	"the first is missing": "|" + soundEvents(2, 4),
+	"id that is no number": soundEvents(1, 2) + "|id: x7\ndata: x\n\n" + soundEvents(3, 4),
+	"two ids":              soundEvents(1, 2) + "|id: 3\nid: 4\ndata: x\n\n",
+	"negative id":          soundEvents(1, 2) + "|id: -3\ndata: x\n\n" + soundEvents(3, 4),
+	"id too large":         soundEvents(1, 2) + "|id: 99999999999999999999\ndata: x\n\n",
+	"control characters":   soundEvents(1, 2) + "|id: 3\ndata: \x00\x01\n\n" + soundEvents(4, 4),
+	"no text":              soundEvents(1, 2) + "|id: 3\ndata: \xff\xfe\n\n" + soundEvents(4, 4),
+}
+
+// framings are the ways in which an answer can state its end.
+var framings = map[string]func(body string) string{
+	"chunked":         func(body string) string { return streamHead() + chunk(body) + "0\r\n\r\n" },
+	"with its length": func(body string) string { return response(200, body) },
+	"ends with its connection": func(body string) string {
+		return closeFramed(body)
+	},
+}
+
+// Guards against streams with bytes that no run wrote, which look complete.
+func TestStreamsHoldNothingThatNoRunWrote(t *testing.T) {
+	for name, body := range spoiledStreams {
+		valid, _, _ := strings.Cut(body, "|")
+		for framing, frame := range framings {
+			for _, path := range []string{"/stream/1", "/once/1"} {
+				t.Run(name+" "+framing+path, func(t *testing.T) {
+					s := newFixture(t, testRoutes(), &engine{}, &engine{})
+					for _, e := range s.engines {
+						e.script = func(_ int, r *http.Request) string {
+							if s.runs() == 1 {
+								return frame(strings.Replace(body, "|", "", 1))
+							}
+							after := 0
+							_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+							return frame(soundEvents(after+1, 4))
+						}
+					}
+					got := s.send(t.Context(), path)
+					if path == "/stream/1" {
+						assert.Equal(t, got.body.String(), soundEvents(1, 4))
+						assert.Assert(t, got.ended && !got.aborted)
+						return
+					}
+					assert.Equal(t, got.body.String(), valid)
+					assert.Assert(t, !got.ended && (got.aborted || got.refusal != nil))
+					assert.Equal(t, s.runs(), 1)
+				})
+			}
+		}
+	}
+}
