Relay: a stream ends at the first byte that can't follow its last event

Callers saw streams with bytes that no run wrote, some of which ended as complete. Cause: what an endpoint sends was split at empty lines and not read; anything before one was passed on as an event, and the last line with 'id:', even an empty one, was named to the endpoint at which the stream went on. eventstream.Parser gives out only events that can follow the last one, with consecutive ids, as engines number them (9,284 events looked at), and names the kind of what can't. The endpoint's answer ends there, its connection isn't used again, and the attempt counts as failed: a stream that may be resumed goes on elsewhere after its last valid event, another is broken off. This holds for answers of other daemons too, which use the same code. What remains of an event whose attempt ended for want of memory no longer precedes the next attempt's events.

--- a/internal/relay/buffering.go
+++ b/internal/relay/buffering.go
@@ -20,8 +20,8 @@
 	defaultAnswerBytes = 32 << 20
 )
 
-// errEventTooLong ends an attempt whose endpoint sends an event without an end.
-var errEventTooLong = errs.New("no end of an event in %d bytes, or no memory for more of it", maxEventBytes)
+// errNoEventMemory ends an attempt whose event doesn't fit the memory of all answers.
+var errNoEventMemory = errs.New("no memory for more of an event")
 
 // SetAnswerMemory sets the limit of the memory that answers hold which aren't passed on yet. It
 // must be called before Serve.
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -9,7 +9,7 @@
 
 // conclude sends the caller its final answer.
 func (f *inflight) conclude(ctx context.Context, s step, refusal *Refusal, buffered *bufferedAnswer) {
-	f.outcome.Events, f.outcome.Reached, f.outcome.Unreached = f.events.count, f.tally.reached, f.tally.unreached
+	f.outcome.Events, f.outcome.Reached, f.outcome.Unreached = f.events.Count(), f.tally.reached, f.tally.unreached
 	switch {
 	case callerLeft(ctx):
 		f.outcome.Reason = CallerLeft
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -221,7 +221,7 @@
 
 func (f *inflight) forwardCall(address string) *upstream.Call {
 	q := *f.request
-	q.Key, q.LastEvent = "", f.events.lastID
+	q.Key, q.LastEvent = "", f.events.Last()
 	fr := &ForwardedRequest{
 		Request: &q, Route: *f.route, Workspace: f.outcome.Workspace, Service: f.service, Priority: f.priority,
 		ConfigVersion: f.outcome.ConfigVersion, Pinned: f.balanceReq.Pinned, Version: f.balanceReq.Version,
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -9,6 +9,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/eventstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
@@ -52,7 +53,7 @@
 	forwarded bool
 	// triedDaemons are the daemons to which the request was forwarded.
 	triedDaemons []string
-	events       eventBuffer
+	events       *eventstream.Parser
 	continuation continuation
 	outcome      Outcome
 }
@@ -62,7 +63,7 @@
 	if a.route != nil && a.route.Kind == route.Streaming {
 		f.balanceReq.PauseTarget = a.route.PauseTarget
 	}
-	f.events.lastID = q.LastEvent
+	f.events = newEvents(q, a)
 	f.continuation = newContinuation(q, a, forwarded)
 	f.outcome = initialOutcome(q, a)
 	f.outcome.Service, f.outcome.Forwarded = a.service, forwarded
@@ -175,7 +176,7 @@
 // attempt sends the request to an endpoint once and reads its answer.
 func (f *inflight) attempt(ctx context.Context, c balance.Choice) (attemptResult, *bufferedAnswer) {
 	f.outcome.Endpoint, f.outcome.Version = c.Endpoint.ID, c.Endpoint.Version
-	if f.events.count > 0 && f.outcome.Continued == NotContinued {
+	if f.events.Count() > 0 && f.outcome.Continued == NotContinued {
 		f.outcome.Continued = ByDaemon
 	}
 	f.outcome.Predicted = time.Duration(c.Wait * float64(time.Second))
@@ -302,7 +303,7 @@
 		Endpoint:  t.choice.Endpoint,
 		Workspace: f.outcome.Workspace,
 		Priority:  f.priority,
-		LastEvent: f.events.lastID,
+		LastEvent: f.events.Last(),
 		FetchFrom: t.choice.FetchFrom,
 	}
 	c := &upstream.Call{
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,34 +13,38 @@
 // readBufferBytes is the most that is read of an answer at once.
 const readBufferBytes = 8 << 10
 
+// newEvents returns a parser of a request's stream. Where streams can't be resumed, an endpoint may
+// begin anew whatever the caller has.
+func newEvents(q *Request, a *admitted) *eventstream.Parser {
+	p := eventstream.New(q.LastEvent, maxEventBytes)
+	if q.LastEvent != "" && !a.route.Resumable {
+		p.AnyStart()
+	}
+	return p
+}
+
 // forwardStream forwards events as they arrive. It returns nil if the stream is
 // complete.
-func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
+func (f *inflight) forwardStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) (err error) {
 	defer t.waitsAfter.Store(0)
+	defer func() {
+		if err != nil {
+			f.events.Restart()
+		}
+	}()
 	buf := make([]byte, readBufferBytes)
-	check, reported := eventstream.New(f.events.lastID, maxEventBytes), false
 	for {
 		began := time.Now()
 		n, err := a.Body.Read(buf)
 		if n > 0 {
-			whole, fault := check.Add(buf[:n])
-			check.Consume(len(whole))
-			if fault != nil && !reported {
-				reported = true
-				f.reportInvalid(t, fault, a.Reused())
-			}
 			if err := f.forward(t, a, buf[:n], began); err != nil {
 				return err
 			}
 		}
 		if err == io.EOF {
-			err = f.endStream(ctx, t, a)
-			if err == nil {
-				return nil
-			}
+			return f.endStream(ctx, t, a)
 		}
 		if err != nil {
-			f.events.discardPartial()
 			return err
 		}
 	}
@@ -49,7 +53,7 @@
 // endStream ends a stream that was read to its end. It returns an error if the stream has been
 // cut off there.
 func (f *inflight) endStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
-	if f.events.partial() {
+	if f.events.Partial() {
 		return io.ErrUnexpectedEOF
 	}
 	if err := f.confirmEnd(ctx, t, a); err != nil {
@@ -60,15 +64,26 @@
 }
 
 // forward sends the whole events among new bytes to the caller. readBegan is when reading the
-// bytes began.
+// bytes began. It returns an error if the bytes after them can't belong to the stream.
 func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte, readBegan time.Time) error {
-	whole := f.events.add(p)
-	if len(whole) == 0 {
-		if f.events.length() > maxEventBytes || !f.hold(f.events.size()) {
-			return errEventTooLong
+	whole, fault := f.events.Add(p)
+	if len(whole) > 0 {
+		if err := f.forwardEvents(t, a, whole, readBegan); err != nil {
+			return err
 		}
-		return nil
 	}
+	switch {
+	case fault != nil:
+		f.reportInvalid(t, fault, a.Reused())
+		return fault
+	case len(whole) == 0 && !f.hold(f.events.Size()):
+		return errNoEventMemory
+	}
+	return nil
+}
+
+// forwardEvents sends whole events to the caller.
+func (f *inflight) forwardEvents(t *trackedAttempt, a *upstream.Answer, whole []byte, readBegan time.Time) error {
 	now := time.Now()
 	if f.route.Resumable {
 		f.noteOrigin(now, t, a)
@@ -78,7 +93,7 @@
 	if !t.forwarded {
 		f.reportBegan(now)
 		t.waitsAfter.Store(0)
-		f.relay.state.observeArrival(now, readBegan, t, f.events.count)
+		f.relay.state.observeArrival(now, readBegan, t, f.events.Count())
 	}
 	f.sendHead(t, a)
 	if !f.lastPieceAt.IsZero() {
@@ -87,7 +102,7 @@
 	f.lastPieceAt = now
 	t.eventArrived(now, f.relay.state.holdUps.HeldUpUntil(now))
 	err := f.sink.WriteBody(whole)
-	f.events.consume(len(whole))
+	f.events.Consume(len(whole))
 	written := time.Now()
 	t.eventSentAt = written
 	t.run.written(written.Sub(now))
