Upstream: bytes that are no answer end the call with their kind

A faulty endpoint's bytes could reach a caller as its answer. net/http reads more than HTTP/1 allows: statuses from 000 to 999 (one below 100 panics the writer of the answer), other major versions, names of fields with spaces, and trailers; and of an ID that a head has twice only the first was looked at.

Heads, statuses and trailers are checked now. Errors about bytes, as opposed to those of the connection, are InvalidErrors with one of few kinds, and Answer.Trailing tells of bytes after a whole answer. Such a connection isn't used again, as before.

What remains: a body that is cut short and filled up by an answer that follows on the same connection, and the start of a late answer whose last line joins the status line of the next one, can't be told from an answer by their framing.

--- a/internal/forward/codec.go
+++ b/internal/forward/codec.go
@@ -34,13 +34,7 @@
 func (Codec) Owns(r *relay.Request) func(http.Header) upstream.Ownership {
 	id := r.ID
 	return func(h http.Header) upstream.Ownership {
-		switch got := h.Values(idHeader); {
-		case len(got) == 0:
-			return upstream.NoRequest
-		case got[0] == id:
-			return upstream.ThisRequest
-		}
-		return upstream.OtherRequest
+		return upstream.OwnerOf(h.Values(idHeader), id)
 	}
 }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -56,7 +56,8 @@
 
 // The values of Ownership.
 const (
-	ThisRequest  Ownership = iota // names this request
-	OtherRequest                  // names another request
-	NoRequest                     // names none
+	ThisRequest     Ownership = iota // names this request
+	OtherRequest                     // names another request
+	NoRequest                        // names none
+	SeveralRequests                  // names this request and another one
 )
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -31,6 +31,8 @@
 	wait     readWait
 	expires  time.Time // when the idle connection is closed; zero: not set
 	reused   bool      // has served an earlier request
+	// readFailed says that reading from the connection has failed, also at its end.
+	readFailed bool
 	// recent are the IDs of the last requests, of which late answers are skipped.
 	recent [maxSkipped]string
 	run    string // of the endpoint, that the connection is confirmed to reach; empty: unknown
--- /dev/null
+++ b/internal/upstream/invalid.go
@@ -0,0 +1,112 @@
+package upstream
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// Kind is why bytes aren't the answer to a call, as one of few words.
+type Kind string
+
+// The kinds.
+const (
+	InvalidHead     Kind = "invalid-head"       // no head of an HTTP/1 answer, or one without an end
+	InvalidStatus   Kind = "invalid-status"     // a status that HTTP doesn't have
+	InvalidFraming  Kind = "invalid-framing"    // chunks that are none
+	SeveralIDs      Kind = "several-requests"   // the head names this request and another one
+	ForeignTrailer  Kind = "foreign-trailer"    // the trailer names another request
+	ForeignAnswers  Kind = "foreign-answers"    // only answers that name other requests
+	UnnamedAnswer   Kind = "unnamed-answer"     // names no request, on a connection that has carried others
+	BytesAfterWhole Kind = "bytes-after-answer" // further bytes after a whole answer
+)
+
+// InvalidError says that an endpoint sent bytes that aren't the answer to a call. Its connection isn't used
+// again.
+type InvalidError struct {
+	Kind   Kind
+	Text   string // the beginning of what was found, or what a parser says of it
+	Reused bool   // the connection has carried another call before
+	cause  error
+}
+
+// maxInvalidText bounds InvalidError.Text, in bytes.
+const maxInvalidText = 80
+
+func (e *InvalidError) Error() string {
+	return fmt.Sprintf("invalid answer: %s: %q", e.Kind, e.Text)
+}
+
+// Unwrap returns the parser's error, nil if there is none.
+func (e *InvalidError) Unwrap() error { return e.cause }
+
+// invalid returns an error about bytes of the connection.
+func (c *conn) invalid(k Kind, text string) *InvalidError {
+	return &InvalidError{Kind: k, Text: text[:min(len(text), maxInvalidText)], Reused: c.reused}
+}
+
+// parseError returns a parser's error as that of the bytes, unless reading them has failed.
+func (c *conn) parseError(k Kind, err error) error {
+	if c.readFailed {
+		return err
+	}
+	out := c.invalid(k, err.Error())
+	out.cause = err
+	return out
+}
+
+// checkHead returns an error for a head that net/http reads but HTTP/1 doesn't allow. A name with a space could
+// be that of a field which others read as the one that states the body's length.
+func (c *conn) checkHead(resp *http.Response) error {
+	if resp.ProtoMajor != 1 {
+		return c.invalid(InvalidHead, resp.Proto)
+	}
+	if resp.StatusCode < 100 || resp.StatusCode > 599 {
+		return c.invalid(InvalidStatus, resp.Status)
+	}
+	for name := range resp.Header {
+		if !isToken(name) {
+			return c.invalid(InvalidHead, name)
+		}
+	}
+	return nil
+}
+
+// isToken reports whether a header's name is a token. Of the bytes that a token can't have, net/http lets only
+// spaces through.
+func isToken(name string) bool {
+	return name != "" && !strings.ContainsRune(name, ' ')
+}
+
+// OwnerOf returns the request that an answer names by the values of a header.
+func OwnerOf(values []string, id string) Ownership {
+	own := 0
+	for _, v := range values {
+		if v == id {
+			own++
+		}
+	}
+	switch {
+	case len(values) == 0:
+		return NoRequest
+	case own == len(values):
+		return ThisRequest
+	case own == 0:
+		return OtherRequest
+	default:
+		return SeveralRequests
+	}
+}
+
+// Invalid returns an error that says why the answer is none to the call.
+func (a *Answer) Invalid(k Kind, text string) *InvalidError { return a.conn.invalid(k, text) }
+
+// Trailing returns an error if bytes follow an answer that was read to its end.
+func (a *Answer) Trailing() error {
+	n := a.conn.r.Buffered()
+	if !a.complete || n == 0 {
+		return nil
+	}
+	text, _ := a.conn.r.Peek(min(n, maxInvalidText))
+	return a.conn.invalid(BytesAfterWhole, string(text))
+}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strconv"
@@ -41,6 +42,7 @@
 	pool      *Pool
 	conn      *conn
 	resp      *http.Response
+	owns      func(http.Header) Ownership
 	writeDone chan error // result of writing the request's body in the background, or nil
 	stop      func() bool
 	complete  bool
@@ -135,20 +137,25 @@
 	for skipped := 0; ; skipped++ {
 		resp, err := http.ReadResponse(a.conn.r, req)
 		if err != nil {
+			return a.conn.parseError(InvalidHead, err)
+		}
+		if err := a.conn.checkHead(resp); err != nil {
 			return err
 		}
-		if resp.StatusCode >= 100 && resp.StatusCode < 200 {
+		if resp.StatusCode < 200 {
 			continue
 		}
 		switch owner := call.Owns(resp.Header); {
 		case owner == ThisRequest, owner == NoRequest && !a.conn.reused:
-			a.setHead(resp)
+			a.setHead(resp, call)
 			a.Unnamed = owner == NoRequest
 			return nil
 		case owner == NoRequest:
-			return Error.New("answer on a reused connection names no request")
+			return a.conn.invalid(UnnamedAnswer, resp.Status)
+		case owner == SeveralRequests:
+			return a.conn.invalid(SeveralIDs, resp.Status)
 		case skipped == maxSkipped:
-			return Error.New("%d answers name other requests", skipped+1)
+			return a.conn.invalid(ForeignAnswers, resp.Status)
 		}
 		a.conn.endHead()
 		if err := skip(resp); err != nil {
@@ -171,9 +178,9 @@
 	return nil
 }
 
-func (a *Answer) setHead(resp *http.Response) {
+func (a *Answer) setHead(resp *http.Response, call *Call) {
 	a.conn.headReceived()
-	a.resp = resp
+	a.resp, a.owns = resp, call.Owns
 	a.Status, a.Header = resp.StatusCode, resp.Header
 	a.Body = (*body)(a)
 }
@@ -183,12 +190,27 @@
 
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if err == io.EOF {
+	switch {
+	case err == nil:
+	case err != io.EOF:
+		err = b.conn.parseError(InvalidFraming, err)
+	case b.foreignTrailer():
+		err = b.conn.invalid(ForeignTrailer, fmt.Sprint(b.resp.Trailer))
+	default:
 		b.complete = true
 	}
 	return n, err
 }
 
+// foreignTrailer reports whether the answer's trailer names another request.
+func (b *body) foreignTrailer() bool {
+	if len(b.resp.Trailer) == 0 {
+		return false
+	}
+	owner := b.owns(b.resp.Trailer)
+	return owner == OtherRequest || owner == SeveralRequests
+}
+
 // Close ends the answer. The connection is kept for the next request if the
 // answer was read to its end. Otherwise it is closed, and the endpoint stops
 // working on the request.
--- a/internal/upstream/send_test.go
+++ b/internal/upstream/send_test.go
@@ -55,13 +55,7 @@
 		Address: address, Method: "POST", Target: "/a%2Fb?q=1", Host: "h.example",
 		Header: func() http.Header { return http.Header{"Id": {id}} }, Body: []byte("body"),
 		Owns: func(h http.Header) Ownership {
-			switch h.Get("Id") {
-			case id:
-				return ThisRequest
-			case "":
-				return NoRequest
-			}
-			return OtherRequest
+			return OwnerOf(h["Id"], id)
 		},
 	}
 }
--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -139,14 +139,15 @@
 // Read reads from the connection within the call's bounds. It returns ErrSilent
 // when the endpoint was silent for too long, and ErrHeadTooLong when it sent too much.
 func (c *conn) Read(p []byte) (int, error) {
-	switch {
-	case !c.wait.readsHead:
-		return c.read(p)
-	case c.wait.headLeft == 0:
-		return 0, ErrHeadTooLong
+	if c.wait.readsHead {
+		if c.wait.headLeft == 0 {
+			return 0, ErrHeadTooLong
+		}
+		p = p[:min(len(p), c.wait.headLeft)]
 	}
-	n, err := c.read(p[:min(len(p), c.wait.headLeft)])
+	n, err := c.read(p)
 	c.wait.headLeft -= n
+	c.readFailed = c.readFailed || err != nil
 	return n, err
 }
 
