Relay: answers without a signature, with an encoding or without an event are failures

A 2xx counts only with its endpoint's signature, and one with an encoding isn't the endpoint's. Both were passed on as successes, as was a new stream that ended before its first event, and a redirection or 4xx that neither names its request nor is signed.

The relay asks its protocol for what is wrong with a head, whatever sent it, an endpoint or another daemon, also one of an earlier release. Such an answer, and what upstream finds invalid, is the endpoint's failure, and the observer gets its kind. Bytes after a whole answer don't spoil it for its caller; they are reported and count as the endpoint's failure too. A stream that goes on after an event may hold no further one.

TestNewStreamThatEndsBeforeItsFirstEventIsBroken and TestEndpointOfInvalidAnswersIsAvoided failed before and pass now.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -53,6 +53,14 @@
 	return func(http.Header) upstream.Ownership { return upstream.ThisRequest }
 }
 
+// Fault counts answers with an encoding as invalid.
+func (protocol) Fault(_ int, h http.Header) string {
+	if h.Get("Encoding") != "" {
+		return "encoded"
+	}
+	return ""
+}
+
 func (protocol) Classify(status int, h http.Header) relay.Class {
 	switch {
 	case h.Get("Not-Run") != "":
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -182,6 +182,7 @@
 	if err != nil {
 		v := verdict.Of(err)
 		f.outcome.Evidence = evidenceOf(v)
+		f.reportInvalid("", err)
 		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
 	}
 	defer a.Close()
@@ -207,7 +208,10 @@
 	}
 	class := f.relay.protocol.Classify(a.Status, a.Header)
 	f.outcome.Evidence = endpointEvidence(class, a.Status, a.Unnamed)
-	return f.readAnswer(ctx, t, a, class)
+	res, buffered, err := f.readAnswer(ctx, t, a, class)
+	f.reportInvalid(t.choice.Endpoint.ID, err)
+	res.trailing = f.reportTrailing(t, a)
+	return res, buffered, err
 }
 
 // noteForwarded records what an answer through another daemon states about its endpoint. A rest
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -189,6 +189,7 @@
 		err = cause
 	}
 	f.outcome.Cause = err
+	f.reportInvalid(c.Endpoint.ID, err)
 	if errors.Is(err, errOtherVersion) && !t.firstPieceAt.IsZero() {
 		f.revokeOrigin()
 	}
@@ -227,6 +228,8 @@
 	switch {
 	case errors.Is(err, upstream.ErrNoOldConnection), errors.Is(err, upstream.ErrOtherRun), errors.Is(err, errHeld):
 		return balance.Refused // by this daemon, for this request
+	case res.trailing && res.verdict != verdict.NotRun:
+		return balance.Failed
 	case res.class == Success && res.complete, res.class == Rejected:
 		return balance.Answered
 	case !res.reached && ctx.Err() == nil, res.class == Misdirected:
@@ -256,7 +259,9 @@
 	if class != Misdirected {
 		f.noteStated(t, f.relay.protocol.Stated(a.Status, a.Header))
 	}
-	return f.readAnswer(ctx, t, a, class)
+	res, buffered, err := f.readAnswer(ctx, t, a, class)
+	res.trailing = f.reportTrailing(t, a)
+	return res, buffered, err
 }
 
 // readAnswer reads an answer whose head was received, and forwards it if it is a stream or
@@ -265,6 +270,10 @@
 	res := attemptResult{class: class, reached: true, headReceived: true}
 	var unproven error
 	res.verdict, unproven = judge(f.route, class, a.Status, a.Unnamed, t.forwarded)
+	if err := f.checkHead(a); err != nil { // such a head proves nothing
+		res.verdict, unproven = verdict.MayHaveRun, err
+		f.outcome.Evidence = delivery.NoAnswer
+	}
 	f.outcome.Status = a.Status
 	a.Delivery.Settle(delivery.Record{NotRun: res.verdict == verdict.NotRun, Evidence: f.outcome.Evidence, Status: a.Status})
 	if unproven != nil {
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -40,13 +40,7 @@
 
 func (plainProtocol) Owns(r *Request) func(http.Header) upstream.Ownership {
 	return func(h http.Header) upstream.Ownership {
-		switch h.Get("Id") {
-		case r.ID:
-			return upstream.ThisRequest
-		case "":
-			return upstream.NoRequest
-		}
-		return upstream.OtherRequest
+		return upstream.OwnerOf(h["Id"], r.ID)
 	}
 }
 
@@ -54,6 +48,14 @@
 	return backpressure.Stated{RateLimit: backpressure.ParseLimit(h.Get("Rate-Limit")), Rest: backpressure.ParseRest(h.Get("Rest"))}
 }
 
+// Fault counts answers with an encoding as invalid.
+func (plainProtocol) Fault(_ int, h http.Header) string {
+	if h.Get("Encoding") != "" {
+		return "encoded"
+	}
+	return ""
+}
+
 func (plainProtocol) Classify(status int, _ http.Header) Class {
 	switch {
 	case status == http.StatusServiceUnavailable:
@@ -106,6 +108,8 @@
 	limits []float64
 	held   map[quarantine.Key]time.Duration
 	ran    []quarantine.Key
+	// invalid are the kinds of invalid answers.
+	invalid []string
 }
 
 func (r *recorder) HeldFor(id func() *quarantine.Identity) time.Duration {
@@ -151,7 +155,12 @@
 func (r *recorder) Resting(fleet.EndpointID, time.Duration) {}
 
 func (r *recorder) RejectionsLimited(string, backpressure.Limit) {}
-func (r *recorder) InvalidAnswer(*InvalidAnswer)                 {}
+
+func (r *recorder) InvalidAnswer(a *InvalidAnswer) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.invalid = append(r.invalid, a.Kind)
+}
 
 func (r *recorder) Ended(o *Outcome) {
 	r.mu.Lock()
--- /dev/null
+++ b/internal/relay/invalid_test.go
@@ -0,0 +1,129 @@
+package relay
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
+)
+
+const ownHead = "HTTP/1.1 200 OK\r\nId: ID\r\n"
+
+// invalidAnswers are answers that no endpoint sends, with a body in the place of BODY, by their kinds.
+var invalidAnswers = map[string][]string{
+	"invalid-head": {
+		"x7 noise\r\n\r\n",
+		"HTTP/2.0 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+		ownHead + "no ise: 1\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+		ownHead + "Content-Length: 3\r\nContent-Length: 2\r\n\r\none",
+	},
+	"invalid-status": {
+		"HTTP/1.1 099 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+		"HTTP/1.1 600 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+	},
+	"several-requests": {ownHead + "Id: other\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n"},
+	"invalid-framing":  {ownHead + "Transfer-Encoding: chunked\r\n\r\nnoise\r\n"},
+	"foreign-trailer":  {ownHead + "Transfer-Encoding: chunked\r\n\r\nBODY0\r\nId: other\r\n\r\n"},
+	"encoded":          {ownHead + "Encoding: x\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n"},
+}
+
+// Guards against bytes that reach the caller as its answer though no endpoint has sent them as one.
+func TestInvalidAnswersNeverReachTheCaller(t *testing.T) {
+	for kind, answers := range invalidAnswers {
+		for n, answer := range answers {
+			for _, path := range []string{"/order/1", "/lookup/1", "/once/1", "/stream/1"} {
+				t.Run(fmt.Sprint(kind, n, path), func(t *testing.T) {
+					s := newFixture(t, testRoutes(), &engine{}, &engine{})
+					for _, e := range s.engines {
+						e.script = func(_ int, r *http.Request) string {
+							if s.runs() == 1 {
+								return strings.ReplaceAll(answer, "BODY", chunk(soundEvents(1, 2)))
+							}
+							after := 0
+							_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+							return response(200, soundEvents(after+1, 2))
+						}
+					}
+					got := s.send(t.Context(), path)
+					assert.DeepEqual(t, s.recorder.invalid, []string{kind})
+					if path == "/lookup/1" || path == "/stream/1" {
+						assert.Assert(t, got.ended && !got.aborted)
+						assert.Equal(t, got.status, 200)
+						assert.Equal(t, got.body.String(), soundEvents(1, 2))
+						assert.Assert(t, s.engines[0].runs() == 1 && s.engines[1].runs() == 1)
+						return
+					}
+					assert.Assert(t, !got.ended && (got.aborted || got.refusal.Verdict == verdict.MayHaveRun))
+					assert.Equal(t, s.recorder.last.Reason, Broken)
+					assert.Equal(t, s.runs(), 1)
+				})
+			}
+		}
+	}
+}
+
+// Guards against a new stream without events that looks complete.
+func TestNewStreamThatEndsBeforeItsFirstEventIsBroken(t *testing.T) {
+	for framing, frame := range framings {
+		for _, body := range []string{"", ": comment\n\n", "\n"} {
+			if framing == "chunked" && body == "" {
+				frame = func(string) string { return streamHead() + "0\r\n\r\n" }
+			}
+			s := newFixture(t, testRoutes(), alwaysAnswers(frame(body)), alwaysAnswers(frame(body)))
+			got := s.send(t.Context(), "/once/1")
+			assert.Assert(t, !got.ended, "%s %q", framing, body)
+			assert.Equal(t, s.recorder.last.Reason, Broken, "%s %q", framing, body)
+			assert.DeepEqual(t, s.recorder.invalid, []string{"no-events"})
+		}
+	}
+}
+
+// Guards against a stream whose last event was the one that a caller has, or an endpoint before, and that counts as
+// broken.
+func TestStreamThatGoesOnMayHoldNoFurtherEvent(t *testing.T) {
+	script := func(_ int, r *http.Request) string {
+		if r.Header.Get("After") == "" {
+			return streamHead() + chunk(soundEvents(1, 2)+"id: 3\ncut")
+		}
+		return streamHead() + "0\r\n\r\n"
+	}
+	s := newFixture(t, testRoutes(), &engine{script: script}, &engine{script: script})
+	got := s.send(t.Context(), "/stream/1")
+	assert.Assert(t, got.ended && !got.aborted)
+	assert.Equal(t, got.body.String(), soundEvents(1, 2))
+}
+
+// Guards against bytes after a whole answer that go unnoticed, or that spoil the answer before them.
+func TestBytesAfterAnAnswerAreReported(t *testing.T) {
+	for path, answer := range map[string]string{
+		"/order/1":  response(200, "done"),
+		"/lookup/1": streamHead() + chunk("done") + "0\r\n\r\n",
+		"/once/1":   streamHead() + chunk(soundEvents(1, 2)) + "0\r\n\r\n",
+	} {
+		s := newFixture(t, testRoutes(), alwaysAnswers(answer+response(200, "more")))
+		for n := range 2 {
+			got := s.send(t.Context(), path)
+			assert.Assert(t, got.ended && !got.aborted, path)
+			assert.Assert(t, strings.HasSuffix(answer, got.body.String()) || strings.Contains(answer, got.body.String()))
+			assert.Equal(t, len(s.recorder.invalid), n+1, path)
+			assert.Equal(t, s.recorder.invalid[n], "bytes-after-answer")
+		}
+	}
+}
+
+// Guards against invalid answers that an endpoint is not avoided for.
+func TestEndpointOfInvalidAnswersIsAvoided(t *testing.T) {
+	for kind, answers := range invalidAnswers {
+		bad := alwaysAnswers(strings.ReplaceAll(answers[0], "BODY", chunk("x")))
+		s := newFixture(t, []route.Route{lookupRoute}, bad, alwaysAnswers(response(200, "done")), alwaysAnswers(response(200, "done")))
+		for range 20 {
+			assert.Equal(t, s.send(t.Context(), "/lookup/1").body.String(), "done")
+		}
+		assert.Assert(t, bad.runs() <= 3, "%s: %d of 20 requests", kind, bad.runs())
+	}
+}
--- a/internal/relay/next.go
+++ b/internal/relay/next.go
@@ -39,6 +39,8 @@
 	// passedOn says that a part of an answer that isn't a stream of events was sent to the caller.
 	// No other answer can go on from there.
 	passedOn bool
+	// trailing says that further bytes follow the whole answer.
+	trailing bool
 	// headReceived says that the head of an answer was received.
 	headReceived bool
 	// refusal is that of the daemon to which the request was forwarded, nil if an
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -59,6 +59,9 @@
 	if err := f.confirmEnd(ctx, t, a); err != nil {
 		return err
 	}
+	if err := f.checkStreamEnd(a); err != nil {
+		return err
+	}
 	f.sendHead(t, a)
 	return nil
 }
@@ -74,8 +77,7 @@
 	}
 	switch {
 	case fault != nil:
-		f.reportInvalid(t, fault, a.Reused())
-		return fault
+		return &invalidStream{fault, a.Reused()}
 	case len(whole) == 0 && !f.hold(f.events.Size()):
 		return errNoEventMemory
 	}
