One parser reads all event streams; pieces and tokens follow one another

The chat path and the load tool had parsers of their own, which skipped any line that is no known field.

eventstream splits and checks lines in one place, for Parser (raw bytes of whole events) and for Reader (fields of one event at a time). The numbering is the reader's: engines' events may lack the id, callers' ids may repeat, as the load tool counts such tokens. The chat path checks further that a piece follows the one before and that its event's id is its offset, and doesn't use a connection again on which bytes follow the last piece. The load tool ends an attempt at a token without an id and at a chunk without a choice; before, such a token counted as the next one.

The load tool bounded a line and not an event, and comments for ever were unbounded in both; a Reader ends after a number of bytes without an event.

The readers' tests moved with their cases. Changed checks: errors are compared by their kind, and the load tool's reader tells an end within an event from one between events. Benchmark bodies number their events now.

--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -1,17 +1,24 @@
 package endpoint
 
 import (
+	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/endpoint/sse"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/eventstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
+// maxPieceBytes bounds one event. An event carries one token or a usage record; a larger one comes from a
+// faulty peer and could exhaust the memory.
+const maxPieceBytes = 256 << 10
+
 // Stream reads the pieces of a completion. Only one goroutine may call Next; any
 // may call Close at any time.
 type Stream struct {
@@ -21,7 +28,8 @@
 	watchdog *watchdog
 	body     io.ReadCloser
 	reader   *progressReader
-	events   *sse.Reader
+	events   *eventstream.Reader
+	next     int         // offset of the next piece; -1 before the first
 	err      error       // returned by all later calls of Next
 	done     atomic.Bool // the last piece was returned
 }
@@ -42,7 +50,8 @@
 		watchdog: wd,
 		body:     resp.Body,
 		reader:   reader,
-		events:   sse.NewReader(reader),
+		events:   eventstream.NewReader(reader, eventstream.ConsecutiveOptional, maxPieceBytes),
+		next:     -1,
 	}
 }
 
@@ -62,6 +71,9 @@
 	}
 	s.reader.firstRead = true
 	piece, err := decodePiece(event.Data)
+	if err == nil {
+		err = s.checkOffset(event.ID, piece.Offset)
+	}
 	if err != nil {
 		return engineapi.Piece{}, s.fail(errors.Join(ErrMalformed, err))
 	}
@@ -72,6 +84,20 @@
 	return piece, nil
 }
 
+// checkOffset checks that a piece follows the one before, and that its event's id, if it has one, is its
+// offset.
+func (s *Stream) checkOffset(id []byte, offset int) error {
+	if offset < 0 || s.next >= 0 && offset != s.next {
+		return fmt.Errorf("piece at offset %d instead of %d", offset, s.next)
+	}
+	var digits [20]byte
+	if id != nil && !bytes.Equal(id, strconv.AppendInt(digits[:0], int64(offset), 10)) {
+		return fmt.Errorf("piece at offset %d in event %q", offset, id)
+	}
+	s.next = offset + 1
+	return nil
+}
+
 func (s *Stream) fail(err error) error {
 	s.watchdog.stop()
 	s.err = verdict.Wrap(verdict.MayHaveRun, Error.Wrap(err))
@@ -83,9 +109,13 @@
 	if s.watchdog.expired() {
 		return s.pool.wrapFailure(s.watchdog, s.gen, err, s.stallError())
 	}
-	if s.watchdog.ctx.Err() != nil || errors.Is(err, sse.ErrTooLong) {
+	if s.watchdog.ctx.Err() != nil {
 		return err
 	}
+	var fault *eventstream.Fault
+	if errors.As(err, &fault) {
+		return errors.Join(ErrMalformed, err)
+	}
 	return errors.Join(ErrTruncated, err)
 }
 
@@ -102,16 +132,14 @@
 // end arrives with that piece or right after it.
 const drainTimeout = 20 * time.Millisecond
 
-// maxDrain bounds what is read up to that end, bytes.
-const maxDrain = 4 << 10
-
 // Close ends the exchange. The engine goes on generating for a while unless the
 // last piece was read or Cancel is called.
 func (s *Stream) Close() {
-	if s.done.Load() {
-		// Read the answer to its end so that the connection can be reused.
+	if s.done.Load() && !s.events.Buffered() {
+		// Read the answer to its end so that the connection can be reused, unless bytes follow that can't
+		// belong to it.
 		s.watchdog.arm(drainTimeout)
-		_, _ = io.CopyN(io.Discard, s.body, maxDrain)
+		_, _ = io.CopyN(io.Discard, s.body, 1)
 	}
 	s.watchdog.stop()
 	_ = s.body.Close()
--- a/internal/eventstream/fault.go
+++ b/internal/eventstream/fault.go
@@ -40,7 +40,3 @@
 func (f *Fault) Error() string {
 	return fmt.Sprintf("event stream: %s after event %q: %q", f.Kind, f.After, f.Text)
 }
-
-func (p *Parser) fault(k Kind, text []byte) *Fault {
-	return &Fault{Kind: k, After: p.last, Text: string(text[:min(len(text), maxFaultText)])}
-}
--- a/internal/load/caller/completion_test.go
+++ b/internal/load/caller/completion_test.go
@@ -12,14 +12,11 @@
 	"testing/synctest"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
 	"gotest.tools/v3/assert"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
-var cmpSeen = cmp.AllowUnexported(seen{})
-
 // script is a transport that answers requests with the elements of a list, in
 // order, and records the requests. Requests for the list of entries are answered
 // with entries and not recorded.
