--- a/internal/endpoint/jsoncall.go
+++ b/internal/endpoint/jsoncall.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"io"
 	"net/http"
@@ -35,7 +36,7 @@
 func (c *jsonCall) do(ctx context.Context) error {
 	d := &callDoer{gen: c.pool.current(), watchdog: newWatchdog(ctx, c.timeout)}
 	defer d.watchdog.stop()
-	req, err := c.request.Doer(d).Request()
+	req, err := c.request.Doer(d).ResponseDecoder(wholeValue{}).Request()
 	if err != nil {
 		return verdict.Wrap(verdict.NotRun, Error.Wrap(err))
 	}
@@ -44,6 +45,9 @@
 	if resp != nil && resp.StatusCode >= http.StatusMultipleChoices {
 		return refusalError(resp, refusal, c.notFound)
 	}
+	if err == nil && c.out != nil && (resp.ContentLength == 0 || resp.StatusCode == http.StatusNoContent) {
+		err = errors.Join(ErrMalformed, errNoValue) // not decoded by sling
+	}
 	if err != nil {
 		stall := &StallError{Address: c.pool.address, After: c.timeout}
 		err = c.pool.wrapFailure(d.watchdog, d.gen, err, stall)
@@ -52,6 +56,23 @@
 	return nil
 }
 
+var errNoValue = errors.New("answer without a value")
+
+// wholeValue decodes answers that hold one JSON value and nothing else.
+type wholeValue struct{}
+
+// Decode implements sling.ResponseDecoder.
+func (wholeValue) Decode(resp *http.Response, v any) error {
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(body, v); err != nil {
+		return errors.Join(ErrMalformed, err)
+	}
+	return nil
+}
+
 // maxCallBody bounds the answer to a jsonCall, bytes. The longest are a page of
 // cache events and the description of a KV blob with all its text.
 const maxCallBody = 16 << 20
--- a/internal/endpoint/spoiled_test.go
+++ b/internal/endpoint/spoiled_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -124,3 +125,18 @@
 		}
 	}
 }
+
+// Guards against reports of zero load or without models from answers that hold none.
+func TestCallsFailOnAnswersThatAreNoWholeValue(t *testing.T) {
+	for _, body := range []string{"", "{}x7 noise", "{}{}", "{", "x7"} {
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, body)
+		}))
+		defer server.Close()
+		c := NewEngines(Options{})
+		defer c.Close()
+		_, err := c.Load(t.Context(), strings.TrimPrefix(server.URL, "http://"))
+		assert.ErrorIs(t, err, ErrMalformed, body)
+		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
+	}
+}
