Invalid answers are counted by endpoint and kind

The line was formatted on the request's goroutine, and lines above the bound weren't counted. The log's goroutine writes it now from a bounded ring, and what is left out is counted, at the ring and at the bound of 8 a second.

explain showed an invalid answer of a request twice, as its own line and as the daemon's state, and those of any other request among the state; it shows the request's once, and of others only those of the same endpoint.

--- a/internal/explain/explain.go
+++ b/internal/explain/explain.go
@@ -73,7 +73,11 @@
 		if l.Time.After(match.Time) || match.Time.Sub(l.Time) > stateWindow {
 			continue
 		}
-		own := l.Source == match.Source && slices.Contains(stateParts, l.Part)
+		if l.Fields.ID != "" && l.Fields.ID == match.Fields.ID {
+			continue // a match itself
+		}
+		// Lines about other requests tell nothing about the daemon, and there may be many.
+		own := l.Source == match.Source && slices.Contains(stateParts, l.Part) && l.Fields.ID == ""
 		endpoint := match.Fields.Endpoint != "" && l.Part == "endpoints" && l.Fields.Endpoint == match.Fields.Endpoint
 		if !own && !endpoint {
 			continue
--- a/internal/explain/explain_test.go
+++ b/internal/explain/explain_test.go
@@ -59,6 +59,25 @@
 	assert.Assert(t, !strings.Contains(text, "r2"))
 }
 
+// Guards against a spoiled answer that can't be found by its request, and lines about those of other
+// endpoints in between.
+func TestInvalidAnswersOfARequestAreShown(t *testing.T) {
+	lines, err := Read("file", strings.NewReader(`
+1.0 front-a {"msg":"answer is invalid","part":"endpoints","id":"r1","endpoint":"e1","kind":"missing-id","after":"7","time":"2026-12-02T10:00:01.000Z"}
+1.1 front-a {"msg":"answer is invalid","part":"endpoints","id":"r2","endpoint":"e1","kind":"not-text","time":"2026-12-02T10:00:01.100Z"}
+1.2 front-a {"msg":"answer is invalid","part":"endpoints","id":"r3","endpoint":"e3","kind":"not-a-field","time":"2026-12-02T10:00:01.200Z"}
+1.3 front-a {"msg":"not answered","part":"requests","id":"r1","endpoint":"e1","reason":"broken","time":"2026-12-02T10:00:01.300Z"}
+`))
+	assert.NilError(t, err)
+	var b strings.Builder
+	n, err := Write(&b, lines, Query{ID: "r1"})
+	assert.NilError(t, err)
+	assert.Equal(t, n, 2)
+	assert.Equal(t, strings.Count(b.String(), "kind=missing-id"), 1, b.String())
+	assert.Equal(t, strings.Count(b.String(), "    10:00:01.100 front-a endpoints: answer is invalid"), 1, b.String())
+	assert.Assert(t, !strings.Contains(b.String(), "r3"), b.String())
+}
+
 func TestLinesAreSelectedByEndpointOrVersion(t *testing.T) {
 	n, _ := explained(t, Query{Endpoint: "e2"})
 	assert.Equal(t, n, 2)
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -345,6 +345,7 @@
 	l.node.paths.setEndpoints(all)
 	l.node.origins.setEndpoints(time.Now(), all)
 	l.node.startGate.hasEndpoints()
+	l.node.metrics.invalid.retain(all)
 	l.node.logFor("endpoints").WithField("listed", len(all)).Debug("list changed")
 	return true
 }
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -17,11 +17,13 @@
 	set          *metrics.Set
 	node         *Node
 	linesLeftOut *metrics.Counter
+	invalid      invalidCounts
 }
 
 func newMetricSet(n *Node) *metricSet {
 	m := &metricSet{set: metrics.NewSet(), node: n}
 	m.linesLeftOut = m.set.NewCounter("cyclamenbeam_log_lines_left_out_total")
+	m.set.RegisterMetricsWriter(m.invalid.write)
 	m.set.NewGauge("cyclamenbeam_config_version", func() float64 { return float64(n.config.current().Version) })
 	m.set.NewGauge("cyclamenbeam_config_lag_seconds", func() float64 { return n.config.Lag().Seconds() })
 	m.set.NewGauge("cyclamenbeam_requests_active", func() float64 { return float64(n.relay.Active()) })
--- a/internal/node/observer.go
+++ b/internal/node/observer.go
@@ -60,6 +60,7 @@
 // InvalidAnswer implements relay.Observer.
 func (o *observer) InvalidAnswer(a *relay.InvalidAnswer) {
 	o.node.metrics.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_invalid_answers_total{service=%q,kind=%q}`, a.Service, a.Kind)).Inc()
+	o.node.metrics.invalid.add(a.Endpoint, a.Kind)
 	o.node.requests.invalid(a)
 }
 
--- a/internal/node/requestlog.go
+++ b/internal/node/requestlog.go
@@ -27,8 +27,10 @@
 	refusalLines = 40
 	// restLines bounds the lines a second about endpoints that ask for rest.
 	restLines = 8
-	// invalidLines bounds the lines a second about invalid answers.
+	// invalidLines bounds the lines a second about invalid answers, and invalidRing those that wait to be
+	// logged.
 	invalidLines = 8
+	invalidRing  = 64
 )
 
 // requestLog logs each request that failed or was late and some of the others, up to a
@@ -37,13 +39,16 @@
 	log       *logrus.Logger
 	metrics   *metricSet
 	ring      *ring.Ring[*relay.Outcome]
+	invalids  *ring.Ring[*relay.InvalidAnswer]
 	successes atomic.Uint64 // successes offered in this second
 	rests     atomic.Uint64 // rests offered in this second
-	invalids  atomic.Uint64 // invalid answers offered in this second
 }
 
 func newRequestLog(l *logrus.Logger, m *metricSet) *requestLog {
-	return &requestLog{log: l, metrics: m, ring: ring.New[*relay.Outcome]("requests", requestRing)}
+	return &requestLog{
+		log: l, metrics: m, ring: ring.New[*relay.Outcome]("requests", requestRing),
+		invalids: ring.New[*relay.InvalidAnswer]("invalid answers", invalidRing),
+	}
 }
 
 // add takes an outcome; it never blocks.
@@ -61,11 +66,14 @@
 	}
 }
 
-// invalid logs an answer with bytes that can't belong to it, up to a bound a second.
+// invalid takes an invalid answer, of which a bounded number a second is logged; it never blocks.
 func (r *requestLog) invalid(a *relay.InvalidAnswer) {
-	if r.invalids.Add(1) > invalidLines {
-		return
+	if !r.invalids.Offer(a) {
+		r.metrics.linesLeftOut.Inc()
 	}
+}
+
+func (r *requestLog) writeInvalid(a *relay.InvalidAnswer) {
 	r.log.WithFields(logrus.Fields{
 		"part": "endpoints", "id": a.Request, "endpoint": a.Endpoint, "service": a.Service, "via": a.Via,
 		"kind": a.Kind, "after": a.After, "text": a.Text, "reused": a.Reused,
@@ -75,21 +83,26 @@
 func (r *requestLog) run(ctx context.Context) {
 	second := time.NewTicker(time.Second)
 	defer second.Stop()
-	written, refusals, dropped := 0, 0, 0
+	written, refusals, invalids, dropped := 0, 0, 0, 0
 	for {
 		select {
 		case <-ctx.Done():
-			r.writeRest(failureLines - written)
+			r.writeRest(failureLines-written, invalidLines-invalids)
 			return
 		case <-second.C:
 			if dropped > 0 {
 				r.log.WithFields(logrus.Fields{"part": "requests", "left_out": dropped}).Warn("lines left out")
 				r.metrics.linesLeftOut.Add(dropped)
 			}
-			written, refusals, dropped = 0, 0, 0
+			written, refusals, invalids, dropped = 0, 0, 0, 0
 			r.successes.Store(0)
 			r.rests.Store(0)
-			r.invalids.Store(0)
+		case a := <-r.invalids.C():
+			if invalids++; invalids > invalidLines {
+				dropped++
+				continue
+			}
+			r.writeInvalid(a)
 		case o := <-r.ring.C():
 			switch {
 			case refusedAfterSend(o) && refusals < refusalLines:
@@ -105,8 +118,11 @@
 	}
 }
 
-// writeRest writes the queued outcomes, up to a number of lines.
-func (r *requestLog) writeRest(lines int) {
+// writeRest writes the queued outcomes and invalid answers, up to a number of lines each.
+func (r *requestLog) writeRest(lines, invalids int) {
+	for ; invalids > 0 && r.invalids.Depth() > 0; invalids-- {
+		r.writeInvalid(<-r.invalids.C())
+	}
 	for ; lines > 0; lines-- {
 		select {
 		case o := <-r.ring.C():
--- a/internal/node/requestlog_test.go
+++ b/internal/node/requestlog_test.go
@@ -7,6 +7,7 @@
 	"strings"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/sirupsen/logrus"
 	"gotest.tools/v3/assert"
@@ -65,3 +66,30 @@
 		assert.Equal(t, strings.Count(text.String(), "proof=unsent"), failureLines)
 	})
 }
+
+// Guards against lines without a bound from an endpoint that spoils all its answers, lines that are left out
+// without being counted, and requests that wait for the log.
+func TestInvalidAnswersAreLoggedUpToABound(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var text bytes.Buffer
+		log := logrus.New()
+		log.SetOutput(&text)
+		m := newMetricSet(&Node{})
+		r := newRequestLog(log, m)
+		for i := range 2 * invalidRing { // nothing reads yet
+			r.invalid(&relay.InvalidAnswer{Request: fmt.Sprint("r", i), Endpoint: "i-1", Kind: "missing-id", After: "7"})
+		}
+		assert.Equal(t, m.linesLeftOut.Get(), uint64(invalidRing))
+		ctx, cancel := context.WithCancel(t.Context())
+		go r.run(ctx)
+		time.Sleep(time.Second)
+		synctest.Wait()
+		assert.Equal(t, strings.Count(text.String(), `msg="answer is invalid"`), invalidLines)
+		assert.Assert(t, strings.Contains(text.String(), "after=7 endpoint=i-1 id=r0 kind=missing-id"))
+		assert.Equal(t, m.linesLeftOut.Get(), uint64(2*invalidRing-invalidLines))
+		r.invalid(&relay.InvalidAnswer{Request: "later"})
+		cancel()
+		synctest.Wait()
+		assert.Assert(t, strings.Contains(text.String(), "id=later"))
+	})
+}
