Relay: a stream whose bytes hold no event ends like a silent one

The time counts from the first such byte, so that a slow engine whose event arrives in two parts isn't affected.

Comments also counted as the stream's beginning: they committed the answer's head, counted the request as begun in the usage, and recorded a first piece. Those before the first event are left out now; later ones are passed on as before.

--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -26,6 +26,9 @@
 	versionKnown bool
 	abort        context.CancelCauseFunc
 	run          eventRun // used by the stream's goroutine only
+	eventless    eventless
+	// silenceTimeout is how long the endpoint may send nothing, and a stream no event among its bytes.
+	silenceTimeout time.Duration
 	// waitsAfter is the time after sent, in nanoseconds, since when the stream has waited for its
 	// next event; 0 before the first one and while events are written to the caller.
 	waitsAfter atomic.Int64
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -178,7 +178,8 @@
 // exchangeForwarded sends the request to another daemon and reads the answer.
 func (f *inflight) exchangeForwarded(ctx context.Context, address string) (attemptResult, *bufferedAnswer, error) {
 	sent := time.Now()
-	a, err := f.relay.forwarder.Pool().Send(ctx, f.forwardCall(address))
+	call := f.forwardCall(address)
+	a, err := f.relay.forwarder.Pool().Send(ctx, call)
 	if err != nil {
 		v := verdict.Of(err)
 		f.outcome.Evidence = evidenceOf(v)
@@ -201,7 +202,7 @@
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
 	f.relay.forwarder.FoundOpen(f.service, address)
-	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: versionKnown}
+	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: versionKnown, silenceTimeout: call.SilenceTimeout}
 	if endpoint != nil {
 		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
 	}
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -243,6 +243,7 @@
 // exchange sends the request and reads its answer on one connection.
 func (f *inflight) exchange(ctx context.Context, t *trackedAttempt) (attemptResult, *bufferedAnswer, error) {
 	call := f.call(t)
+	t.silenceTimeout = call.SilenceTimeout
 	f.relay.state.sent(t)
 	a, err := f.relay.pool.Send(ctx, call)
 	if err != nil {
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -66,15 +66,16 @@
 // forward sends the whole events among new bytes to the caller. readBegan is when reading the
 // bytes began. It returns an error if the bytes after them can't belong to the stream.
 func (f *inflight) forward(t *trackedAttempt, a *upstream.Answer, p []byte, readBegan time.Time) error {
+	events := f.events.Count()
 	whole, fault := f.events.Add(p)
-	if len(whole) > 0 {
-		if err := f.forwardEvents(t, a, whole, readBegan); err != nil {
-			return err
-		}
+	err := f.forwardWhole(t, a, whole, f.events.Count() > events, readBegan)
+	if fault != nil {
+		f.reportInvalid(t, fault, a.Reused())
 	}
 	switch {
+	case err != nil:
+		return err
 	case fault != nil:
-		f.reportInvalid(t, fault, a.Reused())
 		return fault
 	case len(whole) == 0 && !f.hold(f.events.Size()):
 		return errNoEventMemory
@@ -82,6 +83,33 @@
 	return nil
 }
 
+// forwardWhole sends whole events, or comments between events, to the caller. It returns an error if there
+// has been no event for too long.
+func (f *inflight) forwardWhole(t *trackedAttempt, a *upstream.Answer, whole []byte, events bool, readBegan time.Time) error {
+	if events {
+		t.eventless.eventArrived()
+		return f.forwardEvents(t, a, whole, readBegan)
+	}
+	now := time.Now()
+	if t.eventless.bytesArrived(now, f.relay.state.holdUps.HeldUpUntil(now)) >= t.silenceTimeout {
+		return errNoEvent
+	}
+	return f.forwardComments(whole)
+}
+
+// forwardComments sends comments to the caller. Before the first event they are left out, since they
+// don't show that the endpoint runs the request.
+func (f *inflight) forwardComments(comments []byte) error {
+	if len(comments) == 0 {
+		return nil
+	}
+	defer f.events.Consume(len(comments))
+	if !f.headSent {
+		return nil
+	}
+	return f.sink.WriteBody(comments)
+}
+
 // forwardEvents sends whole events to the caller.
 func (f *inflight) forwardEvents(t *trackedAttempt, a *upstream.Answer, whole []byte, readBegan time.Time) error {
 	now := time.Now()
