Chat path: comments and parts of an event don't extend the wait for a piece

The stall timeout began again with each read, so an engine that sent comments, empty lines or an event without an end between two pieces held a stream until its bytes reached the bound of an event. The wait is bounded from its first read to the next piece, as before the first piece already. The timer is set once for each piece instead of around each read.

TestStreamsWithoutFurtherPiecesStall: such streams went on for more than a minute of virtual time, the test's limit; they end after the stall timeout now.

--- a/internal/endpoint/errors.go
+++ b/internal/endpoint/errors.go
@@ -47,7 +47,7 @@
 	BetweenPieces                 // after a piece
 )
 
-// StallError is the error of an exchange in which no byte arrived in time. The
+// StallError is the error of an exchange in which no byte, or no piece of a stream, arrived in time. The
 // connection is closed, and so are the endpoint's idle ones of the same generation;
 // the next attempt dials a new one.
 type StallError struct {
--- a/internal/endpoint/spoiled_test.go
+++ b/internal/endpoint/spoiled_test.go
@@ -9,6 +9,7 @@
 	"net/http/httptest"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"gotest.tools/v3/assert"
@@ -140,3 +141,38 @@
 		assert.Equal(t, verdict.Of(err), verdict.MayHaveRun)
 	}
 }
+
+// Guards against streams that never end since their engines send bytes, but no piece.
+func TestStreamsWithoutFurtherPiecesStall(t *testing.T) {
+	for _, bytes := range []string{": c\n\n", "\n", ": c\n", "x"} {
+		for _, begin := range []string{"", pieces(0, 1)} {
+			synctest.Test(t, func(t *testing.T) {
+				wd := newWatchdog(t.Context(), 0)
+				r, w := io.Pipe()
+				context.AfterFunc(wd.ctx, func() { _ = r.CloseWithError(wd.ctx.Err()) })
+				go func() {
+					_, _ = io.WriteString(w, begin)
+					for {
+						time.Sleep(100 * time.Millisecond)
+						if _, err := io.WriteString(w, bytes); err != nil {
+							return
+						}
+					}
+				}()
+				resp := &http.Response{Header: make(http.Header), Body: r}
+				began := time.Now()
+				p := newPool(address, &Options{})
+				s := newStream(p, p.current(), wd, resp, StreamOptions{FirstTokenTimeout: time.Second, StallTimeout: time.Second}, began)
+				ended := time.AfterFunc(time.Minute, s.Close)
+				all, err := readPieces(s)
+				assert.Assert(t, ended.Stop())
+				assert.Equal(t, len(all), strings.Count(begin, "\n\n"))
+				var stall *StallError
+				assert.Assert(t, errors.As(err, &stall), "%v", err)
+				assert.Equal(t, time.Since(began), time.Second)
+				s.Close()
+				time.Sleep(time.Second)
+			})
+		}
+	}
+}
--- a/internal/endpoint/stream.go
+++ b/internal/endpoint/stream.go
@@ -66,6 +66,7 @@
 		return engineapi.Piece{}, s.err
 	}
 	event, err := s.events.Next()
+	s.reader.endPiece()
 	if err != nil {
 		return engineapi.Piece{}, s.fail(s.cause(err))
 	}
