eventstream: DEL is text

JSON doesn't escape DEL, so that a valid event that holds it ended its stream as not-text (a case of TestValidStreamsPass, which failed before).

--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -173,21 +173,21 @@
 	highs = 0x80 * ones
 )
 
-// isText reports whether a line is UTF-8 without control characters other than tabs. Most lines are plain
-// ASCII, of which eight bytes are checked at once.
+// isText reports whether a line is UTF-8 without control characters other than tabs and DEL, which JSON
+// doesn't escape. Most lines are plain ASCII, of which eight bytes are checked at once.
 func isText(line []byte) bool {
 	rest := line
 	for len(rest) >= 8 {
 		w := binary.LittleEndian.Uint64(rest)
-		// The high bit of a byte gets set by what is below a space, above 0x7e or not ASCII.
-		if (w|(w-' '*ones)|(w+ones))&highs != 0 {
+		// The high bit of a byte gets set by what is below a space or not ASCII.
+		if (w|(w-' '*ones))&highs != 0 {
 			break
 		}
 		rest = rest[8:]
 	}
 	ascii := true
 	for _, b := range rest {
-		if b < ' ' && b != '\t' || b == 0x7f {
+		if b < ' ' && b != '\t' {
 			return false
 		}
 		ascii = ascii && b < utf8.RuneSelf
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -52,6 +52,7 @@
 		{"", "retry: 100\n\nid: 1\ndata: a\ndata: b\ndata\n\n\n\n"},
 		{"", "id: 1\n\n"},
 		{"", "id: 1\ndata: ü\u2028\ta\n\n"},
+		{"", "id: 1\ndata: {\"text\":\"\x7f\"}\n\n"},
 		{"0", "id: 1\n\n"},
 		{"12", "id: 13\ndata: a\n\n"},
 		{"x", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n"},
