Balance: engines that fail a share of their streams get fewer requests

An engine that spoiled a quarter of its answers got about as many requests as a sound one. Cause: avoidance counts consecutive failures, and the decaying share halves in 3 s and costs at most 0.5 s, less than what a cached prompt saves; and an engine whose streams end early looks idle. Plain services, whose requests cost little elsewhere, already sent few to such endpoints.

An engine's failure rate over some tens of seconds is compared with that of its service. What differs by more than chance is charged with the time of running the request again: its prompt and its time in a slot. As a cost it has no effect where all fail alike, and gives way to load where the others are full. A stream counts when it ends, a failed one as a sound one. Silence doesn't count, since a cut path ends within seconds; it is an outcome of its own, treated as a failure in all else.

TestEqualSpeedsChangeNothing compares with formulas of its own, which get the new cost; what it guards against, speeds, is the same.

--- a/internal/balance/balancer.go
+++ b/internal/balance/balancer.go
@@ -32,7 +32,8 @@
 	byKey               map[rendezvous.ShortKey]*member
 	limited             map[*member]bool // those with a rate limit in force
 	rests               map[fleet.EndpointID]runRest
-	pauses              map[string]*pauses // of the streams with a pause target, by service
+	pauses              map[string]*pauses      // of the streams with a pause target, by service
+	failureRates        map[string]*failureRate // by service
 	brittle             map[string]*brittleService
 	reported            bool           // a load report was received
 	slots               map[string]int // by service, of endpoints that take requests
@@ -51,8 +52,10 @@
 		members: map[fleet.EndpointID]*member{},
 		rests:   map[fleet.EndpointID]runRest{},
 		pauses:  map[string]*pauses{},
-		active:  map[string][]*member{},
-		splits:  map[string]*split{},
+
+		failureRates: map[string]*failureRate{},
+		active:       map[string][]*member{},
+		splits:       map[string]*split{},
 
 		establishedVersions: map[string]string{},
 		table:               route.New(route.Table{}),
@@ -116,6 +119,7 @@
 		}
 	}
 	maps.DeleteFunc(b.pauses, func(service string, _ *pauses) bool { return b.listed[service] == nil })
+	maps.DeleteFunc(b.failureRates, func(service string, _ *failureRate) bool { return b.listed[service] == nil })
 	for service, all := range b.listed {
 		if len(b.active[service]) == len(all) {
 			b.active[service] = all
@@ -287,6 +291,7 @@
 	}
 	m.own.Requests = max(m.own.Requests-1, 0)
 	m.observe(now, o)
+	b.observeFailureRate(now, m, o)
 	if s := b.brittle[r.Service]; s != nil && o == Refused {
 		b.rejected(now, m, s)
 	}
--- a/internal/balance/cost.go
+++ b/internal/balance/cost.go
@@ -41,6 +41,7 @@
 	uncached := max(r.Prompt-f.cached, 0)
 	sum += (recomputeWeight - 1 + unscaledPrefill*(1-float64(m.slow))) * float64(uncached) / b.prefillRate.perSecond
 	sum += failureCostSeconds * m.failures.current(now)
+	sum += b.rerunCost(now, r, m)
 	sum += b.pauseCost(now, r, m, uncached)
 	if m.DataCentre != b.self {
 		sum += remoteSeconds
@@ -51,6 +52,17 @@
 	return sum
 }
 
+// rerunCost returns the expected cost of running a request again that an engine fails to complete: its whole prompt
+// is computed again elsewhere, and the time in its slot is lost.
+func (b *Balancer) rerunCost(now time.Time, r *Request, m *member) float64 {
+	service := b.failureRates[m.Service]
+	if !m.isEngine || service == nil {
+		return 0
+	}
+	rerunSeconds := recomputeWeight*float64(r.Prompt)/b.prefillRate.perSecond + slotHoldSeconds
+	return rerunSeconds * m.failureRate.excess(now, service.mean())
+}
+
 // choice describes the chosen member.
 func (b *Balancer) choice(r *Request, m, home *member, s *sources) Choice {
 	f := b.planFetch(m, cachedTokens(r, m, m == home), s)
--- a/internal/balance/equalspeeds_test.go
+++ b/internal/balance/equalspeeds_test.go
@@ -33,6 +33,7 @@
 	if m.failures.share != 0 {
 		sum += failureCostSeconds * m.failures.share * math.Exp2(-now.Sub(m.failures.at).Seconds()/failureHalfLife.Seconds())
 	}
+	sum += u.rerunCost(now, r, m)
 	if m.DataCentre != u.self {
 		sum += remoteSeconds
 	}
--- a/internal/balance/member.go
+++ b/internal/balance/member.go
@@ -34,6 +34,7 @@
 	parts               partCache
 	prefilling          float64       // share of recent load reports with prompts to compute
 	failures            decayingShare // of attempts
+	failureRate         failureRate   // of attempts that reached the endpoint
 	latePauses          decayingShare // of streams with a pause target
 	consecutiveFailures int
 	avoidFor            time.Duration
@@ -67,7 +68,7 @@
 		m.failures.observe(now, false)
 		m.consecutiveFailures, m.avoidFor, m.backoff = 0, 0, 0
 		m.avoidUntil = time.Time{}
-	case Failed, Unreachable:
+	case Failed, Unreachable, Silent:
 		m.failures.observe(now, true)
 		m.consecutiveFailures++
 		if m.consecutiveFailures >= avoidAfter || o == Unreachable {
--- a/internal/balance/request.go
+++ b/internal/balance/request.go
@@ -73,5 +73,6 @@
 	Refused                    // not run, as the endpoint reported
 	Failed                     // an error of the endpoint, or a broken answer
 	Unreachable                // no connection to the endpoint
-	Abandoned                  // the caller disconnected, or the deadline passed
+	Abandoned                  // the caller disconnected
+	Silent                     // no answer, or no more of one, in time
 )
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -171,8 +171,13 @@
 	case errors.Is(ctx.Err(), context.Canceled): // the caller has left
 		return true
 	}
+	return !timedOut(err)
+}
+
+// timedOut reports whether an attempt's error is that no bytes arrived in time.
+func timedOut(err error) bool {
 	var timeout interface{ Timeout() bool }
-	return !errors.Is(err, upstream.ErrSilent) && !(errors.As(err, &timeout) && timeout.Timeout())
+	return errors.Is(err, upstream.ErrSilent) || errors.As(err, &timeout) && timeout.Timeout()
 }
 
 // exchangeForwarded sends the request to another daemon and reads the answer.
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -238,6 +238,8 @@
 		return balance.Abandoned
 	case res.verdict == verdict.NotRun:
 		return balance.Refused
+	case timedOut(err):
+		return balance.Silent
 	default:
 		return balance.Failed
 	}
--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -1,14 +1,20 @@
 package relay
 
 import (
+	"context"
 	"fmt"
+	"io"
 	"net/http"
+	"os"
 	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/balance"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/eventstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/route"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -127,3 +133,28 @@
 		assert.Assert(t, bad.runs() <= 3, "%s: %d of 20 requests", kind, bad.runs())
 	}
 }
+
+// Guards against silence that counts like a faulty answer, and the reverse.
+func TestSilenceAndFaultyAnswersAreToldApart(t *testing.T) {
+	reached := attemptResult{reached: true, verdict: verdict.MayHaveRun}
+	for _, c := range []struct {
+		err  error
+		want balance.Outcome
+	}{
+		{upstream.ErrSilent, balance.Silent},
+		{verdict.Wrap(verdict.MayHaveRun, upstream.ErrSilent), balance.Silent},
+		{context.DeadlineExceeded, balance.Silent},
+		{os.ErrDeadlineExceeded, balance.Silent},
+		{io.ErrUnexpectedEOF, balance.Failed},
+		{&upstream.InvalidError{Kind: upstream.InvalidHead}, balance.Failed},
+		{&invalidStream{Fault: &eventstream.Fault{}}, balance.Failed},
+	} {
+		assert.Equal(t, balanceOutcome(t.Context(), reached, c.err), c.want, "%v", c.err)
+	}
+	whole := attemptResult{reached: true, class: Success, complete: true, verdict: verdict.Ran}
+	assert.Equal(t, balanceOutcome(t.Context(), whole, nil), balance.Answered)
+	whole.trailing = true
+	assert.Equal(t, balanceOutcome(t.Context(), whole, nil), balance.Failed)
+	refused := attemptResult{reached: true, class: Refused, complete: true, verdict: verdict.NotRun, trailing: true}
+	assert.Equal(t, balanceOutcome(t.Context(), refused, nil), balance.Refused)
+}
