Upstream: a head that holds another one's status line is invalid

A late answer that is cut off in its head, and comes as the connection is used again, joined the answer after it: an endpoint's 500 was passed on as the late answer's 200, with the ID, signature and body of the 500.

TestCutOffHeadDoesNotJoinTheNextAnswer: 3 of 9 cases were passed on before, none now. What remains, shown with a trial: a body that is cut short and filled up by an answer that follows on the connection is read as whole.

--- a/internal/upstream/invalid.go
+++ b/internal/upstream/invalid.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"regexp"
 	"strings"
 )
 
@@ -64,14 +65,31 @@
 	if resp.StatusCode < 100 || resp.StatusCode > 599 {
 		return c.invalid(InvalidStatus, resp.Status)
 	}
-	for name := range resp.Header {
+	if holdsStatusLine(resp.Status) {
+		return c.invalid(InvalidHead, resp.Status)
+	}
+	for name, values := range resp.Header {
 		if !isToken(name) {
 			return c.invalid(InvalidHead, name)
 		}
+		for _, v := range values {
+			if holdsStatusLine(v) {
+				return c.invalid(InvalidHead, v)
+			}
+		}
 	}
 	return nil
 }
 
+// statusLine matches the beginning of an answer's head.
+var statusLine = regexp.MustCompile(`HTTP/1\.\d \d{3}`)
+
+// holdsStatusLine reports whether a line of a head has the beginning of another one: a late answer that was cut off
+// there would lend its status to the answer that follows.
+func holdsStatusLine(line string) bool {
+	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
+}
+
 // isToken reports whether a header's name is a token. Of the bytes that a token can't have, net/http lets only
 // spaces through.
 func isToken(name string) bool {
--- a/internal/upstream/invalid_test.go
+++ b/internal/upstream/invalid_test.go
@@ -1,6 +1,7 @@
 package upstream
 
 import (
+	"errors"
 	"net/http"
 	"testing"
 	"time"
@@ -94,6 +95,29 @@
 	}
 }
 
+// Guards against a late answer, cut off in its head, that lends its status to the answer that follows.
+func TestCutOffHeadDoesNotJoinTheNextAnswer(t *testing.T) {
+	for _, late := range []string{
+		"HTTP/1.1 200 O", "HTTP/1.1 200 OK\r\nNoise: x", "HTTP/1.1 200 OK\r\nId: 1\r\nNoise:", "HTTP/1.1 200 OK\r\nId: 2\r\nNoise: x\r\n ",
+		"HTTP/1.1 200 OK\r\n", "HTTP/1.1 200 OK\r\nNoise", "HTTP/1.1 20", "HTTP/1.1 200 OK\r\nContent-Length: 6", "HTTP/1.1 200 OK\r\nId: 2",
+	} {
+		address := serveScript(t, func(n int, r *http.Request) string {
+			if n == 0 {
+				return answerText("1", "one")
+			}
+			return late + "HTTP/1.1 500 X\r\nId: 2\r\nContent-Length: 6\r\n\r\nfailed"
+		})
+		p := NewPool(4, DialTCP)
+		_, err := sendAndRead(t, p, newCall(address, "1"))
+		assert.NilError(t, err)
+		got, err := sendAndRead(t, p, newCall(address, "2"))
+		var invalid *InvalidError
+		assert.Assert(t, errors.As(err, &invalid), "%q: got %q, %v", late, got, err)
+		assert.Equal(t, invalid.Kind, InvalidHead, "%q", late)
+		assert.Assert(t, invalid.Reused)
+	}
+}
+
 // Guards against refusing what the standard lets a receiver read: a folded line is one with spaces, and chunks
 // override a length.
 func TestToleratedAnswersAreRead(t *testing.T) {
