--- a/internal/node/versionsrestore_test.go
+++ b/internal/node/versionsrestore_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -30,8 +31,11 @@
 	f.t.Helper()
 	e := &versionedEngine{}
 	e.version.Store(version)
-	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("Content-Type", "text/event-stream")
+		if strings.HasPrefix(r.Header.Get("Id"), "first") { // an attempt that begins a stream
+			_, _ = io.WriteString(w, "id: 1\ndata: "+e.version.Load().(string)+"\n\n")
+		}
 		_, _ = io.WriteString(w, "id: 2\ndata: "+e.version.Load().(string)+"\n\n")
 	})}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
