Daemons store the origins of their streams while several versions serve

Each daemon now keeps the origins of its own streams in an object of kind `origins` that has its instance's name. It is written while more than one version may have begun the streams of the last horizon, at most once a second, and less often above 100 daemons. A daemon that starts again reads it, takes it into its table and sends copies to their homes. Streams of revoked or contradicted origin are in it as unknown, since another daemon's record may still state one.

--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -115,6 +115,20 @@
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_endpoint_ends_total{leaving="%t"}`, leaving)).Inc()
 }
 
+// originsRestored counts the origins of streams that were restored at the start.
+func (m *metricSet) originsRestored(n int) {
+	m.set.GetOrCreateCounter("cyclamenbeam_stream_origins_restored_total").Add(n)
+}
+
+// originsStored counts a write of the origins of streams, by its result.
+func (m *metricSet) originsStored(n, bytes int, err error) {
+	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_stream_origins_writes_total{result=%q}`, storeResult(err))).Inc()
+	if err == nil {
+		m.set.GetOrCreateCounter("cyclamenbeam_stream_origins_stored_total").Add(n)
+		m.set.GetOrCreateCounter("cyclamenbeam_stream_origins_stored_bytes_total").Add(bytes)
+	}
+}
+
 // reported counts a report to a hub by its result.
 func (m *metricSet) reported(err error) {
 	m.set.GetOrCreateCounter(fmt.Sprintf(`cyclamenbeam_peer_reports_total{result=%q}`, peerResult(err))).Inc()
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -35,6 +35,7 @@
 	bodies    *relay.Bodies
 	origins   *origins
 	restorer  *versionsRestorer
+	streams   *streamsRecord
 	clock     *clock.Clock
 	config    *configuration
 	fetcher   *configFetcher
@@ -94,6 +95,7 @@
 	n.origins = newOrigins(n)
 	n.relay.SetOrigins(n.origins)
 	n.restorer = newVersionsRestorer(n)
+	n.streams = newStreamsRecord(n)
 	n.watch = newWatchPolicy(n)
 	n.startGate = newStartGate(n.started)
 	n.config = newConfiguration(n)
@@ -166,7 +168,7 @@
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
 		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
-		n.discover, n.findSharers, n.restoreRetries, n.watchHoldUps, n.origins.run, n.restorer.run, newLimitLog(n).run, newRetryLog(n).run, n.crashes.watch.Run, n.crashes.readStored,
+		n.discover, n.findSharers, n.restoreRetries, n.watchHoldUps, n.origins.run, n.restorer.run, n.streams.run, n.streams.restore, newLimitLog(n).run, newRetryLog(n).run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
 		duties = append(duties, newDuties(n).run)
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -37,6 +37,8 @@
 	homes atomic.Pointer[cachedHomes]
 	// waiting is the number of streams that wait for the versions from before the start.
 	waiting atomic.Int64
+	// searching is the number of streams whose origins may be restored by a daemon that is starting.
+	searching atomic.Int64
 
 	mu       sync.Mutex
 	table    *origin.Table
@@ -147,6 +149,8 @@
 	historyHold = 2500 * time.Millisecond
 	// historyCheckInterval is how often a stream that waits is checked.
 	historyCheckInterval = 20 * time.Millisecond
+	// searchInterval is the time between two searches for an origin that no daemon has.
+	searchInterval = 100 * time.Millisecond
 )
 
 // awaitHistory waits, while this daemon has just started, until the versions of a horizon are
@@ -244,7 +248,7 @@
 // Record implements relay.Origins.
 func (o *origins) Record(k origin.Key, from origin.Origin) {
 	o.mu.Lock()
-	o.table.Put(time.Now(), k, from)
+	o.table.PutOwn(time.Now(), k, from)
 	o.mu.Unlock()
 	o.sendCopies(recordPacket(k, from))
 }
@@ -252,7 +256,7 @@
 // Revoke implements relay.Origins.
 func (o *origins) Revoke(k origin.Key) {
 	o.mu.Lock()
-	o.table.Revoke(time.Now(), k)
+	o.table.RevokeOwn(time.Now(), k)
 	o.mu.Unlock()
 	o.sendCopies(&originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)})
 }
@@ -267,6 +271,19 @@
 	}
 }
 
+// sendRestored sends a copy of a restored origin.
+func (o *origins) sendRestored(address string, s *origin.StreamOrigin) {
+	conn := o.conn.Load()
+	if conn == nil {
+		return
+	}
+	p := recordPacket(s.Key, s.Origin)
+	if s.Unknown {
+		p = &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(s.Key)}
+	}
+	conn.sendTo(address, originMark, p)
+}
+
 // currentHomes returns the homes among the serving daemons.
 func (o *origins) currentHomes() *origin.Homes {
 	l := o.node.members.layout()
@@ -316,15 +333,46 @@
 	return &originpb.Packet{Kind: originpb.Packet_UNKNOWN, Key: uint64(k)}
 }
 
-// Find implements relay.Origins.
+// Find implements relay.Origins. A daemon that has just started asks again where several versions
+// may have begun the stream, since the daemon that has stored its origin may be about to start.
 func (o *origins) Find(ctx context.Context, k origin.Key) (origin.Origin, bool) {
-	if from, known, settled := o.get(k); settled {
+	from, known, settled := o.ask(ctx, k)
+	if settled && !known || !o.mayAwait() {
 		return from, known
 	}
+	defer o.searching.Add(-1)
+	if o.searching.Add(1) > maxWaiting {
+		return from, known
+	}
+	for !settled && o.mayAwait() && o.needsStreams() && pause.For(ctx, searchInterval) {
+		from, known, settled = o.ask(ctx, k)
+	}
+	o.awaitList(ctx)
+	return from, known
+}
+
+// mayAwait reports whether this daemon has just started again, so that what it lacks may come.
+func (o *origins) mayAwait() bool {
+	return !o.node.settings.Daemon.FirstStart && time.Since(o.node.started) < historyHold
+}
+
+// awaitList waits, while this daemon has just started, until connections to the listed endpoints
+// are trusted: no stream that goes on is sent over others.
+func (o *origins) awaitList(ctx context.Context) {
+	for o.mayAwait() && time.Now().After(o.upTo.Load().Add(o.node.contactBound())) && pause.For(ctx, historyCheckInterval) {
+	}
+}
+
+// ask returns the origin of a stream as it is recorded here or at its homes; settled is false if
+// nothing is recorded of it.
+func (o *origins) ask(ctx context.Context, k origin.Key) (from origin.Origin, known, settled bool) {
+	if from, known, settled := o.get(k); settled {
+		return from, known, true
+	}
 	homes := o.currentHomes().Of(k, origin.Asked)
 	conn := o.conn.Load()
 	if len(homes) == 0 || conn == nil {
-		return origin.Origin{}, false
+		return origin.Origin{}, false, false
 	}
 	s := o.beginSearch(k, homes)
 	defer o.endSearch(k, s)
@@ -340,8 +388,7 @@
 		case <-time.After(askInterval):
 			continue
 		}
-		from, known, _ := o.get(k)
-		return from, known
+		return o.get(k)
 	}
 }
 
@@ -354,6 +401,51 @@
 	return from, known, o.table.Has(k)
 }
 
+// restoreStreams takes the origins of streams that the daemon before on this instance has stored.
+func (o *origins) restoreStreams(all []origin.StreamOrigin) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range all {
+		if s := &all[i]; s.Unknown {
+			o.table.RevokeOwn(now, s.Key)
+		} else {
+			o.table.PutOwn(now, s.Key, s.Origin)
+		}
+		o.searches[all[i].Key].found()
+	}
+}
+
+// own returns the origins of this daemon's streams, and what ownChanges returned then.
+func (o *origins) own() ([]origin.StreamOrigin, uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Own(time.Now()), o.table.Changes()
+}
+
+// ownChanges counts the changes of the origins of this daemon's streams.
+func (o *origins) ownChanges() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Changes()
+}
+
+// needsStreams reports whether the version of a stream that is taken up may not follow from those
+// that served: several did within its horizon, or a daemon that started again doesn't know.
+func (o *origins) needsStreams() bool {
+	horizons := o.node.state.ResumableHorizons()
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, horizon := range horizons {
+		unknown := !o.node.settings.Daemon.FirstStart && !o.versions.Reaches(now, horizon)
+		if unknown || o.versions.Several(now, service, horizon) {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the number of streams whose origins are held.
 func (o *origins) count() int {
 	o.mu.Lock()
--- /dev/null
+++ b/internal/origin/streams.go
@@ -0,0 +1,182 @@
+package origin
+
+import (
+	"cmp"
+	"encoding/binary"
+	"slices"
+	"time"
+)
+
+// maxStored bounds the streams of a stored record: with base64 some 90 KB. Values of the store
+// have a megabyte at most.
+const maxStored = 1 << 13
+
+// keyBytes is the length of an encoded key.
+const keyBytes = 8
+
+// Streams is what a daemon stores of the origins of its own streams, for its next start after
+// all daemons were killed.
+type Streams struct {
+	At  time.Time `json:"at"`  // by the fleet's clock
+	Era uint64    `json:"era"` // the store's, as the writer knew it
+	// Begun are the streams by their origin.
+	Begun []Begun `json:"begun,omitempty"`
+	// Unknown are the keys of streams whose origin isn't known: another daemon's record may
+	// still state one.
+	Unknown []byte `json:"unknown,omitempty"`
+}
+
+// Begun is the streams of one origin.
+type Begun struct {
+	Origin
+	Keys []byte `json:"keys"` // 8 bytes each
+}
+
+// StreamOrigin is the origin of a stream.
+type StreamOrigin struct {
+	Key
+	Origin
+	Unknown bool // contradicted or revoked
+}
+
+// NewStreams returns the record of some streams, newest first, of which the oldest are left out
+// beyond maxStored. Streams of unknown origin are never left out for others.
+func NewStreams(at time.Time, era uint64, all []StreamOrigin) *Streams {
+	out, keys, left := &Streams{At: at, Era: era}, map[Origin][]byte{}, maxStored
+	for _, s := range all {
+		if s.Unknown && left > 0 {
+			out.Unknown, left = binary.BigEndian.AppendUint64(out.Unknown, uint64(s.Key)), left-1
+		}
+	}
+	for _, s := range all {
+		if !s.Unknown && left > 0 {
+			keys[s.Origin], left = binary.BigEndian.AppendUint64(keys[s.Origin], uint64(s.Key)), left-1
+		}
+	}
+	for o, k := range keys {
+		out.Begun = append(out.Begun, Begun{o, k})
+	}
+	slices.SortFunc(out.Begun, func(a, b Begun) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Version, b.Version))
+	})
+	return out
+}
+
+// Check returns why a record can't be used at a daemon's start. now is the fleet's time as far
+// as the daemon knows it, era the store's. Origins never change, so that an old record is wrong
+// only where an origin became unknown since: a clock that is wrong by less than maxHorizon does
+// no harm.
+func (s *Streams) Check(now time.Time, era uint64) error {
+	switch {
+	case s.At.IsZero() || !s.valid():
+		return Error.New("the record is invalid")
+	case s.Era != era:
+		return Error.New("the record is of era %d of the store, not %d", s.Era, era)
+	case s.At.Sub(now) > maxHorizon:
+		return ErrLater
+	case now.Sub(s.At) > maxHorizon:
+		return Error.New("the record is %v old", now.Sub(s.At).Round(time.Second))
+	}
+	return nil
+}
+
+func (s *Streams) valid() bool {
+	keys := len(s.Unknown)
+	for _, b := range s.Begun {
+		if b.Service == "" || len(b.Keys)%keyBytes != 0 {
+			return false
+		}
+		keys += len(b.Keys)
+	}
+	return len(s.Unknown)%keyBytes == 0 && keys <= maxStored*keyBytes
+}
+
+// Len returns the number of streams.
+func (s *Streams) Len() int {
+	n := len(s.Unknown)
+	for _, b := range s.Begun {
+		n += len(b.Keys)
+	}
+	return n / keyBytes
+}
+
+// All returns the streams of a valid record.
+func (s *Streams) All() []StreamOrigin {
+	var out []StreamOrigin
+	for keys := s.Unknown; len(keys) > 0; keys = keys[keyBytes:] {
+		out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Unknown: true})
+	}
+	for _, b := range s.Begun {
+		for keys := b.Keys; len(keys) > 0; keys = keys[keyBytes:] {
+			out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Origin: b.Origin})
+		}
+	}
+	return out
+}
+
+const (
+	// storeInterval is the least time between two writes of a daemon's streams: those that began
+	// since the last one are lost in a kill of all.
+	storeInterval = time.Second
+	// fleetWrites bounds the writes a second of all daemons together: a quarter of the least
+	// rate of the platforms that are served, 400 writes a second.
+	fleetWrites = 100
+)
+
+// Schedule decides when a daemon stores the origins of its streams. It is not safe for
+// concurrent use.
+type Schedule struct {
+	phase   float64   // of this daemon among all, from 0 to 1, so that not all write at once
+	needed  time.Time // since when writes are needed, zero if they aren't
+	last    time.Time // when the last write began
+	busy    bool
+	written written
+}
+
+// written is what a write was of.
+type written struct {
+	changes uint64 // of the table
+	era     uint64
+}
+
+// Moment is what decides whether a daemon writes.
+type Moment struct {
+	Needed  bool   // several versions may have begun the streams of the last horizon
+	Daemons int    // of the fleet
+	Changes uint64 // see Table.Changes
+	Era     uint64 // of the store
+}
+
+// NewSchedule returns the schedule of a daemon; phase, from 0 to 1, differs between daemons.
+func NewSchedule(phase float64) *Schedule { return &Schedule{phase: phase} }
+
+// Interval returns the time between two writes of a daemon in a fleet.
+func Interval(daemons int) time.Duration {
+	return max(storeInterval, time.Duration(daemons)*time.Second/fleetWrites)
+}
+
+// Begin reports whether a write is to begin now. End must be called after it.
+func (s *Schedule) Begin(now time.Time, m Moment) bool {
+	if !m.Needed {
+		s.needed = time.Time{}
+		return false
+	}
+	if s.needed.IsZero() {
+		s.needed = now
+	}
+	interval := Interval(m.Daemons)
+	spread := time.Duration(s.phase * float64(interval-storeInterval))
+	if s.busy || s.written == (written{m.Changes, m.Era}) || now.Sub(s.last) < interval || now.Sub(s.needed) < spread {
+		return false
+	}
+	s.busy, s.last = true, now
+	return true
+}
+
+// End records the result of a write, with the moment of its content.
+func (s *Schedule) End(m Moment, ok bool) {
+	s.busy = false
+	if ok {
+		s.written = written{m.Changes, m.Era}
+	}
+}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -1,6 +1,9 @@
 package origin
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Retention is how long an origin is kept after it was last recorded. It is longer than
 // callers wait for a stream.
@@ -13,6 +16,7 @@
 type Table struct {
 	entries map[Key]entry
 	queue   []queued // in the order of their times
+	changes uint64   // of own streams
 }
 
 // entry is an origin; contradicted says that two different ones were recorded, or that the
@@ -21,6 +25,7 @@
 	origin       Origin
 	at           time.Time
 	contradicted bool
+	own          bool // of a stream that this daemon served, see PutOwn
 }
 
 // queued is when an entry was recorded. If it was recorded again later, another one follows.
@@ -32,17 +37,28 @@
 // NewTable returns an empty table.
 func NewTable() *Table { return &Table{entries: map[Key]entry{}} }
 
-// Put records the origin of a stream.
-func (t *Table) Put(now time.Time, k Key, o Origin) {
-	old, known := t.entries[k]
-	t.put(now, k, entry{origin: o, contradicted: known && (old.contradicted || old.origin != o)})
-}
+// Put records the origin of a stream, as another daemon has stated it.
+func (t *Table) Put(now time.Time, k Key, o Origin) { t.put(now, k, entry{origin: o}) }
+
+// PutOwn records the origin of a stream that this daemon serves or has served.
+func (t *Table) PutOwn(now time.Time, k Key, o Origin) { t.put(now, k, entry{origin: o, own: true}) }
 
 // Revoke records that the origin of a stream isn't known.
 func (t *Table) Revoke(now time.Time, k Key) { t.put(now, k, entry{contradicted: true}) }
 
+// RevokeOwn records that the origin of a stream that this daemon serves or has served isn't known.
+func (t *Table) RevokeOwn(now time.Time, k Key) {
+	t.put(now, k, entry{contradicted: true, own: true})
+}
+
 func (t *Table) put(now time.Time, k Key, e entry) {
+	old, known := t.entries[k]
 	e.at = now
+	e.contradicted = e.contradicted || known && (old.contradicted || old.origin != e.origin)
+	if e.own || old.own && e.contradicted != old.contradicted {
+		t.changes++
+	}
+	e.own = e.own || old.own
 	t.entries[k] = e
 	t.queue = append(t.queue, queued{k, now})
 	t.Expire(now)
@@ -63,6 +79,21 @@
 	return ok
 }
 
+// Changes counts the changes of own streams.
+func (t *Table) Changes() uint64 { return t.changes }
+
+// Own returns the origins of own streams, newest first.
+func (t *Table) Own(now time.Time) []StreamOrigin {
+	var out []StreamOrigin
+	for _, q := range slices.Backward(t.queue) {
+		e := t.entries[q.key]
+		if e.own && e.at.Equal(q.at) && now.Sub(e.at) <= Retention {
+			out = append(out, StreamOrigin{Key: q.key, Origin: e.origin, Unknown: e.contradicted})
+		}
+	}
+	return out
+}
+
 // Len returns the number of streams.
 func (t *Table) Len() int { return len(t.entries) }
 
--- a/internal/origin/versions.go
+++ b/internal/origin/versions.go
@@ -97,6 +97,18 @@
 	return version, found == 1
 }
 
+// Several reports whether more than one version of a service may have begun the streams of the
+// last horizon.
+func (v *Versions) Several(now time.Time, service string, horizon time.Duration) bool {
+	found := len(v.listed[service])
+	for o, at := range v.gone {
+		if o.Service == service && now.Sub(at) <= horizon && !v.listed[service][o.Version] {
+			found++
+		}
+	}
+	return found > 1
+}
+
 // Settled records that the list lacks no endpoints that have started lately.
 func (v *Versions) Settled() { v.settledAt = time.Time{} }
 
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -128,7 +128,9 @@
 
 // horizon returns how long ago a stream that is taken up can have begun at most: within the
 // timeouts of two attempts.
-func (f *inflight) horizon() time.Duration { return max(2*f.route.Timeout, origin.Retention) }
+func (f *inflight) horizon() time.Duration { return horizonOf(f.route) }
+
+func horizonOf(r *route.Route) time.Duration { return max(2*r.Timeout, origin.Retention) }
 
 // setService moves the request to the service that began its stream.
 func (f *inflight) setService(service string) {
@@ -255,6 +257,27 @@
 	return s.resumable, s.resumableSince, s.table != nil
 }
 
+// ResumableHorizons returns, for each service of the routes whose streams can be taken up, how
+// long ago such a stream can have begun at most.
+func (s *State) ResumableHorizons() map[string]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil
+	}
+	out := map[string]time.Duration{}
+	for i := range s.table.Routes {
+		r := &s.table.Routes[i]
+		if r.Kind != route.Streaming || !r.Resumable {
+			continue
+		}
+		for _, b := range r.Backends {
+			out[b.Service] = max(out[b.Service], horizonOf(r))
+		}
+	}
+	return out
+}
+
 // noteBackends records when routes' services change with a new table. The lock is held.
 func (s *State) noteBackends(now time.Time, t *route.Table) {
 	before := s.resumable
