Stored origins at size, and through revocations

Above 100 daemons some of them store the origins for the others, which send them a copy: with a write per daemon and second the fleet would need more than the store allows, and with fewer writes most streams would be lost (a write each 3.4 s at 340 daemons, 9.9 s at 986, where streams last 3 s).

A restored origin may have been revoked at another daemon since it was written, so that daemons confirm it with its homes before they use it, and a home tells the sender of a revocation. Revocations go to the five first homes: the homes that the beginner chose are among them, three of the revoker's own ranking may lack one. Own origins are numbered, since two records of one instant stood twice.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -35,6 +35,9 @@
 	conn  atomic.Pointer[datagramConn]
 	upTo  atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
 	homes atomic.Pointer[cachedHomes]
+	// writer is the address of the daemon that stores the origins of this daemon's streams, empty
+	// where none need be or this daemon does.
+	writer atomic.Pointer[string]
 	// waiting is the number of streams that wait for the versions from before the start.
 	waiting atomic.Int64
 	// searching is the number of streams whose origins may be restored by a daemon that is starting.
@@ -58,6 +61,7 @@
 func newOrigins(n *Node) *origins {
 	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), runs: origin.NewRuns(), searches: map[origin.Key]*search{}}
 	o.upTo.Store(&time.Time{})
+	o.writer.Store(new(string))
 	return o
 }
 
@@ -250,7 +254,7 @@
 	o.mu.Lock()
 	o.table.PutOwn(time.Now(), k, from)
 	o.mu.Unlock()
-	o.sendCopies(recordPacket(k, from))
+	o.sendCopies(recordPacket(k, from), origin.Copies)
 }
 
 // Revoke implements relay.Origins.
@@ -258,30 +262,29 @@
 	o.mu.Lock()
 	o.table.RevokeOwn(time.Now(), k)
 	o.mu.Unlock()
-	o.sendCopies(&originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)})
+	// The homes in the view of the daemon that began the stream are among the first Asked of this one.
+	o.sendCopies(revokePacket(k), origin.Asked)
 }
 
-func (o *origins) sendCopies(p *originpb.Packet) {
+func (o *origins) sendCopies(p *originpb.Packet, homes int) {
 	conn := o.conn.Load()
 	if conn == nil {
 		return
 	}
-	for _, address := range o.currentHomes().Of(origin.Key(p.Key), origin.Copies) {
+	for _, address := range o.currentHomes().Of(origin.Key(p.Key), homes) {
 		conn.sendTo(address, originMark, p)
 	}
+	if writer := *o.writer.Load(); writer != "" {
+		p.Store = true
+		conn.sendTo(writer, originMark, p)
+	}
 }
 
-// sendRestored sends a copy of a restored origin.
-func (o *origins) sendRestored(address string, s *origin.StreamOrigin) {
-	conn := o.conn.Load()
-	if conn == nil {
-		return
-	}
-	p := recordPacket(s.Key, s.Origin)
-	if s.Unknown {
-		p = &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(s.Key)}
+// sendTo sends a datagram to another daemon.
+func (o *origins) sendTo(address string, p *originpb.Packet) {
+	if conn := o.conn.Load(); conn != nil {
+		conn.sendTo(address, originMark, p)
 	}
-	conn.sendTo(address, originMark, p)
 }
 
 // currentHomes returns the homes among the serving daemons.
@@ -310,13 +313,11 @@
 	defer o.mu.Unlock()
 	switch p.Kind {
 	case originpb.Packet_RECORD:
-		o.table.Put(now, k, origin.Origin{Service: p.Service, Version: p.Version})
-		o.searches[k].found()
+		o.takeRecord(now, p, from)
 	case originpb.Packet_REVOKE:
-		o.table.Revoke(now, k)
-		o.searches[k].found()
+		o.takeRevocation(now, p)
 	case originpb.Packet_UNKNOWN:
-		o.searches[k].unknownAt(from.String())
+		o.searches[k].answered(from.String())
 	case originpb.Packet_ASK:
 		o.conn.Load().send(from, originMark, o.answer(now, k))
 	}
@@ -325,10 +326,12 @@
 // answer returns the answer to a question. The lock is held.
 func (o *origins) answer(now time.Time, k origin.Key) *originpb.Packet {
 	if from, known := o.table.Get(now, k); known {
-		return recordPacket(k, from)
+		p := recordPacket(k, from)
+		p.Restored = !o.table.Settled(k)
+		return p
 	}
 	if o.table.Has(k) {
-		return &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)}
+		return revokePacket(k)
 	}
 	return &originpb.Packet{Kind: originpb.Packet_UNKNOWN, Key: uint64(k)}
 }
@@ -336,16 +339,16 @@
 // Find implements relay.Origins. A daemon that has just started asks again where several versions
 // may have begun the stream, since the daemon that has stored its origin may be about to start.
 func (o *origins) Find(ctx context.Context, k origin.Key) (origin.Origin, bool) {
-	from, known, settled := o.ask(ctx, k)
-	if settled && !known || !o.mayAwait() {
+	from, known, recorded := o.ask(ctx, k)
+	if recorded && !known || !o.mayAwait() {
 		return from, known
 	}
 	defer o.searching.Add(-1)
 	if o.searching.Add(1) > maxWaiting {
 		return from, known
 	}
-	for !settled && o.mayAwait() && o.needsStreams() && pause.For(ctx, searchInterval) {
-		from, known, settled = o.ask(ctx, k)
+	for !recorded && o.mayAwait() && o.needsStreams() && pause.For(ctx, searchInterval) {
+		from, known, recorded = o.ask(ctx, k)
 	}
 	o.awaitList(ctx)
 	return from, known
@@ -363,16 +366,17 @@
 	}
 }
 
-// ask returns the origin of a stream as it is recorded here or at its homes; settled is false if
-// nothing is recorded of it.
-func (o *origins) ask(ctx context.Context, k origin.Key) (from origin.Origin, known, settled bool) {
-	if from, known, settled := o.get(k); settled {
+// ask returns the origin of a stream as it is recorded here or at its homes; recorded is false if
+// nothing is known of it. The homes are asked also for one that was restored: other daemons may
+// have revoked it.
+func (o *origins) ask(ctx context.Context, k origin.Key) (from origin.Origin, known, recorded bool) {
+	if from, known, recorded := o.get(k); recorded && o.settled(k) {
 		return from, known, true
 	}
 	homes := o.currentHomes().Of(k, origin.Asked)
 	conn := o.conn.Load()
 	if len(homes) == 0 || conn == nil {
-		return origin.Origin{}, false, false
+		return o.get(k)
 	}
 	s := o.beginSearch(k, homes)
 	defer o.endSearch(k, s)
@@ -392,9 +396,15 @@
 	}
 }
 
-// get returns the origin of a stream as recorded here; settled says that other daemons need
-// not be asked.
-func (o *origins) get(k origin.Key) (from origin.Origin, known, settled bool) {
+// settled reports whether other daemons need not be asked for a stream's origin.
+func (o *origins) settled(k origin.Key) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Settled(k)
+}
+
+// get returns the origin of a stream as recorded here; recorded is false if nothing is.
+func (o *origins) get(k origin.Key) (from origin.Origin, known, recorded bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	from, known = o.table.Get(time.Now(), k)
@@ -410,12 +420,46 @@
 		if s := &all[i]; s.Unknown {
 			o.table.RevokeOwn(now, s.Key)
 		} else {
-			o.table.PutOwn(now, s.Key, s.Origin)
+			o.table.PutRestored(now, s.Key, s.Origin, true)
 		}
 		o.searches[all[i].Key].found()
 	}
 }
 
+// takeRecord takes an origin that another daemon has sent. A sender that lacks a revocation is told
+// of it: it may have restored the origin. The lock is held.
+func (o *origins) takeRecord(now time.Time, p *originpb.Packet, sender net.Addr) {
+	k, from := origin.Key(p.Key), origin.Origin{Service: p.Service, Version: p.Version}
+	switch {
+	case p.Restored:
+		o.table.PutRestored(now, k, from, p.Store)
+	case p.Store:
+		o.table.PutOwn(now, k, from)
+	default:
+		o.table.Put(now, k, from)
+	}
+	switch {
+	case o.table.Contradicted(k):
+		o.conn.Load().send(sender, originMark, revokePacket(k))
+		o.searches[k].found()
+	case p.Restored:
+		o.searches[k].answered(sender.String())
+	default:
+		o.searches[k].found()
+	}
+}
+
+// takeRevocation takes another daemon's statement that an origin isn't known. The lock is held.
+func (o *origins) takeRevocation(now time.Time, p *originpb.Packet) {
+	k := origin.Key(p.Key)
+	if p.Store {
+		o.table.RevokeOwn(now, k)
+	} else {
+		o.table.Revoke(now, k)
+	}
+	o.searches[k].found()
+}
+
 // own returns the origins of this daemon's streams, and what ownChanges returned then.
 func (o *origins) own() ([]origin.StreamOrigin, uint64) {
 	o.mu.Lock()
@@ -456,3 +500,7 @@
 func recordPacket(k origin.Key, from origin.Origin) *originpb.Packet {
 	return &originpb.Packet{Kind: originpb.Packet_RECORD, Key: uint64(k), Service: from.Service, Version: from.Version}
 }
+
+func revokePacket(k origin.Key) *originpb.Packet {
+	return &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)}
+}
--- a/internal/node/originsearch.go
+++ b/internal/node/originsearch.go
@@ -55,8 +55,9 @@
 	}
 }
 
-// unknownAt records that a daemon doesn't know the origin. The lock is held.
-func (s *search) unknownAt(address string) {
+// answered records an answer that doesn't end the wait unless it is the last one: the daemon doesn't
+// know the origin, or has restored it. The lock is held.
+func (s *search) answered(address string) {
 	if s == nil {
 		return
 	}
--- a/internal/node/streamsrecord.go
+++ b/internal/node/streamsrecord.go
@@ -7,10 +7,10 @@
 	"slices"
 	"time"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/node/originpb"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
 )
 
 const (
@@ -31,42 +31,64 @@
 	copiesPause = 5 * time.Millisecond
 )
 
-// streamsRecord stores the origins of this daemon's streams while their versions couldn't be
-// told after a kill of all daemons, and restores them at the start.
+// streamsRecord stores the origins of streams while their versions couldn't be told after a kill
+// of all daemons, and restores them at the start. In a large fleet some daemons store them for
+// the others.
 type streamsRecord struct {
-	node     *Node
-	schedule *origin.Schedule // only the writer uses it
-	// revision is the object's, 0 if it isn't known. Only the writer uses it after the start.
-	revision uint64
+	node *Node
+	// schedule, revision and handedTo are used by the writer only.
+	schedule origin.Schedule
+	revision uint64 // the object's, 0 if it isn't known
+	handedTo string // the daemon that has this daemon's origins, to store them
 }
 
-func newStreamsRecord(n *Node) *streamsRecord {
-	phase := float64(rendezvous.Key(string(n.settings.Daemon.Instance))>>11) / (1 << 53)
-	return &streamsRecord{node: n, schedule: origin.NewSchedule(phase)}
-}
+func newStreamsRecord(n *Node) *streamsRecord { return &streamsRecord{node: n} }
 
 func (r *streamsRecord) name() string { return string(r.node.settings.Daemon.Instance) }
 
-// run stores the origins when they are due, until the context ends.
+// run stores the origins when they are due, or has them stored, until the context ends.
 func (r *streamsRecord) run(ctx context.Context) {
 	pause.Every(ctx, streamsCheckInterval, func() {
-		m := r.moment()
-		if !r.schedule.Begin(time.Now(), m) {
-			return
-		}
-		streams, m := r.snapshot(m)
-		err := r.write(ctx, streams)
-		r.schedule.End(m, err == nil)
-		if err != nil && ctx.Err() == nil {
-			r.node.logFor("daemon").WithError(err).WithField("origins", streams.Len()).Info("origins not stored")
+		needed := r.node.origins.needsStreams()
+		writer, self := r.node.origins.currentHomes().Writer()
+		if !needed {
+			writer = ""
 		}
+		r.handOver(ctx, writer)
+		r.storeIfDue(ctx, origin.Moment{Needed: needed && self, Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era()})
 	})
 }
 
-func (r *streamsRecord) moment() origin.Moment {
-	return origin.Moment{
-		Needed: r.node.origins.needsStreams(), Daemons: r.node.members.cachedCount(),
-		Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era(),
+// handOver makes a daemon store the origins of this daemon's streams, none for the empty address.
+func (r *streamsRecord) handOver(ctx context.Context, writer string) {
+	if writer == r.handedTo {
+		return
+	}
+	r.handedTo = writer
+	r.node.origins.writer.Store(&writer)
+	if writer == "" {
+		return
+	}
+	all, _ := r.node.origins.own()
+	for i := range all {
+		p := storedPacket(&all[i])
+		p.Store = true
+		r.node.origins.sendTo(writer, p)
+		if i%copiesBatch == copiesBatch-1 && !pause.For(ctx, copiesPause) {
+			return
+		}
+	}
+}
+
+func (r *streamsRecord) storeIfDue(ctx context.Context, m origin.Moment) {
+	if !r.schedule.Begin(time.Now(), m) {
+		return
+	}
+	streams, m := r.snapshot(m)
+	err := r.write(ctx, streams)
+	r.schedule.End(m, err == nil)
+	if err != nil && ctx.Err() == nil {
+		r.node.logFor("daemon").WithError(err).WithField("origins", streams.Len()).Info("origins not stored")
 	}
 }
 
@@ -185,7 +207,17 @@
 	for _, address := range homes.Of(s.Key, origin.Copies) {
 		if !slices.Contains(*sent, address) {
 			*sent = append(*sent, address)
-			r.node.origins.sendRestored(address, s)
+			p := storedPacket(s)
+			p.Restored = true
+			r.node.origins.sendTo(address, p)
 		}
 	}
 }
+
+// storedPacket returns the datagram that states a stored origin.
+func storedPacket(s *origin.StreamOrigin) *originpb.Packet {
+	if s.Unknown {
+		return revokePacket(s.Key)
+	}
+	return recordPacket(s.Key, s.Origin)
+}
--- a/internal/node/streamsrestore_test.go
+++ b/internal/node/streamsrestore_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"strings"
 	"testing"
@@ -10,24 +11,30 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
 
-// streamsStored returns the number of daemons that have stored the origins of their streams.
-func (f *testFleet) streamsStored() int {
+// originsStored returns the number of streams whose origins are stored.
+func (f *testFleet) originsStored() int {
 	f.store.mu.Lock()
 	defer f.store.mu.Unlock()
-	return len(f.store.objects["origins"])
+	stored := 0
+	for _, o := range f.store.objects[streamsKind] {
+		s := &origin.Streams{}
+		assert.NilError(f.t, json.Unmarshal(o.Spec, s))
+		stored += s.Len()
+	}
+	return stored
 }
 
-// awaitStreamsStored waits until some daemons have stored the origins of their streams.
-func (f *testFleet) awaitStreamsStored(daemons int) {
+func (f *testFleet) awaitOriginsStored(n int) {
 	f.t.Helper()
 	poll.WaitOn(f.t, func(poll.LogT) poll.Result {
-		if f.streamsStored() >= daemons {
-			return poll.Success()
+		if stored := f.originsStored(); stored < n {
+			return poll.Continue("%d of %d origins are stored", stored, n)
 		}
-		return poll.Continue("%d of %d daemons have stored origins", f.streamsStored(), daemons)
+		return poll.Success()
 	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
 }
 
@@ -65,7 +72,7 @@
 	f.register("e2", f.startEngine("v2"))
 	f.until("both versions are listed", func(n *Node) bool { all, _ := n.endpoints.list(); return len(all) == 2 })
 	begun := f.beginStreams(8)
-	f.awaitStreamsStored(3)
+	f.awaitOriginsStored(len(begun))
 	f.killAll()
 	f.startAgain(3)
 	for id, text := range begun {
@@ -73,3 +80,73 @@
 		assert.Equal(t, got.text, text, "%s: %+v", id, got.refusal)
 	}
 }
+
+// Guards against streams that go on at a version that didn't begin them, or that are refused though
+// their origins were stored, where other things fail beside the kill of all daemons.
+func TestStreamsOfTwoVersionsThroughKillsAndFailures(t *testing.T) {
+	for _, test := range []struct {
+		name    string
+		killed  func(f *testFleet) // while no daemon runs
+		goesOn  bool               // whether the streams go on
+		restart func(f *testFleet)
+	}{
+		{name: "another version registers during the kill", goesOn: true, killed: func(f *testFleet) { f.register("e3", f.startEngine("v3")) }},
+		{name: "the store came back from an older copy", killed: func(f *testFleet) { f.store.restore(f.store.snapshot()) }},
+		{name: "records of an earlier release", killed: func(f *testFleet) {
+			for i := range 3 {
+				f.store.remove(streamsKind, fmt.Sprintf("i%d", i))
+			}
+		}},
+		{name: "records that can't be decoded", killed: func(f *testFleet) {
+			for i := range 3 {
+				_, err := f.store.Replace(f.t.Context(), streamsKind, fmt.Sprintf("i%d", i), 0, []byte(`{"at":7}`))
+				assert.NilError(f.t, err)
+			}
+		}},
+		{name: "killed twice", goesOn: true, restart: func(f *testFleet) {
+			f.startAgain(3)
+			f.awaitReady()
+			f.until("the origins are restored", func(n *Node) bool { return n.origins.ownChanges() > 0 })
+			f.killAll()
+			f.startAgain(3)
+		}},
+		{name: "the store doesn't answer at the start", goesOn: true, restart: func(f *testFleet) {
+			f.store.setDown(true)
+			f.startAgain(3)
+			f.until("two reads have failed", func(n *Node) bool { return time.Since(n.started) > 2*minRestoreBackoff })
+			f.store.setDown(false)
+			f.until("the origins are restored", func(n *Node) bool { return n.origins.ownChanges() > 0 })
+			f.awaitReady()
+		}},
+		{name: "taken up twice", goesOn: true, restart: func(f *testFleet) {
+			f.startAgain(3)
+			assert.Assert(f.t, stream(f.nodes[2], "again-before", "first-0-0").refusal == nil)
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			t.Parallel()
+			f, _ := servedFleet(t, 3, "1")
+			f.register("e2", f.startEngine("v2"))
+			f.until("both versions are listed", func(n *Node) bool { all, _ := n.endpoints.list(); return len(all) == 2 })
+			begun := f.beginStreams(4)
+			f.awaitOriginsStored(len(begun))
+			f.killAll()
+			if test.killed != nil {
+				test.killed(f)
+			}
+			if test.restart == nil {
+				f.startAgain(3)
+			} else {
+				test.restart(f)
+			}
+			for id, text := range begun {
+				got := stream(f.nodes[1], "again-"+id, id)
+				if test.goesOn {
+					assert.Equal(t, got.text, text, "%s: %+v", id, got.refusal)
+				} else {
+					assert.Assert(t, got.refusal != nil && got.refusal.Reason == relay.UnknownVersion, "%+v, %q", got.refusal, got.text)
+				}
+			}
+		})
+	}
+}
--- a/internal/origin/homes.go
+++ b/internal/origin/homes.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"cmp"
 	"slices"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/rendezvous"
@@ -13,6 +14,9 @@
 	// Asked is the number of daemons that are asked for an origin: the holders of its copies,
 	// the one that began the stream, and one more for a daemon that has joined since.
 	Asked = 5
+	// Writers is the number of daemons that store origins for the others. Each writes once a second
+	// at most: a quarter of the least rate of the platforms that are served, 400 writes a second.
+	Writers = 100
 )
 
 // Daemon is a serving daemon.
@@ -21,8 +25,12 @@
 	Address string
 }
 
-// Homes chooses the daemons that hold the origin of a stream. It is immutable.
-type Homes struct{ all []home }
+// Homes chooses the daemons that hold the origin of a stream, and the one that stores the origins
+// of a daemon's streams. It is immutable.
+type Homes struct {
+	all    []home
+	writer string // empty for this daemon itself
+}
 
 type home struct {
 	address string
@@ -37,9 +45,41 @@
 			h.all = append(h.all, home{d.Address, rendezvous.Key(d.Name)})
 		}
 	}
+	h.writer = writerOf(self, all)
 	return h
 }
 
+// writersKey is the key for which daemons are ranked as writers.
+var writersKey = rendezvous.Key("writers of origins")
+
+// writerOf returns the address of the daemon that stores the origins of the streams of another
+// one, or the empty address for the daemon itself.
+func writerOf(self string, all []Daemon) string {
+	if len(all) <= Writers {
+		return ""
+	}
+	own, best := rendezvous.Key(self), make([]scored, len(all))
+	for i, d := range all {
+		best[i] = scored{rendezvous.ScoreHashed(writersKey, rendezvous.Key(d.Name)), i}
+	}
+	slices.SortFunc(best, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
+	var writer scored
+	for _, s := range best[:Writers] {
+		d := &all[s.home]
+		if d.Name == self {
+			return ""
+		}
+		if score := rendezvous.ScoreHashed(own, rendezvous.Key(d.Name)); score >= writer.score {
+			writer = scored{score, s.home}
+		}
+	}
+	return all[writer.home].Address
+}
+
+// Writer returns the address of the daemon that stores the origins of this daemon's streams; self
+// says that this daemon does.
+func (h *Homes) Writer() (address string, self bool) { return h.writer, h.writer == "" }
+
 // Of returns the addresses of the first n homes of a stream, best first. Daemons with the
 // same view of the fleet rank them alike.
 func (h *Homes) Of(k Key, n int) []string {
--- a/internal/origin/streams.go
+++ b/internal/origin/streams.go
@@ -114,59 +114,27 @@
 	return out
 }
 
-const (
-	// storeInterval is the least time between two writes of a daemon's streams: those that began
-	// since the last one are lost in a kill of all.
-	storeInterval = time.Second
-	// fleetWrites bounds the writes a second of all daemons together: a quarter of the least
-	// rate of the platforms that are served, 400 writes a second.
-	fleetWrites = 100
-)
+// storeInterval is the least time between two writes of a daemon: the streams that began since the
+// last one are lost in a kill of all.
+const storeInterval = time.Second
 
-// Schedule decides when a daemon stores the origins of its streams. It is not safe for
-// concurrent use.
+// Schedule decides when a daemon stores the origins of streams. It is not safe for concurrent use.
 type Schedule struct {
-	phase   float64   // of this daemon among all, from 0 to 1, so that not all write at once
-	needed  time.Time // since when writes are needed, zero if they aren't
 	last    time.Time // when the last write began
 	busy    bool
-	written written
-}
-
-// written is what a write was of.
-type written struct {
-	changes uint64 // of the table
-	era     uint64
+	written Moment // of the last write that succeeded
 }
 
 // Moment is what decides whether a daemon writes.
 type Moment struct {
-	Needed  bool   // several versions may have begun the streams of the last horizon
-	Daemons int    // of the fleet
+	Needed  bool   // this daemon stores origins, and several versions may have begun the streams
 	Changes uint64 // see Table.Changes
 	Era     uint64 // of the store
 }
 
-// NewSchedule returns the schedule of a daemon; phase, from 0 to 1, differs between daemons.
-func NewSchedule(phase float64) *Schedule { return &Schedule{phase: phase} }
-
-// Interval returns the time between two writes of a daemon in a fleet.
-func Interval(daemons int) time.Duration {
-	return max(storeInterval, time.Duration(daemons)*time.Second/fleetWrites)
-}
-
 // Begin reports whether a write is to begin now. End must be called after it.
 func (s *Schedule) Begin(now time.Time, m Moment) bool {
-	if !m.Needed {
-		s.needed = time.Time{}
-		return false
-	}
-	if s.needed.IsZero() {
-		s.needed = now
-	}
-	interval := Interval(m.Daemons)
-	spread := time.Duration(s.phase * float64(interval-storeInterval))
-	if s.busy || s.written == (written{m.Changes, m.Era}) || now.Sub(s.last) < interval || now.Sub(s.needed) < spread {
+	if !m.Needed || s.busy || s.written == m || now.Sub(s.last) < storeInterval || m.Changes == 0 {
 		return false
 	}
 	s.busy, s.last = true, now
@@ -177,6 +145,6 @@
 func (s *Schedule) End(m Moment, ok bool) {
 	s.busy = false
 	if ok {
-		s.written = written{m.Changes, m.Era}
+		s.written = m
 	}
 }
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -16,7 +16,8 @@
 type Table struct {
 	entries map[Key]entry
 	queue   []queued // in the order of their times
-	changes uint64   // of own streams
+	puts    uint64
+	changes uint64 // of own streams
 }
 
 // entry is an origin; contradicted says that two different ones were recorded, or that the
@@ -24,14 +25,17 @@
 type entry struct {
 	origin       Origin
 	at           time.Time
+	put          uint64 // the number of the call that recorded it
 	contradicted bool
-	own          bool // of a stream that this daemon served, see PutOwn
+	own          bool // of a stream whose origin this daemon stores, see PutOwn
+	restored     bool // from the store, so that it may have been revoked at other daemons since
 }
 
 // queued is when an entry was recorded. If it was recorded again later, another one follows.
 type queued struct {
 	key Key
 	at  time.Time
+	put uint64
 }
 
 // NewTable returns an empty table.
@@ -40,27 +44,34 @@
 // Put records the origin of a stream, as another daemon has stated it.
 func (t *Table) Put(now time.Time, k Key, o Origin) { t.put(now, k, entry{origin: o}) }
 
-// PutOwn records the origin of a stream that this daemon serves or has served.
+// PutOwn records the origin of a stream that this daemon serves, or stores for another one.
 func (t *Table) PutOwn(now time.Time, k Key, o Origin) { t.put(now, k, entry{origin: o, own: true}) }
 
+// PutRestored records an origin that was restored from the store, here or at another daemon.
+func (t *Table) PutRestored(now time.Time, k Key, o Origin, own bool) {
+	t.put(now, k, entry{origin: o, own: own, restored: true})
+}
+
 // Revoke records that the origin of a stream isn't known.
 func (t *Table) Revoke(now time.Time, k Key) { t.put(now, k, entry{contradicted: true}) }
 
-// RevokeOwn records that the origin of a stream that this daemon serves or has served isn't known.
+// RevokeOwn records that the origin of such a stream isn't known.
 func (t *Table) RevokeOwn(now time.Time, k Key) {
 	t.put(now, k, entry{contradicted: true, own: true})
 }
 
 func (t *Table) put(now time.Time, k Key, e entry) {
 	old, known := t.entries[k]
-	e.at = now
+	t.puts++
+	e.at, e.put = now, t.puts
 	e.contradicted = e.contradicted || known && (old.contradicted || old.origin != e.origin)
 	if e.own || old.own && e.contradicted != old.contradicted {
 		t.changes++
 	}
 	e.own = e.own || old.own
+	e.restored = e.restored && (!known || old.restored)
 	t.entries[k] = e
-	t.queue = append(t.queue, queued{k, now})
+	t.queue = append(t.queue, queued{k, now, e.put})
 	t.Expire(now)
 }
 
@@ -73,6 +84,15 @@
 	return e.origin, true
 }
 
+// Settled reports whether what was recorded of a stream needs no confirmation by other daemons.
+func (t *Table) Settled(k Key) bool {
+	e, ok := t.entries[k]
+	return ok && (e.contradicted || !e.restored)
+}
+
+// Contradicted reports whether the origin of a stream is known to be unknown.
+func (t *Table) Contradicted(k Key) bool { return t.entries[k].contradicted }
+
 // Has reports whether anything was recorded of a stream.
 func (t *Table) Has(k Key) bool {
 	_, ok := t.entries[k]
@@ -87,7 +107,7 @@
 	var out []StreamOrigin
 	for _, q := range slices.Backward(t.queue) {
 		e := t.entries[q.key]
-		if e.own && e.at.Equal(q.at) && now.Sub(e.at) <= Retention {
+		if e.own && e.put == q.put && now.Sub(e.at) <= Retention {
 			out = append(out, StreamOrigin{Key: q.key, Origin: e.origin, Unknown: e.contradicted})
 		}
 	}
@@ -102,7 +122,7 @@
 	n := 0
 	for n < len(t.queue) && (now.Sub(t.queue[n].at) > Retention || len(t.entries) > maxOrigins) {
 		q := t.queue[n]
-		if t.entries[q.key].at.Equal(q.at) {
+		if t.entries[q.key].put == q.put {
 			delete(t.entries, q.key)
 		}
 		n++
