--- a/internal/node/streamsrecord.go
+++ b/internal/node/streamsrecord.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/node/originpb"
@@ -36,7 +37,10 @@
 // the others.
 type streamsRecord struct {
 	node *Node
-	// schedule, revision and handedTo are used by the writer only.
+	// read says that the restore has ended. Nothing is written before, which would replace what is
+	// to be restored.
+	read atomic.Bool
+	// schedule, revision and handedTo are used by the writer only, revision by the restore before.
 	schedule origin.Schedule
 	revision uint64 // the object's, 0 if it isn't known
 	handedTo string // the daemon that has this daemon's origins, to store them
@@ -55,7 +59,7 @@
 			writer = ""
 		}
 		r.handOver(ctx, writer)
-		r.storeIfDue(ctx, origin.Moment{Needed: needed && self, Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era()})
+		r.storeIfDue(ctx, origin.Moment{Needed: needed && self && r.read.Load(), Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era()})
 	})
 }
 
@@ -135,9 +139,11 @@
 // of them to other daemons.
 func (r *streamsRecord) restore(ctx context.Context) {
 	if r.node.settings.Daemon.FirstStart {
+		r.read.Store(true)
 		return
 	}
 	streams, err := r.readUntil(ctx)
+	r.read.Store(true)
 	switch {
 	case errors.Is(err, objects.ErrNotFound) || ctx.Err() != nil:
 		return
@@ -146,7 +152,6 @@
 		return
 	}
 	all := streams.All()
-	r.node.origins.restoreStreams(all)
 	r.node.metrics.originsRestored(len(all))
 	r.node.logFor("daemon").WithFields(map[string]any{
 		"origins": len(all), "record_age_ms": r.node.clock.Now().Sub(streams.At).Milliseconds(),
@@ -154,20 +159,21 @@
 	r.sendCopies(ctx, all)
 }
 
-// readUntil reads the record. A read that fails is repeated for as long as the result may help,
-// as is one whose time is wrong by this daemon's clock, which may not have been corrected yet.
+// readUntil reads the record and takes its origins. A read that fails is repeated for as long as the
+// result may help, and so is one of a record that is too new by this daemon's clock, which may not
+// have been corrected yet.
 func (r *streamsRecord) readUntil(ctx context.Context) (*origin.Streams, error) {
 	backoff := minRestoreBackoff
 	for {
-		streams, err := r.read(ctx)
-		if err == nil || !errors.Is(err, errStore) || time.Since(r.node.started) > restoreTimeout || !pause.For(ctx, backoff) {
+		streams, err := r.readOnce(ctx)
+		if err == nil || !repeatable(err) || time.Since(r.node.started) > restoreTimeout || !pause.For(ctx, backoff) {
 			return streams, err
 		}
 		backoff = min(2*backoff, maxRestoreBackoff)
 	}
 }
 
-func (r *streamsRecord) read(ctx context.Context) (*origin.Streams, error) {
+func (r *streamsRecord) readOnce(ctx context.Context) (*origin.Streams, error) {
 	o, err := r.node.platform.Store.Get(ctx, streamsKind, r.name())
 	switch {
 	case errors.Is(err, objects.ErrNotFound):
@@ -179,7 +185,12 @@
 	if err := json.Unmarshal(o.Spec, streams); err != nil {
 		return nil, Error.New("the record can't be decoded: %v", err)
 	}
-	return streams, streams.Check(r.node.clock.Now(), objects.EraOf(o.Revision))
+	r.revision = o.Revision
+	if err := streams.Check(r.node.clock.Now(), objects.EraOf(o.Revision)); err != nil {
+		return nil, err
+	}
+	r.node.origins.restoreStreams(streams.All())
+	return streams, nil
 }
 
 // sendCopies sends copies of restored origins to their homes, and to those that are found later.
@@ -207,9 +218,7 @@
 	for _, address := range homes.Of(s.Key, origin.Copies) {
 		if !slices.Contains(*sent, address) {
 			*sent = append(*sent, address)
-			p := storedPacket(s)
-			p.Restored = true
-			r.node.origins.sendTo(address, p)
+			r.node.origins.sendTo(address, storedPacket(s))
 		}
 	}
 }
@@ -219,5 +228,7 @@
 	if s.Unknown {
 		return revokePacket(s.Key)
 	}
-	return recordPacket(s.Key, s.Origin)
+	p := recordPacket(s.Key, s.Origin)
+	p.Restored = s.Restored
+	return p
 }
--- a/internal/node/streamsrestore_test.go
+++ b/internal/node/streamsrestore_test.go
@@ -5,12 +5,14 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
 )
@@ -150,3 +152,49 @@
 		})
 	}
 }
+
+// Guards against origins that are replaced before they have been restored, and against objects of
+// instances that are gone staying in the store.
+func TestStoredOriginsStayUntilTheyAreRestored(t *testing.T) {
+	f, _ := servedFleet(t, 1, "1")
+	f.register("e2", f.startEngine("v2"))
+	f.until("both versions are listed", func(n *Node) bool { all, _ := n.endpoints.list(); return len(all) == 2 })
+	begun := f.beginStreams(4)
+	f.awaitOriginsStored(len(begun))
+	f.killAll()
+	unreadable := &unreadableOrigins{memoryStore: f.store}
+	unreadable.down.Store(true)
+	n := f.addWith(unreadable, func(n *Node) { n.settings.Daemon.FirstStart = false })
+	f.awaitReady()
+	f.until("the list is trusted", func(n *Node) bool { return time.Now().Before(n.origins.TrustedUntil("")) })
+	assert.Assert(t, stream(n, "first-later", "").refusal == nil)
+	assert.Equal(t, n.origins.count(), 1)
+	f.until("a write would be due", func(n *Node) bool { return n.origins.needsStreams() && time.Since(n.started) > 2*time.Second })
+	assert.Equal(t, f.originsStored(), len(begun))
+	unreadable.down.Store(false)
+	f.until("the origins are restored", func(n *Node) bool { return n.origins.count() > len(begun) })
+	f.awaitOriginsStored(len(begun) + 1)
+
+	n.sweepStreams(t.Context())
+	assert.Equal(t, f.originsStored(), len(begun)+1)
+	old, err := json.Marshal(origin.NewStreams(n.clock.Now().Add(-sweepInterval-time.Second), 0, nil))
+	assert.NilError(t, err)
+	_, err = f.store.Create(t.Context(), streamsKind, "gone", old)
+	assert.NilError(t, err)
+	n.sweepStreams(t.Context())
+	_, err = f.store.Get(t.Context(), streamsKind, "gone")
+	assert.ErrorIs(t, err, objects.ErrNotFound)
+}
+
+// unreadableOrigins is a store whose stored origins can't be read for a time.
+type unreadableOrigins struct {
+	*memoryStore
+	down atomic.Bool
+}
+
+func (s *unreadableOrigins) Get(ctx context.Context, kind, name string) (objects.Object, error) {
+	if kind == streamsKind && s.down.Load() {
+		return objects.Object{}, errDown
+	}
+	return s.memoryStore.Get(ctx, kind, name)
+}
--- a/internal/origin/streams.go
+++ b/internal/origin/streams.go
@@ -36,7 +36,8 @@
 type StreamOrigin struct {
 	Key
 	Origin
-	Unknown bool // contradicted or revoked
+	Unknown  bool // contradicted or revoked
+	Restored bool // from the store, and not confirmed since
 }
 
 // NewStreams returns the record of some streams, newest first, of which the oldest are left out
@@ -104,11 +105,11 @@
 func (s *Streams) All() []StreamOrigin {
 	var out []StreamOrigin
 	for keys := s.Unknown; len(keys) > 0; keys = keys[keyBytes:] {
-		out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Unknown: true})
+		out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Unknown: true, Restored: true})
 	}
 	for _, b := range s.Begun {
 		for keys := b.Keys; len(keys) > 0; keys = keys[keyBytes:] {
-			out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Origin: b.Origin})
+			out = append(out, StreamOrigin{Key: Key(binary.BigEndian.Uint64(keys)), Origin: b.Origin, Restored: true})
 		}
 	}
 	return out
--- a/internal/origin/streams_test.go
+++ b/internal/origin/streams_test.go
@@ -64,6 +64,7 @@
 	}
 	assert.Assert(t, got[1<<60].Unknown)
 	for i, o := range all[:maxStored-1] {
+		o.Restored = true
 		assert.Equal(t, got[Key(i)], o)
 	}
 }
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -108,7 +108,7 @@
 	for _, q := range slices.Backward(t.queue) {
 		e := t.entries[q.key]
 		if e.own && e.put == q.put && now.Sub(e.at) <= Retention {
-			out = append(out, StreamOrigin{Key: q.key, Origin: e.origin, Unknown: e.contradicted})
+			out = append(out, StreamOrigin{Key: q.key, Origin: e.origin, Unknown: e.contradicted, Restored: e.restored})
 		}
 	}
 	return out
