Origins of streams that ended are stored for two seconds only

The relay reports streams that were passed on to their end, the table keeps their origins as before, and the stored record drops them after two seconds, in which a caller may have lost the end with its daemon. Daemons that store for others get a datagram.

--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -266,6 +266,16 @@
 	o.sendCopies(revokePacket(k), origin.Asked)
 }
 
+// Ended implements relay.Origins.
+func (o *origins) Ended(k origin.Key) {
+	o.mu.Lock()
+	o.table.Ended(time.Now(), k)
+	o.mu.Unlock()
+	if writer := *o.writer.Load(); writer != "" {
+		o.sendTo(writer, &originpb.Packet{Kind: originpb.Packet_ENDED, Key: uint64(k)})
+	}
+}
+
 func (o *origins) sendCopies(p *originpb.Packet, homes int) {
 	conn := o.conn.Load()
 	if conn == nil {
@@ -316,6 +326,8 @@
 		o.takeRecord(now, p, from)
 	case originpb.Packet_REVOKE:
 		o.takeRevocation(now, p)
+	case originpb.Packet_ENDED:
+		o.table.Ended(now, k)
 	case originpb.Packet_UNKNOWN:
 		o.searches[k].answered(from.String())
 	case originpb.Packet_ASK:
--- a/internal/origin/streams_test.go
+++ b/internal/origin/streams_test.go
@@ -135,3 +135,24 @@
 		}
 	}
 }
+
+// Guards against records that grow with streams that have ended.
+func TestEndedStreamsAreNotStored(t *testing.T) {
+	table, o := NewTable(), Origin{"s", "v1"}
+	for k := range Key(3) {
+		table.PutOwn(start, k, o)
+	}
+	table.RevokeOwn(start, 1)
+	table.Ended(start, 0)
+	table.Ended(start, 1)
+	assert.Equal(t, len(table.Own(start.Add(endedRetention))), 3)
+	own := table.Own(start.Add(endedRetention + 1))
+	assert.Equal(t, len(own), 2)
+	for _, s := range own {
+		assert.Assert(t, s.Key != 0)
+	}
+	_, known := table.Get(start.Add(endedRetention+1), 0)
+	assert.Assert(t, known)
+	table.PutOwn(start.Add(time.Second), 0, o) // taken up again
+	assert.Equal(t, len(table.Own(start.Add(endedRetention+1))), 3)
+}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -28,6 +28,7 @@
 	put          uint64 // the number of the call that recorded it
 	contradicted bool
 	own          bool // of a stream whose origin this daemon stores, see PutOwn
+	endedAt      time.Time // when the caller was sent the stream's end, zero before
 	restored     bool // from the store, so that it may have been revoked at other daemons since
 }
 
@@ -84,6 +85,24 @@
 	return e.origin, true
 }
 
+// endedRetention is how long the origin of a stream that was passed on to its end is stored still: its
+// caller may not have received the end where the daemon is killed just then.
+const endedRetention = 2 * time.Second
+
+// Ended records that the caller was sent a stream to its end.
+func (t *Table) Ended(now time.Time, k Key) {
+	if e, ok := t.entries[k]; ok && e.endedAt.IsZero() {
+		e.endedAt = now
+		t.entries[k] = e
+	}
+}
+
+// stored reports whether the origin belongs into the store.
+func (e *entry) stored(now time.Time) bool {
+	ended := !e.contradicted && !e.endedAt.IsZero() && now.Sub(e.endedAt) > endedRetention
+	return e.own && !ended && now.Sub(e.at) <= Retention
+}
+
 // Settled reports whether what was recorded of a stream needs no confirmation by other daemons.
 func (t *Table) Settled(k Key) bool {
 	e, ok := t.entries[k]
@@ -102,12 +121,12 @@
 // Changes counts the changes of own streams.
 func (t *Table) Changes() uint64 { return t.changes }
 
-// Own returns the origins of own streams, newest first.
+// Own returns the origins of own streams that are to be stored, newest first.
 func (t *Table) Own(now time.Time) []StreamOrigin {
 	var out []StreamOrigin
 	for _, q := range slices.Backward(t.queue) {
 		e := t.entries[q.key]
-		if e.own && e.put == q.put && now.Sub(e.at) <= Retention {
+		if e.put == q.put && e.stored(now) {
 			out = append(out, StreamOrigin{Key: q.key, Origin: e.origin, Unknown: e.contradicted, Restored: e.restored})
 		}
 	}
--- a/internal/relay/conclude.go
+++ b/internal/relay/conclude.go
@@ -19,6 +19,7 @@
 		f.sink.Whole(buffered.status, buffered.header, buffered.body)
 	case s == answer && buffered == nil && f.headSent:
 		f.sink.End()
+		f.noteEnd()
 	case f.headSent:
 		f.outcome.Reason = f.failureReason(ctx)
 		f.sink.Abort()
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -21,6 +21,8 @@
 	// Record records the origin of a stream, Revoke that it isn't known. They return at once.
 	Record(k origin.Key, o origin.Origin)
 	Revoke(k origin.Key)
+	// Ended records that the caller was sent a stream to its end. It returns at once.
+	Ended(k origin.Key)
 	// Find returns the origin of a stream; other daemons are asked for some hundred
 	// milliseconds at most.
 	Find(ctx context.Context, k origin.Key) (o origin.Origin, known bool)
@@ -41,6 +43,7 @@
 
 func (noOrigins) Record(origin.Key, origin.Origin) {}
 func (noOrigins) Revoke(origin.Key)                {}
+func (noOrigins) Ended(origin.Key)                 {}
 func (noOrigins) Find(context.Context, origin.Key) (origin.Origin, bool) {
 	return origin.Origin{}, false
 }
@@ -225,6 +228,13 @@
 	}
 }
 
+// noteEnd records that the stream was passed on to its end.
+func (f *inflight) noteEnd() {
+	if c := &f.continuation; c.begun && c.keyed {
+		f.relay.origins.Ended(c.key)
+	}
+}
+
 // errOtherVersion ends attempts at an endpoint that has started again at another version.
 var errOtherVersion = errs.New("the endpoint has started again at another version")
 
--- a/internal/relay/continuation_test.go
+++ b/internal/relay/continuation_test.go
@@ -23,16 +23,18 @@
 type knownOrigins struct {
 	table   map[origin.Key]origin.Origin
 	revoked map[origin.Key]bool
+	ended   map[origin.Key]bool
 	only    string
 	trusted time.Time // zero: for ever
 }
 
 func newKnownOrigins() *knownOrigins {
-	return &knownOrigins{table: map[origin.Key]origin.Origin{}, revoked: map[origin.Key]bool{}}
+	return &knownOrigins{table: map[origin.Key]origin.Origin{}, revoked: map[origin.Key]bool{}, ended: map[origin.Key]bool{}}
 }
 
 func (o *knownOrigins) Record(k origin.Key, from origin.Origin) { o.table[k] = from }
 func (o *knownOrigins) Revoke(k origin.Key)                     { o.revoked[k] = true }
+func (o *knownOrigins) Ended(k origin.Key)                      { o.ended[k] = true }
 func (o *knownOrigins) Find(_ context.Context, k origin.Key) (origin.Origin, bool) {
 	from, known := o.table[k]
 	return from, known
@@ -343,3 +345,19 @@
 		assert.Equal(t, known, born == 1000)
 	}
 }
+
+// Guards against the origin of a broken stream that counts as that of an ended one.
+func TestOnlyWholeStreamsCountAsEnded(t *testing.T) {
+	for _, whole := range []bool{true, false} {
+		body := streamHead() + chunk(event(1, "v1"))
+		if whole {
+			body += "0\r\n\r\n"
+		}
+		s := newFixture(t, testRoutes(), alwaysAnswers(body))
+		s.list("v1")
+		o := newKnownOrigins()
+		s.relay.SetOrigins(o)
+		s.send(t.Context(), "/stream/1")
+		assert.Equal(t, o.ended[origin.KeyOf("w", "r1")], whole)
+	}
+}
