Stored origins: failed writes are spaced, logged once; tests of writers and versions

Writes that fail are repeated after 2 s, then each 3 s, since refused calls are billed, and the first of several is logged.

--- a/internal/node/streamsrecord.go
+++ b/internal/node/streamsrecord.go
@@ -90,8 +90,7 @@
 	}
 	streams, m := r.snapshot(m)
 	err := r.write(ctx, streams)
-	r.schedule.End(m, err == nil)
-	if err != nil && ctx.Err() == nil {
+	if r.schedule.End(m, err == nil) && ctx.Err() == nil {
 		r.node.logFor("daemon").WithError(err).WithField("origins", streams.Len()).Info("origins not stored")
 	}
 }
--- a/internal/node/streamsrestore_test.go
+++ b/internal/node/streamsrestore_test.go
@@ -198,3 +198,24 @@
 	}
 	return s.memoryStore.Get(ctx, kind, name)
 }
+
+// Guards against streams of a large fleet that no daemon stores, and revocations that are lost on
+// the way to the one that does.
+func TestDaemonStoresTheOriginsOfOthers(t *testing.T) {
+	f, _ := servedFleet(t, 2, "1")
+	f.register("e2", f.startEngine("v2"))
+	f.until("both versions are listed", func(n *Node) bool { all, _ := n.endpoints.list(); return len(all) == 2 })
+	n, writer := f.nodes[0], f.nodes[1]
+	before, from := origin.Key(1), origin.Origin{Service: "s", Version: "v1"}
+	n.origins.Record(before, from)
+	newStreamsRecord(n).handOver(t.Context(), writer.settings.Listen.Peers)
+	n.origins.Record(2, from)
+	n.origins.Revoke(3)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s, err := stored[origin.Streams](f.store.Get(t.Context(), streamsKind, "i1"))
+		if err == nil && s.Len() == 3 && len(s.Unknown) == 8 {
+			return poll.Success()
+		}
+		return poll.Continue("stored by the writer: %+v, %v", s, err)
+	}, poll.WithTimeout(10*time.Second), poll.WithDelay(10*time.Millisecond))
+}
--- a/internal/origin/doc.go
+++ b/internal/origin/doc.go
@@ -6,5 +6,6 @@
 // daemons that hold a stream's origin too, since the daemon that began it may be gone when
 // its caller takes it up. Versions records the versions that each service had, by which one
 // version alone may have begun a stream; a Record of it is stored for daemons that start after
-// all were killed. The package is plain decision logic: no clock, goroutine or socket.
+// all were killed, and so are the origins themselves (Streams) while several versions serve. The
+// package is plain decision logic: no clock, goroutine or socket.
 package origin
--- a/internal/origin/streams.go
+++ b/internal/origin/streams.go
@@ -119,10 +119,15 @@
 // last one are lost in a kill of all.
 const storeInterval = time.Second
 
+// maxStoreInterval bounds the time between two writes that fail: each call is billed, also where
+// the store is away, and streams that begin after its return are to be stored soon.
+const maxStoreInterval = 3 * time.Second
+
 // Schedule decides when a daemon stores the origins of streams. It is not safe for concurrent use.
 type Schedule struct {
 	last    time.Time // when the last write began
 	busy    bool
+	failed  int    // writes that failed in a row
 	written Moment // of the last write that succeeded
 }
 
@@ -135,17 +140,25 @@
 
 // Begin reports whether a write is to begin now. End must be called after it.
 func (s *Schedule) Begin(now time.Time, m Moment) bool {
-	if !m.Needed || s.busy || s.written == m || now.Sub(s.last) < storeInterval || m.Changes == 0 {
+	if !m.Needed || s.busy || s.written == m || now.Sub(s.last) < s.interval() || m.Changes == 0 {
 		return false
 	}
 	s.busy, s.last = true, now
 	return true
 }
 
-// End records the result of a write, with the moment of its content.
-func (s *Schedule) End(m Moment, ok bool) {
+func (s *Schedule) interval() time.Duration {
+	return min(time.Duration(1+s.failed)*storeInterval, maxStoreInterval)
+}
+
+// End records the result of a write, with the moment of its content. It reports whether that is the
+// first failure in a row.
+func (s *Schedule) End(m Moment, ok bool) (firstFailure bool) {
 	s.busy = false
 	if ok {
-		s.written = m
+		s.failed, s.written = 0, m
+		return false
 	}
+	s.failed++
+	return s.failed == 1
 }
--- a/internal/origin/versions_test.go
+++ b/internal/origin/versions_test.go
@@ -137,3 +137,17 @@
 	v.Era(start.Add(1), 3)
 	assert.Equal(t, v.History(start.Add(time.Second), time.Time{}).Known, time.Second)
 }
+
+// Guards against origins that aren't stored while two versions may have begun streams.
+func TestSeveralVersionsOfTheHorizon(t *testing.T) {
+	v := NewVersions()
+	v.Listed(start, endpoints("v1"))
+	assert.Assert(t, !v.Several(start, "s", Retention))
+	v.Seen(start, Origin{"s", "v2"})
+	assert.Assert(t, v.Several(start, "s", Retention), "an entry that the next list lacks")
+	v.Listed(start.Add(time.Second), endpoints("v1", "v2"))
+	v.Listed(start.Add(2*time.Second), endpoints("v2"))
+	assert.Assert(t, v.Several(start.Add(2*time.Second+Retention), "s", Retention), "the old version has left")
+	assert.Assert(t, !v.Several(start.Add(3*time.Second+Retention), "s", Retention))
+	assert.Assert(t, !v.Several(start, "t", Retention), "another service")
+}
