--- a/internal/origin/streams.go
+++ b/internal/origin/streams.go
@@ -115,13 +115,17 @@
 	return out
 }
 
-// storeInterval is the least time between two writes of a daemon: the streams that began since the
-// last one are lost in a kill of all.
-const storeInterval = time.Second
-
-// maxStoreInterval bounds the time between two writes that fail: each call is billed, also where
-// the store is away, and streams that begin after its return are to be stored soon.
-const maxStoreInterval = 3 * time.Second
+// The streams that began since a daemon's last write are lost in a kill of all.
+const (
+	// minStoreInterval is the least time between two writes of a daemon. Half of the streams of a
+	// busy service may last a second only.
+	minStoreInterval = 250 * time.Millisecond
+	// storeInterval is the time between two writes where there are Writers daemons that write.
+	storeInterval = time.Second
+	// maxStoreInterval bounds the time between two writes that fail: each call is billed, also where
+	// the store is away, and streams that begin after its return are to be stored soon.
+	maxStoreInterval = 3 * time.Second
+)
 
 // Schedule decides when a daemon stores the origins of streams. It is not safe for concurrent use.
 type Schedule struct {
@@ -136,18 +140,31 @@
 	Needed  bool   // this daemon stores origins, and several versions may have begun the streams
 	Changes uint64 // see Table.Changes
 	Era     uint64 // of the store
+	Daemons int    // that serve
+}
+
+// interval returns the time between two writes: the fleet makes at most Writers in a storeInterval.
+func (m *Moment) interval() time.Duration {
+	each := Writers / min(max(m.Daemons, 1), Writers)
+	return max(minStoreInterval, storeInterval/time.Duration(each))
 }
 
+// sameContent reports whether what a daemon would store is the same.
+func (m *Moment) sameContent(o *Moment) bool { return m.Changes == o.Changes && m.Era == o.Era }
+
 // Begin reports whether a write is to begin now. End must be called after it.
 func (s *Schedule) Begin(now time.Time, m Moment) bool {
-	if !m.Needed || s.busy || s.written == m || now.Sub(s.last) < s.interval() || m.Changes == 0 {
+	if !m.Needed || s.busy || s.written.sameContent(&m) || now.Sub(s.last) < s.interval(&m) || m.Changes == 0 {
 		return false
 	}
 	s.busy, s.last = true, now
 	return true
 }
 
-func (s *Schedule) interval() time.Duration {
+func (s *Schedule) interval(m *Moment) time.Duration {
+	if s.failed == 0 {
+		return m.interval()
+	}
 	return min(time.Duration(1+s.failed)*storeInterval, maxStoreInterval)
 }
 
--- a/internal/origin/streams_test.go
+++ b/internal/origin/streams_test.go
@@ -69,7 +69,7 @@
 	}
 }
 
-// Guards against writes without need or change, more than one a second, and a failed write that
+// Guards against writes without need or change, more than Writers a second, and a failed write that
 // isn't repeated.
 func TestOriginsAreStoredWhereNeeded(t *testing.T) {
 	var s Schedule
@@ -92,7 +92,9 @@
 	assert.Assert(t, s.Begin(at(10000), m))
 	s.End(m, true)
 	m.Changes++
-	assert.Assert(t, !s.Begin(at(10900), m), "within a second")
+	assert.Assert(t, !s.Begin(at(10249), m), "within the least interval")
+	m.Daemons = Writers
+	assert.Assert(t, !s.Begin(at(10900), m), "more than Writers writes a second")
 	assert.Assert(t, s.Begin(at(11000), m))
 	s.End(m, true)
 	m.Era++
--- a/internal/origin/streamsplay_test.go
+++ b/internal/origin/streamsplay_test.go
@@ -147,7 +147,7 @@
 			put(p.byName[writer].table, p.now, &s, true)
 		}
 	}
-	m := Moment{Needed: p.needed && self && !d.earlier, Changes: d.table.Changes(), Era: p.era}
+	m := Moment{Needed: p.needed && self && !d.earlier, Changes: d.table.Changes(), Era: p.era, Daemons: len(p.daemons)}
 	if !d.schedule.Begin(p.now, m) {
 		return
 	}
--- a/internal/origin/table.go
+++ b/internal/origin/table.go
@@ -27,9 +27,9 @@
 	at           time.Time
 	put          uint64 // the number of the call that recorded it
 	contradicted bool
-	own          bool // of a stream whose origin this daemon stores, see PutOwn
+	own          bool      // of a stream whose origin this daemon stores, see PutOwn
 	endedAt      time.Time // when the caller was sent the stream's end, zero before
-	restored     bool // from the store, so that it may have been revoked at other daemons since
+	restored     bool      // from the store, so that it may have been revoked at other daemons since
 }
 
 // queued is when an entry was recorded. If it was recorded again later, another one follows.
