--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -35,8 +35,13 @@
 	conn  atomic.Pointer[datagramConn]
 	upTo  atomic.Pointer[time.Time] // when the list of endpoints was last known to be complete
 	homes atomic.Pointer[cachedHomes]
+	// writer is the address of the daemon that stores the origins of this daemon's streams, empty
+	// where none need be or this daemon does.
+	writer atomic.Pointer[string]
 	// waiting is the number of streams that wait for the versions from before the start.
 	waiting atomic.Int64
+	// searching is the number of streams whose origins may be restored by a daemon that is starting.
+	searching atomic.Int64
 
 	mu       sync.Mutex
 	table    *origin.Table
@@ -56,6 +61,7 @@
 func newOrigins(n *Node) *origins {
 	o := &origins{node: n, table: origin.NewTable(), versions: origin.NewVersions(), runs: origin.NewRuns(), searches: map[origin.Key]*search{}}
 	o.upTo.Store(&time.Time{})
+	o.writer.Store(new(string))
 	return o
 }
 
@@ -147,6 +153,8 @@
 	historyHold = 2500 * time.Millisecond
 	// historyCheckInterval is how often a stream that waits is checked.
 	historyCheckInterval = 20 * time.Millisecond
+	// searchInterval is the time between two searches for an origin that no daemon has.
+	searchInterval = 100 * time.Millisecond
 )
 
 // awaitHistory waits, while this daemon has just started, until the versions of a horizon are
@@ -244,25 +252,47 @@
 // Record implements relay.Origins.
 func (o *origins) Record(k origin.Key, from origin.Origin) {
 	o.mu.Lock()
-	o.table.Put(time.Now(), k, from)
+	o.table.PutOwn(time.Now(), k, from)
 	o.mu.Unlock()
-	o.sendCopies(recordPacket(k, from))
+	o.sendCopies(recordPacket(k, from), origin.Copies)
 }
 
 // Revoke implements relay.Origins.
 func (o *origins) Revoke(k origin.Key) {
 	o.mu.Lock()
-	o.table.Revoke(time.Now(), k)
+	o.table.RevokeOwn(time.Now(), k)
 	o.mu.Unlock()
-	o.sendCopies(&originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)})
+	// The homes in the view of the daemon that began the stream are among the first Asked of this one.
+	o.sendCopies(revokePacket(k), origin.Asked)
 }
 
-func (o *origins) sendCopies(p *originpb.Packet) {
+// Ended implements relay.Origins.
+func (o *origins) Ended(k origin.Key) {
+	o.mu.Lock()
+	o.table.Ended(time.Now(), k)
+	o.mu.Unlock()
+	if writer := *o.writer.Load(); writer != "" {
+		o.sendTo(writer, &originpb.Packet{Kind: originpb.Packet_ENDED, Key: uint64(k)})
+	}
+}
+
+func (o *origins) sendCopies(p *originpb.Packet, homes int) {
 	conn := o.conn.Load()
 	if conn == nil {
 		return
 	}
-	for _, address := range o.currentHomes().Of(origin.Key(p.Key), origin.Copies) {
+	for _, address := range o.currentHomes().Of(origin.Key(p.Key), homes) {
+		conn.sendTo(address, originMark, p)
+	}
+	if writer := *o.writer.Load(); writer != "" {
+		p.Store = true
+		conn.sendTo(writer, originMark, p)
+	}
+}
+
+// sendTo sends a datagram to another daemon.
+func (o *origins) sendTo(address string, p *originpb.Packet) {
+	if conn := o.conn.Load(); conn != nil {
 		conn.sendTo(address, originMark, p)
 	}
 }
@@ -293,13 +323,13 @@
 	defer o.mu.Unlock()
 	switch p.Kind {
 	case originpb.Packet_RECORD:
-		o.table.Put(now, k, origin.Origin{Service: p.Service, Version: p.Version})
-		o.searches[k].found()
+		o.takeRecord(now, p, from)
 	case originpb.Packet_REVOKE:
-		o.table.Revoke(now, k)
-		o.searches[k].found()
+		o.takeRevocation(now, p)
+	case originpb.Packet_ENDED:
+		o.table.Ended(now, k)
 	case originpb.Packet_UNKNOWN:
-		o.searches[k].unknownAt(from.String())
+		o.searches[k].answered(from.String())
 	case originpb.Packet_ASK:
 		o.conn.Load().send(from, originMark, o.answer(now, k))
 	}
@@ -308,23 +338,57 @@
 // answer returns the answer to a question. The lock is held.
 func (o *origins) answer(now time.Time, k origin.Key) *originpb.Packet {
 	if from, known := o.table.Get(now, k); known {
-		return recordPacket(k, from)
+		p := recordPacket(k, from)
+		p.Restored = !o.table.Settled(k)
+		return p
 	}
 	if o.table.Has(k) {
-		return &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)}
+		return revokePacket(k)
 	}
 	return &originpb.Packet{Kind: originpb.Packet_UNKNOWN, Key: uint64(k)}
 }
 
-// Find implements relay.Origins.
+// Find implements relay.Origins. A daemon that has just started asks again where several versions
+// may have begun the stream, since the daemon that has stored its origin may be about to start.
 func (o *origins) Find(ctx context.Context, k origin.Key) (origin.Origin, bool) {
-	if from, known, settled := o.get(k); settled {
+	from, known, recorded := o.ask(ctx, k)
+	if recorded && !known || !o.mayAwait() {
 		return from, known
 	}
+	defer o.searching.Add(-1)
+	if o.searching.Add(1) > maxWaiting {
+		return from, known
+	}
+	for !recorded && o.mayAwait() && o.needsStreams() && pause.For(ctx, searchInterval) {
+		from, known, recorded = o.ask(ctx, k)
+	}
+	o.awaitList(ctx)
+	return from, known
+}
+
+// mayAwait reports whether this daemon has just started again, so that what it lacks may come.
+func (o *origins) mayAwait() bool {
+	return !o.node.settings.Daemon.FirstStart && time.Since(o.node.started) < historyHold
+}
+
+// awaitList waits, while this daemon has just started, until connections to the listed endpoints
+// are trusted: no stream that goes on is sent over others.
+func (o *origins) awaitList(ctx context.Context) {
+	for o.mayAwait() && time.Now().After(o.upTo.Load().Add(o.node.contactBound())) && pause.For(ctx, historyCheckInterval) {
+	}
+}
+
+// ask returns the origin of a stream as it is recorded here or at its homes; recorded is false if
+// nothing is known of it. The homes are asked also for one that was restored: other daemons may
+// have revoked it.
+func (o *origins) ask(ctx context.Context, k origin.Key) (from origin.Origin, known, recorded bool) {
+	if from, known, recorded := o.get(k); recorded && o.settled(k) {
+		return from, known, true
+	}
 	homes := o.currentHomes().Of(k, origin.Asked)
 	conn := o.conn.Load()
 	if len(homes) == 0 || conn == nil {
-		return origin.Origin{}, false
+		return o.get(k)
 	}
 	s := o.beginSearch(k, homes)
 	defer o.endSearch(k, s)
@@ -340,20 +404,104 @@
 		case <-time.After(askInterval):
 			continue
 		}
-		from, known, _ := o.get(k)
-		return from, known
+		return o.get(k)
 	}
 }
 
-// get returns the origin of a stream as recorded here; settled says that other daemons need
-// not be asked.
-func (o *origins) get(k origin.Key) (from origin.Origin, known, settled bool) {
+// settled reports whether other daemons need not be asked for a stream's origin.
+func (o *origins) settled(k origin.Key) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Settled(k)
+}
+
+// get returns the origin of a stream as recorded here; recorded is false if nothing is.
+func (o *origins) get(k origin.Key) (from origin.Origin, known, recorded bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	from, known = o.table.Get(time.Now(), k)
 	return from, known, o.table.Has(k)
 }
 
+// restoreStreams takes the origins of streams that the daemon before on this instance has stored.
+func (o *origins) restoreStreams(all []origin.StreamOrigin) {
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range all {
+		if s := &all[i]; s.Unknown {
+			o.table.RevokeOwn(now, s.Key)
+		} else {
+			o.table.PutRestored(now, s.Key, s.Origin, true)
+		}
+		o.searches[all[i].Key].found()
+	}
+}
+
+// takeRecord takes an origin that another daemon has sent. A sender that lacks a revocation is told
+// of it: it may have restored the origin. The lock is held.
+func (o *origins) takeRecord(now time.Time, p *originpb.Packet, sender net.Addr) {
+	k, from := origin.Key(p.Key), origin.Origin{Service: p.Service, Version: p.Version}
+	switch {
+	case p.Restored:
+		o.table.PutRestored(now, k, from, p.Store)
+	case p.Store:
+		o.table.PutOwn(now, k, from)
+	default:
+		o.table.Put(now, k, from)
+	}
+	switch {
+	case o.table.Contradicted(k):
+		o.conn.Load().send(sender, originMark, revokePacket(k))
+		o.searches[k].found()
+	case p.Restored:
+		o.searches[k].answered(sender.String())
+	default:
+		o.searches[k].found()
+	}
+}
+
+// takeRevocation takes another daemon's statement that an origin isn't known. The lock is held.
+func (o *origins) takeRevocation(now time.Time, p *originpb.Packet) {
+	k := origin.Key(p.Key)
+	if p.Store {
+		o.table.RevokeOwn(now, k)
+	} else {
+		o.table.Revoke(now, k)
+	}
+	o.searches[k].found()
+}
+
+// own returns the origins of this daemon's streams, and what ownChanges returned then.
+func (o *origins) own() ([]origin.StreamOrigin, uint64) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Own(time.Now()), o.table.Changes()
+}
+
+// ownChanges counts the changes of the origins of this daemon's streams.
+func (o *origins) ownChanges() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.table.Changes()
+}
+
+// needsStreams reports whether the version of a stream that is taken up may not follow from those
+// that served: several did within its horizon, or a daemon that started again doesn't know.
+func (o *origins) needsStreams() bool {
+	horizons := o.node.state.ResumableHorizons()
+	now := time.Now()
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for service, horizon := range horizons {
+		unknown := !o.node.settings.Daemon.FirstStart && !o.versions.Reaches(now, horizon)
+		if unknown || o.versions.Several(now, service, horizon) {
+			return true
+		}
+	}
+	return false
+}
+
 // count returns the number of streams whose origins are held.
 func (o *origins) count() int {
 	o.mu.Lock()
@@ -364,3 +512,7 @@
 func recordPacket(k origin.Key, from origin.Origin) *originpb.Packet {
 	return &originpb.Packet{Kind: originpb.Packet_RECORD, Key: uint64(k), Service: from.Service, Version: from.Version}
 }
+
+func revokePacket(k origin.Key) *originpb.Packet {
+	return &originpb.Packet{Kind: originpb.Packet_REVOKE, Key: uint64(k)}
+}
--- a/internal/relay/continuation.go
+++ b/internal/relay/continuation.go
@@ -21,6 +21,8 @@
 	// Record records the origin of a stream, Revoke that it isn't known. They return at once.
 	Record(k origin.Key, o origin.Origin)
 	Revoke(k origin.Key)
+	// Ended records that the caller was sent a stream to its end. It returns at once.
+	Ended(k origin.Key)
 	// Find returns the origin of a stream; other daemons are asked for some hundred
 	// milliseconds at most.
 	Find(ctx context.Context, k origin.Key) (o origin.Origin, known bool)
@@ -41,6 +43,7 @@
 
 func (noOrigins) Record(origin.Key, origin.Origin) {}
 func (noOrigins) Revoke(origin.Key)                {}
+func (noOrigins) Ended(origin.Key)                 {}
 func (noOrigins) Find(context.Context, origin.Key) (origin.Origin, bool) {
 	return origin.Origin{}, false
 }
@@ -128,7 +131,9 @@
 
 // horizon returns how long ago a stream that is taken up can have begun at most: within the
 // timeouts of two attempts.
-func (f *inflight) horizon() time.Duration { return max(2*f.route.Timeout, origin.Retention) }
+func (f *inflight) horizon() time.Duration { return horizonOf(f.route) }
+
+func horizonOf(r *route.Route) time.Duration { return max(2*r.Timeout, origin.Retention) }
 
 // setService moves the request to the service that began its stream.
 func (f *inflight) setService(service string) {
@@ -223,6 +228,13 @@
 	}
 }
 
+// noteEnd records that the stream was passed on to its end.
+func (f *inflight) noteEnd() {
+	if c := &f.continuation; c.begun && c.keyed {
+		f.relay.origins.Ended(c.key)
+	}
+}
+
 // errOtherVersion ends attempts at an endpoint that has started again at another version.
 var errOtherVersion = errs.New("the endpoint has started again at another version")
 
@@ -255,6 +267,27 @@
 	return s.resumable, s.resumableSince, s.table != nil
 }
 
+// ResumableHorizons returns, for each service of the routes whose streams can be taken up, how
+// long ago such a stream can have begun at most.
+func (s *State) ResumableHorizons() map[string]time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil
+	}
+	out := map[string]time.Duration{}
+	for i := range s.table.Routes {
+		r := &s.table.Routes[i]
+		if r.Kind != route.Streaming || !r.Resumable {
+			continue
+		}
+		for _, b := range r.Backends {
+			out[b.Service] = max(out[b.Service], horizonOf(r))
+		}
+	}
+	return out
+}
+
 // noteBackends records when routes' services change with a new table. The lock is held.
 func (s *State) noteBackends(now time.Time, t *route.Table) {
 	before := s.resumable
