--- a/internal/node/streamsrecord.go
+++ b/internal/node/streamsrecord.go
@@ -60,8 +60,8 @@
 		}
 		r.handOver(ctx, writer)
 		r.storeIfDue(ctx, origin.Moment{
-			Needed: needed && self && r.read.Load(), Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era(),
-			Daemons: len(r.node.members.layout().serving),
+			Needed: needed && self && r.read.Load(), Daemons: len(r.node.members.serving()),
+			Stored: origin.Stored{Changes: r.node.origins.ownChanges(), Era: r.node.endpoints.Era()},
 		})
 	})
 }
--- a/internal/origin/streams.go
+++ b/internal/origin/streams.go
@@ -115,57 +115,59 @@
 	return out
 }
 
-// The streams that began since a daemon's last write are lost in a kill of all.
 const (
-	// minStoreInterval is the least time between two writes of a daemon. Half of the streams of a
-	// busy service may last a second only.
+	// minStoreInterval is the least time between two writes of a daemon: streams that began since the
+	// last one are lost in a kill of all, and with a second half of those that last a second are.
 	minStoreInterval = 250 * time.Millisecond
-	// storeInterval is the time between two writes where there are Writers daemons that write.
-	storeInterval = time.Second
-	// maxStoreInterval bounds the time between two writes that fail: each call is billed, also where
-	// the store is away, and streams that begin after its return are to be stored soon.
-	maxStoreInterval = 3 * time.Second
+	// fleetWrites bounds the writes a second of all daemons: a quarter of the least rate of the
+	// platforms that are served, 400 writes a second.
+	fleetWrites = 100
 )
 
+// storeInterval returns the time between two writes of a daemon in a fleet.
+func storeInterval(daemons int) time.Duration {
+	return max(minStoreInterval, time.Duration(min(daemons, Writers))*time.Second/fleetWrites)
+}
+
+// maxStoreInterval bounds the time between two writes that fail: each call is billed, also where
+// the store is away, and streams that begin after its return are to be stored soon.
+const maxStoreInterval = 3 * time.Second
+
 // Schedule decides when a daemon stores the origins of streams. It is not safe for concurrent use.
 type Schedule struct {
 	last    time.Time // when the last write began
 	busy    bool
 	failed  int    // writes that failed in a row
-	written Moment // of the last write that succeeded
+	written Stored // by the last write that succeeded
 }
 
 // Moment is what decides whether a daemon writes.
 type Moment struct {
-	Needed  bool   // this daemon stores origins, and several versions may have begun the streams
-	Changes uint64 // see Table.Changes
-	Era     uint64 // of the store
-	Daemons int    // that serve
+	Needed  bool // this daemon stores origins, and several versions may have begun the streams
+	Daemons int  // of the fleet
+	Stored
 }
 
-// interval returns the time between two writes: the fleet makes at most Writers in a storeInterval.
-func (m *Moment) interval() time.Duration {
-	each := Writers / min(max(m.Daemons, 1), Writers)
-	return max(minStoreInterval, storeInterval/time.Duration(each))
+// Stored is what a write is of.
+type Stored struct {
+	Changes uint64 // see Table.Changes
+	Era     uint64 // of the store
 }
 
-// sameContent reports whether what a daemon would store is the same.
-func (m *Moment) sameContent(o *Moment) bool { return m.Changes == o.Changes && m.Era == o.Era }
-
 // Begin reports whether a write is to begin now. End must be called after it.
 func (s *Schedule) Begin(now time.Time, m Moment) bool {
-	if !m.Needed || s.busy || s.written.sameContent(&m) || now.Sub(s.last) < s.interval(&m) || m.Changes == 0 {
+	if !m.Needed || s.busy || s.written == m.Stored || now.Sub(s.last) < s.interval(m.Daemons) || m.Changes == 0 {
 		return false
 	}
 	s.busy, s.last = true, now
 	return true
 }
 
-func (s *Schedule) interval(m *Moment) time.Duration {
-	if s.failed == 0 {
-		return m.interval()
+func (s *Schedule) interval(daemons int) time.Duration {
+	if s.failed > 0 {
+		return min(time.Duration(1+s.failed)*time.Second, maxStoreInterval)
 	}
-	return min(time.Duration(1+s.failed)*storeInterval, maxStoreInterval)
+	return storeInterval(daemons)
 }
 
 // End records the result of a write, with the moment of its content. It reports whether that is the
@@ -173,7 +175,7 @@
 func (s *Schedule) End(m Moment, ok bool) (firstFailure bool) {
 	s.busy = false
 	if ok {
-		s.failed, s.written = 0, m
+		s.failed, s.written = 0, m.Stored
 		return false
 	}
 	s.failed++
