Relay: check the endpoint's request ID over the hop too

Callers got an answer whose head names two requests, as complete, if it came through a daemon of an earlier release. The outer daemon looked at the other daemon's ID alone. It now checks both IDs, in heads and trailers.

TestAnswerOfTwoRequestsIsInvalidOverTheHop failed on all three routes and passes.

--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -244,11 +244,30 @@
 		},
 		Gate:           f,
 		ID:             q.ID,
-		Owns:           f.relay.forwarder.Owns(&q),
+		Owns:           f.ownsForwarded(&q),
 		SilenceTimeout: finalStallTimeout + forwardMargin,
 	}
 }
 
+// ownsForwarded returns a function that reports whether an answer through another daemon belongs to the request, by
+// the daemon's header and by the endpoint's: a daemon of an earlier release passes on answers that name another
+// request too. Without the daemon's header, that of the endpoint proves nothing about the request.
+func (f *inflight) ownsForwarded(r *Request) func(http.Header) upstream.Ownership {
+	byDaemon, byEndpoint := f.relay.forwarder.Owns(r), f.relay.protocol.Owns(r)
+	return func(h http.Header) upstream.Ownership {
+		switch daemon, endpoint := byDaemon(h), byEndpoint(h); {
+		case endpoint == upstream.NoRequest, endpoint == daemon:
+			return daemon
+		case daemon == upstream.NoRequest && endpoint == upstream.ThisRequest:
+			return upstream.NoRequest
+		case daemon == upstream.NoRequest:
+			return endpoint
+		default:
+			return upstream.SeveralRequests
+		}
+	}
+}
+
 // isFinal reports whether another daemon's refusal would be the same at a third one.
 func isFinal(r *Refusal) bool {
 	switch {
