Endpoint client: a load report without a report is an error

null, {} or another JSON object counted as the report of an idle engine, which then got requests, and was ended early while it drained. A report always holds its time and the engine's slots; one without either is malformed.

TestLoadWithoutReportIsAnError failed for all three bodies and passes.

--- a/internal/endpoint/calls.go
+++ b/internal/endpoint/calls.go
@@ -2,11 +2,13 @@
 
 import (
 	"context"
+	"errors"
 	"net/url"
 	"strconv"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
 // Cancel stops a stream. ErrStreamGone means that there is nothing to stop.
@@ -23,8 +25,21 @@
 	c := e.newJSONCall(address)
 	c.request = c.request.Get(engineapi.LoadPath)
 	c.out = &load
-	err := c.do(ctx)
-	return load, err
+	if err := c.do(ctx); err != nil {
+		return engineapi.Load{}, err
+	}
+	return load, checkLoad(&load)
+}
+
+var errNoReport = errors.New("no load report")
+
+// checkLoad returns an error for a report without what each one holds: the time at which it was taken, and the
+// engine's slots. Any other JSON object would count as the report of an idle engine.
+func checkLoad(l *engineapi.Load) error {
+	if l.TakenAtMillis <= 0 || l.Slots <= 0 || l.Running < 0 || l.Queued < 0 {
+		return verdict.Wrap(verdict.MayHaveRun, errors.Join(ErrMalformed, errNoReport))
+	}
+	return nil
 }
 
 // CacheEvents returns a page of the engine's cache events after since, which is 0
