Relay: what an invalid head states is not recorded

A rate limit, a rest or a leave was taken from a head that can't be an endpoint's, also where another daemon passed it on, and requests were held back from a healthy endpoint. The head is checked before it is noted. Both exchanges read, report and check for trailing bytes in one function.

TestInvalidHeadStatesNothing and TestInvalidHeadStatesNothingOverTheHop failed and pass.

--- a/internal/forward/several_requests_test.go
+++ b/internal/forward/earlier_release_test.go
@@ -38,3 +38,20 @@
 		assert.Check(t, !out.ended, "%s: status %d", path, out.status)
 	}
 }
+
+// Guards against statements that are taken from an invalid head which a daemon of an earlier release passes on.
+func TestInvalidHeadStatesNothingOverTheHop(t *testing.T) {
+	for _, encoding := range []string{"", "x"} {
+		e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Cyclamenbeam-Forward-Id", "r1")
+			w.Header().Set("Cyclamenbeam-Forward-Endpoint", "e1 0")
+			w.Header().Set("Encoding", encoding)
+			w.Header().Set("Leaves", "1")
+			_, _ = io.WriteString(w, "answer")
+		})
+		d := newHopDaemon(t, "", e.address())
+		out := d.send(t.Context(), "/order/1", "")
+		assert.Equal(t, out.ended, encoding == "", "encoding %q", encoding)
+		assert.Equal(t, len(d.state.Leaving()) > 0, encoding == "", "encoding %q", encoding)
+	}
+}
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/roster"
@@ -184,20 +183,21 @@
 func (f *inflight) exchangeForwarded(ctx context.Context, address string) (attemptResult, *bufferedAnswer, error) {
 	sent := time.Now()
 	call := f.forwardCall(address)
+	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, silenceTimeout: call.SilenceTimeout}
 	a, err := f.relay.forwarder.Pool().Send(ctx, call)
 	if err != nil {
-		v := verdict.Of(err)
-		f.outcome.Evidence = evidenceOf(v)
-		f.reportInvalid("", err)
-		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
+		return f.noAnswer(t, err), nil, err
 	}
 	defer a.Close()
 	f.outcome.Evidence = delivery.DaemonStates
 	if a.Unnamed {
 		f.outcome.Evidence = delivery.DaemonUnnamed
 	}
-	version, versionKnown := f.relay.forwarder.Version(a.Header)
-	endpoint := f.relay.forwarder.Endpoint(a.Header)
+	t.version, t.versionKnown = f.relay.forwarder.Version(a.Header)
+	if e := f.relay.forwarder.Endpoint(a.Header); e != nil {
+		t.choice.Endpoint = *e
+		t.choice.Endpoint.Service = f.service
+	}
 	further, stated := f.relay.forwarder.Deliveries(a.Header)
 	if refusal := f.relay.forwarder.Refusal(a.Header); refusal != nil {
 		if !stated || !delivery.AllProve(further) {
@@ -208,25 +208,7 @@
 		return attemptResult{verdict: refusal.Verdict, reached: ran || refusal.Reason == Shed, refusal: refusal}, nil, nil
 	}
 	f.relay.forwarder.FoundOpen(f.service, address)
-	t := &trackedAttempt{inflight: f, sent: sent, forwarded: true, version: version, versionKnown: versionKnown, silenceTimeout: call.SilenceTimeout}
-	if endpoint != nil {
-		f.noteForwarded(t, endpoint, f.relay.protocol.Stated(a.Status, a.Header))
-	}
-	class := f.relay.protocol.Classify(a.Status, a.Header)
-	f.outcome.Evidence = endpointEvidence(class, a.Status, a.Unnamed)
-	res, buffered, err := f.readAnswer(ctx, t, a, class)
-	f.reportInvalid(t.choice.Endpoint.ID, err)
-	res.trailing = f.reportTrailing(t, a)
-	return res, buffered, err
-}
-
-// noteForwarded records what an answer through another daemon states about its endpoint. A rest
-// is asked of the daemon that sent the request there.
-func (f *inflight) noteForwarded(t *trackedAttempt, e *roster.Endpoint, s backpressure.Stated) {
-	t.choice.Endpoint = *e
-	t.choice.Endpoint.Service = f.service
-	s.Rest = 0
-	f.noteStated(t, s)
+	return f.receive(ctx, t, a)
 }
 
 func (f *inflight) forwardCall(address string) *upstream.Call {
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -189,7 +189,6 @@
 		err = cause
 	}
 	f.outcome.Cause = err
-	f.reportInvalid(c.Endpoint.ID, err)
 	if errors.Is(err, errOtherVersion) && !t.firstPieceAt.IsZero() {
 		f.revokeOrigin()
 	}
@@ -252,29 +251,43 @@
 	f.relay.state.sent(t)
 	a, err := f.relay.pool.Send(ctx, call)
 	if err != nil {
-		v := verdict.Of(err)
-		f.outcome.Evidence = evidenceOf(v)
-		return attemptResult{verdict: v, reached: v != verdict.NotRun}, nil, err
+		return f.noAnswer(t, err), nil, err
 	}
 	defer a.Close()
+	return f.receive(ctx, t, a)
+}
+
+// noAnswer returns the result of an attempt that received no answer to its request.
+func (f *inflight) noAnswer(t *trackedAttempt, err error) attemptResult {
+	v := verdict.Of(err)
+	f.outcome.Evidence = evidenceOf(v)
+	f.reportInvalid(t.choice.Endpoint.ID, err)
+	return attemptResult{verdict: v, reached: v != verdict.NotRun}
+}
+
+// receive reads an endpoint's answer whose head was received, and reports what is invalid. What an invalid head
+// states is not recorded.
+func (f *inflight) receive(ctx context.Context, t *trackedAttempt, a *upstream.Answer) (attemptResult, *bufferedAnswer, error) {
 	class := f.relay.protocol.Classify(a.Status, a.Header)
 	f.outcome.Evidence = endpointEvidence(class, a.Status, a.Unnamed)
-	if class != Misdirected {
+	invalid := f.checkHead(a)
+	if invalid == nil && class != Misdirected && t.choice.Endpoint.ID != "" {
 		f.noteStated(t, f.relay.protocol.Stated(a.Status, a.Header))
 	}
-	res, buffered, err := f.readAnswer(ctx, t, a, class)
+	res, buffered, err := f.readAnswer(ctx, t, a, class, invalid)
+	f.reportInvalid(t.choice.Endpoint.ID, err)
 	res.trailing = f.reportTrailing(t, a)
 	return res, buffered, err
 }
 
 // readAnswer reads an answer whose head was received, and forwards it if it is a stream or
-// long.
-func (f *inflight) readAnswer(ctx context.Context, t *trackedAttempt, a *upstream.Answer, class Class) (attemptResult, *bufferedAnswer, error) {
+// long. invalid is the error of its head, nil if it can be an endpoint's.
+func (f *inflight) readAnswer(ctx context.Context, t *trackedAttempt, a *upstream.Answer, class Class, invalid error) (attemptResult, *bufferedAnswer, error) {
 	res := attemptResult{class: class, reached: true, headReceived: true}
 	var unproven error
 	res.verdict, unproven = judge(f.route, class, a.Status, a.Unnamed, t.forwarded)
-	if err := f.checkHead(a); err != nil { // such a head proves nothing
-		res.verdict, unproven = verdict.MayHaveRun, err
+	if invalid != nil { // such a head proves nothing
+		res.verdict, unproven = verdict.MayHaveRun, invalid
 		f.outcome.Evidence = delivery.NoAnswer
 	}
 	f.outcome.Status = a.Status
@@ -355,8 +368,12 @@
 	}
 }
 
-// noteStated records the limits that an answer states.
+// noteStated records the limits that an answer states. A rest is asked of the daemon that sent the request to the
+// endpoint.
 func (f *inflight) noteStated(t *trackedAttempt, s backpressure.Stated) {
+	if t.forwarded {
+		s.Rest = 0
+	}
 	rate, brittle, leaves := f.relay.state.noteStated(time.Now(), t, s)
 	if rate {
 		f.relay.observer.RateLimited(t.choice.Endpoint.ID, s.RateLimit)
--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -158,3 +158,12 @@
 	refused := attemptResult{reached: true, class: Refused, complete: true, verdict: verdict.NotRun, trailing: true}
 	assert.Equal(t, balanceOutcome(t.Context(), refused, nil), balance.Refused)
 }
+
+// Guards against statements that are taken from a head which can't be an endpoint's.
+func TestInvalidHeadStatesNothing(t *testing.T) {
+	answer := ownHead + "Encoding: x\r\nRate-Limit: 0\r\nContent-Length: 3\r\n\r\none"
+	s := newFixture(t, testRoutes(), alwaysAnswers(answer))
+	s.send(t.Context(), "/lookup/1")
+	assert.Check(t, len(s.recorder.invalid) > 0)
+	assert.Check(t, len(s.recorder.limits) == 0, "limits %v", s.recorder.limits)
+}
