Upstream: broken chunks of a skipped answer have a kind

They were neither logged nor counted as invalid, since the error of reading a late answer to another request named no kind.

TestInvalidBytesHaveAKind failed and passes.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -158,7 +158,7 @@
 			return a.conn.invalid(ForeignAnswers, resp.Status)
 		}
 		a.conn.endHead()
-		if err := skip(resp); err != nil {
+		if err := a.conn.skip(resp); err != nil {
 			return err
 		}
 		a.conn.beginHead()
@@ -167,13 +167,16 @@
 }
 
 // skip reads and discards the body of an answer to another request.
-func skip(resp *http.Response) error {
+func (c *conn) skip(resp *http.Response) error {
 	n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxSkippedBytes))
 	if err != nil {
-		return err
+		return c.parseError(InvalidFraming, err)
+	}
+	if n == maxSkippedBytes {
+		return c.invalid(ForeignAnswers, fmt.Sprintf("more than %d bytes of another answer", maxSkippedBytes))
 	}
-	if n == maxSkippedBytes || resp.Close {
-		return Error.New("answer to another request is too long or closes the connection")
+	if resp.Close {
+		return Error.New("answer to another request closes the connection")
 	}
 	return nil
 }
