--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -53,8 +53,8 @@
 	return func(http.Header) upstream.Ownership { return upstream.ThisRequest }
 }
 
-// Fault counts answers with an encoding as invalid.
-func (protocol) Fault(_ int, h http.Header) string {
+// InvalidKind counts answers with an encoding as invalid.
+func (protocol) InvalidKind(_ int, h http.Header) string {
 	if h.Get("Encoding") != "" {
 		return "encoded"
 	}
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -68,7 +68,7 @@
 }
 func (echo) Stated(int, http.Header) backpressure.Stated { return backpressure.Stated{} }
 
-func (echo) Fault(int, http.Header) string { return "" }
+func (echo) InvalidKind(int, http.Header) string { return "" }
 
 func (echo) Classify(status int, _ http.Header) relay.Class {
 	if status == http.StatusOK {
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -48,8 +48,8 @@
 	return backpressure.Stated{RateLimit: backpressure.ParseLimit(h.Get("Rate-Limit")), Rest: backpressure.ParseRest(h.Get("Rest"))}
 }
 
-// Fault counts answers with an encoding as invalid.
-func (plainProtocol) Fault(_ int, h http.Header) string {
+// InvalidKind counts answers with an encoding as invalid.
+func (plainProtocol) InvalidKind(_ int, h http.Header) string {
 	if h.Get("Encoding") != "" {
 		return "encoded"
 	}
--- a/internal/relay/invalid.go
+++ b/internal/relay/invalid.go
@@ -28,7 +28,7 @@
 
 // checkHead returns an error if the head of an answer can't be an endpoint's.
 func (f *inflight) checkHead(a *upstream.Answer) error {
-	kind := f.relay.protocol.Fault(a.Status, a.Header)
+	kind := f.relay.protocol.InvalidKind(a.Status, a.Header)
 	if kind == "" {
 		return nil
 	}
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -18,9 +18,9 @@
 	// Owns returns a function that reports whether an answer, by its header,
 	// belongs to the request.
 	Owns(r *Request) func(http.Header) upstream.Ownership
-	// Fault returns why an answer with this status and header can't be an endpoint's, as one of few
+	// InvalidKind returns why an answer with this status and header can't be an endpoint's, as one of few
 	// words; empty if it can.
-	Fault(status int, h http.Header) (kind string)
+	InvalidKind(status int, h http.Header) (kind string)
 	// Classify returns the meaning of an answer with this status and header.
 	Classify(status int, h http.Header) Class
 	// Stated returns what an endpoint's answer states about the requests that it accepts.
