relay: An event of a stream needs data

Where an endpoint sent an event with an id and no data and then noise, the caller got that event and the stream went on after its id elsewhere. Readers drop an event without data, so that the event with this id was missing.

Cause: an event counted as whole with any field. It needs a data field now; one without is a fault of kind missing-data.

TestEventWithoutDataIsNotAPosition failed before (event 3 without data reached the caller), and passes.

--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -11,7 +11,7 @@
 
 // The kinds of numbering. Every id is a decimal number, and an event has one at most.
 const (
-	Consecutive         Numbering = iota // every event has an id, one more than that of the event before
+	Consecutive         Numbering = iota // every event has data and an id, one more than that of the event before
 	ConsecutiveOptional                  // as Consecutive, but events may lack the id field
 	Unordered                            // ids in any order; events may lack one or have an empty one
 )
@@ -137,10 +137,12 @@
 	switch {
 	case !ev.fields: // comments, or an empty line
 		return nil
+	case c.numbering == Consecutive && len(ev.text) == 0:
+		return c.fault(MissingID, nil)
+	case c.numbering == Consecutive && !ev.data:
+		return c.fault(MissingData, ev.text)
 	case len(ev.text) > 0:
 		c.ev.text, c.last, c.next = c.last[:0], ev.text, ev.id+1
-	case c.numbering == Consecutive:
-		return c.fault(MissingID, nil)
 	case ev.data && c.next > 0:
 		c.next++
 	}
--- a/internal/eventstream/fault.go
+++ b/internal/eventstream/fault.go
@@ -17,6 +17,7 @@
 	NotAField    Kind = "not-a-field"    // a line that is neither a field nor a comment
 	NotText      Kind = "not-text"       // invalid UTF-8 or control characters
 	MissingID    Kind = "missing-id"     // an event without an id, or with an empty one
+	MissingData  Kind = "missing-data"   // an event without data, which readers drop
 	SeveralIDs   Kind = "several-ids"    // an event with more than one id
 	UnreadableID Kind = "unreadable-id"  // an id that is no decimal number
 	RepeatedID   Kind = "repeated-id"    // the id of the last event
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -50,10 +50,10 @@
 		{"", "data: a\nevent: token\nid: 1\n\n"},
 		{"", ": comment\n\nid: 1\n: another\ndata: a\n\n: last\n\n"},
 		{"", "retry: 100\n\nid: 1\ndata: a\ndata: b\ndata\n\n\n\n"},
-		{"", "id: 1\n\n"},
+		{"", "id: 1\ndata\n\n"},
 		{"", "id: 1\ndata: ü\u2028\ta\n\n"},
 		{"", "id: 1\ndata: {\"text\":\"\x7f\"}\n\n"},
-		{"0", "id: 1\n\n"},
+		{"0", "id: 1\ndata: a\n\n"},
 		{"12", "id: 13\ndata: a\n\n"},
 		{"x", "id: 7\ndata: a\n\nid: 8\ndata: b\n\n"},
 		{"12", ""},
@@ -73,11 +73,15 @@
 		kind          Kind
 		after, stream string // the events before the mark are given out
 	}{
-		{MissingID, "", "id: 1\n\n|id: \ndata: a\n\n"},
-		{MissingID, "", "id: 1\n\n|id\ndata: a\n\n"},
-		{MissingID, "", "id: 1\n\n|data: a\n\n"},
+		{MissingID, "", "id: 1\ndata: a\n\n|id: \ndata: a\n\n"},
+		{MissingID, "", "id: 1\ndata: a\n\n|id\ndata: a\n\n"},
+		{MissingID, "", "id: 1\ndata: a\n\n|data: a\n\n"},
 		{MissingID, "", "|x-data-version: 7\n\n"},
 		{MissingID, "x", "|data: a\n\n"},
+		{MissingData, "", "id: 1\ndata: a\n\n|id: 2\n\nid: 3\ndata: c\n\n"},
+		{MissingData, "", "|id: 1\r\nevent: x\r\n\r\n"},
+		{MissingData, "", "|x-data-version: 7\nid: 1\n\n"},
+		{MissingData, "x", "|id: 7\n\n"},
 		{SeveralIDs, "", "|id: 1\nid: 1\n\n"},
 		{UnreadableID, "", "|id: a\n\n"},
 		{UnreadableID, "", "|id: -1\n\n"},
@@ -85,12 +89,12 @@
 		{UnreadableID, "", "|id: 01\n\n"},
 		{UnreadableID, "", "|id: 1 \n\n"},
 		{UnreadableID, "", "|id: 18446744073709551616\n\n"},
-		{RepeatedID, "", "id: 1\n\n|id: 1\n\n"},
+		{RepeatedID, "", "id: 1\ndata: a\n\n|id: 1\n\n"},
 		{RepeatedID, "12", "|id: 12\n\n"},
 		{EarlierID, "12", "|id: 1\n\n"},
 		{SkippedID, "", "|id: 2\n\n"},
-		{SkippedID, "", "id: 1\n\n|id: 3\n\n"},
-		{NotAField, "", "id: 1\n\n|noise\n\n"},
+		{SkippedID, "", "id: 1\ndata: a\n\n|id: 3\n\n"},
+		{NotAField, "", "id: 1\ndata: a\n\n|noise\n\n"},
 		{NotAField, "", "|HTTP/1.1 200 OK\r\n\r\nid: 1\n\n"},
 		{NotAField, "", "|Content-Type: text/event-stream\n\n"},
 		{NotAField, "", "|id: 1\nda ta: x\n\n"},
@@ -98,8 +102,8 @@
 		{NotText, "", "|id: 1\ndata: a\rid: 2\n\n"},
 		{NotText, "", "|id: 1\ndata: \xff\n\n"},
 		{NotText, "", "|: \xff\n\n"},
-		{TooLong, "", "id: 1\n\n|id: 2\ndata: " + long},
-		{TooLong, "", "id: 1\n\n|id: 2\n" + strings.Repeat("data: a\n", 30)},
+		{TooLong, "", "id: 1\ndata: a\n\n|id: 2\ndata: " + long},
+		{TooLong, "", "id: 1\ndata: a\n\n|id: 2\n" + strings.Repeat("data: a\n", 30)},
 	} {
 		stream := strings.Replace(c.stream, "|", "", 1)
 		valid, _, _ := strings.Cut(c.stream, "|")
@@ -119,10 +123,10 @@
 // However a stream is split into reads, what is given out is the same prefix of it, which ends with a
 // whole event and has each id once.
 func FuzzParser(f *testing.F) {
-	f.Add([]byte("id: 1\ndata: a\n\nid: 2\n\n"), "", uint8(3))
+	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata\n\n"), "", uint8(3))
 	f.Add([]byte("x-v: 2\nid: 8\ndata: \n\n\n\n"), "7", uint8(1))
-	f.Add([]byte("id: 1\r\n\r\n: c\n\nid: 2\nid: 3\n\n"), "", uint8(0))
-	f.Add([]byte("id: 9\n\nid: 10\n\nnoise"), "x", uint8(5))
+	f.Add([]byte("id: 1\r\ndata\r\n\r\n: c\n\nid: 2\nid: 3\n\n"), "", uint8(0))
+	f.Add([]byte("id: 9\ndata\n\nid: 10\n\nnoise"), "x", uint8(5))
 	f.Fuzz(func(t *testing.T, stream []byte, after string, size uint8) {
 		const max = 1000
 		p := New(after, max)
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -561,7 +561,7 @@
 
 // Guards against a stream that goes on though the daemon that forwarded it states no version.
 func TestForwardedStreamWithoutItsVersionIsRefused(t *testing.T) {
-	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\n\n") })
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\ndata: x\n\n") })
 	b := newHopDaemon(t, e.address())
 	out := &hopSink{}
 	b.ServeForwarded(t.Context(), &relay.ForwardedRequest{
--- a/internal/relay/spoiled_test.go
+++ b/internal/relay/spoiled_test.go
@@ -81,3 +81,29 @@
 		}
 	}
 }
+
+// faultyThenSound returns two endpoints, of which the one that is asked first sends a body.
+func faultyThenSound(t *testing.T, body string) *fixture {
+	s := newFixture(t, testRoutes(), &engine{}, &engine{})
+	for _, e := range s.engines {
+		e.script = func(_ int, r *http.Request) string {
+			head := strings.Replace(streamHead(), "Id: ID", "Id: ID\r\nSigned: second", 1)
+			if s.runs() == 1 {
+				return strings.Replace(head, "second", "first", 1) + chunk(body) + "0\r\n\r\n"
+			}
+			after := 0
+			_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+			return head + chunk(soundEvents(after+1, 4)) + "0\r\n\r\n"
+		}
+	}
+	return s
+}
+
+// Guards against an event that readers drop for its lack of data and that isn't sent again.
+func TestEventWithoutDataIsNotAPosition(t *testing.T) {
+	for _, event := range []string{"id: 3\n\n", "id: 3\nx: noise\n\n", "id: 3\nevent: x\n\n"} {
+		s := faultyThenSound(t, soundEvents(1, 2)+event+"x7 noise\n\n")
+		got := s.send(t.Context(), "/stream/1")
+		assert.Check(t, strings.Contains(got.body.String(), "data: 3"), "%q: %q", event, got.body.String())
+	}
+}
