relay: Test that bytes before the first event fix no head

A comment or an empty line before the first event made the endpoint's head that of the stream, though another endpoint ran the request. The cause is mended already: comments before the first event are left out.

--- a/internal/relay/spoiled_test.go
+++ b/internal/relay/spoiled_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -107,3 +108,30 @@
 		assert.Check(t, strings.Contains(got.body.String(), "data: 3"), "%q: %q", event, got.body.String())
 	}
 }
+
+// headSink records the head that a caller gets.
+type headSink struct {
+	recordingSink
+	header http.Header
+}
+
+func (s *headSink) Begin(status int, h http.Header) {
+	s.recordingSink.Begin(status, h)
+	s.header = h
+}
+
+// Guards against bytes before the first event that bind a stream to the head of an endpoint that ran nothing of it.
+func TestHeadIsThatOfTheRun(t *testing.T) {
+	for _, start := range []string{"\n", "\r\n", ": x7\n\n", "retry: 7\n\n"} {
+		s := faultyThenSound(t, start+"x7 noise\n\n")
+		out := &headSink{}
+		now := time.Now()
+		s.relay.Serve(t.Context(), &Request{
+			ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", Key: "key",
+			Received: now, Deadline: now.Add(time.Minute),
+		}, out)
+		assert.Check(t, out.ended)
+		assert.Check(t, strings.HasPrefix(out.body.String(), soundEvents(1, 1)), "%q", out.body.String())
+		assert.Check(t, out.header.Get("Signed") == "second", "%q: head of the %s endpoint, body %q", start, out.header.Get("Signed"), out.body.String())
+	}
+}
