relay: Accept only event fields that the protocol names

Callers got events that were joined out of two answers: where an answer was cut off within a field's name and another one followed, the joint line ("daid: 1") passed as a field, and so did a line of another answer's head.

Cause: any lower-case name with a colon counted as a field. The endpoints' protocol names the fields beside those of the standard now; all others are faults of kind not-a-field. The readers of package eventstream, which drop such fields, skip them as before.

--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -20,11 +20,15 @@
 // the ones before. The zero checker is for a stream of consecutive ids from its start.
 type checker struct {
 	numbering Numbering
-	ev        partial
-	last      []byte // the last event's id
-	next      uint64 // the next event's id; 0: not known
-	started   bool   // next is set
-	count     int
+	// extensions are the fields that events may have beside those of the standard. Any name in lower case
+	// counts as one if anyField is set.
+	extensions []string
+	anyField   bool
+	ev         partial
+	last       []byte // the last event's id
+	next       uint64 // the next event's id; 0: not known
+	started    bool   // next is set
+	count      int
 }
 
 // partial is what is known of the event being read.
@@ -78,7 +82,7 @@
 	case "event":
 		f = eventField
 	default:
-		if !colon || !isExtension(name) {
+		if !colon || !c.isExtension(name) {
 			return otherField, nil, c.fault(NotAField, line)
 		}
 	}
@@ -197,9 +201,19 @@
 	return ascii || utf8.Valid(rest)
 }
 
-// isExtension reports whether a name can be that of a field which the standard doesn't name, in lower case as
-// its own are.
-func isExtension(name []byte) bool {
+// isExtension reports whether a name is that of a field which events may have though the standard doesn't
+// name it.
+func (c *checker) isExtension(name []byte) bool {
+	for _, extension := range c.extensions {
+		if string(name) == extension {
+			return true
+		}
+	}
+	return c.anyField && isLowerCase(name)
+}
+
+// isLowerCase reports whether a name is in lower case, as those of the standard are.
+func isLowerCase(name []byte) bool {
 	for i, c := range name {
 		letter := c >= 'a' && c <= 'z'
 		if !letter && (i == 0 || c != '-' && c != '_' && (c < '0' || c > '9')) {
--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -31,6 +31,10 @@
 	return p
 }
 
+// AllowFields allows events to have fields of these names, beside those of the standard. Any other name is a
+// fault: noise, or the rest of an event that was cut off.
+func (p *Parser) AllowFields(names []string) { p.extensions = names }
+
 // Add appends bytes. It returns the whole events in the buffer, comments between them included, valid until the
 // next call, and a fault if the bytes after them can't belong to the stream. Once there is a fault,
 // nothing that is added follows.
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -8,6 +8,13 @@
 	"gotest.tools/v3/assert"
 )
 
+// newParser returns a parser of streams with a field that the standard doesn't name.
+func newParser(after string, max int) *Parser {
+	p := New(after, max)
+	p.AllowFields([]string{"x-data-version"})
+	return p
+}
+
 // read adds a stream in parts of some bytes and returns what it gives out.
 func read(p *Parser, stream string, size int) (out string, f *Fault) {
 	for len(stream) > 0 && f == nil {
@@ -59,7 +66,7 @@
 		{"12", ""},
 	} {
 		for size := 1; size <= len(c.stream); size++ {
-			out, f := read(New(c.after, 0), c.stream, size)
+			out, f := read(newParser(c.after, 0), c.stream, size)
 			assert.Assert(t, f == nil, "%q: %v", c.stream, f)
 			assert.Equal(t, out, c.stream)
 		}
@@ -98,6 +105,9 @@
 		{NotAField, "", "|HTTP/1.1 200 OK\r\n\r\nid: 1\n\n"},
 		{NotAField, "", "|Content-Type: text/event-stream\n\n"},
 		{NotAField, "", "|id: 1\nda ta: x\n\n"},
+		{NotAField, "", "|id: 1\nx-other: 1\ndata: a\n\n"},
+		{NotAField, "", "|id: 1\nx-data-version\ndata: a\n\n"},
+		{NotAField, "", "|id: 1\ndaid: 1\ndata: a\n\n"},
 		{NotText, "", "|id: 1\ndata: \x00\n\n"},
 		{NotText, "", "|id: 1\ndata: a\rid: 2\n\n"},
 		{NotText, "", "|id: 1\ndata: \xff\n\n"},
@@ -108,7 +118,7 @@
 		stream := strings.Replace(c.stream, "|", "", 1)
 		valid, _, _ := strings.Cut(c.stream, "|")
 		for size := 1; size <= len(stream); size++ {
-			p := New(c.after, 100)
+			p := newParser(c.after, 100)
 			out, f := read(p, stream, size)
 			assert.Assert(t, f != nil, "%q", stream)
 			assert.Equal(t, f.Kind, c.kind, "%q", stream)
@@ -124,22 +134,22 @@
 // whole event and has each id once.
 func FuzzParser(f *testing.F) {
 	f.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata\n\n"), "", uint8(3))
-	f.Add([]byte("x-v: 2\nid: 8\ndata: \n\n\n\n"), "7", uint8(1))
+	f.Add([]byte("x-data-version: 2\nid: 8\ndata: \n\n\n\n"), "7", uint8(1))
 	f.Add([]byte("id: 1\r\ndata\r\n\r\n: c\n\nid: 2\nid: 3\n\n"), "", uint8(0))
 	f.Add([]byte("id: 9\ndata\n\nid: 10\n\nnoise"), "x", uint8(5))
 	f.Fuzz(func(t *testing.T, stream []byte, after string, size uint8) {
 		const max = 1000
-		p := New(after, max)
+		p := newParser(after, max)
 		out, fault := read(p, string(stream), int(size)+1)
 		assert.Assert(t, bytes.HasPrefix(stream, []byte(out)))
 		assert.Assert(t, out == "" || strings.HasSuffix(out, "\n"))
 		assert.Assert(t, fault != nil || len(out)+p.Len() == len(stream))
 		assert.Assert(t, p.Size() <= 4*(max+256))
-		if whole := New(after, max); len(stream) <= max {
+		if whole := newParser(after, max); len(stream) <= max {
 			expected, _ := read(whole, string(stream), len(stream)+1)
 			assert.Equal(t, out, expected)
 		}
-		again, fault := read(New(after, 0), out, 1)
+		again, fault := read(newParser(after, 0), out, 1)
 		assert.Assert(t, fault == nil && again == out)
 	})
 }
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -30,11 +30,12 @@
 	err    error  // returned by all later calls of Next
 }
 
-// NewReader returns a reader of the events in src, which may begin with any id. It reads at most max bytes
+// NewReader returns a reader of the events in src, which may begin with any id. Fields that the
+// standard doesn't name are skipped. It reads at most max bytes
 // without an event that has data.
 func NewReader(src io.Reader, n Numbering, max int) *Reader {
 	r := &Reader{src: bufio.NewReaderSize(src, bufferSize), max: max}
-	r.numbering = n
+	r.numbering, r.anyField = n, true
 	r.AnyStart()
 	return r
 }
@@ -42,7 +43,7 @@
 // Reset makes the reader read another stream.
 func (r *Reader) Reset(src io.Reader) {
 	r.src.Reset(src)
-	r.checker = checker{numbering: r.numbering, last: r.last[:0], started: true}
+	r.checker = checker{numbering: r.numbering, anyField: r.anyField, last: r.last[:0], started: true}
 	r.within, r.err = false, nil
 }
 
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -61,6 +61,8 @@
 	return ""
 }
 
+func (protocol) EventFields() []string { return nil }
+
 func (protocol) Classify(status int, h http.Header) relay.Class {
 	switch {
 	case h.Get("Not-Run") != "":
--- a/internal/node/fleet_test.go
+++ b/internal/node/fleet_test.go
@@ -70,6 +70,8 @@
 
 func (echo) Fault(int, http.Header) string { return "" }
 
+func (echo) EventFields() []string { return nil }
+
 func (echo) Classify(status int, _ http.Header) relay.Class {
 	if status == http.StatusOK {
 		return relay.Success
--- a/internal/relay/inflight.go
+++ b/internal/relay/inflight.go
@@ -63,7 +63,7 @@
 	if a.route != nil && a.route.Kind == route.Streaming {
 		f.balanceReq.PauseTarget = a.route.PauseTarget
 	}
-	f.events = newEvents(q, a)
+	f.events = newEvents(q, a, r.protocol.EventFields())
 	f.continuation = newContinuation(q, a, forwarded)
 	f.outcome = initialOutcome(q, a)
 	f.outcome.Service, f.outcome.Forwarded = a.service, forwarded
--- a/internal/relay/inflight_test.go
+++ b/internal/relay/inflight_test.go
@@ -56,6 +56,8 @@
 	return ""
 }
 
+func (plainProtocol) EventFields() []string { return []string{"x-data-version"} }
+
 func (plainProtocol) Classify(status int, _ http.Header) Class {
 	switch {
 	case status == http.StatusServiceUnavailable:
--- a/internal/relay/protocol.go
+++ b/internal/relay/protocol.go
@@ -21,6 +21,8 @@
 	// Fault returns why an answer with this status and header can't be an endpoint's, as one of few
 	// words; empty if it can.
 	Fault(status int, h http.Header) (kind string)
+	// EventFields returns the names of the fields that events of a stream may have beside those of the standard.
+	EventFields() []string
 	// Classify returns the meaning of an answer with this status and header.
 	Classify(status int, h http.Header) Class
 	// Stated returns what an endpoint's answer states about the requests that it accepts.
--- a/internal/relay/spoiled_test.go
+++ b/internal/relay/spoiled_test.go
@@ -135,3 +135,15 @@
 		assert.Check(t, out.header.Get("Signed") == "second", "%q: head of the %s endpoint, body %q", start, out.header.Get("Signed"), out.body.String())
 	}
 }
+
+// Guards against an event that is cut within a field's name and joined to one of another answer.
+func TestCutEventIsNotJoinedToAnother(t *testing.T) {
+	for _, joint := range []string{
+		"id: 3\nda" + "id: 1\ndata: other\n\n", "id: 3\nda" + "event: x\ndata: other\n\n",
+		"id: 3\ndata: 3HTTP/1.1 200 OK\r\nid-of: other\r\n\r\n",
+	} {
+		s := faultyThenSound(t, soundEvents(1, 2)+joint+"x7 noise\n\n")
+		got := s.send(t.Context(), "/stream/1")
+		assert.Check(t, got.ended && !strings.Contains(got.body.String(), "other"), "%q", got.body.String())
+	}
+}
