relay: A whole answer that ends within an event is invalid

Where an endpoint put noise without a line end after the events of a well-framed answer, the attempt counted as one that the endpoint's crash had cut off: its request could be held, and nothing was logged or counted as invalid.

Cause: bytes after the last whole event were an unexpected end, whatever the answer's framing. An answer that states its end has kind partial-event now; one that ends with its connection is cut off as before.

TestNoiseAtTheEndIsNoCrash failed as the review's test on both routes (one end of the endpoint, no invalid answer), and passes.

--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -91,6 +91,12 @@
 // Partial reports whether the buffer holds bytes after the last whole event.
 func (p *Parser) Partial() bool { return len(p.buf) > p.whole }
 
+// PartialText returns the beginning of the bytes after the last whole event.
+func (p *Parser) PartialText() string {
+	rest := p.buf[p.whole:]
+	return string(rest[:min(len(rest), maxFaultText)])
+}
+
 // Len returns the bytes in the buffer, and Size those of memory that it has.
 func (p *Parser) Len() int  { return len(p.buf) }
 func (p *Parser) Size() int { return cap(p.buf) }
--- a/internal/relay/invalid.go
+++ b/internal/relay/invalid.go
@@ -26,6 +26,9 @@
 // noEvents is the kind of a new stream that ends as complete before its first event.
 const noEvents upstream.Kind = "no-events"
 
+// partialEvent is the kind of a stream that ends within an event though its framing says that it is whole.
+const partialEvent upstream.Kind = "partial-event"
+
 // checkHead returns an error if the head of an answer can't be an endpoint's.
 func (f *inflight) checkHead(a *upstream.Answer) error {
 	kind := f.relay.protocol.Fault(a.Status, a.Header)
--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
 
@@ -158,3 +159,15 @@
 	refused := attemptResult{reached: true, class: Refused, complete: true, verdict: verdict.NotRun, trailing: true}
 	assert.Equal(t, balanceOutcome(t.Context(), refused, nil), balance.Refused)
 }
+
+// Guards against noise at the end of a well-framed answer that counts as a crash of its endpoint, for which requests
+// are held, and is neither logged nor counted as invalid.
+func TestNoiseAtTheEndIsNoCrash(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/once/1"} {
+		s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk(soundEvents(1, 2)+"x7 noise")+"0\r\n\r\n"))
+		s.send(t.Context(), path)
+		assert.Check(t, len(s.recorder.cuts) == 0, "%s: %d ends of the endpoint", path, len(s.recorder.cuts))
+		assert.Check(t, len(s.recorder.invalid) > 0, "%s: not reported as invalid", path)
+		assert.Check(t, !slices.ContainsFunc(s.recorder.invalid, func(k string) bool { return k != "partial-event" }), "%v", s.recorder.invalid)
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -54,6 +54,9 @@
 // endStream ends a stream that was read to its end. It returns an error if the stream has been
 // cut off there.
 func (f *inflight) endStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
+	if f.events.Partial() && a.Delimited() {
+		return a.Invalid(partialEvent, f.events.PartialText())
+	}
 	if f.events.Partial() {
 		return io.ErrUnexpectedEOF
 	}
