relay: Check where a stream begins that a caller takes up

A caller that asked for what follows event 5 on a route whose streams can't be resumed got events 3 and 4, or 9, or none, as a whole stream; one that asked for what follows event 0 got an empty stream as a whole one.

Cause: such a stream could begin with any id, and an empty one counted as whole wherever the caller named an event. It begins with 1 or goes on after the caller's event now, and one that begins holds an event.

--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -27,6 +27,7 @@
 	ev         partial
 	last       []byte // the last event's id
 	next       uint64 // the next event's id; 0: not known
+	restarts   bool   // the first event may also be that of a new stream
 	started    bool   // next is set
 	count      int
 }
@@ -57,8 +58,14 @@
 	}
 }
 
-// AnyStart allows a stream to begin with any id.
-func (c *checker) AnyStart() { c.next, c.started = 0, true }
+// anyStart allows a stream to begin with any id.
+func (c *checker) anyStart() { c.next, c.started = 0, true }
+
+// AllowRestart allows a stream that goes on after an event to begin anew instead.
+func (c *checker) AllowRestart() { c.restarts = true }
+
+// NeedsEvent reports whether the stream can't end here, since it begins and every stream holds an event.
+func (c *checker) NeedsEvent() bool { return !c.started || c.restarts || c.next == FirstID }
 
 // line checks a line without its line ending. An empty one ends an event.
 func (c *checker) line(line []byte) (f fieldName, value []byte, fault *Fault) {
@@ -122,7 +129,7 @@
 	switch {
 	case !ok:
 		return c.fault(UnreadableID, id)
-	case c.numbering == Unordered || c.next == 0 || n == c.next:
+	case c.numbering == Unordered || c.next == 0 || n == c.next || c.restarts && n == FirstID:
 		c.ev.id, c.ev.text = n, append(c.ev.text, id...)
 		return nil
 	case n > c.next:
@@ -147,6 +154,7 @@
 		return c.fault(MissingData, ev.text)
 	case len(ev.text) > 0:
 		c.ev.text, c.last, c.next = c.last[:0], ev.text, ev.id+1
+		c.restarts = false
 	case ev.data && c.next > 0:
 		c.next++
 	}
--- a/internal/eventstream/parser_test.go
+++ b/internal/eventstream/parser_test.go
@@ -159,7 +159,7 @@
 	event := []byte("id: 1234567\ndata: 22.5b.3.2c651b7f828af0b4.umuxudktlpztykvrggubkxjuuaylajytord\n\n")
 	b.ReportAllocs()
 	for b.Loop() {
-		p.AnyStart()
+		p.anyStart()
 		whole, _ := p.Add(event)
 		p.Consume(len(whole))
 	}
--- a/internal/eventstream/reader.go
+++ b/internal/eventstream/reader.go
@@ -36,7 +36,7 @@
 func NewReader(src io.Reader, n Numbering, max int) *Reader {
 	r := &Reader{src: bufio.NewReaderSize(src, bufferSize), max: max}
 	r.numbering, r.anyField = n, true
-	r.AnyStart()
+	r.anyStart()
 	return r
 }
 
--- a/internal/relay/invalid.go
+++ b/internal/relay/invalid.go
@@ -41,7 +41,7 @@
 // checkStreamEnd returns an error if a stream that was read to its end can't end there. One that goes on
 // after an event may hold no further one.
 func (f *inflight) checkStreamEnd(a *upstream.Answer) error {
-	if f.events.Count() > 0 || f.events.Last() != "" || f.request.Method == http.MethodHead {
+	if !f.events.NeedsEvent() || f.request.Method == http.MethodHead {
 		return nil
 	}
 	return a.Invalid(noEvents, fmt.Sprintf("status %d", a.Status))
--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -171,3 +172,35 @@
 		assert.Check(t, !slices.ContainsFunc(s.recorder.invalid, func(k string) bool { return k != "partial-event" }), "%v", s.recorder.invalid)
 	}
 }
+
+// Guards against a stream that a caller asks to go on and that begins neither at its first event nor after the
+// caller's last one, or holds none and looks complete, where streams can't be resumed.
+func TestStreamBeginsAnewOrAfterTheLastEvent(t *testing.T) {
+	for body, ends := range map[string]bool{
+		soundEvents(3, 4): false, soundEvents(9, 9): false, ": x7\n\n": false,
+		soundEvents(1, 4): true, soundEvents(6, 7): true,
+	} {
+		s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk(body)+"0\r\n\r\n"))
+		out := &recordingSink{}
+		now := time.Now()
+		s.relay.Serve(t.Context(), &Request{
+			ID: "r1", Method: "POST", Target: "/once/1", Path: "/once/1", Host: "h", Key: "key", LastEvent: "5",
+			Received: now, Deadline: now.Add(time.Minute),
+		}, out)
+		assert.Check(t, out.ended == ends, "%q: complete: %v", body, out.ended)
+	}
+}
+
+// Guards against a stream from its start, which a caller asks for with the id 0, that has lost all of its events and
+// looks complete.
+func TestStreamAfterEventZeroHoldsTheFirst(t *testing.T) {
+	s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+"0\r\n\r\n"))
+	out := &recordingSink{}
+	r := streamRoute
+	r.Timeout, r.Target = time.Minute, time.Minute
+	s.relay.ServeForwarded(t.Context(), &ForwardedRequest{
+		Request: &Request{ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", LastEvent: "0"},
+		Route:   r, Service: "s", Pinned: true, TimeLeft: time.Minute,
+	}, out)
+	assert.Check(t, !out.ended, "looks complete, refusal %v", out.refusal)
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -14,12 +14,12 @@
 const readBufferBytes = 8 << 10
 
 // newEvents returns a parser of a request's stream, whose events may have fields of some names beside the
-// standard's. Where streams can't be resumed, an endpoint may begin anew whatever the caller has.
+// standard's. Where streams can't be resumed, an endpoint may also begin anew.
 func newEvents(q *Request, a *admitted, fields []string) *eventstream.Parser {
 	p := eventstream.New(q.LastEvent, maxEventBytes)
 	p.AllowFields(fields)
 	if q.LastEvent != "" && !a.route.Resumable {
-		p.AnyStart()
+		p.AllowRestart()
 	}
 	return p
 }
