relay: Test what follows from trailing bytes and invalid heads

Two changes of the product passed all tests: bytes after a whole answer that don't make the attempt a failure of its endpoint, and an invalid head's statement that the request was not run. Each of the new tests fails with its change.

--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -204,3 +204,24 @@
 	}, out)
 	assert.Check(t, !out.ended, "looks complete, refusal %v", out.refusal)
 }
+
+// Guards against an endpoint that sends bytes after whole answers and isn't avoided.
+func TestEndpointOfBytesAfterAnswersIsAvoided(t *testing.T) {
+	bad := alwaysAnswers(response(200, "done") + response(200, "more"))
+	s := newFixture(t, []route.Route{lookupRoute}, bad, alwaysAnswers(response(200, "done")), alwaysAnswers(response(200, "done")))
+	for range 20 {
+		assert.Equal(t, s.send(t.Context(), "/lookup/1").body.String(), "done")
+	}
+	assert.Assert(t, bad.runs() >= 1 && bad.runs() <= 3, "%d of 20 requests", bad.runs())
+}
+
+// Guards against a statement that a request was not run, taken from a head which can't be an endpoint's.
+func TestInvalidHeadDoesNotProveThatARequestWasNotRun(t *testing.T) {
+	answer := "HTTP/1.1 503 X\r\nId: ID\r\nEncoding: x\r\nContent-Length: 3\r\n\r\none"
+	s := newFixture(t, testRoutes(), alwaysAnswers(answer), alwaysAnswers(answer))
+	got := s.send(t.Context(), "/order/1")
+	assert.Assert(t, got.refusal != nil)
+	assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, s.recorder.last.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, s.runs(), 1)
+}
