--- a/internal/eventstream/checker.go
+++ b/internal/eventstream/checker.go
@@ -11,7 +11,7 @@
 
 // The kinds of numbering. Every id is a decimal number, and an event has one at most.
 const (
-	Consecutive         Numbering = iota // every event has an id, one more than that of the event before
+	Consecutive         Numbering = iota // every event has data and an id, one more than that of the event before
 	ConsecutiveOptional                  // as Consecutive, but events may lack the id field
 	Unordered                            // ids in any order; events may lack one or have an empty one
 )
@@ -20,11 +20,16 @@
 // the ones before. The zero checker is for a stream of consecutive ids from its start.
 type checker struct {
 	numbering Numbering
-	ev        partial
-	last      []byte // the last event's id
-	next      uint64 // the next event's id; 0: not known
-	started   bool   // next is set
-	count     int
+	// extensions are the fields that events may have beside those of the standard. Any name in lower case
+	// counts as one if anyField is set.
+	extensions []string
+	anyField   bool
+	ev         partial
+	last       []byte // the last event's id
+	next       uint64 // the next event's id; 0: not known
+	restarts   bool   // the first event may also be that of a new stream
+	started    bool   // next is set
+	count      int
 }
 
 // partial is what is known of the event being read.
@@ -53,8 +58,14 @@
 	}
 }
 
-// AnyStart allows a stream to begin with any id.
-func (c *checker) AnyStart() { c.next, c.started = 0, true }
+// anyStart allows a stream to begin with any id.
+func (c *checker) anyStart() { c.next, c.started = 0, true }
+
+// AllowRestart allows a stream that goes on after an event to begin anew instead.
+func (c *checker) AllowRestart() { c.restarts = true }
+
+// NeedsEvent reports whether the stream can't end here, since it begins and every stream holds an event.
+func (c *checker) NeedsEvent() bool { return !c.started || c.restarts || c.next == FirstID }
 
 // line checks a line without its line ending. An empty one ends an event.
 func (c *checker) line(line []byte) (f fieldName, value []byte, fault *Fault) {
@@ -78,7 +89,7 @@
 	case "event":
 		f = eventField
 	default:
-		if !colon || !isExtension(name) {
+		if !colon || !c.isExtension(name) {
 			return otherField, nil, c.fault(NotAField, line)
 		}
 	}
@@ -118,7 +129,7 @@
 	switch {
 	case !ok:
 		return c.fault(UnreadableID, id)
-	case c.numbering == Unordered || c.next == 0 || n == c.next:
+	case c.numbering == Unordered || c.next == 0 || n == c.next || c.restarts && n == FirstID:
 		c.ev.id, c.ev.text = n, append(c.ev.text, id...)
 		return nil
 	case n > c.next:
@@ -137,10 +148,13 @@
 	switch {
 	case !ev.fields: // comments, or an empty line
 		return nil
+	case c.numbering == Consecutive && len(ev.text) == 0:
+		return c.fault(MissingID, nil)
+	case c.numbering == Consecutive && !ev.data:
+		return c.fault(MissingData, ev.text)
 	case len(ev.text) > 0:
 		c.ev.text, c.last, c.next = c.last[:0], ev.text, ev.id+1
-	case c.numbering == Consecutive:
-		return c.fault(MissingID, nil)
+		c.restarts = false
 	case ev.data && c.next > 0:
 		c.next++
 	}
@@ -195,9 +209,19 @@
 	return ascii || utf8.Valid(rest)
 }
 
-// isExtension reports whether a name can be that of a field which the standard doesn't name, in lower case as
-// its own are.
-func isExtension(name []byte) bool {
+// isExtension reports whether a name is that of a field which events may have though the standard doesn't
+// name it.
+func (c *checker) isExtension(name []byte) bool {
+	for _, extension := range c.extensions {
+		if string(name) == extension {
+			return true
+		}
+	}
+	return c.anyField && isLowerCase(name)
+}
+
+// isLowerCase reports whether a name is in lower case, as those of the standard are.
+func isLowerCase(name []byte) bool {
 	for i, c := range name {
 		letter := c >= 'a' && c <= 'z'
 		if !letter && (i == 0 || c != '-' && c != '_' && (c < '0' || c > '9')) {
--- a/internal/eventstream/parser.go
+++ b/internal/eventstream/parser.go
@@ -31,6 +31,10 @@
 	return p
 }
 
+// AllowFields allows events to have fields of these names, beside those of the standard. Any other name is a
+// fault: noise, or the rest of an event that was cut off.
+func (p *Parser) AllowFields(names []string) { p.extensions = names }
+
 // Add appends bytes. It returns the whole events in the buffer, comments between them included, valid until the
 // next call, and a fault if the bytes after them can't belong to the stream. Once there is a fault,
 // nothing that is added follows.
@@ -87,6 +91,12 @@
 // Partial reports whether the buffer holds bytes after the last whole event.
 func (p *Parser) Partial() bool { return len(p.buf) > p.whole }
 
+// PartialText returns the beginning of the bytes after the last whole event.
+func (p *Parser) PartialText() string {
+	rest := p.buf[p.whole:]
+	return string(rest[:min(len(rest), maxFaultText)])
+}
+
 // Len returns the bytes in the buffer, and Size those of memory that it has.
 func (p *Parser) Len() int  { return len(p.buf) }
 func (p *Parser) Size() int { return cap(p.buf) }
--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -61,6 +61,8 @@
 	return ""
 }
 
+func (protocol) EventFields() []string { return nil }
+
 func (protocol) Classify(status int, h http.Header) relay.Class {
 	switch {
 	case h.Get("Not-Run") != "":
@@ -561,7 +563,7 @@
 
 // Guards against a stream that goes on though the daemon that forwarded it states no version.
 func TestForwardedStreamWithoutItsVersionIsRefused(t *testing.T) {
-	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\n\n") })
+	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "id: 5\ndata: x\n\n") })
 	b := newHopDaemon(t, e.address())
 	out := &hopSink{}
 	b.ServeForwarded(t.Context(), &relay.ForwardedRequest{
--- a/internal/relay/invalid.go
+++ b/internal/relay/invalid.go
@@ -26,6 +26,9 @@
 // noEvents is the kind of a new stream that ends as complete before its first event.
 const noEvents upstream.Kind = "no-events"
 
+// partialEvent is the kind of a stream that ends within an event though its framing says that it is whole.
+const partialEvent upstream.Kind = "partial-event"
+
 // checkHead returns an error if the head of an answer can't be an endpoint's.
 func (f *inflight) checkHead(a *upstream.Answer) error {
 	kind := f.relay.protocol.InvalidKind(a.Status, a.Header)
@@ -38,7 +41,7 @@
 // checkStreamEnd returns an error if a stream that was read to its end can't end there. One that goes on
 // after an event may hold no further one.
 func (f *inflight) checkStreamEnd(a *upstream.Answer) error {
-	if f.events.Count() > 0 || f.events.Last() != "" || f.request.Method == http.MethodHead {
+	if !f.events.NeedsEvent() || f.request.Method == http.MethodHead {
 		return nil
 	}
 	return a.Invalid(noEvents, fmt.Sprintf("status %d", a.Status))
--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -6,8 +6,10 @@
 	"io"
 	"net/http"
 	"os"
+	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -167,3 +169,68 @@
 	assert.Check(t, len(s.recorder.invalid) > 0)
 	assert.Check(t, len(s.recorder.limits) == 0, "limits %v", s.recorder.limits)
 }
+
+// Guards against noise at the end of a well-framed answer that counts as a crash of its endpoint, for which requests
+// are held, and is neither logged nor counted as invalid.
+func TestNoiseAtTheEndIsNoCrash(t *testing.T) {
+	for _, path := range []string{"/stream/1", "/once/1"} {
+		s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk(soundEvents(1, 2)+"x7 noise")+"0\r\n\r\n"))
+		s.send(t.Context(), path)
+		assert.Check(t, len(s.recorder.cuts) == 0, "%s: %d ends of the endpoint", path, len(s.recorder.cuts))
+		assert.Check(t, len(s.recorder.invalid) > 0, "%s: not reported as invalid", path)
+		assert.Check(t, !slices.ContainsFunc(s.recorder.invalid, func(k string) bool { return k != "partial-event" }), "%v", s.recorder.invalid)
+	}
+}
+
+// Guards against a stream that a caller asks to go on and that begins neither at its first event nor after the
+// caller's last one, or holds none and looks complete, where streams can't be resumed.
+func TestStreamBeginsAnewOrAfterTheLastEvent(t *testing.T) {
+	for body, ends := range map[string]bool{
+		soundEvents(3, 4): false, soundEvents(9, 9): false, ": x7\n\n": false,
+		soundEvents(1, 4): true, soundEvents(6, 7): true,
+	} {
+		s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+chunk(body)+"0\r\n\r\n"))
+		out := &recordingSink{}
+		now := time.Now()
+		s.relay.Serve(t.Context(), &Request{
+			ID: "r1", Method: "POST", Target: "/once/1", Path: "/once/1", Host: "h", Key: "key", LastEvent: "5",
+			Received: now, Deadline: now.Add(time.Minute),
+		}, out)
+		assert.Check(t, out.ended == ends, "%q: complete: %v", body, out.ended)
+	}
+}
+
+// Guards against a stream from its start, which a caller asks for with the id 0, that has lost all of its events and
+// looks complete.
+func TestStreamAfterEventZeroHoldsTheFirst(t *testing.T) {
+	s := newFixture(t, testRoutes(), alwaysAnswers(streamHead()+"0\r\n\r\n"))
+	out := &recordingSink{}
+	r := streamRoute
+	r.Timeout, r.Target = time.Minute, time.Minute
+	s.relay.ServeForwarded(t.Context(), &ForwardedRequest{
+		Request: &Request{ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", LastEvent: "0"},
+		Route:   r, Service: "s", Pinned: true, TimeLeft: time.Minute,
+	}, out)
+	assert.Check(t, !out.ended, "looks complete, refusal %v", out.refusal)
+}
+
+// Guards against an endpoint that sends bytes after whole answers and isn't avoided.
+func TestEndpointOfBytesAfterAnswersIsAvoided(t *testing.T) {
+	bad := alwaysAnswers(response(200, "done") + response(200, "more"))
+	s := newFixture(t, []route.Route{lookupRoute}, bad, alwaysAnswers(response(200, "done")), alwaysAnswers(response(200, "done")))
+	for range 20 {
+		assert.Equal(t, s.send(t.Context(), "/lookup/1").body.String(), "done")
+	}
+	assert.Assert(t, bad.runs() >= 1 && bad.runs() <= 3, "%d of 20 requests", bad.runs())
+}
+
+// Guards against a statement that a request was not run, taken from a head which can't be an endpoint's.
+func TestInvalidHeadDoesNotProveThatARequestWasNotRun(t *testing.T) {
+	answer := "HTTP/1.1 503 X\r\nId: ID\r\nEncoding: x\r\nContent-Length: 3\r\n\r\none"
+	s := newFixture(t, testRoutes(), alwaysAnswers(answer), alwaysAnswers(answer))
+	got := s.send(t.Context(), "/order/1")
+	assert.Assert(t, got.refusal != nil)
+	assert.Equal(t, got.refusal.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, s.recorder.last.Verdict, verdict.MayHaveRun)
+	assert.Equal(t, s.runs(), 1)
+}
--- a/internal/relay/spoiled_test.go
+++ b/internal/relay/spoiled_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 )
@@ -81,3 +82,68 @@
 		}
 	}
 }
+
+// faultyThenSound returns two endpoints, of which the one that is asked first sends a body.
+func faultyThenSound(t *testing.T, body string) *fixture {
+	s := newFixture(t, testRoutes(), &engine{}, &engine{})
+	for _, e := range s.engines {
+		e.script = func(_ int, r *http.Request) string {
+			head := strings.Replace(streamHead(), "Id: ID", "Id: ID\r\nSigned: second", 1)
+			if s.runs() == 1 {
+				return strings.Replace(head, "second", "first", 1) + chunk(body) + "0\r\n\r\n"
+			}
+			after := 0
+			_, _ = fmt.Sscan(r.Header.Get("After"), &after)
+			return head + chunk(soundEvents(after+1, 4)) + "0\r\n\r\n"
+		}
+	}
+	return s
+}
+
+// Guards against an event that readers drop for its lack of data and that isn't sent again.
+func TestEventWithoutDataIsNotAPosition(t *testing.T) {
+	for _, event := range []string{"id: 3\n\n", "id: 3\nx: noise\n\n", "id: 3\nevent: x\n\n"} {
+		s := faultyThenSound(t, soundEvents(1, 2)+event+"x7 noise\n\n")
+		got := s.send(t.Context(), "/stream/1")
+		assert.Check(t, strings.Contains(got.body.String(), "data: 3"), "%q: %q", event, got.body.String())
+	}
+}
+
+// headSink records the head that a caller gets.
+type headSink struct {
+	recordingSink
+	header http.Header
+}
+
+func (s *headSink) Begin(status int, h http.Header) {
+	s.recordingSink.Begin(status, h)
+	s.header = h
+}
+
+// Guards against bytes before the first event that bind a stream to the head of an endpoint that ran nothing of it.
+func TestHeadIsThatOfTheRun(t *testing.T) {
+	for _, start := range []string{"\n", "\r\n", ": x7\n\n", "retry: 7\n\n"} {
+		s := faultyThenSound(t, start+"x7 noise\n\n")
+		out := &headSink{}
+		now := time.Now()
+		s.relay.Serve(t.Context(), &Request{
+			ID: "r1", Method: "POST", Target: "/stream/1", Path: "/stream/1", Host: "h", Key: "key",
+			Received: now, Deadline: now.Add(time.Minute),
+		}, out)
+		assert.Check(t, out.ended)
+		assert.Check(t, strings.HasPrefix(out.body.String(), soundEvents(1, 1)), "%q", out.body.String())
+		assert.Check(t, out.header.Get("Signed") == "second", "%q: head of the %s endpoint, body %q", start, out.header.Get("Signed"), out.body.String())
+	}
+}
+
+// Guards against an event that is cut within a field's name and joined to one of another answer.
+func TestCutEventIsNotJoinedToAnother(t *testing.T) {
+	for _, joint := range []string{
+		"id: 3\nda" + "id: 1\ndata: other\n\n", "id: 3\nda" + "event: x\ndata: other\n\n",
+		"id: 3\ndata: 3HTTP/1.1 200 OK\r\nid-of: other\r\n\r\n",
+	} {
+		s := faultyThenSound(t, soundEvents(1, 2)+joint+"x7 noise\n\n")
+		got := s.send(t.Context(), "/stream/1")
+		assert.Check(t, got.ended && !strings.Contains(got.body.String(), "other"), "%q", got.body.String())
+	}
+}
--- a/internal/relay/stream.go
+++ b/internal/relay/stream.go
@@ -13,12 +13,13 @@
 // readBufferBytes is the most that is read of an answer at once.
 const readBufferBytes = 8 << 10
 
-// newEvents returns a parser of a request's stream. Where streams can't be resumed, an endpoint may
-// begin anew whatever the caller has.
-func newEvents(q *Request, a *admitted) *eventstream.Parser {
+// newEvents returns a parser of a request's stream, whose events may have fields of some names beside the
+// standard's. Where streams can't be resumed, an endpoint may also begin anew.
+func newEvents(q *Request, a *admitted, fields []string) *eventstream.Parser {
 	p := eventstream.New(q.LastEvent, maxEventBytes)
+	p.AllowFields(fields)
 	if q.LastEvent != "" && !a.route.Resumable {
-		p.AnyStart()
+		p.AllowRestart()
 	}
 	return p
 }
@@ -53,6 +54,9 @@
 // endStream ends a stream that was read to its end. It returns an error if the stream has been
 // cut off there.
 func (f *inflight) endStream(ctx context.Context, t *trackedAttempt, a *upstream.Answer) error {
+	if f.events.Partial() && a.Delimited() {
+		return a.Invalid(partialEvent, f.events.PartialText())
+	}
 	if f.events.Partial() {
 		return io.ErrUnexpectedEOF
 	}
