forward: Test the reports of spoiled streams over the hop

Reports without the daemon through which the stream came, or without whether its connection had been used before, passed all tests. Connections of package relay's fixture are pipes, which the pool doesn't keep, so that the test stands here.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -85,8 +85,24 @@
 	return out
 }
 
-// observer counts the requests that engines began to run.
-type observer struct{ begun atomic.Int64 }
+// observer counts the requests that engines began to run, and records reports of invalid answers.
+type observer struct {
+	begun   atomic.Int64
+	mu      sync.Mutex
+	invalid []relay.InvalidAnswer
+}
+
+func (o *observer) InvalidAnswer(a *relay.InvalidAnswer) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.invalid = append(o.invalid, *a)
+}
+
+func (o *observer) reports() []relay.InvalidAnswer {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return slices.Clone(o.invalid)
+}
 
 func (o *observer) Began(fleet.WorkspaceID, time.Time)                { o.begun.Add(1) }
 func (o *observer) Cut(ends.Disconnect)                               {}
@@ -94,7 +110,6 @@
 func (o *observer) Resting(fleet.EndpointID, time.Duration)           {}
 func (o *observer) Leaving(*roster.Endpoint)                          {}
 func (o *observer) RejectionsLimited(string, backpressure.Limit)      {}
-func (o *observer) InvalidAnswer(*relay.InvalidAnswer)                {}
 func (o *observer) Ended(*relay.Outcome)                              {}
 func (o *observer) HeldFor(func() *quarantine.Identity) time.Duration { return 0 }
 func (o *observer) Served(quarantine.Key)                             {}
