Refuse a record of versions where routes' services changed after it

A route that moved to another service and back 0.3 to 0.7 s before a kill of all daemons left the hash of routes' services in the stored record the same as in the reader's table. One version was concluded for the usual service, and streams that began at the other one went on at it.

The record now states the writer's configuration: its version, and the store's revision up to which the writer had every version. The reader reads the configuration's changes since from the store's history and refuses the record unless each decodes, has the record's hash, and they reach its first list and its first configuration. A record of an earlier release is refused.

Without the check the new cases of TestRecordIsRefused and three of TestStreamsAreRefusedWhereTheVersionIsNotKnown fail.

--- a/internal/node/configuration.go
+++ b/internal/node/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/follow"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/objects"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/origin"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/spread"
 )
 
@@ -212,6 +213,18 @@
 func (c *configuration) upTo() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.completeRevision()
+}
+
+// recorded returns what a record of versions states of this daemon's configuration.
+func (c *configuration) recorded() origin.ConfigRecord {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return origin.ConfigRecord{Revision: c.completeRevision(), Version: c.newest.Version}
+}
+
+// completeRevision implements upTo. The lock is held.
+func (c *configuration) completeRevision() uint64 {
 	if c.newest.Version == 0 {
 		return 0
 	}
--- a/internal/node/endpoints.go
+++ b/internal/node/endpoints.go
@@ -249,10 +249,11 @@
 // versionsRecord returns the record of the versions that services had, as of the list's
 // revision; ok is false if they aren't known.
 func (l *endpointList) versionsRecord() (r origin.Record, ok bool) {
+	config := l.node.config.recorded()               // read before the routes, which are then at least as new
 	routes, _, _ := l.node.state.ResumableServices() // read before the history, which ends with a change of it
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return origin.NewRecord(l.node.origins.history(), l.node.clock.Now(), l.roster.CompleteRevision(), routes)
+	return origin.NewRecord(l.node.origins.history(), l.node.clock.Now(), l.roster.CompleteRevision(), routes, config)
 }
 
 // removeOthers removes the endpoints whose key is not among the given ones. The lock
--- a/internal/node/versionsrestore.go
+++ b/internal/node/versionsrestore.go
@@ -19,7 +19,7 @@
 	// minRestoreBackoff and maxRestoreBackoff bound the time between two reads that fail.
 	minRestoreBackoff = 250 * time.Millisecond
 	maxRestoreBackoff = 2 * time.Second
-	// maxChangeReads bounds the calls for the changes since the record, of which one is enough
+	// maxChangeReads bounds the calls for the changes of a kind since the record, of which one is enough
 	// unless the store returns them in parts.
 	maxChangeReads = 8
 )
@@ -112,11 +112,11 @@
 	if err := record.Check(&by); err != nil { // before the changes are read
 		return nil, origin.Conclusion{}, err
 	}
-	changes, upTo, err := r.changes(ctx, record.Revision, by.Listed)
+	changes, err := r.changes(ctx, record, by.Listed)
 	if err != nil {
 		return nil, origin.Conclusion{}, err
 	}
-	c, err := record.Conclude(&by, changes, upTo)
+	c, err := record.Conclude(&by, changes)
 	return record, c, err
 }
 
@@ -124,7 +124,8 @@
 func (r *versionsRestorer) reader() origin.Reader {
 	routes, _, _ := r.node.state.ResumableServices()
 	return origin.Reader{
-		FleetTime: r.node.clock.Now(), Listed: r.node.endpoints.firstListed(), Routes: routes, Contact: r.node.contactBound(),
+		FleetTime: r.node.clock.Now(), Listed: r.node.endpoints.firstListed(), Routes: routes,
+		Config: r.node.config.firstVersion(), Contact: r.node.contactBound(),
 	}
 }
 
@@ -160,21 +161,44 @@
 	}
 }
 
-// changes returns the changes of the endpoints' entries after a revision, and the revision up to
-// which they are complete, at least listed.
-func (r *versionsRestorer) changes(ctx context.Context, after, listed uint64) ([]origin.Change, uint64, error) {
-	var out []origin.Change
+// changes returns the changes of the endpoints' entries and of the configuration since a record,
+// at least up to the revision of the first list.
+func (r *versionsRestorer) changes(ctx context.Context, record *origin.Record, listed uint64) (*origin.Changes, error) {
+	out, platform := &origin.Changes{}, &r.node.platform
+	entries, upTo, err := r.history(ctx, platform.EndpointKind, record.Revision, listed)
+	if err != nil {
+		return nil, err
+	}
+	out.EntriesUpTo = upTo
+	for _, c := range entries {
+		out.Entries = append(out.Entries, r.decode(c))
+	}
+	configs, upTo, err := r.history(ctx, platform.ConfigKind, record.Config.Revision, listed)
+	if err != nil {
+		return nil, err
+	}
+	out.ConfigsUpTo = upTo
+	for _, c := range configs {
+		if c.Object.Name == platform.ConfigName && !c.Deleted { // as configuration takes them
+			out.Configs = append(out.Configs, r.decodeConfig(c))
+		}
+	}
+	return out, nil
+}
+
+// history returns the changes of a kind of objects after a revision, and the revision up to which
+// they are complete, at least listed.
+func (r *versionsRestorer) history(ctx context.Context, kind string, after, listed uint64) ([]objects.Change, uint64, error) {
+	var out []objects.Change
 	for range maxChangeReads {
-		changes, next, err := r.node.platform.Store.Watch(ctx, r.node.platform.EndpointKind, after, 0)
+		changes, next, err := r.node.platform.Store.Watch(ctx, kind, after, 0)
 		switch {
 		case errors.Is(err, objects.ErrGone):
 			return nil, 0, err
 		case err != nil:
 			return nil, 0, Error.New("%w: %v", errStore, err)
 		}
-		for _, c := range changes {
-			out = append(out, r.decode(c))
-		}
+		out = append(out, changes...)
 		if next >= listed {
 			return out, next, nil
 		}
@@ -187,3 +211,11 @@
 	e, err := r.node.platform.DecodeEndpoint(time.Now(), c.Object)
 	return origin.Change{Origin: originOf(&e), Unreadable: err != nil, Deleted: c.Deleted}
 }
+
+func (r *versionsRestorer) decodeConfig(c objects.Change) origin.ConfigChange {
+	t, err := r.node.platform.DecodeTable(c.Object.Spec)
+	if err != nil {
+		return origin.ConfigChange{Unreadable: true}
+	}
+	return origin.ConfigChange{Version: t.Version, Routes: t.ResumableServices()}
+}
--- a/internal/node/versionsrestore_test.go
+++ b/internal/node/versionsrestore_test.go
@@ -106,6 +106,14 @@
 	assert.NilError(f.t, err)
 }
 
+// changeRecord replaces the stored record.
+func (f *testFleet) changeRecord(r *origin.Record) {
+	f.t.Helper()
+	text, err := json.Marshal(r)
+	assert.NilError(f.t, err)
+	f.changeKept(func(kept *limitsCheckpoint) { kept.Versions = text })
+}
+
 // killAll ends all daemons; what they write meanwhile is lost.
 func (f *testFleet) killAll() {
 	f.store.setDown(true)
@@ -160,6 +168,7 @@
 
 // Guards against streams that go on at another version than the one that began them.
 func TestStreamsAreRefusedWhereTheVersionIsNotKnown(t *testing.T) {
+	var beforeMove *origin.Record
 	for _, test := range []struct {
 		name   string
 		config string
@@ -214,6 +223,28 @@
 			f.until("version 3 in force", func(n *Node) bool { return n.config.current().Version == 3 })
 			f.awaitRecord(func(r *origin.Record) bool { return r.Known < time.Minute })
 		}},
+		{name: "the streams' route had another service after the record", before: func(f *testFleet, _ *versionedEngine) {
+			beforeMove = f.record()
+			f.write("2 t")
+			f.until("version 2 in force", func(n *Node) bool { return n.config.current().Version == 2 })
+			f.write("3 s")
+			f.until("version 3 in force", func(n *Node) bool { return n.config.current().Version == 3 })
+		}, killed: func(f *testFleet, _ *versionedEngine) {
+			f.changeRecord(beforeMove) // one may have been written since
+		}},
+		{name: "the streams' route had another service for a moment while the daemons are down", killed: func(f *testFleet, _ *versionedEngine) {
+			f.write("2 t")
+			f.write("3 s")
+		}},
+		{name: "a configuration that can't be decoded", killed: func(f *testFleet, _ *versionedEngine) {
+			f.write("later")
+			f.write("2")
+		}},
+		{name: "a record of an earlier release, without the configuration's revision", killed: func(f *testFleet, _ *versionedEngine) {
+			r := f.record()
+			r.Config = origin.ConfigRecord{}
+			f.changeRecord(r)
+		}},
 	} {
 		t.Run(test.name, func(t *testing.T) {
 			t.Parallel()
@@ -234,6 +265,21 @@
 	}
 }
 
+// Guards against streams that are refused for changes of the configuration that leave the routes'
+// services as they were.
+func TestStreamsGoOnAfterOtherChangesOfTheConfiguration(t *testing.T) {
+	f, _ := servedFleet(t, 3, "1")
+	f.write("2")
+	f.until("version 2 in force", func(n *Node) bool { return n.config.current().Version == 2 })
+	f.killAll()
+	f.write("3")
+	f.startAgain(3)
+	for _, n := range f.nodes {
+		got := takeUp(n)
+		assert.Equal(t, got.text, "id: 2\ndata: v1\n\n", "%+v", got.refusal)
+	}
+}
+
 // Guards against a record that is given up since the store doesn't answer at the start.
 func TestVersionsAreRestoredOnceTheStoreAnswers(t *testing.T) {
 	f, _ := servedFleet(t, 1, "1")
--- a/internal/origin/record_test.go
+++ b/internal/origin/record_test.go
@@ -14,11 +14,16 @@
 
 // record is one that was written a second before start, up to revision 100 of era 4.
 func record(seen ...Gone) Record {
-	return Record{At: start.Add(-time.Second), Revision: objects.RevisionIn(4, 100), Routes: 7, Known: maxHorizon, Seen: seen}
+	return Record{At: start.Add(-time.Second), Revision: objects.RevisionIn(4, 100), Routes: 7, Config: ConfigRecord{objects.RevisionIn(4, 90), 3}, Known: maxHorizon, Seen: seen}
 }
 
 func reader() *Reader {
-	return &Reader{FleetTime: start, Listed: objects.RevisionIn(4, 110), Routes: 7, Contact: contact}
+	return &Reader{FleetTime: start, Listed: objects.RevisionIn(4, 110), Routes: 7, Config: 3, Contact: contact}
+}
+
+// changesUpTo returns changes of entries alone that reach a reader's first list.
+func changesUpTo(by *Reader, entries ...Change) *Changes {
+	return &Changes{Entries: entries, EntriesUpTo: by.Listed, ConfigsUpTo: by.Listed}
 }
 
 func seen(version string, ago time.Duration) Gone { return Gone{Origin{"s", version}, ago} }
@@ -29,7 +34,7 @@
 	t.Helper()
 	v := NewVersions()
 	v.Listed(start, endpoints(listed...))
-	got, err := r.Conclude(by, changes, by.Listed)
+	got, err := r.Conclude(by, changesUpTo(by, changes...))
 	assert.NilError(t, err)
 	v.Merge(start, got.History)
 	return v.only(after, horizon)
@@ -40,7 +45,7 @@
 	assert.Equal(t, restore(t, record(seen("v1", 0)), reader(), nil, 0, Retention, "v1"), "v1")
 	assert.Equal(t, restore(t, record(seen("v1", 0)), reader(), nil, 0, maxHorizon, "v1"), "v1")
 	r := record(seen("v1", 0))
-	got, err := r.Conclude(reader(), nil, reader().Listed)
+	got, err := r.Conclude(reader(), changesUpTo(reader()))
 	assert.NilError(t, err)
 	assert.Assert(t, got.Settled)
 }
@@ -96,7 +101,7 @@
 func TestOldRecordSettlesNothing(t *testing.T) {
 	r := record(seen("v1", 0))
 	r.At = start.Add(-contact - 1)
-	got, err := r.Conclude(reader(), nil, reader().Listed)
+	got, err := r.Conclude(reader(), changesUpTo(reader()))
 	assert.NilError(t, err)
 	assert.Assert(t, !got.Settled)
 }
@@ -108,7 +113,10 @@
 		change  func(r *Record, by *Reader)
 		changes []Change
 		upTo    uint64
-		want    string
+		configs []ConfigChange
+		// configsUpTo is the list's revision if it is 0.
+		configsUpTo uint64
+		want        string
 	}{
 		{name: "of another era", change: func(r *Record, _ *Reader) { r.Revision = objects.RevisionIn(3, 100) }, want: "era 3"},
 		{name: "of an era that has ended", change: func(_ *Record, by *Reader) { by.Listed = objects.RevisionIn(5, 110) }, want: "era 5"},
@@ -119,6 +127,13 @@
 		{name: "older than the longest horizon", change: func(r *Record, _ *Reader) { r.At = start.Add(-maxHorizon - 1) }, want: "old"},
 		{name: "other services of the routes", change: func(_ *Record, by *Reader) { by.Routes++ }, want: "routes"},
 		{name: "an entry that can't be decoded", changes: []Change{{Unreadable: true}}, want: "decoded"},
+		{name: "a route that moved to another service and back", configs: []ConfigChange{{Version: 4, Routes: 8}, {Version: 5, Routes: 7}}, want: "version 4"},
+		{name: "a configuration that can't be decoded", configs: []ConfigChange{{Unreadable: true}}, want: "decoded"},
+		{name: "configurations that end before the list", configsUpTo: objects.RevisionIn(4, 109), want: "configuration"},
+		{name: "configurations of another era", configsUpTo: objects.RevisionIn(5, 120), want: "configuration"},
+		{name: "configurations that end before the reader's first", change: func(_ *Record, by *Reader) { by.Config = 5 }, configs: []ConfigChange{{Version: 4, Routes: 7}}, want: "version 5"},
+		{name: "a configuration of another era", change: func(r *Record, _ *Reader) { r.Config.Revision = objects.RevisionIn(3, 90) }, want: "era 3"},
+		{name: "an earlier release's record, without the configuration's revision", change: func(r *Record, _ *Reader) { r.Config = ConfigRecord{} }, want: "revision"},
 		{name: "no list", change: func(_ *Record, by *Reader) { by.Listed = 0 }, want: "list"},
 		{name: "no revision", change: func(r *Record, _ *Reader) { r.Revision = 0 }, want: "invalid"},
 		{name: "no time", change: func(r *Record, _ *Reader) { r.At = time.Time{} }, want: "invalid"},
@@ -135,19 +150,40 @@
 			if test.upTo == 0 {
 				test.upTo = by.Listed
 			}
-			got, err := r.Conclude(by, test.changes, test.upTo)
+			since := changesUpTo(by, test.changes...)
+			since.EntriesUpTo, since.Configs = test.upTo, test.configs
+			if test.configsUpTo != 0 {
+				since.ConfigsUpTo = test.configsUpTo
+			}
+			got, err := r.Conclude(by, since)
 			assert.ErrorContains(t, err, test.want)
 			assert.Equal(t, got.Known, time.Duration(0))
 		})
 	}
 }
 
+// Guards against a record that is refused for configurations that leave the routes' services as
+// they were.
+func TestRecordIsUsedAfterOtherChangesOfTheConfiguration(t *testing.T) {
+	r, by := record(seen("v1", 0)), reader()
+	by.Config = 5
+	since := changesUpTo(by)
+	since.Configs = []ConfigChange{{Version: 4, Routes: 7}, {Version: 5, Routes: 7}, {Version: 6, Routes: 7}}
+	got, err := r.Conclude(by, since)
+	assert.NilError(t, err)
+	assert.Equal(t, got.Known, r.Known)
+}
+
 // Guards against a record of nothing that replaces the knowledge of an earlier one.
 func TestNoRecordWithoutAHistoryOrARevision(t *testing.T) {
-	_, ok := NewRecord(History{}, start, 5, 7)
+	_, ok := NewRecord(History{}, start, 5, 7, ConfigRecord{5, 1})
+	assert.Assert(t, !ok)
+	_, ok = NewRecord(History{Known: time.Second}, start, 0, 7, ConfigRecord{5, 1})
 	assert.Assert(t, !ok)
-	_, ok = NewRecord(History{Known: time.Second}, start, 0, 7)
+	_, ok = NewRecord(History{Known: time.Second}, start, 5, 7, ConfigRecord{})
 	assert.Assert(t, !ok)
+	_, ok = NewRecord(History{Known: time.Second}, start, 5, 7, ConfigRecord{5, 1})
+	assert.Assert(t, ok)
 }
 
 // Guards against a field that is lost in the store, so that a version isn't counted.
