--- a/internal/balance/failurerate.go
+++ b/internal/balance/failurerate.go
@@ -7,13 +7,13 @@
 
 const (
 	// failureRateHalfLife is the time in which an outcome's weight in a failure rate halves. It covers some streams
-	// of each endpoint also where several daemons share them. With 10 s, endpoints that spoil a quarter of
-	// their answers get more requests; with 40 s, they are avoided for minutes after their fault.
+	// of each endpoint also where several daemons share them. A longer one
+	// avoids endpoints for longer after their fault has ended.
 	failureRateHalfLife = 20 * time.Second
 	// failureRatePrior is the weight, in outcomes, with which an endpoint counts as a usual one.
 	failureRatePrior = 2
 	// chanceDeviations is the number of standard deviations by which rates differ by chance. With none,
-	// endpoints that fail alike are told apart, and prompts leave the endpoints that have them cached.
+	// prompts would leave the endpoints that have them cached though all fail alike.
 	chanceDeviations = 1
 )
 
--- a/internal/node/origins.go
+++ b/internal/node/origins.go
@@ -438,8 +438,8 @@
 	}
 }
 
-// takeRecord takes an origin that another daemon has sent. A sender that lacks a revocation is told
-// of it: it may have restored the origin. The lock is held.
+// takeRecord takes an origin that another daemon has sent. A sender that lacks a revocation is
+// sent it: it may have restored the origin. The lock is held.
 func (o *origins) takeRecord(now time.Time, p *originpb.Packet, sender net.Addr) {
 	k, from := origin.Key(p.Key), origin.Origin{Service: p.Service, Version: p.Version}
 	switch {
