--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -68,6 +68,8 @@
 // LimitSettings are the resources of the process, and how workspaces' limits are spent.
 type LimitSettings struct {
 	MemoryMB int `yaml:"memoryMB"`
+	// MaxFDs is the number of descriptors that the process may open.
+	MaxFDs int `yaml:"maxFDs"`
 	// Cores is the number of the machine's cores, or its share of one.
 	Cores float64 `yaml:"cores"`
 	// LinkMbps is the rate of the machine's network link, in megabits a second.
@@ -182,6 +184,7 @@
 		{s.Listen.Peers == "", "listen.peers: is missing"},
 		{s.Store.Address == "", "store.address: is missing"},
 		{s.Limits.MemoryMB < 0, "limits.memoryMB: is negative"},
+		{s.Limits.MaxFDs < 0, "limits.maxFDs: is negative"},
 		{speedsErr != nil, fmt.Sprintf("balance.speeds: is %q, must be auto, on or off", s.Balance.Speeds)},
 		{s.Limits.ByPriority != AutoByPriority && s.Limits.ByPriority != NotByPriority, "limits.by_priority: must be auto or off"},
 		{s.Bounds.GraceSeconds <= 0, "bounds.graceSeconds: must be above 0"},
