Relay: the time that a caller takes to send a body is no overload

The bound is counted from the arrival of the whole request. Over a hop the time since then is stated beside the time since the head; requests of daemons of an earlier release lack it and keep the latter.

--- a/internal/forward/envelope.go
+++ b/internal/forward/envelope.go
@@ -53,13 +53,15 @@
 	Priority       int     `json:"priority,omitempty"`
 	TimeLeft       float64 `json:"timeLeftMillis"`
 	Elapsed        float64 `json:"elapsedMillis"`
-	ConfigVersion  uint64  `json:"configVersion"`
-	Route          string  `json:"route"`
-	Kind           int     `json:"kind"`
-	Target         float64 `json:"targetMillis,omitempty"`
-	PauseTarget    float64 `json:"pauseTargetMillis,omitempty"`
-	Timeout        float64 `json:"timeoutMillis,omitempty"`
-	Resumable      bool    `json:"resumable,omitempty"`
+	// Waited is missing in requests of daemons of an earlier release.
+	Waited        *float64 `json:"waitedMillis,omitempty"`
+	ConfigVersion uint64   `json:"configVersion"`
+	Route         string   `json:"route"`
+	Kind          int      `json:"kind"`
+	Target        float64  `json:"targetMillis,omitempty"`
+	PauseTarget   float64  `json:"pauseTargetMillis,omitempty"`
+	Timeout       float64  `json:"timeoutMillis,omitempty"`
+	Resumable     bool     `json:"resumable,omitempty"`
 }
 
 type part struct {
@@ -69,10 +71,11 @@
 
 func encode(r *relay.ForwardedRequest) string {
 	q := r.Request
+	waited := millis(r.Waited)
 	e := envelope{
 		ID: q.ID, Path: q.Path, Prompt: q.Prompt, Output: q.Output, ExpectedOutput: q.ExpectedOutput, Model: q.Model, LastEvent: q.LastEvent,
 		Workspace: string(r.Workspace), Service: r.Service, Pinned: r.Pinned, Version: r.Version, Priority: r.Priority, ConfigVersion: r.ConfigVersion,
-		TimeLeft: millis(r.TimeLeft), Elapsed: millis(r.Elapsed),
+		TimeLeft: millis(r.TimeLeft), Elapsed: millis(r.Elapsed), Waited: &waited,
 		Route: r.Route.Name, Kind: int(r.Route.Kind), Target: millis(r.Route.Target), PauseTarget: millis(r.Route.PauseTarget),
 		Timeout: millis(r.Route.Timeout), Resumable: r.Route.Resumable,
 	}
@@ -109,9 +112,13 @@
 	for _, p := range e.Parts {
 		q.Parts = append(q.Parts, balance.Part{ID: p.ID, Tokens: p.Tokens})
 	}
+	waited := e.Elapsed
+	if e.Waited != nil {
+		waited = *e.Waited
+	}
 	return &relay.ForwardedRequest{
 		Request: q, Workspace: fleet.WorkspaceID(e.Workspace), Service: e.Service, Pinned: e.Pinned, Version: e.Version, Priority: e.Priority,
-		TimeLeft: duration(e.TimeLeft), Elapsed: duration(e.Elapsed), ConfigVersion: e.ConfigVersion,
+		TimeLeft: duration(e.TimeLeft), Elapsed: duration(e.Elapsed), Waited: duration(waited), ConfigVersion: e.ConfigVersion,
 		Route: route.Route{
 			Name: e.Route, Kind: route.Kind(e.Kind), Target: duration(e.Target), PauseTarget: duration(e.PauseTarget),
 			Timeout: duration(e.Timeout), Resumable: e.Resumable, Priority: e.Priority,
--- a/internal/relay/attempts.go
+++ b/internal/relay/attempts.go
@@ -104,8 +104,9 @@
 // overloadWait returns 0 if a request is worth an attempt. A request that would
 // miss its target by far even at the best endpoint isn't: a late answer is worth a
 // tenth of one in time and takes its place. For it overloadWait returns the time
-// after which it could be served. Requests of lower priority are refused earlier; a
-// request without a target is always worth an attempt.
+// after which it could be served. The time that the caller took to send the request
+// doesn't count. Requests of lower priority are refused earlier; a request without a
+// target is always worth an attempt.
 func overloadWait(f *inflight, c balance.Choice, now time.Time) time.Duration {
 	if f.tally.reached > 0 || f.headSent || f.continuation.begun || f.route.Target <= 0 {
 		return 0
@@ -115,7 +116,7 @@
 		limit += limit / 2
 	}
 	wait := time.Duration(c.Wait * float64(time.Second))
-	if now.Add(wait).Sub(f.request.Received) <= limit {
+	if now.Add(wait).Sub(f.request.complete()) <= limit {
 		return 0
 	}
 	return max(wait-limit/2, noEndpointRetryAfter)
--- a/internal/relay/forward.go
+++ b/internal/relay/forward.go
@@ -26,7 +26,8 @@
 	Version       string // of the endpoint's software
 	Priority      int
 	TimeLeft      time.Duration
-	Elapsed       time.Duration // since the caller's request was received
+	Elapsed       time.Duration // since the head of the caller's request was received
+	Waited        time.Duration // since the whole of it was
 	ConfigVersion uint64        // by which it was admitted
 }
 
@@ -86,7 +87,7 @@
 func (s *State) admitForwarded(now time.Time, fr *ForwardedRequest) (*admitted, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	fr.Request.Received = now.Add(-fr.Elapsed)
+	fr.Request.Received, fr.Request.Complete = now.Add(-fr.Elapsed), now.Add(-fr.Waited)
 	r := fr.Route
 	r.MaxAttempts = 1
 	a := &admitted{
@@ -221,7 +222,7 @@
 	return &upstream.Call{
 		Address: address, Deliveries: f.sink.Deliveries(), To: address, Method: q.Method, Target: q.Target, Host: q.Host, Body: q.Body,
 		Header: func() http.Header {
-			fr.TimeLeft, fr.Elapsed = time.Until(f.deadline), time.Since(f.request.Received)
+			fr.TimeLeft, fr.Elapsed, fr.Waited = time.Until(f.deadline), time.Since(f.request.Received), time.Since(f.request.complete())
 			return f.relay.forwarder.Header(fr)
 		},
 		Gate:           f,
--- a/internal/relay/request.go
+++ b/internal/relay/request.go
@@ -19,8 +19,10 @@
 	Header http.Header // to be forwarded
 	Body   []byte
 	// Key is the caller's credential, empty without one.
-	Key      string
-	Received time.Time
+	Key string
+	// Received is when the head was received, and Complete when the body was; a zero Complete means
+	// that both came together.
+	Received, Complete time.Time
 	// Deadline is when the caller stops waiting.
 	Deadline time.Time
 	// Prompt is the prompt's tokens and Output the maximum of output tokens; both
@@ -41,6 +43,14 @@
 	Resumes string
 }
 
+// complete returns when the whole request was received.
+func (r *Request) complete() time.Time {
+	if r.Complete.IsZero() {
+		return r.Received
+	}
+	return r.Complete
+}
+
 // takesUp reports whether the caller has events of the stream from an earlier attempt.
 func (r *Request) takesUp() bool { return r.LastEvent != "" || r.Resumes != "" }
 
