Connections of clients and heads of requests are bounded

Crowds of clients made a daemon exceed its memory by the heads of their requests and its descriptors by their connections, at every listener: no listener had a bound, a head of short fields takes up to 17 times its bytes, and only the configuration's max_body_bytes was read.

Each listener has places, which follow from the memory and from limits.maxFDs after the descriptors for the store, other daemons and endpoints. Where none is left, the connection gives way that has waited longest for its client, so that a crowd displaces itself; one that is served gives way only if its client takes nothing of the answer for a second. Heads beyond usual ones share a part of the memory, by bytes and fields as they arrive, and displace each other likewise. Times for heads, idle connections, unread answers and unread rests of bodies are checked in one place, are no shorter than before, and follow the configuration where it allows more. The kernel's buffers of accepted connections are bounded. The decisions are internal/connections, without I/O.

--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -21,10 +21,12 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/connections"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quarantine"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
@@ -186,7 +188,7 @@
 	quiet := logrus.New()
 	quiet.SetOutput(io.Discard)
 	var err error
-	d.server, err = forward.Open(d, d.address, relay.NewBodies(memlimit.New(maxBytes)), quiet.WithField("part", "forward"))
+	d.server, err = forward.Open(d, d.address, relay.NewBodies(memlimit.New(maxBytes)), newGuard(), 100, quiet.WithField("part", "forward"))
 	assert.NilError(t, err)
 	t.Cleanup(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
@@ -270,6 +272,12 @@
 	return e
 }
 
+// newGuard returns a guard with ample limits.
+func newGuard() *httpserver.Guard {
+	times := connections.Times{Head: time.Minute, Idle: time.Minute}
+	return httpserver.NewGuard(1<<20, func() connections.Times { return times }, logrus.NewEntry(logrus.New()))
+}
+
 func (e *hopEngine) address() string { return strings.TrimPrefix(e.URL, "http://") }
 
 func TestRequestAndAnswerCrossTheHopUnchanged(t *testing.T) {
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -5,7 +5,6 @@
 	"errors"
 	"io"
 	"log"
-	"net"
 	"net/http"
 	"time"
 
@@ -14,14 +13,9 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/relay"
-	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
 )
 
 const (
-	// readHeaderTimeout bounds the time for reading a request's head.
-	readHeaderTimeout = 5 * time.Second
-	// idleTimeout is longer than daemons keep idle connections.
-	idleTimeout = 60 * time.Second
 	// maxHeaderBytes bounds a request's head: prompts may have hundreds of parts.
 	maxHeaderBytes = 256 << 10
 	// maxBodyBytes bounds a body: daemons forward what their listeners accept.
@@ -43,20 +37,20 @@
 	log     *logrus.Entry
 }
 
-// Open listens at an address. bodies holds the bodies of the requests in progress.
-func Open(h Handler, address string, bodies *relay.Bodies, logger *logrus.Entry) (*Server, error) {
+// Open listens at an address, for at most as many connections as it has places. bodies holds the
+// bodies of the requests in progress.
+func Open(h Handler, address string, bodies *relay.Bodies, guard *httpserver.Guard, places int, logger *logrus.Entry) (*Server, error) {
 	s := &Server{handler: h, bodies: bodies, log: logger}
 	server := &http.Server{
-		Handler: http.HandlerFunc(s.serve), ReadHeaderTimeout: readHeaderTimeout, IdleTimeout: idleTimeout,
+		Handler:        http.HandlerFunc(s.serve),
 		MaxHeaderBytes: maxHeaderBytes,
 		ErrorLog:       log.New(io.Discard, "", 0), // only broken connections
 	}
-	lc := net.ListenConfig{Control: upstream.UserTimeout}
-	l, err := lc.Listen(context.Background(), "tcp", address)
+	l, err := httpserver.Listen(context.Background(), address)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	s.server = httpserver.Start(server, l, logger)
+	s.server = guard.Start(server, l, "forward", places, logger)
 	return s, nil
 }
 
--- a/internal/forward/server_test.go
+++ b/internal/forward/server_test.go
@@ -22,7 +22,7 @@
 	quiet.SetOutput(io.Discard)
 	for range 200 {
 		address := testport.Reserve(t)
-		s, err := forward.Open(nil, address, relay.NewBodies(memlimit.New(maxBytes)), quiet.WithField("part", "forward"))
+		s, err := forward.Open(nil, address, relay.NewBodies(memlimit.New(maxBytes)), newGuard(), 100, quiet.WithField("part", "forward"))
 		assert.NilError(t, err)
 		assert.NilError(t, s.Close(t.Context()))
 		c, err := net.Dial("tcp", address)
--- a/internal/node/forwarders.go
+++ b/internal/node/forwarders.go
@@ -92,7 +92,7 @@
 	if n.settings.Listen.Forward == "" {
 		return nil, nil
 	}
-	return forward.Open(n, n.settings.Listen.Forward, n.bodies, n.logFor("forward"))
+	return forward.Open(n, n.settings.Listen.Forward, n.bodies, n.guard, n.settings.places(forwardPart), n.logFor("forward"))
 }
 
 // forwardAddress returns the address to report for forwarded requests, empty while this
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -24,6 +24,11 @@
 	m := &metricSet{set: metrics.NewSet(), node: n}
 	m.linesLeftOut = m.set.NewCounter("cyclamenbeam_log_lines_left_out_total")
 	m.set.RegisterMetricsWriter(m.invalid.write)
+	m.set.RegisterMetricsWriter(func(w io.Writer) {
+		n.guard.Closed(func(listener, limit string, closed int) {
+			fmt.Fprintf(w, "cyclamenbeam_connections_closed_total{listener=%q,limit=%q} %d\n", listener, limit, closed)
+		})
+	})
 	m.set.NewGauge("cyclamenbeam_config_version", func() float64 { return float64(n.config.current().Version) })
 	m.set.NewGauge("cyclamenbeam_config_lag_seconds", func() float64 { return n.config.Lag().Seconds() })
 	m.set.NewGauge("cyclamenbeam_requests_active", func() float64 { return float64(n.relay.Active()) })
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -12,6 +12,7 @@
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/clock"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/httpserver"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/memlimit"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/pause"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/quota"
@@ -33,6 +34,7 @@
 	paths     *paths
 	forwarder *forwarders
 	bodies    *relay.Bodies
+	guard     *httpserver.Guard
 	origins   *origins
 	restorer  *versionsRestorer
 	streams   *streamsRecord
@@ -90,6 +92,7 @@
 	n.relay = relay.New(n.state, n.pool, p.Protocol, &observer{n}, n.crashes)
 	n.forwarder = newForwarders(n, p.DialDaemon)
 	n.relay.SetForwarder(n.forwarder)
+	n.guard = httpserver.NewGuard(partOf(s, headShare), n.clientTimes, n.logFor("connections"))
 	n.bodies = relay.NewBodies(memlimit.New(memoryPart(s, bodyShare)))
 	n.relay.SetAnswerMemory(memlimit.New(memoryPart(s, answerShare)))
 	n.origins = newOrigins(n)
@@ -167,7 +170,7 @@
 // start starts the goroutines of all parts.
 func (n *Node) start(ctx context.Context) {
 	duties := []func(context.Context){
-		n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
+		n.guard.Run, n.config.run, n.fetcher.run, n.endpoints.run, n.endpoints.tick, n.peers.run, n.members.run, n.sweep, n.requests.run, n.paths.run,
 		n.discover, n.findSharers, n.restoreRetries, n.watchHoldUps, n.origins.run, n.restorer.run, n.streams.run, n.streams.restore, newLimitLog(n).run, newRetryLog(n).run, n.crashes.watch.Run, n.crashes.readStored,
 	}
 	if n.platform.Cloud != nil {
--- a/internal/route/limits.go
+++ b/internal/route/limits.go
@@ -1,6 +1,10 @@
 package route
 
-// Limits restrict the requests of callers.
+import "time"
+
+// Limits restrict the requests of callers. A zero limit isn't set.
 type Limits struct {
-	BodyBytes int // longest request body
+	BodyBytes   int           // longest request body
+	HeadTimeout time.Duration // for a request's head to arrive
+	IdleTimeout time.Duration // between two requests on a connection
 }
