Upstream: bound the kernel's buffers of endpoints' connections

600 clients that read none of their 16 MB answers left up to 44 MB in the kernel's buffers of the daemon's connections to endpoints, 102 MB of 96 in all: the kernel lets a receive buffer grow to megabytes, up to 1.5 MB each as seen in /proc/net/tcp. The daemon stops reading while a caller doesn't, so that what it holds itself was bounded already.

Connections to endpoints and other daemons have a receive buffer of 64 KB.

--- a/internal/httpserver/guard.go
+++ b/internal/httpserver/guard.go
@@ -9,7 +9,6 @@
 	"time"
 
 	"github.com/sirupsen/logrus"
-	"golang.org/x/sys/unix"
 
 	"github.com/cyclamenbeam/cyclamenbeam/internal/connections"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/upstream"
@@ -72,12 +71,11 @@
 	}
 }
 
-// Start serves a listener until Close. The server's time-outs for reading heads and for idle
-// connections are replaced by those of the guard. It logs if the listener ends earlier.
+// Start serves a listener until Close, with at most so many connections. It logs if the listener ends
+// earlier.
 func (g *Guard) Start(server *http.Server, l net.Listener, name string, places int, log *logrus.Entry) *Server {
 	server.ConnState, server.ConnContext = onState, withConn
 	server.Handler = &handler{Handler: server.Handler, guard: g}
-	server.ReadHeaderTimeout, server.IdleTimeout, server.ReadTimeout = 0, 0, 0
 	return Start(server, &listener{Listener: l, guard: g, of: g.table.Listener(name, places)}, log)
 }
 
@@ -125,11 +123,7 @@
 		if err := upstream.UserTimeout(network, address, raw); err != nil {
 			return err
 		}
-		return raw.Control(func(fd uintptr) {
-			// Accepted connections inherit both. The kernel's defaults hold where this fails.
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receiveBuffer)
-			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, sendBuffer)
-		})
+		return upstream.SetBuffers(raw, receiveBuffer, sendBuffer)
 	}}
 	return lc.Listen(ctx, "tcp", address)
 }
--- a/internal/upstream/dial.go
+++ b/internal/upstream/dial.go
@@ -14,10 +14,18 @@
 // that long after the last acknowledgement, whatever the count of probes.
 var KeepAlive = net.KeepAliveConfig{Enable: true, Idle: time.Second, Interval: time.Second, Count: 3}
 
-// DialTCP is a Dialer of connections to endpoints, with KeepAlive and a user timeout.
+// endpointReceiveBuffer bounds what the kernel holds of an answer whose caller doesn't read it, in
+// bytes. Left to itself the kernel lets a buffer grow to megabytes.
+const endpointReceiveBuffer = 64 << 10
+
+// DialTCP is a Dialer of connections to endpoints, with KeepAlive, a user timeout and a bounded
+// receive buffer.
 func DialTCP(ctx context.Context, address string) (net.Conn, error) {
 	d := net.Dialer{KeepAliveConfig: KeepAlive, Control: func(_, _ string, raw syscall.RawConn) error {
-		return setUserTimeout(raw, endpointUserTimeout)
+		if err := setUserTimeout(raw, endpointUserTimeout); err != nil {
+			return err
+		}
+		return SetBuffers(raw, endpointReceiveBuffer, 0)
 	}}
 	return d.DialContext(ctx, "tcp", address)
 }
@@ -37,3 +45,16 @@
 	}
 	return set
 }
+
+// SetBuffers bounds the kernel's buffers of a socket, in bytes; 0 leaves one as it is. Connections
+// that a listener accepts inherit its buffers. The kernel's defaults hold where it doesn't allow others.
+func SetBuffers(raw syscall.RawConn, receive, send int) error {
+	return raw.Control(func(fd uintptr) {
+		if receive > 0 {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_RCVBUF, receive)
+		}
+		if send > 0 {
+			_ = unix.SetsockoptInt(int(fd), unix.SOL_SOCKET, unix.SO_SNDBUF, send)
+		}
+	})
+}
