Bodies are read after route and key, by their route's timeout, within the memory

Route and key are looked at before a body is read, and it has until the route's timeout at most, over a hop too. All bodies above 4 KB take from the limit, and one that comes slower than 8 KB/s gives way where another finds no memory. Bodies have 0.35 of the memory, and the runtime's soft limit is 0.7 of it: heads, bodies, answers, connections, the kernel's buffers and the program's text add up to less than the whole at 160 MB, the smallest of the site files.

--- a/internal/cli/servenode.go
+++ b/internal/cli/servenode.go
@@ -15,7 +15,7 @@
 // memoryLimitShare is the share of limits.memoryMB that is the runtime's soft memory
 // limit, near which it collects garbage continuously. The rest is for the
 // kernel's buffers and for data that is read and not yet accounted for.
-const memoryLimitShare = 0.8
+const memoryLimitShare = 0.7
 
 // gcPercent lets the heap grow to three times the live heap, which is some ten
 // megabytes. Collecting less often costs less processor time.
--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -20,7 +20,8 @@
 	maxHeaderBytes = 256 << 10
 	// maxBodyBytes bounds a body: daemons forward what their listeners accept.
 	maxBodyBytes = 64 << 20
-	// bodyTimeout is the time of a request from which its wait for memory follows.
+	// bodyTimeout is the time of a request from which its wait for memory follows. Daemons send bodies
+	// at once.
 	bodyTimeout = time.Second
 )
 
@@ -59,26 +60,28 @@
 func (s *Server) Close(ctx context.Context) error { return s.server.Close(ctx) }
 
 func (s *Server) serve(w http.ResponseWriter, r *http.Request) {
-	to := &sink{w: delivery.NewWriter(w, delivery.NewLog()), headOnly: r.Method == http.MethodHead}
+	fr, err := decode(r, nil)
+	if err != nil {
+		s.log.WithError(err).Warn("forwarded request not decoded")
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	to := &sink{w: delivery.NewWriter(w, delivery.NewLog()), headOnly: r.Method == http.MethodHead, id: fr.Request.ID}
+	if r.ContentLength != 0 {
+		control := http.NewResponseController(w)
+		_ = control.SetReadDeadline(time.Now().Add(fr.TimeLeft))
+		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
+	}
 	body, err := s.bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, bodyTimeout)
 	defer body.Release()
 	if errors.Is(err, relay.ErrNoMemory) {
-		if e, err := decode(r, nil); err == nil {
-			to.id = e.Request.ID
-		}
 		to.Refuse(relay.RefuseBody())
 		return
 	}
 	if err != nil {
 		panic(http.ErrAbortHandler) // the request was truncated
 	}
-	fr, err := decode(r, body.Bytes)
-	if err != nil {
-		s.log.WithError(err).Warn("forwarded request not decoded")
-		w.WriteHeader(http.StatusBadRequest)
-		return
-	}
-	to.id = fr.Request.ID
+	fr.Request.Body = body.Bytes
 	s.handler.ServeForwarded(r.Context(), fr, to)
 	if status := to.w.Replaced(); status != 0 {
 		s.log.WithFields(logrus.Fields{"id": to.id, "status": status}).Error("answer replaced: nothing proves its status")
--- a/internal/node/memory.go
+++ b/internal/node/memory.go
@@ -4,7 +4,7 @@
 // buffers.
 const (
 	// bodyShare is for the bodies of requests, those that other daemons forward included.
-	bodyShare = 0.55
+	bodyShare = 0.35
 	// answerShare is for answers that aren't passed on yet.
 	answerShare = 0.1
 	// headShare is for the heads of requests beyond usual ones.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -94,6 +94,7 @@
 	n.relay.SetForwarder(n.forwarder)
 	n.guard = httpserver.NewGuard(partOf(s, headShare), n.clientTimes, n.logFor("connections"))
 	n.bodies = relay.NewBodies(memlimit.New(memoryPart(s, bodyShare)))
+	n.bodies.OnShortage(n.guard.MakeRoom)
 	n.relay.SetAnswerMemory(memlimit.New(memoryPart(s, answerShare)))
 	n.origins = newOrigins(n)
 	n.relay.SetOrigins(n.origins)
--- a/internal/node/serving.go
+++ b/internal/node/serving.go
@@ -21,6 +21,13 @@
 	n.relay.Serve(ctx, q, sink)
 }
 
+// Check refuses a request, of which only the head has arrived, that can't be served. Otherwise it
+// returns by when the request must have ended.
+func (n *Node) Check(ctx context.Context, q *relay.Request, sink relay.Sink) (deadline time.Time, ok bool) {
+	n.startGate.wait(ctx, time.Now())
+	return n.relay.Check(ctx, q, sink)
+}
+
 // Bodies holds the bodies of requests.
 func (n *Node) Bodies() *relay.Bodies { return n.bodies }
 
--- a/internal/relay/admit.go
+++ b/internal/relay/admit.go
@@ -27,6 +27,24 @@
 func (s *State) admit(now time.Time, r *Request) (*admitted, *Refusal) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	a, refusal := s.match(r)
+	if refusal != nil {
+		return a, refusal
+	}
+	a.service = a.route.Backend(s.rng.Float64())
+	if a.workspace != nil {
+		a.cost = a.workspace.Cost(r.tokens())
+		wait, ok := s.quota.Take(now, a.workspace, a.route, a.cost)
+		if !ok {
+			return a, notRun(OverLimit, jitter(wait, s.rng.Float64()))
+		}
+	}
+	s.retries.Request(now, s.holdUps.HeldUpUntil(now), a.service)
+	return a, nil
+}
+
+// match finds a request's route, workspace and deadline. The lock is held.
+func (s *State) match(r *Request) (*admitted, *Refusal) {
 	a := &admitted{table: s.table, configuredAt: s.configuredAt}
 	if s.table == nil {
 		return a, notRun(NoConfiguration, noConfigurationRetryAfter)
@@ -49,15 +67,6 @@
 	if end := r.Received.Add(a.route.Timeout); a.route.Timeout > 0 && end.Before(a.deadline) {
 		a.deadline = end
 	}
-	a.service = a.route.Backend(s.rng.Float64())
-	if a.workspace != nil {
-		a.cost = a.workspace.Cost(r.tokens())
-		wait, ok := s.quota.Take(now, a.workspace, a.route, a.cost)
-		if !ok {
-			return a, notRun(OverLimit, jitter(wait, s.rng.Float64()))
-		}
-	}
-	s.retries.Request(now, s.holdUps.HeldUpUntil(now), a.service)
 	return a, nil
 }
 
--- a/internal/relay/bodies.go
+++ b/internal/relay/bodies.go
@@ -18,7 +18,7 @@
 
 const (
 	// freeBodyBytes is the largest body that takes nothing from the limit.
-	freeBodyBytes = 16 << 10
+	freeBodyBytes = 4 << 10
 	// maxBodyWait bounds the wait for memory, and bodyWaitShare is the most of a request's time that
 	// is spent on it: callers give up requests that aren't read.
 	maxBodyWait   = 250 * time.Millisecond
@@ -28,10 +28,17 @@
 )
 
 // Bodies holds the bodies of requests within one limit of memory. It is safe for concurrent use.
-type Bodies struct{ limit *memlimit.Limit }
+type Bodies struct {
+	limit    *memlimit.Limit
+	shortage func()
+}
 
 // NewBodies returns a holder of bodies within a limit.
-func NewBodies(l *memlimit.Limit) *Bodies { return &Bodies{limit: l} }
+func NewBodies(l *memlimit.Limit) *Bodies { return &Bodies{limit: l, shortage: func() {}} }
+
+// OnShortage sets a function that is called before a body waits for memory, and may end the reading of
+// others. It must be called before Read.
+func (b *Bodies) OnShortage(f func()) { b.shortage = f }
 
 // Body is a request's body in memory.
 type Body struct {
@@ -71,8 +78,12 @@
 	if size <= freeBodyBytes || size <= b.held {
 		return true
 	}
-	if !b.bodies.limit.Wait(ctx, size-b.held, wait) {
-		return false
+	more := size - b.held
+	if !b.bodies.limit.Take(more) {
+		b.bodies.shortage()
+		if !b.bodies.limit.Wait(ctx, more, wait) {
+			return false
+		}
 	}
 	b.held = size
 	return true
--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -48,6 +48,19 @@
 	r.serve(ctx, q, a, refusal, sink, false)
 }
 
+// Check refuses a request, of which only the head has arrived, that can't be served whatever its body
+// is. Otherwise it returns by when the request must have ended.
+func (r *Relay) Check(ctx context.Context, q *Request, sink Sink) (deadline time.Time, ok bool) {
+	r.state.mu.Lock()
+	a, refusal := r.state.match(q)
+	r.state.mu.Unlock()
+	if refusal != nil {
+		r.serve(ctx, q, a, refusal, sink, false)
+		return time.Time{}, false
+	}
+	return a.deadline, true
+}
+
 // serve runs a request that was admitted or refused. forwarded says that another daemon
 // has admitted it.
 func (r *Relay) serve(ctx context.Context, q *Request, a *admitted, refusal *Refusal, sink Sink, forwarded bool) {
