httpserver: Handlers without a deadline of their own have one for a body

Reading what a handler left of a body waited without a deadline: net/http reads it before the answer's head where it doesn't know the body's type, which the guard's reader replaced, and TestServerGivesNoGuaranteeByItself didn't end.

The request that the handler gets is a copy, so that net/http sees the body that it made, and a body has 10 s where the handler sets no other deadline (ready, directory, metrics).

--- a/internal/httpserver/handler.go
+++ b/internal/httpserver/handler.go
@@ -27,13 +27,19 @@
 	if !ok {
 		panic(http.ErrAbortHandler)
 	}
+	defer func() { c.state.Answered(time.Now()) }()
 	if hasBody {
+		// net/http looks at the type of the body that it made itself.
+		r = r.WithContext(r.Context())
 		r.Body = &body{ReadCloser: r.Body, conn: c}
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyTimeout))
 	}
-	defer func() { c.state.Answered(time.Now()) }()
 	h.Handler.ServeHTTP(w, r)
 }
 
+// bodyTimeout is how long a body may take where the handler sets no other deadline.
+const bodyTimeout = 10 * time.Second
+
 // headSize returns the bytes and the fields of a request's head.
 func headSize(r *http.Request) (size, fields int) {
 	size = len(r.RequestURI) + len(r.Host)
