forward: The deadline of a body ends with the body

The read deadline of a forwarded body was kept until the request's end, where it would have looked like the other daemon leaving. No test showed it; seen by reading.

--- a/internal/forward/server.go
+++ b/internal/forward/server.go
@@ -67,11 +67,8 @@
 		return
 	}
 	to := &sink{w: delivery.NewWriter(w, delivery.NewLog()), headOnly: r.Method == http.MethodHead, id: fr.Request.ID}
-	if r.ContentLength != 0 {
-		control := http.NewResponseController(w)
-		_ = control.SetReadDeadline(time.Now().Add(fr.TimeLeft))
-		defer func() { _ = control.SetReadDeadline(time.Time{}) }()
-	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(time.Now().Add(fr.TimeLeft))
 	body, err := s.bodies.Read(r.Context(), http.MaxBytesReader(w, r.Body, maxBodyBytes), r.ContentLength, bodyTimeout)
 	defer body.Release()
 	if errors.Is(err, relay.ErrNoMemory) {
@@ -81,6 +78,8 @@
 	if err != nil {
 		panic(http.ErrAbortHandler) // the request was truncated
 	}
+	// The server goes on reading, to see whether the other daemon leaves.
+	_ = control.SetReadDeadline(time.Time{})
 	fr.Request.Body = body.Bytes
 	s.handler.ServeForwarded(r.Context(), fr, to)
 	if status := to.w.Replaced(); status != 0 {
