--- a/internal/connections/table_test.go
+++ b/internal/connections/table_test.go
@@ -61,8 +61,7 @@
 	assert.Equal(t, callers.Open(), 2)
 }
 
-// Plays a crowd that opens a thousand connections a second and sends nothing, beside callers whose
-// requests arrive within 50 ms: no caller's connection is closed.
+// Plays 1,000 silent connections a second beside callers whose requests arrive within 50 ms.
 func TestCallersAreServedBesideASilentCrowd(t *testing.T) {
 	const places = 100
 	l := NewTable(1<<20).Listener("callers", places)
@@ -96,8 +95,7 @@
 	assert.Equal(t, closed, 0)
 }
 
-// Plays heads of many fields that end, or don't, in any order: their memory stays within its limit,
-// and a usual head always finds room.
+// Plays heads of many fields that end, or don't, in any order, beside usual ones.
 func TestHeadsStayWithinTheirMemory(t *testing.T) {
 	const headBytes = 4 << 20
 	table := NewTable(headBytes)
