--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -73,7 +73,11 @@
 	// serve answers a request that this engine accepts, on its channel. It reports whether the channel
 	// goes on.
 	serve func(e *engine, r *http.Request, body []byte, c net.Conn) bool
-	inUse atomic.Int64
+
+	mu       sync.Mutex
+	state    string
+	gone     bool
+	channels map[net.Conn]bool
 }
 
 func (f *fleet) addEngine(id, service string, slots int, serve func(*engine, *http.Request, []byte, net.Conn) bool) *engine {
@@ -81,22 +85,54 @@
 	if err != nil {
 		cannotRun("engine: %v", err)
 	}
-	e := &engine{id: id, service: service, zone: "palmira", slots: slots, born: time.Now().UnixMilli(), address: l.Addr().String(), listener: l, serve: serve}
+	e := &engine{id: id, service: service, zone: "palmira", slots: slots, born: time.Now().UnixMilli(), address: l.Addr().String(), listener: l, serve: serve, state: "ready", channels: map[net.Conn]bool{}}
 	go e.accept()
 	go func() {
-		for {
-			f.register(e)
+		for f.register(e) {
 			time.Sleep(heartbeat)
 		}
 	}()
 	return e
 }
 
-func (f *fleet) register(e *engine) {
+// setDraining reports that an engine leaves. The store's acceptance is the acknowledgement.
+func (f *fleet) setDraining(e *engine) {
+	e.mu.Lock()
+	e.state = "draining"
+	e.mu.Unlock()
+	f.register(e)
+}
+
+// removeEngine removes the entry of an engine that has left.
+func (f *fleet) removeEngine(e *engine) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.gone = true
+	f.store.remove("servers", e.id)
+}
+
+// exit ends an engine's process: its listener and its channels close.
+func (e *engine) exit() {
+	_ = e.listener.Close()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	for c := range e.channels {
+		_ = c.Close()
+	}
+}
+
+// register writes an engine's entry. It reports false once the engine has left.
+func (f *fleet) register(e *engine) bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.gone {
+		return false
+	}
 	f.store.put("servers", e.id, map[string]any{
-		"service": e.service, "address": e.address, "zone": e.zone, "version": "r1", "slots": e.slots, "state": "ready",
+		"service": e.service, "address": e.address, "zone": e.zone, "version": "r1", "slots": e.slots, "state": e.state,
 		"cold_remaining_ms": 0, "sequence": e.sequence.Add(1), "born": e.born,
 	})
+	return true
 }
 
 func (e *engine) accept() {
@@ -111,6 +147,14 @@
 
 func (e *engine) channel(c net.Conn) {
 	defer c.Close()
+	e.mu.Lock()
+	e.channels[c] = true
+	e.mu.Unlock()
+	defer func() {
+		e.mu.Lock()
+		delete(e.channels, c)
+		e.mu.Unlock()
+	}()
 	in := bufio.NewReader(c)
 	for {
 		r, err := http.ReadRequest(in)
