--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -76,7 +76,8 @@
 
 	mu       sync.Mutex
 	state    string
-	gone     bool
+	gone     bool // its entry was removed
+	crashed  bool
 	channels map[net.Conn]bool
 }
 
@@ -95,6 +96,31 @@
 	return e
 }
 
+// addEngineBehind adds an engine whose address is that of a link.
+func (f *fleet) addEngineBehind(k *link, id, service string, slots int, serve func(*engine, *http.Request, []byte, net.Conn) bool) *engine {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		cannotRun("engine: %v", err)
+	}
+	k.lead(l.Addr().String())
+	e := &engine{id: id, service: service, zone: "palmira", slots: slots, born: time.Now().UnixMilli(), address: k.address, listener: l, serve: serve, state: "ready", channels: map[net.Conn]bool{}}
+	go e.accept()
+	go func() {
+		for f.register(e) {
+			time.Sleep(heartbeat)
+		}
+	}()
+	return e
+}
+
+// crash ends an engine's process. Its entry stays until it expires.
+func (f *fleet) crash(e *engine) {
+	e.mu.Lock()
+	e.crashed = true
+	e.mu.Unlock()
+	e.exit()
+}
+
 // setDraining reports that an engine leaves. The store's acceptance is the acknowledgement.
 func (f *fleet) setDraining(e *engine) {
 	e.mu.Lock()
@@ -125,7 +151,7 @@
 func (f *fleet) register(e *engine) bool {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	if e.gone {
+	if e.gone || e.crashed {
 		return false
 	}
 	f.store.put("servers", e.id, map[string]any{
