--- a/review/standins-2/link.go
+++ b/review/standins-2/link.go
@@ -24,18 +24,39 @@
 	}
 	k := &link{address: l.Addr().String(), listener: l, open: make(chan struct{})}
 	close(k.open)
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go k.carry(c)
-		}
-	}()
+	go k.accept(l)
 	return k
 }
 
+func (k *link) accept(l net.Listener) {
+	for {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go k.carry(c)
+	}
+}
+
+// refuse refuses new channels. Those that are open live on.
+func (k *link) refuse() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	_ = k.listener.Close()
+}
+
+// admit ends refuse.
+func (k *link) admit() {
+	l, err := net.Listen("tcp", k.address)
+	if err != nil {
+		cannotRun("link: %v", err)
+	}
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.listener = l
+	go k.accept(l)
+}
+
 // lead sets where the engine's process listens.
 func (k *link) lead(to string) {
 	k.mu.Lock()
--- a/review/standins-2/reborn.go
+++ b/review/standins-2/reborn.go
@@ -24,15 +24,10 @@
 		downTime   = 2 * time.Second
 		rounds     = 4
 	)
-	var sentMu sync.Mutex
-	wrote := map[string]bool{} // whether an engine has written the whole stream of an attempt
 	serve := func(e *engine, r *http.Request, _ []byte, c net.Conn) bool {
 		id := r.Header.Get("X-Attempt-Id")
 		rec.add("run      %s at %s", id, e.id)
 		whole := stream(c, id, events, eventPause)
-		sentMu.Lock()
-		wrote[id] = whole
-		sentMu.Unlock()
 		rec.add("ended    %s at %s, whole: %v", id, e.id, whole)
 		return false
 	}
