--- a/review/standins-2/fleet.go
+++ b/review/standins-2/fleet.go
@@ -77,7 +77,10 @@
 	mu       sync.Mutex
 	state    string
 	gone     bool // its entry was removed
-	crashed  bool
+	crashed  bool // it writes no entry
+	down     bool // its process has ended
+	life     atomic.Int64
+	lastBeat time.Time
 	channels map[net.Conn]bool
 }
 
@@ -87,7 +90,7 @@
 		cannotRun("engine: %v", err)
 	}
 	e := &engine{id: id, service: service, zone: "palmira", slots: slots, born: time.Now().UnixMilli(), address: l.Addr().String(), listener: l, serve: serve, state: "ready", channels: map[net.Conn]bool{}}
-	go e.accept()
+	go e.accept(l)
 	go func() {
 		for f.register(e) {
 			time.Sleep(heartbeat)
@@ -104,7 +107,7 @@
 	}
 	k.lead(l.Addr().String())
 	e := &engine{id: id, service: service, zone: "palmira", slots: slots, born: time.Now().UnixMilli(), address: k.address, listener: l, serve: serve, state: "ready", channels: map[net.Conn]bool{}}
-	go e.accept()
+	go e.accept(l)
 	go func() {
 		for f.register(e) {
 			time.Sleep(heartbeat)
@@ -139,9 +142,10 @@
 
 // exit ends an engine's process: its listener and its channels close.
 func (e *engine) exit() {
-	_ = e.listener.Close()
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	e.down = true
+	_ = e.listener.Close()
 	for c := range e.channels {
 		_ = c.Close()
 	}
@@ -154,6 +158,7 @@
 	if e.gone || e.crashed {
 		return false
 	}
+	e.lastBeat = time.Now()
 	f.store.put("servers", e.id, map[string]any{
 		"service": e.service, "address": e.address, "zone": e.zone, "version": "r1", "slots": e.slots, "state": e.state,
 		"cold_remaining_ms": 0, "sequence": e.sequence.Add(1), "born": e.born,
@@ -161,9 +166,9 @@
 	return true
 }
 
-func (e *engine) accept() {
+func (e *engine) accept(l net.Listener) {
 	for {
-		c, err := e.listener.Accept()
+		c, err := l.Accept()
 		if err != nil {
 			return
 		}
