--- a/review/.standins-2/again.go
+++ b/review/.standins-2/again.go
@@ -18,15 +18,16 @@
 // reach the store when the cut heals.
 func again(f *fleet, rec *record) bool {
 	const (
-		engines    = 14
-		cutOff     = 2 // share .2 of them at most
+		engines    = 15
 		events     = 64
 		eventPause = 50 * time.Millisecond
 		rounds     = 5
+		slots      = 6
 	)
+	cutOff := 3 // share .2 of them
 	cutTime, crashAfter, downTime := 4*time.Second, 200*time.Millisecond, time.Second
 	if os.Getenv("CUT") == "0" { // a crash alone: the engine is back after 2 s, and writes its entry with its next heartbeat
-		cutTime, crashAfter, downTime = 3*time.Second, 0, 2*time.Second
+		cutOff, cutTime, crashAfter, downTime = 2, 3*time.Second, 0, 2*time.Second
 	}
 	var runMu sync.Mutex
 	ranAt := map[string]*lifetime{} // by attempt
@@ -36,6 +37,9 @@
 		runMu.Lock()
 		ranAt[id] = l
 		runMu.Unlock()
+		slots := e.places()
+		slots <- struct{}{} // others wait
+		defer func() { <-slots }()
 		rec.add("run      %s at %s, lifetime %d", id, e.id, l.number)
 		err := chunkedStream(c, id, events, eventPause)
 		rec.add("ended    %s at %s, lifetime %d: %v", id, e.id, l.number, err)
@@ -43,18 +47,18 @@
 	}
 	all := make([]*engine, engines)
 	for i := range all {
-		all[i] = f.addEngine(fmt.Sprintf("i-taller-%02d", i), "cyclamen-taller", 6, serve)
+		all[i] = f.addEngine(fmt.Sprintf("i-taller-%02d", i), "cyclamen-taller", slots, serve)
 	}
 	f.configure(1, []map[string]any{
 		route("falla", "/falla/", "streaming", "cyclamen-taller", 1, 12000, map[string]any{"stream_resume": false, "gap_target_ms": 500, "target_latency_ms": 500, "priority": 0, "session_affinity": true}),
 	}, []map[string]any{{"name": "cyclamen-taller", "health_path": "/health", "max_connections": 290, "protocol": "h1", "tls": false,
-		"engine": map[string]any{"slots": 6, "kv_capacity": 729812, "kv_token_bytes": 18432, "link_mbps": 180000.0}}}, nil)
+		"engine": map[string]any{"slots": slots, "kv_capacity": 729812, "kv_token_bytes": 18432, "link_mbps": 180000.0}}}, nil)
 	f.start(2)
 	f.awaitReady()
 	var wg sync.WaitGroup
 	var whole, lost, crash, refused, other atomic.Int64
 	stop := make(chan struct{})
-	for n := 0; n < 80; n++ {
+	for n := 0; n < 90; n++ {
 		d := f.daemons[n%2]
 		wg.Go(func() {
 			k := &consumer{address: d.callers()}
@@ -170,6 +174,16 @@
 	})
 }
 
+// places returns the slots of an engine's lifetime.
+func (e *engine) places() chan struct{} {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.running == nil {
+		e.running = make(chan struct{}, e.slots)
+	}
+	return e.running
+}
+
 // startAgain starts a crashed engine under its id and at its address. Its entry stays the old one until beat.
 func (f *fleet) startAgain(e *engine) {
 	l, err := net.Listen("tcp", e.address)
@@ -178,7 +192,7 @@
 	}
 	e.mu.Lock()
 	e.life.Add(1)
-	e.born, e.listener, e.down = time.Now().UnixMilli(), l, false
+	e.born, e.listener, e.down, e.running = time.Now().UnixMilli(), l, false, nil
 	e.mu.Unlock()
 	e.sequence.Store(0)
 	go e.accept(l)
--- a/review/.standins-2/fleet.go
+++ b/review/.standins-2/fleet.go
@@ -81,7 +81,8 @@
 	down     bool // its process has ended
 	life     atomic.Int64
 	lastBeat time.Time
-	version  string    // of its software
+	version  string // of its software
+	running  chan struct{}
 	silent   time.Time // it sends nothing until then
 	channels map[net.Conn]bool
 }
@@ -302,10 +303,10 @@
 	ports := freePorts(n)
 	var seeds []string
 	for i := 1; i <= min(n, 3); i++ {
-		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("127.0.0.%d:%d", 10+i, ports[3])))
+		seeds = append(seeds, fmt.Sprintf("%q", fmt.Sprintf("%s:%d", loopback(i), ports[3])))
 	}
 	for i := 1; i <= n; i++ {
-		d := &daemon{name: fmt.Sprintf("front-palmira-%d", i), ip: fmt.Sprintf("127.0.0.%d", 10+i), ports: ports, done: make(chan struct{})}
+		d := &daemon{name: fmt.Sprintf("front-palmira-%d", i), ip: loopback(i), ports: ports, done: make(chan struct{})}
 		settings := fmt.Sprintf(`daemon:
   instance: %q
   dataCentre: "palmira"
@@ -372,6 +373,12 @@
 	}
 }
 
+// loopback returns the address of the i-th daemon. The network is of this process alone, so that two runs don't meet.
+func loopback(i int) string {
+	pid := os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 64+pid>>8&0x3f, pid&0xff, 10+i)
+}
+
 // freePorts returns ports that are free at the addresses of n daemons.
 func freePorts(n int) [7]int {
 	var out [7]int
@@ -379,14 +386,14 @@
 		var held []net.Listener
 		ok := true
 		for p := range out {
-			l, err := net.Listen("tcp", "127.0.0.11:0")
+			l, err := net.Listen("tcp", loopback(1)+":0")
 			if err != nil {
 				cannotRun("ports: %v", err)
 			}
 			held = append(held, l)
 			out[p] = l.Addr().(*net.TCPAddr).Port
 			for i := 2; i <= n && ok; i++ {
-				o, err := net.Listen("tcp", fmt.Sprintf("127.0.0.%d:%d", 10+i, out[p]))
+				o, err := net.Listen("tcp", fmt.Sprintf("%s:%d", loopback(i), out[p]))
 				if err != nil {
 					ok = false
 					break
