upstream: A reset during the upload is no end of an answer

Callers got the first part of an answer as a complete one, with status 200: an endpoint answered a long upload at once, without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: the kernel reports a reset of a connection once. If the goroutine that writes the request's body gets it, the one that reads the answer finds an ordinary end, which Body took for the end of an answer without a length. The relay then asked only whether the endpoint still listens.

At the end of an answer with neither a length nor chunks, Body now waits for the result of writing the request, and returns its error. So whichever side gets the reset, the answer isn't whole; an endpoint that answers early, ends its side in order and reads the request to its end is still passed on, and an answer with a length or chunks never waits. The attempt counts as broken: orders end as may have run, lookups and streams go on elsewhere within their budgets, a refusal that its head proves stays one.

An endpoint that closes such a connection without reading the request can't be told from one that was cut off: its answer is broken too now.

--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -28,7 +28,8 @@
 )
 
 // Answer is an endpoint's answer. Body returns io.EOF at the end of a complete body,
-// and of one that isn't Delimited also if the endpoint has closed the connection early.
+// and of one that isn't Delimited also if the endpoint has closed the connection early,
+// unless not all of the request was written until then.
 // Close may be called at any time, and must be called.
 type Answer struct {
 	Status int
@@ -39,14 +40,14 @@
 	// Delivery is the call's record, nil if it isn't recorded.
 	Delivery *delivery.Delivery
 
-	pool      *Pool
-	conn      *conn
-	resp      *http.Response
-	owns      func(http.Header) Ownership
-	writeDone chan error // result of writing the request's body in the background, or nil
-	stop      func() bool
-	complete  bool
-	closed    bool
+	pool     *Pool
+	conn     *conn
+	resp     *http.Response
+	owns     func(http.Header) Ownership
+	upload   *upload // of the request's body, nil if it was written before the answer is read
+	stop     func() bool
+	complete bool
+	closed   bool
 }
 
 // Send sends a call and returns once the head of its answer is received. Its
@@ -123,11 +124,7 @@
 	if _, err := a.conn.nc.Write(head.Bytes()); err != nil {
 		return err
 	}
-	a.writeDone = make(chan error, 1)
-	go func() {
-		_, err := a.conn.nc.Write(call.Body)
-		a.writeDone <- err
-	}()
+	a.upload = startUpload(a.conn.nc, call.Body)
 	return nil
 }
 
@@ -200,6 +197,9 @@
 	case b.foreignTrailer():
 		err = b.conn.invalid(ForeignTrailer, fmt.Sprint(b.resp.Trailer))
 	default:
+		if cut := (*Answer)(b).confirmEnd(); cut != nil {
+			return n, cut
+		}
 		b.complete = true
 	}
 	return n, err
@@ -239,13 +239,13 @@
 // bodyWritten waits until the request's body is written, and reports whether all
 // of it was.
 func (a *Answer) bodyWritten() bool {
-	if a.writeDone == nil {
+	if a.upload == nil {
 		return true
 	}
 	_ = a.conn.nc.SetWriteDeadline(time.Now().Add(bodyWriteTimeout))
-	err := <-a.writeDone
+	<-a.upload.done
 	_ = a.conn.nc.SetWriteDeadline(time.Time{})
-	return err == nil
+	return a.upload.err == nil
 }
 
 // abandon closes the connection of a call whose answer's head wasn't received.
