endpoint: A reset while a call is written is no end of an answer

Cause: net/http's transport reads and writes on two goroutines, and takes the end that the reading one finds for that of the answer, whatever becomes of the other one. It also closes the connection at that end, which cut off calls to services that answer early and read on.

conn.Read passes an end on only when the request in progress has been written (httptrace's WroteRequest, and the Write in progress), and returns the error of a write that failed instead. The stall timeout, the caller's context and Close end the wait, since each closes the connection. Model engines and JSON calls use the same connections; their answers state their end by themselves.

The test's connection now lets the side that reads find the end before the other one's write returns; net/http closes the connection at once otherwise. It is used for answers without a length alone: with it, an answer that is read to its end would leave the write waiting.

--- a/internal/earlyanswer/earlyanswer.go
+++ b/internal/earlyanswer/earlyanswer.go
@@ -83,40 +83,56 @@
 }
 
 // DialWriterFirst connects to a server that resets its connections. The kernel reports a reset once: here to the
-// side that writes, so that the other side finds an ordinary end.
+// side that writes, and the side that reads finds an ordinary end before the write returns.
 func DialWriterFirst(ctx context.Context, address string) (net.Conn, error) {
 	c, err := Dial(ctx, address)
 	if err != nil {
 		return nil, err
 	}
-	return &writerFirst{Conn: c, failed: make(chan struct{})}, nil
+	return &writerFirst{Conn: c, failed: newEvent(), ended: newEvent()}, nil
 }
 
-// writerFirst is a connection whose second read waits until a write has failed.
+// event is closed once.
+type event struct {
+	once sync.Once
+	c    chan struct{}
+}
+
+func newEvent() *event { return &event{c: make(chan struct{})} }
+
+func (e *event) happened() { e.once.Do(func() { close(e.c) }) }
+
+// writerFirst is a connection whose reads, but the first one, wait until a write has failed.
 type writerFirst struct {
 	net.Conn
-	read   bool // for the first time
-	once   sync.Once
-	failed chan struct{} // closed when a write has failed
+	read   bool
+	failed *event // a write has failed, or the connection is closed
+	ended  *event // a read has failed, or the connection is closed
 }
 
 func (c *writerFirst) Write(p []byte) (int, error) {
 	n, err := c.Conn.Write(p)
 	if err != nil {
-		c.once.Do(func() { close(c.failed) })
+		c.failed.happened()
+		<-c.ended.c
 	}
 	return n, err
 }
 
 func (c *writerFirst) Read(p []byte) (int, error) {
 	if c.read {
-		<-c.failed
+		<-c.failed.c
 	}
 	c.read = true
-	return c.Conn.Read(p)
+	n, err := c.Conn.Read(p)
+	if err != nil {
+		c.ended.happened()
+	}
+	return n, err
 }
 
 func (c *writerFirst) Close() error {
-	c.once.Do(func() { close(c.failed) })
+	c.failed.happened()
+	c.ended.happened()
 	return c.Conn.Close()
 }
--- a/internal/endpoint/attempt.go
+++ b/internal/endpoint/attempt.go
@@ -15,13 +15,17 @@
 type attempt struct {
 	mu             sync.Mutex
 	conn           *conn
-	writtenBefore  int64 // bytes written to conn before this request
-	writtenEarlier bool  // the request may have been written to an earlier connection
+	writtenBefore  int64  // bytes written to conn before this request
+	writtenEarlier bool   // the request may have been written to an earlier connection
+	endRequest     func() // records on conn that the request has been written; nil before conn is known
 }
 
 // trace returns a context that makes a request report its connections to a.
 func (a *attempt) trace(ctx context.Context) context.Context {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { a.gotConn(info.Conn) }}
+	trace := &httptrace.ClientTrace{
+		GotConn:      func(info httptrace.GotConnInfo) { a.gotConn(info.Conn) },
+		WroteRequest: func(httptrace.WroteRequestInfo) { a.wroteRequest() },
+	}
 	return httptrace.WithClientTrace(ctx, trace)
 }
 
@@ -41,6 +45,16 @@
 	a.writtenEarlier = a.writtenEarlier || !a.unwritten()
 	a.conn = own
 	a.writtenBefore = own.bytesWritten()
+	a.endRequest = own.startRequest()
+}
+
+// wroteRequest records that the request has been written, or that writing it has failed.
+func (a *attempt) wroteRequest() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.endRequest != nil {
+		a.endRequest()
+	}
 }
 
 // verdict returns the verdict after the round trip has failed. A request that never
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -1,6 +1,8 @@
 package endpoint
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"sync"
 )
@@ -17,17 +19,68 @@
 	release func() // frees the connection's slot
 	once    sync.Once
 
+	closed  chan struct{} // by Close
+	writeMu sync.Mutex    // held by Write
+
 	mu      sync.Mutex
 	written int64
 	writing int // calls of Write in progress
 	sealed  bool
+	// sent is closed when the request in progress has been written, or that has failed; nil before the first one.
+	sent     chan struct{}
+	writeErr error // of the first Write that failed
+}
+
+func newConn(c net.Conn, release func()) *conn {
+	return &conn{Conn: c, release: release, closed: make(chan struct{})}
+}
+
+// startRequest records that net/http begins to write a request, and returns a function that records the end of the
+// writing.
+func (c *conn) startRequest() (end func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	sent := make(chan struct{})
+	c.sent = sent
+	return sync.OnceFunc(func() { close(sent) })
 }
 
-func newConn(c net.Conn, release func()) *conn { return &conn{Conn: c, release: release} }
+// Read reads from the connection. It returns io.EOF once the request in progress has been written: until then, an
+// answer that ends with its connection may have been cut off. The kernel reports a reset once, and if Write gets it,
+// Read finds an ordinary end.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if err == io.EOF {
+		err = c.endOfAnswer()
+	}
+	return n, err
+}
+
+func (c *conn) endOfAnswer() error {
+	c.mu.Lock()
+	sent := c.sent
+	c.mu.Unlock()
+	if sent != nil {
+		select {
+		case <-sent:
+		case <-c.closed:
+		}
+	}
+	c.writeMu.Lock() // net/http may still write what it has buffered
+	defer c.writeMu.Unlock()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("connection ended before the request was written: %w", c.writeErr)
+	}
+	return io.EOF
+}
 
 // Write writes p unless the connection is sealed, and counts what the kernel
 // accepted.
 func (c *conn) Write(p []byte) (int, error) {
+	c.writeMu.Lock()
+	defer c.writeMu.Unlock()
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -39,6 +92,9 @@
 	c.mu.Lock()
 	c.writing--
 	c.written += int64(n)
+	if c.writeErr == nil {
+		c.writeErr = err
+	}
 	c.mu.Unlock()
 	return n, err
 }
@@ -65,6 +121,7 @@
 // Close closes the connection and frees its slot, once.
 func (c *conn) Close() (err error) {
 	c.once.Do(func() {
+		close(c.closed)
 		err = c.Conn.Close()
 		c.release()
 	})
