endpoint: Statuses that HTTP doesn't have are malformed answers

On the chat path an answer of a plain service with the status 000 or 042 was taken as one that ran: the call counted as answered by the endpoint, an order's outcome was stored with that status, and the gateway, whose server panics on it, closed the caller's connection; 101, 600 and 999 went on to the caller. To an engine's JSON calls 000 and 042 were a success: a cancellation that no engine had taken, and an empty page of cache events. The operators' client took an outcome under any status, and a write to the outside's object API was "rejected with 42", which says that it had no effect.

Cause: net/http takes any three digits for a status, and so does each reader that compares the status with bounds of its own. Only internal/upstream had a check.

internal/answerhead has that check for all: upstream uses it for each head, and its Transport, around the clients' own, refuses an answer and closes the connection, also where an answer without a body has given it back already. The endpoint's clients report ErrMalformed with the verdict may have run, the outside's writes are ambiguous, and an operator's change is unknown. The relayed path is unchanged.

--- a/internal/endpoint/failure.go
+++ b/internal/endpoint/failure.go
@@ -3,12 +3,13 @@
 import (
 	"context"
 	"errors"
-	"net/http"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 )
 
 // transport returns the transport for a request, with the current generation of
 // connections.
-func (p *pool) transport(ctx context.Context, once bool) (*generation, *http.Transport) {
+func (p *pool) transport(ctx context.Context, once bool) (*generation, *answerhead.Transport) {
 	gen := p.current()
 	if once {
 		return gen, p.singleUseTransport(ctx)
@@ -29,5 +30,9 @@
 		// ones.
 		p.retire(gen)
 	}
+	var invalid *answerhead.Error
+	if errors.As(err, &invalid) {
+		err = errors.Join(ErrMalformed, err)
+	}
 	return Error.Wrap(err)
 }
--- a/internal/endpoint/pool.go
+++ b/internal/endpoint/pool.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 )
 
 // pool holds the connections to one endpoint.
@@ -25,7 +27,9 @@
 	return p
 }
 
-func (p *pool) newGeneration() *generation { return &generation{transport: p.newTransport(p.dial)} }
+func (p *pool) newGeneration() *generation {
+	return &generation{transport: answerhead.NewTransport(p.newTransport(p.dial))}
+}
 
 // newTransport returns a transport for HTTP/1.1 only, without a proxy from the
 // environment and without compression.
@@ -60,7 +64,7 @@
 // reused connection fails before an answer, and the endpoint would run it twice.
 // Here the connection is new, and a second dial for a retry is refused. The dial
 // ends with ctx, since no other request could use the connection.
-func (p *pool) singleUseTransport(ctx context.Context) *http.Transport {
+func (p *pool) singleUseTransport(ctx context.Context) *answerhead.Transport {
 	var dialled atomic.Bool
 	t := p.newTransport(func(_ context.Context, network, address string) (net.Conn, error) {
 		if dialled.Swap(true) {
@@ -69,7 +73,7 @@
 		return p.dial(ctx, network, address)
 	})
 	t.DisableKeepAlives = true
-	return t
+	return answerhead.NewTransport(t)
 }
 
 // dial opens a connection as soon as one of the endpoint's slots is free.
--- a/internal/operator/client.go
+++ b/internal/operator/client.go
@@ -11,6 +11,7 @@
 
 	"github.com/dghubble/sling"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/problem"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/template"
 )
@@ -33,7 +34,7 @@
 func NewClient(baseURL, token string, transport http.RoundTripper) *Client {
 	return &Client{
 		base: sling.New().Base(baseURL).Set("Authorization", "Bearer "+token),
-		http: &http.Client{Timeout: clientTimeout, Transport: transport},
+		http: &http.Client{Timeout: clientTimeout, Transport: answerhead.NewTransport(transport)},
 	}
 }
 
--- a/internal/outside/transport.go
+++ b/internal/outside/transport.go
@@ -5,6 +5,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 )
 
 const (
@@ -51,7 +53,7 @@
 // would be sent a second time.
 func newHTTPClient(transport http.RoundTripper) *http.Client {
 	return &http.Client{
-		Transport: transport,
+		Transport: answerhead.NewTransport(transport),
 		CheckRedirect: func(*http.Request, []*http.Request) error {
 			return http.ErrUseLastResponse
 		},
--- a/internal/upstream/invalid.go
+++ b/internal/upstream/invalid.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"regexp"
 	"strings"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 )
 
 // Kind is why bytes aren't the answer to a call, as one of few words.
@@ -12,8 +14,8 @@
 
 // The kinds.
 const (
-	InvalidHead     Kind = "invalid-head"       // no head of an HTTP/1 answer, or one without an end
-	InvalidStatus   Kind = "invalid-status"     // a status that HTTP doesn't have
+	InvalidHead     Kind = "invalid-head" // no head of an HTTP/1 answer, or one without an end
+	InvalidStatus        = Kind(answerhead.InvalidStatus)
 	InvalidFraming  Kind = "invalid-framing"    // chunks that are none
 	SeveralIDs      Kind = "several-requests"   // the head names this request and another one
 	ForeignTrailer  Kind = "foreign-trailer"    // the trailer names another request
@@ -62,8 +64,8 @@
 	if resp.ProtoMajor != 1 {
 		return c.invalid(InvalidHead, resp.Proto)
 	}
-	if resp.StatusCode < 100 || resp.StatusCode > 599 {
-		return c.invalid(InvalidStatus, resp.Status)
+	if err := answerhead.Check(resp); err != nil {
+		return c.invalid(Kind(err.Kind), err.Text)
 	}
 	if holdsStatusLine(resp.Status) {
 		return c.invalid(InvalidHead, resp.Status)
