answerhead: Names of fields with spaces are malformed answers

On the chat path callers of plain services got answers whose heads held a name with a space, with that line passed on; after "Content-Length : 3" the body went on to the connection's end, and after "Transfer-Encoding : chunked" it held the chunks' sizes. Engines' streams and JSON calls, the store, the cloud, the outside's APIs, the operators' client and the load tool took such heads too: a list without objects, an outcome, a write "not run" by a 409; "Store-Era : 3" left an answer without the era that it states.

Cause: net/http accepts a space in a field's name, for old servers, and keeps the name as it is. Only internal/upstream had a check. Other bytes that a name can't have it refuses by itself.

answerhead.Check has the names too, and its Transport looks at informational heads by httptrace.

The metrics' clients have no test of their own.

--- a/internal/answerhead/transport.go
+++ b/internal/answerhead/transport.go
@@ -4,6 +4,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 )
 
 // Transport sends requests and refuses answers whose heads are invalid, with an *Error. Their connections aren't used
@@ -21,7 +22,10 @@
 // RoundTrip implements http.RoundTripper.
 func (t *Transport) RoundTrip(req *http.Request) (*http.Response, error) {
 	var conn net.Conn
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { conn = info.Conn }}
+	trace := &httptrace.ClientTrace{
+		GotConn:        func(info httptrace.GotConnInfo) { conn = info.Conn },
+		Got1xxResponse: checkInformational,
+	}
 	resp, err := t.base.RoundTrip(req.WithContext(httptrace.WithClientTrace(req.Context(), trace)))
 	if err != nil {
 		return nil, err
@@ -47,6 +51,14 @@
 	return nil
 }
 
+// checkInformational checks the head of an answer that is followed by another one. An error ends the request.
+func checkInformational(_ int, h textproto.MIMEHeader) error {
+	if err := checkNames(h); err != nil {
+		return err
+	}
+	return nil
+}
+
 // CloseIdleConnections closes the connections that aren't in use.
 func (t *Transport) CloseIdleConnections() {
 	if c, ok := t.base.(interface{ CloseIdleConnections() }); ok {
--- a/internal/answerhead/transport_test.go
+++ b/internal/answerhead/transport_test.go
@@ -61,6 +61,11 @@
 		"HTTP/1.1 000 OK\r\n", "HTTP/1.1 001 OK\r\n", "HTTP/1.1 042 OK\r\n", "HTTP/1.1 099 OK\r\n", "HTTP/1.1 101 OK\r\n",
 		"HTTP/1.1 600 OK\r\n", "HTTP/1.1 999 OK\r\n",
 	},
+	InvalidName: {
+		"HTTP/1.1 200 OK\r\nA b: x\r\n", "HTTP/1.1 200 OK\r\nA : x\r\n", "HTTP/1.1 200 OK\r\nContent-Length : 3\r\n",
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n",
+		"HTTP/1.1 103 X\r\nA b: x\r\n\r\nHTTP/1.1 200 OK\r\n",
+	},
 }
 
 // Guards against heads that are none and that a client takes for an answer's, and connections that are used after them.
@@ -86,6 +91,16 @@
 	}
 }
 
+// Guards against names with bytes that net/http refuses by itself.
+func TestNamesWithOtherBytesAreRefused(t *testing.T) {
+	for _, b := range []byte{0, 1, '\t', 0x1b, 0x7f, 0x80, 0xff, '(', '"'} {
+		url, _ := serve(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nA%sb: x\r\nContent-Length: 3\r\n\r\none", string([]byte{b})))
+		client := &http.Client{Transport: NewTransport(&http.Transport{})}
+		assert.Check(t, get(client, url) != nil, "%q", b)
+		client.CloseIdleConnections()
+	}
+}
+
 func TestValidHeadsAreTaken(t *testing.T) {
 	for _, head := range []string{
 		"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\n", "HTTP/1.1 200\r\n", "HTTP/1.1 299 X\r\n", "HTTP/1.1 599 X\r\n",
--- a/internal/cli/report.go
+++ b/internal/cli/report.go
@@ -7,6 +7,7 @@
 
 	"github.com/spf13/cobra"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/report"
 )
 
@@ -65,7 +66,8 @@
 		Example: `  cyclamenbeam report follow --metrics 127.0.0.1:9001,127.0.0.1:9004 > samples.jsonl`,
 		Args:    cobra.NoArgs,
 		RunE: withExitStatus(func(cmd *cobra.Command, _ []string) error {
-			err := report.Follow(cmd.Context(), a.stdout, http.DefaultClient, addresses, period)
+			client := &http.Client{Transport: answerhead.NewTransport(nil)}
+			err := report.Follow(cmd.Context(), a.stdout, client, addresses, period)
 			if cmd.Context().Err() != nil {
 				return nil
 			}
--- a/internal/endpoint/invalid_test.go
+++ b/internal/endpoint/invalid_test.go
@@ -3,8 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -20,12 +18,17 @@
 	"status 042": "HTTP/1.1 042 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"status 101": "HTTP/1.1 101 OK\r\nContent-Length: %d\r\n\r\n%s",
 	"status 600": "HTTP/1.1 600 OK\r\nContent-Length: %d\r\n\r\n%s",
+
+	"name with a space":            "HTTP/1.1 200 OK\r\nNo ise: x\r\nContent-Length: %d\r\n\r\n%s",
+	"name with a space at its end": "HTTP/1.1 200 OK\r\nNoise : x\r\nContent-Length: %d\r\n\r\n%s",
+	"length with a space":          "HTTP/1.1 200 OK\r\nContent-Length : %d\r\n\r\n%s",
+	"coding with a space":          "HTTP/1.1 200 OK\r\nTransfer-Encoding : chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n",
+	"space in an earlier head":     "HTTP/1.1 103 X\r\nNo ise: x\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s",
 }
 
 // serveText starts a server that answers with a text.
 func serveText(t *testing.T, text string) string {
-	end := func(c *net.TCPConn, _ io.Reader) { _ = c.CloseWrite() }
-	return earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) { return text, end })
+	return earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) { return text, earlyanswer.ReadOn })
 }
 
 // Guards against answers with invalid heads that reach the callers of services.
--- a/internal/load/caller/call_test.go
+++ b/internal/load/caller/call_test.go
@@ -1,6 +1,7 @@
 package caller
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -11,6 +12,7 @@
 
 	"gotest.tools/v3/assert"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/earlyanswer"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/verdict"
 )
 
@@ -69,3 +71,21 @@
 		})
 	})
 }
+
+// Guards against a call that counts as answered by an answer that isn't an entry's.
+func TestAnswerWithAnInvalidHeadIsBroken(t *testing.T) {
+	for _, head := range []string{"HTTP/1.1 042 OK\r\n", "HTTP/1.1 200 OK\r\nNo ise: x\r\n", "HTTP/1.1 200 OK\r\nNoise : x\r\n"} {
+		address := earlyanswer.Serve(t, func(r *http.Request) (string, earlyanswer.End) {
+			if r.URL.Path == EntriesPath {
+				entries := `{"entries":[{"address":"` + r.Host + `"}]}`
+				return fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(entries), entries), earlyanswer.ReadOn
+			}
+			return head + "Content-Length: 2\r\n\r\n{}", earlyanswer.ReadOn
+		})
+		c := New(Options{Seeds: []string{address}, MaxRetries: 1}, []string{"token"})
+		out := c.Call(t.Context(), &Call{Service: "parts", Method: http.MethodPost, Path: "/orders", Body: []byte("{}")})
+		c.Close()
+		assert.Check(t, out.End != Answered, "%q", head)
+		assert.Check(t, out.Verdict == verdict.MayHaveRun, "%q: %v", head, out.Verdict)
+	}
+}
--- a/internal/load/caller/client.go
+++ b/internal/load/caller/client.go
@@ -7,6 +7,8 @@
 	"io"
 	"net/http"
 	"time"
+
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 )
 
 // Client sends the requests of several workspaces' callers. Safe for
@@ -22,7 +24,7 @@
 func New(o Options, tokens []string) *Client {
 	o = o.withDefaults()
 	c := &Client{o: o, tokens: tokens, http: &http.Client{
-		Transport: o.Transport,
+		Transport: answerhead.NewTransport(o.Transport),
 		// http.Client would drop the credential on a redirect to another
 		// address, and the redirect would not be counted.
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
--- a/internal/load/meter.go
+++ b/internal/load/meter.go
@@ -9,6 +9,7 @@
 
 	"github.com/dghubble/sling"
 
+	"github.com/cyclamenbeam/cyclamenbeam/internal/answerhead"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/engineapi"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/listapi"
@@ -43,7 +44,7 @@
 
 func newMeter(t Target, hourPrice float64, transport http.RoundTripper) *meter {
 	return &meter{
-		target: t, client: &http.Client{Transport: transport}, fixedPrice: hourPrice,
+		target: t, client: &http.Client{Transport: answerhead.NewTransport(transport)}, fixedPrice: hourPrice,
 		engines: make(map[string]*engineTotal), services: slices.Clone(t.Services),
 	}
 }
--- a/internal/outside/invalid_test.go
+++ b/internal/outside/invalid_test.go
@@ -4,8 +4,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"testing"
 
@@ -17,15 +15,14 @@
 )
 
 // invalidHeads are the beginnings of heads that no API sends.
-var invalidHeads = []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 042 OK\r\n", "HTTP/1.1 600 OK\r\n"}
+var invalidHeads = []string{"HTTP/1.1 000 OK\r\n", "HTTP/1.1 042 OK\r\n", "HTTP/1.1 600 OK\r\n", "HTTP/1.1 200 OK\r\nNo ise: x\r\n", "HTTP/1.1 200 OK\r\nNoise : x\r\n"}
 
 // Guards against a write that counts as refused, or as done, by an answer that isn't the API's.
 func TestInvalidHeadsLeaveWritesOpen(t *testing.T) {
 	const object = `{"version":7}`
 	for _, head := range invalidHeads {
-		end := func(c *net.TCPConn, _ io.Reader) { _ = c.CloseWrite() }
 		address := earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) {
-			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(object), object), end
+			return fmt.Sprintf("%sContent-Length: %d\r\n\r\n%s", head, len(object), object), earlyanswer.ReadOn
 		})
 		clients, err := New(Options{Objects: "http://" + address, Budget: plenty})
 		assert.NilError(t, err)
--- a/internal/upstream/invalid.go
+++ b/internal/upstream/invalid.go
@@ -58,8 +58,7 @@
 	return out
 }
 
-// checkHead returns an error for a head that net/http reads but HTTP/1 doesn't allow. A name with a space could
-// be that of a field which others read as the one that states the body's length.
+// checkHead returns an error for a head that net/http reads but HTTP/1 doesn't allow.
 func (c *conn) checkHead(resp *http.Response) error {
 	if resp.ProtoMajor != 1 {
 		return c.invalid(InvalidHead, resp.Proto)
@@ -70,10 +69,7 @@
 	if holdsStatusLine(resp.Status) {
 		return c.invalid(InvalidHead, resp.Status)
 	}
-	for name, values := range resp.Header {
-		if !isToken(name) {
-			return c.invalid(InvalidHead, name)
-		}
+	for _, values := range resp.Header {
 		for _, v := range values {
 			if holdsStatusLine(v) {
 				return c.invalid(InvalidHead, v)
@@ -92,12 +88,6 @@
 	return strings.Contains(line, "HTTP/1.") && statusLine.MatchString(line)
 }
 
-// isToken reports whether a header's name is a token. Of the bytes that a token can't have, net/http lets only
-// spaces through.
-func isToken(name string) bool {
-	return name != "" && !strings.ContainsRune(name, ' ')
-}
-
 // OwnerOf returns the request that an answer names by the values of a header.
 func OwnerOf(values []string, id string) Ownership {
 	own := 0
