upstream: Tests of statuses and of bytes in names that were refused already

On the relayed path heads with the statuses 000, 042, 0200, 2e2 and -20, and names with a space, a control byte, a tab, an escape, a delete byte or a byte above 127, were refused before; not all of them had a test. These pass on too, with the kinds that are logged and counted.

--- a/internal/relay/invalid_test.go
+++ b/internal/relay/invalid_test.go
@@ -28,9 +28,13 @@
 		"x7 noise\r\n\r\n",
 		"HTTP/2.0 200 OK\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
 		ownHead + "no ise: 1\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+		ownHead + "Transfer-Encoding : chunked\r\n\r\nBODY0\r\n\r\n",
+		ownHead + "no\x01ise: 1\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
 		ownHead + "Content-Length: 3\r\nContent-Length: 2\r\n\r\none",
 	},
 	"invalid-status": {
+		"HTTP/1.1 000 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
+		"HTTP/1.1 042 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
 		"HTTP/1.1 099 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
 		"HTTP/1.1 600 X\r\nId: ID\r\nTransfer-Encoding: chunked\r\n\r\nBODY0\r\n\r\n",
 	},
