--- a/internal/forward/hop_test.go
+++ b/internal/forward/hop_test.go
@@ -23,6 +23,7 @@
 	"github.com/cyclamenbeam/cyclamenbeam/internal/backpressure"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/connections"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/delivery"
+	"github.com/cyclamenbeam/cyclamenbeam/internal/earlyanswer"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/ends"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/fleet"
 	"github.com/cyclamenbeam/cyclamenbeam/internal/forward"
@@ -430,6 +431,19 @@
 	assert.DeepEqual(t, f.answered, []bool{false})
 }
 
+// Guards against an answer without a length over the hop, which daemons don't send, that passes as whole.
+func TestAnswerWithoutALengthIsBrokenOverTheHop(t *testing.T) {
+	for _, end := range []earlyanswer.End{earlyanswer.Reset, earlyanswer.ReadOn} {
+		for _, path := range []string{"/order/1", "/lookup/1", "/stream/1"} {
+			daemon := earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) {
+				return "HTTP/1.1 200 OK\r\n\r\nid: 1\ndata: x\n\n", end
+			})
+			out := newHopDaemon(t, "", daemon).send(t.Context(), path, strings.Repeat("x", maxBytes/2))
+			assert.Assert(t, !out.ended, path)
+		}
+	}
+}
+
 // Guards against more runs of a request than its route allows, where both daemons repeat it.
 func TestAttemptsAreBoundedOverTheHop(t *testing.T) {
 	e := newHopEngine(t, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) })
