--- a/internal/earlyanswer/earlyanswer.go
+++ b/internal/earlyanswer/earlyanswer.go
@@ -32,7 +32,7 @@
 	_, _ = io.Copy(io.Discard, rest)
 }
 
-// Stop ends the answer, and reads nothing of the body until the client closes the connection.
+// Stop returns an End that ends the answer, and leaves the body unread until a context ends.
 func Stop(until context.Context) End {
 	return func(c *net.TCPConn, _ io.Reader) {
 		_ = c.CloseWrite()
@@ -92,17 +92,17 @@
 	return &writerFirst{Conn: c, failed: newEvent(), ended: newEvent()}, nil
 }
 
-// event is closed once.
+// event is something that happens once.
 type event struct {
 	once sync.Once
-	c    chan struct{}
+	c    chan struct{} // closed when it has happened
 }
 
 func newEvent() *event { return &event{c: make(chan struct{})} }
 
 func (e *event) happened() { e.once.Do(func() { close(e.c) }) }
 
-// writerFirst is a connection whose reads, but the first one, wait until a write has failed.
+// writerFirst is a connection on which all reads after the first one wait until a write has failed.
 type writerFirst struct {
 	net.Conn
 	read   bool
--- a/internal/endpoint/conn.go
+++ b/internal/endpoint/conn.go
@@ -26,7 +26,7 @@
 	written int64
 	writing int // calls of Write in progress
 	sealed  bool
-	// sent is closed when the request in progress has been written, or that has failed; nil before the first one.
+	// sent is closed once the request in progress has been written, or writing it has failed; nil before the first one.
 	sent     chan struct{}
 	writeErr error // of the first Write that failed
 }
--- a/internal/upstream/invalid.go
+++ b/internal/upstream/invalid.go
@@ -14,8 +14,9 @@
 
 // The kinds.
 const (
-	InvalidHead     Kind = "invalid-head" // no head of an HTTP/1 answer, or one without an end
-	InvalidStatus        = Kind(answerhead.InvalidStatus)
+	InvalidHead   = Kind(answerhead.InvalidName)   // no head of an HTTP/1 answer, or one without an end
+	InvalidStatus = Kind(answerhead.InvalidStatus) // a status that HTTP doesn't have
+
 	InvalidFraming  Kind = "invalid-framing"    // chunks that are none
 	SeveralIDs      Kind = "several-requests"   // the head names this request and another one
 	ForeignTrailer  Kind = "foreign-trailer"    // the trailer names another request
