--- a/internal/relay/upload_test.go
+++ b/internal/relay/upload_test.go
@@ -121,3 +121,26 @@
 	assert.Assert(t, got.aborted && !got.ended)
 	assert.Equal(t, s.recorder.last.Reason, CallerLeft)
 }
+
+// Guards against an endpoint that resets its uploads and gets as many requests as the others.
+func TestEndpointThatResetsUploadsIsAvoided(t *testing.T) {
+	var resets atomic.Int32
+	resetting := earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) {
+		resets.Add(1)
+		return withoutLength(200, "part"), earlyanswer.Reset
+	})
+	sound := earlyanswer.Serve(t, func(*http.Request) (string, earlyanswer.End) {
+		return withoutLength(200, "done"), earlyanswer.ReadOn
+	})
+	s := newFixture(t, testRoutes(), &engine{}, &engine{}, &engine{})
+	s.relay.pool = upstream.NewPool(4, func(ctx context.Context, endpoint string) (net.Conn, error) {
+		if endpoint == "e0" {
+			return earlyanswer.DialWriterFirst(ctx, resetting)
+		}
+		return earlyanswer.Dial(ctx, sound)
+	})
+	for range 20 {
+		assert.Equal(t, s.upload(t.Context(), "/lookup/1").body.String(), "done")
+	}
+	assert.Assert(t, resets.Load() >= 1 && resets.Load() <= 3, "%d of 20 requests", resets.Load())
+}
