--- a/internal/upstream/upload_test.go
+++ b/internal/upstream/upload_test.go
@@ -108,8 +108,7 @@
 func (*stoppedEndpoint) SetReadDeadline(time.Time) error  { return nil }
 func (*stoppedEndpoint) SetWriteDeadline(time.Time) error { return nil }
 
-// Guards against an upload that holds its request until the deadline though its endpoint has stopped reading it, and
-// one that is given up while it is read slowly.
+// Guards against a wait for an upload that isn't read any more, and one that ends while it is read slowly.
 func TestUploadMayTakeAsLongAsItIsRead(t *testing.T) {
 	const timeout = 2 * time.Second
 	for _, period := range []time.Duration{0, timeout / 2} {
