relay: Whole answers without a length aren't cut off with the path

Cause: an answer with neither a length nor chunks ends with its connection, as it does when its process crashes. To tell these apart the daemon tried a new connection to the address, which says something of the path and of whoever listens there now, not of the process that gave the answer.

Change: a process that ends closes all its connections. Another one that it accepted before, and that is open 20 ms after the answer's end, shows that it runs. What "before" is follows from the answer's bytes, since some may have been held up on the way or waited to be read. Sockets are polled: reading, also by MSG_PEEK, takes a reset from the goroutine that reads, which then sees an end in order. For the last answer at an endpoint a spare connection without calls is kept beside answers of this kind; it gives way to calls. Only without such a connection is a new one tried, as before.

A poll that a signal of the runtime interrupts is repeated: without that, 4 of 29 runs had one or two streams cut off.

Evidence: TestAnswerIsWholeWhileNewConnectionsAreRefused failed in 10 of 10 runs before, TestSignalsDontHideOpenConnections in 5 of 5 without the repeat, TestPollingLeavesTheResetToTheReader with a look by MSG_PEEK.

--- a/internal/relay/ending.go
+++ b/internal/relay/ending.go
@@ -34,6 +34,9 @@
 	if !pause.For(ctx, endCheckDelay) {
 		return ctx.Err()
 	}
+	if a.ProcessRuns() {
+		return nil
+	}
 	listens, err := f.relay.pool.Listens(ctx, t.choice.Endpoint.Address)
 	if listens || errors.Is(err, upstream.ErrPoolExhausted) { // other connections are still open
 		return nil
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -83,6 +83,38 @@
 	return err == nil && open
 }
 
+// open reports whether a connection is open and has no bytes to read; known is false if that can't
+// be told. Other goroutines may use the connection: unlike reading, polling leaves them the reset of
+// a connection, which the kernel reports once.
+func (c *conn) open() (open, known bool) {
+	sc, ok := c.nc.(syscall.Conn)
+	if !ok {
+		return false, false
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false, true
+	}
+	err = raw.Control(func(fd uintptr) {
+		n, err := poll(fd)
+		open, known = n == 0, err == nil
+	})
+	if err != nil { // closed by this process
+		return false, true
+	}
+	return open && known, known
+}
+
+// poll returns 1 if a socket has bytes to read or has ended, and 0 if not.
+func poll(fd uintptr) (n int, err error) {
+	for {
+		n, err = unix.Poll([]unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN | unix.POLLRDHUP}}, 0)
+		if err != unix.EINTR { // the runtime preempts threads by signals
+			return n, err
+		}
+	}
+}
+
 // expiry returns until when an idle connection may be kept after an answer,
 // zero if the endpoint closes it.
 func expiry(now time.Time, resp *http.Response) time.Time {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -58,7 +58,8 @@
 	open int     // established or being established
 	idle []*conn // most recently used last
 	// conns holds the established connections, idle or in use.
-	conns map[*conn]struct{}
+	conns       map[*conn]struct{}
+	undelimited undelimited
 }
 
 // remove removes a connection from the count; c is nil if connecting failed.
@@ -106,6 +107,9 @@
 	// Confirmed and Unconfirmed are the connections that were asked which run of their endpoint
 	// they reach, by whether it was the expected one.
 	Confirmed, Unconfirmed uint64
+	// EndsShown and EndsOpen are the answers without a length, by whether another connection showed
+	// at their end that their process runs.
+	EndsShown, EndsOpen uint64
 }
 
 // Dialer connects to an endpoint at an address, host:port.
@@ -212,7 +216,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	h := p.host(address)
-	if h.open >= p.share {
+	if h.full(p.share) {
 		return nil, verdict.Wrap(verdict.NotRun, ErrPoolExhausted)
 	}
 	h.open++
@@ -272,7 +276,7 @@
 		p.stats.Reused++
 		return c, h, nil
 	}
-	if h.open >= p.share {
+	if h.full(p.share) {
 		return nil, nil, verdict.Wrap(verdict.NotRun, ErrPoolExhausted)
 	}
 	h.open++
@@ -318,7 +322,7 @@
 	}
 }
 
-// Sweep closes expired idle connections. It should be called about once a
+// Sweep closes expired idle connections, and renews spares. It should be called about once a
 // second, since endpoints limit their connections.
 func (p *Pool) Sweep(now time.Time) {
 	p.mu.Lock()
@@ -334,6 +338,7 @@
 			h.remove(c)
 		}
 		h.idle = kept
+		p.sweepSpare(now, address, h)
 		if h.open == 0 {
 			delete(p.hosts, address)
 		}
--- a/internal/upstream/send.go
+++ b/internal/upstream/send.go
@@ -46,6 +46,7 @@
 	owns     func(http.Header) Ownership
 	upload   *upload // of the request's body, nil if it was written before the answer is read
 	stop     func() bool
+	ranAt    time.Time // when its process is known to have run, see readWait.ranAt; zero before the end
 	complete bool
 	closed   bool
 }
@@ -183,6 +184,9 @@
 	a.resp, a.owns = resp, call.Owns
 	a.Status, a.Header = resp.StatusCode, resp.Header
 	a.Body = (*body)(a)
+	if !a.Delimited() {
+		a.pool.beginUndelimited(a.conn)
+	}
 }
 
 // body reads an answer's body and records whether its end was reached.
@@ -200,7 +204,7 @@
 		if cut := (*Answer)(b).confirmEnd(); cut != nil {
 			return n, cut
 		}
-		b.complete = true
+		b.complete, b.ranAt = true, b.conn.wait.ranAt()
 	}
 	return n, err
 }
@@ -222,6 +226,9 @@
 		return
 	}
 	a.closed = true
+	if !a.Delimited() {
+		defer a.pool.endUndelimited(a.conn)
+	}
 	if !a.stop() { // the context has ended, and cancel has run
 		a.pool.drop(a.conn)
 		return
--- a/internal/upstream/wait.go
+++ b/internal/upstream/wait.go
@@ -35,6 +35,8 @@
 	checkedAt      time.Time   // when discountPause last ran
 	deadlineSet    bool        // the connection has a read deadline
 	cancelled      atomic.Bool // the call's context has ended
+	arrivedAt      time.Time   // when all that had arrived was read, began before that
+	steadyFrom     time.Time   // since when there was no pause of maxHoldUp between such times
 	readsHead      bool        // a head is being read, of which headLeft bytes may follow
 	headLeft       int
 }
@@ -46,12 +48,16 @@
 	// minPause is the least delay of a check that counts as a pause: on a busy
 	// machine a check is late by some ten milliseconds.
 	minPause = 100 * time.Millisecond
+	// maxHoldUp is the longest time in which bytes arrive that were held up on the way, once they
+	// pass: a partition that ends lets all of them through.
+	maxHoldUp = time.Second
 )
 
 // startWait sets the bounds of a call.
 func (c *conn) startWait(now time.Time, call *Call) {
 	c.wait.silenceTimeout, c.wait.headDeadline = call.SilenceTimeout, time.Time{}
 	c.wait.began, c.wait.silenceFrom, c.wait.checkedAt = now, now, now
+	c.wait.arrivedAt, c.wait.steadyFrom = now, now
 	if call.HeadTimeout > 0 {
 		c.wait.headDeadline = now.Add(call.HeadTimeout)
 	}
@@ -71,6 +77,28 @@
 	c.wait.headDeadline = time.Time{}
 }
 
+// arrived records that all bytes that had arrived, or the end of the connection, were read. After a
+// pause they may have been held up on the way.
+func (w *readWait) arrived(now time.Time) {
+	if now.Sub(w.arrivedAt) >= maxHoldUp {
+		w.steadyFrom = now
+	}
+	w.arrivedAt = now
+}
+
+// ranAt returns the latest time, before what arrived last, at which the endpoint's process is known
+// to have run; zero if that may have been held up.
+func (w *readWait) ranAt() time.Time {
+	switch {
+	case w.arrivedAt.Sub(w.steadyFrom) >= maxHoldUp:
+		return w.arrivedAt.Add(-maxHoldUp)
+	case w.steadyFrom.Equal(w.began):
+		return w.began
+	default:
+		return time.Time{}
+	}
+}
+
 // cancel ends all reading and writing when the call's context ends.
 func (c *conn) cancel() {
 	c.wait.cancelled.Store(true)
@@ -166,6 +194,9 @@
 			c.received.Set(now)
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.wait.cancelled.Load() {
+			if n < len(p) { // otherwise more may have been waiting to be read
+				c.wait.arrived(now)
+			}
 			return n, err
 		}
 		c.discountPause(now, received)
