--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -57,7 +57,7 @@
 	m.set.NewGauge(`cyclamenbeam_connections_confirmed_total{result="expected"}`, func() float64 { return float64(n.pool.Stats().Confirmed) })
 	m.set.NewGauge(`cyclamenbeam_connections_confirmed_total{result="other"}`, func() float64 { return float64(n.pool.Stats().Unconfirmed) })
 	m.set.NewGauge(`cyclamenbeam_undelimited_answers_total{process="runs"}`, func() float64 { return float64(n.pool.Stats().EndsShown) })
-	m.set.NewGauge(`cyclamenbeam_undelimited_answers_total{process="unknown"}`, func() float64 { return float64(n.pool.Stats().EndsOpen) })
+	m.set.NewGauge(`cyclamenbeam_undelimited_answers_total{process="unknown"}`, func() float64 { return float64(n.pool.Stats().EndsUnknown) })
 	return m
 }
 
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -107,9 +107,9 @@
 	// Confirmed and Unconfirmed are the connections that were asked which run of their endpoint
 	// they reach, by whether it was the expected one.
 	Confirmed, Unconfirmed uint64
-	// EndsShown and EndsOpen are the answers without a length, by whether another connection showed
-	// at their end that their process runs.
-	EndsShown, EndsOpen uint64
+	// EndsShown and EndsUnknown are the answers without a length that ended, by whether another
+	// connection showed that their process runs on.
+	EndsShown, EndsUnknown uint64
 }
 
 // Dialer connects to an endpoint at an address, host:port.
--- a/internal/upstream/spare.go
+++ b/internal/upstream/spare.go
@@ -112,7 +112,7 @@
 	if shown {
 		s.EndsShown++
 	} else {
-		s.EndsOpen++
+		s.EndsUnknown++
 	}
 }
 
